--- /dev/null
+++ b/scripts/run_tests.ts
@@ -0,0 +1,51 @@
+/** Runs every test file with Node's test runner; prints the cases listed in KNOWN-RED.txt. */
+import { existsSync, readdirSync, readFileSync } from "node:fs";
+import { join } from "node:path";
+import { run } from "node:test";
+import { spec } from "node:test/reporters";
+
+const testTimeoutMs = 120_000;
+const knownRedFile = "KNOWN-RED.txt";
+
+function listTestFiles(folder: string): string[] {
+  return readdirSync(folder, { withFileTypes: true })
+    .flatMap((entry) => {
+      const path = join(folder, entry.name);
+      if (entry.isDirectory()) return listTestFiles(path);
+      return entry.name.endsWith("_test.ts") ? [path] : [];
+    })
+    .sort();
+}
+
+/** Names of the tests that are listed as failing, one `test: NAME` line each. */
+function readKnownRed(): Set<string> {
+  if (!existsSync(knownRedFile)) return new Set();
+  const lines = readFileSync(knownRedFile, "utf8").split("\n");
+  return new Set(
+    lines
+      .filter((line) => line.startsWith("test: "))
+      .map((line) => line.slice("test: ".length).trim()),
+  );
+}
+
+const knownRed = readKnownRed();
+const filter = process.argv[2] ?? "";
+const files = listTestFiles("tests").filter((file) => file.includes(filter));
+const red: string[] = [];
+let failed = 0;
+let passed = 0;
+const stream = run({ files, concurrency: 4, timeout: testTimeoutMs });
+stream.on("test:fail", (event) => {
+  if (event.details.type === "suite") return;
+  if (knownRed.has(event.name)) red.push(event.name);
+  else failed++;
+});
+stream.on("test:pass", (event) => {
+  if (event.details.type !== "suite") passed++;
+});
+stream.on("end", () => {
+  for (const name of red) console.log(`known red: ${name}`);
+  console.log(`${passed} passed, ${failed} failed`);
+  process.exitCode = failed === 0 && passed > 0 ? 0 : 1;
+});
+stream.compose(new spec()).pipe(process.stdout);
--- /dev/null
+++ b/src/adapters/time/virtual_clock.ts
@@ -0,0 +1,112 @@
+import {
+  type Cancel,
+  type Clock,
+  type Millis,
+  millis,
+} from "../../core/clock.ts";
+
+type Timer = {
+  at: number;
+  order: number;
+  callback: (() => void) | undefined;
+};
+
+/** Lets pending promise callbacks run before the next timer fires. */
+function drainMicrotasks(): Promise<void> {
+  return new Promise((resolve) => setImmediate(resolve));
+}
+
+/** Clock whose time moves only when a test or the bench advances it. */
+export class VirtualClock implements Clock {
+  #now = 0;
+  #order = 0;
+  /** Binary heap ordered by time, then by order of scheduling. */
+  #heap: Timer[] = [];
+
+  static create(): VirtualClock {
+    return new VirtualClock();
+  }
+
+  now(): Millis {
+    return millis(this.#now);
+  }
+
+  wallNow(): Millis {
+    return millis(this.#now);
+  }
+
+  schedule(delay: Millis, callback: () => void): Cancel {
+    const timer: Timer = {
+      at: this.#now + Math.max(0, delay),
+      order: this.#order++,
+      callback,
+    };
+    this.#push(timer);
+    return () => {
+      timer.callback = undefined;
+    };
+  }
+
+  /** Advances by `duration` ms, running due timers and the promises they settle. */
+  async advance(duration: Millis): Promise<void> {
+    const end = this.#now + duration;
+    await drainMicrotasks();
+    while (this.#runNext(end)) await drainMicrotasks();
+    this.#now = end;
+  }
+
+  /** Advances by `duration` ms without giving promises a turn; for synchronous simulations. */
+  advanceSync(duration: Millis): void {
+    const end = this.#now + duration;
+    while (this.#runNext(end)) {}
+    this.#now = end;
+  }
+
+  #runNext(end: number): boolean {
+    for (;;) {
+      const next = this.#heap[0];
+      if (next === undefined || next.at > end) return false;
+      this.#pop();
+      if (next.callback === undefined) continue;
+      this.#now = Math.max(this.#now, next.at);
+      next.callback();
+      return true;
+    }
+  }
+
+  #push(timer: Timer): void {
+    const heap = this.#heap;
+    let index = heap.length;
+    heap.push(timer);
+    while (index > 0) {
+      const parent = (index - 1) >> 1;
+      const above = heap[parent] as Timer;
+      if (!isEarlier(timer, above)) break;
+      heap[index] = above;
+      index = parent;
+    }
+    heap[index] = timer;
+  }
+
+  #pop(): void {
+    const heap = this.#heap;
+    const last = heap.pop();
+    if (last === undefined || heap.length === 0) return;
+    let index = 0;
+    for (;;) {
+      let child = 2 * index + 1;
+      const right = heap[child + 1];
+      if (right !== undefined && isEarlier(right, heap[child] as Timer))
+        child++;
+      const below = heap[child];
+      if (below === undefined || !isEarlier(below, last)) break;
+      heap[index] = below;
+      index = child;
+    }
+    heap[index] = last;
+  }
+}
+
+function isEarlier(a: Timer, b: Timer): boolean {
+  return a.at < b.at || (a.at === b.at && a.order < b.order);
+}
--- /dev/null
+++ b/src/core/engine/messages.ts
@@ -0,0 +1,147 @@
+import type { Millis } from "../clock.ts";
+import type {
+  AdapterKey,
+  Digest,
+  EngineId,
+  FencingNumber,
+  RequestId,
+} from "../ids.ts";
+import type { EventName } from "../observe/events.ts";
+import type { Refusal } from "../results/refusal.ts";
+import type { Work } from "./work.ts";
+
+/** Capacity and behaviour of an engine, from the settings. */
+export type EngineLimits = {
+  /** Adapter versions that the engine holds at once. */
+  readonly slots: number;
+  /** Requests that run at once in one batch. */
+  readonly batch: number;
+  /** Requests that may wait at the owner. */
+  readonly queue: number;
+  /** Whether the engine refuses orders with an old fencing number. */
+  readonly fencing: "checked" | "ignored";
+};
+
+/** What an engine says about itself, as far as decisions need it. */
+export type EngineStatus = {
+  readonly boot: string;
+  readonly loaded: readonly AdapterKey[];
+  readonly running: readonly RequestId[];
+  readonly waiting: number;
+  readonly leaving: boolean;
+};
+
+/** Why a stream ended without being whole. */
+export type StreamFailureKind =
+  | "refused"
+  | "stale-fence"
+  | "adapter-missing"
+  | "leaving"
+  | "unreachable"
+  | "broken"
+  | "silent";
+
+/** Message to the owner of an engine. */
+export type EngineEvent =
+  | { readonly type: "submit"; readonly work: Work }
+  | { readonly type: "cancel"; readonly requestId: RequestId }
+  | { readonly type: "first-token"; readonly requestId: RequestId }
+  /** Progress of a running stream, at most once a second. */
+  | {
+      readonly type: "progress";
+      readonly requestId: RequestId;
+      readonly tokens: number;
+    }
+  | {
+      readonly type: "finished";
+      readonly requestId: RequestId;
+      readonly tokens: number;
+    }
+  | {
+      readonly type: "stream-failed";
+      readonly requestId: RequestId;
+      readonly kind: StreamFailureKind;
+      readonly detail: string;
+    }
+  | { readonly type: "load-finished"; readonly adapter: AdapterKey }
+  | {
+      readonly type: "load-failed";
+      readonly adapter: AdapterKey;
+      readonly detail: string;
+    }
+  | { readonly type: "unload-finished"; readonly adapter: AdapterKey }
+  | { readonly type: "unload-failed"; readonly adapter: AdapterKey }
+  /** One load may start now. */
+  | { readonly type: "permit-granted" }
+  | { readonly type: "report"; readonly status: EngineStatus }
+  | { readonly type: "report-failed"; readonly detail: string }
+  /** The lease and fencing number under which orders may be written. */
+  | {
+      readonly type: "ownership";
+      readonly fence: FencingNumber;
+      readonly mode: OwnershipMode;
+      /** Time before which nothing is evicted; see design 5.2. */
+      readonly settledAt: Millis;
+    }
+  /** Adapter versions that placement wants here, most wanted first. */
+  | { readonly type: "placement"; readonly adapters: readonly AdapterKey[] }
+  /** The server is leaving: no new work. */
+  | { readonly type: "leaving" }
+  /** The node is draining: no new work; queued work is handed back. */
+  | { readonly type: "drain" }
+  | { readonly type: "wake" };
+
+/**
+ * `usable`: all orders. `outage`: the lease ended in a table outage; dispatch
+ * to loaded adapters only. `none`: no orders.
+ */
+export type OwnershipMode = "usable" | "outage" | "none";
+
+/** Order of the decision to the actor that owns the engine. */
+export type EngineCommand =
+  | {
+      readonly type: "dispatch";
+      readonly work: Work;
+      readonly fence: FencingNumber;
+    }
+  | {
+      readonly type: "load";
+      readonly adapter: AdapterKey;
+      readonly fence: FencingNumber;
+    }
+  | {
+      readonly type: "unload";
+      readonly adapter: AdapterKey;
+      readonly fence: FencingNumber;
+    }
+  /** Ends the request at this owner; the refusal says whether it may have run. */
+  | {
+      readonly type: "refuse";
+      readonly requestId: RequestId;
+      readonly refusal: Refusal;
+    }
+  | { readonly type: "cancel-stream"; readonly requestId: RequestId }
+  | { readonly type: "request-permit"; readonly urgent: boolean }
+  /** Gives back a granted permit; `used` when a load was started under it. */
+  | { readonly type: "release-permit"; readonly used: boolean }
+  /** Asks the engine for a report on a fresh connection. */
+  | { readonly type: "request-report" }
+  /** Requests that were running when the engine crashed. */
+  | { readonly type: "suspect"; readonly digests: readonly Digest[] }
+  /** A suspect ended whole while it ran alone. */
+  | { readonly type: "clear-suspect"; readonly digest: Digest }
+  /** Sends a `wake` event at this time; replaces an earlier one. */
+  | { readonly type: "set-timer"; readonly at: Millis }
+  | {
+      readonly type: "record";
+      readonly event: EventName;
+      readonly requestId?: RequestId;
+      readonly adapter?: AdapterKey;
+      readonly detail?: string;
+    };
+
+/** Identity of an engine at its owner. */
+export type EngineIdentity = {
+  readonly engine: EngineId;
+  readonly limits: EngineLimits;
+};
--- /dev/null
+++ b/tests/import_rule_test.ts
@@ -0,0 +1,50 @@
+import assert from "node:assert/strict";
+import { readdirSync, readFileSync } from "node:fs";
+import { dirname, join, normalize } from "node:path";
+import { test } from "node:test";
+
+/** Packages and folders that each layer may import; a missing layer is unrestricted. */
+const allowedImports: Record<string, { layers: string[]; packages: string[] }> =
+  {
+    core: { layers: ["core"], packages: ["xstate", "purify-ts", "pure-rand"] },
+    ports: { layers: ["core", "ports"], packages: ["purify-ts"] },
+  };
+
+function listSources(folder: string): string[] {
+  return readdirSync(folder, { recursive: true, encoding: "utf8" })
+    .filter((name) => name.endsWith(".ts"))
+    .map((name) => join(folder, name));
+}
+
+function readImports(file: string): string[] {
+  const source = readFileSync(file, "utf8");
+  return [...source.matchAll(/(?:from|import)\s+"([^"]+)"/g)].map(
+    (match) => match[1] as string,
+  );
+}
+
+/** Says why an import breaks the layer rule, or undefined if it does not. */
+function findViolation(file: string, specifier: string): string | undefined {
+  const layer = file.split("/")[1] as string;
+  const rule = allowedImports[layer];
+  if (rule === undefined) return undefined;
+  if (!specifier.startsWith(".")) {
+    const name = specifier.split("/")[0] as string;
+    return rule.packages.includes(name)
+      ? undefined
+      : `${file} imports ${specifier}`;
+  }
+  const target = normalize(join(dirname(file), specifier)).split("/")[1];
+  return rule.layers.includes(target as string)
+    ? undefined
+    : `${file} imports ${specifier}`;
+}
+
+test("core and ports import no adapter, network, codec or log library", () => {
+  const violations = listSources("src").flatMap((file) =>
+    readImports(file)
+      .map((specifier) => findViolation(file, specifier))
+      .filter((violation) => violation !== undefined),
+  );
+  assert.deepEqual(violations, []);
+});
