--- a/src/core/engine/messages.ts
+++ b/src/core/engine/messages.ts
@@ -79,10 +79,15 @@
   | {
       readonly type: "ownership";
       readonly fence: FencingNumber;
-      readonly mode: OwnershipMode;
+      /** Loads and evictions may be ordered before this time. */
+      readonly orderUntil: Millis;
+      /** Requests may be dispatched to loaded adapters before this time; later than `orderUntil` only in a table outage. */
+      readonly dispatchUntil: Millis;
       /** Time before which nothing is evicted; see design 5.2. */
       readonly settledAt: Millis;
     }
+  /** Another node owns the engine, or no node. */
+  | { readonly type: "ownership-lost" }
   /** Adapter versions that placement wants here, most wanted first. */
   | { readonly type: "placement"; readonly adapters: readonly AdapterKey[] }
   /** The server is leaving: no new work. */
@@ -91,28 +96,25 @@
   | { readonly type: "drain" }
   | { readonly type: "wake" };
 
-/**
- * `usable`: all orders. `outage`: the lease ended in a table outage; dispatch
- * to loaded adapters only. `none`: no orders.
- */
-export type OwnershipMode = "usable" | "outage" | "none";
-
 /** Order of the decision to the actor that owns the engine. */
 export type EngineCommand =
   | {
       readonly type: "dispatch";
       readonly work: Work;
       readonly fence: FencingNumber;
+      readonly validUntil: Millis;
     }
   | {
       readonly type: "load";
       readonly adapter: AdapterKey;
       readonly fence: FencingNumber;
+      readonly validUntil: Millis;
     }
   | {
       readonly type: "unload";
       readonly adapter: AdapterKey;
       readonly fence: FencingNumber;
+      readonly validUntil: Millis;
     }
   /** Ends the request at this owner; the refusal says whether it may have run. */
   | {
--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -1,4 +1,5 @@
 import type { Either } from "purify-ts";
+import type { Millis } from "../core/clock.ts";
 import type { Priority } from "../core/engine/work.ts";
 import type { AdapterKey, FencingNumber, RequestId } from "../core/ids.ts";
 
@@ -31,6 +32,8 @@
   readonly body: Uint8Array;
   readonly priority: Priority;
   readonly fence: FencingNumber;
+  /** The order must not be written at or after this time of the node's clock. */
+  readonly validUntil: Millis;
   /** Number of stream events that the caller already has. */
   readonly resumeAt: number;
 };
@@ -56,6 +59,8 @@
 export type AdapterOrder = {
   readonly adapter: AdapterKey;
   readonly fence: FencingNumber;
+  /** The order must not be written at or after this time of the node's clock. */
+  readonly validUntil: Millis;
 };
 
 /** What an engine says about itself; may lag behind. */
