--- a/src/core/routing/view.ts
+++ b/src/core/routing/view.ts
@@ -22,6 +22,8 @@
   readonly tokenGap: Millis;
   /** Observed mean time that a request occupies a batch place, in ms. */
   readonly serviceTime: Millis;
+  /** Wait until the owner can start another load; undefined when it did not say. */
+  readonly loadWait?: Millis;
   /** Local time when this view was heard of. */
   readonly heardAt: Millis;
 };
--- /dev/null
+++ b/tests/routing/route_test.ts
@@ -0,0 +1,152 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import {
+  chooseEngine,
+  chooseFromSheet,
+  chooseLeastLoaded,
+} from "../../src/core/routing/route.ts";
+import {
+  adapterOf,
+  away,
+  createOptions,
+  createRequest,
+  createView,
+  engineOf,
+} from "./views.ts";
+
+const request = createRequest("chains");
+
+function choose(...views: ReturnType<typeof createView>[]) {
+  return chooseEngine(request, createOptions(views)).extract();
+}
+
+test("a request goes to the idle engine that holds its adapter, not to an empty one", () => {
+  const choice = choose(
+    createView("empty"),
+    createView("warm", { held: ["chains"] }),
+  );
+  assert.deepEqual(choice, { engine: "warm", expectedWait: 50 });
+});
+
+test("a request joins a load in progress instead of starting a second one", () => {
+  const choice = choose(
+    createView("empty"),
+    createView("busy", { loading: ["chains"], running: 3 }),
+  );
+  assert.equal("engine" in choice && choice.engine, "busy");
+});
+
+test("a request does not wait for a warm engine much longer than a load takes", () => {
+  const choice = choose(
+    createView("empty"),
+    createView("warm", { held: ["chains"], running: 4, queued: 4 }),
+  );
+  assert.equal("engine" in choice && choice.engine, "empty");
+});
+
+test("of two warm engines the one with the shorter queue is chosen", () => {
+  const choice = choose(
+    createView("long", { held: ["chains"], running: 4, queued: 6 }),
+    createView("short", { held: ["chains"], running: 4, queued: 1 }),
+  );
+  assert.equal("engine" in choice && choice.engine, "short");
+});
+
+test("requests sent since the view was heard count against the engine", () => {
+  const views = [
+    createView("a", { held: ["chains"], running: 3 }),
+    createView("b", { held: ["chains"], running: 4 }),
+  ];
+  const sent = { sentSince: (engine: string) => (engine === "a" ? 5 : 0) };
+  const choice = chooseEngine(request, createOptions(views, sent)).extract();
+  assert.equal("engine" in choice && choice.engine, "b");
+});
+
+test("a slow, leaving, ownerless or tried engine gets no request while another can take it", () => {
+  const tried = createRequest("chains", { tried: new Set([engineOf("e")]) });
+  const views = [
+    createView("a", { held: ["chains"], state: "slow" }),
+    createView("b", { held: ["chains"], state: "leaving" }),
+    createView("c", { held: ["chains"], owner: undefined }),
+    createView("d"),
+    createView("e", { held: ["chains"] }),
+  ];
+  const choice = chooseEngine(tried, createOptions(views)).extract();
+  assert.equal("engine" in choice && choice.engine, "d");
+});
+
+test("a slow engine that is due for a probe gets a request, so that recovery is noticed", () => {
+  const views = [
+    createView("slow", { held: ["chains"], state: "slow" }),
+    createView("ok", { held: ["chains"] }),
+  ];
+  const options = createOptions(views, { mayProbe: () => true });
+  const choice = chooseEngine(request, options).extract();
+  assert.equal("engine" in choice && choice.engine, "slow");
+});
+
+test("a request leaves its region only when the wait saved is worth the traffic", () => {
+  const remote = createView("remote", { held: ["chains"], region: away });
+  const brief = createView("local", {
+    held: ["chains"],
+    running: 4,
+    serviceTime: millis(1000),
+  });
+  const jammed = { ...brief, queued: 20 };
+  const near = choose(remote, brief);
+  assert.equal("engine" in near && near.engine, "local");
+  const far = choose(remote, jammed);
+  assert.equal("engine" in far && far.engine, "remote");
+});
+
+test("an engine that answers in time is preferred to a cheaper one that does not", () => {
+  const urgent = createRequest("chains", { deadlineAt: millis(200) });
+  const views = [
+    createView("local", { held: ["chains"], running: 4 }),
+    createView("remote", { held: ["chains"], region: away }),
+  ];
+  const choice = chooseEngine(urgent, createOptions(views)).extract();
+  assert.equal("engine" in choice && choice.engine, "remote");
+});
+
+test("cold requests for one adapter go to one home while its owner can load at once", () => {
+  const names = ["a", "b", "c", "d", "e", "f"];
+  const views = names.map((name) => createView(name));
+  const first = choose(...views);
+  assert.ok("engine" in first);
+  assert.deepEqual(choose(...[...views].reverse()), first);
+  const blocked = views.map((view) =>
+    view.engine === first.engine ? { ...view, loadWait: millis(2000) } : view,
+  );
+  const second = choose(...blocked);
+  assert.ok("engine" in second && second.engine !== first.engine);
+});
+
+test("without a usable engine every policy refuses as not run with a time to try again", () => {
+  for (const policy of [chooseEngine, chooseLeastLoaded, chooseFromSheet]) {
+    const refusal = policy(request, createOptions([])).extract();
+    assert.ok("code" in refusal);
+    assert.equal(refusal.code, "noEngine");
+    assert.equal(refusal.outcome, "not-run");
+    assert.ok((refusal.retryAfter ?? 0) > 0);
+  }
+});
+
+test("the baselines ignore held adapters and follow the sheet, respectively", () => {
+  const views = [
+    createView("warm", { held: ["chains"], running: 1 }),
+    createView("idle"),
+  ];
+  const least = chooseLeastLoaded(request, createOptions(views)).extract();
+  assert.equal("engine" in least && least.engine, "idle");
+  const sheet = {
+    sheetHomes: (key: string) =>
+      key === adapterOf("chains") ? [engineOf("warm")] : [],
+  };
+  const placed = chooseFromSheet(
+    request,
+    createOptions(views, sheet),
+  ).extract();
+  assert.equal("engine" in placed && placed.engine, "warm");
+});
