--- /dev/null
+++ b/src/adapters/keys/keyring.ts
@@ -0,0 +1,130 @@
+import {
+  createHash,
+  createHmac,
+  randomBytes,
+  timingSafeEqual,
+} from "node:crypto";
+import { readFileSync, statSync } from "node:fs";
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import { type Cancel, type Clock, millis } from "../../core/clock.ts";
+
+/** Time between checks of the key file for a change, in ms. */
+const reloadIntervalMillis = 2_000;
+/** Shortest accepted secret, in characters. */
+const minSecretLength = 16;
+
+const keyFileSchema = z.strictObject({
+  keys: z
+    .array(
+      z.strictObject({
+        id: z.string().min(1).max(64),
+        secret: z.string().min(minSecretLength),
+      }),
+    )
+    .min(1),
+});
+
+type Key = { readonly id: string; readonly secret: string };
+
+/** Signs with the first key of the key file and accepts all of them. */
+export class Keyring {
+  #keys: readonly Key[];
+  #cancelReload: Cancel | undefined;
+
+  /** Keyring with fixed keys, the first of which signs. */
+  static create(keys: readonly Key[]): Keyring {
+    return new Keyring(keys);
+  }
+
+  private constructor(keys: readonly Key[]) {
+    this.#keys = keys;
+  }
+
+  /** Signature of the content, as `KEY:HEX`. */
+  sign(content: string | Uint8Array): string {
+    const key = this.#keys[0] as Key;
+    return `${key.id}:${computeMac(key, content).toString("hex")}`;
+  }
+
+  /** Whether the signature was made over this content with a known key. */
+  verify(content: string | Uint8Array, signature: string): boolean {
+    const colon = signature.indexOf(":");
+    const key = this.#keys.find((one) => one.id === signature.slice(0, colon));
+    if (key === undefined) return false;
+    const given = Buffer.from(signature.slice(colon + 1), "hex");
+    const expected = computeMac(key, content);
+    return given.length === expected.length && timingSafeEqual(given, expected);
+  }
+
+  /** Replaces the keys. */
+  replace(keys: readonly Key[]): void {
+    this.#keys = keys;
+  }
+
+  /** Reads the key file again whenever it changes; keeps the old keys if it is invalid. */
+  watch(
+    path: string,
+    options: { clock: Clock; onReload: (error: string | undefined) => void },
+  ): void {
+    let changedAt = statSync(path).mtimeMs;
+    const check = (): void => {
+      const current = statSync(path, { throwIfNoEntry: false })?.mtimeMs;
+      if (current !== undefined && current !== changedAt) {
+        changedAt = current;
+        readKeyFile(path).caseOf<void>({
+          Left: (error) => options.onReload(error),
+          Right: (keys) => {
+            this.replace(keys);
+            options.onReload(undefined);
+          },
+        });
+      }
+      this.#cancelReload = options.clock.schedule(
+        millis(reloadIntervalMillis),
+        check,
+      );
+    };
+    this.#cancelReload = options.clock.schedule(
+      millis(reloadIntervalMillis),
+      check,
+    );
+  }
+
+  /** Stops watching the key file. */
+  close(): void {
+    this.#cancelReload?.();
+  }
+}
+
+function computeMac(key: Key, content: string | Uint8Array): Buffer {
+  return createHmac("sha256", key.secret).update(content).digest();
+}
+
+/** Reads and checks a key file; the error names the remedy but no secret. */
+export function readKeyFile(path: string): Either<string, readonly Key[]> {
+  let content: unknown;
+  try {
+    content = JSON.parse(readFileSync(path, "utf8"));
+  } catch {
+    return Left(
+      `Cannot read the key file "${path}" as JSON; give it the form {"keys": [{"id": …, "secret": …}]}`,
+    );
+  }
+  const parsed = keyFileSchema.safeParse(content);
+  if (parsed.success) return Right(parsed.data.keys);
+  const issue = parsed.error.issues[0];
+  return Left(
+    `Cannot use the key file "${path}": ${issue?.path.join(".")}: ${issue?.message}; secrets need at least ${minSecretLength} characters`,
+  );
+}
+
+/** Hex SHA-256 digest. */
+export function computeDigest(content: string | Uint8Array): string {
+  return createHash("sha256").update(content).digest("hex");
+}
+
+/** Random token of 16 hex characters. */
+export function createToken(): string {
+  return randomBytes(8).toString("hex");
+}
--- /dev/null
+++ b/src/node/engine_owner.ts
@@ -0,0 +1,293 @@
+import { createActor } from "xstate";
+import type { Millis } from "../core/clock.ts";
+import { type Cancel, type Clock, millis } from "../core/clock.ts";
+import type { Decide } from "../core/decision.ts";
+import type {
+  EngineCommand,
+  EngineEvent,
+  EngineIdentity,
+} from "../core/engine/messages.ts";
+import type { EngineState } from "../core/engine/state.ts";
+import type { Work } from "../core/engine/work.ts";
+import type {
+  Digest,
+  EngineId,
+  FencingNumber,
+  RequestId,
+} from "../core/ids.ts";
+import type { AnswerSink, Submission } from "../ports/access.ts";
+import type {
+  AdapterOrder,
+  EngineLink,
+  StreamControl,
+  StreamSink,
+} from "../ports/engine.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
+
+/** Time between `progress` events of one stream, in ms. */
+const progressIntervalMillis = 1_000;
+
+/** Where an engine owner asks for and gives back load permits. */
+export type PermitSource = {
+  request(engine: EngineId, urgent: boolean): void;
+  release(engine: EngineId, used: boolean): void;
+};
+
+/** Hears which content may crash engines. */
+export type SuspectListener = {
+  suspect(digests: readonly Digest[]): void;
+  clear(digest: Digest): void;
+};
+
+/** What an engine owner needs. */
+export type EngineOwnerOptions = {
+  readonly identity: EngineIdentity;
+  readonly initial: EngineState;
+  readonly decide: Decide<EngineState, EngineEvent, EngineCommand>;
+  readonly clock: Clock;
+  readonly link: EngineLink;
+  readonly permits: PermitSource;
+  readonly suspects: SuspectListener;
+  readonly journal: Journal;
+  readonly meter: Meter;
+};
+
+type OwnedStream = {
+  readonly submission: Submission;
+  readonly sink: AnswerSink;
+  control: StreamControl | undefined;
+  paused: boolean;
+  tokens: number;
+  progressAt: number;
+};
+
+/** Owner of one engine: holds its streams and serialises every order to it. */
+export class EngineOwner {
+  readonly #options: EngineOwnerOptions;
+  readonly #actor: DecisionActor<EngineState, EngineEvent>;
+  readonly #streams = new Map<RequestId, OwnedStream>();
+  #cancelTimer: Cancel | undefined;
+
+  static create(options: EngineOwnerOptions): EngineOwner {
+    return new EngineOwner(options);
+  }
+
+  private constructor(options: EngineOwnerOptions) {
+    this.#options = options;
+    const { initial, decide, clock } = options;
+    this.#actor = createActor(
+      createDecisionLogic<EngineState, EngineEvent, EngineCommand>({
+        initial,
+        decide,
+        clock,
+        perform: (command) => this.#perform(command),
+      }),
+    );
+    this.#actor.start();
+  }
+
+  /** State of the decision, for views and status. */
+  get state(): EngineState {
+    return this.#actor.getSnapshot().context;
+  }
+
+  /** Number of requests queued or running here. */
+  get load(): number {
+    return this.#streams.size;
+  }
+
+  send(event: EngineEvent): void {
+    this.#actor.send(event);
+  }
+
+  /** Queues a request; the sink may hear of a refusal before this returns. */
+  submit(submission: Submission, sink: AnswerSink): StreamControl {
+    const { requestId } = submission.work;
+    this.#streams.set(requestId, {
+      submission,
+      sink,
+      control: undefined,
+      paused: false,
+      tokens: 0,
+      progressAt: 0,
+    });
+    this.#actor.send({ type: "submit", work: submission.work });
+    return {
+      cancel: () => this.#cancel(requestId),
+      pause: () => this.#setPaused(requestId, true),
+      resume: () => this.#setPaused(requestId, false),
+    };
+  }
+
+  /** Stops timers; streams must have ended before. */
+  stop(): void {
+    this.#cancelTimer?.();
+    this.#actor.stop();
+  }
+
+  #cancel(requestId: RequestId): void {
+    const stream = this.#streams.get(requestId);
+    if (stream === undefined) return;
+    // The event may wait in the mailbox, so the stream is ended here.
+    this.#streams.delete(requestId);
+    stream.control?.cancel();
+    this.#actor.send({ type: "cancel", requestId });
+  }
+
+  #setPaused(requestId: RequestId, paused: boolean): void {
+    const stream = this.#streams.get(requestId);
+    if (stream === undefined) return;
+    stream.paused = paused;
+    if (paused) stream.control?.pause();
+    else stream.control?.resume();
+  }
+
+  #perform(command: EngineCommand): void {
+    const { identity, permits, suspects, journal } = this.#options;
+    switch (command.type) {
+      case "dispatch":
+        return this.#dispatch(command);
+      case "load":
+        return this.#load(command);
+      case "unload":
+        return this.#unload(command);
+      case "refuse": {
+        const stream = this.#streams.get(command.requestId);
+        this.#streams.delete(command.requestId);
+        stream?.sink.onRefusal(command.refusal);
+        return;
+      }
+      case "cancel-stream":
+        this.#streams.get(command.requestId)?.control?.cancel();
+        return;
+      case "request-permit":
+        return permits.request(identity.engine, command.urgent);
+      case "release-permit":
+        return permits.release(identity.engine, command.used);
+      case "request-report":
+        return this.#requestReport();
+      case "suspect":
+        return suspects.suspect(command.digests);
+      case "clear-suspect":
+        return suspects.clear(command.digest);
+      case "set-timer":
+        return this.#setTimer(command.at);
+      case "record":
+        journal.record(command.event, {
+          engine: identity.engine,
+          requestId: command.requestId,
+          adapter: command.adapter,
+          detail: command.detail,
+        });
+    }
+  }
+
+  #dispatch(order: {
+    work: Work;
+    fence: FencingNumber;
+    validUntil: Millis;
+  }): void {
+    const { work, fence, validUntil } = order;
+    const stream = this.#streams.get(work.requestId);
+    if (stream === undefined) return;
+    const { path, body } = stream.submission;
+    this.#options.journal.record("requestDispatched", {
+      requestId: work.requestId,
+      engine: this.#options.identity.engine,
+      adapter: work.adapter,
+    });
+    stream.control = this.#options.link.generate(
+      {
+        requestId: work.requestId,
+        adapter: work.adapter,
+        path,
+        body,
+        priority: work.priority,
+        fence,
+        validUntil,
+        resumeAt: work.resumeAt,
+      },
+      this.#createRelay(stream),
+    );
+    if (stream.paused) stream.control.pause();
+  }
+
+  /** Passes chunks straight to the answer sink and tells the actor of the rest. */
+  #createRelay(stream: OwnedStream): StreamSink {
+    const { requestId } = stream.submission.work;
+    const { clock } = this.#options;
+    return {
+      onChunk: (bytes, count) => {
+        if (stream.tokens === 0) {
+          this.#actor.send({ type: "first-token", requestId });
+          stream.progressAt = clock.now() + progressIntervalMillis;
+        }
+        stream.tokens += count;
+        stream.sink.onChunk(bytes, count);
+        if (clock.now() < stream.progressAt) return;
+        stream.progressAt = clock.now() + progressIntervalMillis;
+        this.#actor.send({
+          type: "progress",
+          requestId,
+          tokens: stream.tokens,
+        });
+      },
+      onEnd: () => {
+        this.#streams.delete(requestId);
+        this.#actor.send({
+          type: "finished",
+          requestId,
+          tokens: stream.tokens,
+        });
+        stream.sink.onEnd();
+      },
+      onFailure: (failure) =>
+        this.#actor.send({
+          type: "stream-failed",
+          requestId,
+          kind: failure.kind,
+          detail: failure.detail,
+        }),
+    };
+  }
+
+  #load(order: AdapterOrder): void {
+    const { adapter } = order;
+    void this.#options.link.load(order).then((result) =>
+      result.caseOf<void>({
+        Left: (failure) =>
+          this.send({ type: "load-failed", adapter, detail: failure.detail }),
+        Right: () => this.send({ type: "load-finished", adapter }),
+      }),
+    );
+  }
+
+  #unload(order: AdapterOrder): void {
+    const { adapter } = order;
+    void this.#options.link.unload(order).then((result) =>
+      result.caseOf<void>({
+        Left: () => this.send({ type: "unload-failed", adapter }),
+        Right: () => this.send({ type: "unload-finished", adapter }),
+      }),
+    );
+  }
+
+  #requestReport(): void {
+    void this.#options.link.report().then((result) =>
+      result.caseOf<void>({
+        Left: (failure) =>
+          this.send({ type: "report-failed", detail: failure.detail }),
+        Right: (status) => this.send({ type: "report", status }),
+      }),
+    );
+  }
+
+  #setTimer(at: Millis): void {
+    const { clock } = this.#options;
+    this.#cancelTimer?.();
+    this.#cancelTimer = clock.schedule(millis(at - clock.now()), () =>
+      this.send({ type: "wake" }),
+    );
+  }
+}
