Add the decision of the engine owner

The node needs one decision per engine that orders queue, dispatch, loads and evictions. createEngineDecision(policies, random) covers permits, shared loads, deadlines, cancellation, ownership with fencing, broken streams, drain and leaving servers. Nothing is evicted until the engine is known to refuse orders of earlier owners; an engine that checks fencing numbers learns the number from a load of an adapter that it holds already.

--- /dev/null
+++ b/src/core/engine/policies.ts
@@ -0,0 +1,98 @@
+import type { Millis } from "../clock.ts";
+import type { AdapterKey } from "../ids.ts";
+import type { Priority, Work } from "./work.ts";
+
+/** Use of the batch places, as far as the share of long work depends on it. */
+export type BatchUse = {
+  readonly batch: number;
+  /** Short work that waits for a place now. */
+  readonly shortWaiting: number;
+  /** Places that short work needed at once in the recent past. */
+  readonly shortPeak: number;
+};
+
+/** Loaded adapter version without queued or running requests. */
+export type Victim = {
+  readonly adapter: AdapterKey;
+  readonly lastUsedAt: Millis;
+  /** Number of recent dispatches, with decay. */
+  readonly uses: number;
+  /** Placement wants the adapter on this engine. */
+  readonly placed: boolean;
+};
+
+/** Behaviour of an engine owner that varies. */
+export type EnginePolicies = {
+  /** Position in the queue, lowest first; fixed on arrival. */
+  readonly rank: (work: Work) => number;
+  /** Whether the work counts as long. */
+  readonly isLong: (work: Work) => boolean;
+  /** Batch places that long work may take. */
+  readonly longPlaces: (use: BatchUse) => number;
+  /** Slot to evict; candidates are never empty. */
+  readonly chooseVictim: (
+    candidates: readonly Victim[],
+    now: Millis,
+  ) => AdapterKey;
+};
+
+/** Delay in ms after which work overtakes younger work of the class above. */
+const CLASS_DELAYS: Record<Priority, number> = {
+  urgent: 0,
+  normal: 2_000,
+  bulk: 8_000,
+};
+
+/** Time before its deadline when work is ranked by the deadline, in ms. */
+const DEADLINE_LEAD = 1_000;
+
+/** Answers with more expected tokens than this count as long. */
+const LONG_TOKENS = 300;
+
+/** Share of the batch that long work may take while short work waits. */
+const LONG_SHARE = 0.5;
+
+function rankByClass(work: Work): number {
+  const byAge = work.arrivedAt + CLASS_DELAYS[work.priority];
+  const byDeadline = Math.max(work.arrivedAt, work.deadlineAt - DEADLINE_LEAD);
+  return Math.min(byAge, byDeadline);
+}
+
+function limitLongPlaces({ batch, shortWaiting, shortPeak }: BatchUse): number {
+  const share = Math.max(1, Math.floor(batch * LONG_SHARE));
+  if (shortWaiting > 0) return share;
+  return Math.max(share, batch - shortPeak);
+}
+
+function findLeast(
+  candidates: readonly Victim[],
+  cost: (victim: Victim) => number,
+): AdapterKey {
+  let least = candidates[0] as Victim;
+  for (const candidate of candidates) {
+    if (cost(candidate) < cost(least)) least = candidate;
+  }
+  return least.adapter;
+}
+
+/** Policies of the product. */
+export const defaultEnginePolicies: EnginePolicies = {
+  rank: rankByClass,
+  isLong: (work) => work.expectedTokens > LONG_TOKENS,
+  longPlaces: limitLongPlaces,
+  chooseVictim: (candidates, now) =>
+    findLeast(
+      candidates,
+      ({ uses, lastUsedAt, placed }) =>
+        (placed ? 1 : 0) + uses / (1 + (now - lastUsedAt) / 1_000),
+    ),
+};
+
+/** First come, first served, and least recently used; for comparison. */
+export const baselineEnginePolicies: EnginePolicies = {
+  rank: (work) => work.arrivedAt,
+  isLong: () => false,
+  longPlaces: ({ batch }) => batch,
+  chooseVictim: (candidates) =>
+    findLeast(candidates, ({ lastUsedAt }) => lastUsedAt),
+};
--- /dev/null
+++ b/src/core/engine/queue.ts
@@ -0,0 +1,127 @@
+import { type Millis, millis } from "../clock.ts";
+import type { AdapterKey, RequestId } from "../ids.ts";
+import type { Work } from "./work.ts";
+
+/** Work with the position that the policies gave it on arrival. */
+export type QueueEntry = {
+  readonly work: Work;
+  /** Lower runs earlier; fixed on arrival, so that older work moves ahead. */
+  readonly rank: number;
+  readonly long: boolean;
+  /** Times that the work was put back after the engine did not run it. */
+  readonly requeued: number;
+};
+
+/** Waiting work of one adapter version, lowest rank first. */
+export type AdapterQueue = {
+  readonly short: QueueEntry[];
+  readonly long: QueueEntry[];
+};
+
+/** Waiting work of one engine. */
+export type WorkQueue = {
+  readonly byId: Map<RequestId, QueueEntry>;
+  readonly byAdapter: Map<AdapterKey, AdapterQueue>;
+  /** Not later than the earliest deadline of the queue. */
+  earliestDeadline: Millis;
+  shortCount: number;
+  /** Queued requests that must run alone. */
+  readonly isolated: Set<RequestId>;
+};
+
+const NEVER = millis(Number.POSITIVE_INFINITY);
+
+/** Queue without work. */
+export function createQueue(): WorkQueue {
+  return {
+    byId: new Map(),
+    byAdapter: new Map(),
+    earliestDeadline: NEVER,
+    shortCount: 0,
+    isolated: new Set(),
+  };
+}
+
+/** Index of the first entry with a higher rank. */
+function findPosition(lane: readonly QueueEntry[], rank: number): number {
+  let low = 0;
+  let high = lane.length;
+  while (low < high) {
+    const middle = (low + high) >> 1;
+    if ((lane[middle] as QueueEntry).rank <= rank) low = middle + 1;
+    else high = middle;
+  }
+  return low;
+}
+
+/** Adds an entry behind all entries of the same rank. */
+export function enqueue(queue: WorkQueue, entry: QueueEntry): void {
+  const { adapter, requestId, deadlineAt } = entry.work;
+  let lanes = queue.byAdapter.get(adapter);
+  if (lanes === undefined) {
+    lanes = { short: [], long: [] };
+    queue.byAdapter.set(adapter, lanes);
+  }
+  const lane = entry.long ? lanes.long : lanes.short;
+  lane.splice(findPosition(lane, entry.rank), 0, entry);
+  queue.byId.set(requestId, entry);
+  if (!entry.long) queue.shortCount++;
+  if (entry.work.isolated) queue.isolated.add(requestId);
+  if (deadlineAt < queue.earliestDeadline) queue.earliestDeadline = deadlineAt;
+}
+
+/** Takes an entry out; returns undefined when it is not queued. */
+export function dequeue(
+  queue: WorkQueue,
+  requestId: RequestId,
+): QueueEntry | undefined {
+  const entry = queue.byId.get(requestId);
+  if (entry === undefined) return undefined;
+  queue.byId.delete(requestId);
+  queue.isolated.delete(requestId);
+  const lanes = queue.byAdapter.get(entry.work.adapter) as AdapterQueue;
+  const lane = entry.long ? lanes.long : lanes.short;
+  const from = Math.min(findPosition(lane, entry.rank), lane.length) - 1;
+  lane.splice(lane.lastIndexOf(entry, from), 1);
+  if (!entry.long) queue.shortCount--;
+  if (lanes.short.length + lanes.long.length === 0) {
+    queue.byAdapter.delete(entry.work.adapter);
+  }
+  return entry;
+}
+
+/** Entry of lowest rank of an adapter version. */
+export function firstEntry(
+  queue: WorkQueue,
+  adapter: AdapterKey,
+): QueueEntry | undefined {
+  const lanes = queue.byAdapter.get(adapter);
+  if (lanes === undefined) return undefined;
+  const [short] = lanes.short;
+  const [long] = lanes.long;
+  if (short === undefined || long === undefined) return short ?? long;
+  return short.rank <= long.rank ? short : long;
+}
+
+/** Queued entries of an adapter version, short ones first. */
+export function entriesOf(
+  queue: WorkQueue,
+  adapter: AdapterKey,
+): readonly QueueEntry[] {
+  const lanes = queue.byAdapter.get(adapter);
+  return lanes === undefined ? [] : [...lanes.short, ...lanes.long];
+}
+
+/** Takes out all entries whose deadline has passed. */
+export function dequeueExpired(queue: WorkQueue, now: Millis): QueueEntry[] {
+  if (now < queue.earliestDeadline) return [];
+  const expired: QueueEntry[] = [];
+  let earliest: Millis = NEVER;
+  for (const entry of queue.byId.values()) {
+    if (entry.work.deadlineAt <= now) expired.push(entry);
+    else if (entry.work.deadlineAt < earliest) earliest = entry.work.deadlineAt;
+  }
+  for (const entry of expired) dequeue(queue, entry.work.requestId);
+  queue.earliestDeadline = earliest;
+  return expired;
+}
--- /dev/null
+++ b/src/core/engine/state.ts
@@ -0,0 +1,162 @@
+import { type Millis, millis } from "../clock.ts";
+import type { AdapterKey, FencingNumber, RequestId } from "../ids.ts";
+import { createHealth, type Health } from "./health.ts";
+import type { EngineIdentity } from "./messages.ts";
+import { createQueue, type QueueEntry, type WorkQueue } from "./queue.ts";
+
+/** Place of an engine that holds, loads or unloads one adapter version. */
+export type Slot = {
+  readonly adapter: AdapterKey;
+  phase: "loading" | "loaded" | "unloading";
+  /** Held by the engine before this owner took over or lost contact. */
+  inherited: boolean;
+  /** Start of the present phase. */
+  since: Millis;
+  /** Not evicted before this time, after an eviction failed. */
+  evictableAt: Millis;
+  lastUsedAt: Millis;
+  /** Number of dispatches, halved every `USE_HALF_LIFE`. */
+  uses: number;
+  /** Streams of this owner that run on the adapter. */
+  running: number;
+};
+
+/** A stream that was dispatched and has not ended. */
+export type Running = QueueEntry & {
+  readonly dispatchedAt: Millis;
+  firstTokenAt: Millis | undefined;
+  lastProgressAt: Millis;
+  tokens: number;
+  /** The connection broke or went silent; a report decides what to say. */
+  broken: boolean;
+};
+
+/** The lease under which orders may be written. */
+export type Ownership = {
+  readonly fence: FencingNumber;
+  readonly orderUntil: Millis;
+  readonly dispatchUntil: Millis;
+  readonly settledAt: Millis;
+};
+
+/** Request that may still run on the engine although no stream of it is read. */
+export type Unconfirmed = {
+  /** Undefined for requests of an earlier owner, whose adapter is not known. */
+  readonly adapter: AdapterKey | undefined;
+  readonly since: Millis;
+};
+
+/** Adapter version whose load failed. */
+export type Backoff = { failures: number; retryAt: Millis };
+
+/** Whether the engine has accepted an order under the present fencing number. */
+export type Announcement =
+  | { readonly kind: "none" }
+  | { readonly kind: "sent"; readonly adapter: AdapterKey }
+  | { readonly kind: "accepted"; readonly at: Millis }
+  /** A report asked for after the acceptance lists every older request. */
+  | { readonly kind: "confirmed" };
+
+/** State of one engine at its owner; updated in place by the decision. */
+export type EngineState = {
+  readonly identity: EngineIdentity;
+  ownership: Ownership | undefined;
+  /** Fencing number under which orders were refused or given up. */
+  refusedFence: FencingNumber | undefined;
+  /** `unknown` until the first report under the present fencing number. */
+  contact: "unknown" | "up" | "down";
+  boot: string | undefined;
+  leaving: boolean;
+  draining: boolean;
+  queue: WorkQueue;
+  running: Map<RequestId, Running>;
+  /** Running entries that count as long work. */
+  runningLong: number;
+  unconfirmed: Map<RequestId, Unconfirmed>;
+  /** Unconfirmed requests of earlier owners. */
+  foreignRunning: number;
+  slots: Map<AdapterKey, Slot>;
+  announcement: Announcement;
+  backoffs: Map<AdapterKey, Backoff>;
+  permits: {
+    granted: number;
+    /** Permits asked for, for waiting requests and for prefetch. */
+    urgent: number;
+    prefetch: number;
+    requestedAt: Millis;
+  };
+  /** Moving averages, in ms. */
+  estimates: { load: number; permitWait: number; service: number };
+  placement: readonly AdapterKey[];
+  report: {
+    askedAt: Millis | undefined;
+    nextAt: Millis | undefined;
+    /** The engine counts as down if the pending report fails. */
+    decisive: boolean;
+  };
+  health: Health;
+  /** Recent demand of short work, which sizes the reserve of batch places. */
+  shortPeak: { places: number; at: Millis };
+  timerAt: Millis | undefined;
+  /** What bounds turned away, by name. */
+  counters: EngineCounters;
+};
+
+/** Counts of what the bounds of an engine owner turned away. */
+export type EngineCounters = {
+  queueFull: number;
+  deadlinePassed: number;
+  loadGivenUp: number;
+  backoffsDropped: number;
+  duplicates: number;
+};
+
+/** Load time assumed until one was observed, in ms. */
+const INITIAL_LOAD_ESTIMATE = 250;
+
+/** Time in a batch place assumed until one was observed, in ms. */
+const INITIAL_SERVICE_ESTIMATE = 1_000;
+
+/** State of an engine that this node does not own yet. */
+export function createEngineState(identity: EngineIdentity): EngineState {
+  return {
+    identity,
+    ownership: undefined,
+    refusedFence: undefined,
+    contact: "unknown",
+    boot: undefined,
+    leaving: false,
+    draining: false,
+    queue: createQueue(),
+    running: new Map(),
+    runningLong: 0,
+    unconfirmed: new Map(),
+    foreignRunning: 0,
+    slots: new Map(),
+    announcement: { kind: "none" },
+    backoffs: new Map(),
+    permits: {
+      granted: 0,
+      urgent: 0,
+      prefetch: 0,
+      requestedAt: millis(0),
+    },
+    estimates: {
+      load: INITIAL_LOAD_ESTIMATE,
+      permitWait: 0,
+      service: INITIAL_SERVICE_ESTIMATE,
+    },
+    placement: [],
+    report: { askedAt: undefined, nextAt: undefined, decisive: false },
+    health: createHealth(),
+    shortPeak: { places: 0, at: millis(0) },
+    timerAt: undefined,
+    counters: {
+      queueFull: 0,
+      deadlinePassed: 0,
+      loadGivenUp: 0,
+      backoffsDropped: 0,
+      duplicates: 0,
+    },
+  };
+}
--- /dev/null
+++ b/src/core/engine/turn.ts
@@ -0,0 +1,95 @@
+import type { Millis } from "../clock.ts";
+import type { AdapterKey, RequestId } from "../ids.ts";
+import type { EventName } from "../observe/events.ts";
+import type { Refusal } from "../results/refusal.ts";
+import type { EngineCommand } from "./messages.ts";
+import type { EnginePolicies } from "./policies.ts";
+import type { QueueEntry } from "./queue.ts";
+import { dequeue } from "./queue.ts";
+import type { EngineState, Running } from "./state.ts";
+
+/** One call of the decision: state, time, and the commands so far. */
+export type Turn = {
+  readonly state: EngineState;
+  readonly now: Millis;
+  readonly policies: EnginePolicies;
+  readonly random: () => number;
+  readonly commands: EngineCommand[];
+};
+
+/** Records an event for the log and the timeline. */
+export function record(
+  turn: Turn,
+  event: EventName,
+  fields: {
+    requestId?: RequestId;
+    adapter?: AdapterKey;
+    detail?: string;
+  } = {},
+): void {
+  turn.commands.push({ type: "record", event, ...fields });
+}
+
+/** Ends a request at this owner. */
+export function refuseRequest(
+  turn: Turn,
+  requestId: RequestId,
+  refusal: Refusal,
+): void {
+  turn.commands.push({ type: "refuse", requestId, refusal });
+}
+
+/** Hands queued entries back to their entry nodes. */
+export function handBack(
+  turn: Turn,
+  entries: Iterable<QueueEntry>,
+  refusal: Refusal,
+): void {
+  for (const { work } of [...entries]) {
+    dequeue(turn.state.queue, work.requestId);
+    refuseRequest(turn, work.requestId, refusal);
+  }
+}
+
+/** Hands the whole queue back. */
+export function handBackAll(turn: Turn, refusal: Refusal): void {
+  handBack(turn, turn.state.queue.byId.values(), refusal);
+}
+
+/** Takes a stream out of the running ones. */
+export function removeRunning(
+  state: EngineState,
+  requestId: RequestId,
+): Running | undefined {
+  const running = state.running.get(requestId);
+  if (running === undefined) return undefined;
+  state.running.delete(requestId);
+  if (running.long) state.runningLong--;
+  const slot = state.slots.get(running.work.adapter);
+  if (slot !== undefined && slot.running > 0) slot.running--;
+  return running;
+}
+
+/** Whether loads and evictions may be ordered. */
+export function mayOrder({ state, now }: Turn): boolean {
+  const { ownership } = state;
+  return ownership !== undefined && now < ownership.orderUntil;
+}
+
+/** Whether requests may be dispatched to loaded adapters. */
+export function mayDispatch({ state, now }: Turn): boolean {
+  const { ownership } = state;
+  return (
+    ownership !== undefined &&
+    now < ownership.dispatchUntil &&
+    state.contact === "up" &&
+    !state.leaving &&
+    !state.draining
+  );
+}
+
+/** Moves an average a step towards an observed value. */
+export function average(previous: number, observed: number): number {
+  const WEIGHT = 0.2;
+  return previous + WEIGHT * (observed - previous);
+}
--- /dev/null
+++ b/src/core/engine/victims.ts
@@ -0,0 +1,55 @@
+import type { Victim } from "./policies.ts";
+import { decayUses } from "./slots.ts";
+import type { Slot } from "./state.ts";
+import type { Turn } from "./turn.ts";
+
+/** Time without use after which an adapter makes room for a placed one, in ms. */
+const IDLE_BEFORE_PREFETCH = 10_000;
+
+/** Chooses an adapter that no request needs, or none. */
+export function chooseSlotToEvict(
+  turn: Turn,
+  { urgent }: { urgent: boolean },
+): Slot | undefined {
+  const candidates = listVictims(turn, { urgent });
+  if (candidates.length === 0) return undefined;
+  return turn.state.slots.get(turn.policies.chooseVictim(candidates, turn.now));
+}
+
+/** Adapters that may be evicted; for a prefetch only idle ones without placement. */
+export function listVictims(
+  turn: Turn,
+  { urgent }: { urgent: boolean },
+): Victim[] {
+  const { state, now } = turn;
+  if (state.announcement.kind !== "confirmed") return [];
+  const victims: Victim[] = [];
+  for (const slot of state.slots.values()) {
+    if (!isUnused(turn, slot)) continue;
+    const placed = state.placement.includes(slot.adapter);
+    const idle = now - slot.lastUsedAt >= IDLE_BEFORE_PREFETCH;
+    if (!urgent && (placed || !idle)) continue;
+    victims.push({
+      adapter: slot.adapter,
+      lastUsedAt: slot.lastUsedAt,
+      uses: decayUses(slot, now),
+      placed,
+    });
+  }
+  return victims;
+}
+
+/** Whether no request is queued for, running on or possibly running on the adapter. */
+function isUnused({ state, now }: Turn, slot: Slot): boolean {
+  if (slot.phase !== "loaded" || slot.running > 0) return false;
+  if (now < slot.evictableAt) return false;
+  if (state.queue.byAdapter.has(slot.adapter)) return false;
+  if (state.foreignRunning > 0) {
+    const fenced = state.identity.limits.fencing === "checked";
+    if (slot.inherited || !fenced) return false;
+  }
+  for (const { adapter } of state.unconfirmed.values()) {
+    if (adapter === slot.adapter) return false;
+  }
+  return true;
+}
--- /dev/null
+++ b/tests/engine/harness.ts
@@ -0,0 +1,201 @@
+import { type Millis, millis } from "../../src/core/clock.ts";
+import type {
+  EngineCommand,
+  EngineEvent,
+  EngineLimits,
+  EnginePolicies,
+  EngineState,
+  Work,
+} from "../../src/core/engine/mod.ts";
+import {
+  createEngineDecision,
+  createEngineState,
+  defaultEnginePolicies,
+} from "../../src/core/engine/mod.ts";
+import {
+  type AdapterKey,
+  brandNumber,
+  brandString,
+  type RequestId,
+} from "../../src/core/ids.ts";
+
+/** Work with the fields that a test does not name filled in. */
+export type WorkFields = { adapter: string } & Partial<
+  Omit<Work, "requestId" | "adapter">
+>;
+
+/** Drives the decision of one engine owner and keeps what it ordered. */
+export class OwnerHarness {
+  readonly state: EngineState;
+  readonly commands: EngineCommand[] = [];
+  now: Millis = millis(0);
+  boot = "boot-1";
+  #decide: ReturnType<typeof createEngineDecision>;
+  #timerAt: Millis | undefined;
+  #loaded = new Set<AdapterKey>();
+
+  private constructor(limits: EngineLimits, policies: EnginePolicies) {
+    this.state = createEngineState({
+      engine: brandString("engine-1"),
+      limits,
+    });
+    this.#decide = createEngineDecision(policies, () => 0.5);
+  }
+
+  static create(
+    limits: Partial<EngineLimits> = {},
+    policies: EnginePolicies = defaultEnginePolicies,
+  ): OwnerHarness {
+    const defaults = { slots: 4, batch: 8, queue: 100 } as const;
+    return new OwnerHarness(
+      { ...defaults, fencing: "checked", ...limits },
+      policies,
+    );
+  }
+
+  send(event: EngineEvent): readonly EngineCommand[] {
+    const { commands } = this.#decide(this.state, event, this.now);
+    this.commands.push(...commands);
+    for (const command of commands) {
+      if (command.type === "set-timer") this.#timerAt = command.at;
+    }
+    return commands;
+  }
+
+  /** Moves time on and sends the wakes that fall due. */
+  advance(duration: number): void {
+    const end = this.now + duration;
+    while (this.#timerAt !== undefined && this.#timerAt <= end) {
+      this.now = millis(Math.max(this.now, this.#timerAt));
+      this.#timerAt = undefined;
+      this.send({ type: "wake" });
+    }
+    this.now = millis(end);
+  }
+
+  /** Grants a lease and answers the first report. */
+  own(
+    options: {
+      fence?: number;
+      lease?: number;
+      dispatch?: number;
+      settled?: number;
+      running?: string[];
+    } = {},
+  ): void {
+    const { fence = 1, lease = 1e9, settled = 0 } = options;
+    this.send({
+      type: "ownership",
+      fence: brandNumber(fence),
+      orderUntil: millis(this.now + lease),
+      dispatchUntil: millis(this.now + (options.dispatch ?? lease)),
+      settledAt: millis(this.now + settled),
+    });
+    this.report({ running: options.running ?? [] });
+  }
+
+  report(options: { running?: string[]; leaving?: boolean } = {}): void {
+    this.send({
+      type: "report",
+      status: {
+        boot: this.boot,
+        loaded: [...this.#loaded],
+        running: (options.running ?? []).map((id) =>
+          brandString<RequestId>(id),
+        ),
+        waiting: 0,
+        leaving: options.leaving ?? false,
+      },
+    });
+  }
+
+  submit(requestId: string, fields: WorkFields): void {
+    this.send({
+      type: "submit",
+      work: createWork(requestId, this.now, fields),
+    });
+  }
+
+  /** Has an adapter loaded for a request that ends, and the fence confirmed. */
+  load(adapter: string): void {
+    const requestId = `load-${adapter}`;
+    this.submit(requestId, { adapter });
+    this.send({ type: "permit-granted" });
+    this.loaded(adapter);
+    this.finish(requestId);
+    this.advance(3_000);
+    this.report();
+    this.advance(3_000);
+    this.report();
+  }
+
+  loaded(adapter: string): void {
+    this.#loaded.add(brandString(adapter));
+    this.send({ type: "load-finished", adapter: brandString(adapter) });
+  }
+
+  unloaded(adapter: string): void {
+    this.#loaded.delete(brandString(adapter));
+    this.send({ type: "unload-finished", adapter: brandString(adapter) });
+  }
+
+  finish(requestId: string): void {
+    this.send({
+      type: "finished",
+      requestId: brandString(requestId),
+      tokens: 10,
+    });
+  }
+
+  /** Ids or adapters named by the commands of one type, in order. */
+  sent(type: EngineCommand["type"]): string[] {
+    return this.commands
+      .filter((command) => command.type === type)
+      .map(nameSubject);
+  }
+
+  /** Codes and outcomes of refusals, by request. */
+  refusals(): Record<string, string> {
+    const refusals: Record<string, string> = {};
+    for (const command of this.commands) {
+      if (command.type !== "refuse") continue;
+      const { code, outcome, suspect } = command.refusal;
+      refusals[command.requestId] =
+        `${code} ${outcome}${suspect === true ? " suspect" : ""}`;
+    }
+    return refusals;
+  }
+
+  clear(): void {
+    this.commands.length = 0;
+  }
+}
+
+function nameSubject(command: EngineCommand): string {
+  if (command.type === "dispatch") return command.work.requestId;
+  if ("adapter" in command) return command.adapter as string;
+  if ("requestId" in command) return command.requestId as string;
+  return command.type;
+}
+
+/** Work for a test, due in 30 s. */
+export function createWork(
+  requestId: string,
+  now: Millis,
+  { adapter, ...fields }: WorkFields,
+): Work {
+  return {
+    requestId: brandString(requestId),
+    adapter: brandString(adapter),
+    customer: brandString("customer"),
+    priority: "normal",
+    expectedTokens: 50,
+    arrivedAt: now,
+    deadlineAt: millis(now + 30_000),
+    digest: brandString(`digest-${requestId}`),
+    prefix: brandString("prefix"),
+    resumeAt: 0,
+    isolated: false,
+    ...fields,
+  };
+}
