Add the model engine and weight store stand-ins

EngineModel implements the EngineLink port in memory on a Clock: continuous batching, limited adapter slots, priorities, resume, fencing, lagging reports, crashes, poison content, failed loads and silent streams. The port now says that comments and the closing [DONE] are not passed to a stream sink.

--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -40,8 +40,9 @@
 
 /** Receives one answer stream; exactly one of `onEnd` and `onFailure` is called. */
 export type StreamSink = {
-  /** Whole server-sent events, `count` of them. */
+  /** Whole server-sent events, `count` of them; neither comments nor the closing `[DONE]`. */
   onChunk(bytes: Uint8Array, count: number): void;
+  /** The engine closed the answer with `data: [DONE]`. */
   onEnd(): void;
   onFailure(failure: EngineFailure): void;
 };
--- /dev/null
+++ b/src/standins/engine_model.ts
@@ -0,0 +1,257 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
+import type { EngineLimits } from "../core/engine/messages.ts";
+import type { AdapterKey } from "../core/ids.ts";
+import type {
+  AdapterOrder,
+  EngineFailure,
+  EngineLink,
+  EngineReport,
+  GenerateOrder,
+  StreamControl,
+  StreamSink,
+} from "../ports/engine.ts";
+import { EngineBatch, type Run, type RunRecord } from "./engine_batch.ts";
+import { createEventWriter, parsePrompt } from "./tokens.ts";
+import type { WeightStore } from "./weight_store.ts";
+
+/** Time after which the link gives up on a silent engine. */
+const silenceLimit = millis(3000);
+const restartTime = millis(1000);
+/** Runs kept for tests. */
+const maximumRuns = 200_000;
+
+/** Capacity, speed and faults of a model engine. */
+export type EngineModelOptions = {
+  readonly id: string;
+  readonly clock: Clock;
+  readonly store: WeightStore;
+  readonly limits: Pick<EngineLimits, "slots" | "batch" | "fencing">;
+  /** Speed; see `BatchOptions`. */
+  readonly stepTime?: number;
+  readonly stepGrowth?: number;
+  readonly prefillPerKib?: number;
+  /** Age that a report may have, in ms; 0 by default. */
+  readonly reportLag?: number;
+  /** Start of the boot token; the id by default. */
+  readonly boot?: string;
+  /** Content that crashes the engine. */
+  readonly isPoison?: (text: string) => boolean;
+  /** Whether the load that starts now fails. */
+  readonly failsLoad?: (adapter: AdapterKey) => boolean;
+};
+
+type Result = Either<EngineFailure, void>;
+type Slot =
+  | "loaded"
+  | { cancel: Cancel; waiters: ((result: Result) => void)[] };
+
+/** Model engine with continuous batching and limited adapter slots, in memory. */
+export class EngineModel implements EngineLink {
+  /** Takes no new work; running work goes on. */
+  leaving = false;
+  crashes = 0;
+  readonly batch: EngineBatch;
+  readonly runs: RunRecord[] = [];
+  /** Adapters that were unloaded while a request was served on them. */
+  readonly unloadedInUse: AdapterKey[] = [];
+  readonly #options: EngineModelOptions;
+  readonly #clock: Clock;
+  readonly #slots = new Map<AdapterKey, Slot>();
+  #fence = 0;
+  #down = false;
+  #shown: { at: number; report: EngineReport } | undefined;
+
+  constructor(options: EngineModelOptions) {
+    this.#options = options;
+    this.#clock = options.clock;
+    this.batch = new EngineBatch({
+      ...options,
+      size: options.limits.batch,
+      isPoison: options.isPoison ?? (() => false),
+      onPoison: () => this.crash(),
+    });
+  }
+
+  static create(options: EngineModelOptions): EngineModel {
+    return new EngineModel(options);
+  }
+
+  generate(order: GenerateOrder, sink: StreamSink): StreamControl {
+    const run = this.#accept(order, sink);
+    if ("kind" in run) {
+      const refuse = () => sink.onFailure(run);
+      const cancel = this.#clock.schedule(millis(0), refuse);
+      return { cancel, pause() {}, resume() {} };
+    }
+    this.batch.add(run);
+    return {
+      cancel: () => {
+        this.#touch();
+        run.output = "closed";
+        this.batch.end(run, "cancelled");
+      },
+      pause: () => {
+        run.held ??= [];
+      },
+      resume: () => {
+        const held = run.held ?? [];
+        run.held = undefined;
+        for (const call of held) call();
+      },
+    };
+  }
+
+  async load(order: AdapterOrder): Promise<Result> {
+    const failure = this.#check(order);
+    if (failure !== undefined) return Left(failure);
+    const slot = this.#slots.get(order.adapter);
+    if (slot === "loaded") return Right(undefined);
+    if (slot === undefined && this.#slots.size >= this.#options.limits.slots) {
+      return Left({ kind: "refused", detail: "No adapter slot is free" });
+    }
+    const attempt = slot ?? this.#startLoad(order.adapter);
+    return new Promise((resolve) => attempt.waiters.push(resolve));
+  }
+
+  async unload(order: AdapterOrder): Promise<Result> {
+    const { adapter } = order;
+    const failure = this.#check(order);
+    if (failure !== undefined && failure.kind !== "leaving") {
+      return Left(failure);
+    }
+    if (this.#slots.get(adapter) !== "loaded") {
+      return Left({ kind: "adapter-missing", detail: "Nothing to unload" });
+    }
+    this.#touch();
+    this.#slots.delete(adapter);
+    const served = this.batch
+      .list()
+      .filter((run) => run.order.adapter === adapter);
+    if (served.length > 0) this.unloadedInUse.push(adapter);
+    for (const run of served) this.batch.end(run, "crashed", "broken");
+    return Right(undefined);
+  }
+
+  async report(): Promise<Either<EngineFailure, EngineReport>> {
+    if (this.#down) return Left(connectionRefused);
+    this.#touch();
+    return Right(this.#shown?.report ?? this.#capture());
+  }
+
+  /** Ends everything, then restarts empty with a new boot token. */
+  crash(downFor: Millis = restartTime): void {
+    this.crashes++;
+    this.#down = true;
+    this.#fence = 0;
+    this.#shown = undefined;
+    const slots = [...this.#slots.values()];
+    this.#slots.clear();
+    this.batch.crash();
+    for (const slot of slots) {
+      if (slot === "loaded") continue;
+      slot.cancel();
+      const failure = Left({ kind: "broken", detail: "Crashed" } as const);
+      for (const resolve of slot.waiters) resolve(failure);
+    }
+    this.#clock.schedule(downFor, () => {
+      this.#down = false;
+    });
+  }
+
+  /** Open streams deliver nothing more, although their requests run on. */
+  goSilent(): void {
+    for (const run of this.batch.list()) {
+      run.output = "silent";
+      this.#clock.schedule(silenceLimit, () => {
+        if (run.output !== "silent") return;
+        run.sink.onFailure({ kind: "silent", detail: "No byte for 3 s" });
+      });
+    }
+  }
+
+  #accept(order: GenerateOrder, sink: StreamSink): Run | EngineFailure {
+    const failure = this.#check(order);
+    if (failure !== undefined) return failure;
+    if (this.#slots.get(order.adapter) !== "loaded") {
+      return { kind: "adapter-missing", detail: `No ${order.adapter} here` };
+    }
+    const prompt = parsePrompt(order.body);
+    if (prompt === undefined) {
+      return { kind: "refused", detail: "The body is not a JSON object" };
+    }
+    this.#touch();
+    const { requestId, adapter, resumeAt } = order;
+    const record: RunRecord = {
+      requestId,
+      adapter,
+      resumeAt,
+      tokens: 0,
+      state: "waiting",
+    };
+    if (this.runs.length < maximumRuns) this.runs.push(record);
+    const write = createEventWriter(order, prompt);
+    const state = { next: resumeAt, output: "open", held: undefined } as const;
+    return { order, sink, prompt, write, record, ...state };
+  }
+
+  #check(order: AdapterOrder): EngineFailure | undefined {
+    if (this.#clock.now() >= order.validUntil) {
+      return { kind: "unreachable", detail: "The order is no longer valid" };
+    }
+    if (this.#down) return connectionRefused;
+    if (this.#options.limits.fencing === "checked") {
+      if (order.fence < this.#fence) {
+        return { kind: "stale-fence", detail: `Newest is ${this.#fence}` };
+      }
+      this.#fence = order.fence;
+    }
+    if (!this.leaving) return undefined;
+    return { kind: "leaving", detail: "The server is leaving" };
+  }
+
+  #startLoad(adapter: AdapterKey): Exclude<Slot, "loaded"> {
+    this.#touch();
+    const fails = this.#options.failsLoad?.(adapter) ?? false;
+    const attempt: Exclude<Slot, "loaded"> = { cancel() {}, waiters: [] };
+    attempt.cancel = this.#options.store.load(() => {
+      this.#touch();
+      if (fails) this.#slots.delete(adapter);
+      else this.#slots.set(adapter, "loaded");
+      const result: Result = fails
+        ? Left({ kind: "refused", detail: "The weights could not be read" })
+        : Right(undefined);
+      for (const resolve of attempt.waiters) resolve(result);
+    });
+    this.#slots.set(adapter, attempt);
+    return attempt;
+  }
+
+  /** Called before each change; keeps showing the earlier state for the lag. */
+  #touch(): void {
+    const { reportLag = 0 } = this.#options;
+    const now = this.#clock.now();
+    if (this.#shown !== undefined && now < this.#shown.at + reportLag) return;
+    this.#shown =
+      reportLag > 0 ? { at: now, report: this.#capture() } : undefined;
+  }
+
+  #capture(): EngineReport {
+    const runs = this.batch.list();
+    return {
+      boot: `${this.#options.boot ?? this.#options.id}-${this.crashes}`,
+      loaded: [...this.#slots.keys()].filter(
+        (adapter) => this.#slots.get(adapter) === "loaded",
+      ),
+      running: runs.map((run) => run.order.requestId),
+      waiting: this.batch.waiting,
+      leaving: this.leaving,
+      fence: this.#fence,
+    };
+  }
+}
+
+const connectionRefused: EngineFailure = {
+  kind: "unreachable",
+  detail: "Connection refused",
+};
