--- /dev/null
+++ b/src/bench/pausable_clock.ts
@@ -0,0 +1,65 @@
+import type { Cancel, Clock, Millis } from "../core/clock.ts";
+
+/** Clock of one simulated node, whose callbacks wait while the node is paused. */
+export class PausableClock implements Clock {
+  readonly #base: Clock;
+  #paused = false;
+  #stopped = false;
+  #backlog: (() => void)[] = [];
+
+  static create(base: Clock): PausableClock {
+    return new PausableClock(base);
+  }
+
+  private constructor(base: Clock) {
+    this.#base = base;
+  }
+
+  now(): Millis {
+    return this.#base.now();
+  }
+
+  wallNow(): Millis {
+    return this.#base.wallNow();
+  }
+
+  schedule(delay: Millis, callback: () => void): Cancel {
+    let active = true;
+    const run = () => {
+      if (active) callback();
+    };
+    const cancel = this.#base.schedule(delay, () => this.#enter(run));
+    return () => {
+      active = false;
+      cancel();
+    };
+  }
+
+  /** Resolves once the node runs; for answers that arrive during a pause. */
+  whenRunning(): Promise<void> {
+    return new Promise((resolve) => this.#enter(resolve));
+  }
+
+  pause(): void {
+    this.#paused = true;
+  }
+
+  resume(): void {
+    this.#paused = false;
+    const backlog = this.#backlog;
+    this.#backlog = [];
+    for (const callback of backlog) this.#enter(callback);
+  }
+
+  /** Drops all callbacks for good, like the end of the process. */
+  stop(): void {
+    this.#stopped = true;
+    this.#backlog = [];
+  }
+
+  #enter(callback: () => void): void {
+    if (this.#stopped) return;
+    if (this.#paused) this.#backlog.push(callback);
+    else callback();
+  }
+}
--- /dev/null
+++ b/src/core/loads/row.ts
@@ -0,0 +1,170 @@
+import { type Either, Left, Right } from "purify-ts";
+import { brandString, type LeaseId, type RowKey } from "../ids.ts";
+import { totalPermits, waitingLimit } from "./limits.ts";
+
+/** Key of the row that divides the load budget between leases. */
+export const budgetRowKey = brandString<RowKey>("budget/loads");
+
+/** Content of the row; permits of `free`, `shares` and `returning` add up to the total. */
+export type BudgetRow = {
+  readonly free: number;
+  /** Permits that each lease holds. */
+  readonly shares: Readonly<Record<string, number>>;
+  /** Permits of removed leases, under the lease that will free them. */
+  readonly returning: Readonly<Record<string, number>>;
+  /** Leases that want a permit, longest wait first. */
+  readonly waiting: readonly string[];
+};
+
+/** Row before anyone has taken a permit. */
+export function createBudgetRow(): BudgetRow {
+  return { free: totalPermits, shares: {}, returning: {}, waiting: [] };
+}
+
+/** Checks a stored row, including that no permit was lost or made. */
+export function parseBudgetRow(value: unknown): Either<string, BudgetRow> {
+  const row = value as Partial<BudgetRow> | null;
+  if (
+    typeof row !== "object" ||
+    row === null ||
+    !isCount(row.free) ||
+    !isCountRecord(row.shares) ||
+    !isCountRecord(row.returning) ||
+    !Array.isArray(row.waiting) ||
+    !row.waiting.every((lease) => typeof lease === "string")
+  )
+    return Left("Row budget/loads is malformed; restore it from a new one");
+  const { free, shares, returning, waiting } = row as BudgetRow;
+  if (free + sum(shares) + sum(returning) !== totalPermits)
+    return Left(
+      `Row budget/loads does not add up to ${totalPermits} permits; restore it from a new one`,
+    );
+  return Right({ free, shares, returning, waiting });
+}
+
+/** Permits that a lease holds. */
+export function countShare(row: BudgetRow, lease: LeaseId): number {
+  return row.shares[lease] ?? 0;
+}
+
+/** Whether a lease other than this one waits for a permit. */
+export function hasOtherWaiting(row: BudgetRow, lease: LeaseId): boolean {
+  return row.waiting.some((entry) => entry !== lease);
+}
+
+/** Moves up to `wanted` free permits to a lease and ends its wait if it got one. */
+export function takePermits(
+  row: BudgetRow,
+  options: { lease: LeaseId; wanted: number },
+): BudgetRow {
+  const taken = Math.min(options.wanted, row.free);
+  if (taken <= 0) return row;
+  return {
+    ...row,
+    free: row.free - taken,
+    shares: addTo(row.shares, options.lease, taken),
+    waiting: row.waiting.filter((lease) => lease !== options.lease),
+  };
+}
+
+/** Gives permits of a lease to the leases that wait longest, and the rest to the free pool. */
+export function returnPermits(
+  row: BudgetRow,
+  options: { lease: LeaseId; count: number },
+): BudgetRow {
+  const count = Math.min(options.count, countShare(row, options.lease));
+  const others = row.waiting.filter((lease) => lease !== options.lease);
+  const served = distribute(
+    { ...row, shares: addTo(row.shares, options.lease, -count) },
+    { count, waiting: others },
+  );
+  return row.waiting.includes(options.lease)
+    ? { ...served, waiting: [...served.waiting, options.lease] }
+    : served;
+}
+
+/** Puts a lease at the end of the waiting list, unless the list is full. */
+export function joinWaiting(row: BudgetRow, lease: LeaseId): BudgetRow {
+  if (row.waiting.includes(lease) || row.waiting.length >= waitingLimit)
+    return row;
+  return { ...row, waiting: [...row.waiting, lease] };
+}
+
+/** Takes a lease off the waiting list. */
+export function leaveWaiting(row: BudgetRow, lease: LeaseId): BudgetRow {
+  if (!row.waiting.includes(lease)) return row;
+  return { ...row, waiting: row.waiting.filter((entry) => entry !== lease) };
+}
+
+/**
+ * Marks the permits of a removed lease as returning under the lease `by`. The
+ * result must be written even if the removed lease held nothing: the higher
+ * row version makes a late transaction of the removed lease fail.
+ */
+export function markReturning(
+  row: BudgetRow,
+  options: { removed: LeaseId; by: LeaseId },
+): BudgetRow {
+  const { removed, by } = options;
+  const count = countShare(row, removed) + (row.returning[removed] ?? 0);
+  const cleared = addTo(row.returning, removed, -(row.returning[removed] ?? 0));
+  return {
+    free: row.free,
+    shares: addTo(row.shares, removed, -countShare(row, removed)),
+    returning: addTo(cleared, by, count),
+    waiting: row.waiting.filter((lease) => lease !== removed),
+  };
+}
+
+/** Ends the return of permits marked under a lease: waiting leases get them, then the free pool. */
+export function finishReturning(row: BudgetRow, by: LeaseId): BudgetRow {
+  const count = row.returning[by] ?? 0;
+  if (count === 0) return row;
+  return distribute(
+    { ...row, returning: addTo(row.returning, by, -count) },
+    { count, waiting: row.waiting },
+  );
+}
+
+/** Hands out `count` permits, one to each waiting lease in order, then to the free pool. */
+function distribute(
+  row: BudgetRow,
+  options: { count: number; waiting: readonly string[] },
+): BudgetRow {
+  const served = options.waiting.slice(0, options.count);
+  let { shares } = row;
+  for (const lease of served) shares = addTo(shares, lease, 1);
+  return {
+    ...row,
+    shares,
+    free: row.free + options.count - served.length,
+    waiting: options.waiting.slice(served.length),
+  };
+}
+
+/** Copy of a record with a count changed; entries of zero are left out. */
+function addTo(
+  record: Readonly<Record<string, number>>,
+  key: string,
+  change: number,
+): Record<string, number> {
+  const { [key]: before = 0, ...rest } = record;
+  const after = before + change;
+  return after === 0 ? rest : { ...rest, [key]: after };
+}
+
+function sum(record: Readonly<Record<string, number>>): number {
+  return Object.values(record).reduce((total, count) => total + count, 0);
+}
+
+function isCount(value: unknown): value is number {
+  return Number.isInteger(value) && (value as number) >= 0;
+}
+
+function isCountRecord(value: unknown): value is Record<string, number> {
+  return (
+    typeof value === "object" &&
+    value !== null &&
+    Object.values(value).every(isCount)
+  );
+}
--- a/src/node/decision_actor.ts
+++ b/src/node/decision_actor.ts
@@ -38,6 +38,8 @@
 >(setup: DecisionSetup<State, Event, Command>): DecisionLogic<State, Event> {
   return fromTransition<State, Event, never, undefined>(
     (state, event, scope) => {
+      // xstate's own messages, such as the one that stops an actor.
+      if (event.type.startsWith("xstate.")) return state;
       const decision = setup.decide(state, event, setup.clock.now());
       if (decision.commands.length > 0) {
         scope.defer(() => {
