--- /dev/null
+++ b/src/adapters/callers/answer_stream.ts
@@ -0,0 +1,135 @@
+import type { ServerResponse } from "node:http";
+import type { RequestId } from "../../core/ids.ts";
+import type { AnswerSink } from "../../ports/access.ts";
+import type { DraftControl } from "../../ports/front.ts";
+import { formatRefusal, writeRefusal } from "../http/answers.ts";
+
+const endMarker = "data: [DONE]\n\n";
+
+/** Response to a draft call, as its sink. */
+export type AnswerWriter = {
+  readonly sink: AnswerSink;
+  /** Gives the writer the control of the draft, once it is known. */
+  attach(control: DraftControl): void;
+};
+
+/** Writes server-sent events as they come; a slow reader pauses its own stream. */
+export function createStreamWriter(
+  response: ServerResponse,
+  requestId: RequestId,
+): AnswerWriter {
+  let control: DraftControl | undefined;
+  response.on("drain", () => control?.resume());
+  return {
+    attach(given) {
+      control = given;
+    },
+    sink: {
+      onChunk(bytes) {
+        startStream(response, requestId);
+        if (!response.write(bytes)) control?.pause();
+      },
+      onEnd() {
+        startStream(response, requestId);
+        response.end(endMarker);
+      },
+      onRefusal(refusal) {
+        if (!response.headersSent) {
+          writeRefusal(response, refusal, requestId);
+          return;
+        }
+        const error = JSON.stringify(formatRefusal(refusal, requestId));
+        response.end(`data: ${error}\n\n`);
+      },
+    },
+  };
+}
+
+function startStream(response: ServerResponse, requestId: RequestId): void {
+  if (response.headersSent) return;
+  response.writeHead(200, {
+    "content-type": "text/event-stream",
+    "cache-control": "no-cache",
+    "x-request-id": requestId,
+    "x-outcome": "ran",
+  });
+}
+
+type Chunk = {
+  id?: string;
+  created?: number;
+  model?: string;
+  choices?: {
+    text?: string;
+    delta?: { content?: string };
+    finish_reason?: string | null;
+  }[];
+};
+
+/** Largest answer that is collected for a call without streaming, in bytes. */
+const maxCollectedBytes = 8 * 1024 * 1024;
+
+/** Collects the events of an answer and writes one JSON object at the end. */
+export function createCollectingWriter(
+  response: ServerResponse,
+  options: { requestId: RequestId; kind: "chat" | "completion" },
+): AnswerWriter {
+  const { requestId, kind } = options;
+  const chunks: Uint8Array[] = [];
+  let size = 0;
+  let control: DraftControl | undefined;
+  return {
+    attach(given) {
+      control = given;
+    },
+    sink: {
+      onChunk(bytes) {
+        size += bytes.length;
+        if (size <= maxCollectedBytes) chunks.push(bytes);
+        else control?.cancel();
+      },
+      onEnd() {
+        const body = joinChunks(Buffer.concat(chunks).toString("utf8"), kind);
+        const content = Buffer.from(`${JSON.stringify(body)}\n`);
+        response.writeHead(200, {
+          "content-type": "application/json",
+          "content-length": content.length,
+          "x-request-id": requestId,
+          "x-outcome": "ran",
+        });
+        response.end(content);
+      },
+      onRefusal(refusal) {
+        writeRefusal(response, refusal, requestId);
+      },
+    },
+  };
+}
+
+/** One completion object out of the text of all events. */
+export function joinChunks(text: string, kind: "chat" | "completion") {
+  const events = text
+    .split("\n\n")
+    .filter((event) => event.startsWith("data: {"))
+    .map((event) => JSON.parse(event.slice("data: ".length)) as Chunk);
+  const content = events
+    .map((event) => {
+      const choice = event.choices?.[0];
+      return choice?.text ?? choice?.delta?.content ?? "";
+    })
+    .join("");
+  const last = events.at(-1);
+  const finish = last?.choices?.[0]?.finish_reason ?? "stop";
+  const choice =
+    kind === "chat"
+      ? { message: { role: "assistant", content } }
+      : { text: content };
+  return {
+    id: last?.id,
+    object: kind === "chat" ? "chat.completion" : "text_completion",
+    created: last?.created,
+    model: last?.model,
+    choices: [{ index: 0, ...choice, finish_reason: finish }],
+    usage: { completion_tokens: events.length },
+  };
+}
--- /dev/null
+++ b/src/adapters/http/body.ts
@@ -0,0 +1,58 @@
+import type { IncomingMessage } from "node:http";
+import { type Either, Left, Right } from "purify-ts";
+import { type Clock, millis } from "../../core/clock.ts";
+import { type Refusal, refuse } from "../../core/results/refusal.ts";
+
+/** Largest request body, in bytes. */
+export const maxBodyBytes = 1024 * 1024;
+/** Time for a request body to arrive, in ms. */
+export const bodyDeadlineMillis = 10_000;
+
+/** Reads a whole request body within the size limit and the deadline. */
+export function readBody(
+  request: IncomingMessage,
+  options: { clock: Clock; maxBytes?: number },
+): Promise<Either<Refusal, Buffer>> {
+  const maxBytes = options.maxBytes ?? maxBodyBytes;
+  return new Promise((resolve) => {
+    const chunks: Buffer[] = [];
+    let size = 0;
+    const finish = (result: Either<Refusal, Buffer>): void => {
+      cancel();
+      request.removeAllListeners("data");
+      request.pause();
+      resolve(result);
+    };
+    const cancel = options.clock.schedule(millis(bodyDeadlineMillis), () =>
+      finish(
+        Left(
+          refuse(
+            "slowBody",
+            `The body did not arrive within ${bodyDeadlineMillis} ms; send it without pauses`,
+          ),
+        ),
+      ),
+    );
+    request.on("data", (chunk: Buffer) => {
+      size += chunk.length;
+      if (size > maxBytes) {
+        finish(
+          Left(
+            refuse(
+              "bodyTooLarge",
+              `The body exceeds ${maxBytes} bytes; send a smaller one`,
+            ),
+          ),
+        );
+        return;
+      }
+      chunks.push(chunk);
+    });
+    request.on("end", () => finish(Right(Buffer.concat(chunks))));
+    request.on("error", () =>
+      finish(
+        Left(refuse("malformedBody", "The body broke off; send it whole")),
+      ),
+    );
+  });
+}
--- a/src/adapters/http/event_splitter.ts
+++ b/src/adapters/http/event_splitter.ts
@@ -1,10 +1,18 @@
 const newline = 0x0a;
 const colon = 0x3a;
+const letterE = 0x65;
+const openBracket = 0x5b;
+/** Position of the first character after `data: `. */
+const dataOffset = 6;
 
 /** Receives whole server-sent events. */
 export type EventReceiver = {
-  /** `count` whole events that are not comments. */
-  onEvents(bytes: Uint8Array, count: number): void;
+  /** `count` whole data events, without the end marker. */
+  onEvents(bytes: Buffer, count: number): void;
+  /** The end marker `data: [DONE]`. */
+  onDone(): void;
+  /** One named event, which relays use for refusals within a stream. */
+  onNamedEvent(bytes: Buffer): void;
 };
 
 /** Largest event that is held back for its end, in bytes. */
@@ -42,12 +50,17 @@
     for (;;) {
       const end = findEventEnd(bytes, from);
       if (end < 0) break;
-      if (bytes[from] === colon) {
+      const kind = classifyEvent(bytes, from);
+      if (kind === "data") {
+        count++;
+      } else {
         this.#emit(bytes, { start, end: from, count });
         start = end;
         count = 0;
-      } else {
-        count++;
+        if (kind === "done") this.#receiver.onDone();
+        if (kind === "named") {
+          this.#receiver.onNamedEvent(bytes.subarray(from, end));
+        }
       }
       from = end;
     }
@@ -65,6 +78,17 @@
   }
 }
 
+/** Tells events apart by two bytes, since JSON objects start with a brace. */
+function classifyEvent(
+  bytes: Buffer,
+  from: number,
+): "data" | "done" | "named" | "comment" {
+  const first = bytes[from];
+  if (first === colon) return "comment";
+  if (first === letterE) return "named";
+  return bytes[from + dataOffset] === openBracket ? "done" : "data";
+}
+
 /** Index after the blank line that ends the event at `from`, or -1. */
 function findEventEnd(bytes: Buffer, from: number): number {
   let at = bytes.indexOf(newline, from);
--- /dev/null
+++ b/src/adapters/peers/forward_client.ts
@@ -0,0 +1,268 @@
+import { Agent, type Dispatcher } from "undici";
+import { type Cancel, type Clock, millis } from "../../core/clock.ts";
+import type { RequestId } from "../../core/ids.ts";
+import { formatHybridTime } from "../../core/observe/hybrid_clock.ts";
+import { type Refusal, refuse } from "../../core/results/refusal.ts";
+import type { AnswerSink } from "../../ports/access.ts";
+import type { StreamControl } from "../../ports/engine.ts";
+import type { Meter } from "../../ports/journal.ts";
+import type { PeerForwarder } from "../../ports/peers.ts";
+import { EventSplitter } from "../http/event_splitter.ts";
+import type { Keyring } from "../keys/keyring.ts";
+import type { Timeline } from "../observe/timeline.ts";
+import { decodeRefusal, encodeForward, forwardPath } from "./forward_codec.ts";
+import { signatureHeader, signMessage } from "./signature.ts";
+
+/** Connections to one peer; each carries one stream at a time. */
+const maxConnectionsPerPeer = 1_024;
+/** Time for a connection to a peer to open, in ms. */
+const connectTimeoutMillis = 1_000;
+/** Silence after which a forwarded stream is abandoned, in ms; owners send a comment every second. */
+const silenceLimitMillis = 3_000;
+/** Time between checks for silent streams, in ms. */
+const silenceCheckMillis = 500;
+/** Largest refusal that an owner answers with, in bytes. */
+const maxRefusalBytes = 16 * 1024;
+
+/** What the forwarder needs. */
+export type ForwarderOptions = {
+  readonly clock: Clock;
+  readonly keyring: Keyring;
+  readonly timeline: Timeline;
+  readonly meter: Meter;
+};
+
+/** Forwards work to owners over HTTP streams and watches them for silence. */
+export class HttpForwarder implements PeerForwarder {
+  readonly #options: ForwarderOptions;
+  readonly #agent: Agent;
+  readonly #streams = new Set<ForwardedStream>();
+  #cancelCheck: Cancel | undefined;
+
+  static create(options: ForwarderOptions): HttpForwarder {
+    return new HttpForwarder(options);
+  }
+
+  private constructor(options: ForwarderOptions) {
+    this.#options = options;
+    this.#agent = new Agent({
+      connections: maxConnectionsPerPeer,
+      pipelining: 1,
+      connect: { timeout: connectTimeoutMillis },
+      headersTimeout: 0,
+      bodyTimeout: 0,
+    });
+  }
+
+  forward(
+    address: string,
+    request: Parameters<PeerForwarder["forward"]>[1],
+    sink: AnswerSink,
+  ): StreamControl {
+    const { clock, keyring, timeline, meter } = this.#options;
+    const body = encodeForward(request, clock.now());
+    const signature = signMessage(
+      { method: "POST", path: forwardPath, body },
+      { keyring, clock },
+    );
+    const stream = ForwardedStream.create({
+      sink,
+      clock,
+      meter,
+      requestId: request.submission.work.requestId,
+      onClose: () => this.#streams.delete(stream),
+    });
+    this.#streams.add(stream);
+    this.#scheduleCheck();
+    this.#agent.dispatch(
+      {
+        origin: `http://${address}`,
+        method: "POST",
+        path: forwardPath,
+        headers: {
+          "content-type": "application/msgpack",
+          [signatureHeader]: signature,
+          "x-hybrid-time": formatHybridTime(timeline.stamp()),
+        },
+        body,
+      },
+      stream,
+    );
+    return stream;
+  }
+
+  /** Closes all connections. */
+  async close(): Promise<void> {
+    this.#cancelCheck?.();
+    await this.#agent.destroy();
+  }
+
+  #scheduleCheck(): void {
+    if (this.#cancelCheck !== undefined) return;
+    this.#cancelCheck = this.#options.clock.schedule(
+      millis(silenceCheckMillis),
+      () => {
+        this.#cancelCheck = undefined;
+        const limit = this.#options.clock.now() - silenceLimitMillis;
+        for (const stream of this.#streams) stream.abandonIfSilent(limit);
+        if (this.#streams.size > 0) this.#scheduleCheck();
+      },
+    );
+  }
+}
+
+type StreamOptions = {
+  readonly sink: AnswerSink;
+  readonly clock: Clock;
+  readonly meter: Meter;
+  readonly requestId: RequestId;
+  readonly onClose: () => void;
+};
+
+/** One forwarded stream: undici's handler and the control of the stream. */
+class ForwardedStream implements Dispatcher.DispatchHandler, StreamControl {
+  readonly #options: StreamOptions;
+  readonly #splitter: EventSplitter;
+  #controller: Dispatcher.DispatchController | undefined;
+  #status = 0;
+  #refusal = "";
+  #sent = false;
+  #closed = false;
+  #paused = false;
+  #lastByteAt: number;
+
+  static create(options: StreamOptions): ForwardedStream {
+    return new ForwardedStream(options);
+  }
+
+  private constructor(options: StreamOptions) {
+    this.#options = options;
+    this.#lastByteAt = options.clock.now();
+    this.#splitter = EventSplitter.create({
+      onEvents: (bytes, count) => options.sink.onChunk(bytes, count),
+      onDone: () => this.#finish(),
+      onNamedEvent: (bytes) => this.#refuse(bytes.toString("utf8")),
+    });
+  }
+
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    this.#controller = controller;
+    if (this.#closed) {
+      controller.abort(new Error("The request was cancelled"));
+      return;
+    }
+    this.#sent = true;
+  }
+
+  onResponseStart(
+    controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    this.#status = status;
+    this.#lastByteAt = this.#options.clock.now();
+    if (status !== 200) return;
+    if (headers["x-request-id"] !== this.#options.requestId) {
+      this.#options.meter.count("crossed_answers_total", { hop: "peer" });
+      this.#fail(refuse("crossedAnswer", "The owner answered another request"));
+      return;
+    }
+    if (this.#paused) controller.pause();
+  }
+
+  onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
+    if (this.#closed) return;
+    this.#lastByteAt = this.#options.clock.now();
+    if (this.#status !== 200) {
+      if (this.#refusal.length < maxRefusalBytes) {
+        this.#refusal += chunk.toString("utf8");
+      }
+      return;
+    }
+    if (!this.#splitter.push(chunk)) {
+      this.#fail(
+        refuse("peerLost", "The owner sent an event that is too large"),
+      );
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.#closed) return;
+    if (this.#status !== 200) {
+      this.#refuse(this.#refusal);
+      return;
+    }
+    this.#options.meter.count("broken_streams_total", { hop: "peer" });
+    this.#fail(refuse("peerLost", "The owner ended the stream early"));
+  }
+
+  onResponseError(_: Dispatcher.DispatchController, error: Error): void {
+    this.#fail(
+      refuse(
+        "peerLost",
+        `The connection to the owner broke: ${error.message}`,
+        {
+          outcome: this.#sent ? "may-have-run" : "not-run",
+        },
+      ),
+    );
+  }
+
+  cancel(): void {
+    if (this.#close()) this.#abort("The request was cancelled");
+  }
+
+  pause(): void {
+    this.#paused = true;
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    if (!this.#paused) return;
+    this.#paused = false;
+    this.#lastByteAt = this.#options.clock.now();
+    this.#controller?.resume();
+  }
+
+  /** Abandons the stream when its last byte came before `limit`. */
+  abandonIfSilent(limit: number): void {
+    if (this.#paused || this.#lastByteAt >= limit) return;
+    this.#fail(
+      refuse("peerLost", `The owner was silent for ${silenceLimitMillis} ms`, {
+        outcome: this.#sent ? "may-have-run" : "not-run",
+      }),
+    );
+  }
+
+  #finish(): void {
+    if (this.#close()) this.#options.sink.onEnd();
+  }
+
+  #refuse(content: string): void {
+    const refusal = decodeRefusal(content);
+    this.#fail(
+      refusal ??
+        refuse("peerLost", `The owner answered with status ${this.#status}`, {
+          outcome: this.#status === 401 ? "not-run" : "may-have-run",
+        }),
+    );
+  }
+
+  #fail(refusal: Refusal): void {
+    if (!this.#close()) return;
+    if (this.#status === 0 || this.#status === 200) this.#abort(refusal.detail);
+    this.#options.sink.onRefusal(refusal);
+  }
+
+  #abort(reason: string): void {
+    this.#controller?.abort(new Error(reason));
+  }
+
+  /** Returns false when the stream was closed before. */
+  #close(): boolean {
+    if (this.#closed) return false;
+    this.#closed = true;
+    this.#options.onClose();
+    return true;
+  }
+}
--- /dev/null
+++ b/src/adapters/peers/operator_router.ts
@@ -0,0 +1,73 @@
+import { initTRPC, TRPCError } from "@trpc/server";
+import type { Either } from "purify-ts";
+import { z } from "zod";
+import { resultCodes } from "../../core/results/codes.ts";
+import type { Refusal } from "../../core/results/refusal.ts";
+import type { OperatorPort } from "../../ports/operators.ts";
+
+/** Largest number of timeline events in one answer. */
+const maxTimelineEntries = 20_000;
+/** Largest number of history records in one answer. */
+const maxHistoryRecords = 1_000;
+
+const trpc = initTRPC.context<OperatorPort>().create();
+const text = z.string().min(1).max(256);
+
+/** Calls that operators and nodes make over trpc. */
+export const operatorRouter = trpc.router({
+  status: trpc.procedure.query(({ ctx }) => ctx.status()),
+  timeline: trpc.procedure
+    .input(
+      z.strictObject({
+        requestId: text.optional(),
+        adapter: text.optional(),
+        engine: text.optional(),
+        withinMs: z.number().positive().optional(),
+        limit: z.number().int().min(1).max(maxTimelineEntries).default(1_000),
+      }),
+    )
+    .query(({ ctx, input }) => ctx.timeline(input)),
+  drain: trpc.procedure
+    .input(z.strictObject({ operator: text }))
+    .mutation(({ ctx, input }) => {
+      ctx.drain(input.operator);
+      return { phase: ctx.status().phase };
+    }),
+  applySheet: trpc.procedure
+    .input(
+      z.strictObject({
+        base: z.number().int().min(0),
+        sheet: z.unknown(),
+        operator: text,
+        attempt: text,
+      }),
+    )
+    .mutation(async ({ ctx, input }) =>
+      unwrap(await ctx.applySheet({ ...input, sheet: input.sheet })),
+    ),
+  history: trpc.procedure
+    .input(
+      z.strictObject({
+        limit: z.number().int().min(1).max(maxHistoryRecords).default(20),
+      }),
+    )
+    .query(async ({ ctx, input }) => unwrap(await ctx.history(input.limit))),
+  showSheet: trpc.procedure.query(({ ctx }) => unwrap(ctx.showSheet())),
+});
+
+/** Type of the router, for clients. */
+export type OperatorRouter = typeof operatorRouter;
+
+/** The value, or a trpc error whose message carries code, number and remedy. */
+function unwrap<T>(result: Either<Refusal, T>): T {
+  return result.caseOf({
+    Left: (refusal) => {
+      const { number, remedy } = resultCodes[refusal.code];
+      throw new TRPCError({
+        code: refusal.code === "revisionConflict" ? "CONFLICT" : "BAD_REQUEST",
+        message: `${number} ${refusal.code}: ${refusal.detail} (${remedy}; outcome: ${refusal.outcome})`,
+      });
+    },
+    Right: (value) => value,
+  });
+}
--- /dev/null
+++ b/src/core/observe/hybrid_clock.ts
@@ -0,0 +1,53 @@
+import type { Millis } from "../clock.ts";
+
+/**
+ * Time stamp of a hybrid logical clock: wall-clock ms, then a counter that
+ * orders events within one ms and after messages from a clock that is ahead.
+ */
+export type HybridTime = {
+  readonly wall: number;
+  readonly counter: number;
+};
+
+/** Largest lead of a remote clock that is followed, in ms. */
+const maxLeadMillis = 60_000;
+
+/** Next stamp for a local event or a message to be sent. */
+export function tickHybridTime(last: HybridTime, wall: Millis): HybridTime {
+  return wall > last.wall
+    ? { wall, counter: 0 }
+    : { wall: last.wall, counter: last.counter + 1 };
+}
+
+/** Next stamp after a message with the stamp `heard`; ignores stamps too far ahead. */
+export function mergeHybridTime(
+  last: HybridTime,
+  heard: HybridTime,
+  wall: Millis,
+): HybridTime {
+  const known =
+    heard.wall - wall <= maxLeadMillis && compareHybridTime(heard, last) > 0
+      ? heard
+      : last;
+  return tickHybridTime(known, wall);
+}
+
+/** Negative when `a` is before `b`. */
+export function compareHybridTime(a: HybridTime, b: HybridTime): number {
+  return a.wall - b.wall || a.counter - b.counter;
+}
+
+/** Text form that sorts like the stamps; used in message headers. */
+export function formatHybridTime(time: HybridTime): string {
+  return `${time.wall}.${time.counter}`;
+}
+
+/** Reads the text form; undefined when it is malformed. */
+export function parseHybridTime(
+  text: string | undefined,
+): HybridTime | undefined {
+  const match = /^(\d{1,15})\.(\d{1,9})$/.exec(text ?? "");
+  return match === null
+    ? undefined
+    : { wall: Number(match[1]), counter: Number(match[2]) };
+}
--- /dev/null
+++ b/src/ports/operators.ts
@@ -0,0 +1,88 @@
+import type { Either } from "purify-ts";
+import type { EventName } from "../core/observe/events.ts";
+import type { HybridTime } from "../core/observe/hybrid_clock.ts";
+import type { Refusal } from "../core/results/refusal.ts";
+import type { EventFields } from "./journal.ts";
+
+/** One event of the timeline. */
+export type TimelineEntry = {
+  readonly time: HybridTime;
+  readonly node: string;
+  readonly number: number;
+  readonly event: EventName;
+  readonly fields: EventFields;
+};
+
+/** Filter of timeline events; all given fields must match. */
+export type TimelineFilter = {
+  readonly requestId?: string | undefined;
+  readonly adapter?: string | undefined;
+  readonly engine?: string | undefined;
+  /** Only events of the last so many ms. */
+  readonly withinMs?: number | undefined;
+  /** Newest events to return. */
+  readonly limit: number;
+};
+
+/** One engine in the status of a node. */
+export type EngineSummary = {
+  readonly engine: string;
+  readonly region: string;
+  readonly owner: string | undefined;
+  readonly state: string;
+  readonly queued: number;
+  readonly running: number;
+  readonly held: readonly string[];
+};
+
+/** Status of one node as operators see it. */
+export type NodeStatus = {
+  readonly node: string;
+  readonly region: string;
+  readonly dataCentre: string;
+  readonly phase: string;
+  readonly revision: number | undefined;
+  readonly certainty: string;
+  readonly tableOutage: boolean;
+  readonly inFlight: number;
+  readonly members: readonly {
+    readonly node: string;
+    readonly state: string;
+    readonly address: string;
+    readonly region: string;
+  }[];
+  readonly engines: readonly EngineSummary[];
+};
+
+/** One accepted revision in the history of the configuration. */
+export type RevisionRecord = {
+  readonly revision: number;
+  readonly digest: string;
+  readonly operator: string;
+  readonly acceptedAt: number;
+  readonly adapters: number;
+};
+
+/** Result of an accepted sheet. */
+export type AppliedSheet = {
+  readonly revision: number;
+  readonly digest: string;
+};
+
+/** What operators may ask of a node. */
+export type OperatorPort = {
+  status(): NodeStatus;
+  timeline(filter: TimelineFilter): readonly TimelineEntry[];
+  /** Starts a drain; idempotent. */
+  drain(operator: string): void;
+  /** Applies a sheet made from the given base revision. */
+  applySheet(request: {
+    readonly base: number;
+    readonly sheet: unknown;
+    readonly operator: string;
+    readonly attempt: string;
+  }): Promise<Either<Refusal, AppliedSheet>>;
+  history(limit: number): Promise<Either<Refusal, readonly RevisionRecord[]>>;
+  /** Sheet of the revision in force at this node. */
+  showSheet(): Either<Refusal, { revision: number; sheet: unknown }>;
+};
