--- /dev/null
+++ b/src/node/draft_desk.ts
@@ -0,0 +1,247 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type Clock, type Millis, millis } from "../core/clock.ts";
+import type { ModelResolution } from "../core/config/catalog.ts";
+import type {
+  AdapterKey,
+  Digest,
+  EngineId,
+  Region,
+  RequestId,
+} from "../core/ids.ts";
+import type { DraftTarget } from "../core/requests/draft.ts";
+import { RetryBudget } from "../core/requests/retry_budget.ts";
+import { type Refusal, refuse } from "../core/results/refusal.ts";
+import type { ChooseEngine, RoutePolicies } from "../core/routing/route.ts";
+import type { AnswerSink } from "../ports/access.ts";
+import type { DraftControl, DraftInput, EncodedDraft } from "../ports/front.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import { type DraftCall, DraftRequest } from "./draft_request.ts";
+import type { EngineDirectory } from "./engine_directory.ts";
+
+/** What is known of content that was running when an engine crashed. */
+export type Suspicion = "none" | "suspect" | "convicted";
+
+/** What the draft desk needs. */
+export type DraftDeskOptions = {
+  readonly region: Region;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly journal: Journal;
+  readonly meter: Meter;
+  readonly directory: EngineDirectory;
+  readonly chooseEngine: ChooseEngine;
+  readonly routePolicies: RoutePolicies;
+  readonly resolveModel: (model: string) => ModelResolution;
+  readonly findSuspicion: (digest: Digest) => Suspicion;
+  /** Hears of demand, for placement. */
+  readonly onDemand: (adapter: AdapterKey) => void;
+};
+
+const refusedControl: DraftControl = { cancel() {}, pause() {}, resume() {} };
+
+/** Takes draft requests of callers at their entry node. */
+export class DraftDesk {
+  readonly #options: DraftDeskOptions;
+  readonly #requests = new Map<RequestId, DraftRequest>();
+  readonly #retries = RetryBudget.create();
+  #onIdle: (() => void) | undefined;
+
+  static create(options: DraftDeskOptions): DraftDesk {
+    return new DraftDesk(options);
+  }
+
+  private constructor(options: DraftDeskOptions) {
+    this.#options = options;
+  }
+
+  /** Requests in progress. */
+  get open(): number {
+    return this.#requests.size;
+  }
+
+  /** Starts a draft; the sink may hear of a refusal before this returns. */
+  start(input: DraftInput, sink: AnswerSink): DraftControl {
+    const refuseInput = (refusal: Refusal): DraftControl => {
+      this.#recordRefusal(input.requestId, refusal);
+      sink.onRefusal(refusal);
+      return refusedControl;
+    };
+    return this.#resolve(input).caseOf<DraftControl>({
+      Left: refuseInput,
+      Right: ({ key, draft }) => {
+        const suspicion = this.#options.findSuspicion(draft.digest);
+        if (suspicion === "convicted") {
+          return refuseInput(
+            refuse("poisonRequest", "This content crashed engines twice", {
+              outcome: "not-run",
+            }),
+          );
+        }
+        const call = this.#createCall(input, { key, draft });
+        return this.#run({ ...call, isolated: suspicion === "suspect" }, sink);
+      },
+    });
+  }
+
+  /** Resolves when no request is open. */
+  waitIdle(): Promise<void> {
+    if (this.open === 0) return Promise.resolve();
+    return new Promise((resolve) => {
+      this.#onIdle = resolve;
+    });
+  }
+
+  #resolve(
+    input: DraftInput,
+  ): Either<Refusal, { key: AdapterKey; draft: EncodedDraft }> {
+    if (this.#requests.has(input.requestId)) {
+      return Left(
+        refuse(
+          "badHeader",
+          `Request id "${input.requestId}" is in use; send a new one`,
+        ),
+      );
+    }
+    const resolution = this.#options.resolveModel(input.model);
+    switch (resolution.kind) {
+      case "unknown-adapter":
+        return Left(
+          refuse("unknownAdapter", `Adapter "${input.model}" is not known`),
+        );
+      case "unknown-version":
+        return Left(
+          refuse("unknownVersion", `Version of "${input.model}" is not known`),
+        );
+      case "found":
+        return Right({
+          key: resolution.key,
+          draft: input.encode(resolution.key),
+        });
+    }
+  }
+
+  #createCall(
+    input: DraftInput,
+    target: { key: AdapterKey; draft: EncodedDraft },
+  ): DraftCall {
+    const now = this.#options.clock.now();
+    const { key, draft } = target;
+    return {
+      path: input.path,
+      body: draft.body,
+      isolated: false,
+      work: {
+        requestId: input.requestId,
+        adapter: key,
+        customer: input.customer,
+        priority: input.priority,
+        expectedTokens: input.expectedTokens,
+        arrivedAt: now,
+        deadlineAt: millis(now + input.deadline),
+        digest: draft.digest,
+        prefix: draft.prefix,
+      },
+    };
+  }
+
+  #run(call: DraftCall, sink: AnswerSink): DraftControl {
+    const { clock, journal, directory, random, onDemand } = this.#options;
+    const { requestId, adapter, arrivedAt } = call.work;
+    this.#retries.deposit();
+    onDemand(adapter);
+    journal.record("requestAdmitted", { requestId, adapter });
+    let ended = false;
+    const request = DraftRequest.create({
+      call,
+      clock,
+      journal,
+      access: directory,
+      sink: this.#observe(call, { sink, arrivedAt }),
+      policies: {
+        random,
+        takeRetry: () => this.#retries.take(),
+        choose: ({ tried }) => this.#choose(call, tried),
+      },
+      onSubmit: () => this.#options.meter.count("attempts_total"),
+      onClose: () => {
+        ended = true;
+        this.#close(requestId);
+      },
+    });
+    if (!ended) this.#requests.set(requestId, request);
+    return request;
+  }
+
+  #choose(
+    call: DraftCall,
+    tried: readonly EngineId[],
+  ): Either<Refusal, DraftTarget> {
+    const { clock, directory, random, region, routePolicies, chooseEngine } =
+      this.#options;
+    const { adapter, customer, deadlineAt, expectedTokens } = call.work;
+    const choose = (excluded: ReadonlySet<EngineId>) =>
+      chooseEngine(
+        {
+          adapter,
+          customer,
+          deadlineAt,
+          expectedTokens,
+          region,
+          tried: excluded,
+        },
+        {
+          views: directory.views(),
+          now: clock.now(),
+          random,
+          policies: routePolicies,
+        },
+      );
+    const choice = choose(new Set(tried));
+    // With every engine tried, the least costly one may be tried again.
+    return choice.isLeft() && tried.length > 0 ? choose(new Set()) : choice;
+  }
+
+  /** Sink that also writes metrics and the timeline. */
+  #observe(
+    call: DraftCall,
+    context: { sink: AnswerSink; arrivedAt: Millis },
+  ): AnswerSink {
+    const { sink, arrivedAt } = context;
+    const { clock, journal, meter } = this.#options;
+    const { requestId, adapter } = call.work;
+    let tokens = 0;
+    return {
+      onChunk: (bytes, count) => {
+        if (tokens === 0) {
+          meter.observe("first_token_ms", clock.now() - arrivedAt);
+        }
+        tokens += count;
+        sink.onChunk(bytes, count);
+      },
+      onEnd: () => {
+        meter.count("requests_total", { kind: "draft", code: "ok" });
+        meter.count("tokens_total", {}, tokens);
+        journal.record("requestFinished", { requestId, adapter, tokens });
+        sink.onEnd();
+      },
+      onRefusal: (refusal) => {
+        meter.count("tokens_total", {}, tokens);
+        this.#recordRefusal(requestId, refusal);
+        sink.onRefusal(refusal);
+      },
+    };
+  }
+
+  #recordRefusal(requestId: RequestId, refusal: Refusal): void {
+    const { journal, meter } = this.#options;
+    const { code, outcome, detail } = refusal;
+    meter.count("requests_total", { kind: "draft", code });
+    const event = outcome === "not-run" ? "requestRefused" : "requestFailed";
+    journal.record(event, { requestId, code, outcome, detail });
+  }
+
+  #close(requestId: RequestId): void {
+    this.#requests.delete(requestId);
+    if (this.open === 0) this.#onIdle?.();
+  }
+}
--- /dev/null
+++ b/src/node/engine_directory.ts
@@ -0,0 +1,107 @@
+import type { Clock } from "../core/clock.ts";
+import { createEngineView } from "../core/engine/view.ts";
+import type { EngineId, NodeId, Region } from "../core/ids.ts";
+import { refuse } from "../core/results/refusal.ts";
+import type { EngineView } from "../core/routing/view.ts";
+import type { AnswerSink, EngineAccess, Submission } from "../ports/access.ts";
+import type { StreamControl } from "../ports/engine.ts";
+import type { ForwardTarget, PeerForwarder } from "../ports/peers.ts";
+import type { EngineOwner } from "./engine_owner.ts";
+
+/** What the directory needs. */
+export type EngineDirectoryOptions = {
+  readonly nodeId: NodeId;
+  readonly region: Region;
+  readonly clock: Clock;
+  readonly forwarder: PeerForwarder;
+  /** Views of engines that other nodes own, as last heard of. */
+  readonly remoteViews: () => Iterable<EngineView>;
+  /** Peer address of a node; undefined when it is not a member. */
+  readonly findAddress: (node: NodeId) => string | undefined;
+};
+
+const endedStream: StreamControl = { cancel() {}, pause() {}, resume() {} };
+
+/** Engines of the installation: those owned here and the way to all others. */
+export class EngineDirectory implements EngineAccess, ForwardTarget {
+  readonly #options: EngineDirectoryOptions;
+  readonly #owners = new Map<EngineId, EngineOwner>();
+
+  static create(options: EngineDirectoryOptions): EngineDirectory {
+    return new EngineDirectory(options);
+  }
+
+  private constructor(options: EngineDirectoryOptions) {
+    this.#options = options;
+  }
+
+  /** Engines owned by this node. */
+  get owners(): ReadonlyMap<EngineId, EngineOwner> {
+    return this.#owners;
+  }
+
+  /** Number of requests at engines owned by this node. */
+  get load(): number {
+    let load = 0;
+    for (const owner of this.#owners.values()) load += owner.load;
+    return load;
+  }
+
+  add(engine: EngineId, owner: EngineOwner): void {
+    this.#owners.set(engine, owner);
+  }
+
+  remove(engine: EngineId): void {
+    this.#owners.delete(engine);
+  }
+
+  /** Views of the engines owned here. */
+  ownViews(): EngineView[] {
+    const { nodeId, region, clock } = this.#options;
+    const now = clock.now();
+    return [...this.#owners.values()].map((owner) =>
+      createEngineView(owner.state, { owner: nodeId, region, now }),
+    );
+  }
+
+  /** Views of all engines; an own view goes before what others say. */
+  views(): EngineView[] {
+    const own = this.ownViews();
+    const others = [...this.#options.remoteViews()].filter(
+      (view) => !this.#owners.has(view.engine),
+    );
+    return [...own, ...others];
+  }
+
+  submit(
+    engine: EngineId,
+    submission: Submission,
+    sink: AnswerSink,
+  ): StreamControl {
+    const owner = this.#owners.get(engine);
+    if (owner !== undefined) return owner.submit(submission, sink);
+    const view = this.views().find((one) => one.engine === engine);
+    const address =
+      view?.owner === undefined
+        ? undefined
+        : this.#options.findAddress(view.owner);
+    if (address === undefined) {
+      sink.onRefusal(refuse("notOwner", `No owner of ${engine} is known`));
+      return endedStream;
+    }
+    const { forwarder } = this.#options;
+    return forwarder.forward(address, { engine, submission }, sink);
+  }
+
+  acceptForward(
+    request: { engine: EngineId; submission: Submission },
+    sink: AnswerSink,
+  ): StreamControl {
+    const owner = this.#owners.get(request.engine);
+    if (owner !== undefined) return owner.submit(request.submission, sink);
+    sink.onRefusal(
+      refuse("notOwner", `This node does not own ${request.engine}`),
+    );
+    return endedStream;
+  }
+}
