Observe the health of an engine and describe it to routing

Reports of slow engines come late. The owner now compares first-token time, token gap and the age of the oldest request with their usual values and says ok or slow; three good probes end the slow state. summarizeEngine gives the fields of EngineView that only the owner knows.

--- a/src/core/engine/decision.ts
+++ b/src/core/engine/decision.ts
@@ -12,6 +12,7 @@
   startLoads,
 } from "./loading.ts";
 import type { EngineCommand, EngineEvent } from "./messages.ts";
+import { checkAges } from "./observing.ts";
 import { loseOwnership, takeOwnership } from "./ownership.ts";
 import type { EnginePolicies } from "./policies.ts";
 import { acceptReport, failReport, followReports } from "./reporting.ts";
@@ -43,6 +44,7 @@
     announceFence(turn);
     startLoads(turn);
     dispatchWork(turn);
+    checkAges(turn);
     setTimer(turn);
     return { state, commands: turn.commands };
   };
--- a/src/core/engine/health.ts
+++ b/src/core/engine/health.ts
@@ -1,23 +1,109 @@
 import { type Millis, millis } from "../clock.ts";
 
-/** Own observations of one engine. */
+/** How an engine performs, from what one node observed itself. */
 export type Health = {
-  state: "ok" | "slow";
-  /** Usual time to first token and between tokens, in ms. */
-  firstToken: number;
-  tokenGap: number;
-  /** Observed since the engine was classified as slow. */
-  goodProbes: number;
-  slowSince: Millis;
+  readonly state: "ok" | "slow";
+  /** Time of the last change of state. */
+  readonly since: Millis;
+  /** Usual time to first token and between tokens in ms; undefined before the first observation. */
+  readonly firstToken: number | undefined;
+  readonly tokenGap: number | undefined;
+  /** Consecutive observations that speak against the present state. */
+  readonly contrary: number;
 };
 
+/** One observation: a time to first token, a mean gap between tokens, or the age of the oldest request without a sign of life, in ms. */
+export type HealthSample = {
+  readonly kind: "first-token" | "token-gap" | "age";
+  readonly value: number;
+};
+
+/** Multiple of the usual time from which an observation counts as slow. */
+const SLOW_FACTOR = 2;
+
+/** Multiple of the usual time up to which a probe counts as good. */
+const RECOVERED_FACTOR = 1.5;
+
+/** Excess over the usual time below which nothing counts as slow, in ms; steps and prefill vary by this much. */
+const TOLERANCE = { "first-token": 40, "token-gap": 5, age: 250 } as const;
+
+/** Consecutive slow observations that make an engine slow. */
+const SLOW_SAMPLES = 2;
+
+/** Consecutive good probes after which a slow engine is ok. */
+const RECOVERY_SAMPLES = 3;
+
+/** Weight of a new observation in the usual time. */
+const USUAL_WEIGHT = 0.05;
+
+/** Time in the slow state after which its times count as usual, in ms. */
+const ADAPTATION_TIME = 60_000;
+
 /** Health of an engine without observations. */
 export function createHealth(): Health {
   return {
     state: "ok",
-    firstToken: 0,
-    tokenGap: 0,
-    goodProbes: 0,
-    slowSince: millis(0),
+    since: millis(0),
+    firstToken: undefined,
+    tokenGap: undefined,
+    contrary: 0,
   };
 }
+
+/** Takes one observation into account. */
+export function observeHealth(
+  health: Health,
+  { sample, now }: { sample: HealthSample; now: Millis },
+): Health {
+  if (health.state === "ok") return observeWhileOk(health, { sample, now });
+  if (now - health.since >= ADAPTATION_TIME) {
+    return { ...createHealth(), since: now };
+  }
+  if (sample.kind === "age" || !isGood(health, sample)) {
+    return { ...health, contrary: 0 };
+  }
+  return countContrary(health, { limit: RECOVERY_SAMPLES, next: "ok", now });
+}
+
+function observeWhileOk(
+  health: Health,
+  { sample, now }: { sample: HealthSample; now: Millis },
+): Health {
+  if (isSlowSample(health, sample)) {
+    const limit = sample.kind === "age" ? 1 : SLOW_SAMPLES;
+    return countContrary(health, { limit, next: "slow", now });
+  }
+  if (sample.kind === "age") return health;
+  const field = sample.kind === "first-token" ? "firstToken" : "tokenGap";
+  const usual = health[field] ?? sample.value;
+  const moved = usual + USUAL_WEIGHT * (sample.value - usual);
+  return { ...health, [field]: moved, contrary: 0 };
+}
+
+function countContrary(
+  health: Health,
+  { limit, next, now }: { limit: number; next: Health["state"]; now: Millis },
+): Health {
+  const contrary = health.contrary + 1;
+  if (contrary < limit) return { ...health, contrary };
+  return { ...health, state: next, since: now, contrary: 0 };
+}
+
+function isSlowSample(health: Health, { kind, value }: HealthSample): boolean {
+  const usual = findUsual(health, kind);
+  if (usual === undefined) return false;
+  return value > usual * SLOW_FACTOR && value > usual + TOLERANCE[kind];
+}
+
+function isGood(health: Health, { kind, value }: HealthSample): boolean {
+  const usual = findUsual(health, kind) ?? value;
+  return value <= Math.max(usual * RECOVERED_FACTOR, usual + TOLERANCE[kind]);
+}
+
+/** Usual value that an observation is compared with; an age is compared with the time to first token. */
+function findUsual(
+  health: Health,
+  kind: HealthSample["kind"],
+): number | undefined {
+  return kind === "token-gap" ? health.tokenGap : health.firstToken;
+}
--- a/src/core/engine/loading.ts
+++ b/src/core/engine/loading.ts
@@ -4,6 +4,7 @@
 import { acceptAnnouncement } from "./fence.ts";
 import { entriesOf, firstEntry, type QueueEntry } from "./queue.ts";
 import { askForReport } from "./reporting.ts";
+import type { EngineState } from "./state.ts";
 import { average, handBack, mayOrder, record, type Turn } from "./turn.ts";
 import { chooseSlotToEvict, listVictims } from "./victims.ts";
 
@@ -275,13 +276,21 @@
   { state, now }: Turn,
   adapter: AdapterKey,
 ): number {
-  const { estimates, permits } = state;
+  const { estimates } = state;
   const slot = state.slots.get(adapter);
   if (slot?.phase === "loaded") return 0;
   if (slot?.phase === "loading") {
     return Math.max(0, slot.since + estimates.load - now);
   }
   const retryAt = state.backoffs.get(adapter)?.retryAt ?? now;
-  const permitWait = permits.granted > 0 ? 0 : estimates.permitWait;
-  return Math.max(0, retryAt - now) + permitWait + estimates.load;
+  const backoff = Math.max(0, retryAt - now);
+  return Math.max(backoff, estimatePermitWait(state, now)) + estimates.load;
+}
+
+/** Expected time until the next permit is granted, in ms. */
+export function estimatePermitWait(state: EngineState, now: Millis): number {
+  const { granted, urgent, requestedAt } = state.permits;
+  if (granted > 0) return 0;
+  const waited = urgent > 0 ? now - requestedAt : 0;
+  return Math.max(0, state.estimates.permitWait, waited);
 }
--- a/src/core/engine/mod.ts
+++ b/src/core/engine/mod.ts
@@ -1,4 +1,10 @@
 export { createEngineDecision } from "./decision.ts";
+export {
+  createHealth,
+  type Health,
+  type HealthSample,
+  observeHealth,
+} from "./health.ts";
 export type * from "./messages.ts";
 export {
   baselineEnginePolicies,
@@ -6,4 +12,5 @@
   type EnginePolicies,
 } from "./policies.ts";
 export { createEngineState, type EngineState } from "./state.ts";
+export { type EngineSummary, summarizeEngine } from "./summary.ts";
 export type { Priority, Work } from "./work.ts";
--- a/src/core/engine/state.ts
+++ b/src/core/engine/state.ts
@@ -95,6 +95,8 @@
     decisive: boolean;
   };
   health: Health;
+  /** Next check of the oldest request. */
+  ageCheckAt: Millis | undefined;
   /** Recent demand of short work, which sizes the reserve of batch places. */
   shortPeak: { places: number; at: Millis };
   timerAt: Millis | undefined;
@@ -149,6 +151,7 @@
     placement: [],
     report: { askedAt: undefined, nextAt: undefined, decisive: false },
     health: createHealth(),
+    ageCheckAt: undefined,
     shortPeak: { places: 0, at: millis(0) },
     timerAt: undefined,
     counters: {
--- a/src/core/engine/streams.ts
+++ b/src/core/engine/streams.ts
@@ -4,6 +4,7 @@
 import { acceptAnnouncement } from "./fence.ts";
 import { leaveEngine } from "./leaving.ts";
 import type { EngineEvent, StreamFailureKind } from "./messages.ts";
+import { observeEngine, observeProgress } from "./observing.ts";
 import { loseOwnership } from "./ownership.ts";
 import { enqueue } from "./queue.ts";
 import { askForReport } from "./reporting.ts";
@@ -23,6 +24,8 @@
 export function noteFirstToken(turn: Turn, requestId: RequestId): void {
   const running = turn.state.running.get(requestId);
   if (running === undefined || running.firstTokenAt !== undefined) return;
+  const value = turn.now - running.dispatchedAt;
+  observeEngine(turn, { kind: "first-token", value });
   running.firstTokenAt = turn.now;
   running.lastProgressAt = turn.now;
   running.tokens = 1;
@@ -36,6 +39,7 @@
 ): void {
   const running = turn.state.running.get(requestId);
   if (running === undefined || tokens <= running.tokens) return;
+  observeProgress(turn, { running, tokens });
   running.tokens = tokens;
   running.lastProgressAt = turn.now;
 }
@@ -43,11 +47,12 @@
 /** Ends a whole stream. */
 export function finishStream(
   turn: Turn,
-  { requestId }: Extract<EngineEvent, { type: "finished" }>,
+  { requestId, tokens }: Extract<EngineEvent, { type: "finished" }>,
 ): void {
   const { state, now } = turn;
   const running = removeRunning(state, requestId);
   if (running === undefined) return;
+  if (tokens > running.tokens) observeProgress(turn, { running, tokens });
   const occupied = now - running.dispatchedAt;
   state.estimates.service = average(state.estimates.service, occupied);
   acceptAnnouncement(turn);
--- /dev/null
+++ b/src/core/engine/summary.ts
@@ -0,0 +1,56 @@
+import { type Millis, millis } from "../clock.ts";
+import type { AdapterKey } from "../ids.ts";
+import type { EngineView } from "../routing/view.ts";
+import { estimatePermitWait } from "./loading.ts";
+import type { EngineState } from "./state.ts";
+
+/** The part of a view that only the owner knows. */
+export type EngineSummary = Omit<
+  EngineView,
+  "engine" | "region" | "owner" | "heardAt"
+> & {
+  /** Wait until another load can start. */
+  readonly loadWait: Millis;
+};
+
+/** Times that a view shows before the first observation, in ms. */
+const DEFAULT_FIRST_TOKEN = 50;
+const DEFAULT_TOKEN_GAP = 20;
+
+/** Describes an engine to the nodes that route requests to it. */
+export function summarizeEngine(
+  state: EngineState,
+  now: Millis,
+): EngineSummary {
+  const { health, identity, estimates } = state;
+  return {
+    state: findState(state),
+    slots: identity.limits.slots,
+    batch: identity.limits.batch,
+    queued: state.queue.byId.size,
+    running: state.running.size + state.foreignRunning,
+    held: listSlots(state, "loaded"),
+    loading: listSlots(state, "loading"),
+    firstToken: millis(health.firstToken ?? DEFAULT_FIRST_TOKEN),
+    tokenGap: millis(health.tokenGap ?? DEFAULT_TOKEN_GAP),
+    serviceTime: millis(estimates.service),
+    loadWait: millis(estimatePermitWait(state, now)),
+  };
+}
+
+function findState(state: EngineState): EngineView["state"] {
+  if (state.leaving) return "leaving";
+  if (state.contact === "down") return "down";
+  return state.health.state;
+}
+
+function listSlots(
+  state: EngineState,
+  phase: "loaded" | "loading",
+): ReadonlySet<AdapterKey> {
+  const adapters = new Set<AdapterKey>();
+  for (const slot of state.slots.values()) {
+    if (slot.phase === phase) adapters.add(slot.adapter);
+  }
+  return adapters;
+}
--- a/src/core/engine/timers.ts
+++ b/src/core/engine/timers.ts
@@ -27,6 +27,7 @@
   };
   consider(state.queue.earliestDeadline);
   consider(state.report.nextAt);
+  consider(state.ageCheckAt);
   if (state.report.askedAt !== undefined) {
     consider(state.report.askedAt + REPORT_DEADLINE);
   }
