--- /dev/null
+++ b/src/adapters/backends/engine_client.ts
@@ -0,0 +1,210 @@
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import { type Clock, type Millis, millis } from "../../core/clock.ts";
+import type { AdapterKey, RequestId } from "../../core/ids.ts";
+import type {
+  AdapterOrder,
+  EngineFailure,
+  EngineLink,
+  EngineReport,
+  GenerateOrder,
+  StreamControl,
+  StreamSink,
+} from "../../ports/engine.ts";
+import { type Meter, silentMeter } from "../../ports/journal.ts";
+import { Endpoint } from "../http/endpoint.ts";
+import type { ExchangeFailure } from "../http/exchange.ts";
+import { classifyRefusal } from "./engine_refusal.ts";
+import { EngineStream } from "./engine_stream.ts";
+
+/** Longest load; design 5.4 counts on it when permits return. */
+const loadTimeout = millis(10_000);
+/** Longest wait for a report; design 5.13. */
+const reportTimeout = millis(500);
+/** Two of the engine's comment lines, one a second, may be late. */
+const defaultSilenceLimit = millis(3000);
+/** Loads, evictions and reports in flight at once. */
+const controlConnections = 16;
+
+/** Where an engine is and how it is watched. */
+export type EngineClientOptions = {
+  /** `http://HOST:PORT`. */
+  readonly origin: string;
+  readonly clock: Clock;
+  /** Streams open at once. */
+  readonly streams: number;
+  readonly meter?: Meter;
+  /** Time without a byte after which a connection is given up, in ms. */
+  readonly silenceLimit?: Millis;
+};
+
+const report = z.object({
+  boot: z.string(),
+  loaded: z.array(z.string()),
+  running: z.array(z.string()),
+  waiting: z.number(),
+  leaving: z.boolean(),
+  fence: z.number(),
+});
+
+/** Model engine over HTTP. Orders and reports use other connections than streams. */
+export class EngineClient implements EngineLink {
+  readonly #options: EngineClientOptions;
+  readonly #streams: Endpoint;
+  readonly #control: Endpoint;
+  readonly #meter: Meter;
+  readonly #silenceLimit: Millis;
+
+  constructor(options: EngineClientOptions) {
+    const { origin, clock, meter = silentMeter } = options;
+    const shared = { origin, clock, meter };
+    this.#options = options;
+    this.#meter = meter;
+    this.#silenceLimit = options.silenceLimit ?? defaultSilenceLimit;
+    this.#streams = Endpoint.create({
+      ...shared,
+      connections: options.streams,
+      name: "engine-streams",
+    });
+    this.#control = Endpoint.create({
+      ...shared,
+      connections: controlConnections,
+      name: "engine-control",
+    });
+  }
+
+  static create(options: EngineClientOptions): EngineClient {
+    return new EngineClient(options);
+  }
+
+  generate(order: GenerateOrder, sink: StreamSink): StreamControl {
+    const body = writeBody(order);
+    const { clock } = this.#options;
+    if (body === undefined) {
+      return refuseSoon(sink, "The body is not a JSON object");
+    }
+    const stream = EngineStream.create({
+      order,
+      sink,
+      clock,
+      meter: this.#meter,
+      silenceLimit: this.#silenceLimit,
+    });
+    const headers = {
+      "content-type": "application/json",
+      "x-request-id": order.requestId,
+      "x-fencing-number": String(order.fence),
+      "x-priority": order.priority,
+      "x-resume-at": String(order.resumeAt),
+    };
+    const request = {
+      method: "POST",
+      path: order.path,
+      headers,
+      body,
+    } as const;
+    if (this.#streams.stream(request, stream)) return stream;
+    stream.cancel();
+    return refuseSoon(sink, "All connections to the engine are in use");
+  }
+
+  load(order: AdapterOrder): Promise<Either<EngineFailure, void>> {
+    return this.#order("/v1/load_lora_adapter", order);
+  }
+
+  unload(order: AdapterOrder): Promise<Either<EngineFailure, void>> {
+    return this.#order("/v1/unload_lora_adapter", order);
+  }
+
+  async report(): Promise<Either<EngineFailure, EngineReport>> {
+    const answer = await this.#control.exchangeFresh({
+      method: "GET",
+      path: "/running",
+      timeout: reportTimeout,
+    });
+    return answer.mapLeft(toEngineFailure).chain(({ status, body }) => {
+      const text = body.toString();
+      return status === 200
+        ? parseReport(text)
+        : Left(classifyRefusal({ status, text }));
+    });
+  }
+
+  /** Breaks all connections. */
+  async close(): Promise<void> {
+    await Promise.all([this.#streams.close(), this.#control.close()]);
+  }
+
+  async #order(
+    path: string,
+    order: AdapterOrder,
+  ): Promise<Either<EngineFailure, void>> {
+    const answer = await this.#control.exchange({
+      method: "POST",
+      path,
+      headers: {
+        "content-type": "application/json",
+        "x-fencing-number": String(order.fence),
+      },
+      body: JSON.stringify({ lora_name: order.adapter }),
+      timeout: loadTimeout,
+      silenceLimit: this.#silenceLimit,
+      validUntil: order.validUntil,
+    });
+    return answer
+      .mapLeft(toEngineFailure)
+      .chain(({ status, body }) =>
+        status === 200
+          ? Right(undefined)
+          : Left(classifyRefusal({ status, text: body.toString() })),
+      );
+  }
+}
+
+/** Sets the adapter and streaming in the caller's body, whatever it says. */
+function writeBody(order: GenerateOrder): string | undefined {
+  try {
+    const fields: unknown = JSON.parse(Buffer.from(order.body).toString());
+    if (typeof fields !== "object" || fields === null) return undefined;
+    return JSON.stringify({ ...fields, model: order.adapter, stream: true });
+  } catch {
+    return undefined;
+  }
+}
+
+function refuseSoon(sink: StreamSink, detail: string): StreamControl {
+  let open = true;
+  queueMicrotask(() => {
+    if (open) sink.onFailure({ kind: "refused", detail });
+  });
+  return {
+    cancel() {
+      open = false;
+    },
+    pause() {},
+    resume() {},
+  };
+}
+
+function toEngineFailure({ kind, detail }: ExchangeFailure): EngineFailure {
+  const kinds = {
+    "not-sent": "unreachable",
+    broken: "broken",
+    timeout: "silent",
+  } as const;
+  return { kind: kinds[kind], detail };
+}
+
+function parseReport(text: string): Either<EngineFailure, EngineReport> {
+  try {
+    const { loaded, running, ...fields } = report.parse(JSON.parse(text));
+    return Right({
+      ...fields,
+      loaded: loaded as AdapterKey[],
+      running: running as RequestId[],
+    });
+  } catch (error) {
+    const detail = `Cannot read the report of the engine: ${error}`;
+    return Left({ kind: "broken", detail });
+  }
+}
--- /dev/null
+++ b/src/adapters/backends/engine_stream.ts
@@ -0,0 +1,162 @@
+import type { Dispatcher } from "undici";
+import {
+  type Cancel,
+  type Clock,
+  type Millis,
+  millis,
+} from "../../core/clock.ts";
+import type {
+  EngineFailure,
+  GenerateOrder,
+  StreamControl,
+  StreamSink,
+} from "../../ports/engine.ts";
+import type { Meter } from "../../ports/journal.ts";
+import { EventSplitter } from "../http/event_splitter.ts";
+import { classifyRefusal } from "./engine_refusal.ts";
+
+/** Longest refusal that is read, in bytes. */
+const maximumRefusalBytes = 4096;
+
+/** What an answer stream needs besides its order and sink. */
+export type EngineStreamOptions = {
+  readonly order: GenerateOrder;
+  readonly sink: StreamSink;
+  readonly clock: Clock;
+  /** Time without a byte after which the connection is given up, in ms. */
+  readonly silenceLimit: Millis;
+  readonly meter: Meter;
+};
+
+/** One answer stream: checks its request id, its silence and its explicit end. */
+export class EngineStream implements Dispatcher.DispatchHandler, StreamControl {
+  readonly #options: EngineStreamOptions;
+  readonly #clock: Clock;
+  readonly #splitter = EventSplitter.create();
+  #controller: Dispatcher.DispatchController | undefined;
+  #cancelTimer: Cancel;
+  #heardAt: Millis;
+  #paused = false;
+  #ended = false;
+  /** Status and body of a refusal. */
+  #refusal: { status: number; text: string } | undefined;
+
+  constructor(options: EngineStreamOptions) {
+    this.#options = options;
+    this.#clock = options.clock;
+    this.#heardAt = options.clock.now();
+    this.#cancelTimer = this.#watchSilence(options.silenceLimit);
+  }
+
+  static create(options: EngineStreamOptions): EngineStream {
+    return new EngineStream(options);
+  }
+
+  cancel(): void {
+    this.#ended = true;
+    this.#cancelTimer();
+    this.#controller?.abort(new Error("Cancelled"));
+  }
+
+  pause(): void {
+    this.#paused = true;
+    this.#controller?.pause();
+  }
+
+  resume(): void {
+    this.#paused = false;
+    this.#heardAt = this.#clock.now();
+    this.#controller?.resume();
+  }
+
+  /** Called by undici in the turn in which it writes the order. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    if (this.#clock.now() >= this.#options.order.validUntil) {
+      this.#fail("unreachable", "The order is no longer valid");
+    }
+    if (this.#ended) {
+      controller.abort(new Error("Ended before sending"));
+      return;
+    }
+    this.#controller = controller;
+    if (this.#paused) controller.pause();
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Record<string, string | string[] | undefined>,
+  ): void {
+    this.#heardAt = this.#clock.now();
+    if (status < 200) return;
+    if (headers["x-request-id"] !== this.#options.order.requestId) {
+      this.#options.meter.count("engine_crossed_answers");
+      this.#abandon("broken", "The answer carries another request id");
+    } else if (status !== 200) {
+      this.#refusal = { status, text: "" };
+    }
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer) {
+    this.#heardAt = this.#clock.now();
+    if (this.#ended) return;
+    if (this.#refusal !== undefined) {
+      if (this.#refusal.text.length < maximumRefusalBytes) {
+        this.#refusal.text += chunk.toString();
+      }
+      return;
+    }
+    const events = this.#splitter.push(chunk);
+    if (events === undefined) {
+      this.#abandon("broken", "An event exceeds the size limit");
+      return;
+    }
+    const { sink } = this.#options;
+    if (events.count > 0) sink.onChunk(events.bytes, events.count);
+    if (events.done && !this.#ended) {
+      this.#ended = true;
+      sink.onEnd();
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.#refusal !== undefined) {
+      const { kind, detail } = classifyRefusal(this.#refusal);
+      this.#fail(kind, detail);
+    } else {
+      this.#fail("broken", "The answer ended without [DONE]");
+    }
+    this.#cancelTimer();
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error) {
+    const sent = this.#controller !== undefined;
+    this.#fail(sent ? "broken" : "unreachable", error.message);
+    this.#cancelTimer();
+  }
+
+  /** Checks after `delay` ms; a paused reader is no silence of the engine. */
+  #watchSilence(delay: Millis): Cancel {
+    return this.#clock.schedule(delay, () => {
+      const { silenceLimit } = this.#options;
+      const idle = this.#paused ? 0 : this.#clock.now() - this.#heardAt;
+      if (idle >= silenceLimit) {
+        const kind = this.#controller === undefined ? "unreachable" : "silent";
+        this.#abandon(kind, `No byte for ${silenceLimit} ms`);
+      } else {
+        this.#cancelTimer = this.#watchSilence(millis(silenceLimit - idle));
+      }
+    });
+  }
+
+  #abandon(kind: EngineFailure["kind"], detail: string): void {
+    this.#fail(kind, detail);
+    this.#controller?.abort(new Error(detail));
+  }
+
+  #fail(kind: EngineFailure["kind"], detail: string): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#options.sink.onFailure({ kind, detail });
+  }
+}
--- /dev/null
+++ b/src/adapters/http/endpoint.ts
@@ -0,0 +1,141 @@
+import { type Either, Left } from "purify-ts";
+import { Client, type Dispatcher, Pool } from "undici";
+import { type Clock, type Millis, millis } from "../../core/clock.ts";
+import { type Meter, silentMeter } from "../../ports/journal.ts";
+import {
+  type Answer,
+  type ExchangeFailure,
+  type ExchangeRequest,
+  runExchange,
+} from "./exchange.ts";
+
+/** Longest wait for a connection; below the silence limit of 3 s. */
+const connectTimeout = millis(1000);
+
+/** Where an endpoint is and how much may be open to it. */
+export type EndpointOptions = {
+  /** `http://HOST:PORT`. */
+  readonly origin: string;
+  readonly clock: Clock;
+  /** Calls in flight at once, each on a connection of its own. */
+  readonly connections: number;
+  /** Label of the counters. */
+  readonly name: string;
+  readonly meter?: Meter;
+};
+
+/**
+ * Connections to one server. Each call in flight has its own connection, so
+ * that a silent one holds up nothing else; calls beyond the bound are refused
+ * at once instead of waiting in a hidden queue.
+ */
+export class Endpoint {
+  readonly #options: EndpointOptions;
+  readonly #pool: Pool;
+  #inFlight = 0;
+
+  constructor(options: EndpointOptions) {
+    this.#options = options;
+    this.#pool = new Pool(options.origin, {
+      ...connectionOptions,
+      connections: options.connections,
+    });
+  }
+
+  static create(options: EndpointOptions): Endpoint {
+    return new Endpoint(options);
+  }
+
+  /** Starts a call whose answer goes to the handler; false if all connections are in use. */
+  stream(
+    request: Omit<Dispatcher.DispatchOptions, "origin">,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    if (!this.#admit()) return false;
+    this.#pool.dispatch(request, this.#countEnd(handler));
+    return true;
+  }
+
+  /** One call with its whole answer, on a connection that may have served before. */
+  async exchange(
+    request: ExchangeRequest,
+  ): Promise<Either<ExchangeFailure, Answer>> {
+    return this.#run(request, this.#pool);
+  }
+
+  /** One call on a connection made for it, so that no earlier silence can lose it. */
+  async exchangeFresh(
+    request: ExchangeRequest,
+  ): Promise<Either<ExchangeFailure, Answer>> {
+    const client = new Client(this.#options.origin, connectionOptions);
+    try {
+      return await this.#run(request, client);
+    } finally {
+      client.destroy().catch(() => {});
+    }
+  }
+
+  /** Breaks all connections. */
+  async close(): Promise<void> {
+    await this.#pool.destroy();
+  }
+
+  async #run(
+    request: ExchangeRequest,
+    dispatcher: Dispatcher,
+  ): Promise<Either<ExchangeFailure, Answer>> {
+    if (!this.#admit()) {
+      const detail = `All ${this.#options.connections} connections are in use`;
+      return Left({ kind: "not-sent", detail });
+    }
+    return runExchange(request, {
+      clock: this.#options.clock,
+      dispatch: (options, handler) =>
+        dispatcher.dispatch(options, this.#countEnd(handler)),
+    });
+  }
+
+  #admit(): boolean {
+    if (this.#inFlight < this.#options.connections) {
+      this.#inFlight++;
+      return true;
+    }
+    const { meter = silentMeter, name } = this.#options;
+    meter.count("endpoint_rejected", { endpoint: name });
+    return false;
+  }
+
+  /** Frees the place when undici has done with the call, not when the caller gives up. */
+  #countEnd(handler: Dispatcher.DispatchHandler): Dispatcher.DispatchHandler {
+    let open = true;
+    const end = () => {
+      if (open) this.#inFlight--;
+      open = false;
+    };
+    return {
+      onRequestStart: (controller, context) =>
+        handler.onRequestStart?.(controller, context),
+      onResponseStart: (controller, status, headers, message) =>
+        handler.onResponseStart?.(controller, status, headers, message),
+      onResponseData: (controller, chunk) =>
+        handler.onResponseData?.(controller, chunk),
+      onResponseEnd: (controller, trailers) => {
+        end();
+        handler.onResponseEnd?.(controller, trailers);
+      },
+      onResponseError: (controller, error) => {
+        end();
+        handler.onResponseError?.(controller, error);
+      },
+    };
+  }
+}
+
+/** Timeouts of undici that are 0 are replaced by deadlines on the `Clock`. */
+const connectionOptions = {
+  pipelining: 1,
+  connect: { timeout: connectTimeout satisfies Millis },
+  headersTimeout: 0,
+  bodyTimeout: 0,
+  keepAliveTimeout: 4000,
+};
--- /dev/null
+++ b/src/adapters/http/event_splitter.ts
@@ -0,0 +1,67 @@
+const separator = Buffer.from("\n\n");
+const colon = 0x3a;
+const openingBracket = 0x5b;
+const dataField = Buffer.from("data: ");
+const closing = "data: [DONE]";
+
+/** Largest event that is held back while its end is missing, in bytes. */
+const maximumEventBytes = 1024 * 1024;
+
+/** Whole events of a stream, without comments and without the closing event. */
+export type SplitEvents = {
+  readonly bytes: Buffer;
+  readonly count: number;
+  /** `data: [DONE]` was read; whatever follows it is dropped. */
+  readonly done: boolean;
+};
+
+/** Cuts a byte stream at the ends of its server-sent events, without parsing them. */
+export class EventSplitter {
+  #rest: Buffer | undefined;
+
+  static create(): EventSplitter {
+    return new EventSplitter();
+  }
+
+  /** Whole events of what has arrived; undefined if one exceeds the size limit. */
+  push(chunk: Buffer): SplitEvents | undefined {
+    const data =
+      this.#rest === undefined ? chunk : Buffer.concat([this.#rest, chunk]);
+    this.#rest = undefined;
+    const kept: Buffer[] = [];
+    let count = 0;
+    let start = 0;
+    let keptTo = 0;
+    let done = false;
+    while (!done) {
+      const end = data.indexOf(separator, start);
+      if (end < 0) break;
+      const next = end + separator.length;
+      done = isClosing(data, { start, end });
+      if (done || data[start] === colon) {
+        if (start > keptTo) kept.push(data.subarray(keptTo, start));
+        keptTo = next;
+      } else {
+        count++;
+      }
+      start = next;
+    }
+    if (!done && data.length - start > maximumEventBytes) return undefined;
+    if (!done && start < data.length) this.#rest = data.subarray(start);
+    if (start > keptTo) kept.push(data.subarray(keptTo, start));
+    const [only = Buffer.alloc(0)] = kept;
+    const bytes = kept.length > 1 ? Buffer.concat(kept) : only;
+    return { bytes, count, done };
+  }
+}
+
+function isClosing(
+  data: Buffer,
+  { start, end }: { start: number; end: number },
+): boolean {
+  return (
+    end - start === closing.length &&
+    data[start + dataField.length] === openingBracket &&
+    data.toString("latin1", start, end) === closing
+  );
+}
--- /dev/null
+++ b/src/adapters/http/exchange.ts
@@ -0,0 +1,156 @@
+import { type Either, Left, Right } from "purify-ts";
+import type { Dispatcher } from "undici";
+import type { Cancel, Clock, Millis } from "../../core/clock.ts";
+
+/** Largest answer that is read, in bytes. */
+const maximumAnswerBytes = 16 * 1024 * 1024;
+
+/** One HTTP call with a whole answer. */
+export type ExchangeRequest = {
+  readonly method: Dispatcher.HttpMethod;
+  readonly path: string;
+  readonly headers?: Record<string, string>;
+  readonly body?: Uint8Array | string;
+  /** Time to wait for the whole answer, in ms. */
+  readonly timeout: Millis;
+  /** Time without any byte or interim answer after which the call fails, in ms. */
+  readonly silenceLimit?: Millis;
+  /** The request must not be written at or after this time. */
+  readonly validUntil?: Millis;
+};
+
+/** Whole answer of an HTTP call. */
+export type Answer = {
+  readonly status: number;
+  readonly headers: Record<string, string | string[] | undefined>;
+  readonly body: Buffer;
+};
+
+/** Why there is no whole answer; only after `not-sent` is it certain that nothing ran. */
+export type ExchangeFailure = {
+  readonly kind: "not-sent" | "broken" | "timeout";
+  readonly detail: string;
+};
+
+/** How a call gets to its connection. */
+export type ExchangeContext = {
+  readonly clock: Clock;
+  readonly dispatch: (
+    options: Dispatcher.DispatchOptions,
+    handler: Dispatcher.DispatchHandler,
+  ) => boolean;
+};
+
+/** Runs one call; each call settles by its timeout at the latest. */
+export function runExchange(
+  request: ExchangeRequest,
+  context: ExchangeContext,
+): Promise<Either<ExchangeFailure, Answer>> {
+  return new Promise((resolve) => {
+    const handler = new ExchangeHandler(request, context.clock, resolve);
+    const { method, path, headers, body } = request;
+    context.dispatch({ method, path, headers, body }, handler);
+  });
+}
+
+class ExchangeHandler implements Dispatcher.DispatchHandler {
+  readonly #request: ExchangeRequest;
+  readonly #clock: Clock;
+  readonly #resolve: (result: Either<ExchangeFailure, Answer>) => void;
+  readonly #timers: Cancel[] = [];
+  readonly #chunks: Buffer[] = [];
+  #controller: Dispatcher.DispatchController | undefined;
+  #head: Omit<Answer, "body"> | undefined;
+  #size = 0;
+  #settled = false;
+  #heardAt: Millis;
+
+  constructor(
+    request: ExchangeRequest,
+    clock: Clock,
+    resolve: (result: Either<ExchangeFailure, Answer>) => void,
+  ) {
+    this.#request = request;
+    this.#clock = clock;
+    this.#resolve = resolve;
+    this.#heardAt = clock.now();
+    const expire = () =>
+      this.#giveUp("timeout", `No answer within ${request.timeout} ms`);
+    this.#timers.push(clock.schedule(request.timeout, expire));
+    if (request.silenceLimit !== undefined) {
+      this.#watchSilence(request.silenceLimit, request.silenceLimit);
+    }
+  }
+
+  /** Called by undici in the turn in which it writes the request. */
+  onRequestStart(controller: Dispatcher.DispatchController): void {
+    const { validUntil } = this.#request;
+    if (validUntil !== undefined && this.#clock.now() >= validUntil) {
+      this.#settle(failure("not-sent", "The order is no longer valid"));
+    }
+    if (this.#settled) controller.abort(new Error("Given up before sending"));
+    else this.#controller = controller;
+  }
+
+  onResponseStart(
+    _controller: Dispatcher.DispatchController,
+    status: number,
+    headers: Answer["headers"],
+  ): void {
+    this.#heardAt = this.#clock.now();
+    if (status >= 200) this.#head = { status, headers };
+  }
+
+  onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer) {
+    this.#heardAt = this.#clock.now();
+    this.#size += chunk.length;
+    if (this.#size > maximumAnswerBytes) {
+      this.#giveUp("broken", `The answer exceeds ${maximumAnswerBytes} bytes`);
+    } else {
+      this.#chunks.push(chunk);
+    }
+  }
+
+  onResponseEnd(): void {
+    if (this.#head === undefined) {
+      this.#settle(failure("broken", "The answer has no status"));
+    } else {
+      const body = Buffer.concat(this.#chunks);
+      this.#settle(Right({ ...this.#head, body }));
+    }
+  }
+
+  onResponseError(_controller: Dispatcher.DispatchController, error: Error) {
+    const kind = this.#controller === undefined ? "not-sent" : "broken";
+    this.#settle(failure(kind, error.message));
+  }
+
+  #watchSilence(limit: Millis, delay: Millis): void {
+    const check = () => {
+      const idle = this.#clock.now() - this.#heardAt;
+      if (idle >= limit) this.#giveUp("timeout", `No byte for ${limit} ms`);
+      else this.#watchSilence(limit, (limit - idle) as Millis);
+    };
+    this.#timers[1] = this.#clock.schedule(delay, check);
+  }
+
+  #giveUp(kind: "timeout" | "broken", detail: string): void {
+    const sent = this.#controller !== undefined;
+    this.#settle(failure(sent ? kind : "not-sent", detail));
+    this.#controller?.abort(new Error(detail));
+  }
+
+  #settle(result: Either<ExchangeFailure, Answer>): void {
+    if (this.#settled) return;
+    this.#settled = true;
+    for (const cancel of this.#timers) cancel();
+    this.#resolve(result);
+  }
+}
+
+function failure(
+  kind: ExchangeFailure["kind"],
+  detail: string,
+): Either<ExchangeFailure, Answer> {
+  return Left({ kind, detail });
+}
--- /dev/null
+++ b/tests/backends/engine_client_test.ts
@@ -0,0 +1,248 @@
+import assert from "node:assert/strict";
+import { type TestContext, test } from "node:test";
+import { EngineClient } from "../../src/adapters/backends/engine_client.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { type Clock, millis, sleep } from "../../src/core/clock.ts";
+import { brandNumber, type FencingNumber } from "../../src/core/ids.ts";
+import { EngineModel } from "../../src/standins/engine_model.ts";
+import { EngineServer } from "../../src/standins/engine_server.ts";
+import { type HostCall, HttpHost } from "../../src/standins/http_host.ts";
+import { expectedText } from "../../src/standins/tokens.ts";
+import { WeightStore } from "../../src/standins/weight_store.ts";
+import { chains, collect, fence, order, validUntil } from "./engine_orders.ts";
+
+const clock = RealClock.create();
+
+type Given = {
+  readonly clock?: Clock;
+  readonly streams?: number;
+  readonly silenceLimit?: number;
+  readonly stepTime?: number;
+};
+
+/** An engine with one adapter loaded, and a client of it. */
+async function setUp(context: TestContext, given: Given = {}) {
+  const engine = EngineModel.create({
+    id: "e1",
+    clock,
+    store: WeightStore.create(clock),
+    limits: { slots: 2, batch: 64, fencing: "checked" },
+    stepTime: given.stepTime ?? 5,
+  });
+  const host = await EngineServer.create(engine, { clock });
+  const client = connect(context, host, given);
+  const loaded = await client.load({ adapter: chains, fence, validUntil });
+  assert.equal(loaded.isRight(), true);
+  return { engine, host, client };
+}
+
+function connect(context: TestContext, host: HttpHost, given: Given = {}) {
+  const rejected: string[] = [];
+  const client = EngineClient.create({
+    origin: host.origin,
+    clock: given.clock ?? clock,
+    streams: given.streams ?? 64,
+    silenceLimit: millis(given.silenceLimit ?? 3000),
+    meter: { count: (name) => rejected.push(name), observe() {}, gauge() {} },
+  });
+  context.after(async () => {
+    await client.close();
+    await host.close();
+  });
+  return Object.assign(client, { rejected });
+}
+
+async function answerWith(
+  context: TestContext,
+  handle: (call: HostCall) => void,
+) {
+  const host = await HttpHost.create(handle);
+  const { answer, sink, ended } = collect();
+  connect(context, host).generate(order("r1"), sink);
+  await ended;
+  return answer;
+}
+
+function body(fields: Record<string, unknown>) {
+  return Buffer.from(JSON.stringify(fields));
+}
+
+test("the engine runs the adapter of the order, whatever model the body names", async (context) => {
+  const { client } = await setUp(context);
+  const { answer, sink, ended } = collect();
+  client.generate(
+    order("r1", {
+      body: body({ model: "claims", prompt: "a", max_tokens: 9 }),
+    }),
+    sink,
+  );
+  assert.equal(await ended, "whole");
+  assert.deepEqual([...answer.models], [chains]);
+  assert.equal(answer.text, expectedText(chains, { text: "a", tokens: 9 }));
+});
+
+test("a stream broken by a crash resumes at the next token", async (context) => {
+  const { engine, client } = await setUp(context);
+  const prompt = body({ prompt: "a", max_tokens: 40 });
+  const first = collect();
+  client.generate(order("r1", { body: prompt }), first.sink);
+  await sleep(clock, millis(60));
+  engine.crash(millis(1));
+  assert.equal(await first.ended, "broken");
+  await sleep(clock, millis(20));
+  await client.load({ adapter: chains, fence, validUntil });
+  const second = collect();
+  const resumeAt = first.answer.events;
+  client.generate(order("r1", { body: prompt, resumeAt }), second.sink);
+  assert.equal(await second.ended, "whole");
+  assert.ok(resumeAt > 0 && resumeAt < 40);
+  assert.equal(
+    first.answer.text + second.answer.text,
+    expectedText(chains, { text: "a", tokens: 40 }),
+  );
+});
+
+test("no order is written once it is no longer valid, although it was when it was given", async (context) => {
+  let late = 0;
+  const shifted: Clock = {
+    now: () => millis(clock.now() + late),
+    wallNow: () => clock.wallNow(),
+    schedule: (delay, callback) => clock.schedule(delay, callback),
+  };
+  const { engine, client } = await setUp(context, { clock: shifted });
+  const until = millis(shifted.now() + 1000);
+  const { sink, ended } = collect();
+  client.generate(order("r1", { validUntil: until }), sink);
+  const unloaded = client.unload({ adapter: chains, fence, validUntil: until });
+  late = 1000;
+  assert.equal(await ended, "unreachable");
+  const failure = (await unloaded).swap().unsafeCoerce();
+  assert.equal(failure.kind, "unreachable");
+  assert.deepEqual(engine.runs, []);
+  const report = (await client.report()).unsafeCoerce();
+  assert.deepEqual(report.loaded, [chains]);
+});
+
+test("an answer that carries another request id is dropped", async (context) => {
+  const answer = await answerWith(context, ({ response }) => {
+    response.setHeader("x-request-id", "other");
+    response.end("data: {}\n\ndata: [DONE]\n\n");
+  });
+  assert.deepEqual([answer.end, answer.events], ["broken", 0]);
+});
+
+test("an answer without the closing event is not whole", async (context) => {
+  const answer = await answerWith(context, ({ response }) => {
+    response.setHeader("x-request-id", "r1");
+    response.end('data: {"choices":[{"text":"a"}]}\n\n');
+  });
+  assert.deepEqual([answer.end, answer.events], ["broken", 1]);
+});
+
+test("only answers that promise that nothing ran count as refusals", async (context) => {
+  const kinds: Record<number, string> = {};
+  for (const status of [400, 404, 408, 409, 410, 429, 500, 502, 503, 504]) {
+    const answer = await answerWith(context, ({ response }) => {
+      response.writeHead(status, { "x-request-id": "r1" }).end("{}");
+    });
+    kinds[status] = answer.end;
+  }
+  assert.deepEqual(kinds, {
+    400: "refused",
+    404: "adapter-missing",
+    408: "broken",
+    409: "stale-fence",
+    410: "leaving",
+    429: "refused",
+    500: "broken",
+    502: "broken",
+    503: "refused",
+    504: "broken",
+  });
+});
+
+test("a connection that breaks after the order was written may have run it", async (context) => {
+  const answer = await answerWith(context, ({ response }) =>
+    response.destroy(),
+  );
+  assert.equal(answer.end, "broken");
+});
+
+test("an engine that does not listen is unreachable", async (context) => {
+  const { host, client } = await setUp(context);
+  await host.close();
+  const { sink, ended } = collect();
+  client.generate(order("r1"), sink);
+  assert.equal(await ended, "unreachable");
+});
+
+test("an old fencing number is refused for streams and evictions", async (context) => {
+  const { client } = await setUp(context);
+  const old = brandNumber<FencingNumber>(4);
+  const { sink, ended } = collect();
+  client.generate(order("r1", { fence: old }), sink);
+  assert.equal(await ended, "stale-fence");
+  const unloaded = await client.unload({
+    adapter: chains,
+    fence: old,
+    validUntil,
+  });
+  assert.equal(unloaded.swap().unsafeCoerce().kind, "stale-fence");
+});
+
+test("streams beyond the bound are refused at once and counted", async (context) => {
+  const { engine, client } = await setUp(context, { streams: 1 });
+  const first = collect();
+  const second = collect();
+  client.generate(order("r1"), first.sink);
+  client.generate(order("r2"), second.sink);
+  assert.equal(await second.ended, "refused");
+  assert.equal(await first.ended, "whole");
+  assert.deepEqual(client.rejected, ["endpoint_rejected"]);
+  assert.equal(engine.runs.length, 1);
+});
+
+test("a cancelled stream ends at the engine", async (context) => {
+  const { engine, client } = await setUp(context);
+  const { answer, sink } = collect();
+  const prompt = body({ prompt: "a", max_tokens: 1000 });
+  const control = client.generate(order("r1", { body: prompt }), sink);
+  await sleep(clock, millis(50));
+  control.cancel();
+  const events = answer.events;
+  await sleep(clock, millis(50));
+  assert.equal(engine.runs[0]?.state, "cancelled");
+  assert.deepEqual([answer.events, answer.end], [events, "open"]);
+});
+
+test("a paused reader holds back only its own stream, and loses nothing", async (context) => {
+  const { client } = await setUp(context, { silenceLimit: 300 });
+  const paused = collect();
+  const other = collect();
+  const prompt = body({ prompt: "a", max_tokens: 30 });
+  const control = client.generate(order("r1", { body: prompt }), paused.sink);
+  client.generate(order("r2", { body: prompt }), other.sink);
+  await sleep(clock, millis(50));
+  control.pause();
+  await sleep(clock, millis(20));
+  const held = paused.answer.events;
+  assert.equal(await other.ended, "whole");
+  await sleep(clock, millis(700));
+  assert.equal(paused.answer.events, held);
+  control.resume();
+  assert.equal(await paused.ended, "whole");
+  assert.equal(paused.answer.text, other.answer.text);
+});
+
+test("comment lines keep a stream alive while the engine computes", async (context) => {
+  const { engine, client } = await setUp(context, {
+    silenceLimit: 1500,
+    stepTime: 2500,
+  });
+  const { answer, sink, ended } = collect();
+  const prompt = body({ prompt: "a", max_tokens: 1 });
+  client.generate(order("r1", { body: prompt }), sink);
+  assert.equal(await ended, "whole");
+  assert.equal(answer.events, 1);
+  assert.equal(engine.runs.length, 1);
+});
--- a/tests/backends/engine_model_test.ts
+++ b/tests/backends/engine_model_test.ts
@@ -2,13 +2,7 @@
 import { test } from "node:test";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
 import { millis } from "../../src/core/clock.ts";
-import {
-  type AdapterKey,
-  brandNumber,
-  brandString,
-  type FencingNumber,
-  type RequestId,
-} from "../../src/core/ids.ts";
+import { brandNumber, type FencingNumber } from "../../src/core/ids.ts";
 import type { GenerateOrder } from "../../src/ports/engine.ts";
 import {
   EngineModel,
@@ -16,11 +10,14 @@
 } from "../../src/standins/engine_model.ts";
 import { expectedText } from "../../src/standins/tokens.ts";
 import { WeightStore } from "../../src/standins/weight_store.ts";
-
-const chains = brandString<AdapterKey>("chains@3");
-const claims = brandString<AdapterKey>("claims@1");
-const fence = brandNumber<FencingNumber>(5);
-const validUntil = millis(Number.POSITIVE_INFINITY);
+import {
+  chains,
+  claims,
+  collect,
+  fence,
+  order,
+  validUntil,
+} from "./engine_orders.ts";
 
 type Given = Partial<Omit<EngineModelOptions, "clock" | "store">>;
 
@@ -37,38 +34,6 @@
   return { clock, store, engine };
 }
 
-function order(id: string, fields: Partial<GenerateOrder> = {}): GenerateOrder {
-  return {
-    requestId: brandString<RequestId>(id),
-    adapter: chains,
-    path: "/v1/completions",
-    body: Buffer.from(JSON.stringify({ prompt: "fit", max_tokens: 4 })),
-    priority: "normal",
-    fence,
-    validUntil,
-    resumeAt: 0,
-    ...fields,
-  };
-}
-
-function collect() {
-  const answer = { text: "", events: 0, end: "open" };
-  const sink = {
-    onChunk(bytes: Uint8Array, count: number) {
-      answer.events += count;
-      const json = Buffer.from(bytes).toString().slice("data: ".length);
-      answer.text += JSON.parse(json).choices[0].text;
-    },
-    onEnd() {
-      answer.end = "whole";
-    },
-    onFailure({ kind }: { kind: string }) {
-      answer.end = kind;
-    },
-  };
-  return { answer, sink };
-}
-
 async function loadChains({ clock, engine }: ReturnType<typeof setUp>) {
   const loaded = engine.load({ adapter: chains, fence, validUntil });
   await clock.advance(millis(250));
--- /dev/null
+++ b/tests/backends/engine_orders.ts
@@ -0,0 +1,60 @@
+/** Orders and a sink for the tests of engines. */
+import { millis } from "../../src/core/clock.ts";
+import {
+  type AdapterKey,
+  brandNumber,
+  brandString,
+  type FencingNumber,
+  type RequestId,
+} from "../../src/core/ids.ts";
+import type { GenerateOrder, StreamSink } from "../../src/ports/engine.ts";
+
+export const chains = brandString<AdapterKey>("chains@3");
+export const claims = brandString<AdapterKey>("claims@1");
+export const fence = brandNumber<FencingNumber>(5);
+export const validUntil = millis(Number.POSITIVE_INFINITY);
+
+/** An order for four tokens, with some fields replaced. */
+export function order(
+  id: string,
+  fields: Partial<GenerateOrder> = {},
+): GenerateOrder {
+  return {
+    requestId: brandString<RequestId>(id),
+    adapter: chains,
+    path: "/v1/completions",
+    body: Buffer.from(JSON.stringify({ prompt: "fit", max_tokens: 4 })),
+    priority: "normal",
+    fence,
+    validUntil,
+    resumeAt: 0,
+    ...fields,
+  };
+}
+
+/** A sink that keeps what it was told; `ended` resolves with the way the stream ended. */
+export function collect() {
+  let finish = (_end: string) => {};
+  const ended = new Promise<string>((resolve) => {
+    finish = resolve;
+  });
+  const answer = { text: "", events: 0, end: "open", models: new Set() };
+  const end = (kind: string) => {
+    answer.end = kind;
+    finish(kind);
+  };
+  const sink: StreamSink = {
+    onChunk(bytes, count) {
+      answer.events += count;
+      for (const event of Buffer.from(bytes).toString().split("\n\n")) {
+        if (event === "") continue;
+        const json = JSON.parse(event.slice("data: ".length));
+        answer.text += json.choices[0].text;
+        answer.models.add(json.model);
+      }
+    },
+    onEnd: () => end("whole"),
+    onFailure: ({ kind }) => end(kind),
+  };
+  return { answer, sink, ended };
+}
