--- a/src/adapters/http/event_splitter.ts
+++ b/src/adapters/http/event_splitter.ts
@@ -1,100 +1,82 @@
-const newline = 0x0a;
+const separator = Buffer.from("\n\n");
 const colon = 0x3a;
+const openingBracket = 0x5b;
+const dataField = Buffer.from("data: ");
+const closing = "data: [DONE]";
 const letterE = 0x65;
-const openBracket = 0x5b;
-/** Position of the first character after `data: `. */
-const dataOffset = 6;
+/** Start of the event with which a relay ends a stream that it cannot finish. */
+const refusalStart = Buffer.from("event: refusal\n");
 
-/** Receives whole server-sent events. */
-export type EventReceiver = {
-  /** `count` whole data events, without the end marker. */
-  onEvents(bytes: Buffer, count: number): void;
-  /** The end marker `data: [DONE]`. */
-  onDone(): void;
-  /** One named event, which relays use for refusals within a stream. */
-  onNamedEvent(bytes: Buffer): void;
-};
+/** Largest event that is held back while its end is missing, in bytes. */
+const maximumEventBytes = 1024 * 1024;
 
-/** Largest event that is held back for its end, in bytes. */
-export const maxEventBytes = 256 * 1024;
+/** Whole events of a stream, without comments and without the closing event. */
+export type SplitEvents = {
+  readonly bytes: Buffer;
+  readonly count: number;
+  /** `data: [DONE]` was read; whatever follows it is dropped. */
+  readonly done: boolean;
+  /** Refusal event that ended the stream; whatever follows it is dropped. */
+  readonly refusal: Buffer | undefined;
+};
 
-/**
- * Cuts a byte stream at the ends of server-sent events without parsing them.
- * Comment events, which relays send as heartbeats, are dropped.
- */
+/** Cuts a byte stream at the ends of its server-sent events, without parsing them. */
 export class EventSplitter {
-  readonly #receiver: EventReceiver;
   #rest: Buffer | undefined;
 
-  static create(receiver: EventReceiver): EventSplitter {
-    return new EventSplitter(receiver);
-  }
-
-  private constructor(receiver: EventReceiver) {
-    this.#receiver = receiver;
+  static create(): EventSplitter {
+    return new EventSplitter();
   }
 
-  /** Bytes of an event whose end has not arrived. */
-  get pendingBytes(): number {
-    return this.#rest?.length ?? 0;
-  }
-
-  /** Takes the next bytes; returns false when an event exceeds the size limit. */
-  push(chunk: Buffer): boolean {
-    const bytes =
+  /** Whole events of what has arrived; undefined if one exceeds the size limit. */
+  push(chunk: Buffer): SplitEvents | undefined {
+    const data =
       this.#rest === undefined ? chunk : Buffer.concat([this.#rest, chunk]);
     this.#rest = undefined;
-    let start = 0;
-    let from = 0;
+    const kept: Buffer[] = [];
     let count = 0;
-    for (;;) {
-      const end = findEventEnd(bytes, from);
+    let start = 0;
+    let keptTo = 0;
+    let done = false;
+    let refusal: Buffer | undefined;
+    while (!done && refusal === undefined) {
+      const end = data.indexOf(separator, start);
       if (end < 0) break;
-      const kind = classifyEvent(bytes, from);
-      if (kind === "data") {
-        count++;
+      const next = end + separator.length;
+      done = isClosing(data, { start, end });
+      if (isRefusal(data, start)) refusal = data.subarray(start, end);
+      if (done || refusal !== undefined || data[start] === colon) {
+        if (start > keptTo) kept.push(data.subarray(keptTo, start));
+        keptTo = next;
       } else {
-        this.#emit(bytes, { start, end: from, count });
-        start = end;
-        count = 0;
-        if (kind === "done") this.#receiver.onDone();
-        if (kind === "named") {
-          this.#receiver.onNamedEvent(bytes.subarray(from, end));
-        }
+        count++;
       }
-      from = end;
+      start = next;
     }
-    this.#emit(bytes, { start, end: from, count });
-    if (from < bytes.length) this.#rest = bytes.subarray(from);
-    return this.pendingBytes <= maxEventBytes;
-  }
-
-  #emit(
-    bytes: Buffer,
-    span: { start: number; end: number; count: number },
-  ): void {
-    if (span.count === 0) return;
-    this.#receiver.onEvents(bytes.subarray(span.start, span.end), span.count);
+    const open = !done && refusal === undefined;
+    if (open && data.length - start > maximumEventBytes) return undefined;
+    if (open && start < data.length) this.#rest = data.subarray(start);
+    if (start > keptTo) kept.push(data.subarray(keptTo, start));
+    const [only = Buffer.alloc(0)] = kept;
+    const bytes = kept.length > 1 ? Buffer.concat(kept) : only;
+    return { bytes, count, done, refusal };
   }
 }
 
-/** Tells events apart by two bytes, since JSON objects start with a brace. */
-function classifyEvent(
-  bytes: Buffer,
-  from: number,
-): "data" | "done" | "named" | "comment" {
-  const first = bytes[from];
-  if (first === colon) return "comment";
-  if (first === letterE) return "named";
-  return bytes[from + dataOffset] === openBracket ? "done" : "data";
+function isClosing(
+  data: Buffer,
+  { start, end }: { start: number; end: number },
+): boolean {
+  return (
+    end - start === closing.length &&
+    data[start + dataField.length] === openingBracket &&
+    data.toString("latin1", start, end) === closing
+  );
 }
 
-/** Index after the blank line that ends the event at `from`, or -1. */
-function findEventEnd(bytes: Buffer, from: number): number {
-  let at = bytes.indexOf(newline, from);
-  while (at >= 0 && at + 1 < bytes.length) {
-    if (bytes[at + 1] === newline) return at + 2;
-    at = bytes.indexOf(newline, at + 1);
-  }
-  return -1;
+function isRefusal(data: Buffer, start: number): boolean {
+  return (
+    data[start] === letterE &&
+    data.subarray(start, start + refusalStart.length).equals(refusalStart)
+  );
 }
--- a/src/adapters/peers/forward_client.ts
+++ b/src/adapters/peers/forward_client.ts
@@ -122,7 +122,7 @@
 /** One forwarded stream: undici's handler and the control of the stream. */
 class ForwardedStream implements Dispatcher.DispatchHandler, StreamControl {
   readonly #options: StreamOptions;
-  readonly #splitter: EventSplitter;
+  readonly #splitter = EventSplitter.create();
   #controller: Dispatcher.DispatchController | undefined;
   #status = 0;
   #refusal = "";
@@ -138,11 +138,6 @@
   private constructor(options: StreamOptions) {
     this.#options = options;
     this.#lastByteAt = options.clock.now();
-    this.#splitter = EventSplitter.create({
-      onEvents: (bytes, count) => options.sink.onChunk(bytes, count),
-      onDone: () => this.#finish(),
-      onNamedEvent: (bytes) => this.#refuse(bytes.toString("utf8")),
-    });
   }
 
   onRequestStart(controller: Dispatcher.DispatchController): void {
@@ -179,11 +174,17 @@
       }
       return;
     }
-    if (!this.#splitter.push(chunk)) {
+    const events = this.#splitter.push(chunk);
+    if (events === undefined) {
       this.#fail(
         refuse("peerLost", "The owner sent an event that is too large"),
       );
+      return;
     }
+    const { bytes, count, done, refusal } = events;
+    if (count > 0) this.#options.sink.onChunk(bytes, count);
+    if (done) this.#finish();
+    else if (refusal !== undefined) this.#refuse(refusal.toString("utf8"));
   }
 
   onResponseEnd(): void {
--- a/src/node/engine_directory.ts
+++ b/src/node/engine_directory.ts
@@ -1,5 +1,5 @@
 import type { Clock } from "../core/clock.ts";
-import { createEngineView } from "../core/engine/view.ts";
+import { summarizeEngine } from "../core/engine/mod.ts";
 import type { EngineId, NodeId, Region } from "../core/ids.ts";
 import { refuse } from "../core/results/refusal.ts";
 import type { EngineView } from "../core/routing/view.ts";
@@ -59,9 +59,13 @@
   ownViews(): EngineView[] {
     const { nodeId, region, clock } = this.#options;
     const now = clock.now();
-    return [...this.#owners.values()].map((owner) =>
-      createEngineView(owner.state, { owner: nodeId, region, now }),
-    );
+    return [...this.#owners].map(([engine, { state }]) => ({
+      ...summarizeEngine(state, now),
+      engine,
+      region,
+      owner: nodeId,
+      heardAt: now,
+    }));
   }
 
   /** Views of all engines; an own view goes before what others say. */
