--- /dev/null
+++ b/src/core/booking/claim.ts
@@ -0,0 +1,113 @@
+import { type Millis, millis } from "../clock.ts";
+import type {
+  AttemptToken,
+  Digest,
+  LeaseId,
+  NodeId,
+  RequestId,
+  RowKey,
+  ServiceName,
+} from "../ids.ts";
+import { brandString } from "../ids.ts";
+
+/** Time for which an outcome is kept, in ms: longest time a caller may send a key again. */
+export const claimRetention = millis(7 * 24 * 3_600_000);
+/** Time after a caller's deadline in which the outcome is still awaited, in ms. */
+export const outcomeGrace = millis(10_000);
+/** Largest difference between the wall clocks of two nodes that is tolerated, in ms. */
+export const clockTolerance = millis(5_000);
+/** Longest answer body kept with an outcome, in bytes before encoding. */
+export const maxRecordedBytes = 16 * 1024;
+
+/**
+ * State of a claim row. `claimed`: the call may be sent or running.
+ * `recorded`: ran, with its answer. `unknown`: may have run. `released`: not
+ * sent, so the same key may run.
+ */
+export type ClaimState = "claimed" | "recorded" | "unknown" | "released";
+
+/** Answer of a booking service as it is kept with the outcome. */
+export type RecordedAnswer = {
+  readonly status: number;
+  readonly contentType: string | null;
+  /** Body in base64; null when it was too long to keep. */
+  readonly body: string | null;
+};
+
+/** Value of the row `claim/SERVICE/DIGEST`. */
+export type Claim = {
+  readonly state: ClaimState;
+  /** Digest of method, path and body of the call. */
+  readonly body: Digest;
+  readonly node: NodeId;
+  readonly lease: LeaseId;
+  /** Request id that the booking service sees. */
+  readonly requestId: RequestId;
+  /** Identifies the claim through all writes of the row. */
+  readonly token: AttemptToken;
+  /** Identifies this write of the row, so that a lost answer can be resolved. */
+  readonly write: AttemptToken;
+  /** Wall-clock time in ms after which nobody awaits the answer any more. */
+  readonly expiresAt: number;
+  /** Wall-clock time in ms of this write, for retention. */
+  readonly writtenAt: number;
+  readonly answer?: RecordedAnswer;
+};
+
+/** Key of the claim row of one idempotency key. */
+export function formatClaimKey(service: ServiceName, digest: Digest): RowKey {
+  return brandString(`claim/${service}/${digest}`);
+}
+
+/** Reads the value of a claim row; undefined when it is not a claim. */
+export function parseClaim(value: unknown): Claim | undefined {
+  if (typeof value !== "object" || value === null) return undefined;
+  const claim = value as Record<string, unknown>;
+  const strings = ["state", "body", "node", "lease", "requestId", "token"];
+  const whole =
+    strings.every((field) => typeof claim[field] === "string") &&
+    typeof claim.write === "string" &&
+    typeof claim.expiresAt === "number" &&
+    typeof claim.writtenAt === "number" &&
+    (claim.state !== "recorded" || typeof claim.answer === "object");
+  return whole ? (value as Claim) : undefined;
+}
+
+/** What a call with the same key has to do about the claim that it found. */
+export type Verdict =
+  | { readonly kind: "replay"; readonly answer: RecordedAnswer }
+  | { readonly kind: "key-reused" }
+  | { readonly kind: "unknown" }
+  /** The claim was not used; it may be replaced. */
+  | { readonly kind: "reclaim" }
+  /** Nobody awaits the answer any more. */
+  | { readonly kind: "expired" }
+  /** Depends on whether the claimant's session still exists. */
+  | { readonly kind: "ask-session"; readonly node: NodeId };
+
+/** Judges a claim found under the key of a call with this body, at a wall-clock time. */
+export function judgeClaim(
+  claim: Claim,
+  call: { body: Digest; wallNow: Millis },
+): Verdict {
+  if (claim.body !== call.body) return { kind: "key-reused" };
+  switch (claim.state) {
+    case "recorded":
+      return claim.answer === undefined
+        ? { kind: "unknown" }
+        : { kind: "replay", answer: claim.answer };
+    case "released":
+      return { kind: "reclaim" };
+    case "claimed":
+      return call.wallNow > claim.expiresAt + clockTolerance
+        ? { kind: "expired" }
+        : { kind: "ask-session", node: claim.node };
+    default:
+      return { kind: "unknown" };
+  }
+}
+
+/** Whether the row is older than the retention. */
+export function isExpiredClaim(claim: Claim, wallNow: Millis): boolean {
+  return wallNow > claim.writtenAt + claimRetention + clockTolerance;
+}
--- /dev/null
+++ b/src/core/booking/servers.ts
@@ -0,0 +1,111 @@
+import type { Millis } from "../clock.ts";
+import { millis } from "../clock.ts";
+
+/** Weight of the newest answer in the mean latency of a server. */
+const latencyWeight = 0.2;
+/** Latency assumed of a server that has not answered yet, in ms. */
+const assumedLatency = 50;
+/** Time for which a server that could not be reached is passed over, in ms. */
+const failurePause = 1_000;
+/** A lookup is hedged after this many times the mean latency of the servers. */
+const hedgeFactor = 3;
+/** Shortest and longest delay before a hedge, in ms. */
+const hedgeBounds = { shortest: 30, longest: 1_000 };
+
+/** What a node has observed of one server of a booking service. */
+export type ServerStats = {
+  readonly open: number;
+  readonly latency: number;
+  /** The server is passed over before this time unless no other is left. */
+  readonly avoidUntil: Millis;
+};
+
+/** A server that may be called. */
+export type ServerChoice = {
+  readonly id: string;
+  readonly leaving: boolean;
+};
+
+/** Observations of a server that has not been called yet. */
+export const unknownServer: ServerStats = {
+  open: 0,
+  latency: assumedLatency,
+  avoidUntil: millis(0),
+};
+
+/**
+ * Chooses the server of the next send: never one that is leaving or was tried;
+ * of two drawn at random the one with the shorter expected wait.
+ */
+export function chooseServer(
+  servers: readonly ServerChoice[],
+  context: {
+    tried: ReadonlySet<string>;
+    statsOf: (id: string) => ServerStats;
+    random: () => number;
+    now: Millis;
+  },
+): string | undefined {
+  const { tried, statsOf, random, now } = context;
+  const able = servers.filter(({ id, leaving }) => !leaving && !tried.has(id));
+  const good = able.filter(({ id }) => statsOf(id).avoidUntil <= now);
+  const pool = good.length > 0 ? good : able;
+  const draw = () => pool[Math.floor(random() * pool.length)]?.id;
+  const first = draw();
+  const second = draw();
+  if (first === undefined || second === undefined) return first;
+  const expectWait = (id: string) =>
+    (statsOf(id).open + 1) * statsOf(id).latency;
+  return expectWait(second) < expectWait(first) ? second : first;
+}
+
+/** Observations after a send has ended. */
+export function observeSend(
+  stats: ServerStats,
+  send: { latency: Millis; reached: boolean; now: Millis },
+): ServerStats {
+  const latency =
+    stats.latency + latencyWeight * (send.latency - stats.latency);
+  return {
+    open: stats.open - 1,
+    latency: send.reached ? latency : stats.latency,
+    avoidUntil: send.reached
+      ? stats.avoidUntil
+      : millis(send.now + failurePause),
+  };
+}
+
+/** Delay after which a lookup is sent to a second server. */
+export function computeHedgeDelay(stats: readonly ServerStats[]): Millis {
+  const sum = stats.reduce((total, { latency }) => total + latency, 0);
+  const mean = stats.length === 0 ? assumedLatency : sum / stats.length;
+  const { shortest, longest } = hedgeBounds;
+  return millis(Math.min(longest, Math.max(shortest, mean * hedgeFactor)));
+}
+
+/** Extra sends that earlier calls have paid for. */
+export type SendBudget = { readonly retries: number; readonly hedges: number };
+
+/** Extra sends earned by one call: 10% retries and 5% hedges. */
+const earned: SendBudget = { retries: 0.1, hedges: 0.05 };
+/** Extra sends that can be saved up. */
+const cap: SendBudget = { retries: 20, hedges: 10 };
+
+/** Budget of a node that has just started: full, so that first calls may retry. */
+export const fullSendBudget: SendBudget = cap;
+
+/** Adds what one call earns. */
+export function earnSends(budget: SendBudget): SendBudget {
+  return {
+    retries: Math.min(cap.retries, budget.retries + earned.retries),
+    hedges: Math.min(cap.hedges, budget.hedges + earned.hedges),
+  };
+}
+
+/** Takes one extra send, or gives undefined when the budget is spent. */
+export function spendSend(
+  budget: SendBudget,
+  kind: keyof SendBudget,
+): SendBudget | undefined {
+  return budget[kind] < 1 ? undefined : { ...budget, [kind]: budget[kind] - 1 };
+}
--- /dev/null
+++ b/src/core/booking/writer.ts
@@ -0,0 +1,355 @@
+import { type Millis, millis } from "../clock.ts";
+import type { Decide, Decision } from "../decision.ts";
+import type { AttemptToken, RowKey } from "../ids.ts";
+import { brandString } from "../ids.ts";
+import type { Claim } from "./claim.ts";
+import { parseClaim } from "./claim.ts";
+
+/** Rows in one transaction. */
+export const maxBatchRows = 200;
+/** Claims that may wait at one node. */
+export const maxQueuedClaims = 2_000;
+/** Transactions a second of one node; at 1,000 bookings/s 20 claims and outcomes share one. */
+export const writesPerSecond = 50;
+/** Transactions that may follow one another without delay. */
+export const writeBurst = 10;
+/** First and longest delay before a failed transaction is tried again, in ms. */
+export const firstBackoff = millis(50);
+export const longestBackoff = millis(5_000);
+/** Failures in a row after which new claims are refused without waiting. */
+export const outageFailures = 3;
+/** Interval in ms at which claims past their time are given up. */
+const expiryInterval = millis(50);
+
+/** A row as the table holds it, or undefined when it is absent. */
+export type FoundRow =
+  | { readonly version: number; readonly value: unknown }
+  | undefined;
+
+/**
+ * One row to write. `exact`: only on this version, else reported as a conflict.
+ * `settle`: the outcome of the claim with the same token, on whatever version
+ * that claim has; tried until it is written or has become pointless.
+ */
+export type RowOrder = {
+  readonly mode: "exact" | "settle";
+  readonly key: RowKey;
+  readonly version: number | "absent";
+  readonly claim: Claim;
+  /** Time at which an exact write is given up. */
+  readonly giveUpAt: Millis;
+};
+
+/** What became of an order. */
+export type WriteResult =
+  | { readonly kind: "written" }
+  | { readonly kind: "conflict"; readonly current: FoundRow }
+  /** Given up; the row may still hold the write when `maybeApplied` is set. */
+  | { readonly kind: "failed"; readonly maybeApplied: boolean };
+
+/** What became of a transaction. */
+export type BatchResult =
+  | { readonly kind: "committed" }
+  | {
+      readonly kind: "conflict";
+      readonly current: ReadonlyMap<RowKey, FoundRow>;
+    }
+  | { readonly kind: "unavailable"; readonly detail: string }
+  | { readonly kind: "unknown"; readonly detail: string };
+
+type Pending = { readonly order: RowOrder; readonly maybeApplied: boolean };
+
+/** Orders that wait and the one transaction in flight. */
+export type WriterState = {
+  readonly queue: readonly Pending[];
+  readonly flight:
+    | { readonly attempt: AttemptToken; readonly orders: readonly Pending[] }
+    | undefined;
+  /** Prefix of attempt tokens, unique to this run of the node. */
+  readonly prefix: string;
+  readonly attempts: number;
+  /** Failed transactions since the last answer of the table. */
+  readonly failures: number;
+  readonly retryAt: Millis;
+  /** Write budget: tokens left at a time. */
+  readonly tokens: number;
+  readonly tokensAt: Millis;
+};
+
+/** Message to the claim writer. */
+export type WriterEvent =
+  | { readonly type: "write"; readonly order: RowOrder }
+  | {
+      readonly type: "result";
+      readonly attempt: AttemptToken;
+      readonly result: BatchResult;
+    }
+  | { readonly type: "wake" };
+
+/** Order of the decision to the claim writer. */
+export type WriterCommand =
+  | {
+      readonly type: "transact";
+      readonly attempt: AttemptToken;
+      readonly orders: readonly RowOrder[];
+    }
+  | {
+      readonly type: "notify";
+      readonly order: RowOrder;
+      readonly result: WriteResult;
+    }
+  | { readonly type: "set-timer"; readonly at: Millis }
+  | { readonly type: "outage"; readonly started: boolean }
+  | { readonly type: "ambiguous"; readonly attempt: AttemptToken }
+  | { readonly type: "rejected" };
+
+type WriterDecision = Decision<WriterState, WriterCommand>;
+
+/** State of a writer with nothing to write. */
+export function createWriterState(prefix: string, now: Millis): WriterState {
+  return {
+    queue: [],
+    flight: undefined,
+    prefix,
+    attempts: 0,
+    failures: 0,
+    retryAt: now,
+    tokens: writeBurst,
+    tokensAt: now,
+  };
+}
+
+/** Number of orders that have no result yet. */
+export function countPending(state: WriterState): number {
+  return state.queue.length + (state.flight?.orders.length ?? 0);
+}
+
+/** Builds the decision function that groups row writes into transactions. */
+export function createWriterDecision(
+  random: () => number,
+): Decide<WriterState, WriterEvent, WriterCommand> {
+  return (state, event, now) => {
+    switch (event.type) {
+      case "write":
+        return accept(state, event.order, now);
+      case "wake":
+        return pump(state, [], now);
+      case "result":
+        if (event.attempt !== state.flight?.attempt) {
+          return { state, commands: [] };
+        }
+        return handleResult(state, event.result, { random, now });
+    }
+  };
+}
+
+/** Queues an order; claims are refused at once in an outage or when the queue is full. */
+function accept(
+  state: WriterState,
+  order: RowOrder,
+  now: Millis,
+): WriterDecision {
+  const inOutage = state.failures >= outageFailures;
+  const waits = state.flight !== undefined || now < state.retryAt;
+  const full = state.queue.length >= maxQueuedClaims;
+  if (order.mode === "exact" && ((inOutage && waits) || full)) {
+    const result: WriteResult = { kind: "failed", maybeApplied: false };
+    const commands: WriterCommand[] = [{ type: "notify", order, result }];
+    if (full) commands.push({ type: "rejected" });
+    return { state, commands };
+  }
+  const queue = [...state.queue, { order, maybeApplied: false }];
+  return pump({ ...state, queue }, [], now);
+}
+
+/** Gives up late claims, and starts a transaction when none is in flight. */
+function pump(
+  before: WriterState,
+  earlier: readonly WriterCommand[],
+  now: Millis,
+): WriterDecision {
+  const commands = [...earlier];
+  const state = refill(giveUpLate(before, commands, now), now);
+  if (countPending(state) === 0) return { state, commands };
+  if (state.flight !== undefined || state.queue.length === 0) {
+    commands.push({ type: "set-timer", at: millis(now + expiryInterval) });
+    return { state, commands };
+  }
+  const startAt =
+    state.tokens >= 1
+      ? state.retryAt
+      : Math.max(
+          state.retryAt,
+          now + ((1 - state.tokens) * 1_000) / writesPerSecond,
+        );
+  if (now < startAt) {
+    const at = millis(Math.min(startAt, now + expiryInterval));
+    commands.push({ type: "set-timer", at });
+    return { state, commands };
+  }
+  return startBatch(state, commands, now);
+}
+
+function startBatch(
+  state: WriterState,
+  commands: WriterCommand[],
+  now: Millis,
+): WriterDecision {
+  const keys = new Set<RowKey>();
+  const orders: Pending[] = [];
+  const rest: Pending[] = [];
+  for (const pending of state.queue) {
+    const { key } = pending.order;
+    if (orders.length < maxBatchRows && !keys.has(key)) orders.push(pending);
+    else rest.push(pending);
+    keys.add(key);
+  }
+  const attempt: AttemptToken = brandString(
+    `${state.prefix}.${state.attempts}`,
+  );
+  commands.push(
+    { type: "transact", attempt, orders: orders.map(({ order }) => order) },
+    { type: "set-timer", at: millis(now + expiryInterval) },
+  );
+  return {
+    state: {
+      ...state,
+      queue: rest,
+      flight: { attempt, orders },
+      attempts: state.attempts + 1,
+      tokens: state.tokens - 1,
+    },
+    commands,
+  };
+}
+
+function refill(state: WriterState, now: Millis): WriterState {
+  const gained = ((now - state.tokensAt) * writesPerSecond) / 1_000;
+  return {
+    ...state,
+    tokens: Math.min(writeBurst, state.tokens + gained),
+    tokensAt: now,
+  };
+}
+
+/** Reports claims whose time has passed; those in flight may still take effect. */
+function giveUpLate(
+  state: WriterState,
+  commands: WriterCommand[],
+  now: Millis,
+): WriterState {
+  const isLate = ({ order }: Pending) =>
+    order.mode === "exact" && now >= order.giveUpAt;
+  const flying = state.flight?.orders ?? [];
+  if (!state.queue.some(isLate) && !flying.some(isLate)) return state;
+  for (const { order, maybeApplied } of state.queue.filter(isLate)) {
+    const result: WriteResult = { kind: "failed", maybeApplied };
+    commands.push({ type: "notify", order, result });
+  }
+  for (const { order } of flying.filter(isLate)) {
+    const result: WriteResult = { kind: "failed", maybeApplied: true };
+    commands.push({ type: "notify", order, result });
+  }
+  return {
+    ...state,
+    queue: state.queue.filter((pending) => !isLate(pending)),
+    flight: state.flight && {
+      ...state.flight,
+      orders: flying.filter((pending) => !isLate(pending)),
+    },
+  };
+}
+
+function handleResult(
+  before: WriterState,
+  result: BatchResult,
+  context: { random: () => number; now: Millis },
+): WriterDecision {
+  const { now } = context;
+  const flight = before.flight;
+  const orders = flight?.orders ?? [];
+  const state = { ...before, flight: undefined };
+  if (result.kind === "unavailable" || result.kind === "unknown") {
+    const lost = result.kind === "unknown";
+    const commands: WriterCommand[] = [];
+    if (lost && flight !== undefined) {
+      commands.push({ type: "ambiguous", attempt: flight.attempt });
+    }
+    const kept = orders.map((pending) =>
+      lost ? { ...pending, maybeApplied: true } : pending,
+    );
+    return backOff(
+      { ...state, queue: [...kept, ...state.queue] },
+      commands,
+      context,
+    );
+  }
+  const commands: WriterCommand[] = [];
+  if (state.failures >= outageFailures) {
+    commands.push({ type: "outage", started: false });
+  }
+  const answered = { ...state, failures: 0, retryAt: now };
+  if (result.kind === "committed") {
+    for (const { order } of orders) {
+      commands.push({ type: "notify", order, result: { kind: "written" } });
+    }
+    return pump(answered, commands, now);
+  }
+  const again = orders.flatMap((pending) =>
+    resolveConflict(pending, result.current, commands),
+  );
+  return pump(
+    { ...answered, queue: [...again, ...answered.queue] },
+    commands,
+    now,
+  );
+}
+
+function backOff(
+  state: WriterState,
+  commands: WriterCommand[],
+  context: { random: () => number; now: Millis },
+): WriterDecision {
+  const failures = state.failures + 1;
+  if (failures === outageFailures) {
+    commands.push({ type: "outage", started: true });
+  }
+  const full = Math.min(longestBackoff, firstBackoff * 2 ** (failures - 1));
+  const delay = full * (0.5 + context.random() / 2);
+  const retryAt = millis(context.now + delay);
+  return pump({ ...state, failures, retryAt }, commands, context.now);
+}
+
+/** What remains to be written of an order after a transaction with conflicts. */
+function resolveConflict(
+  pending: Pending,
+  current: ReadonlyMap<RowKey, FoundRow>,
+  commands: WriterCommand[],
+): readonly Pending[] {
+  const { order } = pending;
+  if (!current.has(order.key)) return [pending];
+  const row = current.get(order.key);
+  const found = row === undefined ? undefined : parseClaim(row.value);
+  const finish = (result: WriteResult): readonly Pending[] => {
+    commands.push({ type: "notify", order, result });
+    return [];
+  };
+  if (found?.write === order.claim.write) return finish({ kind: "written" });
+  if (order.mode === "exact") return finish({ kind: "conflict", current: row });
+  if (row !== undefined && !canSettle(found, order.claim)) {
+    return finish({ kind: "conflict", current: row });
+  }
+  const version = row === undefined ? "absent" : row.version;
+  return [{ ...pending, order: { ...order, version } }];
+}
+
+/**
+ * Whether an outcome may replace the claim found: only that of the same call.
+ * Once a caller was told that the outcome is unknown, the key never runs again,
+ * but a recorded answer still replaces the mark.
+ */
+function canSettle(found: Claim | undefined, claim: Claim): boolean {
+  if (found === undefined || found.token !== claim.token) return false;
+  if (found.state === "claimed") return true;
+  return found.state === "unknown" && claim.state === "recorded";
+}
--- a/src/core/results/codes.ts
+++ b/src/core/results/codes.ts
@@ -235,6 +235,14 @@
     meaning: "The booking service did not answer in time",
     remedy: "Check with the booking service before calling again",
   },
+  answerNotKept: {
+    number: 4009,
+    status: 409,
+    outcome: "ran",
+    meaning:
+      "The call with this idempotency key ran; its answer was too long to keep",
+    remedy: "Look the booking up at the booking service",
+  },
   draining: {
     number: 5001,
     status: 503,
--- /dev/null
+++ b/src/node/claim_writer.ts
@@ -0,0 +1,175 @@
+import { createActor } from "xstate";
+import {
+  type BatchResult,
+  countPending,
+  createWriterDecision,
+  createWriterState,
+  type FoundRow,
+  type RowOrder,
+  type WriteResult,
+  type WriterCommand,
+  type WriterEvent,
+  type WriterState,
+} from "../core/booking/writer.ts";
+import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
+import type { AttemptToken, NodeId, RowKey } from "../core/ids.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import type { Json, TableService } from "../ports/table.ts";
+import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
+
+/** Time after which a transaction counts as unanswered, in ms. */
+export const transactionDeadline = millis(1_000);
+
+/** What the claim writer needs. */
+export type ClaimWriterOptions = {
+  readonly clock: Clock;
+  readonly table: TableService;
+  readonly journal: Journal;
+  readonly meter: Meter;
+  readonly random: () => number;
+  readonly nodeId: NodeId;
+  /** Called when no order is left without a result. */
+  readonly onIdle: () => void;
+};
+
+/** Groups claims and outcomes of one node into transactions, one at a time. */
+export class ClaimWriter {
+  readonly #options: ClaimWriterOptions;
+  readonly #actor: DecisionActor<WriterState, WriterEvent>;
+  readonly #listeners = new Map<AttemptToken, (result: WriteResult) => void>();
+  #cancelTimer: Cancel | undefined;
+  #stopped = false;
+
+  static create(options: ClaimWriterOptions): ClaimWriter {
+    return new ClaimWriter(options);
+  }
+
+  private constructor(options: ClaimWriterOptions) {
+    this.#options = options;
+    const { clock, nodeId, random } = options;
+    this.#actor = createActor(
+      createDecisionLogic<WriterState, WriterEvent, WriterCommand>({
+        initial: createWriterState(`${nodeId}.claims`, clock.now()),
+        decide: createWriterDecision(random),
+        clock,
+        perform: (command) => this.#perform(command),
+      }),
+    );
+    this.#actor.start();
+  }
+
+  /** Orders without a result. */
+  get pending(): number {
+    return countPending(this.#actor.getSnapshot().context);
+  }
+
+  /** Queues a row; the listener hears the result exactly once unless the writer is stopped. */
+  write(order: RowOrder, listener: (result: WriteResult) => void): void {
+    this.#listeners.set(order.claim.write, listener);
+    this.#actor.send({ type: "write", order });
+  }
+
+  /** Stops without waiting for results, as a killed process does. */
+  stop(): void {
+    this.#stopped = true;
+    this.#cancelTimer?.();
+    this.#actor.stop();
+    this.#listeners.clear();
+  }
+
+  #perform(command: WriterCommand): void {
+    const { journal, meter } = this.#options;
+    switch (command.type) {
+      case "transact":
+        void this.#transact(command.attempt, command.orders);
+        return;
+      case "notify":
+        this.#notify(command.order, command.result);
+        return;
+      case "set-timer":
+        this.#setTimer(command.at);
+        return;
+      case "outage":
+        journal.record(
+          command.started ? "tableOutageStarted" : "tableOutageEnded",
+          { part: "claims" },
+        );
+        return;
+      case "ambiguous":
+        journal.record("writeAmbiguous", { attempt: command.attempt });
+        meter.count("claim_writes_ambiguous_total");
+        return;
+      case "rejected":
+        meter.count("claim_queue_rejected_total");
+    }
+  }
+
+  #notify(order: RowOrder, result: WriteResult): void {
+    const listener = this.#listeners.get(order.claim.write);
+    this.#listeners.delete(order.claim.write);
+    listener?.(result);
+    if (this.pending === 0) this.#options.onIdle();
+  }
+
+  async #transact(
+    attempt: AttemptToken,
+    orders: readonly RowOrder[],
+  ): Promise<void> {
+    const { clock, table, meter } = this.#options;
+    const startedAt = clock.now();
+    meter.count("claim_transactions_total");
+    meter.count("claim_rows_total", {}, orders.length);
+    const result = await withDeadline<BatchResult>(
+      clock,
+      sendBatch(table, attempt, orders),
+      {
+        delay: transactionDeadline,
+        late: { kind: "unknown", detail: "No answer within the deadline" },
+      },
+    );
+    meter.observe("claim_transaction_millis", clock.now() - startedAt);
+    if (!this.#stopped) this.#actor.send({ type: "result", attempt, result });
+  }
+
+  #setTimer(at: Millis): void {
+    const { clock } = this.#options;
+    this.#cancelTimer?.();
+    this.#cancelTimer = clock.schedule(millis(at - clock.now()), () =>
+      this.#actor.send({ type: "wake" }),
+    );
+  }
+}
+
+async function sendBatch(
+  table: TableService,
+  attempt: AttemptToken,
+  orders: readonly RowOrder[],
+): Promise<BatchResult> {
+  const answer = await table.transact({
+    attempt,
+    conditions: orders.map(({ key, version }) => ({ key, version })),
+    writes: orders.map(({ key, claim }) => ({ key, value: claim as Json })),
+  });
+  return answer.caseOf<BatchResult>({
+    Left: ({ kind, detail }) => ({ kind, detail }),
+    Right: (result) =>
+      result.kind === "committed"
+        ? result
+        : {
+            kind: "conflict",
+            current: new Map<RowKey, FoundRow>(result.current),
+          },
+  });
+}
+
+/** Gives `late` when the promise has not settled after `delay` ms. */
+export function withDeadline<Value>(
+  clock: Clock,
+  promise: Promise<Value>,
+  options: { delay: Millis; late: Value },
+): Promise<Value> {
+  return new Promise((resolve, reject) => {
+    const cancel = clock.schedule(options.delay, () => resolve(options.late));
+    promise.then(resolve, reject).finally(cancel);
+  });
+}
--- a/src/node/decision_actor.ts
+++ b/src/node/decision_actor.ts
@@ -38,6 +38,8 @@
 >(setup: DecisionSetup<State, Event, Command>): DecisionLogic<State, Event> {
   return fromTransition<State, Event, never, undefined>(
     (state, event, scope) => {
+      // xstate passes its own stop event to transitions as well.
+      if (event.type.startsWith("xstate.")) return state;
       const decision = setup.decide(state, event, setup.clock.now());
       if (decision.commands.length > 0) {
         scope.defer(() => {
--- /dev/null
+++ b/src/node/server_pool.ts
@@ -0,0 +1,155 @@
+import type { SendResult } from "../core/booking/call.ts";
+import {
+  chooseServer,
+  computeHedgeDelay,
+  earnSends,
+  fullSendBudget,
+  observeSend,
+  type SendBudget,
+  type ServerStats,
+  spendSend,
+  unknownServer,
+} from "../core/booking/servers.ts";
+import { type Clock, type Millis, millis } from "../core/clock.ts";
+import type { Meter } from "../ports/journal.ts";
+import type { ServiceCall, ServiceLink } from "../ports/service.ts";
+import { withDeadline } from "./claim_writer.ts";
+
+/** Time in ms that a link gets beyond its own timeout before it counts as silent. */
+const linkMargin = 100;
+
+/** One server of a booking service as the node knows it now. */
+export type ServiceServer = {
+  readonly id: string;
+  readonly link: ServiceLink;
+  /** The server takes no new calls. */
+  readonly leaving: boolean;
+};
+
+/** What a server pool needs. */
+export type ServerPoolOptions = {
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly meter: Meter;
+  /** Servers of the service with their present state. */
+  readonly servers: () => readonly ServiceServer[];
+  /** Hears of a server that refused a call because it is leaving. */
+  readonly onLeaving: (server: string) => void;
+};
+
+/** Servers of one booking service with what this node has observed of them. */
+export class ServerPool {
+  readonly #options: ServerPoolOptions;
+  readonly #stats = new Map<string, ServerStats>();
+  readonly #refusing = new Set<string>();
+  #budget: SendBudget = fullSendBudget;
+
+  static create(options: ServerPoolOptions): ServerPool {
+    return new ServerPool(options);
+  }
+
+  private constructor(options: ServerPoolOptions) {
+    this.#options = options;
+  }
+
+  /** Time after which a lookup is sent to a second server. */
+  get hedgeDelay(): Millis {
+    return computeHedgeDelay([...this.#stats.values()]);
+  }
+
+  /** Counts one call, which pays for a share of an extra send. */
+  earn(): void {
+    this.#budget = earnSends(this.#budget);
+  }
+
+  /** Takes one extra send from the budget, if any is left. */
+  spend(kind: "retry" | "hedge"): boolean {
+    const rest = spendSend(
+      this.#budget,
+      kind === "retry" ? "retries" : "hedges",
+    );
+    this.#options.meter.count(
+      rest === undefined
+        ? "booking_extra_sends_denied_total"
+        : "booking_extra_sends_total",
+      { kind },
+    );
+    if (rest !== undefined) this.#budget = rest;
+    return rest !== undefined;
+  }
+
+  /** Chooses a server that was not tried before. */
+  choose(tried: ReadonlySet<string>): string | undefined {
+    const { servers, random, clock } = this.#options;
+    const listed = servers();
+    this.#forgetMissing(listed);
+    const choices = listed.map(({ id, leaving }) => ({
+      id,
+      leaving: leaving || this.#refusing.has(id),
+    }));
+    return chooseServer(choices, {
+      tried,
+      statsOf: (id) => this.#stats.get(id) ?? unknownServer,
+      random,
+      now: clock.now(),
+    });
+  }
+
+  /** Sends one call and observes how long it took. */
+  async call(id: string, call: ServiceCall): Promise<SendResult> {
+    const { clock, servers } = this.#options;
+    const server = servers().find((candidate) => candidate.id === id);
+    if (server === undefined) {
+      return { kind: "not-sent", detail: "The server is no longer listed" };
+    }
+    const stats = this.#stats.get(id) ?? unknownServer;
+    this.#stats.set(id, { ...stats, open: stats.open + 1 });
+    const startedAt = clock.now();
+    const result = await withDeadline<SendResult>(
+      clock,
+      sendCall(server.link, call),
+      {
+        delay: millis(call.timeout + linkMargin),
+        late: { kind: "timeout", detail: "The server did not answer" },
+      },
+    );
+    this.#observe(id, result, startedAt);
+    return result;
+  }
+
+  #observe(id: string, result: SendResult, startedAt: Millis): void {
+    const { clock, onLeaving } = this.#options;
+    const now = clock.now();
+    const stats = this.#stats.get(id) ?? unknownServer;
+    const latency = millis(now - startedAt);
+    const reached = result.kind === "answer" || result.kind === "timeout";
+    this.#stats.set(id, observeSend(stats, { latency, reached, now }));
+    if (result.kind === "leaving" && !this.#refusing.has(id)) {
+      this.#refusing.add(id);
+      onLeaving(id);
+    }
+  }
+
+  /** Drops what is known of servers that have left the list. */
+  #forgetMissing(listed: readonly ServiceServer[]): void {
+    if (this.#stats.size + this.#refusing.size <= 2 * listed.length) return;
+    const ids = new Set(listed.map(({ id }) => id));
+    for (const id of this.#stats.keys()) {
+      if (!ids.has(id)) this.#stats.delete(id);
+    }
+    for (const id of this.#refusing) {
+      if (!ids.has(id)) this.#refusing.delete(id);
+    }
+  }
+}
+
+async function sendCall(
+  link: ServiceLink,
+  call: ServiceCall,
+): Promise<SendResult> {
+  const answer = await link.call(call);
+  return answer.caseOf<SendResult>({
+    Left: ({ kind, detail }) => ({ kind, detail }),
+    Right: (whole) => ({ kind: "answer", answer: whole }),
+  });
+}
--- /dev/null
+++ b/src/node/service_desk.ts
@@ -0,0 +1,328 @@
+import { createHash } from "node:crypto";
+import { Left } from "purify-ts";
+import type { CallKind } from "../core/booking/call.ts";
+import {
+  type Claim,
+  formatClaimKey,
+  outcomeGrace,
+} from "../core/booking/claim.ts";
+import { type Clock, type Millis, millis } from "../core/clock.ts";
+import {
+  type AttemptToken,
+  brandString,
+  type Customer,
+  type Digest,
+  type LeaseId,
+  type NodeId,
+  type RequestId,
+  type RowKey,
+  type ServiceName,
+} from "../core/ids.ts";
+import { type Refusal, refuse } from "../core/results/refusal.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import type { TableService } from "../ports/table.ts";
+import { ClaimWriter, withDeadline } from "./claim_writer.ts";
+import { ServerPool, type ServiceServer } from "./server_pool.ts";
+import {
+  type CallReply,
+  type PlannedCall,
+  ServiceRequest,
+} from "./service_request.ts";
+
+export type { ServiceServer } from "./server_pool.ts";
+export type { BookedAnswer, CallReply } from "./service_request.ts";
+
+/** Booking calls in progress at one node, those with an unrecorded outcome included. */
+export const maxCallsInFlight = 1_000;
+/** Longest wait for a session row, in ms. */
+const sessionReadDeadline = millis(1_000);
+/** `Retry-After` when too many calls are in flight, in ms. */
+const busyRetryAfter = millis(1_000);
+
+/** Method and path of calls that may be repeated; a path may end in `*`. */
+export type LookupRoute = { readonly method: string; readonly path: string };
+
+/** One booking call as a front end hands it over. */
+export type ServiceDeskCall = {
+  readonly service: ServiceName;
+  readonly method: string;
+  /** Path and query below the service, starting with `/`. */
+  readonly path: string;
+  readonly contentType: string | undefined;
+  readonly body: Uint8Array;
+  readonly customer: Customer;
+  readonly idempotencyKey: string | undefined;
+  readonly requestId: RequestId;
+  /** Time of the node's clock by which the caller needs the answer. */
+  readonly deadline: Millis;
+};
+
+/** What the service desk needs. */
+export type ServiceDeskOptions = {
+  readonly clock: Clock;
+  readonly table: TableService;
+  /** Servers of a service with their present state; undefined for an unknown service. */
+  readonly links: (
+    service: ServiceName,
+  ) => readonly ServiceServer[] | undefined;
+  /** Calls of each service that may be repeated. */
+  readonly routes: ReadonlyMap<ServiceName, readonly LookupRoute[]>;
+  readonly journal: Journal;
+  readonly meter: Meter;
+  readonly random: () => number;
+  readonly nodeId: NodeId;
+  /** The lease under which the node may act, or undefined without one. */
+  readonly currentLease: () => LeaseId | undefined;
+  /** Hears of a server that refused a call because it is leaving. */
+  readonly onLeaving?: (service: ServiceName, server: string) => void;
+};
+
+type OpenKey = { readonly body: Digest; writes: number; closed: boolean };
+
+/** Runs the booking calls of one node. */
+export class ServiceDesk {
+  readonly #options: ServiceDeskOptions;
+  readonly #writer: ClaimWriter;
+  readonly #pools = new Map<ServiceName, ServerPool>();
+  readonly #requests = new Set<ServiceRequest>();
+  /** Keys with a call or an unrecorded outcome at this node. */
+  readonly #keys = new Map<RowKey, OpenKey>();
+  #tokens = 0;
+  #inFlight = 0;
+  #idleListeners: (() => void)[] = [];
+
+  static create(options: ServiceDeskOptions): ServiceDesk {
+    return new ServiceDesk(options);
+  }
+
+  private constructor(options: ServiceDeskOptions) {
+    this.#options = options;
+    this.#writer = ClaimWriter.create({
+      ...options,
+      onIdle: () => this.#checkIdle(),
+    });
+  }
+
+  /** Calls in progress and outcomes that are not recorded yet. */
+  get outstanding(): number {
+    return this.#inFlight + this.#writer.pending;
+  }
+
+  /** Runs one call; the reply says whether a booking service ran it. */
+  call(call: ServiceDeskCall): Promise<CallReply> {
+    const { meter, links, routes } = this.#options;
+    if (links(call.service) === undefined) {
+      return refuseCall(refuse("unknownService", call.service));
+    }
+    if (this.outstanding >= maxCallsInFlight) {
+      meter.count("booking_calls_rejected_total");
+      return refuseCall(
+        refuse("tooManyInFlight", "Too many booking calls at this node", {
+          retryAfter: busyRetryAfter,
+        }),
+      );
+    }
+    const kind = classifyCall(call, routes.get(call.service) ?? []);
+    meter.count("booking_calls_total", { kind });
+    if (kind !== "keyed") {
+      return this.#run(call, { kind, claim: undefined, key: undefined });
+    }
+    return this.#callWithKey(call);
+  }
+
+  /** Resolves when no call is in progress and every outcome is recorded. */
+  settle(): Promise<void> {
+    if (this.outstanding === 0) return Promise.resolve();
+    return new Promise((resolve) => this.#idleListeners.push(resolve));
+  }
+
+  /** Stops without waiting for calls or outcomes, as a killed process does. */
+  stop(): void {
+    this.#writer.stop();
+    for (const request of this.#requests) request.stop();
+    this.#requests.clear();
+  }
+
+  #callWithKey(call: ServiceDeskCall): Promise<CallReply> {
+    const { currentLease, clock, nodeId } = this.#options;
+    const lease = currentLease();
+    if (lease === undefined) {
+      return refuseCall(
+        refuse("claimUnavailable", "The node holds no session lease", {
+          retryAfter: busyRetryAfter,
+        }),
+      );
+    }
+    const body = digestCall(call);
+    const key = formatClaimKey(call.service, digestKey(call));
+    const open = this.#keys.get(key);
+    if (open !== undefined) {
+      return refuseCall(
+        open.body === body
+          ? refuse("callInProgress", "This node runs a call with the key", {
+              retryAfter: busyRetryAfter,
+            })
+          : refuse("keyReused", "The body differs"),
+      );
+    }
+    const expiresAt =
+      clock.wallNow() + (call.deadline - clock.now()) + outcomeGrace;
+    const token = this.#nextToken();
+    const claim: Claim = {
+      state: "claimed",
+      body,
+      node: nodeId,
+      lease,
+      requestId: call.requestId,
+      token,
+      write: token,
+      expiresAt,
+      writtenAt: clock.wallNow(),
+    };
+    this.#keys.set(key, { body, writes: 0, closed: false });
+    return this.#run(call, { kind: "keyed", claim, key });
+  }
+
+  #run(
+    call: ServiceDeskCall,
+    plan: Pick<PlannedCall, "kind" | "claim"> & { key: RowKey | undefined },
+  ): Promise<CallReply> {
+    const { method, path, contentType, body } = call;
+    const pool = this.#poolOf(call.service);
+    pool.earn();
+    this.#inFlight++;
+    return new Promise((resolve) => {
+      const request: ServiceRequest = ServiceRequest.create({
+        ...this.#options,
+        call: {
+          kind: plan.kind,
+          requestId: call.requestId,
+          deadlineAt: call.deadline,
+          claim: plan.claim,
+          request: { method, path, contentType, body },
+        },
+        pool,
+        write: (order, listener) => this.#write(plan.key, order, listener),
+        nextToken: () => this.#nextToken(),
+        hasSession: (node, lease) => this.#hasSession(node, lease),
+        onReply: resolve,
+        onClose: () => queueMicrotask(() => this.#close(request, plan.key)),
+      });
+      this.#requests.add(request);
+    });
+  }
+
+  #write(
+    key: RowKey | undefined,
+    order: Omit<Parameters<ClaimWriter["write"]>[0], "key">,
+    listener: Parameters<ClaimWriter["write"]>[1],
+  ): void {
+    const open = key && this.#keys.get(key);
+    if (key === undefined || open === undefined) return;
+    open.writes++;
+    this.#writer.write({ ...order, key }, (result) => {
+      open.writes--;
+      this.#forgetKey(key);
+      listener(result);
+    });
+  }
+
+  #close(request: ServiceRequest, key: RowKey | undefined): void {
+    this.#requests.delete(request);
+    this.#inFlight--;
+    const open = key && this.#keys.get(key);
+    if (key !== undefined && open !== undefined) {
+      open.closed = true;
+      this.#forgetKey(key);
+    }
+    this.#checkIdle();
+  }
+
+  #forgetKey(key: RowKey): void {
+    const open = this.#keys.get(key);
+    if (open?.closed && open.writes === 0) this.#keys.delete(key);
+  }
+
+  #checkIdle(): void {
+    if (this.outstanding > 0) return;
+    const listeners = this.#idleListeners;
+    this.#idleListeners = [];
+    for (const listener of listeners) listener();
+  }
+
+  /** Reads whether the session still has the lease under which a call was claimed. */
+  async #hasSession(
+    node: NodeId,
+    lease: LeaseId,
+  ): Promise<boolean | undefined> {
+    const { clock, table } = this.#options;
+    const read = table.read(brandString(`session/${node}`)).then((answer) =>
+      answer.caseOf<boolean | undefined>({
+        Left: () => undefined,
+        Right: (row) =>
+          row !== undefined &&
+          (row.value as { lease?: unknown } | null)?.lease === lease,
+      }),
+    );
+    return await withDeadline(clock, read, {
+      delay: sessionReadDeadline,
+      late: undefined,
+    });
+  }
+
+  #poolOf(service: ServiceName): ServerPool {
+    const known = this.#pools.get(service);
+    if (known !== undefined) return known;
+    const { clock, random, meter, links, onLeaving } = this.#options;
+    const pool = ServerPool.create({
+      clock,
+      random,
+      meter,
+      servers: () => links(service) ?? [],
+      onLeaving: (server) => {
+        this.#options.journal.record("serverLeaving", { service, server });
+        onLeaving?.(service, server);
+      },
+    });
+    this.#pools.set(service, pool);
+    return pool;
+  }
+
+  #nextToken(): AttemptToken {
+    return brandString(`${this.#options.nodeId}.${this.#tokens++}`);
+  }
+}
+
+function refuseCall(refusal: Refusal): Promise<CallReply> {
+  return Promise.resolve(Left(refusal));
+}
+
+/** Decides from the settings and the key how often a call may be sent. */
+function classifyCall(
+  call: ServiceDeskCall,
+  lookups: readonly LookupRoute[],
+): CallKind {
+  const path = call.path.split("?", 1)[0] ?? "";
+  const isLookup = lookups.some(
+    (route) =>
+      route.method === call.method &&
+      (route.path.endsWith("*")
+        ? path.startsWith(route.path.slice(0, -1))
+        : path === route.path),
+  );
+  if (isLookup) return "lookup";
+  return call.idempotencyKey === undefined ? "once" : "keyed";
+}
+
+function digestCall(call: ServiceDeskCall): Digest {
+  const hash = createHash("sha256");
+  hash.update(JSON.stringify([call.method, call.path]));
+  hash.update(call.body);
+  return brandString(hash.digest("hex"));
+}
+
+function digestKey(call: ServiceDeskCall): Digest {
+  const hash = createHash("sha256");
+  hash.update(JSON.stringify([call.customer, call.idempotencyKey]));
+  return brandString(hash.digest("hex"));
+}
--- /dev/null
+++ b/src/node/service_request.ts
@@ -0,0 +1,290 @@
+import type { Either } from "purify-ts";
+import { Left, Right } from "purify-ts";
+import { createActor } from "xstate";
+import {
+  type CallAnswer,
+  type CallCommand,
+  type CallEvent,
+  type CallKind,
+  type CallState,
+  createCallDecision,
+  createCallState,
+  type SendResult,
+} from "../core/booking/call.ts";
+import {
+  type Claim,
+  maxRecordedBytes,
+  type RecordedAnswer,
+} from "../core/booking/claim.ts";
+import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
+import type { AttemptToken, LeaseId, NodeId, RequestId } from "../core/ids.ts";
+import type { Outcome } from "../core/results/outcome.ts";
+import { type Refusal, refuse } from "../core/results/refusal.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import type { ServiceCall } from "../ports/service.ts";
+import type { ClaimWriter } from "./claim_writer.ts";
+import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
+import type { ServerPool } from "./server_pool.ts";
+
+/** Answer of a booking service, or the recorded answer of an earlier call. */
+export type BookedAnswer = CallAnswer & {
+  readonly outcome: Outcome;
+  /** The answer is that of an earlier call with the same key. */
+  readonly replayed: boolean;
+};
+
+/** What the caller of a booking call is told. */
+export type CallReply = Either<Refusal, BookedAnswer>;
+
+/** One call, classified, with its claim when it has a key. */
+export type PlannedCall = {
+  readonly kind: CallKind;
+  readonly requestId: RequestId;
+  readonly deadlineAt: Millis;
+  readonly claim: Claim | undefined;
+  readonly request: Omit<ServiceCall, "requestId" | "timeout">;
+};
+
+/** What the task of one call needs. */
+export type ServiceRequestOptions = {
+  readonly call: PlannedCall;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly journal: Journal;
+  readonly meter: Meter;
+  readonly pool: ServerPool;
+  /** Writes a row of the call and hears of the result. */
+  readonly write: (
+    order: Omit<Parameters<ClaimWriter["write"]>[0], "key">,
+    listener: Parameters<ClaimWriter["write"]>[1],
+  ) => void;
+  readonly nextToken: () => AttemptToken;
+  readonly currentLease: () => LeaseId | undefined;
+  /** Whether the session exists; undefined when the table gave no answer. */
+  readonly hasSession: (
+    node: NodeId,
+    lease: LeaseId,
+  ) => Promise<boolean | undefined>;
+  /** Called once with what the caller is told. */
+  readonly onReply: (reply: CallReply) => void;
+  /** Called once when nothing of the call is outstanding but its outcome write. */
+  readonly onClose: () => void;
+};
+
+/** Task of one booking call: claims its key, sends it, and records the outcome. */
+export class ServiceRequest {
+  readonly #options: ServiceRequestOptions;
+  readonly #actor: DecisionActor<CallState, CallEvent>;
+  readonly #tried = new Set<string>();
+  #cancelTimer: Cancel | undefined;
+  #stopped = false;
+
+  /** Starts the call; the reply may come before this returns. */
+  static create(options: ServiceRequestOptions): ServiceRequest {
+    const request = new ServiceRequest(options);
+    request.#actor.start();
+    request.#actor.send({ type: "start" });
+    return request;
+  }
+
+  private constructor(options: ServiceRequestOptions) {
+    this.#options = options;
+    const { call, clock, pool, random } = options;
+    this.#actor = createActor(
+      createDecisionLogic<CallState, CallEvent, CallCommand>({
+        initial: createCallState({
+          kind: call.kind,
+          requestId: call.requestId,
+          deadlineAt: call.deadlineAt,
+          claim: call.claim,
+          wallOffset: clock.wallNow() - clock.now(),
+          hedgeAfter: pool.hedgeDelay,
+        }),
+        decide: createCallDecision(random),
+        clock,
+        perform: (command) => this.#perform(command),
+      }),
+    );
+  }
+
+  /** Stops without an answer, as a killed process does. */
+  stop(): void {
+    this.#stopped = true;
+    this.#cancelTimer?.();
+    this.#actor.stop();
+  }
+
+  #perform(command: CallCommand): void {
+    const { call, journal, onReply } = this.#options;
+    switch (command.type) {
+      case "write":
+        this.#write(command);
+        return;
+      case "settle":
+        this.#settle(command);
+        return;
+      case "ask-session":
+        void this.#askSession(command.node, command.lease);
+        return;
+      case "send":
+        void this.#send(command);
+        return;
+      case "answer":
+        onReply(Right({ ...command.answer, outcome: "ran", replayed: false }));
+        return;
+      case "replay":
+        onReply(decodeRecorded(command.answer));
+        return;
+      case "refuse":
+        onReply(Left(command.refusal));
+        return;
+      case "set-timer":
+        this.#setTimer(command.at);
+        return;
+      case "record":
+        journal.record(command.event, {
+          requestId: call.requestId,
+          detail: command.detail,
+        });
+        return;
+      case "end":
+        this.#end();
+        return;
+    }
+  }
+
+  #write(order: {
+    claim: Claim;
+    version: number | "absent";
+    giveUpAt: Millis;
+  }): void {
+    const { version, giveUpAt } = order;
+    const claim = this.#stamp(order.claim);
+    this.#options.write({ mode: "exact", claim, version, giveUpAt }, (result) =>
+      this.#tell({ type: "written", result }),
+    );
+  }
+
+  #settle(order: {
+    claim: Claim;
+    state: Claim["state"];
+    answer?: CallAnswer;
+  }): void {
+    const { journal, clock, write } = this.#options;
+    const answer = order.answer && encodeRecorded(order.answer);
+    if (answer?.body === null) {
+      this.#options.meter.count("booking_answers_not_kept_total");
+    }
+    const claim = this.#stamp({
+      ...order.claim,
+      state: order.state,
+      ...(answer === undefined ? {} : { answer }),
+    });
+    // A row that was never deleted has version 1 after the claim; the writer
+    // corrects the version from the table's answer otherwise.
+    const row = { mode: "settle", claim, version: 1 } as const;
+    write({ ...row, giveUpAt: clock.now() }, () => {
+      journal.record("callSettled", {
+        requestId: order.claim.requestId,
+        state: order.state,
+      });
+      this.#tell({ type: "settled" });
+    });
+  }
+
+  /** Marks a row as written now, by a write of its own. */
+  #stamp(claim: Claim): Claim {
+    const { nextToken, clock } = this.#options;
+    return { ...claim, write: nextToken(), writtenAt: clock.wallNow() };
+  }
+
+  async #askSession(node: NodeId, lease: LeaseId): Promise<void> {
+    const exists = await this.#options.hasSession(node, lease);
+    this.#tell({ type: "session", exists });
+  }
+
+  /** Checks the deadline and the lease in the turn in which the call is sent. */
+  async #send(order: {
+    awaitUntil: Millis;
+    sendBefore: Millis;
+    lease: LeaseId | undefined;
+    budget: "none" | "retry" | "hedge";
+  }): Promise<void> {
+    const { call, clock, pool, journal, currentLease } = this.#options;
+    const now = clock.now();
+    const { lease } = order;
+    if (now >= order.sendBefore) {
+      this.#report("too-late", "The deadline passed before the send");
+      return;
+    }
+    if (lease !== undefined && currentLease() !== lease) {
+      this.#report("no-lease", "The session lease of the node ended");
+      return;
+    }
+    if (order.budget !== "none" && !pool.spend(order.budget)) {
+      this.#report("denied", `The ${order.budget} budget is spent`);
+      return;
+    }
+    const server = pool.choose(this.#tried);
+    if (server === undefined) {
+      this.#report("no-server", "No server takes the call");
+      return;
+    }
+    this.#tried.add(server);
+    journal.record("callSent", { requestId: call.requestId, server });
+    const timeout = millis(order.awaitUntil - now);
+    const { requestId, request } = call;
+    const result = await pool.call(server, { ...request, requestId, timeout });
+    this.#tell({ type: "result", result });
+  }
+
+  #report(kind: Exclude<SendResult["kind"], "answer">, detail: string): void {
+    this.#tell({ type: "result", result: { kind, detail } });
+  }
+
+  #setTimer(at: Millis): void {
+    const { clock } = this.#options;
+    this.#cancelTimer?.();
+    this.#cancelTimer = clock.schedule(millis(at - clock.now()), () =>
+      this.#tell({ type: "wake" }),
+    );
+  }
+
+  /** Replies that arrive after the end of the call change nothing any more. */
+  #tell(event: CallEvent): void {
+    if (!this.#stopped) this.#actor.send(event);
+  }
+
+  #end(): void {
+    this.stop();
+    this.#options.onClose();
+  }
+}
+
+function encodeRecorded(answer: CallAnswer): RecordedAnswer {
+  const { status, contentType, body } = answer;
+  const fits = body.length <= maxRecordedBytes;
+  return {
+    status,
+    contentType: contentType ?? null,
+    body: fits ? Buffer.from(body).toString("base64") : null,
+  };
+}
+
+function decodeRecorded(recorded: RecordedAnswer): CallReply {
+  if (recorded.body === null) {
+    return Left(
+      refuse(
+        "answerNotKept",
+        `The call was answered with status ${recorded.status}`,
+      ),
+    );
+  }
+  return Right({
+    status: recorded.status,
+    contentType: recorded.contentType ?? undefined,
+    body: Buffer.from(recorded.body, "base64"),
+    outcome: "ran",
+    replayed: true,
+  });
+}
--- /dev/null
+++ b/tests/booking/keyed_call_test.ts
@@ -0,0 +1,230 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import type { ServiceFailure } from "../../src/ports/service.ts";
+import { BookingSetup, describeReply } from "./setup.ts";
+
+const unknown = "outcomeUnknown may-have-run";
+const inProgress = "callInProgress may-have-run";
+
+test("a key used again through another node gets the recorded answer", async () => {
+  const setup = new BookingSetup();
+  const [first, second] = [setup.createNode("a"), setup.createNode("b")];
+  assert.equal(await setup.tell(first, { key: "k" }), "201");
+  assert.equal(await setup.tell(second, { key: "k" }), "201 replayed");
+  assert.equal(await setup.tell(first, { key: "k" }), "201 replayed");
+  assert.equal(setup.runs, 1);
+});
+
+test("a key used again with another body is refused without a run", async () => {
+  const setup = new BookingSetup();
+  const node = setup.createNode("a");
+  await setup.tell(node, { key: "k" });
+  const again = { key: "k", body: "three sets" };
+  assert.equal(await setup.tell(node, again), "keyReused not-run");
+  assert.equal(setup.runs, 1);
+});
+
+test("the same key of two customers names two calls", async () => {
+  const setup = new BookingSetup();
+  const node = setup.createNode("a");
+  await setup.tell(node, { key: "k" });
+  const other = { key: "k", customer: "wisla" };
+  assert.equal(await setup.tell(node, other), "201");
+  assert.equal(setup.runs, 2);
+});
+
+test("the same key through two nodes at once runs once", async () => {
+  const setup = new BookingSetup();
+  const nodes = [setup.createNode("a"), setup.createNode("b")];
+  const replies = [...nodes, ...nodes].map((node) =>
+    setup.call(node, { key: "k" }),
+  );
+  await setup.clock.advance(millis(1_000));
+  const told = replies.map((reply) => describeReply(reply())).sort();
+  assert.deepEqual(told, ["201", inProgress, inProgress, inProgress]);
+  assert.equal(setup.runs, 1);
+});
+
+test("a lost answer to the claim does not lose or repeat the call", async () => {
+  for (const fault of ["lost", "dropped"] as const) {
+    const setup = new BookingSetup();
+    const node = setup.createNode("a");
+    setup.table.fault = fault;
+    const reply = setup.call(node, { key: "k" });
+    await setup.clock.advance(millis(1));
+    setup.table.fault = "none";
+    await setup.clock.advance(millis(1_000));
+    assert.equal(describeReply(reply()), "201", fault);
+    assert.equal(await setup.tell(node, { key: "k" }), "201 replayed", fault);
+    assert.equal(setup.runs, 1, fault);
+  }
+});
+
+test("a claim that cannot be recorded is refused as not run within the deadline", async () => {
+  for (const fault of ["down", "lost", "dropped", "silent"] as const) {
+    const setup = new BookingSetup();
+    const node = setup.createNode("a");
+    setup.table.fault = fault;
+    const reply = setup.call(node, { key: "k", within: 1_500 });
+    await setup.clock.advance(millis(2_100));
+    assert.equal(describeReply(reply()), "claimUnavailable not-run", fault);
+    setup.table.fault = "none";
+    await setup.clock.advance(millis(10_000));
+    assert.equal(setup.runs, 0, fault);
+    assert.equal(await setup.tell(node, { key: "k" }), "201", fault);
+    assert.equal(setup.runs, 1, fault);
+  }
+});
+
+test("an outage refuses keyed calls at once after its first seconds", async () => {
+  const setup = new BookingSetup();
+  const node = setup.createNode("a");
+  setup.table.fault = "down";
+  for (let call = 0; call < 5; call++) {
+    const shape = { key: `k${call}` };
+    assert.equal(await setup.tell(node, shape), "claimUnavailable not-run");
+  }
+  const reply = setup.call(node, { key: "late" });
+  await setup.clock.advance(millis(60));
+  assert.equal(describeReply(reply()), "claimUnavailable not-run");
+  assert.equal(setup.runs, 0);
+});
+
+test("a call that may have run is never sent again under its key", async () => {
+  const told: Partial<Record<ServiceFailure["kind"], string>> = {
+    broken: "serviceBroken may-have-run",
+    timeout: "serviceTimeout may-have-run",
+    crossed: "crossedAnswer may-have-run",
+  };
+  for (const fault of ["broken", "timeout", "crossed"] as const) {
+    const setup = new BookingSetup();
+    const [first, second] = [setup.createNode("a"), setup.createNode("b")];
+    for (const server of setup.servers) server.fault = fault;
+    assert.equal(await setup.tell(first, { key: "k" }), told[fault]);
+    for (const server of setup.servers) server.fault = "none";
+    assert.equal(await setup.tell(first, { key: "k" }), unknown);
+    assert.equal(await setup.tell(second, { key: "k" }), unknown);
+    assert.equal(setup.runs, 1);
+  }
+});
+
+test("a call that no server took may run under the same key", async () => {
+  const setup = new BookingSetup();
+  const node = setup.createNode("a");
+  for (const server of setup.servers) server.fault = "not-sent";
+  const refusal = "serviceUnreachable not-run";
+  assert.equal(await setup.tell(node, { key: "k" }), refusal);
+  for (const server of setup.servers) server.fault = "none";
+  assert.equal(await setup.tell(node, { key: "k" }), "201");
+  assert.equal(setup.runs, 1);
+});
+
+test("one server that cannot be reached does not fail the call", async () => {
+  const setup = new BookingSetup();
+  const node = setup.createNode("a");
+  const [first, second] = setup.servers;
+  if (first !== undefined) first.fault = "not-sent";
+  if (second !== undefined) second.fault = "leaving";
+  for (let call = 0; call < 10; call++) {
+    assert.equal(await setup.tell(node, { key: `k${call}` }), "201");
+  }
+  assert.equal(setup.runs, 10);
+});
+
+test("an answer after the deadline is recorded although the caller was told of a timeout", async () => {
+  const setup = new BookingSetup();
+  const node = setup.createNode("a");
+  for (const server of setup.servers) server.latency = 3_000;
+  const shape = { key: "k", within: 1_000 };
+  assert.equal(await setup.tell(node, shape), "serviceTimeout may-have-run");
+  assert.equal(await setup.tell(node, { key: "k" }), inProgress);
+  await setup.clock.advance(millis(3_000));
+  assert.equal(await setup.tell(node, { key: "k" }), "201 replayed");
+  assert.equal(setup.runs, 1);
+});
+
+test("the key of a killed node becomes unknown when its session is gone", async () => {
+  const setup = new BookingSetup();
+  const [first, second] = [setup.createNode("a"), setup.createNode("b")];
+  setup.call(first, { key: "k", within: 60_000 });
+  await setup.clock.advance(millis(7));
+  first.desk.stop();
+  assert.equal(await setup.tell(second, { key: "k" }), inProgress);
+  setup.renewSession("a", undefined);
+  assert.equal(await setup.tell(second, { key: "k" }), unknown);
+});
+
+test("the key of a killed node becomes unknown after the deadline of its call", async () => {
+  const setup = new BookingSetup();
+  const [first, second] = [setup.createNode("a"), setup.createNode("b")];
+  setup.call(first, { key: "k", within: 2_000 });
+  await setup.clock.advance(millis(7));
+  first.desk.stop();
+  assert.equal(await setup.tell(second, { key: "k" }), inProgress);
+  await setup.clock.advance(millis(20_000));
+  assert.equal(await setup.tell(second, { key: "k" }), unknown);
+});
+
+test("a claimant that lost its lease does not send what others were told is unknown", async () => {
+  const setup = new BookingSetup();
+  const [first, second] = [setup.createNode("a"), setup.createNode("b")];
+  const reply = setup.call(first, { key: "k" });
+  await setup.clock.advance(millis(1));
+  first.lease = undefined;
+  setup.renewSession("a", undefined);
+  await setup.clock.advance(millis(5));
+  const other = setup.call(second, { key: "k" });
+  await setup.clock.advance(millis(2_000));
+  assert.equal(describeReply(reply()), "claimUnavailable not-run");
+  assert.notEqual(describeReply(other()), "201 replayed");
+  assert.equal(setup.runs, describeReply(other()) === "201" ? 1 : 0);
+});
+
+test("a released key stays unknown once a caller was told so", async () => {
+  const setup = new BookingSetup();
+  const [first, second] = [setup.createNode("a"), setup.createNode("b")];
+  for (const server of setup.servers) server.fault = "not-sent";
+  setup.table.latency = 200;
+  const reply = setup.call(first, { key: "k" });
+  await setup.clock.advance(millis(150));
+  setup.renewSession("a", undefined);
+  const other = setup.call(second, { key: "k" });
+  await setup.clock.advance(millis(5_000));
+  assert.equal(describeReply(reply()), "serviceUnreachable not-run");
+  for (const server of setup.servers) server.fault = "none";
+  const told = describeReply(other());
+  const again = await setup.tell(second, { key: "k" });
+  if (told === unknown) assert.equal(again, unknown);
+  else assert.ok(["201", "201 replayed"].includes(again), again);
+});
+
+test("an answer too long to keep is passed on once and reported as run after that", async () => {
+  const setup = new BookingSetup();
+  const node = setup.createNode("a");
+  for (const server of setup.servers) server.answerSize = 40_000;
+  assert.equal(await setup.tell(node, { key: "k" }), "201");
+  assert.equal(await setup.tell(node, { key: "k" }), "answerNotKept ran");
+  assert.equal(setup.runs, 1);
+});
+
+test("outcomes of an outage are recorded after it, and settle waits for them", async () => {
+  const setup = new BookingSetup();
+  const [first, second] = [setup.createNode("a"), setup.createNode("b")];
+  for (const server of setup.servers) server.latency = 500;
+  const reply = setup.call(first, { key: "k" });
+  await setup.clock.advance(millis(100));
+  setup.table.fault = "down";
+  await setup.clock.advance(millis(3_600_000));
+  assert.equal(describeReply(reply()), "201");
+  let settled = false;
+  void first.desk.settle().then(() => {
+    settled = true;
+  });
+  await setup.clock.advance(millis(100));
+  assert.equal(settled, false);
+  setup.table.fault = "none";
+  await setup.clock.advance(millis(10_000));
+  assert.equal(settled, true);
+  assert.equal(await setup.tell(second, { key: "k" }), "201 replayed");
+});
