--- a/src/node/decision_actor.ts
+++ b/src/node/decision_actor.ts
@@ -38,7 +38,7 @@
 >(setup: DecisionSetup<State, Event, Command>): DecisionLogic<State, Event> {
   return fromTransition<State, Event, never, undefined>(
     (state, event, scope) => {
-      // xstate's own messages, such as the one that stops an actor.
+      // xstate passes its own stop event to transitions as well.
       if (event.type.startsWith("xstate.")) return state;
       const decision = setup.decide(state, event, setup.clock.now());
       if (decision.commands.length > 0) {
