--- /dev/null
+++ b/src/core/placement/forecast.ts
@@ -0,0 +1,164 @@
+import type { Catalog, CatalogEntry } from "../config/catalog.ts";
+import { type AdapterKey, formatAdapterKey } from "../ids.ts";
+
+/** Length of the steps in which hours are compared, in hours. */
+const stepHours = 1 / 6;
+const stepsPerDay = 24 / stepHours;
+/** Drifts that are considered, in steps: from 1 hour early to 3 hours late. */
+const earliest = -6;
+const latest = 18;
+/** Requests after which older evidence counts for 1/e. */
+const memoryRequests = 500;
+/** Advantage in log-likelihood that a new drift needs, so that noise moves nothing. */
+const evidenceNeeded = 10;
+/** Share of demand that the sheet is taken not to explain at all. */
+const unexplained = 0.1;
+
+/** What the sheet lets expect, shifted by the drift that was learned. */
+export type Forecast = {
+  readonly catalog: Catalog | undefined;
+  /** Total weight of the adapters that are busy in each step of the day. */
+  readonly totals: readonly number[];
+  /** Log-likelihood of each drift, decayed. */
+  readonly evidence: number[];
+  /** Drift in steps; positive when demand comes later than the sheet says. */
+  drift: number;
+  /** Expected shares of the step they were last listed for. */
+  expected: { step: number; shares: Map<AdapterKey, number> } | undefined;
+};
+
+/** Forecast of a sheet, with the drift learned under an earlier one. */
+export function createForecast(
+  catalog: Catalog | undefined,
+  earlier?: Forecast,
+): Forecast {
+  const totals = sumWeights(catalog);
+  return {
+    catalog,
+    totals,
+    evidence:
+      earlier?.evidence ?? new Array<number>(latest - earliest + 1).fill(0),
+    drift: earlier?.drift ?? 0,
+    expected: undefined,
+  };
+}
+
+/** Total weight of busy adapters by step, from the starts and ends of their hours. */
+function sumWeights(catalog: Catalog | undefined): number[] {
+  const changes = new Array<number>(stepsPerDay + 1).fill(0);
+  const add = (from: number, to: number, weight: number) => {
+    const first = firstStep(from);
+    const end = firstStep(to);
+    changes[first] = (changes[first] as number) + weight;
+    changes[end] = (changes[end] as number) - weight;
+  };
+  for (const { busy, weight } of catalog?.adapters.values() ?? [])
+    for (const { from, to } of busy) {
+      if (from <= to) add(from, to, weight);
+      else {
+        add(from, 24, weight);
+        add(0, to, weight);
+      }
+    }
+  let sum = 0;
+  return changes.slice(0, stepsPerDay).map((change) => {
+    sum += change;
+    return sum;
+  });
+}
+
+/** First step whose middle lies at or after an hour. */
+function firstStep(hour: number): number {
+  return Math.min(stepsPerDay, Math.max(0, Math.ceil(hour / stepHours - 0.5)));
+}
+
+/** Drift in hours. */
+export function driftOf(forecast: Forecast): number {
+  return forecast.drift * stepHours;
+}
+
+/** Learns from one request: which drift explains that this adapter is in demand now. */
+export function learnDrift(
+  forecast: Forecast,
+  options: { entry: CatalogEntry | undefined; hour: number },
+): void {
+  const { entry, hour } = options;
+  if (entry === undefined || entry.busy.length === 0) return;
+  const { evidence, totals } = forecast;
+  const now = Math.floor(hour / stepHours);
+  for (let index = 0; index < evidence.length; index++) {
+    const step = wrap(now - (earliest + index));
+    const total = totals[step] as number;
+    const explained =
+      total > 0 && isBusyAt(entry, step) ? entry.weight / total : 0;
+    const likelihood =
+      unexplained / Math.max(1, forecast.catalog?.adapters.size ?? 1) +
+      (1 - unexplained) * explained;
+    evidence[index] =
+      (evidence[index] as number) * (1 - 1 / memoryRequests) +
+      Math.log(likelihood);
+  }
+  adoptDrift(forecast);
+}
+
+/** Takes over the drift with the most evidence; of equals, the one nearest to the present one. */
+function adoptDrift(forecast: Forecast): void {
+  const { evidence } = forecast;
+  const present = evidence[forecast.drift - earliest] as number;
+  let best = forecast.drift;
+  let most = present + evidenceNeeded;
+  for (let drift = earliest; drift <= latest; drift++) {
+    const value = evidence[drift - earliest] as number;
+    const nearer =
+      Math.abs(drift - forecast.drift) < Math.abs(best - forecast.drift);
+    if (value > most + 1e-9 || (value >= most - 1e-9 && nearer)) {
+      most = value;
+      best = drift;
+    }
+  }
+  forecast.drift = best;
+}
+
+/** Expected shares of demand of the adapters that are busy at this hour, the largest `limit` of them. */
+export function listExpected(
+  forecast: Forecast,
+  options: { hour: number; limit: number },
+): ReadonlyMap<AdapterKey, number> {
+  const step = wrap(Math.floor(options.hour / stepHours) - forecast.drift);
+  if (forecast.expected?.step !== step)
+    forecast.expected = {
+      step,
+      shares: listShares(forecast, { step, limit: options.limit }),
+    };
+  return forecast.expected.shares;
+}
+
+function listShares(
+  forecast: Forecast,
+  { step, limit }: { step: number; limit: number },
+): Map<AdapterKey, number> {
+  const total = forecast.totals[step] as number;
+  const busy: CatalogEntry[] = [];
+  for (const entry of forecast.catalog?.adapters.values() ?? [])
+    if (isBusyAt(entry, step)) busy.push(entry);
+  busy.sort((a, b) => b.weight - a.weight);
+  const shares = new Map<AdapterKey, number>();
+  for (const { name, versions, weight } of busy.slice(0, limit)) {
+    const [version] = versions;
+    if (version === undefined) continue;
+    shares.set(formatAdapterKey(name, version), weight / total);
+  }
+  return shares;
+}
+
+/** Whether an adapter is expected to be busy in a step of the day; hours may pass midnight. */
+function isBusyAt(entry: CatalogEntry, step: number): boolean {
+  const hour = (step + 0.5) * stepHours;
+  return entry.busy.some(({ from, to }) =>
+    from <= to ? hour >= from && hour < to : hour >= from || hour < to,
+  );
+}
+
+function wrap(step: number): number {
+  return ((step % stepsPerDay) + stepsPerDay) % stepsPerDay;
+}
