--- /dev/null
+++ b/src/core/admission/admit.ts
@@ -0,0 +1,142 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type Millis, millis } from "../clock.ts";
+import { type Refusal, refuse } from "../results/refusal.ts";
+import type { RouteChoice, RouteRequest } from "../routing/route.ts";
+import { addUse, findHighestUse, readUse, type ShareTable } from "./shares.ts";
+
+/** Admission state of one entry node. */
+export type AdmissionState = {
+  readonly customers: ShareControl;
+  readonly adapters: ShareControl;
+};
+
+/** Recent use of the parties of one kind, and the most that each may use. */
+type ShareControl = {
+  readonly table: ShareTable;
+  /** Recent tokens per unit of weight; infinite without overload. */
+  readonly limit: number;
+  readonly changedAt: Millis;
+};
+
+/** Behaviour of admission that settings and the bench vary. */
+export type AdmissionPolicies = {
+  /** Share of capacity of a party relative to others of its kind. */
+  readonly weightOf: (party: string) => number;
+  /** Wait for the first token above which the installation counts as overloaded, in ms. */
+  readonly overloadWait: (request: RouteRequest, now: Millis) => number;
+};
+
+/** Equal shares; overload begins when a third of the time to the deadline is used up by waiting. */
+export const defaultAdmissionPolicies: AdmissionPolicies = {
+  weightOf: () => 1,
+  overloadWait: (request, now) =>
+    Math.min(longestOverloadWait, (request.deadlineAt - now) / 3),
+};
+
+/** Wait that counts as overload whatever the deadline, in ms. */
+const longestOverloadWait = 3000;
+/** Time in which the limit falls or rises by a factor of e, in ms. */
+const adaptTime = 2000;
+/** Longest step of the limit, in ms, after a time without requests. */
+const longestStep = 500;
+/** Lowest limit in tokens, so that a party is never locked out: one short answer. */
+const lowestLimit = 200;
+/** Time to try again after a refusal for fairness, in ms. */
+const fairRetryMs = 1000;
+
+export function createAdmissionState(): AdmissionState {
+  return { customers: createControl(), adapters: createControl() };
+}
+
+function createControl(): ShareControl {
+  return {
+    table: new Map(),
+    limit: Number.POSITIVE_INFINITY,
+    changedAt: millis(0),
+  };
+}
+
+/** What a request was admitted or refused on. */
+export type AdmissionOptions = {
+  readonly request: RouteRequest;
+  readonly choice: RouteChoice;
+  readonly now: Millis;
+  readonly policies: AdmissionPolicies;
+};
+
+/**
+ * Admits a request, or refuses it early: when its first token is not expected
+ * by its deadline, or, under overload, when its customer or adapter has had
+ * more than the limit that fits the capacity. The limit falls while waits are
+ * long and rises while they are short, so that it settles at the fair share
+ * without any knowledge of the capacity.
+ */
+export function admitRequest(
+  state: AdmissionState,
+  options: AdmissionOptions,
+): { state: AdmissionState; verdict: Either<Refusal, RouteChoice> } {
+  const { request, choice, now, policies } = options;
+  const wait = choice.expectedWait;
+  const isOverloaded = wait > policies.overloadWait(request, now);
+  const customers = adapt(state.customers, { isOverloaded, now });
+  const adapters = adapt(state.adapters, { isOverloaded, now });
+  const adapted: AdmissionState = { customers, adapters };
+  const slack = request.deadlineAt - now;
+  if (wait > slack)
+    return { state: adapted, verdict: Left(refuseLate(wait, slack)) };
+  const over = findOverUse(adapted, options);
+  if (over !== undefined)
+    return { state: adapted, verdict: Left(refuseOverUse(over)) };
+  const tokens = request.expectedTokens;
+  addUse(customers.table, { party: request.customer, tokens, now });
+  addUse(adapters.table, { party: request.adapter, tokens, now });
+  return { state: adapted, verdict: Right(choice) };
+}
+
+function refuseLate(wait: number, slack: number): Refusal {
+  return refuse(
+    "deadlineTooClose",
+    `The first token is expected after ${Math.round(wait)} ms`,
+    { retryAfter: millis(Math.max(fairRetryMs, wait - slack)) },
+  );
+}
+
+function refuseOverUse(party: string): Refusal {
+  return refuse("fairShareExceeded", `${party} has used its share`, {
+    retryAfter: millis(fairRetryMs),
+  });
+}
+
+function findOverUse(
+  state: AdmissionState,
+  { request, now, policies }: AdmissionOptions,
+): string | undefined {
+  const exceeds = ({ table, limit }: ShareControl, party: string) =>
+    readUse(table, { party, now }) > limit * policies.weightOf(party);
+  if (exceeds(state.customers, request.customer)) return request.customer;
+  if (exceeds(state.adapters, request.adapter)) return request.adapter;
+  return undefined;
+}
+
+/** Moves the limit down under overload, and up to infinity without. */
+function adapt(
+  control: ShareControl,
+  options: { isOverloaded: boolean; now: Millis },
+): ShareControl {
+  const { isOverloaded, now } = options;
+  if (!isOverloaded && control.limit === Number.POSITIVE_INFINITY)
+    return { ...control, changedAt: now };
+  const highest = findHighestUse(control.table, now);
+  const step = Math.min(longestStep, now - control.changedAt) / adaptTime;
+  if (!isOverloaded) {
+    const raised = control.limit * Math.exp(step);
+    const limit = raised > 2 * highest ? Number.POSITIVE_INFINITY : raised;
+    return { ...control, limit, changedAt: now };
+  }
+  const lowered = Math.min(control.limit, highest) * Math.exp(-step);
+  return {
+    ...control,
+    limit: Math.max(lowestLimit, lowered),
+    changedAt: now,
+  };
+}
--- /dev/null
+++ b/src/core/poison/record.ts
@@ -0,0 +1,102 @@
+import { type Either, Left, Right } from "purify-ts";
+import {
+  brandString,
+  type Digest,
+  type EngineId,
+  type RowKey,
+} from "../ids.ts";
+
+/**
+ * What is known of one content. Both lists only grow, so that records from
+ * gossip and from the table merge in any order to the same result.
+ */
+export type PoisonRecord = {
+  /** Crashes during which the content was running. */
+  readonly crashes: readonly string[];
+  /** Crashes of which the content was later shown not to be the cause. */
+  readonly cleared: readonly string[];
+};
+
+/** Standing of a content; unknown content runs without restriction. */
+export type PoisonStatus = "unknown" | "suspect" | "convicted";
+
+/** Crashes after which a content is refused. */
+const convictingCrashes = 2;
+/** Crashes that a record names; two convict, the others leave room for cleared ones. */
+const crashLimit = 8;
+
+/** Record of a content that is not known. */
+export const emptyRecord: PoisonRecord = { crashes: [], cleared: [] };
+
+/** Name of one crash, the same at every node that hears of it. */
+export function nameCrash(engine: EngineId, boot: string): string {
+  return `${engine}/${boot}`;
+}
+
+/** Key of the row that tells all nodes of a convicted content. */
+export function poisonRowKey(digest: Digest): RowKey {
+  return brandString<RowKey>(`poison/${digest}`);
+}
+
+/** Standing that follows from a record. */
+export function readStatus(record: PoisonRecord): PoisonStatus {
+  const open = record.crashes.filter(
+    (crash) => !record.cleared.includes(crash),
+  ).length;
+  if (open >= convictingCrashes) return "convicted";
+  return open > 0 ? "suspect" : "unknown";
+}
+
+/** Adds a crash. */
+export function addCrash(record: PoisonRecord, crash: string): PoisonRecord {
+  return mergeRecords(record, { crashes: [crash], cleared: [] });
+}
+
+/** Clears all crashes known here, unless they already convict. */
+export function clearCrashes(record: PoisonRecord): PoisonRecord {
+  if (readStatus(record) === "convicted") return record;
+  return { ...record, cleared: record.crashes };
+}
+
+/** Union of two records; returns the first one itself if the second adds nothing. */
+export function mergeRecords(
+  first: PoisonRecord,
+  second: PoisonRecord,
+): PoisonRecord {
+  const crashes = mergeLists(first.crashes, second.crashes);
+  const cleared = mergeLists(first.cleared, second.cleared);
+  const same = crashes === first.crashes && cleared === first.cleared;
+  return same ? first : { crashes, cleared };
+}
+
+/** Checks a record from a row or from another node. */
+export function parsePoisonRecord(
+  value: unknown,
+): Either<string, PoisonRecord> {
+  const record = value as Partial<PoisonRecord> | null;
+  if (
+    typeof record !== "object" ||
+    record === null ||
+    !isNameList(record.crashes) ||
+    !isNameList(record.cleared)
+  )
+    return Left("Poison record is malformed; delete the row to clear it");
+  return Right({ crashes: record.crashes, cleared: record.cleared });
+}
+
+function mergeLists(
+  first: readonly string[],
+  second: readonly string[],
+): readonly string[] {
+  const added = second.filter((entry) => !first.includes(entry));
+  if (added.length === 0) return first;
+  return [...first, ...added].sort().slice(0, crashLimit);
+}
+
+function isNameList(value: unknown): value is readonly string[] {
+  return (
+    Array.isArray(value) &&
+    value.length <= crashLimit &&
+    value.every((entry) => typeof entry === "string")
+  );
+}
--- /dev/null
+++ b/src/core/poison/registry.ts
@@ -0,0 +1,203 @@
+import type { Millis } from "../clock.ts";
+import type { Decide, Decision } from "../decision.ts";
+import type { Digest, RequestId } from "../ids.ts";
+import type { EventName } from "../observe/events.ts";
+import { type Refusal, refuse } from "../results/refusal.ts";
+import {
+  addCrash,
+  clearCrashes,
+  emptyRecord,
+  mergeRecords,
+  type PoisonRecord,
+  type PoisonStatus,
+  readStatus,
+} from "./record.ts";
+
+type Entry = { readonly record: PoisonRecord; readonly changedAt: Millis };
+
+/** Contents that may crash engines, as one node knows them. */
+export type PoisonState = {
+  /** Least recently changed first. */
+  readonly entries: Map<Digest, Entry>;
+};
+
+/** Message to the poison registry. */
+export type PoisonEvent =
+  /** These contents were running on an engine when it crashed. */
+  | {
+      readonly type: "crashed";
+      /** Name of the crash from `nameCrash`. */
+      readonly crash: string;
+      readonly digests: readonly Digest[];
+    }
+  /** A suspect ran alone to its end. */
+  | { readonly type: "completed-alone"; readonly digest: Digest }
+  /** Another node or the table knows this of a content. */
+  | {
+      readonly type: "heard";
+      readonly digest: Digest;
+      readonly record: PoisonRecord;
+      readonly from: "gossip" | "table";
+    }
+  /** Drops what is too old; sent every few minutes. */
+  | { readonly type: "sweep" };
+
+/** Order of the registry to its owner. */
+export type PoisonCommand =
+  /** Tells the other nodes. */
+  | {
+      readonly type: "spread";
+      readonly digest: Digest;
+      readonly record: PoisonRecord;
+    }
+  /** Writes the row of a convicted content, merged with what it holds. */
+  | {
+      readonly type: "write-row";
+      readonly digest: Digest;
+      readonly record: PoisonRecord;
+    }
+  | { readonly type: "count"; readonly name: string }
+  | {
+      readonly type: "record";
+      readonly event: EventName;
+      readonly detail: Digest;
+      readonly requestId?: RequestId;
+    };
+
+/** Contents that are remembered; beyond them suspects are dropped first, oldest first. */
+export const poisonLimit = 10_000;
+/** Time after which a content is forgotten, in ms; a convicted one is read from its row again. */
+const memoryTime = 24 * 3_600_000;
+
+export function createPoisonState(): PoisonState {
+  return { entries: new Map() };
+}
+
+/** Standing of a content. */
+export function statusOf(state: PoisonState, digest: Digest): PoisonStatus {
+  const entry = state.entries.get(digest);
+  return entry === undefined ? "unknown" : readStatus(entry.record);
+}
+
+/** Refusal of a convicted content; undefined for others. */
+export function refusePoison(
+  state: PoisonState,
+  digest: Digest,
+): Refusal | undefined {
+  if (statusOf(state, digest) !== "convicted") return undefined;
+  return refuse("poisonRequest", `Content ${digest} crashed two engines`, {
+    outcome: "not-run",
+  });
+}
+
+/** Decides what is known of contents and whom to tell. */
+export const decidePoison: Decide<PoisonState, PoisonEvent, PoisonCommand> = (
+  state,
+  event,
+  now,
+) => {
+  switch (event.type) {
+    case "crashed":
+      return {
+        state,
+        commands: event.digests.flatMap((digest) =>
+          change(state, {
+            digest,
+            now,
+            update: (record) => addCrash(record, event.crash),
+          }),
+        ),
+      };
+    case "completed-alone":
+      if (!state.entries.has(event.digest)) return { state, commands: [] };
+      return {
+        state,
+        commands: change(state, {
+          digest: event.digest,
+          now,
+          update: clearCrashes,
+        }),
+      };
+    case "heard":
+      return hear(state, event, now);
+    case "sweep":
+      return { state, commands: sweep(state, now) };
+  }
+};
+
+function hear(
+  state: PoisonState,
+  event: Extract<PoisonEvent, { type: "heard" }>,
+  now: Millis,
+): Decision<PoisonState, PoisonCommand> {
+  const { digest, from } = event;
+  const commands = change(state, {
+    digest,
+    now,
+    update: (record) => mergeRecords(record, event.record),
+  });
+  // The writer of the row has already written it; only what the merge adds is new there.
+  const isKnown =
+    from === "table" &&
+    mergeRecords(event.record, recordOf(state, digest)) === event.record;
+  return {
+    state,
+    commands: isKnown
+      ? commands.filter((command) => command.type !== "write-row")
+      : commands,
+  };
+}
+
+function recordOf(state: PoisonState, digest: Digest): PoisonRecord {
+  return state.entries.get(digest)?.record ?? emptyRecord;
+}
+
+/** Changes the record of a content and says whom to tell. */
+function change(
+  state: PoisonState,
+  options: {
+    digest: Digest;
+    now: Millis;
+    update: (record: PoisonRecord) => PoisonRecord;
+  },
+): PoisonCommand[] {
+  const { digest, now, update } = options;
+  const before = recordOf(state, digest);
+  const record = update(before);
+  if (record === before) return [];
+  state.entries.delete(digest);
+  state.entries.set(digest, { record, changedAt: now });
+  const commands: PoisonCommand[] = [{ type: "spread", digest, record }];
+  const status = readStatus(record);
+  if (status === "convicted") {
+    commands.push({ type: "write-row", digest, record });
+    if (readStatus(before) !== "convicted")
+      commands.push({
+        type: "record",
+        event: "poisonConvicted",
+        detail: digest,
+      });
+  } else if (status === "suspect" && readStatus(before) === "unknown") {
+    commands.push({ type: "record", event: "poisonSuspected", detail: digest });
+  }
+  return [...commands, ...enforceLimit(state)];
+}
+
+function enforceLimit(state: PoisonState): PoisonCommand[] {
+  if (state.entries.size <= poisonLimit) return [];
+  state.entries.delete(selectDropped(state));
+  return [{ type: "count", name: "poison_records_dropped" }];
+}
+
+/** Oldest content that is not convicted, else the oldest. */
+function selectDropped({ entries }: PoisonState): Digest {
+  for (const [digest, { record }] of entries)
+    if (readStatus(record) !== "convicted") return digest;
+  return entries.keys().next().value as Digest;
+}
+
+function sweep(state: PoisonState, now: Millis): PoisonCommand[] {
+  for (const [digest, { changedAt }] of state.entries)
+    if (now - changedAt >= memoryTime) state.entries.delete(digest);
+  return [];
+}
--- /dev/null
+++ b/src/core/routing/health.ts
@@ -0,0 +1,105 @@
+import { type Millis, millis } from "../clock.ts";
+import type { EngineId } from "../ids.ts";
+
+/** What this node itself has seen of one engine. */
+type EngineHealth = {
+  /** Requests sent that have no token yet, with the wait that was expected. */
+  readonly open: Map<string, { sentAt: Millis; expected: Millis }>;
+  /** Factor by which waits exceed what was expected, smoothed. */
+  excess: number;
+  /** Classified as slow by the waits for first tokens. */
+  slow: boolean;
+  probedAt: Millis;
+};
+
+/** Own observations of engines, which complement their late reports; changed in place. */
+export type HealthState = Map<EngineId, EngineHealth>;
+
+/** Excess over the expected wait above which an engine is slow, and below which it recovers. */
+const slowFactor = 3;
+const recoveredFactor = 1.5;
+/** Waits below this say nothing, in ms: small expectations are exceeded by chance. */
+const noticeableWait = 300;
+/** Weight of the newest wait in the smoothed excess. */
+const smoothing = 0.4;
+/** Time between probes of a slow engine by one node, in ms. */
+const probePeriod = 1000;
+/** Requests without a token that are tracked for one engine. */
+const openLimit = 256;
+
+/** Notes that a request was sent; at a slow engine it counts as the probe. */
+export function noteStart(
+  state: HealthState,
+  options: {
+    engine: EngineId;
+    request: string;
+    expected: Millis;
+    now: Millis;
+  },
+): void {
+  const { engine, request, expected, now } = options;
+  const health = state.get(engine) ?? createHealth();
+  state.set(engine, health);
+  if (isSlow(state, { engine, now })) health.probedAt = now;
+  if (health.open.size < openLimit)
+    health.open.set(request, { sentAt: now, expected });
+}
+
+/** Notes a first token, which shows how long the engine really takes. */
+export function noteFirstToken(
+  state: HealthState,
+  options: { engine: EngineId; request: string; now: Millis },
+): void {
+  const health = state.get(options.engine);
+  const start = health?.open.get(options.request);
+  if (health === undefined || start === undefined) return;
+  health.open.delete(options.request);
+  const wait = Math.max(options.now - start.sentAt, noticeableWait);
+  const ratio = wait / Math.max(start.expected, noticeableWait);
+  health.excess = (1 - smoothing) * health.excess + smoothing * ratio;
+  health.slow = health.excess >= (health.slow ? recoveredFactor : slowFactor);
+}
+
+/** Notes that a request ended without a first token, which says nothing of speed. */
+export function noteEnd(
+  state: HealthState,
+  options: { engine: EngineId; request: string },
+): void {
+  state.get(options.engine)?.open.delete(options.request);
+}
+
+/** Whether an engine is slow: by its first tokens, or by a request that has waited too long for one. */
+export function isSlow(
+  state: HealthState,
+  options: { engine: EngineId; now: Millis },
+): boolean {
+  const health = state.get(options.engine);
+  if (health === undefined) return false;
+  return health.slow || isOverdue(health, options.now);
+}
+
+/** Whether a slow engine is due for a request that shows if it has recovered. */
+export function mayProbe(
+  state: HealthState,
+  options: { engine: EngineId; now: Millis },
+): boolean {
+  const health = state.get(options.engine);
+  if (health === undefined) return true;
+  return options.now - health.probedAt >= probePeriod;
+}
+
+function createHealth(): EngineHealth {
+  return {
+    open: new Map(),
+    excess: 1,
+    slow: false,
+    probedAt: millis(Number.NEGATIVE_INFINITY),
+  };
+}
+
+function isOverdue(health: EngineHealth, now: Millis): boolean {
+  for (const { sentAt, expected } of health.open.values())
+    if (now - sentAt > slowFactor * Math.max(expected, noticeableWait))
+      return true;
+  return false;
+}
--- /dev/null
+++ b/src/core/routing/sent.ts
@@ -0,0 +1,33 @@
+import type { Millis } from "../clock.ts";
+import type { EngineId } from "../ids.ts";
+
+/** Starts and ends of requests that this node sent, by engine; changed in place. */
+export type SentLog = Map<EngineId, SentEntry[]>;
+
+type SentEntry = { readonly at: Millis; readonly change: 1 | -1 };
+
+/** Time for which entries are kept, in ms; views older than this are stale anyway. */
+const memoryTime = 2000;
+
+/** Notes that a request was sent to an engine (`1`) or ended there (`-1`). */
+export function noteSent(
+  log: SentLog,
+  options: { engine: EngineId; now: Millis; change: 1 | -1 },
+): void {
+  const { engine, now, change } = options;
+  const kept = (log.get(engine) ?? []).filter(
+    (entry) => entry.at > now - memoryTime,
+  );
+  kept.push({ at: now, change });
+  log.set(engine, kept);
+}
+
+/** Requests sent to an engine minus those that ended there, since a view was heard. */
+export function countSentSince(
+  log: SentLog,
+  options: { engine: EngineId; since: Millis },
+): number {
+  return (log.get(options.engine) ?? [])
+    .filter((entry) => entry.at >= options.since)
+    .reduce((sum, entry) => sum + entry.change, 0);
+}
--- /dev/null
+++ b/tests/poison/registry_test.ts
@@ -0,0 +1,145 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import { brandString, type Digest } from "../../src/core/ids.ts";
+import {
+  emptyRecord,
+  mergeRecords,
+  parsePoisonRecord,
+} from "../../src/core/poison/record.ts";
+import {
+  createPoisonState,
+  decidePoison,
+  type PoisonEvent,
+  poisonLimit,
+  refusePoison,
+  statusOf,
+} from "../../src/core/poison/registry.ts";
+
+const digest = brandString<Digest>("d1");
+const innocent = brandString<Digest>("d2");
+
+function createNode() {
+  let state = createPoisonState();
+  return {
+    get state() {
+      return state;
+    },
+    send(event: PoisonEvent, at = 0) {
+      const decision = decidePoison(state, event, millis(at));
+      state = decision.state;
+      return decision.commands;
+    },
+  };
+}
+
+test("content is refused as not run after its second crash, and the other nodes and the table are told", () => {
+  const node = createNode();
+  node.send({ type: "crashed", crash: "e1/boot1", digests: [digest] });
+  assert.equal(statusOf(node.state, digest), "suspect");
+  assert.equal(refusePoison(node.state, digest), undefined);
+  const commands = node.send({
+    type: "crashed",
+    crash: "e2/boot1",
+    digests: [digest],
+  });
+  const refusal = refusePoison(node.state, digest);
+  assert.equal(refusal?.code, "poisonRequest");
+  assert.equal(refusal?.outcome, "not-run");
+  const types = commands.map((command) => command.type);
+  assert.ok(types.includes("spread") && types.includes("write-row"));
+});
+
+test("a crash that is reported twice, or heard of again, counts once", () => {
+  const node = createNode();
+  const crash = {
+    type: "crashed",
+    crash: "e1/boot1",
+    digests: [digest],
+  } as const;
+  node.send(crash);
+  assert.deepEqual(node.send(crash), []);
+  const record = { crashes: ["e1/boot1"], cleared: [] };
+  node.send({ type: "heard", digest, record, from: "gossip" });
+  assert.equal(statusOf(node.state, digest), "suspect");
+});
+
+test("a suspect that completes alone is cleared, and late word of that crash does not bring it back", () => {
+  const node = createNode();
+  const record = { crashes: ["e1/boot1"], cleared: [] };
+  node.send({ type: "crashed", crash: "e1/boot1", digests: [innocent] });
+  node.send({ type: "completed-alone", digest: innocent });
+  assert.equal(statusOf(node.state, innocent), "unknown");
+  node.send({ type: "heard", digest: innocent, record, from: "gossip" });
+  assert.equal(statusOf(node.state, innocent), "unknown");
+  node.send({ type: "crashed", crash: "e3/boot1", digests: [innocent] });
+  assert.equal(statusOf(node.state, innocent), "suspect");
+});
+
+test("a convicted content stays convicted when one run completes", () => {
+  const node = createNode();
+  for (const crash of ["e1/b", "e2/b"])
+    node.send({ type: "crashed", crash, digests: [digest] });
+  node.send({ type: "completed-alone", digest });
+  assert.equal(statusOf(node.state, digest), "convicted");
+});
+
+test("crashes seen by different nodes convict together", () => {
+  const first = createNode();
+  const second = createNode();
+  first.send({ type: "crashed", crash: "e1/b", digests: [digest] });
+  const [spread] = second.send({
+    type: "crashed",
+    crash: "e2/b",
+    digests: [digest],
+  });
+  assert.ok(spread?.type === "spread");
+  const { record } = spread;
+  const commands = first.send({
+    type: "heard",
+    digest,
+    record,
+    from: "gossip",
+  });
+  assert.equal(statusOf(first.state, digest), "convicted");
+  assert.ok(commands.some((command) => command.type === "write-row"));
+});
+
+test("a node that reads a conviction from the table does not write it again", () => {
+  const node = createNode();
+  const record = { crashes: ["e1/b", "e2/b"], cleared: [] };
+  const commands = node.send({ type: "heard", digest, record, from: "table" });
+  assert.equal(statusOf(node.state, digest), "convicted");
+  assert.ok(commands.every((command) => command.type !== "write-row"));
+});
+
+test("records merge to the same whatever the order", () => {
+  const records = [
+    { crashes: ["a", "b"], cleared: [] },
+    { crashes: ["c"], cleared: ["c"] },
+    { crashes: ["b"], cleared: ["a"] },
+  ];
+  const forward = records.reduce(mergeRecords, emptyRecord);
+  const backward = [...records].reverse().reduce(mergeRecords, emptyRecord);
+  assert.deepEqual(forward, backward);
+});
+
+test("the registry stays bounded, drops suspects before convicted content and forgets after a day", () => {
+  const node = createNode();
+  for (const crash of ["e1/b", "e2/b"])
+    node.send({ type: "crashed", crash, digests: [digest] });
+  const digests = Array.from({ length: poisonLimit }, (_, index) =>
+    brandString<Digest>(`other-${index}`),
+  );
+  const commands = node.send({ type: "crashed", crash: "e3/b", digests });
+  assert.equal(node.state.entries.size, poisonLimit);
+  assert.ok(commands.some((command) => command.type === "count"));
+  assert.equal(statusOf(node.state, digest), "convicted");
+  node.send({ type: "sweep" }, 24 * 3_600_000);
+  assert.equal(node.state.entries.size, 0);
+});
+
+test("a malformed row is not taken over", () => {
+  assert.ok(parsePoisonRecord({ crashes: "e1" }).isLeft());
+  assert.ok(parsePoisonRecord({ crashes: ["e1"], cleared: [] }).isRight());
+});
--- /dev/null
+++ b/tests/routing/admission_test.ts
@@ -0,0 +1,68 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import {
+  admitRequest,
+  createAdmissionState,
+  defaultAdmissionPolicies,
+} from "../../src/core/admission/admit.ts";
+import { millis } from "../../src/core/clock.ts";
+import { brandString, type Customer } from "../../src/core/ids.ts";
+import { createRequest, engineOf } from "./views.ts";
+
+/** Admission of one node, driven by hand. */
+class Admission {
+  #state = createAdmissionState();
+
+  ask(options: {
+    at: number;
+    wait: number;
+    customer?: string;
+    deadline?: number;
+  }) {
+    const { at, wait, customer = "firm", deadline = 5000 } = options;
+    const { state, verdict } = admitRequest(this.#state, {
+      request: createRequest(`adapter-of-${customer}`, {
+        customer: brandString<Customer>(customer),
+        deadlineAt: millis(at + deadline),
+      }),
+      choice: { engine: engineOf("e"), expectedWait: millis(wait) },
+      now: millis(at),
+      policies: defaultAdmissionPolicies,
+    });
+    this.#state = state;
+    return verdict.extract();
+  }
+}
+
+test("a request whose first token would come too late is refused at once as not run, with a time to try again", () => {
+  const refusal = new Admission().ask({ at: 0, wait: 9000 });
+  assert.ok("code" in refusal);
+  assert.equal(refusal.code, "deadlineTooClose");
+  assert.equal(refusal.outcome, "not-run");
+  assert.ok((refusal.retryAfter ?? 0) >= 4000);
+});
+
+test("without overload no share is limited", () => {
+  const admission = new Admission();
+  for (let at = 0; at < 10_000; at += 10)
+    assert.ok("engine" in admission.ask({ at, wait: 50 }));
+});
+
+test("under overload a customer with four times the requests of another leaves it its fair share of the capacity", () => {
+  const admission = new Admission();
+  const admitted = { large: 0, small: 0 };
+  const capacity = 5; // answers a second
+  let backlog = 0;
+  for (let at = 0; at < 60_000; at += 50) {
+    backlog = Math.max(0, backlog - (capacity * 50) / 1000);
+    const customer = (at / 50) % 5 === 0 ? "small" : "large";
+    const wait = (1000 * backlog) / capacity;
+    const verdict = admission.ask({ at, wait, customer });
+    if (!("engine" in verdict)) continue;
+    backlog++;
+    if (at > 10_000) admitted[customer]++;
+  }
+  const total = admitted.large + admitted.small;
+  assert.ok(total >= 0.9 * capacity * 50, `${total} admitted`);
+  assert.ok(admitted.small >= 0.35 * total, `${admitted.small} of ${total}`);
+});
--- /dev/null
+++ b/tests/routing/health_test.ts
@@ -0,0 +1,66 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import {
+  type HealthState,
+  isSlow,
+  mayProbe,
+  noteEnd,
+  noteFirstToken,
+  noteStart,
+} from "../../src/core/routing/health.ts";
+import { countSentSince, noteSent } from "../../src/core/routing/sent.ts";
+import { engineOf } from "./views.ts";
+
+const engine = engineOf("e");
+
+function start(state: HealthState, request: string, at: number): void {
+  const expected = millis(100);
+  noteStart(state, { engine, request, expected, now: millis(at) });
+}
+
+test("an engine that keeps a request without a token is slow within 1 s, whatever it reports", () => {
+  const state: HealthState = new Map();
+  start(state, "r1", 0);
+  assert.equal(isSlow(state, { engine, now: millis(500) }), false);
+  assert.equal(isSlow(state, { engine, now: millis(1000) }), true);
+  noteEnd(state, { engine, request: "r1" });
+  assert.equal(isSlow(state, { engine, now: millis(1000) }), false);
+});
+
+test("late first tokens make an engine slow until tokens come in time again", () => {
+  const state: HealthState = new Map();
+  for (const [index, wait] of [3000, 3000].entries()) {
+    start(state, `late-${index}`, 0);
+    const now = millis(wait);
+    noteFirstToken(state, { engine, request: `late-${index}`, now });
+  }
+  assert.equal(isSlow(state, { engine, now: millis(3000) }), true);
+  for (let index = 0; index < 10; index++) {
+    start(state, `probe-${index}`, 4000 + index * 1000);
+    const now = millis(4100 + index * 1000);
+    noteFirstToken(state, { engine, request: `probe-${index}`, now });
+  }
+  assert.equal(isSlow(state, { engine, now: millis(15_000) }), false);
+});
+
+test("a slow engine is probed at most once a second", () => {
+  const state: HealthState = new Map();
+  start(state, "r1", 0);
+  assert.equal(mayProbe(state, { engine, now: millis(1000) }), true);
+  start(state, "probe", 1000);
+  assert.equal(mayProbe(state, { engine, now: millis(1500) }), false);
+  assert.equal(mayProbe(state, { engine, now: millis(2000) }), true);
+});
+
+test("only what was sent or ended after a view was heard corrects it", () => {
+  const log = new Map();
+  noteSent(log, { engine, now: millis(100), change: 1 });
+  noteSent(log, { engine, now: millis(200), change: 1 });
+  noteSent(log, { engine, now: millis(300), change: -1 });
+  const count = (since: number) =>
+    countSentSince(log, { engine, since: millis(since) });
+  assert.equal(count(0), 1);
+  assert.equal(count(150), 0);
+  assert.equal(count(250), -1);
+});
