Add the bench harness on virtual time

A simulation drives the real draft requests, engine owners and their decisions against engine models; routing comes in as a function per entry node.

--- /dev/null
+++ b/src/bench/experiment.ts
@@ -0,0 +1,125 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
+import { type Spread, summarize } from "./statistics.ts";
+
+/** Figures of one run by name. */
+export type Figures = Readonly<Record<string, number>>;
+
+/** Compares one figure of a variant with the same figure of another. */
+export type Comparison = {
+  readonly figure: string;
+  readonly variant: string;
+  readonly baseline: string;
+  /** Bound that the ratio of the medians should keep. */
+  readonly target?: { readonly atMost: number } | { readonly atLeast: number };
+};
+
+/** Bound that the median of one figure should keep. */
+export type FigureTarget = {
+  readonly figure: string;
+  readonly variant: string;
+  readonly target: { readonly atMost: number } | { readonly atLeast: number };
+};
+
+/** One measurement; a file in `experiments` exports it as `experiment`. */
+export type Experiment = {
+  readonly name: string;
+  readonly summary: string;
+  readonly variants: readonly string[];
+  /** Runs one variant; equal seeds give equal workloads to all variants. */
+  readonly run: (variant: string, seed: number) => Promise<Figures>;
+  readonly comparisons: readonly Comparison[];
+  readonly targets?: readonly FigureTarget[];
+};
+
+/** Result of one run. */
+export type Run = {
+  readonly variant: string;
+  readonly seed: number;
+  readonly figures: Figures;
+};
+
+/** Ratio of two variants with the verdict on its target. */
+export type Ratio = Comparison & {
+  readonly ratio: number;
+  readonly met: boolean | undefined;
+};
+
+/** Result of all runs of an experiment. */
+export type Report = {
+  readonly experiment: string;
+  readonly seeds: readonly number[];
+  readonly runs: readonly Run[];
+  readonly spreads: Readonly<Record<string, Readonly<Record<string, Spread>>>>;
+  readonly ratios: readonly Ratio[];
+  readonly targets: readonly (FigureTarget & { readonly met: boolean })[];
+};
+
+/** Runs every variant with every seed, one after the other. */
+export async function runExperiment(
+  experiment: Experiment,
+  seeds: readonly number[],
+): Promise<Report> {
+  const runs: Run[] = [];
+  for (const variant of experiment.variants) {
+    for (const seed of seeds) {
+      const figures = await experiment.run(variant, seed);
+      runs.push({ variant, seed, figures });
+    }
+  }
+  return createReport(experiment, { seeds, runs });
+}
+
+function createReport(
+  experiment: Experiment,
+  { seeds, runs }: { seeds: readonly number[]; runs: readonly Run[] },
+): Report {
+  const spreads: Record<string, Record<string, Spread>> = {};
+  for (const variant of experiment.variants) {
+    spreads[variant] = spreadFigures(
+      runs.filter((run) => run.variant === variant),
+    );
+  }
+  const medianOf = (variant: string, figure: string): number =>
+    spreads[variant]?.[figure]?.median ?? Number.NaN;
+  return {
+    experiment: experiment.name,
+    seeds,
+    runs,
+    spreads,
+    ratios: experiment.comparisons.map((comparison) => {
+      const { figure, variant, baseline, target } = comparison;
+      const ratio = medianOf(variant, figure) / medianOf(baseline, figure);
+      const met = target === undefined ? undefined : keeps(ratio, target);
+      return { ...comparison, ratio, met };
+    }),
+    targets: (experiment.targets ?? []).map((entry) => ({
+      ...entry,
+      met: keeps(medianOf(entry.variant, entry.figure), entry.target),
+    })),
+  };
+}
+
+function spreadFigures(runs: readonly Run[]): Record<string, Spread> {
+  const spreads: Record<string, Spread> = {};
+  for (const figure of Object.keys(runs[0]?.figures ?? {})) {
+    spreads[figure] = summarize(
+      runs.map(({ figures }) => figures[figure] ?? 0),
+    );
+  }
+  return spreads;
+}
+
+function keeps(
+  value: number,
+  target: { atMost: number } | { atLeast: number },
+): boolean {
+  return "atMost" in target ? value <= target.atMost : value >= target.atLeast;
+}
+
+/** Writes a report to `FOLDER/NAME.json`. */
+export function writeReport(report: Report, folder: string): void {
+  mkdirSync(folder, { recursive: true });
+  const file = join(folder, `${report.experiment}.json`);
+  writeFileSync(file, `${JSON.stringify(report, null, 2)}\n`);
+}
--- /dev/null
+++ b/src/bench/simulation.ts
@@ -0,0 +1,281 @@
+import type { Either } from "purify-ts";
+import { VirtualClock } from "../adapters/time/virtual_clock.ts";
+import { type Clock, type Millis, millis } from "../core/clock.ts";
+import {
+  defaultEnginePolicies,
+  type EngineLimits,
+  type EnginePolicies,
+} from "../core/engine/mod.ts";
+import {
+  brandString,
+  type EngineId,
+  type NodeId,
+  type Region,
+  type RequestId,
+} from "../core/ids.ts";
+import type { Refusal } from "../core/results/refusal.ts";
+import type { RouteChoice, RouteRequest } from "../core/routing/route.ts";
+import type { EngineView } from "../core/routing/view.ts";
+import { DraftRequest } from "../node/draft_request.ts";
+import type { AnswerSink, EngineAccess } from "../ports/access.ts";
+import { silentJournal } from "../ports/journal.ts";
+import {
+  EngineModel,
+  type EngineModelOptions,
+} from "../standins/engine_model.ts";
+import { WeightStore } from "../standins/weight_store.ts";
+import { EngineHost } from "./engine_host.ts";
+import { SharedPermits } from "./permits.ts";
+import { createRandom } from "./random.ts";
+import { RequestRecord } from "./request_record.ts";
+import { type Arrival, findDeadline, writeBody } from "./workload.ts";
+
+/** Routing of one simulated entry node; may keep state between calls. */
+export type Router = {
+  choose(
+    request: RouteRequest,
+    options: {
+      readonly views: readonly EngineView[];
+      readonly now: Millis;
+      readonly random: () => number;
+    },
+  ): Either<Refusal, RouteChoice>;
+  /** An attempt was sent to an engine. */
+  onSubmit?(engine: EngineId): void;
+  /** An attempt got its first token after `elapsed` ms. */
+  onFirstToken?(engine: EngineId, elapsed: number): void;
+  /** An attempt ended whole, or with a refusal. */
+  onEnd?(engine: EngineId, refusal: Refusal | undefined): void;
+};
+
+/** One simulated installation and its load. */
+export type SimulationOptions = {
+  readonly seed: number;
+  readonly arrivals: readonly Arrival[];
+  readonly regions: readonly Region[];
+  /** Makes the routing of one entry node. */
+  readonly createRouter: (entry: {
+    node: NodeId;
+    region: Region;
+    clock: Clock;
+  }) => Router;
+  readonly policies?: EnginePolicies;
+  readonly limits?: Partial<EngineLimits>;
+  /** Speed and faults of the engine models. */
+  readonly engine?: Partial<
+    Omit<EngineModelOptions, "id" | "clock" | "store" | "limits">
+  >;
+  readonly enginesPerRegion?: number;
+  readonly nodesPerRegion?: number;
+  /** Time for which the simulation goes on after the last arrival, in ms. */
+  readonly tail?: number;
+  /** Time between updates of the views of engines, in ms. */
+  readonly viewPeriod?: number;
+  /** Draws the one-way delay between an owner and its engine, in ms. */
+  readonly drawDelay?: (random: () => number) => number;
+  /** Schedules faults, changes of placement and the like before the start. */
+  readonly prepare?: (simulation: Simulation) => void;
+};
+
+/** One-way delay inside a data centre and between regions, in ms. */
+const LOCAL_DELAY = 0.3;
+const REMOTE_DELAY = 15;
+
+/** Time after which an entry node gives up a silent owner, in ms. */
+const SILENCE_LIMIT = 3_000;
+
+/** Limits of the engines of today's installations. */
+export const todaysLimits: EngineLimits = {
+  slots: 8,
+  batch: 32,
+  queue: 512,
+  fencing: "checked",
+};
+
+/** Entry nodes, owners and engine models on one virtual clock. */
+export class Simulation {
+  readonly clock = VirtualClock.create();
+  readonly store = WeightStore.create(this.clock);
+  readonly hosts = new Map<EngineId, EngineHost>();
+  readonly records: RequestRecord[] = [];
+  readonly random: () => number;
+  readonly #options: SimulationOptions;
+  readonly #regionOf = new Map<EngineId, Region>();
+  readonly #routers = new Map<Region, Router[]>();
+  #views: readonly EngineView[] = [];
+
+  private constructor(options: SimulationOptions) {
+    this.#options = options;
+    this.random = createRandom(options.seed ^ 0x5eed);
+    const permits = SharedPermits.create(this.clock, (engine) =>
+      this.hosts.get(engine)?.grantPermit(),
+    );
+    for (const region of options.regions) {
+      for (let index = 0; index < (options.enginesPerRegion ?? 2); index++) {
+        this.#addEngine({ region, index, permits });
+      }
+      this.#routers.set(region, this.#createRouters(region));
+    }
+  }
+
+  /** Runs a whole simulation and returns it for reading the results. */
+  static async run(options: SimulationOptions): Promise<Simulation> {
+    const simulation = new Simulation(options);
+    options.prepare?.(simulation);
+    simulation.#refreshViews();
+    simulation.#scheduleArrival(0);
+    const last = options.arrivals[options.arrivals.length - 1]?.at ?? 0;
+    await simulation.clock.advance(millis(last + (options.tail ?? 30_000)));
+    return simulation;
+  }
+
+  #addEngine(place: {
+    region: Region;
+    index: number;
+    permits: SharedPermits;
+  }): void {
+    const { policies = defaultEnginePolicies, drawDelay } = this.#options;
+    const engine = brandString<EngineId>(`${place.region}-${place.index}`);
+    const limits = { ...todaysLimits, ...this.#options.limits };
+    const { clock, store, random } = this;
+    const model = EngineModel.create({
+      id: engine,
+      clock,
+      store,
+      limits,
+      ...this.#options.engine,
+    });
+    const host = EngineHost.create({
+      identity: { engine, limits },
+      model,
+      clock,
+      policies,
+      random,
+      permits: place.permits,
+      suspects: { suspect() {}, clear() {} },
+      journal: silentJournal,
+      drawDelay: () => drawDelay?.(random) ?? LOCAL_DELAY,
+    });
+    this.hosts.set(engine, host);
+    this.#regionOf.set(engine, place.region);
+  }
+
+  #createRouters(region: Region): Router[] {
+    const count = this.#options.nodesPerRegion ?? 3;
+    return Array.from({ length: count }, (_, index) =>
+      this.#options.createRouter({
+        node: brandString<NodeId>(`${region}-node-${index}`),
+        region,
+        clock: this.clock,
+      }),
+    );
+  }
+
+  #refreshViews(): void {
+    const heardAt = this.clock.now();
+    this.#views = [...this.hosts].map(([engine, host]) => ({
+      ...host.summarize(),
+      engine,
+      region: this.#regionOf.get(engine) as Region,
+      owner: brandString<NodeId>(`owner-of-${engine}`),
+      heardAt,
+    }));
+    const period = millis(this.#options.viewPeriod ?? 200);
+    this.clock.schedule(period, () => this.#refreshViews());
+  }
+
+  #scheduleArrival(index: number): void {
+    const arrival = this.#options.arrivals[index];
+    if (arrival === undefined) return;
+    const delay = millis(arrival.at - this.clock.now());
+    this.clock.schedule(delay, () => {
+      this.#start(arrival, index);
+      this.#scheduleArrival(index + 1);
+    });
+  }
+
+  #start(arrival: Arrival, index: number): void {
+    const requestId = brandString<RequestId>(`request-${index}`);
+    const routers = this.#routers.get(arrival.region) as Router[];
+    const router = routers[index % routers.length] as Router;
+    const record = RequestRecord.create(arrival, requestId);
+    this.records.push(record);
+    const deadlineAt = findDeadline(arrival);
+    DraftRequest.create({
+      call: {
+        work: {
+          requestId,
+          adapter: arrival.adapter,
+          customer: arrival.customer,
+          priority: arrival.kind.priority,
+          expectedTokens: arrival.tokens,
+          arrivedAt: this.clock.now(),
+          deadlineAt,
+          digest: brandString(`${arrival.adapter}/${index}`),
+          prefix: brandString(arrival.kind.name),
+        },
+        path: "/v1/completions",
+        body: writeBody(arrival),
+        isolated: false,
+      },
+      sink: record.createSink(this.clock),
+      access: this.#createAccess(record, router),
+      policies: {
+        choose: ({ tried }) =>
+          router.choose(
+            {
+              adapter: arrival.adapter,
+              customer: arrival.customer,
+              deadlineAt,
+              expectedTokens: arrival.tokens,
+              region: arrival.region,
+              tried: new Set(tried),
+            },
+            { views: this.#views, now: this.clock.now(), random: this.random },
+          ),
+        takeRetry: () => true,
+        random: this.random,
+      },
+      clock: this.clock,
+      journal: silentJournal,
+      onClose() {},
+      onSubmit: (engine) => router.onSubmit?.(engine),
+    });
+  }
+
+  /** Way to the owners with network delay. */
+  #createAccess(record: RequestRecord, router: Router): EngineAccess {
+    return {
+      submit: (engine, submission, sink) => {
+        const host = this.hosts.get(engine) as EngineHost;
+        const near = this.#regionOf.get(engine) === record.arrival.region;
+        const delay = near ? LOCAL_DELAY : REMOTE_DELAY;
+        const attempt = record.startAttempt({ engine, delay, router, sink });
+        attempt.startedAt = this.clock.now();
+        this.clock.schedule(millis(delay), () => {
+          if (attempt.closed) return;
+          const slot = host.state.slots.get(record.arrival.adapter);
+          record.noteSlot(slot?.phase === "loaded");
+          attempt.control = host.submit(
+            submission,
+            attempt.createSink(this.clock),
+          );
+          this.#watch(host, attempt);
+        });
+        return attempt;
+      },
+    };
+  }
+
+  /** Gives up an attempt whose owner has been silent for too long. */
+  #watch(
+    host: EngineHost,
+    attempt: { closed: boolean; lose(sink?: AnswerSink): void },
+  ): void {
+    this.clock.schedule(millis(SILENCE_LIMIT), () => {
+      if (attempt.closed) return;
+      if (host.paused) attempt.lose();
+      else this.#watch(host, attempt);
+    });
+  }
+}
