--- a/src/bench/random.ts
+++ b/src/bench/random.ts
@@ -1,8 +1,8 @@
-import { xoroshiro128plus } from "pure-rand";
+import { mersenne } from "pure-rand";
 
 /** Seeded source of numbers from 0 up to, but not including, 1. */
 export function createRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
+  const generator = mersenne(seed);
   return () => (generator.unsafeNext() >>> 0) / 2 ** 32;
 }
 
