Order loads by waiting demand and give up loads that end too late

Loads are now ordered by rank and number of waiting requests; the owner learns the time between loads and hands work back as loadFailed when its turn would come after its deadline.

--- a/src/core/engine/decision.ts
+++ b/src/core/engine/decision.ts
@@ -2,18 +2,19 @@
 import { dispatchWork } from "./dispatch.ts";
 import { announceFence } from "./fence.ts";
 import { drainEngine, leaveEngine } from "./leaving.ts";
+import { giveUpLoads } from "./load_demand.ts";
 import {
   expireOrders,
   failLoad,
   failUnload,
   finishLoad,
   finishUnload,
-  grantPermit,
   startLoads,
 } from "./loading.ts";
 import type { EngineCommand, EngineEvent } from "./messages.ts";
 import { checkAges } from "./observing.ts";
 import { loseOwnership, takeOwnership } from "./ownership.ts";
+import { grantPermit } from "./permits.ts";
 import type { EnginePolicies } from "./policies.ts";
 import { acceptReport, failReport, followReports } from "./reporting.ts";
 import type { EngineState } from "./state.ts";
@@ -43,6 +44,7 @@
     followReports(turn);
     announceFence(turn);
     startLoads(turn);
+    giveUpLoads(turn);
     dispatchWork(turn);
     checkAges(turn);
     setTimer(turn);
--- a/src/core/engine/dispatch.ts
+++ b/src/core/engine/dispatch.ts
@@ -5,13 +5,9 @@
 /** Waiting time after which a request that must run alone empties the batch, in ms. */
 const ISOLATION_PATIENCE = 1_000;
 
-/** Time without a higher peak after which the peak of short work halves, in ms. */
-const PEAK_HALF_LIFE = 5_000;
-
 /** Sends queued work to the engine while batch places and loaded adapters allow it. */
 export function dispatchWork(turn: Turn): void {
   if (!mayDispatch(turn)) return;
-  updateShortPeak(turn);
   while (countFreePlaces(turn) > 0) {
     const entry = chooseEntry(turn);
     if (entry === undefined) return;
@@ -26,21 +22,6 @@
   );
 }
 
-/** Follows how many places short work needs at once. */
-function updateShortPeak({ state, now }: Turn): void {
-  const peak = state.shortPeak;
-  const inUse = state.running.size - state.runningLong;
-  const needed = inUse + state.queue.shortCount;
-  if (now - peak.at >= PEAK_HALF_LIFE) {
-    peak.places = Math.floor(peak.places / 2);
-    peak.at = now;
-  }
-  if (needed >= peak.places) {
-    peak.places = Math.min(needed, state.identity.limits.batch);
-    peak.at = now;
-  }
-}
-
 function chooseEntry(turn: Turn): QueueEntry | undefined {
   const { state } = turn;
   if ([...state.running.values()].some(({ work }) => work.isolated)) {
@@ -87,10 +68,15 @@
 }
 
 function countLongPlaces({ state, policies }: Turn): number {
+  let shortWaiting = 0;
+  for (const { adapter, phase } of state.slots.values()) {
+    if (phase !== "loaded") continue;
+    shortWaiting += state.queue.byAdapter.get(adapter)?.short.length ?? 0;
+  }
   return policies.longPlaces({
     batch: state.identity.limits.batch,
-    shortWaiting: state.queue.shortCount,
-    shortPeak: state.shortPeak.places,
+    shortWaiting,
+    shortRunning: state.running.size - state.runningLong,
   });
 }
 
--- /dev/null
+++ b/src/core/engine/load_demand.ts
@@ -0,0 +1,136 @@
+import { type Millis, millis } from "../clock.ts";
+import type { AdapterKey } from "../ids.ts";
+import { refuse } from "../results/refusal.ts";
+import { type AdapterQueue, entriesOf, firstEntry } from "./queue.ts";
+import type { EngineState } from "./state.ts";
+import { average, handBack, type Turn } from "./turn.ts";
+
+/** Time between checks whether waiting loads will end in time, in ms. */
+const LOAD_CHECK_PERIOD = 250;
+
+/** An adapter version that should be loaded, and whether requests wait for it. */
+export type Wanted = {
+  readonly adapter: AdapterKey;
+  readonly urgent: boolean;
+  readonly rank: number;
+};
+
+/** Adapter versions to load: those with waiting requests first, then placement. */
+export function listWanted(turn: Turn): Wanted[] {
+  const { state } = turn;
+  const waiting = listWaiting(turn);
+  if (waiting.length > 0) return waiting;
+  const prefetch = state.placement.find(
+    (adapter) => !state.slots.has(adapter) && !isBackingOff(turn, adapter),
+  );
+  return prefetch === undefined
+    ? []
+    : [{ adapter: prefetch, urgent: false, rank: 0 }];
+}
+
+/** Adapter versions that requests wait for, in the order of loading. */
+function listWaiting(turn: Turn): Wanted[] {
+  const { state, policies } = turn;
+  const waiting: Wanted[] = [];
+  for (const [adapter, lanes] of state.queue.byAdapter) {
+    if (state.slots.has(adapter) || isBackingOff(turn, adapter)) continue;
+    const rank = policies.rankLoad({
+      firstRank: firstEntry(state.queue, adapter)?.rank ?? 0,
+      waiting: countEntries(lanes),
+    });
+    waiting.push({ adapter, urgent: true, rank });
+  }
+  return waiting.sort((a, b) => a.rank - b.rank);
+}
+
+function countEntries({ short, long }: AdapterQueue): number {
+  return short.length + long.length;
+}
+
+function isBackingOff({ state, now }: Turn, adapter: AdapterKey): boolean {
+  const backoff = state.backoffs.get(adapter);
+  return backoff !== undefined && backoff.retryAt > now;
+}
+
+/** Follows since when requests have been waiting for a load to start. */
+export function noteWaiting(
+  { state, now }: Turn,
+  wanted: readonly Wanted[],
+): void {
+  if (wanted[0]?.urgent !== true) state.loadWaitingSince = undefined;
+  else state.loadWaitingSince ??= now;
+}
+
+/** Learns the time between loads from a load that starts. */
+export function noteLoadStart({ state, now }: Turn): void {
+  const { estimates, loadWaitingSince } = state;
+  const interval = now - (loadWaitingSince ?? now);
+  estimates.loadInterval = average(estimates.loadInterval, interval);
+  state.loadWaitingSince = now;
+}
+
+/** Expected time until another load can start, in ms. */
+export function estimateLoadStart(state: EngineState, now: Millis): number {
+  const { estimates, loadWaitingSince, permits } = state;
+  if (loadWaitingSince === undefined && permits.granted > 0) return 0;
+  const waited = now - (loadWaitingSince ?? now);
+  return Math.max(0, estimates.loadInterval - waited);
+}
+
+/** Expected time until work of this rank has its adapter loaded, in ms. */
+export function estimateLoadWait(
+  turn: Turn,
+  { adapter, rank }: { adapter: AdapterKey; rank: number },
+): number {
+  const { state, now } = turn;
+  const slot = state.slots.get(adapter);
+  if (slot?.phase === "loaded") return 0;
+  if (slot?.phase === "loading") {
+    return Math.max(0, slot.since + state.estimates.load - now);
+  }
+  const ahead = listWaiting(turn).filter(
+    (wanted) => wanted.rank < rank && wanted.adapter !== adapter,
+  );
+  const retryAt = state.backoffs.get(adapter)?.retryAt ?? now;
+  const turnWait = estimateTurn(turn, ahead.length);
+  return Math.max(retryAt - now, turnWait) + state.estimates.load;
+}
+
+/** Expected time until the load starts that has `ahead` others before it, in ms. */
+function estimateTurn({ state, now }: Turn, ahead: number): number {
+  const waited = now - (state.loadWaitingSince ?? now);
+  const interval = Math.max(state.estimates.loadInterval, waited);
+  return estimateLoadStart(state, now) + ahead * interval;
+}
+
+/** Hands back work whose adapter will not be loaded before its deadline. */
+export function giveUpLoads(turn: Turn): void {
+  const { state, now } = turn;
+  const waiting = listWaiting(turn);
+  if (waiting.length === 0) {
+    state.loadCheckAt = undefined;
+    return;
+  }
+  state.loadCheckAt ??= millis(now + LOAD_CHECK_PERIOD);
+  if (now < state.loadCheckAt) return;
+  state.loadCheckAt = millis(now + LOAD_CHECK_PERIOD);
+  waiting.forEach(({ adapter }, ahead) => {
+    const wait = estimateTurn(turn, ahead) + state.estimates.load;
+    giveUpLate(turn, { adapter, wait });
+  });
+}
+
+function giveUpLate(
+  turn: Turn,
+  { adapter, wait }: { adapter: AdapterKey; wait: number },
+): void {
+  const { state, now } = turn;
+  const late = entriesOf(state.queue, adapter).filter(
+    ({ work }) => work.deadlineAt <= now + wait,
+  );
+  if (late.length === 0) return;
+  state.counters.loadGivenUp += late.length;
+  const detail = "The load would end after the deadline";
+  const retryAfter = millis(Math.ceil(wait));
+  handBack(turn, late, refuse("loadFailed", detail, { retryAfter }));
+}
--- a/src/core/engine/loading.ts
+++ b/src/core/engine/loading.ts
@@ -2,9 +2,15 @@
 import type { AdapterKey } from "../ids.ts";
 import { refuse } from "../results/refusal.ts";
 import { acceptAnnouncement } from "./fence.ts";
-import { entriesOf, firstEntry, type QueueEntry } from "./queue.ts";
+import {
+  listWanted,
+  noteLoadStart,
+  noteWaiting,
+  type Wanted,
+} from "./load_demand.ts";
+import { releasePermits, requestPermits } from "./permits.ts";
+import { entriesOf } from "./queue.ts";
 import { askForReport } from "./reporting.ts";
-import type { EngineState } from "./state.ts";
 import { average, handBack, mayOrder, record, type Turn } from "./turn.ts";
 import { chooseSlotToEvict, listVictims } from "./victims.ts";
 
@@ -23,9 +29,6 @@
 /** Time after which an eviction that failed may be tried again, in ms. */
 const UNLOAD_RETRY_DELAY = 1_000;
 
-/** An adapter version that should be loaded, and whether requests wait for it. */
-type Wanted = { readonly adapter: AdapterKey; readonly urgent: boolean };
-
 /** Orders loads and evictions as permits, slots and demand allow. */
 export function startLoads(turn: Turn): void {
   const { state } = turn;
@@ -34,20 +37,33 @@
     return;
   }
   const wanted = listWanted(turn);
+  noteWaiting(turn, wanted);
   let unloading = countUnloading(turn);
   while (state.permits.granted > unloading) {
     const next = wanted.shift();
     if (next === undefined) break;
     if (countFreeSlots(turn) > 0) {
       state.permits.granted--;
-      orderLoad(turn, next.adapter);
+      orderLoad(turn, next);
     } else if (evictFor(turn, next)) {
       unloading++;
     }
   }
   const surplus = state.permits.granted - unloading;
   if (surplus > 0) releasePermits(turn, surplus);
-  requestPermits(turn, wanted, unloading);
+  requestPermits(turn, { wanted, room: countRoom(turn, wanted, unloading) });
+}
+
+/** Number of slots that are free now or after an eviction. */
+function countRoom(
+  turn: Turn,
+  wanted: readonly Wanted[],
+  unloading: number,
+): number {
+  const free = countFreeSlots(turn) + unloading - turn.state.permits.granted;
+  const [first] = wanted;
+  if (first === undefined || free >= wanted.length) return free;
+  return free + listVictims(turn, first).length;
 }
 
 function mayLoad(turn: Turn): boolean {
@@ -72,30 +88,6 @@
   return state.identity.limits.slots - state.slots.size;
 }
 
-/** Adapter versions to load: those with waiting requests first, then placement. */
-function listWanted(turn: Turn): Wanted[] {
-  const { state } = turn;
-  const waiting: QueueEntry[] = [];
-  for (const adapter of state.queue.byAdapter.keys()) {
-    if (state.slots.has(adapter) || isBackingOff(turn, adapter)) continue;
-    waiting.push(firstEntry(state.queue, adapter) as QueueEntry);
-  }
-  if (waiting.length > 0) {
-    return waiting
-      .sort((a, b) => a.rank - b.rank)
-      .map(({ work }) => ({ adapter: work.adapter, urgent: true }));
-  }
-  const prefetch = state.placement.find(
-    (adapter) => !state.slots.has(adapter) && !isBackingOff(turn, adapter),
-  );
-  return prefetch === undefined ? [] : [{ adapter: prefetch, urgent: false }];
-}
-
-function isBackingOff({ state, now }: Turn, adapter: AdapterKey): boolean {
-  const backoff = state.backoffs.get(adapter);
-  return backoff !== undefined && backoff.retryAt > now;
-}
-
 /** Starts an eviction that makes room; returns whether there was a victim. */
 function evictFor(turn: Turn, { urgent }: Wanted): boolean {
   const { state } = turn;
@@ -112,9 +104,10 @@
   return true;
 }
 
-function orderLoad(turn: Turn, adapter: AdapterKey): void {
+function orderLoad(turn: Turn, { adapter, urgent }: Wanted): void {
   const { state, now } = turn;
   if (state.ownership === undefined) return;
+  if (urgent) noteLoadStart(turn);
   state.slots.set(adapter, {
     adapter,
     phase: "loading",
@@ -134,46 +127,6 @@
   record(turn, "adapterLoadStarted", { adapter });
 }
 
-function releasePermits({ state, commands }: Turn, count: number): void {
-  for (let released = 0; released < count; released++) {
-    state.permits.granted--;
-    commands.push({ type: "release-permit", used: false });
-  }
-}
-
-/** Asks for as many permits as there are loads that a slot could take. */
-function requestPermits(
-  turn: Turn,
-  wanted: readonly Wanted[],
-  unloading: number,
-): void {
-  const { permits } = turn.state;
-  const urgent = wanted.length > 0 && (wanted[0] as Wanted).urgent;
-  let room = countFreeSlots(turn) + unloading - permits.granted;
-  if (room < wanted.length) {
-    room += listVictims(turn, { urgent }).length;
-  }
-  const needed = Math.min(room, wanted.length);
-  const pending = urgent ? permits.urgent : permits.urgent + permits.prefetch;
-  for (let count = pending; count < needed; count++) {
-    if (permits.urgent + permits.prefetch === 0) permits.requestedAt = turn.now;
-    if (urgent) permits.urgent++;
-    else permits.prefetch++;
-    turn.commands.push({ type: "request-permit", urgent });
-  }
-}
-
-/** Takes a permit; `startLoads` uses or returns it. */
-export function grantPermit({ state, now }: Turn): void {
-  const { permits, estimates } = state;
-  permits.granted++;
-  if (permits.urgent > 0) permits.urgent--;
-  else if (permits.prefetch > 0) permits.prefetch--;
-  const waited = now - permits.requestedAt;
-  estimates.permitWait = average(estimates.permitWait, waited);
-  permits.requestedAt = now;
-}
-
 /** Marks an adapter as loaded. */
 export function finishLoad(turn: Turn, adapter: AdapterKey): void {
   const { state, now, commands } = turn;
@@ -253,44 +206,3 @@
     askForReport(turn, { decisive: false });
   }
 }
-
-/** Hands back work whose adapter will not be loaded before its deadline. */
-export function giveUpLoads(turn: Turn): void {
-  const { state, now } = turn;
-  for (const adapter of [...state.queue.byAdapter.keys()]) {
-    if (state.slots.get(adapter)?.phase === "loaded") continue;
-    const wait = estimateLoadWait(turn, adapter);
-    const late = entriesOf(state.queue, adapter).filter(
-      ({ work }) => work.deadlineAt <= now + wait,
-    );
-    if (late.length === 0) continue;
-    state.counters.loadGivenUp += late.length;
-    const detail = "The load would end after the deadline";
-    const retryAfter = millis(Math.ceil(wait));
-    handBack(turn, late, refuse("loadFailed", detail, { retryAfter }));
-  }
-}
-
-/** Expected time until an adapter is loaded, in ms. */
-export function estimateLoadWait(
-  { state, now }: Turn,
-  adapter: AdapterKey,
-): number {
-  const { estimates } = state;
-  const slot = state.slots.get(adapter);
-  if (slot?.phase === "loaded") return 0;
-  if (slot?.phase === "loading") {
-    return Math.max(0, slot.since + estimates.load - now);
-  }
-  const retryAt = state.backoffs.get(adapter)?.retryAt ?? now;
-  const backoff = Math.max(0, retryAt - now);
-  return Math.max(backoff, estimatePermitWait(state, now)) + estimates.load;
-}
-
-/** Expected time until the next permit is granted, in ms. */
-export function estimatePermitWait(state: EngineState, now: Millis): number {
-  const { granted, urgent, requestedAt } = state.permits;
-  if (granted > 0) return 0;
-  const waited = urgent > 0 ? now - requestedAt : 0;
-  return Math.max(0, state.estimates.permitWait, waited);
-}
--- a/src/core/engine/policies.ts
+++ b/src/core/engine/policies.ts
@@ -5,10 +5,16 @@
 /** Use of the batch places, as far as the share of long work depends on it. */
 export type BatchUse = {
   readonly batch: number;
-  /** Short work that waits for a place now. */
+  /** Short work with a loaded adapter that waits for a place now. */
   readonly shortWaiting: number;
-  /** Places that short work needed at once in the recent past. */
-  readonly shortPeak: number;
+  readonly shortRunning: number;
+};
+
+/** Waiting work of an adapter version that is not loaded. */
+export type LoadDemand = {
+  /** Lowest rank of the waiting requests. */
+  readonly firstRank: number;
+  readonly waiting: number;
 };
 
 /** Loaded adapter version without queued or running requests. */
@@ -29,6 +35,8 @@
   readonly isLong: (work: Work) => boolean;
   /** Batch places that long work may take. */
   readonly longPlaces: (use: BatchUse) => number;
+  /** Position of an adapter version among those to load, lowest first. */
+  readonly rankLoad: (demand: LoadDemand) => number;
   /** Slot to evict; candidates are never empty. */
   readonly chooseVictim: (
     candidates: readonly Victim[],
@@ -52,16 +60,29 @@
 /** Share of the batch that long work may take while short work waits. */
 const LONG_SHARE = 0.5;
 
+/** Batch places kept free for short work that arrives next, per square root of the running short work. */
+const RESERVE_FACTOR = 0.5;
+
+/** Time in ms by which each further waiting request moves a load ahead, and its limit. */
+const GROUP_BONUS = 500;
+const GROUP_BONUS_LIMIT = 4_000;
+
 function rankByClass(work: Work): number {
   const byAge = work.arrivedAt + CLASS_DELAYS[work.priority];
   const byDeadline = Math.max(work.arrivedAt, work.deadlineAt - DEADLINE_LEAD);
   return Math.min(byAge, byDeadline);
 }
 
-function limitLongPlaces({ batch, shortWaiting, shortPeak }: BatchUse): number {
+function limitLongPlaces(use: BatchUse): number {
+  const { batch, shortWaiting, shortRunning } = use;
   const share = Math.max(1, Math.floor(batch * LONG_SHARE));
   if (shortWaiting > 0) return share;
-  return Math.max(share, batch - shortPeak);
+  const reserve = Math.ceil(RESERVE_FACTOR * Math.sqrt(shortRunning));
+  return Math.max(share, batch - shortRunning - reserve);
+}
+
+function rankByDemand({ firstRank, waiting }: LoadDemand): number {
+  return firstRank - Math.min(GROUP_BONUS_LIMIT, (waiting - 1) * GROUP_BONUS);
 }
 
 function findLeast(
@@ -80,6 +101,7 @@
   rank: rankByClass,
   isLong: (work) => work.expectedTokens > LONG_TOKENS,
   longPlaces: limitLongPlaces,
+  rankLoad: rankByDemand,
   chooseVictim: (candidates, now) =>
     findLeast(
       candidates,
@@ -93,6 +115,7 @@
   rank: (work) => work.arrivedAt,
   isLong: () => false,
   longPlaces: ({ batch }) => batch,
+  rankLoad: ({ firstRank }) => firstRank,
   chooseVictim: (candidates) =>
     findLeast(candidates, ({ lastUsedAt }) => lastUsedAt),
 };
--- a/src/core/engine/state.ts
+++ b/src/core/engine/state.ts
@@ -1,4 +1,4 @@
-import { type Millis, millis } from "../clock.ts";
+import type { Millis } from "../clock.ts";
 import type { AdapterKey, FencingNumber, RequestId } from "../ids.ts";
 import { createHealth, type Health } from "./health.ts";
 import type { EngineIdentity } from "./messages.ts";
@@ -83,10 +83,9 @@
     /** Permits asked for, for waiting requests and for prefetch. */
     urgent: number;
     prefetch: number;
-    requestedAt: Millis;
   };
-  /** Moving averages, in ms. */
-  estimates: { load: number; permitWait: number; service: number };
+  /** Moving averages, in ms; `loadInterval` is the time between loads while some wait. */
+  estimates: { load: number; loadInterval: number; service: number };
   placement: readonly AdapterKey[];
   report: {
     askedAt: Millis | undefined;
@@ -97,8 +96,10 @@
   health: Health;
   /** Next check of the oldest request. */
   ageCheckAt: Millis | undefined;
-  /** Recent demand of short work, which sizes the reserve of batch places. */
-  shortPeak: { places: number; at: Millis };
+  /** Time since which a load has been waiting to start. */
+  loadWaitingSince: Millis | undefined;
+  /** Next check of work that waits for loads. */
+  loadCheckAt: Millis | undefined;
   timerAt: Millis | undefined;
   /** What bounds turned away, by name. */
   counters: EngineCounters;
@@ -141,18 +142,18 @@
       granted: 0,
       urgent: 0,
       prefetch: 0,
-      requestedAt: millis(0),
     },
     estimates: {
       load: INITIAL_LOAD_ESTIMATE,
-      permitWait: 0,
+      loadInterval: 0,
       service: INITIAL_SERVICE_ESTIMATE,
     },
     placement: [],
     report: { askedAt: undefined, nextAt: undefined, decisive: false },
     health: createHealth(),
     ageCheckAt: undefined,
-    shortPeak: { places: 0, at: millis(0) },
+    loadWaitingSince: undefined,
+    loadCheckAt: undefined,
     timerAt: undefined,
     counters: {
       queueFull: 0,
--- a/src/core/engine/submitting.ts
+++ b/src/core/engine/submitting.ts
@@ -1,6 +1,6 @@
 import { type Millis, millis } from "../clock.ts";
 import { type Refusal, refuse } from "../results/refusal.ts";
-import { estimateLoadWait } from "./loading.ts";
+import { estimateLoadWait } from "./load_demand.ts";
 import { dequeue, dequeueExpired, enqueue } from "./queue.ts";
 import { record, refuseRequest, removeRunning, type Turn } from "./turn.ts";
 import type { Work } from "./work.ts";
@@ -65,7 +65,10 @@
 function findLoadRefusal(turn: Turn, work: Work): Refusal | undefined {
   const { state, now } = turn;
   if (state.slots.get(work.adapter)?.phase === "loaded") return undefined;
-  const wait = estimateLoadWait(turn, work.adapter);
+  const wait = estimateLoadWait(turn, {
+    adapter: work.adapter,
+    rank: turn.policies.rank(work),
+  });
   if (now + wait < work.deadlineAt) return undefined;
   state.counters.loadGivenUp++;
   return refuse("loadFailed", "The load would end after the deadline", {
--- a/src/core/engine/summary.ts
+++ b/src/core/engine/summary.ts
@@ -1,7 +1,7 @@
 import { type Millis, millis } from "../clock.ts";
 import type { AdapterKey } from "../ids.ts";
 import type { EngineView } from "../routing/view.ts";
-import { estimatePermitWait } from "./loading.ts";
+import { estimateLoadStart } from "./load_demand.ts";
 import type { EngineState } from "./state.ts";
 
 /** The part of a view that only the owner knows. */
@@ -34,7 +34,7 @@
     firstToken: millis(health.firstToken ?? DEFAULT_FIRST_TOKEN),
     tokenGap: millis(health.tokenGap ?? DEFAULT_TOKEN_GAP),
     serviceTime: millis(estimates.service),
-    loadWait: millis(estimatePermitWait(state, now)),
+    loadWait: millis(estimateLoadStart(state, now)),
   };
 }
 
--- a/src/core/engine/timers.ts
+++ b/src/core/engine/timers.ts
@@ -28,6 +28,7 @@
   consider(state.queue.earliestDeadline);
   consider(state.report.nextAt);
   consider(state.ageCheckAt);
+  consider(state.loadCheckAt);
   if (state.report.askedAt !== undefined) {
     consider(state.report.askedAt + REPORT_DEADLINE);
   }
