--- /dev/null
+++ b/src/cli/commands/check.ts
@@ -0,0 +1,26 @@
+import { defineCommand } from "citty";
+import { readKeyFile } from "../../adapters/keys/keyring.ts";
+import { readSettings } from "../../adapters/settings/settings.ts";
+import { exitWithMessage, exitWithRefusal, printLine } from "../exit.ts";
+
+/** `goldcrestwinch check`: checks settings without starting anything. */
+export const checkCommand = defineCommand({
+  meta: { name: "check", description: "Check settings and a morning sheet" },
+  args: {
+    config: {
+      type: "string",
+      required: true,
+      description: "Path of the settings file",
+    },
+  },
+  run({ args }) {
+    const settings = readSettings(args.config).caseOf({
+      Left: (refusal) => exitWithRefusal(refusal),
+      Right: (value) => value,
+    });
+    readKeyFile(settings.keyFile).ifLeft((error) => exitWithMessage(error));
+    printLine(
+      `${args.config}: node ${settings.node.name} in ${settings.node.region}, ${settings.engines.length} engines, ${settings.services.length} services: ok`,
+    );
+  },
+});
--- /dev/null
+++ b/src/cli/commands/timeline.ts
@@ -0,0 +1,78 @@
+import { writeFileSync } from "node:fs";
+import { defineCommand } from "citty";
+import {
+  compareHybridTime,
+  formatHybridTime,
+} from "../../core/observe/hybrid_clock.ts";
+import type { TimelineEntry } from "../../ports/operators.ts";
+import { failureStatus, printLine } from "../exit.ts";
+import { callAll, connectNodes, operatorArgs } from "../operator.ts";
+import { renderTimelinePage } from "../timeline_page.ts";
+
+/** `goldcrestwinch timeline`: events of all nodes in causal order. */
+export const timelineCommand = defineCommand({
+  meta: { name: "timeline", description: "Show events of all nodes in order" },
+  args: {
+    ...operatorArgs,
+    request: { type: "string", description: "Only this request id" },
+    adapter: { type: "string", description: "Only this adapter, NAME@VERSION" },
+    engine: { type: "string", description: "Only this engine" },
+    within: { type: "string", description: "Only the last so many seconds" },
+    limit: {
+      type: "string",
+      default: "1000",
+      description: "Newest events per node",
+    },
+    html: { type: "string", description: "Write one HTML page to this path" },
+  },
+  async run({ args }) {
+    const replies = await callAll(connectNodes(args), (client) =>
+      client.timeline.query({
+        requestId: args.request,
+        adapter: args.adapter,
+        engine: args.engine,
+        withinMs:
+          args.within === undefined ? undefined : Number(args.within) * 1_000,
+        limit: Number(args.limit),
+      }),
+    );
+    const entries: TimelineEntry[] = mergeTimelines(
+      replies.flatMap((reply) => ("value" in reply ? [reply.value] : [])),
+    );
+    if (args.html !== undefined) {
+      writeFileSync(args.html, renderTimelinePage(entries));
+    } else if (args.json) {
+      printLine(JSON.stringify(entries));
+    } else {
+      for (const entry of entries) printLine(formatTimelineEntry(entry));
+    }
+    for (const reply of replies) {
+      if (!("error" in reply)) continue;
+      process.stderr.write(`${reply.address}: ${reply.error}\n`);
+      process.exitCode = failureStatus;
+    }
+  },
+});
+
+/** Events of several nodes in the order of their hybrid logical clocks. */
+export function mergeTimelines(
+  timelines: readonly (readonly TimelineEntry[])[],
+): TimelineEntry[] {
+  return timelines
+    .flat()
+    .sort(
+      (a, b) =>
+        compareHybridTime(a.time, b.time) || a.node.localeCompare(b.node),
+    );
+}
+
+/** One line of text for an event. */
+export function formatTimelineEntry(entry: TimelineEntry): string {
+  const fields = Object.entries(entry.fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name}=${value}`)
+    .join(" ");
+  const time = new Date(entry.time.wall).toISOString();
+  const order = formatHybridTime(entry.time).split(".")[1];
+  return `${time}.${order} ${entry.node} ${entry.number} ${entry.event} ${fields}`.trimEnd();
+}
--- /dev/null
+++ b/src/cli/main.ts
@@ -0,0 +1,22 @@
+import { defineCommand, runMain } from "citty";
+import { checkCommand } from "./commands/check.ts";
+import { drainCommand } from "./commands/drain.ts";
+import { statusCommand } from "./commands/status.ts";
+import { timelineCommand } from "./commands/timeline.ts";
+import { version } from "./version.ts";
+
+const main = defineCommand({
+  meta: {
+    name: "goldcrestwinch",
+    version,
+    description: "Serving layer for very many LoRA adapters",
+  },
+  subCommands: {
+    check: checkCommand,
+    status: statusCommand,
+    timeline: timelineCommand,
+    drain: drainCommand,
+  },
+});
+
+void runMain(main);
--- a/src/node/engine_directory.ts
+++ b/src/node/engine_directory.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../core/clock.ts";
+import { type Clock, millis, sleep } from "../core/clock.ts";
 import { summarizeEngine } from "../core/engine/mod.ts";
 import type { EngineId, NodeId, Region } from "../core/ids.ts";
 import { refuse } from "../core/results/refusal.ts";
@@ -20,6 +20,9 @@
   readonly findAddress: (node: NodeId) => string | undefined;
 };
 
+/** Time between checks whether all streams have ended, in ms. */
+const idleCheckMillis = 50;
+
 const endedStream: StreamControl = { cancel() {}, pause() {}, resume() {} };
 
 /** Engines of the installation: those owned here and the way to all others. */
@@ -51,15 +54,19 @@
     this.#owners.set(engine, owner);
   }
 
-  remove(engine: EngineId): void {
-    this.#owners.delete(engine);
+  /** Resolves when no request is left at engines owned here. */
+  async waitIdle(): Promise<void> {
+    while (this.load > 0) {
+      await sleep(this.#options.clock, millis(idleCheckMillis));
+    }
   }
 
   /** Views of the engines owned here. */
   ownViews(): EngineView[] {
     const { nodeId, region, clock } = this.#options;
     const now = clock.now();
-    return [...this.#owners].map(([engine, { state }]) => ({
+    const owned = [...this.#owners].filter(([, owner]) => isOwned(owner));
+    return owned.map(([engine, { state }]) => ({
       ...summarizeEngine(state, now),
       engine,
       region,
@@ -72,7 +79,7 @@
   views(): EngineView[] {
     const own = this.ownViews();
     const others = [...this.#options.remoteViews()].filter(
-      (view) => !this.#owners.has(view.engine),
+      (view) => !own.some((one) => one.engine === view.engine),
     );
     return [...own, ...others];
   }
@@ -83,7 +90,9 @@
     sink: AnswerSink,
   ): StreamControl {
     const owner = this.#owners.get(engine);
-    if (owner !== undefined) return owner.submit(submission, sink);
+    if (owner !== undefined && isOwned(owner)) {
+      return owner.submit(submission, sink);
+    }
     const view = this.views().find((one) => one.engine === engine);
     const address =
       view?.owner === undefined
@@ -102,10 +111,16 @@
     sink: AnswerSink,
   ): StreamControl {
     const owner = this.#owners.get(request.engine);
-    if (owner !== undefined) return owner.submit(request.submission, sink);
+    if (owner !== undefined && isOwned(owner)) {
+      return owner.submit(request.submission, sink);
+    }
     sink.onRefusal(
       refuse("notOwner", `This node does not own ${request.engine}`),
     );
     return endedStream;
   }
 }
+
+function isOwned(owner: EngineOwner): boolean {
+  return owner.state.ownership !== undefined;
+}
--- /dev/null
+++ b/src/node/engine_owners.ts
@@ -0,0 +1,108 @@
+import type { Clock } from "../core/clock.ts";
+import {
+  createEngineDecision,
+  createEngineState,
+  type EngineLimits,
+  type EnginePolicies,
+} from "../core/engine/mod.ts";
+import type { EngineId } from "../core/ids.ts";
+import type { OwnershipEvent } from "../core/lease/state.ts";
+import type { EngineLink } from "../ports/engine.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import type { EngineDirectory } from "./engine_directory.ts";
+import {
+  EngineOwner,
+  type PermitSource,
+  type SuspectListener,
+} from "./engine_owner.ts";
+
+/** One engine of the node's data centre. */
+export type EngineSetup = {
+  readonly engine: EngineId;
+  readonly limits: EngineLimits;
+  readonly link: EngineLink;
+};
+
+/** What the owners of a node need. */
+export type EngineOwnersOptions = {
+  readonly engines: readonly EngineSetup[];
+  readonly directory: EngineDirectory;
+  readonly policies: EnginePolicies;
+  readonly permits: PermitSource;
+  readonly suspects: SuspectListener;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly journal: Journal;
+  readonly meter: Meter;
+};
+
+/** Creates the owner of an engine when its ownership begins and removes it when its work has ended. */
+export class EngineOwners {
+  readonly #options: EngineOwnersOptions;
+  readonly #leaving = new Set<EngineId>();
+  #draining = false;
+
+  static create(options: EngineOwnersOptions): EngineOwners {
+    return new EngineOwners(options);
+  }
+
+  private constructor(options: EngineOwnersOptions) {
+    this.#options = options;
+  }
+
+  /** Passes a change of ownership on to the owner of the engine. */
+  handleOwnership(engine: EngineId, event: OwnershipEvent): void {
+    const { directory, journal } = this.#options;
+    const known = directory.owners.get(engine);
+    if (event.type === "ownership-lost") {
+      journal.record("engineReleased", { engine });
+      known?.send(event);
+      return;
+    }
+    const owner = known ?? this.#createOwner(engine);
+    if (owner?.state.ownership?.fence !== event.fence) {
+      journal.record("engineOwned", { engine, fence: event.fence });
+    }
+    owner?.send(event);
+  }
+
+  /** Passes a permit on; a permit for an engine that is gone is given back. */
+  handleGrant(engine: EngineId): void {
+    const { directory, permits } = this.#options;
+    const owner = directory.owners.get(engine);
+    if (owner === undefined) permits.release(engine, false);
+    else owner.send({ type: "permit-granted" });
+  }
+
+  /** The server of an engine is leaving: it gets no new work from here on. */
+  markLeaving(engine: EngineId): void {
+    this.#leaving.add(engine);
+    this.#options.directory.owners.get(engine)?.send({ type: "leaving" });
+  }
+
+  /** Hands queued work back and takes no more; running streams go on. */
+  drain(): void {
+    this.#draining = true;
+    for (const owner of this.#options.directory.owners.values()) {
+      owner.send({ type: "drain" });
+    }
+  }
+
+  #createOwner(engine: EngineId): EngineOwner | undefined {
+    const options = this.#options;
+    const setup = options.engines.find((one) => one.engine === engine);
+    if (setup === undefined) return undefined;
+    const identity = { engine, limits: setup.limits };
+    const owner = EngineOwner.create({
+      ...options,
+      identity,
+      initial: createEngineState(identity),
+      decide: createEngineDecision(options.policies, options.random),
+      link: setup.link,
+    });
+    options.directory.add(engine, owner);
+    if (this.#leaving.has(engine)) owner.send({ type: "leaving" });
+    if (this.#draining) owner.send({ type: "drain" });
+    return owner;
+  }
+}
--- /dev/null
+++ b/src/node/node.ts
@@ -0,0 +1,286 @@
+import type { Either } from "purify-ts";
+import { Left } from "purify-ts";
+import { type Actor, createActor } from "xstate";
+import { type Cancel, type Clock, millis } from "../core/clock.ts";
+import type { Catalog, ModelResolution } from "../core/config/catalog.ts";
+import { defaultEnginePolicies } from "../core/engine/mod.ts";
+import {
+  type AdapterKey,
+  brandString,
+  type DataCentre,
+  type Digest,
+  type EngineId,
+  formatAdapterKey,
+  type NodeId,
+  type Region,
+  type ServiceName,
+} from "../core/ids.ts";
+import type { SessionSettings } from "../core/lease/state.ts";
+import { type Refusal, refuse } from "../core/results/refusal.ts";
+import { defaultRouteCosts } from "../core/routing/costs.ts";
+import { chooseEngine, type RoutePolicies } from "../core/routing/route.ts";
+import type { AnswerSink, Submission } from "../ports/access.ts";
+import type { ClusterPort } from "../ports/cluster.ts";
+import type { StreamControl } from "../ports/engine.ts";
+import type {
+  BookedAnswer,
+  DraftControl,
+  DraftInput,
+  NodeFront,
+  ServiceInput,
+} from "../ports/front.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import type { ForwardTarget, PeerForwarder } from "../ports/peers.ts";
+import type { TableService } from "../ports/table.ts";
+import { DraftDesk, type Suspicion } from "./draft_desk.ts";
+import { EngineDirectory } from "./engine_directory.ts";
+import type { PermitSource, SuspectListener } from "./engine_owner.ts";
+import { EngineOwners, type EngineSetup } from "./engine_owners.ts";
+import { createLifecycleMachine } from "./lifecycle.ts";
+import {
+  type LookupRoute,
+  ServiceDesk,
+  type ServiceServer,
+} from "./service_desk.ts";
+import { Session } from "./session.ts";
+
+/** Time between two publications of the views of owned engines, in ms. */
+const publishIntervalMillis = 200;
+
+/** Configuration in force, as the node asks for it. */
+export type ConfigurationPart = {
+  current(): Catalog | undefined;
+  resolveModel(model: string): ModelResolution;
+};
+
+/** Content that may crash engines, as this node knows it. */
+export type PoisonPart = SuspectListener & {
+  findSuspicion(digest: Digest): Suspicion;
+};
+
+/** Load permits of this node; grants arrive through `Node.grantPermit`. */
+export type PermitPart = PermitSource & { stop(): void };
+
+/** What a node is made of. */
+export type NodeOptions = {
+  readonly nodeId: NodeId;
+  readonly region: Region;
+  readonly dataCentre: DataCentre;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly journal: Journal;
+  readonly meter: Meter;
+  readonly table: TableService;
+  readonly forwarder: PeerForwarder;
+  readonly cluster: ClusterPort;
+  readonly configuration: ConfigurationPart;
+  readonly permits: PermitPart;
+  readonly poison: PoisonPart;
+  /** Engines of the node's own data centre. */
+  readonly engines: readonly EngineSetup[];
+  readonly services: ReadonlyMap<ServiceName, readonly ServiceServer[]>;
+  readonly lookups: ReadonlyMap<ServiceName, readonly LookupRoute[]>;
+  readonly session: SessionSettings;
+  readonly routePolicies?: RoutePolicies;
+  readonly onDemand?: (adapter: AdapterKey) => void;
+  /** Called once when a drain has ended. */
+  readonly onStopped: () => void;
+};
+
+/** One node: its actors and how they are wired. */
+export class Node implements NodeFront, ForwardTarget {
+  readonly directory: EngineDirectory;
+  readonly owners: EngineOwners;
+  readonly drafts: DraftDesk;
+  readonly services: ServiceDesk;
+  readonly session: Session;
+  readonly #options: NodeOptions;
+  readonly #lifecycle: Actor<ReturnType<typeof createLifecycleMachine>>;
+  readonly #leavingServers = new Set<string>();
+  #cancelPublish: Cancel | undefined;
+  #stopped = false;
+
+  static create(options: NodeOptions): Node {
+    return new Node(options);
+  }
+
+  private constructor(options: NodeOptions) {
+    this.#options = options;
+    const { cluster, nodeId } = options;
+    this.directory = EngineDirectory.create({
+      ...options,
+      remoteViews: () => cluster.engineViews(),
+      findAddress: (node) =>
+        cluster.members().find((member) => member.node === node)?.peers,
+    });
+    this.owners = EngineOwners.create({
+      ...options,
+      directory: this.directory,
+      policies: defaultEnginePolicies,
+      suspects: options.poison,
+    });
+    this.session = this.#createSession();
+    this.drafts = DraftDesk.create({
+      ...options,
+      directory: this.directory,
+      chooseEngine,
+      routePolicies: options.routePolicies ?? { costs: defaultRouteCosts },
+      resolveModel: (model) => options.configuration.resolveModel(model),
+      findSuspicion: (digest) => options.poison.findSuspicion(digest),
+      onDemand: options.onDemand ?? (() => {}),
+    });
+    this.services = ServiceDesk.create({
+      ...options,
+      links: (service) => this.#listServers(service),
+      routes: options.lookups,
+      currentLease: () =>
+        this.session.isUsable() ? this.session.lease() : undefined,
+      onLeaving: (_, server) => this.markLeaving(server),
+    });
+    this.#lifecycle = createActor(
+      createLifecycleMachine({
+        onReady: () => options.journal.record("nodeReady", { node: nodeId }),
+        onDrain: () => void this.#finishWork(),
+        onStopped: () => this.#finishStop(),
+      }),
+    );
+    this.#lifecycle.start();
+    this.#publish();
+  }
+
+  /** Phase of the lifecycle. */
+  get phase(): string {
+    return String(this.#lifecycle.getSnapshot().value);
+  }
+
+  /** Requests and calls in progress for callers of this node. */
+  get inFlight(): number {
+    return this.drafts.open + this.services.outstanding;
+  }
+
+  openDraft(input: DraftInput, sink: AnswerSink): DraftControl {
+    const refusal = this.findUnready();
+    if (refusal === undefined) return this.drafts.start(input, sink);
+    sink.onRefusal(refusal);
+    return { cancel() {}, pause() {}, resume() {} };
+  }
+
+  callService(input: ServiceInput): Promise<Either<Refusal, BookedAnswer>> {
+    const refusal = this.findUnready();
+    if (refusal !== undefined) return Promise.resolve(Left(refusal));
+    const deadline = millis(this.#options.clock.now() + input.deadline);
+    return this.services.call({ ...input, deadline });
+  }
+
+  *listModels(): Iterable<AdapterKey> {
+    const catalog = this.#options.configuration.current();
+    for (const entry of catalog?.adapters.values() ?? []) {
+      for (const version of entry.versions) {
+        yield formatAdapterKey(entry.name, version);
+      }
+    }
+  }
+
+  findUnready(): Refusal | undefined {
+    switch (this.phase) {
+      case "ready":
+        return undefined;
+      case "starting":
+        return refuse("notReady", "The node has no configuration yet");
+      default:
+        return refuse("draining", "The node is stopping");
+    }
+  }
+
+  acceptForward(
+    request: { engine: EngineId; submission: Submission },
+    sink: AnswerSink,
+  ): StreamControl {
+    return this.directory.acceptForward(request, sink);
+  }
+
+  /** A configuration is in force: the node takes requests. */
+  markConfigured(): void {
+    this.#lifecycle.send({ type: "configured" });
+  }
+
+  /** A load may start on an engine that asked for a permit. */
+  grantPermit(engine: EngineId): void {
+    this.owners.handleGrant(engine);
+  }
+
+  /** A backend server is leaving: no new work from this node, and all others are told. */
+  markLeaving(server: string): void {
+    if (this.#leavingServers.has(server)) return;
+    this.#leavingServers.add(server);
+    this.#options.journal.record("serverLeaving", { server });
+    this.owners.markLeaving(brandString(server));
+    this.#options.cluster.publishLeaving(server);
+  }
+
+  /** Starts a graceful stop; may be called again. */
+  drain(): void {
+    this.#lifecycle.send({ type: "drain" });
+  }
+
+  /** Ends at once, as a killed process does; for tests. */
+  stop(): void {
+    this.#stopped = true;
+    this.#cancelPublish?.();
+    this.session.stop();
+    this.services.stop();
+    this.#options.permits.stop();
+    for (const owner of this.directory.owners.values()) owner.stop();
+  }
+
+  #createSession(): Session {
+    const { engines, cluster, session } = this.#options;
+    return Session.create({
+      ...this.#options,
+      engines: () =>
+        engines.map(({ engine, limits }) => ({
+          engine,
+          fencing: limits.fencing,
+        })),
+      settings: session,
+      liveNodes: () =>
+        cluster.members().filter((member) => member.state === "alive"),
+      onOwnership: (engine, event) =>
+        this.owners.handleOwnership(engine, event),
+    });
+  }
+
+  #listServers(service: ServiceName): readonly ServiceServer[] | undefined {
+    return this.#options.services.get(service)?.map((server) => ({
+      ...server,
+      leaving: server.leaving || this.#leavingServers.has(server.id),
+    }));
+  }
+
+  #publish(): void {
+    if (this.#stopped) return;
+    const { clock, cluster } = this.#options;
+    cluster.publishEngines(this.directory.ownViews());
+    this.#cancelPublish = clock.schedule(millis(publishIntervalMillis), () =>
+      this.#publish(),
+    );
+  }
+
+  /** Hands duties over and waits for every request, stream and outcome. */
+  async #finishWork(): Promise<void> {
+    this.#options.journal.record("drainStarted");
+    this.owners.drain();
+    await this.session.release();
+    await this.drafts.waitIdle();
+    await this.directory.waitIdle();
+    await this.services.settle();
+    await this.#options.cluster.leave();
+    this.#lifecycle.send({ type: "idle" });
+  }
+
+  #finishStop(): void {
+    this.#options.journal.record("drainFinished");
+    this.stop();
+    this.#options.onStopped();
+  }
+}
--- /dev/null
+++ b/src/ports/cluster.ts
@@ -0,0 +1,31 @@
+import type { DataCentre, Digest, NodeId, Region } from "../core/ids.ts";
+import type { EngineView } from "../core/routing/view.ts";
+
+/** Another node, or this one, as membership knows it. */
+export type ClusterMember = {
+  readonly node: NodeId;
+  readonly region: Region;
+  readonly dataCentre: DataCentre;
+  readonly state: "alive" | "suspect" | "dead" | "left";
+  /** `IP:PORT` of the peer listener. */
+  readonly peers: string;
+};
+
+/** What the parts of a node tell other nodes and hear from them. */
+export type ClusterPort = {
+  /** Known nodes, this one included. */
+  members(): readonly ClusterMember[];
+  /** Views of engines as their owners last published them. */
+  engineViews(): Iterable<EngineView>;
+  /** Publishes the views of the engines that this node owns. */
+  publishEngines(views: readonly EngineView[]): void;
+  /** Tells all nodes that a backend server is leaving. */
+  publishLeaving(server: string): void;
+  /** Tells all nodes what was running when an engine crashed, or that it is cleared. */
+  publishSuspicion(
+    digest: Digest,
+    suspicion: "suspect" | "convicted" | "cleared",
+  ): void;
+  /** Says that this node is leaving for good. */
+  leave(): Promise<void>;
+};
--- a/src/ports/operators.ts
+++ b/src/ports/operators.ts
@@ -28,7 +28,7 @@
 export type EngineSummary = {
   readonly engine: string;
   readonly region: string;
-  readonly owner: string | undefined;
+  readonly owner?: string | undefined;
   readonly state: string;
   readonly queued: number;
   readonly running: number;
@@ -41,7 +41,7 @@
   readonly region: string;
   readonly dataCentre: string;
   readonly phase: string;
-  readonly revision: number | undefined;
+  readonly revision?: number | undefined;
   readonly certainty: string;
   readonly tableOutage: boolean;
   readonly inFlight: number;
--- /dev/null
+++ b/tests/docs/catalogues_test.ts
@@ -0,0 +1,32 @@
+import assert from "node:assert/strict";
+import { readFileSync } from "node:fs";
+import { test } from "node:test";
+import {
+  renderEventCatalogue,
+  renderResultCodes,
+} from "../../scripts/catalogues.ts";
+import { eventCatalogue } from "../../src/core/observe/events.ts";
+import { resultCodes } from "../../src/core/results/codes.ts";
+
+test("docs/result-codes.md matches the table in the code", () => {
+  assert.equal(
+    readFileSync("docs/result-codes.md", "utf8"),
+    renderResultCodes(),
+    "run npm run docs",
+  );
+});
+
+test("docs/log-events.md matches the catalogue in the code", () => {
+  assert.equal(
+    readFileSync("docs/log-events.md", "utf8"),
+    renderEventCatalogue(),
+    "run npm run docs",
+  );
+});
+
+test("no number is used twice among result codes or events", () => {
+  for (const table of [resultCodes, eventCatalogue]) {
+    const numbers = Object.values(table).map(({ number }) => number);
+    assert.equal(new Set(numbers).size, numbers.length);
+  }
+});
