--- /dev/null
+++ b/src/node/operator_desk.ts
@@ -0,0 +1,136 @@
+import type { Either } from "purify-ts";
+import type { DataCentre, NodeId, Region } from "../core/ids.ts";
+import type { Refusal } from "../core/results/refusal.ts";
+import type { ClusterPort } from "../ports/cluster.ts";
+import type { Journal } from "../ports/journal.ts";
+import type {
+  AppliedSheet,
+  NodeStatus,
+  OperatorPort,
+  RevisionRecord,
+  TimelineEntry,
+  TimelineFilter,
+} from "../ports/operators.ts";
+import type { Node } from "./node.ts";
+
+/** Operator side of the configuration of a node. */
+export type SheetPart = {
+  revision(): number | undefined;
+  certainty(): string;
+  apply(
+    request: Parameters<OperatorPort["applySheet"]>[0],
+  ): Promise<Either<Refusal, AppliedSheet>>;
+  history(limit: number): Promise<Either<Refusal, readonly RevisionRecord[]>>;
+  show(): Either<Refusal, { revision: number; sheet: unknown }>;
+};
+
+/** What the operator desk needs. */
+export type OperatorDeskOptions = {
+  readonly nodeId: NodeId;
+  readonly region: Region;
+  readonly dataCentre: DataCentre;
+  readonly node: Node;
+  readonly cluster: ClusterPort;
+  readonly sheets: SheetPart;
+  readonly journal: Journal;
+  readonly readTimeline: () => readonly TimelineEntry[];
+  readonly wallNow: () => number;
+  readonly isTableDown: () => boolean;
+};
+
+/** Answers operators; every order is recorded in the timeline. */
+export class OperatorDesk implements OperatorPort {
+  readonly #options: OperatorDeskOptions;
+
+  static create(options: OperatorDeskOptions): OperatorDesk {
+    return new OperatorDesk(options);
+  }
+
+  private constructor(options: OperatorDeskOptions) {
+    this.#options = options;
+  }
+
+  status(): NodeStatus {
+    const { nodeId, region, dataCentre, node, cluster, sheets } = this.#options;
+    return {
+      node: nodeId,
+      region,
+      dataCentre,
+      phase: node.phase,
+      revision: sheets.revision(),
+      certainty: sheets.certainty(),
+      tableOutage: this.#options.isTableDown(),
+      inFlight: node.inFlight,
+      members: cluster.members().map((member) => ({
+        node: member.node,
+        state: member.state,
+        address: member.peers,
+        region: member.region,
+      })),
+      engines: node.directory.views().map((view) => ({
+        engine: view.engine,
+        region: view.region,
+        owner: view.owner,
+        state: view.state,
+        queued: view.queued,
+        running: view.running,
+        held: [...view.held],
+      })),
+    };
+  }
+
+  timeline(filter: TimelineFilter): readonly TimelineEntry[] {
+    const since =
+      filter.withinMs === undefined
+        ? 0
+        : this.#options.wallNow() - filter.withinMs;
+    return this.#options
+      .readTimeline()
+      .filter((entry) => entry.time.wall >= since && matches(entry, filter))
+      .slice(-filter.limit);
+  }
+
+  drain(operator: string): void {
+    this.#options.journal.record("operatorAction", {
+      action: "drain",
+      operator,
+    });
+    this.#options.node.drain();
+  }
+
+  async applySheet(
+    request: Parameters<OperatorPort["applySheet"]>[0],
+  ): Promise<Either<Refusal, AppliedSheet>> {
+    const { journal, sheets } = this.#options;
+    const { operator, base, attempt } = request;
+    const result = await sheets.apply(request);
+    journal.record("operatorAction", {
+      action: "applySheet",
+      operator,
+      base,
+      attempt,
+      result: result.caseOf({
+        Left: (refusal) => refusal.code,
+        Right: ({ revision }) => `revision ${revision}`,
+      }),
+    });
+    return result;
+  }
+
+  history(limit: number): Promise<Either<Refusal, readonly RevisionRecord[]>> {
+    return this.#options.sheets.history(limit);
+  }
+
+  showSheet(): Either<Refusal, { revision: number; sheet: unknown }> {
+    return this.#options.sheets.show();
+  }
+}
+
+function matches(entry: TimelineEntry, filter: TimelineFilter): boolean {
+  const { fields } = entry;
+  return (
+    (filter.requestId === undefined || fields.requestId === filter.requestId) &&
+    (filter.adapter === undefined || fields.adapter === filter.adapter) &&
+    (filter.engine === undefined || fields.engine === filter.engine)
+  );
+}
