--- /dev/null
+++ b/src/core/booking/call_messages.ts
@@ -0,0 +1,121 @@
+import type { Millis } from "../clock.ts";
+import type { LeaseId, NodeId, RequestId } from "../ids.ts";
+import type { EventName } from "../observe/events.ts";
+import type { Refusal } from "../results/refusal.ts";
+import type { Claim, RecordedAnswer } from "./claim.ts";
+import type { WriteResult } from "./writer_messages.ts";
+
+/** `lookup`: may be repeated. `once`: no key, sent once. `keyed`: sent once under a claim. */
+export type CallKind = "lookup" | "once" | "keyed";
+
+/** Answer of a booking service. */
+export type CallAnswer = {
+  readonly status: number;
+  readonly contentType: string | undefined;
+  readonly body: Uint8Array;
+};
+
+/** Why a send brought no answer; up to `denied` no byte of the call has left. */
+export type SendFailureKind =
+  | "not-sent"
+  | "leaving"
+  | "no-server"
+  /** The deadline passed before the send. */
+  | "too-late"
+  /** The session lease of the claim ended before the send. */
+  | "no-lease"
+  /** The retry or hedge budget is spent. */
+  | "denied"
+  | "broken"
+  | "timeout"
+  | "crossed";
+
+/** What became of one send. */
+export type SendResult =
+  | { readonly kind: "answer"; readonly answer: CallAnswer }
+  | { readonly kind: SendFailureKind; readonly detail: string };
+
+/** State of one booking call at the node that it reached. */
+export type CallState = {
+  readonly kind: CallKind;
+  readonly requestId: RequestId;
+  readonly deadlineAt: Millis;
+  readonly phase:
+    | "new"
+    | "claiming"
+    | "judging"
+    | "marking"
+    | "sending"
+    | "waiting"
+    | "releasing"
+    | "answered"
+    | "ended";
+  /** Claim of this call; only for keyed calls. */
+  readonly claim: Claim | undefined;
+  /** Wall-clock time minus node time, in ms. */
+  readonly wallOffset: number;
+  /** Time after which a lookup is sent to a second server, in ms. */
+  readonly hedgeAfter: Millis;
+  /** Another call's claim that is being judged. */
+  readonly found:
+    | { readonly version: number; readonly claim: Claim }
+    | undefined;
+  readonly claimRounds: number;
+  readonly sends: number;
+  readonly open: number;
+  readonly hedged: boolean;
+  /** What the caller is told when nothing better arrives. */
+  readonly fallback: CallAnswer | Refusal | undefined;
+};
+
+/** Message to a booking call. */
+export type CallEvent =
+  | { readonly type: "start" }
+  /** Result of a claim or of a mark on another call's claim. */
+  | { readonly type: "written"; readonly result: WriteResult }
+  /** The release of the claim is recorded or has become pointless. */
+  | { readonly type: "settled" }
+  /** Whether the claimant's session exists; undefined when the table gave no answer. */
+  | { readonly type: "session"; readonly exists: boolean | undefined }
+  | { readonly type: "result"; readonly result: SendResult }
+  | { readonly type: "wake" };
+
+/** Order of the decision to the task of the call. */
+export type CallCommand =
+  | {
+      readonly type: "write";
+      readonly claim: Claim;
+      readonly version: number | "absent";
+      readonly giveUpAt: Millis;
+    }
+  | {
+      readonly type: "settle";
+      readonly claim: Claim;
+      readonly state: "recorded" | "unknown" | "released";
+      readonly answer?: CallAnswer;
+    }
+  | {
+      readonly type: "ask-session";
+      readonly node: NodeId;
+      readonly lease: LeaseId;
+    }
+  | {
+      readonly type: "send";
+      /** Time after which the answer is not awaited any more. */
+      readonly awaitUntil: Millis;
+      /** Time at or after which the call must not be sent. */
+      readonly sendBefore: Millis;
+      /** Lease that must be usable when the call is sent. */
+      readonly lease: LeaseId | undefined;
+      readonly budget: "none" | "retry" | "hedge";
+    }
+  | { readonly type: "answer"; readonly answer: CallAnswer }
+  | { readonly type: "replay"; readonly answer: RecordedAnswer }
+  | { readonly type: "refuse"; readonly refusal: Refusal }
+  | { readonly type: "set-timer"; readonly at: Millis }
+  | { readonly type: "end" }
+  | {
+      readonly type: "record";
+      readonly event: EventName;
+      readonly detail: string;
+    };
--- /dev/null
+++ b/src/core/booking/call_send.ts
@@ -0,0 +1,123 @@
+import { type Millis, millis } from "../clock.ts";
+import type { Decision } from "../decision.ts";
+import type { ResultCodeName } from "../results/codes.ts";
+import { type Refusal, refuse } from "../results/refusal.ts";
+import type {
+  CallAnswer,
+  CallCommand,
+  CallState,
+  SendFailureKind,
+} from "./call_messages.ts";
+import { outcomeGrace } from "./claim.ts";
+
+/** Longest wait for a release to be recorded before the caller is told, in ms. */
+export const releasePatience = millis(500);
+/** `Retry-After` of a refusal that a second attempt may overcome, in ms. */
+export const retryAfter = millis(1_000);
+
+/** Next state of a booking call and what its task must do. */
+export type CallDecision = Decision<CallState, CallCommand>;
+
+/** Sends the call to one more server. */
+export function send(
+  state: CallState,
+  options: {
+    now: Millis;
+    budget: "none" | "retry" | "hedge";
+    record?: CallCommand;
+  },
+): CallDecision {
+  const grace = state.kind === "keyed" ? outcomeGrace : 0;
+  const awaitUntil = millis(state.deadlineAt + grace);
+  const hedgeAt =
+    state.kind === "lookup" && !state.hedged
+      ? options.now + state.hedgeAfter
+      : state.deadlineAt;
+  return {
+    state: {
+      ...state,
+      phase: "sending",
+      sends: state.sends + 1,
+      open: state.open + 1,
+    },
+    commands: [
+      ...(options.record === undefined ? [] : [options.record]),
+      {
+        type: "send",
+        awaitUntil,
+        sendBefore: state.deadlineAt,
+        lease: state.claim?.lease,
+        budget: options.budget,
+      },
+      {
+        type: "set-timer",
+        at: millis(Math.min(hedgeAt, state.deadlineAt)),
+      },
+    ],
+  };
+}
+
+/** Lets the key run again, and tells the caller once that is recorded. */
+export function release(
+  state: CallState,
+  refusal: Refusal,
+  now: Millis,
+): CallDecision {
+  if (state.claim === undefined) return finish(state, refusal);
+  return {
+    state: { ...state, phase: "releasing", fallback: refusal },
+    commands: [
+      { type: "settle", claim: state.claim, state: "released" },
+      { type: "set-timer", at: millis(now + releasePatience) },
+    ],
+  };
+}
+
+const failureCodes: Record<SendFailureKind, ResultCodeName> = {
+  "not-sent": "serviceUnreachable",
+  leaving: "serviceUnreachable",
+  "no-server": "serviceUnreachable",
+  "too-late": "deadlinePassed",
+  "no-lease": "claimUnavailable",
+  denied: "serviceUnreachable",
+  broken: "serviceBroken",
+  timeout: "serviceTimeout",
+  crossed: "crossedAnswer",
+};
+
+/** What the caller is told after a failed send. */
+export function describeFailure(failure: {
+  kind: SendFailureKind;
+  detail: string;
+}): Refusal {
+  const code = failureCodes[failure.kind];
+  return refuse(code, failure.detail, { retryAfter });
+}
+
+/** Ends the call with its answer or refusal. */
+export function finish(
+  state: CallState,
+  last: CallAnswer | Refusal,
+): CallDecision {
+  return close(state, [
+    "status" in last
+      ? { type: "answer", answer: last }
+      : { type: "refuse", refusal: last },
+  ]);
+}
+
+/** Ends the call; a refusal that waited for its release is told now. */
+export function close(state: CallState, commands: CallCommand[]): CallDecision {
+  const told: CallCommand[] = [];
+  if (state.phase === "releasing" && state.fallback !== undefined) {
+    told.push(
+      "status" in state.fallback
+        ? { type: "answer", answer: state.fallback }
+        : { type: "refuse", refusal: state.fallback },
+    );
+  }
+  return {
+    state: { ...state, phase: "ended" },
+    commands: [...told, ...commands, { type: "end" }],
+  };
+}
--- a/src/core/booking/writer.ts
+++ b/src/core/booking/writer.ts
@@ -2,8 +2,17 @@
 import type { Decide, Decision } from "../decision.ts";
 import type { AttemptToken, RowKey } from "../ids.ts";
 import { brandString } from "../ids.ts";
-import type { Claim } from "./claim.ts";
-import { parseClaim } from "./claim.ts";
+import { type Claim, parseClaim } from "./claim.ts";
+import type {
+  BatchResult,
+  FoundRow,
+  PendingOrder,
+  RowOrder,
+  WriteResult,
+  WriterCommand,
+  WriterEvent,
+  WriterState,
+} from "./writer_messages.ts";
 
 /** Rows in one transaction. */
 export const maxBatchRows = 200;
@@ -21,88 +30,6 @@
 /** Interval in ms at which claims past their time are given up. */
 const expiryInterval = millis(50);
 
-/** A row as the table holds it, or undefined when it is absent. */
-export type FoundRow =
-  | { readonly version: number; readonly value: unknown }
-  | undefined;
-
-/**
- * One row to write. `exact`: only on this version, else reported as a conflict.
- * `settle`: the outcome of the claim with the same token, on whatever version
- * that claim has; tried until it is written or has become pointless.
- */
-export type RowOrder = {
-  readonly mode: "exact" | "settle";
-  readonly key: RowKey;
-  readonly version: number | "absent";
-  readonly claim: Claim;
-  /** Time at which an exact write is given up. */
-  readonly giveUpAt: Millis;
-};
-
-/** What became of an order. */
-export type WriteResult =
-  | { readonly kind: "written" }
-  | { readonly kind: "conflict"; readonly current: FoundRow }
-  /** Given up; the row may still hold the write when `maybeApplied` is set. */
-  | { readonly kind: "failed"; readonly maybeApplied: boolean };
-
-/** What became of a transaction. */
-export type BatchResult =
-  | { readonly kind: "committed" }
-  | {
-      readonly kind: "conflict";
-      readonly current: ReadonlyMap<RowKey, FoundRow>;
-    }
-  | { readonly kind: "unavailable"; readonly detail: string }
-  | { readonly kind: "unknown"; readonly detail: string };
-
-type Pending = { readonly order: RowOrder; readonly maybeApplied: boolean };
-
-/** Orders that wait and the one transaction in flight. */
-export type WriterState = {
-  readonly queue: readonly Pending[];
-  readonly flight:
-    | { readonly attempt: AttemptToken; readonly orders: readonly Pending[] }
-    | undefined;
-  /** Prefix of attempt tokens, unique to this run of the node. */
-  readonly prefix: string;
-  readonly attempts: number;
-  /** Failed transactions since the last answer of the table. */
-  readonly failures: number;
-  readonly retryAt: Millis;
-  /** Write budget: tokens left at a time. */
-  readonly tokens: number;
-  readonly tokensAt: Millis;
-};
-
-/** Message to the claim writer. */
-export type WriterEvent =
-  | { readonly type: "write"; readonly order: RowOrder }
-  | {
-      readonly type: "result";
-      readonly attempt: AttemptToken;
-      readonly result: BatchResult;
-    }
-  | { readonly type: "wake" };
-
-/** Order of the decision to the claim writer. */
-export type WriterCommand =
-  | {
-      readonly type: "transact";
-      readonly attempt: AttemptToken;
-      readonly orders: readonly RowOrder[];
-    }
-  | {
-      readonly type: "notify";
-      readonly order: RowOrder;
-      readonly result: WriteResult;
-    }
-  | { readonly type: "set-timer"; readonly at: Millis }
-  | { readonly type: "outage"; readonly started: boolean }
-  | { readonly type: "ambiguous"; readonly attempt: AttemptToken }
-  | { readonly type: "rejected" };
-
 type WriterDecision = Decision<WriterState, WriterCommand>;
 
 /** State of a writer with nothing to write. */
@@ -196,8 +123,8 @@
   now: Millis,
 ): WriterDecision {
   const keys = new Set<RowKey>();
-  const orders: Pending[] = [];
-  const rest: Pending[] = [];
+  const orders: PendingOrder[] = [];
+  const rest: PendingOrder[] = [];
   for (const pending of state.queue) {
     const { key } = pending.order;
     if (orders.length < maxBatchRows && !keys.has(key)) orders.push(pending);
@@ -238,7 +165,7 @@
   commands: WriterCommand[],
   now: Millis,
 ): WriterState {
-  const isLate = ({ order }: Pending) =>
+  const isLate = ({ order }: PendingOrder) =>
     order.mode === "exact" && now >= order.giveUpAt;
   const flying = state.flight?.orders ?? [];
   if (!state.queue.some(isLate) && !flying.some(isLate)) return state;
@@ -322,15 +249,15 @@
 
 /** What remains to be written of an order after a transaction with conflicts. */
 function resolveConflict(
-  pending: Pending,
+  pending: PendingOrder,
   current: ReadonlyMap<RowKey, FoundRow>,
   commands: WriterCommand[],
-): readonly Pending[] {
+): readonly PendingOrder[] {
   const { order } = pending;
   if (!current.has(order.key)) return [pending];
   const row = current.get(order.key);
   const found = row === undefined ? undefined : parseClaim(row.value);
-  const finish = (result: WriteResult): readonly Pending[] => {
+  const finish = (result: WriteResult): readonly PendingOrder[] => {
     commands.push({ type: "notify", order, result });
     return [];
   };
--- a/src/node/claim_writer.ts
+++ b/src/node/claim_writer.ts
@@ -1,16 +1,18 @@
 import { createActor } from "xstate";
 import {
-  type BatchResult,
   countPending,
   createWriterDecision,
   createWriterState,
-  type FoundRow,
-  type RowOrder,
-  type WriteResult,
-  type WriterCommand,
-  type WriterEvent,
-  type WriterState,
 } from "../core/booking/writer.ts";
+import type {
+  BatchResult,
+  FoundRow,
+  RowOrder,
+  WriteResult,
+  WriterCommand,
+  WriterEvent,
+  WriterState,
+} from "../core/booking/writer_messages.ts";
 import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
 import type { AttemptToken, NodeId, RowKey } from "../core/ids.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
--- a/src/node/server_pool.ts
+++ b/src/node/server_pool.ts
@@ -1,4 +1,4 @@
-import type { SendResult } from "../core/booking/call.ts";
+import type { SendResult } from "../core/booking/call_messages.ts";
 import {
   chooseServer,
   computeHedgeDelay,
--- a/src/node/service_desk.ts
+++ b/src/node/service_desk.ts
@@ -1,24 +1,23 @@
 import { createHash } from "node:crypto";
 import { Left } from "purify-ts";
-import type { CallKind } from "../core/booking/call.ts";
+import type { CallKind } from "../core/booking/call_messages.ts";
 import {
   type Claim,
   formatClaimKey,
   outcomeGrace,
 } from "../core/booking/claim.ts";
-import { type Clock, type Millis, millis } from "../core/clock.ts";
+import { type Clock, millis } from "../core/clock.ts";
 import {
   type AttemptToken,
   brandString,
-  type Customer,
   type Digest,
   type LeaseId,
   type NodeId,
-  type RequestId,
   type RowKey,
   type ServiceName,
 } from "../core/ids.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
+import type { ServiceInput } from "../ports/front.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { TableService } from "../ports/table.ts";
 import { ClaimWriter, withDeadline } from "./claim_writer.ts";
@@ -30,7 +29,7 @@
 } from "./service_request.ts";
 
 export type { ServiceServer } from "./server_pool.ts";
-export type { BookedAnswer, CallReply } from "./service_request.ts";
+export type { CallReply } from "./service_request.ts";
 
 /** Booking calls in progress at one node, those with an unrecorded outcome included. */
 export const maxCallsInFlight = 1_000;
@@ -39,24 +38,9 @@
 /** `Retry-After` when too many calls are in flight, in ms. */
 const busyRetryAfter = millis(1_000);
 
-/** Method and path of calls that may be repeated; a path may end in `*`. */
+/** Method and start of the path of calls that may be repeated; the start ends at a `/`. */
 export type LookupRoute = { readonly method: string; readonly path: string };
 
-/** One booking call as a front end hands it over. */
-export type ServiceDeskCall = {
-  readonly service: ServiceName;
-  readonly method: string;
-  /** Path and query below the service, starting with `/`. */
-  readonly path: string;
-  readonly contentType: string | undefined;
-  readonly body: Uint8Array;
-  readonly customer: Customer;
-  readonly idempotencyKey: string | undefined;
-  readonly requestId: RequestId;
-  /** Time of the node's clock by which the caller needs the answer. */
-  readonly deadline: Millis;
-};
-
 /** What the service desk needs. */
 export type ServiceDeskOptions = {
   readonly clock: Clock;
@@ -109,7 +93,7 @@
   }
 
   /** Runs one call; the reply says whether a booking service ran it. */
-  call(call: ServiceDeskCall): Promise<CallReply> {
+  call(call: ServiceInput): Promise<CallReply> {
     const { meter, links, routes } = this.#options;
     if (links(call.service) === undefined) {
       return refuseCall(refuse("unknownService", call.service));
@@ -143,7 +127,7 @@
     this.#requests.clear();
   }
 
-  #callWithKey(call: ServiceDeskCall): Promise<CallReply> {
+  #callWithKey(call: ServiceInput): Promise<CallReply> {
     const { currentLease, clock, nodeId } = this.#options;
     const lease = currentLease();
     if (lease === undefined) {
@@ -165,8 +149,7 @@
           : refuse("keyReused", "The body differs"),
       );
     }
-    const expiresAt =
-      clock.wallNow() + (call.deadline - clock.now()) + outcomeGrace;
+    const expiresAt = clock.wallNow() + call.deadline + outcomeGrace;
     const token = this.#nextToken();
     const claim: Claim = {
       state: "claimed",
@@ -184,7 +167,7 @@
   }
 
   #run(
-    call: ServiceDeskCall,
+    call: ServiceInput,
     plan: Pick<PlannedCall, "kind" | "claim"> & { key: RowKey | undefined },
   ): Promise<CallReply> {
     const { method, path, contentType, body } = call;
@@ -197,7 +180,7 @@
         call: {
           kind: plan.kind,
           requestId: call.requestId,
-          deadlineAt: call.deadline,
+          deadlineAt: millis(this.#options.clock.now() + call.deadline),
           claim: plan.claim,
           request: { method, path, contentType, body },
         },
@@ -299,29 +282,30 @@
 
 /** Decides from the settings and the key how often a call may be sent. */
 function classifyCall(
-  call: ServiceDeskCall,
+  call: ServiceInput,
   lookups: readonly LookupRoute[],
 ): CallKind {
   const path = call.path.split("?", 1)[0] ?? "";
   const isLookup = lookups.some(
     (route) =>
       route.method === call.method &&
-      (route.path.endsWith("*")
-        ? path.startsWith(route.path.slice(0, -1))
-        : path === route.path),
+      (path === route.path ||
+        path.startsWith(
+          route.path.endsWith("/") ? route.path : `${route.path}/`,
+        )),
   );
   if (isLookup) return "lookup";
   return call.idempotencyKey === undefined ? "once" : "keyed";
 }
 
-function digestCall(call: ServiceDeskCall): Digest {
+function digestCall(call: ServiceInput): Digest {
   const hash = createHash("sha256");
   hash.update(JSON.stringify([call.method, call.path]));
   hash.update(call.body);
   return brandString(hash.digest("hex"));
 }
 
-function digestKey(call: ServiceDeskCall): Digest {
+function digestKey(call: ServiceInput): Digest {
   const hash = createHash("sha256");
   hash.update(JSON.stringify([call.customer, call.idempotencyKey]));
   return brandString(hash.digest("hex"));
--- a/src/node/service_request.ts
+++ b/src/node/service_request.ts
@@ -1,16 +1,15 @@
 import type { Either } from "purify-ts";
 import { Left, Right } from "purify-ts";
 import { createActor } from "xstate";
-import {
-  type CallAnswer,
-  type CallCommand,
-  type CallEvent,
-  type CallKind,
-  type CallState,
-  createCallDecision,
-  createCallState,
-  type SendResult,
-} from "../core/booking/call.ts";
+import { createCallDecision, createCallState } from "../core/booking/call.ts";
+import type {
+  CallAnswer,
+  CallCommand,
+  CallEvent,
+  CallKind,
+  CallState,
+  SendResult,
+} from "../core/booking/call_messages.ts";
 import {
   type Claim,
   maxRecordedBytes,
@@ -18,21 +17,14 @@
 } from "../core/booking/claim.ts";
 import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
 import type { AttemptToken, LeaseId, NodeId, RequestId } from "../core/ids.ts";
-import type { Outcome } from "../core/results/outcome.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
+import type { BookedAnswer } from "../ports/front.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { ServiceCall } from "../ports/service.ts";
 import type { ClaimWriter } from "./claim_writer.ts";
 import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
 import type { ServerPool } from "./server_pool.ts";
 
-/** Answer of a booking service, or the recorded answer of an earlier call. */
-export type BookedAnswer = CallAnswer & {
-  readonly outcome: Outcome;
-  /** The answer is that of an earlier call with the same key. */
-  readonly replayed: boolean;
-};
-
 /** What the caller of a booking call is told. */
 export type CallReply = Either<Refusal, BookedAnswer>;
 
--- a/tests/booking/setup.ts
+++ b/tests/booking/setup.ts
@@ -37,6 +37,7 @@
   method?: string;
   customer?: string;
   within?: number;
+  service?: string;
 };
 
 /** Several nodes over one table and one booking service. */
@@ -64,7 +65,7 @@
               leaving: leaving.has(`s${index}`),
             }))
           : undefined,
-      routes: new Map([[service, [{ method: "GET", path: "/stock*" }]]]),
+      routes: new Map([[service, [{ method: "GET", path: "/stock" }]]]),
       journal: silentJournal,
       meter: silentMeter,
       random: this.#random,
@@ -91,7 +92,7 @@
     let reply: CallReply | undefined;
     void node.desk
       .call({
-        service,
+        service: brandString(shape.service ?? service),
         method: shape.method ?? "POST",
         path: shape.path ?? "/reservations",
         contentType: "text/plain",
@@ -99,7 +100,7 @@
         customer: brandString(shape.customer ?? "zakopane"),
         idempotencyKey: shape.key,
         requestId: brandString(`r${this.#requests++}`),
-        deadline: millis(this.clock.now() + (shape.within ?? 5_000)),
+        deadline: millis(shape.within ?? 5_000),
       })
       .then((value) => {
         reply = value;
