--- a/src/node/claim_sweep.ts
+++ b/src/node/claim_sweep.ts
@@ -48,8 +48,8 @@
   }
 
   #scheduleStep(): void {
-    if (this.#stopped) return;
-    const { clock, random, interval } = this.#options;
+    const { clock, random, interval, services } = this.#options;
+    if (this.#stopped || services.length === 0) return;
     const delay = (interval ?? sweepInterval) * (0.5 + random());
     this.#cancelTimer = clock.schedule(millis(delay), () => {
       void this.#step().finally(() => this.#scheduleStep());
--- a/src/node/claim_writer.ts
+++ b/src/node/claim_writer.ts
@@ -17,6 +17,7 @@
 import type { AttemptToken, NodeId, RowKey } from "../core/ids.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { Json, TableService } from "../ports/table.ts";
+import { answerWithin } from "./deadline.ts";
 import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
 
 /** Time after which a transaction counts as unanswered, in ms. */
@@ -121,7 +122,7 @@
     const startedAt = clock.now();
     meter.count("claim_transactions_total");
     meter.count("claim_rows_total", {}, orders.length);
-    const result = await withDeadline<BatchResult>(
+    const result = await answerWithin<BatchResult>(
       clock,
       sendBatch(table, attempt, orders),
       {
@@ -163,15 +164,3 @@
           },
   });
 }
-
-/** Gives `late` when the promise has not settled after `delay` ms. */
-export function withDeadline<Value>(
-  clock: Clock,
-  promise: Promise<Value>,
-  options: { delay: Millis; late: Value },
-): Promise<Value> {
-  return new Promise((resolve, reject) => {
-    const cancel = clock.schedule(options.delay, () => resolve(options.late));
-    promise.then(resolve, reject).finally(cancel);
-  });
-}
--- a/src/node/server_pool.ts
+++ b/src/node/server_pool.ts
@@ -13,7 +13,7 @@
 import { type Clock, type Millis, millis } from "../core/clock.ts";
 import type { Meter } from "../ports/journal.ts";
 import type { ServiceCall, ServiceLink } from "../ports/service.ts";
-import { withDeadline } from "./claim_writer.ts";
+import { answerWithin } from "./deadline.ts";
 
 /** Time in ms that a link gets beyond its own timeout before it counts as silent. */
 const linkMargin = 100;
@@ -105,7 +105,7 @@
     const stats = this.#stats.get(id) ?? unknownServer;
     this.#stats.set(id, { ...stats, open: stats.open + 1 });
     const startedAt = clock.now();
-    const result = await withDeadline<SendResult>(
+    const result = await answerWithin<SendResult>(
       clock,
       sendCall(server.link, call),
       {
--- a/src/node/service_desk.ts
+++ b/src/node/service_desk.ts
@@ -20,7 +20,9 @@
 import type { ServiceInput } from "../ports/front.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { TableService } from "../ports/table.ts";
-import { ClaimWriter, withDeadline } from "./claim_writer.ts";
+import { ClaimSweep } from "./claim_sweep.ts";
+import { ClaimWriter } from "./claim_writer.ts";
+import { answerWithin } from "./deadline.ts";
 import { ServerPool, type ServiceServer } from "./server_pool.ts";
 import {
   type CallReply,
@@ -41,6 +43,9 @@
 /** Method and start of the path of calls that may be repeated; the start ends at a `/`. */
 export type LookupRoute = { readonly method: string; readonly path: string };
 
+/** One booking call; the deadline is a time of the node's clock. */
+export type ServiceDeskCall = ServiceInput;
+
 /** What the service desk needs. */
 export type ServiceDeskOptions = {
   readonly clock: Clock;
@@ -57,6 +62,8 @@
   readonly nodeId: NodeId;
   /** The lease under which the node may act, or undefined without one. */
   readonly currentLease: () => LeaseId | undefined;
+  /** Services whose old claims this node helps to remove; none when left out. */
+  readonly sweepServices?: readonly ServiceName[];
   /** Hears of a server that refused a call because it is leaving. */
   readonly onLeaving?: (service: ServiceName, server: string) => void;
 };
@@ -67,6 +74,7 @@
 export class ServiceDesk {
   readonly #options: ServiceDeskOptions;
   readonly #writer: ClaimWriter;
+  readonly #sweep: ClaimSweep;
   readonly #pools = new Map<ServiceName, ServerPool>();
   readonly #requests = new Set<ServiceRequest>();
   /** Keys with a call or an unrecorded outcome at this node. */
@@ -85,6 +93,10 @@
       ...options,
       onIdle: () => this.#checkIdle(),
     });
+    this.#sweep = ClaimSweep.create({
+      ...options,
+      services: options.sweepServices ?? [],
+    });
   }
 
   /** Calls in progress and outcomes that are not recorded yet. */
@@ -93,7 +105,7 @@
   }
 
   /** Runs one call; the reply says whether a booking service ran it. */
-  call(call: ServiceInput): Promise<CallReply> {
+  call(call: ServiceDeskCall): Promise<CallReply> {
     const { meter, links, routes } = this.#options;
     if (links(call.service) === undefined) {
       return refuseCall(refuse("unknownService", call.service));
@@ -123,11 +135,12 @@
   /** Stops without waiting for calls or outcomes, as a killed process does. */
   stop(): void {
     this.#writer.stop();
+    this.#sweep.stop();
     for (const request of this.#requests) request.stop();
     this.#requests.clear();
   }
 
-  #callWithKey(call: ServiceInput): Promise<CallReply> {
+  #callWithKey(call: ServiceDeskCall): Promise<CallReply> {
     const { currentLease, clock, nodeId } = this.#options;
     const lease = currentLease();
     if (lease === undefined) {
@@ -149,7 +162,8 @@
           : refuse("keyReused", "The body differs"),
       );
     }
-    const expiresAt = clock.wallNow() + call.deadline + outcomeGrace;
+    const expiresAt =
+      clock.wallNow() + (call.deadline - clock.now()) + outcomeGrace;
     const token = this.#nextToken();
     const claim: Claim = {
       state: "claimed",
@@ -167,7 +181,7 @@
   }
 
   #run(
-    call: ServiceInput,
+    call: ServiceDeskCall,
     plan: Pick<PlannedCall, "kind" | "claim"> & { key: RowKey | undefined },
   ): Promise<CallReply> {
     const { method, path, contentType, body } = call;
@@ -180,7 +194,7 @@
         call: {
           kind: plan.kind,
           requestId: call.requestId,
-          deadlineAt: millis(this.#options.clock.now() + call.deadline),
+          deadlineAt: call.deadline,
           claim: plan.claim,
           request: { method, path, contentType, body },
         },
@@ -247,7 +261,7 @@
           (row.value as { lease?: unknown } | null)?.lease === lease,
       }),
     );
-    return await withDeadline(clock, read, {
+    return await answerWithin(clock, read, {
       delay: sessionReadDeadline,
       late: undefined,
     });
@@ -282,7 +296,7 @@
 
 /** Decides from the settings and the key how often a call may be sent. */
 function classifyCall(
-  call: ServiceInput,
+  call: ServiceDeskCall,
   lookups: readonly LookupRoute[],
 ): CallKind {
   const path = call.path.split("?", 1)[0] ?? "";
@@ -298,14 +312,14 @@
   return call.idempotencyKey === undefined ? "once" : "keyed";
 }
 
-function digestCall(call: ServiceInput): Digest {
+function digestCall(call: ServiceDeskCall): Digest {
   const hash = createHash("sha256");
   hash.update(JSON.stringify([call.method, call.path]));
   hash.update(call.body);
   return brandString(hash.digest("hex"));
 }
 
-function digestKey(call: ServiceInput): Digest {
+function digestKey(call: ServiceDeskCall): Digest {
   const hash = createHash("sha256");
   hash.update(JSON.stringify([call.customer, call.idempotencyKey]));
   return brandString(hash.digest("hex"));
--- a/tests/booking/setup.ts
+++ b/tests/booking/setup.ts
@@ -100,7 +100,7 @@
         customer: brandString(shape.customer ?? "zakopane"),
         idempotencyKey: shape.key,
         requestId: brandString(`r${this.#requests++}`),
-        deadline: millis(shape.within ?? 5_000),
+        deadline: millis(this.clock.now() + (shape.within ?? 5_000)),
       })
       .then((value) => {
         reply = value;
