--- /dev/null
+++ b/tests/peers/peer_server_test.ts
@@ -0,0 +1,243 @@
+import assert from "node:assert/strict";
+import { once } from "node:events";
+import type { Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { afterEach, beforeEach, test } from "node:test";
+import { Keyring } from "../../src/adapters/keys/keyring.ts";
+import { Timeline } from "../../src/adapters/observe/timeline.ts";
+import { HttpForwarder } from "../../src/adapters/peers/forward_client.ts";
+import { ForwardServer } from "../../src/adapters/peers/forward_server.ts";
+import { createOperatorClient } from "../../src/adapters/peers/operator_client.ts";
+import { createPeerServer } from "../../src/adapters/peers/peer_server.ts";
+import { signatureHeader } from "../../src/adapters/peers/signature.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis } from "../../src/core/clock.ts";
+import { brandString } from "../../src/core/ids.ts";
+import { type Refusal, refuse } from "../../src/core/results/refusal.ts";
+import type { AnswerSink, Submission } from "../../src/ports/access.ts";
+import { silentMeter } from "../../src/ports/journal.ts";
+import type { OperatorPort } from "../../src/ports/operators.ts";
+
+const clock = RealClock.create();
+const secret = "a-secret-of-the-tests";
+const keyring = Keyring.create([{ id: "k1", secret }]);
+const stranger = Keyring.create([{ id: "k1", secret: "a-secret-of-others" }]);
+const timeline = Timeline.create({ node: brandString("n"), clock });
+
+let accepted: { submission: Submission; sink: AnswerSink; events: string[] }[];
+let drains: string[];
+let server: Server;
+let address: string;
+let forwards: ForwardServer;
+let forwarder: HttpForwarder;
+
+beforeEach(async () => {
+  accepted = [];
+  drains = [];
+  forwards = ForwardServer.create({
+    clock,
+    target: {
+      acceptForward({ submission }, sink) {
+        const events: string[] = [];
+        accepted.push({ submission, sink, events });
+        return {
+          cancel: () => events.push("cancel"),
+          pause: () => events.push("pause"),
+          resume: () => events.push("resume"),
+        };
+      },
+    },
+  });
+  const operators = {
+    drain: (operator: string) => drains.push(operator),
+    status: () => ({ phase: "draining" }),
+  } as unknown as OperatorPort;
+  server = createPeerServer({
+    forwards,
+    operators,
+    keyring,
+    clock,
+    timeline,
+    meter: silentMeter,
+  });
+  server.listen(0, "127.0.0.1");
+  await once(server, "listening");
+  address = `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  forwarder = HttpForwarder.create({
+    clock,
+    keyring,
+    timeline,
+    meter: silentMeter,
+  });
+});
+
+afterEach(async () => {
+  forwards.close();
+  await forwarder.close();
+  server.closeAllConnections();
+  server.close();
+});
+
+function createSubmission(requestId: string): Submission {
+  const now = clock.now();
+  return {
+    path: "/v1/completions",
+    body: Buffer.from('{"prompt":"x"}'),
+    work: {
+      requestId: brandString(requestId),
+      adapter: brandString("a@1"),
+      customer: brandString("firm"),
+      priority: "normal",
+      expectedTokens: 5,
+      arrivedAt: now,
+      deadlineAt: millis(now + 5_000),
+      digest: brandString("d"),
+      prefix: brandString("p"),
+      resumeAt: 2,
+      isolated: false,
+    },
+  };
+}
+
+type Heard = { text: string; count: number; ended: boolean; refusal?: Refusal };
+
+function forward(requestId: string, from = forwarder) {
+  const heard: Heard = { text: "", count: 0, ended: false };
+  const control = from.forward(
+    address,
+    { engine: brandString("e"), submission: createSubmission(requestId) },
+    {
+      onChunk(bytes, count) {
+        heard.text += Buffer.from(bytes).toString();
+        heard.count += count;
+      },
+      onEnd() {
+        heard.ended = true;
+      },
+      onRefusal(refusal) {
+        heard.refusal = refusal;
+      },
+    },
+  );
+  return { heard, control };
+}
+
+test("forwarded work arrives with its remaining time and its answer is whole", async () => {
+  const { heard } = forward("r1");
+  await waitFor(() => accepted.length === 1);
+  const { submission, sink } = accepted[0] as (typeof accepted)[0];
+  const remaining = submission.work.deadlineAt - clock.now();
+  assert.ok(remaining > 4_000 && remaining <= 5_000);
+  assert.equal(submission.work.resumeAt, 2);
+  sink.onChunk(Buffer.from("data: {1}\n\ndata: {2}\n\n"), 2);
+  sink.onEnd();
+  await waitFor(() => heard.ended);
+  assert.equal(heard.text, "data: {1}\n\ndata: {2}\n\n");
+  assert.equal(heard.count, 2);
+});
+
+test("a refusal before and within the stream keeps its code and outcome", async () => {
+  const first = forward("r1");
+  const second = forward("r2");
+  await waitFor(() => accepted.length === 2);
+  const refusal = refuse("queueFull", "full", { retryAfter: millis(500) });
+  accepted[0]?.sink.onRefusal(refusal);
+  accepted[1]?.sink.onChunk(Buffer.from("data: {1}\n\n"), 1);
+  accepted[1]?.sink.onRefusal({
+    ...refuse("engineLost", "crash"),
+    suspect: true,
+  });
+  await waitFor(() => Boolean(first.heard.refusal && second.heard.refusal));
+  const refusals = [first.heard.refusal, second.heard.refusal];
+  const before = refusals.find((one) => one?.code === "queueFull");
+  const within = refusals.find((one) => one?.code === "engineLost");
+  assert.deepEqual(before, refusal);
+  assert.equal(within?.suspect, true);
+  assert.equal(within?.outcome, "may-have-run");
+});
+
+test("a stream that the owner cuts is reported as broken, not as whole", async () => {
+  const { heard } = forward("r1");
+  await waitFor(() => accepted.length === 1);
+  accepted[0]?.sink.onChunk(Buffer.from("data: {1}\n\n"), 1);
+  await waitFor(() => heard.count === 1);
+  server.closeAllConnections();
+  await waitFor(() => heard.refusal !== undefined);
+  assert.equal(heard.refusal?.code, "peerLost");
+  assert.equal(heard.refusal?.outcome, "may-have-run");
+  assert.equal(heard.ended, false);
+});
+
+test("an unreachable owner is reported as not-run", async () => {
+  server.closeAllConnections();
+  server.close();
+  const { heard } = forward("r1");
+  await waitFor(() => heard.refusal !== undefined);
+  assert.equal(heard.refusal?.outcome, "not-run");
+});
+
+test("comment lines keep a quiet stream alive and are not counted", async () => {
+  const { heard } = forward("r1");
+  await waitFor(() => accepted.length === 1);
+  await new Promise((resolve) => setTimeout(resolve, 3_600));
+  assert.equal(heard.refusal, undefined);
+  assert.equal(heard.count, 0);
+  accepted[0]?.sink.onEnd();
+  await waitFor(() => heard.ended);
+});
+
+test("a sender without the key can neither forward work nor give orders", async () => {
+  const other = HttpForwarder.create({
+    clock,
+    keyring: stranger,
+    timeline,
+    meter: silentMeter,
+  });
+  const { heard } = forward("r1", other);
+  await waitFor(() => heard.refusal !== undefined);
+  assert.equal(heard.refusal?.outcome, "not-run");
+  const client = createOperatorClient({ address, keyring: stranger, clock });
+  await assert.rejects(client.drain.mutate({ operator: "x" }));
+  const unsigned = await fetch(`http://${address}/trpc/status`);
+  assert.equal(unsigned.status, 401);
+  assert.equal(accepted.length + drains.length, 0);
+  await other.close();
+});
+
+test("a recorded message cannot be sent again", async () => {
+  const seen: { path: string; signature: string; body: string }[] = [];
+  server.prependListener("request", (request) => {
+    seen.push({
+      path: request.url ?? "",
+      signature: String(request.headers[signatureHeader]),
+      body: "",
+    });
+  });
+  const client = createOperatorClient({ address, keyring, clock });
+  await client.status.query();
+  const recorded = seen[0] as (typeof seen)[0];
+  const replayed = await fetch(`http://${address}${recorded.path}`, {
+    headers: { [signatureHeader]: recorded.signature },
+  });
+  assert.equal(replayed.status, 401);
+});
+
+test("a key can be replaced while both sides run", async () => {
+  const client = createOperatorClient({ address, keyring, clock });
+  await client.drain.mutate({ operator: "first" });
+  keyring.replace([{ id: "k2", secret: "another-secret-of-tests" }]);
+  await client.drain.mutate({ operator: "second" });
+  assert.deepEqual(drains, ["first", "second"]);
+  const old = Keyring.create([{ id: "k1", secret }]);
+  const late = createOperatorClient({ address, keyring: old, clock });
+  await assert.rejects(late.drain.mutate({ operator: "third" }));
+  keyring.replace([{ id: "k1", secret }]);
+});
+
+async function waitFor(condition: () => boolean): Promise<void> {
+  const end = Date.now() + 5_000;
+  while (!condition()) {
+    assert.ok(Date.now() < end, "condition not met within 5 s");
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  }
+}
