Add table, object store, machine list and booking service: clients and stand-ins

GuardedTable puts a circuit breaker with jittered probes and a write budget before the table; lease renewals use its urgent side, which the budgets never refuse. The service port gains `repeatable` and `notRun`, both optional.

--- /dev/null
+++ b/src/adapters/platform/guarded_table.ts
@@ -0,0 +1,163 @@
+import { type Either, Left } from "purify-ts";
+import {
+  type BreakerCommand,
+  type BreakerEvent,
+  type BreakerState,
+  closedBreaker,
+  createBreakerDecision,
+} from "../../core/breaker/breaker.ts";
+import {
+  type Bucket,
+  createBucket,
+  takeToken,
+} from "../../core/breaker/bucket.ts";
+import type { Cancel, Clock } from "../../core/clock.ts";
+import { brandString, type RowKey } from "../../core/ids.ts";
+import {
+  type Journal,
+  type Meter,
+  silentJournal,
+  silentMeter,
+} from "../../ports/journal.ts";
+import type { TableFailure, TableService } from "../../ports/table.ts";
+
+/** Row that probes read; it need not exist. */
+const probeKey = brandString<RowKey>("probe");
+/** Writes of one node: 610 nodes leave most of the table's capacity to peaks of a few. */
+const defaultWriteBudget = { rate: 40, burst: 80 };
+/** Calls of one node just after an outage: 9 nodes stay below a third of the table's writes. */
+const recoveryBudget = { rate: 20, burst: 4 };
+
+/** What guards the table service. */
+export type GuardedTableOptions = {
+  readonly table: TableService;
+  readonly clock: Clock;
+  readonly random: () => number;
+  /** Writes a second in the long run, and at once. */
+  readonly writeBudget?: { readonly rate: number; readonly burst: number };
+  readonly journal?: Journal;
+  readonly meter?: Meter;
+  /** Told when an outage starts and ends. */
+  readonly onOutage?: (outage: boolean) => void;
+};
+
+type CallKind = "read" | "write" | "urgent";
+
+/** Table service behind a circuit breaker and a write budget. */
+export class GuardedTable implements TableService {
+  /** Same table for lease renewals and hand-overs, which the budgets never refuse. */
+  readonly urgent: TableService;
+  readonly #options: GuardedTableOptions;
+  readonly #decide: ReturnType<typeof createBreakerDecision>;
+  readonly #writes: Bucket;
+  #recovery: Bucket;
+  #state: BreakerState = closedBreaker;
+  /** Ends the wait for the next probe or for the end of the recovery. */
+  #cancelTimer: Cancel = () => {};
+
+  constructor(options: GuardedTableOptions) {
+    const { clock, random, table } = options;
+    this.#options = options;
+    this.#decide = createBreakerDecision(random);
+    const budget = options.writeBudget ?? defaultWriteBudget;
+    this.#writes = createBucket(budget, clock.now());
+    this.#recovery = createBucket(recoveryBudget, clock.now());
+    this.urgent = {
+      read: (key) => this.#run("urgent", () => table.read(key)),
+      scan: (prefix) => this.#run("urgent", () => table.scan(prefix)),
+      transact: (transaction) =>
+        this.#run("urgent", () => table.transact(transaction)),
+    };
+  }
+
+  static create(options: GuardedTableOptions): GuardedTable {
+    return new GuardedTable(options);
+  }
+
+  /** Whether calls fail at once because the table does not answer. */
+  get outage(): boolean {
+    return this.#state.phase === "open";
+  }
+
+  /** Stops probes; the guard is not used afterwards. */
+  close(): void {
+    this.#cancelTimer();
+  }
+
+  read: TableService["read"] = (key) =>
+    this.#run("read", () => this.#options.table.read(key));
+
+  scan: TableService["scan"] = (prefix) =>
+    this.#run("read", () => this.#options.table.scan(prefix));
+
+  transact: TableService["transact"] = (transaction) =>
+    this.#run("write", () => this.#options.table.transact(transaction));
+
+  async #run<Value>(
+    kind: CallKind,
+    call: () => Promise<Either<TableFailure, Value>>,
+  ): Promise<Either<TableFailure, Value>> {
+    const refusal = this.#refuse(kind);
+    if (refusal !== undefined) {
+      const { meter = silentMeter } = this.#options;
+      meter.count("table_calls_refused", { reason: refusal });
+      return Left({ kind: "unavailable", detail: `Not sent: ${refusal}` });
+    }
+    const result = await call();
+    this.#handle({ type: result.isRight() ? "succeeded" : "failed" });
+    return result;
+  }
+
+  #refuse(kind: CallKind): string | undefined {
+    if (this.#state.phase === "open") return "table outage";
+    if (kind === "urgent") return undefined;
+    const now = this.#options.clock.now();
+    if (this.#state.phase === "recovering" && !takeToken(this.#recovery, now)) {
+      return "recovery budget";
+    }
+    if (kind === "write" && !takeToken(this.#writes, now)) {
+      return "write budget";
+    }
+    return undefined;
+  }
+
+  #handle(event: BreakerEvent): void {
+    const { clock } = this.#options;
+    const { state, commands } = this.#decide(this.#state, event, clock.now());
+    this.#state = state;
+    for (const command of commands) this.#perform(command);
+  }
+
+  #perform(command: BreakerCommand): void {
+    const { clock, journal = silentJournal, onOutage } = this.#options;
+    switch (command.type) {
+      case "probe-after":
+        this.#cancelTimer = clock.schedule(
+          command.delay,
+          () => void this.#probe(),
+        );
+        return;
+      case "recover-after":
+        this.#recovery = createBucket(recoveryBudget, clock.now());
+        this.#cancelTimer = clock.schedule(command.delay, () =>
+          this.#handle({ type: "recovered" }),
+        );
+        return;
+      case "outage-started":
+        this.#cancelTimer();
+        journal.record("tableOutageStarted");
+        onOutage?.(true);
+        return;
+      case "outage-ended":
+        journal.record("tableOutageEnded");
+        onOutage?.(false);
+    }
+  }
+
+  async #probe(): Promise<void> {
+    const result = await this.#options.table.read(probeKey);
+    this.#handle({
+      type: result.isRight() ? "probe-succeeded" : "probe-failed",
+    });
+  }
+}
--- /dev/null
+++ b/src/adapters/platform/machines_client.ts
@@ -0,0 +1,37 @@
+import type { Either } from "purify-ts";
+import { z } from "zod";
+import type { Machine, MachineList } from "../../ports/machines.ts";
+import { PlatformCaller, type PlatformClientOptions } from "./platform_call.ts";
+
+const machineList = z.array(
+  z.object({
+    name: z.string(),
+    role: z.enum(["entry", "engine", "service"]),
+    address: z.string(),
+    state: z.enum(["live", "leaving"]),
+  }),
+);
+
+/** List of VMs over HTTP. */
+export class MachinesClient implements MachineList {
+  readonly #caller: PlatformCaller;
+
+  constructor(options: PlatformClientOptions) {
+    this.#caller = PlatformCaller.create("machines", options);
+  }
+
+  static create(options: PlatformClientOptions): MachinesClient {
+    return new MachinesClient(options);
+  }
+
+  list(): Promise<Either<{ readonly detail: string }, readonly Machine[]>> {
+    return this.#caller.call({ method: "GET", path: "/machines" }, (body) =>
+      machineList.parse(JSON.parse(body.toString())),
+    );
+  }
+
+  /** Breaks all connections. */
+  close(): Promise<void> {
+    return this.#caller.close();
+  }
+}
--- /dev/null
+++ b/src/adapters/platform/table_client.ts
@@ -0,0 +1,100 @@
+import type { Either } from "purify-ts";
+import { z } from "zod";
+import type { RowKey } from "../../core/ids.ts";
+import type {
+  Row,
+  TableFailure,
+  TableService,
+  Transaction,
+  TransactionResult,
+} from "../../ports/table.ts";
+import {
+  PlatformCaller,
+  type PlatformClientOptions,
+  type PlatformFailure,
+} from "./platform_call.ts";
+
+const rowSchema = z.object({
+  key: z.string(),
+  version: z.number(),
+  value: z.json(),
+  attempt: z.string(),
+});
+const rowOrNothing = rowSchema.nullable();
+const rowList = z.array(rowSchema);
+const resultSchema = z.discriminatedUnion("kind", [
+  z.object({ kind: z.literal("committed") }),
+  z.object({
+    kind: z.literal("conflict"),
+    current: z.array(z.tuple([z.string(), rowOrNothing])),
+  }),
+]);
+
+/** Table service over HTTP. */
+export class TableClient implements TableService {
+  readonly #caller: PlatformCaller;
+
+  constructor(options: PlatformClientOptions) {
+    this.#caller = PlatformCaller.create("table", options);
+  }
+
+  static create(options: PlatformClientOptions): TableClient {
+    return new TableClient(options);
+  }
+
+  async read(key: RowKey): Promise<Either<TableFailure, Row | undefined>> {
+    const path = `/row?key=${encodeURIComponent(key)}`;
+    const row = await this.#caller.call({ method: "GET", path }, (body) => {
+      const found = rowOrNothing.parse(JSON.parse(body.toString()));
+      return found === null ? undefined : (found as Row);
+    });
+    return row.mapLeft(toReadFailure);
+  }
+
+  async scan(prefix: string): Promise<Either<TableFailure, readonly Row[]>> {
+    const path = `/rows?key=${encodeURIComponent(prefix)}`;
+    const rows = await this.#caller.call(
+      { method: "GET", path },
+      (body) => rowList.parse(JSON.parse(body.toString())) as Row[],
+    );
+    return rows.mapLeft(toReadFailure);
+  }
+
+  async transact(
+    transaction: Transaction,
+  ): Promise<Either<TableFailure, TransactionResult>> {
+    const result = await this.#caller.call(
+      {
+        method: "POST",
+        path: "/transactions",
+        body: JSON.stringify(transaction),
+      },
+      decodeResult,
+    );
+    return result.mapLeft(toWriteFailure);
+  }
+
+  /** Breaks all connections. */
+  close(): Promise<void> {
+    return this.#caller.close();
+  }
+}
+
+function decodeResult(body: Buffer): TransactionResult {
+  const result = resultSchema.parse(JSON.parse(body.toString()));
+  if (result.kind === "committed") return result;
+  const current = result.current.map(
+    ([key, row]) =>
+      [key as RowKey, row === null ? undefined : (row as Row)] as const,
+  );
+  return { kind: "conflict", current: new Map(current) };
+}
+
+/** A read applies nothing, whatever became of it. */
+function toReadFailure({ detail }: PlatformFailure): TableFailure {
+  return { kind: "unavailable", detail };
+}
+
+function toWriteFailure({ kind, detail }: PlatformFailure): TableFailure {
+  return { kind: kind === "unavailable" ? "unavailable" : "unknown", detail };
+}
--- a/src/ports/service.ts
+++ b/src/ports/service.ts
@@ -12,6 +12,8 @@
   readonly body: Uint8Array;
   /** Time to wait for the whole answer, in ms. */
   readonly timeout: Millis;
+  /** The call may run more than once; false unless set. */
+  readonly repeatable?: boolean;
 };
 
 /** Whole answer of a booking service. */
@@ -19,6 +21,8 @@
   readonly status: number;
   readonly contentType: string | undefined;
   readonly body: Uint8Array;
+  /** The server is leaving and says that it did not run the call. */
+  readonly notRun?: "leaving";
 };
 
 /** Why there is no answer. */
--- /dev/null
+++ b/src/standins/memory_platform.ts
@@ -0,0 +1,60 @@
+import { type Either, Left, Right } from "purify-ts";
+import type { Clock } from "../core/clock.ts";
+import type { Machine, MachineList } from "../ports/machines.ts";
+import type { ObjectFailure, ObjectStore } from "../ports/objects.ts";
+
+/** Object store in memory. */
+export class MemoryObjects implements ObjectStore {
+  outage = false;
+  readonly #objects = new Map<string, Uint8Array>();
+
+  async get(key: string): Promise<Either<ObjectFailure, Uint8Array>> {
+    if (this.outage) return Left({ kind: "unavailable", detail: "Outage" });
+    const content = this.#objects.get(key);
+    if (content !== undefined) return Right(content);
+    return Left({ kind: "missing", detail: `No object ${key}` });
+  }
+
+  async put(
+    key: string,
+    content: Uint8Array,
+  ): Promise<Either<ObjectFailure, void>> {
+    if (this.outage) return Left({ kind: "unavailable", detail: "Outage" });
+    const held = this.#objects.get(key);
+    if (held !== undefined && Buffer.compare(held, content) !== 0) {
+      const detail = `Object ${key} has other content`;
+      return Left({ kind: "unavailable", detail });
+    }
+    this.#objects.set(key, content);
+    return Right(undefined);
+  }
+}
+
+/** List of VMs that shows each change late. */
+export class MemoryMachines implements MachineList {
+  outage = false;
+  readonly #clock: Clock;
+  readonly #lag: number;
+  readonly #history: { at: number; machines: readonly Machine[] }[] = [];
+
+  constructor(clock: Clock, lag: number) {
+    this.#clock = clock;
+    this.#lag = lag;
+  }
+
+  /** A list whose changes are seen `lag` ms after they were made. */
+  static create(clock: Clock, { lag = 0 } = {}): MachineList & MemoryMachines {
+    return new MemoryMachines(clock, lag);
+  }
+
+  set(machines: readonly Machine[]): void {
+    this.#history.push({ at: this.#clock.now(), machines });
+  }
+
+  async list(): Promise<Either<{ detail: string }, readonly Machine[]>> {
+    if (this.outage) return Left({ detail: "Outage" });
+    const shownAt = this.#clock.now() - this.#lag;
+    const shown = this.#history.findLast(({ at }) => at <= shownAt);
+    return Right((shown ?? this.#history[0])?.machines ?? []);
+  }
+}
--- /dev/null
+++ b/src/standins/memory_service.ts
@@ -0,0 +1,72 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type Clock, type Millis, millis, sleep } from "../core/clock.ts";
+import type { RequestId } from "../core/ids.ts";
+import type {
+  ServiceAnswer,
+  ServiceCall,
+  ServiceFailure,
+  ServiceLink,
+} from "../ports/service.ts";
+
+/** What becomes of an answer: it comes `lateness` ms late, breaks off after the run, or never comes. */
+export type AnswerFault = "none" | "late" | "broken" | "silent";
+
+/** Server of a booking service in memory: POST reserves or takes a deposit, GET looks up. */
+export class MemoryService implements ServiceLink {
+  fault: AnswerFault = "none";
+  lateness: Millis = millis(0);
+  /** Takes no new calls. */
+  leaving = false;
+  /** Refuses connections. */
+  down = false;
+  /** Request ids of the calls that ran, in order. */
+  readonly runs: RequestId[] = [];
+  readonly #clock: Clock;
+  #bookings = 0;
+
+  constructor(clock: Clock) {
+    this.#clock = clock;
+  }
+
+  static create(clock: Clock): MemoryService {
+    return new MemoryService(clock);
+  }
+
+  /** How often a call ran. */
+  countRuns(requestId: RequestId): number {
+    return this.runs.filter((run) => run === requestId).length;
+  }
+
+  /** Runs the call at once, unless the server is leaving. */
+  run(call: Pick<ServiceCall, "requestId" | "method" | "path">): ServiceAnswer {
+    if (this.leaving) return answer(503, {}, "leaving");
+    this.runs.push(call.requestId);
+    if (call.method === "GET")
+      return answer(200, { stock: 40, path: call.path });
+    this.#bookings++;
+    return answer(201, { path: call.path, booking: this.#bookings });
+  }
+
+  async call(
+    call: ServiceCall,
+  ): Promise<Either<ServiceFailure, ServiceAnswer>> {
+    if (this.down) return Left({ kind: "not-sent", detail: "Not listening" });
+    const result = this.run(call);
+    const { fault, lateness } = this;
+    if (fault === "broken") return Left({ kind: "broken", detail: "Reset" });
+    const never = millis(Number.POSITIVE_INFINITY);
+    const delay = { none: millis(0), late: lateness, silent: never }[fault];
+    await sleep(this.#clock, millis(Math.min(delay, call.timeout)));
+    if (delay < call.timeout) return Right(result);
+    return Left({ kind: "timeout", detail: "No answer" });
+  }
+}
+
+function answer(
+  status: number,
+  value: unknown,
+  notRun?: ServiceAnswer["notRun"],
+): ServiceAnswer {
+  const body = Buffer.from(JSON.stringify(value));
+  return { status, contentType: "application/json", body, notRun };
+}
--- /dev/null
+++ b/src/standins/service_server.ts
@@ -0,0 +1,36 @@
+import { type Clock, sleep } from "../core/clock.ts";
+import { brandString, type RequestId } from "../core/ids.ts";
+import { type HostCall, HttpHost } from "./http_host.ts";
+import type { MemoryService } from "./memory_service.ts";
+
+/** Serves a booking service on loopback; the host has the switches for broken connections. */
+export function createServiceServer(
+  service: MemoryService,
+  { clock, port = 0 }: { clock: Clock; port?: number },
+): Promise<HttpHost> {
+  return HttpHost.create((call) => void handle(call, { service, clock }), {
+    port,
+  });
+}
+
+async function handle(
+  { request, response, path }: HostCall,
+  { service, clock }: { service: MemoryService; clock: Clock },
+): Promise<void> {
+  const id = String(request.headers["x-request-id"]);
+  const requestId = brandString<RequestId>(id);
+  const method = request.method ?? "GET";
+  const answer = service.run({ requestId, method, path });
+  if (service.fault === "silent") return;
+  if (service.fault === "broken") {
+    response.destroy();
+    return;
+  }
+  if (service.fault === "late") await sleep(clock, service.lateness);
+  response.writeHead(answer.status, {
+    "x-request-id": id,
+    "content-type": answer.contentType,
+    ...(answer.notRun === undefined ? {} : { "x-not-run": answer.notRun }),
+  });
+  response.end(answer.body);
+}
--- /dev/null
+++ b/tests/platform/guarded_table_test.ts
@@ -0,0 +1,104 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { xoroshiro128plus } from "pure-rand";
+import { GuardedTable } from "../../src/adapters/platform/guarded_table.ts";
+import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
+import { millis } from "../../src/core/clock.ts";
+import { MemoryTable } from "../../src/standins/memory_table.ts";
+import { key, write } from "./rows.ts";
+
+function setUp(seed = 1) {
+  const clock = VirtualClock.create();
+  const table = MemoryTable.create(clock);
+  const generator = xoroshiro128plus(seed);
+  const outages: [boolean, number][] = [];
+  const refused: string[] = [];
+  const guard = GuardedTable.create({
+    table,
+    clock,
+    random: () => (generator.unsafeNext() >>> 0) / 2 ** 32,
+    writeBudget: { rate: 10, burst: 5 },
+    onOutage: (outage) => outages.push([outage, clock.now()]),
+    meter: {
+      count: (_name, labels) => refused.push(labels?.reason ?? ""),
+      observe() {},
+      gauge() {},
+    },
+  });
+  return { clock, table, guard, outages, refused };
+}
+
+async function failThreeReads({ table, guard }: ReturnType<typeof setUp>) {
+  table.outage = true;
+  for (let count = 0; count < 3; count++) await guard.read(key("a"));
+}
+
+test("after three failures calls fail at once and only probes reach the table", async () => {
+  const given = setUp();
+  await failThreeReads(given);
+  const before = given.table.totals.reads;
+  for (let count = 0; count < 50; count++) {
+    const result = await given.guard.transact(write("a", 1));
+    assert.equal(result.swap().unsafeCoerce().kind, "unavailable");
+  }
+  assert.deepEqual(given.table.totals, { reads: before, writes: 0 });
+  await given.clock.advance(millis(20_000));
+  const probes = given.table.totals.reads - before;
+  assert.ok(probes >= 10 && probes <= 25, `${probes} probes in 20 s`);
+  assert.equal(given.refused.length, 50);
+});
+
+test("a success between failures keeps the breaker closed", async () => {
+  const { table, guard } = setUp();
+  for (let count = 0; count < 6; count++) {
+    table.outage = count % 3 !== 2;
+    await guard.read(key("a"));
+  }
+  assert.equal(guard.outage, false);
+});
+
+test("an outage that ends is noticed within the longest probe delay, and work returns at a low rate", async () => {
+  const given = setUp();
+  await failThreeReads(given);
+  await given.clock.advance(millis(10_000));
+  given.table.outage = false;
+  await given.clock.advance(millis(2000));
+  assert.deepEqual(
+    given.outages.map(([outage]) => outage),
+    [true, false],
+  );
+  let served = 0;
+  for (let count = 0; count < 100; count++) {
+    if ((await given.guard.read(key("a"))).isRight()) served++;
+  }
+  assert.ok(served <= 40, `${served} calls at once after the outage`);
+  assert.ok((await given.guard.urgent.transact(write("b", 1))).isRight());
+  await given.clock.advance(millis(2000));
+  for (let count = 0; count < 100; count++) {
+    assert.ok((await given.guard.read(key("a"))).isRight());
+  }
+});
+
+test("probes of different nodes are spread in time", async () => {
+  const ends = new Set<number>();
+  for (let seed = 1; seed <= 20; seed++) {
+    const given = setUp(seed);
+    await failThreeReads(given);
+    await given.clock.advance(millis(10_000));
+    given.table.outage = false;
+    await given.clock.advance(millis(2000));
+    ends.add(Math.round((given.outages[1]?.[1] ?? 0) / 10));
+  }
+  assert.ok(ends.size >= 15, `${ends.size} different times of 20`);
+});
+
+test("writes beyond the budget are refused, lease renewals are not", async () => {
+  const { clock, table, guard, refused } = setUp();
+  for (let count = 0; count < 8; count++) await guard.transact(write("a", 1));
+  assert.equal(table.totals.writes, 5);
+  assert.deepEqual(refused, Array(3).fill("write budget"));
+  assert.ok((await guard.urgent.transact(write("b", 1))).isRight());
+  assert.ok((await guard.read(key("a"))).isRight());
+  await clock.advance(millis(100));
+  assert.ok((await guard.transact(write("a", 2))).isRight());
+});
