--- a/src/adapters/http/event_splitter.ts
+++ b/src/adapters/http/event_splitter.ts
@@ -3,6 +3,9 @@
 const openingBracket = 0x5b;
 const dataField = Buffer.from("data: ");
 const closing = "data: [DONE]";
+const letterE = 0x65;
+/** Start of the event with which a relay ends a stream that it cannot finish. */
+const refusalStart = Buffer.from("event: refusal\n");
 
 /** Largest event that is held back while its end is missing, in bytes. */
 const maximumEventBytes = 1024 * 1024;
@@ -13,6 +16,8 @@
   readonly count: number;
   /** `data: [DONE]` was read; whatever follows it is dropped. */
   readonly done: boolean;
+  /** Refusal event that ended the stream; whatever follows it is dropped. */
+  readonly refusal: Buffer | undefined;
 };
 
 /** Cuts a byte stream at the ends of its server-sent events, without parsing them. */
@@ -33,12 +38,14 @@
     let start = 0;
     let keptTo = 0;
     let done = false;
-    while (!done) {
+    let refusal: Buffer | undefined;
+    while (!done && refusal === undefined) {
       const end = data.indexOf(separator, start);
       if (end < 0) break;
       const next = end + separator.length;
       done = isClosing(data, { start, end });
-      if (done || data[start] === colon) {
+      if (isRefusal(data, start)) refusal = data.subarray(start, end);
+      if (done || refusal !== undefined || data[start] === colon) {
         if (start > keptTo) kept.push(data.subarray(keptTo, start));
         keptTo = next;
       } else {
@@ -46,12 +53,13 @@
       }
       start = next;
     }
-    if (!done && data.length - start > maximumEventBytes) return undefined;
-    if (!done && start < data.length) this.#rest = data.subarray(start);
+    const open = !done && refusal === undefined;
+    if (open && data.length - start > maximumEventBytes) return undefined;
+    if (open && start < data.length) this.#rest = data.subarray(start);
     if (start > keptTo) kept.push(data.subarray(keptTo, start));
     const [only = Buffer.alloc(0)] = kept;
     const bytes = kept.length > 1 ? Buffer.concat(kept) : only;
-    return { bytes, count, done };
+    return { bytes, count, done, refusal };
   }
 }
 
@@ -65,3 +73,10 @@
     data.toString("latin1", start, end) === closing
   );
 }
+
+function isRefusal(data: Buffer, start: number): boolean {
+  return (
+    data[start] === letterE &&
+    data.subarray(start, start + refusalStart.length).equals(refusalStart)
+  );
+}
--- /dev/null
+++ b/src/core/booking/call.ts
@@ -0,0 +1,202 @@
+import { type Millis, millis } from "../clock.ts";
+import type { Decide } from "../decision.ts";
+import { type Refusal, refuse } from "../results/refusal.ts";
+import { handleSession, handleWritten, writeClaim } from "./call_claim.ts";
+import type {
+  CallAnswer,
+  CallCommand,
+  CallEvent,
+  CallState,
+  SendFailureKind,
+  SendResult,
+} from "./call_messages.ts";
+import {
+  type CallDecision,
+  close,
+  describeFailure,
+  finish,
+  release,
+  send,
+} from "./call_send.ts";
+import { outcomeGrace } from "./claim.ts";
+
+/** Sends of one call, the first one included. */
+export const maxSends = 3;
+/** Longest delay before a failed lookup is sent again, in ms. */
+const lookupRetryDelay = millis(50);
+/** Statuses with which a server says that it cannot serve a lookup now. */
+const overloadStatuses: ReadonlySet<number> = new Set([502, 503, 504]);
+
+/** State of a call that has just arrived. */
+export function createCallState(
+  options: Pick<
+    CallState,
+    "kind" | "requestId" | "deadlineAt" | "claim" | "wallOffset" | "hedgeAfter"
+  >,
+): CallState {
+  return {
+    ...options,
+    phase: "new",
+    found: undefined,
+    claimRounds: 0,
+    sends: 0,
+    open: 0,
+    hedged: false,
+    fallback: undefined,
+  };
+}
+
+/** Builds the decision function of booking calls. */
+export function createCallDecision(
+  random: () => number,
+): Decide<CallState, CallEvent, CallCommand> {
+  return (state, event, now) => {
+    if (state.phase === "ended") return { state, commands: [] };
+    switch (event.type) {
+      case "start":
+        return state.claim === undefined
+          ? send(state, { now, budget: "none" })
+          : writeClaim(state, "absent", now);
+      case "written":
+        return handleWritten(state, event.result, now);
+      case "settled":
+        return state.phase === "releasing"
+          ? close(state, [])
+          : { state, commands: [] };
+      case "session":
+        return handleSession(state, event.exists, now);
+      case "result":
+        return handleResult(state, event.result, { random, now });
+      case "wake":
+        return handleWake(state, now);
+    }
+  };
+}
+
+function handleResult(
+  before: CallState,
+  result: SendResult,
+  context: { random: () => number; now: Millis },
+): CallDecision {
+  const state = { ...before, open: before.open - 1 };
+  if (state.kind === "lookup") return handleLookup(state, result, context);
+  if (state.phase === "releasing") return { state, commands: [] };
+  if (result.kind === "answer") return recordAnswer(state, result.answer);
+  switch (result.kind) {
+    case "broken":
+    case "timeout":
+    case "crossed":
+      return recordUnknown(state, describeFailure(result));
+    default:
+      return handleUnsent(state, result, context.now);
+  }
+}
+
+function recordAnswer(state: CallState, answer: CallAnswer): CallDecision {
+  const commands: CallCommand[] = [];
+  if (state.phase !== "answered") commands.push({ type: "answer", answer });
+  if (state.claim !== undefined) {
+    const { claim } = state;
+    commands.push({ type: "settle", claim, state: "recorded", answer });
+  }
+  return close(state, commands);
+}
+
+/** Ends a call whose outcome nobody knows. */
+function recordUnknown(state: CallState, refusal: Refusal): CallDecision {
+  const commands: CallCommand[] = [
+    { type: "record", event: "callOutcomeUnknown", detail: refusal.detail },
+  ];
+  if (state.phase !== "answered") commands.push({ type: "refuse", refusal });
+  if (state.claim !== undefined) {
+    commands.push({ type: "settle", claim: state.claim, state: "unknown" });
+  }
+  return close(state, commands);
+}
+
+/** No byte has left: another server may be tried, else the key is released. */
+function handleUnsent(
+  state: CallState,
+  failure: { kind: SendFailureKind; detail: string },
+  now: Millis,
+): CallDecision {
+  const mayTry = failure.kind === "not-sent" || failure.kind === "leaving";
+  if (mayTry && state.sends < maxSends && now < state.deadlineAt) {
+    return send(state, { now, budget: "retry" });
+  }
+  return release(state, describeFailure(failure), now);
+}
+
+function handleLookup(
+  state: CallState,
+  result: SendResult,
+  context: { random: () => number; now: Millis },
+): CallDecision {
+  const { now, random } = context;
+  if (result.kind === "answer" && !overloadStatuses.has(result.answer.status)) {
+    return close(state, [{ type: "answer", answer: result.answer }]);
+  }
+  // A refused hedge says nothing about the sends that are still open.
+  const isDenied = result.kind === "denied";
+  if (isDenied && state.open > 0) return { state, commands: [] };
+  const fallback =
+    result.kind === "answer"
+      ? result.answer
+      : (state.fallback ?? describeFailure(result));
+  const next = { ...state, fallback };
+  if (next.open > 0) return { state: next, commands: [] };
+  const spent =
+    isDenied || result.kind === "no-server" || now >= state.deadlineAt;
+  if (spent || state.sends >= maxSends) return finish(next, fallback);
+  const delay = random() * lookupRetryDelay * state.sends;
+  return {
+    state: { ...next, phase: "waiting" },
+    commands: [
+      {
+        type: "set-timer",
+        at: millis(Math.min(now + delay, state.deadlineAt)),
+      },
+    ],
+  };
+}
+
+function handleWake(state: CallState, now: Millis): CallDecision {
+  if (state.phase === "releasing") return close(state, []);
+  if (state.phase === "answered") {
+    return now < state.deadlineAt + outcomeGrace
+      ? { state, commands: [] }
+      : recordUnknown(state, refuse("serviceTimeout", "No answer in time"));
+  }
+  if (now >= state.deadlineAt) return handleDeadline(state, now);
+  if (state.kind !== "lookup") {
+    return {
+      state,
+      commands: [{ type: "set-timer", at: state.deadlineAt }],
+    };
+  }
+  if (state.phase === "waiting") return send(state, { now, budget: "retry" });
+  if (state.phase !== "sending" || state.hedged || state.sends >= maxSends) {
+    return { state, commands: [{ type: "set-timer", at: state.deadlineAt }] };
+  }
+  return send({ ...state, hedged: true }, { now, budget: "hedge" });
+}
+
+function handleDeadline(state: CallState, now: Millis): CallDecision {
+  const refusal = refuse("serviceTimeout", "No answer before the deadline");
+  if (state.kind === "lookup") {
+    return finish(state, state.fallback ?? refusal);
+  }
+  if (state.kind === "once") return recordUnknown(state, refusal);
+  if (state.phase !== "sending") return { state, commands: [] };
+  // The caller is told; the answer is awaited a little longer to record it.
+  return {
+    state: { ...state, phase: "answered" },
+    commands: [
+      { type: "refuse", refusal },
+      {
+        type: "set-timer",
+        at: millis(Math.max(now, state.deadlineAt + outcomeGrace)),
+      },
+    ],
+  };
+}
