--- /dev/null
+++ b/src/fuzz/world.ts
@@ -0,0 +1,247 @@
+import { createSeededRandom } from "../adapters/random/seeded_random.ts";
+import { VirtualClock } from "../adapters/time/virtual_clock.ts";
+import { type Millis, millis } from "../core/clock.ts";
+import type { EngineLimits } from "../core/engine/messages.ts";
+import {
+  brandString,
+  type EngineId,
+  type Region,
+  type ServiceName,
+} from "../core/ids.ts";
+import { EngineModel } from "../standins/engine_model.ts";
+import { WeightStore } from "../standins/weight_store.ts";
+import { Oracle } from "./oracle.ts";
+import { WorldNode } from "./world_node.ts";
+import { type ServiceRun, WorldServer } from "./world_service.ts";
+import { MemoryRows, type TableFault } from "./world_table.ts";
+
+/** Regions of the world; each has one data centre with two engines. */
+export const worldRegions = ["tatry", "beskidy", "sudety"] as const;
+/** Servers of the booking service. */
+export const worldServers = ["s0", "s1", "s2"] as const;
+/** One-way delay inside a region and between regions, in ms. */
+const localDelay = millis(0.5);
+const remoteDelay = millis(15);
+/** Time after the first sign in which a leaving server may still get new work, in ms. */
+const leavingLimit = 3_000;
+
+/** One engine of the world. */
+export type WorldEngine = {
+  readonly engine: EngineId;
+  readonly region: Region;
+  readonly limits: EngineLimits;
+  readonly model: EngineModel;
+};
+
+/** Nodes, back ends and platform of one installation in one process, on virtual time. */
+export class World {
+  readonly clock = VirtualClock.create();
+  readonly rows = new MemoryRows();
+  readonly oracle = new Oracle();
+  readonly service: ServiceName = brandString("depot");
+  readonly servers = new Map<string, WorldServer>();
+  readonly engines: readonly WorldEngine[];
+  readonly nodes: WorldNode[] = [];
+  readonly random: () => number;
+  readonly store: WeightStore;
+  /** Fault of the table for all nodes, and for single nodes. */
+  tableFault: TableFault | undefined;
+  readonly nodeTableFaults = new Map<string, TableFault>();
+  /** Content that crashes engines. */
+  readonly poison = new Set<string>();
+  /** Times since which pairs of places cannot reach each other. */
+  readonly #cuts = new Map<string, number>();
+  readonly #leavingSince = new Map<string, number>();
+  #runs = 0;
+
+  constructor(seed: number) {
+    this.random = createSeededRandom(seed);
+    this.store = WeightStore.create(this.clock);
+    for (const id of worldServers) {
+      const onRun = (run: ServiceRun) => this.#noteRun(run);
+      this.servers.set(id, new WorldServer(id, { clock: this.clock, onRun }));
+    }
+    this.engines = worldRegions.flatMap((region) => [
+      this.#createEngine(region, "checked"),
+      this.#createEngine(region, "ignored"),
+    ]);
+  }
+
+  enginesOf(region: Region): readonly WorldEngine[] {
+    return this.engines.filter((engine) => engine.region === region);
+  }
+
+  /** Running node with this name. */
+  find(name: string): WorldNode | undefined {
+    return this.nodes.find((node) => node.name === name && node.running);
+  }
+
+  start(name: string, region: Region): void {
+    this.#runs++;
+    this.nodes.push(
+      new WorldNode(name, { world: this, region, run: this.#runs }),
+    );
+  }
+
+  kill(node: WorldNode): void {
+    node.killed = true;
+    node.downSince = this.clock.now();
+    node.node.stop();
+    this.oracle.drained.delete(node.id);
+    this.#breakCallers(node);
+  }
+
+  pause(node: WorldNode): void {
+    node.downSince ??= this.clock.now();
+    node.gate.pause();
+  }
+
+  resume(node: WorldNode): void {
+    node.downSince = undefined;
+    node.gate.resume();
+  }
+
+  /** Starts a planned stop. */
+  drain(node: WorldNode): void {
+    this.oracle.drained.add(node.id);
+    node.gate.pass(() => node.node.drain());
+  }
+
+  /** A node has ended by itself. */
+  noteStopped(node: WorldNode): void {
+    this.#breakCallers(node);
+  }
+
+  /** New work has reached a backend server. */
+  noteWork(server: string, at: number): void {
+    const since = this.#leavingSince.get(server);
+    if (since !== undefined && at - since > leavingLimit) {
+      this.oracle.violations.push(`${server}: new work while leaving`);
+    }
+  }
+
+  /** Cuts or restores the way between two places: names of nodes, regions, servers, engines or `table`. */
+  setCut(first: string, second: string, cut: boolean): void {
+    const pair = formatPair(first, second);
+    if (cut) this.#cuts.set(pair, this.#cuts.get(pair) ?? this.clock.now());
+    else this.#cuts.delete(pair);
+  }
+
+  /** Whether the network carries nothing between a node and another place. */
+  isCut(node: WorldNode, place: string): boolean {
+    return this.#cutSince(node, place) !== undefined;
+  }
+
+  tableFaultFor(node: WorldNode): TableFault | undefined {
+    if (this.isCut(node, "table")) return "dropped";
+    return this.nodeTableFaults.get(node.name) ?? this.tableFault;
+  }
+
+  /** Time since which one node hears nothing of another. */
+  unreachableSince(from: WorldNode, other: WorldNode): number | undefined {
+    const cut = this.#cutSince(from, other.name);
+    const { downSince } = other;
+    if (cut === undefined || downSince === undefined) return cut ?? downSince;
+    return Math.min(cut, downSince);
+  }
+
+  /** A server or engine begins to leave: it refuses new work, or only the VM list says so. */
+  leave(name: string, sign: "refuses" | "listed"): void {
+    const engine = this.engines.find((one) => one.engine === name);
+    if (sign === "refuses") {
+      const server = this.servers.get(name);
+      if (server !== undefined) server.fault = "leaving";
+      if (engine !== undefined) engine.model.leaving = true;
+      return;
+    }
+    this.#leavingSince.set(name, this.clock.now());
+    const node = this.nodes.find((one) => one.running && !one.gate.paused);
+    node?.node.markLeaving(name);
+  }
+
+  delayTo(from: WorldNode, other: WorldNode | undefined): Millis {
+    return other?.region === from.region ? localDelay : remoteDelay;
+  }
+
+  /** Ends all faults; killed nodes stay dead. */
+  restore(): void {
+    this.tableFault = undefined;
+    this.nodeTableFaults.clear();
+    this.#cuts.clear();
+    for (const [, server] of this.servers) {
+      if (server.fault !== "leaving") server.fault = undefined;
+    }
+    for (const { model } of this.engines) model.batch.slowdown = 1;
+    for (const node of this.nodes) {
+      if (node.running && node.gate.paused) this.resume(node);
+    }
+  }
+
+  async advance(duration: number): Promise<void> {
+    await this.clock.advance(millis(duration));
+    for (const { model } of this.engines) {
+      for (const run of model.runs) this.oracle.runDraft(run.requestId);
+      for (const adapter of model.unloadedInUse.splice(0)) {
+        this.oracle.violations.push(`${adapter}: evicted while in use`);
+      }
+    }
+  }
+
+  #createEngine(region: string, fencing: EngineLimits["fencing"]): WorldEngine {
+    const id = `${region}-${fencing}`;
+    const limits: EngineLimits = { slots: 3, batch: 4, queue: 32, fencing };
+    const model = EngineModel.create({
+      id,
+      clock: this.clock,
+      store: this.store,
+      limits,
+      isPoison: (text) => this.poison.has(text),
+    });
+    return {
+      engine: brandString(id),
+      region: brandString(region),
+      limits,
+      model,
+    };
+  }
+
+  #noteRun(run: ServiceRun): void {
+    const lookup = run.path.startsWith("/stock");
+    this.oracle.run({ requestId: run.requestId, body: run.body, lookup });
+    this.noteWork(run.server, run.at);
+  }
+
+  /** Callers without an answer see their connection break. */
+  #breakCallers(node: WorldNode): void {
+    for (const { id, node: entry } of this.oracle.asked.values()) {
+      if (entry === node.id && !this.oracle.told.has(id)) {
+        this.oracle.tell(id, { kind: "broken" });
+      }
+    }
+  }
+
+  #cutSince(node: WorldNode, place: string): number | undefined {
+    const region =
+      this.nodes.find(({ name }) => name === place)?.region ??
+      this.engines.find(({ engine }) => engine === place)?.region;
+    const pairs = [
+      [node.name, place],
+      [node.region, place],
+      ...(region === undefined
+        ? []
+        : [
+            [node.name, region],
+            [node.region, region],
+          ]),
+    ] as [string, string][];
+    const times = pairs
+      .filter(([first, second]) => first !== second)
+      .map(([first, second]) => this.#cuts.get(formatPair(first, second)))
+      .filter((time) => time !== undefined);
+    return times.length === 0 ? undefined : Math.min(...times);
+  }
+}
+
+function formatPair(first: string, second: string): string {
+  return [first, second].sort().join(" ");
+}
--- /dev/null
+++ b/src/fuzz/world_node.ts
@@ -0,0 +1,367 @@
+import { type Clock, millis } from "../core/clock.ts";
+import type { Catalog } from "../core/config/catalog.ts";
+import {
+  type AdapterKey,
+  brandString,
+  type Digest,
+  type EngineId,
+  formatAdapterKey,
+  type NodeId,
+  parseAdapterKey,
+  type Region,
+} from "../core/ids.ts";
+import { defaultSessionSettings } from "../core/lease/state.ts";
+import { refuse } from "../core/results/refusal.ts";
+import type { EngineView } from "../core/routing/view.ts";
+import type { Suspicion } from "../node/draft_desk.ts";
+import { Node, type PoisonPart } from "../node/node.ts";
+import type { AnswerSink } from "../ports/access.ts";
+import type { ClusterMember, ClusterPort } from "../ports/cluster.ts";
+import type { StreamControl } from "../ports/engine.ts";
+import { silentJournal, silentMeter } from "../ports/journal.ts";
+import type { PeerForwarder } from "../ports/peers.ts";
+import { Gate, NodeClock } from "./gate.ts";
+import type { World } from "./world.ts";
+import { WorldEngineLink } from "./world_engine.ts";
+import { WorldPermits } from "./world_permits.ts";
+import { WorldTable } from "./world_table.ts";
+
+/** Time after which an unreachable node is suspected and declared dead, in ms. */
+const suspectAfter = 2_000;
+const deadAfter = 6_000;
+/** Time after which a forwarded stream without bytes is given up, in ms. */
+const silenceLimit = 3_000;
+/** Time between two looks at the liveness of a forwarded stream, in ms. */
+const livenessInterval = 500;
+
+/** Adapter versions that callers may name. */
+export const worldAdapters: readonly AdapterKey[] = Array.from(
+  { length: 8 },
+  (_, index) =>
+    formatAdapterKey(
+      brandString(`ad${index}`),
+      brandString(`v${1 + (index % 2)}`),
+    ),
+);
+
+const catalog: Catalog = {
+  revision: 1 as Catalog["revision"],
+  digest: brandString("catalog"),
+  adapters: new Map(
+    worldAdapters
+      .map(parseAdapterKey)
+      .map(({ name, version }) => [
+        name,
+        { name, versions: [version], busy: [], weight: 1 },
+      ]),
+  ),
+};
+
+/** One node of the world with its way to everything outside. */
+export class WorldNode {
+  readonly id: NodeId;
+  readonly gate = new Gate();
+  readonly clock: Clock;
+  readonly node: Node;
+  killed = false;
+  /** The node ended by itself after a drain. */
+  stopped = false;
+  /** Time since which the node does not answer others. */
+  downSince: number | undefined;
+  readonly #world: World;
+  readonly #views = new Map<EngineId, EngineView>();
+  readonly #suspicions = new Map<Digest, Suspicion>();
+
+  constructor(
+    readonly name: string,
+    options: { world: World; region: Region; run: number },
+  ) {
+    const { world, region, run } = options;
+    this.#world = world;
+    this.region = region;
+    this.id = brandString(`${name}-${run}`);
+    this.clock = new NodeClock(world.clock, this.gate);
+    this.node = this.#createNode();
+    this.node.markConfigured();
+  }
+
+  readonly region: Region;
+
+  /** Whether the node takes part in the world. */
+  get running(): boolean {
+    return !this.killed && !this.stopped;
+  }
+
+  #createNode(): Node {
+    const world = this.#world;
+    const { clock, gate, region } = this;
+    const end = {
+      clock: world.clock,
+      gate,
+      isKilled: () => !this.running,
+    };
+    const permits = new WorldPermits(clock, (engine) =>
+      this.node.grantPermit(engine),
+    );
+    return Node.create({
+      nodeId: this.id,
+      region,
+      dataCentre: brandString(`${region}-1`),
+      clock,
+      random: world.random,
+      journal: silentJournal,
+      meter: silentMeter,
+      table: new WorldTable(world.rows, {
+        clock: world.clock,
+        gate,
+        fault: () => world.tableFaultFor(this),
+      }),
+      forwarder: this.#createForwarder(),
+      cluster: this.#createCluster(),
+      configuration: {
+        current: () => catalog,
+        resolveModel: (model) => {
+          const { name, version } = parseAdapterKey(brandString(model));
+          const entry = catalog.adapters.get(name);
+          if (entry === undefined) return { kind: "unknown-adapter" };
+          return entry.versions.includes(version)
+            ? { kind: "found", key: brandString(model) }
+            : { kind: "unknown-version" };
+        },
+      },
+      permits,
+      poison: this.#createPoison(),
+      engines: world.enginesOf(region).map(({ engine, limits, model }) => ({
+        engine,
+        limits,
+        link: new WorldEngineLink(model, {
+          ...end,
+          isCut: () => world.isCut(this, engine),
+          onWork: () => world.noteWork(engine, world.clock.now()),
+        }),
+      })),
+      services: new Map([
+        [
+          world.service,
+          [...world.servers].map(([id, server]) => ({
+            id,
+            leaving: false,
+            link: server.linkFrom({
+              gate,
+              isCut: () => !this.running || world.isCut(this, id),
+            }),
+          })),
+        ],
+      ]),
+      lookups: new Map([[world.service, [{ method: "GET", path: "/stock" }]]]),
+      session: defaultSessionSettings,
+      onStopped: () => {
+        this.stopped = true;
+        this.downSince = world.clock.now();
+        world.noteStopped(this);
+      },
+    });
+  }
+
+  #createForwarder(): PeerForwarder {
+    const world = this.#world;
+    return {
+      forward: (address, request, sink) => {
+        const target = world.nodes.find(({ id }) => id === address);
+        const relay = new ForwardRelay(sink, {
+          clock: world.clock,
+          near: this,
+          far: target,
+          isCut: () => target === undefined || world.isCut(this, target.name),
+        });
+        world.clock.schedule(world.delayTo(this, target), () => {
+          if (!this.running || relay.ended) return;
+          if (target === undefined || !target.running || relay.isCut()) {
+            relay.refuseUnsent();
+            return;
+          }
+          target.gate.pass(() => {
+            if (relay.ended || !target.running) return;
+            relay.control = target.node.acceptForward(request, relay);
+          });
+        });
+        return relay;
+      },
+    };
+  }
+
+  #createCluster(): ClusterPort {
+    const world = this.#world;
+    const broadcast = (deliver: (other: WorldNode) => void) => {
+      for (const other of world.nodes) {
+        if (other === this || !other.running) continue;
+        world.clock.schedule(world.delayTo(this, other), () => {
+          if (!world.isCut(this, other.name)) {
+            other.gate.pass(() => {
+              if (other.running) deliver(other);
+            });
+          }
+        });
+      }
+    };
+    return {
+      members: () => world.nodes.map((other) => this.#describeMember(other)),
+      engineViews: () => this.#views.values(),
+      publishEngines: (views) =>
+        broadcast((other) => other.#receiveViews(views)),
+      publishLeaving: (server) =>
+        broadcast((other) => other.node.markLeaving(server)),
+      publishSuspicion: (digest, suspicion) =>
+        broadcast((other) => other.#receiveSuspicion(digest, suspicion)),
+      leave: async () => {},
+    };
+  }
+
+  #describeMember(other: WorldNode): ClusterMember {
+    const world = this.#world;
+    const since = world.unreachableSince(this, other);
+    const silence = since === undefined ? 0 : world.clock.now() - since;
+    const state = other.stopped
+      ? "left"
+      : silence >= deadAfter
+        ? "dead"
+        : silence >= suspectAfter
+          ? "suspect"
+          : "alive";
+    const { id, region } = other;
+    const dataCentre = brandString<ClusterMember["dataCentre"]>(`${region}-1`);
+    return { node: id, region, dataCentre, state, peers: id };
+  }
+
+  #receiveViews(views: readonly EngineView[]): void {
+    const heardAt = this.#world.clock.now();
+    for (const view of views)
+      this.#views.set(view.engine, { ...view, heardAt });
+  }
+
+  #createPoison(): PoisonPart {
+    const publish = (digest: Digest, suspicion: Suspicion | "cleared") => {
+      if (suspicion === "none") return;
+      this.#receiveSuspicion(digest, suspicion);
+      this.#cluster()?.publishSuspicion(digest, suspicion);
+    };
+    return {
+      findSuspicion: (digest) => this.#suspicions.get(digest) ?? "none",
+      suspect: (digests) => {
+        for (const digest of digests) {
+          const known = this.#suspicions.has(digest);
+          publish(digest, known ? "convicted" : "suspect");
+        }
+      },
+      clear: (digest) => publish(digest, "cleared"),
+    };
+  }
+
+  #cluster(): ClusterPort {
+    return this.#createCluster();
+  }
+
+  #receiveSuspicion(digest: Digest, suspicion: Suspicion | "cleared"): void {
+    if (suspicion === "cleared") this.#suspicions.delete(digest);
+    else if (this.#suspicions.get(digest) !== "convicted") {
+      this.#suspicions.set(digest, suspicion);
+    }
+  }
+}
+
+/** Relays one forwarded stream back to the entry node. */
+class ForwardRelay implements AnswerSink, StreamControl {
+  control: StreamControl | undefined;
+  ended = false;
+  readonly isCut: () => boolean;
+  readonly #sink: AnswerSink;
+  readonly #clock: Clock;
+  readonly #near: WorldNode;
+  readonly #far: WorldNode | undefined;
+  #silentSince: number | undefined;
+
+  constructor(
+    sink: AnswerSink,
+    options: {
+      clock: Clock;
+      near: WorldNode;
+      far: WorldNode | undefined;
+      isCut: () => boolean;
+    },
+  ) {
+    this.#sink = sink;
+    this.#clock = options.clock;
+    this.#near = options.near;
+    this.#far = options.far;
+    this.isCut = options.isCut;
+    this.#watch();
+  }
+
+  onChunk(bytes: Uint8Array, count: number): void {
+    this.#pass(() => this.#sink.onChunk(bytes, count));
+  }
+
+  onEnd(): void {
+    this.#pass(() => this.#end(() => this.#sink.onEnd()));
+  }
+
+  onRefusal(refusal: Parameters<AnswerSink["onRefusal"]>[0]): void {
+    this.#pass(() => this.#end(() => this.#sink.onRefusal(refusal)));
+  }
+
+  refuseUnsent(): void {
+    const refusal = refuse("peerLost", "The owner does not answer", {
+      outcome: "not-run",
+    });
+    this.#end(() => this.#sink.onRefusal(refusal));
+  }
+
+  cancel(): void {
+    this.ended = true;
+    this.control?.cancel();
+  }
+
+  pause(): void {
+    this.control?.pause();
+  }
+
+  resume(): void {
+    this.control?.resume();
+  }
+
+  #end(tell: () => void): void {
+    if (this.ended) return;
+    this.ended = true;
+    tell();
+  }
+
+  #pass(deliver: () => void): void {
+    if (this.isCut()) this.#silentSince ??= this.#clock.now();
+    if (this.#silentSince !== undefined) return;
+    this.#near.gate.pass(() => {
+      if (!this.ended && this.#near.running) deliver();
+    });
+  }
+
+  /** Notices a broken connection at once and a silent one after 3 s. */
+  #watch(): void {
+    this.#clock.schedule(millis(livenessInterval), () => {
+      if (this.ended) return;
+      if (!this.#near.running) return this.cancel();
+      const isSilent = this.isCut() || this.#far?.gate.paused === true;
+      if (!isSilent && this.#far?.running) {
+        this.#watch();
+        return;
+      }
+      this.#silentSince ??= this.#clock.now();
+      const silence = this.#clock.now() - this.#silentSince;
+      if (this.#far?.running && silence < silenceLimit) return this.#watch();
+      this.control?.cancel();
+      this.#near.gate.pass(() =>
+        this.#end(() =>
+          this.#sink.onRefusal(refuse("peerLost", "The owner was lost")),
+        ),
+      );
+    });
+  }
+}
--- /dev/null
+++ b/src/fuzz/world_service.ts
@@ -0,0 +1,117 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type Clock, millis, sleep } from "../core/clock.ts";
+import type { RequestId } from "../core/ids.ts";
+import type {
+  ServiceAnswer,
+  ServiceCall,
+  ServiceFailure,
+  ServiceLink,
+} from "../ports/service.ts";
+import type { Gate } from "./gate.ts";
+
+/**
+ * Faults of a booking server. `unreachable`: takes no connection. `leaving`:
+ * refuses new calls. `broken`, `crossed`: runs the call, then the connection
+ * breaks or carries another call's answer. `silent`: runs it and never answers.
+ * `slow`: answers after 3 s.
+ */
+export const serverFaults = [
+  "unreachable",
+  "leaving",
+  "broken",
+  "crossed",
+  "silent",
+  "slow",
+] as const;
+
+/** One of the faults of a booking server. */
+export type ServerFault = (typeof serverFaults)[number];
+
+/** One-way delay and time of one call, in ms. */
+const oneWayDelay = 1;
+const callTime = 20;
+const slowCallTime = 3_000;
+
+/** One call that a booking server ran. */
+export type ServiceRun = {
+  readonly server: string;
+  readonly requestId: RequestId;
+  readonly path: string;
+  readonly body: string;
+  readonly at: number;
+};
+
+/** Server of a booking service in memory. */
+export class WorldServer {
+  fault: ServerFault | undefined;
+  readonly #id: string;
+  readonly #clock: Clock;
+  readonly #onRun: (run: ServiceRun) => void;
+
+  constructor(
+    id: string,
+    options: { clock: Clock; onRun: (run: ServiceRun) => void },
+  ) {
+    this.#id = id;
+    this.#clock = options.clock;
+    this.#onRun = options.onRun;
+  }
+
+  /** Link from one node, which may be paused, cut off or killed. */
+  linkFrom(node: { gate: Gate; isCut: () => boolean }): ServiceLink {
+    return {
+      call: async (call) => {
+        // What was written before a pause may stay in the node until it goes on.
+        await sleep(this.#clock, millis(oneWayDelay));
+        await node.gate.passValue(undefined);
+        if (node.isCut()) return unsent("No route to the server");
+        const answer = await this.#run(call);
+        await sleep(this.#clock, millis(oneWayDelay));
+        if (node.isCut()) return lostAnswer(this.#clock, call);
+        return node.gate.passValue(answer);
+      },
+    };
+  }
+
+  async #run(
+    call: ServiceCall,
+  ): Promise<Either<ServiceFailure, ServiceAnswer>> {
+    const { fault } = this;
+    if (fault === "unreachable") return unsent("Connection refused");
+    if (fault === "leaving") {
+      return Left({ kind: "leaving", detail: "The server is leaving" });
+    }
+    const { requestId, path } = call;
+    const body = Buffer.from(call.body).toString();
+    const at = this.#clock.now();
+    this.#onRun({ server: this.#id, requestId, path, body, at });
+    if (fault === "silent") return lostAnswer(this.#clock, call);
+    const time = fault === "slow" ? slowCallTime : callTime;
+    if (time > call.timeout) return lostAnswer(this.#clock, call);
+    await sleep(this.#clock, millis(time));
+    if (fault === "broken") {
+      return Left({ kind: "broken", detail: "Connection reset" });
+    }
+    if (fault === "crossed") {
+      return Left({ kind: "crossed", detail: "Another request id" });
+    }
+    const text = JSON.stringify({ requestId, body });
+    return Right({
+      status: 201,
+      contentType: "application/json",
+      body: Buffer.from(text),
+    });
+  }
+}
+
+function unsent(detail: string): Either<ServiceFailure, ServiceAnswer> {
+  return Left({ kind: "not-sent", detail });
+}
+
+async function lostAnswer(
+  clock: Clock,
+  call: ServiceCall,
+): Promise<Either<ServiceFailure, ServiceAnswer>> {
+  await sleep(clock, call.timeout);
+  return Left({ kind: "timeout", detail: "No answer in time" });
+}
