--- a/src/bench/load_budget_simulation.ts
+++ b/src/bench/load_budget_simulation.ts
@@ -11,7 +11,7 @@
 import { LoadBudget } from "../node/load_budget.ts";
 import { silentJournal, silentMeter } from "../ports/journal.ts";
 import { PausableClock } from "./pausable_clock.ts";
-import { createRandom, drawGap } from "./random.ts";
+import { createRandom, drawExponential } from "./random.ts";
 import { type TableFaults, TableSimulation } from "./table_simulation.ts";
 
 /** Size, demand and faults of a simulated installation. */
@@ -263,9 +263,15 @@
     if (rate <= 0) return;
     const next = () => {
       callback();
-      this.#clock.schedule(millis(drawGap(this.#random, 1000 / rate)), next);
+      this.#clock.schedule(
+        millis(drawExponential(1000 / rate, this.#random)),
+        next,
+      );
     };
-    this.#clock.schedule(millis(drawGap(this.#random, 1000 / rate)), next);
+    this.#clock.schedule(
+      millis(drawExponential(1000 / rate, this.#random)),
+      next,
+    );
   }
 }
 
--- a/src/node/service_desk.ts
+++ b/src/node/service_desk.ts
@@ -1,27 +1,28 @@
 import { createHash } from "node:crypto";
 import { Left } from "purify-ts";
-import type { CallKind } from "../core/booking/call.ts";
+import type { CallKind } from "../core/booking/call_messages.ts";
 import {
   type Claim,
   formatClaimKey,
   outcomeGrace,
 } from "../core/booking/claim.ts";
-import { type Clock, type Millis, millis } from "../core/clock.ts";
+import { type Clock, millis } from "../core/clock.ts";
 import {
   type AttemptToken,
   brandString,
-  type Customer,
   type Digest,
   type LeaseId,
   type NodeId,
-  type RequestId,
   type RowKey,
   type ServiceName,
 } from "../core/ids.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
+import type { ServiceInput } from "../ports/front.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { TableService } from "../ports/table.ts";
-import { ClaimWriter, withDeadline } from "./claim_writer.ts";
+import { ClaimSweep } from "./claim_sweep.ts";
+import { ClaimWriter } from "./claim_writer.ts";
+import { answerWithin } from "./deadline.ts";
 import { ServerPool, type ServiceServer } from "./server_pool.ts";
 import {
   type CallReply,
@@ -30,7 +31,7 @@
 } from "./service_request.ts";
 
 export type { ServiceServer } from "./server_pool.ts";
-export type { BookedAnswer, CallReply } from "./service_request.ts";
+export type { CallReply } from "./service_request.ts";
 
 /** Booking calls in progress at one node, those with an unrecorded outcome included. */
 export const maxCallsInFlight = 1_000;
@@ -39,23 +40,11 @@
 /** `Retry-After` when too many calls are in flight, in ms. */
 const busyRetryAfter = millis(1_000);
 
-/** Method and path of calls that may be repeated; a path may end in `*`. */
+/** Method and start of the path of calls that may be repeated; the start ends at a `/`. */
 export type LookupRoute = { readonly method: string; readonly path: string };
 
-/** One booking call as a front end hands it over. */
-export type ServiceDeskCall = {
-  readonly service: ServiceName;
-  readonly method: string;
-  /** Path and query below the service, starting with `/`. */
-  readonly path: string;
-  readonly contentType: string | undefined;
-  readonly body: Uint8Array;
-  readonly customer: Customer;
-  readonly idempotencyKey: string | undefined;
-  readonly requestId: RequestId;
-  /** Time of the node's clock by which the caller needs the answer. */
-  readonly deadline: Millis;
-};
+/** One booking call; the deadline is a time of the node's clock. */
+export type ServiceDeskCall = ServiceInput;
 
 /** What the service desk needs. */
 export type ServiceDeskOptions = {
@@ -73,6 +62,8 @@
   readonly nodeId: NodeId;
   /** The lease under which the node may act, or undefined without one. */
   readonly currentLease: () => LeaseId | undefined;
+  /** Services whose old claims this node helps to remove; none when left out. */
+  readonly sweepServices?: readonly ServiceName[];
   /** Hears of a server that refused a call because it is leaving. */
   readonly onLeaving?: (service: ServiceName, server: string) => void;
 };
@@ -83,6 +74,7 @@
 export class ServiceDesk {
   readonly #options: ServiceDeskOptions;
   readonly #writer: ClaimWriter;
+  readonly #sweep: ClaimSweep;
   readonly #pools = new Map<ServiceName, ServerPool>();
   readonly #requests = new Set<ServiceRequest>();
   /** Keys with a call or an unrecorded outcome at this node. */
@@ -101,6 +93,10 @@
       ...options,
       onIdle: () => this.#checkIdle(),
     });
+    this.#sweep = ClaimSweep.create({
+      ...options,
+      services: options.sweepServices ?? [],
+    });
   }
 
   /** Calls in progress and outcomes that are not recorded yet. */
@@ -139,6 +135,7 @@
   /** Stops without waiting for calls or outcomes, as a killed process does. */
   stop(): void {
     this.#writer.stop();
+    this.#sweep.stop();
     for (const request of this.#requests) request.stop();
     this.#requests.clear();
   }
@@ -264,7 +261,7 @@
           (row.value as { lease?: unknown } | null)?.lease === lease,
       }),
     );
-    return await withDeadline(clock, read, {
+    return await answerWithin(clock, read, {
       delay: sessionReadDeadline,
       late: undefined,
     });
@@ -306,9 +303,10 @@
   const isLookup = lookups.some(
     (route) =>
       route.method === call.method &&
-      (route.path.endsWith("*")
-        ? path.startsWith(route.path.slice(0, -1))
-        : path === route.path),
+      (path === route.path ||
+        path.startsWith(
+          route.path.endsWith("/") ? route.path : `${route.path}/`,
+        )),
   );
   if (isLookup) return "lookup";
   return call.idempotencyKey === undefined ? "once" : "keyed";
