Keep engines that ignore fencing numbers serving through a table outage

Cause: the scenario store_down_for_an_hour failed after routing changed: a draft whose only warm engine ignores fencing numbers was refused 30 s into the outage, because its owner stopped dispatching one lease duration after the lease ended, and its view still invited work. Ruled out: the lease itself (engines that check fencing numbers went on serving). Change: owners go on dispatching while all other nodes of the data centre confirm the outage; views say when an engine may not dispatch or load.

--- a/src/core/engine/summary.ts
+++ b/src/core/engine/summary.ts
@@ -17,6 +17,9 @@
 const DEFAULT_FIRST_TOKEN = 50;
 const DEFAULT_TOKEN_GAP = 20;
 
+/** Wait that keeps routing from sending cold work to an engine that cannot load, in ms. */
+const OUTAGE_LOAD_WAIT = 3_600_000;
+
 /** Describes an engine to the nodes that route requests to it. */
 export function summarizeEngine(
   state: EngineState,
@@ -24,7 +27,7 @@
 ): EngineSummary {
   const { health, identity, estimates } = state;
   return {
-    state: findState(state),
+    state: findState(state, now),
     slots: identity.limits.slots,
     batch: identity.limits.batch,
     queued: state.queue.byId.size,
@@ -34,13 +37,20 @@
     firstToken: millis(health.firstToken ?? DEFAULT_FIRST_TOKEN),
     tokenGap: millis(health.tokenGap ?? DEFAULT_TOKEN_GAP),
     serviceTime: millis(estimates.service),
-    loadWait: millis(estimateLoadStart(state, now)),
+    loadWait: millis(estimateLoadWait(state, now)),
   };
 }
 
-function findState(state: EngineState): EngineView["state"] {
+/** An engine whose lease ended in a table outage loads nothing until the table is back. */
+function estimateLoadWait(state: EngineState, now: Millis): number {
+  const orderUntil = state.ownership?.orderUntil ?? 0;
+  return now < orderUntil ? estimateLoadStart(state, now) : OUTAGE_LOAD_WAIT;
+}
+
+function findState(state: EngineState, now: Millis): EngineView["state"] {
   if (state.leaving) return "leaving";
   if (state.contact === "down") return "down";
+  if (now >= (state.ownership?.dispatchUntil ?? 0)) return "down";
   return state.health.state;
 }
 
--- a/src/core/lease/ownership.ts
+++ b/src/core/lease/ownership.ts
@@ -18,11 +18,16 @@
   const orderUntil = millis(state.leaseEnd - margin);
   // An engine that checks fencing numbers refuses an old owner itself. Where
   // it does not, a new owner evicts at the earliest one lease, the margin and
-  // the longest order after this lease ended.
+  // the longest order after it took over. It cannot have taken over before
+  // this lease ended, nor while no node of the data centre reached the table.
+  const noTakeoverBefore = Math.max(
+    state.leaseEnd,
+    state.outageConfirmedAt - margin,
+  );
   const outageEnd =
     state.engines.get(engine) === "checked"
       ? Number.POSITIVE_INFINITY
-      : state.leaseEnd + duration;
+      : noTakeoverBefore + duration;
   return {
     type: "ownership",
     fence: owned.fence,
--- a/src/core/lease/session_decision.ts
+++ b/src/core/lease/session_decision.ts
@@ -53,6 +53,7 @@
   switch (event.type) {
     case "tick":
       updateMembers(state, event.live, event.engines);
+      confirmOutage(state, event.outageConfirmedAt, turn);
       break;
     case "committed":
       absorbCommit(state, turn);
@@ -142,6 +143,18 @@
   startOutage(state, turn);
 }
 
+/** Reports later ends of dispatch while all nodes of the data centre are without the table. */
+function confirmOutage(
+  state: SessionState,
+  confirmedAt: Millis | undefined,
+  turn: Turn,
+): void {
+  if (!state.failing || confirmedAt === undefined) return;
+  if (confirmedAt <= state.outageConfirmedAt) return;
+  state.outageConfirmedAt = confirmedAt;
+  reportAll(state, turn.commands);
+}
+
 function startOutage(state: SessionState, turn: Turn): void {
   const { retry } = state.settings;
   const wait = retry * (1 + retryJitter * turn.random());
--- a/src/core/lease/state.ts
+++ b/src/core/lease/state.ts
@@ -159,6 +159,8 @@
   releaseBy: Millis;
   /** The last table call failed. */
   failing: boolean;
+  /** Time at which all nodes of the data centre were last known to be without the table. */
+  outageConfirmedAt: Millis;
   busy: "no" | "transaction" | "read";
   current: Attempt | undefined;
   /** Attempts whose answer was lost; one of them may still take effect. */
@@ -180,6 +182,8 @@
       readonly type: "tick";
       readonly live: readonly LiveNode[];
       readonly engines: readonly SessionEngine[];
+      /** Time at which every other node of the data centre was last known to be without the table too. */
+      readonly outageConfirmedAt: Millis | undefined;
     }
   | { readonly type: "committed"; readonly token: AttemptToken }
   | {
@@ -243,6 +247,7 @@
     sweepAt: never,
     releaseBy: never,
     failing: false,
+    outageConfirmedAt: millis(Number.NEGATIVE_INFINITY),
     busy: "no",
     current: undefined,
     unresolved: new Map(),
--- a/src/fuzz/world_node.ts
+++ b/src/fuzz/world_node.ts
@@ -1,4 +1,4 @@
-import { type Clock, millis } from "../core/clock.ts";
+import { type Clock, type Millis, millis } from "../core/clock.ts";
 import type { Catalog } from "../core/config/catalog.ts";
 import {
   type AdapterKey,
@@ -209,6 +209,8 @@
       engineViews: () => this.#views.values(),
       publishEngines: (views) =>
         broadcast((other) => other.#receiveViews(views)),
+      publishOutage: () => {},
+      outageConfirmedAt: () => this.#confirmOutage(),
       publishLeaving: (server) =>
         broadcast((other) => other.node.markLeaving(server)),
       publishSuspicion: (digest, suspicion) =>
@@ -217,6 +219,21 @@
     };
   }
 
+  /** Now, when every other node of the region that may be running is heard to be without the table. */
+  #confirmOutage(): Millis | undefined {
+    const world = this.#world;
+    const others = world.nodes.filter(
+      (other) =>
+        other !== this && other.region === this.region && !other.stopped,
+    );
+    const confirmed = others.every(
+      (other) =>
+        world.unreachableSince(this, other) === undefined &&
+        other.node.session.failing,
+    );
+    return confirmed ? world.clock.now() : undefined;
+  }
+
   #describeMember(other: WorldNode): ClusterMember {
     const world = this.#world;
     const since = world.unreachableSince(this, other);
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -245,6 +245,7 @@
       settings: session,
       liveNodes: () =>
         cluster.members().filter((member) => member.state === "alive"),
+      outageConfirmedAt: () => cluster.outageConfirmedAt(),
       onOwnership: (engine, event) =>
         this.owners.handleOwnership(engine, event),
     });
@@ -261,6 +262,7 @@
     if (this.#stopped) return;
     const { clock, cluster } = this.#options;
     cluster.publishEngines(this.directory.ownViews());
+    cluster.publishOutage(this.session.failing);
     this.#cancelPublish = clock.schedule(millis(publishIntervalMillis), () =>
       this.#publish(),
     );
--- a/src/node/session.ts
+++ b/src/node/session.ts
@@ -47,6 +47,8 @@
   readonly meter: Meter;
   /** Nodes believed alive, of all data centres. */
   readonly liveNodes: () => readonly LiveNode[];
+  /** Time at which every other node of the data centre was last known to be without the table too. */
+  readonly outageConfirmedAt?: () => Millis | undefined;
   readonly onOwnership: (engine: EngineId, event: OwnershipEvent) => void;
   /** Adds writes to the removal of a session, such as the return of its load permits. */
   readonly onRemoval?: (
@@ -95,6 +97,11 @@
     return isLeaseUsable(this.#state(), this.#setup.clock.now());
   }
 
+  /** Whether the table does not answer this node. */
+  get failing(): boolean {
+    return this.#state().failing;
+  }
+
   /** End of the time in which the node may act under its lease. */
   usableUntil(): Millis {
     const { leaseEnd, settings } = this.#state();
@@ -132,7 +139,12 @@
 
   #tick(): void {
     const { clock, engines, liveNodes } = this.#setup;
-    this.#actor.send({ type: "tick", live: liveNodes(), engines: engines() });
+    this.#actor.send({
+      type: "tick",
+      live: liveNodes(),
+      engines: engines(),
+      outageConfirmedAt: this.#setup.outageConfirmedAt?.(),
+    });
     if (this.#state().phase === "released") return;
     this.#cancelTick = clock.schedule(tickPeriod, () => this.#tick());
   }
--- a/src/ports/cluster.ts
+++ b/src/ports/cluster.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "../core/clock.ts";
 import type { DataCentre, Digest, NodeId, Region } from "../core/ids.ts";
 import type { EngineView } from "../core/routing/view.ts";
 
@@ -19,6 +20,10 @@
   engineViews(): Iterable<EngineView>;
   /** Publishes the views of the engines that this node owns. */
   publishEngines(views: readonly EngineView[]): void;
+  /** Tells the nodes of the data centre that the table does not answer this node, or that it does again. */
+  publishOutage(outage: boolean): void;
+  /** Time at which every other node of the data centre was last known to be without the table too. */
+  outageConfirmedAt(): Millis | undefined;
   /** Tells all nodes that a backend server is leaving. */
   publishLeaving(server: string): void;
   /** Tells all nodes what was running when an engine crashed, or that it is cleared. */
