Wire the poison registry into nodes; refuse content that crashed an engine alone

Cause: a draft whose engine crashed while it ran alone was routed to a further engine, because only the start of a request looked at the registry. Change: each routing step asks the registry, the crash is reported before the requests are handed back, and it carries the boot token of the engine, so that two crashes of one engine count as two.

--- a/src/core/engine/messages.ts
+++ b/src/core/engine/messages.ts
@@ -129,7 +129,12 @@
   /** Asks the engine for a report on a fresh connection. */
   | { readonly type: "request-report" }
   /** Requests that were running when the engine crashed. */
-  | { readonly type: "suspect"; readonly digests: readonly Digest[] }
+  | {
+      readonly type: "suspect";
+      readonly digests: readonly Digest[];
+      /** Boot token of the engine before the crash; tells crashes apart. */
+      readonly boot: string;
+    }
   /** A suspect ended whole while it ran alone. */
   | { readonly type: "clear-suspect"; readonly digest: Digest }
   /** Sends a `wake` event at this time; replaces an earlier one. */
--- a/src/core/engine/reporting.ts
+++ b/src/core/engine/reporting.ts
@@ -1,5 +1,4 @@
 import { millis } from "../clock.ts";
-import type { Digest } from "../ids.ts";
 import { refuse } from "../results/refusal.ts";
 import { leaveEngine } from "./leaving.ts";
 import type { EngineStatus } from "./messages.ts";
@@ -159,15 +158,17 @@
 function loseEngine(turn: Turn, detail: string): void {
   const { state } = turn;
   record(turn, "engineCrashed", { detail });
-  const digests: Digest[] = [];
-  for (const [requestId, { broken, work }] of [...state.running]) {
+  const digests = [...state.running.values()].map(({ work }) => work.digest);
+  // Named before the requests are handed back, so that routing knows of it.
+  if (digests.length > 0) {
+    turn.commands.push({ type: "suspect", digests, boot: state.boot ?? "" });
+  }
+  for (const [requestId, { broken }] of [...state.running]) {
     removeRunning(state, requestId);
-    digests.push(work.digest);
     if (!broken) turn.commands.push({ type: "cancel-stream", requestId });
     const refusal = refuse("engineLost", detail);
     refuseRequest(turn, requestId, { ...refusal, suspect: true });
   }
-  if (digests.length > 0) turn.commands.push({ type: "suspect", digests });
   dropLoaded(turn);
 }
 
--- a/src/core/requests/draft.ts
+++ b/src/core/requests/draft.ts
@@ -163,6 +163,10 @@
 ): DraftDecision {
   const { policies, now } = context;
   if (!reroutable.has(refusal.code)) return fail(state, refusal);
+  if (refusal.suspect && state.isolated) {
+    const detail = "The engine crashed while the request ran alone on it";
+    return fail(state, refuse("poisonRequest", detail));
+  }
   if (state.delivered === 0 && now >= state.deadlineAt) {
     return fail(state, refusal);
   }
--- a/src/fuzz/world_node.ts
+++ b/src/fuzz/world_node.ts
@@ -3,7 +3,6 @@
 import {
   type AdapterKey,
   brandString,
-  type Digest,
   type EngineId,
   formatAdapterKey,
   type NodeId,
@@ -13,8 +12,8 @@
 import { defaultSessionSettings } from "../core/lease/state.ts";
 import { refuse } from "../core/results/refusal.ts";
 import type { EngineView } from "../core/routing/view.ts";
-import type { Suspicion } from "../node/draft_desk.ts";
-import { Node, type PoisonPart } from "../node/node.ts";
+import { Node } from "../node/node.ts";
+import { PoisonDesk } from "../node/poison_desk.ts";
 import type { AnswerSink } from "../ports/access.ts";
 import type { ClusterMember, ClusterPort } from "../ports/cluster.ts";
 import type { StreamControl } from "../ports/engine.ts";
@@ -63,14 +62,17 @@
   readonly gate = new Gate();
   readonly clock: Clock;
   readonly node: Node;
+  readonly poison: PoisonDesk;
   killed = false;
   /** The node ended by itself after a drain. */
   stopped = false;
   /** Time since which the node does not answer others. */
   downSince: number | undefined;
   readonly #world: World;
+  readonly #table: WorldTable;
+  readonly #cluster: ClusterPort;
+  #tokens = 0;
   readonly #views = new Map<EngineId, EngineView>();
-  readonly #suspicions = new Map<Digest, Suspicion>();
 
   constructor(
     readonly name: string,
@@ -81,6 +83,21 @@
     this.region = region;
     this.id = brandString(`${name}-${run}`);
     this.clock = new NodeClock(world.clock, this.gate);
+    this.#table = new WorldTable(world.rows, {
+      clock: world.clock,
+      gate: this.gate,
+      fault: () => world.tableFaultFor(this),
+    });
+    this.#cluster = this.#createCluster();
+    this.poison = PoisonDesk.create({
+      clock: this.clock,
+      table: this.#table,
+      random: world.random,
+      createToken: () => brandString(`${this.id}.poison.${this.#tokens++}`),
+      journal: silentJournal,
+      meter: silentMeter,
+      spread: (digest, record) => this.#cluster.publishPoison(digest, record),
+    });
     this.node = this.#createNode();
     this.node.markConfigured();
   }
@@ -111,13 +128,9 @@
       random: world.random,
       journal: silentJournal,
       meter: silentMeter,
-      table: new WorldTable(world.rows, {
-        clock: world.clock,
-        gate,
-        fault: () => world.tableFaultFor(this),
-      }),
+      table: this.#table,
       forwarder: this.#createForwarder(),
-      cluster: this.#createCluster(),
+      cluster: this.#cluster,
       configuration: {
         current: () => catalog,
         resolveModel: (model) => {
@@ -130,7 +143,7 @@
         },
       },
       permits,
-      poison: this.#createPoison(),
+      poison: this.poison,
       engines: world.enginesOf(region).map(({ engine, limits, model }) => ({
         engine,
         limits,
@@ -213,8 +226,8 @@
       outageConfirmedAt: () => this.#confirmOutage(),
       publishLeaving: (server) =>
         broadcast((other) => other.node.markLeaving(server)),
-      publishSuspicion: (digest, suspicion) =>
-        broadcast((other) => other.#receiveSuspicion(digest, suspicion)),
+      publishPoison: (digest, record) =>
+        broadcast((other) => other.poison.hear(digest, record)),
       leave: async () => {},
     };
   }
@@ -255,35 +268,6 @@
     for (const view of views)
       this.#views.set(view.engine, { ...view, heardAt });
   }
-
-  #createPoison(): PoisonPart {
-    const publish = (digest: Digest, suspicion: Suspicion | "cleared") => {
-      if (suspicion === "none") return;
-      this.#receiveSuspicion(digest, suspicion);
-      this.#cluster()?.publishSuspicion(digest, suspicion);
-    };
-    return {
-      findSuspicion: (digest) => this.#suspicions.get(digest) ?? "none",
-      suspect: (digests) => {
-        for (const digest of digests) {
-          const known = this.#suspicions.has(digest);
-          publish(digest, known ? "convicted" : "suspect");
-        }
-      },
-      clear: (digest) => publish(digest, "cleared"),
-    };
-  }
-
-  #cluster(): ClusterPort {
-    return this.#createCluster();
-  }
-
-  #receiveSuspicion(digest: Digest, suspicion: Suspicion | "cleared"): void {
-    if (suspicion === "cleared") this.#suspicions.delete(digest);
-    else if (this.#suspicions.get(digest) !== "convicted") {
-      this.#suspicions.set(digest, suspicion);
-    }
-  }
 }
 
 /** Relays one forwarded stream back to the entry node. */
--- a/src/node/draft_desk.ts
+++ b/src/node/draft_desk.ts
@@ -37,6 +37,8 @@
   readonly onDemand: (adapter: AdapterKey) => void;
 };
 
+const poisonDetail = "This content crashed engines twice";
+
 const refusedControl: DraftControl = { cancel() {}, pause() {}, resume() {} };
 
 /** Takes draft requests of callers at their entry node. */
@@ -72,7 +74,7 @@
         const suspicion = this.#options.findSuspicion(draft.digest);
         if (suspicion === "convicted") {
           return refuseInput(
-            refuse("poisonRequest", "This content crashed engines twice", {
+            refuse("poisonRequest", poisonDetail, {
               outcome: "not-run",
             }),
           );
@@ -178,6 +180,9 @@
   ): Either<Refusal, DraftTarget> {
     const { clock, directory, random, region, routePolicies, chooseEngine } =
       this.#options;
+    if (this.#options.findSuspicion(call.work.digest) === "convicted") {
+      return Left(refuse("poisonRequest", poisonDetail));
+    }
     const { adapter, customer, deadlineAt, expectedTokens } = call.work;
     const choose = (excluded: ReadonlySet<EngineId>) =>
       chooseEngine(
--- a/src/node/engine_owner.ts
+++ b/src/node/engine_owner.ts
@@ -34,9 +34,16 @@
   release(engine: EngineId, used: boolean): void;
 };
 
+/** One crash of an engine and what was running on it. */
+export type EngineCrash = {
+  readonly engine: EngineId;
+  readonly boot: string;
+  readonly digests: readonly Digest[];
+};
+
 /** Hears which content may crash engines. */
 export type SuspectListener = {
-  suspect(digests: readonly Digest[]): void;
+  suspect(crash: EngineCrash): void;
   clear(digest: Digest): void;
 };
 
@@ -168,7 +175,7 @@
       case "request-report":
         return this.#requestReport();
       case "suspect":
-        return suspects.suspect(command.digests);
+        return suspects.suspect({ engine: identity.engine, ...command });
       case "clear-suspect":
         return suspects.clear(command.digest);
       case "set-timer":
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -56,6 +56,7 @@
 /** Content that may crash engines, as this node knows it. */
 export type PoisonPart = SuspectListener & {
   findSuspicion(digest: Digest): Suspicion;
+  stop(): void;
 };
 
 /** Load permits of this node; grants arrive through `Node.grantPermit`. */
@@ -230,6 +231,7 @@
     this.session.stop();
     this.services.stop();
     this.#options.permits.stop();
+    this.#options.poison.stop();
     for (const owner of this.directory.owners.values()) owner.stop();
   }
 
--- a/src/ports/cluster.ts
+++ b/src/ports/cluster.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "../core/clock.ts";
 import type { DataCentre, Digest, NodeId, Region } from "../core/ids.ts";
+import type { PoisonRecord } from "../core/poison/record.ts";
 import type { EngineView } from "../core/routing/view.ts";
 
 /** Another node, or this one, as membership knows it. */
@@ -26,11 +27,8 @@
   outageConfirmedAt(): Millis | undefined;
   /** Tells all nodes that a backend server is leaving. */
   publishLeaving(server: string): void;
-  /** Tells all nodes what was running when an engine crashed, or that it is cleared. */
-  publishSuspicion(
-    digest: Digest,
-    suspicion: "suspect" | "convicted" | "cleared",
-  ): void;
+  /** Tells all nodes which crashes are known of a content. */
+  publishPoison(digest: Digest, record: PoisonRecord): void;
   /** Says that this node is leaving for good. */
   leave(): Promise<void>;
 };
