Route with own observations, admission and hedges

The entry node keeps what it sent and saw (sent log, health, admission, hedge budget) in a route desk. A draft may run at two engines while the first token is late; the first one to answer wins and the other is cancelled. A request whose earlier attempt may have run is no longer reported as not-run when a later attempt is refused.

--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -1,4 +1,4 @@
-import type { Either } from "purify-ts";
+import { type Either, type Maybe, Nothing } from "purify-ts";
 import { VirtualClock } from "../adapters/time/virtual_clock.ts";
 import { type Clock, type Millis, millis } from "../core/clock.ts";
 import {
@@ -13,6 +13,7 @@
   type Region,
   type RequestId,
 } from "../core/ids.ts";
+import type { DraftHistory, DraftTarget } from "../core/requests/draft.ts";
 import type { Refusal } from "../core/results/refusal.ts";
 import type { RouteChoice, RouteRequest } from "../core/routing/route.ts";
 import type { EngineView } from "../core/routing/view.ts";
@@ -40,6 +41,11 @@
       readonly random: () => number;
     },
   ): Either<Refusal, RouteChoice>;
+  /** Second engine for a request that has waited this long without a token. */
+  hedge?(
+    arrival: Arrival,
+    options: { history: DraftHistory; waited: Millis },
+  ): Maybe<DraftTarget>;
   /** An attempt was sent to an engine. */
   onSubmit?(engine: EngineId): void;
   /** An attempt got its first token after `elapsed` ms. */
@@ -233,13 +239,19 @@
             },
             { views: this.#views, now: this.clock.now(), random: this.random },
           ),
+        hedge: (history, waited) =>
+          router.hedge?.(arrival, { history, waited }) ?? Nothing,
         takeRetry: () => true,
         random: this.random,
       },
       clock: this.clock,
       journal: silentJournal,
       onClose() {},
-      onSubmit: (engine) => router.onSubmit?.(engine),
+      observer: {
+        onSubmit: (engine) => router.onSubmit?.(engine),
+        onFirstToken() {},
+        onClose() {},
+      },
     });
   }
 
--- a/src/core/requests/draft.ts
+++ b/src/core/requests/draft.ts
@@ -1,15 +1,18 @@
-import type { Either } from "purify-ts";
+import type { Either, Maybe } from "purify-ts";
 import { type Millis, millis } from "../clock.ts";
 import type { Decision } from "../decision.ts";
 import type { EngineId } from "../ids.ts";
 import type { EventName } from "../observe/events.ts";
 import type { ResultCodeName } from "../results/codes.ts";
 import { type Refusal, refuse } from "../results/refusal.ts";
+import { planHedge } from "../routing/hedge.ts";
 
-/** Attempts per request, the first one included. */
+/** Attempts per request, the first one and hedges included. */
 export const maxDraftAttempts = 5;
 /** Longest delay before a further attempt, in ms; the delay is drawn below it. */
 const retryDelayMillis = 100;
+/** Attempts of one request that may run at once. */
+const maxOpenAttempts = 2;
 
 /** Refusals after which another engine may serve the request. */
 const reroutable: ReadonlySet<ResultCodeName> = new Set([
@@ -44,29 +47,47 @@
 /** Functions that vary between policies and tests. */
 export type DraftPolicies = {
   readonly choose: (history: DraftHistory) => Either<Refusal, DraftTarget>;
+  /** Second engine for a request that has waited this long without a token, if it is worth the extra work. */
+  readonly hedge: (history: DraftHistory, waited: Millis) => Maybe<DraftTarget>;
   /** Takes one attempt from the retry budget of the node, if any is left. */
   readonly takeRetry: () => boolean;
   readonly random: () => number;
 };
 
+/** Number of an attempt within its request, from 1. */
+export type AttemptNumber = number;
+
+type Attempt = {
+  readonly number: AttemptNumber;
+  readonly startedAt: Millis;
+  readonly expectedWait: Millis;
+};
+
 /** State of one draft request at its entry node. */
 export type DraftState = {
   readonly deadlineAt: Millis;
   readonly attempts: number;
+  readonly open: readonly Attempt[];
   readonly tried: readonly EngineId[];
   readonly isolated: boolean;
+  /** Stream events that the caller has. */
   readonly delivered: number;
-  readonly phase: "new" | "waiting" | "running" | "ended";
+  /** An ended attempt may have reached a back end. */
+  readonly mayHaveRun: boolean;
+  readonly phase: "waiting" | "running" | "streaming" | "ended";
 };
 
 /** Message to a draft request. */
 export type DraftEvent =
   | { readonly type: "start" }
   | { readonly type: "wake" }
+  /** The first chunk of an attempt; later chunks of other attempts are dropped. */
+  | { readonly type: "first-token"; readonly attempt: AttemptNumber }
   | { readonly type: "ended" }
-  /** The current attempt ended early; the caller has `delivered` stream events. */
+  /** An attempt ended early; the caller has `delivered` stream events. */
   | {
       readonly type: "refused";
+      readonly attempt: AttemptNumber;
       readonly refusal: Refusal;
       readonly delivered: number;
     }
@@ -76,11 +97,13 @@
 export type DraftCommand =
   | {
       readonly type: "submit";
+      readonly attempt: AttemptNumber;
       readonly engine: EngineId;
+      readonly expectedWait: Millis;
       readonly resumeAt: number;
       readonly isolated: boolean;
     }
-  | { readonly type: "cancel-attempt" }
+  | { readonly type: "cancel-attempt"; readonly attempt: AttemptNumber }
   | { readonly type: "set-timer"; readonly at: Millis }
   | { readonly type: "finish" }
   | { readonly type: "fail"; readonly refusal: Refusal }
@@ -91,6 +114,7 @@
     };
 
 type DraftDecision = Decision<DraftState, DraftCommand>;
+type Turn = { readonly policies: DraftPolicies; readonly now: Millis };
 
 /** State of a request that has not been routed yet. */
 export function createDraftState(options: {
@@ -101,106 +125,189 @@
     deadlineAt: options.deadlineAt,
     isolated: options.isolated,
     attempts: 0,
+    open: [],
     tried: [],
     delivered: 0,
-    phase: "new",
+    mayHaveRun: false,
+    phase: "waiting",
   };
 }
 
 /** Builds the decision function of draft requests. */
 export function createDraftDecision(policies: DraftPolicies) {
   return (state: DraftState, event: DraftEvent, now: Millis): DraftDecision => {
+    const turn = { policies, now };
     if (state.phase === "ended") return { state, commands: [] };
     switch (event.type) {
       case "start":
+        return route(state, turn);
       case "wake":
-        return route(state, policies);
+        return state.phase === "waiting"
+          ? route(state, turn)
+          : considerHedge(state, turn);
+      case "first-token":
+        return selectAttempt(state, event.attempt);
       case "ended":
         return end(state, [{ type: "finish" }]);
       case "cancel":
-        return end(state, [{ type: "cancel-attempt" }]);
+        return end(state, cancelAttempts(state.open));
       case "refused":
-        return handleRefusal(
-          { ...state, delivered: event.delivered, phase: "waiting" },
-          event.refusal,
-          { policies, now },
-        );
+        return handleRefusal(state, event, turn);
     }
   };
 }
 
-function route(state: DraftState, policies: DraftPolicies): DraftDecision {
-  const choice = policies.choose({
-    tried: state.tried,
-    isolated: state.isolated,
-    resuming: state.delivered > 0,
-  });
-  return choice.caseOf<DraftDecision>({
+function route(state: DraftState, turn: Turn): DraftDecision {
+  return turn.policies.choose(describeHistory(state)).caseOf<DraftDecision>({
     Left: (refusal) => fail(state, refusal),
-    Right: (target) => ({
-      state: {
-        ...state,
-        phase: "running",
-        attempts: state.attempts + 1,
-        tried: [...state.tried, target.engine],
-      },
-      commands: [
-        {
-          type: "submit",
-          engine: target.engine,
-          resumeAt: state.delivered,
-          isolated: state.isolated,
-        },
-      ],
-    }),
+    Right: (target) => submit(state, target, turn.now),
   });
 }
 
-function handleRefusal(
+function submit(
   state: DraftState,
-  refusal: Refusal,
-  context: { policies: DraftPolicies; now: Millis },
+  target: DraftTarget,
+  now: Millis,
 ): DraftDecision {
-  const { policies, now } = context;
-  if (!reroutable.has(refusal.code)) return fail(state, refusal);
+  const number = state.attempts + 1;
+  const { engine, expectedWait } = target;
+  const attempt = { number, startedAt: now, expectedWait };
+  return {
+    state: {
+      ...state,
+      phase: "running",
+      attempts: number,
+      open: [...state.open, attempt],
+      tried: [...state.tried, engine],
+    },
+    commands: [
+      {
+        type: "submit",
+        attempt: number,
+        engine,
+        expectedWait,
+        resumeAt: state.delivered,
+        isolated: state.isolated,
+      },
+      { type: "set-timer", at: planHedge({ sentAt: now, expectedWait }) },
+    ],
+  };
+}
+
+/** Runs the request at a second engine while the first one is late with its token. */
+function considerHedge(state: DraftState, turn: Turn): DraftDecision {
+  const [first] = state.open;
+  const mayHedge =
+    state.phase === "running" &&
+    first !== undefined &&
+    state.open.length < maxOpenAttempts &&
+    state.attempts < maxDraftAttempts &&
+    !state.isolated;
+  if (!mayHedge) return { state, commands: [] };
+  const waited = millis(turn.now - first.startedAt);
+  return turn.policies
+    .hedge(describeHistory(state), waited)
+    .caseOf<DraftDecision>({
+      Nothing: () => ({
+        state,
+        commands: [
+          {
+            type: "set-timer",
+            at: planHedge({ sentAt: turn.now, expectedWait: waited }),
+          },
+        ],
+      }),
+      Just: (target) => submit(state, target, turn.now),
+    });
+}
+
+/** Keeps the attempt whose token came first and ends the others. */
+function selectAttempt(
+  state: DraftState,
+  winner: AttemptNumber,
+): DraftDecision {
+  const losers = state.open.filter(({ number }) => number !== winner);
+  return {
+    state: {
+      ...state,
+      phase: "streaming",
+      open: state.open.filter(({ number }) => number === winner),
+    },
+    commands: cancelAttempts(losers),
+  };
+}
+
+function handleRefusal(
+  before: DraftState,
+  event: Extract<DraftEvent, { type: "refused" }>,
+  turn: Turn,
+): DraftDecision {
+  const { refusal, delivered } = event;
+  const open = before.open.filter(({ number }) => number !== event.attempt);
+  const mayHaveRun = before.mayHaveRun || refusal.outcome !== "not-run";
+  const state: DraftState = { ...before, delivered, open, mayHaveRun };
+  if (!reroutable.has(refusal.code)) {
+    return fail(state, refusal);
+  }
   if (refusal.suspect && state.isolated) {
     const detail = "The engine crashed while the request ran alone on it";
     return fail(state, refuse("poisonRequest", detail));
   }
-  if (state.delivered === 0 && now >= state.deadlineAt) {
+  const next: DraftState = {
+    ...state,
+    isolated: state.isolated || refusal.suspect === true,
+  };
+  // A hedge that still runs takes the place of a further attempt.
+  if (open.length > 0 && !refusal.suspect) return { state: next, commands: [] };
+  return retry(next, refusal, turn);
+}
+
+function retry(state: DraftState, refusal: Refusal, turn: Turn): DraftDecision {
+  const { policies, now } = turn;
+  const waiting: DraftState = {
+    ...state,
+    phase: "waiting",
+    open: [],
+    mayHaveRun: state.mayHaveRun || state.open.length > 0,
+  };
+  const cancels = cancelAttempts(state.open);
+  const expired = state.delivered === 0 && now >= state.deadlineAt;
+  if (expired || state.attempts >= maxDraftAttempts) {
     return fail(state, refusal);
   }
-  if (state.attempts >= maxDraftAttempts) return fail(state, refusal);
   if (!policies.takeRetry()) {
-    return fail(
-      state,
-      refuse("retryBudgetSpent", refusal.detail, { outcome: refusal.outcome }),
-    );
+    const { detail, outcome } = refusal;
+    return fail(state, refuse("retryBudgetSpent", detail, { outcome }));
   }
-  const next = {
-    ...state,
-    isolated: state.isolated || refusal.suspect === true,
-  };
   const record: DraftCommand = {
     type: "record",
     event: "requestResumed",
     detail: `attempt ${state.attempts} ended with ${refusal.code}: ${refusal.detail}`,
   };
   if (refusal.outcome === "not-run" || state.attempts === 1) {
-    const decision = route(next, policies);
-    return { state: decision.state, commands: [record, ...decision.commands] };
+    const decision = route(waiting, turn);
+    return {
+      state: decision.state,
+      commands: [...cancels, record, ...decision.commands],
+    };
   }
   const delay = millis(policies.random() * retryDelayMillis * state.attempts);
   return {
-    state: next,
-    commands: [record, { type: "set-timer", at: millis(now + delay) }],
+    state: waiting,
+    commands: [
+      ...cancels,
+      record,
+      { type: "set-timer", at: millis(now + delay) },
+    ],
   };
 }
 
-/** Ends the request; an earlier attempt that may have run outweighs a later refusal. */
+/** Ends the request; an earlier attempt that may have run outweighs a later refusal as not-run. */
 function fail(state: DraftState, refusal: Refusal): DraftDecision {
-  const ran = state.delivered > 0 && refusal.outcome === "not-run";
+  const mayHaveRun = state.mayHaveRun || state.open.length > 0;
+  const ran = mayHaveRun && refusal.outcome === "not-run";
   return end(state, [
+    ...cancelAttempts(state.open),
     {
       type: "fail",
       refusal: ran ? { ...refusal, outcome: "may-have-run" } : refusal,
@@ -209,5 +316,20 @@
 }
 
 function end(state: DraftState, commands: DraftCommand[]): DraftDecision {
-  return { state: { ...state, phase: "ended" }, commands };
+  return { state: { ...state, phase: "ended", open: [] }, commands };
+}
+
+function cancelAttempts(attempts: readonly Attempt[]): DraftCommand[] {
+  return attempts.map(({ number }) => ({
+    type: "cancel-attempt",
+    attempt: number,
+  }));
+}
+
+function describeHistory(state: DraftState): DraftHistory {
+  return {
+    tried: state.tried,
+    isolated: state.isolated,
+    resuming: state.delivered > 0,
+  };
 }
--- a/src/node/draft_desk.ts
+++ b/src/node/draft_desk.ts
@@ -1,36 +1,31 @@
 import { type Either, Left, Right } from "purify-ts";
 import { type Clock, type Millis, millis } from "../core/clock.ts";
 import type { ModelResolution } from "../core/config/catalog.ts";
-import type {
-  AdapterKey,
-  Digest,
-  EngineId,
-  Region,
-  RequestId,
-} from "../core/ids.ts";
-import type { DraftTarget } from "../core/requests/draft.ts";
-import { RetryBudget } from "../core/requests/retry_budget.ts";
+import type { AdapterKey, Digest, RequestId } from "../core/ids.ts";
+import type { DraftHistory, DraftTarget } from "../core/requests/draft.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
-import type { ChooseEngine, RoutePolicies } from "../core/routing/route.ts";
 import type { AnswerSink } from "../ports/access.ts";
 import type { DraftControl, DraftInput, EncodedDraft } from "../ports/front.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
-import { type DraftCall, DraftRequest } from "./draft_request.ts";
+import {
+  type AttemptObserver,
+  type DraftCall,
+  DraftRequest,
+} from "./draft_request.ts";
 import type { EngineDirectory } from "./engine_directory.ts";
+import type { RouteDesk } from "./route_desk.ts";
 
 /** What is known of content that was running when an engine crashed. */
 export type Suspicion = "none" | "suspect" | "convicted";
 
 /** What the draft desk needs. */
 export type DraftDeskOptions = {
-  readonly region: Region;
   readonly clock: Clock;
   readonly random: () => number;
   readonly journal: Journal;
   readonly meter: Meter;
   readonly directory: EngineDirectory;
-  readonly chooseEngine: ChooseEngine;
-  readonly routePolicies: RoutePolicies;
+  readonly routes: RouteDesk;
   readonly resolveModel: (model: string) => ModelResolution;
   readonly findSuspicion: (digest: Digest) => Suspicion;
   /** Hears of demand, for placement. */
@@ -45,7 +40,6 @@
 export class DraftDesk {
   readonly #options: DraftDeskOptions;
   readonly #requests = new Map<RequestId, DraftRequest>();
-  readonly #retries = RetryBudget.create();
   #onIdle: (() => void) | undefined;
 
   static create(options: DraftDeskOptions): DraftDesk {
@@ -147,9 +141,10 @@
   }
 
   #run(call: DraftCall, sink: AnswerSink): DraftControl {
-    const { clock, journal, directory, random, onDemand } = this.#options;
+    const { clock, journal, directory, random, routes, onDemand } =
+      this.#options;
     const { requestId, adapter, arrivedAt } = call.work;
-    this.#retries.deposit();
+    routes.earn(call.work.expectedTokens);
     onDemand(adapter);
     journal.record("requestAdmitted", { requestId, adapter });
     let ended = false;
@@ -161,10 +156,12 @@
       sink: this.#observe(call, { sink, arrivedAt }),
       policies: {
         random,
-        takeRetry: () => this.#retries.take(),
-        choose: ({ tried }) => this.#choose(call, tried),
+        takeRetry: () => routes.takeRetry(),
+        choose: (history) => this.#choose(call.work, history),
+        hedge: (history, waited) =>
+          routes.hedge(call.work, { history, waited }),
       },
-      onSubmit: () => this.#options.meter.count("attempts_total"),
+      observer: this.#observeAttempts(call.work),
       onClose: () => {
         ended = true;
         this.#close(requestId);
@@ -175,35 +172,26 @@
   }
 
   #choose(
-    call: DraftCall,
-    tried: readonly EngineId[],
+    work: DraftCall["work"],
+    history: DraftHistory,
   ): Either<Refusal, DraftTarget> {
-    const { clock, directory, random, region, routePolicies, chooseEngine } =
-      this.#options;
-    if (this.#options.findSuspicion(call.work.digest) === "convicted") {
+    const { findSuspicion, routes } = this.#options;
+    if (findSuspicion(work.digest) === "convicted") {
       return Left(refuse("poisonRequest", poisonDetail));
     }
-    const { adapter, customer, deadlineAt, expectedTokens } = call.work;
-    const choose = (excluded: ReadonlySet<EngineId>) =>
-      chooseEngine(
-        {
-          adapter,
-          customer,
-          deadlineAt,
-          expectedTokens,
-          region,
-          tried: excluded,
-        },
-        {
-          views: directory.views(),
-          now: clock.now(),
-          random,
-          policies: routePolicies,
-        },
-      );
-    const choice = choose(new Set(tried));
-    // With every engine tried, the least costly one may be tried again.
-    return choice.isLeft() && tried.length > 0 ? choose(new Set()) : choice;
+    return routes.choose(work, history);
+  }
+
+  #observeAttempts(work: DraftCall["work"]): AttemptObserver {
+    const { meter, routes } = this.#options;
+    const observer = routes.observe(work);
+    return {
+      ...observer,
+      onSubmit: (engine, expectedWait) => {
+        meter.count("attempts_total");
+        observer.onSubmit(engine, expectedWait);
+      },
+    };
   }
 
   /** Sink that also writes metrics and the timeline. */
--- a/src/node/draft_request.ts
+++ b/src/node/draft_request.ts
@@ -3,6 +3,7 @@
 import type { Work } from "../core/engine/work.ts";
 import type { EngineId } from "../core/ids.ts";
 import {
+  type AttemptNumber,
   createDraftDecision,
   createDraftState,
   type DraftCommand,
@@ -35,8 +36,21 @@
   readonly journal: Journal;
   /** Called once when the request has ended in any way. */
   readonly onClose: () => void;
-  /** Called for each attempt, so that routing can count what it sent. */
-  readonly onSubmit?: (engine: EngineId) => void;
+  /** Hears of the attempts, for routing. */
+  readonly observer: AttemptObserver;
+};
+
+/** Hears of the attempts of a request. */
+export type AttemptObserver = {
+  onSubmit(engine: EngineId, expectedWait: Millis): void;
+  onFirstToken(engine: EngineId): void;
+  /** The attempt has ended or was cancelled. */
+  onClose(engine: EngineId): void;
+};
+
+type Attempt = {
+  readonly engine: EngineId;
+  control: StreamControl | undefined;
 };
 
 /**
@@ -46,8 +60,9 @@
 export class DraftRequest {
   readonly #options: DraftRequestOptions;
   readonly #actor: DecisionActor<DraftState, DraftEvent>;
-  #attempt = 0;
-  #control: StreamControl | undefined;
+  readonly #attempts = new Map<AttemptNumber, Attempt>();
+  /** Attempt whose chunks are passed on. */
+  #winner: AttemptNumber | undefined;
   #paused = false;
   #delivered = 0;
   #cancelTimer: Cancel | undefined;
@@ -85,13 +100,13 @@
   /** Stops reading the answer until `resume`. */
   pause(): void {
     this.#paused = true;
-    this.#control?.pause();
+    for (const { control } of this.#attempts.values()) control?.pause();
   }
 
   /** Reads the answer again. */
   resume(): void {
     this.#paused = false;
-    this.#control?.resume();
+    for (const { control } of this.#attempts.values()) control?.resume();
   }
 
   #perform(command: DraftCommand): void {
@@ -100,8 +115,7 @@
       case "submit":
         return this.#submit(command);
       case "cancel-attempt":
-        this.#control?.cancel();
-        return;
+        return this.#cancelAttempt(command.attempt);
       case "set-timer":
         return this.#setTimer(command.at);
       case "finish":
@@ -119,49 +133,71 @@
     }
   }
 
-  #submit(target: {
-    engine: EngineId;
-    resumeAt: number;
-    isolated: boolean;
-  }): void {
-    const { call, access, onSubmit } = this.#options;
-    const { engine, resumeAt, isolated } = target;
-    this.#attempt++;
-    this.#control = undefined;
-    onSubmit?.(engine);
-    const control = access.submit(
+  #submit(target: Extract<DraftCommand, { type: "submit" }>): void {
+    const { call, access, observer } = this.#options;
+    const { engine, resumeAt, isolated, attempt: number } = target;
+    const attempt: Attempt = { engine, control: undefined };
+    this.#attempts.set(number, attempt);
+    observer.onSubmit(engine, target.expectedWait);
+    attempt.control = access.submit(
       engine,
       {
         work: { ...call.work, resumeAt, isolated },
         path: call.path,
         body: call.body,
       },
-      this.#createRelay(this.#attempt),
+      this.#createRelay(number, engine),
     );
-    this.#control = control;
-    if (this.#paused) control.pause();
+    if (this.#paused) attempt.control.pause();
   }
 
   /** Relay of one attempt; what arrives after the attempt has ended is dropped. */
-  #createRelay(attempt: number): AnswerSink {
-    const { sink } = this.#options;
+  #createRelay(number: AttemptNumber, engine: EngineId): AnswerSink {
+    const { sink, observer } = this.#options;
     return {
       onChunk: (bytes, count) => {
-        if (attempt !== this.#attempt) return;
+        if (this.#winner !== number) {
+          if (this.#winner !== undefined || !this.#attempts.has(number)) return;
+          this.#winner = number;
+          observer.onFirstToken(engine);
+          this.#actor.send({ type: "first-token", attempt: number });
+        }
         this.#delivered += count;
         sink.onChunk(bytes, count);
       },
       onEnd: () => {
-        if (attempt === this.#attempt) this.#actor.send({ type: "ended" });
+        if (!this.#attempts.has(number)) return;
+        this.#closeAttempt(number);
+        this.#actor.send({ type: "ended" });
       },
       onRefusal: (refusal) => {
-        if (attempt !== this.#attempt) return;
+        if (!this.#attempts.has(number)) return;
+        if (this.#winner === number) this.#winner = undefined;
+        this.#closeAttempt(number);
         const delivered = this.#delivered;
-        this.#actor.send({ type: "refused", refusal, delivered });
+        this.#actor.send({
+          type: "refused",
+          attempt: number,
+          refusal,
+          delivered,
+        });
       },
     };
   }
 
+  #cancelAttempt(number: AttemptNumber): void {
+    const attempt = this.#attempts.get(number);
+    this.#closeAttempt(number);
+    attempt?.control?.cancel();
+  }
+
+  #closeAttempt(number: AttemptNumber): void {
+    const attempt = this.#attempts.get(number);
+    if (attempt === undefined) return;
+    this.#attempts.delete(number);
+    this.#options.observer.onClose(attempt.engine);
+  }
+
   #setTimer(at: Millis): void {
     const { clock } = this.#options;
     this.#cancelTimer?.();
@@ -171,7 +207,9 @@
   }
 
   #close(): void {
-    this.#attempt++;
+    for (const number of [...this.#attempts.keys()]) {
+      this.#cancelAttempt(number);
+    }
     this.#cancelTimer?.();
     this.#actor.stop();
     this.#options.onClose();
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -17,8 +17,7 @@
 } from "../core/ids.ts";
 import type { SessionSettings } from "../core/lease/state.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
-import { defaultRouteCosts } from "../core/routing/costs.ts";
-import { chooseEngine, type RoutePolicies } from "../core/routing/route.ts";
+import { chooseEngine } from "../core/routing/route.ts";
 import type { AnswerSink, Submission } from "../ports/access.ts";
 import type { ClusterPort } from "../ports/cluster.ts";
 import type { StreamControl } from "../ports/engine.ts";
@@ -37,6 +36,7 @@
 import type { PermitSource, SuspectListener } from "./engine_owner.ts";
 import { EngineOwners, type EngineSetup } from "./engine_owners.ts";
 import { createLifecycleMachine } from "./lifecycle.ts";
+import { RouteDesk } from "./route_desk.ts";
 import {
   type LookupRoute,
   ServiceDesk,
@@ -82,7 +82,6 @@
   readonly services: ReadonlyMap<ServiceName, readonly ServiceServer[]>;
   readonly lookups: ReadonlyMap<ServiceName, readonly LookupRoute[]>;
   readonly session: SessionSettings;
-  readonly routePolicies?: RoutePolicies;
   readonly onDemand?: (adapter: AdapterKey) => void;
   /** Called once when a drain has ended. */
   readonly onStopped: () => void;
@@ -124,8 +123,11 @@
     this.drafts = DraftDesk.create({
       ...options,
       directory: this.directory,
-      chooseEngine,
-      routePolicies: options.routePolicies ?? { costs: defaultRouteCosts },
+      routes: RouteDesk.create({
+        ...options,
+        chooseEngine,
+        views: () => this.directory.views(),
+      }),
       resolveModel: (model) => options.configuration.resolveModel(model),
       findSuspicion: (digest) => options.poison.findSuspicion(digest),
       onDemand: options.onDemand ?? (() => {}),
--- /dev/null
+++ b/src/node/route_desk.ts
@@ -0,0 +1,187 @@
+import { type Either, Just, type Maybe, Nothing } from "purify-ts";
+import {
+  type AdmissionState,
+  admitRequest,
+  createAdmissionState,
+  defaultAdmissionPolicies,
+} from "../core/admission/admit.ts";
+import type { Clock, Millis } from "../core/clock.ts";
+import type { Work } from "../core/engine/work.ts";
+import type { EngineId, Region } from "../core/ids.ts";
+import type { DraftHistory, DraftTarget } from "../core/requests/draft.ts";
+import { RetryBudget } from "../core/requests/retry_budget.ts";
+import type { Refusal } from "../core/results/refusal.ts";
+import { defaultRouteCosts } from "../core/routing/costs.ts";
+import {
+  type HealthState,
+  isSlow,
+  mayProbe,
+  noteEnd,
+  noteFirstToken,
+  noteStart,
+} from "../core/routing/health.ts";
+import {
+  createHedgeBudget,
+  decideHedge,
+  earnCredit,
+  type HedgeBudget,
+  payHedge,
+} from "../core/routing/hedge.ts";
+import type {
+  ChooseEngine,
+  RouteOptions,
+  RoutePolicies,
+  RouteRequest,
+} from "../core/routing/route.ts";
+import {
+  countSentSince,
+  noteSent,
+  type SentLog,
+} from "../core/routing/sent.ts";
+import type { EngineView } from "../core/routing/view.ts";
+import type { AttemptObserver } from "./draft_request.ts";
+
+/** The part of a request that routing looks at. */
+export type RoutedWork = Pick<
+  Work,
+  "requestId" | "adapter" | "customer" | "deadlineAt" | "expectedTokens"
+>;
+
+/** What the route desk needs. */
+export type RouteDeskOptions = {
+  readonly region: Region;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly views: () => readonly EngineView[];
+  readonly chooseEngine: ChooseEngine;
+};
+
+/** Chooses engines for the requests of one node and keeps what the node has observed of them. */
+export class RouteDesk {
+  readonly #options: RouteDeskOptions;
+  readonly #policies: RoutePolicies;
+  readonly #sent: SentLog = new Map();
+  readonly #health: HealthState = new Map();
+  readonly #retries = RetryBudget.create();
+  #admission: AdmissionState = createAdmissionState();
+  #hedges: HedgeBudget = createHedgeBudget();
+
+  static create(options: RouteDeskOptions): RouteDesk {
+    return new RouteDesk(options);
+  }
+
+  private constructor(options: RouteDeskOptions) {
+    this.#options = options;
+    const { clock } = options;
+    this.#policies = {
+      costs: defaultRouteCosts,
+      sentSince: (engine, since) =>
+        countSentSince(this.#sent, { engine, since }),
+      isSlow: (engine) => isSlow(this.#health, { engine, now: clock.now() }),
+      mayProbe: (engine) =>
+        mayProbe(this.#health, { engine, now: clock.now() }),
+    };
+  }
+
+  /** Counts a new request, which pays for a share of retries and hedges. */
+  earn(expectedTokens: number): void {
+    this.#retries.deposit();
+    this.#hedges = earnCredit(this.#hedges, expectedTokens);
+  }
+
+  /** Takes one attempt from the retry budget, if any is left. */
+  takeRetry(): boolean {
+    return this.#retries.take();
+  }
+
+  /** Chooses an engine; the first choice of a request is also subject to admission. */
+  choose(
+    work: RoutedWork,
+    history: DraftHistory,
+  ): Either<Refusal, DraftTarget> {
+    const { chooseEngine, clock } = this.#options;
+    const { tried, resuming } = history;
+    const request = this.#describe(work, tried);
+    const choice = chooseEngine(request, this.#routeOptions());
+    if (choice.isLeft() && tried.length > 0) {
+      // With every engine tried, the least costly one may be tried again.
+      const again = this.#describe(work, []);
+      return chooseEngine(again, this.#routeOptions());
+    }
+    if (tried.length > 0 || resuming) return choice;
+    return choice.chain((target) => {
+      const { state, verdict } = admitRequest(this.#admission, {
+        request,
+        choice: target,
+        now: clock.now(),
+        policies: defaultAdmissionPolicies,
+      });
+      this.#admission = state;
+      return verdict;
+    });
+  }
+
+  /** Second engine for a request that waits without a token, if it is worth the extra work. */
+  hedge(
+    work: RoutedWork,
+    { history, waited }: { history: DraftHistory; waited: Millis },
+  ): Maybe<DraftTarget> {
+    const request = this.#describe(work, history.tried);
+    const choice = this.#options.chooseEngine(request, this.#routeOptions());
+    return choice.toMaybe().chain((target) => {
+      const tokens = work.expectedTokens;
+      const { budget, granted } = payHedge(this.#hedges, tokens);
+      const decision = decideHedge({
+        waited,
+        otherWait: target.expectedWait,
+        queued: false,
+        hasCredit: granted,
+      });
+      if (decision.kind === "wait") return Nothing;
+      this.#hedges = budget;
+      return Just(target);
+    });
+  }
+
+  /** Observer of the attempts of one request. */
+  observe(work: RoutedWork): AttemptObserver {
+    const { clock } = this.#options;
+    const request = work.requestId;
+    return {
+      onSubmit: (engine, expected) => {
+        const now = clock.now();
+        noteSent(this.#sent, { engine, now, change: 1 });
+        noteStart(this.#health, { engine, request, expected, now });
+      },
+      onFirstToken: (engine) =>
+        noteFirstToken(this.#health, { engine, request, now: clock.now() }),
+      onClose: (engine) => {
+        noteEnd(this.#health, { engine, request });
+        noteSent(this.#sent, { engine, now: clock.now(), change: -1 });
+      },
+    };
+  }
+
+  #describe(work: RoutedWork, tried: readonly EngineId[]): RouteRequest {
+    const { adapter, customer, deadlineAt, expectedTokens } = work;
+    const { region } = this.#options;
+    return {
+      adapter,
+      customer,
+      deadlineAt,
+      expectedTokens,
+      region,
+      tried: new Set(tried),
+    };
+  }
+
+  #routeOptions(): RouteOptions {
+    const { views, clock, random } = this.#options;
+    return {
+      views: views(),
+      now: clock.now(),
+      random,
+      policies: this.#policies,
+    };
+  }
+}
