Add membership by gossip over signed datagrams

Nodes need to know each other, a failed node within 2 s, and what others publish, at a traffic that does not grow with their number. Three ring neighbours probe each node twice a second; suspicion, revisions, poison and leaving servers are pushed at once; engine views are shared inside a data centre at a bounded rate; comparisons of digests repair what was lost and carry values between data centres through one relay each.

--- /dev/null
+++ b/src/adapters/gossip/frame.ts
@@ -0,0 +1,76 @@
+import { randomFillSync } from "node:crypto";
+import type { Clock } from "../../core/clock.ts";
+import type { Keyring } from "../keys/keyring.ts";
+
+/** Largest accepted difference between the clocks of sender and receiver, in ms. */
+const maxClockSkewMillis = 30_000;
+/** Nonces remembered against replay; a full memory refuses nothing but forgets the oldest. */
+const maxNonces = 20_000;
+/** Bytes of the MAC that are sent. */
+const macBytes = 16;
+const nonceBytes = 8;
+const timeBytes = 8;
+const formatVersion = 1;
+
+/** Bytes that a frame adds to a body, without the id of the key. */
+export const frameOverheadBytes = 2 + timeBytes + nonceBytes + macBytes;
+
+/** Why a datagram was refused. */
+export type FrameFault = "form" | "signature" | "time" | "replay";
+
+/** Signs datagrams, and checks signature, time and nonce of those received. */
+export class Framer {
+  readonly #keyring: Keyring;
+  readonly #clock: Clock;
+  /** Nonces with the time after which they need not be remembered, oldest first. */
+  readonly #nonces = new Map<bigint, number>();
+
+  static create(options: { keyring: Keyring; clock: Clock }): Framer {
+    return new Framer(options);
+  }
+
+  private constructor(options: { keyring: Keyring; clock: Clock }) {
+    this.#keyring = options.keyring;
+    this.#clock = options.clock;
+  }
+
+  /** Adds time, nonce and MAC to a body. */
+  seal(body: Uint8Array): Buffer {
+    const stamp = Buffer.alloc(timeBytes + nonceBytes);
+    stamp.writeDoubleBE(this.#clock.wallNow(), 0);
+    randomFillSync(stamp, timeBytes);
+    const { key, mac } = this.#keyring.signBytes(Buffer.concat([stamp, body]));
+    const id = Buffer.from(key);
+    const start = Buffer.from([formatVersion, id.length]);
+    return Buffer.concat([start, id, mac.subarray(0, macBytes), stamp, body]);
+  }
+
+  /** The body of a genuine and new datagram, or why it is refused. */
+  open(frame: Buffer): Buffer | FrameFault {
+    const idLength = frame[1] ?? 0;
+    const macStart = 2 + idLength;
+    const stampStart = macStart + macBytes;
+    const bodyStart = stampStart + timeBytes + nonceBytes;
+    if (frame[0] !== formatVersion || frame.length < bodyStart) return "form";
+    const key = frame.toString("utf8", 2, macStart);
+    const mac = frame.subarray(macStart, stampStart);
+    const signed = frame.subarray(stampStart);
+    if (!this.#keyring.verifyBytes(signed, { key, mac })) return "signature";
+    const sentAt = frame.readDoubleBE(stampStart);
+    const now = this.#clock.wallNow();
+    if (!(Math.abs(now - sentAt) <= maxClockSkewMillis)) return "time";
+    const nonce = frame.readBigUInt64BE(stampStart + timeBytes);
+    if (this.#nonces.has(nonce)) return "replay";
+    this.#remember(nonce, sentAt + maxClockSkewMillis);
+    return frame.subarray(bodyStart);
+  }
+
+  #remember(nonce: bigint, until: number): void {
+    this.#nonces.set(nonce, until);
+    const now = this.#clock.wallNow();
+    for (const [known, expires] of this.#nonces) {
+      if (expires >= now && this.#nonces.size <= maxNonces) break;
+      this.#nonces.delete(known);
+    }
+  }
+}
--- /dev/null
+++ b/src/adapters/gossip/udp_datagrams.ts
@@ -0,0 +1,121 @@
+import { createSocket, type Socket } from "node:dgram";
+import { isIPv6 } from "node:net";
+import type { Clock } from "../../core/clock.ts";
+import type { GossipMessage } from "../../core/membership/types.ts";
+import type { Datagrams } from "../../ports/datagrams.ts";
+import type { Journal, Meter } from "../../ports/journal.ts";
+import type { Keyring } from "../keys/keyring.ts";
+import { Framer, frameOverheadBytes } from "./frame.ts";
+import { decodeMessage, encodeMessage } from "./message_codec.ts";
+
+/** Largest datagram in bytes; below the smallest usual path MTU with headers. */
+export const maxDatagramBytes = 1_200;
+/** Room for the id of the signing key, in bytes. */
+const keyIdBytes = 64;
+/** Largest message body in one datagram, in bytes. */
+export const maxBodyBytes = maxDatagramBytes - frameOverheadBytes - keyIdBytes;
+/** Bytes of the IP and UDP headers, which count as traffic too. */
+export const packetHeaderBytes = 28;
+
+/** What the datagrams of a node need. */
+export type UdpOptions = {
+  readonly host: string;
+  readonly port: number;
+  readonly keyring: Keyring;
+  readonly clock: Clock;
+  readonly journal: Journal;
+  readonly meter: Meter;
+};
+
+/** Signed messages over UDP. */
+export class UdpDatagrams implements Datagrams {
+  readonly #socket: Socket;
+  readonly #framer: Framer;
+  readonly #options: UdpOptions;
+  #listener: (message: GossipMessage, from: string) => void = () => {};
+
+  /** Binds the socket; rejects when the address cannot be used. */
+  static async open(options: UdpOptions): Promise<UdpDatagrams> {
+    const { host, port } = options;
+    const socket = createSocket(isIPv6(host) ? "udp6" : "udp4");
+    await new Promise<void>((resolve, reject) => {
+      socket.once("error", reject);
+      socket.bind(port, host, () => {
+        socket.off("error", reject);
+        resolve();
+      });
+    });
+    return new UdpDatagrams(socket, options);
+  }
+
+  private constructor(socket: Socket, options: UdpOptions) {
+    this.#socket = socket;
+    this.#options = options;
+    this.#framer = Framer.create(options);
+    socket.on("message", (frame, sender) => {
+      const host =
+        sender.family === "IPv6" ? `[${sender.address}]` : sender.address;
+      this.#receive(frame, `${host}:${sender.port}`);
+    });
+    socket.on("error", () => this.#count("gossip_socket_errors_total"));
+  }
+
+  /** Port that the socket is bound to. */
+  get port(): number {
+    return this.#socket.address().port;
+  }
+
+  send(to: string, message: GossipMessage): void {
+    const colon = to.lastIndexOf(":");
+    const host = to.slice(0, colon).replace(/^\[|\]$/g, "");
+    const { bodies, dropped } = encodeMessage(message, maxBodyBytes);
+    if (dropped > 0) this.#count("gossip_items_too_large_total", dropped);
+    for (const body of bodies) {
+      const frame = this.#framer.seal(body);
+      this.#countBytes("sent", frame);
+      this.#socket.send(frame, Number(to.slice(colon + 1)), host, (error) => {
+        if (error !== null) this.#count("gossip_send_errors_total");
+      });
+    }
+  }
+
+  onMessage(listener: (message: GossipMessage, from: string) => void): void {
+    this.#listener = listener;
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+
+  #receive(frame: Buffer, from: string): void {
+    this.#countBytes("received", frame);
+    if (frame.length > maxDatagramBytes) {
+      this.#refuse("size");
+      return;
+    }
+    const body = this.#framer.open(frame);
+    if (typeof body === "string") {
+      this.#refuse(body);
+      return;
+    }
+    const message = decodeMessage(body);
+    if (message === undefined) this.#refuse("body");
+    else this.#listener(message, from);
+  }
+
+  #refuse(reason: string): void {
+    this.#options.meter.count("gossip_refused_total", { reason });
+    if (reason !== "signature") return;
+    this.#options.journal.record("signatureRejected", { listener: "gossip" });
+  }
+
+  #countBytes(direction: "sent" | "received", frame: Buffer): void {
+    const bytes = frame.length + packetHeaderBytes;
+    this.#options.meter.count("gossip_bytes_total", { direction }, bytes);
+    this.#options.meter.count("gossip_datagrams_total", { direction });
+  }
+
+  #count(metric: string, amount = 1): void {
+    this.#options.meter.count(metric, {}, amount);
+  }
+}
--- /dev/null
+++ b/src/adapters/gossip/view_codec.ts
@@ -0,0 +1,84 @@
+import { z } from "zod";
+import { type Millis, millis } from "../../core/clock.ts";
+import type { AdapterKey, EngineId, NodeId, Region } from "../../core/ids.ts";
+import { hashText } from "../../core/membership/state.ts";
+import type { Published } from "../../core/membership/types.ts";
+import type { EngineView } from "../../core/routing/view.ts";
+
+const states = ["ok", "slow", "leaving", "down"] as const;
+const count = z.number().int().min(0);
+/** Adapter versions in one view at most. */
+const maxHeld = 1_000;
+
+const viewSchema = z.tuple([
+  z
+    .number()
+    .int()
+    .min(0)
+    .max(states.length - 1),
+  count,
+  count,
+  count,
+  count,
+  count,
+  count,
+  count,
+  z.array(count).max(maxHeld),
+  z.array(count).max(maxHeld),
+]);
+
+/** Tenths of a millisecond keep token gaps exact enough in one or two bytes. */
+const gapScale = 10;
+
+/** Compact form of a view; adapter versions travel as 32-bit hashes of their keys. */
+export function encodeView(view: EngineView): Published {
+  return [
+    states.indexOf(view.state),
+    view.slots,
+    view.batch,
+    view.queued,
+    view.running,
+    Math.round(view.firstToken),
+    Math.round(view.tokenGap * gapScale),
+    Math.round(view.serviceTime),
+    [...view.held].map(hashText),
+    [...view.loading].map(hashText),
+  ];
+}
+
+/** What a decoded view takes from its message. */
+export type ViewContext = {
+  readonly engine: EngineId;
+  readonly owner: NodeId;
+  readonly region: Region;
+  readonly heardAt: Millis;
+  /** Adapter version with this hash in the configuration in force. */
+  readonly findAdapter: (hash: number) => AdapterKey | undefined;
+};
+
+/** Reads a compact view; undefined if it is malformed. */
+export function decodeView(
+  value: unknown,
+  context: ViewContext,
+): EngineView | undefined {
+  const parsed = viewSchema.safeParse(value);
+  if (!parsed.success) return undefined;
+  const [state, slots, batch, queued, running, firstToken, gap, service] =
+    parsed.data;
+  const { findAdapter, ...rest } = context;
+  const collect = (hashes: readonly number[]) =>
+    new Set(hashes.map(findAdapter).filter((key) => key !== undefined));
+  return {
+    ...rest,
+    state: states[state] as EngineView["state"],
+    slots,
+    batch,
+    queued,
+    running,
+    held: collect(parsed.data[8]),
+    loading: collect(parsed.data[9]),
+    firstToken: millis(firstToken),
+    tokenGap: millis(gap / gapScale),
+    serviceTime: millis(service),
+  };
+}
--- a/src/adapters/keys/keyring.ts
+++ b/src/adapters/keys/keyring.ts
@@ -14,6 +14,9 @@
 /** Shortest accepted secret, in characters. */
 const minSecretLength = 16;
 
+/** Shortest accepted MAC of a datagram, in bytes; RFC 2104 asks for half of the whole one. */
+const minMacBytes = 16;
+
 const keyFileSchema = z.strictObject({
   keys: z
     .array(
@@ -57,6 +60,24 @@
     return given.length === expected.length && timingSafeEqual(given, expected);
   }
 
+  /** Signature of a datagram: the id of the signing key and the whole MAC. */
+  signBytes(content: Uint8Array): { readonly key: string; readonly mac: Buffer } {
+    const key = this.#keys[0] as Key;
+    return { key: key.id, mac: computeMac(key, content) };
+  }
+
+  /** Whether `mac` is the start of the MAC of this content under the named key. */
+  verifyBytes(
+    content: Uint8Array,
+    signature: { readonly key: string; readonly mac: Uint8Array },
+  ): boolean {
+    const key = this.#keys.find((one) => one.id === signature.key);
+    if (key === undefined) return false;
+    const { mac } = signature;
+    const expected = computeMac(key, content).subarray(0, mac.length);
+    return mac.length >= minMacBytes && timingSafeEqual(mac, expected);
+  }
+
   /** Replaces the keys. */
   replace(keys: readonly Key[]): void {
     this.#keys = keys;
--- /dev/null
+++ b/src/core/membership/probing.ts
@@ -0,0 +1,180 @@
+import { millis } from "../clock.ts";
+import type { DataCentre } from "../ids.ts";
+import { chooseByRendezvous } from "../lease/rendezvous.ts";
+import { describeMember, setState } from "./members.ts";
+import { send, spread } from "./spreading.ts";
+import {
+  isPresent,
+  never,
+  pickRandom,
+  ringOf,
+  type Turn,
+  type Watch,
+} from "./state.ts";
+import { type MemberRecord, monitorsPerNode } from "./types.ts";
+
+/** Nodes that are asked to probe a silent one as well. */
+const indirectProbes = 2;
+
+/** The next nodes in the ring, which this node monitors. */
+export function monitoredNodes(turn: Turn): MemberRecord[] {
+  const ring = ringOf(turn.state);
+  const own = ring.indexOf(turn.state.self);
+  const count = Math.min(monitorsPerNode, ring.length - 1);
+  return Array.from(
+    { length: count },
+    (_, step) => ring[(own + 1 + step) % ring.length] as MemberRecord,
+  );
+}
+
+/** Probes monitored nodes and suspects those that stay silent. */
+export function probeMonitored(turn: Turn): void {
+  const { state, now } = turn;
+  const monitored = monitoredNodes(turn);
+  const tags = new Set(monitored.map((member) => member.tag));
+  for (const tag of state.watched.keys()) {
+    if (!tags.has(tag)) state.watched.delete(tag);
+  }
+  monitored.forEach((member, index) => {
+    let watch = state.watched.get(member.tag);
+    if (watch === undefined) {
+      // Probes of one round are spread over the period.
+      const offset = (index * state.settings.probePeriod) / monitorsPerNode;
+      watch = { heardAt: now, probeAt: millis(now + offset), askedAt: never };
+      state.watched.set(member.tag, watch);
+    }
+    probeOne(turn, { member, watch });
+  });
+}
+
+function probeOne(
+  turn: Turn,
+  target: { readonly member: MemberRecord; readonly watch: Watch },
+): void {
+  const { state, now } = turn;
+  const { member, watch } = target;
+  const { settings } = state;
+  const silence = now - watch.heardAt;
+  if (now >= watch.probeAt) {
+    watch.probeAt = millis(now + settings.probePeriod);
+    // A suspect must hear of the suspicion to be able to refute it.
+    const items = member.state === "suspect" ? [describeMember(member)] : [];
+    const about = member.tag;
+    send(turn, { to: member, purpose: "ping", about, items });
+  }
+  if (
+    silence >= settings.indirectAfter &&
+    now - watch.askedAt >= settings.probePeriod
+  ) {
+    watch.askedAt = now;
+    askOthers(turn, member);
+  }
+  if (member.state === "alive" && silence >= settings.silenceLimit) {
+    setState(turn, { member, next: "suspect" });
+    const item = describeMember(member);
+    spread(turn, [item]);
+    send(turn, { to: member, purpose: "push", items: [item] });
+  }
+}
+
+function askOthers(turn: Turn, silent: MemberRecord): void {
+  const { state, random } = turn;
+  const others = ringOf(state).filter(
+    (member) => member !== silent && member !== state.self,
+  );
+  for (const to of pickRandom(others, { count: indirectProbes, random })) {
+    send(turn, { to, purpose: "ping-request", about: silent.tag, items: [] });
+  }
+}
+
+/** Declares suspects dead that had time to refute. */
+export function buryOldSuspects(turn: Turn): void {
+  const { state, now } = turn;
+  for (const member of state.members.values()) {
+    if (member.state !== "suspect") continue;
+    if (member.info.dataCentre !== state.self.info.dataCentre) continue;
+    if (now - member.since < state.settings.suspicion) continue;
+    setState(turn, { member, next: "dead" });
+    spread(turn, [describeMember(member)]);
+  }
+}
+
+/** Node of a data centre that exchanges digests with the others. */
+export function relayOf(
+  turn: Turn,
+  dataCentre: DataCentre,
+): MemberRecord | undefined {
+  const members = [...turn.state.members.values()].filter(
+    (member) => member.info.dataCentre === dataCentre,
+  );
+  const alive = members.filter((member) => member.state === "alive");
+  const nodes = (alive.length > 0 ? alive : members.filter(isPresent)).map(
+    (member) => member.info.node,
+  );
+  const chosen = chooseByRendezvous(`relay/${dataCentre}`, nodes);
+  return members.find((member) => member.info.node === chosen);
+}
+
+/** Whether this node exchanges digests with other data centres. */
+export function isRelay(turn: Turn): boolean {
+  const { self } = turn.state;
+  return relayOf(turn, self.info.dataCentre) === self;
+}
+
+/** Other data centres that have members. */
+export function otherCentres(turn: Turn): DataCentre[] {
+  const centres = new Set<DataCentre>();
+  for (const member of turn.state.members.values()) {
+    if (isPresent(member)) centres.add(member.info.dataCentre);
+  }
+  centres.delete(turn.state.self.info.dataCentre);
+  return [...centres];
+}
+
+/** Probes every other data centre; returns those whose reachability changed. */
+export function probeCentres(turn: Turn): DataCentre[] {
+  const { state, now } = turn;
+  const { centreProbe, centreSilence } = state.settings;
+  const changed: DataCentre[] = [];
+  for (const centre of otherCentres(turn)) {
+    let watch = state.centres.get(centre);
+    if (watch === undefined) {
+      watch = { heardAt: now, probeAt: now, unreachable: false };
+      state.centres.set(centre, watch);
+    }
+    const silence = now - watch.heardAt;
+    const isUnreachable = silence >= centreSilence;
+    if (isUnreachable !== watch.unreachable) {
+      watch.unreachable = isUnreachable;
+      changed.push(centre);
+    }
+    if (now < watch.probeAt) continue;
+    watch.probeAt = millis(now + centreProbe);
+    const to = chooseCentreTarget(turn, { centre, silence });
+    if (to === undefined) continue;
+    send(turn, { to, purpose: "ping", about: to.tag, items: [] });
+  }
+  return changed;
+}
+
+/** The relay of a data centre, or any of its nodes once the relay is silent. */
+function chooseCentreTarget(
+  turn: Turn,
+  target: { readonly centre: DataCentre; readonly silence: number },
+): MemberRecord | undefined {
+  const { centre, silence } = target;
+  const { state, random } = turn;
+  if (silence < 2 * state.settings.centreProbe) return relayOf(turn, centre);
+  const members = [...state.members.values()].filter(
+    (member) => member.info.dataCentre === centre && isPresent(member),
+  );
+  return pickRandom(members, { count: 1, random })[0];
+}
+
+/** Notes that a node was heard of. */
+export function noteContact(turn: Turn, member: MemberRecord): void {
+  const watch = turn.state.watched.get(member.tag);
+  if (watch !== undefined) watch.heardAt = turn.now;
+  const centre = turn.state.centres.get(member.info.dataCentre);
+  if (centre !== undefined) centre.heardAt = turn.now;
+}
--- /dev/null
+++ b/src/core/membership/spreading.ts
@@ -0,0 +1,111 @@
+import { millis } from "../clock.ts";
+import type { DataCentre } from "../ids.ts";
+import { listEntriesAfter } from "./members.ts";
+import { otherCentres, relayOf } from "./probing.ts";
+import { pickRandom, ringOf, type Turn } from "./state.ts";
+import {
+  type GossipMessage,
+  type Item,
+  type MemberRecord,
+  maxEntriesPerNode,
+  type Purpose,
+  topicSpread,
+  urgentFanout,
+} from "./types.ts";
+
+/** Size of a datagram without its items, and of one item, in bytes; measured. */
+const estimatedHeaderBytes = 90;
+const estimatedItemBytes = 60;
+
+/** Sends a message to a member. */
+export function send(
+  turn: Turn,
+  message: {
+    readonly to: Pick<MemberRecord, "info">;
+    readonly purpose: Purpose;
+    readonly about?: number;
+    readonly items: readonly Item[];
+  },
+): void {
+  const { to, ...rest } = message;
+  sendTo(turn, { ...rest, address: to.info.peers });
+}
+
+/** Sends a message to an address. */
+export function sendTo(
+  turn: Turn,
+  message: Omit<GossipMessage, "from"> & { readonly address: string },
+): void {
+  const { address, ...rest } = message;
+  const from = turn.state.self.tag;
+  turn.commands.push({ type: "send", to: address, message: { from, ...rest } });
+}
+
+/** Data centre that an item is about. */
+function centreOf(turn: Turn, item: Item): DataCentre | undefined {
+  if (item.type === "member") return item.info.dataCentre;
+  if (item.type !== "entry") return undefined;
+  return turn.state.members.get(item.tag)?.info.dataCentre;
+}
+
+/** Passes urgent items on: to random peers here and, from the relay, to other data centres. */
+export function spread(turn: Turn, items: readonly Item[]): void {
+  const { state, random } = turn;
+  if (items.length === 0) return;
+  const { self } = state;
+  const peers = ringOf(state).filter((member) => member !== self);
+  for (const to of pickRandom(peers, { count: urgentFanout, random })) {
+    send(turn, { to, purpose: "push", items });
+  }
+  if (relayOf(turn, self.info.dataCentre) !== self) return;
+  const own = items.filter(
+    (item) => centreOf(turn, item) === self.info.dataCentre,
+  );
+  if (own.length === 0) return;
+  for (const centre of otherCentres(turn)) {
+    const to = relayOf(turn, centre);
+    if (to !== undefined) send(turn, { to, purpose: "push", items: own });
+  }
+}
+
+/** Publishes one value of this node. */
+export function publish(
+  turn: Turn,
+  value: Omit<Extract<Item, { type: "entry" }>["entry"], "version">,
+): void {
+  const { self } = turn.state;
+  const name = `${value.topic}/${value.key}`;
+  const known = self.entries.get(name);
+  if (known === undefined && self.entries.size >= maxEntriesPerNode) {
+    turn.commands.push({
+      type: "count",
+      metric: "gossip_entries_refused_total",
+    });
+    return;
+  }
+  const after = turn.state.version;
+  turn.state.version++;
+  const entry = { ...value, version: turn.state.version };
+  self.entries.set(name, entry);
+  self.floor = turn.state.version;
+  if (topicSpread[value.topic] === "urgent") {
+    spread(turn, [{ type: "entry", tag: self.tag, after, entry }]);
+  }
+}
+
+/** Sends changed values of this node to all of its data centre, at a bounded rate. */
+export function shareBulk(turn: Turn): void {
+  const { state, now } = turn;
+  const { settings, self } = state;
+  if (now < state.shareAt || state.shared === state.version) return;
+  const items = listEntriesAfter(self, {
+    version: state.shared,
+    limit: maxEntriesPerNode,
+  });
+  state.shared = state.version;
+  const peers = ringOf(state).filter((member) => member !== self);
+  for (const to of peers) send(turn, { to, purpose: "share", items });
+  const size = estimatedHeaderBytes + items.length * estimatedItemBytes;
+  const wait = (peers.length * size * 1_000) / settings.shareBytes;
+  state.shareAt = millis(now + Math.max(settings.sharePeriod, wait));
+}
--- /dev/null
+++ b/src/core/membership/state.ts
@@ -0,0 +1,149 @@
+import { type Millis, millis } from "../clock.ts";
+import type { DataCentre } from "../ids.ts";
+import {
+  type MemberInfo,
+  type MemberRecord,
+  type MembershipCommand,
+  type MembershipSettings,
+  syncBurstBytes,
+} from "./types.ts";
+
+/** State of membership at one node; owned by one actor and updated in place. */
+export type MembershipState = {
+  readonly settings: MembershipSettings;
+  readonly self: MemberRecord;
+  readonly seeds: readonly string[];
+  readonly members: Map<number, MemberRecord>;
+  /** Last time a monitored node was heard of, and the last probes of it. */
+  readonly watched: Map<number, Watch>;
+  /** Other data centres: last contact and last probe. */
+  readonly centres: Map<DataCentre, CentreWatch>;
+  /** Probes made for another node, by the probed node; one per node. */
+  readonly asked: Map<number, { readonly asker: number; readonly at: Millis }>;
+  /** Number of own values published. */
+  version: number;
+  /** Own values up to this version were shared. */
+  shared: number;
+  shareAt: Millis;
+  roundAt: Millis;
+  joinAt: Millis;
+  syncAllowance: number;
+  syncRefilledAt: Millis;
+  left: boolean;
+  /** Alive nodes of the own data centre in ring order; undefined when it must be rebuilt. */
+  ring: readonly MemberRecord[] | undefined;
+};
+
+/** Probes of one monitored node. */
+export type Watch = {
+  heardAt: Millis;
+  probeAt: Millis;
+  askedAt: Millis;
+};
+
+/** Probes of one other data centre. */
+export type CentreWatch = {
+  heardAt: Millis;
+  probeAt: Millis;
+  unreachable: boolean;
+};
+
+/** What the handling of one event needs besides the state. */
+export type Turn = {
+  readonly state: MembershipState;
+  readonly now: Millis;
+  readonly random: () => number;
+  readonly commands: MembershipCommand[];
+};
+
+const fnvOffset = 0x811c9dc5;
+const fnvPrime = 0x01000193;
+
+/** Hash of a string to 32 bits. */
+export function hashText(text: string): number {
+  let hash = fnvOffset;
+  for (let i = 0; i < text.length; i++) {
+    hash = Math.imul(hash ^ text.charCodeAt(i), fnvPrime);
+  }
+  return mixHash(hash);
+}
+
+/** Final mix of a 32-bit hash. */
+export function mixHash(value: number): number {
+  let hash = value ^ (value >>> 16);
+  hash = Math.imul(hash, 0x85ebca6b);
+  hash ^= hash >>> 13;
+  hash = Math.imul(hash, 0xc2b2ae35);
+  return (hash ^ (hash >>> 16)) >>> 0;
+}
+
+/** State of a node that knows only itself and its seeds. */
+export function createMembershipState(options: {
+  self: MemberInfo;
+  seeds: readonly string[];
+  settings: MembershipSettings;
+  now: Millis;
+}): MembershipState {
+  const { self: info, seeds, settings, now } = options;
+  const self: MemberRecord = {
+    info,
+    tag: hashText(info.node),
+    incarnation: 1,
+    state: "alive",
+    since: now,
+    entries: new Map(),
+    floor: 0,
+  };
+  return {
+    settings,
+    self,
+    seeds: seeds.filter((seed) => seed !== info.peers),
+    members: new Map([[self.tag, self]]),
+    watched: new Map(),
+    centres: new Map(),
+    asked: new Map(),
+    version: 0,
+    shared: 0,
+    shareAt: now,
+    roundAt: now,
+    joinAt: now,
+    syncAllowance: syncBurstBytes,
+    syncRefilledAt: now,
+    left: false,
+    ring: undefined,
+  };
+}
+
+/** Whether a member takes part: alive, or suspected but not yet dead. */
+export function isPresent(member: MemberRecord): boolean {
+  return member.state === "alive" || member.state === "suspect";
+}
+
+/** Present nodes of the own data centre in ring order, this node among them. */
+export function ringOf(state: MembershipState): readonly MemberRecord[] {
+  state.ring ??= [...state.members.values()]
+    .filter(
+      (member) =>
+        isPresent(member) &&
+        member.info.dataCentre === state.self.info.dataCentre,
+    )
+    .sort((a, b) => a.tag - b.tag);
+  return state.ring;
+}
+
+/** Takes up to `count` different members at random. */
+export function pickRandom(
+  members: readonly MemberRecord[],
+  options: { count: number; random: () => number },
+): MemberRecord[] {
+  const left = [...members];
+  const picked: MemberRecord[] = [];
+  while (left.length > 0 && picked.length < options.count) {
+    const index = Math.floor(options.random() * left.length);
+    picked.push(...left.splice(index, 1));
+  }
+  return picked;
+}
+
+/** Never; earlier than every time. */
+export const never = millis(Number.NEGATIVE_INFINITY);
--- /dev/null
+++ b/src/ports/datagrams.ts
@@ -0,0 +1,10 @@
+import type { GossipMessage } from "../core/membership/types.ts";
+
+/** Unreliable, signed messages between nodes. */
+export type Datagrams = {
+  /** Sends a message to `HOST:PORT`, split into as many datagrams as its items need. */
+  send(to: string, message: GossipMessage): void;
+  /** Receives every genuine message with the address of its sender. */
+  onMessage(listener: (message: GossipMessage, from: string) => void): void;
+  close(): void;
+};
