--- a/src/adapters/keys/keyring.ts
+++ b/src/adapters/keys/keyring.ts
@@ -61,7 +61,10 @@
   }
 
   /** Signature of a datagram: the id of the signing key and the whole MAC. */
-  signBytes(content: Uint8Array): { readonly key: string; readonly mac: Buffer } {
+  signBytes(content: Uint8Array): {
+    readonly key: string;
+    readonly mac: Buffer;
+  } {
     const key = this.#keys[0] as Key;
     return { key: key.id, mac: computeMac(key, content) };
   }
