Limit the places and slots that long work may hold

Long work now leaves two places plus the square root of the running short work, and three eighths of the slots; it passes these limits after 20 s. Loads that only long work waits for ask for deferred permits.

--- a/src/core/engine/dispatch.ts
+++ b/src/core/engine/dispatch.ts
@@ -1,5 +1,6 @@
 import { dequeue, type QueueEntry } from "./queue.ts";
-import { useSlot } from "./slots.ts";
+import { countLongSlots, useSlot } from "./slots.ts";
+import type { Slot } from "./state.ts";
 import { mayDispatch, record, type Turn } from "./turn.ts";
 
 /** Waiting time after which a request that must run alone empties the batch, in ms. */
@@ -52,21 +53,47 @@
 /** First entry of the loaded adapters that may share the batch. */
 function findShared(turn: Turn): QueueEntry | undefined {
   const { state } = turn;
-  const longAllowed = state.runningLong < countLongPlaces(turn);
+  const mayRunLong = createLongLimit(turn);
   let first: QueueEntry | undefined;
   for (const slot of state.slots.values()) {
     if (slot.phase !== "loaded") continue;
     const lanes = state.queue.byAdapter.get(slot.adapter);
     if (lanes === undefined) continue;
-    for (const lane of [lanes.short, longAllowed ? lanes.long : []]) {
-      const entry = lane.find(({ work }) => !work.isolated);
-      if (entry === undefined) continue;
-      if (first === undefined || entry.rank < first.rank) first = entry;
-    }
+    const short = lanes.short.find(isShared);
+    if (isEarlier(short, first)) first = short;
+    const long = lanes.long.find(isShared);
+    if (isEarlier(long, first) && mayRunLong(slot, long)) first = long;
   }
   return first;
 }
 
+function isShared({ work }: QueueEntry): boolean {
+  return !work.isolated;
+}
+
+function isEarlier(
+  entry: QueueEntry | undefined,
+  other: QueueEntry | undefined,
+): entry is QueueEntry {
+  return (
+    entry !== undefined && (other === undefined || entry.rank < other.rank)
+  );
+}
+
+/** Limits of long work: a share of the places, a share of the slots, and ageing. */
+function createLongLimit(
+  turn: Turn,
+): (slot: Slot, entry: QueueEntry) => boolean {
+  const { state, policies, now } = turn;
+  const placesLeft = state.runningLong < countLongPlaces(turn);
+  const slotsLeft =
+    countLongSlots(state) < policies.longSlots(state.identity.limits.slots);
+  return (slot, { work }) => {
+    if (placesLeft && (slotsLeft || slot.runningLong > 0)) return true;
+    return now - work.arrivedAt >= policies.longPatience;
+  };
+}
+
 function countLongPlaces({ state, policies }: Turn): number {
   let shortWaiting = 0;
   for (const { adapter, phase } of state.slots.values()) {
@@ -96,7 +123,7 @@
   });
   if (entry.long) state.runningLong++;
   const slot = state.slots.get(work.adapter);
-  if (slot !== undefined) useSlot(slot, now);
+  if (slot !== undefined) useSlot(slot, { long: entry.long, now });
   turn.commands.push({
     type: "dispatch",
     work,
--- a/src/core/engine/load_demand.ts
+++ b/src/core/engine/load_demand.ts
@@ -2,16 +2,19 @@
 import type { AdapterKey } from "../ids.ts";
 import { refuse } from "../results/refusal.ts";
 import { type AdapterQueue, entriesOf, firstEntry } from "./queue.ts";
+import { countLongSlots } from "./slots.ts";
 import type { EngineState } from "./state.ts";
 import { average, handBack, type Turn } from "./turn.ts";
 
 /** Time between checks whether waiting loads will end in time, in ms. */
 const LOAD_CHECK_PERIOD = 250;
 
-/** An adapter version that should be loaded, and whether requests wait for it. */
+/** An adapter version that should be loaded. */
 export type Wanted = {
   readonly adapter: AdapterKey;
+  /** Short work or long work that has waited long enough needs it. */
   readonly urgent: boolean;
+  readonly awaited: boolean;
   readonly rank: number;
 };
 
@@ -25,22 +28,38 @@
   );
   return prefetch === undefined
     ? []
-    : [{ adapter: prefetch, urgent: false, rank: 0 }];
+    : [{ adapter: prefetch, urgent: false, awaited: false, rank: 0 }];
 }
 
 /** Adapter versions that requests wait for, in the order of loading. */
 function listWaiting(turn: Turn): Wanted[] {
   const { state, policies } = turn;
   const waiting: Wanted[] = [];
+  const longAllowed =
+    countLongSlots(state) < policies.longSlots(state.identity.limits.slots);
   for (const [adapter, lanes] of state.queue.byAdapter) {
     if (state.slots.has(adapter) || isBackingOff(turn, adapter)) continue;
+    const urgent = isPressing(turn, lanes);
+    if (!longAllowed && !urgent) continue;
     const rank = policies.rankLoad({
       firstRank: firstEntry(state.queue, adapter)?.rank ?? 0,
       waiting: countEntries(lanes),
     });
-    waiting.push({ adapter, urgent: true, rank });
+    waiting.push({ adapter, urgent, awaited: true, rank });
   }
-  return waiting.sort((a, b) => a.rank - b.rank);
+  return waiting.sort(compareWanted);
+}
+
+/** Urgent loads first, then by rank. */
+function compareWanted(a: Wanted, b: Wanted): number {
+  return Number(b.urgent) - Number(a.urgent) || a.rank - b.rank;
+}
+
+/** Whether short work waits, or long work that has waited long enough. */
+function isPressing({ now, policies }: Turn, lanes: AdapterQueue): boolean {
+  const [long] = lanes.long;
+  if (lanes.short.length > 0 || long === undefined) return true;
+  return now - long.work.arrivedAt >= policies.longPatience;
 }
 
 function countEntries({ short, long }: AdapterQueue): number {
@@ -57,7 +76,7 @@
   { state, now }: Turn,
   wanted: readonly Wanted[],
 ): void {
-  if (wanted[0]?.urgent !== true) state.loadWaitingSince = undefined;
+  if (wanted[0]?.awaited !== true) state.loadWaitingSince = undefined;
   else state.loadWaitingSince ??= now;
 }
 
--- a/src/core/engine/loading.ts
+++ b/src/core/engine/loading.ts
@@ -89,9 +89,9 @@
 }
 
 /** Starts an eviction that makes room; returns whether there was a victim. */
-function evictFor(turn: Turn, { urgent }: Wanted): boolean {
+function evictFor(turn: Turn, { awaited }: Wanted): boolean {
   const { state } = turn;
-  const victim = chooseSlotToEvict(turn, { urgent });
+  const victim = chooseSlotToEvict(turn, { awaited });
   if (victim === undefined || state.ownership === undefined) return false;
   victim.phase = "unloading";
   victim.since = turn.now;
@@ -104,19 +104,19 @@
   return true;
 }
 
-function orderLoad(turn: Turn, { adapter, urgent }: Wanted): void {
+function orderLoad(turn: Turn, { adapter, awaited }: Wanted): void {
   const { state, now } = turn;
   if (state.ownership === undefined) return;
-  if (urgent) noteLoadStart(turn);
+  if (awaited) noteLoadStart(turn);
   state.slots.set(adapter, {
     adapter,
     phase: "loading",
     inherited: false,
     since: now,
     evictableAt: now,
-    lastUsedAt: now,
-    uses: 0,
+    uses: { count: 0, at: now },
     running: 0,
+    runningLong: 0,
   });
   turn.commands.push({
     type: "load",
--- a/src/core/engine/permits.ts
+++ b/src/core/engine/permits.ts
@@ -8,13 +8,15 @@
   { wanted, room }: { wanted: readonly Wanted[]; room: number },
 ): void {
   const { permits } = state;
-  const urgent = wanted[0]?.urgent ?? false;
-  const pending = urgent ? permits.urgent : permits.urgent + permits.prefetch;
-  const needed = Math.min(room, wanted.length);
-  for (let count = pending; count < needed; count++) {
-    if (urgent) permits.urgent++;
-    else permits.prefetch++;
-    commands.push({ type: "request-permit", urgent });
+  const possible = wanted.slice(0, Math.max(0, room));
+  const urgent = possible.filter((entry) => entry.urgent).length;
+  while (permits.urgent < urgent) {
+    permits.urgent++;
+    commands.push({ type: "request-permit", urgent: true });
+  }
+  while (permits.urgent + permits.deferred < possible.length) {
+    permits.deferred++;
+    commands.push({ type: "request-permit", urgent: false });
   }
 }
 
@@ -23,7 +25,7 @@
   const { permits } = state;
   permits.granted++;
   if (permits.urgent > 0) permits.urgent--;
-  else if (permits.prefetch > 0) permits.prefetch--;
+  else if (permits.deferred > 0) permits.deferred--;
 }
 
 /** Gives back permits that no load needs. */
--- a/src/core/engine/policies.ts
+++ b/src/core/engine/policies.ts
@@ -35,13 +35,14 @@
   readonly isLong: (work: Work) => boolean;
   /** Batch places that long work may take. */
   readonly longPlaces: (use: BatchUse) => number;
+  /** Slots whose adapters long work may keep in use at once. */
+  readonly longSlots: (slots: number) => number;
+  /** Time in ms that work may be held back by these limits. */
+  readonly longPatience: number;
   /** Position of an adapter version among those to load, lowest first. */
   readonly rankLoad: (demand: LoadDemand) => number;
   /** Slot to evict; candidates are never empty. */
-  readonly chooseVictim: (
-    candidates: readonly Victim[],
-    now: Millis,
-  ) => AdapterKey;
+  readonly chooseVictim: (candidates: readonly Victim[]) => AdapterKey;
 };
 
 /** Delay in ms after which work overtakes younger work of the class above. */
@@ -55,13 +56,22 @@
 const DEADLINE_LEAD = 1_000;
 
 /** Answers with more expected tokens than this count as long. */
-const LONG_TOKENS = 300;
+const LONG_TOKENS = 500;
 
 /** Share of the batch that long work may take while short work waits. */
 const LONG_SHARE = 0.5;
 
-/** Batch places kept free for short work that arrives next, per square root of the running short work. */
-const RESERVE_FACTOR = 0.5;
+/** Batch places kept free for short work that arrives next: a fixed number and one per square root of the running short work. */
+const RESERVED_PLACES = 2;
+
+/** Recent uses that a wish of placement counts for when a slot is evicted. */
+const PLACED = 2;
+
+/** Part of the slots that long work leaves to short work, since a slot in use cannot be evicted. */
+const RESERVED_SLOTS = 0.375;
+
+/** Time in ms after which long work no longer waits for these reserves. */
+const LONG_PATIENCE = 20_000;
 
 /** Time in ms by which each further waiting request moves a load ahead, and its limit. */
 const GROUP_BONUS = 500;
@@ -77,8 +87,8 @@
   const { batch, shortWaiting, shortRunning } = use;
   const share = Math.max(1, Math.floor(batch * LONG_SHARE));
   if (shortWaiting > 0) return share;
-  const reserve = Math.ceil(RESERVE_FACTOR * Math.sqrt(shortRunning));
-  return Math.max(share, batch - shortRunning - reserve);
+  const reserve = RESERVED_PLACES + Math.sqrt(shortRunning);
+  return Math.max(share, Math.floor(batch - shortRunning - reserve));
 }
 
 function rankByDemand({ firstRank, waiting }: LoadDemand): number {
@@ -101,13 +111,11 @@
   rank: rankByClass,
   isLong: (work) => work.expectedTokens > LONG_TOKENS,
   longPlaces: limitLongPlaces,
+  longSlots: (slots) => Math.max(1, Math.floor(slots * (1 - RESERVED_SLOTS))),
+  longPatience: LONG_PATIENCE,
   rankLoad: rankByDemand,
-  chooseVictim: (candidates, now) =>
-    findLeast(
-      candidates,
-      ({ uses, lastUsedAt, placed }) =>
-        (placed ? 1 : 0) + uses / (1 + (now - lastUsedAt) / 1_000),
-    ),
+  chooseVictim: (candidates) =>
+    findLeast(candidates, ({ uses, placed }) => uses + (placed ? PLACED : 0)),
 };
 
 /** First come, first served, and least recently used; for comparison. */
@@ -115,6 +123,8 @@
   rank: (work) => work.arrivedAt,
   isLong: () => false,
   longPlaces: ({ batch }) => batch,
+  longSlots: (slots) => slots,
+  longPatience: 0,
   rankLoad: ({ firstRank }) => firstRank,
   chooseVictim: (candidates) =>
     findLeast(candidates, ({ lastUsedAt }) => lastUsedAt),
--- a/src/core/engine/reporting.ts
+++ b/src/core/engine/reporting.ts
@@ -1,5 +1,5 @@
 import { millis } from "../clock.ts";
-import type { Digest } from "../ids.ts";
+import type { AdapterKey, Digest } from "../ids.ts";
 import { refuse } from "../results/refusal.ts";
 import { leaveEngine } from "./leaving.ts";
 import type { EngineStatus } from "./messages.ts";
@@ -103,17 +103,20 @@
       inherited: true,
       since: now,
       evictableAt: now,
-      lastUsedAt: now,
-      uses: 0,
-      running: countRunning(state.running.values(), adapter),
+      uses: { count: 0, at: now },
+      ...countRunning(state.running.values(), adapter),
     });
   }
 }
 
-function countRunning(streams: Iterable<Running>, adapter: string): number {
-  let count = 0;
-  for (const { work } of streams) if (work.adapter === adapter) count++;
-  return count;
+function countRunning(streams: Iterable<Running>, adapter: AdapterKey) {
+  const counts = { running: 0, runningLong: 0 };
+  for (const { work, long } of streams) {
+    if (work.adapter !== adapter) continue;
+    counts.running++;
+    if (long) counts.runningLong++;
+  }
+  return counts;
 }
 
 /** Handles a report that failed or did not come within its deadline. */
--- a/src/core/engine/slots.ts
+++ b/src/core/engine/slots.ts
@@ -1,17 +1,29 @@
 import type { Millis } from "../clock.ts";
-import type { Slot } from "./state.ts";
+import type { EngineState, Slot, Uses } from "./state.ts";
 
 /** Time after which the recorded number of uses of an adapter halves, in ms. */
 const USE_HALF_LIFE = 30_000;
 
 /** Counts a dispatch to the adapter of a slot. */
-export function useSlot(slot: Slot, now: Millis): void {
-  slot.uses = decayUses(slot, now) + 1;
-  slot.lastUsedAt = now;
+export function useSlot(
+  slot: Slot,
+  { long, now }: { long: boolean; now: Millis },
+): void {
+  slot.uses = { count: decayUses(slot.uses, now) + 1, at: now };
   slot.running++;
+  if (long) slot.runningLong++;
 }
 
-/** Number of recent uses of a slot, halved every `USE_HALF_LIFE`. */
-export function decayUses(slot: Slot, now: Millis): number {
-  return slot.uses * 0.5 ** ((now - slot.lastUsedAt) / USE_HALF_LIFE);
+/** Number of recent uses, halved every `USE_HALF_LIFE`. */
+export function decayUses({ count, at }: Uses, now: Millis): number {
+  return count * 0.5 ** ((now - at) / USE_HALF_LIFE);
+}
+
+/** Number of slots whose adapters long work keeps in use. */
+export function countLongSlots(state: EngineState): number {
+  let count = 0;
+  for (const { runningLong } of state.slots.values()) {
+    if (runningLong > 0) count++;
+  }
+  return count;
 }
--- a/src/core/engine/state.ts
+++ b/src/core/engine/state.ts
@@ -4,6 +4,9 @@
 import type { EngineIdentity } from "./messages.ts";
 import { createQueue, type QueueEntry, type WorkQueue } from "./queue.ts";
 
+/** Number of dispatches to an adapter version, which decays with time. */
+export type Uses = { readonly count: number; readonly at: Millis };
+
 /** Place of an engine that holds, loads or unloads one adapter version. */
 export type Slot = {
   readonly adapter: AdapterKey;
@@ -14,11 +17,11 @@
   since: Millis;
   /** Not evicted before this time, after an eviction failed. */
   evictableAt: Millis;
-  lastUsedAt: Millis;
-  /** Number of dispatches, halved every `USE_HALF_LIFE`. */
-  uses: number;
+  uses: Uses;
   /** Streams of this owner that run on the adapter. */
   running: number;
+  /** Those of them that are long. */
+  runningLong: number;
 };
 
 /** A stream that was dispatched and has not ended. */
@@ -80,9 +83,9 @@
   backoffs: Map<AdapterKey, Backoff>;
   permits: {
     granted: number;
-    /** Permits asked for, for waiting requests and for prefetch. */
+    /** Permits asked for, urgent and not. */
     urgent: number;
-    prefetch: number;
+    deferred: number;
   };
   /** Moving averages, in ms; `loadInterval` is the time between loads while some wait. */
   estimates: { load: number; loadInterval: number; service: number };
@@ -141,7 +144,7 @@
     permits: {
       granted: 0,
       urgent: 0,
-      prefetch: 0,
+      deferred: 0,
     },
     estimates: {
       load: INITIAL_LOAD_ESTIMATE,
--- a/src/core/engine/turn.ts
+++ b/src/core/engine/turn.ts
@@ -66,7 +66,10 @@
   state.running.delete(requestId);
   if (running.long) state.runningLong--;
   const slot = state.slots.get(running.work.adapter);
-  if (slot !== undefined && slot.running > 0) slot.running--;
+  if (slot !== undefined && slot.running > 0) {
+    slot.running--;
+    if (running.long) slot.runningLong--;
+  }
   return running;
 }
 
--- a/src/core/engine/victims.ts
+++ b/src/core/engine/victims.ts
@@ -9,17 +9,17 @@
 /** Chooses an adapter that no request needs, or none. */
 export function chooseSlotToEvict(
   turn: Turn,
-  { urgent }: { urgent: boolean },
+  { awaited }: { awaited: boolean },
 ): Slot | undefined {
-  const candidates = listVictims(turn, { urgent });
+  const candidates = listVictims(turn, { awaited });
   if (candidates.length === 0) return undefined;
-  return turn.state.slots.get(turn.policies.chooseVictim(candidates, turn.now));
+  return turn.state.slots.get(turn.policies.chooseVictim(candidates));
 }
 
 /** Adapters that may be evicted; for a prefetch only idle ones without placement. */
 export function listVictims(
   turn: Turn,
-  { urgent }: { urgent: boolean },
+  { awaited }: { awaited: boolean },
 ): Victim[] {
   const { state, now } = turn;
   if (state.announcement.kind !== "confirmed") return [];
@@ -27,12 +27,12 @@
   for (const slot of state.slots.values()) {
     if (!isUnused(turn, slot)) continue;
     const placed = state.placement.includes(slot.adapter);
-    const idle = now - slot.lastUsedAt >= IDLE_BEFORE_PREFETCH;
-    if (!urgent && (placed || !idle)) continue;
+    const idle = now - slot.uses.at >= IDLE_BEFORE_PREFETCH;
+    if (!awaited && (placed || !idle)) continue;
     victims.push({
       adapter: slot.adapter,
-      lastUsedAt: slot.lastUsedAt,
-      uses: decayUses(slot, now),
+      lastUsedAt: slot.uses.at,
+      uses: decayUses(slot.uses, now),
       placed,
     });
   }
