Replace idle connections when one is found silent

A connection that goes silent while idle costs the next call its silence limit, and what silenced one has often silenced the others. When a call on a kept connection is given up for silence, the endpoint now replaces all idle connections, at most once a second. Tests on loopback silence idle and busy connections of the engine, table and booking clients: calls on new connections are served meanwhile, silence is found within its limit, and all calls are served afterwards.

--- a/src/adapters/backends/engine_client.ts
+++ b/src/adapters/backends/engine_client.ts
@@ -89,6 +89,7 @@
       clock,
       meter: this.#meter,
       silenceLimit: this.#silenceLimit,
+      onSilence: () => this.#streams.renew(),
     });
     const headers = {
       "content-type": "application/json",
--- a/src/adapters/backends/engine_stream.ts
+++ b/src/adapters/backends/engine_stream.ts
@@ -26,6 +26,8 @@
   /** Time without a byte after which the connection is given up, in ms. */
   readonly silenceLimit: Millis;
   readonly meter: Meter;
+  /** Called when the connection was found silent. */
+  readonly onSilence: () => void;
 };
 
 /** One answer stream: checks its request id, its silence and its explicit end. */
@@ -142,6 +144,7 @@
       const idle = this.#paused ? 0 : this.#clock.now() - this.#heardAt;
       if (idle >= silenceLimit) {
         const kind = this.#controller === undefined ? "unreachable" : "silent";
+        this.#options.onSilence();
         this.#abandon(kind, `No byte for ${silenceLimit} ms`);
       } else {
         this.#cancelTimer = this.#watchSilence(millis(silenceLimit - idle));
--- a/src/adapters/http/endpoint.ts
+++ b/src/adapters/http/endpoint.ts
@@ -12,6 +12,9 @@
 /** Longest wait for a connection; below the silence limit of 3 s. */
 const connectTimeout = millis(1000);
 
+/** Shortest time between two replacements of all connections. */
+const renewalInterval = millis(1000);
+
 /** Where an endpoint is and how much may be open to it. */
 export type EndpointOptions = {
   /** `http://HOST:PORT`. */
@@ -31,15 +34,13 @@
  */
 export class Endpoint {
   readonly #options: EndpointOptions;
-  readonly #pool: Pool;
+  #pool: Pool;
+  #renewedAt = millis(Number.NEGATIVE_INFINITY);
   #inFlight = 0;
 
   constructor(options: EndpointOptions) {
     this.#options = options;
-    this.#pool = new Pool(options.origin, {
-      ...connectionOptions,
-      connections: options.connections,
-    });
+    this.#pool = this.#createPool();
   }
 
   static create(options: EndpointOptions): Endpoint {
@@ -60,7 +61,11 @@
   async exchange(
     request: ExchangeRequest,
   ): Promise<Either<ExchangeFailure, Answer>> {
-    return this.#run(request, this.#pool);
+    const answer = await this.#run(request, this.#pool);
+    answer.ifLeft(({ kind }) => {
+      if (kind === "timeout") this.renew();
+    });
+    return answer;
   }
 
   /** One call on a connection made for it, so that no earlier silence can lose it. */
@@ -75,6 +80,21 @@
     }
   }
 
+  /**
+   * Replaces idle connections after one was found silent: what silenced it has
+   * often silenced others, and each would cost a call its silence limit. Calls
+   * in flight go on.
+   */
+  renew(): void {
+    const now = this.#options.clock.now();
+    if (now < this.#renewedAt + renewalInterval) return;
+    this.#renewedAt = now;
+    this.#pool.close().catch(() => {});
+    this.#pool = this.#createPool();
+    const { meter = silentMeter, name } = this.#options;
+    meter.count("endpoint_renewed", { endpoint: name });
+  }
+
   /** Breaks all connections. */
   async close(): Promise<void> {
     await this.#pool.destroy();
@@ -95,6 +115,11 @@
     });
   }
 
+  #createPool(): Pool {
+    const { origin, connections } = this.#options;
+    return new Pool(origin, { ...connectionOptions, connections });
+  }
+
   #admit(): boolean {
     if (this.#inFlight < this.#options.connections) {
       this.#inFlight++;
--- a/src/standins/engine_server.ts
+++ b/src/standins/engine_server.ts
@@ -91,8 +91,14 @@
         beat.refresh();
         response.write(bytes);
       },
-      onEnd: () => response.end("data: [DONE]\n\n"),
-      onFailure: (failure) => sendFailure(call, failure),
+      onEnd: () => {
+        clearInterval(beat);
+        response.end("data: [DONE]\n\n");
+      },
+      onFailure: (failure) => {
+        clearInterval(beat);
+        sendFailure(call, failure);
+      },
     });
     response.on("close", () => {
       clearInterval(beat);
--- a/src/standins/http_host.ts
+++ b/src/standins/http_host.ts
@@ -56,7 +56,7 @@
 
   /** Open connections send nothing more, for good; calls on them still run. */
   silence(): void {
-    for (const socket of this.#sockets) socket.cork();
+    for (const socket of this.#sockets) socket.write = () => true;
   }
 
   /** Breaks all connections and stops listening. */
--- /dev/null
+++ b/tests/backends/silent_connection_test.ts
@@ -0,0 +1,201 @@
+import assert from "node:assert/strict";
+import { describe, type TestContext, test } from "node:test";
+import { EngineClient } from "../../src/adapters/backends/engine_client.ts";
+import { ServiceClient } from "../../src/adapters/backends/service_client.ts";
+import { TableClient } from "../../src/adapters/platform/table_client.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis, sleep } from "../../src/core/clock.ts";
+import { brandString, type RequestId } from "../../src/core/ids.ts";
+import { EngineModel } from "../../src/standins/engine_model.ts";
+import { EngineServer } from "../../src/standins/engine_server.ts";
+import type { HttpHost } from "../../src/standins/http_host.ts";
+import {
+  MemoryMachines,
+  MemoryObjects,
+} from "../../src/standins/memory_platform.ts";
+import { MemoryService } from "../../src/standins/memory_service.ts";
+import { MemoryTable } from "../../src/standins/memory_table.ts";
+import { createServiceServer } from "../../src/standins/service_server.ts";
+import { createTableServer } from "../../src/standins/table_server.ts";
+import { WeightStore } from "../../src/standins/weight_store.ts";
+import { key } from "../platform/rows.ts";
+import { chains, collect, fence, order, validUntil } from "./engine_orders.ts";
+
+const clock = RealClock.create();
+/** Silence limit of 3 s and some time for a busy machine, in ms. */
+const foundWithin = 3600;
+/** Time that a call on a new connection takes at most, in ms. */
+const promptly = 700;
+const idleConnections = 4;
+
+type Closable = { close(): Promise<void> };
+
+/** Runs one call and says how it ended and how long that took. */
+async function time(call: () => Promise<string>) {
+  const startedAt = clock.now();
+  const end = await call();
+  return { end, took: clock.now() - startedAt };
+}
+
+/** Runs calls at once, so that each has a connection of its own. */
+function timeMany(count: number, call: () => Promise<string>) {
+  return Promise.all(Array.from({ length: count }, () => time(call)));
+}
+
+/**
+ * Silences the idle connections of a client, then calls more often than there
+ * are such connections: what does not get a silent one must not wait, and what
+ * does must be told in time.
+ */
+async function checkIdleSilence(options: {
+  readonly host: HttpHost;
+  readonly call: () => Promise<string>;
+  readonly failure: string;
+}) {
+  const { host, call, failure } = options;
+  await timeMany(idleConnections, call);
+  await sleep(clock, millis(20));
+  host.silence();
+  const results = await timeMany(2 * idleConnections, call);
+  const stuck = results.filter(({ end }) => end !== "whole");
+  const served = results.filter(({ end }) => end === "whole");
+  assert.ok(stuck.length >= 1, "no call got a silent connection");
+  assert.ok(served.length >= idleConnections, `${served.length} calls served`);
+  for (const { end, took } of stuck) {
+    assert.equal(end, failure);
+    assert.ok(took < foundWithin, `found after ${took} ms`);
+  }
+  for (const { took } of served) {
+    assert.ok(took < promptly, `waited ${took} ms behind a silent connection`);
+  }
+  for (const { end, took } of await timeMany(2 * idleConnections, call)) {
+    assert.equal(end, "whole");
+    assert.ok(took < promptly, `took ${took} ms after the silence was found`);
+  }
+}
+
+async function setUpEngine(context: TestContext, silenceLimit = 3000) {
+  const engine = EngineModel.create({
+    id: "e1",
+    clock,
+    store: WeightStore.create(clock),
+    limits: { slots: 2, batch: 64, fencing: "checked" },
+  });
+  const host = await EngineServer.create(engine, { clock });
+  const client = EngineClient.create({
+    origin: host.origin,
+    clock,
+    streams: 32,
+    silenceLimit: millis(silenceLimit),
+  });
+  closeAfter(context, [client, host]);
+  await client.load({ adapter: chains, fence, validUntil });
+  const call = (tokens: number) => async () => {
+    const body = Buffer.from(JSON.stringify({ max_tokens: tokens }));
+    const { sink, ended } = collect();
+    client.generate(order("r1", { body }), sink);
+    return ended;
+  };
+  return { host, client, call };
+}
+
+function closeAfter(context: TestContext, parts: readonly Closable[]) {
+  context.after(async () => {
+    for (const part of parts) await part.close();
+  });
+}
+
+describe("silent connections", { concurrency: true }, () => {
+  test("engine streams that go silent are given up within the limit, new ones run meanwhile", async (context) => {
+    const { host, client, call } = await setUpEngine(context);
+    const running = timeMany(3, call(5000));
+    await sleep(clock, millis(200));
+    host.silence();
+    const meanwhile = await timeMany(8, call(3));
+    for (const { end, took } of meanwhile) {
+      assert.equal(end, "whole");
+      assert.ok(took < promptly, `took ${took} ms`);
+    }
+    const report = await time(async () =>
+      (await client.report()).isRight() ? "whole" : "failed",
+    );
+    assert.equal(report.end, "whole");
+    for (const { end, took } of await running) {
+      assert.equal(end, "silent");
+      assert.ok(took < foundWithin + 200, `found after ${took} ms`);
+    }
+  });
+
+  test("idle engine connections that went silent hold up no other stream", async (context) => {
+    const { host, call } = await setUpEngine(context);
+    await checkIdleSilence({ host, call: call(1), failure: "silent" });
+  });
+
+  test("one silent connection is enough to replace all idle ones", async (context) => {
+    const { host, call } = await setUpEngine(context, 500);
+    await timeMany(idleConnections, call(1));
+    await sleep(clock, millis(20));
+    host.silence();
+    assert.equal((await time(call(1))).end, "silent");
+    for (const { end } of await timeMany(idleConnections, call(1))) {
+      assert.equal(end, "whole");
+    }
+  });
+
+  test("an engine order on a silent connection is given up within the limit", async (context) => {
+    const { host, client } = await setUpEngine(context);
+    await sleep(clock, millis(20));
+    host.silence();
+    const unload = () => client.unload({ adapter: chains, fence, validUntil });
+    const found = await time(async () => {
+      const result = await unload();
+      return result.swap().unsafeCoerce().kind;
+    });
+    assert.equal(found.end, "silent");
+    assert.ok(found.took < foundWithin, `found after ${found.took} ms`);
+    const again = await time(async () => {
+      const result = await unload();
+      return result.swap().unsafeCoerce().kind;
+    });
+    assert.equal(again.end, "adapter-missing");
+    assert.ok(again.took < promptly, `took ${again.took} ms`);
+  });
+
+  test("idle table connections that went silent hold up no other call", async (context) => {
+    const host = await createTableServer({
+      table: MemoryTable.create(clock),
+      objects: new MemoryObjects(),
+      machines: MemoryMachines.create(clock),
+    });
+    const client = TableClient.create({ origin: host.origin, clock });
+    closeAfter(context, [client, host]);
+    const call = async () =>
+      (await client.read(key("a"))).isRight() ? "whole" : "failed";
+    await checkIdleSilence({ host, call, failure: "failed" });
+  });
+
+  test("idle booking connections that went silent hold up no other lookup", async (context) => {
+    const service = MemoryService.create(clock);
+    const host = await createServiceServer(service, { clock });
+    const { origin } = host;
+    const client = ServiceClient.create({ origin, clock, connections: 32 });
+    closeAfter(context, [client, host]);
+    const send = (repeatable: boolean) => async () => {
+      const result = await client.call({
+        requestId: brandString<RequestId>("r1"),
+        method: repeatable ? "GET" : "POST",
+        path: "/stock",
+        contentType: undefined,
+        body: new Uint8Array(),
+        timeout: millis(8000),
+        repeatable,
+      });
+      return result.isRight() ? "whole" : "failed";
+    };
+    await checkIdleSilence({ host, call: send(true), failure: "failed" });
+    host.silence();
+    const booked = await time(send(false));
+    assert.equal(booked.end, "whole");
+    assert.ok(booked.took < promptly, `took ${booked.took} ms`);
+  });
+});
