--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -25,6 +25,10 @@
   drain: "urgent",
   /** Data centres that the node's data centre cannot reach. */
   unreachable: "urgent",
+  /** A growing number while the node is without the table. */
+  outage: "bulk",
+  /** Requests a second of the adapters most asked for at the node. */
+  demand: "bulk",
 } as const satisfies Record<string, "urgent" | "bulk">;
 
 /** What a published value is about. */
--- a/src/fuzz/world_node.ts
+++ b/src/fuzz/world_node.ts
@@ -223,6 +223,7 @@
       publishEngines: (views) =>
         broadcast((other) => other.#receiveViews(views)),
       publishOutage: () => {},
+      publishDemand: () => {},
       outageConfirmedAt: () => this.#confirmOutage(),
       publishLeaving: (server) =>
         broadcast((other) => other.node.markLeaving(server)),
--- a/src/ports/cluster.ts
+++ b/src/ports/cluster.ts
@@ -1,5 +1,11 @@
 import type { Millis } from "../core/clock.ts";
-import type { DataCentre, Digest, NodeId, Region } from "../core/ids.ts";
+import type {
+  AdapterKey,
+  DataCentre,
+  Digest,
+  NodeId,
+  Region,
+} from "../core/ids.ts";
 import type { PoisonRecord } from "../core/poison/record.ts";
 import type { EngineView } from "../core/routing/view.ts";
 
@@ -25,6 +31,8 @@
   publishOutage(outage: boolean): void;
   /** Time at which every other node of the data centre was last known to be without the table too. */
   outageConfirmedAt(): Millis | undefined;
+  /** Publishes requests a second of the adapters most asked for here. */
+  publishDemand(rates: readonly (readonly [AdapterKey, number])[]): void;
   /** Tells all nodes that a backend server is leaving. */
   publishLeaving(server: string): void;
   /** Tells all nodes which crashes are known of a content. */
