Add configuration: conditional applies, revisions, deltas and peers

The morning sheet must be in force everywhere within seconds and never revert. Nodes move only to higher revisions, read the head when they hear of one, and ask the peer that named it while the store does not answer. The digest is a sum over entries, so that a change to few adapters does not cost a pass over 170,000.

1,000 racing changes with lost answers and slow reads end with one accepted change per revision and no node that goes back.

--- /dev/null
+++ b/src/adapters/settings/sheet.ts
@@ -0,0 +1,154 @@
+import { createHash } from "node:crypto";
+import { type Either, Left, Right } from "purify-ts";
+import { z } from "zod";
+import type { CatalogEntry } from "../../core/config/catalog.ts";
+import { findSheetFaults, type Sheet } from "../../core/config/sheet.ts";
+import { brandNumber, brandString, type Revision } from "../../core/ids.ts";
+import { type Refusal, refuse } from "../../core/results/refusal.ts";
+import type { SheetCodec, SheetObject } from "../../ports/sheets.ts";
+import { formatIssue } from "./settings.ts";
+
+/** Adapters in one sheet at most. */
+const maxAdapters = 500_000;
+/** Versions of one adapter and busy spans of one day at most. */
+const maxVersions = 64;
+const maxSpans = 24;
+/** Faults of form reported at once at most. */
+const maxIssues = 20;
+/** Bytes of a digest that are summed up. */
+const digestBytes = 16;
+
+const nameSchema = z
+  .string()
+  .regex(
+    /^[a-z0-9][a-z0-9._-]{0,99}$/,
+    "must be up to 100 lower-case letters, digits, dots, dashes and underscores",
+  );
+const versionSchema = z
+  .string()
+  .regex(
+    /^[A-Za-z0-9][A-Za-z0-9._-]{0,39}$/,
+    "must be up to 40 letters, digits, dots, dashes and underscores",
+  );
+const hourSchema = z.number().finite();
+const entrySchema = z.strictObject({
+  name: nameSchema,
+  versions: z.array(versionSchema).max(maxVersions),
+  busy: z
+    .array(z.strictObject({ from: hourSchema, to: hourSchema }))
+    .max(maxSpans)
+    .default([]),
+  weight: z.number().finite().min(0).max(1e9).default(1),
+});
+const sheetSchema = z.strictObject({
+  adapters: z.array(entrySchema).max(maxAdapters),
+});
+
+const compactEntry = z.tuple([
+  z.string(),
+  z.array(z.string()),
+  z.array(z.tuple([z.number(), z.number()])),
+  z.number(),
+]);
+const objectSchema = z.discriminatedUnion("kind", [
+  z.strictObject({
+    kind: z.literal("snapshot"),
+    revision: z.number().int().min(0),
+    adapters: z.array(compactEntry),
+  }),
+  z.strictObject({
+    kind: z.literal("delta"),
+    revision: z.number().int().min(1),
+    changed: z.array(compactEntry),
+    removed: z.array(z.string()),
+  }),
+]);
+
+/** Reads and checks a morning sheet; each fault names path, value and remedy. */
+export function parseSheet(content: unknown): Either<Refusal, Sheet> {
+  const parsed = sheetSchema.safeParse(content);
+  if (!parsed.success) {
+    const issues = parsed.error.issues.slice(0, maxIssues);
+    const faults = issues.map((issue) => formatIssue(content, issue));
+    return Left(refuse("invalidSheet", faults.join("\n")));
+  }
+  const sheet: Sheet = {
+    adapters: parsed.data.adapters.map((entry) => ({
+      ...entry,
+      name: brandString(entry.name),
+      versions: entry.versions.map((version) => brandString(version)),
+    })),
+  };
+  const faults = findSheetFaults(sheet).map(
+    ({ path, value, remedy }) =>
+      `Field "${path}": value ${JSON.stringify(value)}: ${remedy}`,
+  );
+  if (faults.length === 0) return Right(sheet);
+  return Left(refuse("invalidSheet", faults.join("\n")));
+}
+
+function packEntry(entry: CatalogEntry): z.infer<typeof compactEntry> {
+  const busy = entry.busy.map(({ from, to }): [number, number] => [from, to]);
+  return [entry.name, [...entry.versions], busy, entry.weight];
+}
+
+function unpackEntry(packed: z.infer<typeof compactEntry>): CatalogEntry {
+  const [name, versions, busy, weight] = packed;
+  return {
+    name: brandString(name),
+    versions: versions.map((version) => brandString(version)),
+    busy: busy.map(([from, to]) => ({ from, to })),
+    weight,
+  };
+}
+
+function encodeObject(object: SheetObject): Uint8Array {
+  const { kind, revision } = object;
+  const content =
+    object.kind === "snapshot"
+      ? { kind, revision, adapters: object.sheet.adapters.map(packEntry) }
+      : {
+          kind,
+          revision,
+          changed: object.delta.changed.map(packEntry),
+          removed: object.delta.removed,
+        };
+  return Buffer.from(JSON.stringify(content));
+}
+
+function decodeObject(bytes: Uint8Array): SheetObject | undefined {
+  let content: unknown;
+  try {
+    content = JSON.parse(Buffer.from(bytes).toString("utf8"));
+  } catch {
+    return undefined;
+  }
+  const parsed = objectSchema.safeParse(content);
+  if (!parsed.success) return undefined;
+  const { data } = parsed;
+  const revision = brandNumber<Revision>(data.revision);
+  if (data.kind === "snapshot") {
+    const sheet = { adapters: data.adapters.map(unpackEntry) };
+    return { kind: "snapshot", revision, sheet };
+  }
+  const delta = {
+    base: brandNumber<Revision>(data.revision - 1),
+    changed: data.changed.map(unpackEntry),
+    removed: data.removed.map((name) => brandString<never>(name)),
+  };
+  return { kind: "delta", revision, delta };
+}
+
+function digestText(text: string): bigint {
+  const digest = createHash("sha256").update(text).digest();
+  return BigInt(`0x${digest.toString("hex", 0, digestBytes)}`);
+}
+
+/** Sheets as JSON. */
+export const sheetCodec: SheetCodec = {
+  parse: parseSheet,
+  format: ({ adapters }) => ({ adapters }),
+  encode: encodeObject,
+  decode: decodeObject,
+  digestText,
+};
--- /dev/null
+++ b/src/core/config/follow_decision.ts
@@ -0,0 +1,145 @@
+import { type Millis, millis } from "../clock.ts";
+import type { Decide } from "../decision.ts";
+import { brandNumber, type NodeId, type Revision } from "../ids.ts";
+
+/** Time between reads of the head row by the node that polls, in ms. */
+export const pollPeriod = millis(1_000);
+/** Wait after a failed read or fetch, before jitter, in ms. */
+const retryPeriod = millis(500);
+/** Longest wait between retries, in ms. */
+const maxRetry = millis(5_000);
+/** Spread of the fetches of all nodes that hear of a revision, in ms per node. */
+const fetchSpreadPerNode = 2;
+
+/** State of a node that follows the configuration. */
+export type FollowState = {
+  revision: Revision;
+  /** Highest revision that the head row named to this node. */
+  confirmed: Revision;
+  /** Highest revision heard of, and the node that has it. */
+  heard: Revision;
+  source: NodeId | undefined;
+  busy: boolean;
+  /** Time of the next read of the head row; earlier when a revision is heard of. */
+  readAt: Millis;
+  failures: number;
+};
+
+/** Message to the follower. */
+export type FollowEvent =
+  | { readonly type: "tick"; readonly polls: boolean }
+  | {
+      readonly type: "heard";
+      readonly revision: Revision;
+      readonly node: NodeId;
+      /** Number of nodes that hear of it at the same time. */
+      readonly nodes: number;
+    }
+  /** The head row was read and everything up to it is in force. */
+  | { readonly type: "followed"; readonly revision: Revision }
+  /** The head row or an object could not be read. */
+  | { readonly type: "store-failed" }
+  | { readonly type: "peer-answered" }
+  | { readonly type: "peer-failed" }
+  /** A revision came into force at this node. */
+  | { readonly type: "in-force"; readonly revision: Revision };
+
+/** Order of the follower to its actor. */
+export type FollowCommand =
+  | { readonly type: "follow-store" }
+  | { readonly type: "fetch-peer"; readonly node: NodeId };
+
+/** State of a node without a configuration. */
+export function createFollowState(now: Millis): FollowState {
+  return {
+    revision: brandNumber(0),
+    confirmed: brandNumber(0),
+    heard: brandNumber(0),
+    source: undefined,
+    busy: false,
+    readAt: now,
+    failures: 0,
+  };
+}
+
+/** Decides when a node reads the head row and when it asks a peer. */
+export function createFollowDecision(options: {
+  readonly random: () => number;
+}): Decide<FollowState, FollowEvent, FollowCommand> {
+  const { random } = options;
+  return (state, event, now) => {
+    const commands: FollowCommand[] = [];
+    switch (event.type) {
+      case "tick":
+        if (state.busy || now < state.readAt) break;
+        if (!event.polls && !isWaiting(state)) break;
+        state.busy = true;
+        commands.push({ type: "follow-store" });
+        break;
+      case "heard":
+        hear(state, { ...event, now, random });
+        break;
+      case "followed":
+        state.busy = false;
+        state.failures = 0;
+        state.confirmed = brandNumber(
+          Math.max(state.confirmed, event.revision),
+        );
+        state.readAt = millis(now + pollPeriod);
+        break;
+      case "store-failed":
+        if (state.heard > state.revision && state.source !== undefined) {
+          commands.push({ type: "fetch-peer", node: state.source });
+        } else backOff(state, { now, random });
+        break;
+      case "peer-answered":
+      case "peer-failed":
+        backOff(state, { now, random });
+        break;
+      case "in-force":
+        state.revision = brandNumber(Math.max(state.revision, event.revision));
+        break;
+    }
+    return { state, commands };
+  };
+}
+
+/** Whether the node must read the head row though another one polls. */
+function isWaiting(state: FollowState): boolean {
+  return (
+    state.heard > state.revision ||
+    state.confirmed < state.revision ||
+    state.revision === 0
+  );
+}
+
+function hear(
+  state: FollowState,
+  news: {
+    readonly revision: Revision;
+    readonly node: NodeId;
+    readonly nodes: number;
+    readonly now: Millis;
+    readonly random: () => number;
+  },
+): void {
+  // After a failure another node that has the same revision may answer.
+  const isUseful = news.revision > state.heard || state.failures > 0;
+  if (!isUseful && state.source !== undefined) return;
+  if (news.revision < state.heard) return;
+  state.heard = brandNumber(Math.max(state.heard, news.revision));
+  state.source = news.node;
+  if (news.revision <= state.revision) return;
+  const spread = news.random() * news.nodes * fetchSpreadPerNode;
+  state.readAt = millis(Math.min(state.readAt, news.now + spread));
+}
+
+function backOff(
+  state: FollowState,
+  at: { readonly now: Millis; readonly random: () => number },
+): void {
+  state.busy = false;
+  state.failures++;
+  const wait = Math.min(maxRetry, retryPeriod * 2 ** (state.failures - 1));
+  state.readAt = millis(at.now + wait * (0.5 + 0.5 * at.random()));
+}
--- /dev/null
+++ b/src/node/configuration.ts
@@ -0,0 +1,285 @@
+import { type Either, Left, Right } from "purify-ts";
+import { createActor } from "xstate";
+import { type Cancel, millis } from "../core/clock.ts";
+import type { Catalog, ModelResolution } from "../core/config/catalog.ts";
+import {
+  createFollowDecision,
+  createFollowState,
+  type FollowCommand,
+  type FollowEvent,
+  type FollowState,
+} from "../core/config/follow_decision.ts";
+import {
+  type Configuration as Config,
+  createEmptyConfiguration,
+  type Head,
+  maxDeltas,
+  resolveModel,
+} from "../core/config/revision.ts";
+import type { DataCentre, NodeId, Revision } from "../core/ids.ts";
+import { chooseByRendezvous } from "../core/lease/rendezvous.ts";
+import type { LiveNode } from "../core/lease/state.ts";
+import { type Refusal, refuse } from "../core/results/refusal.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import type { AppliedSheet, RevisionRecord } from "../ports/operators.ts";
+import type { ConfigurationPeers } from "../ports/sheets.ts";
+import {
+  fetchToHead,
+  readHead,
+  replay,
+  type StoredHead,
+  type StoreFailure,
+  type StoreOptions,
+} from "./configuration_store.ts";
+import { answerWithin } from "./deadline.ts";
+import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
+import { applySheet, readHistory, type SheetChange } from "./sheet_applier.ts";
+
+/** Time between two looks at due reads, in ms. */
+const tickPeriod = millis(100);
+/** Deadline of a fetch from a peer, in ms. */
+const peerDeadline = millis(3_000);
+/** Bytes of recent deltas kept for peers. */
+const maxKeptBytes = 1 << 20;
+
+/** What the configuration of a node needs. */
+export type ConfigurationSetup = StoreOptions & {
+  readonly peers: ConfigurationPeers;
+  readonly nodeId: NodeId;
+  readonly dataCentre: DataCentre;
+  /** Nodes believed alive, of all data centres. */
+  readonly liveNodes: () => readonly LiveNode[];
+  readonly random: () => number;
+  readonly journal: Journal;
+  readonly meter: Meter;
+  /** Called with every revision that comes into force here, to be published to the others. */
+  readonly onRevision: (revision: Revision) => void;
+};
+
+/** Configuration in force at this node; kept in memory only. */
+export class Configuration {
+  readonly #setup: ConfigurationSetup;
+  readonly #actor: DecisionActor<FollowState, FollowEvent>;
+  #config: Config | undefined;
+  /** Objects that lead to the revision in force, for peers that are behind. */
+  #kept: { readonly revision: number; readonly bytes: Uint8Array }[] = [];
+  #cancelTick: Cancel = () => {};
+
+  /** Starts to follow the head row. */
+  static create(setup: ConfigurationSetup): Configuration {
+    const configuration = new Configuration(setup);
+    configuration.#actor.start();
+    configuration.#tick();
+    return configuration;
+  }
+
+  private constructor(setup: ConfigurationSetup) {
+    this.#setup = setup;
+    const { clock, random } = setup;
+    const logic = createDecisionLogic<FollowState, FollowEvent, FollowCommand>({
+      initial: createFollowState(clock.now()),
+      decide: createFollowDecision({ random }),
+      perform: (command) => this.#perform(command),
+      clock,
+    });
+    this.#actor = createActor(logic);
+  }
+
+  /** Catalog in force; undefined until the first one was fetched. */
+  current(): Catalog | undefined {
+    return this.#config;
+  }
+
+  /** Revision in force. */
+  revision(): Revision | undefined {
+    return this.#config?.revision;
+  }
+
+  resolveModel(model: string): ModelResolution {
+    return resolveModel(this.#config, model);
+  }
+
+  /** `unconfirmed` while the revision in force came from a peer and the table has not named it. */
+  certainty(): "confirmed" | "unconfirmed" {
+    const { confirmed, revision } = this.#actor.getSnapshot().context;
+    return confirmed >= revision && revision > 0 ? "confirmed" : "unconfirmed";
+  }
+
+  /** Another node says that it has this revision. */
+  hear(revision: Revision, node: NodeId): void {
+    const nodes = this.#setup.liveNodes().length;
+    this.#actor.send({ type: "heard", revision, node, nodes });
+  }
+
+  /** Applies a sheet of an operator; it is in force here when this resolves with success. */
+  async apply(change: SheetChange): Promise<Either<Refusal, AppliedSheet>> {
+    const current = this.#config;
+    const result = await applySheet(change, { ...this.#setup, current });
+    return result.map((accepted) => {
+      const { revision, digest, config } = accepted;
+      if (config !== undefined) {
+        this.#adopt(config, accepted.objects);
+        const confirmed = config.revision;
+        this.#actor.send({ type: "followed", revision: confirmed });
+      }
+      this.#setup.journal.record("sheetApplied", {
+        revision,
+        attempt: change.attempt,
+      });
+      return { revision, digest };
+    });
+  }
+
+  /** Accepted revisions, newest first. */
+  history(limit: number): Promise<Either<Refusal, readonly RevisionRecord[]>> {
+    const newest = (this.#config?.revision ?? 0) as Revision;
+    return readHistory(limit, { ...this.#setup, newest });
+  }
+
+  /** Sheet in force, in the form that operators write. */
+  show(): Either<Refusal, { revision: number; sheet: unknown }> {
+    const config = this.#config;
+    if (config === undefined) {
+      return Left(refuse("notReady", "The node has no configuration yet"));
+    }
+    const adapters = [...config.adapters.values()];
+    const sheet = this.#setup.codec.format({ adapters });
+    return Right({ revision: config.revision, sheet });
+  }
+
+  /** Objects that lead a peer from its revision to the one in force here. */
+  exportAfter(after: Revision): readonly Uint8Array[] {
+    const config = this.#config;
+    if (config === undefined || after >= config.revision) return [];
+    const deltas = this.#kept.filter(({ revision }) => revision > after);
+    if (deltas[0]?.revision === after + 1) {
+      return deltas.map(({ bytes }) => bytes);
+    }
+    const sheet = { adapters: [...config.adapters.values()] };
+    const { revision } = config;
+    return [this.#setup.codec.encode({ kind: "snapshot", revision, sheet })];
+  }
+
+  /** Stops following. */
+  stop(): void {
+    this.#cancelTick();
+    this.#actor.stop();
+  }
+
+  #tick(): void {
+    this.#actor.send({ type: "tick", polls: this.#isPoller() });
+    this.#cancelTick = this.#setup.clock.schedule(tickPeriod, () =>
+      this.#tick(),
+    );
+  }
+
+  /** Whether this node reads the head row for its data centre. */
+  #isPoller(): boolean {
+    const { dataCentre, nodeId, liveNodes } = this.#setup;
+    const nodes = liveNodes()
+      .filter((peer) => peer.dataCentre === dataCentre)
+      .map((peer) => peer.node);
+    const chosen = chooseByRendezvous(`config/${dataCentre}`, nodes);
+    return chosen === undefined || chosen === nodeId;
+  }
+
+  #perform(command: FollowCommand): void {
+    if (command.type === "follow-store") void this.#followStore();
+    else void this.#fetchPeer(command.node);
+  }
+
+  async #followStore(): Promise<void> {
+    this.#setup.meter.count("config_head_reads_total");
+    const read = await readHead(this.#setup);
+    if (read.isLeft()) {
+      this.#actor.send({ type: "store-failed" });
+      return;
+    }
+    const stored = read.extract() as StoredHead | undefined;
+    if (stored === undefined) {
+      this.#actor.send({ type: "followed", revision: 0 as Revision });
+      return;
+    }
+    const { head } = stored;
+    const current = this.#baseFor(head);
+    const fetched = await fetchToHead(current, head, this.#setup);
+    fetched.caseOf({
+      Left: (failure) => this.#noteFailure(failure),
+      Right: ({ config, objects }) => {
+        this.#adopt(config, objects);
+        this.#actor.send({ type: "followed", revision: head.revision });
+      },
+    });
+  }
+
+  /** Configuration to start from; a peer's that the table contradicts is fetched anew. */
+  #baseFor(head: Head): Config {
+    const config = this.#config ?? createEmptyConfiguration();
+    const isContradicted =
+      head.revision === config.revision && head.digest !== config.digest;
+    if (!isContradicted) return config;
+    const detail = `Revision ${head.revision} of a peer has another digest than the table names`;
+    this.#setup.journal.record("revisionRejected", { detail });
+    return createEmptyConfiguration();
+  }
+
+  #noteFailure(failure: StoreFailure): void {
+    const { meter, journal } = this.#setup;
+    meter.count("config_fetch_failures_total", { kind: failure.kind });
+    if (failure.kind === "digest") {
+      journal.record("revisionRejected", { detail: failure.detail });
+    }
+    this.#actor.send({ type: "store-failed" });
+  }
+
+  async #fetchPeer(node: NodeId): Promise<void> {
+    const current = this.#config ?? createEmptyConfiguration();
+    const answer = await answerWithin(
+      this.#setup.clock,
+      this.#setup.peers.fetch(node, current.revision),
+      { delay: peerDeadline, late: Left({ detail: "No answer in time" }) },
+    );
+    const objects = answer.orDefault([]);
+    const config = replay(current, objects, this.#setup.codec);
+    if (config === undefined || objects.length === 0) {
+      this.#setup.meter.count("config_fetch_failures_total", { kind: "peer" });
+      this.#actor.send({ type: "peer-failed" });
+      return;
+    }
+    this.#adopt(config, objects);
+    this.#actor.send({ type: "peer-answered" });
+  }
+
+  /** Puts a configuration in force; only ever moves up. */
+  #adopt(config: Config, objects: readonly Uint8Array[]): void {
+    const known = this.#config;
+    const isCorrection =
+      known?.revision === config.revision && known.digest !== config.digest;
+    if (config.revision <= (known?.revision ?? 0) && !isCorrection) return;
+    this.#keep(config, objects);
+    this.#config = config;
+    const { revision, digest, adapters } = config;
+    this.#actor.send({ type: "in-force", revision });
+    this.#setup.meter.gauge("config_revision", revision);
+    const fields = { revision, digest, adapters: adapters.size };
+    this.#setup.journal.record("revisionInForce", fields);
+    this.#setup.onRevision(revision);
+  }
+
+  /** Keeps an unbroken run of deltas up to the revision in force. */
+  #keep(config: Config, objects: readonly Uint8Array[]): void {
+    const decoded = objects.map((bytes) => this.#setup.codec.decode(bytes));
+    // A snapshot can be built again and is not worth keeping.
+    const start = decoded.findLastIndex((one) => one?.kind === "snapshot") + 1;
+    const deltas = objects.slice(start);
+    const first = config.revision - deltas.length + 1;
+    if (this.#kept.at(-1)?.revision !== first - 1) this.#kept = [];
+    deltas.forEach((bytes, index) => {
+      this.#kept.push({ revision: first + index, bytes });
+    });
+    let total = this.#kept.reduce((sum, { bytes }) => sum + bytes.length, 0);
+    while (total > maxKeptBytes || this.#kept.length > maxDeltas) {
+      total -= this.#kept.shift()?.bytes.length ?? 0;
+    }
+  }
+}
--- /dev/null
+++ b/src/node/configuration_store.ts
@@ -0,0 +1,141 @@
+import { type Either, Left, Right } from "purify-ts";
+import { type Clock, type Millis, millis } from "../core/clock.ts";
+import {
+  applyDelta,
+  type Configuration as Config,
+  createConfiguration,
+  type DeltaName,
+  type Head,
+  planFetch,
+} from "../core/config/revision.ts";
+import { brandString, type RowKey } from "../core/ids.ts";
+import type { ObjectStore } from "../ports/objects.ts";
+import type { SheetCodec, SheetObject } from "../ports/sheets.ts";
+import type { Json, Row, TableService } from "../ports/table.ts";
+import { answerWithin } from "./deadline.ts";
+
+/** Row that names the configuration in force. */
+export const headKey = brandString<RowKey>("config/head");
+/** Deadline of one call of the table or the object store, in ms. */
+export const storeDeadline = millis(1_000);
+/** Deadline of one read of a snapshot, in ms. */
+const snapshotDeadline = millis(10_000);
+
+/** Why the configuration could not be read. */
+export type StoreFailure = {
+  readonly kind: "unavailable" | "digest";
+  readonly detail: string;
+};
+
+/** What reading the stored configuration needs. */
+export type StoreOptions = {
+  readonly clock: Clock;
+  readonly table: TableService;
+  readonly objects: ObjectStore;
+  readonly codec: SheetCodec;
+};
+
+/** Head row with its version in the table. */
+export type StoredHead = { readonly head: Head; readonly version: number };
+
+/** Reads the head row; undefined while no sheet was ever applied. */
+export async function readHead(
+  options: StoreOptions,
+): Promise<Either<StoreFailure, StoredHead | undefined>> {
+  const answer = await answerWithin(
+    options.clock,
+    options.table.read(headKey),
+    {
+      delay: storeDeadline,
+      late: Left({ kind: "unknown" as const, detail: "No answer in time" }),
+    },
+  );
+  return answer
+    .mapLeft(({ detail }) => ({ kind: "unavailable" as const, detail }))
+    .map((row: Row | undefined) =>
+      row === undefined
+        ? undefined
+        : { head: row.value as unknown as Head, version: row.version },
+    );
+}
+
+/** A head row as the table stores it. */
+export function formatHead(head: Head): Json {
+  return head as unknown as Json;
+}
+
+/** Fetches what leads from a configuration to the head and checks the digest. */
+export async function fetchToHead(
+  current: Config,
+  head: Head,
+  options: StoreOptions,
+): Promise<Either<StoreFailure, { config: Config; objects: Uint8Array[] }>> {
+  if (head.revision <= current.revision) {
+    return Right({ config: current, objects: [] });
+  }
+  const plan = planFetch(head, current.revision);
+  const names = [...(plan.snapshot ? [plan.snapshot] : []), ...plan.deltas];
+  const answers = await Promise.all(
+    names.map((name) => fetchObject(name, options)),
+  );
+  const objects: Uint8Array[] = [];
+  for (const answer of answers) {
+    if (answer.isLeft()) return Left(answer.extract() as StoreFailure);
+    objects.push(answer.extract() as Uint8Array);
+  }
+  const config = replay(current, objects, options.codec);
+  const isWhole =
+    config?.revision === head.revision && config.digest === head.digest;
+  if (config === undefined || !isWhole) {
+    const detail = `Objects of revision ${head.revision} do not give its digest; apply the sheet again`;
+    return Left({ kind: "digest", detail });
+  }
+  return Right({ config, objects });
+}
+
+async function fetchObject(
+  name: DeltaName,
+  options: StoreOptions,
+): Promise<Either<StoreFailure, Uint8Array>> {
+  const delay: Millis = name.key.startsWith("config/snapshot/")
+    ? snapshotDeadline
+    : storeDeadline;
+  const answer = await answerWithin(
+    options.clock,
+    options.objects.get(name.key),
+    {
+      delay,
+      late: Left({ kind: "unavailable" as const, detail: "No answer in time" }),
+    },
+  );
+  return answer.mapLeft(({ detail }) => ({ kind: "unavailable", detail }));
+}
+
+/** Applies stored objects in order; undefined if one is malformed or out of order. */
+export function replay(
+  current: Config,
+  objects: readonly Uint8Array[],
+  codec: SheetCodec,
+): Config | undefined {
+  let config: Config | undefined = current;
+  for (const bytes of objects) {
+    const object = codec.decode(bytes);
+    if (object === undefined || config === undefined) return undefined;
+    config = replayOne(config, object, codec);
+  }
+  return config;
+}
+
+function replayOne(
+  config: Config,
+  object: SheetObject,
+  codec: SheetCodec,
+): Config | undefined {
+  const { digestText } = codec;
+  if (object.kind === "snapshot") {
+    const { revision } = object;
+    return createConfiguration(object.sheet, { revision, digestText });
+  }
+  if (object.delta.base !== config.revision) return undefined;
+  return applyDelta(config, { delta: object.delta, digestText });
+}
--- /dev/null
+++ b/src/node/sheet_applier.ts
@@ -0,0 +1,265 @@
+import { type Either, Left, Right } from "purify-ts";
+import { millis, sleep } from "../core/clock.ts";
+import {
+  applyDelta,
+  type Configuration as Config,
+  createEmptyConfiguration,
+  createNextHead,
+  type Head,
+  needsSnapshot,
+} from "../core/config/revision.ts";
+import { diffSheet, type Sheet } from "../core/config/sheet.ts";
+import {
+  type AttemptToken,
+  brandString,
+  type Revision,
+  type RowKey,
+} from "../core/ids.ts";
+import { type Refusal, refuse } from "../core/results/refusal.ts";
+import type { AppliedSheet, RevisionRecord } from "../ports/operators.ts";
+import type { Json, Transaction, TransactionResult } from "../ports/table.ts";
+import {
+  fetchToHead,
+  formatHead,
+  headKey,
+  readHead,
+  type StoredHead,
+  type StoreOptions,
+  storeDeadline,
+} from "./configuration_store.ts";
+import { answerWithin } from "./deadline.ts";
+
+/** Attempts to write or to resolve one change. */
+const maxAttempts = 5;
+/** Wait between two attempts in ms. */
+const retryWait = millis(300);
+/** Digits of the revision in the key of its history row, so that keys sort. */
+const revisionDigits = 10;
+const historyPrefix = "config/history/";
+
+/** A change that an operator makes. */
+export type SheetChange = {
+  /** Revision that the change was made from. */
+  readonly base: number;
+  readonly sheet: unknown;
+  readonly operator: string;
+  readonly attempt: string;
+};
+
+/** Accepted change with the configuration that it leads to. */
+export type AcceptedSheet = AppliedSheet & {
+  readonly config: Config | undefined;
+  readonly objects: readonly Uint8Array[];
+};
+
+type Prepared = {
+  readonly stored: StoredHead | undefined;
+  readonly config: Config;
+  readonly head: Head;
+  readonly objects: Uint8Array[];
+};
+
+const unavailable = (detail: string) =>
+  Left(refuse("storeUnavailable", detail));
+
+/** Applies a sheet on condition that its base is still the newest revision. */
+export async function applySheet(
+  change: SheetChange,
+  options: StoreOptions & { readonly current: Config | undefined },
+): Promise<Either<Refusal, AcceptedSheet>> {
+  const sheet = options.codec.parse(change.sheet);
+  if (sheet.isLeft()) return Left(sheet.extract() as Refusal);
+  const read = await readHead(options);
+  if (read.isLeft()) return unavailable("The table service does not answer");
+  const stored = read.extract() as StoredHead | undefined;
+  const newest = stored?.head.revision ?? 0;
+  if (newest > change.base) return await findAccepted(change, options);
+  if (newest < change.base) return refuseBase(change, newest);
+  const prepared = await prepare(change, {
+    ...options,
+    sheet: sheet.extract() as Sheet,
+    stored,
+  });
+  if (prepared.isLeft()) return Left(prepared.extract() as Refusal);
+  return await commit(change, prepared.extract() as Prepared, options);
+}
+
+function refuseBase(change: SheetChange, newest: number) {
+  const detail = `The change was made from revision ${change.base}, but revision ${newest} is in force`;
+  return Left(refuse("revisionConflict", detail));
+}
+
+/** Stores what the next revision consists of, before the head names it. */
+async function prepare(
+  change: SheetChange,
+  options: StoreOptions & {
+    readonly current: Config | undefined;
+    readonly sheet: Sheet;
+    readonly stored: StoredHead | undefined;
+  },
+): Promise<Either<Refusal, Prepared>> {
+  const { codec, sheet, stored } = options;
+  const base = await loadBase(stored?.head, options);
+  if (base.isLeft()) return Left(base.extract() as Refusal);
+  const before = base.extract() as Config;
+  const delta = diffSheet(before.adapters, { base: before.revision, sheet });
+  const config = applyDelta(before, { delta, digestText: codec.digestText });
+  const { revision } = config;
+  const isSnapshot = needsSnapshot(stored?.head);
+  const kind = isSnapshot ? "snapshot" : "delta";
+  const key = `config/${kind}/${revision}-${change.attempt}`;
+  const object = isSnapshot
+    ? codec.encode({ kind: "snapshot", revision, sheet })
+    : codec.encode({ kind: "delta", revision, delta });
+  const put = await answerWithin(
+    options.clock,
+    options.objects.put(key, object),
+    {
+      delay: storeDeadline,
+      late: Left({ kind: "unavailable" as const, detail: "No answer in time" }),
+    },
+  );
+  if (put.isLeft()) return unavailable("The object store does not answer");
+  const head = createNextHead(stored?.head, {
+    configuration: config,
+    attempt: brandString<AttemptToken>(change.attempt),
+    delta: key,
+    snapshot: isSnapshot ? key : undefined,
+  });
+  return Right({ stored, config, head, objects: [object] });
+}
+
+/** The configuration that the change starts from, fetched if this node is behind. */
+async function loadBase(
+  head: Head | undefined,
+  options: StoreOptions & { readonly current: Config | undefined },
+): Promise<Either<Refusal, Config>> {
+  const current = options.current ?? createEmptyConfiguration();
+  if (head === undefined) return Right(createEmptyConfiguration());
+  if (current.revision > head.revision) {
+    return unavailable("The table service is behind this node");
+  }
+  const fetched = await fetchToHead(current, head, options);
+  return fetched
+    .map(({ config }) => config)
+    .mapLeft(({ detail }) => refuse("storeUnavailable", detail));
+}
+
+async function commit(
+  change: SheetChange,
+  prepared: Prepared,
+  options: StoreOptions,
+): Promise<Either<Refusal, AcceptedSheet>> {
+  const transaction = buildTransaction(change, prepared, options);
+  const { revision, digest } = prepared.config;
+  const { config, objects } = prepared;
+  const accepted = Right({ revision, digest, config, objects });
+  let mayHaveRun = false;
+  for (let attempt = 0; attempt < maxAttempts; attempt++) {
+    const answer = await answerWithin(
+      options.clock,
+      options.table.transact(transaction),
+      {
+        delay: storeDeadline,
+        late: Left({ kind: "unknown" as const, detail: "No answer in time" }),
+      },
+    );
+    if (answer.isRight()) {
+      const result = answer.extract() as TransactionResult;
+      if (result.kind === "committed") return accepted;
+      // The same transaction may have taken effect before its answer was lost.
+      return await findAccepted(change, options, accepted);
+    }
+    mayHaveRun ||= (answer.extract() as { kind: string }).kind === "unknown";
+    await sleep(options.clock, retryWait);
+  }
+  if (!mayHaveRun) return unavailable("The table service does not answer");
+  const detail = `No answer for attempt "${change.attempt}"; look for it in the history before applying again`;
+  return Left(refuse("applyUnknown", detail));
+}
+
+function buildTransaction(
+  change: SheetChange,
+  prepared: Prepared,
+  options: StoreOptions,
+): Transaction {
+  const { stored, head, config } = prepared;
+  const record: RevisionRecord = {
+    revision: config.revision,
+    digest: config.digest,
+    operator: change.operator,
+    acceptedAt: options.clock.wallNow(),
+    adapters: config.adapters.size,
+  };
+  return {
+    attempt: head.attempt,
+    conditions: [{ key: headKey, version: stored?.version ?? "absent" }],
+    writes: [
+      { key: headKey, value: formatHead(head) },
+      { key: historyKey(config.revision), value: record as unknown as Json },
+    ],
+  };
+}
+
+function historyKey(revision: number): RowKey {
+  const digits = String(revision).padStart(revisionDigits, "0");
+  return brandString(`${historyPrefix}${digits}`);
+}
+
+/** Finds out whether the change is the one that followed its base. */
+async function findAccepted(
+  change: SheetChange,
+  options: StoreOptions,
+  accepted?: Either<Refusal, AcceptedSheet>,
+): Promise<Either<Refusal, AcceptedSheet>> {
+  const next = change.base + 1;
+  for (let attempt = 0; attempt < maxAttempts; attempt++) {
+    const answer = await answerWithin(
+      options.clock,
+      options.table.read(historyKey(next)),
+      {
+        delay: storeDeadline,
+        late: Left({ kind: "unknown" as const, detail: "No answer in time" }),
+      },
+    );
+    if (answer.isRight()) {
+      const row = answer.orDefault(undefined);
+      if (row?.attempt !== change.attempt) return refuseBase(change, next);
+      if (accepted !== undefined) return accepted;
+      const record = row.value as unknown as RevisionRecord;
+      const { revision, digest } = record;
+      return Right({ revision, digest, config: undefined, objects: [] });
+    }
+    await sleep(options.clock, retryWait);
+  }
+  const detail = `The answer for attempt "${change.attempt}" was lost; look for it in the history`;
+  return Left(refuse("applyUnknown", detail));
+}
+
+/** Accepted revisions, newest first. */
+export async function readHistory(
+  limit: number,
+  options: StoreOptions & { readonly newest: Revision },
+): Promise<Either<Refusal, readonly RevisionRecord[]>> {
+  const count = Math.min(limit, options.newest);
+  const keys = Array.from({ length: count }, (_, index) =>
+    historyKey(options.newest - index),
+  );
+  const answers = await Promise.all(
+    keys.map((key) =>
+      answerWithin(options.clock, options.table.read(key), {
+        delay: storeDeadline,
+        late: Left({ kind: "unknown" as const, detail: "No answer in time" }),
+      }),
+    ),
+  );
+  if (answers.some((answer) => answer.isLeft())) {
+    return unavailable("The table service does not answer");
+  }
+  return Right(
+    answers.flatMap((answer) => {
+      const row = answer.orDefault(undefined);
+      return row === undefined ? [] : [row.value as unknown as RevisionRecord];
+    }),
+  );
+}
--- /dev/null
+++ b/tests/config/configuration_test.ts
@@ -0,0 +1,261 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import type { Either } from "purify-ts";
+import { brandString, type RowKey } from "../../src/core/ids.ts";
+import type { Refusal } from "../../src/core/results/refusal.ts";
+import type { AppliedSheet } from "../../src/ports/operators.ts";
+import {
+  type ConfigurationNode,
+  ConfigurationWorld,
+  createSheet,
+} from "../support/configuration_fixture.ts";
+
+type Result = Either<Refusal, AppliedSheet>;
+
+type Change = {
+  at: ConfigurationNode;
+  base: number;
+  attempt: string;
+  sheet?: unknown;
+};
+
+/** Applies sheets at the same time and lets virtual time pass until all answers are there. */
+async function applyAll(
+  world: ConfigurationWorld,
+  changes: readonly Change[],
+): Promise<Result[]> {
+  const results: Result[] = [];
+  for (const [index, change] of changes.entries()) {
+    const { at, base, attempt, sheet = createSheet([attempt]) } = change;
+    const sent = { base, sheet, operator: "ola", attempt };
+    void at.configuration.apply(sent).then((answer) => {
+      results[index] = answer;
+    });
+  }
+  for (let wait = 0; wait < 400; wait++) {
+    if (Object.keys(results).length === changes.length) return results;
+    await world.run(50);
+  }
+  throw new Error("No answer within 20 s");
+}
+
+async function apply(
+  world: ConfigurationWorld,
+  change: Change,
+): Promise<Result> {
+  return (await applyAll(world, [change]))[0] as Result;
+}
+
+async function readRow(world: ConfigurationWorld, key: string) {
+  const answer = world.table.read(brandString<RowKey>(key));
+  await world.run(50);
+  return (await answer).orDefault(undefined)?.value;
+}
+
+function codeOf(result: Result): string {
+  return result.caseOf({ Left: ({ code }) => code, Right: () => "accepted" });
+}
+
+function revisions(world: ConfigurationWorld): (number | undefined)[] {
+  return world.nodes.map(({ configuration }) => configuration.revision());
+}
+
+async function startWithSheet(seed: number): Promise<ConfigurationWorld> {
+  const world = new ConfigurationWorld(seed);
+  world.startNine();
+  await world.run(2_000);
+  const at = world.nodes[0] as ConfigurationNode;
+  const result = await apply(world, { at, base: 0, attempt: "first" });
+  assert.equal(codeOf(result), "accepted");
+  await world.run(1_500);
+  return world;
+}
+
+test("a sheet is in force on nine nodes of three regions within 1.5 s", async () => {
+  const world = await startWithSheet(1);
+  assert.deepEqual(revisions(world), Array(9).fill(1));
+  for (const { configuration } of world.nodes) {
+    assert.equal(configuration.certainty(), "confirmed");
+    const found = configuration.resolveModel("chains");
+    assert.deepEqual(found, { kind: "found", key: "chains@first" });
+    const missing = configuration.resolveModel("chains@other");
+    assert.equal(missing.kind, "unknown-version");
+    assert.equal(configuration.resolveModel("x").kind, "unknown-adapter");
+  }
+});
+
+test("a revision that another node names is fetched at once", async () => {
+  const world = await startWithSheet(12);
+  const at = world.nodes[0] as ConfigurationNode;
+  await apply(world, { at, base: 1, attempt: "second" });
+  await world.run(250);
+  assert.deepEqual(revisions(world), Array(9).fill(2));
+});
+
+test("of 1,000 racing changes each accepted one lasts, none reverts and each loser is told", async () => {
+  const world = await startWithSheet(2);
+  // Slow reads let an older revision arrive after a newer one.
+  world.objectDelay = 300;
+  const accepted = new Map<number, string>();
+  let losers = 0;
+  for (let round = 0; round < 100; round++) {
+    if (round % 10 === 3) world.table.lostAnswers = 2;
+    if (round % 10 === 6) world.table.lostRequests = 2;
+    const changes = Array.from({ length: 10 }, (_, index) => {
+      const at = world.nodes[(round + index) % 9] as ConfigurationNode;
+      const base = at.configuration.revision() ?? 0;
+      return { at, base, attempt: `r${round}-${index}` };
+    });
+    const results = await applyAll(world, changes);
+    for (const [index, result] of results.entries()) {
+      const attempt = changes[index]?.attempt as string;
+      result.caseOf({
+        Left: ({ code }) => {
+          assert.equal(code, "revisionConflict");
+          losers++;
+        },
+        Right: ({ revision }) => {
+          assert.ok(!accepted.has(revision), `revision ${revision} twice`);
+          accepted.set(revision, attempt);
+        },
+      });
+    }
+  }
+  await world.run(5_000);
+  assert.equal(accepted.size + losers, 1_000);
+  assert.ok(accepted.size >= 100);
+  const newest = accepted.size + 1;
+  assert.deepEqual(revisions(world), Array(9).fill(newest));
+  const last = accepted.get(newest) as string;
+  for (const { configuration, history } of world.nodes) {
+    const found = configuration.resolveModel("chains");
+    assert.deepEqual(found, { kind: "found", key: `chains@${last}` });
+    const sorted = [...history].sort((a, b) => a - b);
+    assert.deepEqual(history, sorted, "a revision reverted");
+  }
+});
+
+test("a change whose answer is lost counts as accepted, and once only", async () => {
+  const world = await startWithSheet(3);
+  const at = world.nodes[4] as ConfigurationNode;
+  world.table.lostAnswers = 1;
+  const change = { at, base: 1, attempt: "second" };
+  assert.equal(codeOf(await apply(world, change)), "accepted");
+  assert.equal(codeOf(await apply(world, change)), "accepted");
+  await world.run(1_500);
+  assert.deepEqual(revisions(world), Array(9).fill(2));
+});
+
+test("a change whose request is lost is sent again", async () => {
+  const world = await startWithSheet(4);
+  const at = world.nodes[4] as ConfigurationNode;
+  world.table.lostRequests = 2;
+  const change = { at, base: 1, attempt: "second" };
+  assert.equal(codeOf(await apply(world, change)), "accepted");
+  assert.equal(at.configuration.revision(), 2);
+});
+
+test("a change made from an old or a future revision is refused", async () => {
+  const world = await startWithSheet(5);
+  const at = world.nodes[1] as ConfigurationNode;
+  for (const base of [0, 7]) {
+    const result = await apply(world, { at, base, attempt: `from-${base}` });
+    assert.equal(codeOf(result), "revisionConflict");
+  }
+  assert.deepEqual(revisions(world), Array(9).fill(1));
+});
+
+test("in a table outage a change is refused as not run and the old one stays in force", async () => {
+  const world = await startWithSheet(6);
+  world.table.outage = true;
+  const at = world.nodes[1] as ConfigurationNode;
+  const result = await apply(world, { at, base: 1, attempt: "second" });
+  result.ifLeft(({ code, outcome }) => {
+    assert.equal(code, "storeUnavailable");
+    assert.equal(outcome, "not-run");
+  });
+  assert.ok(result.isLeft());
+  assert.deepEqual(revisions(world), Array(9).fill(1));
+});
+
+test("a node that starts in an outage takes the revision of its peers, unconfirmed", async () => {
+  const world = await startWithSheet(7);
+  world.table.outage = true;
+  world.objects.outage = true;
+  const late = world.start("b9", "b");
+  await world.run(3_000);
+  assert.equal(late.configuration.current(), undefined);
+  const peer = world.nodes[2] as ConfigurationNode;
+  late.configuration.hear(1 as never, peer.node);
+  await world.run(6_000);
+  assert.equal(late.configuration.revision(), 1);
+  assert.equal(late.configuration.certainty(), "unconfirmed");
+  world.table.outage = false;
+  await world.run(8_000);
+  assert.equal(late.configuration.certainty(), "confirmed");
+});
+
+test("while only the object store is down a revision comes from the peer that named it", async () => {
+  const world = await startWithSheet(8);
+  const at = world.nodes[0] as ConfigurationNode;
+  const pending = apply(world, { at, base: 1, attempt: "second" });
+  await pending;
+  world.objects.outage = true;
+  const late = world.start("c9", "c");
+  late.configuration.hear(2 as never, at.node);
+  await world.run(8_000);
+  assert.equal(late.configuration.revision(), 2);
+});
+
+test("a region that was cut off moves up when the link is back", async () => {
+  const world = await startWithSheet(9);
+  const isolated = world.nodes.slice(6);
+  for (const node of isolated) node.link.cut = true;
+  const at = world.nodes[0] as ConfigurationNode;
+  for (const base of [1, 2, 3]) {
+    await apply(world, { at, base, attempt: `change-${base}` });
+  }
+  const inside = isolated[0] as ConfigurationNode;
+  const refused = await apply(world, { at: inside, base: 1, attempt: "lost" });
+  assert.equal(codeOf(refused), "storeUnavailable");
+  assert.deepEqual(revisions(world).slice(6), [1, 1, 1]);
+  for (const node of isolated) node.link.cut = false;
+  await world.run(8_000);
+  assert.deepEqual(revisions(world), Array(9).fill(4));
+});
+
+test("a node that restarts far behind starts from a snapshot and the later deltas", async () => {
+  const world = await startWithSheet(10);
+  const at = world.nodes[0] as ConfigurationNode;
+  for (let base = 1; base < 140; base++) {
+    const result = await apply(world, { at, base, attempt: `change-${base}` });
+    assert.equal(codeOf(result), "accepted");
+  }
+  const head = (await readRow(world, "config/head")) as { deltas: unknown[] };
+  assert.ok(head.deltas.length <= 128, "the head row grows without bound");
+  const restarted = world.start("a9", "a");
+  await world.run(1_500);
+  assert.equal(restarted.configuration.revision(), 140);
+  assert.equal(
+    restarted.configuration.current()?.digest,
+    at.configuration.current()?.digest,
+  );
+});
+
+test("a stored change that does not give the digest of the head is not put in force", async () => {
+  const world = await startWithSheet(11);
+  const at = world.nodes[0] as ConfigurationNode;
+  const get = world.objects.get.bind(world.objects);
+  world.objects.get = async (key) =>
+    (await get(key)).map((bytes) =>
+      Buffer.from(Buffer.from(bytes).toString().replace("second", "sexond")),
+    );
+  await apply(world, { at, base: 1, attempt: "second" });
+  // No peer can give the whole change instead.
+  at.link.cut = true;
+  await world.run(2_000);
+  assert.deepEqual(revisions(world), [2, ...Array(8).fill(1)]);
+  world.objects.get = get;
+  await world.run(8_000);
+  assert.deepEqual(revisions(world), Array(9).fill(2));
+});
--- /dev/null
+++ b/tests/support/configuration_fixture.ts
@@ -0,0 +1,132 @@
+import { Left, Right } from "purify-ts";
+import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
+import { sheetCodec } from "../../src/adapters/settings/sheet.ts";
+import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
+import { millis, sleep } from "../../src/core/clock.ts";
+import {
+  brandString,
+  type DataCentre,
+  type NodeId,
+  type Revision,
+} from "../../src/core/ids.ts";
+import type { LiveNode } from "../../src/core/lease/state.ts";
+import { Configuration } from "../../src/node/configuration.ts";
+import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import type { TableService } from "../../src/ports/table.ts";
+import { MemoryObjects } from "../../src/standins/memory_platform.ts";
+import { MemoryTable } from "../../src/standins/memory_table.ts";
+
+/** One simulated node with its configuration. */
+export type ConfigurationNode = {
+  readonly node: NodeId;
+  readonly configuration: Configuration;
+  /** Revisions in the order in which they came into force. */
+  readonly history: number[];
+  /** While `cut`, the node reaches neither the platform nor other nodes. */
+  readonly link: { cut: boolean };
+};
+
+/** A sheet with one adapter whose versions tell who made it. */
+export function createSheet(versions: string[], name = "chains"): unknown {
+  return { adapters: [{ name, versions }] };
+}
+
+/** Nodes of three regions that share a table, an object store and gossip. */
+export class ConfigurationWorld {
+  readonly clock = VirtualClock.create();
+  readonly table: MemoryTable;
+  readonly objects = new MemoryObjects();
+  readonly nodes: ConfigurationNode[] = [];
+  readonly random: () => number;
+  /** Longest delay of a read of the object store in ms. */
+  objectDelay = 0;
+  /** Delay of gossip in ms. */
+  readonly #gossipDelay = millis(30);
+
+  constructor(seed: number) {
+    this.random = createSeededRandom(seed);
+    this.table = MemoryTable.create(this.clock);
+    this.table.delay = 5;
+  }
+
+  start(name: string, centre: string): ConfigurationNode {
+    const node = brandString<NodeId>(name);
+    const dataCentre = brandString<DataCentre>(centre);
+    const history: number[] = [];
+    const link = { cut: false };
+    const configuration = Configuration.create({
+      clock: this.clock,
+      table: this.#tableOf(() => link.cut),
+      objects: {
+        put: (key, content) => this.objects.put(key, content),
+        get: async (key) => {
+          const delay = this.objectDelay * this.random();
+          if (delay > 0) await sleep(this.clock, millis(delay));
+          return await this.objects.get(key);
+        },
+      },
+      codec: sheetCodec,
+      peers: { fetch: async (peer, after) => this.#fetch(peer, after) },
+      nodeId: node,
+      dataCentre,
+      liveNodes: () => this.#listLive(),
+      random: this.random,
+      journal: silentJournal,
+      meter: silentMeter,
+      onRevision: (revision) => {
+        history.push(revision);
+        this.#tell({ node, link }, revision);
+      },
+    });
+    const started: ConfigurationNode = { node, configuration, history, link };
+    this.nodes.push(started);
+    return started;
+  }
+
+  startNine(): void {
+    for (const centre of ["a", "b", "c"]) {
+      for (const index of [0, 1, 2]) this.start(`${centre}${index}`, centre);
+    }
+  }
+
+  async run(duration: number): Promise<void> {
+    await this.clock.advance(millis(duration));
+  }
+
+  #listLive(): LiveNode[] {
+    return this.nodes.map(({ node }) => ({
+      node,
+      dataCentre: brandString<DataCentre>(node.slice(0, 1)),
+    }));
+  }
+
+  #tell(
+    from: Pick<ConfigurationNode, "node" | "link">,
+    revision: Revision,
+  ): void {
+    this.clock.schedule(this.#gossipDelay, () => {
+      for (const to of this.nodes) {
+        if (to.node === from.node || to.link.cut || from.link.cut) continue;
+        to.configuration.hear(revision, from.node);
+      }
+    });
+  }
+
+  #fetch(peer: NodeId, after: Revision) {
+    const found = this.nodes.find(({ node }) => node === peer);
+    if (found === undefined || found.link.cut)
+      return Left({ detail: "Cut off" });
+    return Right(found.configuration.exportAfter(after));
+  }
+
+  #tableOf(isCut: () => boolean): TableService {
+    const failure = Left({ kind: "unavailable", detail: "Cut off" } as const);
+    const { table } = this;
+    return {
+      read: async (key) => (isCut() ? failure : await table.read(key)),
+      scan: async (prefix) => (isCut() ? failure : await table.scan(prefix)),
+      transact: async (transaction) =>
+        isCut() ? failure : await table.transact(transaction),
+    };
+  }
+}
