Run whole nodes: daemon, wiring, node and sheet commands, demo

Nine nodes of three regions and their stand-ins run in one process over real sockets. In the first run one repetition of a booking was answered with 'in progress', which callers answer by asking again; the demo's client now does so.

--- a/src/adapters/peers/operator_router.ts
+++ b/src/adapters/peers/operator_router.ts
@@ -52,6 +52,13 @@
       }),
     )
     .query(async ({ ctx, input }) => unwrap(await ctx.history(input.limit))),
+  exportConfiguration: trpc.procedure
+    .input(z.strictObject({ after: z.number().int().min(0) }))
+    .query(({ ctx, input }) =>
+      ctx
+        .exportConfiguration(input.after)
+        .map((bytes) => Buffer.from(bytes).toString("base64")),
+    ),
   showSheet: trpc.procedure.query(({ ctx }) => unwrap(ctx.showSheet())),
 });
 
--- /dev/null
+++ b/src/cli/commands/node.ts
@@ -0,0 +1,29 @@
+import { defineCommand } from "citty";
+import { readSettings } from "../../adapters/settings/settings.ts";
+import { Daemon } from "../../node/daemon.ts";
+import { exitWithMessage, exitWithRefusal } from "../exit.ts";
+
+/** `goldcrestwinch node`: runs the daemon until a signal stops it. */
+export const nodeCommand = defineCommand({
+  meta: { name: "node", description: "Run the daemon of an entry VM" },
+  args: {
+    config: {
+      type: "string",
+      required: true,
+      description: "Path of the settings file",
+    },
+  },
+  async run({ args }) {
+    const settings = readSettings(args.config).caseOf({
+      Left: (refusal) => exitWithRefusal(refusal),
+      Right: (value) => value,
+    });
+    const daemon = await Daemon.start(settings).catch((error: Error) =>
+      exitWithMessage(`Cannot start the node: ${error.message}`),
+    );
+    process.on("SIGTERM", () => daemon.drain());
+    process.on("SIGINT", () => daemon.drain());
+    await daemon.stopped;
+    await daemon.stop();
+  },
+});
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,8 @@
 import { defineCommand, runMain } from "citty";
 import { checkCommand } from "./commands/check.ts";
 import { drainCommand } from "./commands/drain.ts";
+import { nodeCommand } from "./commands/node.ts";
+import { sheetCommand } from "./commands/sheet.ts";
 import { statusCommand } from "./commands/status.ts";
 import { timelineCommand } from "./commands/timeline.ts";
 import { version } from "./version.ts";
@@ -12,7 +14,9 @@
     description: "Serving layer for very many LoRA adapters",
   },
   subCommands: {
+    node: nodeCommand,
     check: checkCommand,
+    sheet: sheetCommand,
     status: statusCommand,
     timeline: timelineCommand,
     drain: drainCommand,
--- /dev/null
+++ b/src/demo/booking_client.ts
@@ -0,0 +1,61 @@
+import { setTimeout as wait } from "node:timers/promises";
+
+/** Calls with the same key while the first one is in progress, and the time between them in ms. */
+const maxTries = 10;
+const retryMillis = 500;
+
+/** One booking of the demo, sent twice with the same key through two nodes. */
+export type BookingResult = {
+  readonly key: string;
+  readonly first: BookingReply;
+  readonly second: BookingReply;
+};
+
+/** What the caller of a booking was told. */
+export type BookingReply = {
+  readonly status: number;
+  readonly outcome: string;
+  readonly replayed: boolean;
+  /** The first call with the key has no recorded outcome yet. */
+  readonly inProgress: boolean;
+  readonly body: string;
+};
+
+/** Sends one booking, then the same one again through another node. */
+export async function bookTwice(options: {
+  origins: readonly [string, string];
+  key: string;
+  customer: string;
+}): Promise<BookingResult> {
+  const { origins, key, customer } = options;
+  const first = await book(origins[0], { key, customer });
+  let second = await book(origins[1], { key, customer });
+  for (let tries = 1; second.inProgress && tries < maxTries; tries++) {
+    await wait(retryMillis);
+    second = await book(origins[1], { key, customer });
+  }
+  return { key, first, second };
+}
+
+async function book(
+  origin: string,
+  { key, customer }: { key: string; customer: string },
+): Promise<BookingReply> {
+  const answer = await fetch(`${origin}/services/chains/reservations`, {
+    method: "POST",
+    headers: {
+      "idempotency-key": key,
+      "x-customer": customer,
+      "content-type": "application/json",
+    },
+    body: JSON.stringify({ set: "9 mm", booking: key }),
+  });
+  const body = (await answer.text()).trim();
+  return {
+    status: answer.status,
+    inProgress: body.includes('"callInProgress"'),
+    outcome: answer.headers.get("x-outcome") ?? "",
+    replayed: answer.headers.get("idempotent-replayed") === "true",
+    body,
+  };
+}
--- /dev/null
+++ b/src/demo/draft_client.ts
@@ -0,0 +1,50 @@
+import { expectedText } from "../standins/tokens.ts";
+
+/** One draft of the demo and what its caller got. */
+export type DraftResult = {
+  readonly adapter: string;
+  readonly status: number;
+  readonly text: string;
+  /** The stream ended with its explicit end. */
+  readonly ended: boolean;
+  /** Adapters that the events of the answer named. */
+  readonly models: ReadonlySet<string>;
+  /** The text is that of the named adapter, without a missing or doubled token. */
+  readonly whole: boolean;
+};
+
+/** Sends one streamed draft and reads its answer to the end. */
+export async function sendDraft(options: {
+  origin: string;
+  adapter: string;
+  prompt: string;
+  tokens: number;
+  customer: string;
+}): Promise<DraftResult> {
+  const { origin, adapter, prompt, tokens, customer } = options;
+  const answer = await fetch(`${origin}/v1/completions`, {
+    method: "POST",
+    headers: { "x-customer": customer, "x-deadline-ms": "60000" },
+    body: JSON.stringify({
+      model: adapter,
+      prompt,
+      max_tokens: tokens,
+      stream: true,
+    }),
+  });
+  const body = await answer.text();
+  const events = body
+    .split("\n\n")
+    .filter((event) => event.startsWith("data: {"))
+    .map((event) => JSON.parse(event.slice("data: ".length)));
+  const text = events.map((event) => event.choices?.[0]?.text ?? "").join("");
+  const ended = body.endsWith("data: [DONE]\n\n");
+  return {
+    adapter,
+    status: answer.status,
+    text: answer.ok ? text : body,
+    ended,
+    models: new Set(events.map((event) => event.model)),
+    whole: ended && text === expectedText(adapter, { text: prompt, tokens }),
+  };
+}
--- /dev/null
+++ b/src/demo/installation.ts
@@ -0,0 +1,162 @@
+import { mkdtempSync, writeFileSync } from "node:fs";
+import type { AddressInfo } from "node:net";
+import { createServer } from "node:net";
+import { tmpdir } from "node:os";
+import { join } from "node:path";
+import type { Settings } from "../adapters/settings/settings.ts";
+import { parseSettings } from "../adapters/settings/settings.ts";
+import type { Clock } from "../core/clock.ts";
+import { Daemon } from "../node/daemon.ts";
+import { type RunningSite, startSite } from "../standins/sites.ts";
+
+/** Regions of the demo, each with one data centre. */
+export const demoRegions = ["tatry", "beskidy", "sudety"] as const;
+/** Nodes, engines and booking servers of each region. */
+const nodesPerRegion = 3;
+const enginesPerRegion = 2;
+/** Adapter versions that an engine of the demo holds, and requests in its batch. */
+const slotsPerEngine = 6;
+const batchPerEngine = 16;
+
+const demoSecret = "secret-of-the-demo-only";
+
+/** Nodes of three regions and the stand-ins, on loopback in one process. */
+export type Installation = {
+  readonly site: RunningSite;
+  readonly daemons: readonly Daemon[];
+  readonly keyFile: string;
+};
+
+/** Starts the stand-ins and all nodes. */
+export async function startInstallation(clock: Clock): Promise<Installation> {
+  const engineCount = demoRegions.length * enginesPerRegion;
+  const nodeCount = demoRegions.length * nodesPerRegion;
+  const ports = await reservePorts(
+    1 + engineCount + demoRegions.length + 2 * nodeCount,
+  );
+  const takePort = (): number => ports.pop() as number;
+  const platform = takePort();
+  const engines = demoRegions.flatMap((region) =>
+    Array.from({ length: enginesPerRegion }, (_, index) => ({
+      id: `${region}-engine-${index + 1}`,
+      region,
+      dataCentre: `${region}-a`,
+      port: takePort(),
+      slots: slotsPerEngine,
+      batch: batchPerEngine,
+      fencing: index === 0 ? ("checked" as const) : ("ignored" as const),
+    })),
+  );
+  const services = demoRegions.map((region) => ({
+    id: `${region}-booking`,
+    region,
+    port: takePort(),
+  }));
+  const site = await startSite({ platform, engines, services }, clock);
+  const keyFile = join(mkdtempSync(join(tmpdir(), "goldcrestwinch-")), "keys");
+  writeFileSync(
+    keyFile,
+    JSON.stringify({ keys: [{ id: "demo", secret: demoSecret }] }),
+  );
+  const nodes = demoRegions.flatMap((region) =>
+    Array.from({ length: nodesPerRegion }, (_, index) => ({
+      name: `${region}-${index + 1}`,
+      region,
+      callers: takePort(),
+      peers: takePort(),
+    })),
+  );
+  const seeds = nodes.slice(0, 3).map(({ peers }) => `127.0.0.1:${peers}`);
+  const daemons: Daemon[] = [];
+  for (const node of nodes) {
+    const settings = createSettings(node, {
+      platform,
+      engines,
+      services,
+      seeds,
+      keyFile,
+    });
+    daemons.push(await Daemon.start(settings));
+  }
+  return { site, daemons, keyFile };
+}
+
+/** Stops everything at once. */
+export async function stopInstallation(
+  installation: Installation,
+): Promise<void> {
+  for (const daemon of installation.daemons) await daemon.stop();
+  for (const host of installation.site.hosts) await host.close();
+}
+
+type DemoNode = {
+  name: string;
+  region: string;
+  callers: number;
+  peers: number;
+};
+
+function createSettings(
+  node: DemoNode,
+  shared: {
+    platform: number;
+    engines: readonly (Omit<Settings["engines"][number], "url"> & {
+      port: number;
+    })[];
+    services: readonly { id: string; region: string; port: number }[];
+    seeds: readonly string[];
+    keyFile: string;
+  },
+): Settings {
+  const { name, region, callers, peers } = node;
+  const platform = `http://127.0.0.1:${shared.platform}`;
+  return parseSettings({
+    node: { name, region, dataCentre: `${region}-a` },
+    listen: {
+      callers: { host: "127.0.0.1", port: callers },
+      peers: { host: "127.0.0.1", port: peers },
+    },
+    seeds: shared.seeds,
+    keyFile: shared.keyFile,
+    platform: { table: platform, objects: platform, machines: platform },
+    engines: shared.engines.map(({ port, ...engine }) => ({
+      ...engine,
+      url: `http://127.0.0.1:${port}`,
+    })),
+    services: [
+      {
+        name: "chains",
+        servers: shared.services.map(({ port, ...server }) => ({
+          ...server,
+          url: `http://127.0.0.1:${port}`,
+        })),
+        idempotent: [{ method: "GET", path: "/*" }],
+      },
+    ],
+    log: { level: "error" },
+  }).caseOf({
+    Left: (refusal) => {
+      throw new Error(refusal.detail);
+    },
+    Right: (settings) => settings,
+  });
+}
+
+/** Free ports of loopback, found by listening on all of them at once. */
+async function reservePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      { length: count },
+      () =>
+        new Promise<ReturnType<typeof createServer>>((resolve) => {
+          const server = createServer();
+          server.listen(0, "127.0.0.1", () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map((server) => (server.address() as AddressInfo).port);
+  await Promise.all(
+    servers.map((server) => new Promise((resolve) => server.close(resolve))),
+  );
+  return ports;
+}
--- /dev/null
+++ b/src/node/daemon.ts
@@ -0,0 +1,250 @@
+import { once } from "node:events";
+import type { Server } from "node:http";
+import { createCallerServer } from "../adapters/callers/caller_server.ts";
+import { InFlightLimits } from "../adapters/callers/in_flight.ts";
+import { UdpDatagrams } from "../adapters/gossip/udp_datagrams.ts";
+import { createToken, Keyring, readKeyFile } from "../adapters/keys/keyring.ts";
+import { createEntryLog, createLogger } from "../adapters/observe/log.ts";
+import { Metrics } from "../adapters/observe/metrics.ts";
+import { Timeline } from "../adapters/observe/timeline.ts";
+import { HttpForwarder } from "../adapters/peers/forward_client.ts";
+import { ForwardServer } from "../adapters/peers/forward_server.ts";
+import { createPeerServer } from "../adapters/peers/peer_server.ts";
+import { GuardedTable } from "../adapters/platform/guarded_table.ts";
+import { MachinesClient } from "../adapters/platform/machines_client.ts";
+import { ObjectClient } from "../adapters/platform/object_client.ts";
+import { TableClient } from "../adapters/platform/table_client.ts";
+import type { Settings } from "../adapters/settings/settings.ts";
+import { RealClock } from "../adapters/time/real_clock.ts";
+import { brandString, type NodeId } from "../core/ids.ts";
+import { type BackEnds, connectBackEnds } from "./back_ends.ts";
+import { MachineWatch } from "./machine_watch.ts";
+import { type NodeParts, wireNode } from "./wiring.ts";
+
+/** Characters of the start token in a node id. */
+const startTokenLength = 6;
+
+/** One running node with its listeners and clients. */
+export class Daemon {
+  readonly nodeId: NodeId;
+  readonly timeline: Timeline;
+  /** Resolves when the node has ended. */
+  readonly stopped: Promise<void>;
+  readonly #parts: NodeParts;
+  readonly #closers: (() => Promise<void> | void)[];
+  readonly #settings: Settings;
+
+  /** Starts a node; throws when a listener cannot be opened or the key file is invalid. */
+  static async start(settings: Settings): Promise<Daemon> {
+    const keys = readKeyFile(settings.keyFile).caseOf({
+      Left: (error) => {
+        throw new Error(error);
+      },
+      Right: (value) => value,
+    });
+    const clock = RealClock.create();
+    const keyring = Keyring.create(keys);
+    const token = createToken().slice(0, startTokenLength);
+    const nodeId = brandString<NodeId>(`${settings.node.name}.${token}`);
+    const logger = createLogger({ node: nodeId, level: settings.log.level });
+    const timeline = Timeline.create({
+      node: nodeId,
+      clock,
+      listener: createEntryLog(logger),
+    });
+    const metrics = Metrics.create();
+    keyring.watch(settings.keyFile, {
+      clock,
+      onReload: (error) => timeline.record("keysReloaded", { error }),
+    });
+    const shared = { clock, keyring, timeline, meter: metrics };
+    const { table, closePlatform, ...platform } = connectPlatform(
+      settings,
+      shared,
+    );
+    const backEnds = connectBackEnds(settings, shared);
+    const forwarder = HttpForwarder.create(shared);
+    const datagrams = await UdpDatagrams.open({
+      ...settings.listen.peers,
+      ...shared,
+      journal: timeline,
+    });
+    let markStopped = () => {};
+    const stopped = new Promise<void>((resolve) => {
+      markStopped = resolve;
+    });
+    const parts = wireNode({
+      ...shared,
+      ...platform,
+      settings,
+      nodeId,
+      table,
+      backEnds,
+      forwarder,
+      datagrams,
+      onStopped: () => markStopped(),
+    });
+    const watch = MachineWatch.create({
+      machines: platform.machines,
+      clock,
+      onLeaving: (server) => parts.node.markLeaving(server),
+    });
+    const forwards = ForwardServer.create({ target: parts.node, clock });
+    const servers = await openListeners(settings, {
+      ...shared,
+      parts,
+      forwards,
+      metrics,
+    });
+    timeline.record("nodeStarted", {
+      callers: formatAddress(settings.listen.callers),
+      peers: formatAddress(settings.listen.peers),
+    });
+    return new Daemon({
+      nodeId,
+      timeline,
+      stopped,
+      parts,
+      settings,
+      closers: [
+        () => watch.stop(),
+        () => parts.stop(),
+        () => forwards.close(),
+        () => closeServers(servers),
+        () => forwarder.close(),
+        () => datagrams.close(),
+        () => backEnds.close(),
+        () => closePlatform(),
+        () => keyring.close(),
+      ],
+    });
+  }
+
+  private constructor(options: {
+    nodeId: NodeId;
+    timeline: Timeline;
+    stopped: Promise<void>;
+    parts: NodeParts;
+    settings: Settings;
+    closers: (() => Promise<void> | void)[];
+  }) {
+    this.nodeId = options.nodeId;
+    this.timeline = options.timeline;
+    this.stopped = options.stopped;
+    this.#parts = options.parts;
+    this.#settings = options.settings;
+    this.#closers = options.closers;
+  }
+
+  /** `IP:PORT` for callers. */
+  get callers(): string {
+    return formatAddress(this.#settings.listen.callers);
+  }
+
+  /** `IP:PORT` for peers and operators. */
+  get peers(): string {
+    return formatAddress(this.#settings.listen.peers);
+  }
+
+  /** Whether the node takes requests. */
+  get ready(): boolean {
+    return this.#parts.node.findUnready() === undefined;
+  }
+
+  /** Starts a graceful stop; `stopped` resolves at its end. */
+  drain(): void {
+    this.#parts.node.drain();
+  }
+
+  /** Closes every listener and client at once. */
+  async stop(): Promise<void> {
+    for (const close of this.#closers) await close();
+  }
+}
+
+type Shared = {
+  readonly clock: RealClock;
+  readonly keyring: Keyring;
+  readonly timeline: Timeline;
+  readonly meter: Metrics;
+};
+
+function connectPlatform(settings: Settings, shared: Shared) {
+  const { clock, meter, timeline } = shared;
+  const origins = settings.platform;
+  const tableClient = TableClient.create({
+    origin: origins.table,
+    clock,
+    meter,
+  });
+  const objects = ObjectClient.create({
+    origin: origins.objects,
+    clock,
+    meter,
+  });
+  const machines = MachinesClient.create({
+    origin: origins.machines,
+    clock,
+    meter,
+  });
+  const table = GuardedTable.create({
+    table: tableClient,
+    clock,
+    random: Math.random,
+    journal: timeline,
+    meter,
+  });
+  return {
+    table,
+    objects,
+    machines,
+    async closePlatform() {
+      table.close();
+      await tableClient.close();
+      await objects.close();
+      await machines.close();
+    },
+  };
+}
+
+async function openListeners(
+  settings: Settings,
+  options: Shared & {
+    parts: NodeParts;
+    forwards: ForwardServer;
+    metrics: Metrics;
+  },
+): Promise<Server[]> {
+  const { parts, metrics } = options;
+  const peers = createPeerServer({ ...options, operators: parts.operators });
+  const callers = createCallerServer({
+    ...options,
+    front: parts.node,
+    limits: InFlightLimits.create(settings.limits),
+    readMetrics: () => metrics.registry.metrics(),
+  });
+  await listen(peers, settings.listen.peers);
+  await listen(callers, settings.listen.callers);
+  return [peers, callers];
+}
+
+async function listen(
+  server: Server,
+  address: { host: string; port: number },
+): Promise<void> {
+  server.listen(address.port, address.host);
+  await once(server, "listening");
+}
+
+async function closeServers(servers: readonly Server[]): Promise<void> {
+  for (const server of servers) {
+    server.closeAllConnections();
+    await new Promise((resolve) => server.close(resolve));
+  }
+}
+
+function formatAddress({ host, port }: { host: string; port: number }): string {
+  return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
+}
+
+export type { BackEnds };
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -11,6 +11,7 @@
   type Digest,
   type EngineId,
   formatAdapterKey,
+  type LeaseId,
   type NodeId,
   type Region,
   type ServiceName,
@@ -83,6 +84,8 @@
   readonly lookups: ReadonlyMap<ServiceName, readonly LookupRoute[]>;
   readonly session: SessionSettings;
   readonly onDemand?: (adapter: AdapterKey) => void;
+  /** Hears of each session of another node that this node has removed. */
+  readonly onSessionRemoved?: (lease: LeaseId) => void;
   /** Called once when a drain has ended. */
   readonly onStopped: () => void;
 };
@@ -249,6 +252,7 @@
       settings: session,
       liveNodes: () =>
         cluster.members().filter((member) => member.state === "alive"),
+      onRemoved: (lease) => this.#options.onSessionRemoved?.(lease),
       outageConfirmedAt: () => cluster.outageConfirmedAt(),
       onOwnership: (engine, event) =>
         this.owners.handleOwnership(engine, event),
--- a/src/node/operator_desk.ts
+++ b/src/node/operator_desk.ts
@@ -21,6 +21,7 @@
     request: Parameters<OperatorPort["applySheet"]>[0],
   ): Promise<Either<Refusal, AppliedSheet>>;
   history(limit: number): Promise<Either<Refusal, readonly RevisionRecord[]>>;
+  exportAfter(after: number): readonly Uint8Array[];
   show(): Either<Refusal, { revision: number; sheet: unknown }>;
 };
 
@@ -121,6 +122,10 @@
     return this.#options.sheets.history(limit);
   }
 
+  exportConfiguration(after: number): readonly Uint8Array[] {
+    return this.#options.sheets.exportAfter(after);
+  }
+
   showSheet(): Either<Refusal, { revision: number; sheet: unknown }> {
     return this.#options.sheets.show();
   }
--- a/src/node/session.ts
+++ b/src/node/session.ts
@@ -17,7 +17,6 @@
   createSessionState,
   type LiveNode,
   type OwnershipEvent,
-  type Removal,
   type SessionCommand,
   type SessionEngine,
   type SessionEvent,
@@ -27,7 +26,7 @@
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { Row, TableFailure, TableService } from "../ports/table.ts";
 import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
-import { buildTransaction, type RemovalWrites } from "./session_transaction.ts";
+import { buildTransaction } from "./session_transaction.ts";
 import { withDeadline } from "./table_deadline.ts";
 
 /** Time between two looks at the members and due work, in ms. */
@@ -50,10 +49,8 @@
   /** Time at which every other node of the data centre was last known to be without the table too. */
   readonly outageConfirmedAt?: () => Millis | undefined;
   readonly onOwnership: (engine: EngineId, event: OwnershipEvent) => void;
-  /** Adds writes to the removal of a session, such as the return of its load permits. */
-  readonly onRemoval?: (
-    removals: readonly { readonly node: NodeId; readonly lease: LeaseId }[],
-  ) => Promise<RemovalWrites>;
+  /** Hears of each session that this node has removed from the table. */
+  readonly onRemoved?: (lease: LeaseId) => void;
 };
 
 /** Session lease of this node and the engines owned under it. */
@@ -97,6 +94,11 @@
     return isLeaseUsable(this.#state(), this.#setup.clock.now());
   }
 
+  /** Node that holds the lease. */
+  get node(): NodeId {
+    return this.#setup.nodeId;
+  }
+
   /** Whether the table does not answer this node. */
   get failing(): boolean {
     return this.#state().failing;
@@ -182,16 +184,15 @@
   async #transact(attempt: Attempt): Promise<void> {
     const { token } = attempt;
     const { nodeId: node, dataCentre } = this.#setup;
-    const extra = await this.#collectRemovalWrites(attempt);
     const answer = await this.#call((table) =>
-      table.transact(buildTransaction(attempt, { node, dataCentre, extra })),
+      table.transact(buildTransaction(attempt, { node, dataCentre })),
     );
     answer.caseOf({
       Left: ({ kind }) =>
         this.#actor.send({ type: "transaction-failed", token, kind }),
       Right: (result) =>
         result.kind === "committed"
-          ? this.#actor.send({ type: "committed", token })
+          ? this.#noteCommitted(attempt)
           : this.#actor.send({
               type: "conflicted",
               token,
@@ -200,14 +201,9 @@
     });
   }
 
-  async #collectRemovalWrites(attempt: Attempt): Promise<RemovalWrites> {
-    const removals: Pick<Removal, "node" | "lease">[] = [...attempt.removals];
-    const { nodeId, onRemoval } = this.#setup;
-    if (attempt.last) removals.push({ node: nodeId, lease: attempt.lease });
-    if (onRemoval === undefined || removals.length === 0) {
-      return { conditions: [], writes: [] };
-    }
-    return await onRemoval(removals);
+  #noteCommitted(attempt: Attempt): void {
+    for (const { lease } of attempt.removals) this.#setup.onRemoved?.(lease);
+    this.#actor.send({ type: "committed", token: attempt.token });
   }
 
   async #read(keys: readonly RowKey[]): Promise<void> {
--- a/src/node/session_transaction.ts
+++ b/src/node/session_transaction.ts
@@ -3,17 +3,10 @@
 import type { Attempt } from "../core/lease/state.ts";
 import type { Condition, RowWrite, Transaction } from "../ports/table.ts";
 
-/** Writes that must take effect together with the removal of a session. */
-export type RemovalWrites = {
-  readonly conditions: readonly Condition[];
-  readonly writes: readonly RowWrite[];
-};
-
 /** Whose attempt it is, and what is written with it. */
 type AttemptContext = {
   readonly node: NodeId;
   readonly dataCentre: DataCentre;
-  readonly extra: RemovalWrites;
 };
 
 /** Writes an attempt of the session as one transaction. */
@@ -21,7 +14,7 @@
   attempt: Attempt,
   context: AttemptContext,
 ): Transaction {
-  const { node, dataCentre, extra } = context;
+  const { node, dataCentre } = context;
   const { lease } = attempt;
   const own = sessionKey(node);
   const conditions = new Map([[own, attempt.version]]);
@@ -52,10 +45,9 @@
   }
   return {
     attempt: attempt.token,
-    conditions: [
-      ...[...conditions].map(([key, version]): Condition => ({ key, version })),
-      ...extra.conditions,
-    ],
-    writes: [...writes, ...extra.writes],
+    conditions: [...conditions].map(
+      ([key, version]): Condition => ({ key, version }),
+    ),
+    writes,
   };
 }
--- a/src/ports/operators.ts
+++ b/src/ports/operators.ts
@@ -83,6 +83,8 @@
     readonly attempt: string;
   }): Promise<Either<Refusal, AppliedSheet>>;
   history(limit: number): Promise<Either<Refusal, readonly RevisionRecord[]>>;
+  /** Objects that lead a node from a revision to the one in force here. */
+  exportConfiguration(after: number): readonly Uint8Array[];
   /** Sheet of the revision in force at this node. */
   showSheet(): Either<Refusal, { revision: number; sheet: unknown }>;
 };
