--- a/src/bench/experiments/short_long.ts
+++ b/src/bench/experiments/short_long.ts
@@ -36,8 +36,8 @@
   "fcfs with long": { policies: baselineEnginePolicies, long: true },
 };
 
-const DURATION = 90_000;
-const WARM_UP = 15_000;
+const DURATION = 150_000;
+const WARM_UP = 40_000;
 
 /** Runs a variant named `LOAD, KIND`. */
 async function run(variant: string, seed: number): Promise<Figures> {
--- a/src/bench/simulated_link.ts
+++ b/src/bench/simulated_link.ts
@@ -21,6 +21,9 @@
   readonly drawDelay: () => number;
 };
 
+/** Delay below which chunks need not be delayed one by one, in ms. */
+const SHORT_DELAY = 5;
+
 const neverExpires = millis(Number.POSITIVE_INFINITY);
 
 const notWritten: EngineFailure = {
@@ -110,27 +113,35 @@
     return result;
   }
 
-  /** Delays the first chunk and the end; chunks between keep their distance. */
+  /**
+   * Delays a stream by one drawn time, so that its parts stay in order. Chunks
+   * after the first pass at once while the delay is shorter than an engine step.
+   */
   #delaySink(sink: StreamSink): StreamSink & { close(): void } {
-    const { node } = this.#options;
+    const { node, clock, drawDelay } = this.#options;
+    const delay = millis(drawDelay());
     let started = false;
     let closed = false;
-    const pass = (action: () => void) => () => {
-      if (!closed) action();
+    const pass = (action: () => void): void => {
+      node.run(() => {
+        if (!closed) action();
+      });
+    };
+    const passLater = (action: () => void): void => {
+      clock.schedule(delay, () => pass(action));
     };
     return {
       close: () => {
         closed = true;
       },
       onChunk: (bytes, count) => {
-        const action = pass(() => sink.onChunk(bytes, count));
-        if (started && !node.paused) action();
-        else if (started) node.run(action);
-        else this.#later(action);
+        const action = () => sink.onChunk(bytes, count);
+        if (started && delay < SHORT_DELAY) pass(action);
+        else passLater(action);
         started = true;
       },
-      onEnd: () => this.#later(pass(() => sink.onEnd())),
-      onFailure: (failure) => this.#later(pass(() => sink.onFailure(failure))),
+      onEnd: () => passLater(() => sink.onEnd()),
+      onFailure: (failure) => passLater(() => sink.onFailure(failure)),
     };
   }
 }
