--- a/tests/engine/harness.ts
+++ b/tests/engine/harness.ts
@@ -5,6 +5,7 @@
   EngineLimits,
   EnginePolicies,
   EngineState,
+  StreamFailureKind,
   Work,
 } from "../../src/core/engine/mod.ts";
 import {
@@ -24,6 +25,14 @@
   Omit<Work, "requestId" | "adapter">
 >;
 
+/** Lease of an owner; times in ms from now. */
+export type LeaseOptions = {
+  fence?: number;
+  lease?: number;
+  dispatch?: number;
+  settled?: number;
+};
+
 /** Drives the decision of one engine owner and keeps what it ordered. */
 export class OwnerHarness {
   readonly state: EngineState;
@@ -73,24 +82,21 @@
     this.now = millis(end);
   }
 
-  /** Grants a lease and answers the first report. */
-  own(
-    options: {
-      fence?: number;
-      lease?: number;
-      dispatch?: number;
-      settled?: number;
-      running?: string[];
-    } = {},
-  ): void {
-    const { fence = 1, lease = 1e9, settled = 0 } = options;
+  /** Grants or renews a lease; times count from now. */
+  lease(options: LeaseOptions = {}): void {
+    const { fence = 1, lease = 1e9, dispatch = lease, settled = 0 } = options;
     this.send({
       type: "ownership",
       fence: brandNumber(fence),
       orderUntil: millis(this.now + lease),
-      dispatchUntil: millis(this.now + (options.dispatch ?? lease)),
+      dispatchUntil: millis(this.now + dispatch),
       settledAt: millis(this.now + settled),
     });
+  }
+
+  /** Grants a lease and answers the first report. */
+  own(options: LeaseOptions & { running?: string[] } = {}): void {
+    this.lease(options);
     this.report({ running: options.running ?? [] });
   }
 
@@ -147,6 +153,27 @@
     });
   }
 
+  cancel(requestId: string): void {
+    this.send({ type: "cancel", requestId: brandString(requestId) });
+  }
+
+  failStream(requestId: string, kind: StreamFailureKind): void {
+    const id = brandString<RequestId>(requestId);
+    this.send({ type: "stream-failed", requestId: id, kind, detail: kind });
+  }
+
+  failLoad(adapter: string): void {
+    const key = brandString<AdapterKey>(adapter);
+    this.send({ type: "load-failed", adapter: key, detail: "failed" });
+  }
+
+  /** Digests of all suspects. */
+  suspects(): string[] {
+    return this.commands.flatMap((command) =>
+      command.type === "suspect" ? command.digests : [],
+    );
+  }
+
   /** Ids or adapters named by the commands of one type, in order. */
   sent(type: EngineCommand["type"]): string[] {
     return this.commands
--- /dev/null
+++ b/tests/engine/queue_test.ts
@@ -0,0 +1,123 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import { baselineEnginePolicies } from "../../src/core/engine/mod.ts";
+import { OwnerHarness } from "./harness.ts";
+
+/** Owner with adapter a loaded and `running` requests in the batch. */
+function createBusyOwner({ batch = 1, running = 1 } = {}): OwnerHarness {
+  const owner = OwnerHarness.create({ batch });
+  owner.own();
+  owner.load("a@1");
+  for (let index = 0; index < running; index++) {
+    owner.submit(`busy-${index}`, { adapter: "a@1" });
+  }
+  owner.clear();
+  return owner;
+}
+
+test("a higher priority class runs first, although it came later", () => {
+  const owner = createBusyOwner();
+  owner.submit("bulk", { adapter: "a@1", priority: "bulk" });
+  owner.submit("normal", { adapter: "a@1", priority: "normal" });
+  owner.submit("urgent", { adapter: "a@1", priority: "urgent" });
+  for (const id of ["busy-0", "urgent", "normal"]) owner.finish(id);
+  assert.deepEqual(owner.sent("dispatch"), ["urgent", "normal", "bulk"]);
+});
+
+test("work of a low class is not starved by newer work of a high class", () => {
+  const owner = createBusyOwner();
+  owner.submit("old", { adapter: "a@1", priority: "bulk" });
+  owner.advance(9_000);
+  owner.submit("new", { adapter: "a@1", priority: "urgent" });
+  owner.finish("busy-0");
+  assert.deepEqual(owner.sent("dispatch"), ["old"]);
+});
+
+test("work near its deadline goes before older work of its class", () => {
+  const owner = createBusyOwner();
+  owner.submit("relaxed", { adapter: "a@1" });
+  const deadlineAt = millis(owner.now + 1_500);
+  owner.submit("pressing", { adapter: "a@1", deadlineAt });
+  owner.finish("busy-0");
+  assert.deepEqual(owner.sent("dispatch"), ["pressing"]);
+});
+
+test("long work leaves places for short work that arrives later", () => {
+  const owner = createBusyOwner({ batch: 8, running: 0 });
+  for (let index = 0; index < 8; index++) {
+    owner.submit(`long-${index}`, { adapter: "a@1", expectedTokens: 2_000 });
+  }
+  assert.equal(owner.sent("dispatch").length, 6);
+  owner.clear();
+  owner.submit("short", { adapter: "a@1" });
+  assert.deepEqual(owner.sent("dispatch"), ["short"]);
+});
+
+test("first come, first served lets long work fill the batch", () => {
+  const owner = OwnerHarness.create({ batch: 8 }, baselineEnginePolicies);
+  owner.own();
+  owner.load("a@1");
+  owner.clear();
+  for (let index = 0; index < 8; index++) {
+    owner.submit(`long-${index}`, { adapter: "a@1", expectedTokens: 2_000 });
+  }
+  assert.equal(owner.sent("dispatch").length, 8);
+});
+
+test("long work that has waited for its patience takes a reserved place", () => {
+  const owner = createBusyOwner({ batch: 8, running: 0 });
+  const deadlineAt = millis(owner.now + 100_000);
+  for (let index = 0; index < 8; index++) {
+    const expectedTokens = 2_000;
+    owner.submit(`long-${index}`, {
+      adapter: "a@1",
+      expectedTokens,
+      deadlineAt,
+    });
+  }
+  owner.advance(20_100);
+  assert.equal(owner.sent("dispatch").length, 8);
+});
+
+test("long work keeps only a part of the slots in use, so that cold short work finds one", () => {
+  const owner = OwnerHarness.create({ slots: 4, batch: 16 });
+  owner.own();
+  for (const name of ["a@1", "b@1", "c@1", "d@1"]) owner.load(name);
+  owner.clear();
+  for (const name of ["a@1", "b@1", "c@1"]) {
+    owner.submit(`long-${name}`, { adapter: name, expectedTokens: 2_000 });
+  }
+  assert.equal(owner.sent("dispatch").length, 2);
+  owner.submit("short", { adapter: "e@1" });
+  owner.send({ type: "permit-granted" });
+  assert.deepEqual(owner.sent("unload"), ["d@1"]);
+});
+
+test("a request whose deadline passes in the queue is refused as not run", () => {
+  const owner = createBusyOwner();
+  const deadlineAt = millis(owner.now + 2_000);
+  owner.submit("late", { adapter: "a@1", deadlineAt });
+  owner.advance(2_100);
+  assert.equal(owner.refusals().late, "deadlinePassed not-run");
+  owner.finish("busy-0");
+  assert.deepEqual(owner.sent("dispatch"), []);
+});
+
+test("a full queue refuses as not run and says when to come back", () => {
+  const owner = OwnerHarness.create({ batch: 1, queue: 1 });
+  owner.own();
+  owner.load("a@1");
+  for (const id of ["r1", "r2", "r3"]) owner.submit(id, { adapter: "a@1" });
+  assert.deepEqual(owner.refusals(), { r3: "queueFull not-run" });
+  assert.equal(owner.state.counters.queueFull, 1);
+});
+
+test("cancelled work is not dispatched, and a running stream is ended", () => {
+  const owner = createBusyOwner();
+  owner.submit("waiting", { adapter: "a@1" });
+  owner.cancel("waiting");
+  owner.cancel("busy-0");
+  assert.deepEqual(owner.sent("cancel-stream"), ["busy-0"]);
+  assert.deepEqual(owner.sent("dispatch"), []);
+});
--- /dev/null
+++ b/tests/engine/streams_test.ts
@@ -0,0 +1,108 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { OwnerHarness } from "./harness.ts";
+
+/** Owner with two requests running on adapter a. */
+function createRunningOwner(): OwnerHarness {
+  const owner = OwnerHarness.create();
+  owner.own();
+  owner.load("a@1");
+  owner.submit("r1", { adapter: "a@1" });
+  owner.submit("r2", { adapter: "a@1" });
+  owner.clear();
+  return owner;
+}
+
+test("a broken stream is handed back only after a report, without suspicion if the engine lives", () => {
+  const owner = createRunningOwner();
+  owner.failStream("r1", "broken");
+  assert.deepEqual(owner.sent("request-report").length, 1);
+  assert.deepEqual(owner.refusals(), {});
+  owner.report({ running: ["r2"] });
+  assert.deepEqual(owner.refusals(), { r1: "engineLost may-have-run" });
+});
+
+test("after a restart every request that was running is a suspect", () => {
+  const owner = createRunningOwner();
+  owner.failStream("r1", "broken");
+  owner.boot = "boot-2";
+  owner.report();
+  assert.deepEqual(owner.refusals(), {
+    r1: "engineLost may-have-run suspect",
+    r2: "engineLost may-have-run suspect",
+  });
+  assert.deepEqual(owner.suspects(), ["digest-r1", "digest-r2"]);
+});
+
+test("an engine that does not report within 500 ms has crashed", () => {
+  const owner = createRunningOwner();
+  owner.failStream("r1", "silent");
+  owner.advance(490);
+  assert.deepEqual(owner.refusals(), {});
+  owner.advance(20);
+  assert.equal(owner.refusals().r1, "engineLost may-have-run suspect");
+  owner.submit("r3", { adapter: "a@1" });
+  assert.equal(owner.refusals().r3, "engineRefused not-run");
+});
+
+test("an engine that answers again gets work again", () => {
+  const owner = createRunningOwner();
+  owner.failStream("r1", "broken");
+  owner.advance(600);
+  owner.advance(1_100);
+  owner.report();
+  owner.clear();
+  owner.submit("r3", { adapter: "a@1" });
+  assert.deepEqual(owner.sent("dispatch"), ["r3"]);
+});
+
+test("a request that the engine lacks the adapter for is put back once", () => {
+  const owner = createRunningOwner();
+  owner.failStream("r1", "adapter-missing");
+  assert.deepEqual(owner.refusals(), {});
+  owner.send({ type: "permit-granted" });
+  owner.loaded("a@1");
+  assert.deepEqual(owner.sent("dispatch"), ["r1"]);
+  owner.failStream("r1", "adapter-missing");
+  assert.deepEqual(owner.refusals(), { r1: "engineRefused not-run" });
+});
+
+test("an order that was never sent is reported as not run", () => {
+  for (const kind of ["unreachable", "refused"] as const) {
+    const owner = createRunningOwner();
+    owner.failStream("r1", kind);
+    assert.deepEqual(owner.refusals(), { r1: "engineRefused not-run" });
+  }
+});
+
+test("a suspect runs alone and holds new work back after its patience", () => {
+  const owner = createRunningOwner();
+  owner.submit("suspect", { adapter: "a@1", isolated: true });
+  owner.submit("r3", { adapter: "a@1" });
+  assert.deepEqual(owner.sent("dispatch"), ["r3"]);
+  owner.advance(1_000);
+  owner.submit("r4", { adapter: "a@1" });
+  for (const id of ["r1", "r2", "r3"]) owner.finish(id);
+  assert.deepEqual(owner.sent("dispatch"), ["r3", "suspect"]);
+  owner.finish("suspect");
+  assert.deepEqual(owner.sent("dispatch"), ["r3", "suspect", "r4"]);
+});
+
+test("a suspect that ends whole while alone is cleared", () => {
+  const owner = OwnerHarness.create();
+  owner.own();
+  owner.load("a@1");
+  owner.submit("suspect", { adapter: "a@1", isolated: true });
+  owner.finish("suspect");
+  const cleared = owner.commands.flatMap((command) =>
+    command.type === "clear-suspect" ? [command.digest] : [],
+  );
+  assert.deepEqual(cleared, ["digest-suspect"]);
+});
+
+test("a second submit of a request that is held is ignored and counted", () => {
+  const owner = createRunningOwner();
+  owner.submit("r1", { adapter: "a@1" });
+  assert.deepEqual(owner.commands, []);
+  assert.equal(owner.state.counters.duplicates, 1);
+});
