--- a/src/ports/service.ts
+++ b/src/ports/service.ts
@@ -12,6 +12,8 @@
   readonly body: Uint8Array;
   /** Time to wait for the whole answer, in ms. */
   readonly timeout: Millis;
+  /** The call may run more than once; false unless set. */
+  readonly repeatable?: boolean;
 };
 
 /** Whole answer of a booking service. */
@@ -19,12 +21,14 @@
   readonly status: number;
   readonly contentType: string | undefined;
   readonly body: Uint8Array;
+  /** The server is leaving and says that it did not run the call. */
+  readonly notRun?: "leaving";
 };
 
 /** Why there is no answer. */
 export type ServiceFailure = {
-  /** `not-sent`: no byte of the call left. `broken`, `timeout`: the call may have run. `crossed`: the answer carried another request id. */
-  readonly kind: "not-sent" | "broken" | "timeout" | "crossed";
+  /** `not-sent`: no byte of the call left. `leaving`: the server answered that it takes no new calls and did not run this one. `broken`, `timeout`: the call may have run. `crossed`: the answer carried another request id. */
+  readonly kind: "not-sent" | "leaving" | "broken" | "timeout" | "crossed";
   readonly detail: string;
 };
 
