--- a/tests/engine/loading_test.ts
+++ b/tests/engine/loading_test.ts
@@ -15,6 +15,7 @@
   owner.submit("r1", { adapter: "a@1" });
   owner.submit("r2", { adapter: "a@1" });
   owner.send({ type: "permit-granted" });
+  owner.send({ type: "permit-granted" });
   assert.deepEqual(owner.sent("load"), ["a@1"]);
   owner.loaded("a@1");
   assert.deepEqual(owner.sent("dispatch"), ["r1", "r2"]);
--- a/tests/engine/streams_test.ts
+++ b/tests/engine/streams_test.ts
@@ -49,9 +49,10 @@
   const owner = createRunningOwner();
   owner.failStream("r1", "broken");
   owner.advance(600);
+  owner.clear();
   owner.advance(1_100);
+  assert.equal(owner.sent("request-report").length, 1);
   owner.report();
-  owner.clear();
   owner.submit("r3", { adapter: "a@1" });
   assert.deepEqual(owner.sent("dispatch"), ["r3"]);
 });
