--- a/src/core/engine/reporting.ts
+++ b/src/core/engine/reporting.ts
@@ -1,5 +1,5 @@
 import { millis } from "../clock.ts";
-import type { Digest } from "../ids.ts";
+import type { AdapterKey } from "../ids.ts";
 import { refuse } from "../results/refusal.ts";
 import { leaveEngine } from "./leaving.ts";
 import type { EngineStatus } from "./messages.ts";
@@ -103,17 +103,20 @@
       inherited: true,
       since: now,
       evictableAt: now,
-      lastUsedAt: now,
-      uses: 0,
-      running: countRunning(state.running.values(), adapter),
+      uses: { count: 0, at: now },
+      ...countRunning(state.running.values(), adapter),
     });
   }
 }
 
-function countRunning(streams: Iterable<Running>, adapter: string): number {
-  let count = 0;
-  for (const { work } of streams) if (work.adapter === adapter) count++;
-  return count;
+function countRunning(streams: Iterable<Running>, adapter: AdapterKey) {
+  const counts = { running: 0, runningLong: 0 };
+  for (const { work, long } of streams) {
+    if (work.adapter !== adapter) continue;
+    counts.running++;
+    if (long) counts.runningLong++;
+  }
+  return counts;
 }
 
 /** Handles a report that failed or did not come within its deadline. */
@@ -159,15 +162,17 @@
 function loseEngine(turn: Turn, detail: string): void {
   const { state } = turn;
   record(turn, "engineCrashed", { detail });
-  const digests: Digest[] = [];
-  for (const [requestId, { broken, work }] of [...state.running]) {
+  const digests = [...state.running.values()].map(({ work }) => work.digest);
+  // Named before the requests are handed back, so that routing knows of it.
+  if (digests.length > 0) {
+    turn.commands.push({ type: "suspect", digests, boot: state.boot ?? "" });
+  }
+  for (const [requestId, { broken }] of [...state.running]) {
     removeRunning(state, requestId);
-    digests.push(work.digest);
     if (!broken) turn.commands.push({ type: "cancel-stream", requestId });
     const refusal = refuse("engineLost", detail);
     refuseRequest(turn, requestId, { ...refusal, suspect: true });
   }
-  if (digests.length > 0) turn.commands.push({ type: "suspect", digests });
   dropLoaded(turn);
 }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -17,8 +17,7 @@
 } from "../core/ids.ts";
 import type { SessionSettings } from "../core/lease/state.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
-import { defaultRouteCosts } from "../core/routing/costs.ts";
-import { chooseEngine, type RoutePolicies } from "../core/routing/route.ts";
+import { chooseEngine } from "../core/routing/route.ts";
 import type { AnswerSink, Submission } from "../ports/access.ts";
 import type { ClusterPort } from "../ports/cluster.ts";
 import type { StreamControl } from "../ports/engine.ts";
@@ -37,6 +36,7 @@
 import type { PermitSource, SuspectListener } from "./engine_owner.ts";
 import { EngineOwners, type EngineSetup } from "./engine_owners.ts";
 import { createLifecycleMachine } from "./lifecycle.ts";
+import { RouteDesk } from "./route_desk.ts";
 import {
   type LookupRoute,
   ServiceDesk,
@@ -56,6 +56,7 @@
 /** Content that may crash engines, as this node knows it. */
 export type PoisonPart = SuspectListener & {
   findSuspicion(digest: Digest): Suspicion;
+  stop(): void;
 };
 
 /** Load permits of this node; grants arrive through `Node.grantPermit`. */
@@ -81,7 +82,6 @@
   readonly services: ReadonlyMap<ServiceName, readonly ServiceServer[]>;
   readonly lookups: ReadonlyMap<ServiceName, readonly LookupRoute[]>;
   readonly session: SessionSettings;
-  readonly routePolicies?: RoutePolicies;
   readonly onDemand?: (adapter: AdapterKey) => void;
   /** Called once when a drain has ended. */
   readonly onStopped: () => void;
@@ -123,8 +123,11 @@
     this.drafts = DraftDesk.create({
       ...options,
       directory: this.directory,
-      chooseEngine,
-      routePolicies: options.routePolicies ?? { costs: defaultRouteCosts },
+      routes: RouteDesk.create({
+        ...options,
+        chooseEngine,
+        views: () => this.directory.views(),
+      }),
       resolveModel: (model) => options.configuration.resolveModel(model),
       findSuspicion: (digest) => options.poison.findSuspicion(digest),
       onDemand: options.onDemand ?? (() => {}),
@@ -230,6 +233,7 @@
     this.session.stop();
     this.services.stop();
     this.#options.permits.stop();
+    this.#options.poison.stop();
     for (const owner of this.directory.owners.values()) owner.stop();
   }
 
@@ -245,6 +249,7 @@
       settings: session,
       liveNodes: () =>
         cluster.members().filter((member) => member.state === "alive"),
+      outageConfirmedAt: () => cluster.outageConfirmedAt(),
       onOwnership: (engine, event) =>
         this.owners.handleOwnership(engine, event),
     });
@@ -261,6 +266,7 @@
     if (this.#stopped) return;
     const { clock, cluster } = this.#options;
     cluster.publishEngines(this.directory.ownViews());
+    cluster.publishOutage(this.session.failing);
     this.#cancelPublish = clock.schedule(millis(publishIntervalMillis), () =>
       this.#publish(),
     );
