--- /dev/null
+++ b/src/bench/experiments/cold_stalls.ts
@@ -0,0 +1,147 @@
+import type { AdapterKey, EngineId } from "../../core/ids.ts";
+import { defaultRouteCosts } from "../../core/routing/costs.ts";
+import {
+  chooseEngine,
+  chooseFromSheet,
+  chooseLeastLoaded,
+} from "../../core/routing/route.ts";
+import { createDeskRouter } from "../desk_router.ts";
+import type { Experiment, Figures } from "../experiment.ts";
+import { createSheet, placeByDemand, placeFromSheet } from "../placing.ts";
+import type { RequestRecord } from "../request_record.ts";
+import { createRouter } from "../router.ts";
+import { Simulation, type SimulationOptions } from "../simulation.ts";
+import { Distribution } from "../statistics.ts";
+import {
+  chainHire,
+  createWorkload,
+  instrumentRepair,
+  type UserProfile,
+} from "../workload.ts";
+
+/** Requests/s; six engines serve about 21 of chain hire. */
+const users: Record<string, { profile: UserProfile; rate: number }> = {
+  "chain hire": { profile: chainHire, rate: 12 },
+  "instrument repair": { profile: instrumentRepair, rate: 8 },
+};
+const policies = ["least loaded", "static sheet", "default"];
+
+const DURATION = 180_000;
+const WARM_UP = 30_000;
+/** Spread of the errors of the sheet: a factor of 2.7 is common. */
+const SHEET_ERROR = 1;
+
+async function run(variant: string, seed: number): Promise<Figures> {
+  const [user, policy] = variant.split(", ") as [string, string];
+  const { profile, rate } = users[user] as (typeof users)[string];
+  const arrivals = createWorkload(profile, { seed, rate, duration: DURATION });
+  const simulation = await Simulation.run({
+    seed,
+    arrivals,
+    regions: profile.regions,
+    tail: 10_000,
+    ...createPolicy(policy, { profile, arrivals, seed }),
+  });
+  const measured = simulation.records.filter(
+    ({ arrival }) => arrival.at >= WARM_UP,
+  );
+  return {
+    ...describe(measured),
+    "loads per second":
+      simulation.store.startedAt.filter((at) => at >= WARM_UP).length /
+      ((DURATION - WARM_UP) / 1_000),
+  };
+}
+
+type Setting = {
+  profile: UserProfile;
+  arrivals: SimulationOptions["arrivals"];
+  seed: number;
+};
+
+function createPolicy(
+  policy: string,
+  { profile, arrivals, seed }: Setting,
+): Pick<SimulationOptions, "createRouter" | "prepare"> {
+  const costs = defaultRouteCosts;
+  const sheet = createSheet(profile, { seed, error: SHEET_ERROR });
+  if (policy === "least loaded")
+    return {
+      createRouter: ({ clock }) =>
+        createRouter({ choose: chooseLeastLoaded, costs, clock }),
+    };
+  if (policy === "static sheet") {
+    let homes = new Map<AdapterKey, EngineId[]>();
+    const sheetHomes = (adapter: AdapterKey) => homes.get(adapter) ?? [];
+    return {
+      createRouter: ({ clock }) =>
+        createRouter({
+          choose: chooseFromSheet,
+          costs,
+          clock,
+          policies: { sheetHomes },
+        }),
+      prepare: (simulation) => {
+        homes = placeFromSheet(simulation, { sheet, profile });
+      },
+    };
+  }
+  return {
+    createRouter: ({ clock, region, random }) =>
+      createDeskRouter({
+        region,
+        clock,
+        chooseEngine,
+        random,
+      }),
+    prepare: (simulation) =>
+      placeByDemand(simulation, { arrivals, profile, sheet, startHour: 12 }),
+  };
+}
+
+function describe(records: readonly RequestRecord[]): Figures {
+  const cold = records.filter(({ warm }) => warm === false);
+  const stalls = Distribution.create();
+  const all = Distribution.create();
+  for (const { firstToken } of cold)
+    if (firstToken !== undefined) stalls.record(firstToken);
+  for (const { firstToken } of records)
+    if (firstToken !== undefined) all.record(firstToken);
+  const refused = records.filter(({ refusal }) => refusal !== undefined);
+  return {
+    "share that waits for a load": cold.length / records.length,
+    "cold first token p50 ms": stalls.percentile(50),
+    "cold first token p99 ms": stalls.percentile(99),
+    "first token p50 ms": all.percentile(50),
+    "first token p99 ms": all.percentile(99),
+    "share refused": refused.length / records.length,
+  };
+}
+
+export const experiment: Experiment = {
+  name: "cold_stalls",
+  summary: "Requests that wait for an adapter to load (M1)",
+  variants: Object.keys(users).flatMap((user) =>
+    policies.map((policy) => `${user}, ${policy}`),
+  ),
+  run,
+  comparisons: Object.keys(users).flatMap((user) => [
+    {
+      figure: "share that waits for a load",
+      variant: `${user}, least loaded`,
+      baseline: `${user}, default`,
+      target: { atLeast: 4 },
+    },
+    {
+      figure: "share that waits for a load",
+      variant: `${user}, static sheet`,
+      baseline: `${user}, default`,
+      target: { atLeast: 2 },
+    },
+  ]),
+  targets: Object.keys(users).map((user) => ({
+    figure: "cold first token p99 ms",
+    variant: `${user}, default`,
+    target: { atMost: 1_000 },
+  })),
+};
--- /dev/null
+++ b/src/bench/placing.ts
@@ -0,0 +1,133 @@
+import { millis } from "../core/clock.ts";
+import type { Catalog, CatalogEntry } from "../core/config/catalog.ts";
+import {
+  type AdapterKey,
+  type AdapterName,
+  brandNumber,
+  brandString,
+  type EngineId,
+  parseAdapterKey,
+} from "../core/ids.ts";
+import { HomeCache, placeAdapters } from "../core/placement/copies.ts";
+import {
+  createPlacementState,
+  decidePlacement,
+  type PlacementEvent,
+} from "../core/placement/placement.ts";
+import { createRandom } from "./random.ts";
+import { type Simulation, todaysLimits } from "./simulation.ts";
+import { type Arrival, nameAdapter, type UserProfile } from "./workload.ts";
+
+/** Slots of an engine that placement leaves to loads on demand. */
+const FREE_SLOTS = 1;
+const TICK = 1_000;
+const MS_PER_HOUR = 3_600_000;
+
+/** Sheet of a user: true popularity with errors, as planners would guess it. */
+export function createSheet(
+  profile: UserProfile,
+  options: {
+    seed: number;
+    /** Standard deviation of the logarithm of the error. */
+    error: number;
+    busyOf?: (rank: number) => CatalogEntry["busy"];
+  },
+): Catalog {
+  const random = createRandom(options.seed ^ 0x5ee7);
+  const adapters = new Map<AdapterName, CatalogEntry>();
+  for (let rank = 0; rank < profile.adapters; rank++) {
+    const { name, version } = parseAdapterKey(nameAdapter(rank));
+    const noise = Math.exp(options.error * drawNormal(random));
+    adapters.set(name, {
+      name,
+      versions: [version],
+      busy: options.busyOf?.(rank) ?? [{ from: 0, to: 24 }],
+      weight: noise / (rank + 1) ** profile.zipf,
+    });
+  }
+  return {
+    revision: brandNumber(1),
+    digest: brandString("sheet"),
+    adapters,
+  };
+}
+
+function drawNormal(random: () => number): number {
+  const radius = Math.sqrt(-2 * Math.log(1 - random()));
+  return radius * Math.cos(2 * Math.PI * random());
+}
+
+/** Places adapters by the product's rules, from what the entry nodes of each region see. */
+export function placeByDemand(
+  simulation: Simulation,
+  options: {
+    arrivals: readonly Arrival[];
+    profile: UserProfile;
+    sheet: Catalog;
+    /** Hour of the day at the start. */
+    startHour: number;
+  },
+): void {
+  const { clock, hosts } = simulation;
+  const hourAt = (at: number) => (options.startHour + at / MS_PER_HOUR) % 24;
+  for (const region of options.profile.regions) {
+    let state = createPlacementState(clock.now());
+    const send = (event: PlacementEvent): void => {
+      const decision = decidePlacement(state, event, clock.now());
+      state = decision.state;
+      for (const { engine, adapters } of decision.commands)
+        hosts.get(engine)?.place(adapters);
+    };
+    send({
+      type: "engines",
+      engines: listEngines(simulation).filter(({ engine }) =>
+        engine.startsWith(region),
+      ),
+    });
+    send({ type: "catalog", catalog: options.sheet });
+    for (const { at, adapter, region: from } of options.arrivals)
+      if (from === region)
+        clock.schedule(millis(at), () =>
+          send({ type: "request-seen", adapter, hour: hourAt(at) }),
+        );
+    const tick = (): void => {
+      send({ type: "tick", hour: hourAt(clock.now()) });
+      clock.schedule(millis(TICK), tick);
+    };
+    tick();
+  }
+}
+
+/** Places the adapters of the sheet once, by weight, and returns where each one is. */
+export function placeFromSheet(
+  simulation: Simulation,
+  options: { sheet: Catalog; profile: UserProfile },
+): Map<AdapterKey, EngineId[]> {
+  const homes = new Map<AdapterKey, EngineId[]>();
+  const ranked = [...options.sheet.adapters.values()]
+    .sort((a, b) => b.weight - a.weight)
+    .map(({ name }) => brandString<AdapterKey>(`${name}@1`));
+  for (const region of options.profile.regions) {
+    const engines = listEngines(simulation).filter(({ engine }) =>
+      engine.startsWith(region),
+    );
+    const cache = HomeCache.create();
+    cache.setEngines(engines);
+    const copies = new Map(ranked.map((adapter) => [adapter, 1]));
+    const placed = placeAdapters(copies, { engines, homes: cache });
+    for (const [engine, adapters] of placed) {
+      simulation.hosts.get(engine)?.place(adapters);
+      for (const adapter of adapters)
+        homes.set(adapter, [...(homes.get(adapter) ?? []), engine]);
+    }
+  }
+  return homes;
+}
+
+function listEngines({ hosts }: Simulation) {
+  return [...hosts.keys()].map((engine) => ({
+    engine,
+    weight: 1,
+    places: todaysLimits.slots - FREE_SLOTS,
+  }));
+}
--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -8,6 +8,7 @@
 } from "../core/engine/mod.ts";
 import {
   brandString,
+  type Digest,
   type EngineId,
   type NodeId,
   type Region,
@@ -17,7 +18,8 @@
 import type { Refusal } from "../core/results/refusal.ts";
 import type { RouteChoice, RouteRequest } from "../core/routing/route.ts";
 import type { EngineView } from "../core/routing/view.ts";
-import { DraftRequest } from "../node/draft_request.ts";
+import { type AttemptObserver, DraftRequest } from "../node/draft_request.ts";
+import type { RoutedWork } from "../node/route_desk.ts";
 import type { AnswerSink, EngineAccess } from "../ports/access.ts";
 import { silentJournal } from "../ports/journal.ts";
 import {
@@ -39,13 +41,22 @@
       readonly views: readonly EngineView[];
       readonly now: Millis;
       readonly random: () => number;
+      readonly work: RoutedWork;
+      readonly history: DraftHistory;
     },
   ): Either<Refusal, RouteChoice>;
   /** Second engine for a request that has waited this long without a token. */
   hedge?(
     arrival: Arrival,
-    options: { history: DraftHistory; waited: Millis },
+    options: {
+      history: DraftHistory;
+      waited: Millis;
+      work: RoutedWork;
+      views: readonly EngineView[];
+    },
   ): Maybe<DraftTarget>;
+  /** Observer of the attempts of one request. */
+  observe?(work: RoutedWork): AttemptObserver;
   /** An attempt was sent to an engine. */
   onSubmit?(engine: EngineId): void;
   /** An attempt got its first token after `elapsed` ms. */
@@ -64,6 +75,7 @@
     node: NodeId;
     region: Region;
     clock: Clock;
+    random: () => number;
   }) => Router;
   readonly policies?: EnginePolicies;
   readonly limits?: Partial<EngineLimits>;
@@ -173,6 +185,7 @@
         node: brandString<NodeId>(`${region}-node-${index}`),
         region,
         clock: this.clock,
+        random: this.random,
       }),
     );
   }
@@ -207,19 +220,20 @@
     const record = RequestRecord.create(arrival, requestId);
     this.records.push(record);
     const deadlineAt = findDeadline(arrival);
+    const work = {
+      requestId,
+      adapter: arrival.adapter,
+      customer: arrival.customer,
+      priority: arrival.kind.priority,
+      expectedTokens: arrival.tokens,
+      arrivedAt: this.clock.now(),
+      deadlineAt,
+      digest: brandString<Digest>(`${arrival.adapter}/${index}`),
+      prefix: brandString<Digest>(arrival.kind.name),
+    };
     DraftRequest.create({
       call: {
-        work: {
-          requestId,
-          adapter: arrival.adapter,
-          customer: arrival.customer,
-          priority: arrival.kind.priority,
-          expectedTokens: arrival.tokens,
-          arrivedAt: this.clock.now(),
-          deadlineAt,
-          digest: brandString(`${arrival.adapter}/${index}`),
-          prefix: brandString(arrival.kind.name),
-        },
+        work,
         path: "/v1/completions",
         body: writeBody(arrival),
         isolated: false,
@@ -227,7 +241,7 @@
       sink: record.createSink(this.clock),
       access: this.#createAccess(record, router),
       policies: {
-        choose: ({ tried }) =>
+        choose: (history) =>
           router.choose(
             {
               adapter: arrival.adapter,
@@ -235,19 +249,30 @@
               deadlineAt,
               expectedTokens: arrival.tokens,
               region: arrival.region,
-              tried: new Set(tried),
+              tried: new Set(history.tried),
+            },
+            {
+              views: this.#views,
+              now: this.clock.now(),
+              random: this.random,
+              work,
+              history,
             },
-            { views: this.#views, now: this.clock.now(), random: this.random },
           ),
         hedge: (history, waited) =>
-          router.hedge?.(arrival, { history, waited }) ?? Nothing,
+          router.hedge?.(arrival, {
+            history,
+            waited,
+            work,
+            views: this.#views,
+          }) ?? Nothing,
         takeRetry: () => true,
         random: this.random,
       },
       clock: this.clock,
       journal: silentJournal,
       onClose() {},
-      observer: {
+      observer: router.observe?.(work) ?? {
         onSubmit: (engine) => router.onSubmit?.(engine),
         onFirstToken() {},
         onClose() {},
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -98,8 +98,11 @@
 > = (state, event, now) => {
   switch (event.type) {
     case "engines":
-      state.engines = event.engines;
-      state.homes.setEngines(event.engines);
+      // Homes are remembered while the engines stay the same.
+      if (!isSameSet(state.engines, event.engines)) {
+        state.engines = event.engines;
+        state.homes.setEngines(event.engines);
+      }
       return { state, commands: [] };
     case "catalog":
       state.forecast = createForecast(event.catalog, state.forecast);
@@ -206,6 +209,23 @@
   return rates;
 }
 
+function isSameSet(
+  before: readonly PlacementEngine[],
+  after: readonly PlacementEngine[],
+): boolean {
+  return (
+    before.length === after.length &&
+    before.every((entry, index) => {
+      const other = after[index];
+      return (
+        other?.engine === entry.engine &&
+        other.weight === entry.weight &&
+        other.places === entry.places
+      );
+    })
+  );
+}
+
 function isSameList(
   before: readonly AdapterKey[],
   after: readonly AdapterKey[],
