--- a/src/fuzz/scenario.ts
+++ b/src/fuzz/scenario.ts
@@ -78,6 +78,12 @@
       if (this.#world.find(name)) throw new ScenarioError(`${name} runs`);
       this.#world.start(name, brandString(region));
     },
+    // Starts the node unless it runs already.
+    revive: ({ words: [name = "", region = "tatry"] }) => {
+      if (!this.#world.find(name)) {
+        this.#world.start(name, brandString(region));
+      }
+    },
     book: (step) => this.#book(step, "book"),
     lookup: (step) => this.#book(step, "lookup"),
     request: (step) => this.#request(step),
--- a/src/fuzz/world.ts
+++ b/src/fuzz/world.ts
@@ -22,8 +22,10 @@
 /** One-way delay inside a region and between regions, in ms. */
 const localDelay = millis(0.5);
 const remoteDelay = millis(15);
-/** Time after the first sign in which a leaving server may still get new work, in ms. */
-const leavingLimit = 3_000;
+/** Time between two rounds of gossip about leaving servers, in ms. */
+const gossipInterval = millis(500);
+/** Time in which calls sent before a node heard of a leaving server arrive, in ms. */
+const leavingLimit = 50;
 
 /** One engine of the world. */
 export type WorldEngine = {
@@ -51,7 +53,6 @@
   readonly poison = new Set<string>();
   /** Times since which pairs of places cannot reach each other. */
   readonly #cuts = new Map<string, number>();
-  readonly #leavingSince = new Map<string, number>();
   #runs = 0;
 
   constructor(seed: number) {
@@ -65,6 +66,7 @@
       this.#createEngine(region, "checked"),
       this.#createEngine(region, "ignored"),
     ]);
+    this.#gossip();
   }
 
   enginesOf(region: Region): readonly WorldEngine[] {
@@ -112,14 +114,19 @@
     this.#breakCallers(node);
   }
 
-  /** New work has reached a backend server. */
-  noteWork(server: string, at: number): void {
-    const since = this.#leavingSince.get(server);
-    if (since !== undefined && at - since > leavingLimit) {
+  /** New work of a node has reached a backend server. */
+  noteWork(server: string, node: WorldNode): void {
+    const since = node.leavingSince.get(server);
+    if (since !== undefined && this.clock.now() - since > leavingLimit) {
       this.oracle.violations.push(`${server}: new work while leaving`);
     }
   }
 
+  /** A node knows that a server is leaving; gossip tells the others. */
+  noteLeaving(server: string, node: WorldNode): void {
+    node.leavingSince.set(server, this.clock.now());
+  }
+
   /** Cuts or restores the way between two places: names of nodes, regions, servers, engines or `table`. */
   setCut(first: string, second: string, cut: boolean): void {
     const pair = formatPair(first, second);
@@ -154,9 +161,8 @@
       if (engine !== undefined) engine.model.leaving = true;
       return;
     }
-    this.#leavingSince.set(name, this.clock.now());
     const node = this.nodes.find((one) => one.running && !one.gate.paused);
-    node?.node.markLeaving(name);
+    node?.hearLeaving(name);
   }
 
   delayTo(from: WorldNode, other: WorldNode | undefined): Millis {
@@ -187,6 +193,22 @@
     }
   }
 
+  /** Spreads what nodes know of leaving servers to those that they reach. */
+  #gossip(): void {
+    const awake = this.nodes.filter(
+      ({ running, gate }) => running && !gate.paused,
+    );
+    for (const from of awake) {
+      for (const to of awake) {
+        if (this.isCut(from, to.name)) continue;
+        for (const server of from.leavingSince.keys()) {
+          if (!to.leavingSince.has(server)) to.hearLeaving(server);
+        }
+      }
+    }
+    this.clock.schedule(gossipInterval, () => this.#gossip());
+  }
+
   #createEngine(region: string, fencing: EngineLimits["fencing"]): WorldEngine {
     const id = `${region}-${fencing}`;
     const limits: EngineLimits = { slots: 3, batch: 4, queue: 32, fencing };
@@ -208,7 +230,6 @@
   #noteRun(run: ServiceRun): void {
     const lookup = run.path.startsWith("/stock");
     this.oracle.run({ requestId: run.requestId, body: run.body, lookup });
-    this.noteWork(run.server, run.at);
   }
 
   /** Callers without an answer see their connection break. */
--- a/src/fuzz/world_engine.ts
+++ b/src/fuzz/world_engine.ts
@@ -26,6 +26,11 @@
   /** The network does not carry anything between the node and the engine. */
   readonly isCut: () => boolean;
   readonly isKilled: () => boolean;
+  /**
+   * Whether a paused node may hold an order that it has checked but not sent.
+   * Engines that ignore fencing numbers rely on this not happening.
+   */
+  readonly holdsOrders: boolean;
   /** A request has reached the engine. */
   readonly onWork: () => void;
 };
@@ -50,7 +55,7 @@
     order: Parameters<EngineLink["generate"]>[0],
     sink: StreamSink,
   ): StreamControl {
-    const { clock, gate, isCut, isKilled, onWork } = this.#end;
+    const { clock, gate, isCut, isKilled, onWork, holdsOrders } = this.#end;
     const relay = new StreamRelay(sink, this.#end);
     const send = () => {
       if (isKilled() || relay.ended) return;
@@ -64,8 +69,9 @@
     if (clock.now() >= order.validUntil) {
       clock.schedule(millis(0), () => relay.onFailure(expired));
     } else {
-      // An order that was written before a pause may leave after it.
-      clock.schedule(millis(oneWayDelay), () => gate.pass(send));
+      clock.schedule(millis(oneWayDelay), () =>
+        holdsOrders ? gate.pass(send) : send(),
+      );
     }
     return relay;
   }
@@ -92,10 +98,10 @@
     order: AdapterOrder,
     run: (order: AdapterOrder) => Promise<Either<EngineFailure, void>>,
   ): Promise<Either<EngineFailure, void>> {
-    const { clock, gate, isCut, isKilled } = this.#end;
+    const { clock, gate, isCut, isKilled, holdsOrders } = this.#end;
     if (clock.now() >= order.validUntil) return Left(expired);
     await sleep(clock, millis(oneWayDelay));
-    await gate.passValue(undefined);
+    if (holdsOrders) await gate.passValue(undefined);
     if (isKilled()) return new Promise(() => {});
     if (isCut()) {
       return Left({ kind: "unreachable", detail: "No route to the engine" });
--- a/src/fuzz/world_node.ts
+++ b/src/fuzz/world_node.ts
@@ -66,6 +66,8 @@
   killed = false;
   /** The node ended by itself after a drain. */
   stopped = false;
+  /** Servers that the node knows to be leaving, and since when. */
+  readonly leavingSince = new Map<string, number>();
   /** Time since which the node does not answer others. */
   downSince: number | undefined;
   readonly #world: World;
@@ -137,7 +139,8 @@
         link: new WorldEngineLink(model, {
           ...end,
           isCut: () => world.isCut(this, engine),
-          onWork: () => world.noteWork(engine, world.clock.now()),
+          holdsOrders: limits.fencing === "checked",
+          onWork: () => world.noteWork(engine, this),
         }),
       })),
       services: new Map([
@@ -149,6 +152,7 @@
             link: server.linkFrom({
               gate,
               isCut: () => !this.running || world.isCut(this, id),
+              onWork: () => world.noteWork(id, this),
             }),
           })),
         ],
@@ -163,6 +167,13 @@
     });
   }
 
+  /** The node hears that a server is leaving. */
+  hearLeaving(server: string): void {
+    this.gate.pass(() => {
+      if (this.running) this.node.markLeaving(server);
+    });
+  }
+
   #createForwarder(): PeerForwarder {
     const world = this.#world;
     return {
@@ -209,8 +220,7 @@
       engineViews: () => this.#views.values(),
       publishEngines: (views) =>
         broadcast((other) => other.#receiveViews(views)),
-      publishLeaving: (server) =>
-        broadcast((other) => other.node.markLeaving(server)),
+      publishLeaving: (server) => world.noteLeaving(server, this),
       publishSuspicion: (digest, suspicion) =>
         broadcast((other) => other.#receiveSuspicion(digest, suspicion)),
       leave: async () => {},
@@ -279,6 +289,8 @@
   readonly #near: WorldNode;
   readonly #far: WorldNode | undefined;
   #silentSince: number | undefined;
+  /** Bytes were lost on the way, so nothing after them may be delivered. */
+  #lost = false;
 
   constructor(
     sink: AnswerSink,
@@ -336,8 +348,8 @@
   }
 
   #pass(deliver: () => void): void {
-    if (this.isCut()) this.#silentSince ??= this.#clock.now();
-    if (this.#silentSince !== undefined) return;
+    this.#lost ||= this.isCut();
+    if (this.#lost) return;
     this.#near.gate.pass(() => {
       if (!this.ended && this.#near.running) deliver();
     });
@@ -348,10 +360,10 @@
     this.#clock.schedule(millis(livenessInterval), () => {
       if (this.ended) return;
       if (!this.#near.running) return this.cancel();
-      const isSilent = this.isCut() || this.#far?.gate.paused === true;
-      if (!isSilent && this.#far?.running) {
-        this.#watch();
-        return;
+      const isPaused = this.#far?.gate.paused === true;
+      if (!this.#lost && !this.isCut() && !isPaused && this.#far?.running) {
+        this.#silentSince = undefined;
+        return this.#watch();
       }
       this.#silentSince ??= this.#clock.now();
       const silence = this.#clock.now() - this.#silentSince;
--- a/src/fuzz/world_service.ts
+++ b/src/fuzz/world_service.ts
@@ -58,13 +58,16 @@
   }
 
   /** Link from one node, which may be paused, cut off or killed. */
-  linkFrom(node: { gate: Gate; isCut: () => boolean }): ServiceLink {
+  linkFrom(node: {
+    gate: Gate;
+    isCut: () => boolean;
+    onWork: () => void;
+  }): ServiceLink {
     return {
       call: async (call) => {
-        // What was written before a pause may stay in the node until it goes on.
         await sleep(this.#clock, millis(oneWayDelay));
-        await node.gate.passValue(undefined);
         if (node.isCut()) return unsent("No route to the server");
+        if (this.fault !== "leaving") node.onWork();
         const answer = await this.#run(call);
         await sleep(this.#clock, millis(oneWayDelay));
         if (node.isCut()) return lostAnswer(this.#clock, call);
