Release only a claim of the same call

The first write of an outcome or release assumed row version 1 even when it was not known whether the claim had taken effect, so it could overwrite the claim of another call with the same key, and the key ran again. Such a write now requires the row to be absent and otherwise looks at the token of the claim that it finds.

--- a/src/core/booking/call.ts
+++ b/src/core/booking/call.ts
@@ -37,6 +37,7 @@
   return {
     ...options,
     phase: "new",
+    claimVersion: "absent",
     found: undefined,
     claimRounds: 0,
     sends: 0,
@@ -97,7 +98,14 @@
   if (state.phase !== "answered") commands.push({ type: "answer", answer });
   if (state.claim !== undefined) {
     const { claim } = state;
-    commands.push({ type: "settle", claim, state: "recorded", answer });
+    const version = state.claimVersion;
+    commands.push({
+      type: "settle",
+      claim,
+      version,
+      state: "recorded",
+      answer,
+    });
   }
   return close(state, commands);
 }
@@ -109,7 +117,8 @@
   ];
   if (state.phase !== "answered") commands.push({ type: "refuse", refusal });
   if (state.claim !== undefined) {
-    commands.push({ type: "settle", claim: state.claim, state: "unknown" });
+    const { claim, claimVersion: version } = state;
+    commands.push({ type: "settle", claim, version, state: "unknown" });
   }
   return close(state, commands);
 }
--- a/src/core/booking/call_claim.ts
+++ b/src/core/booking/call_claim.ts
@@ -48,11 +48,14 @@
   if (state.phase !== "claiming") return { state, commands: [] };
   switch (result.kind) {
     case "written":
-      return send(state, {
-        now,
-        budget: "none",
-        record: { type: "record", event: "callClaimed", detail: "" },
-      });
+      return send(
+        { ...state, claimVersion: result.version },
+        {
+          now,
+          budget: "none",
+          record: { type: "record", event: "callClaimed", detail: "" },
+        },
+      );
     case "conflict":
       return judge(state, result.current, now);
     case "failed": {
--- a/src/core/booking/call_messages.ts
+++ b/src/core/booking/call_messages.ts
@@ -52,6 +52,11 @@
     | "ended";
   /** Claim of this call; only for keyed calls. */
   readonly claim: Claim | undefined;
+  /**
+   * Version that the claim row has after the claim; `absent` while it is not
+   * known whether the claim took effect.
+   */
+  readonly claimVersion: number | "absent";
   /** Wall-clock time minus node time, in ms. */
   readonly wallOffset: number;
   /** Time after which a lookup is sent to a second server, in ms. */
@@ -91,6 +96,7 @@
   | {
       readonly type: "settle";
       readonly claim: Claim;
+      readonly version: number | "absent";
       readonly state: "recorded" | "unknown" | "released";
       readonly answer?: CallAnswer;
     }
--- a/src/core/booking/call_send.ts
+++ b/src/core/booking/call_send.ts
@@ -67,7 +67,12 @@
   return {
     state: { ...state, phase: "releasing", fallback: refusal },
     commands: [
-      { type: "settle", claim: state.claim, state: "released" },
+      {
+        type: "settle",
+        claim: state.claim,
+        version: state.claimVersion,
+        state: "released",
+      },
       { type: "set-timer", at: millis(now + releasePatience) },
     ],
   };
--- a/src/core/booking/writer.ts
+++ b/src/core/booking/writer.ts
@@ -218,7 +218,9 @@
   const answered = { ...state, failures: 0, retryAt: now };
   if (result.kind === "committed") {
     for (const { order } of orders) {
-      commands.push({ type: "notify", order, result: { kind: "written" } });
+      const version = order.version === "absent" ? 1 : order.version + 1;
+      const written: WriteResult = { kind: "written", version };
+      commands.push({ type: "notify", order, result: written });
     }
     return pump(answered, commands, now);
   }
@@ -261,7 +263,9 @@
     commands.push({ type: "notify", order, result });
     return [];
   };
-  if (found?.write === order.claim.write) return finish({ kind: "written" });
+  if (row !== undefined && found?.write === order.claim.write) {
+    return finish({ kind: "written", version: row.version });
+  }
   if (order.mode === "exact") return finish({ kind: "conflict", current: row });
   if (row !== undefined && !canSettle(found, order.claim)) {
     return finish({ kind: "conflict", current: row });
--- a/src/core/booking/writer_messages.ts
+++ b/src/core/booking/writer_messages.ts
@@ -23,7 +23,8 @@
 
 /** What became of an order. */
 export type WriteResult =
-  | { readonly kind: "written" }
+  /** Certain to have taken effect; `version` is what it gave the row, assumed to be 1 where the row was absent. */
+  | { readonly kind: "written"; readonly version: number }
   | { readonly kind: "conflict"; readonly current: FoundRow }
   /** Given up; the row may still hold the write when `maybeApplied` is set. */
   | { readonly kind: "failed"; readonly maybeApplied: boolean };
--- a/src/node/service_request.ts
+++ b/src/node/service_request.ts
@@ -159,6 +159,7 @@
 
   #settle(order: {
     claim: Claim;
+    version: number | "absent";
     state: Claim["state"];
     answer?: CallAnswer;
   }): void {
@@ -172,9 +173,8 @@
       state: order.state,
       ...(answer === undefined ? {} : { answer }),
     });
-    // A row that was never deleted has version 1 after the claim; the writer
-    // corrects the version from the table's answer otherwise.
-    const row = { mode: "settle", claim, version: 1 } as const;
+    const { version } = order;
+    const row = { mode: "settle", claim, version } as const;
     write({ ...row, giveUpAt: clock.now() }, () => {
       journal.record("callSettled", {
         requestId: order.claim.requestId,
