Tell a lookup that ran at one server as may-have-run

When the first server could not be reached and a later one ran the lookup but lost the answer, the caller was told not-run. A send that may have run now outweighs one that did not. Scenario lookup_ran_then_unreachable fails without the change.

--- a/src/core/booking/call.ts
+++ b/src/core/booking/call.ts
@@ -148,10 +148,7 @@
   // A refused hedge says nothing about the sends that are still open.
   const isDenied = result.kind === "denied";
   if (isDenied && state.open > 0) return { state, commands: [] };
-  const fallback =
-    result.kind === "answer"
-      ? result.answer
-      : (state.fallback ?? describeFailure(result));
+  const fallback = chooseFallback(state, result);
   const next = { ...state, fallback };
   if (next.open > 0) return { state: next, commands: [] };
   const spent =
@@ -169,6 +166,19 @@
   };
 }
 
+/** What the caller is told if nothing better comes: a send that may have run outweighs one that did not. */
+function chooseFallback(
+  state: CallState,
+  result: SendResult,
+): CallAnswer | Refusal {
+  if (result.kind === "answer") return result.answer;
+  const { fallback } = state;
+  const outweighed =
+    fallback === undefined ||
+    ("code" in fallback && fallback.outcome === "not-run");
+  return outweighed ? describeFailure(result) : fallback;
+}
+
 function handleWake(state: CallState, now: Millis): CallDecision {
   if (state.phase === "releasing") return close(state, []);
   if (state.phase === "answered") {
@@ -191,9 +201,17 @@
 }
 
 function handleDeadline(state: CallState, now: Millis): CallDecision {
-  const refusal = refuse("serviceTimeout", "No answer before the deadline");
+  const detail = "No answer before the deadline";
+  const refusal = refuse("serviceTimeout", detail);
   if (state.kind === "lookup") {
-    return finish(state, state.fallback ?? refusal);
+    const { fallback, open } = state;
+    const last: SendResult = { kind: "timeout", detail };
+    return finish(
+      state,
+      fallback === undefined || open > 0
+        ? chooseFallback(state, last)
+        : fallback,
+    );
   }
   if (state.kind === "once") return recordUnknown(state, refusal);
   if (state.phase !== "sending") return { state, commands: [] };
