Use the memory table in booking tests and heed a server's not-run answer

A leaving server says so on its answer; the pool took that answer for the outcome of the call and recorded it. It now counts as not run, and another server is tried. Lookups are marked as repeatable for the service client. The table and service fakes of the booking tests give way to the memory table with fault switches and the servers of the fuzzed world.

--- a/src/fuzz/scenario.ts
+++ b/src/fuzz/scenario.ts
@@ -326,14 +326,6 @@
         const engine = world.engines.find((one) => one.engine === name);
         return [String(engine?.model.crashes)];
       }
-      case "claims":
-        return [
-          String(
-            [...world.rows.rows.keys()].filter((key) =>
-              key.startsWith("claim/"),
-            ).length,
-          ),
-        ];
       default:
         return describeTold(world.oracle.told.get(subject));
     }
--- a/src/fuzz/world.ts
+++ b/src/fuzz/world.ts
@@ -9,11 +9,12 @@
   type ServiceName,
 } from "../core/ids.ts";
 import { EngineModel } from "../standins/engine_model.ts";
+import { MemoryTable } from "../standins/memory_table.ts";
 import { WeightStore } from "../standins/weight_store.ts";
 import { Oracle } from "./oracle.ts";
 import { WorldNode } from "./world_node.ts";
 import { type ServiceRun, WorldServer } from "./world_service.ts";
-import { MemoryRows, type TableFault } from "./world_table.ts";
+import type { TableFault } from "./world_table.ts";
 
 /** Regions of the world; each has one data centre with two engines. */
 export const worldRegions = ["tatry", "beskidy", "sudety"] as const;
@@ -38,7 +39,7 @@
 /** Nodes, back ends and platform of one installation in one process, on virtual time. */
 export class World {
   readonly clock = VirtualClock.create();
-  readonly rows = new MemoryRows();
+  readonly rows = MemoryTable.create(this.clock);
   readonly oracle = new Oracle();
   readonly service: ServiceName = brandString("depot");
   readonly servers = new Map<string, WorldServer>();
--- a/src/fuzz/world_service.ts
+++ b/src/fuzz/world_service.ts
@@ -82,7 +82,8 @@
     const { fault } = this;
     if (fault === "unreachable") return unsent("Connection refused");
     if (fault === "leaving") {
-      return Left({ kind: "leaving", detail: "The server is leaving" });
+      const answer = { status: 503, contentType: undefined };
+      return Right({ ...answer, body: Buffer.from(""), notRun: "leaving" });
     }
     const { requestId, path } = call;
     const body = Buffer.from(call.body).toString();
--- a/src/fuzz/world_table.ts
+++ b/src/fuzz/world_table.ts
@@ -1,4 +1,4 @@
-import { type Either, Left, Right } from "purify-ts";
+import { type Either, Left } from "purify-ts";
 import { type Clock, millis, sleep } from "../core/clock.ts";
 import type { RowKey } from "../core/ids.ts";
 import type {
@@ -85,47 +85,3 @@
     return this.#gate.passValue(heard);
   }
 }
-
-/** Rows in memory; each row's version goes up for ever. */
-export class MemoryRows implements TableService {
-  readonly rows = new Map<RowKey, Row>();
-  readonly #versions = new Map<RowKey, number>();
-  transactions = 0;
-
-  async read(key: RowKey): Promise<Either<TableFailure, Row | undefined>> {
-    return Right(this.rows.get(key));
-  }
-
-  async scan(prefix: string): Promise<Either<TableFailure, readonly Row[]>> {
-    const rows = [...this.rows.values()];
-    return Right(
-      rows
-        .filter(({ key }) => key.startsWith(prefix))
-        .sort((a, b) => (a.key < b.key ? -1 : 1)),
-    );
-  }
-
-  async transact(
-    transaction: Transaction,
-  ): Promise<Either<TableFailure, TransactionResult>> {
-    this.transactions++;
-    const failed = transaction.conditions.filter(
-      ({ key, version }) =>
-        (this.rows.get(key)?.version ?? "absent") !== version,
-    );
-    if (failed.length > 0) {
-      const entries = failed.map(
-        ({ key }) => [key, this.rows.get(key)] as const,
-      );
-      return Right({ kind: "conflict", current: new Map(entries) });
-    }
-    for (const { key, value } of transaction.writes) {
-      const version = (this.#versions.get(key) ?? 0) + 1;
-      this.#versions.set(key, version);
-      const { attempt } = transaction;
-      if (value === undefined) this.rows.delete(key);
-      else this.rows.set(key, { key, version, value, attempt });
-    }
-    return Right({ kind: "committed" });
-  }
-}
--- a/src/node/server_pool.ts
+++ b/src/node/server_pool.ts
@@ -150,6 +150,9 @@
   const answer = await link.call(call);
   return answer.caseOf<SendResult>({
     Left: ({ kind, detail }) => ({ kind, detail }),
-    Right: (whole) => ({ kind: "answer", answer: whole }),
+    Right: ({ notRun, ...whole }) =>
+      notRun === undefined
+        ? { kind: "answer", answer: whole }
+        : { kind: notRun, detail: "The server takes no new calls" },
   });
 }
--- a/src/node/service_request.ts
+++ b/src/node/service_request.ts
@@ -34,7 +34,7 @@
   readonly requestId: RequestId;
   readonly deadlineAt: Millis;
   readonly claim: Claim | undefined;
-  readonly request: Omit<ServiceCall, "requestId" | "timeout">;
+  readonly request: Omit<ServiceCall, "requestId" | "timeout" | "repeatable">;
 };
 
 /** What the task of one call needs. */
@@ -226,7 +226,9 @@
     journal.record("callSent", { requestId: call.requestId, server });
     const timeout = millis(order.awaitUntil - now);
     const { requestId, request } = call;
-    const result = await pool.call(server, { ...request, requestId, timeout });
+    const repeatable = call.kind === "lookup";
+    const sent = { ...request, requestId, timeout, repeatable };
+    const result = await pool.call(server, sent);
     this.#tell({ type: "result", result });
   }
 
--- a/src/ports/service.ts
+++ b/src/ports/service.ts
@@ -27,8 +27,8 @@
 
 /** Why there is no answer. */
 export type ServiceFailure = {
-  /** `not-sent`: no byte of the call left. `leaving`: the server answered that it takes no new calls and did not run this one. `broken`, `timeout`: the call may have run. `crossed`: the answer carried another request id. */
-  readonly kind: "not-sent" | "leaving" | "broken" | "timeout" | "crossed";
+  /** `not-sent`: no byte of the call left. `broken`, `timeout`: the call may have run. `crossed`: the answer carried another request id. */
+  readonly kind: "not-sent" | "broken" | "timeout" | "crossed";
   readonly detail: string;
 };
 
--- a/tests/booking/claim_sweep_test.ts
+++ b/tests/booking/claim_sweep_test.ts
@@ -1,11 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import { claimRetention } from "../../src/core/booking/claim.ts";
 import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
 import { ClaimSweep } from "../../src/node/claim_sweep.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
-import { BookingSetup, createRandom } from "./setup.ts";
+import { BookingSetup } from "./setup.ts";
 
 const hour = 3_600_000;
 
@@ -15,24 +16,23 @@
   await setup.tell(node, { key: "old" });
   await setup.clock.advance(millis(claimRetention / 2));
   await setup.tell(node, { key: "new" });
-  const countClaims = () =>
-    [...setup.table.rows.keys()].filter((key) => key.startsWith("claim/"))
-      .length;
+  const countClaims = async () =>
+    (await setup.rows.scan("claim/")).orDefault([]).length;
   await setup.clock.advance(millis(claimRetention / 2 - hour));
   const sweep = ClaimSweep.create({
     clock: setup.clock,
     table: setup.table,
     meter: silentMeter,
-    random: createRandom(3),
+    random: createSeededRandom(3),
     nodeId: node.id,
     services: [brandString("depot")],
     interval: millis(250),
   });
   await setup.clock.advance(millis(hour / 2));
-  assert.equal(countClaims(), 2);
+  assert.equal(await countClaims(), 2);
   assert.equal(await setup.tell(node, { key: "old" }), "201 replayed");
   await setup.clock.advance(millis(2 * hour));
   sweep.stop();
-  assert.equal(countClaims(), 1);
+  assert.equal(await countClaims(), 1);
   assert.equal(await setup.tell(node, { key: "new" }), "201 replayed");
 });
--- a/tests/booking/keyed_call_test.ts
+++ b/tests/booking/keyed_call_test.ts
@@ -1,7 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
-import type { ServiceFailure } from "../../src/ports/service.ts";
 import { BookingSetup, describeReply } from "./setup.ts";
 
 const unknown = "outcomeUnknown may-have-run";
@@ -50,10 +49,10 @@
   for (const fault of ["lost", "dropped"] as const) {
     const setup = new BookingSetup();
     const node = setup.createNode("a");
-    setup.table.fault = fault;
+    setup.tableFault = fault;
     const reply = setup.call(node, { key: "k" });
     await setup.clock.advance(millis(1));
-    setup.table.fault = "none";
+    setup.tableFault = undefined;
     await setup.clock.advance(millis(1_000));
     assert.equal(describeReply(reply()), "201", fault);
     assert.equal(await setup.tell(node, { key: "k" }), "201 replayed", fault);
@@ -65,11 +64,11 @@
   for (const fault of ["down", "lost", "dropped", "silent"] as const) {
     const setup = new BookingSetup();
     const node = setup.createNode("a");
-    setup.table.fault = fault;
+    setup.tableFault = fault;
     const reply = setup.call(node, { key: "k", within: 1_500 });
     await setup.clock.advance(millis(2_100));
     assert.equal(describeReply(reply()), "claimUnavailable not-run", fault);
-    setup.table.fault = "none";
+    setup.tableFault = undefined;
     await setup.clock.advance(millis(10_000));
     assert.equal(setup.runs, 0, fault);
     assert.equal(await setup.tell(node, { key: "k" }), "201", fault);
@@ -80,7 +79,7 @@
 test("an outage refuses keyed calls at once after its first seconds", async () => {
   const setup = new BookingSetup();
   const node = setup.createNode("a");
-  setup.table.fault = "down";
+  setup.tableFault = "down";
   for (let call = 0; call < 5; call++) {
     const shape = { key: `k${call}` };
     assert.equal(await setup.tell(node, shape), "claimUnavailable not-run");
@@ -92,17 +91,19 @@
 });
 
 test("a call that may have run is never sent again under its key", async () => {
-  const told: Partial<Record<ServiceFailure["kind"], string>> = {
+  const told = {
     broken: "serviceBroken may-have-run",
-    timeout: "serviceTimeout may-have-run",
+    silent: "serviceTimeout may-have-run",
     crossed: "crossedAnswer may-have-run",
   };
-  for (const fault of ["broken", "timeout", "crossed"] as const) {
+  for (const fault of ["broken", "silent", "crossed"] as const) {
     const setup = new BookingSetup();
     const [first, second] = [setup.createNode("a"), setup.createNode("b")];
-    for (const server of setup.servers) server.fault = fault;
+    setup.failServers(fault);
     assert.equal(await setup.tell(first, { key: "k" }), told[fault]);
-    for (const server of setup.servers) server.fault = "none";
+    // After a timeout the outcome is awaited for another 10 s.
+    await setup.clock.advance(millis(11_000));
+    setup.failServers(undefined);
     assert.equal(await setup.tell(first, { key: "k" }), unknown);
     assert.equal(await setup.tell(second, { key: "k" }), unknown);
     assert.equal(setup.runs, 1);
@@ -112,10 +113,10 @@
 test("a call that no server took may run under the same key", async () => {
   const setup = new BookingSetup();
   const node = setup.createNode("a");
-  for (const server of setup.servers) server.fault = "not-sent";
+  setup.failServers("unreachable");
   const refusal = "serviceUnreachable not-run";
   assert.equal(await setup.tell(node, { key: "k" }), refusal);
-  for (const server of setup.servers) server.fault = "none";
+  setup.failServers(undefined);
   assert.equal(await setup.tell(node, { key: "k" }), "201");
   assert.equal(setup.runs, 1);
 });
@@ -124,7 +125,7 @@
   const setup = new BookingSetup();
   const node = setup.createNode("a");
   const [first, second] = setup.servers;
-  if (first !== undefined) first.fault = "not-sent";
+  if (first !== undefined) first.fault = "unreachable";
   if (second !== undefined) second.fault = "leaving";
   for (let call = 0; call < 10; call++) {
     assert.equal(await setup.tell(node, { key: `k${call}` }), "201");
@@ -135,7 +136,7 @@
 test("an answer after the deadline is recorded although the caller was told of a timeout", async () => {
   const setup = new BookingSetup();
   const node = setup.createNode("a");
-  for (const server of setup.servers) server.latency = 3_000;
+  setup.failServers("slow");
   const shape = { key: "k", within: 1_000 };
   assert.equal(await setup.tell(node, shape), "serviceTimeout may-have-run");
   assert.equal(await setup.tell(node, { key: "k" }), inProgress);
@@ -184,15 +185,15 @@
 test("a released key stays unknown once a caller was told so", async () => {
   const setup = new BookingSetup();
   const [first, second] = [setup.createNode("a"), setup.createNode("b")];
-  for (const server of setup.servers) server.fault = "not-sent";
-  setup.table.latency = 200;
+  setup.failServers("unreachable");
+  setup.rows.delay = 200;
   const reply = setup.call(first, { key: "k" });
   await setup.clock.advance(millis(150));
   setup.renewSession("a", undefined);
   const other = setup.call(second, { key: "k" });
   await setup.clock.advance(millis(5_000));
   assert.equal(describeReply(reply()), "serviceUnreachable not-run");
-  for (const server of setup.servers) server.fault = "none";
+  setup.failServers(undefined);
   const told = describeReply(other());
   const again = await setup.tell(second, { key: "k" });
   if (told === unknown) assert.equal(again, unknown);
@@ -202,19 +203,19 @@
 test("an answer too long to keep is passed on once and reported as run after that", async () => {
   const setup = new BookingSetup();
   const node = setup.createNode("a");
-  for (const server of setup.servers) server.answerSize = 40_000;
-  assert.equal(await setup.tell(node, { key: "k" }), "201");
-  assert.equal(await setup.tell(node, { key: "k" }), "answerNotKept ran");
+  const shape = { key: "k", body: "long".repeat(10_000) };
+  assert.equal(await setup.tell(node, shape), "201");
+  assert.equal(await setup.tell(node, shape), "answerNotKept ran");
   assert.equal(setup.runs, 1);
 });
 
 test("outcomes of an outage are recorded after it, and settle waits for them", async () => {
   const setup = new BookingSetup();
   const [first, second] = [setup.createNode("a"), setup.createNode("b")];
-  for (const server of setup.servers) server.latency = 500;
+  setup.failServers("slow");
   const reply = setup.call(first, { key: "k" });
   await setup.clock.advance(millis(100));
-  setup.table.fault = "down";
+  setup.tableFault = "down";
   await setup.clock.advance(millis(3_600_000));
   assert.equal(describeReply(reply()), "201");
   let settled = false;
@@ -223,7 +224,7 @@
   });
   await setup.clock.advance(millis(100));
   assert.equal(settled, false);
-  setup.table.fault = "none";
+  setup.tableFault = undefined;
   await setup.clock.advance(millis(10_000));
   assert.equal(settled, true);
   assert.equal(await setup.tell(second, { key: "k" }), "201 replayed");
--- a/tests/booking/other_calls_test.ts
+++ b/tests/booking/other_calls_test.ts
@@ -7,11 +7,12 @@
 const lookup = { method: "GET", path: "/stock/zakopane?size=7" };
 
 test("a call without a key is sent once even when its answer is lost", async () => {
-  for (const fault of ["broken", "timeout", "crossed", "silent"] as const) {
+  for (const fault of ["broken", "crossed", "silent", "slow"] as const) {
     const setup = new BookingSetup();
     const node = setup.createNode("a");
-    for (const server of setup.servers) server.fault = fault;
-    assert.match(await setup.tell(node), /may-have-run$/, fault);
+    setup.failServers(fault);
+    const told = await setup.tell(node, { within: 1_000 });
+    assert.match(told, /may-have-run$/, fault);
     assert.equal(setup.runs, 1, fault);
   }
 });
@@ -20,7 +21,7 @@
   const setup = new BookingSetup();
   const node = setup.createNode("a");
   setup.servers.slice(1).forEach((server) => {
-    server.fault = "not-sent";
+    server.fault = "unreachable";
   });
   assert.equal(await setup.tell(node), "201");
   assert.equal(setup.runs, 1);
@@ -29,14 +30,20 @@
 test("calls without a key and lookups go on while the table is down", async () => {
   const setup = new BookingSetup();
   const node = setup.createNode("a");
-  setup.table.fault = "down";
+  setup.tableFault = "down";
+  const writes = setup.rows.totals.writes;
   assert.equal(await setup.tell(node), "201");
   assert.equal(await setup.tell(node, lookup), "201");
-  assert.equal(setup.table.transactions, 0);
+  assert.equal(setup.rows.totals.writes, writes);
 });
 
 test("a lookup is sent to another server after a failure", async () => {
-  for (const fault of ["broken", "crossed", "not-sent", "leaving"] as const) {
+  for (const fault of [
+    "broken",
+    "crossed",
+    "unreachable",
+    "leaving",
+  ] as const) {
     const setup = new BookingSetup();
     const node = setup.createNode("a");
     for (const server of setup.servers.slice(1)) server.fault = fault;
@@ -61,7 +68,7 @@
 test("extra sends of lookups stay within their budget", async () => {
   const setup = new BookingSetup();
   const node = setup.createNode("a");
-  for (const server of setup.servers) server.fault = "broken";
+  setup.failServers("broken");
   const calls = 400;
   for (let call = 0; call < calls; call++) {
     const reply = setup.call(node, { ...lookup, within: 300 });
@@ -75,7 +82,7 @@
 test("a path that only starts like a lookup must not repeat", async () => {
   const setup = new BookingSetup();
   const node = setup.createNode("a");
-  for (const server of setup.servers) server.fault = "broken";
+  setup.failServers("broken");
   const shape = { method: "GET", path: "/stock-charge" };
   assert.equal(await setup.tell(node, shape), "serviceBroken may-have-run");
   assert.equal(setup.runs, 1);
@@ -90,23 +97,26 @@
   for (let call = 0; call < 20; call++) {
     assert.equal(await setup.tell(node, { key: `k${call}` }), "201");
   }
-  if (second !== undefined) second.fault = "none";
+  if (second !== undefined) second.fault = undefined;
   for (let call = 0; call < 20; call++) await setup.tell(node, lookup);
-  const counts = setup.servers.map(({ runs }) => runs.length);
-  assert.deepEqual(counts, [0, 0, 40]);
+  assert.deepEqual(
+    new Set(setup.ran.map(({ server }) => server)),
+    new Set(["s2"]),
+  );
+  assert.equal(setup.runs, 40);
 });
 
 test("calls beyond the bound of a node are refused as not run", async () => {
   const setup = new BookingSetup();
   const node = setup.createNode("a");
-  for (const server of setup.servers) server.fault = "silent";
+  setup.failServers("silent");
   for (let call = 0; call < maxCallsInFlight; call++) setup.call(node);
   const last = setup.call(node);
   await setup.clock.advance(millis(100));
   assert.equal(describeReply(last()), "tooManyInFlight not-run");
   assert.equal(setup.runs, maxCallsInFlight);
   await setup.clock.advance(millis(10_000));
-  for (const server of setup.servers) server.fault = "none";
+  setup.failServers(undefined);
   assert.equal(await setup.tell(node), "201");
 });
 
--- a/tests/booking/setup.ts
+++ b/tests/booking/setup.ts
@@ -1,23 +1,22 @@
-import { xoroshiro128plus } from "pure-rand";
+import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
 import { millis } from "../../src/core/clock.ts";
 import {
-  type AttemptToken,
   brandString,
   type LeaseId,
   type NodeId,
-  type RowKey,
   type ServiceName,
 } from "../../src/core/ids.ts";
+import { Gate } from "../../src/fuzz/gate.ts";
+import {
+  type ServerFault,
+  type ServiceRun,
+  WorldServer,
+} from "../../src/fuzz/world_service.ts";
+import { type TableFault, WorldTable } from "../../src/fuzz/world_table.ts";
 import { type CallReply, ServiceDesk } from "../../src/node/service_desk.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
-import { FakeServer, FakeTable } from "./fakes.ts";
-
-/** Random numbers from 0 to 1 that are the same for the same seed. */
-export function createRandom(seed: number): () => number {
-  const generator = xoroshiro128plus(seed);
-  return () => (generator.unsafeNext() >>> 0) / 2 ** 32;
-}
+import { MemoryTable } from "../../src/standins/memory_table.ts";
 
 const service: ServiceName = brandString("depot");
 
@@ -43,9 +42,22 @@
 /** Several nodes over one table and one booking service. */
 export class BookingSetup {
   readonly clock = VirtualClock.create();
-  readonly table = new FakeTable(this.clock);
-  readonly servers = [0, 1, 2].map(() => new FakeServer(this.clock));
-  readonly #random = createRandom(7);
+  readonly rows = MemoryTable.create(this.clock);
+  tableFault: TableFault | undefined;
+  readonly ran: ServiceRun[] = [];
+  readonly servers = ["s0", "s1", "s2"].map(
+    (id) =>
+      new WorldServer(id, {
+        clock: this.clock,
+        onRun: (run) => this.ran.push(run),
+      }),
+  );
+  readonly table = new WorldTable(this.rows, {
+    clock: this.clock,
+    gate: new Gate(),
+    fault: () => this.tableFault,
+  });
+  readonly #random = createSeededRandom(7);
   #requests = 0;
 
   /** Starts a node whose session row exists. */
@@ -59,9 +71,13 @@
       table: this.table,
       links: (asked) =>
         asked === service
-          ? this.servers.map((link, index) => ({
+          ? this.servers.map((server, index) => ({
               id: `s${index}`,
-              link,
+              link: server.linkFrom({
+                gate: new Gate(),
+                isCut: () => false,
+                onWork: () => {},
+              }),
               leaving: leaving.has(`s${index}`),
             }))
           : undefined,
@@ -77,14 +93,17 @@
 
   /** Writes or removes the session row of a node. */
   renewSession(name: string, lease: LeaseId | undefined): void {
-    const key = brandString<RowKey>(`session/${name}`);
-    if (lease === undefined) {
-      this.table.rows.delete(key);
-      return;
-    }
-    const value = { lease, dataCentre: "krk" };
-    const attempt = brandString<AttemptToken>("session");
-    this.table.rows.set(key, { key, version: 1, value, attempt });
+    const value = lease && { lease, dataCentre: "krk" };
+    void this.rows.transact({
+      attempt: brandString("session"),
+      conditions: [],
+      writes: [{ key: brandString(`session/${name}`), value }],
+    });
+  }
+
+  /** Sets the fault of every server. */
+  failServers(fault: ServerFault | undefined): void {
+    for (const server of this.servers) server.fault = fault;
   }
 
   /** Starts a call and gives a reader of its reply. */
@@ -119,7 +138,7 @@
 
   /** Calls that any server ran. */
   get runs(): number {
-    return this.servers.reduce((sum, { runs }) => sum + runs.length, 0);
+    return this.ran.length;
   }
 }
 
