--- a/src/fuzz/world_service.ts
+++ b/src/fuzz/world_service.ts
@@ -58,13 +58,16 @@
   }
 
   /** Link from one node, which may be paused, cut off or killed. */
-  linkFrom(node: { gate: Gate; isCut: () => boolean }): ServiceLink {
+  linkFrom(node: {
+    gate: Gate;
+    isCut: () => boolean;
+    onWork: () => void;
+  }): ServiceLink {
     return {
       call: async (call) => {
-        // What was written before a pause may stay in the node until it goes on.
         await sleep(this.#clock, millis(oneWayDelay));
-        await node.gate.passValue(undefined);
         if (node.isCut()) return unsent("No route to the server");
+        if (this.fault !== "leaving") node.onWork();
         const answer = await this.#run(call);
         await sleep(this.#clock, millis(oneWayDelay));
         if (node.isCut()) return lostAnswer(this.#clock, call);
@@ -79,7 +82,8 @@
     const { fault } = this;
     if (fault === "unreachable") return unsent("Connection refused");
     if (fault === "leaving") {
-      return Left({ kind: "leaving", detail: "The server is leaving" });
+      const answer = { status: 503, contentType: undefined };
+      return Right({ ...answer, body: Buffer.from(""), notRun: "leaving" });
     }
     const { requestId, path } = call;
     const body = Buffer.from(call.body).toString();
