Wait for a new owner instead of failing drafts when no engine can be reached

Cause: when the only owner of all engines in reach died, a draft used up its five attempts on refused connections within milliseconds and was refused, long before the takeover. Ruled out: the takeover itself, which came in time. Change: the entry node leaves out an owner that it could not reach for 2 s, attempts that reached no owner do not count as failures, and a request without any engine tries again every 250 to 500 ms for at most 12 s or its deadline.

--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -275,6 +275,7 @@
       observer: router.observe?.(work) ?? {
         onSubmit: (engine) => router.onSubmit?.(engine),
         onFirstToken() {},
+        onRefusal() {},
         onClose() {},
       },
     });
--- a/src/core/requests/draft.ts
+++ b/src/core/requests/draft.ts
@@ -7,10 +7,14 @@
 import { type Refusal, refuse } from "../results/refusal.ts";
 import { planHedge } from "../routing/hedge.ts";
 
-/** Attempts per request, the first one and hedges included. */
+/** Attempts of one request that reached an engine's owner, hedges included. */
 export const maxDraftAttempts = 5;
 /** Longest delay before a further attempt, in ms; the delay is drawn below it. */
 const retryDelayMillis = 100;
+/** Delay while no engine can be reached, in ms; as much jitter is added. */
+const blockedDelayMillis = 250;
+/** Time without any reachable engine after which a request is given up, in ms; a takeover takes at most 9 s. */
+const maxBlockedMillis = 12_000;
 /** Attempts of one request that may run at once. */
 const maxOpenAttempts = 2;
 
@@ -30,6 +34,15 @@
   "wrongAdapter",
 ]);
 
+/** Refusals as not-run that say nothing of the engine, only of the way to it. */
+const unreached: ReadonlySet<ResultCodeName> = new Set([
+  "noEngine",
+  "notOwner",
+  "draining",
+  "notReady",
+  "peerLost",
+]);
+
 /** Where an attempt goes. */
 export type DraftTarget = {
   readonly engine: EngineId;
@@ -66,7 +79,12 @@
 /** State of one draft request at its entry node. */
 export type DraftState = {
   readonly deadlineAt: Millis;
+  /** Attempts made; numbers them. */
   readonly attempts: number;
+  /** Attempts that ended early although they reached an owner. */
+  readonly failures: number;
+  /** Time since which no engine could be reached. */
+  readonly blockedSince: Millis | undefined;
   readonly open: readonly Attempt[];
   readonly tried: readonly EngineId[];
   readonly isolated: boolean;
@@ -125,6 +143,8 @@
     deadlineAt: options.deadlineAt,
     isolated: options.isolated,
     attempts: 0,
+    failures: 0,
+    blockedSince: undefined,
     open: [],
     tried: [],
     delivered: 0,
@@ -159,11 +179,34 @@
 
 function route(state: DraftState, turn: Turn): DraftDecision {
   return turn.policies.choose(describeHistory(state)).caseOf<DraftDecision>({
-    Left: (refusal) => fail(state, refusal),
+    Left: (refusal) =>
+      refusal.code === "noEngine"
+        ? waitForEngine(state, refusal, turn)
+        : fail(state, refusal),
     Right: (target) => submit(state, target, turn.now),
   });
 }
 
+/** Tries all engines again later, since a lost owner is replaced within seconds. */
+function waitForEngine(
+  state: DraftState,
+  refusal: Refusal,
+  turn: Turn,
+): DraftDecision {
+  const { now, policies } = turn;
+  const blockedSince = state.blockedSince ?? now;
+  const delay = blockedDelayMillis * (1 + policies.random());
+  const retryAt = millis(now + delay);
+  const isLate = state.delivered === 0 && retryAt >= state.deadlineAt;
+  if (isLate || retryAt - blockedSince > maxBlockedMillis) {
+    return fail(state, refusal);
+  }
+  return {
+    state: { ...state, phase: "waiting", tried: [], blockedSince },
+    commands: [{ type: "set-timer", at: retryAt }],
+  };
+}
+
 function submit(
   state: DraftState,
   target: DraftTarget,
@@ -201,7 +244,7 @@
     state.phase === "running" &&
     first !== undefined &&
     state.open.length < maxOpenAttempts &&
-    state.attempts < maxDraftAttempts &&
+    state.failures < maxDraftAttempts &&
     !state.isolated;
   if (!mayHedge) return { state, commands: [] };
   const waited = millis(turn.now - first.startedAt);
@@ -231,6 +274,7 @@
     state: {
       ...state,
       phase: "streaming",
+      blockedSince: undefined,
       open: state.open.filter(({ number }) => number === winner),
     },
     commands: cancelAttempts(losers),
@@ -244,8 +288,15 @@
 ): DraftDecision {
   const { refusal, delivered } = event;
   const open = before.open.filter(({ number }) => number !== event.attempt);
-  const mayHaveRun = before.mayHaveRun || refusal.outcome !== "not-run";
-  const state: DraftState = { ...before, delivered, open, mayHaveRun };
+  const ran = refusal.outcome !== "not-run";
+  const isUnreached = !ran && unreached.has(refusal.code);
+  const state: DraftState = {
+    ...before,
+    delivered,
+    open,
+    mayHaveRun: before.mayHaveRun || ran,
+    failures: before.failures + (isUnreached ? 0 : 1),
+  };
   if (!reroutable.has(refusal.code)) {
     return fail(state, refusal);
   }
@@ -272,10 +323,12 @@
   };
   const cancels = cancelAttempts(state.open);
   const expired = state.delivered === 0 && now >= state.deadlineAt;
-  if (expired || state.attempts >= maxDraftAttempts) {
+  if (expired || state.failures >= maxDraftAttempts) {
     return fail(state, refusal);
   }
-  if (!policies.takeRetry()) {
+  const isUnreached =
+    refusal.outcome === "not-run" && unreached.has(refusal.code);
+  if (!isUnreached && !policies.takeRetry()) {
     const { detail, outcome } = refusal;
     return fail(state, refuse("retryBudgetSpent", detail, { outcome }));
   }
@@ -284,14 +337,14 @@
     event: "requestResumed",
     detail: `attempt ${state.attempts} ended with ${refusal.code}: ${refusal.detail}`,
   };
-  if (refusal.outcome === "not-run" || state.attempts === 1) {
+  if (refusal.outcome === "not-run" || state.failures === 1) {
     const decision = route(waiting, turn);
     return {
       state: decision.state,
       commands: [...cancels, record, ...decision.commands],
     };
   }
-  const delay = millis(policies.random() * retryDelayMillis * state.attempts);
+  const delay = millis(policies.random() * retryDelayMillis * state.failures);
   return {
     state: waiting,
     commands: [
--- a/src/demo/installation.ts
+++ b/src/demo/installation.ts
@@ -11,9 +11,9 @@
 
 /** Regions of the demo, each with one data centre. */
 export const demoRegions = ["tatry", "beskidy", "sudety"] as const;
-/** Nodes, engines and booking servers of each region. */
-const nodesPerRegion = 3;
+/** Engines of each region, and nodes unless said otherwise. */
 const enginesPerRegion = 2;
+const defaultNodesPerRegion = 3;
 /** Adapter versions that an engine of the demo holds, and requests in its batch. */
 const slotsPerEngine = 6;
 const batchPerEngine = 16;
@@ -25,18 +25,33 @@
   readonly site: RunningSite;
   readonly daemons: readonly Daemon[];
   readonly keyFile: string;
+  /** Settings of nodes that are not started yet. */
+  readonly spare: readonly Settings[];
+};
+
+/** Size of an installation. */
+export type InstallationSize = {
+  readonly regions?: readonly string[];
+  readonly nodesPerRegion?: number;
+  /** Nodes at the end of the list that are not started yet. */
+  readonly spareNodes?: number;
 };
 
 /** Starts the stand-ins and all nodes. */
-export async function startInstallation(clock: Clock): Promise<Installation> {
-  const engineCount = demoRegions.length * enginesPerRegion;
-  const nodeCount = demoRegions.length * nodesPerRegion;
+export async function startInstallation(
+  clock: Clock,
+  size: InstallationSize = {},
+): Promise<Installation> {
+  const regions = size.regions ?? demoRegions;
+  const nodesPerRegion = size.nodesPerRegion ?? defaultNodesPerRegion;
+  const engineCount = regions.length * enginesPerRegion;
+  const nodeCount = regions.length * nodesPerRegion;
   const ports = await reservePorts(
-    1 + engineCount + demoRegions.length + 2 * nodeCount,
+    1 + engineCount + regions.length + 2 * nodeCount,
   );
   const takePort = (): number => ports.pop() as number;
   const platform = takePort();
-  const engines = demoRegions.flatMap((region) =>
+  const engines = regions.flatMap((region) =>
     Array.from({ length: enginesPerRegion }, (_, index) => ({
       id: `${region}-engine-${index + 1}`,
       region,
@@ -47,7 +62,7 @@
       fencing: index === 0 ? ("checked" as const) : ("ignored" as const),
     })),
   );
-  const services = demoRegions.map((region) => ({
+  const services = regions.map((region) => ({
     id: `${region}-booking`,
     region,
     port: takePort(),
@@ -58,7 +73,7 @@
     keyFile,
     JSON.stringify({ keys: [{ id: "demo", secret: demoSecret }] }),
   );
-  const nodes = demoRegions.flatMap((region) =>
+  const nodes = regions.flatMap((region) =>
     Array.from({ length: nodesPerRegion }, (_, index) => ({
       name: `${region}-${index + 1}`,
       region,
@@ -67,18 +82,13 @@
     })),
   );
   const seeds = nodes.slice(0, 3).map(({ peers }) => `127.0.0.1:${peers}`);
+  const settings = nodes.map((node) =>
+    createSettings(node, { platform, engines, services, seeds, keyFile }),
+  );
+  const started = settings.slice(0, nodeCount - (size.spareNodes ?? 0));
   const daemons: Daemon[] = [];
-  for (const node of nodes) {
-    const settings = createSettings(node, {
-      platform,
-      engines,
-      services,
-      seeds,
-      keyFile,
-    });
-    daemons.push(await Daemon.start(settings));
-  }
-  return { site, daemons, keyFile };
+  for (const one of started) daemons.push(await Daemon.start(one));
+  return { site, daemons, keyFile, spare: settings.slice(started.length) };
 }
 
 /** Stops everything at once. */
--- a/src/demo/run.ts
+++ b/src/demo/run.ts
@@ -84,7 +84,8 @@
   };
 }
 
-async function applyDemoSheet(
+/** Applies the demo's sheet through the first node. */
+export async function applyDemoSheet(
   { daemons, keyFile }: Installation,
   clock: Clock,
 ): Promise<number> {
@@ -112,7 +113,8 @@
   return applied.revision;
 }
 
-async function waitReady(
+/** Waits until every node takes requests and the engines have owners. */
+export async function waitReady(
   daemons: readonly Daemon[],
   clock: Clock,
 ): Promise<void> {
--- a/src/node/draft_request.ts
+++ b/src/node/draft_request.ts
@@ -11,6 +11,7 @@
   type DraftPolicies,
   type DraftState,
 } from "../core/requests/draft.ts";
+import type { Refusal } from "../core/results/refusal.ts";
 import type { AnswerSink, EngineAccess } from "../ports/access.ts";
 import type { GenerateOrder, StreamControl } from "../ports/engine.ts";
 import type { Journal } from "../ports/journal.ts";
@@ -44,6 +45,8 @@
 export type AttemptObserver = {
   onSubmit(engine: EngineId, expectedWait: Millis): void;
   onFirstToken(engine: EngineId): void;
+  /** The attempt ended early. */
+  onRefusal(engine: EngineId, refusal: Refusal): void;
   /** The attempt has ended or was cancelled. */
   onClose(engine: EngineId): void;
 };
@@ -173,6 +176,7 @@
       onRefusal: (refusal) => {
         if (!this.#attempts.has(number)) return;
         if (this.#winner === number) this.#winner = undefined;
+        observer.onRefusal(engine, refusal);
         this.#closeAttempt(number);
         const delivered = this.#delivered;
         this.#actor.send({
--- a/src/node/route_desk.ts
+++ b/src/node/route_desk.ts
@@ -7,9 +7,10 @@
 } from "../core/admission/admit.ts";
 import type { Clock, Millis } from "../core/clock.ts";
 import type { Work } from "../core/engine/work.ts";
-import type { EngineId, Region } from "../core/ids.ts";
+import type { EngineId, NodeId, Region } from "../core/ids.ts";
 import type { DraftHistory, DraftTarget } from "../core/requests/draft.ts";
 import { RetryBudget } from "../core/requests/retry_budget.ts";
+import type { ResultCodeName } from "../core/results/codes.ts";
 import type { Refusal } from "../core/results/refusal.ts";
 import { defaultRouteCosts } from "../core/routing/costs.ts";
 import {
@@ -41,6 +42,16 @@
 import type { EngineView } from "../core/routing/view.ts";
 import type { AttemptObserver } from "./draft_request.ts";
 
+/** Refusals that show that the owner named by a view does not serve the engine. */
+const ownerLostCodes: ReadonlySet<ResultCodeName> = new Set([
+  "notOwner",
+  "draining",
+  "notReady",
+  "peerLost",
+]);
+/** Time for which such an owner is left out, in ms. */
+const lostMemoryMillis = 2_000;
+
 /** The part of a request that routing looks at. */
 export type RoutedWork = Pick<
   Work,
@@ -62,6 +73,11 @@
   readonly #policies: RoutePolicies;
   readonly #sent: SentLog = new Map();
   readonly #health: HealthState = new Map();
+  /** Owners that did not serve their engine, as last seen. */
+  readonly #lost = new Map<
+    EngineId,
+    { owner: NodeId | undefined; at: Millis }
+  >();
   readonly #retries = RetryBudget.create();
   #admission: AdmissionState = createAdmissionState();
   #hedges: HedgeBudget = createHedgeBudget();
@@ -103,11 +119,6 @@
     const { tried, resuming } = history;
     const request = this.#describe(work, tried);
     const choice = chooseEngine(request, this.#routeOptions());
-    if (choice.isLeft() && tried.length > 0) {
-      // With every engine tried, the least costly one may be tried again.
-      const again = this.#describe(work, []);
-      return chooseEngine(again, this.#routeOptions());
-    }
     if (tried.length > 0 || resuming) return choice;
     return choice.chain((target) => {
       const { state, verdict } = admitRequest(this.#admission, {
@@ -155,6 +166,11 @@
       },
       onFirstToken: (engine) =>
         noteFirstToken(this.#health, { engine, request, now: clock.now() }),
+      onRefusal: (engine, { code }) => {
+        if (!ownerLostCodes.has(code)) return;
+        const owner = this.#findOwner(engine);
+        this.#lost.set(engine, { owner, at: clock.now() });
+      },
       onClose: (engine) => {
         noteEnd(this.#health, { engine, request });
         noteSent(this.#sent, { engine, now: clock.now(), change: -1 });
@@ -175,10 +191,21 @@
     };
   }
 
+  #findOwner(engine: EngineId): NodeId | undefined {
+    return this.#options.views().find((view) => view.engine === engine)?.owner;
+  }
+
+  /** Whether the present owner of an engine could not be reached a moment ago. */
+  #isLost(view: EngineView): boolean {
+    const lost = this.#lost.get(view.engine);
+    if (lost === undefined || lost.owner !== view.owner) return false;
+    return this.#options.clock.now() - lost.at < lostMemoryMillis;
+  }
+
   #routeOptions(): RouteOptions {
     const { views, clock, random } = this.#options;
     return {
-      views: views(),
+      views: views().filter((view) => !this.#isLost(view)),
       now: clock.now(),
       random,
       policies: this.#policies,
--- /dev/null
+++ b/tests/daemon/failures_test.ts
@@ -0,0 +1,160 @@
+import assert from "node:assert/strict";
+import { after, before, test } from "node:test";
+import { Keyring, readKeyFile } from "../../src/adapters/keys/keyring.ts";
+import { createOperatorClient } from "../../src/adapters/peers/operator_client.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis, sleep } from "../../src/core/clock.ts";
+import { sendDraft } from "../../src/demo/draft_client.ts";
+import {
+  type Installation,
+  startInstallation,
+  stopInstallation,
+} from "../../src/demo/installation.ts";
+import {
+  applyDemoSheet,
+  listDemoAdapters,
+  waitReady,
+} from "../../src/demo/run.ts";
+import { Daemon } from "../../src/node/daemon.ts";
+import type { NodeStatus } from "../../src/ports/operators.ts";
+
+const clock = RealClock.create();
+const adapters = listDemoAdapters();
+/** Takeover time of design 5.3, in ms. */
+const takeoverLimit = 9_000;
+
+let installation: Installation;
+let daemons: Daemon[];
+
+before(async () => {
+  installation = await startInstallation(clock, {
+    regions: ["tatry"],
+    nodesPerRegion: 4,
+    spareNodes: 1,
+  });
+  daemons = [...installation.daemons];
+  await applyDemoSheet(installation, clock);
+  await waitReady(daemons, clock);
+});
+
+after(async () => {
+  await stopInstallation({ ...installation, daemons });
+});
+
+async function readStatus(daemon: Daemon): Promise<NodeStatus> {
+  const keyring = Keyring.create(
+    readKeyFile(installation.keyFile).unsafeCoerce(),
+  );
+  const client = createOperatorClient({
+    address: daemon.peers,
+    keyring,
+    clock,
+  });
+  return client.status.query();
+}
+
+function draft(daemon: Daemon, adapter: string, tokens: number) {
+  return sendDraft({
+    origin: `http://${daemon.callers}`,
+    adapter,
+    prompt: `Case of ${adapter}`,
+    tokens,
+    customer: "rysy",
+  });
+}
+
+function book(daemon: Daemon, key: string) {
+  return fetch(`http://${daemon.callers}/services/chains/reservations`, {
+    method: "POST",
+    headers: { "idempotency-key": key, "x-deadline-ms": "3000" },
+    body: "{}",
+  });
+}
+
+test("streams survive the death of an engine's owner, and its engines get another", async () => {
+  const before = await readStatus(daemons[0] as Daemon);
+  const owners = new Set(before.engines.map((engine) => engine.owner));
+  const victim = daemons.find((one) => owners.has(one.nodeId)) as Daemon;
+  daemons = daemons.filter((one) => one !== victim);
+  const entry = daemons[0] as Daemon;
+  const drafts = adapters
+    .slice(0, 6)
+    .map((adapter) => draft(entry, adapter, 150));
+  await sleep(clock, millis(1_500));
+  const killedAt = clock.now();
+  await victim.stop();
+  const results = await Promise.all(drafts);
+  assert.deepEqual(
+    results.filter(({ whole }) => !whole),
+    [],
+  );
+  for (;;) {
+    const { engines } = await readStatus(entry);
+    const owned = engines.filter(
+      ({ owner, state }) => owner !== victim.nodeId && state === "ok",
+    );
+    if (owned.length === 2) break;
+    assert.ok(clock.now() - killedAt < takeoverLimit, "takeover in time");
+    await sleep(clock, millis(100));
+  }
+  for (const model of installation.site.engines.values()) {
+    assert.deepEqual(model.unloadedInUse, []);
+  }
+});
+
+test("with the table down drafts go on, keyed bookings are not run, and a new node joins", async () => {
+  const { table, services } = installation.site;
+  const entry = daemons[0] as Daemon;
+  const warm = await draft(entry, adapters[0] as string, 4);
+  assert.ok(warm.whole);
+  table.outage = true;
+  const spare = installation.spare[0];
+  assert.ok(spare);
+  const joined = await Daemon.start(spare);
+  daemons.push(joined);
+  const refused = await book(entry, "during-outage");
+  assert.equal(refused.status, 503);
+  assert.equal(refused.headers.get("x-outcome"), "not-run");
+  const end = clock.now() + 10_000;
+  while (!joined.ready) {
+    assert.ok(clock.now() < end, "the new node takes the peers' revision");
+    await sleep(clock, millis(50));
+  }
+  const { revision, certainty } = await readStatus(joined);
+  assert.equal(revision, 1);
+  assert.equal(certainty, "unconfirmed");
+  await sleep(clock, millis(8_000));
+  const through = [entry, joined].map((one) =>
+    draft(one, adapters[0] as string, 20),
+  );
+  for (const result of await Promise.all(through)) assert.ok(result.whole);
+  table.outage = false;
+  const again = clock.now() + 20_000;
+  for (;;) {
+    const answer = await book(entry, "during-outage");
+    if (answer.status === 201) break;
+    assert.ok(clock.now() < again, "bookings run again after the outage");
+    await sleep(clock, millis(200));
+  }
+  const runs = [...services.values()].flatMap((service) => service.runs);
+  assert.equal(runs.length, 1);
+});
+
+test("a planned stop cuts off no stream and exits", async () => {
+  const leaving = daemons[0] as Daemon;
+  const other = daemons[1] as Daemon;
+  const drafts = adapters
+    .slice(0, 4)
+    .flatMap((adapter) => [
+      draft(leaving, adapter, 120),
+      draft(other, adapter, 120),
+    ]);
+  await sleep(clock, millis(1_000));
+  leaving.drain();
+  const results = await Promise.all(drafts);
+  assert.deepEqual(
+    results.filter(({ whole }) => !whole),
+    [],
+  );
+  await leaving.stopped;
+});
