Keep adapters pinned when an engine was only out of reach

An engine that did not answer within 500 ms counted as restarted, so that its requests were forgotten; if it came back without a restart, their adapters could have been evicted while they still ran. They now stay unconfirmed until a report no longer lists them. Three failed reports in a row take an engine out of use, which bounds the unconfirmed requests. Permits asked for under an earlier fencing number no longer keep a new lease from asking.

--- a/src/bench/experiments/short_long.ts
+++ b/src/bench/experiments/short_long.ts
@@ -26,7 +26,9 @@
 const loads: Record<string, Load> = {
   /** All adapters fit into the slots, so that nothing waits for a load. */
   warm: { profile: { ...chainHire, adapters: 12 }, rate: 17 },
-  today: { profile: chainHire, rate: 15 },
+  today: { profile: chainHire, rate: 12 },
+  /** Cold adapters take most of the 3 loads/s of the weight store. */
+  busy: { profile: chainHire, rate: 15 },
   saturated: { profile: chainHire, rate: 25 },
 };
 
--- a/src/bench/permits.ts
+++ b/src/bench/permits.ts
@@ -6,6 +6,9 @@
 const PERMITS = 8;
 const REFILL = 8_000 / 3;
 
+/** Permits that only urgent requests may take, so that deferred loads do not use up the burst. */
+const DEFERRED_RESERVE = 6;
+
 type Waiting = { readonly engine: EngineId; readonly urgent: boolean };
 
 /** Load budget of a whole installation, without the leases that divide it. */
@@ -50,9 +53,11 @@
   }
 
   #serve(): void {
-    while (this.#free > 0 && this.#waiting.length > 0) {
+    for (;;) {
       const urgent = this.#waiting.findIndex((entry) => entry.urgent);
-      const [next] = this.#waiting.splice(Math.max(0, urgent), 1) as [Waiting];
+      if (this.#free <= (urgent < 0 ? DEFERRED_RESERVE : 0)) return;
+      const [next] = this.#waiting.splice(Math.max(0, urgent), 1);
+      if (next === undefined) return;
       this.#free--;
       const held = this.#grantedAt.get(next.engine) ?? [];
       held.push(this.#clock.now());
--- a/src/core/engine/dispatch.ts
+++ b/src/core/engine/dispatch.ts
@@ -25,6 +25,7 @@
 
 function chooseEntry(turn: Turn): QueueEntry | undefined {
   const { state } = turn;
+  if (state.queue.byId.size === 0) return undefined;
   if ([...state.running.values()].some(({ work }) => work.isolated)) {
     return undefined;
   }
--- a/src/core/engine/load_demand.ts
+++ b/src/core/engine/load_demand.ts
@@ -125,15 +125,14 @@
 /** Hands back work whose adapter will not be loaded before its deadline. */
 export function giveUpLoads(turn: Turn): void {
   const { state, now } = turn;
-  const waiting = listWaiting(turn);
-  if (waiting.length === 0) {
+  if (state.loadWaitingSince === undefined) {
     state.loadCheckAt = undefined;
     return;
   }
   state.loadCheckAt ??= millis(now + LOAD_CHECK_PERIOD);
   if (now < state.loadCheckAt) return;
   state.loadCheckAt = millis(now + LOAD_CHECK_PERIOD);
-  waiting.forEach(({ adapter }, ahead) => {
+  listWaiting(turn).forEach(({ adapter }, ahead) => {
     const wait = estimateTurn(turn, ahead) + state.estimates.load;
     giveUpLate(turn, { adapter, wait });
   });
--- a/src/core/engine/loading.ts
+++ b/src/core/engine/loading.ts
@@ -34,6 +34,7 @@
   const { state } = turn;
   if (!mayLoad(turn)) {
     releasePermits(turn, state.permits.granted);
+    state.loadWaitingSince = undefined;
     return;
   }
   const wanted = listWanted(turn);
--- a/src/core/engine/ownership.ts
+++ b/src/core/engine/ownership.ts
@@ -19,6 +19,8 @@
   record(turn, "engineOwned");
   state.contact = "unknown";
   state.announcement = { kind: "none" };
+  state.permits.urgent = 0;
+  state.permits.deferred = 0;
   for (const slot of [...state.slots.values()]) {
     if (slot.phase === "loaded") slot.inherited = true;
   }
--- a/src/core/engine/policies.ts
+++ b/src/core/engine/policies.ts
@@ -59,7 +59,7 @@
 const LONG_TOKENS = 500;
 
 /** Share of the batch that long work may take while short work waits. */
-const LONG_SHARE = 0.5;
+const LONG_SHARE = 0.6;
 
 /** Batch places kept free for short work that arrives next: a fixed number and one per square root of the running short work. */
 const RESERVED_PLACES = 2;
@@ -85,7 +85,7 @@
 
 function limitLongPlaces(use: BatchUse): number {
   const { batch, shortWaiting, shortRunning } = use;
-  const share = Math.max(1, Math.floor(batch * LONG_SHARE));
+  const share = Math.max(1, Math.round(batch * LONG_SHARE));
   if (shortWaiting > 0) return share;
   const reserve = RESERVED_PLACES + Math.sqrt(shortRunning);
   return Math.max(share, Math.floor(batch - shortRunning - reserve));
--- a/src/core/engine/reporting.ts
+++ b/src/core/engine/reporting.ts
@@ -21,6 +21,9 @@
 /** Time between reports while the engine does not answer, in ms; jitter of the same size is added. */
 const DOWN_REPORT_PERIOD = 500;
 
+/** Consecutive failed reports after which the engine counts as down. */
+const MAX_REPORT_FAILURES = 3;
+
 /** Age up to which a report of an engine may be out of date, in ms. */
 export const REPORT_LAG = 1_000;
 
@@ -44,9 +47,11 @@
   const askedAt = report.askedAt ?? now;
   report.askedAt = undefined;
   report.decisive = false;
+  report.failures = 0;
   const restarted = state.boot !== undefined && state.boot !== status.boot;
-  if (restarted) loseEngine(turn, "The engine restarted");
+  if (restarted) loseStreams(turn, "The engine restarted");
   else endBroken(turn);
+  if (restarted) forgetRequests(turn);
   const wasDown = state.contact === "down";
   state.boot = status.boot;
   if (state.ownership !== undefined) state.contact = "up";
@@ -124,11 +129,15 @@
   const { state } = turn;
   const { report } = state;
   if (report.askedAt === undefined) return;
-  const decisive = report.decisive || state.contact !== "up";
+  report.failures++;
+  const decisive =
+    report.decisive ||
+    report.failures >= MAX_REPORT_FAILURES ||
+    state.contact !== "up";
   report.askedAt = undefined;
   report.decisive = false;
   if (!decisive) return;
-  if (hasBroken(turn)) loseEngine(turn, detail);
+  if (hasBroken(turn)) loseStreams(turn, detail);
   if (state.contact !== "down") {
     state.contact = "down";
     handBackAll(
@@ -158,29 +167,29 @@
   }
 }
 
-/** Ends all streams of a crashed engine; each of them may be the cause. */
-function loseEngine(turn: Turn, detail: string): void {
-  const { state } = turn;
+/** Ends all streams of an engine that crashed or does not answer; each of them may be the cause. */
+function loseStreams(turn: Turn, detail: string): void {
+  const { state, now } = turn;
   record(turn, "engineCrashed", { detail });
   const digests = [...state.running.values()].map(({ work }) => work.digest);
   // Named before the requests are handed back, so that routing knows of it.
   if (digests.length > 0) {
     turn.commands.push({ type: "suspect", digests, boot: state.boot ?? "" });
   }
-  for (const [requestId, { broken }] of [...state.running]) {
+  for (const [requestId, { broken, work }] of [...state.running]) {
     removeRunning(state, requestId);
+    state.unconfirmed.set(requestId, { adapter: work.adapter, since: now });
     if (!broken) turn.commands.push({ type: "cancel-stream", requestId });
     const refusal = refuse("engineLost", detail);
     refuseRequest(turn, requestId, { ...refusal, suspect: true });
   }
-  dropLoaded(turn);
-}
-
-/** Forgets what the engine held; loads in progress end with their own events. */
-function dropLoaded({ state }: Turn): void {
   for (const slot of [...state.slots.values()]) {
     if (slot.phase === "loaded") state.slots.delete(slot.adapter);
   }
+}
+
+/** A restarted engine runs nothing of what ran before. */
+function forgetRequests({ state }: Turn): void {
   state.unconfirmed.clear();
   state.foreignRunning = 0;
 }
--- a/src/core/engine/state.ts
+++ b/src/core/engine/state.ts
@@ -95,6 +95,7 @@
     nextAt: Millis | undefined;
     /** The engine counts as down if the pending report fails. */
     decisive: boolean;
+    failures: number;
   };
   health: Health;
   /** Next check of the oldest request. */
@@ -152,7 +153,12 @@
       service: INITIAL_SERVICE_ESTIMATE,
     },
     placement: [],
-    report: { askedAt: undefined, nextAt: undefined, decisive: false },
+    report: {
+      askedAt: undefined,
+      nextAt: undefined,
+      decisive: false,
+      failures: 0,
+    },
     health: createHealth(),
     ageCheckAt: undefined,
     loadWaitingSince: undefined,
--- a/src/core/engine/timers.ts
+++ b/src/core/engine/timers.ts
@@ -20,26 +20,31 @@
   turn.commands.push({ type: "set-timer", at });
 }
 
+const NEVER = Number.POSITIVE_INFINITY;
+
 function findNextDue(state: EngineState, now: Millis): number | undefined {
-  let due = Number.POSITIVE_INFINITY;
-  const consider = (at: number | undefined): void => {
-    if (at !== undefined && at < due) due = at;
-  };
-  consider(state.queue.earliestDeadline);
-  consider(state.report.nextAt);
-  consider(state.ageCheckAt);
-  consider(state.loadCheckAt);
-  if (state.report.askedAt !== undefined) {
-    consider(state.report.askedAt + REPORT_DEADLINE);
-  }
+  const { report, queue, ownership } = state;
+  let due = Math.min(
+    queue.earliestDeadline,
+    report.nextAt ?? NEVER,
+    state.ageCheckAt ?? NEVER,
+    state.loadCheckAt ?? NEVER,
+    report.askedAt === undefined ? NEVER : report.askedAt + REPORT_DEADLINE,
+    ifLater(ownership?.settledAt, now),
+  );
   for (const slot of state.slots.values()) {
-    if (slot.phase !== "loaded") consider(slot.since + LOAD_DEADLINE);
-    else if (slot.evictableAt > now) consider(slot.evictableAt);
+    const at =
+      slot.phase === "loaded"
+        ? ifLater(slot.evictableAt, now)
+        : slot.since + LOAD_DEADLINE;
+    due = Math.min(due, at);
   }
   for (const { retryAt } of state.backoffs.values()) {
-    if (retryAt > now) consider(retryAt);
+    due = Math.min(due, ifLater(retryAt, now));
   }
-  const settledAt = state.ownership?.settledAt;
-  if (settledAt !== undefined && settledAt > now) consider(settledAt);
-  return due === Number.POSITIVE_INFINITY ? undefined : due;
+  return due === NEVER ? undefined : due;
+}
+
+function ifLater(at: Millis | undefined, now: Millis): number {
+  return at !== undefined && at > now ? at : NEVER;
 }
--- a/tests/engine/eviction_test.ts
+++ b/tests/engine/eviction_test.ts
@@ -60,6 +60,19 @@
   assert.deepEqual(demandOther(owner), ["a@1"]);
 });
 
+test("an engine that was only out of reach keeps adapters whose requests still run", () => {
+  const owner = createFullOwner();
+  owner.submit("r1", { adapter: "a@1" });
+  owner.failStream("r1", "silent");
+  owner.advance(600);
+  owner.advance(2_500);
+  owner.report({ running: ["r1"] });
+  assert.deepEqual(demandOther(owner), []);
+  owner.advance(2_500);
+  owner.report();
+  assert.deepEqual(demandOther(owner), ["a@1"]);
+});
+
 test("a new owner evicts nothing while requests of the earlier owner run", () => {
   const owner = createFullOwner();
   owner.own({ fence: 2, running: ["foreign"] });
--- a/tests/engine/streams_test.ts
+++ b/tests/engine/streams_test.ts
@@ -45,6 +45,14 @@
   assert.equal(owner.refusals().r3, "engineRefused not-run");
 });
 
+test("an engine that fails three reports in a row gets no more work", () => {
+  const owner = createRunningOwner();
+  owner.cancel("r1");
+  owner.advance(5_000);
+  owner.submit("r3", { adapter: "a@1" });
+  assert.equal(owner.refusals().r3, "engineRefused not-run");
+});
+
 test("an engine that answers again gets work again", () => {
   const owner = createRunningOwner();
   owner.failStream("r1", "broken");
