--- a/src/fuzz/world_node.ts
+++ b/src/fuzz/world_node.ts
@@ -66,6 +66,8 @@
   killed = false;
   /** The node ended by itself after a drain. */
   stopped = false;
+  /** Servers that the node knows to be leaving, and since when. */
+  readonly leavingSince = new Map<string, number>();
   /** Time since which the node does not answer others. */
   downSince: number | undefined;
   readonly #world: World;
@@ -150,7 +152,8 @@
         link: new WorldEngineLink(model, {
           ...end,
           isCut: () => world.isCut(this, engine),
-          onWork: () => world.noteWork(engine, world.clock.now()),
+          holdsOrders: limits.fencing === "checked",
+          onWork: () => world.noteWork(engine, this),
         }),
       })),
       services: new Map([
@@ -162,6 +165,7 @@
             link: server.linkFrom({
               gate,
               isCut: () => !this.running || world.isCut(this, id),
+              onWork: () => world.noteWork(id, this),
             }),
           })),
         ],
@@ -176,6 +180,13 @@
     });
   }
 
+  /** The node hears that a server is leaving. */
+  hearLeaving(server: string): void {
+    this.gate.pass(() => {
+      if (this.running) this.node.markLeaving(server);
+    });
+  }
+
   #createForwarder(): PeerForwarder {
     const world = this.#world;
     return {
@@ -225,8 +236,7 @@
       publishOutage: () => {},
       publishDemand: () => {},
       outageConfirmedAt: () => this.#confirmOutage(),
-      publishLeaving: (server) =>
-        broadcast((other) => other.node.markLeaving(server)),
+      publishLeaving: (server) => world.noteLeaving(server, this),
       publishPoison: (digest, record) =>
         broadcast((other) => other.poison.hear(digest, record)),
       leave: async () => {},
@@ -281,6 +291,8 @@
   readonly #near: WorldNode;
   readonly #far: WorldNode | undefined;
   #silentSince: number | undefined;
+  /** Bytes were lost on the way, so nothing after them may be delivered. */
+  #lost = false;
 
   constructor(
     sink: AnswerSink,
@@ -338,8 +350,8 @@
   }
 
   #pass(deliver: () => void): void {
-    if (this.isCut()) this.#silentSince ??= this.#clock.now();
-    if (this.#silentSince !== undefined) return;
+    this.#lost ||= this.isCut();
+    if (this.#lost) return;
     this.#near.gate.pass(() => {
       if (!this.ended && this.#near.running) deliver();
     });
@@ -350,10 +362,10 @@
     this.#clock.schedule(millis(livenessInterval), () => {
       if (this.ended) return;
       if (!this.#near.running) return this.cancel();
-      const isSilent = this.isCut() || this.#far?.gate.paused === true;
-      if (!isSilent && this.#far?.running) {
-        this.#watch();
-        return;
+      const isPaused = this.#far?.gate.paused === true;
+      if (!this.#lost && !this.isCut() && !isPaused && this.#far?.running) {
+        this.#silentSince = undefined;
+        return this.#watch();
       }
       this.#silentSince ??= this.#clock.now();
       const silence = this.#clock.now() - this.#silentSince;
