Bound gossip by estimated bytes and keep the list of live nodes

The list of live nodes was built and sorted 14 times a second, and items were counted at fixed sizes below their real ones. A node that counts as dead now hears of it in the answer to its probe.

--- a/src/core/lease/session_decision.ts
+++ b/src/core/lease/session_decision.ts
@@ -82,15 +82,22 @@
   }
 }
 
+function isSameList(a: readonly LiveNode[], b: readonly LiveNode[]): boolean {
+  if (a === b) return true;
+  return (
+    a.length === b.length &&
+    a.every((peer, index) => peer.node === b[index]?.node)
+  );
+}
+
 function updateMembers(
   state: SessionState,
   live: readonly LiveNode[],
   engines: readonly SessionEngine[],
 ): void {
   const isSame =
-    live.length === state.live.length &&
+    isSameList(live, state.live) &&
     engines.length === state.engines.size &&
-    live.every((peer, index) => peer.node === state.live[index]?.node) &&
     engines.every((entry) => state.engines.has(entry.engine));
   if (isSame) return;
   state.live = live;
--- a/src/core/membership/comparing.ts
+++ b/src/core/membership/comparing.ts
@@ -1,6 +1,7 @@
 import { millis } from "../clock.ts";
 import { describeMember, listEntriesAfter, statusOf } from "./members.ts";
 import { isRelay, otherCentres, relayOf } from "./probing.ts";
+import { estimateBytes, headerBytes } from "./sizes.ts";
 import { send, sendTo } from "./spreading.ts";
 import {
   hashText,
@@ -16,24 +17,19 @@
 const maxAnswerEntries = 64;
 /** Data centres whose nodes are compared in one exchange at most. */
 const maxComparedCentres = 2;
-/** Sizes of items in bytes, rounded up from encoded ones. */
-const estimatedBytes: Record<Item["type"], number> = {
-  member: 90,
-  entry: 60,
-  centre: 12,
-  origin: 16,
-};
 /** Members named to a node whose comparison cannot be answered in full. */
 const namedPeers = 3;
 /** Time after its start in which a node may use more traffic for comparisons, in ms. */
 const joinTime = 60_000;
 const joinFactor = 6;
+/** Unused allowance that a node keeps after its start, in s. */
+const burstSeconds = 4;
 /** How much sooner the next comparison follows one that brought new members. */
 const hasteFactor = 4;
 /** Time between two attempts to reach a seed, in ms. */
 const seedRetry = millis(500);
 /** Time between two comparisons with a seed once members are known, in ms. */
-const seedRefresh = millis(10_000);
+const seedRefresh = millis(30_000);
 
 /** Digest of one node's record. */
 function hashMember(member: MemberRecord): number {
@@ -91,7 +87,8 @@
   const { state, now, random } = turn;
   if (now < state.joinAt || state.seeds.length === 0) return;
   const isAlone = state.members.size <= 1;
-  state.joinAt = millis(now + (isAlone ? seedRetry : seedRefresh));
+  const wait = isAlone ? seedRetry : seedRefresh * (0.5 + random());
+  state.joinAt = millis(now + wait);
   const seed = state.seeds[Math.floor(random() * state.seeds.length)];
   if (seed === undefined) return;
   const items = [describeMember(state.self), ...listCentreItems(turn)];
@@ -198,7 +195,9 @@
   const rate = state.settings.syncBytes * (isJoining ? joinFactor : 1);
   const refill = ((now - state.syncRefilledAt) * rate) / 1_000;
   state.syncRefilledAt = now;
-  state.syncAllowance = Math.min(syncBurstBytes, state.syncAllowance + refill);
+  const most = isJoining ? syncBurstBytes : rate * burstSeconds;
+  state.syncAllowance = Math.min(most, state.syncAllowance + refill);
+  state.syncAllowance -= headerBytes;
   const kept: Item[] = [];
   // A random start gives different peers different parts when not all fits.
   const start = Math.floor(turn.random() * items.length);
@@ -206,7 +205,7 @@
     ? items
     : [...items.slice(start), ...items.slice(0, start)];
   for (const item of rotated) {
-    const cost = estimatedBytes[item.type];
+    const cost = estimateBytes(item);
     if (cost > state.syncAllowance) break;
     state.syncAllowance -= cost;
     kept.push(item);
--- a/src/core/membership/members.ts
+++ b/src/core/membership/members.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "../clock.ts";
 import type { EventName } from "../observe/events.ts";
-import { hashText, type Turn } from "./state.ts";
+import { hashText, noteEntry, noteMemberChange, type Turn } from "./state.ts";
 import {
   type Entry,
   type Item,
@@ -92,7 +92,7 @@
     floor: 0,
   };
   state.members.set(member.tag, member);
-  state.ring = undefined;
+  noteMemberChange(state);
   announce(turn, member);
   if (news.state === "alive") retirePredecessors(turn, info);
   return true;
@@ -119,7 +119,7 @@
   const before = member.state;
   member.state = next;
   member.since = turn.now;
-  turn.state.ring = undefined;
+  noteMemberChange(turn.state);
   turn.state.watched.delete(member.tag);
   if (before !== next) announce(turn, member);
 }
@@ -158,6 +158,7 @@
     return false;
   }
   member.entries.set(name, entry);
+  noteEntry(turn.state, entry.topic);
   const { topic, key, value } = entry;
   const { node } = member.info;
   turn.commands.push({
@@ -196,6 +197,8 @@
   const { members } = turn.state;
   for (const [tag, member] of members) {
     const isGone = member.state === "dead" || member.state === "left";
-    if (isGone && turn.now - member.since > tombstone) members.delete(tag);
+    if (!isGone || turn.now - member.since <= tombstone) continue;
+    members.delete(tag);
+    noteMemberChange(turn.state);
   }
 }
--- a/src/core/membership/membership_decision.ts
+++ b/src/core/membership/membership_decision.ts
@@ -171,8 +171,11 @@
   const { self, members } = turn.state;
   const { message, address } = probe;
   const isForSelf = message.about === self.tag;
-  const isKnown = members.has(message.from);
+  const sender = members.get(message.from);
+  const isKnown = sender !== undefined;
   const items = isForSelf && isKnown ? [] : [describeMember(self)];
+  // A node that counts as dead must hear of it to be able to refute it.
+  if (sender?.state === "dead") items.push(describeMember(sender));
   const about = message.about ?? self.tag;
   sendTo(turn, { address, purpose: "ack", about, items });
 }
--- a/src/core/membership/probing.ts
+++ b/src/core/membership/probing.ts
@@ -103,6 +103,17 @@
 export function relayOf(
   turn: Turn,
   dataCentre: DataCentre,
+): MemberRecord | undefined {
+  const { relays } = turn.state;
+  if (!relays.has(dataCentre)) {
+    relays.set(dataCentre, chooseRelay(turn, dataCentre));
+  }
+  return relays.get(dataCentre);
+}
+
+function chooseRelay(
+  turn: Turn,
+  dataCentre: DataCentre,
 ): MemberRecord | undefined {
   const members = [...turn.state.members.values()].filter(
     (member) => member.info.dataCentre === dataCentre,
--- /dev/null
+++ b/src/core/membership/sizes.ts
@@ -0,0 +1,53 @@
+import type { Item, Published } from "./types.ts";
+
+/** Bytes of a datagram without its items: headers, signature, purpose and sender. */
+export const headerBytes = 85;
+const tagBytes = 5;
+const counterBytes = 5;
+const smallNumber = 128;
+const mediumNumber = 65_536;
+
+/** Bytes of a compact encoding of a value, rounded up. */
+function estimateValue(value: Published): number {
+  if (typeof value === "string") return value.length + 2;
+  if (typeof value === "number") return estimateNumber(value);
+  if (value === null || typeof value === "boolean") return 1;
+  if (Array.isArray(value)) {
+    return value.reduce((sum, part) => sum + estimateValue(part), 3);
+  }
+  return Object.entries(value).reduce(
+    (sum, [key, part]) => sum + key.length + 2 + estimateValue(part),
+    3,
+  );
+}
+
+function estimateNumber(value: number): number {
+  if (!Number.isInteger(value) || value < 0) return 9;
+  if (value < smallNumber) return 1;
+  return value < mediumNumber ? 3 : 5;
+}
+
+/** Bytes of an item in a datagram, rounded up; traffic is bounded by it. */
+export function estimateBytes(item: Item): number {
+  switch (item.type) {
+    case "member": {
+      const { node, region, dataCentre, callers, peers } = item.info;
+      const parts = [node, region, dataCentre, callers, peers];
+      return parts.reduce((sum, part) => sum + part.length + 2, 8);
+    }
+    case "entry": {
+      const { key, value } = item.entry;
+      const fixed = 4 + tagBytes + 2 * counterBytes;
+      return fixed + key.length + estimateValue(value);
+    }
+    case "centre":
+      return 2 + tagBytes + counterBytes;
+    case "origin":
+      return 3 + tagBytes + 2 * counterBytes;
+  }
+}
+
+/** Bytes of several items and the datagrams that carry them, about. */
+export function estimateMessage(items: readonly Item[]): number {
+  return items.reduce((sum, item) => sum + estimateBytes(item), headerBytes);
+}
--- a/src/core/membership/spreading.ts
+++ b/src/core/membership/spreading.ts
@@ -2,7 +2,8 @@
 import type { DataCentre } from "../ids.ts";
 import { listEntriesAfter } from "./members.ts";
 import { otherCentres, relayOf } from "./probing.ts";
-import { pickRandom, ringOf, type Turn } from "./state.ts";
+import { estimateMessage } from "./sizes.ts";
+import { noteEntry, pickRandom, ringOf, type Turn } from "./state.ts";
 import {
   type GossipMessage,
   type Item,
@@ -13,10 +14,6 @@
   urgentFanout,
 } from "./types.ts";
 
-/** Size of a datagram without its items, and of one item, in bytes; measured. */
-const estimatedHeaderBytes = 90;
-const estimatedItemBytes = 60;
-
 /** Sends a message to a member. */
 export function send(
   turn: Turn,
@@ -88,6 +85,7 @@
   const entry = { ...value, version: turn.state.version };
   self.entries.set(name, entry);
   self.floor = turn.state.version;
+  noteEntry(turn.state, value.topic);
   if (topicSpread[value.topic] === "urgent") {
     spread(turn, [{ type: "entry", tag: self.tag, after, entry }]);
   }
@@ -105,7 +103,7 @@
   state.shared = state.version;
   const peers = ringOf(state).filter((member) => member !== self);
   for (const to of peers) send(turn, { to, purpose: "share", items });
-  const size = estimatedHeaderBytes + items.length * estimatedItemBytes;
-  const wait = (peers.length * size * 1_000) / settings.shareBytes;
+  const wait =
+    (peers.length * estimateMessage(items) * 1_000) / settings.shareBytes;
   state.shareAt = millis(now + Math.max(settings.sharePeriod, wait));
 }
--- a/src/core/membership/state.ts
+++ b/src/core/membership/state.ts
@@ -6,6 +6,7 @@
   type MembershipCommand,
   type MembershipSettings,
   syncBurstBytes,
+  type Topic,
 } from "./types.ts";
 
 /** State of membership at one node; owned by one actor and updated in place. */
@@ -32,6 +33,10 @@
   left: boolean;
   /** Alive nodes of the own data centre in ring order; undefined when it must be rebuilt. */
   ring: readonly MemberRecord[] | undefined;
+  /** Relay of each data centre, until a member changes. */
+  readonly relays: Map<DataCentre, MemberRecord | undefined>;
+  /** Goes up with every change that matters for the list of live nodes. */
+  generation: number;
 };
 
 /** Probes of one monitored node. */
@@ -111,9 +116,23 @@
     syncRefilledAt: now,
     left: false,
     ring: undefined,
+    relays: new Map(),
+    generation: 0,
   };
 }
 
+/** A member came, went or changed its state. */
+export function noteMemberChange(state: MembershipState): void {
+  state.ring = undefined;
+  state.relays.clear();
+  state.generation++;
+}
+
+/** A value was published; some decide which nodes count as live. */
+export function noteEntry(state: MembershipState, topic: Topic): void {
+  if (topic === "drain" || topic === "unreachable") state.generation++;
+}
+
 /** Whether a member takes part: alive, or suspected but not yet dead. */
 export function isPresent(member: MemberRecord): boolean {
   return member.state === "alive" || member.state === "suspect";
--- a/src/node/configuration.ts
+++ b/src/node/configuration.ts
@@ -64,6 +64,10 @@
   /** Objects that lead to the revision in force, for peers that are behind. */
   #kept: { readonly revision: number; readonly bytes: Uint8Array }[] = [];
   #cancelTick: Cancel = () => {};
+  /** Node that polls, as chosen among these live nodes. */
+  #poller:
+    | { readonly live: readonly LiveNode[]; readonly node: NodeId | undefined }
+    | undefined;
 
   /** Starts to follow the head row. */
   static create(setup: ConfigurationSetup): Configuration {
@@ -176,11 +180,16 @@
   /** Whether this node reads the head row for its data centre. */
   #isPoller(): boolean {
     const { dataCentre, nodeId, liveNodes } = this.#setup;
-    const nodes = liveNodes()
-      .filter((peer) => peer.dataCentre === dataCentre)
-      .map((peer) => peer.node);
-    const chosen = chooseByRendezvous(`config/${dataCentre}`, nodes);
-    return chosen === undefined || chosen === nodeId;
+    const live = liveNodes();
+    if (this.#poller?.live !== live) {
+      const nodes = live
+        .filter((peer) => peer.dataCentre === dataCentre)
+        .map((peer) => peer.node);
+      const node = chooseByRendezvous(`config/${dataCentre}`, nodes);
+      this.#poller = { live, node };
+    }
+    const { node } = this.#poller;
+    return node === undefined || node === nodeId;
   }
 
   #perform(command: FollowCommand): void {
--- a/src/node/membership.ts
+++ b/src/node/membership.ts
@@ -61,6 +61,9 @@
   readonly #actor: DecisionActor<MembershipState, MembershipEvent>;
   readonly #listeners: ((update: MembershipUpdate) => void)[] = [];
   #cancelTick: Cancel = () => {};
+  #live:
+    | { readonly generation: number; readonly nodes: readonly LiveNode[] }
+    | undefined;
 
   /** Starts to look for members. */
   static create(setup: MembershipSetup): Membership {
@@ -105,12 +108,14 @@
     }));
   }
 
-  /** Nodes that may own engines: alive, reachable and not draining. */
-  liveNodes(): LiveNode[] {
-    return this.members()
-      .filter((one) => one.state === "alive" && one.reachable && !one.draining)
-      .map(({ node, dataCentre }) => ({ node, dataCentre }))
-      .sort((a, b) => (a.node < b.node ? -1 : 1));
+  /** Nodes that may own engines: alive, reachable and not draining; the same array until one changes. */
+  liveNodes(): readonly LiveNode[] {
+    const { generation } = this.#state();
+    if (this.#live?.generation !== generation) {
+      const nodes = this.#listLive();
+      this.#live = { generation, nodes };
+    }
+    return this.#live.nodes;
   }
 
   /** Peer address of a node that is not gone. */
@@ -167,6 +172,13 @@
     return this.#actor.getSnapshot().context;
   }
 
+  #listLive(): LiveNode[] {
+    return this.members()
+      .filter((one) => one.state === "alive" && one.reachable && !one.draining)
+      .map(({ node, dataCentre }) => ({ node, dataCentre }))
+      .sort((a, b) => (a.node < b.node ? -1 : 1));
+  }
+
   #unreachableCentres(): Set<string> {
     const { self, members } = this.#state();
     const centres = new Set<string>();
--- a/src/node/sheet_applier.ts
+++ b/src/node/sheet_applier.ts
@@ -69,7 +69,7 @@
 ): Promise<Either<Refusal, AcceptedSheet>> {
   const sheet = options.codec.parse(change.sheet);
   if (sheet.isLeft()) return Left(sheet.extract() as Refusal);
-  const read = await readHead(options);
+  const read = await retry(options, () => readHead(options));
   if (read.isLeft()) return unavailable("The table service does not answer");
   const stored = read.extract() as StoredHead | undefined;
   const newest = stored?.head.revision ?? 0;
@@ -84,6 +84,19 @@
   return await commit(change, prepared.extract() as Prepared, options);
 }
 
+/** Repeats a call that may be repeated, since a connection can be silent while new ones work. */
+async function retry<Answer, Failure>(
+  options: StoreOptions,
+  call: () => Promise<Either<Failure, Answer>>,
+): Promise<Either<Failure, Answer>> {
+  let answer = await call();
+  for (let attempt = 1; attempt < maxAttempts && answer.isLeft(); attempt++) {
+    await sleep(options.clock, retryWait);
+    answer = await call();
+  }
+  return answer;
+}
+
 function refuseBase(change: SheetChange, newest: number) {
   const detail = `The change was made from revision ${change.base}, but revision ${newest} is in force`;
   return Left(refuse("revisionConflict", detail));
@@ -111,13 +124,11 @@
   const object = isSnapshot
     ? codec.encode({ kind: "snapshot", revision, sheet })
     : codec.encode({ kind: "delta", revision, delta });
-  const put = await answerWithin(
-    options.clock,
-    options.objects.put(key, object),
-    {
+  const put = await retry(options, () =>
+    answerWithin(options.clock, options.objects.put(key, object), {
       delay: storeDeadline,
       late: Left({ kind: "unavailable" as const, detail: "No answer in time" }),
-    },
+    }),
   );
   if (put.isLeft()) return unavailable("The object store does not answer");
   const head = createNextHead(stored?.head, {
@@ -213,27 +224,21 @@
   accepted?: Either<Refusal, AcceptedSheet>,
 ): Promise<Either<Refusal, AcceptedSheet>> {
   const next = change.base + 1;
-  for (let attempt = 0; attempt < maxAttempts; attempt++) {
-    const answer = await answerWithin(
-      options.clock,
-      options.table.read(historyKey(next)),
-      {
-        delay: storeDeadline,
-        late: Left({ kind: "unknown" as const, detail: "No answer in time" }),
-      },
-    );
-    if (answer.isRight()) {
-      const row = answer.orDefault(undefined);
-      if (row?.attempt !== change.attempt) return refuseBase(change, next);
-      if (accepted !== undefined) return accepted;
-      const record = row.value as unknown as RevisionRecord;
-      const { revision, digest } = record;
-      return Right({ revision, digest, config: undefined, objects: [] });
-    }
-    await sleep(options.clock, retryWait);
+  const answer = await retry(options, () =>
+    answerWithin(options.clock, options.table.read(historyKey(next)), {
+      delay: storeDeadline,
+      late: Left({ kind: "unknown" as const, detail: "No answer in time" }),
+    }),
+  );
+  if (answer.isLeft()) {
+    const detail = `The answer for attempt "${change.attempt}" was lost; look for it in the history`;
+    return Left(refuse("applyUnknown", detail));
   }
-  const detail = `The answer for attempt "${change.attempt}" was lost; look for it in the history`;
-  return Left(refuse("applyUnknown", detail));
+  const row = answer.orDefault(undefined);
+  if (row?.attempt !== change.attempt) return refuseBase(change, next);
+  if (accepted !== undefined) return accepted;
+  const { revision, digest } = row.value as unknown as RevisionRecord;
+  return Right({ revision, digest, config: undefined, objects: [] });
 }
 
 /** Accepted revisions, newest first. */
--- a/tests/config/configuration_test.ts
+++ b/tests/config/configuration_test.ts
@@ -155,6 +155,14 @@
   assert.equal(at.configuration.revision(), 2);
 });
 
+test("a change is accepted though the first call of its node is never answered", async () => {
+  const world = await startWithSheet(13);
+  const at = world.nodes[4] as ConfigurationNode;
+  at.link.silent = true;
+  const change = { at, base: 1, attempt: "second" };
+  assert.equal(codeOf(await apply(world, change)), "accepted");
+});
+
 test("a change made from an old or a future revision is refused", async () => {
   const world = await startWithSheet(5);
   const at = world.nodes[1] as ConfigurationNode;
--- a/tests/support/configuration_fixture.ts
+++ b/tests/support/configuration_fixture.ts
@@ -16,6 +16,13 @@
 import { MemoryObjects } from "../../src/standins/memory_platform.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
 
+/** Way of a node to the platform and to other nodes. */
+type NodeLink = {
+  cut: boolean;
+  /** The next read of the table is never answered. */
+  silent: boolean;
+};
+
 /** One simulated node with its configuration. */
 export type ConfigurationNode = {
   readonly node: NodeId;
@@ -23,7 +30,7 @@
   /** Revisions in the order in which they came into force. */
   readonly history: number[];
   /** While `cut`, the node reaches neither the platform nor other nodes. */
-  readonly link: { cut: boolean };
+  readonly link: NodeLink;
 };
 
 /** A sheet with one adapter whose versions tell who made it. */
@@ -53,10 +60,10 @@
     const node = brandString<NodeId>(name);
     const dataCentre = brandString<DataCentre>(centre);
     const history: number[] = [];
-    const link = { cut: false };
+    const link: NodeLink = { cut: false, silent: false };
     const configuration = Configuration.create({
       clock: this.clock,
-      table: this.#tableOf(() => link.cut),
+      table: this.#tableOf(link),
       objects: {
         put: (key, content) => this.objects.put(key, content),
         get: async (key) => {
@@ -119,14 +126,20 @@
     return Right(found.configuration.exportAfter(after));
   }
 
-  #tableOf(isCut: () => boolean): TableService {
+  #tableOf(link: NodeLink): TableService {
     const failure = Left({ kind: "unavailable", detail: "Cut off" } as const);
     const { table } = this;
     return {
-      read: async (key) => (isCut() ? failure : await table.read(key)),
-      scan: async (prefix) => (isCut() ? failure : await table.scan(prefix)),
+      read: async (key) => {
+        if (link.silent) {
+          link.silent = false;
+          return await new Promise(() => {});
+        }
+        return link.cut ? failure : await table.read(key);
+      },
+      scan: async (prefix) => (link.cut ? failure : await table.scan(prefix)),
       transact: async (transaction) =>
-        isCut() ? failure : await table.transact(transaction),
+        link.cut ? failure : await table.transact(transaction),
     };
   }
 }
