--- a/tests/support/pausable_clock.ts
+++ b/src/adapters/time/pausable_clock.ts
@@ -1,4 +1,4 @@
-import type { Cancel, Clock, Millis } from "../../src/core/clock.ts";
+import type { Cancel, Clock, Millis } from "../../core/clock.ts";
 
 /** Clock of one simulated node that can be paused; timers due meanwhile run at its resumption. */
 export class PausableClock implements Clock {
--- a/src/bench/cluster_simulation.ts
+++ b/src/bench/cluster_simulation.ts
@@ -9,6 +9,7 @@
   packetHeaderBytes,
 } from "../adapters/gossip/udp_datagrams.ts";
 import { sheetCodec } from "../adapters/settings/sheet.ts";
+import { PausableClock } from "../adapters/time/pausable_clock.ts";
 import { VirtualClock } from "../adapters/time/virtual_clock.ts";
 import { type Clock, millis, sleep } from "../core/clock.ts";
 import {
@@ -27,7 +28,6 @@
 import { DatagramNetwork } from "../standins/datagram_network.ts";
 import { MemoryObjects } from "../standins/memory_platform.ts";
 import { MemoryTable } from "../standins/memory_table.ts";
-import { PausableClock } from "./pausable_clock.ts";
 
 /** One-way delays in ms: inside a data centre, between regions, to the stores. */
 const localDelay = 0.4;
--- a/tests/support/membership_fixture.ts
+++ b/tests/support/membership_fixture.ts
@@ -8,6 +8,7 @@
   packetHeaderBytes,
 } from "../../src/adapters/gossip/udp_datagrams.ts";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
+import { PausableClock } from "../../src/adapters/time/pausable_clock.ts";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
 import { millis } from "../../src/core/clock.ts";
 import { brandString, type NodeId } from "../../src/core/ids.ts";
@@ -18,7 +19,6 @@
 import { Membership } from "../../src/node/membership.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { DatagramNetwork } from "../../src/standins/datagram_network.ts";
-import { PausableClock } from "./pausable_clock.ts";
 
 /** Length of the id of a usual signing key. */
 const keyIdBytes = 8;
--- a/tests/support/session_fixture.ts
+++ b/tests/support/session_fixture.ts
@@ -1,4 +1,5 @@
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
+import { PausableClock } from "../../src/adapters/time/pausable_clock.ts";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
 import { type Millis, millis } from "../../src/core/clock.ts";
 import {
@@ -16,7 +17,6 @@
 import { Session } from "../../src/node/session.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { FaultTable, SharedTable } from "./fault_table.ts";
-import { PausableClock } from "./pausable_clock.ts";
 
 export const homeCentre = brandString<DataCentre>("dc-1");
 
