--- a/src/adapters/time/pausable_clock.ts
+++ b/src/adapters/time/pausable_clock.ts
@@ -1,17 +1,23 @@
 import type { Cancel, Clock, Millis } from "../../core/clock.ts";
 
-/** Clock of one simulated node that can be paused; timers due meanwhile run at its resumption. */
+/** Clock of one simulated node, whose callbacks wait while the node is paused. */
 export class PausableClock implements Clock {
   readonly #base: Clock;
   #paused = false;
-  #waiting: (() => void)[] = [];
+  #stopped = false;
+  #backlog: (() => void)[] = [];
+
+  static create(base: Clock): PausableClock {
+    return new PausableClock(base);
+  }
 
   private constructor(base: Clock) {
     this.#base = base;
   }
 
-  static create(base: Clock): PausableClock {
-    return new PausableClock(base);
+  /** Whether callbacks wait. */
+  get paused(): boolean {
+    return this.#paused;
   }
 
   now(): Millis {
@@ -23,29 +29,42 @@
   }
 
   schedule(delay: Millis, callback: () => void): Cancel {
-    let isCancelled = false;
-    this.#base.schedule(delay, () => {
-      const run = () => {
-        if (!isCancelled) callback();
-      };
-      if (this.#paused) this.#waiting.push(run);
-      else run();
-    });
+    let active = true;
+    const run = () => {
+      if (active) callback();
+    };
+    const cancel = this.#base.schedule(delay, () => this.#enter(run));
     return () => {
-      isCancelled = true;
+      active = false;
+      cancel();
     };
   }
 
+  /** Resolves once the node runs; for answers that arrive during a pause. */
+  whenRunning(): Promise<void> {
+    return new Promise((resolve) => this.#enter(resolve));
+  }
+
   pause(): void {
     this.#paused = true;
   }
 
   resume(): void {
     this.#paused = false;
-    for (const run of this.#waiting.splice(0)) run();
+    const backlog = this.#backlog;
+    this.#backlog = [];
+    for (const callback of backlog) this.#enter(callback);
   }
 
-  get paused(): boolean {
-    return this.#paused;
+  /** Drops all callbacks for good, like the end of the process. */
+  stop(): void {
+    this.#stopped = true;
+    this.#backlog = [];
+  }
+
+  #enter(callback: () => void): void {
+    if (this.#stopped) return;
+    if (this.#paused) this.#backlog.push(callback);
+    else callback();
   }
 }
