Run the load budget in the fuzzed world

The nodes of scenarios and fuzzing now share the load budget of the weight store through the table, and each run ends with a check of its limits. The report of the lease to the budget moved to a module of its own.

--- a/src/fuzz/scenario.ts
+++ b/src/fuzz/scenario.ts
@@ -64,6 +64,7 @@
     this.#world.restore();
     await this.#world.advance(settlingTime);
     this.#world.oracle.finish();
+    this.#world.checkStore();
     const { violations } = this.#world.oracle;
     if (violations.length > 0) {
       throw new ScenarioError(`At the end: ${violations.join("; ")}`);
--- a/src/fuzz/world.ts
+++ b/src/fuzz/world.ts
@@ -20,6 +20,9 @@
 export const worldRegions = ["tatry", "beskidy", "sudety"] as const;
 /** Servers of the booking service. */
 export const worldServers = ["s0", "s1", "s2"] as const;
+/** Limits of the weight store: 8 in flight; 3 a second and a burst of 8. */
+const maxLoadsInFlight = 8;
+const maxLoadsPerSecond = 3 + 8;
 /** One-way delay inside a region and between regions, in ms. */
 const localDelay = millis(0.5);
 const remoteDelay = millis(15);
@@ -89,7 +92,7 @@
   kill(node: WorldNode): void {
     node.killed = true;
     node.downSince = this.clock.now();
-    node.node.stop();
+    node.stop();
     this.oracle.drained.delete(node.id);
     this.#breakCallers(node);
   }
@@ -162,8 +165,12 @@
       if (engine !== undefined) engine.model.leaving = true;
       return;
     }
-    const node = this.nodes.find((one) => one.running && !one.gate.paused);
-    node?.hearLeaving(name);
+    this.firstAwake()?.hearLeaving(name);
+  }
+
+  /** First node that runs and is not paused. */
+  firstAwake(): WorldNode | undefined {
+    return this.nodes.find(({ running, gate }) => running && !gate.paused);
   }
 
   delayTo(from: WorldNode, other: WorldNode | undefined): Millis {
@@ -210,6 +217,17 @@
     this.clock.schedule(gossipInterval, () => this.#gossip());
   }
 
+  /** Checks that all nodes together kept the limits of the weight store. */
+  checkStore(): void {
+    const { peakInFlight } = this.store;
+    const peak = this.store.peakPerSecond();
+    if (peakInFlight > maxLoadsInFlight || peak > maxLoadsPerSecond) {
+      this.oracle.violations.push(
+        `weight store: ${peakInFlight} loads in flight, ${peak} a second`,
+      );
+    }
+  }
+
   #createEngine(region: string, fencing: EngineLimits["fencing"]): WorldEngine {
     const id = `${region}-${fencing}`;
     const limits: EngineLimits = { slots: 3, batch: 4, queue: 32, fencing };
--- a/src/fuzz/world_node.ts
+++ b/src/fuzz/world_node.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Millis, millis } from "../core/clock.ts";
+import type { Clock, Millis } from "../core/clock.ts";
 import type { Catalog } from "../core/config/catalog.ts";
 import {
   type AdapterKey,
@@ -10,28 +10,25 @@
   type Region,
 } from "../core/ids.ts";
 import { defaultSessionSettings } from "../core/lease/state.ts";
-import { refuse } from "../core/results/refusal.ts";
+import { defaultLoadLimits } from "../core/loads/limits.ts";
 import type { EngineView } from "../core/routing/view.ts";
+import { reportLease } from "../node/lease_report.ts";
+import { LoadBudget } from "../node/load_budget.ts";
 import { Node } from "../node/node.ts";
+import { PermitReconciler } from "../node/permit_reconciler.ts";
 import { PoisonDesk } from "../node/poison_desk.ts";
-import type { AnswerSink } from "../ports/access.ts";
 import type { ClusterMember, ClusterPort } from "../ports/cluster.ts";
-import type { StreamControl } from "../ports/engine.ts";
 import { silentJournal, silentMeter } from "../ports/journal.ts";
 import type { PeerForwarder } from "../ports/peers.ts";
+import { ForwardRelay } from "./forward_relay.ts";
 import { Gate, NodeClock } from "./gate.ts";
 import type { World } from "./world.ts";
 import { WorldEngineLink } from "./world_engine.ts";
-import { WorldPermits } from "./world_permits.ts";
 import { WorldTable } from "./world_table.ts";
 
 /** Time after which an unreachable node is suspected and declared dead, in ms. */
 const suspectAfter = 2_000;
 const deadAfter = 6_000;
-/** Time after which a forwarded stream without bytes is given up, in ms. */
-const silenceLimit = 3_000;
-/** Time between two looks at the liveness of a forwarded stream, in ms. */
-const livenessInterval = 500;
 
 /** Adapter versions that callers may name. */
 export const worldAdapters: readonly AdapterKey[] = Array.from(
@@ -70,9 +67,12 @@
   readonly leavingSince = new Map<string, number>();
   /** Time since which the node does not answer others. */
   downSince: number | undefined;
+  #reconciler: PermitReconciler | undefined;
+  readonly #stopReports: () => void;
   readonly #world: World;
   readonly #table: WorldTable;
   readonly #cluster: ClusterPort;
+  readonly #permits: LoadBudget;
   #tokens = 0;
   readonly #views = new Map<EngineId, EngineView>();
 
@@ -100,7 +100,13 @@
       meter: silentMeter,
       spread: (digest, record) => this.#cluster.publishPoison(digest, record),
     });
+    this.#permits = this.#createPermits();
     this.node = this.#createNode();
+    this.#stopReports = reportLease(this.node, {
+      permits: this.#permits,
+      clock: this.clock,
+      views: () => this.#views.values(),
+    });
     this.node.markConfigured();
   }
 
@@ -119,9 +125,7 @@
       gate,
       isKilled: () => !this.running,
     };
-    const permits = new WorldPermits(clock, (engine) =>
-      this.node.grantPermit(engine),
-    );
+    const permits = this.#permits;
     return Node.create({
       nodeId: this.id,
       region,
@@ -172,14 +176,47 @@
       ]),
       lookups: new Map([[world.service, [{ method: "GET", path: "/stock" }]]]),
       session: defaultSessionSettings,
+      onSessionRemoved: (lease) =>
+        permits.send({ type: "lease-removed", lease }),
       onStopped: () => {
         this.stopped = true;
+        this.#stopDuties();
         this.downSince = world.clock.now();
         world.noteStopped(this);
       },
     });
   }
 
+  /** The node's share of the load budget, with what keeps it up to date. */
+  #createPermits(): LoadBudget {
+    const world = this.#world;
+    const shared = { clock: this.clock, table: this.#table };
+    const permits = LoadBudget.create({
+      ...shared,
+      policies: { limits: defaultLoadLimits, random: world.random },
+      onGrant: (engine) => this.node.grantPermit(engine),
+      journal: silentJournal,
+      meter: silentMeter,
+    });
+    this.#reconciler = PermitReconciler.create({
+      ...shared,
+      isResponsible: () => world.firstAwake() === this,
+      onOrphan: (lease) => permits.send({ type: "lease-removed", lease }),
+    });
+    return permits;
+  }
+
+  /** Ends at once, as a killed process does. */
+  stop(): void {
+    this.#stopDuties();
+    this.node.stop();
+  }
+
+  #stopDuties(): void {
+    this.#reconciler?.stop();
+    this.#stopReports();
+  }
+
   /** The node hears that a server is leaving. */
   hearLeaving(server: string): void {
     this.gate.pass(() => {
@@ -280,102 +317,3 @@
       this.#views.set(view.engine, { ...view, heardAt });
   }
 }
-
-/** Relays one forwarded stream back to the entry node. */
-class ForwardRelay implements AnswerSink, StreamControl {
-  control: StreamControl | undefined;
-  ended = false;
-  readonly isCut: () => boolean;
-  readonly #sink: AnswerSink;
-  readonly #clock: Clock;
-  readonly #near: WorldNode;
-  readonly #far: WorldNode | undefined;
-  #silentSince: number | undefined;
-  /** Bytes were lost on the way, so nothing after them may be delivered. */
-  #lost = false;
-
-  constructor(
-    sink: AnswerSink,
-    options: {
-      clock: Clock;
-      near: WorldNode;
-      far: WorldNode | undefined;
-      isCut: () => boolean;
-    },
-  ) {
-    this.#sink = sink;
-    this.#clock = options.clock;
-    this.#near = options.near;
-    this.#far = options.far;
-    this.isCut = options.isCut;
-    this.#watch();
-  }
-
-  onChunk(bytes: Uint8Array, count: number): void {
-    this.#pass(() => this.#sink.onChunk(bytes, count));
-  }
-
-  onEnd(): void {
-    this.#pass(() => this.#end(() => this.#sink.onEnd()));
-  }
-
-  onRefusal(refusal: Parameters<AnswerSink["onRefusal"]>[0]): void {
-    this.#pass(() => this.#end(() => this.#sink.onRefusal(refusal)));
-  }
-
-  refuseUnsent(): void {
-    const refusal = refuse("peerLost", "The owner does not answer", {
-      outcome: "not-run",
-    });
-    this.#end(() => this.#sink.onRefusal(refusal));
-  }
-
-  cancel(): void {
-    this.ended = true;
-    this.control?.cancel();
-  }
-
-  pause(): void {
-    this.control?.pause();
-  }
-
-  resume(): void {
-    this.control?.resume();
-  }
-
-  #end(tell: () => void): void {
-    if (this.ended) return;
-    this.ended = true;
-    tell();
-  }
-
-  #pass(deliver: () => void): void {
-    this.#lost ||= this.isCut();
-    if (this.#lost) return;
-    this.#near.gate.pass(() => {
-      if (!this.ended && this.#near.running) deliver();
-    });
-  }
-
-  /** Notices a broken connection at once and a silent one after 3 s. */
-  #watch(): void {
-    this.#clock.schedule(millis(livenessInterval), () => {
-      if (this.ended) return;
-      if (!this.#near.running) return this.cancel();
-      const isPaused = this.#far?.gate.paused === true;
-      if (!this.#lost && !this.isCut() && !isPaused && this.#far?.running) {
-        this.#silentSince = undefined;
-        return this.#watch();
-      }
-      this.#silentSince ??= this.#clock.now();
-      const silence = this.#clock.now() - this.#silentSince;
-      if (this.#far?.running && silence < silenceLimit) return this.#watch();
-      this.control?.cancel();
-      this.#near.gate.pass(() =>
-        this.#end(() =>
-          this.#sink.onRefusal(refuse("peerLost", "The owner was lost")),
-        ),
-      );
-    });
-  }
-}
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -28,6 +28,7 @@
 import type { PeerForwarder } from "../ports/peers.ts";
 import type { BackEnds } from "./back_ends.ts";
 import { Configuration } from "./configuration.ts";
+import { reportLease } from "./lease_report.ts";
 import { LoadBudget } from "./load_budget.ts";
 import { Membership } from "./membership.ts";
 import { AdapterIndex, MembershipCluster } from "./membership_cluster.ts";
@@ -60,9 +61,6 @@
   stop(): void;
 };
 
-/** Time between two reports of the lease to the load budget, in ms. */
-const leaseReportMillis = 500;
-
 /** Creates the actors of a node and connects them. */
 export function wireNode(options: WiringOptions): NodeParts {
   const { settings, nodeId, clock, keyring, timeline, meter } = options;
@@ -163,7 +161,11 @@
     cluster,
     readHour: () => readLocalHour(clock),
   });
-  const stopReports = reportLease(node, { permits, cluster, clock });
+  const stopReports = reportLease(node, {
+    permits,
+    clock,
+    views: () => cluster.engineViews(),
+  });
   const reconciler = PermitReconciler.create({
     ...shared,
     table: options.table,
@@ -221,33 +223,3 @@
 function isFirstNode(live: readonly LiveNode[], nodeId: NodeId): boolean {
   return live.every(({ node }) => node >= nodeId);
 }
-
-/** Tells the load budget under which lease it acts and how many owners share it. */
-function reportLease(
-  node: Node,
-  options: {
-    permits: LoadBudget;
-    cluster: MembershipCluster;
-    clock: Clock;
-  },
-): () => void {
-  const { permits, cluster, clock } = options;
-  const report = (): void => {
-    const { session } = node;
-    if (session.isUsable()) {
-      permits.send({
-        type: "lease",
-        lease: session.lease(),
-        usableUntil: session.usableUntil(),
-      });
-    }
-    const local = session.owned().length;
-    const remote = cluster
-      .engineViews()
-      .filter((view) => view.owner !== session.node).length;
-    permits.send({ type: "owners", local, total: local + remote });
-    cancel = clock.schedule(millis(leaseReportMillis), report);
-  };
-  let cancel = clock.schedule(millis(leaseReportMillis), report);
-  return () => cancel();
-}
