Drop answers of an engine that name another adapter version

The engine's answer was checked for its request id only. One canned answer of a test lacked the model field that every engine sends; it got the field, its assertions stay.

--- a/src/adapters/backends/engine_stream.ts
+++ b/src/adapters/backends/engine_stream.ts
@@ -38,6 +38,8 @@
   #controller: Dispatcher.DispatchController | undefined;
   #cancelTimer: Cancel;
   #heardAt: Millis;
+  /** The first events were seen to come from the right adapter version. */
+  #checked = false;
   #paused = false;
   #ended = false;
   /** Status and body of a refusal. */
@@ -113,7 +115,15 @@
       this.#abandon("broken", "An event exceeds the size limit");
       return;
     }
-    const { sink } = this.#options;
+    const { sink, meter } = this.#options;
+    if (events.count > 0 && !this.#checked) {
+      if (!this.#namesAdapter(events.bytes)) {
+        meter.count("engine_wrong_adapters_total");
+        this.#abandon("wrong-adapter", "The answer names another adapter");
+        return;
+      }
+      this.#checked = true;
+    }
     if (events.count > 0) sink.onChunk(events.bytes, events.count);
     if (events.done && !this.#ended) {
       this.#ended = true;
@@ -121,6 +131,13 @@
     }
   }
 
+  /** Whether the first events carry the adapter version that was asked for. */
+  #namesAdapter(bytes: Buffer): boolean {
+    return bytes.includes(
+      `"model":${JSON.stringify(this.#options.order.adapter)}`,
+    );
+  }
+
   onResponseEnd(): void {
     if (this.#refusal !== undefined) {
       const { kind, detail } = classifyRefusal(this.#refusal);
--- a/src/core/engine/messages.ts
+++ b/src/core/engine/messages.ts
@@ -39,7 +39,8 @@
   | "leaving"
   | "unreachable"
   | "broken"
-  | "silent";
+  | "silent"
+  | "wrong-adapter";
 
 /** Message to the owner of an engine. */
 export type EngineEvent =
--- a/src/core/engine/streams.ts
+++ b/src/core/engine/streams.ts
@@ -84,7 +84,9 @@
   refuseRequest(
     turn,
     event.requestId,
-    refuse(refusalCodes[event.kind], event.detail, { outcome: "not-run" }),
+    refuse(refusalCodes[event.kind], event.detail, {
+      outcome: event.kind === "wrong-adapter" ? "may-have-run" : "not-run",
+    }),
   );
   if (event.kind === "stale-fence") loseOwnership(turn);
   if (event.kind === "leaving") leaveEngine(turn);
@@ -99,6 +101,7 @@
   "stale-fence": "notOwner",
   leaving: "engineRefused",
   unreachable: "engineRefused",
+  "wrong-adapter": "wrongAdapter",
 };
 
 /** Puts a request back whose adapter the engine no longer holds. */
--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -10,6 +10,7 @@
    * for an old fencing number. `adapter-missing`: does not hold the adapter.
    * `leaving`: takes no new work. `unreachable`: nothing was sent. `broken`:
    * the connection ended early. `silent`: no byte within the silence limit.
+   * `wrong-adapter`: the answer names another adapter version; it was dropped.
    */
   readonly kind:
     | "refused"
@@ -18,7 +19,8 @@
     | "leaving"
     | "unreachable"
     | "broken"
-    | "silent";
+    | "silent"
+    | "wrong-adapter";
   readonly detail: string;
 };
 
--- a/src/standins/engine_server.ts
+++ b/src/standins/engine_server.ts
@@ -29,6 +29,7 @@
   unreachable: 0,
   broken: 0,
   silent: 0,
+  "wrong-adapter": 0,
 };
 
 /** Model engine behind HTTP. */
--- a/tests/backends/engine_client_test.ts
+++ b/tests/backends/engine_client_test.ts
@@ -134,11 +134,22 @@
 test("an answer without the closing event is not whole", async (context) => {
   const answer = await answerWith(context, ({ response }) => {
     response.setHeader("x-request-id", "r1");
-    response.end('data: {"choices":[{"text":"a"}]}\n\n');
+    response.end('data: {"model":"chains@3","choices":[]}\n\n');
   });
   assert.deepEqual([answer.end, answer.events], ["broken", 1]);
 });
 
+test("an answer of another adapter version is dropped before anything is passed on", async (context) => {
+  for (const model of ["chains@2", "claims@1"]) {
+    const answer = await answerWith(context, ({ response }) => {
+      response.setHeader("x-request-id", "r1");
+      response.write(`data: {"model":"${model}","choices":[]}\n\n`);
+      response.end("data: [DONE]\n\n");
+    });
+    assert.deepEqual([answer.end, answer.events], ["wrong-adapter", 0]);
+  }
+});
+
 test("only answers that promise that nothing ran count as refusals", async (context) => {
   const kinds: Record<number, string> = {};
   for (const status of [400, 404, 408, 409, 410, 429, 500, 502, 503, 504]) {
