--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -18,6 +18,8 @@
 
 /** Time for the headers of a request to arrive, in ms. */
 const headersDeadlineMillis = 5_000;
+/** Time between checks of that deadline, in ms; Node's default of 30 s would let slow senders stay. */
+const deadlineCheckMillis = 1_000;
 /** Largest size of all headers, in bytes. */
 const maxHeaderBytes = 16 * 1024;
 /** Open caller connections. */
@@ -35,7 +37,11 @@
 /** HTTP server towards callers. */
 export function createCallerServer(options: CallerServerOptions): Server {
   const server = createServer(
-    { maxHeaderSize: maxHeaderBytes, noDelay: true },
+    {
+      maxHeaderSize: maxHeaderBytes,
+      noDelay: true,
+      connectionsCheckingInterval: deadlineCheckMillis,
+    },
     (request, response) => {
       // A caller that disconnects is handled where its request is served.
       response.on("error", () => {});
--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -23,6 +23,8 @@
 export const trpcPath = "/trpc";
 /** Time for the headers of a message to arrive, in ms. */
 const headersDeadlineMillis = 5_000;
+/** Time between checks of that deadline, in ms. */
+const deadlineCheckMillis = 1_000;
 /** Open peer and operator connections. */
 const maxConnections = 20_000;
 /** Largest trpc message, in bytes: a sheet of 170,000 adapters. */
@@ -41,10 +43,13 @@
 /** HTTP server towards other nodes and operators; refuses what is not signed. */
 export function createPeerServer(options: PeerServerOptions): Server {
   const verifier = SignatureVerifier.create(options);
-  const server = createServer({ noDelay: true }, (request, response) => {
-    response.on("error", () => {});
-    void handleMessage(options, verifier, { request, response });
-  });
+  const server = createServer(
+    { noDelay: true, connectionsCheckingInterval: deadlineCheckMillis },
+    (request, response) => {
+      response.on("error", () => {});
+      void handleMessage(options, verifier, { request, response });
+    },
+  );
   server.headersTimeout = headersDeadlineMillis;
   server.requestTimeout = 0;
   server.maxConnections = maxConnections;
