Let long streams make room for bursts of short work

The owner now ends a long stream at the engine and dispatches it again later from where it stopped; the number per request, the rate, and the places that long work keeps are bounded. Work that ran in part is handed back as may-have-run.

--- a/src/bench/experiments/short_long.ts
+++ b/src/bench/experiments/short_long.ts
@@ -56,7 +56,7 @@
       createRouter({ choose: chooseEngine, costs: defaultRouteCosts, clock }),
     tail: 0,
   });
-  return describe(records.filter(({ arrival }) => arrival.at >= WARM_UP));
+  return describe(records);
 }
 
 function isShort({ kind }: Arrival): boolean {
@@ -64,7 +64,10 @@
 }
 
 function describe(records: readonly RequestRecord[]): Figures {
-  const short = records.filter(({ arrival }) => isShort(arrival));
+  const short = records.filter(
+    ({ arrival }) => isShort(arrival) && arrival.at >= WARM_UP,
+  );
+  // All long work counts, since what arrived early is still served later.
   const long = records.filter(({ arrival }) => !isShort(arrival));
   const firstTokens = Distribution.create();
   for (const { firstToken } of short) {
@@ -77,7 +80,7 @@
     "short refused share":
       short.filter(({ refusal }) => refusal !== undefined).length /
       short.length,
-    "long tokens per second": (1_000 * longTokens) / (DURATION - WARM_UP),
+    "long tokens per second": (1_000 * longTokens) / DURATION,
   };
 }
 
--- a/src/core/engine/decision.ts
+++ b/src/core/engine/decision.ts
@@ -16,6 +16,7 @@
 import { loseOwnership, takeOwnership } from "./ownership.ts";
 import { grantPermit } from "./permits.ts";
 import type { EnginePolicies } from "./policies.ts";
+import { preemptLong, requeuePreempted } from "./preempting.ts";
 import { acceptReport, failReport, followReports } from "./reporting.ts";
 import type { EngineState } from "./state.ts";
 import {
@@ -46,6 +47,7 @@
     startLoads(turn);
     giveUpLoads(turn);
     dispatchWork(turn);
+    preemptLong(turn);
     checkAges(turn);
     setTimer(turn);
     return { state, commands: turn.commands };
@@ -66,6 +68,7 @@
   progress: noteProgress,
   finished: finishStream,
   "stream-failed": failStream,
+  preempted: requeuePreempted,
   "load-finished": (turn, { adapter }) => finishLoad(turn, adapter),
   "load-failed": failLoad,
   "unload-finished": (turn, { adapter }) => finishUnload(turn, adapter),
--- a/src/core/engine/dispatch.ts
+++ b/src/core/engine/dispatch.ts
@@ -1,5 +1,5 @@
 import { dequeue, type QueueEntry } from "./queue.ts";
-import { countLongSlots, useSlot } from "./slots.ts";
+import { countLongSlots, describeBatch, useSlot } from "./slots.ts";
 import type { Slot } from "./state.ts";
 import { mayDispatch, record, type Turn } from "./turn.ts";
 
@@ -17,7 +17,7 @@
 }
 
 /** Batch places that neither own nor foreign requests occupy. */
-function countFreePlaces({ state }: Turn): number {
+export function countFreePlaces({ state }: Turn): number {
   return (
     state.identity.limits.batch - state.running.size - state.foreignRunning
   );
@@ -86,28 +86,16 @@
   turn: Turn,
 ): (slot: Slot, entry: QueueEntry) => boolean {
   const { state, policies, now } = turn;
-  const placesLeft = state.runningLong < countLongPlaces(turn);
+  const placesLeft =
+    state.runningLong < policies.longPlaces(describeBatch(state));
   const slotsLeft =
     countLongSlots(state) < policies.longSlots(state.identity.limits.slots);
-  return (slot, { work }) => {
+  return (slot, { queuedAt }) => {
     if (placesLeft && (slotsLeft || slot.runningLong > 0)) return true;
-    return now - work.arrivedAt >= policies.longPatience;
+    return now - queuedAt >= policies.longPatience;
   };
 }
 
-function countLongPlaces({ state, policies }: Turn): number {
-  let shortWaiting = 0;
-  for (const { adapter, phase } of state.slots.values()) {
-    if (phase !== "loaded") continue;
-    shortWaiting += state.queue.byAdapter.get(adapter)?.short.length ?? 0;
-  }
-  return policies.longPlaces({
-    batch: state.identity.limits.batch,
-    shortWaiting,
-    shortRunning: state.running.size - state.runningLong,
-  });
-}
-
 function dispatchEntry(turn: Turn, entry: QueueEntry): void {
   const { state, now } = turn;
   const { work } = entry;
@@ -119,8 +107,9 @@
     dispatchedAt: now,
     firstTokenAt: undefined,
     lastProgressAt: now,
-    tokens: 0,
+    tokens: entry.delivered,
     broken: false,
+    preempting: false,
   });
   if (entry.long) state.runningLong++;
   const slot = state.slots.get(work.adapter);
--- a/src/core/engine/load_demand.ts
+++ b/src/core/engine/load_demand.ts
@@ -59,7 +59,7 @@
 function isPressing({ now, policies }: Turn, lanes: AdapterQueue): boolean {
   const [long] = lanes.long;
   if (lanes.short.length > 0 || long === undefined) return true;
-  return now - long.work.arrivedAt >= policies.longPatience;
+  return now - long.queuedAt >= policies.longPatience;
 }
 
 function countEntries({ short, long }: AdapterQueue): number {
--- a/src/core/engine/messages.ts
+++ b/src/core/engine/messages.ts
@@ -63,6 +63,12 @@
       readonly kind: StreamFailureKind;
       readonly detail: string;
     }
+  /** A `preempt` order was carried out; the stream passed on this many events since it was submitted. */
+  | {
+      readonly type: "preempted";
+      readonly requestId: RequestId;
+      readonly tokens: number;
+    }
   | { readonly type: "load-finished"; readonly adapter: AdapterKey }
   | {
       readonly type: "load-failed";
@@ -123,6 +129,8 @@
       readonly refusal: Refusal;
     }
   | { readonly type: "cancel-stream"; readonly requestId: RequestId }
+  /** Ends a stream at the engine, to be dispatched again later from where it stopped. */
+  | { readonly type: "preempt"; readonly requestId: RequestId }
   | { readonly type: "request-permit"; readonly urgent: boolean }
   /** Gives back a granted permit; `used` when a load was started under it. */
   | { readonly type: "release-permit"; readonly used: boolean }
--- a/src/core/engine/policies.ts
+++ b/src/core/engine/policies.ts
@@ -35,6 +35,8 @@
   readonly isLong: (work: Work) => boolean;
   /** Batch places that long work may take. */
   readonly longPlaces: (use: BatchUse) => number;
+  /** Batch places that running long work keeps although short work waits for one. */
+  readonly keptLongPlaces: (use: BatchUse) => number;
   /** Slots whose adapters long work may keep in use at once. */
   readonly longSlots: (slots: number) => number;
   /** Time in ms that work may be held back by these limits. */
@@ -67,6 +69,9 @@
 /** Recent uses that a wish of placement counts for when a slot is evicted. */
 const PLACED = 2;
 
+/** Share of the batch that long work keeps in a burst of short work. */
+const KEPT_SHARE = 0.25;
+
 /** Part of the slots that long work leaves to short work, since a slot in use cannot be evicted. */
 const RESERVED_SLOTS = 0.375;
 
@@ -111,6 +116,7 @@
   rank: rankByClass,
   isLong: (work) => work.expectedTokens > LONG_TOKENS,
   longPlaces: limitLongPlaces,
+  keptLongPlaces: ({ batch }) => Math.max(1, Math.floor(batch * KEPT_SHARE)),
   longSlots: (slots) => Math.max(1, Math.floor(slots * (1 - RESERVED_SLOTS))),
   longPatience: LONG_PATIENCE,
   rankLoad: rankByDemand,
@@ -123,6 +129,7 @@
   rank: (work) => work.arrivedAt,
   isLong: () => false,
   longPlaces: ({ batch }) => batch,
+  keptLongPlaces: ({ batch }) => batch,
   longSlots: (slots) => slots,
   longPatience: 0,
   rankLoad: ({ firstRank }) => firstRank,
--- a/src/core/engine/queue.ts
+++ b/src/core/engine/queue.ts
@@ -8,8 +8,12 @@
   /** Lower runs earlier; fixed on arrival, so that older work moves ahead. */
   readonly rank: number;
   readonly long: boolean;
+  readonly queuedAt: Millis;
   /** Times that the work was put back after the engine did not run it. */
   readonly requeued: number;
+  /** Times that the work made room for short work, and stream events until then. */
+  readonly preemptions: number;
+  readonly delivered: number;
 };
 
 /** Waiting work of one adapter version, lowest rank first. */
--- a/src/core/engine/slots.ts
+++ b/src/core/engine/slots.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "../clock.ts";
+import type { BatchUse } from "./policies.ts";
 import type { EngineState, Slot, Uses } from "./state.ts";
 
 /** Time after which the recorded number of uses of an adapter halves, in ms. */
@@ -27,3 +28,21 @@
   }
   return count;
 }
+
+/** Describes the use of the batch to the policies. */
+export function describeBatch(state: EngineState): BatchUse {
+  return {
+    batch: state.identity.limits.batch,
+    shortWaiting: countShortWaiting(state),
+    shortRunning: state.running.size - state.runningLong,
+  };
+}
+
+function countShortWaiting({ slots, queue }: EngineState): number {
+  let count = 0;
+  for (const { adapter, phase } of slots.values()) {
+    if (phase !== "loaded") continue;
+    count += queue.byAdapter.get(adapter)?.short.length ?? 0;
+  }
+  return count;
+}
--- a/src/core/engine/state.ts
+++ b/src/core/engine/state.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "../clock.ts";
+import { type Millis, millis } from "../clock.ts";
 import type { AdapterKey, FencingNumber, RequestId } from "../ids.ts";
 import { createHealth, type Health } from "./health.ts";
 import type { EngineIdentity } from "./messages.ts";
@@ -32,6 +32,8 @@
   tokens: number;
   /** The connection broke or went silent; a report decides what to say. */
   broken: boolean;
+  /** It was ordered to make room. */
+  preempting: boolean;
 };
 
 /** The lease under which orders may be written. */
@@ -104,6 +106,8 @@
   loadWaitingSince: Millis | undefined;
   /** Next check of work that waits for loads. */
   loadCheckAt: Millis | undefined;
+  /** Preemptions that may be ordered, as of a time. */
+  preemptions: { left: number; at: Millis };
   timerAt: Millis | undefined;
   /** What bounds turned away, by name. */
   counters: EngineCounters;
@@ -116,6 +120,7 @@
   loadGivenUp: number;
   backoffsDropped: number;
   duplicates: number;
+  preemptions: number;
 };
 
 /** Load time assumed until one was observed, in ms. */
@@ -163,6 +168,7 @@
     ageCheckAt: undefined,
     loadWaitingSince: undefined,
     loadCheckAt: undefined,
+    preemptions: { left: 0, at: millis(0) },
     timerAt: undefined,
     counters: {
       queueFull: 0,
@@ -170,6 +176,7 @@
       loadGivenUp: 0,
       backoffsDropped: 0,
       duplicates: 0,
+      preemptions: 0,
     },
   };
 }
--- a/src/core/engine/streams.ts
+++ b/src/core/engine/streams.ts
@@ -8,6 +8,7 @@
 import { loseOwnership } from "./ownership.ts";
 import { enqueue } from "./queue.ts";
 import { askForReport } from "./reporting.ts";
+import { toEntry } from "./running.ts";
 import type { Running } from "./state.ts";
 import {
   average,
@@ -28,7 +29,7 @@
   observeEngine(turn, { kind: "first-token", value });
   running.firstTokenAt = turn.now;
   running.lastProgressAt = turn.now;
-  running.tokens = 1;
+  running.tokens = running.delivered + 1;
   acceptAnnouncement(turn);
 }
 
@@ -104,7 +105,7 @@
 /** Puts a request back whose adapter the engine no longer holds. */
 function replaceMissing(turn: Turn, running: Running, detail: string): void {
   const { state } = turn;
-  const { work, rank, long, requeued } = running;
+  const { work, requeued } = running;
   const slot = state.slots.get(work.adapter);
   if (slot?.phase === "loaded") state.slots.delete(work.adapter);
   askForReport(turn, { decisive: false });
@@ -113,5 +114,5 @@
     refuseRequest(turn, work.requestId, refuse("engineRefused", detail));
     return;
   }
-  enqueue(state.queue, { work, rank, long, requeued: requeued + 1 });
+  enqueue(state.queue, { ...toEntry(running), requeued: requeued + 1 });
 }
--- a/src/core/engine/submitting.ts
+++ b/src/core/engine/submitting.ts
@@ -27,7 +27,10 @@
     work,
     rank: policies.rank(work),
     long: policies.isLong(work),
+    queuedAt: turn.now,
     requeued: 0,
+    preemptions: 0,
+    delivered: 0,
   });
 }
 
--- a/src/core/engine/turn.ts
+++ b/src/core/engine/turn.ts
@@ -45,9 +45,13 @@
   entries: Iterable<QueueEntry>,
   refusal: Refusal,
 ): void {
-  for (const { work } of [...entries]) {
+  for (const { work, delivered } of [...entries]) {
     dequeue(turn.state.queue, work.requestId);
-    refuseRequest(turn, work.requestId, refusal);
+    refuseRequest(
+      turn,
+      work.requestId,
+      delivered > 0 ? { ...refusal, outcome: "may-have-run" } : refusal,
+    );
   }
 }
 
--- a/src/node/engine_owner.ts
+++ b/src/node/engine_owner.ts
@@ -67,6 +67,8 @@
   paused: boolean;
   tokens: number;
   progressAt: number;
+  /** The present dispatch has produced its first token. */
+  started: boolean;
 };
 
 /** Owner of one engine: holds its streams and serialises every order to it. */
@@ -116,6 +118,7 @@
       sink,
       control: undefined,
       paused: false,
+      started: false,
       tokens: 0,
       progressAt: 0,
     });
@@ -168,6 +171,9 @@
       case "cancel-stream":
         this.#streams.get(command.requestId)?.control?.cancel();
         return;
+      case "preempt":
+        this.#preempt(command.requestId);
+        return;
       case "request-permit":
         return permits.request(identity.engine, command.urgent);
       case "release-permit":
@@ -226,7 +232,8 @@
     const { clock } = this.#options;
     return {
       onChunk: (bytes, count) => {
-        if (stream.tokens === 0) {
+        if (!stream.started) {
+          stream.started = true;
           this.#actor.send({ type: "first-token", requestId });
           stream.progressAt = clock.now() + progressIntervalMillis;
         }
@@ -290,6 +297,16 @@
     );
   }
 
+  /** Ends a stream at the engine and keeps its sink for the next dispatch. */
+  #preempt(requestId: RequestId): void {
+    const stream = this.#streams.get(requestId);
+    if (stream?.control === undefined) return;
+    stream.control.cancel();
+    stream.control = undefined;
+    stream.started = false;
+    this.#actor.send({ type: "preempted", requestId, tokens: stream.tokens });
+  }
+
   #setTimer(at: Millis): void {
     const { clock } = this.#options;
     this.#cancelTimer?.();
--- a/tests/engine/harness.ts
+++ b/tests/engine/harness.ts
@@ -157,6 +157,15 @@
     this.send({ type: "cancel", requestId: brandString(requestId) });
   }
 
+  startStream(requestId: string): void {
+    this.send({ type: "first-token", requestId: brandString(requestId) });
+  }
+
+  preempted(requestId: string, tokens: number): void {
+    const id = brandString<RequestId>(requestId);
+    this.send({ type: "preempted", requestId: id, tokens });
+  }
+
   failStream(requestId: string, kind: StreamFailureKind): void {
     const id = brandString<RequestId>(requestId);
     this.send({ type: "stream-failed", requestId: id, kind, detail: kind });
--- a/tests/engine/queue_test.ts
+++ b/tests/engine/queue_test.ts
@@ -121,3 +121,66 @@
   assert.deepEqual(owner.sent("cancel-stream"), ["busy-0"]);
   assert.deepEqual(owner.sent("dispatch"), []);
 });
+
+/** Owner whose batch of 8 holds five long and three short requests. */
+function createMixedOwner(): OwnerHarness {
+  const owner = createBusyOwner({ batch: 8, running: 3 });
+  for (let index = 0; index < 5; index++) {
+    owner.submit(`long-${index}`, { adapter: "a@1", expectedTokens: 2_000 });
+  }
+  owner.advance(20_100);
+  for (let index = 0; index < 5; index++) owner.startStream(`long-${index}`);
+  owner.clear();
+  return owner;
+}
+
+test("a long stream makes room for short work and goes on where it stopped", () => {
+  const owner = createMixedOwner();
+  owner.submit("short", { adapter: "a@1" });
+  const [long = ""] = owner.sent("preempt");
+  owner.preempted(long, 30);
+  assert.deepEqual(owner.sent("dispatch"), ["short"]);
+  owner.finish("short");
+  const resumed = owner.commands.flatMap((command) =>
+    command.type === "dispatch" && command.work.requestId === long
+      ? [command.work.resumeAt]
+      : [],
+  );
+  assert.deepEqual(resumed, [30]);
+});
+
+test("long work keeps its part of the batch in a burst of short work", () => {
+  const owner = createMixedOwner();
+  for (let index = 0; index < 6; index++) {
+    owner.submit(`short-${index}`, { adapter: "a@1" });
+  }
+  assert.equal(owner.sent("preempt").length, 3);
+});
+
+test("a request that was preempted five times runs to its end", () => {
+  const owner = createMixedOwner();
+  const preemptions: Record<string, number> = {};
+  for (let round = 0; round < 40; round++) {
+    const id = `short-${round}`;
+    owner.submit(id, { adapter: "a@1" });
+    for (const long of owner.sent("preempt")) {
+      preemptions[long] = (preemptions[long] ?? 0) + 1;
+      owner.preempted(long, round);
+    }
+    owner.finish(id);
+    for (const long of owner.sent("dispatch")) owner.startStream(long);
+    owner.clear();
+    owner.advance(1_000);
+    owner.report();
+  }
+  assert.deepEqual(Object.values(preemptions), [5, 5, 5, 5, 5]);
+});
+
+test("work that ran in part is not handed back as not run", () => {
+  const owner = createMixedOwner();
+  owner.submit("short", { adapter: "a@1" });
+  const [long = ""] = owner.sent("preempt");
+  owner.preempted(long, 30);
+  owner.send({ type: "drain" });
+  assert.equal(owner.refusals()[long], "draining may-have-run");
+});
