--- a/src/core/membership/membership_decision.ts
+++ b/src/core/membership/membership_decision.ts
@@ -21,7 +21,14 @@
   probeMonitored,
   relayOf,
 } from "./probing.ts";
-import { publish, send, sendTo, shareBulk, spread } from "./spreading.ts";
+import {
+  listRecent,
+  publish,
+  send,
+  sendTo,
+  shareBulk,
+  spread,
+} from "./spreading.ts";
 import { type MembershipState, ringOf, type Turn } from "./state.ts";
 import {
   type GossipMessage,
@@ -105,12 +112,14 @@
   if (sender !== undefined) noteContact(turn, sender);
   switch (message.purpose) {
     case "ping":
+      spread(turn, fresh.filter(isUrgent));
       answerPing(turn, { message, address });
       break;
     case "ping-request":
       passProbe(turn, message);
       break;
     case "ack":
+      spread(turn, fresh.filter(isUrgent));
       passAck(turn, message);
       break;
     case "push":
@@ -173,7 +182,8 @@
   const isForSelf = message.about === self.tag;
   const sender = members.get(message.from);
   const isKnown = sender !== undefined;
-  const items = isForSelf && isKnown ? [] : [describeMember(self)];
+  const items = listRecent(turn);
+  if (!isForSelf || !isKnown) items.push(describeMember(self));
   // A node that counts as dead must hear of it to be able to refute it.
   if (sender?.state === "dead") items.push(describeMember(sender));
   const about = message.about ?? self.tag;
@@ -196,8 +206,9 @@
   if (about !== message.from) {
     const target = members.get(about);
     // A restarted node answers for its earlier run, which does not count.
-    const isRelayed = message.items.length === 0;
-    if (target !== undefined && isRelayed) noteContact(turn, target);
+    const sender = members.get(message.from);
+    const isRestart = sender?.info.peers === target?.info.peers;
+    if (target !== undefined && !isRestart) noteContact(turn, target);
     return;
   }
   const request = asked.get(about);
--- a/src/core/membership/probing.ts
+++ b/src/core/membership/probing.ts
@@ -2,7 +2,7 @@
 import type { DataCentre } from "../ids.ts";
 import { chooseByRendezvous } from "../lease/rendezvous.ts";
 import { describeMember, setState } from "./members.ts";
-import { send, spread } from "./spreading.ts";
+import { listRecent, send, spread } from "./spreading.ts";
 import {
   isPresent,
   never,
@@ -58,7 +58,8 @@
   if (now >= watch.probeAt) {
     watch.probeAt = millis(now + settings.probePeriod);
     // A suspect must hear of the suspicion to be able to refute it.
-    const items = member.state === "suspect" ? [describeMember(member)] : [];
+    const items = listRecent(turn);
+    if (member.state === "suspect") items.push(describeMember(member));
     const about = member.tag;
     send(turn, { to: member, purpose: "ping", about, items });
   }
--- a/src/core/membership/spreading.ts
+++ b/src/core/membership/spreading.ts
@@ -14,6 +14,11 @@
   urgentFanout,
 } from "./types.ts";
 
+/** How long an urgent item travels on probes as well, in ms. */
+const recentTime = 1_000;
+/** Items on one probe at most. */
+const maxRecentItems = 8;
+
 /** Sends a message to a member. */
 export function send(
   turn: Turn,
@@ -50,6 +55,7 @@
   const { state, random } = turn;
   if (items.length === 0) return;
   const { self } = state;
+  keepRecent(turn, items);
   const peers = ringOf(state).filter((member) => member !== self);
   for (const to of pickRandom(peers, { count: urgentFanout, random })) {
     send(turn, { to, purpose: "push", items });
@@ -65,6 +71,24 @@
   }
 }
 
+function keepRecent(turn: Turn, items: readonly Item[]): void {
+  const { state, now } = turn;
+  const added = items.map((item) => ({ item, at: now }));
+  const kept = [...added, ...state.recent].slice(0, maxRecentItems);
+  state.recent = kept.filter(({ at }) => now - at <= recentTime);
+}
+
+/**
+ * Items that probes and answers carry as well: pushes to random peers miss
+ * about one node in twenty, which then heard of a suspicion only after 2.3 s.
+ */
+export function listRecent(turn: Turn): Item[] {
+  const { state, now } = turn;
+  return state.recent
+    .filter(({ at }) => now - at <= recentTime)
+    .map(({ item }) => item);
+}
+
 /** Publishes one value of this node. */
 export function publish(
   turn: Turn,
--- a/src/core/membership/state.ts
+++ b/src/core/membership/state.ts
@@ -1,6 +1,7 @@
 import { type Millis, millis } from "../clock.ts";
 import type { DataCentre } from "../ids.ts";
 import {
+  type Item,
   type MemberInfo,
   type MemberRecord,
   type MembershipCommand,
@@ -33,6 +34,8 @@
   left: boolean;
   /** Alive nodes of the own data centre in ring order; undefined when it must be rebuilt. */
   ring: readonly MemberRecord[] | undefined;
+  /** Urgent items of the last moments, which also travel on probes and their answers. */
+  recent: readonly { readonly item: Item; readonly at: Millis }[];
   /** Relay of each data centre, until a member changes. */
   readonly relays: Map<DataCentre, MemberRecord | undefined>;
   /** Goes up with every change that matters for the list of live nodes. */
@@ -116,6 +119,7 @@
     syncRefilledAt: now,
     left: false,
     ring: undefined,
+    recent: [],
     relays: new Map(),
     generation: 0,
   };
