--- a/src/node/service_request.ts
+++ b/src/node/service_request.ts
@@ -34,7 +34,7 @@
   readonly requestId: RequestId;
   readonly deadlineAt: Millis;
   readonly claim: Claim | undefined;
-  readonly request: Omit<ServiceCall, "requestId" | "timeout">;
+  readonly request: Omit<ServiceCall, "requestId" | "timeout" | "repeatable">;
 };
 
 /** What the task of one call needs. */
@@ -159,6 +159,7 @@
 
   #settle(order: {
     claim: Claim;
+    version: number | "absent";
     state: Claim["state"];
     answer?: CallAnswer;
   }): void {
@@ -172,9 +173,8 @@
       state: order.state,
       ...(answer === undefined ? {} : { answer }),
     });
-    // A row that was never deleted has version 1 after the claim; the writer
-    // corrects the version from the table's answer otherwise.
-    const row = { mode: "settle", claim, version: 1 } as const;
+    const { version } = order;
+    const row = { mode: "settle", claim, version } as const;
     write({ ...row, giveUpAt: clock.now() }, () => {
       journal.record("callSettled", {
         requestId: order.claim.requestId,
@@ -226,7 +226,9 @@
     journal.record("callSent", { requestId: call.requestId, server });
     const timeout = millis(order.awaitUntil - now);
     const { requestId, request } = call;
-    const result = await pool.call(server, { ...request, requestId, timeout });
+    const repeatable = call.kind === "lookup";
+    const sent = { ...request, requestId, timeout, repeatable };
+    const result = await pool.call(server, sent);
     this.#tell({ type: "result", result });
   }
 
