Add the path-cost bench

Runs the engine, the nodes and the load generator in three processes and measures direct calls, the way through one node and the way through entry plus owner in turn, over connections opened before. The two nodes of the longer way share one process, since a run has three processes at most; its figures therefore overstate the added latency.

--- /dev/null
+++ b/src/bench/path_cost/engine_process.ts
@@ -0,0 +1,28 @@
+/** Process of the path-cost bench that runs the model engine. */
+import { RealClock } from "../../adapters/time/real_clock.ts";
+import { millis } from "../../core/clock.ts";
+import { brandNumber, brandString } from "../../core/ids.ts";
+import { EngineModel } from "../../standins/engine_model.ts";
+import { EngineServer } from "../../standins/engine_server.ts";
+import { WeightStore } from "../../standins/weight_store.ts";
+import { serveChild } from "./child.ts";
+import { benchAdapter, benchLimits } from "./setup.ts";
+
+serveChild<{ stepTime: number }>(async ({ stepTime }) => {
+  const clock = RealClock.create();
+  const engine = EngineModel.create({
+    id: "engine-1",
+    clock,
+    store: WeightStore.create(clock),
+    limits: benchLimits,
+    stepTime,
+    stepGrowth: 0,
+  });
+  await engine.load({
+    adapter: brandString(benchAdapter),
+    fence: brandNumber(0),
+    validUntil: millis(Number.POSITIVE_INFINITY),
+  });
+  const host = await EngineServer.create(engine, { clock });
+  return { origins: { direct: host.origin } };
+});
--- /dev/null
+++ b/src/bench/path_cost/load.ts
@@ -0,0 +1,138 @@
+import { once } from "node:events";
+import { connect, type Socket } from "node:net";
+import { Distribution } from "../statistics.ts";
+import { benchAdapter } from "./setup.ts";
+
+const token = Buffer.from("data: {");
+const answerEnd = "\r\n0\r\n\r\n";
+const lineEnd = 0x0a;
+let requests = 0;
+
+/** Times and counts of a batch of answers. */
+export class LoadResult {
+  readonly firstToken = Distribution.create();
+  readonly gap = Distribution.create();
+  tokens = 0;
+  answers = 0;
+  incomplete = 0;
+  /** Duration of the batch, in ms. */
+  elapsed = 0;
+}
+
+/** Connection that sends one request after the other and times the tokens. */
+class LoadConnection {
+  readonly #socket: Socket;
+  #rest: Buffer = Buffer.alloc(0);
+  #result = new LoadResult();
+  #sentAt = 0;
+  #tokenAt = 0;
+  #seen = 0;
+  #expected = 0;
+  #finish = () => {};
+
+  private constructor(socket: Socket) {
+    this.#socket = socket;
+    socket.setNoDelay(true);
+    socket.on("data", (chunk) => this.#read(chunk));
+  }
+
+  static async open(origin: string): Promise<LoadConnection> {
+    const { hostname, port } = new URL(origin);
+    const socket = connect(Number(port), hostname);
+    await once(socket, "connect");
+    return new LoadConnection(socket);
+  }
+
+  /** Sends one request and resolves at the end of its answer. */
+  request(tokens: number, result: LoadResult): Promise<void> {
+    this.#result = result;
+    this.#seen = 0;
+    this.#expected = tokens;
+    const body = JSON.stringify({
+      model: benchAdapter,
+      stream: true,
+      max_tokens: tokens,
+      prompt: "Which chains fit 205/55 R16 tyres on a car with ABS?",
+    });
+    this.#sentAt = performance.now();
+    this.#socket.write(
+      `POST /v1/completions HTTP/1.1\r\nhost: bench\r\ncontent-type: application/json\r\nx-request-id: bench-${requests++}\r\nx-deadline-ms: 30000\r\ncontent-length: ${Buffer.byteLength(body)}\r\n\r\n${body}`,
+    );
+    return new Promise((resolve) => {
+      this.#finish = resolve;
+    });
+  }
+
+  close(): void {
+    this.#socket.destroy();
+  }
+
+  #read(chunk: Buffer): void {
+    const data =
+      this.#rest.length === 0 ? chunk : Buffer.concat([this.#rest, chunk]);
+    const now = performance.now();
+    const head = data.toString("latin1", 0, 12);
+    if (head.startsWith("HTTP/1.1") && head !== "HTTP/1.1 200") {
+      throw new Error(`The request was refused: ${data}`);
+    }
+    let at = data.indexOf(token);
+    while (at >= 0) {
+      this.#count(now);
+      at = data.indexOf(token, at + token.length);
+    }
+    const cut = data.lastIndexOf(lineEnd) + 1;
+    this.#rest = data.subarray(cut);
+    if (data.toString("latin1", data.length - answerEnd.length) === answerEnd) {
+      this.#result.answers++;
+      if (this.#seen !== this.#expected) this.#result.incomplete++;
+      this.#finish();
+    }
+  }
+
+  #count(now: number): void {
+    const { firstToken, gap } = this.#result;
+    if (this.#seen === 0) firstToken.record(now - this.#sentAt);
+    else gap.record(now - this.#tokenAt);
+    this.#tokenAt = now;
+    this.#seen++;
+    this.#result.tokens++;
+  }
+}
+
+/** Opens connections once, so that no measurement includes their setup. */
+export class LoadClient {
+  readonly #connections: readonly LoadConnection[];
+
+  private constructor(connections: readonly LoadConnection[]) {
+    this.#connections = connections;
+  }
+
+  static async open(origin: string, streams: number): Promise<LoadClient> {
+    const connections = Array.from({ length: streams }, () =>
+      LoadConnection.open(origin),
+    );
+    return new LoadClient(await Promise.all(connections));
+  }
+
+  /** Runs `answers` requests one after the other on each connection, of half to one and a half times `tokens`. */
+  async run(
+    batch: { answers: number; tokens: number },
+    result: LoadResult,
+  ): Promise<void> {
+    const startedAt = performance.now();
+    await Promise.all(
+      this.#connections.map(async (connection, index) => {
+        const spread = (index + 0.5) / this.#connections.length + 0.5;
+        for (let count = 0; count < batch.answers; count++) {
+          const share = count % 2 === 0 ? spread : 2 - spread;
+          await connection.request(Math.ceil(batch.tokens * share), result);
+        }
+      }),
+    );
+    result.elapsed += performance.now() - startedAt;
+  }
+
+  close(): void {
+    for (const connection of this.#connections) connection.close();
+  }
+}
