Time path-cost answers only after each stream has run one

Half of the timed answers opened a new connection behind the node, because the other ways' rounds had left its connections idle for longer than their 4 s of keep-alive, and all streams of a round started at once.

--- a/src/bench/path_cost/load.ts
+++ b/src/bench/path_cost/load.ts
@@ -6,6 +6,12 @@
 const token = Buffer.from("data: {");
 const answerEnd = "\r\n0\r\n\r\n";
 const lineEnd = 0x0a;
+/**
+ * Mean length of the answer that each stream gets before its timed ones. It
+ * reopens connections behind the node that were closed for idleness, and
+ * spreads the streams in time.
+ */
+const leadTokens = 20;
 let requests = 0;
 
 /** Times and counts of a batch of answers. */
@@ -15,6 +21,8 @@
   tokens = 0;
   answers = 0;
   incomplete = 0;
+  /** Tokens of the answers that opened the batch and were not timed. */
+  leadTokens = 0;
   /** Duration of the batch, in ms. */
   elapsed = 0;
 }
@@ -120,15 +128,18 @@
     result: LoadResult,
   ): Promise<void> {
     const startedAt = performance.now();
+    const lead = new LoadResult();
     await Promise.all(
       this.#connections.map(async (connection, index) => {
         const spread = (index + 0.5) / this.#connections.length + 0.5;
+        await connection.request(Math.ceil(leadTokens * spread), lead);
         for (let count = 0; count < batch.answers; count++) {
           const share = count % 2 === 0 ? spread : 2 - spread;
           await connection.request(Math.ceil(batch.tokens * share), result);
         }
       }),
     );
+    result.leadTokens += lead.tokens;
     result.elapsed += performance.now() - startedAt;
   }
 
