--- a/src/bench/pausable_clock.ts
+++ b/src/adapters/time/pausable_clock.ts
@@ -1,4 +1,4 @@
-import type { Cancel, Clock, Millis } from "../core/clock.ts";
+import type { Cancel, Clock, Millis } from "../../core/clock.ts";
 
 /** Clock of one simulated node, whose callbacks wait while the node is paused. */
 export class PausableClock implements Clock {
@@ -15,6 +15,11 @@
     this.#base = base;
   }
 
+  /** Whether callbacks wait. */
+  get paused(): boolean {
+    return this.#paused;
+  }
+
   now(): Millis {
     return this.#base.now();
   }
