--- a/src/fuzz/fuzz.ts
+++ b/src/fuzz/fuzz.ts
@@ -1,5 +1,6 @@
 import fc from "fast-check";
-import { runScenario, ScenarioError } from "./scenario.ts";
+import { runScenario } from "./scenario.ts";
+import { ScenarioError } from "./scenario_steps.ts";
 import { preamble, stepArbitrary } from "./steps.ts";
 
 /** Steps of one fuzzed scenario. */
--- a/src/fuzz/scenario.ts
+++ b/src/fuzz/scenario.ts
@@ -1,27 +1,19 @@
-import { createHash } from "node:crypto";
-import { type Millis, millis } from "../core/clock.ts";
 import { brandString } from "../core/ids.ts";
-import { expectedText } from "../standins/tokens.ts";
-import type { Told } from "./oracle.ts";
+import { Callers } from "./callers.ts";
+import {
+  describeTold,
+  isOneOf,
+  parseDuration,
+  parseStep,
+  ScenarioError,
+  type Step,
+} from "./scenario_steps.ts";
 import { World } from "./world.ts";
-import { type WorldNode, worldAdapters } from "./world_node.ts";
 import { type ServerFault, serverFaults } from "./world_service.ts";
-import { type TableFault, tableFaults } from "./world_table.ts";
+import { tableFaults } from "./world_table.ts";
 
 /** Time after the last step in which everything must come to rest, in ms. */
 const settlingTime = 60_000;
-/** Deadlines of calls and drafts that name none, in ms. */
-const defaultWithin = 5_000;
-
-/** Thrown when a scenario is malformed or what it expects is not so. */
-export class ScenarioError extends Error {}
-
-type Step = {
-  readonly verb: string;
-  readonly words: readonly string[];
-  readonly options: ReadonlyMap<string, string>;
-  readonly label: string | undefined;
-};
 
 /** Runs one scenario; throws when it fails or a guarantee is broken. */
 export async function runScenario(text: string, seed = 1): Promise<World> {
@@ -42,10 +34,11 @@
 /** Carries out the steps of a scenario on a world. */
 export class ScenarioRunner {
   readonly #world: World;
-  #requests = 0;
+  readonly #callers: Callers;
 
   constructor(world: World) {
     this.#world = world;
+    this.#callers = new Callers(world);
   }
 
   /** Carries out one line; empty lines and comments do nothing. */
@@ -85,9 +78,9 @@
         this.#world.start(name, brandString(region));
       }
     },
-    book: (step) => this.#book(step, "book"),
-    lookup: (step) => this.#book(step, "lookup"),
-    request: (step) => this.#request(step),
+    book: (step) => this.#callers.book(step, "book"),
+    lookup: (step) => this.#callers.book(step, "lookup"),
+    request: (step) => this.#callers.request(step),
     burst: (step) => this.#burst(step),
     fail: (step) => this.#fail(step),
     poison: ({ words: [text = ""] }) => {
@@ -115,136 +108,6 @@
     if (node !== undefined) this.#world[act](node);
   }
 
-  #nextId(step: Step): string {
-    return step.label ?? `r${this.#requests++}`;
-  }
-
-  #book(step: Step, kind: "book" | "lookup"): void {
-    const node = this.#world.find(step.words[0] ?? "");
-    // Without a node there is no connection, and nothing is asked.
-    if (node === undefined) return;
-    const { options } = step;
-    const id = this.#nextId(step);
-    const key = kind === "book" ? options.get("key") : undefined;
-    const customer = options.get("customer") ?? "zakopane";
-    const owner = key === undefined ? id : `${customer}/${key}`;
-    const body = `${owner}#${options.get("body") ?? ""}`;
-    this.#world.oracle.ask({
-      id,
-      kind,
-      body,
-      key: key === undefined ? undefined : owner,
-      node: node.id,
-      expected: "",
-    });
-    this.#enter(node, id, () => {
-      const call = node.node.callService({
-        requestId: brandString(id),
-        service: this.#world.service,
-        method: kind === "lookup" ? "GET" : "POST",
-        path: kind === "lookup" ? "/stock" : "/reservations",
-        contentType: "text/plain",
-        body: Buffer.from(body),
-        customer: brandString(customer),
-        idempotencyKey: key,
-        deadline: parseWithin(options),
-      });
-      void call.then((reply) =>
-        this.#tell(
-          node,
-          id,
-          reply.caseOf<Told>({
-            Left: ({ code, outcome }) => ({
-              kind: "refused",
-              code,
-              outcome,
-              text: "",
-            }),
-            Right: (answer) => ({
-              kind: "answer",
-              text: Buffer.from(answer.body).toString(),
-              replayed: answer.replayed,
-            }),
-          }),
-        ),
-      );
-    });
-  }
-
-  #request(step: Step): void {
-    const node = this.#world.find(step.words[0] ?? "");
-    if (node === undefined) return;
-    const { options } = step;
-    const id = this.#nextId(step);
-    const model = options.get("model") ?? worldAdapters[0] ?? "";
-    const tokens = Number(options.get("tokens") ?? 8);
-    const text = options.get("text") ?? `draft for ${id}`;
-    const body = JSON.stringify({ prompt: text, max_tokens: tokens, model });
-    const digest = createHash("sha256").update(body).digest("hex");
-    const expected = expectedText(model, { text, tokens });
-    this.#world.oracle.ask({
-      id,
-      kind: "draft",
-      key: undefined,
-      body,
-      node: node.id,
-      expected,
-    });
-    let heard = "";
-    this.#enter(node, id, () => {
-      node.node.openDraft(
-        {
-          requestId: brandString(id),
-          model,
-          customer: brandString("zakopane"),
-          priority: "normal",
-          deadline: parseWithin(options),
-          expectedTokens: tokens,
-          path: "/v1/completions",
-          encode: () => ({
-            body: Buffer.from(body),
-            digest: brandString(digest),
-            prefix: brandString(digest.slice(0, 8)),
-          }),
-        },
-        {
-          onChunk: (bytes) => {
-            heard += readTokens(bytes);
-          },
-          onEnd: () =>
-            this.#tell(node, id, {
-              kind: "answer",
-              text: heard,
-              replayed: false,
-            }),
-          onRefusal: ({ code, outcome }) =>
-            this.#tell(node, id, {
-              kind: "refused",
-              code,
-              outcome,
-              text: heard,
-            }),
-        },
-      );
-    });
-  }
-
-  /** Hands a request to a node as soon as it reads from its sockets. */
-  #enter(node: WorldNode, id: string, start: () => void): void {
-    node.gate.pass(() => {
-      if (node.running) start();
-      else if (!this.#world.oracle.told.has(id)) {
-        this.#tell(node, id, { kind: "broken" });
-      }
-    });
-  }
-
-  #tell(node: WorldNode, id: string, told: Told): void {
-    // A dead process tells its callers nothing; they see the connection break.
-    if (node.killed && told.kind !== "broken") return;
-    this.#world.oracle.tell(id, told);
-  }
-
   async #burst(step: Step): Promise<void> {
     const [count, verb = "", ...words] = step.words;
     const act = this.#verbs[verb];
@@ -332,71 +195,3 @@
     }
   }
 }
-
-function describeTold(told: Told | undefined): readonly string[] {
-  switch (told?.kind) {
-    case undefined:
-      return ["pending"];
-    case "broken":
-      return ["broken"];
-    case "answer":
-      return told.replayed ? ["answered", "replayed"] : ["answered", "first"];
-    case "refused":
-      return ["refused", told.code, told.outcome];
-  }
-}
-
-function parseStep(line: string): Step | undefined {
-  const words = (line.split("//", 1)[0] ?? "").trim().split(/\s+/);
-  const [verb = "", ...rest] = words;
-  if (verb === "" || verb.startsWith("#")) return undefined;
-  const at = rest.indexOf("as");
-  const label = at < 0 ? undefined : rest[at + 1];
-  const plain = at < 0 ? rest : rest.toSpliced(at, 2);
-  const options = plain.filter((word) => word.includes("="));
-  return {
-    verb,
-    words: plain.filter((word) => !word.includes("=")),
-    options: new Map(
-      options.map((word) => {
-        const [name = "", value = ""] = word.split("=", 2);
-        return [name, value] as const;
-      }),
-    ),
-    label,
-  };
-}
-
-/** Reads a duration such as `250ms`, `5s`, `2m` or `1h`. */
-function parseDuration(word: string | undefined): Millis {
-  const match = /^(\d+)(ms|s|m|h)$/.exec(word ?? "");
-  if (match === null) throw new ScenarioError(`"${word}" is no duration`);
-  const units = { ms: 1, s: 1_000, m: 60_000, h: 3_600_000 };
-  const unit = units[match[2] as keyof typeof units];
-  return millis(Number(match[1]) * unit);
-}
-
-function parseWithin(options: ReadonlyMap<string, string>): Millis {
-  const within = options.get("within");
-  return within === undefined ? millis(defaultWithin) : parseDuration(within);
-}
-
-function isOneOf<Name extends string>(
-  names: readonly Name[],
-  name: string,
-): name is Name {
-  return (names as readonly string[]).includes(name);
-}
-
-/** Text of the tokens in whole server-sent events. */
-function readTokens(bytes: Uint8Array): string {
-  const events = Buffer.from(bytes).toString().split("\n\n");
-  return events
-    .filter((event) => event.startsWith("data: {"))
-    .map((event) => JSON.parse(event.slice("data: ".length)))
-    .map((event) => event.choices[0].text as string)
-    .join("");
-}
-
-/** One of the table's faults, for callers that build steps. */
-export type { TableFault };
--- a/src/fuzz/steps.ts
+++ b/src/fuzz/steps.ts
@@ -1,6 +1,6 @@
 import fc from "fast-check";
 import { worldServers } from "./world.ts";
-import { worldAdapters } from "./world_node.ts";
+import { worldAdapters } from "./world_catalog.ts";
 import { serverFaults } from "./world_service.ts";
 import { tableFaults } from "./world_table.ts";
 
--- a/src/fuzz/world_node.ts
+++ b/src/fuzz/world_node.ts
@@ -1,12 +1,8 @@
 import type { Clock, Millis } from "../core/clock.ts";
-import type { Catalog } from "../core/config/catalog.ts";
 import {
-  type AdapterKey,
   brandString,
   type EngineId,
-  formatAdapterKey,
   type NodeId,
-  parseAdapterKey,
   type Region,
 } from "../core/ids.ts";
 import { defaultSessionSettings } from "../core/lease/state.ts";
@@ -23,6 +19,7 @@
 import { ForwardRelay } from "./forward_relay.ts";
 import { Gate, NodeClock } from "./gate.ts";
 import type { World } from "./world.ts";
+import { resolveModel, worldCatalog } from "./world_catalog.ts";
 import { WorldEngineLink } from "./world_engine.ts";
 import { WorldTable } from "./world_table.ts";
 
@@ -30,29 +27,6 @@
 const suspectAfter = 2_000;
 const deadAfter = 6_000;
 
-/** Adapter versions that callers may name. */
-export const worldAdapters: readonly AdapterKey[] = Array.from(
-  { length: 8 },
-  (_, index) =>
-    formatAdapterKey(
-      brandString(`ad${index}`),
-      brandString(`v${1 + (index % 2)}`),
-    ),
-);
-
-const catalog: Catalog = {
-  revision: 1 as Catalog["revision"],
-  digest: brandString("catalog"),
-  adapters: new Map(
-    worldAdapters
-      .map(parseAdapterKey)
-      .map(({ name, version }) => [
-        name,
-        { name, versions: [version], busy: [], weight: 1 },
-      ]),
-  ),
-};
-
 /** One node of the world with its way to everything outside. */
 export class WorldNode {
   readonly id: NodeId;
@@ -138,15 +112,8 @@
       forwarder: this.#createForwarder(),
       cluster: this.#cluster,
       configuration: {
-        current: () => catalog,
-        resolveModel: (model) => {
-          const { name, version } = parseAdapterKey(brandString(model));
-          const entry = catalog.adapters.get(name);
-          if (entry === undefined) return { kind: "unknown-adapter" };
-          return entry.versions.includes(version)
-            ? { kind: "found", key: brandString(model) }
-            : { kind: "unknown-version" };
-        },
+        current: () => worldCatalog,
+        resolveModel,
       },
       permits,
       poison: this.poison,
--- a/src/node/service_desk.ts
+++ b/src/node/service_desk.ts
@@ -1,6 +1,4 @@
-import { createHash } from "node:crypto";
 import { Left } from "purify-ts";
-import type { CallKind } from "../core/booking/call_messages.ts";
 import {
   type Claim,
   formatClaimKey,
@@ -17,13 +15,19 @@
   type ServiceName,
 } from "../core/ids.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
-import type { ServiceInput } from "../ports/front.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { TableService } from "../ports/table.ts";
 import { ClaimSweep } from "./claim_sweep.ts";
 import { ClaimWriter } from "./claim_writer.ts";
 import { answerWithin } from "./deadline.ts";
 import { ServerPool, type ServiceServer } from "./server_pool.ts";
+import {
+  classifyCall,
+  digestCall,
+  digestKey,
+  type LookupRoute,
+  type ServiceDeskCall,
+} from "./service_call.ts";
 import {
   type CallReply,
   type PlannedCall,
@@ -31,6 +35,7 @@
 } from "./service_request.ts";
 
 export type { ServiceServer } from "./server_pool.ts";
+export type { LookupRoute, ServiceDeskCall } from "./service_call.ts";
 export type { CallReply } from "./service_request.ts";
 
 /** Booking calls in progress at one node, those with an unrecorded outcome included. */
@@ -40,12 +45,6 @@
 /** `Retry-After` when too many calls are in flight, in ms. */
 const busyRetryAfter = millis(1_000);
 
-/** Method and start of the path of calls that may be repeated; the start ends at a `/`. */
-export type LookupRoute = { readonly method: string; readonly path: string };
-
-/** One booking call; the deadline is a time of the node's clock. */
-export type ServiceDeskCall = ServiceInput;
-
 /** What the service desk needs. */
 export type ServiceDeskOptions = {
   readonly clock: Clock;
@@ -294,34 +293,3 @@
 function refuseCall(refusal: Refusal): Promise<CallReply> {
   return Promise.resolve(Left(refusal));
 }
-
-/** Decides from the settings and the key how often a call may be sent. */
-function classifyCall(
-  call: ServiceDeskCall,
-  lookups: readonly LookupRoute[],
-): CallKind {
-  const path = call.path.split("?", 1)[0] ?? "";
-  const isLookup = lookups.some(
-    (route) =>
-      route.method === call.method &&
-      (path === route.path ||
-        path.startsWith(
-          route.path.endsWith("/") ? route.path : `${route.path}/`,
-        )),
-  );
-  if (isLookup) return "lookup";
-  return call.idempotencyKey === undefined ? "once" : "keyed";
-}
-
-function digestCall(call: ServiceDeskCall): Digest {
-  const hash = createHash("sha256");
-  hash.update(JSON.stringify([call.method, call.path]));
-  hash.update(call.body);
-  return brandString(hash.digest("hex"));
-}
-
-function digestKey(call: ServiceDeskCall): Digest {
-  const hash = createHash("sha256");
-  hash.update(JSON.stringify([call.customer, call.idempotencyKey]));
-  return brandString(hash.digest("hex"));
-}
