Keep hedges and slow marks from causing loads; plan placement by evidence

Requests with an expected wait above 200 ms are no longer observed, and no hedge goes to an engine without the adapter. Placement followed single requests and spent the budget on prefetches; a rate is now trusted by the number of requests behind it.

--- a/src/bench/experiments/cold_stalls.ts
+++ b/src/bench/experiments/cold_stalls.ts
@@ -94,8 +94,15 @@
         chooseEngine,
         random,
       }),
-    prepare: (simulation) =>
-      placeByDemand(simulation, { arrivals, profile, sheet, startHour: 12 }),
+    prepare: (simulation: Simulation) =>
+      process.env.NOP
+        ? undefined
+        : placeByDemand(simulation, {
+            arrivals,
+            profile,
+            sheet,
+            startHour: 12,
+          }),
   };
 }
 
--- a/src/bench/placing.ts
+++ b/src/bench/placing.ts
@@ -1,4 +1,4 @@
-import { millis } from "../core/clock.ts";
+import { type Millis, millis } from "../core/clock.ts";
 import type { Catalog, CatalogEntry } from "../core/config/catalog.ts";
 import {
   type AdapterKey,
@@ -7,12 +7,15 @@
   brandString,
   type EngineId,
   parseAdapterKey,
+  type Region,
 } from "../core/ids.ts";
 import { HomeCache, placeAdapters } from "../core/placement/copies.ts";
+import { summarizeDemand } from "../core/placement/demand.ts";
 import {
   createPlacementState,
   decidePlacement,
   type PlacementEvent,
+  type PlacementState,
 } from "../core/placement/placement.ts";
 import { createRandom } from "./random.ts";
 import { type Simulation, todaysLimits } from "./simulation.ts";
@@ -21,6 +24,8 @@
 /** Slots of an engine that placement leaves to loads on demand. */
 const FREE_SLOTS = 1;
 const TICK = 1_000;
+/** Adapters whose demand a region tells the others. */
+const PUBLISHED = 64;
 const MS_PER_HOUR = 3_600_000;
 
 /** Sheet of a user: true popularity with errors, as planners would guess it. */
@@ -69,12 +74,14 @@
   },
 ): void {
   const { clock, hosts } = simulation;
+  const states = new Map<Region, PlacementState>();
   const hourAt = (at: number) => (options.startHour + at / MS_PER_HOUR) % 24;
   for (const region of options.profile.regions) {
     let state = createPlacementState(clock.now());
     const send = (event: PlacementEvent): void => {
       const decision = decidePlacement(state, event, clock.now());
       state = decision.state;
+      states.set(region, state);
       for (const { engine, adapters } of decision.commands)
         hosts.get(engine)?.place(adapters);
     };
@@ -91,7 +98,16 @@
           send({ type: "request-seen", adapter, hour: hourAt(at) }),
         );
     const tick = (): void => {
-      send({ type: "tick", hour: hourAt(clock.now()) });
+      send({
+        type: "tick",
+        hour: hourAt(clock.now()),
+        elsewhere: {
+          region,
+          regions: options.profile.regions,
+          held: listHeld(simulation, region),
+          rates: sumRates(states, { except: region, now: clock.now() }),
+        },
+      });
       clock.schedule(millis(TICK), tick);
     };
     tick();
@@ -124,6 +140,31 @@
   return homes;
 }
 
+/** Requests a second that the other regions see. */
+function sumRates(
+  states: ReadonlyMap<Region, PlacementState>,
+  { except, now }: { except: Region; now: Millis },
+): Map<AdapterKey, number> {
+  const rates = new Map<AdapterKey, number>();
+  for (const [region, { demand }] of states) {
+    if (region === except) continue;
+    const options = { now, limit: PUBLISHED };
+    for (const [adapter, rate] of summarizeDemand(demand, options))
+      rates.set(adapter, (rates.get(adapter) ?? 0) + rate);
+  }
+  return rates;
+}
+
+/** Adapters that engines outside a region hold. */
+function listHeld({ hosts }: Simulation, region: Region): Set<AdapterKey> {
+  const held = new Set<AdapterKey>();
+  for (const [engine, host] of hosts) {
+    if (engine.startsWith(region)) continue;
+    for (const adapter of host.summarize().held) held.add(adapter);
+  }
+  return held;
+}
+
 function listEngines({ hosts }: Simulation) {
   return [...hosts.keys()].map((engine) => ({
     engine,
--- a/src/bench/router.ts
+++ b/src/bench/router.ts
@@ -48,6 +48,6 @@
 /** Router that sends everything to one engine. */
 export function createFixedRouter(engine: EngineId): Router {
   return {
-    choose: () => Right({ engine, expectedWait: millis(0) }),
+    choose: () => Right({ engine, expectedWait: millis(0), needsLoad: false }),
   };
 }
--- a/src/core/placement/demand.ts
+++ b/src/core/placement/demand.ts
@@ -18,6 +18,12 @@
 const longTime = 180_000;
 /** Adapters with demand that are tracked at once. */
 export const demandLimit = 20_000;
+/** Decayed short count from which it shows a surge. */
+const surgeCount = 4;
+/** Rate expected of adapters that the sheet does not name, in requests a second. */
+const unexpectedRate = 0.0005;
+/** Requests at which what was seen counts as much as what was expected. */
+const chanceRequests = 3;
 /** Decayed long count below which an adapter is forgotten. */
 const forgetBelow = 0.05;
 
@@ -45,18 +51,7 @@
   entry.long += amount;
 }
 
-/** Requests a second for an adapter: the higher of the recent and the long-term rate. */
-export function rateOf(
-  demand: Demand,
-  options: { adapter: AdapterKey; now: Millis },
-): number {
-  const entry = demand.entries.get(options.adapter);
-  if (entry === undefined) return 0;
-  decay(entry, options.now);
-  return readRate(entry, millis(options.now - demand.since));
-}
-
-/** Drops adapters without recent demand and lists the rates of the others. */
+/** Drops adapters without recent demand and lists the rates seen of the others, in requests a second. */
 export function listRates(
   demand: Demand,
   now: Millis,
@@ -89,11 +84,33 @@
   entry.at = now;
 }
 
-/** The counts cover less than their decay time while the node is young. */
+/** Time in seconds that the long count stands for. */
+export function coveredSeconds(demand: Demand, now: Millis): number {
+  return Math.max(1000, Math.min(longTime, now - demand.since)) / 1000;
+}
+
+/** A few requests in a short time are a surge; fewer are taken as chance. */
 function readRate(entry: DemandEntry, observed: Millis): number {
   const covered = Math.max(1000, observed);
-  return Math.max(
-    (1000 * entry.short) / Math.min(shortTime, covered),
-    (1000 * entry.long) / Math.min(longTime, covered),
-  );
+  const usual = (1000 * entry.long) / Math.min(longTime, covered);
+  if (entry.short < surgeCount) return usual;
+  return Math.max(usual, (1000 * entry.short) / Math.min(shortTime, covered));
+}
+
+/**
+ * Rate to plan for, given the rate that was seen and the one that was
+ * expected. A few requests may be chance, so that the seen rate counts more
+ * with each; an expectation fades when its requests do not come.
+ */
+export function estimateRate(options: {
+  seen: number;
+  expected: number;
+  covered: number;
+}): number {
+  const { seen, covered } = options;
+  const expected = Math.max(options.expected, unexpectedRate);
+  const faded = expected / (1 + expected * covered);
+  const requests = seen * covered;
+  const weight = requests / (requests + chanceRequests);
+  return weight * seen + (1 - weight) * faded;
 }
--- a/src/core/placement/placement.ts
+++ b/src/core/placement/placement.ts
@@ -6,6 +6,7 @@
   type EngineId,
   type NodeId,
   parseAdapterKey,
+  type Region,
 } from "../ids.ts";
 import {
   countCopies,
@@ -13,13 +14,21 @@
   type PlacementEngine,
   placeAdapters,
 } from "./copies.ts";
-import { addDemand, createDemand, type Demand, listRates } from "./demand.ts";
+import {
+  addDemand,
+  coveredSeconds,
+  createDemand,
+  type Demand,
+  estimateRate,
+  listRates,
+} from "./demand.ts";
 import {
   createForecast,
   type Forecast,
   learnDrift,
   listExpected,
 } from "./forecast.ts";
+import { selectHomes } from "./rendezvous.ts";
 
 /** Message to the placement of a node. */
 export type PlacementEvent =
@@ -39,7 +48,21 @@
       readonly rates: readonly (readonly [AdapterKey, number])[];
     }
   /** Sent every second or so. */
-  | { readonly type: "tick"; readonly hour: number };
+  | {
+      readonly type: "tick";
+      readonly hour: number;
+      readonly elsewhere?: Elsewhere;
+    };
+
+/** What the engines of the other regions hold. */
+export type Elsewhere = {
+  readonly region: Region;
+  /** All regions, this one included. */
+  readonly regions: readonly Region[];
+  readonly held: ReadonlySet<AdapterKey>;
+  /** Requests a second that the other regions see. */
+  readonly rates: ReadonlyMap<AdapterKey, number>;
+};
 
 /** Adapter versions that an engine should hold, most wanted first; sent when they change. */
 export type PlacementCommand = {
@@ -68,12 +91,15 @@
 const heardTime = 10_000;
 /** Nodes whose demand is taken into account. */
 const heardLimit = 64;
-/** Weight of the sheet against observation, in seconds of observation; observation fills 10 s. */
-const sheetSeconds = 2;
-const observedSeconds = 10;
+/** Adapters of the sheet that are considered for each place. */
+const sheetFactor = 4;
 /** Requests a second that the sheet is taken to foretell before any were seen. */
 const presumedRate = 1;
 
+/** Worth of a local copy of an adapter that another region holds, relative to one that none holds: the extra delay and traffic against a load. */
+const remoteWorth = 0.25;
+/** Lead of an adapter that is wanted already over one that is not. */
+const wantedLead = 2;
 /** Rate below which adapters are not told apart, in requests a second. */
 const lowestRate = 1e-6;
 
@@ -121,18 +147,22 @@
         state.heard.set(event.from, { at: now, rates: event.rates });
       return { state, commands: [] };
     case "tick":
-      return updateWanted(state, { hour: event.hour, now });
+      return updateWanted(state, { ...event, now });
   }
 };
 
 function updateWanted(
   state: PlacementState,
-  options: { hour: number; now: Millis },
+  options: { hour: number; now: Millis; elsewhere?: Elsewhere },
 ): Decision<PlacementState, PlacementCommand> {
   const rates = blendRates(state, options);
   const total = [...rates.values()].reduce((sum, rate) => sum + rate, 0);
   const engines = state.engines.length;
-  const ranked = rankRates(rates);
+  const wanted = new Set([...state.wanted.values()].flat());
+  const ranked = rankRates(rates, {
+    elsewhere: options.elsewhere,
+    isWanted: (adapter) => wanted.has(adapter),
+  });
   state.copies = new Map(
     ranked.map(([adapter, rate]) => [
       adapter,
@@ -154,45 +184,71 @@
   return { state, commands };
 }
 
-/** Most wanted first, by powers of two, so that small changes do not reorder the list. */
+/**
+ * Most wanted first, by powers of two and with a lead for those wanted
+ * already, so that small changes do not move adapters. An adapter that
+ * another region holds is worth less here, since its requests can be served
+ * there; only in its home region it is worth the demand of all regions.
+ */
 function rankRates(
   rates: ReadonlyMap<AdapterKey, number>,
+  options: {
+    elsewhere: Elsewhere | undefined;
+    isWanted: (adapter: AdapterKey) => boolean;
+  },
 ): [AdapterKey, number][] {
+  const { elsewhere, isWanted } = options;
+  const worthOf = (adapter: AdapterKey, rate: number): number => {
+    if (elsewhere === undefined) return rate;
+    if (isHomeRegion(adapter, elsewhere))
+      return rate + (elsewhere.rates.get(adapter) ?? 0);
+    return elsewhere.held.has(adapter) ? rate * remoteWorth : rate;
+  };
   return [...rates]
-    .map(([adapter, rate]) => ({ adapter, rate, rank: rankOf(rate) }))
+    .map(([adapter, rate]) => {
+      const lead = isWanted(adapter) ? wantedLead : 1;
+      return { adapter, rate, rank: rankOf(lead * worthOf(adapter, rate)) };
+    })
     .sort((a, b) => b.rank - a.rank || (a.adapter < b.adapter ? -1 : 1))
     .map(({ adapter, rate }) => [adapter, rate]);
 }
 
+function isHomeRegion(adapter: AdapterKey, elsewhere: Elsewhere): boolean {
+  const engines = elsewhere.regions.map((region) => ({
+    engine: region,
+    weight: 1,
+  }));
+  const [home] = selectHomes(adapter, { engines, count: 1 });
+  return home === elsewhere.region;
+}
+
 function rankOf(rate: number): number {
   return Math.round(Math.log2(Math.max(rate, lowestRate)));
 }
 
-/**
- * Requests a second by adapter. The sheet counts like two seconds of
- * observation, so that observed demand outweighs it within seconds.
- */
+/** Rates to plan for: what was seen, with the sheet for what was not seen often enough. */
 function blendRates(
   state: PlacementState,
-  options: { hour: number; now: Millis },
+  options: { hour: number; now: Millis; elsewhere?: Elsewhere | undefined },
 ): Map<AdapterKey, number> {
   const rates = sumRates(state, options.now);
   const total = [...rates.values()].reduce((sum, rate) => sum + rate, 0);
   const limit = state.engines.reduce((sum, { places }) => sum + places, 0);
-  const expected = listExpected(state.forecast, { ...options, limit });
-  const observed = Math.min(
-    observedSeconds,
-    (options.now - state.demand.since) / 1000,
-  );
+  const shares = listExpected(state.forecast, {
+    ...options,
+    limit: sheetFactor * limit,
+  });
+  const covered = coveredSeconds(state.demand, options.now);
   const blended = new Map<AdapterKey, number>();
   const blend = (adapter: AdapterKey) => {
-    const share = expected.get(adapter) ?? 0;
-    const foretold = share * Math.max(total, presumedRate) * sheetSeconds;
-    const seen = (rates.get(adapter) ?? 0) * observed;
-    blended.set(adapter, (foretold + seen) / (sheetSeconds + observed));
+    const share = shares.get(adapter) ?? 0;
+    const expected = share * Math.max(total, presumedRate);
+    const seen = rates.get(adapter) ?? 0;
+    blended.set(adapter, estimateRate({ seen, expected, covered }));
   };
   for (const adapter of rates.keys()) blend(adapter);
-  for (const adapter of expected.keys()) blend(adapter);
+  for (const adapter of shares.keys()) blend(adapter);
+  for (const adapter of options.elsewhere?.rates.keys() ?? []) blend(adapter);
   return blended;
 }
 
--- a/src/core/placement/rendezvous.ts
+++ b/src/core/placement/rendezvous.ts
@@ -1,8 +1,8 @@
 import type { EngineId } from "../ids.ts";
 
-/** Engine with its share of the placement, relative to the other engines. */
-export type WeightedEngine = {
-  readonly engine: EngineId;
+/** Engine, or region, with its share of the placement relative to the others. */
+export type WeightedEngine<Id extends string = EngineId> = {
+  readonly engine: Id;
   readonly weight: number;
 };
 
@@ -29,12 +29,12 @@
  * The `count` engines with the highest rendezvous scores for a key, home
  * first. An engine that comes or goes changes the order of no others.
  */
-export function selectHomes(
+export function selectHomes<Id extends string>(
   key: string,
-  options: { engines: Iterable<WeightedEngine>; count: number },
-): EngineId[] {
+  options: { engines: Iterable<WeightedEngine<Id>>; count: number },
+): Id[] {
   const keyHash = hashText(key);
-  const best: { engine: EngineId; score: number }[] = [];
+  const best: { engine: Id; score: number }[] = [];
   for (const { engine, weight } of options.engines) {
     const uniform = (mixHashes(keyHash, hashText(engine)) + 0.5) / 2 ** 32;
     const score = -weight / Math.log(uniform);
--- a/src/core/routing/costs.ts
+++ b/src/core/routing/costs.ts
@@ -2,7 +2,7 @@
 export type RouteCosts = {
   /** Time of a load without queueing, in ms. */
   readonly loadTime: number;
-  /** Price of a load beyond its time: it uses the shared budget and a slot. */
+  /** Price of a load beyond its time: it uses the shared budget, and evicts an adapter that will often be loaded again. */
   readonly load: number;
   /** Price of loading at the second home instead of the first. */
   readonly secondHome: number;
@@ -16,16 +16,17 @@
 };
 
 /**
- * Costs at today's settings. A load takes 250 ms at the weight store. The
- * remote price lets a request of 200 tokens leave its region only when it
- * saves about 0.8 s, more than a load and its queue normally take.
+ * Costs at today's settings. A load takes 250 ms at the weight store, which
+ * allows 3 a second for all regions; its price makes a short answer from
+ * another region (40 kB) cheaper than a load, and a long one (280 kB) about
+ * as dear.
  */
 export const defaultRouteCosts: RouteCosts = {
   loadTime: 250,
-  load: 300,
+  load: 800,
   secondHome: 50,
   foreignHome: 400,
   remoteDelay: 40,
   bytesPerToken: 200,
-  msPerRemoteByte: 0.02,
+  msPerRemoteByte: 0.002,
 };
--- a/src/core/routing/health.ts
+++ b/src/core/routing/health.ts
@@ -20,6 +20,10 @@
 const recoveredFactor = 1.5;
 /** Waits below this say nothing, in ms: small expectations are exceeded by chance. */
 const noticeableWait = 300;
+/** Requests expected to wait longer than this are not observed, in ms: a load or a queue in front of them says nothing of the engine's speed. */
+const observableWait = 200;
+/** Overdue requests that make an engine slow; one may have met bad luck in the queue. */
+const overdueNeeded = 2;
 /** Weight of the newest wait in the smoothed excess. */
 const smoothing = 0.4;
 /** Time between probes of a slow engine by one node, in ms. */
@@ -41,7 +45,7 @@
   const health = state.get(engine) ?? createHealth();
   state.set(engine, health);
   if (isSlow(state, { engine, now })) health.probedAt = now;
-  if (health.open.size < openLimit)
+  if (expected <= observableWait && health.open.size < openLimit)
     health.open.set(request, { sentAt: now, expected });
 }
 
@@ -98,8 +102,8 @@
 }
 
 function isOverdue(health: EngineHealth, now: Millis): boolean {
-  for (const { sentAt, expected } of health.open.values())
-    if (now - sentAt > slowFactor * Math.max(expected, noticeableWait))
-      return true;
-  return false;
+  let overdue = 0;
+  for (const { sentAt } of health.open.values())
+    if (now - sentAt > slowFactor * noticeableWait) overdue++;
+  return overdue >= overdueNeeded;
 }
--- a/src/core/routing/hedge.ts
+++ b/src/core/routing/hedge.ts
@@ -76,8 +76,11 @@
   /** The owner of the first engine has not dispatched the request yet. */
   queued: boolean;
   hasCredit: boolean;
+  /** The second engine would have to load the adapter, which evicts another. */
+  needsLoad: boolean | undefined;
 }): HedgeDecision {
-  const { waited, otherWait, queued, hasCredit } = options;
+  const { waited, otherWait, queued, hasCredit, needsLoad } = options;
+  if (needsLoad === true) return { kind: "wait" };
   // A request that has waited w is expected to wait about w more on a slow engine.
   if (otherWait >= waited) return { kind: "wait" };
   if (queued) return { kind: "move" };
--- a/src/core/routing/route.ts
+++ b/src/core/routing/route.ts
@@ -45,6 +45,8 @@
 export type RouteChoice = {
   readonly engine: EngineId;
   readonly expectedWait: Millis;
+  /** The engine would have to start a load for the request. */
+  readonly needsLoad?: boolean;
 };
 
 /** Chooses an engine for a request, or says why none can take it. */
@@ -72,7 +74,7 @@
   if (usable.length === 0) return Left(refuseWithoutEngine());
   const healthy = usable.filter((view) => !isSlowView(view, options.policies));
   const probe = chooseProbe(request, { usable, options });
-  if (probe !== undefined) return Right(toChoice(probe));
+  if (probe !== undefined) return Right(toChoice(probe, request));
   const candidates = listCandidates(request, {
     usable: healthy.length > 0 ? healthy : usable,
     options,
@@ -81,7 +83,7 @@
     (candidate) => options.now + candidate.wait <= request.deadlineAt,
   );
   return Right(
-    toChoice(selectCheapest(inTime.length > 0 ? inTime : candidates)),
+    toChoice(selectCheapest(inTime.length > 0 ? inTime : candidates), request),
   );
 };
 
@@ -99,7 +101,9 @@
       cost: load / view.batch + distance,
     };
   });
-  return Right(toChoice(selectCheapest(shuffle(candidates, options.random))));
+  return Right(
+    toChoice(selectCheapest(shuffle(candidates, options.random)), request),
+  );
 };
 
 /** Baseline b: the engine that the sheet names, else the rendezvous home. */
@@ -118,7 +122,7 @@
   const view = pool.find((entry) => entry.engine === home) as EngineView;
   const waits = toWaitOptions(options);
   const wait = estimateWait(view, { ...waits, adapter: request.adapter });
-  return Right({ engine: view.engine, expectedWait: millis(wait) });
+  return Right(toChoice({ view, wait, cost: wait }, request));
 };
 
 function listUsable(
@@ -255,9 +259,10 @@
   );
 }
 
-function toChoice(candidate: Candidate): RouteChoice {
+function toChoice(candidate: Candidate, request: RouteRequest): RouteChoice {
   return {
     engine: candidate.view.engine,
     expectedWait: millis(candidate.wait),
+    needsLoad: !holds(candidate.view, request.adapter),
   };
 }
--- a/src/node/route_desk.ts
+++ b/src/node/route_desk.ts
@@ -136,6 +136,7 @@
         otherWait: target.expectedWait,
         queued: false,
         hasCredit: granted,
+        needsLoad: target.needsLoad,
       });
       if (decision.kind === "wait") return Nothing;
       this.#hedges = budget;
--- a/tests/routing/hedge_test.ts
+++ b/tests/routing/hedge_test.ts
@@ -38,12 +38,18 @@
 });
 
 test("a queued request moves without extra work; a running one is hedged only with credit", () => {
-  const base = { waited: millis(1000), otherWait: millis(50) };
+  const base = {
+    waited: millis(1000),
+    otherWait: millis(50),
+    needsLoad: false,
+  };
   const decide = (queued: boolean, hasCredit: boolean) =>
     decideHedge({ ...base, queued, hasCredit }).kind;
   assert.equal(decide(true, false), "move");
   assert.equal(decide(false, true), "hedge");
   assert.equal(decide(false, false), "wait");
+  const cold = { ...base, needsLoad: true, queued: false, hasCredit: true };
+  assert.equal(decideHedge(cold).kind, "wait");
   const slower = { ...base, otherWait: millis(2000) };
   assert.equal(
     decideHedge({ ...slower, queued: true, hasCredit: true }).kind,
