--- a/src/core/placement/copies.ts
+++ b/src/core/placement/copies.ts
@@ -10,7 +10,7 @@
 /** Copies beyond the share of demand: room for uneven load. */
 const headroom = 1.5;
 /** Share of one engine's demand above which a second copy is kept: 1 - `base` divided by `headroom`. */
-const base = 0.8;
+const base = 0.5;
 /** Change in copies that is needed before one is given up, so that a count near a step does not flap. */
 const hysteresis = 0.5;
 
