Test joined loads, deadlines in routing and loads under overload

Four deliberate breaks were not noticed: loads in progress not joined, the deadline ignored in the choice, loads that must queue admitted under overload, and waits for loads taken as overload.

--- a/tests/routing/admission_test.ts
+++ b/tests/routing/admission_test.ts
@@ -18,14 +18,15 @@
     wait: number;
     customer?: string;
     deadline?: number;
+    needsLoad?: boolean;
   }) {
-    const { at, wait, customer = "firm", deadline = 5000 } = options;
+    const { at, wait, customer = "firm", needsLoad, deadline = 5000 } = options;
     const { state, verdict } = admitRequest(this.#state, {
       request: createRequest(`adapter-of-${customer}`, {
         customer: brandString<Customer>(customer),
         deadlineAt: millis(at + deadline),
       }),
-      choice: { engine: engineOf("e"), expectedWait: millis(wait) },
+      choice: { engine: engineOf("e"), expectedWait: millis(wait), needsLoad },
       now: millis(at),
       policies: defaultAdmissionPolicies,
     });
@@ -66,3 +67,24 @@
   assert.ok(total >= 0.9 * capacity * 50, `${total} admitted`);
   assert.ok(admitted.small >= 0.35 * total, `${admitted.small} of ${total}`);
 });
+
+test("waits for loads are not taken as overload of the engines", () => {
+  const admission = new Admission();
+  for (let at = 0; at < 20_000; at += 100) {
+    assert.ok("engine" in admission.ask({ at, wait: 3000, needsLoad: true }));
+    assert.ok("engine" in admission.ask({ at: at + 50, wait: 50 }));
+  }
+});
+
+test("under overload a load that must queue is refused, one that can start is not", () => {
+  const admission = new Admission();
+  for (let at = 0; at < 2000; at += 100)
+    admission.ask({ at, wait: 4000, customer: "busy" });
+  const ask = (wait: number) =>
+    admission.ask({ at: 2000, wait, customer: "rare", needsLoad: true });
+  const refusal = ask(2000);
+  assert.ok("code" in refusal);
+  assert.equal(refusal.code, "loadFailed");
+  assert.equal(refusal.outcome, "not-run");
+  assert.ok("engine" in ask(300));
+});
--- a/tests/routing/route_test.ts
+++ b/tests/routing/route_test.ts
@@ -33,12 +33,19 @@
   });
 });
 
-test("a request joins a load in progress instead of starting a second one", () => {
+test("a request joins a load in progress instead of starting a second one at its home", () => {
+  const names = ["a", "b", "c", "d"];
+  const home = choose(...names.map((name) => createView(name)));
+  assert.ok("engine" in home);
+  const busy = names.find((name) => name !== home.engine) as string;
   const choice = choose(
-    createView("empty"),
-    createView("busy", { loading: ["chains"], running: 3 }),
+    ...names.map((name) =>
+      createView(name, { loading: name === busy ? ["chains"] : [] }),
+    ),
   );
-  assert.equal("engine" in choice && choice.engine, "busy");
+  assert.ok("engine" in choice);
+  assert.equal(choice.engine, busy);
+  assert.equal(choice.needsLoad, false);
 });
 
 test("a request does not wait for a warm engine much longer than a load takes", () => {
@@ -115,7 +122,10 @@
 });
 
 test("an engine that answers in time is preferred to a cheaper one that does not", () => {
-  const urgent = createRequest("chains", { deadlineAt: millis(200) });
+  const urgent = createRequest("chains", {
+    deadlineAt: millis(200),
+    expectedTokens: 10_000,
+  });
   const views = [
     createView("local", { held: ["chains"], running: 4 }),
     createView("remote", { held: ["chains"], region: away }),
