Count a fencing number as known only by orders given under it

A stream that was dispatched under an earlier fencing number of the same node could end under a new one and make the owner believe that the engine knew the new number. Loads and streams now carry the number of their order.

--- a/src/core/engine/dispatch.ts
+++ b/src/core/engine/dispatch.ts
@@ -105,6 +105,7 @@
   state.running.set(work.requestId, {
     ...entry,
     dispatchedAt: now,
+    fence: ownership.fence,
     firstTokenAt: undefined,
     lastProgressAt: now,
     tokens: entry.delivered,
--- a/src/core/engine/fence.ts
+++ b/src/core/engine/fence.ts
@@ -1,4 +1,4 @@
-import type { AdapterKey } from "../ids.ts";
+import type { AdapterKey, FencingNumber } from "../ids.ts";
 import { mayOrder, type Turn } from "./turn.ts";
 
 /**
@@ -37,9 +37,13 @@
   return undefined;
 }
 
-/** Notes that the engine knows the present fencing number. */
-export function acceptAnnouncement({ state, now }: Turn): void {
+/** Notes that the engine has accepted an order under a fencing number. */
+export function acceptAnnouncement(
+  { state, now }: Turn,
+  fence: FencingNumber | undefined,
+): void {
   const { kind } = state.announcement;
+  if (fence === undefined || fence !== state.ownership?.fence) return;
   if (state.identity.limits.fencing === "ignored") return;
   if (kind === "accepted" || kind === "confirmed") return;
   state.announcement = { kind: "accepted", at: now };
--- a/src/core/engine/loading.ts
+++ b/src/core/engine/loading.ts
@@ -1,5 +1,5 @@
 import { type Millis, millis } from "../clock.ts";
-import type { AdapterKey } from "../ids.ts";
+import type { AdapterKey, FencingNumber } from "../ids.ts";
 import { refuse } from "../results/refusal.ts";
 import { acceptAnnouncement } from "./fence.ts";
 import {
@@ -11,6 +11,7 @@
 import { releasePermits, requestPermits } from "./permits.ts";
 import { entriesOf } from "./queue.ts";
 import { askForReport } from "./reporting.ts";
+import type { EngineState } from "./state.ts";
 import { average, handBack, mayOrder, record, type Turn } from "./turn.ts";
 import { chooseSlotToEvict, listVictims } from "./victims.ts";
 
@@ -112,6 +113,7 @@
   state.slots.set(adapter, {
     adapter,
     phase: "loading",
+    fence: state.ownership.fence,
     inherited: false,
     since: now,
     evictableAt: now,
@@ -133,7 +135,7 @@
   const { state, now, commands } = turn;
   const slot = state.slots.get(adapter);
   state.backoffs.delete(adapter);
-  acceptAnnouncement(turn);
+  acceptAnnouncement(turn, findLoadFence(state, adapter));
   if (slot?.phase !== "loading") return;
   commands.push({ type: "release-permit", used: true });
   state.estimates.load = average(state.estimates.load, now - slot.since);
@@ -142,6 +144,18 @@
   record(turn, "adapterLoaded", { adapter });
 }
 
+/** Fencing number of the load that has ended, which may be the announcing one. */
+function findLoadFence(
+  { slots, announcement, ownership }: EngineState,
+  adapter: AdapterKey,
+): FencingNumber | undefined {
+  const slot = slots.get(adapter);
+  if (slot?.phase === "loading") return slot.fence;
+  const announcing =
+    announcement.kind === "sent" && announcement.adapter === adapter;
+  return announcing ? ownership?.fence : undefined;
+}
+
 /** Hands back what waited for a failed load and delays the next attempt. */
 export function failLoad(
   turn: Turn,
--- a/src/core/engine/reporting.ts
+++ b/src/core/engine/reporting.ts
@@ -105,6 +105,7 @@
     state.slots.set(adapter, {
       adapter,
       phase: "loaded",
+      fence: undefined,
       inherited: true,
       since: now,
       evictableAt: now,
--- a/src/core/engine/state.ts
+++ b/src/core/engine/state.ts
@@ -11,6 +11,8 @@
 export type Slot = {
   readonly adapter: AdapterKey;
   phase: "loading" | "loaded" | "unloading";
+  /** Fencing number of the load; undefined when another owner loaded it. */
+  readonly fence: FencingNumber | undefined;
   /** Held by the engine before this owner took over or lost contact. */
   inherited: boolean;
   /** Start of the present phase. */
@@ -27,6 +29,8 @@
 /** A stream that was dispatched and has not ended. */
 export type Running = QueueEntry & {
   readonly dispatchedAt: Millis;
+  /** Fencing number of the dispatch. */
+  readonly fence: FencingNumber;
   firstTokenAt: Millis | undefined;
   lastProgressAt: Millis;
   tokens: number;
--- a/src/core/engine/streams.ts
+++ b/src/core/engine/streams.ts
@@ -30,7 +30,7 @@
   running.firstTokenAt = turn.now;
   running.lastProgressAt = turn.now;
   running.tokens = running.delivered + 1;
-  acceptAnnouncement(turn);
+  acceptAnnouncement(turn, running.fence);
 }
 
 /** Notes the number of tokens that a stream has produced so far. */
@@ -56,7 +56,7 @@
   if (tokens > running.tokens) observeProgress(turn, { running, tokens });
   const occupied = now - running.dispatchedAt;
   state.estimates.service = average(state.estimates.service, occupied);
-  acceptAnnouncement(turn);
+  acceptAnnouncement(turn, running.fence);
   record(turn, "requestFinished", { requestId });
   if (running.work.isolated) {
     const { digest } = running.work;
--- a/tests/engine/eviction_test.ts
+++ b/tests/engine/eviction_test.ts
@@ -99,6 +99,20 @@
   assert.deepEqual(demandOther(owner), ["a@1"]);
 });
 
+test("a stream of an earlier fencing number does not announce the new one", () => {
+  const owner = createFullOwner();
+  owner.submit("r1", { adapter: "a@1" });
+  owner.own({ fence: 3, running: ["r1"] });
+  owner.finish("r1");
+  owner.advance(2_500);
+  owner.report();
+  assert.deepEqual(demandOther(owner), []);
+  owner.loaded("a@1");
+  owner.advance(2_500);
+  owner.report();
+  assert.deepEqual(demandOther(owner), ["a@1"]);
+});
+
 test("on an engine that ignores fencing numbers nothing is evicted before the settling time", () => {
   const owner = OwnerHarness.create({ slots: 1, fencing: "ignored" });
   owner.own();
