--- a/src/bench/cluster_simulation.ts
+++ b/src/bench/cluster_simulation.ts
@@ -37,7 +37,7 @@
 /** Length of the id of a usual signing key. */
 const keyIdBytes = 8;
 /** Time in which nodes find each other before anything is measured, in ms. */
-const warmUp = 75_000;
+const defaultWarmUp = 75_000;
 
 /** Size and settings of a simulated installation. */
 export type ClusterOptions = {
@@ -47,6 +47,8 @@
   readonly enginesPerNode: number;
   readonly session: SessionSettings;
   readonly random: () => number;
+  /** Time to wait after the start in ms. */
+  readonly warmUp?: number;
 };
 
 /** One simulated node with its control-plane parts. */
@@ -80,7 +82,7 @@
         simulation.#start(centre, index);
       }
     }
-    await simulation.run(warmUp);
+    await simulation.run(options.warmUp ?? defaultWarmUp);
     return simulation;
   }
 
--- /dev/null
+++ b/tests/membership/large_centre_test.ts
@@ -0,0 +1,23 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { MembershipWorld } from "../support/membership_fixture.ts";
+
+test("each of 40 nodes of a data centre suspects a failed node within 2 s", async () => {
+  const world = new MembershipWorld(21);
+  await world.startCentres(["a"], 40);
+  for (let index = 5; index < 39; index += 3) {
+    const failed = world.find(`a${index}`);
+    const since = world.clock.now();
+    failed.clock.pause();
+    failed.membership.stop();
+    await world.run(3_000);
+    const delays = world.nodes
+      .filter((observer) => !observer.clock.paused)
+      .map((observer) => {
+        const news = { node: failed.node, state: "suspect", since };
+        return world.heardAt(observer, news) - since;
+      });
+    const slowest = Math.max(...delays);
+    assert.ok(slowest <= 2_000, `the slowest node took ${slowest} ms`);
+  }
+});
