Settle booking calls before a draining node gives up its session

A call that ran while its node drained was told to others as outcome unknown, since the session row was already gone. The drain now waits up to 5 s for booking calls before it hands the engines over and ends the session.

--- a/src/node/claim_writer.ts
+++ b/src/node/claim_writer.ts
@@ -121,7 +121,7 @@
         late: { kind: "unknown", detail: "No answer within the deadline" },
       },
     );
-    meter.observe("claim_transaction_millis", clock.now() - startedAt);
+    meter.observe("claim_transaction_ms", clock.now() - startedAt);
     if (!this.#stopped) this.#actor.send({ type: "result", attempt, result });
   }
 
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -32,6 +32,7 @@
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { ForwardTarget, PeerForwarder } from "../ports/peers.ts";
 import type { TableService } from "../ports/table.ts";
+import { answerWithin } from "./deadline.ts";
 import { DraftDesk, type Suspicion } from "./draft_desk.ts";
 import { EngineDirectory } from "./engine_directory.ts";
 import type { PermitSource, SuspectListener } from "./engine_owner.ts";
@@ -48,6 +49,9 @@
 /** Time between two publications of the views of owned engines, in ms. */
 const publishIntervalMillis = 200;
 
+/** Longest wait for booking calls before a draining node gives up its session, in ms. */
+const settlePatience = millis(5_000);
+
 /** Configuration in force, as the node asks for it. */
 export type ConfigurationPart = {
   current(): Catalog | undefined;
@@ -139,6 +143,7 @@
       ...options,
       links: (service) => this.#listServers(service),
       routes: options.lookups,
+      sweepServices: [...options.services.keys()],
       currentLease: () =>
         this.session.isUsable() ? this.session.lease() : undefined,
       onLeaving: (_, server) => this.markLeaving(server),
@@ -279,6 +284,7 @@
   /** Hands duties over and waits for every request, stream and outcome. */
   async #finishWork(): Promise<void> {
     this.#options.journal.record("drainStarted");
+    await this.#settleCalls();
     this.owners.drain();
     await this.session.release();
     await this.drafts.waitIdle();
@@ -288,6 +294,16 @@
     this.#lifecycle.send({ type: "idle" });
   }
 
+  /** Once the session row is gone, others take calls in progress here for abandoned. */
+  async #settleCalls(): Promise<void> {
+    const { clock } = this.#options;
+    const settled = this.services.settle();
+    await answerWithin(clock, settled, {
+      delay: settlePatience,
+      late: undefined,
+    });
+  }
+
   #finishStop(): void {
     this.#options.journal.record("drainFinished");
     this.stop();
