--- a/src/fuzz/steps.ts
+++ b/src/fuzz/steps.ts
@@ -72,6 +72,10 @@
           `request ${at} model=${model} tokens=${tokens} within=${time}`,
       ),
   },
+  {
+    weight: 1,
+    arbitrary: node.map((at) => `request ${at} text=boom within=5s`),
+  },
   {
     weight: 1,
     arbitrary: node.map((at) => `burst 8 request ${at} tokens=40 within=20s`),
@@ -125,6 +129,7 @@
 );
 
 const engineSteps = fc.oneof(
+  fc.constant("poison boom"),
   fc
     .tuple(
       fc.constantFrom(...engines),
