Count the first chunk of a stream before telling the decision

The decision may answer a first token with a preemption. The owner now counts and passes on the chunk first.

--- a/src/node/engine_owner.ts
+++ b/src/node/engine_owner.ts
@@ -232,13 +232,16 @@
     const { clock } = this.#options;
     return {
       onChunk: (bytes, count) => {
-        if (!stream.started) {
-          stream.started = true;
-          this.#actor.send({ type: "first-token", requestId });
-          stream.progressAt = clock.now() + progressIntervalMillis;
-        }
+        const first = !stream.started;
+        stream.started = true;
         stream.tokens += count;
         stream.sink.onChunk(bytes, count);
+        if (first) {
+          stream.progressAt = clock.now() + progressIntervalMillis;
+          // Sent after the chunk is counted, since the answer may be `preempt`.
+          this.#actor.send({ type: "first-token", requestId });
+          return;
+        }
         if (clock.now() < stream.progressAt) return;
         stream.progressAt = clock.now() + progressIntervalMillis;
         this.#actor.send({
--- a/tests/engine/simulation_test.ts
+++ b/tests/engine/simulation_test.ts
@@ -30,3 +30,23 @@
     }
   }
 });
+
+test("a preempted stream neither loses nor repeats a token", async () => {
+  const profile = { ...chainHire, adapters: 3, zipf: 0 };
+  const { records, hosts } = await Simulation.run({
+    seed: 5,
+    arrivals: createWorkload(profile, { seed: 5, rate: 6, duration: 30_000 }),
+    regions: profile.regions,
+    limits: { batch: 4 },
+    createRouter: ({ clock }) =>
+      createRouter({ choose: chooseEngine, costs: defaultRouteCosts, clock }),
+  });
+  const preemptions = [...hosts.values()].reduce(
+    (sum, { state }) => sum + state.counters.preemptions,
+    0,
+  );
+  assert.ok(preemptions > 0);
+  for (const { whole, tokens, arrival } of records) {
+    if (whole) assert.equal(tokens, arrival.tokens);
+  }
+});
