--- a/src/core/config/sheet.ts
+++ b/src/core/config/sheet.ts
@@ -110,11 +110,17 @@
   current: ReadonlyMap<AdapterName, CatalogEntry>,
   next: { readonly base: Revision; readonly sheet: Sheet },
 ): SheetDelta {
-  const names = new Set(next.sheet.adapters.map((entry) => entry.name));
-  const changed = next.sheet.adapters.filter((entry) => {
-    const known = current.get(entry.name);
-    return known === undefined || !isSameEntry(known, entry);
-  });
-  const removed = [...current.keys()].filter((name) => !names.has(name));
-  return { base: next.base, changed, removed };
+  const added = new Map(
+    next.sheet.adapters.map((entry) => [entry.name, entry]),
+  );
+  const changed: CatalogEntry[] = [];
+  const removed: AdapterName[] = [];
+  // One pass over the compact entries costs less than a search for each name.
+  for (const known of current.values()) {
+    const entry = added.get(known.name);
+    if (entry === undefined) removed.push(known.name);
+    else if (!isSameEntry(known, entry)) changed.push(entry);
+    added.delete(known.name);
+  }
+  return { base: next.base, changed: [...changed, ...added.values()], removed };
 }
