--- a/src/core/engine/load_demand.ts
+++ b/src/core/engine/load_demand.ts
@@ -59,7 +59,7 @@
 function isPressing({ now, policies }: Turn, lanes: AdapterQueue): boolean {
   const [long] = lanes.long;
   if (lanes.short.length > 0 || long === undefined) return true;
-  return now - long.work.arrivedAt >= policies.longPatience;
+  return now - long.queuedAt >= policies.longPatience;
 }
 
 function countEntries({ short, long }: AdapterQueue): number {
@@ -91,9 +91,16 @@
 /** Expected time until another load can start, in ms. */
 export function estimateLoadStart(state: EngineState, now: Millis): number {
   const { estimates, loadWaitingSince, permits } = state;
-  if (loadWaitingSince === undefined && permits.granted > 0) return 0;
+  const slotWait = estimateSlotWait(state, now);
+  if (loadWaitingSince === undefined && permits.granted > 0) return slotWait;
   const waited = now - (loadWaitingSince ?? now);
-  return Math.max(0, estimates.loadInterval - waited);
+  return Math.max(slotWait, estimates.loadInterval - waited);
+}
+
+/** Time until a slot can be emptied after a change of owner, in ms. */
+function estimateSlotWait(state: EngineState, now: Millis): number {
+  if (state.slots.size < state.identity.limits.slots) return 0;
+  return Math.max(0, (state.ownership?.settledAt ?? 0) - now);
 }
 
 /** Expected time until work of this rank has its adapter loaded, in ms. */
--- a/src/node/route_desk.ts
+++ b/src/node/route_desk.ts
@@ -147,6 +147,7 @@
         otherWait: target.expectedWait,
         queued: false,
         hasCredit: granted,
+        needsLoad: target.needsLoad,
       });
       if (decision.kind === "wait") return Nothing;
       this.#hedges = budget;
