--- /dev/null
+++ b/src/core/loads/answers.ts
@@ -0,0 +1,136 @@
+import { millis } from "../clock.ts";
+import type { LoadBudgetEvent, StoredRow } from "./messages.ts";
+import { createBudgetRow, parseBudgetRow } from "./row.ts";
+import type { LoadBudgetState } from "./state.ts";
+import { keep, type Step, type StepOptions } from "./step.ts";
+import { adoptRow } from "./table_work.ts";
+
+/** Event that ends a call to the table. */
+export type TableAnswer = Extract<
+  LoadBudgetEvent,
+  {
+    type:
+      | "row-read"
+      | "read-failed"
+      | "write-committed"
+      | "write-conflict"
+      | "write-failed";
+  }
+>;
+
+/** Takes over the result of a call to the table. */
+export function applyAnswer(
+  before: LoadBudgetState,
+  event: TableAnswer,
+  options: StepOptions,
+): Step {
+  const state: LoadBudgetState = {
+    ...before,
+    call: "none",
+    pollScale: 0.75 + options.random() / 2,
+  };
+  switch (event.type) {
+    case "row-read":
+      return applyRow(state, event.row, options);
+    case "write-conflict": {
+      const applied = applyRow(
+        { ...state, proposal: undefined },
+        event.row,
+        options,
+      );
+      return { ...applied, state: backOff(applied.state, options) };
+    }
+    case "write-committed":
+      return keep(applyCommit(state, options));
+    case "read-failed":
+      return keep(backOff({ ...state, tableDown: true }, options));
+    case "write-failed":
+      return keep(applyWriteFailure(state, event, options));
+  }
+}
+
+function applyCommit(
+  state: LoadBudgetState,
+  options: StepOptions,
+): LoadBudgetState {
+  const { proposal } = state;
+  if (proposal === undefined) return state;
+  const adopted = adoptRow(state, { ...options, row: proposal.row });
+  return {
+    ...adopted,
+    proposal: undefined,
+    removed: state.removed.filter((lease) => !proposal.removed.includes(lease)),
+    former: state.former.filter((lease) => !proposal.former.includes(lease)),
+    failures: 0,
+    tableDown: false,
+    quietUntil: millis(options.now + options.limits.firstBackoff),
+  };
+}
+
+/** An unavailable table did not apply the write; an unknown result is settled by the next read. */
+function applyWriteFailure(
+  state: LoadBudgetState,
+  event: Extract<TableAnswer, { type: "write-failed" }>,
+  options: StepOptions,
+): LoadBudgetState {
+  const failed = backOff({ ...state, tableDown: true }, options);
+  if (event.kind === "unknown") return failed;
+  return {
+    ...failed,
+    proposal: undefined,
+    permits: failed.permits.map((permit) => ({ ...permit, stopped: false })),
+  };
+}
+
+/**
+ * Takes over a row that was read. While a write with an unknown result could
+ * still take effect, that is while the row has the version that the write was
+ * conditional on, nothing is taken over; `writeChange` then writes the row
+ * again, after which the lost write can only fail. At a higher version the
+ * row says what this lease holds, whichever writes led to it.
+ */
+function applyRow(
+  state: LoadBudgetState,
+  stored: StoredRow | undefined,
+  options: StepOptions,
+): Step {
+  const parsed =
+    stored === undefined
+      ? createBudgetRow()
+      : parseBudgetRow(stored.value).extract();
+  if (typeof parsed === "string")
+    return {
+      state: backOff(state, options),
+      commands: [
+        { type: "count", name: "load_budget_row_invalid" },
+        { type: "record", event: "budgetRowInvalid", detail: parsed },
+      ],
+    };
+  const healthy = { ...state, tableDown: false };
+  const base = stored?.version ?? "absent";
+  if (state.proposal?.base === base)
+    return keep({
+      ...healthy,
+      row: parsed,
+      rowAt: options.now,
+    });
+  const adopted = adoptRow(healthy, { ...options, row: parsed });
+  return keep({ ...adopted, proposal: undefined });
+}
+
+/** Delays the next call exponentially, with jitter over the whole range. */
+function backOff(
+  state: LoadBudgetState,
+  options: StepOptions,
+): LoadBudgetState {
+  const { limits, now, random } = options;
+  const longest = Math.min(
+    limits.longestBackoff,
+    limits.firstBackoff * 2 ** Math.min(state.failures, 16),
+  );
+  return {
+    ...state,
+    failures: state.failures + 1,
+    quietUntil: millis(now + longest * (0.5 + random() / 2)),
+  };
+}
--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -167,6 +167,12 @@
     level: "info",
     meaning: "An answer of the table was lost; the row is read back",
   },
+  budgetRowInvalid: {
+    number: 506,
+    level: "error",
+    meaning:
+      "The row of the load budget is malformed; no permit moves until it is restored",
+  },
   memberJoined: {
     number: 601,
     level: "info",
--- a/src/node/load_budget.ts
+++ b/src/node/load_budget.ts
@@ -2,10 +2,7 @@
 import { createActor } from "xstate";
 import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
 import type { AttemptToken, EngineId } from "../core/ids.ts";
-import {
-  createLoadBudgetDecision,
-  type LoadBudgetPolicies,
-} from "../core/loads/budget.ts";
+import { createLoadBudgetDecision } from "../core/loads/budget.ts";
 import type {
   LoadBudgetCommand,
   LoadBudgetEvent,
@@ -17,6 +14,7 @@
   expectLoadWait,
   type LoadBudgetState,
 } from "../core/loads/state.ts";
+import type { LoadBudgetPolicies } from "../core/loads/step.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import type {
   Row,
