--- a/src/bench/path_cost/node_process.ts
+++ b/src/bench/path_cost/node_process.ts
@@ -41,6 +41,7 @@
   applySheet: async () => Left(unknownOperator),
   history: async () => Left(unknownOperator),
   showSheet: () => Left(unknownOperator),
+  exportConfiguration: () => [],
 };
 
 async function listen(server: Server): Promise<string> {
@@ -77,6 +78,7 @@
       outageConfirmedAt: () => undefined,
       publishLeaving: () => {},
       publishPoison: () => {},
+      publishDemand: () => {},
       leave: async () => {},
     },
     configuration: {
