--- a/src/bench/path_cost/node_process.ts
+++ b/src/bench/path_cost/node_process.ts
@@ -42,6 +42,7 @@
   history: async () => Left(unknownOperator),
   exportConfiguration: () => [],
   showSheet: () => Left(unknownOperator),
+  exportConfiguration: () => [],
 };
 
 async function listen(server: Server): Promise<string> {
@@ -79,6 +80,7 @@
       outageConfirmedAt: () => undefined,
       publishLeaving: () => {},
       publishPoison: () => {},
+      publishDemand: () => {},
       leave: async () => {},
     },
     configuration: {
