--- a/src/core/routing/health.ts
+++ b/src/core/routing/health.ts
@@ -9,7 +9,8 @@
   excess: number;
   /** Classified as slow by the waits for first tokens. */
   slow: boolean;
-  probedAt: Millis;
+  /** Time of the last request sent there. */
+  sentAt: Millis;
 };
 
 /** Own observations of engines, which complement their late reports; changed in place. */
@@ -20,6 +21,10 @@
 const recoveredFactor = 1.5;
 /** Waits below this say nothing, in ms: small expectations are exceeded by chance. */
 const noticeableWait = 300;
+/** Requests expected to wait longer than this are not observed, in ms: a load or a queue in front of them says nothing of the engine's speed. */
+const observableWait = 200;
+/** Overdue requests that make an engine slow; one may have met bad luck in the queue. */
+const overdueNeeded = 2;
 /** Weight of the newest wait in the smoothed excess. */
 const smoothing = 0.4;
 /** Time between probes of a slow engine by one node, in ms. */
@@ -27,7 +32,7 @@
 /** Requests without a token that are tracked for one engine. */
 const openLimit = 256;
 
-/** Notes that a request was sent; at a slow engine it counts as the probe. */
+/** Notes that a request was sent; at a slow engine it counts as a probe. */
 export function noteStart(
   state: HealthState,
   options: {
@@ -40,8 +45,8 @@
   const { engine, request, expected, now } = options;
   const health = state.get(engine) ?? createHealth();
   state.set(engine, health);
-  if (isSlow(state, { engine, now })) health.probedAt = now;
-  if (health.open.size < openLimit)
+  health.sentAt = now;
+  if (expected <= observableWait && health.open.size < openLimit)
     health.open.set(request, { sentAt: now, expected });
 }
 
@@ -85,7 +90,7 @@
 ): boolean {
   const health = state.get(options.engine);
   if (health === undefined) return true;
-  return options.now - health.probedAt >= probePeriod;
+  return options.now - health.sentAt >= probePeriod;
 }
 
 function createHealth(): EngineHealth {
@@ -93,13 +98,13 @@
     open: new Map(),
     excess: 1,
     slow: false,
-    probedAt: millis(Number.NEGATIVE_INFINITY),
+    sentAt: millis(Number.NEGATIVE_INFINITY),
   };
 }
 
 function isOverdue(health: EngineHealth, now: Millis): boolean {
-  for (const { sentAt, expected } of health.open.values())
-    if (now - sentAt > slowFactor * Math.max(expected, noticeableWait))
-      return true;
-  return false;
+  let overdue = 0;
+  for (const { sentAt } of health.open.values())
+    if (now - sentAt > slowFactor * noticeableWait) overdue++;
+  return overdue >= overdueNeeded;
 }
