Refuse a request id that is still open at an owner

Cause: two callers may choose the same request id at two entry nodes; the second submission replaced the first one's stream at the owner, and answers could have crossed.

--- a/src/bench/path_cost/node_process.ts
+++ b/src/bench/path_cost/node_process.ts
@@ -40,7 +40,7 @@
   drain: () => {},
   applySheet: async () => Left(unknownOperator),
   history: async () => Left(unknownOperator),
-  exportConfiguration: () => [],
+
   showSheet: () => Left(unknownOperator),
   exportConfiguration: () => [],
 };
@@ -76,7 +76,7 @@
         if (own.length > 0) views = own;
       },
       publishOutage: () => {},
-      publishDemand: () => {},
+
       outageConfirmedAt: () => undefined,
       publishLeaving: () => {},
       publishPoison: () => {},
--- a/src/node/draft_desk.ts
+++ b/src/node/draft_desk.ts
@@ -5,6 +5,7 @@
 import type { DraftHistory, DraftTarget } from "../core/requests/draft.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
 import type { AnswerSink } from "../ports/access.ts";
+import { endedStream } from "../ports/engine.ts";
 import type { DraftControl, DraftInput, EncodedDraft } from "../ports/front.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import {
@@ -34,8 +35,6 @@
 
 const poisonDetail = "This content crashed engines twice";
 
-const refusedControl: DraftControl = { cancel() {}, pause() {}, resume() {} };
-
 /** Takes draft requests of callers at their entry node. */
 export class DraftDesk {
   readonly #options: DraftDeskOptions;
@@ -60,7 +59,7 @@
     const refuseInput = (refusal: Refusal): DraftControl => {
       this.#recordRefusal(input.requestId, refusal);
       sink.onRefusal(refusal);
-      return refusedControl;
+      return endedStream;
     };
     return this.#resolve(input).caseOf<DraftControl>({
       Left: refuseInput,
--- a/src/node/engine_directory.ts
+++ b/src/node/engine_directory.ts
@@ -4,7 +4,7 @@
 import { refuse } from "../core/results/refusal.ts";
 import type { EngineView } from "../core/routing/view.ts";
 import type { AnswerSink, EngineAccess, Submission } from "../ports/access.ts";
-import type { StreamControl } from "../ports/engine.ts";
+import { endedStream, type StreamControl } from "../ports/engine.ts";
 import type { ForwardTarget, PeerForwarder } from "../ports/peers.ts";
 import type { EngineOwner } from "./engine_owner.ts";
 
@@ -23,8 +23,6 @@
 /** Time between checks whether all streams have ended, in ms. */
 const idleCheckMillis = 50;
 
-const endedStream: StreamControl = { cancel() {}, pause() {}, resume() {} };
-
 /** Engines of the installation: those owned here and the way to all others. */
 export class EngineDirectory implements EngineAccess, ForwardTarget {
   readonly #options: EngineDirectoryOptions;
--- a/src/node/engine_owner.ts
+++ b/src/node/engine_owner.ts
@@ -15,12 +15,14 @@
   FencingNumber,
   RequestId,
 } from "../core/ids.ts";
+import { refuse } from "../core/results/refusal.ts";
 import type { AnswerSink, Submission } from "../ports/access.ts";
-import type {
-  AdapterOrder,
-  EngineLink,
-  StreamControl,
-  StreamSink,
+import {
+  type AdapterOrder,
+  type EngineLink,
+  endedStream,
+  type StreamControl,
+  type StreamSink,
 } from "../ports/engine.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
@@ -113,6 +115,13 @@
   /** Queues a request; the sink may hear of a refusal before this returns. */
   submit(submission: Submission, sink: AnswerSink): StreamControl {
     const { requestId } = submission.work;
+    if (this.#streams.has(requestId)) {
+      // Two streams under one id would be confused on their way back.
+      this.#options.meter.count("duplicate_request_ids_total");
+      const detail = `Request ${requestId} is already open at this owner`;
+      sink.onRefusal(refuse("engineRefused", detail));
+      return endedStream;
+    }
     this.#streams.set(requestId, {
       submission,
       sink,
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -21,7 +21,7 @@
 import { chooseEngine } from "../core/routing/route.ts";
 import type { AnswerSink, Submission } from "../ports/access.ts";
 import type { ClusterPort } from "../ports/cluster.ts";
-import type { StreamControl } from "../ports/engine.ts";
+import { endedStream, type StreamControl } from "../ports/engine.ts";
 import type {
   BookedAnswer,
   DraftControl,
@@ -173,7 +173,7 @@
     const refusal = this.findUnready();
     if (refusal === undefined) return this.drafts.start(input, sink);
     sink.onRefusal(refusal);
-    return { cancel() {}, pause() {}, resume() {} };
+    return endedStream;
   }
 
   callService(input: ServiceInput): Promise<Either<Refusal, BookedAnswer>> {
--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -58,6 +58,13 @@
   resume(): void;
 };
 
+/** Control of a stream that has ended already. */
+export const endedStream: StreamControl = {
+  cancel() {},
+  pause() {},
+  resume() {},
+};
+
 /** Order to load or unload an adapter version. */
 export type AdapterOrder = {
   readonly adapter: AdapterKey;
