Split the messages of draft requests from their decision

The saturated run of the path-cost bench uses answers of 400 tokens on average: answers above 500 expected tokens count as long work, which the owner limits, so that a run with 1,000 measured that limit and not the path.

--- a/src/bench/experiments/path_cost.ts
+++ b/src/bench/experiments/path_cost.ts
@@ -26,7 +26,7 @@
     answers: 2,
     tokens: 80,
   },
-  saturated: { streams: 128, stepTime: 0, rounds: 2, answers: 1, tokens: 1000 },
+  saturated: { streams: 128, stepTime: 0, rounds: 2, answers: 1, tokens: 400 },
 };
 
 /** Measures all ways in turn, round by round, in one set of processes. */
--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -14,7 +14,10 @@
   type Region,
   type RequestId,
 } from "../core/ids.ts";
-import type { DraftHistory, DraftTarget } from "../core/requests/draft.ts";
+import type {
+  DraftHistory,
+  DraftTarget,
+} from "../core/requests/draft_messages.ts";
 import type { Refusal } from "../core/results/refusal.ts";
 import type { RouteChoice, RouteRequest } from "../core/routing/route.ts";
 import type { EngineView } from "../core/routing/view.ts";
--- a/src/node/draft_desk.ts
+++ b/src/node/draft_desk.ts
@@ -2,7 +2,10 @@
 import { type Clock, type Millis, millis } from "../core/clock.ts";
 import type { ModelResolution } from "../core/config/catalog.ts";
 import type { AdapterKey, Digest, RequestId } from "../core/ids.ts";
-import type { DraftHistory, DraftTarget } from "../core/requests/draft.ts";
+import type {
+  DraftHistory,
+  DraftTarget,
+} from "../core/requests/draft_messages.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
 import type { AnswerSink } from "../ports/access.ts";
 import { endedStream } from "../ports/engine.ts";
--- a/src/node/draft_request.ts
+++ b/src/node/draft_request.ts
@@ -3,14 +3,16 @@
 import type { Work } from "../core/engine/work.ts";
 import type { EngineId } from "../core/ids.ts";
 import {
-  type AttemptNumber,
   createDraftDecision,
   createDraftState,
-  type DraftCommand,
-  type DraftEvent,
-  type DraftPolicies,
-  type DraftState,
 } from "../core/requests/draft.ts";
+import type {
+  AttemptNumber,
+  DraftCommand,
+  DraftEvent,
+  DraftPolicies,
+  DraftState,
+} from "../core/requests/draft_messages.ts";
 import type { Refusal } from "../core/results/refusal.ts";
 import type { AnswerSink, EngineAccess } from "../ports/access.ts";
 import type { GenerateOrder, StreamControl } from "../ports/engine.ts";
--- a/src/node/route_desk.ts
+++ b/src/node/route_desk.ts
@@ -8,7 +8,10 @@
 import type { Clock, Millis } from "../core/clock.ts";
 import type { Work } from "../core/engine/work.ts";
 import type { EngineId, NodeId, Region } from "../core/ids.ts";
-import type { DraftHistory, DraftTarget } from "../core/requests/draft.ts";
+import type {
+  DraftHistory,
+  DraftTarget,
+} from "../core/requests/draft_messages.ts";
 import { RetryBudget } from "../core/requests/retry_budget.ts";
 import type { ResultCodeName } from "../core/results/codes.ts";
 import type { Refusal } from "../core/results/refusal.ts";
--- a/src/ports/engine.ts
+++ b/src/ports/engine.ts
@@ -1,5 +1,6 @@
 import type { Either } from "purify-ts";
 import type { Millis } from "../core/clock.ts";
+import type { StreamFailureKind } from "../core/engine/messages.ts";
 import type { Priority } from "../core/engine/work.ts";
 import type { AdapterKey, FencingNumber, RequestId } from "../core/ids.ts";
 
@@ -12,15 +13,7 @@
    * the connection ended early. `silent`: no byte within the silence limit.
    * `wrong-adapter`: the answer names another adapter version; it was dropped.
    */
-  readonly kind:
-    | "refused"
-    | "stale-fence"
-    | "adapter-missing"
-    | "leaving"
-    | "unreachable"
-    | "broken"
-    | "silent"
-    | "wrong-adapter";
+  readonly kind: StreamFailureKind;
   readonly detail: string;
 };
 
