Let requests of the path-cost bench arrive at random within engine steps

Cause: each request followed the last token of the one before, so that it reached the engine just after a step; any delay in front of the engine then cost a whole step (3 or 10 ms), and the added first-token time was a multiple of the step.

--- a/src/bench/experiments/path_cost.ts
+++ b/src/bench/experiments/path_cost.ts
@@ -41,7 +41,7 @@
   const clients = new Map<Way, LoadClient>();
   for (const way of ways) {
     const client = await LoadClient.open(origins[way] as string, plan.streams);
-    await client.run({ answers: 2, tokens: 10 }, new LoadResult());
+    await client.run({ answers: 2, tokens: 10, stepTime: 0 }, new LoadResult());
     clients.set(way, client);
     results.set(way, new LoadResult());
   }
--- a/src/bench/path_cost/load.ts
+++ b/src/bench/path_cost/load.ts
@@ -1,5 +1,7 @@
 import { once } from "node:events";
 import { connect, type Socket } from "node:net";
+import { setTimeout } from "node:timers/promises";
+import { createRandom } from "../random.ts";
 import { Distribution } from "../statistics.ts";
 import { benchAdapter } from "./setup.ts";
 
@@ -107,6 +109,18 @@
   }
 }
 
+const random = createRandom(1);
+
+/**
+ * Waits for a random part of two engine steps. Without it each request follows
+ * the end of a step at a fixed distance, and a delay of any size in front of
+ * the engine costs a whole step.
+ */
+function pauseWithinStep(stepTime: number): Promise<void> {
+  if (stepTime === 0) return Promise.resolve();
+  return setTimeout(2 * stepTime * random());
+}
+
 /** Opens connections once, so that no measurement includes their setup. */
 export class LoadClient {
   readonly #connections: readonly LoadConnection[];
@@ -124,7 +138,7 @@
 
   /** Runs `answers` requests one after the other on each connection, of half to one and a half times `tokens`. */
   async run(
-    batch: { answers: number; tokens: number },
+    batch: { answers: number; tokens: number; stepTime: number },
     result: LoadResult,
   ): Promise<void> {
     const startedAt = performance.now();
@@ -134,6 +148,7 @@
         const spread = (index + 0.5) / this.#connections.length + 0.5;
         await connection.request(Math.ceil(leadTokens * spread), lead);
         for (let count = 0; count < batch.answers; count++) {
+          await pauseWithinStep(batch.stepTime);
           const share = count % 2 === 0 ? spread : 2 - spread;
           await connection.request(Math.ceil(batch.tokens * share), result);
         }
