--- a/scripts/write_docs.ts
+++ b/scripts/write_docs.ts
@@ -1,6 +1,13 @@
-/** Writes docs/result-codes.md and docs/log-events.md from the typed tables. */
+/** Writes the pages and the dashboard that follow from typed tables. */
 import { writeFileSync } from "node:fs";
-import { renderEventCatalogue, renderResultCodes } from "./catalogues.ts";
+import {
+  renderDashboard,
+  renderEventCatalogue,
+  renderMetrics,
+  renderResultCodes,
+} from "./catalogues.ts";
 
 writeFileSync("docs/result-codes.md", renderResultCodes());
 writeFileSync("docs/log-events.md", renderEventCatalogue());
+writeFileSync("docs/metrics.md", renderMetrics());
+writeFileSync("docs/grafana.json", renderDashboard());
--- a/src/adapters/backends/engine_stream.ts
+++ b/src/adapters/backends/engine_stream.ts
@@ -94,7 +94,7 @@
     this.#heardAt = this.#clock.now();
     if (status < 200) return;
     if (headers["x-request-id"] !== this.#options.order.requestId) {
-      this.#options.meter.count("engine_crossed_answers");
+      this.#options.meter.count("engine_crossed_answers_total");
       this.#abandon("broken", "The answer carries another request id");
     } else if (status !== 200) {
       this.#refusal = { status, text: "" };
--- a/src/adapters/backends/service_client.ts
+++ b/src/adapters/backends/service_client.ts
@@ -78,7 +78,7 @@
     const { status, headers, body } = answer;
     if (headers["x-request-id"] !== call.requestId) {
       const { meter = silentMeter } = this.#options;
-      meter.count("service_crossed_answers");
+      meter.count("service_crossed_answers_total");
       const detail = `The answer carries request id ${headers["x-request-id"]}`;
       return Left({ kind: "crossed", detail });
     }
--- a/src/adapters/gossip/udp_datagrams.ts
+++ b/src/adapters/gossip/udp_datagrams.ts
@@ -2,6 +2,7 @@
 import { isIPv6 } from "node:net";
 import type { Clock } from "../../core/clock.ts";
 import type { GossipMessage } from "../../core/membership/types.ts";
+import type { MetricName } from "../../core/observe/metrics.ts";
 import type { Datagrams } from "../../ports/datagrams.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
 import type { Keyring } from "../keys/keyring.ts";
@@ -115,7 +116,7 @@
     this.#options.meter.count("gossip_datagrams_total", { direction });
   }
 
-  #count(metric: string, amount = 1): void {
+  #count(metric: MetricName, amount = 1): void {
     this.#options.meter.count(metric, {}, amount);
   }
 }
--- a/src/adapters/http/endpoint.ts
+++ b/src/adapters/http/endpoint.ts
@@ -92,7 +92,7 @@
     this.#pool.close().catch(() => {});
     this.#pool = this.#createPool();
     const { meter = silentMeter, name } = this.#options;
-    meter.count("endpoint_renewed", { endpoint: name });
+    meter.count("endpoint_renewed_total", { endpoint: name });
   }
 
   /** Breaks all connections. */
@@ -126,7 +126,7 @@
       return true;
     }
     const { meter = silentMeter, name } = this.#options;
-    meter.count("endpoint_rejected", { endpoint: name });
+    meter.count("endpoint_rejected_total", { endpoint: name });
     return false;
   }
 
--- a/src/adapters/observe/metrics.ts
+++ b/src/adapters/observe/metrics.ts
@@ -1,5 +1,8 @@
 import { Counter, Gauge, Histogram, Registry } from "prom-client";
-import { metricCatalogue } from "../../core/observe/metrics.ts";
+import {
+  type MetricName,
+  metricCatalogue,
+} from "../../core/observe/metrics.ts";
 import type { Meter } from "../../ports/journal.ts";
 
 /** Bounds of duration histograms, in ms. */
@@ -20,7 +23,7 @@
     return new Metrics();
   }
 
-  count(name: string, labels: Labels = {}, amount = 1): void {
+  count(name: MetricName, labels: Labels = {}, amount = 1): void {
     let counter = this.#counters.get(name);
     if (counter === undefined) {
       counter = new Counter(this.#describe(name, labels));
@@ -29,7 +32,7 @@
     counter.inc(labels, amount);
   }
 
-  observe(name: string, value: number, labels: Labels = {}): void {
+  observe(name: MetricName, value: number, labels: Labels = {}): void {
     let histogram = this.#histograms.get(name);
     if (histogram === undefined) {
       histogram = new Histogram({
@@ -41,7 +44,7 @@
     histogram.observe(labels, value);
   }
 
-  gauge(name: string, value: number, labels: Labels = {}): void {
+  gauge(name: MetricName, value: number, labels: Labels = {}): void {
     let gauge = this.#gauges.get(name);
     if (gauge === undefined) {
       gauge = new Gauge(this.#describe(name, labels));
@@ -50,10 +53,10 @@
     gauge.set(labels, value);
   }
 
-  #describe(name: string, labels: Labels) {
+  #describe(name: MetricName, labels: Labels) {
     return {
       name: `goldcrestwinch_${name}`,
-      help: metricCatalogue[name] ?? name.replaceAll("_", " "),
+      help: metricCatalogue[name],
       labelNames: Object.keys(labels),
       registers: [this.registry],
     };
--- a/src/adapters/platform/guarded_table.ts
+++ b/src/adapters/platform/guarded_table.ts
@@ -100,7 +100,7 @@
     const refusal = this.#refuse(kind);
     if (refusal !== undefined) {
       const { meter = silentMeter } = this.#options;
-      meter.count("table_calls_refused", { reason: refusal });
+      meter.count("table_calls_refused_total", { reason: refusal });
       return Left({ kind: "unavailable", detail: `Not sent: ${refusal}` });
     }
     const result = await call();
--- a/src/core/loads/answers.ts
+++ b/src/core/loads/answers.ts
@@ -102,7 +102,7 @@
     return {
       state: backOff(state, options),
       commands: [
-        { type: "count", name: "load_budget_row_invalid" },
+        { type: "count", name: "load_budget_row_invalid_total" },
         { type: "record", event: "budgetRowInvalid", detail: parsed },
       ],
     };
--- a/src/core/loads/budget.ts
+++ b/src/core/loads/budget.ts
@@ -40,7 +40,7 @@
       ...worked.commands,
     ];
     if (expired.expired > 0)
-      commands.push({ type: "count", name: "load_permits_expired" });
+      commands.push({ type: "count", name: "load_permits_expired_total" });
     const timer = planTimer(worked.state, options);
     if (timer !== undefined) commands.push({ type: "set-timer", at: timer });
     return { state: worked.state, commands };
@@ -177,7 +177,7 @@
   if (state.requests.length >= requestLimit)
     return {
       state,
-      commands: [{ type: "count", name: "load_requests_dropped" }],
+      commands: [{ type: "count", name: "load_requests_dropped_total" }],
     };
   return keep({
     ...state,
--- a/src/core/loads/messages.ts
+++ b/src/core/loads/messages.ts
@@ -1,6 +1,7 @@
 import type { Millis } from "../clock.ts";
 import type { AttemptToken, EngineId, LeaseId } from "../ids.ts";
 import type { EventName } from "../observe/events.ts";
+import type { MetricName } from "../observe/metrics.ts";
 import type { BudgetRow } from "./row.ts";
 
 /** A row as it was read, not yet checked. */
@@ -64,7 +65,7 @@
     }
   /** Sends a `wake` event at this time; replaces an earlier one. */
   | { readonly type: "set-timer"; readonly at: Millis }
-  | { readonly type: "count"; readonly name: string }
+  | { readonly type: "count"; readonly name: MetricName }
   | {
       readonly type: "record";
       readonly event: EventName;
--- a/src/core/membership/types.ts
+++ b/src/core/membership/types.ts
@@ -1,6 +1,7 @@
 import { type Millis, millis } from "../clock.ts";
 import type { DataCentre, NodeId, Region } from "../ids.ts";
 import type { EventName } from "../observe/events.ts";
+import type { MetricName } from "../observe/metrics.ts";
 
 /** A JSON value that a node publishes to the others. */
 export type Published =
@@ -210,7 +211,7 @@
       readonly message: GossipMessage;
     }
   | { readonly type: "notify"; readonly update: MembershipUpdate }
-  | { readonly type: "count"; readonly metric: string }
+  | { readonly type: "count"; readonly metric: MetricName }
   | {
       readonly type: "record";
       readonly event: EventName;
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -1,5 +1,5 @@
 /** Help texts of the metrics, without the common prefix of their names. */
-export const metricCatalogue: Readonly<Record<string, string>> = {
+export const metricCatalogue = {
   requests_total: "Requests by kind and result code",
   first_token_ms: "Time to the first stream event at the entry node, in ms",
   tokens_total: "Stream events passed on to callers",
@@ -21,4 +21,59 @@
   claim_queue_rejected_total: "Claims refused because the queue was full",
   claims_swept_total: "Claim rows removed after the retention",
   broken_streams_total: "Streams that ended without their explicit end",
-};
+  duplicate_request_ids_total:
+    "Requests refused because their id is open at the owner",
+  endpoint_rejected_total:
+    "Calls refused because all connections to a server were in use",
+  endpoint_renewed_total:
+    "Times that the idle connections to a server were replaced after one was silent",
+  engine_crossed_answers_total:
+    "Answers of engines dropped because they carried another request id",
+  engine_wrong_adapters_total:
+    "Answers of engines dropped because they named another adapter version",
+  service_crossed_answers_total:
+    "Answers of booking services dropped because they carried another request id",
+  table_calls_refused_total:
+    "Table calls that failed at once because of an outage or a spent budget",
+  load_budget_row_invalid_total:
+    "Reads of the load budget row that did not add up",
+  load_permits_expired_total: "Granted load permits that were not used in time",
+  load_requests_dropped_total:
+    "Requests for load permits refused at the queue limit",
+  poison_records_dropped_total:
+    "Records of crashing content dropped at the limit",
+  poison_writes_given_up_total:
+    "Rows of crashing content that could not be written",
+  session_transactions_total: "Table transactions of the session lease",
+  session_reads_total: "Rows read for session lease and ownership",
+  session_scans_total: "Searches for sessions of dead nodes",
+  config_revision: "Configuration revision in force",
+  config_head_reads_total: "Reads of the head row of the configuration",
+  config_fetch_failures_total:
+    "Configurations that could not be fetched, by kind",
+  gossip_bytes_total:
+    "Bytes of datagrams, with IP and UDP headers, by direction",
+  gossip_datagrams_total: "Datagrams by direction",
+  gossip_refused_total: "Datagrams refused, by reason",
+  gossip_send_errors_total: "Datagrams that could not be sent",
+  gossip_socket_errors_total: "Errors of the datagram socket",
+  gossip_items_too_large_total: "Items left out because they exceed a datagram",
+  gossip_entries_refused_total:
+    "Published values refused at the limit of one node",
+  gossip_members_refused_total: "Members refused at the limit",
+  gossip_refutations_total: "Suspicions of this node that it refuted",
+  gossip_sync_deferred_total: "Comparisons put off by the traffic limit",
+  gossip_tag_collisions_total: "Members left out because their tag is taken",
+  node_ready: "1 while the node takes requests",
+  session_usable: "1 while the session lease is usable",
+  table_outage: "1 while the table service does not answer",
+  members: "Known nodes by state",
+  engine_queued: "Requests waiting at the owner, by engine",
+  engine_running: "Requests running, by engine",
+  engine_adapters: "Adapter versions held, by engine",
+  engine_turned_away:
+    "Requests turned away by the bounds of the owner, by engine and bound",
+} as const satisfies Record<string, string>;
+
+/** Name of a metric, without the common prefix. */
+export type MetricName = keyof typeof metricCatalogue;
--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -2,6 +2,7 @@
 import type { Decide, Decision } from "../decision.ts";
 import type { Digest, RequestId } from "../ids.ts";
 import type { EventName } from "../observe/events.ts";
+import type { MetricName } from "../observe/metrics.ts";
 import { type Refusal, refuse } from "../results/refusal.ts";
 import {
   addCrash,
@@ -56,7 +57,7 @@
       readonly digest: Digest;
       readonly record: PoisonRecord;
     }
-  | { readonly type: "count"; readonly name: string }
+  | { readonly type: "count"; readonly name: MetricName }
   | {
       readonly type: "record";
       readonly event: EventName;
@@ -186,7 +187,7 @@
 function enforceLimit(state: PoisonState): PoisonCommand[] {
   if (state.entries.size <= poisonLimit) return [];
   state.entries.delete(selectDropped(state));
-  return [{ type: "count", name: "poison_records_dropped" }];
+  return [{ type: "count", name: "poison_records_dropped_total" }];
 }
 
 /** Oldest content that is not convicted, else the oldest. */
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -28,6 +28,7 @@
 import type { PeerForwarder } from "../ports/peers.ts";
 import type { BackEnds } from "./back_ends.ts";
 import { Configuration } from "./configuration.ts";
+import { reportGauges } from "./gauge_report.ts";
 import { reportLease } from "./lease_report.ts";
 import { LoadBudget } from "./load_budget.ts";
 import { Membership } from "./membership.ts";
@@ -172,6 +173,8 @@
     isResponsible: () => isFirstNode(membership.liveNodes(), nodeId),
     onOrphan: (lease) => permits.send({ type: "lease-removed", lease }),
   });
+  const isTableDown = () => options.table.outage || node.session.failing;
+  const stopGauges = reportGauges(node, { cluster, clock, meter, isTableDown });
   const operators = OperatorDesk.create({
     ...shared,
     node,
@@ -179,13 +182,14 @@
     sheets: configuration,
     readTimeline: () => timeline.read(),
     wallNow: () => clock.wallNow(),
-    isTableDown: () => options.table.outage || node.session.failing,
+    isTableDown,
   });
   return {
     node,
     operators,
     stop() {
       stopReports();
+      stopGauges();
       reconciler.stop();
       placement.stop();
       configuration.stop();
--- a/src/ports/journal.ts
+++ b/src/ports/journal.ts
@@ -1,5 +1,6 @@
 import type { AdapterKey, EngineId, RequestId } from "../core/ids.ts";
 import type { EventName } from "../core/observe/events.ts";
+import type { MetricName } from "../core/observe/metrics.ts";
 
 /** Fields of an event; secrets and bodies never belong here. */
 export type EventFields = {
@@ -17,11 +18,19 @@
 /** Receives counts and observations for the metrics. */
 export type Meter = {
   /** Adds to a counter. */
-  count(name: string, labels?: Record<string, string>, amount?: number): void;
+  count(
+    name: MetricName,
+    labels?: Record<string, string>,
+    amount?: number,
+  ): void;
   /** Records a duration in ms. */
-  observe(name: string, value: number, labels?: Record<string, string>): void;
+  observe(
+    name: MetricName,
+    value: number,
+    labels?: Record<string, string>,
+  ): void;
   /** Sets a gauge. */
-  gauge(name: string, value: number, labels?: Record<string, string>): void;
+  gauge(name: MetricName, value: number, labels?: Record<string, string>): void;
 };
 
 /** Journal that drops everything, for code that runs without observers. */
