--- a/src/bench/experiment.ts
+++ b/src/bench/experiment.ts
@@ -14,11 +14,13 @@
   readonly target?: { readonly atMost: number } | { readonly atLeast: number };
 };
 
-/** Bound that the median of one figure should keep. */
+/** Bound that the median of one figure should keep, or its value in every run. */
 export type FigureTarget = {
   readonly figure: string;
   readonly variant: string;
   readonly target: { readonly atMost: number } | { readonly atLeast: number };
+  /** A guarantee: one run that breaks the bound misses the target. */
+  readonly everyRun?: boolean;
 };
 
 /** One measurement; a file in `experiments` exports it as `experiment`. */
@@ -95,7 +97,11 @@
     }),
     targets: (experiment.targets ?? []).map((entry) => ({
       ...entry,
-      met: keeps(medianOf(entry.variant, entry.figure), entry.target),
+      met: runs
+        .filter(({ variant }) => entry.everyRun && variant === entry.variant)
+        .map(({ figures }) => figures[entry.figure] ?? Number.NaN)
+        .concat(medianOf(entry.variant, entry.figure))
+        .every((value) => keeps(value, entry.target)),
     })),
   };
 }
--- a/src/bench/experiments/crest.ts
+++ b/src/bench/experiments/crest.ts
@@ -142,6 +142,7 @@
       figure: "refused as not run but run",
       variant: "default, 3x",
       target: { atMost: 0 },
+      everyRun: true,
     },
   ],
 };
--- a/src/bench/experiments/eviction.ts
+++ b/src/bench/experiments/eviction.ts
@@ -107,6 +107,11 @@
       "evictions in use",
       "wrong adapters",
       "answers with missing or double tokens",
-    ].map((figure) => ({ figure, variant, target: { atMost: 0 } })),
+    ].map((figure) => ({
+      figure,
+      variant,
+      target: { atMost: 0 },
+      everyRun: true,
+    })),
   ),
 };
--- a/src/bench/experiments/load_budget.ts
+++ b/src/bench/experiments/load_budget.ts
@@ -77,7 +77,17 @@
   run,
   comparisons: [],
   targets: variants.flatMap((variant) => [
-    { figure: "most loads in 1 s", variant, target: { atMost: 3 + 8 } },
-    { figure: "most loads in flight", variant, target: { atMost: 8 } },
+    {
+      figure: "most loads in 1 s",
+      variant,
+      target: { atMost: 3 + 8 },
+      everyRun: true,
+    },
+    {
+      figure: "most loads in flight",
+      variant,
+      target: { atMost: 8 },
+      everyRun: true,
+    },
   ]),
 };
--- a/src/core/engine/reporting.ts
+++ b/src/core/engine/reporting.ts
@@ -1,5 +1,5 @@
-import { millis } from "../clock.ts";
-import type { AdapterKey } from "../ids.ts";
+import { type Millis, millis } from "../clock.ts";
+import type { AdapterKey, RequestId } from "../ids.ts";
 import { refuse } from "../results/refusal.ts";
 import { leaveEngine } from "./leaving.ts";
 import type { EngineStatus } from "./messages.ts";
@@ -49,9 +49,13 @@
   report.decisive = false;
   report.failures = 0;
   const restarted = state.boot !== undefined && state.boot !== status.boot;
-  if (restarted) loseStreams(turn, "The engine restarted");
-  else endBroken(turn);
-  if (restarted) forgetRequests(turn);
+  const listed = new Set(status.running);
+  if (restarted) {
+    // What a report lists was dispatched after the restart, which may be noticed late.
+    forgetRequests(turn, listed);
+    loseStreams(turn, "The engine restarted", listed);
+  }
+  endBroken(turn);
   const wasDown = state.contact === "down";
   state.boot = status.boot;
   if (state.ownership !== undefined) state.contact = "up";
@@ -169,15 +173,22 @@
 }
 
 /** Ends all streams of an engine that crashed or does not answer; each of them may be the cause. */
-function loseStreams(turn: Turn, detail: string): void {
+function loseStreams(
+  turn: Turn,
+  detail: string,
+  spared: ReadonlySet<RequestId> = new Set(),
+): void {
   const { state, now } = turn;
   record(turn, "engineCrashed", { detail });
-  const digests = [...state.running.values()].map(({ work }) => work.digest);
+  const lost = [...state.running].filter(
+    ([requestId]) => !spared.has(requestId),
+  );
+  const digests = lost.map(([, { work }]) => work.digest);
   // Named before the requests are handed back, so that routing knows of it.
   if (digests.length > 0) {
     turn.commands.push({ type: "suspect", digests, boot: state.boot ?? "" });
   }
-  for (const [requestId, { broken, work }] of [...state.running]) {
+  for (const [requestId, { broken, work }] of lost) {
     removeRunning(state, requestId);
     state.unconfirmed.set(requestId, { adapter: work.adapter, since: now });
     if (!broken) turn.commands.push({ type: "cancel-stream", requestId });
@@ -189,10 +200,15 @@
   }
 }
 
-/** A restarted engine runs nothing of what ran before. */
-function forgetRequests({ state }: Turn): void {
-  state.unconfirmed.clear();
-  state.foreignRunning = 0;
+/** A restarted engine runs nothing of what ran before; a lagging report may leave out what is new. */
+function forgetRequests(
+  { state, now }: Turn,
+  listed: ReadonlySet<RequestId>,
+): void {
+  for (const [requestId, { since }] of state.unconfirmed) {
+    if (listed.has(requestId) || now - since < REPORT_LAG) continue;
+    state.unconfirmed.delete(requestId);
+  }
 }
 
 /** Asks for reports that are due and gives up those that are late. */
--- a/tests/engine/streams_test.ts
+++ b/tests/engine/streams_test.ts
@@ -34,6 +34,28 @@
   assert.deepEqual(owner.suspects(), ["digest-r1", "digest-r2"]);
 });
 
+test("a restart that is noticed late does not free the adapters of requests that run since", () => {
+  const owner = createRunningOwner();
+  owner.failStream("r1", "silent");
+  owner.boot = "boot-2";
+  owner.report({ running: ["r1", "r2"] });
+  assert.deepEqual(owner.refusals(), { r1: "engineLost may-have-run" });
+  assert.deepEqual(owner.suspects(), []);
+  owner.clear();
+  owner.finish("r2");
+  for (const adapter of ["b@1", "c@1", "d@1", "e@1", "f@1"]) {
+    owner.submit(`for-${adapter}`, { adapter });
+    owner.send({ type: "permit-granted" });
+    owner.loaded(adapter);
+  }
+  owner.advance(3_000);
+  owner.report({ running: ["r1"] });
+  assert.ok(
+    !owner.sent("unload").includes("a@1"),
+    "a@1 is not evicted while the engine runs r1 on it",
+  );
+});
+
 test("an engine that does not report within 500 ms has crashed", () => {
   const owner = createRunningOwner();
   owner.failStream("r1", "silent");
