--- a/src/adapters/gossip/view_codec.ts
+++ b/src/adapters/gossip/view_codec.ts
@@ -25,6 +25,7 @@
   count,
   z.array(count).max(maxHeld),
   z.array(count).max(maxHeld),
+  count,
 ]);
 
 /** Tenths of a millisecond keep token gaps exact enough in one or two bytes. */
@@ -43,6 +44,7 @@
     Math.round(view.serviceTime),
     [...view.held].map(hashText),
     [...view.loading].map(hashText),
+    Math.round(view.loadWait ?? 0),
   ];
 }
 
@@ -77,6 +79,7 @@
     running,
     held: collect(parsed.data[8]),
     loading: collect(parsed.data[9]),
+    loadWait: millis(parsed.data[10]),
     firstToken: millis(firstToken),
     tokenGap: millis(gap / gapScale),
     serviceTime: millis(service),
--- a/src/core/engine/reporting.ts
+++ b/src/core/engine/reporting.ts
@@ -1,4 +1,4 @@
-import { type Millis, millis } from "../clock.ts";
+import { millis } from "../clock.ts";
 import type { AdapterKey, RequestId } from "../ids.ts";
 import { refuse } from "../results/refusal.ts";
 import { leaveEngine } from "./leaving.ts";
--- a/src/core/engine/summary.ts
+++ b/src/core/engine/summary.ts
@@ -1,6 +1,6 @@
 import { type Millis, millis } from "../clock.ts";
 import type { AdapterKey } from "../ids.ts";
-import type { EngineView } from "../routing/view.ts";
+import { type EngineView, noLoadWait } from "../routing/view.ts";
 import { estimateLoadStart } from "./load_demand.ts";
 import type { EngineState } from "./state.ts";
 
@@ -17,9 +17,6 @@
 const DEFAULT_FIRST_TOKEN = 50;
 const DEFAULT_TOKEN_GAP = 20;
 
-/** Wait that keeps routing from sending cold work to an engine that cannot load, in ms. */
-const OUTAGE_LOAD_WAIT = 3_600_000;
-
 /** Describes an engine to the nodes that route requests to it. */
 export function summarizeEngine(
   state: EngineState,
@@ -44,7 +41,7 @@
 /** An engine whose lease ended in a table outage loads nothing until the table is back. */
 function estimateLoadWait(state: EngineState, now: Millis): number {
   const orderUntil = state.ownership?.orderUntil ?? 0;
-  return now < orderUntil ? estimateLoadStart(state, now) : OUTAGE_LOAD_WAIT;
+  return now < orderUntil ? estimateLoadStart(state, now) : noLoadWait;
 }
 
 function findState(state: EngineState, now: Millis): EngineView["state"] {
--- a/src/core/routing/route.ts
+++ b/src/core/routing/route.ts
@@ -5,7 +5,7 @@
 import { type Refusal, refuse } from "../results/refusal.ts";
 import type { RouteCosts } from "./costs.ts";
 import { estimateWait, isUsable, type WaitOptions } from "./estimate.ts";
-import type { EngineView } from "./view.ts";
+import { type EngineView, noLoadWait } from "./view.ts";
 
 /** What routing needs to know of a request. */
 export type RouteRequest = {
@@ -79,6 +79,7 @@
     usable: healthy.length > 0 ? healthy : usable,
     options,
   });
+  if (candidates.length === 0) return Left(refuseWithoutEngine());
   const inTime = candidates.filter(
     (candidate) => options.now + candidate.wait <= request.deadlineAt,
   );
@@ -185,12 +186,17 @@
     ...sampleTwo(warm, options.random),
     ...sampleTwo(warmRemote, options.random),
   ].map((view) => weigh(view, { request, options, extra: 0 }));
-  const cold = (local.length > 0 ? local : remote).filter(
-    (view) => !holds(view, request.adapter),
-  );
+  const isCold = (view: EngineView) =>
+    !holds(view, request.adapter) && canLoad(view);
+  const coldHere = local.filter(isCold);
+  const cold = coldHere.length > 0 ? coldHere : remote.filter(isCold);
   return [...chosen, ...weighCold(cold, { request, options })];
 }
 
+function canLoad(view: EngineView): boolean {
+  return (view.loadWait ?? 0) < noLoadWait;
+}
+
 function holds(view: EngineView, adapter: AdapterKey): boolean {
   return view.held.has(adapter) || view.loading.has(adapter);
 }
--- a/src/core/routing/view.ts
+++ b/src/core/routing/view.ts
@@ -1,6 +1,9 @@
-import type { Millis } from "../clock.ts";
+import { type Millis, millis } from "../clock.ts";
 import type { AdapterKey, EngineId, NodeId, Region } from "../ids.ts";
 
+/** `loadWait` of an engine that can load nothing until its owner reaches the table again, in ms. */
+export const noLoadWait = millis(3_600_000);
+
 /** What a node knows of an engine when it routes a request. */
 export type EngineView = {
   readonly engine: EngineId;
--- a/tests/membership/datagrams_test.ts
+++ b/tests/membership/datagrams_test.ts
@@ -183,6 +183,7 @@
     firstToken: millis(140),
     tokenGap: millis(22.5),
     serviceTime: millis(2_300),
+    loadWait: millis(240),
     heardAt: millis(5),
   };
   const { engine, region, heardAt } = view;
--- a/tests/routing/route_test.ts
+++ b/tests/routing/route_test.ts
@@ -6,6 +6,7 @@
   chooseFromSheet,
   chooseLeastLoaded,
 } from "../../src/core/routing/route.ts";
+import { noLoadWait } from "../../src/core/routing/view.ts";
 import {
   adapterOf,
   away,
@@ -56,6 +57,21 @@
   assert.equal("engine" in choice && choice.engine, "empty");
 });
 
+test("an engine that cannot load in a table outage gets no cold request", () => {
+  const stuck = { loadWait: noLoadWait };
+  const none = choose(createView("a", stuck), createView("b", stuck));
+  assert.equal("code" in none && none.code, "noEngine");
+  const other = choose(createView("a", stuck), createView("b"));
+  assert.equal("engine" in other && other.engine, "b");
+  const remote = choose(
+    createView("a", stuck),
+    createView("far", { region: away }),
+  );
+  assert.equal("engine" in remote && remote.engine, "far");
+  const warm = choose(createView("a", { ...stuck, held: ["chains"] }));
+  assert.equal("engine" in warm && warm.engine, "a");
+});
+
 test("of two warm engines the one with the shorter queue is chosen", () => {
   const choice = choose(
     createView("long", { held: ["chains"], running: 4, queued: 6 }),
