--- a/src/adapters/backends/engine_client.ts
+++ b/src/adapters/backends/engine_client.ts
@@ -19,7 +19,7 @@
 
 /** Longest load; design 5.4 counts on it when permits return. */
 const loadTimeout = millis(10_000);
-/** Longest wait for a report; design 5.13. */
+/** Longest wait for a report; design 5.14. */
 const reportTimeout = millis(500);
 /** Two of the engine's comment lines, one a second, may be late. */
 const defaultSilenceLimit = millis(3000);
--- a/src/node/placement_desk.ts
+++ b/src/node/placement_desk.ts
@@ -1,15 +1,17 @@
 import { createActor } from "xstate";
-import { type Cancel, type Clock, millis } from "../core/clock.ts";
+import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
 import type { Catalog } from "../core/config/catalog.ts";
 import type { AdapterKey, NodeId, Region } from "../core/ids.ts";
 import { summarizeDemand } from "../core/placement/demand.ts";
 import {
   createPlacementState,
   decidePlacement,
+  type Elsewhere,
   type PlacementCommand,
   type PlacementEvent,
   type PlacementState,
 } from "../core/placement/placement.ts";
+import type { EngineView } from "../core/routing/view.ts";
 import type { ClusterPort } from "../ports/cluster.ts";
 import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
 import type { EngineDirectory } from "./engine_directory.ts";
@@ -21,6 +23,14 @@
 /** Slots of an engine that placement leaves to loads on demand. */
 const freeSlots = 1;
 
+/** Time for which the demand of a node counts after it was heard of, in ms. */
+const heardMillis = 10_000;
+
+type HeardDemand = {
+  readonly at: Millis;
+  readonly rates: readonly (readonly [AdapterKey, number])[];
+};
+
 /** What the placement desk needs. */
 export type PlacementDeskOptions = {
   readonly region: Region;
@@ -35,6 +45,8 @@
 export class PlacementDesk {
   readonly #options: PlacementDeskOptions;
   readonly #actor: DecisionActor<PlacementState, PlacementEvent>;
+  /** Demand at nodes of other regions, as last heard of. */
+  readonly #remoteDemand = new Map<NodeId, HeardDemand>();
   #cancelTick: Cancel | undefined;
 
   static create(options: PlacementDeskOptions): PlacementDesk {
@@ -68,7 +80,15 @@
     from: NodeId,
     rates: readonly (readonly [AdapterKey, number])[],
   ): void {
-    this.#actor.send({ type: "demand-heard", from, rates });
+    const member = this.#options.cluster
+      .members()
+      .find(({ node }) => node === from);
+    if (member === undefined) return;
+    if (member.region === this.#options.region) {
+      this.#actor.send({ type: "demand-heard", from, rates });
+    } else {
+      this.#remoteDemand.set(from, { at: this.#options.clock.now(), rates });
+    }
   }
 
   /** Another configuration is in force. */
@@ -93,8 +113,8 @@
 
   #tick(): void {
     const { directory, region, clock, cluster, readHour } = this.#options;
-    const engines = directory
-      .views()
+    const views = directory.views();
+    const engines = views
       .filter((view) => view.region === region && view.state !== "leaving")
       .map(({ engine, slots }) => ({
         engine,
@@ -102,7 +122,8 @@
         places: Math.max(1, slots - freeSlots),
       }));
     this.#actor.send({ type: "engines", engines });
-    this.#actor.send({ type: "tick", hour: readHour() });
+    const elsewhere = this.#describeElsewhere(views);
+    this.#actor.send({ type: "tick", hour: readHour(), elsewhere });
     const { demand, wanted } = this.#actor.getSnapshot().context;
     for (const [engine, owner] of directory.owners) {
       const adapters = wanted.get(engine);
@@ -114,4 +135,27 @@
       summarizeDemand(demand, { now: clock.now(), limit: publishedAdapters }),
     );
   }
+
+  /** What the other regions hold and see, so that copies go where they help most. */
+  #describeElsewhere(views: readonly EngineView[]): Elsewhere {
+    const { region, clock, cluster } = this.#options;
+    const regions = new Set(cluster.members().map((member) => member.region));
+    regions.add(region);
+    const held = new Set<AdapterKey>();
+    for (const view of views) {
+      if (view.region === region) continue;
+      for (const adapter of view.held) held.add(adapter);
+    }
+    const rates = new Map<AdapterKey, number>();
+    for (const [node, heard] of this.#remoteDemand) {
+      if (clock.now() - heard.at > heardMillis) {
+        this.#remoteDemand.delete(node);
+        continue;
+      }
+      for (const [adapter, rate] of heard.rates) {
+        rates.set(adapter, (rates.get(adapter) ?? 0) + rate);
+      }
+    }
+    return { region, regions: [...regions].sort(), held, rates };
+  }
 }
