Wire a node in small steps; let only the session lease pass the write budget

The claims of bookings went through the table's urgent way as well, past the write budget meant for them; only the session lease needs it.

--- a/src/node/membership_cluster.ts
+++ b/src/node/membership_cluster.ts
@@ -14,10 +14,9 @@
 import type { Membership, PublishedValue } from "./membership.ts";
 
 /** Context of a published view that its compact form leaves out. */
-export type ViewOrigin = Pick<
-  EngineView,
-  "engine" | "owner" | "region" | "heardAt"
->;
+export type ViewOrigin = Pick<EngineView, "engine" | "region" | "heardAt"> & {
+  readonly owner: NodeId;
+};
 
 /** What the cluster part needs. */
 export type MembershipClusterOptions = {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -77,6 +77,8 @@
   readonly journal: Journal;
   readonly meter: Meter;
   readonly table: TableService;
+  /** Way to the table for the session lease; `table` unless given. */
+  readonly leaseTable?: TableService;
   readonly forwarder: PeerForwarder;
   readonly cluster: ClusterPort;
   readonly configuration: ConfigurationPart;
@@ -246,9 +248,10 @@
   }
 
   #createSession(): Session {
-    const { engines, cluster, session } = this.#options;
+    const { engines, cluster, session, table, leaseTable } = this.#options;
     return Session.create({
       ...this.#options,
+      table: leaseTable ?? table,
       engines: () =>
         engines.map(({ engine, limits }) => ({
           engine,
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -9,11 +9,14 @@
 import type { Catalog } from "../core/config/catalog.ts";
 import {
   type AttemptToken,
+  brandNumber,
   brandString,
   type DataCentre,
   formatAdapterKey,
+  type LeaseId,
   type NodeId,
   type Region,
+  type Revision,
 } from "../core/ids.ts";
 import { defaultSessionSettings, type LiveNode } from "../core/lease/state.ts";
 import { defaultLoadLimits } from "../core/loads/limits.ts";
@@ -62,141 +65,226 @@
   stop(): void;
 };
 
+/** What every part of a node gets. */
+type Shared = {
+  readonly clock: Clock;
+  readonly meter: Meter;
+  readonly journal: Timeline;
+  readonly random: () => number;
+  readonly nodeId: NodeId;
+  readonly region: Region;
+  readonly dataCentre: DataCentre;
+};
+
 /** Creates the actors of a node and connects them. */
 export function wireNode(options: WiringOptions): NodeParts {
-  const { settings, nodeId, clock, keyring, timeline, meter } = options;
-  const region = brandString<Region>(settings.node.region);
-  const dataCentre = brandString<DataCentre>(settings.node.dataCentre);
-  const shared = {
-    clock,
-    meter,
-    journal: timeline,
-    random: Math.random,
-    nodeId,
-    region,
-    dataCentre,
-  };
-  const index = AdapterIndex.create(hashText);
-  const membership = Membership.create({
-    ...shared,
-    datagrams: options.datagrams,
-    self: describeSelf(options, { region, dataCentre }),
-    seeds: settings.seeds,
-    settings: defaultMembershipSettings,
-  });
-  const cluster = MembershipCluster.create({
-    membership,
-    clock,
-    self: { node: nodeId, dataCentre },
-    hashAdapter: hashText,
-    findAdapter: (hash) => index.find(hash),
-    encodeView,
-    decodeView: (value, origin) =>
-      decodeView(value, {
-        ...origin,
-        owner: origin.owner as NodeId,
-        findAdapter: (hash) => index.find(hash),
+  return Wiring.create(options);
+}
+
+/** The actors of one node; each hears of the others through the functions it is given. */
+class Wiring implements NodeParts {
+  readonly node: Node;
+  readonly operators: OperatorDesk;
+  readonly #options: WiringOptions;
+  readonly #shared: Shared;
+  readonly #index = AdapterIndex.create(hashText);
+  readonly #membership: Membership;
+  readonly #cluster: MembershipCluster;
+  readonly #configuration: Configuration;
+  readonly #poison: PoisonDesk;
+  readonly #permits: LoadBudget;
+  readonly #placement: PlacementDesk;
+  readonly #stops: (() => void)[];
+
+  static create(options: WiringOptions): Wiring {
+    return new Wiring(options);
+  }
+
+  private constructor(options: WiringOptions) {
+    const { settings, nodeId, clock, meter, timeline } = options;
+    this.#options = options;
+    this.#shared = {
+      clock,
+      meter,
+      journal: timeline,
+      random: Math.random,
+      nodeId,
+      region: brandString(settings.node.region),
+      dataCentre: brandString(settings.node.dataCentre),
+    };
+    this.#membership = Membership.create({
+      ...this.#shared,
+      datagrams: options.datagrams,
+      self: describeSelf(options, this.#shared),
+      seeds: settings.seeds,
+      settings: defaultMembershipSettings,
+    });
+    this.#cluster = this.#createCluster();
+    this.#configuration = this.#createConfiguration();
+    this.#poison = this.#createPoisonDesk();
+    this.#permits = this.#createLoadBudget();
+    this.node = this.#createNode();
+    this.#placement = this.#createPlacement();
+    this.operators = this.#createOperatorDesk();
+    this.#stops = this.#startDuties();
+  }
+
+  stop(): void {
+    for (const stop of this.#stops) stop();
+    this.#placement.stop();
+    this.#configuration.stop();
+    this.node.stop();
+    this.#membership.stop();
+  }
+
+  #createCluster(): MembershipCluster {
+    const { clock, nodeId, dataCentre } = this.#shared;
+    const findAdapter = (hash: number) => this.#index.find(hash);
+    return MembershipCluster.create({
+      membership: this.#membership,
+      clock,
+      self: { node: nodeId, dataCentre },
+      hashAdapter: hashText,
+      findAdapter,
+      encodeView,
+      decodeView: (value, origin) =>
+        decodeView(value, { ...origin, findAdapter }),
+      onLeaving: (server) => this.node.markLeaving(server),
+      onPoison: (digest, record) => this.#poison.hear(digest, record),
+      onDemand: (from, rates) => this.#placement.hearDemand(from, rates),
+      onRevision: (revision, from) =>
+        this.#configuration.hear(brandNumber(revision), brandString(from)),
+    });
+  }
+
+  #createConfiguration(): Configuration {
+    const { clock, keyring, table, objects } = this.#options;
+    const membership = this.#membership;
+    return Configuration.create({
+      ...this.#shared,
+      table,
+      objects,
+      codec: sheetCodec,
+      peers: createConfigurationPeers({
+        clock,
+        keyring,
+        findAddress: (peer) => membership.findAddress(peer),
       }),
-    onLeaving: (server) => node.markLeaving(server),
-    onPoison: (digest, record) => poison.hear(digest, record),
-    onDemand: (from, rates) => placement.hearDemand(from, rates),
-    onRevision: (revision, from) =>
-      configuration.hear(revision as never, brandString(from)),
-  });
-  const configuration = Configuration.create({
-    ...shared,
-    table: options.table,
-    objects: options.objects,
-    codec: sheetCodec,
-    peers: createConfigurationPeers({
+      liveNodes: () => membership.liveNodes(),
+      onRevision: (revision) => this.#useRevision(revision),
+    });
+  }
+
+  #useRevision(revision: Revision): void {
+    this.#membership.publish("revision", "self", revision);
+    const catalog = this.#configuration.current();
+    if (catalog === undefined) return;
+    this.#index.replace(listKeys(catalog));
+    this.#placement.useCatalog(catalog);
+    this.node.markConfigured();
+  }
+
+  #createPoisonDesk(): PoisonDesk {
+    return PoisonDesk.create({
+      ...this.#shared,
+      table: this.#options.table,
+      createToken: () => brandString<AttemptToken>(createToken()),
+      spread: (digest, record) => this.#cluster.publishPoison(digest, record),
+    });
+  }
+
+  #createLoadBudget(): LoadBudget {
+    return LoadBudget.create({
+      ...this.#shared,
+      table: this.#options.table,
+      policies: { limits: defaultLoadLimits, random: Math.random },
+      onGrant: (engine) => this.node.grantPermit(engine),
+    });
+  }
+
+  #createNode(): Node {
+    const { settings, table, backEnds, forwarder, onStopped } = this.#options;
+    const { durationMs, renewMs, marginMs } = settings.lease;
+    return Node.create({
+      ...this.#shared,
+      table,
+      // Renewals and hand-overs must not wait behind the write budget.
+      leaseTable: table.urgent,
+      forwarder,
+      cluster: this.#cluster,
+      configuration: this.#configuration,
+      permits: this.#permits,
+      poison: this.#poison,
+      engines: backEnds.engines,
+      services: backEnds.services,
+      lookups: backEnds.lookups,
+      session: {
+        ...defaultSessionSettings,
+        duration: millis(durationMs),
+        renewal: millis(renewMs),
+        margin: millis(marginMs),
+      },
+      onSessionRemoved: (lease) => this.#reclaimPermits(lease),
+      onDemand: (adapter) => this.#placement.noteDemand(adapter),
+      onStopped,
+    });
+  }
+
+  #createPlacement(): PlacementDesk {
+    return PlacementDesk.create({
+      ...this.#shared,
+      directory: this.node.directory,
+      cluster: this.#cluster,
+      readHour: () => readLocalHour(this.#shared.clock),
+    });
+  }
+
+  #createOperatorDesk(): OperatorDesk {
+    const { timeline, clock } = this.#options;
+    return OperatorDesk.create({
+      ...this.#shared,
+      node: this.node,
+      cluster: this.#cluster,
+      sheets: this.#configuration,
+      readTimeline: () => timeline.read(),
+      wallNow: () => clock.wallNow(),
+      isTableDown: () => this.#isTableDown(),
+    });
+  }
+
+  /** Starts what runs at intervals and returns how to stop it. */
+  #startDuties(): (() => void)[] {
+    const { clock, meter, nodeId } = this.#shared;
+    const cluster = this.#cluster;
+    const reconciler = PermitReconciler.create({
       clock,
-      keyring,
-      findAddress: (peer) => membership.findAddress(peer),
-    }),
-    liveNodes: () => membership.liveNodes(),
-    onRevision: (revision) => {
-      membership.publish("revision", "self", revision);
-      const catalog = configuration.current();
-      if (catalog === undefined) return;
-      index.replace(listKeys(catalog));
-      placement.useCatalog(catalog);
-      node.markConfigured();
-    },
-  });
-  const poison = PoisonDesk.create({
-    ...shared,
-    table: options.table,
-    createToken: () => brandString<AttemptToken>(createToken()),
-    spread: (digest, record) => cluster.publishPoison(digest, record),
-  });
-  const permits = LoadBudget.create({
-    ...shared,
-    table: options.table,
-    policies: { limits: defaultLoadLimits, random: Math.random },
-    onGrant: (engine) => node.grantPermit(engine),
-  });
-  const node: Node = Node.create({
-    ...shared,
-    table: options.table.urgent,
-    forwarder: options.forwarder,
-    cluster,
-    configuration,
-    permits,
-    poison,
-    engines: options.backEnds.engines,
-    services: options.backEnds.services,
-    lookups: options.backEnds.lookups,
-    session: {
-      ...defaultSessionSettings,
-      duration: millis(settings.lease.durationMs),
-      renewal: millis(settings.lease.renewMs),
-      margin: millis(settings.lease.marginMs),
-    },
-    onSessionRemoved: (lease) => permits.send({ type: "lease-removed", lease }),
-    onDemand: (adapter) => placement.noteDemand(adapter),
-    onStopped: options.onStopped,
-  });
-  const placement = PlacementDesk.create({
-    ...shared,
-    directory: node.directory,
-    cluster,
-    readHour: () => readLocalHour(clock),
-  });
-  const stopReports = reportLease(node, {
-    permits,
-    clock,
-    views: () => cluster.engineViews(),
-  });
-  const reconciler = PermitReconciler.create({
-    ...shared,
-    table: options.table,
-    isResponsible: () => isFirstNode(membership.liveNodes(), nodeId),
-    onOrphan: (lease) => permits.send({ type: "lease-removed", lease }),
-  });
-  const isTableDown = () => options.table.outage || node.session.failing;
-  const stopGauges = reportGauges(node, { cluster, clock, meter, isTableDown });
-  const operators = OperatorDesk.create({
-    ...shared,
-    node,
-    cluster,
-    sheets: configuration,
-    readTimeline: () => timeline.read(),
-    wallNow: () => clock.wallNow(),
-    isTableDown,
-  });
-  return {
-    node,
-    operators,
-    stop() {
-      stopReports();
-      stopGauges();
-      reconciler.stop();
-      placement.stop();
-      configuration.stop();
-      node.stop();
-      membership.stop();
-    },
-  };
+      table: this.#options.table,
+      isResponsible: () => isFirstNode(this.#membership.liveNodes(), nodeId),
+      onOrphan: (lease) => this.#reclaimPermits(lease),
+    });
+    return [
+      () => reconciler.stop(),
+      reportLease(this.node, {
+        permits: this.#permits,
+        clock,
+        views: () => cluster.engineViews(),
+      }),
+      reportGauges(this.node, {
+        cluster,
+        clock,
+        meter,
+        isTableDown: () => this.#isTableDown(),
+      }),
+    ];
+  }
+
+  #reclaimPermits(lease: LeaseId): void {
+    this.#permits.send({ type: "lease-removed", lease });
+  }
+
+  #isTableDown(): boolean {
+    return this.#options.table.outage || this.node.session.failing;
+  }
 }
 
 function describeSelf(
