--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -17,7 +17,7 @@
 import type { Settings } from "../adapters/settings/settings.ts";
 import { RealClock } from "../adapters/time/real_clock.ts";
 import { brandString, type NodeId } from "../core/ids.ts";
-import { type BackEnds, connectBackEnds } from "./back_ends.ts";
+import { connectBackEnds } from "./back_ends.ts";
 import { MachineWatch } from "./machine_watch.ts";
 import { type NodeParts, wireNode } from "./wiring.ts";
 
@@ -246,5 +246,3 @@
 function formatAddress({ host, port }: { host: string; port: number }): string {
   return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
 }
-
-export type { BackEnds };
