--- /dev/null
+++ b/src/adapters/peers/exchange_links.ts
@@ -0,0 +1,99 @@
+import { createTRPCClient, httpLink } from "@trpc/client";
+import { Agent, fetch } from "undici";
+import type { NodeLinks, PlaceAnswer } from "../../ports/gateway.ts";
+import type { ExchangeRouter } from "./exchange_router.ts";
+
+/** Time for an owner to answer; it holds a request for an adapter for a second at most. */
+const acquireTimeoutMillis = 1_400;
+/** Time for a report to be answered, in ms. */
+const reportTimeoutMillis = 700;
+/** Time for a connection to another node, in ms. */
+const connectTimeoutMillis = 500;
+/** Calls in flight to one node. */
+const maxConnections = 32;
+
+type Peer = {
+  readonly client: ReturnType<typeof createTRPCClient<ExchangeRouter>>;
+  readonly agent: Agent;
+};
+
+/** Calls to other nodes over trpc. */
+export class ExchangeLinks implements NodeLinks {
+  readonly #peers = new Map<string, Peer>();
+
+  static create(): ExchangeLinks {
+    return new ExchangeLinks();
+  }
+
+  async acquire(
+    address: string,
+    request: Parameters<NodeLinks["acquire"]>[1],
+  ): Promise<PlaceAnswer> {
+    const signal = AbortSignal.timeout(acquireTimeoutMillis);
+    try {
+      const { client } = this.#obtain(address);
+      return await client.acquire.mutate(request, { signal });
+    } catch {
+      // The reason does not matter: the request asks another owner.
+      this.#renew(address);
+      return { kind: "refused", reason: "unreachable" };
+    }
+  }
+
+  async reportUse(
+    address: string,
+    report: Parameters<NodeLinks["reportUse"]>[1],
+  ): Promise<boolean> {
+    const signal = AbortSignal.timeout(reportTimeoutMillis);
+    const engines = report.engines.map(({ engine, places }) => ({
+      engine,
+      places: [...places],
+    }));
+    try {
+      const { client } = this.#obtain(address);
+      await client.reportUse.mutate({ ...report, engines }, { signal });
+      return true;
+    } catch {
+      // The silence itself is the result; the lease desk judges it.
+      this.#renew(address);
+      return false;
+    }
+  }
+
+  /** Drops connections that may have gone silent. */
+  #renew(address: string): void {
+    const peer = this.#peers.get(address);
+    this.#peers.delete(address);
+    peer?.agent.close().catch(() => {});
+  }
+
+  #obtain(address: string): Peer {
+    const known = this.#peers.get(address);
+    if (known !== undefined) return known;
+    const agent = new Agent({
+      connect: { timeout: connectTimeoutMillis },
+      connections: maxConnections,
+      pipelining: 1,
+    });
+    const client = createTRPCClient<ExchangeRouter>({
+      links: [
+        httpLink({
+          url: `http://${address}`,
+          fetch: async (url, init) => {
+            const answer = await fetch(String(url), {
+              method: init?.method ?? "POST",
+              body: init?.body as string,
+              headers: { "content-type": "application/json" },
+              signal: init?.signal ?? null,
+              dispatcher: agent,
+            });
+            return answer as unknown as Response;
+          },
+        }),
+      ],
+    });
+    const peer = { client, agent };
+    this.#peers.set(address, peer);
+    return peer;
+  }
+}
--- /dev/null
+++ b/src/adapters/peers/exchange_router.ts
@@ -0,0 +1,59 @@
+import { initTRPC } from "@trpc/server";
+import { createHTTPServer } from "@trpc/server/adapters/standalone";
+import { z } from "zod";
+import { brandString } from "../../core/ids.ts";
+import type { NodeExchange } from "../../ports/gateway.ts";
+
+/** Engines in one report, and adapters of one engine. */
+const maxEngines = 1_000;
+const maxPlaces = 1_000;
+
+const trpc = initTRPC.context<NodeExchange>().create();
+const name = z.string().min(1).max(256);
+
+/** Calls that nodes make to the owners of engines. */
+export const exchangeRouter = trpc.router({
+  acquire: trpc.procedure
+    .input(
+      z.object({ engine: name, place: name, version: z.number().int().min(0) }),
+    )
+    .mutation(({ ctx, input }) =>
+      ctx.acquire({
+        engine: brandString(input.engine),
+        place: brandString(input.place),
+        version: input.version,
+      }),
+    ),
+  reportUse: trpc.procedure
+    .input(
+      z.object({
+        from: name,
+        engines: z
+          .array(
+            z.object({ engine: name, places: z.array(name).max(maxPlaces) }),
+          )
+          .max(maxEngines),
+      }),
+    )
+    .mutation(async ({ ctx, input }) => {
+      await ctx.reportUse({
+        from: brandString(input.from),
+        engines: input.engines.map(({ engine, places }) => ({
+          engine: brandString(engine),
+          places: places.map((place) => brandString(place)),
+        })),
+      });
+      return { heard: true };
+    }),
+});
+
+/** Type of the calls, for their client. */
+export type ExchangeRouter = typeof exchangeRouter;
+
+/** HTTP server of the calls between nodes. */
+export function createExchangeServer(exchange: NodeExchange) {
+  return createHTTPServer({
+    router: exchangeRouter,
+    createContext: () => exchange,
+  });
+}
--- /dev/null
+++ b/src/core/gateway/engine_lease.ts
@@ -0,0 +1,262 @@
+import { type Millis, millis } from "../clock.ts";
+import {
+  brandNumber,
+  type DataCentre,
+  type FencingNumber,
+  type MachineName,
+  type ServerId,
+} from "../ids.ts";
+import { chooseByRendezvous } from "../lease/rendezvous.ts";
+
+/** Row of one engine: the machine that gives it orders. */
+export type LeaseRow = {
+  readonly machine: MachineName;
+  /** Start token of the process that holds the lease. */
+  readonly process: string;
+  readonly fence: FencingNumber;
+  /** The holder has stopped for good and gives no further order. */
+  readonly released: boolean;
+};
+
+/** A lease row as last read. */
+export type KnownLease = LeaseRow & {
+  readonly rowVersion: number;
+  /** Local time at which this version of the row was first read. */
+  readonly since: Millis;
+};
+
+/** Another node as the table names it. */
+export type KnownNode = {
+  readonly machine: MachineName;
+  readonly dataCentre: DataCentre;
+  /** `IP:PORT` of its peer listener. */
+  readonly address: string;
+};
+
+/** Durations of engine leases, in ms. */
+export type LeaseSettings = {
+  /** How long a holder may order after it sent the last read that showed its lease. */
+  readonly validity: Millis;
+  /** Difference allowed between the clocks of two machines over that time. */
+  readonly margin: Millis;
+  /** Time that must lie between the orders of two holders. */
+  readonly quiet: Millis;
+  /** Silence after which a holder counts as dead. */
+  readonly silence: Millis;
+  /** How long a released lease is kept for a restart on the same machine. */
+  readonly restart: Millis;
+  /** Delay between two candidates of one engine. */
+  readonly rankDelay: Millis;
+};
+
+/** Durations that go with a table that is read about every 1.5 s. */
+export const defaultLeaseSettings: LeaseSettings = {
+  validity: millis(6_000),
+  margin: millis(500),
+  quiet: millis(3_500),
+  silence: millis(3_000),
+  restart: millis(2_000),
+  rankDelay: millis(400),
+};
+
+/** A lease that this node holds. */
+export type HeldLease = {
+  readonly fence: FencingNumber;
+  readonly rowVersion: number;
+  /** Earliest time of an order, so that none can follow one of the last holder too closely. */
+  readonly orderFrom: Millis;
+};
+
+/** Leases as one node sees them; owned by one task and updated in place. */
+export type LeaseState = {
+  readonly machine: MachineName;
+  readonly process: string;
+  readonly dataCentre: DataCentre;
+  readonly settings: LeaseSettings;
+  readonly rows: Map<ServerId, KnownLease>;
+  readonly nodes: Map<MachineName, KnownNode>;
+  /** Last time at which each machine was heard from. */
+  readonly heardAt: Map<MachineName, Millis>;
+  readonly held: Map<ServerId, HeldLease>;
+  /** First time that an engine without a lease was seen. */
+  readonly vacantSince: Map<ServerId, Millis>;
+  /** Time at which the last successful read was sent. */
+  readAt: Millis;
+};
+
+/** State of a node that has read nothing yet. */
+export function createLeaseState(
+  identity: Pick<
+    LeaseState,
+    "machine" | "process" | "dataCentre" | "settings"
+  >,
+): LeaseState {
+  return {
+    ...identity,
+    rows: new Map(),
+    nodes: new Map(),
+    heardAt: new Map(),
+    held: new Map(),
+    vacantSince: new Map(),
+    readAt: millis(Number.NEGATIVE_INFINITY),
+  };
+}
+
+/** Takes over what a read of all rows showed. */
+export function absorbLeases(
+  state: LeaseState,
+  read: {
+    readonly leases: ReadonlyMap<
+      ServerId,
+      LeaseRow & { readonly rowVersion: number }
+    >;
+    readonly nodes: readonly KnownNode[];
+    readonly sentAt: Millis;
+    readonly now: Millis;
+  },
+): void {
+  state.readAt = read.sentAt;
+  for (const node of read.nodes) {
+    const known = state.nodes.get(node.machine);
+    if (known?.address !== node.address) {
+      state.nodes.set(node.machine, node);
+      state.heardAt.set(node.machine, read.now);
+    }
+  }
+  for (const engine of state.rows.keys()) {
+    if (!read.leases.has(engine)) state.rows.delete(engine);
+  }
+  for (const [engine, row] of read.leases) {
+    const known = state.rows.get(engine);
+    if (known?.rowVersion === row.rowVersion) continue;
+    state.rows.set(engine, { ...row, since: read.now });
+  }
+  for (const [engine, lease] of state.held) {
+    const row = state.rows.get(engine);
+    if (row === undefined || row.rowVersion > lease.rowVersion) {
+      state.held.delete(engine);
+    }
+  }
+}
+
+/** A lease that this node wants to take. */
+export type LeaseClaim = {
+  readonly engine: ServerId;
+  readonly fence: FencingNumber;
+  /** Version of the row that the claim replaces. */
+  readonly basis: number | "absent";
+  /** Time between the claim and the first order. */
+  readonly wait: Millis;
+};
+
+/** An engine that may be claimed. */
+export type LeasableEngine = {
+  readonly engine: ServerId;
+  readonly dataCentre: DataCentre;
+};
+
+/** Leases that this node should claim now. */
+export function planLeaseClaims(
+  state: LeaseState,
+  engines: readonly LeasableEngine[],
+  now: Millis,
+): LeaseClaim[] {
+  const claims: LeaseClaim[] = [];
+  for (const engine of engines) {
+    const claim = planClaim(state, engine, now);
+    if (claim !== undefined) claims.push(claim);
+  }
+  return claims;
+}
+
+function planClaim(
+  state: LeaseState,
+  { engine, dataCentre }: LeasableEngine,
+  now: Millis,
+): LeaseClaim | undefined {
+  if (state.held.has(engine)) return undefined;
+  const { settings } = state;
+  const row = state.rows.get(engine);
+  const delay = settings.rankDelay * rankSelf(state, engine, dataCentre);
+  if (row === undefined) {
+    const since = state.vacantSince.get(engine) ?? now;
+    state.vacantSince.set(engine, since);
+    if (now < since + delay) return undefined;
+    return { engine, fence: brandNumber(1), basis: "absent", wait: millis(0) };
+  }
+  const claim = {
+    engine,
+    fence: brandNumber<FencingNumber>(row.fence + 1),
+    basis: row.rowVersion,
+  };
+  if (row.machine === state.machine) return { ...claim, wait: millis(0) };
+  if (row.released) {
+    if (now < row.since + settings.restart + delay) return undefined;
+    return { ...claim, wait: settings.quiet };
+  }
+  const heard = Math.max(
+    row.since,
+    state.heardAt.get(row.machine) ?? Number.NEGATIVE_INFINITY,
+  );
+  if (now < heard + settings.silence + delay) return undefined;
+  const { validity, margin, quiet } = settings;
+  return { ...claim, wait: millis(validity + margin + quiet) };
+}
+
+/** Place of this node among the candidates of an engine; nodes of its data centre come first. */
+function rankSelf(
+  state: LeaseState,
+  engine: ServerId,
+  dataCentre: DataCentre,
+): number {
+  const local = [...state.nodes.values()].filter(
+    (node) => node.dataCentre === dataCentre,
+  );
+  const isLocal = state.dataCentre === dataCentre;
+  const names = new Set(local.map(({ machine }) => machine));
+  if (isLocal) names.add(state.machine);
+  let rank = 0;
+  while (names.size > 0) {
+    const best = chooseByRendezvous(engine, names) as MachineName;
+    if (best === state.machine) return rank;
+    names.delete(best);
+    rank++;
+  }
+  return rank + 1 + [...state.nodes.keys()].sort().indexOf(state.machine);
+}
+
+/** Records a claim that was committed. */
+export function noteClaimed(
+  state: LeaseState,
+  claim: LeaseClaim,
+  commit: { readonly rowVersion: number; readonly now: Millis },
+): void {
+  const { engine, fence, wait } = claim;
+  const { rowVersion, now } = commit;
+  state.rows.set(engine, {
+    machine: state.machine,
+    process: state.process,
+    fence,
+    released: false,
+    rowVersion,
+    since: now,
+  });
+  state.held.set(engine, { fence, rowVersion, orderFrom: millis(now + wait) });
+}
+
+/** Fencing number under which this node may order an engine now. */
+export function findOrderRight(
+  state: LeaseState,
+  engine: ServerId,
+  now: Millis,
+): FencingNumber | undefined {
+  const lease = state.held.get(engine);
+  if (lease === undefined || now < lease.orderFrom) return undefined;
+  if (now >= state.readAt + state.settings.validity) return undefined;
+  return lease.fence;
+}
+
+/** Ends the right to order until the rows have been read again, after a pause of the process. */
+export function doubtLeases(state: LeaseState): void {
+  state.readAt = millis(Number.NEGATIVE_INFINITY);
+}
--- /dev/null
+++ b/src/core/gateway/holdings.ts
@@ -0,0 +1,157 @@
+import { type Millis, millis } from "../clock.ts";
+import type { PlaceKey, ServerId } from "../ids.ts";
+import { formatPlaceKey } from "../ids.ts";
+import { selectHomes } from "../placement/rendezvous.ts";
+import { rateDistance, type ServerOutlook } from "./choose_server.ts";
+import { countInFlight, isSuspended } from "./server_health.ts";
+import type { BackendServer } from "./servers.ts";
+
+/** What a node believes of one adapter at one engine. */
+type Holding = {
+  version: number;
+  readyAt: Millis;
+  /** Last time at which anything confirmed it. */
+  confirmedAt: Millis;
+};
+
+/** Adapters that a node believes engines to hold. */
+export type Holdings = {
+  readonly byEngine: Map<ServerId, Map<PlaceKey, Holding>>;
+};
+
+/** Time after which a registration that does not list an adapter disproves it, in ms. */
+const registrationLag = 3_000;
+
+/** Holdings of a node that knows nothing. */
+export function createHoldings(): Holdings {
+  return { byEngine: new Map() };
+}
+
+function obtainEngine(
+  holdings: Holdings,
+  engine: ServerId,
+): Map<PlaceKey, Holding> {
+  let held = holdings.byEngine.get(engine);
+  if (held === undefined) {
+    held = new Map();
+    holdings.byEngine.set(engine, held);
+  }
+  return held;
+}
+
+/** Takes over what an engine's registration lists. */
+export function noteRegistration(
+  holdings: Holdings,
+  server: BackendServer,
+  now: Millis,
+): void {
+  const held = obtainEngine(holdings, server.id);
+  const listed = new Set<PlaceKey>();
+  for (const { name: model, adapters } of server.models) {
+    for (const { name, version } of adapters) {
+      const key = formatPlaceKey(model, name);
+      listed.add(key);
+      const known = held.get(key);
+      if (known === undefined || version > known.version) {
+        held.set(key, { version, readyAt: now, confirmedAt: now });
+      }
+    }
+  }
+  for (const [key, { confirmedAt }] of held) {
+    if (!listed.has(key) && now > confirmedAt + registrationLag) {
+      held.delete(key);
+    }
+  }
+}
+
+/** Notes that an engine's owner promised an adapter. */
+export function notePromise(
+  holdings: Holdings,
+  engine: ServerId,
+  promise: {
+    readonly key: PlaceKey;
+    readonly version: number;
+    readonly readyAt: Millis;
+    readonly now: Millis;
+  },
+): void {
+  const { key, version, readyAt } = promise;
+  const confirmedAt = millis(Math.max(readyAt, promise.now));
+  obtainEngine(holdings, engine).set(key, { version, readyAt, confirmedAt });
+}
+
+/** Notes that an engine does not hold an adapter, or not in the version asked for. */
+export function noteMissing(
+  holdings: Holdings,
+  engine: ServerId,
+  key: PlaceKey,
+): void {
+  holdings.byEngine.get(engine)?.delete(key);
+}
+
+/** Forgets an engine that is gone or has restarted. */
+export function forgetHoldings(holdings: Holdings, engine: ServerId): void {
+  holdings.byEngine.delete(engine);
+}
+
+/** Time at which an engine has an adapter in at least this version; undefined if unknown. */
+export function findReadyAt(
+  holdings: Holdings,
+  engine: ServerId,
+  wanted: { readonly key: PlaceKey; readonly version: number },
+): Millis | undefined {
+  const holding = holdings.byEngine.get(engine)?.get(wanted.key);
+  if (holding === undefined || holding.version < wanted.version)
+    return undefined;
+  return holding.readyAt;
+}
+
+/** Cost of one wait of 10 ms, in the unit of a call that waits ahead. */
+const waitCostPer10Ms = 0.3;
+
+/** An engine for a request, with the time at which it has the adapter if that is known. */
+export type EngineChoice = {
+  readonly server: BackendServer;
+  readonly readyAt: Millis | undefined;
+};
+
+/**
+ * Engines to try for an adapter, best first: those that hold it by wait,
+ * distance and own load, then the others by rendezvous order, so that all
+ * nodes ask the same owner for a load.
+ */
+export function rankEngines(
+  candidates: readonly BackendServer[],
+  wanted: { readonly key: PlaceKey; readonly version: number },
+  outlook: ServerOutlook & { readonly holdings: Holdings },
+): EngineChoice[] {
+  const holders: { choice: EngineChoice; cost: number }[] = [];
+  const others: BackendServer[] = [];
+  for (const server of candidates) {
+    if (isSuspended(outlook.health, server.id, outlook.now)) continue;
+    const readyAt = findReadyAt(outlook.holdings, server.id, wanted);
+    if (readyAt === undefined) {
+      others.push(server);
+      continue;
+    }
+    const wait = Math.max(0, readyAt - outlook.now) / 10;
+    const cost =
+      rateDistance(server, outlook) +
+      wait * waitCostPer10Ms +
+      countInFlight(outlook.health, server.id) / server.slots;
+    holders.push({ choice: { server, readyAt }, cost });
+  }
+  holders.sort((a, b) => a.cost - b.cost);
+  const byId = new Map(others.map((server) => [server.id, server]));
+  const homes = selectHomes(wanted.key, {
+    engines: others.map(({ id }) => ({ engine: id, weight: 1 })),
+    count: others.length,
+  });
+  return [
+    ...holders.map(({ choice }) => choice),
+    ...homes.map((id) => ({
+      server: byId.get(id) as BackendServer,
+      readyAt: undefined,
+    })),
+  ];
+}
--- /dev/null
+++ b/src/core/gateway/keeper.ts
@@ -0,0 +1,292 @@
+import { type Millis, millis } from "../clock.ts";
+import type { Decide, Decision } from "../decision.ts";
+import type { EngineTraits } from "./configuration.ts";
+import {
+  correctPlaces,
+  countLoading,
+  type EnginePlaces,
+  readPlaces,
+} from "./engine_places.ts";
+import { chooseNextOrder } from "./keeper_orders.ts";
+import type {
+  KeeperCommand,
+  KeeperEvent,
+  KeeperPolicies,
+  KeeperState,
+} from "./keeper_messages.ts";
+import type { EngineOrder, OrderAnswer } from "./orders.ts";
+import type { BackendServer } from "./servers.ts";
+
+/** Expected time of an adapter load from the weight store, and of one held earlier, in ms. */
+const coldLoadTime = 260;
+const warmLoadTime = 45;
+/** How long a request for an adapter may wait for room, in ms. */
+const maxWaitForRoom = 1_000;
+/** Requests for adapters that wait at one engine. */
+const maxWaitingPlaces = 64;
+/** Pause after an answer that calls for another try, in ms. */
+const conflictPause = 120;
+const rejectionPause = 500;
+/** Time that an unload which waits for running requests may take, in ms. */
+const unloadTime = 4_000;
+
+/** State of the owner of an engine that reports its contents. */
+export function createKeeperState(options: {
+  readonly traits: EngineTraits;
+  readonly models: BackendServer["models"];
+  readonly policies: KeeperPolicies;
+  readonly now: Millis;
+}): KeeperState {
+  return {
+    traits: options.traits,
+    contents: readPlaces(options.models, options.now),
+    policies: options.policies,
+    orderCount: undefined,
+    sending: undefined,
+    asking: false,
+    retryAt: options.now,
+    mayOrder: false,
+    waiting: new Map(),
+  };
+}
+
+/** Decides which orders one engine gets and when. */
+export const decideKeeper: Decide<KeeperState, KeeperEvent, KeeperCommand> = (
+  state,
+  event,
+  now,
+): Decision<KeeperState, KeeperCommand> => {
+  const commands: KeeperCommand[] = [];
+  settleLoads(state.contents, now);
+  switch (event.type) {
+    case "acquire":
+      acquire(state, event, { now, commands });
+      break;
+    case "used":
+      for (const key of event.keys) {
+        const place = state.contents.places.get(key);
+        if (place !== undefined) place.usedAt = now;
+      }
+      break;
+    case "answered":
+      absorbAnswer(state, event, { now, commands });
+      break;
+    case "status":
+      absorbStatus(state, event.status, now);
+      break;
+    case "registered":
+      correctPlaces(state.contents, event.models, now);
+      break;
+    case "tick":
+      state.mayOrder = event.mayOrder;
+      break;
+  }
+  refuseOverdue(state, now, commands);
+  advance(state, now, commands);
+  return { state, commands };
+};
+
+type Step = { readonly now: Millis; readonly commands: KeeperCommand[] };
+
+/** Marks loads whose time has passed as complete, and forgets unloaded adapters. */
+function settleLoads(contents: EnginePlaces, now: Millis): void {
+  for (const [key, place] of contents.places) {
+    if (place.readyAt > now) continue;
+    if (place.phase === "loading") place.phase = "held";
+    if (place.phase === "unloading") contents.places.delete(key);
+  }
+}
+
+function acquire(
+  state: KeeperState,
+  event: Extract<KeeperEvent, { type: "acquire" }>,
+  { now, commands }: Step,
+): void {
+  const { ticket, key, model, adapter, version } = event;
+  const place = state.contents.places.get(key);
+  const isUsable =
+    place !== undefined &&
+    place.phase !== "unloading" &&
+    place.version >= version;
+  if (isUsable) {
+    place.usedAt = now;
+    const inMs = Math.max(0, place.readyAt - now);
+    commands.push({ type: "reply", ticket, reply: { kind: "ready", inMs } });
+    return;
+  }
+  const waiting = state.waiting.get(key);
+  if (waiting !== undefined) {
+    waiting.version = Math.max(waiting.version, version);
+    waiting.tickets.push(ticket);
+    return;
+  }
+  if (state.waiting.size >= maxWaitingPlaces) {
+    const reply = { kind: "refused", reason: "full" } as const;
+    commands.push({ type: "reply", ticket, reply });
+    return;
+  }
+  const tickets = [ticket];
+  state.waiting.set(key, { model, adapter, version, since: now, tickets });
+}
+
+function refuseOverdue(
+  state: KeeperState,
+  now: Millis,
+  commands: KeeperCommand[],
+): void {
+  for (const [key, { since, tickets, model }] of state.waiting) {
+    if (now < since + maxWaitForRoom) continue;
+    state.waiting.delete(key);
+    const reason = state.contents.models.has(model) ? "full" : "cold";
+    for (const ticket of tickets) {
+      const reply = { kind: "refused", reason } as const;
+      commands.push({ type: "reply", ticket, reply });
+    }
+  }
+}
+
+/** Sends the next order unless one is under way. */
+function advance(
+  state: KeeperState,
+  now: Millis,
+  commands: KeeperCommand[],
+): void {
+  if (!state.mayOrder || state.sending !== undefined || state.asking) return;
+  if (now < state.retryAt) return;
+  if (state.orderCount === undefined) {
+    state.asking = true;
+    commands.push({ type: "ask-status" });
+    return;
+  }
+  const order = chooseNextOrder(state, state.orderCount, now);
+  if (order === undefined) return;
+  state.sending = order;
+  commands.push({ type: "order", order });
+}
+
+function absorbAnswer(
+  state: KeeperState,
+  { order, answer }: { order: EngineOrder; answer: OrderAnswer },
+  step: Step,
+): void {
+  if (state.sending !== order) return;
+  state.sending = undefined;
+  switch (answer.kind) {
+    case "accepted":
+      state.orderCount = order.expectedCount + 1;
+      return applyOrder(state, { order, isDone: false }, step);
+    case "done":
+      // An unload that is done at once counts; a load that holds already does not.
+      if (order.operation === "unload")
+        state.orderCount = order.expectedCount + 1;
+      return applyOrder(state, { order, isDone: true }, step);
+    case "lost":
+    case "unreachable":
+      // Sent again with the same count, so that only one of the two takes effect.
+      state.retryAt = millis(step.now + conflictPause);
+      return;
+    case "conflict":
+      state.orderCount = undefined;
+      state.retryAt = millis(step.now + conflictPause);
+      return;
+    case "rejected":
+      state.orderCount = undefined;
+      state.retryAt = millis(step.now + rejectionPause);
+      return;
+  }
+}
+
+function applyOrder(
+  state: KeeperState,
+  { order, isDone }: { order: EngineOrder; isDone: boolean },
+  { now, commands }: Step,
+): void {
+  const { contents } = state;
+  const { model, adapter } = order;
+  if (adapter === undefined) {
+    const traits = state.traits.models.find(({ name }) => name === model);
+    const loadTime = isDone ? 0 : (traits?.loadTime ?? 0);
+    if (order.operation === "load") {
+      contents.models.set(model, millis(now + loadTime));
+    } else {
+      contents.models.delete(model);
+    }
+    return;
+  }
+  const key = `${model}/${adapter}` as const;
+  const place = [...contents.places.values()].find((each) => each.key === key);
+  if (order.operation === "unload") {
+    if (place === undefined) return;
+    contents.earlier.add(place.key);
+    if (isDone) contents.places.delete(place.key);
+    else place.readyAt = millis(now + unloadTime);
+    return;
+  }
+  finishLoad(state, { order, isDone }, { now, commands });
+}
+
+function finishLoad(
+  state: KeeperState,
+  { order, isDone }: { order: EngineOrder; isDone: boolean },
+  { now, commands }: Step,
+): void {
+  const { contents, waiting } = state;
+  for (const [key, { model, adapter, tickets, version }] of waiting) {
+    if (model !== order.model || adapter !== order.adapter) continue;
+    waiting.delete(key);
+    const loadTime = isDone ? 0 : estimateLoadTime(contents, key, now);
+    const readyAt = millis(now + loadTime);
+    const phase = isDone ? "held" : "loading";
+    const usedAt = readyAt;
+    const loaded = order.version ?? version;
+    contents.places.set(key, {
+      key,
+      model,
+      adapter,
+      version: loaded,
+      phase,
+      readyAt,
+      usedAt,
+    });
+    for (const ticket of tickets) {
+      const reply = { kind: "ready", inMs: loadTime } as const;
+      commands.push({ type: "reply", ticket, reply });
+    }
+  }
+}
+
+function estimateLoadTime(
+  contents: EnginePlaces,
+  key: Parameters<EnginePlaces["earlier"]["has"]>[0],
+  now: Millis,
+): number {
+  if (contents.earlier.has(key)) return warmLoadTime;
+  return coldLoadTime + 10 * countLoading(contents, now);
+}
+
+function absorbStatus(
+  state: KeeperState,
+  status: Extract<KeeperEvent, { type: "status" }>["status"],
+  now: Millis,
+): void {
+  state.asking = false;
+  if (status === undefined) {
+    state.retryAt = millis(now + conflictPause);
+    return;
+  }
+  state.orderCount = status.orderCount;
+  const { contents } = state;
+  const earlier = contents.earlier;
+  state.contents = { ...readPlaces(status.models, now), earlier };
+  for (const [key, place] of contents.places) {
+    const listed = state.contents.places.get(key);
+    if (listed !== undefined) listed.usedAt = place.usedAt;
+    // A report lags, so a load that was accepted lately keeps its place.
+    else if (status.incoming.includes(key) || place.phase === "loading") {
+      state.contents.places.set(key, place);
+    }
+  }
+  for (const [model, readyAt] of contents.models) {
+    if (readyAt > now) state.contents.models.set(model, readyAt);
+  }
+}
--- /dev/null
+++ b/src/core/gateway/keeper_messages.ts
@@ -0,0 +1,78 @@
+import type { Millis } from "../clock.ts";
+import type { AdapterName, ModelName, PlaceKey } from "../ids.ts";
+import type { EngineTraits } from "./configuration.ts";
+import type { EnginePlaces, VictimPolicy } from "./engine_places.ts";
+import type { EngineOrder, OrderAnswer } from "./orders.ts";
+import type { BackendServer } from "./servers.ts";
+
+/** Marks one request of a node for an adapter until it is answered. */
+export type Ticket = number;
+
+/** Nodes that wait until an adapter is on its way to the engine. */
+export type WaitingPlace = {
+  readonly model: ModelName;
+  readonly adapter: AdapterName;
+  version: number;
+  readonly since: Millis;
+  readonly tickets: Ticket[];
+};
+
+/** State of the owner of one engine; owned by one actor and updated in place. */
+export type KeeperState = {
+  traits: EngineTraits;
+  contents: EnginePlaces;
+  readonly policies: KeeperPolicies;
+  /** Orders that the engine has accepted; undefined until it has been asked. */
+  orderCount: number | undefined;
+  /** The order whose answer is awaited. */
+  sending: EngineOrder | undefined;
+  asking: boolean;
+  /** No order is sent before this time. */
+  retryAt: Millis;
+  mayOrder: boolean;
+  readonly waiting: Map<PlaceKey, WaitingPlace>;
+};
+
+/** Policies of an engine's owner. */
+export type KeeperPolicies = { readonly chooseVictim: VictimPolicy };
+
+/** Message to the owner of one engine. */
+export type KeeperEvent =
+  | {
+      readonly type: "acquire";
+      readonly ticket: Ticket;
+      readonly key: PlaceKey;
+      readonly model: ModelName;
+      readonly adapter: AdapterName;
+      readonly version: number;
+    }
+  | { readonly type: "used"; readonly keys: readonly PlaceKey[] }
+  | {
+      readonly type: "answered";
+      readonly order: EngineOrder;
+      readonly answer: OrderAnswer;
+    }
+  | {
+      readonly type: "status";
+      readonly status:
+        | {
+            readonly models: BackendServer["models"];
+            readonly incoming: readonly PlaceKey[];
+            readonly orderCount: number;
+          }
+        | undefined;
+    }
+  | { readonly type: "registered"; readonly models: BackendServer["models"] }
+  | { readonly type: "tick"; readonly mayOrder: boolean };
+
+/** Command of the owner of one engine. */
+export type KeeperCommand =
+  | { readonly type: "order"; readonly order: EngineOrder }
+  | { readonly type: "ask-status" }
+  | {
+      readonly type: "reply";
+      readonly ticket: Ticket;
+      readonly reply:
+        | { readonly kind: "ready"; readonly inMs: number }
+        | { readonly kind: "refused"; readonly reason: "full" | "cold" };
+    };
--- /dev/null
+++ b/src/core/gateway/orders.ts
@@ -0,0 +1,23 @@
+import type { AdapterName, ModelName } from "../ids.ts";
+
+/** Order to load or unload a base model or one of its adapters. */
+export type EngineOrder = {
+  readonly operation: "load" | "unload";
+  readonly model: ModelName;
+  /** Undefined for the base model itself. */
+  readonly adapter: AdapterName | undefined;
+  /** Version to load; undefined for the newest. */
+  readonly version: number | undefined;
+  /** Number of orders that the engine has to have accepted before. */
+  readonly expectedCount: number;
+};
+
+/**
+ * Answer of an engine to an order. `accepted`: it is carried out. `done`: it
+ * holds already. `conflict`: another order is in progress, or the count
+ * differs. `rejected`: it will not be carried out. `lost`: no answer; the
+ * order may be carried out, also later. `unreachable`: it was not sent.
+ */
+export type OrderAnswer =
+  | { readonly kind: "accepted" | "done" | "lost" | "unreachable" }
+  | { readonly kind: "conflict" | "rejected"; readonly detail: string };
--- /dev/null
+++ b/src/core/gateway/servers.ts
@@ -0,0 +1,102 @@
+import type { Millis } from "../clock.ts";
+import type {
+  AdapterName,
+  DataCentre,
+  ModelName,
+  ServerId,
+  ServiceName,
+} from "../ids.ts";
+
+/** An adapter that a server says it holds. */
+export type HeldAdapter = {
+  readonly name: AdapterName;
+  readonly version: number;
+};
+
+/** A base model that a server says it holds. */
+export type HeldModel = {
+  readonly name: ModelName;
+  readonly version: number;
+  readonly adapters: readonly HeldAdapter[];
+};
+
+/** One backend server as it registered itself. */
+export type BackendServer = {
+  readonly id: ServerId;
+  readonly service: ServiceName;
+  /** `IP:PORT`. */
+  readonly address: string;
+  readonly dataCentre: DataCentre;
+  readonly slots: number;
+  readonly leaving: boolean;
+  readonly models: readonly HeldModel[];
+  /** Orders that the server had accepted. */
+  readonly orderCount: number;
+  /** Start of this incarnation in ms since the epoch, if the server says so. */
+  readonly born: number | undefined;
+};
+
+/** Servers known to a node; a change yields a new directory entry, not a new map. */
+export type ServerDirectory = {
+  readonly servers: Map<ServerId, BackendServer>;
+  /** Servers whose entry vanished during an outage, with the time until which they stay usable. */
+  readonly lapsing: Map<ServerId, Millis>;
+};
+
+/** Directory without servers. */
+export function createDirectory(): ServerDirectory {
+  return { servers: new Map(), lapsing: new Map() };
+}
+
+/** A registration that changed, or the id of one that vanished. */
+export type ServerChange =
+  | { readonly type: "present"; readonly server: BackendServer }
+  | {
+      readonly type: "absent";
+      readonly id: ServerId;
+      /** Until when the server may still be used; undefined ends its use at once. */
+      readonly usableUntil: Millis | undefined;
+    };
+
+/** Applies one change. */
+export function applyServerChange(
+  directory: ServerDirectory,
+  change: ServerChange,
+): void {
+  if (change.type === "present") {
+    directory.lapsing.delete(change.server.id);
+    directory.servers.set(change.server.id, change.server);
+  } else if (change.usableUntil === undefined) {
+    directory.lapsing.delete(change.id);
+    directory.servers.delete(change.id);
+  } else if (directory.servers.has(change.id)) {
+    directory.lapsing.set(change.id, change.usableUntil);
+  }
+}
+
+/** Removes servers whose entry did not come back in time; returns their ids. */
+export function expireLapsed(
+  directory: ServerDirectory,
+  now: Millis,
+): ServerId[] {
+  const expired: ServerId[] = [];
+  for (const [id, until] of directory.lapsing) {
+    if (now < until) continue;
+    expired.push(id);
+    directory.lapsing.delete(id);
+    directory.servers.delete(id);
+  }
+  return expired;
+}
+
+/** Servers of a service that take new work. */
+export function listUsable(
+  directory: ServerDirectory,
+  service: ServiceName,
+): BackendServer[] {
+  const usable: BackendServer[] = [];
+  for (const server of directory.servers.values()) {
+    if (server.service === service && !server.leaving) usable.push(server);
+  }
+  return usable;
+}
--- /dev/null
+++ b/src/core/gateway/stream_cursor.ts
@@ -0,0 +1,92 @@
+/** Largest event that is held back while its end is missing, in bytes. */
+const maxEventBytes = 256 * 1024;
+
+const lineFeed = 0x0a;
+const idField = "id:";
+
+/** Whole events of what arrived. */
+export type WholeEvents = {
+  readonly bytes: Uint8Array;
+  readonly count: number;
+};
+
+/**
+ * Cuts a stream at the ends of its events and remembers the id of the last
+ * one, so that the stream can go on at another server from exactly there.
+ */
+export class StreamCursor {
+  #rest: Uint8Array = new Uint8Array(0);
+  #lastId: string | undefined;
+  #count = 0;
+
+  static create(lastId?: string): StreamCursor {
+    const cursor = new StreamCursor();
+    cursor.#lastId = lastId;
+    return cursor;
+  }
+
+  /** Id of the last whole event. */
+  get lastId(): string | undefined {
+    return this.#lastId;
+  }
+
+  /** Whole events so far. */
+  get count(): number {
+    return this.#count;
+  }
+
+  /** Bytes of an event that has not ended. */
+  get openBytes(): number {
+    return this.#rest.length;
+  }
+
+  /** Forgets an event that broke off. */
+  dropOpenEvent(): void {
+    this.#rest = new Uint8Array(0);
+  }
+
+  /** Whole events of what has arrived; undefined if one exceeds the size limit. */
+  push(chunk: Uint8Array): WholeEvents | undefined {
+    const data = this.#rest.length === 0 ? chunk : join(this.#rest, chunk);
+    let start = 0;
+    let count = 0;
+    for (;;) {
+      const end = findEventEnd(data, start);
+      if (end < 0) break;
+      this.#lastId = readId(data.subarray(start, end)) ?? this.#lastId;
+      count++;
+      start = end;
+    }
+    this.#count += count;
+    this.#rest = data.subarray(start);
+    if (this.#rest.length > maxEventBytes) return undefined;
+    return { bytes: data.subarray(0, start), count };
+  }
+}
+
+function join(first: Uint8Array, second: Uint8Array): Uint8Array {
+  const joined = new Uint8Array(first.length + second.length);
+  joined.set(first);
+  joined.set(second, first.length);
+  return joined;
+}
+
+/** Offset behind the blank line that ends an event, or -1. */
+function findEventEnd(data: Uint8Array, start: number): number {
+  let at = data.indexOf(lineFeed, start);
+  while (at >= 0) {
+    if (data[at + 1] === lineFeed) return at + 2;
+    if (data[at + 1] === 0x0d && data[at + 2] === lineFeed) return at + 3;
+    at = data.indexOf(lineFeed, at + 1);
+  }
+  return -1;
+}
+
+const decoder = new TextDecoder();
+
+function readId(event: Uint8Array): string | undefined {
+  for (const line of decoder.decode(event).split("\n")) {
+    if (line.startsWith(idField)) return line.slice(idField.length).trim();
+  }
+  return undefined;
+}
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -27,6 +27,14 @@
 export type FencingNumber = Branded<number, "FencingNumber">;
 /** Marks one attempt of a table write, so that a lost answer can be resolved. */
 export type AttemptToken = Branded<string, "AttemptToken">;
+/** Identifies one incarnation of a backend server, as the server names itself. */
+export type ServerId = Branded<string, "ServerId">;
+/** Names a base model. */
+export type ModelName = Branded<string, "ModelName">;
+/** Names an entry VM; unlike a node id it survives a restart of the process. */
+export type MachineName = Branded<string, "MachineName">;
+/** An adapter with its base model, written `MODEL/ADAPTER`. */
+export type PlaceKey = Branded<string, "PlaceKey">;
 /** Names a booking service. */
 export type ServiceName = Branded<string, "ServiceName">;
 /** Key of a row in the table service. */
@@ -55,6 +63,14 @@
   return value as Id;
 }
 
+/** Joins a base model and one of its adapters. */
+export function formatPlaceKey(
+  model: ModelName,
+  adapter: AdapterName,
+): PlaceKey {
+  return `${model}/${adapter}` as PlaceKey;
+}
+
 /** Joins an adapter name and a version to one key. */
 export function formatAdapterKey(
   name: AdapterName,
--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -80,6 +80,41 @@
     level: "info",
     meaning: "A backend server is leaving and gets no new work",
   },
+  serverSeen: {
+    number: 213,
+    level: "info",
+    meaning: "A backend server registered itself",
+  },
+  serverGone: {
+    number: 214,
+    level: "info",
+    meaning: "The entry of a backend server is gone",
+  },
+  serverSuspended: {
+    number: 215,
+    level: "warn",
+    meaning: "A backend server is left out after failures",
+  },
+  engineClaimed: {
+    number: 216,
+    level: "info",
+    meaning: "The node took the lease of an engine",
+  },
+  engineLeaseLost: {
+    number: 217,
+    level: "warn",
+    meaning: "Another node took the lease of an engine",
+  },
+  engineOrdered: {
+    number: 218,
+    level: "info",
+    meaning: "An engine answered an order",
+  },
+  adapterVersionDeclared: {
+    number: 219,
+    level: "info",
+    meaning: "The operator declared a newer version of an adapter",
+  },
   poisonSuspected: {
     number: 211,
     level: "warn",
@@ -121,6 +156,31 @@
     meaning: "An answer broke off for good",
   },
   requestCancelled: { number: 307, level: "debug", meaning: "The caller left" },
+  requestRouted: {
+    number: 308,
+    level: "debug",
+    meaning: "A request was read and its route was found",
+  },
+  requestSent: {
+    number: 309,
+    level: "debug",
+    meaning: "A request was sent to a server",
+  },
+  requestAwaitsAdapter: {
+    number: 310,
+    level: "debug",
+    meaning: "A request waits until an engine has its adapter",
+  },
+  requestSendFailed: {
+    number: 311,
+    level: "info",
+    meaning: "A send brought no answer that can be passed on",
+  },
+  requestAnswered: {
+    number: 312,
+    level: "debug",
+    meaning: "The answer was passed on",
+  },
   callClaimed: {
     number: 401,
     level: "debug",
@@ -173,6 +233,26 @@
     meaning:
       "The row of the load budget is malformed; no permit moves until it is restored",
   },
+  entryUnreadable: {
+    number: 507,
+    level: "warn",
+    meaning: "An entry of the platform's store cannot be read and is ignored",
+  },
+  storeLost: {
+    number: 508,
+    level: "warn",
+    meaning: "The platform's store does not answer this node",
+  },
+  storeRegained: {
+    number: 509,
+    level: "info",
+    meaning: "The platform's store answers this node again",
+  },
+  processPaused: {
+    number: 510,
+    level: "warn",
+    meaning: "The process stood still or its clock jumped; leases are read again",
+  },
   memberJoined: {
     number: 601,
     level: "info",
--- a/src/core/results/codes.ts
+++ b/src/core/results/codes.ts
@@ -77,6 +77,13 @@
     remedy:
       "Sign with a key from the key file and check the clock of the sender",
   },
+  unknownRoute: {
+    number: 1009,
+    status: 404,
+    outcome: "not-run",
+    meaning: "No route of the configuration in force matches host and path",
+    remedy: "Correct host and path, or add the route to the configuration",
+  },
   deadlineTooClose: {
     number: 2001,
     status: 503,
@@ -178,6 +185,20 @@
     meaning: "The caller left before the answer was whole",
     remedy: "None",
   },
+  noServer: {
+    number: 3009,
+    status: 503,
+    outcome: "not-run",
+    meaning: "No server of the service can take the request now",
+    remedy: "Send again after Retry-After",
+  },
+  adapterNotInTime: {
+    number: 3010,
+    status: 503,
+    outcome: "not-run",
+    meaning: "No engine can have the adapter loaded in time",
+    remedy: "Send again after Retry-After",
+  },
   unknownService: {
     number: 4001,
     status: 404,
--- /dev/null
+++ b/src/node/gateway/call.ts
@@ -0,0 +1,337 @@
+import { type Cancel, type Millis, millis, sleep } from "../../core/clock.ts";
+import type { GatewayRoute } from "../../core/gateway/configuration.ts";
+import { noteMissing } from "../../core/gateway/holdings.ts";
+import {
+  decideNextStep,
+  type NextStep,
+  type SendEnd,
+} from "../../core/gateway/next_step.ts";
+import { noteCallResult } from "../../core/gateway/server_health.ts";
+import type { BackendServer } from "../../core/gateway/servers.ts";
+import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
+import { formatPlaceKey, type ServerId, type ServiceName } from "../../core/ids.ts";
+import { type Refusal, refuse } from "../../core/results/refusal.ts";
+import type { CallerSink, PassedRequest } from "../../ports/gateway.ts";
+import { type GatewayContext, retryPause } from "./context.ts";
+import type { Location, Locator } from "./locator.ts";
+import { Send, type SendReport } from "./send.ts";
+import type { UseReport } from "./use_report.ts";
+
+/** Time that a request may wait for a server, as a multiple of its target latency. */
+const maxWaitPerTarget = 1.6;
+/** Shortest such time, and time left before the limit at which waiting ends, in ms. */
+const minWait = 600;
+const reserveBeforeLimit = 300;
+/** Earliest useful time to come back after a refusal, in ms. */
+const comeBackAfter = millis(400);
+/** Least time left for which a request is still sent, in ms. */
+const minTimeLeft = 20;
+
+/** What one request needs beside its context. */
+export type CallOptions = {
+  readonly context: GatewayContext;
+  readonly locator: Locator;
+  readonly uses: UseReport;
+  readonly request: PassedRequest;
+  readonly route: GatewayRoute;
+  readonly service: ServiceName;
+  readonly sink: CallerSink;
+};
+
+/** Task of one request: owns its sends and its timer until the final answer. */
+export class GatewayCall {
+  readonly #options: CallOptions;
+  readonly #tried = new Set<ServerId>();
+  readonly #cursor: StreamCursor | undefined;
+  readonly #limitAt: Millis;
+  readonly #waitUntil: Millis;
+  #cancelLimit: Cancel = () => {};
+  #send: Send | undefined;
+  #runs = 0;
+  #rejections = 0;
+  #hasStarted = false;
+  #ended = false;
+  #releaseUse: () => void = () => {};
+  #onEnd: () => void = () => {};
+
+  private constructor(options: CallOptions) {
+    this.#options = options;
+    const { request, route } = options;
+    const allowed = Math.min(
+      route.timeout,
+      request.deadline ?? Number.POSITIVE_INFINITY,
+    );
+    this.#limitAt = millis(request.arrivedAt + allowed);
+    const wait = Math.max(minWait, route.targetLatency * maxWaitPerTarget);
+    const latest = this.#limitAt - reserveBeforeLimit;
+    this.#waitUntil = millis(Math.min(request.arrivedAt + wait, latest));
+    if (route.repeat === "stream" && route.resumable) {
+      this.#cursor = StreamCursor.create(request.resumeAfter);
+    }
+  }
+
+  /** Starts the task; `onEnd` is called once it has ended in any way. */
+  static start(options: CallOptions, onEnd: () => void): GatewayCall {
+    const call = new GatewayCall(options);
+    call.#onEnd = onEnd;
+    const { clock } = options.context.setup;
+    const left = millis(call.#limitAt - clock.now());
+    call.#cancelLimit = clock.schedule(left, () => call.#onLimit());
+    void call.#run();
+    return call;
+  }
+
+  /** The caller has left: ends the work at the server at once. */
+  cancel(): void {
+    if (this.#ended) return;
+    this.#record("requestCancelled");
+    this.#finish("cancelled");
+  }
+
+  async #run(): Promise<void> {
+    const { context, service } = this.#options;
+    context.countRequest(service);
+    while (!this.#ended) {
+      const location = await this.#findServer();
+      if (this.#ended) return;
+      if (location === undefined) return this.#refuseUnserved();
+      const report = await this.#sendTo(location);
+      if (this.#ended || report === undefined) return;
+      const step = this.#judge(report, location.server);
+      if (step.kind === "pass-on") return this.#passOn(report);
+      if (step.kind === "give-up") return this.#giveUp(report);
+      if (step.isRepeat && !context.takeRepeat(service)) {
+        if (report.end.kind === "server-error") return this.#passOn(report);
+        return this.#giveUp(report);
+      }
+    }
+  }
+
+  /** Waits until a server can take the request; undefined if none can in time. */
+  async #findServer(): Promise<Location | undefined> {
+    const { context, locator, service, request } = this.#options;
+    const startedAt = context.now();
+    for (;;) {
+      const location = await locator.locate(service, {
+        demand: request.demand,
+        tried: this.#tried,
+      });
+      if (this.#ended) return undefined;
+      const now = context.now();
+      if (location !== undefined && location.readyAt <= this.#waitUntil) {
+        await this.#waitForAdapter(location, startedAt);
+        return location;
+      }
+      if (now + retryPause >= this.#waitUntil) return undefined;
+      // Servers that failed once may serve again after the pause.
+      if (location === undefined) this.#tried.clear();
+      await sleep(context.setup.clock, retryPause);
+      if (this.#ended) return undefined;
+    }
+  }
+
+  async #waitForAdapter(location: Location, since: Millis): Promise<void> {
+    const { context, request } = this.#options;
+    const wait = location.readyAt - context.now();
+    if (wait > 0) {
+      this.#record("requestAwaitsAdapter", location.server);
+      await sleep(context.setup.clock, millis(wait));
+    }
+    const { demand } = request;
+    if (demand?.adapter === undefined) return;
+    const waited = context.now() - since;
+    context.setup.meter.observe("gateway_adapter_wait_ms", waited);
+  }
+
+  /** Sends once; undefined if the answer went to the caller as a whole. */
+  #sendTo(location: Location): Promise<SendReport | undefined> {
+    const { context, request, route, sink } = this.#options;
+    const timeLeft = millis(this.#limitAt - context.now());
+    if (timeLeft < minTimeLeft) {
+      this.#onLimit();
+      return Promise.resolve(undefined);
+    }
+    this.#record("requestSent", location.server);
+    const release = this.#noteUse(location.server);
+    return new Promise((resolve) => {
+      this.#send = Send.start({
+        context,
+        route,
+        cursor: this.#cursor,
+        hasStarted: this.#hasStarted,
+        order: {
+          request,
+          server: location.server,
+          timeLeft,
+          adapterVersion: location.version,
+          priority: request.demand === undefined ? undefined : route.priority,
+          resumeAfter: this.#cursor?.lastId ?? request.resumeAfter,
+        },
+        sink: {
+          ...sink,
+          start: (head) => {
+            this.#hasStarted = true;
+            const taken = context.now() - request.arrivedAt;
+            context.setup.meter.observe("gateway_first_byte_ms", taken);
+            sink.start(head);
+          },
+        },
+        onReport: (report) => {
+          this.#send = undefined;
+          release();
+          if (report.end.kind !== "whole") return resolve(report);
+          this.#record("requestAnswered", location.server);
+          this.#finish("answered");
+          resolve(undefined);
+        },
+      });
+    });
+  }
+
+  /** Tells the engine's owner that the adapter is in use; the result ends that. */
+  #noteUse(server: BackendServer): () => void {
+    const { uses, request } = this.#options;
+    const { demand } = request;
+    if (demand?.adapter === undefined) return () => {};
+    const key = formatPlaceKey(demand.model, demand.adapter);
+    const release = uses.noteStart(server.id, key);
+    this.#releaseUse = release;
+    return release;
+  }
+
+  /** Counts the send and decides what follows. */
+  #judge(report: SendReport, server: BackendServer): NextStep {
+    const { context, route } = this.#options;
+    const { kind } = report.end;
+    this.#record("requestSendFailed", server, `${kind}: ${report.detail}`);
+    const history = {
+      repeat: route.repeat,
+      resumable: route.resumable,
+      maxAttempts: route.maxAttempts,
+      hasStarted: this.#hasStarted,
+    };
+    if (kind === "misdirected") this.#forgetPlace(server);
+    if (kind === "unreachable" || kind === "not-run" || kind === "misdirected") {
+      this.#rejections++;
+      if (kind !== "misdirected") this.#tried.add(server.id);
+    } else {
+      this.#runs++;
+      this.#tried.add(server.id);
+    }
+    const result = rateServer(kind);
+    if (result !== undefined) {
+      const now = context.now();
+      const suspended = noteCallResult(context.health, server.id, {
+        result,
+        now,
+      });
+      if (suspended) this.#record("serverSuspended", server, kind);
+    }
+    const counts = { runs: this.#runs, rejections: this.#rejections };
+    return decideNextStep({ ...history, ...counts }, report.end as SendEnd);
+  }
+
+  #forgetPlace(server: BackendServer): void {
+    const { context, request } = this.#options;
+    const { demand } = request;
+    if (demand?.adapter === undefined) return;
+    const key = formatPlaceKey(demand.model, demand.adapter);
+    noteMissing(context.holdings, server.id, key);
+  }
+
+  #passOn(report: SendReport): void {
+    const { sink } = this.#options;
+    if (this.#hasStarted || report.head === undefined) {
+      return this.#giveUp(report);
+    }
+    sink.start(report.head);
+    for (const bytes of report.body) sink.write(bytes);
+    sink.end();
+    this.#finish("server-error");
+  }
+
+  #giveUp(report: SendReport): void {
+    if (this.#runs === 0) {
+      const detail = `Every server rejected the request: ${report.detail}`;
+      const retryAfter = comeBackAfter;
+      return this.#refuse(refuse("noServer", detail, { retryAfter }));
+    }
+    this.#refuse(refuse("serviceBroken", `The answer was lost: ${report.detail}`));
+  }
+
+  #refuseUnserved(): void {
+    if (this.#runs > 0) {
+      const detail = "The answer was lost and no other server can take over";
+      return this.#refuse(refuse("serviceBroken", detail));
+    }
+    const code =
+      this.#options.request.demand === undefined
+        ? "noServer"
+        : "adapterNotInTime";
+    const detail = "No server can take the request in time";
+    this.#refuse(refuse(code, detail, { retryAfter: comeBackAfter }));
+  }
+
+  /** The longest time that the request may be kept waiting is over. */
+  #onLimit(): void {
+    if (this.#ended) return;
+    const isSent = this.#send !== undefined || this.#runs > 0;
+    const detail = "The time limit of the request is over";
+    this.#refuse(
+      isSent
+        ? refuse("serviceTimeout", detail)
+        : refuse("noServer", detail, { retryAfter: comeBackAfter }),
+    );
+  }
+
+  #refuse(refusal: Refusal): void {
+    const { sink } = this.#options;
+    this.#record("requestRefused", undefined, refusal.detail, refusal.code);
+    if (this.#hasStarted) sink.abort();
+    else sink.refuse(refusal);
+    this.#finish(refusal.code);
+  }
+
+  #finish(outcome: string): void {
+    if (this.#ended) return;
+    this.#ended = true;
+    this.#cancelLimit();
+    if (this.#send !== undefined) this.#releaseUse();
+    this.#send?.cancel();
+    this.#send = undefined;
+    const { context, request, route } = this.#options;
+    const { meter } = context.setup;
+    meter.count("gateway_requests_total", { rule: route.repeat, outcome });
+    meter.observe("gateway_answer_ms", context.now() - request.arrivedAt);
+    this.#onEnd();
+  }
+
+  #record(
+    event: Parameters<GatewayContext["setup"]["journal"]["record"]>[0],
+    server?: BackendServer,
+    detail?: string,
+    code?: string,
+  ): void {
+    const { context, request, route } = this.#options;
+    context.setup.journal.record(event, {
+      requestId: request.requestId,
+      route: route.name,
+      revision: context.configuration?.revision,
+      server: server?.id,
+      age: Math.round(context.now() - request.arrivedAt),
+      runs: this.#runs,
+      rejections: this.#rejections,
+      detail,
+      code,
+    });
+  }
+}
+
+/** What the end of a send tells about the server; undefined if nothing. */
+function rateServer(
+  kind: SendReport["end"]["kind"],
+): "bad" | "unreachable" | undefined {
+  if (kind === "unreachable") return "unreachable";
+  if (kind === "misdirected" || kind === "whole") return undefined;
+  return "bad";
+}
--- /dev/null
+++ b/src/node/gateway/context.ts
@@ -0,0 +1,116 @@
+import { type Clock, type Millis, millis } from "../../core/clock.ts";
+import type { ServerOutlook } from "../../core/gateway/choose_server.ts";
+import type { GatewayConfiguration } from "../../core/gateway/configuration.ts";
+import { createHoldings, type Holdings } from "../../core/gateway/holdings.ts";
+import {
+  createRepeatAllowance,
+  noteRequest,
+  type RepeatAllowance,
+  type RepeatLimits,
+  takeRepeat,
+} from "../../core/gateway/repeat_allowance.ts";
+import {
+  createServerHealth,
+  type ServerHealth,
+} from "../../core/gateway/server_health.ts";
+import {
+  createDirectory,
+  type ServerDirectory,
+} from "../../core/gateway/servers.ts";
+import type {
+  DataCentre,
+  MachineName,
+  PlaceKey,
+  Region,
+  ServiceName,
+} from "../../core/ids.ts";
+import type { ServerLinks } from "../../ports/gateway.ts";
+import type { Journal, Meter } from "../../ports/journal.ts";
+
+/** Who and where a node is. */
+export type NodeIdentity = {
+  readonly machine: MachineName;
+  /** Made at each start of the process. */
+  readonly process: string;
+  readonly dataCentre: DataCentre;
+  readonly region: Region;
+  readonly regions: ReadonlyMap<DataCentre, Region>;
+  /** `IP:PORT` of the peer listener. */
+  readonly peerAddress: string;
+};
+
+/** What the tasks of a gateway need from outside. */
+export type GatewaySetup = {
+  readonly identity: NodeIdentity;
+  readonly clock: Clock;
+  readonly random: () => number;
+  readonly journal: Journal;
+  readonly meter: Meter;
+  readonly links: ServerLinks;
+  readonly repeatLimits: RepeatLimits;
+};
+
+/** What one node knows; written by the gateway's tasks, read by its requests. */
+export class GatewayContext {
+  readonly setup: GatewaySetup;
+  readonly directory: ServerDirectory = createDirectory();
+  readonly health: ServerHealth = createServerHealth();
+  readonly holdings: Holdings = createHoldings();
+  /** Newest declared version of each adapter. */
+  readonly versions = new Map<PlaceKey, number>();
+  configuration: GatewayConfiguration | undefined;
+  /** Nodes that share the allowance for repeats. */
+  nodeCount = 1;
+  readonly #allowances = new Map<ServiceName, RepeatAllowance>();
+
+  private constructor(setup: GatewaySetup) {
+    this.setup = setup;
+  }
+
+  static create(setup: GatewaySetup): GatewayContext {
+    return new GatewayContext(setup);
+  }
+
+  now(): Millis {
+    return this.setup.clock.now();
+  }
+
+  outlook(): ServerOutlook & { readonly holdings: Holdings } {
+    const { dataCentre, region, regions } = this.setup.identity;
+    return {
+      dataCentre,
+      region,
+      regionOf: (other) => regions.get(other),
+      health: this.health,
+      holdings: this.holdings,
+      now: this.now(),
+    };
+  }
+
+  /** Counts a request for a service. */
+  countRequest(service: ServiceName): void {
+    noteRequest(this.#obtainAllowance(service), this.now());
+  }
+
+  /** Takes one repeat from this node's share of the allowance. */
+  takeRepeat(service: ServiceName): boolean {
+    const taken = takeRepeat(this.#obtainAllowance(service), {
+      now: this.now(),
+      nodes: this.nodeCount,
+    });
+    if (!taken) this.setup.meter.count("gateway_repeats_denied_total");
+    return taken;
+  }
+
+  #obtainAllowance(service: ServiceName): RepeatAllowance {
+    let allowance = this.#allowances.get(service);
+    if (allowance === undefined) {
+      allowance = createRepeatAllowance(this.setup.repeatLimits);
+      this.#allowances.set(service, allowance);
+    }
+    return allowance;
+  }
+}
+
+/** Time between a failed try and the next one where nothing else is known. */
+export const retryPause = millis(60);
--- /dev/null
+++ b/src/node/gateway/gateway.ts
@@ -0,0 +1,287 @@
+import { chooseTarget, findRoute } from "../../core/gateway/configuration.ts";
+import { forgetHoldings, noteRegistration } from "../../core/gateway/holdings.ts";
+import { forgetServer } from "../../core/gateway/server_health.ts";
+import {
+  applyServerChange,
+  type BackendServer,
+  expireLapsed,
+  type ServerChange,
+} from "../../core/gateway/servers.ts";
+import type { ServerId } from "../../core/ids.ts";
+import { refuse } from "../../core/results/refusal.ts";
+import type {
+  CallerSink,
+  EngineOrders,
+  InstallationChange,
+  InstallationFeed,
+  NodeExchange,
+  NodeLinks,
+  PassedRequest,
+  PlaceAnswer,
+} from "../../ports/gateway.ts";
+import type { TableService } from "../../ports/table.ts";
+import { type Cancel, millis } from "../../core/clock.ts";
+import { GatewayCall } from "./call.ts";
+import { GatewayContext, type GatewaySetup } from "./context.ts";
+import { Keepers } from "./keepers.ts";
+import { LeaseDesk } from "./lease_desk.ts";
+import { type Acquire, Locator } from "./locator.ts";
+import { UseReport } from "./use_report.ts";
+
+/** Time between two looks for lapsed servers and pauses of the process, in ms. */
+const watchPeriod = millis(100);
+/** Difference between the steady clock and the time of day that tells of a pause, in ms. */
+const pauseThreshold = 250;
+
+/** What a gateway needs from outside. */
+export type GatewayOptions = GatewaySetup & {
+  readonly table: TableService;
+  readonly feed: InstallationFeed;
+  readonly orders: EngineOrders;
+  readonly nodeLinks: NodeLinks;
+};
+
+/** Steers one request for its front end. */
+export type RequestControl = { cancel(): void };
+
+/** Passes requests to the servers that the operator's configuration names. */
+export class Gateway implements NodeExchange {
+  readonly context: GatewayContext;
+  readonly #options: GatewayOptions;
+  readonly #leases: LeaseDesk;
+  readonly #keepers: Keepers;
+  readonly #locator: Locator;
+  readonly #uses: UseReport;
+  readonly #open = new Set<GatewayCall>();
+  readonly #complete = new Set<string>();
+  #onIdle: () => void = () => {};
+  #cancelWatch: Cancel = () => {};
+  #clockGap: number;
+  #draining = false;
+
+  private constructor(options: GatewayOptions) {
+    this.#options = options;
+    const { clock } = options;
+    this.context = GatewayContext.create(options);
+    this.#leases = LeaseDesk.create({
+      context: this.context,
+      table: options.table,
+      onChange: () => this.#keepers.refresh(),
+    });
+    this.#keepers = Keepers.create(this.context, {
+      orders: options.orders,
+      leases: this.#leases,
+    });
+    this.#locator = Locator.create(this.context, this.#acquire);
+    this.#uses = UseReport.create({
+      context: this.context,
+      leases: this.#leases,
+      keepers: this.#keepers,
+      links: options.nodeLinks,
+    });
+    this.#clockGap = clock.wallNow() - clock.now();
+  }
+
+  static create(options: GatewayOptions): Gateway {
+    const gateway = new Gateway(options);
+    options.feed.follow((change) => gateway.#absorb(change));
+    gateway.#watch();
+    return gateway;
+  }
+
+  /** Whether the node should get new callers. */
+  get isReady(): boolean {
+    return !this.#draining && this.#knowsInstallation;
+  }
+
+  /** Requests that are being served. */
+  get openRequests(): number {
+    return this.#open.size;
+  }
+
+  get #knowsInstallation(): boolean {
+    const { configuration } = this.context;
+    return configuration !== undefined && this.#complete.size === 2;
+  }
+
+  /** Serves one request; the sink may hear of a refusal before this returns. */
+  open(request: PassedRequest, sink: CallerSink): RequestControl {
+    const { context } = this;
+    const { configuration } = context;
+    if (configuration === undefined) {
+      const detail = "The node has not read its configuration yet";
+      sink.refuse(refuse("notReady", detail, { retryAfter: millis(300) }));
+      return idleControl;
+    }
+    const route = findRoute(configuration, request);
+    if (route === undefined) {
+      const detail = `No route matches ${request.host}${request.path}`;
+      context.setup.journal.record("requestRefused", {
+        requestId: request.requestId,
+        revision: configuration.revision,
+        code: "unknownRoute",
+        detail,
+      });
+      sink.refuse(refuse("unknownRoute", detail));
+      return idleControl;
+    }
+    const service = chooseTarget(route, context.setup.random());
+    if (service === undefined) {
+      sink.refuse(refuse("noServer", `Route ${route.name} has no service`));
+      return idleControl;
+    }
+    context.setup.journal.record("requestRouted", {
+      requestId: request.requestId,
+      route: route.name,
+      service,
+      revision: configuration.revision,
+    });
+    const call = GatewayCall.start(
+      {
+        context,
+        locator: this.#locator,
+        uses: this.#uses,
+        request,
+        route,
+        service,
+        sink,
+      },
+      () => this.#onCallEnd(call),
+    );
+    this.#open.add(call);
+    context.setup.meter.gauge("gateway_requests_open", this.#open.size);
+    return call;
+  }
+
+  /** Serves a request of another node for an adapter of an engine owned here. */
+  acquire(request: Parameters<NodeExchange["acquire"]>[0]) {
+    return this.#keepers.acquire(request);
+  }
+
+  /** Takes over which adapters the requests of another node use. */
+  async reportUse(
+    report: Parameters<NodeExchange["reportUse"]>[0],
+  ): Promise<void> {
+    this.#leases.noteHeard(report.from);
+    this.#keepers.noteUse(report.engines);
+  }
+
+  /** Stops being ready; resolves once every open request has ended. */
+  drain(): Promise<void> {
+    this.#draining = true;
+    this.#options.journal.record("drainStarted", { open: this.#open.size });
+    return new Promise((resolve) => {
+      this.#onIdle = resolve;
+      if (this.#open.size === 0) resolve();
+    });
+  }
+
+  /** Gives up the leases and ends all tasks. */
+  async stop(): Promise<void> {
+    this.#cancelWatch();
+    this.#uses.stop();
+    this.#keepers.stop();
+    this.#options.feed.stop();
+    await this.#leases.release();
+  }
+
+  #onCallEnd(call: GatewayCall): void {
+    this.#open.delete(call);
+    this.context.setup.meter.gauge("gateway_requests_open", this.#open.size);
+    if (this.#draining && this.#open.size === 0) this.#onIdle();
+  }
+
+  readonly #acquire: Acquire = async (server, wanted) => {
+    const holder = this.#leases.findHolder(server.id);
+    const request = { engine: server.id, ...wanted };
+    const refused: PlaceAnswer = { kind: "refused", reason: "not-owner" };
+    if (holder === undefined) return refused;
+    if (holder === this.context.setup.identity.machine) {
+      return this.#keepers.acquire(request);
+    }
+    const address = this.#leases.findAddress(holder);
+    if (address === undefined) return refused;
+    return this.#options.nodeLinks.acquire(address, request);
+  };
+
+  #absorb(change: InstallationChange): void {
+    const { journal } = this.#options;
+    switch (change.type) {
+      case "configuration": {
+        const known = this.context.configuration?.revision ?? -1;
+        if (change.value.revision <= known) return;
+        this.context.configuration = change.value;
+        journal.record("revisionInForce", { revision: change.value.revision });
+        this.#keepers.refresh();
+        return;
+      }
+      case "adapter-version": {
+        const { place, version } = change.value;
+        if (version <= (this.context.versions.get(place) ?? 0)) return;
+        this.context.versions.set(place, version);
+        journal.record("adapterVersionDeclared", { place, version });
+        return;
+      }
+      case "server":
+        this.#absorbServer(change.change);
+        return;
+      case "complete":
+        this.#complete.add(change.topic);
+        if (this.#complete.size === 2) journal.record("nodeReady");
+        return;
+    }
+  }
+
+  #absorbServer(change: ServerChange): void {
+    const { directory, holdings } = this.context;
+    if (change.type === "absent") {
+      applyServerChange(directory, change);
+      if (change.usableUntil === undefined) this.#forget(change.id);
+      return;
+    }
+    const { server } = change;
+    const known = directory.servers.get(server.id);
+    if (known !== undefined && known.born !== server.born) {
+      forgetHoldings(holdings, server.id);
+      forgetServer(this.context.health, server.id);
+    }
+    applyServerChange(directory, change);
+    noteRegistration(holdings, server, this.context.now());
+    if (known === undefined || known.leaving !== server.leaving) {
+      this.#recordServer(server);
+    }
+    this.#keepers.register(server);
+  }
+
+  #recordServer(server: BackendServer): void {
+    const event = server.leaving ? "serverLeaving" : "serverSeen";
+    const { id, service, address, dataCentre } = server;
+    const fields = { server: id, service, address, dataCentre };
+    this.#options.journal.record(event, fields);
+  }
+
+  #forget(id: ServerId): void {
+    forgetHoldings(this.context.holdings, id);
+    forgetServer(this.context.health, id);
+    this.#options.links.forget(id);
+    this.#options.journal.record("serverGone", { server: id });
+    this.#keepers.refresh();
+  }
+
+  /** Notices lapsed servers, and pauses of the process, after which no lease is trusted. */
+  #watch(): void {
+    const { clock, journal } = this.#options;
+    const gap = clock.wallNow() - clock.now();
+    if (Math.abs(gap - this.#clockGap) > pauseThreshold) {
+      journal.record("processPaused", { gap: Math.round(gap - this.#clockGap) });
+      this.#leases.doubt();
+    }
+    this.#clockGap = gap;
+    for (const id of expireLapsed(this.context.directory, clock.now())) {
+      this.#forget(id);
+    }
+    this.#cancelWatch = clock.schedule(watchPeriod, () => this.#watch());
+  }
+}
+
+const idleControl: RequestControl = { cancel() {} };
--- /dev/null
+++ b/src/node/gateway/keepers.ts
@@ -0,0 +1,109 @@
+import type { BackendServer } from "../../core/gateway/servers.ts";
+import {
+  type AdapterName,
+  brandString,
+  type ModelName,
+  type PlaceKey,
+  type ServerId,
+} from "../../core/ids.ts";
+import type {
+  EngineOrders,
+  EngineUse,
+  PlaceAnswer,
+} from "../../ports/gateway.ts";
+import type { GatewayContext } from "./context.ts";
+import { EngineKeeper } from "./engine_keeper.ts";
+import type { LeaseDesk } from "./lease_desk.ts";
+
+/** Owners of the engines whose lease this node holds. */
+export class Keepers {
+  readonly #context: GatewayContext;
+  readonly #orders: EngineOrders;
+  readonly #leases: LeaseDesk;
+  readonly #keepers = new Map<ServerId, EngineKeeper>();
+
+  private constructor(
+    context: GatewayContext,
+    options: { orders: EngineOrders; leases: LeaseDesk },
+  ) {
+    this.#context = context;
+    this.#orders = options.orders;
+    this.#leases = options.leases;
+  }
+
+  static create(
+    context: GatewayContext,
+    options: { orders: EngineOrders; leases: LeaseDesk },
+  ): Keepers {
+    return new Keepers(context, options);
+  }
+
+  /** Starts and stops owners so that they match the held leases and the servers. */
+  refresh(): void {
+    const held = new Set(this.#leases.held());
+    for (const engine of this.#keepers.keys()) {
+      if (!held.has(engine)) this.#stop(engine);
+    }
+    for (const engine of held) {
+      const server = this.#context.directory.servers.get(engine);
+      if (server === undefined) this.#stop(engine);
+      else this.#obtain(server);
+    }
+  }
+
+  /** Takes over a registration; an engine that was born again gets a new owner state. */
+  register(server: BackendServer): void {
+    const keeper = this.#keepers.get(server.id);
+    if (keeper === undefined) return this.refresh();
+    if (keeper.born === server.born) return keeper.register(server);
+    this.#stop(server.id);
+    this.refresh();
+  }
+
+  async acquire(request: {
+    readonly engine: ServerId;
+    readonly place: PlaceKey;
+    readonly version: number;
+  }): Promise<PlaceAnswer> {
+    const keeper = this.#keepers.get(request.engine);
+    const right = this.#leases.findOrderRight(request.engine);
+    if (keeper === undefined || right === undefined) {
+      return { kind: "refused", reason: "not-owner" };
+    }
+    const { place, version } = request;
+    const slash = place.indexOf("/");
+    const model: ModelName = brandString(place.slice(0, slash));
+    const adapter: AdapterName = brandString(place.slice(slash + 1));
+    return keeper.acquire({ key: place, model, adapter, version });
+  }
+
+  noteUse(engines: readonly EngineUse[]): void {
+    for (const { engine, places } of engines) {
+      this.#keepers.get(engine)?.noteUse(places);
+    }
+  }
+
+  stop(): void {
+    for (const engine of [...this.#keepers.keys()]) this.#stop(engine);
+  }
+
+  #obtain(server: BackendServer): void {
+    if (this.#keepers.has(server.id)) return;
+    const { configuration } = this.#context;
+    const traits = configuration?.services.get(server.service)?.engine;
+    if (traits === undefined) return;
+    const keeper = EngineKeeper.create({
+      context: this.#context,
+      orders: this.#orders,
+      leases: this.#leases,
+      server,
+      traits,
+    });
+    this.#keepers.set(server.id, keeper);
+  }
+
+  #stop(engine: ServerId): void {
+    this.#keepers.get(engine)?.stop();
+    this.#keepers.delete(engine);
+  }
+}
--- /dev/null
+++ b/src/node/gateway/locator.ts
@@ -0,0 +1,106 @@
+import { type Millis, millis } from "../../core/clock.ts";
+import { chooseLeastCost, leaveOut } from "../../core/gateway/choose_server.ts";
+import { notePromise, rankEngines } from "../../core/gateway/holdings.ts";
+import { isSuspended } from "../../core/gateway/server_health.ts";
+import { type BackendServer, listUsable } from "../../core/gateway/servers.ts";
+import {
+  formatPlaceKey,
+  type PlaceKey,
+  type ServerId,
+  type ServiceName,
+} from "../../core/ids.ts";
+import type { ModelDemand, PlaceAnswer } from "../../ports/gateway.ts";
+import type { GatewayContext } from "./context.ts";
+
+/** Asks the owner of an engine for an adapter. */
+export type Acquire = (
+  server: BackendServer,
+  wanted: { readonly place: PlaceKey; readonly version: number },
+) => Promise<PlaceAnswer>;
+
+/** A server for a request and when it is able to take it. */
+export type Location = {
+  readonly server: BackendServer;
+  readonly readyAt: Millis;
+  /** Version of the adapter that has to answer. */
+  readonly version: number | undefined;
+};
+
+/** Owners asked for an adapter before the request waits. */
+const maxOwnersAsked = 3;
+
+/** Finds servers for requests; asks the owners of engines for adapters. */
+export class Locator {
+  readonly #context: GatewayContext;
+  readonly #acquire: Acquire;
+
+  private constructor(context: GatewayContext, acquire: Acquire) {
+    this.#context = context;
+    this.#acquire = acquire;
+  }
+
+  static create(context: GatewayContext, acquire: Acquire): Locator {
+    return new Locator(context, acquire);
+  }
+
+  /** A server that may take the request, or undefined if none can now. */
+  async locate(
+    service: ServiceName,
+    request: {
+      readonly demand: ModelDemand | undefined;
+      readonly tried: ReadonlySet<ServerId>;
+    },
+  ): Promise<Location | undefined> {
+    const usable = listUsable(this.#context.directory, service);
+    const { demand, tried } = request;
+    const fresh = leaveOut(usable, tried);
+    if (demand === undefined) return this.#locatePlain(usable, fresh);
+    const holding = fresh.filter(({ models }) =>
+      models.some(({ name }) => name === demand.model),
+    );
+    const { adapter, model } = demand;
+    if (adapter === undefined) return this.#locatePlain(holding, holding);
+    return this.#locateAdapter(holding, formatPlaceKey(model, adapter));
+  }
+
+  #locatePlain(
+    usable: readonly BackendServer[],
+    fresh: readonly BackendServer[],
+  ): Location | undefined {
+    const outlook = this.#context.outlook();
+    const candidates = fresh.length > 0 ? fresh : usable;
+    const server = chooseLeastCost(candidates, outlook);
+    if (server === undefined) return undefined;
+    return { server, readyAt: outlook.now, version: undefined };
+  }
+
+  async #locateAdapter(
+    candidates: readonly BackendServer[],
+    key: PlaceKey,
+  ): Promise<Location | undefined> {
+    const context = this.#context;
+    const version = context.versions.get(key) ?? 0;
+    const expected = version > 0 ? version : undefined;
+    const wanted = { key, version };
+    const ranked = rankEngines(candidates, wanted, context.outlook());
+    let asked = 0;
+    for (const { server, readyAt } of ranked) {
+      if (readyAt !== undefined) return { server, readyAt, version: expected };
+      if (asked >= maxOwnersAsked) return undefined;
+      asked++;
+      const answer = await this.#acquire(server, { place: key, version });
+      if (answer.kind !== "ready") continue;
+      const now = context.now();
+      if (isSuspended(context.health, server.id, now)) continue;
+      const ready = millis(now + answer.inMs);
+      notePromise(context.holdings, server.id, {
+        key,
+        version,
+        readyAt: ready,
+        now,
+      });
+      return { server, readyAt: ready, version: expected };
+    }
+    return undefined;
+  }
+}
--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -41,7 +41,11 @@
 
 /** Answer of the table service to a transaction. */
 export type TransactionResult =
-  | { readonly kind: "committed" }
+  | {
+      readonly kind: "committed";
+      /** Version of the written rows, where the table names it. */
+      readonly version?: number;
+    }
   | {
       readonly kind: "conflict";
       /** Current rows of the conditions that failed; undefined when absent. */
