--- a/src/core/gateway/engine_places.ts
+++ b/src/core/gateway/engine_places.ts
@@ -2,7 +2,7 @@
 import type { AdapterName, ModelName, PlaceKey } from "../ids.ts";
 import { formatPlaceKey } from "../ids.ts";
 import type { EngineTraits } from "./configuration.ts";
-import type { BackendServer, HeldModel } from "./servers.ts";
+import type { HeldModel } from "./servers.ts";
 
 /** One adapter that an engine holds, gets or gives up; each takes a place. */
 export type Place = {
@@ -59,41 +59,53 @@
 /** Assumed age of the last use of an adapter that was found on an engine, in ms. */
 const unknownUseAge = 1_000;
 
-/** Time after a load during which an engine's report may not show it yet, in ms. */
-const reportLag = 2_500;
+/** Time after a load in which a registration may not show it yet, in ms. */
+const registrationLag = 4_000;
 
-/**
- * Corrects the contents by what the engine reported: a complete load that is
- * not listed was lost, an adapter that is listed and unknown takes a place.
- */
-export function correctPlaces(
+/** Whether a registration contradicts what the owner believes, so that the engine should be asked. */
+export function contradicts(
   contents: EnginePlaces,
-  models: BackendServer["models"],
+  models: readonly HeldModel[],
   now: Millis,
-): void {
+): boolean {
   const listed = readPlaces(models, now);
-  for (const [key, place] of listed.places) {
-    const known = contents.places.get(key);
-    if (known === undefined) {
-      if (!contents.earlier.has(key)) contents.places.set(key, place);
-    } else if (known.phase === "held" && place.version > known.version) {
-      known.version = place.version;
+  for (const [key, place] of contents.places) {
+    const isOld = now > place.readyAt + registrationLag;
+    if (place.phase === "held" && isOld && !listed.places.has(key)) return true;
+  }
+  for (const key of listed.places.keys()) {
+    if (!contents.places.has(key) && !contents.earlier.has(key)) return true;
+  }
+  for (const [model, readyAt] of contents.models) {
+    if (now > readyAt + registrationLag && !listed.models.has(model)) {
+      return true;
     }
   }
+  return [...listed.models.keys()].some((name) => !contents.models.has(name));
+}
+
+/** Contents by the engine's own report, which shows every order that it accepted. */
+export function replacePlaces(
+  contents: EnginePlaces,
+  report: {
+    readonly models: readonly HeldModel[];
+    readonly incoming: readonly PlaceKey[];
+  },
+  now: Millis,
+): EnginePlaces {
+  const { earlier } = contents;
+  const replaced = { ...readPlaces(report.models, now), earlier };
   for (const [key, place] of contents.places) {
-    const isOld = now > place.readyAt + reportLag;
-    if (place.phase === "held" && isOld && !listed.places.has(key)) {
-      contents.places.delete(key);
+    const listed = replaced.places.get(key);
+    if (listed !== undefined) listed.usedAt = place.usedAt;
+    else if (report.incoming.includes(key) || place.readyAt > now) {
+      replaced.places.set(key, place);
     }
   }
   for (const [model, readyAt] of contents.models) {
-    if (now > readyAt + reportLag && !listed.models.has(model)) {
-      contents.models.delete(model);
-    }
-  }
-  for (const [model, readyAt] of listed.models) {
-    if (!contents.models.has(model)) contents.models.set(model, readyAt);
+    if (readyAt > now) replaced.models.set(model, readyAt);
   }
+  return replaced;
 }
 
 /** Adapters that an engine may hold beside its base models. */
--- a/src/core/gateway/keeper.ts
+++ b/src/core/gateway/keeper.ts
@@ -2,10 +2,11 @@
 import type { Decide, Decision } from "../decision.ts";
 import type { EngineTraits } from "./configuration.ts";
 import {
-  correctPlaces,
+  contradicts,
   countLoading,
   type EnginePlaces,
   readPlaces,
+  replacePlaces,
 } from "./engine_places.ts";
 import { chooseNextOrder } from "./keeper_orders.ts";
 import type {
@@ -27,6 +28,10 @@
 /** Pause after an answer that calls for another try, in ms. */
 const conflictPause = 120;
 const rejectionPause = 500;
+/** Reports in a row that may miss accepted orders before one is believed. */
+const maxStaleReports = 8;
+/** Shortest time between two questions that registrations raise, in ms. */
+const questionPause = 4_000;
 /** Time that an unload which waits for running requests may take, in ms. */
 const unloadTime = 4_000;
 
@@ -43,7 +48,10 @@
     policies: options.policies,
     orderCount: undefined,
     sending: undefined,
+    highestCount: 0,
+    staleReports: 0,
     asking: false,
+    askedAt: options.now,
     retryAt: options.now,
     mayOrder: false,
     waiting: new Map(),
@@ -75,7 +83,13 @@
       absorbStatus(state, event.status, now);
       break;
     case "registered":
-      correctPlaces(state.contents, event.models, now);
+      // A registration may be older than the last orders, so it only raises the question.
+      if (
+        contradicts(state.contents, event.models, now) &&
+        now > state.askedAt + questionPause
+      ) {
+        state.orderCount = undefined;
+      }
       break;
     case "tick":
       state.mayOrder = event.mayOrder;
@@ -155,6 +169,7 @@
   if (now < state.retryAt) return;
   if (state.orderCount === undefined) {
     state.asking = true;
+    state.askedAt = now;
     commands.push({ type: "ask-status" });
     return;
   }
@@ -173,12 +188,11 @@
   state.sending = undefined;
   switch (answer.kind) {
     case "accepted":
-      state.orderCount = order.expectedCount + 1;
+      countOrder(state, order);
       return applyOrder(state, { order, isDone: false }, step);
     case "done":
       // An unload that is done at once counts; a load that holds already does not.
-      if (order.operation === "unload")
-        state.orderCount = order.expectedCount + 1;
+      if (order.operation === "unload") countOrder(state, order);
       return applyOrder(state, { order, isDone: true }, step);
     case "lost":
     case "unreachable":
@@ -196,6 +210,11 @@
   }
 }
 
+function countOrder(state: KeeperState, order: EngineOrder): void {
+  state.orderCount = order.expectedCount + 1;
+  state.highestCount = state.orderCount;
+}
+
 function applyOrder(
   state: KeeperState,
   { order, isDone }: { order: EngineOrder; isDone: boolean },
@@ -274,19 +293,15 @@
     state.retryAt = millis(now + conflictPause);
     return;
   }
-  state.orderCount = status.orderCount;
-  const { contents } = state;
-  const earlier = contents.earlier;
-  state.contents = { ...readPlaces(status.models, now), earlier };
-  for (const [key, place] of contents.places) {
-    const listed = state.contents.places.get(key);
-    if (listed !== undefined) listed.usedAt = place.usedAt;
-    // A report lags, so a load that was accepted lately keeps its place.
-    else if (status.incoming.includes(key) || place.phase === "loading") {
-      state.contents.places.set(key, place);
-    }
-  }
-  for (const [model, readyAt] of contents.models) {
-    if (readyAt > now) state.contents.models.set(model, readyAt);
+  // A report lags; one that misses accepted orders would free places that are taken.
+  const isStale = status.orderCount < state.highestCount;
+  if (isStale && state.staleReports < maxStaleReports) {
+    state.staleReports++;
+    state.retryAt = millis(now + conflictPause);
+    return;
   }
+  state.staleReports = 0;
+  state.orderCount = status.orderCount;
+  state.highestCount = status.orderCount;
+  state.contents = replacePlaces(state.contents, status, now);
 }
--- a/src/core/gateway/keeper_messages.ts
+++ b/src/core/gateway/keeper_messages.ts
@@ -26,7 +26,12 @@
   orderCount: number | undefined;
   /** The order whose answer is awaited. */
   sending: EngineOrder | undefined;
+  /** Most orders that the engine is known to have accepted. */
+  highestCount: number;
+  /** Reports in a row that did not show all accepted orders. */
+  staleReports: number;
   asking: boolean;
+  askedAt: Millis;
   /** No order is sent before this time. */
   retryAt: Millis;
   mayOrder: boolean;
