Unload only adapters that the engine has shown to hold

A place is confirmed by a request that ran, a registration or a report; estimates of load times learn from engines that were not ready yet.

--- a/src/adapters/peers/exchange_router.ts
+++ b/src/adapters/peers/exchange_router.ts
@@ -15,13 +15,19 @@
 export const exchangeRouter = trpc.router({
   acquire: trpc.procedure
     .input(
-      z.object({ engine: name, place: name, version: z.number().int().min(0) }),
+      z.object({
+        engine: name,
+        place: name,
+        version: z.number().int().min(0),
+        wasDenied: z.boolean(),
+      }),
     )
     .mutation(({ ctx, input }) =>
       ctx.acquire({
         engine: brandString(input.engine),
         place: brandString(input.place),
         version: input.version,
+        wasDenied: input.wasDenied,
       }),
     ),
   reportUse: trpc.procedure
--- a/src/core/gateway/engine_lease.ts
+++ b/src/core/gateway/engine_lease.ts
@@ -86,10 +86,7 @@
 
 /** State of a node that has read nothing yet. */
 export function createLeaseState(
-  identity: Pick<
-    LeaseState,
-    "machine" | "process" | "dataCentre" | "settings"
-  >,
+  identity: Pick<LeaseState, "machine" | "process" | "dataCentre" | "settings">,
 ): LeaseState {
   return {
     ...identity,
--- a/src/core/gateway/engine_places.ts
+++ b/src/core/gateway/engine_places.ts
@@ -14,6 +14,13 @@
   /** Time at which the load is expected to be complete. */
   readyAt: Millis;
   usedAt: Millis;
+  /** Time at which the engine accepted the load. */
+  readonly orderedAt: Millis;
+  /**
+   * The engine has shown that it holds the adapter. Until then it may still be
+   * on its way, and an order to unload it would be answered and free nothing.
+   */
+  isConfirmed: boolean;
 };
 
 /** Contents of one engine as its owner believes them to be. */
@@ -40,25 +47,22 @@
     for (const { name: adapter, version } of adapters) {
       const key = formatPlaceKey(name, adapter);
       const readyAt = now;
-      const usedAt = millis(now - unknownUseAge);
-      const phase = "held";
       contents.places.set(key, {
         key,
         model: name,
         adapter,
         version,
-        phase,
+        phase: "held",
         readyAt,
-        usedAt,
+        usedAt: now,
+        orderedAt: now,
+        isConfirmed: true,
       });
     }
   }
   return contents;
 }
 
-/** Assumed age of the last use of an adapter that was found on an engine, in ms. */
-const unknownUseAge = 1_000;
-
 /** Time after a load in which a registration may not show it yet, in ms. */
 const registrationLag = 4_000;
 
@@ -84,23 +88,54 @@
   return [...listed.models.keys()].some((name) => !contents.models.has(name));
 }
 
+/** Marks adapters that a registration lists as loaded. */
+export function confirmListed(
+  contents: EnginePlaces,
+  models: readonly HeldModel[],
+): void {
+  for (const { name, adapters } of models) {
+    for (const { name: adapter, version } of adapters) {
+      const place = contents.places.get(formatPlaceKey(name, adapter));
+      if (place?.phase === "held" && version >= place.version) {
+        place.isConfirmed = true;
+      }
+    }
+  }
+}
+
 /** Contents by the engine's own report, which shows every order that it accepted. */
 export function replacePlaces(
   contents: EnginePlaces,
   report: {
     readonly models: readonly HeldModel[];
-    readonly incoming: readonly PlaceKey[];
+    readonly incoming: readonly IncomingAdapter[];
   },
   now: Millis,
 ): EnginePlaces {
   const { earlier } = contents;
   const replaced = { ...readPlaces(report.models, now), earlier };
+  for (const { model, adapter, version } of report.incoming) {
+    const key = formatPlaceKey(model, adapter);
+    const known = contents.places.get(key);
+    const readyAt = millis(Math.max(now + incomingRest, known?.readyAt ?? 0));
+    replaced.places.set(key, {
+      key,
+      model,
+      adapter,
+      version,
+      phase: "loading",
+      readyAt,
+      usedAt: readyAt,
+      orderedAt: known?.orderedAt ?? now,
+      isConfirmed: false,
+    });
+  }
   for (const [key, place] of contents.places) {
     const listed = replaced.places.get(key);
-    if (listed !== undefined) listed.usedAt = place.usedAt;
-    else if (report.incoming.includes(key) || place.readyAt > now) {
-      replaced.places.set(key, place);
-    }
+    if (listed === undefined) continue;
+    listed.usedAt = millis(Math.max(place.usedAt, place.readyAt));
+    // Runs that the unload waits for keep the adapter listed.
+    if (place.phase === "unloading") replaced.places.set(key, place);
   }
   for (const [model, readyAt] of contents.models) {
     if (readyAt > now) replaced.models.set(model, readyAt);
@@ -108,6 +143,16 @@
   return replaced;
 }
 
+/** An adapter on its way to an engine. */
+export type IncomingAdapter = {
+  readonly model: ModelName;
+  readonly adapter: AdapterName;
+  readonly version: number;
+};
+
+/** Expected rest of a load that a report shows as under way, in ms. */
+const incomingRest = 100;
+
 /** Adapters that an engine may hold beside its base models. */
 export function countCapacity(
   contents: EnginePlaces,
@@ -124,11 +169,11 @@
   return Math.max(0, Math.min(traits.adapterPlaces, byMemory));
 }
 
-/** Loads under way. */
-export function countLoading(contents: EnginePlaces, now: Millis): number {
+/** Loads that may still be under way. */
+export function countLoading(contents: EnginePlaces): number {
   let count = 0;
-  for (const { phase, readyAt } of contents.places.values()) {
-    if (phase === "loading" && readyAt > now) count++;
+  for (const { isConfirmed } of contents.places.values()) {
+    if (!isConfirmed) count++;
   }
   return count;
 }
@@ -146,7 +191,7 @@
 export const chooseLeastRecent: VictimPolicy = (places, now) => {
   let victim: Place | undefined;
   for (const place of places) {
-    if (place.phase !== "held") continue;
+    if (place.phase !== "held" || !place.isConfirmed) continue;
     if (now < place.usedAt + idleBeforeEviction) continue;
     if (victim === undefined || place.usedAt < victim.usedAt) victim = place;
   }
--- a/src/core/gateway/keeper.ts
+++ b/src/core/gateway/keeper.ts
@@ -1,26 +1,35 @@
 import { type Millis, millis } from "../clock.ts";
 import type { Decide, Decision } from "../decision.ts";
+import type { PlaceKey } from "../ids.ts";
 import type { EngineTraits } from "./configuration.ts";
 import {
+  confirmListed,
   contradicts,
+  countCapacity,
   countLoading,
-  type EnginePlaces,
+  type Place,
   readPlaces,
   replacePlaces,
 } from "./engine_places.ts";
-import { chooseNextOrder } from "./keeper_orders.ts";
 import type {
   KeeperCommand,
   KeeperEvent,
   KeeperPolicies,
   KeeperState,
 } from "./keeper_messages.ts";
+import { chooseNextOrder, maxLoading } from "./keeper_orders.ts";
 import type { EngineOrder, OrderAnswer } from "./orders.ts";
 import type { BackendServer } from "./servers.ts";
 
-/** Expected time of an adapter load from the weight store, and of one held earlier, in ms. */
-const coldLoadTime = 260;
+/** Shortest and longest expected time of an adapter load from the weight store, in ms. */
+const shortestLoadTime = 265;
+const longestLoadTime = 1_500;
+/** Expected time of a load of an adapter that the engine held earlier, in ms. */
 const warmLoadTime = 45;
+/** Part of its excess that the expected load time loses with each load. */
+const loadTimeDecay = 0.1;
+/** Wait before the next try when an engine turns out not to have an adapter yet, in ms. */
+const deniedWait = 110;
 /** How long a request for an adapter may wait for room, in ms. */
 const maxWaitForRoom = 1_000;
 /** Requests for adapters that wait at one engine. */
@@ -30,6 +39,9 @@
 const rejectionPause = 500;
 /** Reports in a row that may miss accepted orders before one is believed. */
 const maxStaleReports = 8;
+/** Time by which reports lag, and shortest time between two questions about loads, in ms. */
+const reportDelay = 110;
+const reportPause = 250;
 /** Shortest time between two questions that registrations raise, in ms. */
 const questionPause = 4_000;
 /** Time that an unload which waits for running requests may take, in ms. */
@@ -54,6 +66,7 @@
     askedAt: options.now,
     retryAt: options.now,
     mayOrder: false,
+    coldLoadTime: shortestLoadTime,
     waiting: new Map(),
   };
 }
@@ -65,7 +78,7 @@
   now,
 ): Decision<KeeperState, KeeperCommand> => {
   const commands: KeeperCommand[] = [];
-  settleLoads(state.contents, now);
+  settleLoads(state, now);
   switch (event.type) {
     case "acquire":
       acquire(state, event, { now, commands });
@@ -73,7 +86,9 @@
     case "used":
       for (const key of event.keys) {
         const place = state.contents.places.get(key);
-        if (place !== undefined) place.usedAt = now;
+        if (place === undefined) continue;
+        place.usedAt = now;
+        if (place.phase === "held") place.isConfirmed = true;
       }
       break;
     case "answered":
@@ -83,6 +98,7 @@
       absorbStatus(state, event.status, now);
       break;
     case "registered":
+      confirmListed(state.contents, event.models);
       // A registration may be older than the last orders, so it only raises the question.
       if (
         contradicts(state.contents, event.models, now) &&
@@ -102,12 +118,15 @@
 
 type Step = { readonly now: Millis; readonly commands: KeeperCommand[] };
 
-/** Marks loads whose time has passed as complete, and forgets unloaded adapters. */
-function settleLoads(contents: EnginePlaces, now: Millis): void {
-  for (const [key, place] of contents.places) {
+/** Marks loads whose time has passed as complete; unloads that take too long raise a question. */
+function settleLoads(state: KeeperState, now: Millis): void {
+  for (const place of state.contents.places.values()) {
     if (place.readyAt > now) continue;
     if (place.phase === "loading") place.phase = "held";
-    if (place.phase === "unloading") contents.places.delete(key);
+    if (place.phase === "unloading") {
+      place.readyAt = millis(now + unloadTime);
+      state.orderCount = undefined;
+    }
   }
 }
 
@@ -116,8 +135,9 @@
   event: Extract<KeeperEvent, { type: "acquire" }>,
   { now, commands }: Step,
 ): void {
-  const { ticket, key, model, adapter, version } = event;
+  const { ticket, key, model, adapter, version, wasDenied } = event;
   const place = state.contents.places.get(key);
+  if (wasDenied && place !== undefined) absorbDenial(state, place, now);
   const isUsable =
     place !== undefined &&
     place.phase !== "unloading" &&
@@ -143,6 +163,23 @@
   state.waiting.set(key, { model, adapter, version, since: now, tickets });
 }
 
+/** The engine does not hold an adapter that was thought to be there. */
+function absorbDenial(state: KeeperState, place: Place, now: Millis): void {
+  if (place.phase !== "held") return;
+  if (place.isConfirmed) {
+    // Something else than a slow load took it away.
+    state.orderCount = undefined;
+    return;
+  }
+  const taken = now - place.orderedAt + deniedWait;
+  state.coldLoadTime = Math.min(
+    longestLoadTime,
+    Math.max(state.coldLoadTime, taken),
+  );
+  place.phase = "loading";
+  place.readyAt = millis(now + deniedWait);
+}
+
 function refuseOverdue(
   state: KeeperState,
   now: Millis,
@@ -167,7 +204,7 @@
 ): void {
   if (!state.mayOrder || state.sending !== undefined || state.asking) return;
   if (now < state.retryAt) return;
-  if (state.orderCount === undefined) {
+  if (state.orderCount === undefined || isReportDue(state, now)) {
     state.asking = true;
     state.askedAt = now;
     commands.push({ type: "ask-status" });
@@ -179,6 +216,20 @@
   commands.push({ type: "order", order });
 }
 
+/** Whether loads that should be complete hold up others until a report confirms them. */
+function isReportDue(state: KeeperState, now: Millis): boolean {
+  if (state.waiting.size === 0) return false;
+  if (now < state.askedAt + reportPause) return false;
+  const { contents, traits } = state;
+  const isFull = contents.places.size >= countCapacity(contents, traits);
+  let overdue = 0;
+  for (const { isConfirmed, readyAt } of contents.places.values()) {
+    if (!isConfirmed && now > readyAt + reportDelay) overdue++;
+  }
+  if (overdue === 0) return false;
+  return isFull || countLoading(contents) >= maxLoading;
+}
+
 function absorbAnswer(
   state: KeeperState,
   { order, answer }: { order: EngineOrder; answer: OrderAnswer },
@@ -253,19 +304,18 @@
   for (const [key, { model, adapter, tickets, version }] of waiting) {
     if (model !== order.model || adapter !== order.adapter) continue;
     waiting.delete(key);
-    const loadTime = isDone ? 0 : estimateLoadTime(contents, key, now);
+    const loadTime = isDone ? 0 : estimateLoadTime(state, key);
     const readyAt = millis(now + loadTime);
-    const phase = isDone ? "held" : "loading";
-    const usedAt = readyAt;
-    const loaded = order.version ?? version;
     contents.places.set(key, {
       key,
       model,
       adapter,
-      version: loaded,
-      phase,
+      version: order.version ?? version,
+      phase: isDone ? "held" : "loading",
       readyAt,
-      usedAt,
+      usedAt: readyAt,
+      orderedAt: now,
+      isConfirmed: isDone,
     });
     for (const ticket of tickets) {
       const reply = { kind: "ready", inMs: loadTime } as const;
@@ -274,13 +324,12 @@
   }
 }
 
-function estimateLoadTime(
-  contents: EnginePlaces,
-  key: Parameters<EnginePlaces["earlier"]["has"]>[0],
-  now: Millis,
-): number {
-  if (contents.earlier.has(key)) return warmLoadTime;
-  return coldLoadTime + 10 * countLoading(contents, now);
+/** Expected time of a load; an excess learned under contention fades with each load. */
+function estimateLoadTime(state: KeeperState, key: PlaceKey): number {
+  if (state.contents.earlier.has(key)) return warmLoadTime;
+  const excess = state.coldLoadTime - shortestLoadTime;
+  state.coldLoadTime = shortestLoadTime + excess * (1 - loadTimeDecay);
+  return state.coldLoadTime;
 }
 
 function absorbStatus(
--- a/src/core/gateway/keeper_messages.ts
+++ b/src/core/gateway/keeper_messages.ts
@@ -1,7 +1,11 @@
 import type { Millis } from "../clock.ts";
 import type { AdapterName, ModelName, PlaceKey } from "../ids.ts";
 import type { EngineTraits } from "./configuration.ts";
-import type { EnginePlaces, VictimPolicy } from "./engine_places.ts";
+import type {
+  EnginePlaces,
+  IncomingAdapter,
+  VictimPolicy,
+} from "./engine_places.ts";
 import type { EngineOrder, OrderAnswer } from "./orders.ts";
 import type { BackendServer } from "./servers.ts";
 
@@ -35,6 +39,8 @@
   /** No order is sent before this time. */
   retryAt: Millis;
   mayOrder: boolean;
+  /** Expected time of an adapter load from the weight store, in ms. */
+  coldLoadTime: number;
   readonly waiting: Map<PlaceKey, WaitingPlace>;
 };
 
@@ -50,7 +56,10 @@
       readonly model: ModelName;
       readonly adapter: AdapterName;
       readonly version: number;
+      /** The engine has just answered that it does not hold the adapter. */
+      readonly wasDenied: boolean;
     }
+  /** Adapters on which requests ran lately. */
   | { readonly type: "used"; readonly keys: readonly PlaceKey[] }
   | {
       readonly type: "answered";
@@ -62,7 +71,7 @@
       readonly status:
         | {
             readonly models: BackendServer["models"];
-            readonly incoming: readonly PlaceKey[];
+            readonly incoming: readonly IncomingAdapter[];
             readonly orderCount: number;
           }
         | undefined;
--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -251,7 +251,8 @@
   processPaused: {
     number: 510,
     level: "warn",
-    meaning: "The process stood still or its clock jumped; leases are read again",
+    meaning:
+      "The process stood still or its clock jumped; leases are read again",
   },
   memberJoined: {
     number: 601,
--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -9,11 +9,16 @@
 import { noteCallResult } from "../../core/gateway/server_health.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
-import { formatPlaceKey, type ServerId, type ServiceName } from "../../core/ids.ts";
+import {
+  formatPlaceKey,
+  type ServerId,
+  type ServiceName,
+} from "../../core/ids.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
 import type { CallerSink, PassedRequest } from "../../ports/gateway.ts";
 import { type GatewayContext, retryPause } from "./context.ts";
 import type { Location, Locator } from "./locator.ts";
+import { PassedAnswer } from "./passed_answer.ts";
 import { Send, type SendReport } from "./send.ts";
 import type { UseReport } from "./use_report.ts";
 
@@ -45,11 +50,14 @@
   readonly #cursor: StreamCursor | undefined;
   readonly #limitAt: Millis;
   readonly #waitUntil: Millis;
+  readonly #passed: PassedAnswer;
   #cancelLimit: Cancel = () => {};
   #send: Send | undefined;
+  /** Server of the latest send. */
+  #server: BackendServer | undefined;
+  #deniedBy: ServerId | undefined;
   #runs = 0;
   #rejections = 0;
-  #hasStarted = false;
   #ended = false;
   #releaseUse: () => void = () => {};
   #onEnd: () => void = () => {};
@@ -57,6 +65,10 @@
   private constructor(options: CallOptions) {
     this.#options = options;
     const { request, route } = options;
+    this.#passed = PassedAnswer.create(options.sink, {
+      clock: options.context.setup.clock,
+      onStart: () => this.#noteUse(),
+    });
     const allowed = Math.min(
       route.timeout,
       request.deadline ?? Number.POSITIVE_INFINITY,
@@ -115,6 +127,7 @@
       const location = await locator.locate(service, {
         demand: request.demand,
         tried: this.#tried,
+        deniedBy: this.#deniedBy,
       });
       if (this.#ended) return undefined;
       const now = context.now();
@@ -145,20 +158,21 @@
 
   /** Sends once; undefined if the answer went to the caller as a whole. */
   #sendTo(location: Location): Promise<SendReport | undefined> {
-    const { context, request, route, sink } = this.#options;
+    const { context, request, route } = this.#options;
     const timeLeft = millis(this.#limitAt - context.now());
     if (timeLeft < minTimeLeft) {
       this.#onLimit();
       return Promise.resolve(undefined);
     }
     this.#record("requestSent", location.server);
-    const release = this.#noteUse(location.server);
+    this.#server = location.server;
+    if (this.#passed.hasStarted) this.#noteUse();
     return new Promise((resolve) => {
       this.#send = Send.start({
         context,
         route,
         cursor: this.#cursor,
-        hasStarted: this.#hasStarted,
+        hasStarted: this.#passed.hasStarted,
         order: {
           request,
           server: location.server,
@@ -167,20 +181,12 @@
           priority: request.demand === undefined ? undefined : route.priority,
           resumeAfter: this.#cursor?.lastId ?? request.resumeAfter,
         },
-        sink: {
-          ...sink,
-          start: (head) => {
-            this.#hasStarted = true;
-            const taken = context.now() - request.arrivedAt;
-            context.setup.meter.observe("gateway_first_byte_ms", taken);
-            sink.start(head);
-          },
-        },
+        sink: this.#passed,
         onReport: (report) => {
           this.#send = undefined;
-          release();
+          this.#releaseUse();
           if (report.end.kind !== "whole") return resolve(report);
-          this.#record("requestAnswered", location.server);
+          this.#recordAnswer(location.server);
           this.#finish("answered");
           resolve(undefined);
         },
@@ -188,15 +194,14 @@
     });
   }
 
-  /** Tells the engine's owner that the adapter is in use; the result ends that. */
-  #noteUse(server: BackendServer): () => void {
+  /** The engine runs the request: its owner is told that the adapter is in use. */
+  #noteUse(): void {
     const { uses, request } = this.#options;
     const { demand } = request;
-    if (demand?.adapter === undefined) return () => {};
+    if (demand?.adapter === undefined || this.#server === undefined) return;
     const key = formatPlaceKey(demand.model, demand.adapter);
-    const release = uses.noteStart(server.id, key);
-    this.#releaseUse = release;
-    return release;
+    this.#releaseUse();
+    this.#releaseUse = uses.noteStart(this.#server.id, key);
   }
 
   /** Counts the send and decides what follows. */
@@ -208,10 +213,15 @@
       repeat: route.repeat,
       resumable: route.resumable,
       maxAttempts: route.maxAttempts,
-      hasStarted: this.#hasStarted,
+      hasStarted: this.#passed.hasStarted,
     };
+    this.#deniedBy = kind === "misdirected" ? server.id : undefined;
     if (kind === "misdirected") this.#forgetPlace(server);
-    if (kind === "unreachable" || kind === "not-run" || kind === "misdirected") {
+    if (
+      kind === "unreachable" ||
+      kind === "not-run" ||
+      kind === "misdirected"
+    ) {
       this.#rejections++;
       if (kind !== "misdirected") this.#tried.add(server.id);
     } else {
@@ -241,7 +251,7 @@
 
   #passOn(report: SendReport): void {
     const { sink } = this.#options;
-    if (this.#hasStarted || report.head === undefined) {
+    if (this.#passed.hasStarted || report.head === undefined) {
       return this.#giveUp(report);
     }
     sink.start(report.head);
@@ -256,7 +266,9 @@
       const retryAfter = comeBackAfter;
       return this.#refuse(refuse("noServer", detail, { retryAfter }));
     }
-    this.#refuse(refuse("serviceBroken", `The answer was lost: ${report.detail}`));
+    this.#refuse(
+      refuse("serviceBroken", `The answer was lost: ${report.detail}`),
+    );
   }
 
   #refuseUnserved(): void {
@@ -287,7 +299,7 @@
   #refuse(refusal: Refusal): void {
     const { sink } = this.#options;
     this.#record("requestRefused", undefined, refusal.detail, refusal.code);
-    if (this.#hasStarted) sink.abort();
+    if (this.#passed.hasStarted) sink.abort();
     else sink.refuse(refusal);
     this.#finish(refusal.code);
   }
@@ -296,7 +308,7 @@
     if (this.#ended) return;
     this.#ended = true;
     this.#cancelLimit();
-    if (this.#send !== undefined) this.#releaseUse();
+    this.#releaseUse();
     this.#send?.cancel();
     this.#send = undefined;
     const { context, request, route } = this.#options;
@@ -306,6 +318,24 @@
     this.#onEnd();
   }
 
+  #recordAnswer(server: BackendServer): void {
+    const { context, request, route } = this.#options;
+    const { firstByteAt, longestPause } = this.#passed;
+    const first = Math.round(
+      (firstByteAt ?? context.now()) - request.arrivedAt,
+    );
+    context.setup.meter.observe("gateway_first_byte_ms", first);
+    context.setup.journal.record("requestAnswered", {
+      requestId: request.requestId,
+      route: route.name,
+      server: server.id,
+      firstByte: first,
+      longestPause: Math.round(longestPause),
+      taken: Math.round(context.now() - request.arrivedAt),
+      target: route.targetLatency,
+    });
+  }
+
   #record(
     event: Parameters<GatewayContext["setup"]["journal"]["record"]>[0],
     server?: BackendServer,
--- a/src/node/gateway/engine_keeper.ts
+++ b/src/node/gateway/engine_keeper.ts
@@ -79,6 +79,7 @@
     readonly model: ModelName;
     readonly adapter: AdapterName;
     readonly version: number;
+    readonly wasDenied: boolean;
   }): Promise<PlaceAnswer> {
     const ticket = ++this.#tickets;
     return new Promise((resolve) => {
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -1,5 +1,9 @@
+import { type Cancel, millis } from "../../core/clock.ts";
 import { chooseTarget, findRoute } from "../../core/gateway/configuration.ts";
-import { forgetHoldings, noteRegistration } from "../../core/gateway/holdings.ts";
+import {
+  forgetHoldings,
+  noteRegistration,
+} from "../../core/gateway/holdings.ts";
 import { forgetServer } from "../../core/gateway/server_health.ts";
 import {
   applyServerChange,
@@ -20,7 +24,6 @@
   PlaceAnswer,
 } from "../../ports/gateway.ts";
 import type { TableService } from "../../ports/table.ts";
-import { type Cancel, millis } from "../../core/clock.ts";
 import { GatewayCall } from "./call.ts";
 import { GatewayContext, type GatewaySetup } from "./context.ts";
 import { Keepers } from "./keepers.ts";
@@ -273,7 +276,9 @@
     const { clock, journal } = this.#options;
     const gap = clock.wallNow() - clock.now();
     if (Math.abs(gap - this.#clockGap) > pauseThreshold) {
-      journal.record("processPaused", { gap: Math.round(gap - this.#clockGap) });
+      journal.record("processPaused", {
+        gap: Math.round(gap - this.#clockGap),
+      });
       this.#leases.doubt();
     }
     this.#clockGap = gap;
--- a/src/node/gateway/keepers.ts
+++ b/src/node/gateway/keepers.ts
@@ -3,12 +3,12 @@
   type AdapterName,
   brandString,
   type ModelName,
-  type PlaceKey,
   type ServerId,
 } from "../../core/ids.ts";
 import type {
   EngineOrders,
   EngineUse,
+  NodeExchange,
   PlaceAnswer,
 } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
@@ -60,21 +60,19 @@
     this.refresh();
   }
 
-  async acquire(request: {
-    readonly engine: ServerId;
-    readonly place: PlaceKey;
-    readonly version: number;
-  }): Promise<PlaceAnswer> {
+  async acquire(
+    request: Parameters<NodeExchange["acquire"]>[0],
+  ): Promise<PlaceAnswer> {
     const keeper = this.#keepers.get(request.engine);
     const right = this.#leases.findOrderRight(request.engine);
     if (keeper === undefined || right === undefined) {
       return { kind: "refused", reason: "not-owner" };
     }
-    const { place, version } = request;
+    const { place, version, wasDenied } = request;
     const slash = place.indexOf("/");
     const model: ModelName = brandString(place.slice(0, slash));
     const adapter: AdapterName = brandString(place.slice(slash + 1));
-    return keeper.acquire({ key: place, model, adapter, version });
+    return keeper.acquire({ key: place, model, adapter, version, wasDenied });
   }
 
   noteUse(engines: readonly EngineUse[]): void {
--- a/src/node/gateway/lease_desk.ts
+++ b/src/node/gateway/lease_desk.ts
@@ -55,8 +55,7 @@
 
   private constructor(options: LeaseDeskOptions) {
     this.#options = options;
-    const { machine, process, dataCentre } =
-      options.context.setup.identity;
+    const { machine, process, dataCentre } = options.context.setup.identity;
     const settings = defaultLeaseSettings;
     this.#state = createLeaseState({ machine, process, dataCentre, settings });
   }
@@ -201,7 +200,8 @@
     const now = context.now();
     const claims = planLeaseClaims(this.#state, engines, now).filter(
       ({ engine }) =>
-        now >= (this.#claimedAt.get(engine) ?? Number.NEGATIVE_INFINITY) + claimPause,
+        now >=
+        (this.#claimedAt.get(engine) ?? Number.NEGATIVE_INFINITY) + claimPause,
     );
     for (const claim of claims) await this.#commitClaim(claim);
   }
--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -15,7 +15,11 @@
 /** Asks the owner of an engine for an adapter. */
 export type Acquire = (
   server: BackendServer,
-  wanted: { readonly place: PlaceKey; readonly version: number },
+  wanted: {
+    readonly place: PlaceKey;
+    readonly version: number;
+    readonly wasDenied: boolean;
+  },
 ) => Promise<PlaceAnswer>;
 
 /** A server for a request and when it is able to take it. */
@@ -49,6 +53,8 @@
     request: {
       readonly demand: ModelDemand | undefined;
       readonly tried: ReadonlySet<ServerId>;
+      /** Engine that has just answered that it does not hold the adapter. */
+      readonly deniedBy: ServerId | undefined;
     },
   ): Promise<Location | undefined> {
     const usable = listUsable(this.#context.directory, service);
@@ -60,7 +66,8 @@
     );
     const { adapter, model } = demand;
     if (adapter === undefined) return this.#locatePlain(holding, holding);
-    return this.#locateAdapter(holding, formatPlaceKey(model, adapter));
+    const key = formatPlaceKey(model, adapter);
+    return this.#locateAdapter(holding, key, request.deniedBy);
   }
 
   #locatePlain(
@@ -77,6 +84,7 @@
   async #locateAdapter(
     candidates: readonly BackendServer[],
     key: PlaceKey,
+    deniedBy: ServerId | undefined,
   ): Promise<Location | undefined> {
     const context = this.#context;
     const version = context.versions.get(key) ?? 0;
@@ -88,7 +96,9 @@
       if (readyAt !== undefined) return { server, readyAt, version: expected };
       if (asked >= maxOwnersAsked) return undefined;
       asked++;
-      const answer = await this.#acquire(server, { place: key, version });
+      const wasDenied = server.id === deniedBy;
+      const request = { place: key, version, wasDenied };
+      const answer = await this.#acquire(server, request);
       if (answer.kind !== "ready") continue;
       const now = context.now();
       if (isSuspended(context.health, server.id, now)) continue;
--- a/src/node/gateway/use_report.ts
+++ b/src/node/gateway/use_report.ts
@@ -49,7 +49,10 @@
     running.set(place, (running.get(place) ?? 0) + 1);
     const used = this.#used.get(engine) ?? new Set<PlaceKey>();
     this.#used.set(engine, used.add(place));
+    let hasEnded = false;
     return () => {
+      if (hasEnded) return;
+      hasEnded = true;
       const left = (running.get(place) ?? 1) - 1;
       if (left > 0) running.set(place, left);
       else running.delete(place);
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -1,6 +1,7 @@
 import type { Either } from "purify-ts";
 import type { Millis } from "../core/clock.ts";
 import type { GatewayConfiguration } from "../core/gateway/configuration.ts";
+import type { IncomingAdapter } from "../core/gateway/engine_places.ts";
 import type { EngineOrder, OrderAnswer } from "../core/gateway/orders.ts";
 import type { BackendServer, ServerChange } from "../core/gateway/servers.ts";
 import type {
@@ -118,7 +119,7 @@
 export type EngineStatus = {
   readonly models: BackendServer["models"];
   /** Adapters on their way to the engine. */
-  readonly incoming: readonly PlaceKey[];
+  readonly incoming: readonly IncomingAdapter[];
   readonly busy: boolean;
   readonly orderCount: number;
 };
@@ -177,6 +178,8 @@
     readonly engine: ServerId;
     readonly place: PlaceKey;
     readonly version: number;
+    /** The engine has just answered that it does not hold the adapter. */
+    readonly wasDenied: boolean;
   }): Promise<PlaceAnswer>;
   reportUse(report: {
     readonly from: MachineName;
