--- a/src/adapters/http/endpoint.ts
+++ b/src/adapters/http/endpoint.ts
@@ -1,5 +1,5 @@
 import { type Either, Left } from "purify-ts";
-import { Client, type Dispatcher, Pool } from "undici";
+import { buildConnector, Client, type Dispatcher, Pool } from "undici";
 import { type Clock, type Millis, millis } from "../../core/clock.ts";
 import { type Meter, silentMeter } from "../../ports/journal.ts";
 import {
@@ -156,10 +156,28 @@
   }
 }
 
+const connectSocket = buildConnector({
+  timeout: connectTimeout satisfies Millis,
+});
+
+/**
+ * Connects, and gives resets another code: undici takes an answer without a
+ * length for complete when its connection ends with the code of a reset.
+ */
+const connect: buildConnector.connector = (options, callback) => {
+  connectSocket(options, (...result) => {
+    const [, socket] = result;
+    socket?.on("error", (error: NodeJS.ErrnoException) => {
+      if (error.code === "ECONNRESET") error.code = "ERR_CONNECTION_RESET";
+    });
+    callback(...result);
+  });
+};
+
 /** Timeouts of undici that are 0 are replaced by deadlines on the `Clock`. */
 const connectionOptions = {
   pipelining: 1,
-  connect: { timeout: connectTimeout satisfies Millis },
+  connect,
   headersTimeout: 0,
   bodyTimeout: 0,
   keepAliveTimeout: 4000,
--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -100,6 +100,13 @@
     this.#finish("cancelled");
   }
 
+  /** The node stops: a request that no server has got is refused. */
+  refuseIfWaiting(): void {
+    if (this.#ended || this.#send !== undefined || this.#runs > 0) return;
+    const detail = "The node stops before a server can take the request";
+    this.#refuse(refuse("draining", detail, { retryAfter: millis(0) }));
+  }
+
   async #run(): Promise<void> {
     const { context, service } = this.#options;
     context.countRequest(service);
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -179,6 +179,11 @@
     });
   }
 
+  /** Refuses every request that no server has got yet. */
+  refuseWaiting(): void {
+    for (const call of [...this.#open]) call.refuseIfWaiting();
+  }
+
   /** Gives up the leases and ends all tasks. */
   async stop(): Promise<void> {
     this.#cancelWatch();
