--- a/src/adapters/http/endpoint.ts
+++ b/src/adapters/http/endpoint.ts
@@ -146,6 +146,10 @@
         handler.onResponseData?.(controller, chunk),
       onResponseEnd: (controller, trailers) => {
         end();
+        if (isEndOfReset) {
+          const error = new Error("The connection was reset");
+          return handler.onResponseError?.(controller, error);
+        }
         handler.onResponseEnd?.(controller, trailers);
       },
       onResponseError: (controller, error) => {
@@ -160,9 +164,13 @@
   timeout: connectTimeout satisfies Millis,
 });
 
+/** The connection whose end is being handled was reset by the other side. */
+let isEndOfReset = false;
+
 /**
- * Connects, and gives resets another code: undici takes an answer without a
- * length for complete when its connection ends with the code of a reset.
+ * Connects, and tells resets from ends: undici takes an answer without a
+ * length for complete when its connection is reset, and Node reports a reset
+ * that arrives right behind data as an end. A write to such a connection fails.
  */
 const connect: buildConnector.connector = (options, callback) => {
   connectSocket(options, (...result) => {
@@ -170,6 +178,14 @@
     socket?.on("error", (error: NodeJS.ErrnoException) => {
       if (error.code === "ECONNRESET") error.code = "ERR_CONNECTION_RESET";
     });
+    socket?.on("end", () => {
+      socket.write(" ");
+      isEndOfReset = socket.errored !== null;
+      // undici handles the end within this turn.
+      queueMicrotask(() => {
+        isEndOfReset = false;
+      });
+    });
     callback(...result);
   });
 };
