--- a/src/adapters/peers/exchange_links.ts
+++ b/src/adapters/peers/exchange_links.ts
@@ -45,9 +45,10 @@
     report: Parameters<NodeLinks["reportUse"]>[1],
   ): Promise<boolean> {
     const signal = AbortSignal.timeout(reportTimeoutMillis);
-    const engines = report.engines.map(({ engine, places }) => ({
+    const engines = report.engines.map(({ engine, ran, awaited }) => ({
       engine,
-      places: [...places],
+      ran: [...ran],
+      awaited: [...awaited],
     }));
     try {
       const { client } = this.#obtain(address);
--- a/src/adapters/peers/exchange_router.ts
+++ b/src/adapters/peers/exchange_router.ts
@@ -10,6 +10,7 @@
 
 const trpc = initTRPC.context<NodeExchange>().create();
 const name = z.string().min(1).max(256);
+const places = z.array(name).max(maxPlaces);
 
 /** Calls that nodes make to the owners of engines. */
 export const exchangeRouter = trpc.router({
@@ -35,18 +36,17 @@
       z.object({
         from: name,
         engines: z
-          .array(
-            z.object({ engine: name, places: z.array(name).max(maxPlaces) }),
-          )
+          .array(z.object({ engine: name, ran: places, awaited: places }))
           .max(maxEngines),
       }),
     )
     .mutation(async ({ ctx, input }) => {
       await ctx.reportUse({
         from: brandString(input.from),
-        engines: input.engines.map(({ engine, places }) => ({
+        engines: input.engines.map(({ engine, ran, awaited }) => ({
           engine: brandString(engine),
-          places: places.map((place) => brandString(place)),
+          ran: ran.map((place) => brandString(place)),
+          awaited: awaited.map((place) => brandString(place)),
         })),
       });
       return { heard: true };
--- a/src/core/gateway/engine_places.ts
+++ b/src/core/gateway/engine_places.ts
@@ -132,7 +132,10 @@
   }
   for (const [key, place] of contents.places) {
     const listed = replaced.places.get(key);
-    if (listed === undefined) continue;
+    if (listed === undefined) {
+      if (now < place.readyAt + reportSkew) replaced.places.set(key, place);
+      continue;
+    }
     listed.usedAt = millis(Math.max(place.usedAt, place.readyAt));
     // Runs that the unload waits for keep the adapter listed.
     if (place.phase === "unloading") replaced.places.set(key, place);
@@ -150,6 +153,11 @@
   readonly version: number;
 };
 
+/**
+ * Time after a load in which a report may list the adapter neither as on its
+ * way nor as held, since its parts are of different age, in ms.
+ */
+const reportSkew = 800;
 /** Expected rest of a load that a report shows as under way, in ms. */
 const incomingRest = 100;
 
--- a/src/core/gateway/keeper.ts
+++ b/src/core/gateway/keeper.ts
@@ -42,6 +42,9 @@
 /** Time by which reports lag, and shortest time between two questions about loads, in ms. */
 const reportDelay = 110;
 const reportPause = 250;
+/** Reports before the first order, and time between them, in ms. */
+const firstReports = 2;
+const firstReportPause = 250;
 /** Shortest time between two questions that registrations raise, in ms. */
 const questionPause = 4_000;
 /** Time that an unload which waits for running requests may take, in ms. */
@@ -62,6 +65,7 @@
     sending: undefined,
     highestCount: 0,
     staleReports: 0,
+    reportsNeeded: firstReports,
     asking: false,
     askedAt: options.now,
     retryAt: options.now,
@@ -84,12 +88,7 @@
       acquire(state, event, { now, commands });
       break;
     case "used":
-      for (const key of event.keys) {
-        const place = state.contents.places.get(key);
-        if (place === undefined) continue;
-        place.usedAt = now;
-        if (place.phase === "held") place.isConfirmed = true;
-      }
+      noteUse(state, event, now);
       break;
     case "answered":
       absorbAnswer(state, event, { now, commands });
@@ -130,6 +129,24 @@
   }
 }
 
+function noteUse(
+  state: KeeperState,
+  { ran, awaited }: Extract<KeeperEvent, { type: "used" }>,
+  now: Millis,
+): void {
+  const { places } = state.contents;
+  for (const key of awaited) {
+    const place = places.get(key);
+    if (place !== undefined) place.usedAt = now;
+  }
+  for (const key of ran) {
+    const place = places.get(key);
+    if (place === undefined) continue;
+    place.usedAt = now;
+    if (place.phase === "held") place.isConfirmed = true;
+  }
+}
+
 function acquire(
   state: KeeperState,
   event: Extract<KeeperEvent, { type: "acquire" }>,
@@ -350,7 +367,9 @@
     return;
   }
   state.staleReports = 0;
-  state.orderCount = status.orderCount;
   state.highestCount = status.orderCount;
   state.contents = replacePlaces(state.contents, status, now);
+  if (state.reportsNeeded > 0) state.reportsNeeded--;
+  if (state.reportsNeeded > 0) state.retryAt = millis(now + firstReportPause);
+  else state.orderCount = status.orderCount;
 }
--- a/src/core/gateway/keeper_messages.ts
+++ b/src/core/gateway/keeper_messages.ts
@@ -34,6 +34,8 @@
   highestCount: number;
   /** Reports in a row that did not show all accepted orders. */
   staleReports: number;
+  /** Reports still needed before the first order; one alone may miss an adapter. */
+  reportsNeeded: number;
   asking: boolean;
   askedAt: Millis;
   /** No order is sent before this time. */
@@ -59,8 +61,12 @@
       /** The engine has just answered that it does not hold the adapter. */
       readonly wasDenied: boolean;
     }
-  /** Adapters on which requests ran lately. */
-  | { readonly type: "used"; readonly keys: readonly PlaceKey[] }
+  /** Adapters on which requests ran lately, and that requests wait for at the engine. */
+  | {
+      readonly type: "used";
+      readonly ran: readonly PlaceKey[];
+      readonly awaited: readonly PlaceKey[];
+    }
   | {
       readonly type: "answered";
       readonly order: EngineOrder;
--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -67,7 +67,7 @@
     const { request, route } = options;
     this.#passed = PassedAnswer.create(options.sink, {
       clock: options.context.setup.clock,
-      onStart: () => this.#noteUse(),
+      onStart: () => this.#noteUse("begun"),
     });
     const allowed = Math.min(
       route.timeout,
@@ -173,7 +173,7 @@
     }
     this.#record("requestSent", location.server);
     this.#server = location.server;
-    if (this.#passed.hasStarted) this.#noteUse();
+    this.#noteUse(this.#passed.hasStarted ? "begun" : "sent");
     return new Promise((resolve) => {
       this.#send = Send.start({
         context,
@@ -201,14 +201,16 @@
     });
   }
 
-  /** The engine runs the request: its owner is told that the adapter is in use. */
-  #noteUse(): void {
+  /** The engine's owner is told that the adapter is needed there. */
+  #noteUse(stage: "sent" | "begun"): void {
     const { uses, request } = this.#options;
     const { demand } = request;
     if (demand?.adapter === undefined || this.#server === undefined) return;
     const key = formatPlaceKey(demand.model, demand.adapter);
+    const { id } = this.#server;
     this.#releaseUse();
-    this.#releaseUse = uses.noteStart(this.#server.id, key);
+    this.#releaseUse =
+      stage === "sent" ? uses.noteSent(id, key) : uses.noteBegun(id, key);
   }
 
   /** Counts the send and decides what follows. */
--- a/src/node/gateway/engine_keeper.ts
+++ b/src/node/gateway/engine_keeper.ts
@@ -12,7 +12,11 @@
 import type { EngineOrder } from "../../core/gateway/orders.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import type { AdapterName, ModelName, PlaceKey } from "../../core/ids.ts";
-import type { EngineOrders, PlaceAnswer } from "../../ports/gateway.ts";
+import type {
+  EngineOrders,
+  EngineUse,
+  PlaceAnswer,
+} from "../../ports/gateway.ts";
 import { createDecisionLogic, type DecisionActor } from "../decision_actor.ts";
 import type { GatewayContext } from "./context.ts";
 import type { LeaseDesk } from "./lease_desk.ts";
@@ -89,8 +93,8 @@
   }
 
   /** Notes which adapters requests used lately. */
-  noteUse(keys: readonly PlaceKey[]): void {
-    this.#actor.send({ type: "used", keys });
+  noteUse({ ran, awaited }: EngineUse): void {
+    this.#actor.send({ type: "used", ran, awaited });
   }
 
   /** Ends the task; waiting nodes are told to look elsewhere. */
--- a/src/node/gateway/keepers.ts
+++ b/src/node/gateway/keepers.ts
@@ -76,9 +76,7 @@
   }
 
   noteUse(engines: readonly EngineUse[]): void {
-    for (const { engine, places } of engines) {
-      this.#keepers.get(engine)?.noteUse(places);
-    }
+    for (const use of engines) this.#keepers.get(use.engine)?.noteUse(use);
   }
 
   stop(): void {
--- a/src/node/gateway/use_report.ts
+++ b/src/node/gateway/use_report.ts
@@ -16,10 +16,11 @@
     readonly keepers: Keepers;
     readonly links: NodeLinks;
   };
-  /** Requests that run now, by engine and adapter. */
-  readonly #running = new Map<ServerId, Map<PlaceKey, number>>();
-  /** Adapters used since the last report. */
-  readonly #used = new Map<ServerId, Set<PlaceKey>>();
+  /** Requests that run now, and that wait at an engine, by engine and adapter. */
+  readonly #running: UseCounts = new Map();
+  readonly #awaited: UseCounts = new Map();
+  /** Adapters on which requests began since the last report. */
+  readonly #began = new Map<ServerId, Set<PlaceKey>>();
   #cancel: Cancel = () => {};
 
   private constructor(options: {
@@ -42,21 +43,16 @@
     return report;
   }
 
-  /** Counts a request that starts on an adapter; the result counts its end. */
-  noteStart(engine: ServerId, place: PlaceKey): () => void {
-    const running = this.#running.get(engine) ?? new Map<PlaceKey, number>();
-    this.#running.set(engine, running);
-    running.set(place, (running.get(place) ?? 0) + 1);
-    const used = this.#used.get(engine) ?? new Set<PlaceKey>();
-    this.#used.set(engine, used.add(place));
-    let hasEnded = false;
-    return () => {
-      if (hasEnded) return;
-      hasEnded = true;
-      const left = (running.get(place) ?? 1) - 1;
-      if (left > 0) running.set(place, left);
-      else running.delete(place);
-    };
+  /** Counts a request that an engine has got; the result counts its end. */
+  noteSent(engine: ServerId, place: PlaceKey): () => void {
+    return countUse(this.#awaited, engine, place);
+  }
+
+  /** Counts a request that begins to run on an adapter; the result counts its end. */
+  noteBegun(engine: ServerId, place: PlaceKey): () => void {
+    const began = this.#began.get(engine) ?? new Set<PlaceKey>();
+    this.#began.set(engine, began.add(place));
+    return countUse(this.#running, engine, place);
   }
 
   stop(): void {
@@ -81,10 +77,15 @@
       const uses = byHolder.get(holder) ?? [];
       byHolder.set(holder, uses);
       const running = this.#running.get(engine)?.keys() ?? [];
-      const used = this.#used.get(engine) ?? [];
-      uses.push({ engine, places: [...new Set([...running, ...used])] });
+      const began = this.#began.get(engine) ?? [];
+      const awaited = this.#awaited.get(engine)?.keys() ?? [];
+      uses.push({
+        engine,
+        ran: [...new Set([...running, ...began])],
+        awaited: [...awaited],
+      });
     }
-    this.#used.clear();
+    this.#began.clear();
     for (const [holder, engines] of byHolder) {
       if (holder === self) {
         keepers.noteUse(engines);
@@ -98,3 +99,23 @@
     }
   }
 }
+
+type UseCounts = Map<ServerId, Map<PlaceKey, number>>;
+
+function countUse(
+  counts: UseCounts,
+  engine: ServerId,
+  place: PlaceKey,
+): () => void {
+  const ofEngine = counts.get(engine) ?? new Map<PlaceKey, number>();
+  counts.set(engine, ofEngine);
+  ofEngine.set(place, (ofEngine.get(place) ?? 0) + 1);
+  let hasEnded = false;
+  return () => {
+    if (hasEnded) return;
+    hasEnded = true;
+    const left = (ofEngine.get(place) ?? 1) - 1;
+    if (left > 0) ofEngine.set(place, left);
+    else ofEngine.delete(place);
+  };
+}
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -166,10 +166,13 @@
       readonly reason: "not-owner" | "full" | "cold" | "unreachable";
     };
 
-/** Adapters of an engine that requests of a node used lately. */
+/** Adapters of an engine that requests of a node use. */
 export type EngineUse = {
   readonly engine: ServerId;
-  readonly places: readonly PlaceKey[];
+  /** Adapters on which requests run or ran since the last report. */
+  readonly ran: readonly PlaceKey[];
+  /** Adapters of requests that the engine has and has not begun. */
+  readonly awaited: readonly PlaceKey[];
 };
 
 /** What nodes ask of each other. */
