--- a/src/adapters/peers/exchange_links.ts
+++ b/src/adapters/peers/exchange_links.ts
@@ -3,10 +3,8 @@
 import type { NodeLinks, PlaceAnswer } from "../../ports/gateway.ts";
 import type { ExchangeRouter } from "./exchange_router.ts";
 
-/** Time for an owner to answer; it holds a request for an adapter for a second at most. */
-const acquireTimeoutMillis = 1_400;
-/** Time for a report to be answered, in ms. */
-const reportTimeoutMillis = 700;
+/** Time for an owner to answer; it holds a request for an adapter for 0.6 s at most. */
+const acquireTimeoutMillis = 900;
 /** Time for a connection to another node, in ms. */
 const connectTimeoutMillis = 500;
 /** Calls in flight to one node. */
@@ -40,27 +38,6 @@
     }
   }
 
-  async reportUse(
-    address: string,
-    report: Parameters<NodeLinks["reportUse"]>[1],
-  ): Promise<boolean> {
-    const signal = AbortSignal.timeout(reportTimeoutMillis);
-    const engines = report.engines.map(({ engine, ran, awaited }) => ({
-      engine,
-      ran: [...ran],
-      awaited: [...awaited],
-    }));
-    try {
-      const { client } = this.#obtain(address);
-      await client.reportUse.mutate({ ...report, engines }, { signal });
-      return true;
-    } catch {
-      // The silence itself is the result; the lease desk judges it.
-      this.#renew(address);
-      return false;
-    }
-  }
-
   /** Drops connections that may have gone silent. */
   #renew(address: string): void {
     const peer = this.#peers.get(address);
--- a/src/adapters/peers/exchange_router.ts
+++ b/src/adapters/peers/exchange_router.ts
@@ -4,13 +4,8 @@
 import { brandString } from "../../core/ids.ts";
 import type { NodeExchange } from "../../ports/gateway.ts";
 
-/** Engines in one report, and adapters of one engine. */
-const maxEngines = 1_000;
-const maxPlaces = 1_000;
-
 const trpc = initTRPC.context<NodeExchange>().create();
 const name = z.string().min(1).max(256);
-const places = z.array(name).max(maxPlaces);
 
 /** Calls that nodes make to the owners of engines. */
 export const exchangeRouter = trpc.router({
@@ -31,26 +26,6 @@
         wasDenied: input.wasDenied,
       }),
     ),
-  reportUse: trpc.procedure
-    .input(
-      z.object({
-        from: name,
-        engines: z
-          .array(z.object({ engine: name, ran: places, awaited: places }))
-          .max(maxEngines),
-      }),
-    )
-    .mutation(async ({ ctx, input }) => {
-      await ctx.reportUse({
-        from: brandString(input.from),
-        engines: input.engines.map(({ engine, ran, awaited }) => ({
-          engine: brandString(engine),
-          ran: ran.map((place) => brandString(place)),
-          awaited: awaited.map((place) => brandString(place)),
-        })),
-      });
-      return { heard: true };
-    }),
 });
 
 /** Type of the calls, for their client. */
--- /dev/null
+++ b/src/adapters/peers/use_datagrams.ts
@@ -0,0 +1,137 @@
+import { createSocket, type Socket } from "node:dgram";
+import { Packr } from "msgpackr";
+import { z } from "zod";
+import type { EngineLoad, EngineUse } from "../../core/gateway/engine_load.ts";
+import { brandString } from "../../core/ids.ts";
+import type { UseChannel, UseMessage } from "../../ports/gateway.ts";
+import type { Journal } from "../../ports/journal.ts";
+
+/** Engines in one datagram, so that it stays below the usual path MTU. */
+const enginesPerDatagram = 2;
+const maxDatagramBytes = 1_400;
+
+const name = z.string().min(1).max(256);
+const count = z.number().int().min(0);
+/** Messages as arrays: kind, sender, entries. */
+const messageFrame = z.union([
+  z.tuple([
+    z.literal("use"),
+    name,
+    z.array(z.tuple([name, z.array(name), z.array(name), count, count])),
+  ]),
+  z.tuple([z.literal("load"), name, z.array(z.tuple([name, count, count]))]),
+]);
+
+/** Reports of use and load between nodes, over UDP; a lost one is followed by the next. */
+export class UseDatagrams implements UseChannel {
+  readonly #socket: Socket;
+  readonly #packr = new Packr({ useRecords: false });
+  #listener: (message: UseMessage, from: string) => void = () => {};
+
+  private constructor(options: {
+    host: string;
+    port: number;
+    journal: Journal;
+  }) {
+    this.#socket = createSocket("udp4");
+    this.#socket.on("error", (error) => {
+      options.journal.record("useChannelFailed", { detail: error.message });
+    });
+    this.#socket.on("message", (frame, sender) => {
+      const message = this.#decode(frame);
+      if (message === undefined) return;
+      this.#listener(message, `${sender.address}:${sender.port}`);
+    });
+    this.#socket.bind(options.port, options.host);
+  }
+
+  static create(options: {
+    host: string;
+    port: number;
+    journal: Journal;
+  }): UseDatagrams {
+    return new UseDatagrams(options);
+  }
+
+  send(address: string, message: UseMessage): void {
+    const colon = address.lastIndexOf(":");
+    const host = address.slice(0, colon);
+    const port = Number(address.slice(colon + 1));
+    for (const frame of this.#encode(message)) {
+      if (frame.length > maxDatagramBytes) continue;
+      // A report that cannot be sent is followed by the next one.
+      this.#socket.send(frame, port, host, () => {});
+    }
+  }
+
+  onMessage(listener: (message: UseMessage, from: string) => void): void {
+    this.#listener = listener;
+  }
+
+  #encode(message: UseMessage): Buffer[] {
+    const entries =
+      message.type === "use"
+        ? message.engines.map((use) => [
+            use.engine,
+            use.ran,
+            use.awaited,
+            use.awaitedRequests,
+            use.awaitedTokens,
+          ])
+        : message.engines.map(({ engine, requests, tokens }) => [
+            engine,
+            requests,
+            tokens,
+          ]);
+    const frames: Buffer[] = [];
+    for (
+      let at = 0;
+      at === 0 || at < entries.length;
+      at += enginesPerDatagram
+    ) {
+      const part = entries.slice(at, at + enginesPerDatagram);
+      frames.push(this.#packr.pack([message.type, message.from, part]));
+    }
+    return frames;
+  }
+
+  /** Undefined for a datagram of another form. */
+  #decode(frame: Buffer): UseMessage | undefined {
+    let content: unknown;
+    try {
+      content = this.#packr.unpack(frame);
+    } catch {
+      return undefined;
+    }
+    const parsed = messageFrame.safeParse(content);
+    if (!parsed.success) return undefined;
+    const [type, sender] = parsed.data;
+    const from = brandString<UseMessage["from"]>(sender);
+    if (type === "use") {
+      const engines = parsed.data[2].map(
+        ([
+          engine,
+          ran,
+          awaited,
+          awaitedRequests,
+          awaitedTokens,
+        ]): EngineUse => ({
+          engine: brandString(engine),
+          ran: ran.map((key) => brandString(key)),
+          awaited: awaited.map((key) => brandString(key)),
+          awaitedRequests,
+          awaitedTokens,
+        }),
+      );
+      return { type, from, engines };
+    }
+    const engines = parsed.data[2].map(
+      ([engine, requests, tokens]): EngineLoad => ({
+        engine: brandString(engine),
+        requests,
+        tokens,
+      }),
+    );
+    return { type, from, engines };
+  }
+}
--- a/src/core/gateway/choose_server.ts
+++ b/src/core/gateway/choose_server.ts
@@ -30,10 +30,7 @@
 ) => BackendServer | undefined;
 
 /** Extra cost of sending to a server from where the node is. */
-export function rateDistance(
-  server: BackendServer,
-  outlook: ServerOutlook,
-): number {
+function rateDistance(server: BackendServer, outlook: ServerOutlook): number {
   if (server.dataCentre === outlook.dataCentre) return 0;
   return outlook.regionOf(server.dataCentre) === outlook.region
     ? otherDataCentreCost
--- /dev/null
+++ b/src/core/gateway/engine_load.ts
@@ -0,0 +1,84 @@
+import { type Millis, millis } from "../clock.ts";
+import type { MachineName, PlaceKey, ServerId } from "../ids.ts";
+
+/** What the requests of one node use of one engine. */
+export type EngineUse = {
+  readonly engine: ServerId;
+  /** Adapters on which requests run or ran since the last report. */
+  readonly ran: readonly PlaceKey[];
+  /** Adapters of requests that the engine has and has not begun. */
+  readonly awaited: readonly PlaceKey[];
+  /** Number of requests that the engine has not begun, and their prompt tokens. */
+  readonly awaitedRequests: number;
+  readonly awaitedTokens: number;
+};
+
+/** Requests that an engine has and has not begun. */
+export type EngineBacklog = {
+  readonly requests: number;
+  readonly tokens: number;
+};
+
+/** Backlog that other nodes caused at an engine, as its owner knows it. */
+export type EngineLoad = EngineBacklog & { readonly engine: ServerId };
+
+/** Time after which a report no longer tells about the load, in ms. */
+const loadLifetime = 1_500;
+/** Prompt tokens that an engine reads per ms, and its time per prompt beside that, in ms. */
+const tokensPerMs = 14;
+const timePerPrompt = 12;
+
+type Report = EngineBacklog & { readonly at: Millis };
+
+/** Reports of all nodes about the engines that one node owns. */
+export type LoadLedger = {
+  readonly byEngine: Map<ServerId, Map<MachineName, Report>>;
+};
+
+/** Ledger without reports. */
+export function createLoadLedger(): LoadLedger {
+  return { byEngine: new Map() };
+}
+
+/** Records what a node reported. */
+export function noteLoad(
+  ledger: LoadLedger,
+  report: { readonly from: MachineName; readonly use: EngineUse },
+  now: Millis,
+): void {
+  const { from, use } = report;
+  const reports = ledger.byEngine.get(use.engine) ?? new Map();
+  ledger.byEngine.set(use.engine, reports);
+  reports.set(from, {
+    requests: use.awaitedRequests,
+    tokens: use.awaitedTokens,
+    at: now,
+  });
+}
+
+/** Backlog that the other nodes caused at an engine. */
+export function sumOtherLoad(
+  ledger: LoadLedger,
+  of: { readonly engine: ServerId; readonly except: MachineName },
+  now: Millis,
+): EngineLoad {
+  let requests = 0;
+  let tokens = 0;
+  for (const [machine, report] of ledger.byEngine.get(of.engine) ?? []) {
+    if (machine === of.except || now > report.at + loadLifetime) continue;
+    requests += report.requests;
+    tokens += report.tokens;
+  }
+  return { engine: of.engine, requests, tokens };
+}
+
+/** Forgets the reports about an engine. */
+export function forgetLoad(ledger: LoadLedger, engine: ServerId): void {
+  ledger.byEngine.delete(engine);
+}
+
+/** Expected wait behind a backlog, in ms. */
+export function estimateBacklog(backlog: EngineBacklog): Millis {
+  const { requests, tokens } = backlog;
+  return millis(tokens / tokensPerMs + requests * timePerPrompt);
+}
--- a/src/core/gateway/engine_places.ts
+++ b/src/core/gateway/engine_places.ts
@@ -15,12 +15,14 @@
   readyAt: Millis;
   usedAt: Millis;
   /** Time at which the engine accepted the load. */
-  readonly orderedAt: Millis;
+  orderedAt: Millis;
   /**
    * The engine has shown that it holds the adapter. Until then it may still be
    * on its way, and an order to unload it would be answered and free nothing.
    */
   isConfirmed: boolean;
+  /** Time of the first report of those that did not show the adapter. */
+  missedAt: Millis | undefined;
 };
 
 /** Contents of one engine as its owner believes them to be. */
@@ -57,6 +59,7 @@
         usedAt: now,
         orderedAt: now,
         isConfirmed: true,
+        missedAt: undefined,
       });
     }
   }
@@ -128,12 +131,15 @@
       usedAt: readyAt,
       orderedAt: known?.orderedAt ?? now,
       isConfirmed: false,
+      missedAt: undefined,
     });
   }
   for (const [key, place] of contents.places) {
     const listed = replaced.places.get(key);
     if (listed === undefined) {
-      if (now < place.readyAt + reportSkew) replaced.places.set(key, place);
+      place.missedAt ??= now;
+      const isGone = now >= place.missedAt + reportSkew;
+      if (!isGone) replaced.places.set(key, place);
       continue;
     }
     listed.usedAt = millis(Math.max(place.usedAt, place.readyAt));
@@ -154,10 +160,11 @@
 };
 
 /**
- * Time after a load in which a report may list the adapter neither as on its
- * way nor as held, since its parts are of different age, in ms.
+ * Time for which reports have to miss an adapter before its place is free: one
+ * that has just been loaded may be listed neither as on its way nor as held,
+ * since the parts of a report are of different age, in ms.
  */
-const reportSkew = 800;
+export const reportSkew = 500;
 /** Expected rest of a load that a report shows as under way, in ms. */
 const incomingRest = 100;
 
@@ -193,7 +200,7 @@
 ) => Place | undefined;
 
 /** Time since its last known use before an adapter may be given up, in ms. */
-const idleBeforeEviction = 1_500;
+const idleBeforeEviction = 750;
 
 /** The held adapter whose last use is longest ago. */
 export const chooseLeastRecent: VictimPolicy = (places, now) => {
--- a/src/core/gateway/holdings.ts
+++ b/src/core/gateway/holdings.ts
@@ -2,8 +2,8 @@
 import type { PlaceKey, ServerId } from "../ids.ts";
 import { formatPlaceKey } from "../ids.ts";
 import { selectHomes } from "../placement/rendezvous.ts";
-import { rateDistance, type ServerOutlook } from "./choose_server.ts";
-import { countInFlight, isSuspended } from "./server_health.ts";
+import type { ServerOutlook } from "./choose_server.ts";
+import { isSuspended } from "./server_health.ts";
 import type { BackendServer } from "./servers.ts";
 
 /** What a node believes of one adapter at one engine. */
@@ -106,8 +106,15 @@
   return holding.readyAt;
 }
 
-/** Cost of one wait of 10 ms, in the unit of a call that waits ahead. */
-const waitCostPer10Ms = 0.3;
+/** Expected time of a load, in ms. */
+const loadTime = 320;
+/** Cost of another region or data centre, in ms of the request's time. */
+const otherRegionTime = 45;
+const otherDataCentreTime = 3;
+/** Time that a further copy of an adapter has to save before it is loaded, in ms. */
+const copyThreshold = 180;
+/** Time by which a later home in rendezvous order has to be better, in ms. */
+const homeThreshold = 120;
 
 /** An engine for a request, with the time at which it has the adapter if that is known. */
 export type EngineChoice = {
@@ -115,43 +122,61 @@
   readonly readyAt: Millis | undefined;
 };
 
+/** What the ranking of engines depends on. */
+export type EngineOutlook = ServerOutlook & {
+  readonly holdings: Holdings;
+  /** Expected wait at an engine behind other requests, in ms. */
+  readonly estimateWait: (engine: ServerId) => Millis;
+};
+
+type Rated = EngineChoice & { readonly cost: number };
+
 /**
- * Engines to try for an adapter, best first: those that hold it by wait,
- * distance and own load, then the others by rendezvous order, so that all
- * nodes ask the same owner for a load.
+ * Engines to try for an adapter, best first, by the time until the answer
+ * begins. Engines without it count a load, and come after one that holds it
+ * unless they save a good deal; they are taken in rendezvous order, so that
+ * all nodes ask the same owner for a load.
  */
 export function rankEngines(
   candidates: readonly BackendServer[],
   wanted: { readonly key: PlaceKey; readonly version: number },
-  outlook: ServerOutlook & { readonly holdings: Holdings },
+  outlook: EngineOutlook,
 ): EngineChoice[] {
-  const holders: { choice: EngineChoice; cost: number }[] = [];
-  const others: BackendServer[] = [];
+  const holders: Rated[] = [];
+  const others = new Map<ServerId, BackendServer>();
   for (const server of candidates) {
     if (isSuspended(outlook.health, server.id, outlook.now)) continue;
     const readyAt = findReadyAt(outlook.holdings, server.id, wanted);
     if (readyAt === undefined) {
-      others.push(server);
+      others.set(server.id, server);
       continue;
     }
-    const wait = Math.max(0, readyAt - outlook.now) / 10;
-    const cost =
-      rateDistance(server, outlook) +
-      wait * waitCostPer10Ms +
-      countInFlight(outlook.health, server.id) / server.slots;
-    holders.push({ choice: { server, readyAt }, cost });
+    const wait = Math.max(0, readyAt - outlook.now);
+    const cost = wait + rateEngine(server, outlook);
+    holders.push({ server, readyAt, cost });
   }
-  holders.sort((a, b) => a.cost - b.cost);
-  const byId = new Map(others.map((server) => [server.id, server]));
   const homes = selectHomes(wanted.key, {
-    engines: others.map(({ id }) => ({ engine: id, weight: 1 })),
-    count: others.length,
+    engines: [...others.keys()].map((engine) => ({ engine, weight: 1 })),
+    count: others.size,
+  });
+  const rated = homes.map((id, rank): Rated => {
+    const server = others.get(id) as BackendServer;
+    const base = loadTime + rank * homeThreshold;
+    const extra = holders.length > 0 ? copyThreshold : 0;
+    const cost = base + extra + rateEngine(server, outlook);
+    return { server, readyAt: undefined, cost };
   });
-  return [
-    ...holders.map(({ choice }) => choice),
-    ...homes.map((id) => ({
-      server: byId.get(id) as BackendServer,
-      readyAt: undefined,
-    })),
-  ];
+  return [...holders, ...rated].sort((a, b) => a.cost - b.cost);
+}
+
+/** Time that the distance and the backlog of an engine cost a request, in ms. */
+function rateEngine(server: BackendServer, outlook: EngineOutlook): number {
+  return rateDistance(server, outlook) + outlook.estimateWait(server.id);
+}
+
+function rateDistance(server: BackendServer, outlook: EngineOutlook): number {
+  if (server.dataCentre === outlook.dataCentre) return 0;
+  return outlook.regionOf(server.dataCentre) === outlook.region
+    ? otherDataCentreTime
+    : otherRegionTime;
 }
--- a/src/core/gateway/keeper.ts
+++ b/src/core/gateway/keeper.ts
@@ -1,6 +1,6 @@
 import { type Millis, millis } from "../clock.ts";
 import type { Decide, Decision } from "../decision.ts";
-import type { PlaceKey } from "../ids.ts";
+import { formatPlaceKey, type PlaceKey } from "../ids.ts";
 import type { EngineTraits } from "./configuration.ts";
 import {
   confirmListed,
@@ -10,6 +10,7 @@
   type Place,
   readPlaces,
   replacePlaces,
+  reportSkew,
 } from "./engine_places.ts";
 import type {
   KeeperCommand,
@@ -31,7 +32,7 @@
 /** Wait before the next try when an engine turns out not to have an adapter yet, in ms. */
 const deniedWait = 110;
 /** How long a request for an adapter may wait for room, in ms. */
-const maxWaitForRoom = 1_000;
+const maxWaitForRoom = 600;
 /** Requests for adapters that wait at one engine. */
 const maxWaitingPlaces = 64;
 /** Pause after an answer that calls for another try, in ms. */
@@ -143,7 +144,9 @@
     const place = places.get(key);
     if (place === undefined) continue;
     place.usedAt = now;
-    if (place.phase === "held") place.isConfirmed = true;
+    if (place.phase !== "held") continue;
+    place.isConfirmed = true;
+    place.missedAt = undefined;
   }
 }
 
@@ -240,7 +243,8 @@
   const { contents, traits } = state;
   const isFull = contents.places.size >= countCapacity(contents, traits);
   let overdue = 0;
-  for (const { isConfirmed, readyAt } of contents.places.values()) {
+  for (const { isConfirmed, missedAt, readyAt } of contents.places.values()) {
+    if (missedAt !== undefined && now > missedAt + reportSkew) return true;
     if (!isConfirmed && now > readyAt + reportDelay) overdue++;
   }
   if (overdue === 0) return false;
@@ -263,15 +267,21 @@
       if (order.operation === "unload") countOrder(state, order);
       return applyOrder(state, { order, isDone: true }, step);
     case "lost":
+      keepDoubtfulLoad(state, order, step.now);
+      state.orderCount = undefined;
+      state.retryAt = millis(step.now + conflictPause);
+      return;
     case "unreachable":
-      // Sent again with the same count, so that only one of the two takes effect.
+      withdrawLoad(state, order);
       state.retryAt = millis(step.now + conflictPause);
       return;
     case "conflict":
+      withdrawLoad(state, order);
       state.orderCount = undefined;
       state.retryAt = millis(step.now + conflictPause);
       return;
     case "rejected":
+      withdrawLoad(state, order);
       state.orderCount = undefined;
       state.retryAt = millis(step.now + rejectionPause);
       return;
@@ -300,44 +310,64 @@
     }
     return;
   }
-  const key = `${model}/${adapter}` as const;
-  const place = [...contents.places.values()].find((each) => each.key === key);
-  if (order.operation === "unload") {
-    if (place === undefined) return;
-    contents.earlier.add(place.key);
-    if (isDone) contents.places.delete(place.key);
-    else place.readyAt = millis(now + unloadTime);
-    return;
+  const key = formatPlaceKey(model, adapter);
+  if (order.operation === "load") {
+    return finishLoad(state, { order, key, isDone }, { now, commands });
   }
-  finishLoad(state, { order, isDone }, { now, commands });
+  const place = contents.places.get(key);
+  if (place === undefined) return;
+  contents.earlier.add(key);
+  if (isDone) contents.places.delete(key);
+  else place.readyAt = millis(now + unloadTime);
 }
 
+/** The place of an accepted load counts whether or not anyone still waits for it. */
 function finishLoad(
   state: KeeperState,
-  { order, isDone }: { order: EngineOrder; isDone: boolean },
+  load: { order: EngineOrder; key: PlaceKey; isDone: boolean },
   { now, commands }: Step,
 ): void {
-  const { contents, waiting } = state;
-  for (const [key, { model, adapter, tickets, version }] of waiting) {
-    if (model !== order.model || adapter !== order.adapter) continue;
-    waiting.delete(key);
-    const loadTime = isDone ? 0 : estimateLoadTime(state, key);
-    const readyAt = millis(now + loadTime);
-    contents.places.set(key, {
-      key,
-      model,
-      adapter,
-      version: order.version ?? version,
-      phase: isDone ? "held" : "loading",
-      readyAt,
-      usedAt: readyAt,
-      orderedAt: now,
-      isConfirmed: isDone,
-    });
-    for (const ticket of tickets) {
-      const reply = { kind: "ready", inMs: loadTime } as const;
-      commands.push({ type: "reply", ticket, reply });
-    }
+  const { order, key, isDone } = load;
+  const place = state.contents.places.get(key);
+  if (place === undefined) return;
+  const loadTime = isDone ? 0 : estimateLoadTime(state, key);
+  place.phase = isDone ? "held" : "loading";
+  place.readyAt = millis(now + loadTime);
+  place.usedAt = place.readyAt;
+  place.orderedAt = now;
+  place.isConfirmed = isDone;
+  place.version = Math.max(place.version, order.version ?? 0);
+  const waiting = state.waiting.get(key);
+  if (waiting === undefined || place.version < waiting.version) return;
+  state.waiting.delete(key);
+  for (const ticket of waiting.tickets) {
+    const reply = { kind: "ready", inMs: loadTime } as const;
+    commands.push({ type: "reply", ticket, reply });
+  }
+}
+
+/** Frees the place of a load that the engine has not accepted. */
+function withdrawLoad(state: KeeperState, order: EngineOrder): void {
+  const { model, adapter, operation } = order;
+  if (adapter === undefined || operation !== "load") return;
+  const key = formatPlaceKey(model, adapter);
+  const place = state.contents.places.get(key);
+  if (place !== undefined && place.readyAt === Number.POSITIVE_INFINITY) {
+    state.contents.places.delete(key);
+  }
+}
+
+/** An order without an answer may still be carried out; its place stays until reports miss it. */
+function keepDoubtfulLoad(
+  state: KeeperState,
+  order: EngineOrder,
+  now: Millis,
+): void {
+  if (order.adapter === undefined || order.operation !== "load") return;
+  const key = formatPlaceKey(order.model, order.adapter);
+  const place = state.contents.places.get(key);
+  if (place !== undefined && place.readyAt === Number.POSITIVE_INFINITY) {
+    place.readyAt = millis(now + state.coldLoadTime);
   }
 }
 
--- a/src/core/gateway/keeper_orders.ts
+++ b/src/core/gateway/keeper_orders.ts
@@ -1,6 +1,6 @@
-import type { Millis } from "../clock.ts";
-import type { ModelName } from "../ids.ts";
-import { countCapacity, countLoading } from "./engine_places.ts";
+import { type Millis, millis } from "../clock.ts";
+import type { ModelName, PlaceKey } from "../ids.ts";
+import { countCapacity, countLoading, type Place } from "./engine_places.ts";
 import type { KeeperState, WaitingPlace } from "./keeper_messages.ts";
 import type { EngineOrder } from "./orders.ts";
 
@@ -21,10 +21,13 @@
     const readyAt = contents.models.get(wanted.model);
     if (readyAt === undefined || readyAt > now) continue;
     const place = contents.places.get(key);
-    if (place?.phase === "unloading") continue;
+    if (place !== undefined && place.phase !== "held") continue;
     if (countLoading(contents) >= maxLoading) return undefined;
     if (place !== undefined) return orderLoad(wanted, orderCount);
-    if (contents.places.size < capacity) return orderLoad(wanted, orderCount);
+    if (contents.places.size < capacity) {
+      contents.places.set(key, createPlace(key, wanted, now));
+      return orderLoad(wanted, orderCount);
+    }
     const victim = state.policies.chooseVictim(contents.places.values(), now);
     if (victim === undefined) return undefined;
     victim.phase = "unloading";
@@ -40,6 +43,22 @@
   return undefined;
 }
 
+/** Place of an adapter whose load is ordered; its time is set once the engine accepts. */
+function createPlace(key: PlaceKey, wanted: WaitingPlace, now: Millis): Place {
+  return {
+    key,
+    model: wanted.model,
+    adapter: wanted.adapter,
+    version: wanted.version,
+    phase: "loading",
+    readyAt: millis(Number.POSITIVE_INFINITY),
+    usedAt: now,
+    orderedAt: now,
+    isConfirmed: false,
+    missedAt: undefined,
+  };
+}
+
 /** A base model that the engine should hold and does not, if it fits. */
 function findMissingModel(state: KeeperState): ModelName | undefined {
   const { contents, traits, waiting } = state;
--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -254,6 +254,11 @@
     meaning:
       "The process stood still or its clock jumped; leases are read again",
   },
+  useChannelFailed: {
+    number: 511,
+    level: "warn",
+    meaning: "The socket for reports between nodes failed",
+  },
   memberJoined: {
     number: 601,
     level: "info",
--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -210,7 +210,9 @@
     const { id } = this.#server;
     this.#releaseUse();
     this.#releaseUse =
-      stage === "sent" ? uses.noteSent(id, key) : uses.noteBegun(id, key);
+      stage === "sent"
+        ? uses.noteSent(id, key, demand.promptTokens)
+        : uses.noteBegun(id, key);
   }
 
   /** Counts the send and decides what follows. */
--- a/src/node/gateway/engine_keeper.ts
+++ b/src/node/gateway/engine_keeper.ts
@@ -1,6 +1,7 @@
 import { createActor } from "xstate";
 import { type Cancel, millis } from "../../core/clock.ts";
 import type { EngineTraits } from "../../core/gateway/configuration.ts";
+import type { EngineUse } from "../../core/gateway/engine_load.ts";
 import { chooseLeastRecent } from "../../core/gateway/engine_places.ts";
 import { createKeeperState, decideKeeper } from "../../core/gateway/keeper.ts";
 import type {
@@ -12,11 +13,7 @@
 import type { EngineOrder } from "../../core/gateway/orders.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import type { AdapterName, ModelName, PlaceKey } from "../../core/ids.ts";
-import type {
-  EngineOrders,
-  EngineUse,
-  PlaceAnswer,
-} from "../../ports/gateway.ts";
+import type { EngineOrders, PlaceAnswer } from "../../ports/gateway.ts";
 import { createDecisionLogic, type DecisionActor } from "../decision_actor.ts";
 import type { GatewayContext } from "./context.ts";
 import type { LeaseDesk } from "./lease_desk.ts";
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -22,6 +22,7 @@
   NodeLinks,
   PassedRequest,
   PlaceAnswer,
+  UseChannel,
 } from "../../ports/gateway.ts";
 import type { TableService } from "../../ports/table.ts";
 import { GatewayCall } from "./call.ts";
@@ -42,6 +43,7 @@
   readonly feed: InstallationFeed;
   readonly orders: EngineOrders;
   readonly nodeLinks: NodeLinks;
+  readonly useChannel: UseChannel;
 };
 
 /** Steers one request for its front end. */
@@ -75,12 +77,15 @@
       orders: options.orders,
       leases: this.#leases,
     });
-    this.#locator = Locator.create(this.context, this.#acquire);
     this.#uses = UseReport.create({
       context: this.context,
       leases: this.#leases,
       keepers: this.#keepers,
-      links: options.nodeLinks,
+      channel: options.useChannel,
+    });
+    this.#locator = Locator.create(this.context, {
+      acquire: this.#acquire,
+      estimateWait: (engine) => this.#uses.estimateWait(engine),
     });
     this.#clockGap = clock.wallNow() - clock.now();
   }
@@ -161,14 +166,6 @@
     return this.#keepers.acquire(request);
   }
 
-  /** Takes over which adapters the requests of another node use. */
-  async reportUse(
-    report: Parameters<NodeExchange["reportUse"]>[0],
-  ): Promise<void> {
-    this.#leases.noteHeard(report.from);
-    this.#keepers.noteUse(report.engines);
-  }
-
   /** Stops being ready; resolves once every open request has ended. */
   drain(): Promise<void> {
     this.#draining = true;
@@ -208,7 +205,7 @@
       return this.#keepers.acquire(request);
     }
     const address = this.#leases.findAddress(holder);
-    if (address === undefined) return refused;
+    if (address === undefined || this.#leases.isSilent(holder)) return refused;
     return this.#options.nodeLinks.acquire(address, request);
   };
 
@@ -272,6 +269,7 @@
     forgetHoldings(this.context.holdings, id);
     forgetServer(this.context.health, id);
     this.#options.links.forget(id);
+    this.#uses.forget(id);
     this.#options.journal.record("serverGone", { server: id });
     this.#keepers.refresh();
   }
--- a/src/node/gateway/keepers.ts
+++ b/src/node/gateway/keepers.ts
@@ -1,13 +1,21 @@
+import {
+  createLoadLedger,
+  type EngineLoad,
+  type EngineUse,
+  forgetLoad,
+  noteLoad,
+  sumOtherLoad,
+} from "../../core/gateway/engine_load.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import {
   type AdapterName,
   brandString,
+  type MachineName,
   type ModelName,
   type ServerId,
 } from "../../core/ids.ts";
 import type {
   EngineOrders,
-  EngineUse,
   NodeExchange,
   PlaceAnswer,
 } from "../../ports/gateway.ts";
@@ -20,6 +28,7 @@
   readonly #context: GatewayContext;
   readonly #orders: EngineOrders;
   readonly #leases: LeaseDesk;
+  readonly #ledger = createLoadLedger();
   readonly #keepers = new Map<ServerId, EngineKeeper>();
 
   private constructor(
@@ -75,8 +84,19 @@
     return keeper.acquire({ key: place, model, adapter, version, wasDenied });
   }
 
-  noteUse(engines: readonly EngineUse[]): void {
-    for (const use of engines) this.#keepers.get(use.engine)?.noteUse(use);
+  /** Takes over what a node uses; answers with the load that the others cause. */
+  noteUse(from: MachineName, engines: readonly EngineUse[]): EngineLoad[] {
+    const now = this.#context.now();
+    const loads: EngineLoad[] = [];
+    for (const use of engines) {
+      const keeper = this.#keepers.get(use.engine);
+      if (keeper === undefined) continue;
+      keeper.noteUse(use);
+      noteLoad(this.#ledger, { from, use }, now);
+      const of = { engine: use.engine, except: from };
+      loads.push(sumOtherLoad(this.#ledger, of, now));
+    }
+    return loads;
   }
 
   stop(): void {
@@ -100,6 +120,7 @@
 
   #stop(engine: ServerId): void {
     this.#keepers.get(engine)?.stop();
+    forgetLoad(this.#ledger, engine);
     this.#keepers.delete(engine);
   }
 }
--- a/src/node/gateway/lease_desk.ts
+++ b/src/node/gateway/lease_desk.ts
@@ -30,6 +30,9 @@
 /** Time between two claims of the same engine that failed, in ms. */
 const claimPause = millis(600);
 
+/** Silence after which a machine is not asked for adapters, in ms; it answers a report at least each second. */
+const silenceLimit = 1_700;
+
 const leasePrefix = "engine/";
 const nodePrefix = "node/";
 
@@ -94,6 +97,14 @@
     this.#state.heardAt.set(machine, this.#options.context.now());
   }
 
+  /** Whether a machine has not answered for so long that asking it is in vain. */
+  isSilent(machine: MachineName): boolean {
+    const heard = this.#state.heardAt.get(machine);
+    return (
+      heard !== undefined && this.#options.context.now() > heard + silenceLimit
+    );
+  }
+
   /** Other nodes known from the table. */
   nodes(): Iterable<KnownNode> {
     return this.#state.nodes.values();
--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -33,18 +33,24 @@
 /** Owners asked for an adapter before the request waits. */
 const maxOwnersAsked = 3;
 
+type LocatorOptions = {
+  readonly acquire: Acquire;
+  /** Expected wait at an engine behind other requests, in ms. */
+  readonly estimateWait: (engine: ServerId) => Millis;
+};
+
 /** Finds servers for requests; asks the owners of engines for adapters. */
 export class Locator {
   readonly #context: GatewayContext;
-  readonly #acquire: Acquire;
+  readonly #options: LocatorOptions;
 
-  private constructor(context: GatewayContext, acquire: Acquire) {
+  private constructor(context: GatewayContext, options: LocatorOptions) {
     this.#context = context;
-    this.#acquire = acquire;
+    this.#options = options;
   }
 
-  static create(context: GatewayContext, acquire: Acquire): Locator {
-    return new Locator(context, acquire);
+  static create(context: GatewayContext, options: LocatorOptions): Locator {
+    return new Locator(context, options);
   }
 
   /** A server that may take the request, or undefined if none can now. */
@@ -90,7 +96,10 @@
     const version = context.versions.get(key) ?? 0;
     const expected = version > 0 ? version : undefined;
     const wanted = { key, version };
-    const ranked = rankEngines(candidates, wanted, context.outlook());
+    const ranked = rankEngines(candidates, wanted, {
+      ...context.outlook(),
+      estimateWait: this.#options.estimateWait,
+    });
     let asked = 0;
     for (const { server, readyAt } of ranked) {
       if (readyAt !== undefined) return { server, readyAt, version: expected };
@@ -98,7 +107,7 @@
       asked++;
       const wasDenied = server.id === deniedBy;
       const request = { place: key, version, wasDenied };
-      const answer = await this.#acquire(server, request);
+      const answer = await this.#options.acquire(server, request);
       if (answer.kind !== "ready") continue;
       const now = context.now();
       if (isSuspended(context.health, server.id, now)) continue;
--- a/src/node/gateway/use_report.ts
+++ b/src/node/gateway/use_report.ts
@@ -1,121 +1,228 @@
-import { type Cancel, millis } from "../../core/clock.ts";
+import { type Cancel, type Millis, millis } from "../../core/clock.ts";
+import type {
+  EngineBacklog,
+  EngineLoad,
+  EngineUse,
+} from "../../core/gateway/engine_load.ts";
+import { estimateBacklog } from "../../core/gateway/engine_load.ts";
 import type { MachineName, PlaceKey, ServerId } from "../../core/ids.ts";
-import type { EngineUse, NodeLinks } from "../../ports/gateway.ts";
+import type { UseChannel, UseMessage } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
 import type { Keepers } from "./keepers.ts";
 import type { LeaseDesk } from "./lease_desk.ts";
 
-/** Time between two reports to the owners of engines, in ms. */
-const reportPeriod = millis(1_000);
+/** Time between two looks for changes that owners should hear of, in ms. */
+const reportPeriod = millis(150);
+/** Time between two reports to an owner while its engines are in use, and while they are not, in ms. */
+const busyPeriod = 400;
+const idlePeriod = 900;
+/** Time after which the load that an owner told is no longer counted, in ms. */
+const loadLifetime = 2_000;
 
-/** Tells the owners of engines which adapters are in use; also shows that they live. */
-export class UseReport {
-  readonly #options: {
-    readonly context: GatewayContext;
-    readonly leases: LeaseDesk;
-    readonly keepers: Keepers;
-    readonly links: NodeLinks;
-  };
-  /** Requests that run now, and that wait at an engine, by engine and adapter. */
-  readonly #running: UseCounts = new Map();
-  readonly #awaited: UseCounts = new Map();
+type UseReportOptions = {
+  readonly context: GatewayContext;
+  readonly leases: LeaseDesk;
+  readonly keepers: Keepers;
+  readonly channel: UseChannel;
+};
+
+/** What one node's requests do at one engine. */
+type OwnUse = {
+  readonly running: Map<PlaceKey, number>;
+  readonly awaited: Map<PlaceKey, number>;
   /** Adapters on which requests began since the last report. */
-  readonly #began = new Map<ServerId, Set<PlaceKey>>();
+  readonly began: Set<PlaceKey>;
+  requests: number;
+  tokens: number;
+  /** The owner has not heard of the latest changes. */
+  isChanged: boolean;
+};
+
+/**
+ * Tells the owners of engines which adapters are in use, and hears from them
+ * what the other nodes have waiting there; also shows which owners live.
+ */
+export class UseReport {
+  readonly #options: UseReportOptions;
+  readonly #uses = new Map<ServerId, OwnUse>();
+  readonly #loads = new Map<ServerId, EngineLoad & { readonly at: Millis }>();
+  readonly #reportedAt = new Map<MachineName, Millis>();
   #cancel: Cancel = () => {};
 
-  private constructor(options: {
-    readonly context: GatewayContext;
-    readonly leases: LeaseDesk;
-    readonly keepers: Keepers;
-    readonly links: NodeLinks;
-  }) {
+  private constructor(options: UseReportOptions) {
     this.#options = options;
   }
 
-  static create(options: {
-    readonly context: GatewayContext;
-    readonly leases: LeaseDesk;
-    readonly keepers: Keepers;
-    readonly links: NodeLinks;
-  }): UseReport {
+  static create(options: UseReportOptions): UseReport {
     const report = new UseReport(options);
+    options.channel.onMessage((message, from) => report.#hear(message, from));
     report.#tick();
     return report;
   }
 
   /** Counts a request that an engine has got; the result counts its end. */
-  noteSent(engine: ServerId, place: PlaceKey): () => void {
-    return countUse(this.#awaited, engine, place);
+  noteSent(engine: ServerId, place: PlaceKey, tokens: number): () => void {
+    const use = this.#obtain(engine);
+    use.requests++;
+    use.tokens += tokens;
+    const release = countUse(use, use.awaited, place);
+    return once(() => {
+      use.requests--;
+      use.tokens -= tokens;
+      release();
+    });
   }
 
   /** Counts a request that begins to run on an adapter; the result counts its end. */
   noteBegun(engine: ServerId, place: PlaceKey): () => void {
-    const began = this.#began.get(engine) ?? new Set<PlaceKey>();
-    this.#began.set(engine, began.add(place));
-    return countUse(this.#running, engine, place);
+    const use = this.#obtain(engine);
+    use.began.add(place);
+    return once(countUse(use, use.running, place));
+  }
+
+  /** Expected wait at an engine behind the requests of all nodes, in ms. */
+  estimateWait(engine: ServerId): Millis {
+    const own = this.#uses.get(engine);
+    const others = this.#loads.get(engine);
+    const isKnown =
+      others !== undefined &&
+      this.#options.context.now() < others.at + loadLifetime;
+    const backlog: EngineBacklog = {
+      requests: (own?.requests ?? 0) + (isKnown ? others.requests : 0),
+      tokens: (own?.tokens ?? 0) + (isKnown ? others.tokens : 0),
+    };
+    return estimateBacklog(backlog);
+  }
+
+  /** Forgets an engine that is gone. */
+  forget(engine: ServerId): void {
+    this.#uses.delete(engine);
+    this.#loads.delete(engine);
   }
 
   stop(): void {
     this.#cancel();
   }
 
+  #obtain(engine: ServerId): OwnUse {
+    let use = this.#uses.get(engine);
+    if (use === undefined) {
+      use = {
+        running: new Map(),
+        awaited: new Map(),
+        began: new Set(),
+        requests: 0,
+        tokens: 0,
+        isChanged: false,
+      };
+      this.#uses.set(engine, use);
+    }
+    return use;
+  }
+
   #tick(): void {
     const { context } = this.#options;
     this.#cancel = context.setup.clock.schedule(reportPeriod, () =>
       this.#tick(),
     );
-    this.#reportAll();
-  }
-
-  #reportAll(): void {
-    const { context, leases, keepers, links } = this.#options;
-    const { machine: self } = context.setup.identity;
-    const byHolder = new Map<MachineName, EngineUse[]>();
+    const byHolder = new Map<MachineName, ServerId[]>();
     for (const engine of context.directory.servers.keys()) {
-      const holder = leases.findHolder(engine);
+      const holder = this.#options.leases.findHolder(engine);
       if (holder === undefined) continue;
-      const uses = byHolder.get(holder) ?? [];
-      byHolder.set(holder, uses);
-      const running = this.#running.get(engine)?.keys() ?? [];
-      const began = this.#began.get(engine) ?? [];
-      const awaited = this.#awaited.get(engine)?.keys() ?? [];
-      uses.push({
-        engine,
-        ran: [...new Set([...running, ...began])],
-        awaited: [...awaited],
-      });
+      const engines = byHolder.get(holder);
+      if (engines === undefined) byHolder.set(holder, [engine]);
+      else engines.push(engine);
     }
-    this.#began.clear();
     for (const [holder, engines] of byHolder) {
-      if (holder === self) {
-        keepers.noteUse(engines);
-        continue;
-      }
-      const address = leases.findAddress(holder);
-      if (address === undefined) continue;
-      void links.reportUse(address, { from: self, engines }).then((heard) => {
-        if (heard) leases.noteHeard(holder);
-      });
+      if (this.#isDue(holder, engines)) this.#report(holder, engines);
     }
   }
-}
 
-type UseCounts = Map<ServerId, Map<PlaceKey, number>>;
+  #isDue(holder: MachineName, engines: readonly ServerId[]): boolean {
+    const age =
+      this.#options.context.now() -
+      (this.#reportedAt.get(holder) ?? Number.NEGATIVE_INFINITY);
+    if (age >= idlePeriod) return true;
+    return engines.some((engine) => {
+      const use = this.#uses.get(engine);
+      if (use === undefined) return false;
+      const isBusy = use.running.size > 0 || use.awaited.size > 0;
+      return use.isChanged || (isBusy && age >= busyPeriod);
+    });
+  }
+
+  #report(holder: MachineName, engines: readonly ServerId[]): void {
+    const { context, leases, keepers, channel } = this.#options;
+    const { machine: from } = context.setup.identity;
+    this.#reportedAt.set(holder, context.now());
+    const uses = engines.map((engine) => this.#takeUse(engine));
+    if (holder === from) {
+      this.#noteLoads(keepers.noteUse(from, uses));
+      return;
+    }
+    const address = leases.findAddress(holder);
+    if (address === undefined) return;
+    channel.send(address, { type: "use", from, engines: uses });
+  }
+
+  #takeUse(engine: ServerId): EngineUse {
+    const use = this.#uses.get(engine);
+    if (use === undefined) {
+      return {
+        engine,
+        ran: [],
+        awaited: [],
+        awaitedRequests: 0,
+        awaitedTokens: 0,
+      };
+    }
+    const ran = new Set([...use.running.keys(), ...use.began]);
+    use.began.clear();
+    use.isChanged = false;
+    return {
+      engine,
+      ran: [...ran],
+      awaited: [...use.awaited.keys()],
+      awaitedRequests: use.requests,
+      awaitedTokens: use.tokens,
+    };
+  }
+
+  #hear(message: UseMessage, address: string): void {
+    const { context, leases, keepers, channel } = this.#options;
+    leases.noteHeard(message.from);
+    if (message.type === "load") return this.#noteLoads(message.engines);
+    const engines = keepers.noteUse(message.from, message.engines);
+    const { machine: from } = context.setup.identity;
+    channel.send(address, { type: "load", from, engines });
+  }
+
+  #noteLoads(loads: readonly EngineLoad[]): void {
+    const at = this.#options.context.now();
+    for (const load of loads) this.#loads.set(load.engine, { ...load, at });
+  }
+}
 
 function countUse(
-  counts: UseCounts,
-  engine: ServerId,
+  use: OwnUse,
+  counts: Map<PlaceKey, number>,
   place: PlaceKey,
 ): () => void {
-  const ofEngine = counts.get(engine) ?? new Map<PlaceKey, number>();
-  counts.set(engine, ofEngine);
-  ofEngine.set(place, (ofEngine.get(place) ?? 0) + 1);
-  let hasEnded = false;
+  use.isChanged = true;
+  counts.set(place, (counts.get(place) ?? 0) + 1);
+  return () => {
+    use.isChanged = true;
+    const left = (counts.get(place) ?? 1) - 1;
+    if (left > 0) counts.set(place, left);
+    else counts.delete(place);
+  };
+}
+
+function once(action: () => void): () => void {
+  let isDone = false;
   return () => {
-    if (hasEnded) return;
-    hasEnded = true;
-    const left = (ofEngine.get(place) ?? 1) - 1;
-    if (left > 0) ofEngine.set(place, left);
-    else ofEngine.delete(place);
+    if (isDone) return;
+    isDone = true;
+    action();
   };
 }
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -1,6 +1,7 @@
 import type { Either } from "purify-ts";
 import type { Millis } from "../core/clock.ts";
 import type { GatewayConfiguration } from "../core/gateway/configuration.ts";
+import type { EngineLoad, EngineUse } from "../core/gateway/engine_load.ts";
 import type { IncomingAdapter } from "../core/gateway/engine_places.ts";
 import type { EngineOrder, OrderAnswer } from "../core/gateway/orders.ts";
 import type { BackendServer, ServerChange } from "../core/gateway/servers.ts";
@@ -166,13 +167,23 @@
       readonly reason: "not-owner" | "full" | "cold" | "unreachable";
     };
 
-/** Adapters of an engine that requests of a node use. */
-export type EngineUse = {
-  readonly engine: ServerId;
-  /** Adapters on which requests run or ran since the last report. */
-  readonly ran: readonly PlaceKey[];
-  /** Adapters of requests that the engine has and has not begun. */
-  readonly awaited: readonly PlaceKey[];
+/** Report between nodes: use of engines to their owner, or load from it. */
+export type UseMessage =
+  | {
+      readonly type: "use";
+      readonly from: MachineName;
+      readonly engines: readonly EngineUse[];
+    }
+  | {
+      readonly type: "load";
+      readonly from: MachineName;
+      readonly engines: readonly EngineLoad[];
+    };
+
+/** Unreliable messages between nodes, by `IP:PORT`. */
+export type UseChannel = {
+  send(address: string, message: UseMessage): void;
+  onMessage(listener: (message: UseMessage, from: string) => void): void;
 };
 
 /** What nodes ask of each other. */
@@ -184,10 +195,6 @@
     /** The engine has just answered that it does not hold the adapter. */
     readonly wasDenied: boolean;
   }): Promise<PlaceAnswer>;
-  reportUse(report: {
-    readonly from: MachineName;
-    readonly engines: readonly EngineUse[];
-  }): Promise<void>;
 };
 
 /** Way to the other nodes; each call has a deadline and fails as `unreachable`. */
@@ -196,9 +203,4 @@
     address: string,
     request: Parameters<NodeExchange["acquire"]>[0],
   ): Promise<PlaceAnswer>;
-  /** False if the node did not answer in time. */
-  reportUse(
-    address: string,
-    report: Parameters<NodeExchange["reportUse"]>[0],
-  ): Promise<boolean>;
 };
