--- a/src/core/gateway/keeper.ts
+++ b/src/core/gateway/keeper.ts
@@ -43,9 +43,10 @@
 /** Time by which reports lag, and shortest time between two questions about loads, in ms. */
 const reportDelay = 110;
 const reportPause = 250;
-/** Reports before the first order, and time between them, in ms. */
-const firstReports = 2;
+/** Time between the first reports, in ms. */
 const firstReportPause = 250;
+/** Count of orders before the first report. */
+const unknownCount = -1;
 /** Shortest time between two questions that registrations raise, in ms. */
 const questionPause = 4_000;
 /** Time that an unload which waits for running requests may take, in ms. */
@@ -64,9 +65,9 @@
     policies: options.policies,
     orderCount: undefined,
     sending: undefined,
-    highestCount: 0,
+    highestCount: unknownCount,
     staleReports: 0,
-    reportsNeeded: firstReports,
+    isNew: true,
     asking: false,
     askedAt: options.now,
     retryAt: options.now,
@@ -397,9 +398,13 @@
     return;
   }
   state.staleReports = 0;
+  const isSettled = status.orderCount === state.highestCount;
   state.highestCount = status.orderCount;
   state.contents = replacePlaces(state.contents, status, now);
-  if (state.reportsNeeded > 0) state.reportsNeeded--;
-  if (state.reportsNeeded > 0) state.retryAt = millis(now + firstReportPause);
-  else state.orderCount = status.orderCount;
+  if (state.isNew && !isSettled) {
+    state.retryAt = millis(now + firstReportPause);
+    return;
+  }
+  state.isNew = false;
+  state.orderCount = status.orderCount;
 }
--- /dev/null
+++ b/tests/gateway/engine_oracle.ts
@@ -0,0 +1,134 @@
+import { type Millis, millis } from "../../src/core/clock.ts";
+import type { EngineTraits } from "../../src/core/gateway/configuration.ts";
+import type { IncomingAdapter } from "../../src/core/gateway/engine_places.ts";
+import type {
+  EngineOrder,
+  OrderAnswer,
+} from "../../src/core/gateway/orders.ts";
+import type { HeldModel } from "../../src/core/gateway/servers.ts";
+import {
+  type AdapterName,
+  brandString,
+  type ModelName,
+} from "../../src/core/ids.ts";
+
+export const model: ModelName = brandString("base");
+
+export const traits: EngineTraits = {
+  slots: 128,
+  cacheTokens: 150_000,
+  models: [
+    { name: model, weightsMb: 34_300, adapterMb: 40, loadTime: millis(2_000) },
+  ],
+  weightsMb: 35_700,
+  adapterPlaces: 4,
+};
+
+/** Adapters that may be on their way at once. */
+const maxIncoming = 4;
+/** Age of what a report says is held, and of what it says is on its way, in ms. */
+const heldLag = 100;
+const incomingLag = 20;
+
+type Snapshot = {
+  readonly at: Millis;
+  readonly held: readonly AdapterName[];
+  readonly incoming: readonly AdapterName[];
+  readonly orderCount: number;
+};
+
+/** An engine with the behaviour that the owner must cope with. */
+export class EngineOracle {
+  readonly held = new Set<AdapterName>();
+  readonly incoming = new Map<AdapterName, Millis>();
+  readonly running = new Map<AdapterName, Millis>();
+  /** Adapters that are unloaded once their runs have ended. */
+  readonly leaving = new Set<AdapterName>();
+  readonly #history: Snapshot[] = [];
+  orderCount = 0;
+  /** Most places taken at once. */
+  mostPlaces = 0;
+
+  /** Lets loads, runs and unloads end. */
+  advance(now: Millis): void {
+    for (const [adapter, readyAt] of this.incoming) {
+      if (now < readyAt) continue;
+      this.incoming.delete(adapter);
+      this.held.add(adapter);
+    }
+    for (const [adapter, endsAt] of this.running) {
+      if (now < endsAt) continue;
+      this.running.delete(adapter);
+      if (this.leaving.delete(adapter)) this.held.delete(adapter);
+    }
+    this.mostPlaces = Math.max(
+      this.mostPlaces,
+      this.held.size + this.incoming.size,
+    );
+    this.#history.push({
+      at: now,
+      held: [...this.held],
+      incoming: [...this.incoming.keys()],
+      orderCount: this.orderCount,
+    });
+  }
+
+  order(order: EngineOrder, options: { now: Millis; loadTime: number }) {
+    const adapter = order.adapter as AdapterName;
+    const conflict: OrderAnswer = { kind: "conflict", detail: "409" };
+    if (order.expectedCount !== this.orderCount) return conflict;
+    if (this.leaving.size > 0) return conflict;
+    return order.operation === "load"
+      ? this.#load(adapter, options)
+      : this.#unload(adapter);
+  }
+
+  #load(
+    adapter: AdapterName,
+    { now, loadTime }: { now: Millis; loadTime: number },
+  ): OrderAnswer {
+    if (this.held.has(adapter)) return { kind: "done" };
+    if (this.incoming.size >= maxIncoming) {
+      return { kind: "conflict", detail: "409" };
+    }
+    this.orderCount++;
+    this.incoming.set(adapter, millis(now + loadTime));
+    return { kind: "accepted" };
+  }
+
+  #unload(adapter: AdapterName): OrderAnswer {
+    // An adapter on its way counts as absent: the order holds and frees nothing.
+    this.orderCount++;
+    if (!this.held.has(adapter)) return { kind: "done" };
+    if (this.running.has(adapter)) {
+      this.leaving.add(adapter);
+      return { kind: "accepted" };
+    }
+    this.held.delete(adapter);
+    return { kind: "done" };
+  }
+
+  /** Report whose parts are of different age. */
+  report(now: Millis): {
+    models: HeldModel[];
+    incoming: IncomingAdapter[];
+    orderCount: number;
+  } {
+    const old = this.#find(millis(now - heldLag));
+    const recent = this.#find(millis(now - incomingLag));
+    const adapters = (old?.held ?? []).map((name) => ({ name, version: 1 }));
+    return {
+      models: [{ name: model, version: 1, adapters }],
+      incoming: (recent?.incoming ?? []).map((adapter) => ({
+        model,
+        adapter,
+        version: 1,
+      })),
+      orderCount: old?.orderCount ?? 0,
+    };
+  }
+
+  #find(at: Millis): Snapshot | undefined {
+    return this.#history.findLast((snapshot) => snapshot.at <= at);
+  }
+}
