--- /dev/null
+++ b/src/core/gateway/keeper_acquire.ts
@@ -0,0 +1,111 @@
+import { type Millis, millis } from "../clock.ts";
+import type { Place } from "./engine_places.ts";
+import type {
+  KeeperCommand,
+  KeeperEvent,
+  KeeperState,
+} from "./keeper_messages.ts";
+
+/** Longest expected time of an adapter load from the weight store, in ms. */
+const longestLoadTime = 1_500;
+/** Wait before the next try when an engine turns out not to have an adapter yet, in ms. */
+const deniedWait = 110;
+/** How long a request for an adapter may wait for room, in ms. */
+const maxWaitForRoom = 600;
+/** Requests for adapters that wait at one engine. */
+const maxWaitingPlaces = 64;
+
+/** Time of an event and the commands that it leads to. */
+export type KeeperStep = {
+  readonly now: Millis;
+  readonly commands: KeeperCommand[];
+};
+
+/** Notes which adapters requests need or ran on. */
+export function noteUse(
+  state: KeeperState,
+  { ran, awaited }: Extract<KeeperEvent, { type: "used" }>,
+  now: Millis,
+): void {
+  const { places } = state.contents;
+  for (const key of awaited) {
+    const place = places.get(key);
+    if (place !== undefined) place.usedAt = now;
+  }
+  for (const key of ran) {
+    const place = places.get(key);
+    if (place === undefined) continue;
+    place.usedAt = now;
+    if (place.phase !== "held") continue;
+    place.isConfirmed = true;
+    place.missedAt = undefined;
+  }
+}
+
+/** Promises an adapter, or lets the request wait until its load is ordered. */
+export function acquire(
+  state: KeeperState,
+  event: Extract<KeeperEvent, { type: "acquire" }>,
+  { now, commands }: KeeperStep,
+): void {
+  const { ticket, key, model, adapter, version, wasDenied } = event;
+  const place = state.contents.places.get(key);
+  if (wasDenied && place !== undefined) absorbDenial(state, place, now);
+  const isUsable =
+    place !== undefined &&
+    place.phase !== "unloading" &&
+    place.version >= version;
+  if (isUsable) {
+    place.usedAt = now;
+    const inMs = Math.max(0, place.readyAt - now);
+    commands.push({ type: "reply", ticket, reply: { kind: "ready", inMs } });
+    return;
+  }
+  const waiting = state.waiting.get(key);
+  if (waiting !== undefined) {
+    waiting.version = Math.max(waiting.version, version);
+    waiting.tickets.push(ticket);
+    return;
+  }
+  if (state.waiting.size >= maxWaitingPlaces) {
+    const reply = { kind: "refused", reason: "full" } as const;
+    commands.push({ type: "reply", ticket, reply });
+    return;
+  }
+  const tickets = [ticket];
+  state.waiting.set(key, { model, adapter, version, since: now, tickets });
+}
+
+/** The engine does not hold an adapter that was thought to be there. */
+function absorbDenial(state: KeeperState, place: Place, now: Millis): void {
+  if (place.phase !== "held") return;
+  if (place.isConfirmed) {
+    // Something else than a slow load took it away.
+    state.orderCount = undefined;
+    return;
+  }
+  const taken = now - place.orderedAt + deniedWait;
+  state.coldLoadTime = Math.min(
+    longestLoadTime,
+    Math.max(state.coldLoadTime, taken),
+  );
+  place.phase = "loading";
+  place.readyAt = millis(now + deniedWait);
+}
+
+/** Tells requests that waited for room too long to look elsewhere. */
+export function refuseOverdue(
+  state: KeeperState,
+  now: Millis,
+  commands: KeeperCommand[],
+): void {
+  for (const [key, { since, tickets, model }] of state.waiting) {
+    if (now < since + maxWaitForRoom) continue;
+    state.waiting.delete(key);
+    const reason = state.contents.models.has(model) ? "full" : "cold";
+    for (const ticket of tickets) {
+      const reply = { kind: "refused", reason } as const;
+      commands.push({ type: "reply", ticket, reply });
+    }
+  }
+}
--- /dev/null
+++ b/src/core/gateway/keeper_answers.ts
@@ -0,0 +1,146 @@
+import { type Millis, millis } from "../clock.ts";
+import { formatPlaceKey, type PlaceKey } from "../ids.ts";
+import type { KeeperStep } from "./keeper_acquire.ts";
+import type { KeeperState } from "./keeper_messages.ts";
+import type { EngineOrder, OrderAnswer } from "./orders.ts";
+
+/** Shortest expected time of an adapter load from the weight store, in ms. */
+export const shortestLoadTime = 265;
+/** Expected time of a load of an adapter that the engine held earlier, in ms. */
+const warmLoadTime = 45;
+/** Part of its excess that the expected load time loses with each load. */
+const loadTimeDecay = 0.1;
+/** Pause after an answer that calls for another try, in ms. */
+export const conflictPause = 120;
+const rejectionPause = 500;
+/** Time that an unload which waits for running requests may take, in ms. */
+export const unloadTime = 4_000;
+
+/** Takes over how an engine answered an order. */
+export function absorbAnswer(
+  state: KeeperState,
+  { order, answer }: { order: EngineOrder; answer: OrderAnswer },
+  step: KeeperStep,
+): void {
+  if (state.sending !== order) return;
+  state.sending = undefined;
+  switch (answer.kind) {
+    case "accepted":
+      countOrder(state, order);
+      return applyOrder(state, { order, isDone: false }, step);
+    case "done":
+      // An unload that is done at once counts; a load that holds already does not.
+      if (order.operation === "unload") countOrder(state, order);
+      return applyOrder(state, { order, isDone: true }, step);
+    case "lost":
+      keepDoubtfulLoad(state, order, step.now);
+      state.orderCount = undefined;
+      state.retryAt = millis(step.now + conflictPause);
+      return;
+    case "unreachable":
+      withdrawLoad(state, order);
+      state.retryAt = millis(step.now + conflictPause);
+      return;
+    case "conflict":
+      withdrawLoad(state, order);
+      state.orderCount = undefined;
+      state.retryAt = millis(step.now + conflictPause);
+      return;
+    case "rejected":
+      withdrawLoad(state, order);
+      state.orderCount = undefined;
+      state.retryAt = millis(step.now + rejectionPause);
+      return;
+  }
+}
+
+function countOrder(state: KeeperState, order: EngineOrder): void {
+  state.orderCount = order.expectedCount + 1;
+  state.highestCount = state.orderCount;
+}
+
+function applyOrder(
+  state: KeeperState,
+  { order, isDone }: { order: EngineOrder; isDone: boolean },
+  { now, commands }: KeeperStep,
+): void {
+  const { contents } = state;
+  const { model, adapter } = order;
+  if (adapter === undefined) {
+    const traits = state.traits.models.find(({ name }) => name === model);
+    const loadTime = isDone ? 0 : (traits?.loadTime ?? 0);
+    if (order.operation === "load") {
+      contents.models.set(model, millis(now + loadTime));
+    } else {
+      contents.models.delete(model);
+    }
+    return;
+  }
+  const key = formatPlaceKey(model, adapter);
+  if (order.operation === "load") {
+    return finishLoad(state, { order, key, isDone }, { now, commands });
+  }
+  const place = contents.places.get(key);
+  if (place === undefined) return;
+  contents.earlier.add(key);
+  if (isDone) contents.places.delete(key);
+  else place.readyAt = millis(now + unloadTime);
+}
+
+/** The place of an accepted load counts whether or not anyone still waits for it. */
+function finishLoad(
+  state: KeeperState,
+  load: { order: EngineOrder; key: PlaceKey; isDone: boolean },
+  { now, commands }: KeeperStep,
+): void {
+  const { order, key, isDone } = load;
+  const place = state.contents.places.get(key);
+  if (place === undefined) return;
+  const loadTime = isDone ? 0 : estimateLoadTime(state, key);
+  place.phase = isDone ? "held" : "loading";
+  place.readyAt = millis(now + loadTime);
+  place.usedAt = place.readyAt;
+  place.orderedAt = now;
+  place.isConfirmed = isDone;
+  place.version = Math.max(place.version, order.version ?? 0);
+  const waiting = state.waiting.get(key);
+  if (waiting === undefined || place.version < waiting.version) return;
+  state.waiting.delete(key);
+  for (const ticket of waiting.tickets) {
+    const reply = { kind: "ready", inMs: loadTime } as const;
+    commands.push({ type: "reply", ticket, reply });
+  }
+}
+
+/** Frees the place of a load that the engine has not accepted. */
+function withdrawLoad(state: KeeperState, order: EngineOrder): void {
+  const { model, adapter, operation } = order;
+  if (adapter === undefined || operation !== "load") return;
+  const key = formatPlaceKey(model, adapter);
+  const place = state.contents.places.get(key);
+  if (place !== undefined && place.readyAt === Number.POSITIVE_INFINITY) {
+    state.contents.places.delete(key);
+  }
+}
+
+/** An order without an answer may still be carried out; its place stays until reports miss it. */
+function keepDoubtfulLoad(
+  state: KeeperState,
+  order: EngineOrder,
+  now: Millis,
+): void {
+  if (order.adapter === undefined || order.operation !== "load") return;
+  const key = formatPlaceKey(order.model, order.adapter);
+  const place = state.contents.places.get(key);
+  if (place !== undefined && place.readyAt === Number.POSITIVE_INFINITY) {
+    place.readyAt = millis(now + state.coldLoadTime);
+  }
+}
+
+/** Expected time of a load; an excess learned under contention fades with each load. */
+function estimateLoadTime(state: KeeperState, key: PlaceKey): number {
+  if (state.contents.earlier.has(key)) return warmLoadTime;
+  const excess = state.coldLoadTime - shortestLoadTime;
+  state.coldLoadTime = shortestLoadTime + excess * (1 - loadTimeDecay);
+  return state.coldLoadTime;
+}
--- /dev/null
+++ b/tests/gateway/engine_lease_test.ts
@@ -0,0 +1,182 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Millis, millis } from "../../src/core/clock.ts";
+import {
+  absorbLeases,
+  createLeaseState,
+  defaultLeaseSettings,
+  doubtLeases,
+  findOrderRight,
+  type KnownNode,
+  type LeaseRow,
+  type LeaseState,
+  noteClaimed,
+  planLeaseClaims,
+} from "../../src/core/gateway/engine_lease.ts";
+import {
+  brandNumber,
+  brandString,
+  type DataCentre,
+  type MachineName,
+  type ServerId,
+} from "../../src/core/ids.ts";
+
+const engine: ServerId = brandString("i-1");
+const dataCentre: DataCentre = brandString("tatry-a");
+const engines = [{ engine, dataCentre }];
+const settings = defaultLeaseSettings;
+
+function createNode(machine: string): LeaseState {
+  return createLeaseState({
+    machine: brandString(machine),
+    process: `${machine}/1`,
+    dataCentre,
+    settings,
+  });
+}
+
+function nodes(...machines: string[]): KnownNode[] {
+  return machines.map((machine) => ({
+    machine: brandString(machine),
+    dataCentre,
+    address: `${machine}:1`,
+  }));
+}
+
+function row(
+  machine: string,
+  options: { fence?: number; version?: number } & Partial<
+    Pick<LeaseRow, "released">
+  > = {},
+) {
+  return {
+    machine: brandString<MachineName>(machine),
+    process: `${machine}/1`,
+    fence: brandNumber<LeaseRow["fence"]>(options.fence ?? 3),
+    released: options.released ?? false,
+    rowVersion: options.version ?? 50,
+  };
+}
+
+function read(state: LeaseState, now: number, lease?: ReturnType<typeof row>) {
+  absorbLeases(state, {
+    leases: new Map(lease === undefined ? [] : [[engine, lease]]),
+    nodes: nodes("a", "b", "c"),
+    sentAt: millis(now),
+    now: millis(now),
+  });
+}
+
+/** Claims as soon as the node may; returns the claim and its time. */
+function claimFrom(state: LeaseState, start: number, limit = 20_000) {
+  for (let at = start; at < start + limit; at += 50) {
+    const [claim] = planLeaseClaims(state, engines, millis(at));
+    if (claim !== undefined) return { claim, at: millis(at) };
+  }
+  return undefined;
+}
+
+test("an engine without a lease is claimed by one node first", () => {
+  const times = ["a", "b", "c"].map((name) => {
+    const state = createNode(name);
+    read(state, 0);
+    return claimFrom(state, 0)?.at as Millis;
+  });
+  assert.equal(new Set(times).size, 3);
+  assert.equal(Math.min(...times), 0);
+});
+
+test("a node orders only while its lease is confirmed by a recent read", () => {
+  const state = createNode("a");
+  read(state, 0);
+  const { claim } = claimFrom(state, 0) as NonNullable<
+    ReturnType<typeof claimFrom>
+  >;
+  noteClaimed(state, claim, { rowVersion: 7, now: millis(100) });
+  assert.equal(findOrderRight(state, engine, millis(150)), 1);
+  const end = millis(settings.validity);
+  assert.equal(findOrderRight(state, engine, end), undefined);
+});
+
+test("a restart on the same machine takes its engine at once under a higher fence", () => {
+  const state = createNode("a");
+  read(state, 0, row("a", { fence: 8 }));
+  const [claim] = planLeaseClaims(state, engines, millis(0));
+  assert.equal(claim?.fence, 9);
+  assert.equal(claim?.wait, 0);
+  assert.equal(claim?.basis, 50);
+});
+
+test("a holder that is heard from keeps its engine", () => {
+  const state = createNode("a");
+  read(state, 0, row("b"));
+  for (let now = 0; now < 30_000; now += 500) {
+    state.heardAt.set(brandString("b"), millis(now));
+    assert.deepEqual(planLeaseClaims(state, engines, millis(now)), []);
+  }
+});
+
+// Guards against two holders whose orders take turns.
+test("a successor orders only when the last holder can no longer do so", () => {
+  const holder = createNode("b");
+  read(holder, 0);
+  const first = claimFrom(holder, 0) as NonNullable<
+    ReturnType<typeof claimFrom>
+  >;
+  noteClaimed(holder, first.claim, { rowVersion: 50, now: first.at });
+  // The holder reads once more and is then cut off.
+  read(holder, 2_000, row("b", { fence: 1 }));
+  const successor = createNode("a");
+  read(successor, 2_000, row("b", { fence: 1 }));
+  const next = claimFrom(successor, 2_000) as NonNullable<
+    ReturnType<typeof claimFrom>
+  >;
+  noteClaimed(successor, next.claim, { rowVersion: 60, now: next.at });
+  let lastOrder = 0;
+  let firstOrder = Number.POSITIVE_INFINITY;
+  for (let now = 2_000; now < 40_000; now += 10) {
+    successor.readAt = millis(now);
+    if (findOrderRight(holder, engine, millis(now)) !== undefined)
+      lastOrder = now;
+    if (findOrderRight(successor, engine, millis(now)) !== undefined) {
+      firstOrder = Math.min(firstOrder, now);
+    }
+  }
+  assert.ok(Number.isFinite(firstOrder));
+  assert.ok(
+    firstOrder >= lastOrder + 3_000,
+    `${firstOrder} after ${lastOrder}`,
+  );
+});
+
+test("a released engine is kept for a restart, then taken after a quiet time", () => {
+  const state = createNode("a");
+  read(state, 0, row("b", { released: true }));
+  const next = claimFrom(state, 0) as NonNullable<ReturnType<typeof claimFrom>>;
+  assert.ok(next.at >= settings.restart);
+  assert.equal(next.claim.wait, settings.quiet);
+});
+
+test("a lease that another node took ends the right to order", () => {
+  const state = createNode("a");
+  read(state, 0);
+  const { claim } = claimFrom(state, 0) as NonNullable<
+    ReturnType<typeof claimFrom>
+  >;
+  noteClaimed(state, claim, { rowVersion: 7, now: millis(0) });
+  read(state, 1_000, row("b", { version: 9 }));
+  assert.equal(findOrderRight(state, engine, millis(1_000)), undefined);
+});
+
+test("after a pause of the process no order is given before the next read", () => {
+  const state = createNode("a");
+  read(state, 0);
+  const { claim } = claimFrom(state, 0) as NonNullable<
+    ReturnType<typeof claimFrom>
+  >;
+  noteClaimed(state, claim, { rowVersion: 7, now: millis(0) });
+  doubtLeases(state);
+  assert.equal(findOrderRight(state, engine, millis(100)), undefined);
+  read(state, 200, row("a", { version: 7, fence: 1 }));
+  assert.equal(findOrderRight(state, engine, millis(200)), 1);
+});
--- /dev/null
+++ b/tests/gateway/policies_test.ts
@@ -0,0 +1,178 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import {
+  chooseTarget,
+  findRoute,
+  type GatewayConfiguration,
+  type GatewayRoute,
+  groupRoutes,
+} from "../../src/core/gateway/configuration.ts";
+import { decideNextStep } from "../../src/core/gateway/next_step.ts";
+import {
+  createRepeatAllowance,
+  noteRequest,
+  takeRepeat,
+} from "../../src/core/gateway/repeat_allowance.ts";
+import {
+  createServerHealth,
+  isSuspended,
+  noteCallResult,
+} from "../../src/core/gateway/server_health.ts";
+import { StreamCursor } from "../../src/core/gateway/stream_cursor.ts";
+import { brandString, type ServerId } from "../../src/core/ids.ts";
+
+function createRoute(fields: Partial<GatewayRoute>): GatewayRoute {
+  return {
+    name: "r",
+    host: "h.example",
+    prefix: "/",
+    repeat: "once",
+    resumable: false,
+    timeout: millis(3_000),
+    targetLatency: millis(200),
+    priority: 0,
+    maxAttempts: 2,
+    targets: [{ service: brandString("s"), weight: 1 }],
+    ...fields,
+  };
+}
+
+function createConfiguration(routes: GatewayRoute[]): GatewayConfiguration {
+  return {
+    revision: 1 as GatewayConfiguration["revision"],
+    routes: groupRoutes(routes),
+    services: new Map(),
+    limits: {
+      maxHeaderBytes: 1,
+      maxBodyBytes: 1,
+      headerTimeout: millis(1),
+      idleTimeout: millis(1),
+    },
+  };
+}
+
+test("the longest prefix of the host wins", () => {
+  const configuration = createConfiguration([
+    createRoute({ name: "short", prefix: "/a/" }),
+    createRoute({ name: "long", prefix: "/a/b/" }),
+    createRoute({ name: "other", prefix: "/a/b/c/", host: "x.example" }),
+  ]);
+  const find = (path: string) =>
+    findRoute(configuration, { host: "h.example", path })?.name;
+  assert.equal(find("/a/b/c/d"), "long");
+  assert.equal(find("/a/x"), "short");
+  assert.equal(find("/b/"), undefined);
+  assert.equal(find("/a"), undefined);
+});
+
+test("a split gives each service its share", () => {
+  const route = createRoute({
+    targets: [
+      { service: brandString("a"), weight: 90 },
+      { service: brandString("b"), weight: 10 },
+      { service: brandString("c"), weight: 0 },
+    ],
+  });
+  assert.equal(chooseTarget(route, 0), "a");
+  assert.equal(chooseTarget(route, 0.89), "a");
+  assert.equal(chooseTarget(route, 0.91), "b");
+  assert.equal(chooseTarget(route, 0.999_999), "b");
+});
+
+const history = {
+  repeat: "once" as const,
+  resumable: false,
+  maxAttempts: 3,
+  runs: 1,
+  rejections: 0,
+  hasStarted: false,
+};
+
+// A booking that may have run must not be sent again.
+test("a call that may run once is not sent again after a broken answer", () => {
+  for (const kind of ["broken", "crossed"] as const) {
+    assert.equal(decideNextStep(history, { kind }).kind, "give-up");
+  }
+  const step = decideNextStep(history, { kind: "server-error" });
+  assert.equal(step.kind, "pass-on");
+});
+
+test("a call that did not run is sent again, also one that may run once", () => {
+  const unrun = { ...history, runs: 0 };
+  const rejected = decideNextStep(unrun, { kind: "not-run" });
+  assert.deepEqual(rejected, { kind: "again", isRepeat: true });
+  const unsent = decideNextStep(unrun, { kind: "unreachable" });
+  assert.deepEqual(unsent, { kind: "again", isRepeat: false });
+});
+
+test("a stream goes on elsewhere only where the route allows it, within its attempts", () => {
+  const stream = { ...history, repeat: "stream" as const, hasStarted: true };
+  const broken = { kind: "broken" } as const;
+  assert.equal(decideNextStep(stream, broken).kind, "give-up");
+  const resumable = { ...stream, resumable: true };
+  assert.equal(decideNextStep(resumable, broken).kind, "again");
+  const spent = { ...resumable, runs: 3 };
+  assert.equal(decideNextStep(spent, broken).kind, "give-up");
+});
+
+test("repeats stay within this node's share of the allowance", () => {
+  const limits = { ratio: 0.2, slack: 58, window: millis(10_000) };
+  const allowance = createRepeatAllowance(limits);
+  for (let i = 0; i < 50; i++) noteRequest(allowance, millis(i));
+  let taken = 0;
+  while (takeRepeat(allowance, { now: millis(100), nodes: 9 })) taken++;
+  assert.ok(taken <= 0.2 * 50 + 58 / 9, `${taken} repeats`);
+  assert.ok(taken >= 10);
+  assert.equal(takeRepeat(allowance, { now: millis(9_000), nodes: 9 }), false);
+  assert.equal(takeRepeat(allowance, { now: millis(20_000), nodes: 9 }), true);
+});
+
+test("a server is left out after failures and tried again later", () => {
+  const health = createServerHealth();
+  const id = brandString<ServerId>("s1");
+  const note = (result: "good" | "bad" | "unreachable", now: number) =>
+    noteCallResult(health, id, { result, now: millis(now) });
+  note("bad", 0);
+  assert.equal(isSuspended(health, id, millis(1)), false);
+  note("bad", 10);
+  assert.equal(isSuspended(health, id, millis(11)), true);
+  assert.equal(isSuspended(health, id, millis(5_000)), false);
+  note("good", 5_000);
+  note("unreachable", 5_010);
+  assert.equal(isSuspended(health, id, millis(5_020)), true);
+});
+
+const encoder = new TextEncoder();
+const decoder = new TextDecoder();
+
+test("only whole events are passed on, and the last id is remembered", () => {
+  const cursor = StreamCursor.create();
+  const push = (text: string) => {
+    const whole = cursor.push(encoder.encode(text));
+    return decoder.decode(whole?.bytes);
+  };
+  assert.equal(push("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
+  assert.equal(cursor.lastId, "1");
+  assert.equal(push("ta: b\n"), "");
+  assert.equal(push("\nid: 3\n"), "id: 2\ndata: b\n\n");
+  assert.equal(cursor.lastId, "2");
+  assert.ok(cursor.openBytes > 0);
+  cursor.dropOpenEvent();
+  assert.equal(push("id: 3\ndata: c\r\n\r\n"), "id: 3\ndata: c\r\n\r\n");
+  assert.equal(cursor.lastId, "3");
+});
+
+test("an event cut at every byte is passed on once", () => {
+  const text = "id: 7\ndata: xyz\n\n";
+  for (let cut = 0; cut <= text.length; cut++) {
+    const cursor = StreamCursor.create("6");
+    const parts = [text.slice(0, cut), text.slice(cut)];
+    const passed = parts
+      .map((part) => decoder.decode(cursor.push(encoder.encode(part))?.bytes))
+      .join("");
+    assert.equal(passed, text);
+    assert.equal(cursor.count, 1);
+    assert.equal(cursor.lastId, "7");
+  }
+});
