--- a/src/core/gateway/engine_places.ts
+++ b/src/core/gateway/engine_places.ts
@@ -184,11 +184,11 @@
   return Math.max(0, Math.min(traits.adapterPlaces, byMemory));
 }
 
-/** Loads that may still be under way. */
-export function countLoading(contents: EnginePlaces): number {
+/** Loads that are expected to be under way. */
+export function countLoading(contents: EnginePlaces, now: Millis): number {
   let count = 0;
-  for (const { isConfirmed } of contents.places.values()) {
-    if (!isConfirmed) count++;
+  for (const { phase, readyAt } of contents.places.values()) {
+    if (phase === "loading" && readyAt > now) count++;
   }
   return count;
 }
--- a/src/core/gateway/keeper.ts
+++ b/src/core/gateway/keeper.ts
@@ -5,7 +5,6 @@
   confirmListed,
   contradicts,
   countCapacity,
-  countLoading,
   readPlaces,
   reportSkew,
 } from "./engine_places.ts";
@@ -21,7 +20,7 @@
   KeeperPolicies,
   KeeperState,
 } from "./keeper_messages.ts";
-import { chooseNextOrder, maxLoading } from "./keeper_orders.ts";
+import { chooseNextOrder } from "./keeper_orders.ts";
 import { absorbStatus } from "./keeper_reports.ts";
 import type { BackendServer } from "./servers.ts";
 
@@ -142,5 +141,5 @@
     if (!isConfirmed && now > readyAt + reportDelay) overdue++;
   }
   if (overdue === 0) return false;
-  return isFull || countLoading(contents) >= maxLoading;
+  return isFull;
 }
--- a/src/core/gateway/keeper_orders.ts
+++ b/src/core/gateway/keeper_orders.ts
@@ -5,7 +5,7 @@
 import type { EngineOrder } from "./orders.ts";
 
 /** Adapters that may be on their way to one engine at once. */
-export const maxLoading = 4;
+const maxLoading = 4;
 
 /** The order that helps the longest waiting request, if any may be given now. */
 export function chooseNextOrder(
@@ -22,7 +22,7 @@
     if (readyAt === undefined || readyAt > now) continue;
     const place = contents.places.get(key);
     if (place !== undefined && place.phase !== "held") continue;
-    if (countLoading(contents) >= maxLoading) return undefined;
+    if (countLoading(contents, now) >= maxLoading) return undefined;
     if (place !== undefined) return orderLoad(wanted, orderCount);
     if (contents.places.size < capacity) {
       contents.places.set(key, createPlace(key, wanted, now));
