Ask owners for a load that can begin at once; tell contents with the load

Owners now refuse a request whose load cannot begin within its patience, so that the next home is asked, and tell the nodes what their engines hold.

--- a/src/adapters/peers/exchange_router.ts
+++ b/src/adapters/peers/exchange_router.ts
@@ -16,6 +16,7 @@
         place: name,
         version: z.number().int().min(0),
         wasDenied: z.boolean(),
+        patience: z.number().min(0),
       }),
     )
     .mutation(({ ctx, input }) =>
@@ -24,6 +25,7 @@
         place: brandString(input.place),
         version: input.version,
         wasDenied: input.wasDenied,
+        patience: input.patience,
       }),
     ),
 });
--- a/src/adapters/peers/use_datagrams.ts
+++ b/src/adapters/peers/use_datagrams.ts
@@ -12,6 +12,8 @@
 
 const name = z.string().min(1).max(256);
 const count = z.number().int().min(0);
+/** Adapter, its version and the time until it is ready. */
+const placeFrame = z.tuple([name, count, count]);
 /** Messages as arrays: kind, sender, entries. */
 const messageFrame = z.union([
   z.tuple([
@@ -19,7 +21,11 @@
     name,
     z.array(z.tuple([name, z.array(name), z.array(name), count, count])),
   ]),
-  z.tuple([z.literal("load"), name, z.array(z.tuple([name, count, count]))]),
+  z.tuple([
+    z.literal("load"),
+    name,
+    z.array(z.tuple([name, count, count, z.nullable(z.array(placeFrame))])),
+  ]),
 ]);
 
 /** Reports of use and load between nodes, over UDP; a lost one is followed by the next. */
@@ -78,10 +84,15 @@
             use.awaitedRequests,
             use.awaitedTokens,
           ])
-        : message.engines.map(({ engine, requests, tokens }) => [
+        : message.engines.map(({ engine, requests, tokens, places }) => [
             engine,
             requests,
             tokens,
+            places?.map(({ key, version, readyIn }) => [
+              key,
+              version,
+              readyIn,
+            ]) ?? null,
           ]);
     const frames: Buffer[] = [];
     for (
@@ -126,10 +137,15 @@
       return { type, from, engines };
     }
     const engines = parsed.data[2].map(
-      ([engine, requests, tokens]): EngineLoad => ({
+      ([engine, requests, tokens, places]): EngineLoad => ({
         engine: brandString(engine),
         requests,
         tokens,
+        places: places?.map(([key, version, readyIn]) => ({
+          key: brandString(key),
+          version,
+          readyIn,
+        })),
       }),
     );
     return { type, from, engines };
--- a/src/core/gateway/engine_load.ts
+++ b/src/core/gateway/engine_load.ts
@@ -19,8 +19,20 @@
   readonly tokens: number;
 };
 
-/** Backlog that other nodes caused at an engine, as its owner knows it. */
-export type EngineLoad = EngineBacklog & { readonly engine: ServerId };
+/** An adapter that an engine holds or gets, as its owner knows it. */
+export type HeldPlace = {
+  readonly key: PlaceKey;
+  readonly version: number;
+  /** Time until the adapter is ready, in ms. */
+  readonly readyIn: number;
+};
+
+/** What an owner tells a node about one engine. */
+export type EngineLoad = EngineBacklog & {
+  readonly engine: ServerId;
+  /** Contents of the engine; undefined if the node has heard of them already. */
+  readonly places: readonly HeldPlace[] | undefined;
+};
 
 /** Time after which a report no longer tells about the load, in ms. */
 const loadLifetime = 1_500;
@@ -61,7 +73,7 @@
   ledger: LoadLedger,
   of: { readonly engine: ServerId; readonly except: MachineName },
   now: Millis,
-): EngineLoad {
+): EngineBacklog {
   let requests = 0;
   let tokens = 0;
   for (const [machine, report] of ledger.byEngine.get(of.engine) ?? []) {
@@ -69,7 +81,7 @@
     requests += report.requests;
     tokens += report.tokens;
   }
-  return { engine: of.engine, requests, tokens };
+  return { requests, tokens };
 }
 
 /** Forgets the reports about an engine. */
--- a/src/core/gateway/engine_places.ts
+++ b/src/core/gateway/engine_places.ts
@@ -2,6 +2,7 @@
 import type { AdapterName, ModelName, PlaceKey } from "../ids.ts";
 import { formatPlaceKey } from "../ids.ts";
 import type { EngineTraits } from "./configuration.ts";
+import type { HeldPlace } from "./engine_load.ts";
 import type { HeldModel } from "./servers.ts";
 
 /** One adapter that an engine holds, gets or gives up; each takes a place. */
@@ -200,7 +201,7 @@
 ) => Place | undefined;
 
 /** Time since its last known use before an adapter may be given up, in ms. */
-const idleBeforeEviction = 750;
+const idleBeforeEviction = 520;
 
 /** The held adapter whose last use is longest ago. */
 export const chooseLeastRecent: VictimPolicy = (places, now) => {
@@ -212,3 +213,17 @@
   }
   return victim;
 };
+
+/** Adapters that requests may be sent for, with the time until each is ready. */
+export function listAvailable(
+  contents: EnginePlaces,
+  now: Millis,
+): HeldPlace[] {
+  const available: HeldPlace[] = [];
+  for (const { key, version, phase, readyAt } of contents.places.values()) {
+    if (phase === "unloading" || !Number.isFinite(readyAt)) continue;
+    const readyIn = Math.max(0, Math.ceil(readyAt - now));
+    available.push({ key, version, readyIn });
+  }
+  return available;
+}
--- a/src/core/gateway/holdings.ts
+++ b/src/core/gateway/holdings.ts
@@ -3,6 +3,7 @@
 import { formatPlaceKey } from "../ids.ts";
 import { selectHomes } from "../placement/rendezvous.ts";
 import type { ServerOutlook } from "./choose_server.ts";
+import type { HeldPlace } from "./engine_load.ts";
 import { isSuspended } from "./server_health.ts";
 import type { BackendServer } from "./servers.ts";
 
@@ -12,19 +13,28 @@
   readyAt: Millis;
   /** Last time at which anything confirmed it. */
   confirmedAt: Millis;
+  /** Time at which the owner promised it to this node. */
+  promisedAt?: Millis;
 };
 
 /** Adapters that a node believes engines to hold. */
 export type Holdings = {
   readonly byEngine: Map<ServerId, Map<PlaceKey, Holding>>;
+  /** Time at which the owner of each engine last told its contents. */
+  readonly toldAt: Map<ServerId, Millis>;
 };
 
+/** Time for which an owner's word goes before a registration, in ms. */
+const wordLifetime = 4_000;
+/** Time for which a promise goes before a list that may have crossed it, in ms. */
+const crossingTime = 150;
+
 /** Time after which a registration that does not list an adapter disproves it, in ms. */
 const registrationLag = 3_000;
 
 /** Holdings of a node that knows nothing. */
 export function createHoldings(): Holdings {
-  return { byEngine: new Map() };
+  return { byEngine: new Map(), toldAt: new Map() };
 }
 
 function obtainEngine(
@@ -45,6 +55,8 @@
   server: BackendServer,
   now: Millis,
 ): void {
+  const toldAt = holdings.toldAt.get(server.id);
+  if (toldAt !== undefined && now < toldAt + wordLifetime) return;
   const held = obtainEngine(holdings, server.id);
   const listed = new Set<PlaceKey>();
   for (const { name: model, adapters } of server.models) {
@@ -64,6 +76,28 @@
   }
 }
 
+/** Takes over the contents of an engine that its owner told. */
+export function noteContents(
+  holdings: Holdings,
+  engine: ServerId,
+  told: { readonly places: readonly HeldPlace[]; readonly now: Millis },
+): void {
+  const { places, now } = told;
+  holdings.toldAt.set(engine, now);
+  const held = obtainEngine(holdings, engine);
+  const listed = new Set<PlaceKey>();
+  for (const { key, version, readyIn } of places) {
+    listed.add(key);
+    const readyAt = millis(now + readyIn);
+    held.set(key, { version, readyAt, confirmedAt: now });
+  }
+  for (const [key, { promisedAt }] of held) {
+    const mayHaveCrossed =
+      promisedAt !== undefined && now < promisedAt + crossingTime;
+    if (!listed.has(key) && !mayHaveCrossed) held.delete(key);
+  }
+}
+
 /** Notes that an engine's owner promised an adapter. */
 export function notePromise(
   holdings: Holdings,
@@ -77,7 +111,13 @@
 ): void {
   const { key, version, readyAt } = promise;
   const confirmedAt = millis(Math.max(readyAt, promise.now));
-  obtainEngine(holdings, engine).set(key, { version, readyAt, confirmedAt });
+  const promisedAt = promise.now;
+  obtainEngine(holdings, engine).set(key, {
+    version,
+    readyAt,
+    confirmedAt,
+    promisedAt,
+  });
 }
 
 /** Notes that an engine does not hold an adapter, or not in the version asked for. */
@@ -92,6 +132,7 @@
 /** Forgets an engine that is gone or has restarted. */
 export function forgetHoldings(holdings: Holdings, engine: ServerId): void {
   holdings.byEngine.delete(engine);
+  holdings.toldAt.delete(engine);
 }
 
 /** Time at which an engine has an adapter in at least this version; undefined if unknown. */
--- a/src/core/gateway/keeper_acquire.ts
+++ b/src/core/gateway/keeper_acquire.ts
@@ -1,10 +1,11 @@
 import { type Millis, millis } from "../clock.ts";
-import type { Place } from "./engine_places.ts";
+import { countCapacity, type Place } from "./engine_places.ts";
 import type {
   KeeperCommand,
   KeeperEvent,
   KeeperState,
 } from "./keeper_messages.ts";
+import { maxLoading } from "./keeper_orders.ts";
 
 /** Longest expected time of an adapter load from the weight store, in ms. */
 const longestLoadTime = 1_500;
@@ -12,6 +13,8 @@
 const deniedWait = 110;
 /** How long a request for an adapter may wait for room, in ms. */
 const maxWaitForRoom = 600;
+/** Expected wait for room where every adapter is in use, in ms. */
+const roomWait = 250;
 /** Requests for adapters that wait at one engine. */
 const maxWaitingPlaces = 64;
 
@@ -67,8 +70,9 @@
     waiting.tickets.push(ticket);
     return;
   }
-  if (state.waiting.size >= maxWaitingPlaces) {
-    const reply = { kind: "refused", reason: "full" } as const;
+  const isBusy = estimateStart(state, now) > event.patience;
+  if (isBusy || state.waiting.size >= maxWaitingPlaces) {
+    const reply = { kind: "refused", reason: "busy" } as const;
     commands.push({ type: "reply", ticket, reply });
     return;
   }
@@ -76,6 +80,25 @@
   state.waiting.set(key, { model, adapter, version, since: now, tickets });
 }
 
+/** Expected time until the load of one more adapter may begin, in ms. */
+function estimateStart(state: KeeperState, now: Millis): number {
+  const { contents, traits, waiting, policies } = state;
+  const ends = [...contents.places.values()]
+    .filter(({ phase, readyAt }) => phase === "loading" && readyAt > now)
+    .map(({ readyAt }) => readyAt - now)
+    .sort((a, b) => a - b);
+  const ahead = waiting.size + 1 + ends.length - maxLoading;
+  const isFull = contents.places.size >= countCapacity(contents, traits);
+  const victim = isFull
+    ? policies.chooseVictim(contents.places.values(), now)
+    : undefined;
+  const forRoom = isFull && victim === undefined ? roomWait : 0;
+  if (ahead <= 0) return forRoom;
+  const turn = ends[Math.min(ahead, ends.length) - 1] ?? 0;
+  const laps = Math.floor((ahead - 1) / maxLoading);
+  return Math.max(forRoom, turn + laps * state.coldLoadTime);
+}
+
 /** The engine does not hold an adapter that was thought to be there. */
 function absorbDenial(state: KeeperState, place: Place, now: Millis): void {
   if (place.phase !== "held") return;
--- a/src/core/gateway/keeper_messages.ts
+++ b/src/core/gateway/keeper_messages.ts
@@ -60,6 +60,8 @@
       readonly version: number;
       /** The engine has just answered that it does not hold the adapter. */
       readonly wasDenied: boolean;
+      /** Longest wait until the load may begin, in ms. */
+      readonly patience: number;
     }
   /** Adapters on which requests ran lately, and that requests wait for at the engine. */
   | {
@@ -94,5 +96,8 @@
       readonly ticket: Ticket;
       readonly reply:
         | { readonly kind: "ready"; readonly inMs: number }
-        | { readonly kind: "refused"; readonly reason: "full" | "cold" };
+        | {
+            readonly kind: "refused";
+            readonly reason: "full" | "cold" | "busy";
+          };
     };
--- a/src/core/gateway/keeper_orders.ts
+++ b/src/core/gateway/keeper_orders.ts
@@ -5,7 +5,7 @@
 import type { EngineOrder } from "./orders.ts";
 
 /** Adapters that may be on their way to one engine at once. */
-const maxLoading = 4;
+export const maxLoading = 4;
 
 /** The order that helps the longest waiting request, if any may be given now. */
 export function chooseNextOrder(
--- a/src/node/gateway/engine_keeper.ts
+++ b/src/node/gateway/engine_keeper.ts
@@ -1,8 +1,11 @@
 import { createActor } from "xstate";
 import { type Cancel, millis } from "../../core/clock.ts";
 import type { EngineTraits } from "../../core/gateway/configuration.ts";
-import type { EngineUse } from "../../core/gateway/engine_load.ts";
-import { chooseLeastRecent } from "../../core/gateway/engine_places.ts";
+import type { EngineUse, HeldPlace } from "../../core/gateway/engine_load.ts";
+import {
+  chooseLeastRecent,
+  listAvailable,
+} from "../../core/gateway/engine_places.ts";
 import { createKeeperState, decideKeeper } from "../../core/gateway/keeper.ts";
 import type {
   KeeperCommand,
@@ -81,6 +84,7 @@
     readonly adapter: AdapterName;
     readonly version: number;
     readonly wasDenied: boolean;
+    readonly patience: number;
   }): Promise<PlaceAnswer> {
     const ticket = ++this.#tickets;
     return new Promise((resolve) => {
@@ -94,6 +98,12 @@
     this.#actor.send({ type: "used", ran, awaited });
   }
 
+  /** Adapters that requests may be sent for. */
+  listAvailable(): readonly HeldPlace[] {
+    const { contents } = this.#actor.getSnapshot().context;
+    return listAvailable(contents, this.#options.context.now());
+  }
+
   /** Ends the task; waiting nodes are told to look elsewhere. */
   stop(): void {
     this.#cancelTick();
--- a/src/node/gateway/keepers.ts
+++ b/src/node/gateway/keepers.ts
@@ -1,8 +1,10 @@
+import type { Millis } from "../../core/clock.ts";
 import {
   createLoadLedger,
   type EngineLoad,
   type EngineUse,
   forgetLoad,
+  type HeldPlace,
   noteLoad,
   sumOtherLoad,
 } from "../../core/gateway/engine_load.ts";
@@ -23,11 +25,18 @@
 import { EngineKeeper } from "./engine_keeper.ts";
 import type { LeaseDesk } from "./lease_desk.ts";
 
+/** Time after which unchanged contents are told again, since datagrams are lost, in ms. */
+const tellAgainAfter = 1_500;
+
+type Told = { readonly digest: string; readonly at: Millis };
+
 /** Owners of the engines whose lease this node holds. */
 export class Keepers {
   readonly #context: GatewayContext;
   readonly #orders: EngineOrders;
   readonly #leases: LeaseDesk;
+  /** Contents that each node was last told, by engine. */
+  readonly #told = new Map<ServerId, Map<MachineName, Told>>();
   readonly #ledger = createLoadLedger();
   readonly #keepers = new Map<ServerId, EngineKeeper>();
 
@@ -77,11 +86,18 @@
     if (keeper === undefined || right === undefined) {
       return { kind: "refused", reason: "not-owner" };
     }
-    const { place, version, wasDenied } = request;
+    const { place, version, wasDenied, patience } = request;
     const slash = place.indexOf("/");
     const model: ModelName = brandString(place.slice(0, slash));
     const adapter: AdapterName = brandString(place.slice(slash + 1));
-    return keeper.acquire({ key: place, model, adapter, version, wasDenied });
+    return keeper.acquire({
+      key: place,
+      model,
+      adapter,
+      version,
+      wasDenied,
+      patience,
+    });
   }
 
   /** Takes over what a node uses; answers with the load that the others cause. */
@@ -93,12 +109,31 @@
       if (keeper === undefined) continue;
       keeper.noteUse(use);
       noteLoad(this.#ledger, { from, use }, now);
-      const of = { engine: use.engine, except: from };
-      loads.push(sumOtherLoad(this.#ledger, of, now));
+      const { engine } = use;
+      const of = { engine, except: from };
+      const places = this.#listNews(keeper, { engine, to: from });
+      loads.push({ engine, places, ...sumOtherLoad(this.#ledger, of, now) });
     }
     return loads;
   }
 
+  /** Contents of an engine if the node has not heard of them, or not for a while. */
+  #listNews(
+    keeper: EngineKeeper,
+    of: { engine: ServerId; to: MachineName },
+  ): readonly HeldPlace[] | undefined {
+    const now = this.#context.now();
+    const places = keeper.listAvailable();
+    const digest = places.map(({ key, version }) => `${key}@${version}`).join();
+    const told = this.#told.get(of.engine) ?? new Map<MachineName, Told>();
+    this.#told.set(of.engine, told);
+    const last = told.get(of.to);
+    const isFresh = last !== undefined && now < last.at + tellAgainAfter;
+    if (isFresh && last.digest === digest) return undefined;
+    told.set(of.to, { digest, at: now });
+    return places;
+  }
+
   stop(): void {
     for (const engine of [...this.#keepers.keys()]) this.#stop(engine);
   }
@@ -121,6 +156,7 @@
   #stop(engine: ServerId): void {
     this.#keepers.get(engine)?.stop();
     forgetLoad(this.#ledger, engine);
+    this.#told.delete(engine);
     this.#keepers.delete(engine);
   }
 }
--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -19,6 +19,7 @@
     readonly place: PlaceKey;
     readonly version: number;
     readonly wasDenied: boolean;
+    readonly patience: number;
   },
 ) => Promise<PlaceAnswer>;
 
@@ -32,6 +33,9 @@
 
 /** Owners asked for an adapter before the request waits. */
 const maxOwnersAsked = 3;
+/** Time that a load may wait for its beginning, at first and then, in ms. */
+const firstPatience = 40;
+const lastPatience = 500;
 
 type LocatorOptions = {
   readonly acquire: Acquire;
@@ -100,13 +104,20 @@
       ...context.outlook(),
       estimateWait: this.#options.estimateWait,
     });
-    let asked = 0;
-    for (const { server, readyAt } of ranked) {
-      if (readyAt !== undefined) return { server, readyAt, version: expected };
-      if (asked >= maxOwnersAsked) return undefined;
-      asked++;
+    const [best] = ranked;
+    if (best?.readyAt !== undefined) {
+      return { server: best.server, readyAt: best.readyAt, version: expected };
+    }
+    const unheld = ranked.filter(({ readyAt }) => readyAt === undefined);
+    const asked = unheld.slice(0, maxOwnersAsked);
+    // At first an owner that can begin at once is looked for, then one that can begin at all.
+    const rounds = [
+      ...asked.map((choice) => ({ ...choice, patience: firstPatience })),
+      ...asked.map((choice) => ({ ...choice, patience: lastPatience })),
+    ];
+    for (const { server, patience } of rounds) {
       const wasDenied = server.id === deniedBy;
-      const request = { place: key, version, wasDenied };
+      const request = { place: key, version, wasDenied, patience };
       const answer = await this.#options.acquire(server, request);
       if (answer.kind !== "ready") continue;
       const now = context.now();
@@ -120,6 +131,12 @@
       });
       return { server, readyAt: ready, version: expected };
     }
-    return undefined;
+    const holder = ranked.find(({ readyAt }) => readyAt !== undefined);
+    if (holder?.readyAt === undefined) return undefined;
+    return {
+      server: holder.server,
+      readyAt: holder.readyAt,
+      version: expected,
+    };
   }
 }
--- a/src/node/gateway/use_report.ts
+++ b/src/node/gateway/use_report.ts
@@ -5,6 +5,7 @@
   EngineUse,
 } from "../../core/gateway/engine_load.ts";
 import { estimateBacklog } from "../../core/gateway/engine_load.ts";
+import { noteContents } from "../../core/gateway/holdings.ts";
 import type { MachineName, PlaceKey, ServerId } from "../../core/ids.ts";
 import type { UseChannel, UseMessage } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
@@ -14,7 +15,7 @@
 /** Time between two looks for changes that owners should hear of, in ms. */
 const reportPeriod = millis(150);
 /** Time between two reports to an owner while its engines are in use, and while they are not, in ms. */
-const busyPeriod = 400;
+const busyPeriod = 300;
 const idlePeriod = 900;
 /** Time after which the load that an owner told is no longer counted, in ms. */
 const loadLifetime = 2_000;
@@ -199,7 +200,14 @@
 
   #noteLoads(loads: readonly EngineLoad[]): void {
     const at = this.#options.context.now();
-    for (const load of loads) this.#loads.set(load.engine, { ...load, at });
+    const { holdings } = this.#options.context;
+    for (const load of loads) {
+      const { engine, places } = load;
+      this.#loads.set(engine, { ...load, at });
+      if (places !== undefined) {
+        noteContents(holdings, engine, { places, now: at });
+      }
+    }
   }
 }
 
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -164,7 +164,7 @@
   | { readonly kind: "ready"; readonly inMs: number }
   | {
       readonly kind: "refused";
-      readonly reason: "not-owner" | "full" | "cold" | "unreachable";
+      readonly reason: "not-owner" | "full" | "busy" | "cold" | "unreachable";
     };
 
 /** Report between nodes: use of engines to their owner, or load from it. */
@@ -194,6 +194,8 @@
     readonly version: number;
     /** The engine has just answered that it does not hold the adapter. */
     readonly wasDenied: boolean;
+    /** Longest wait until the load may begin, in ms. */
+    readonly patience: number;
   }): Promise<PlaceAnswer>;
 };
 
--- a/tests/gateway/keeper_fuzz_test.ts
+++ b/tests/gateway/keeper_fuzz_test.ts
@@ -92,6 +92,7 @@
           adapter,
           version,
           wasDenied,
+          patience: random() * 500,
         });
       }
     }
--- a/tests/gateway/keeper_test.ts
+++ b/tests/gateway/keeper_test.ts
@@ -70,7 +70,10 @@
     this.send({ type: "status", status });
   }
 
-  acquire(name: string, options: { version?: number; denied?: boolean } = {}) {
+  acquire(
+    name: string,
+    options: { version?: number; denied?: boolean; patience?: number } = {},
+  ) {
     const adapter = brandString<AdapterName>(name);
     this.send({
       type: "acquire",
@@ -80,6 +83,7 @@
       adapter,
       version: options.version ?? 0,
       wasDenied: options.denied ?? false,
+      patience: options.patience ?? 1_000,
     });
     return this.#tickets;
   }
