--- a/src/core/gateway/keeper_messages.ts
+++ b/src/core/gateway/keeper_messages.ts
@@ -34,8 +34,8 @@
   highestCount: number;
   /** Reports in a row that did not show all accepted orders. */
   staleReports: number;
-  /** Reports still needed before the first order; one alone may miss an adapter. */
-  reportsNeeded: number;
+  /** Two reports in a row with one count are needed before the first order; one alone may miss an adapter. */
+  isNew: boolean;
   asking: boolean;
   askedAt: Millis;
   /** No order is sent before this time. */
@@ -60,6 +60,8 @@
       readonly version: number;
       /** The engine has just answered that it does not hold the adapter. */
       readonly wasDenied: boolean;
+      /** Longest wait until the load may begin, in ms. */
+      readonly patience: number;
     }
   /** Adapters on which requests ran lately, and that requests wait for at the engine. */
   | {
@@ -94,5 +96,8 @@
       readonly ticket: Ticket;
       readonly reply:
         | { readonly kind: "ready"; readonly inMs: number }
-        | { readonly kind: "refused"; readonly reason: "full" | "cold" };
+        | {
+            readonly kind: "refused";
+            readonly reason: "full" | "cold" | "busy";
+          };
     };
--- a/src/core/gateway/keeper_orders.ts
+++ b/src/core/gateway/keeper_orders.ts
@@ -22,7 +22,7 @@
     if (readyAt === undefined || readyAt > now) continue;
     const place = contents.places.get(key);
     if (place !== undefined && place.phase !== "held") continue;
-    if (countLoading(contents) >= maxLoading) return undefined;
+    if (countLoading(contents, now) >= maxLoading) return undefined;
     if (place !== undefined) return orderLoad(wanted, orderCount);
     if (contents.places.size < capacity) {
       contents.places.set(key, createPlace(key, wanted, now));
