--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -43,7 +43,7 @@
 export type TransactionResult =
   | {
       readonly kind: "committed";
-      /** Version of the written rows, where the table names it. */
+      /** Version of the row written last, where the table names it. */
       readonly version?: number;
     }
   | {
--- a/src/standins/memory_table.ts
+++ b/src/standins/memory_table.ts
@@ -74,13 +74,14 @@
       );
       return { kind: "conflict", current: new Map(current) };
     }
+    let version = 0;
     for (const { key, value } of writes) {
-      const version = (this.#versions.get(key) ?? 0) + 1;
+      version = (this.#versions.get(key) ?? 0) + 1;
       this.#versions.set(key, version);
       if (value === undefined) this.#rows.delete(key);
       else this.#rows.set(key, { key, version, value, attempt });
     }
-    return { kind: "committed" };
+    return { kind: "committed", version };
   }
 
   #holds({ key, version }: Condition): boolean {
--- /dev/null
+++ b/tests/gateway/gateway_fixture.ts
@@ -0,0 +1,295 @@
+import { type Either, Right } from "purify-ts";
+import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
+import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
+import { type Millis, millis } from "../../src/core/clock.ts";
+import {
+  type GatewayConfiguration,
+  type GatewayRoute,
+  groupRoutes,
+} from "../../src/core/gateway/configuration.ts";
+import type {
+  EngineOrder,
+  OrderAnswer,
+} from "../../src/core/gateway/orders.ts";
+import type { BackendServer } from "../../src/core/gateway/servers.ts";
+import {
+  type AdapterName,
+  brandNumber,
+  brandString,
+  type DataCentre,
+  type Region,
+  type ServerId,
+  type ServiceName,
+} from "../../src/core/ids.ts";
+import type { Refusal } from "../../src/core/results/refusal.ts";
+import { Gateway } from "../../src/node/gateway/gateway.ts";
+import type {
+  CallerSink,
+  EngineOrders,
+  EngineStatus,
+  InstallationChange,
+  PassedRequest,
+  SendSink,
+  ServerLinks,
+  ServerOrder,
+} from "../../src/ports/gateway.ts";
+import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import { MemoryTable } from "../../src/standins/memory_table.ts";
+import { model, traits } from "./engine_oracle.ts";
+
+export const booking: ServiceName = brandString("booking");
+export const engines: ServiceName = brandString("engines");
+const dataCentre: DataCentre = brandString("tatry-a");
+const region: Region = brandString("tatry");
+
+export function createRoute(fields: Partial<GatewayRoute>): GatewayRoute {
+  return {
+    name: "route",
+    host: "h.example",
+    prefix: "/b/",
+    repeat: "once",
+    resumable: false,
+    timeout: millis(3_000),
+    targetLatency: millis(200),
+    priority: 0,
+    maxAttempts: 2,
+    targets: [{ service: booking, weight: 1 }],
+    ...fields,
+  };
+}
+
+export function createServer(fields: Partial<BackendServer>): BackendServer {
+  return {
+    id: brandString<ServerId>("s1"),
+    service: booking,
+    address: "10.0.0.1:80",
+    dataCentre,
+    slots: 6,
+    leaving: false,
+    models: [],
+    orderCount: 0,
+    born: 1,
+    ...fields,
+  };
+}
+
+export function createEngine(id: string, adapters: string[]): BackendServer {
+  const held = adapters.map((name) => ({
+    name: brandString<AdapterName>(name),
+    version: 1,
+  }));
+  return createServer({
+    id: brandString<ServerId>(id),
+    service: engines,
+    models: [{ name: model, version: 1, adapters: held }],
+  });
+}
+
+/** What a caller got. */
+export class Answer implements CallerSink {
+  status: number | undefined;
+  text = "";
+  refusal: Refusal | undefined;
+  outcome: "open" | "whole" | "refused" | "aborted" = "open";
+  at: Millis | undefined;
+  readonly #clock: VirtualClock;
+
+  constructor(clock: VirtualClock) {
+    this.#clock = clock;
+  }
+
+  start(head: { status: number }): void {
+    this.status = head.status;
+  }
+  write(bytes: Uint8Array): void {
+    this.text += new TextDecoder().decode(bytes);
+  }
+  end(): void {
+    this.#settle("whole");
+  }
+  refuse(refusal: Refusal): void {
+    this.refusal = refusal;
+    this.#settle("refused");
+  }
+  abort(): void {
+    this.#settle("aborted");
+  }
+  #settle(outcome: Answer["outcome"]): void {
+    if (this.outcome !== "open") throw new Error("The answer ended twice");
+    this.outcome = outcome;
+    this.at = this.#clock.now();
+  }
+}
+
+/** One send as a server saw it. */
+export class SeenSend {
+  cancelled = false;
+  readonly order: ServerOrder;
+  readonly #sink: SendSink;
+
+  constructor(order: ServerOrder, sink: SendSink) {
+    this.order = order;
+    this.#sink = sink;
+  }
+
+  get server(): ServerId {
+    return this.order.server.id;
+  }
+  start(status = 200): void {
+    this.#sink.onHead({ status, headers: [] });
+  }
+  bytes(text: string): void {
+    this.#sink.onBytes(new TextEncoder().encode(text));
+  }
+  end(): void {
+    this.#sink.onEnd();
+  }
+  answer(text: string, status = 200): void {
+    this.start(status);
+    this.bytes(text);
+    this.end();
+  }
+  fail(kind: Parameters<SendSink["onFailure"]>[0]["kind"]): void {
+    this.#sink.onFailure({ kind, detail: kind });
+  }
+}
+
+/** A gateway between fakes, on a virtual clock. */
+export class Fixture {
+  readonly clock = VirtualClock.create();
+  readonly table = MemoryTable.create(this.clock);
+  readonly sends: SeenSend[] = [];
+  readonly orders: EngineOrder[] = [];
+  readonly gateway: Gateway;
+  orderAnswer: OrderAnswer = { kind: "accepted" };
+  #tell: (change: InstallationChange) => void = () => {};
+  #requests = 0;
+
+  constructor() {
+    const links: ServerLinks = {
+      send: (order, sink) => {
+        const send = new SeenSend(order, sink);
+        this.sends.push(send);
+        return {
+          cancel: () => {
+            send.cancelled = true;
+          },
+        };
+      },
+      forget: () => {},
+    };
+    const engineOrders: EngineOrders = {
+      order: async (_server, order) => {
+        this.orders.push(order);
+        return this.orderAnswer;
+      },
+      askStatus: async (server): Promise<Either<never, EngineStatus>> =>
+        Right({
+          models: server.models,
+          incoming: [],
+          busy: false,
+          orderCount: this.orders.length,
+        }),
+    };
+    this.gateway = Gateway.create({
+      identity: {
+        machine: brandString("n1"),
+        process: "p1",
+        dataCentre,
+        region,
+        regions: new Map([[dataCentre, region]]),
+        peerAddress: "10.0.0.9:7000",
+      },
+      clock: this.clock,
+      random: createSeededRandom(1),
+      journal: silentJournal,
+      meter: silentMeter,
+      links,
+      repeatLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
+      table: this.table,
+      feed: {
+        follow: (listener) => {
+          this.#tell = listener;
+        },
+        stop: () => {},
+      },
+      orders: engineOrders,
+      nodeLinks: {
+        acquire: async () => ({ kind: "refused", reason: "unreachable" }),
+      },
+      useChannel: { send: () => {}, onMessage: () => {} },
+    });
+  }
+
+  tell(change: InstallationChange): void {
+    this.#tell(change);
+  }
+
+  configure(routes: GatewayRoute[], revision = 1): void {
+    const value: GatewayConfiguration = {
+      revision: brandNumber(revision),
+      routes: groupRoutes(routes),
+      services: new Map([
+        [booking, { name: booking, maxConnections: 100, engine: undefined }],
+        [engines, { name: engines, maxConnections: 100, engine: traits }],
+      ]),
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1_000_000,
+        headerTimeout: millis(3_000),
+        idleTimeout: millis(15_000),
+      },
+    };
+    this.tell({ type: "configuration", value });
+    this.tell({ type: "complete", topic: "operator" });
+  }
+
+  register(...servers: BackendServer[]): void {
+    for (const server of servers) {
+      this.tell({ type: "server", change: { type: "present", server } });
+    }
+    this.tell({ type: "complete", topic: "servers" });
+  }
+
+  open(fields: Partial<PassedRequest> = {}) {
+    const answer = new Answer(this.clock);
+    this.#requests++;
+    const request: PassedRequest = {
+      requestId: brandString(`r${this.#requests}`),
+      method: "POST",
+      host: "h.example",
+      target: "/b/x",
+      path: "/b/x",
+      headers: [],
+      body: new Uint8Array(0),
+      demand: undefined,
+      deadline: millis(3_000),
+      resumeAfter: undefined,
+      arrivedAt: this.clock.now(),
+      ...fields,
+    };
+    const control = this.gateway.open(request, answer);
+    return { answer, control };
+  }
+
+  async advance(ms: number): Promise<void> {
+    await this.clock.advance(millis(ms));
+  }
+
+  /** The latest send. */
+  last(): SeenSend {
+    const send = this.sends.at(-1);
+    if (send === undefined) throw new Error("Nothing was sent");
+    return send;
+  }
+}
+
+/** Demand of a request for one adapter. */
+export function demandOf(adapter: string) {
+  return {
+    model,
+    adapter: brandString<AdapterName>(adapter),
+    promptTokens: 500,
+    answerTokens: 80,
+  };
+}
--- /dev/null
+++ b/tests/gateway/gateway_test.ts
@@ -0,0 +1,289 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import {
+  brandString,
+  formatPlaceKey,
+  type ServerId,
+} from "../../src/core/ids.ts";
+import { model } from "./engine_oracle.ts";
+import {
+  createEngine,
+  createRoute,
+  createServer,
+  demandOf,
+  engines,
+  Fixture,
+} from "./gateway_fixture.ts";
+
+const second = createServer({
+  id: brandString<ServerId>("s2"),
+  address: "10.0.0.2:80",
+});
+
+async function createBookings(route: Parameters<typeof createRoute>[0] = {}) {
+  const fixture = new Fixture();
+  fixture.configure([createRoute(route)]);
+  fixture.register(createServer({}), second);
+  await fixture.advance(10);
+  return fixture;
+}
+
+const streamRoute = {
+  repeat: "stream" as const,
+  targets: [{ service: engines, weight: 1 }],
+  targetLatency: millis(1_000),
+  timeout: millis(10_000),
+};
+
+async function createEngines(
+  route: Parameters<typeof createRoute>[0] = {},
+  held: string[] = ["a1"],
+) {
+  const fixture = new Fixture();
+  fixture.configure([createRoute({ ...streamRoute, ...route })]);
+  fixture.register(createEngine("e1", held), createEngine("e2", held));
+  await fixture.advance(3_000);
+  return fixture;
+}
+
+test("a node without a configuration refuses as not run", () => {
+  const { answer } = new Fixture().open();
+  assert.equal(answer.refusal?.code, "notReady");
+  assert.equal(answer.refusal?.outcome, "not-run");
+});
+
+test("a request without a route is refused as unknown", async () => {
+  const fixture = await createBookings();
+  const { answer } = fixture.open({ path: "/c/" });
+  assert.equal(answer.refusal?.code, "unknownRoute");
+});
+
+test("an older configuration never replaces a newer one", async () => {
+  const fixture = new Fixture();
+  fixture.configure([createRoute({ prefix: "/new/" })], 9);
+  fixture.configure([createRoute({ prefix: "/b/" })], 7);
+  const { answer } = fixture.open();
+  assert.equal(answer.refusal?.code, "unknownRoute");
+});
+
+test("an answer is passed on whole", async () => {
+  const fixture = await createBookings();
+  const { answer } = fixture.open();
+  await fixture.advance(1);
+  fixture.last().answer("booked");
+  assert.equal(answer.outcome, "whole");
+  assert.equal(answer.text, "booked");
+});
+
+test("a call that may run once is sent once when its answer is lost", async () => {
+  const fixture = await createBookings();
+  const { answer } = fixture.open();
+  await fixture.advance(1);
+  fixture.last().fail("broken");
+  await fixture.advance(100);
+  assert.equal(fixture.sends.length, 1);
+  assert.equal(answer.refusal?.outcome, "may-have-run");
+});
+
+test("a call that no server ran goes to another server", async () => {
+  const fixture = await createBookings();
+  const { answer } = fixture.open();
+  await fixture.advance(1);
+  const [first] = fixture.sends;
+  fixture.last().fail("not-run");
+  await fixture.advance(1);
+  assert.notEqual(fixture.last().server, first?.server);
+  fixture.last().answer("booked");
+  assert.equal(answer.outcome, "whole");
+});
+
+test("a call that every server rejects is refused as not run", async () => {
+  const fixture = await createBookings();
+  const { answer } = fixture.open();
+  for (let step = 0; step < 60 && answer.outcome === "open"; step++) {
+    await fixture.advance(20);
+    const send = fixture.sends.at(-1);
+    if (send && !send.cancelled) send.fail("not-run");
+  }
+  assert.equal(answer.refusal?.outcome, "not-run");
+  assert.ok(answer.refusal?.retryAfter !== undefined);
+});
+
+test("a lookup whose answer is lost is sent to another server", async () => {
+  const fixture = await createBookings({ repeat: "repeatable" });
+  const { answer } = fixture.open();
+  await fixture.advance(1);
+  fixture.last().fail("broken");
+  await fixture.advance(1);
+  assert.equal(fixture.sends.length, 2);
+  fixture.last().answer("stock");
+  assert.equal(answer.text, "stock");
+});
+
+test("a server's failure is passed on where the call may not run again", async () => {
+  const fixture = await createBookings();
+  const { answer } = fixture.open();
+  await fixture.advance(1);
+  fixture.last().answer("no", 500);
+  await fixture.advance(1);
+  assert.equal(answer.status, 500);
+  assert.equal(fixture.sends.length, 1);
+});
+
+test("a request is answered when its route's time is over, and the server stops", async () => {
+  const fixture = await createBookings({ timeout: millis(700) });
+  const { answer } = fixture.open();
+  await fixture.advance(1_000);
+  assert.equal(answer.refusal?.code, "serviceTimeout");
+  assert.equal(answer.at, 10 + 700);
+  assert.equal(fixture.last().cancelled, true);
+});
+
+test("the server gets the time that is left", async () => {
+  const fixture = await createBookings({ repeat: "repeatable" });
+  fixture.open({ deadline: millis(2_000) });
+  await fixture.advance(500);
+  fixture.last().fail("broken");
+  await fixture.advance(1);
+  assert.ok(fixture.last().order.timeLeft <= 1_500);
+});
+
+test("a caller that leaves ends the work at the server", async () => {
+  const fixture = await createBookings();
+  const { control } = fixture.open();
+  await fixture.advance(1);
+  control.cancel();
+  assert.equal(fixture.last().cancelled, true);
+  assert.equal(fixture.gateway.openRequests, 0);
+});
+
+test("a leaving server gets no request", async () => {
+  const fixture = await createBookings();
+  fixture.register(createServer({ leaving: true }));
+  for (let i = 0; i < 5; i++) fixture.open();
+  await fixture.advance(1);
+  for (const send of fixture.sends) assert.equal(send.server, "s2");
+});
+
+test("an entry that lapsed in an outage stays usable for a while", async () => {
+  const fixture = await createBookings();
+  const usableUntil = millis(fixture.clock.now() + 2_000);
+  for (const id of ["s1", "s2"]) {
+    fixture.tell({
+      type: "server",
+      change: { type: "absent", id: brandString(id), usableUntil },
+    });
+  }
+  fixture.open();
+  await fixture.advance(1);
+  assert.equal(fixture.sends.length, 1);
+  await fixture.advance(2_500);
+  const { answer } = fixture.open();
+  await fixture.advance(1_000);
+  assert.equal(fixture.sends.length, 1);
+  assert.equal(answer.refusal?.outcome, "not-run");
+});
+
+test("a stream goes to an engine that holds its adapter", async () => {
+  const fixture = await createEngines();
+  const { answer } = fixture.open({ demand: demandOf("a1") });
+  await fixture.advance(5);
+  fixture.last().start();
+  fixture.last().bytes("id: 1\n\n");
+  assert.equal(answer.text, "id: 1\n\n");
+  fixture.last().end();
+  assert.equal(answer.outcome, "whole");
+  assert.equal(fixture.orders.length, 0);
+});
+
+test("an adapter that no engine holds is loaded before its request is sent", async () => {
+  const fixture = await createEngines();
+  fixture.open({ demand: demandOf("a7") });
+  await fixture.advance(100);
+  assert.equal(fixture.sends.length, 0);
+  assert.equal(fixture.orders[0]?.adapter, "a7");
+  await fixture.advance(400);
+  assert.equal(fixture.sends.length, 1);
+});
+
+test("a newer version is loaded, named and asked for", async () => {
+  const fixture = await createEngines();
+  const place = formatPlaceKey(model, brandString("a1"));
+  fixture.tell({ type: "adapter-version", value: { place, version: 2 } });
+  fixture.open({ demand: demandOf("a1") });
+  await fixture.advance(800);
+  assert.equal(fixture.orders[0]?.version, 2);
+  assert.equal(fixture.last().order.adapterVersion, 2);
+});
+
+test("a broken stream that may not be resumed ends without looking complete", async () => {
+  const fixture = await createEngines({ maxAttempts: 1 });
+  const { answer } = fixture.open({ demand: demandOf("a1") });
+  await fixture.advance(5);
+  fixture.last().start();
+  fixture.last().bytes("id: 1\n\n");
+  fixture.last().fail("broken");
+  await fixture.advance(50);
+  assert.equal(answer.outcome, "aborted");
+  assert.equal(fixture.sends.length, 1);
+});
+
+test("a resumable stream goes on elsewhere after its last whole event", async () => {
+  const fixture = await createEngines({ resumable: true });
+  const { answer } = fixture.open({ demand: demandOf("a1") });
+  await fixture.advance(5);
+  const [first] = fixture.sends;
+  first?.start();
+  first?.bytes("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda");
+  first?.fail("broken");
+  await fixture.advance(500);
+  const next = fixture.last();
+  assert.notEqual(next, first);
+  assert.equal(next.order.resumeAfter, "2");
+  next.start();
+  next.bytes("id: 3\ndata: c\n\n");
+  next.end();
+  assert.equal(answer.outcome, "whole");
+  assert.equal(
+    answer.text,
+    "id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n",
+  );
+});
+
+test("a drain is over once the last request has ended", async () => {
+  const fixture = await createBookings();
+  fixture.open();
+  await fixture.advance(1);
+  let isDone = false;
+  void fixture.gateway.drain().then(() => {
+    isDone = true;
+  });
+  assert.equal(fixture.gateway.isReady, false);
+  await fixture.advance(100);
+  assert.equal(isDone, false);
+  fixture.last().answer("booked");
+  await fixture.advance(1);
+  assert.equal(isDone, true);
+});
+
+test("a stopping node refuses what no server has got, as not run", async () => {
+  const fixture = new Fixture();
+  fixture.configure([createRoute({})]);
+  fixture.register();
+  const { answer } = fixture.open();
+  await fixture.advance(50);
+  fixture.gateway.refuseWaiting();
+  assert.equal(answer.refusal?.code, "draining");
+  assert.equal(answer.refusal?.outcome, "not-run");
+});
+
+test("a stopped node leaves its leases to others", async () => {
+  const fixture = await createEngines();
+  await fixture.gateway.stop();
+  const rows = (await fixture.table.scan("engine/")).orDefault([]);
+  assert.equal(rows.length, 2);
+  for (const { value } of rows) {
+    assert.equal((value as { released: boolean }).released, true);
+  }
+});
