--- /dev/null
+++ b/tests/platform_adapter/front_test.ts
@@ -0,0 +1,154 @@
+import assert from "node:assert/strict";
+import { connect } from "node:net";
+import { test } from "node:test";
+import { Front } from "../../platform/front.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import type { Gateway } from "../../src/node/gateway/gateway.ts";
+import type { CallerSink, PassedRequest } from "../../src/ports/gateway.ts";
+
+type Served = { request: PassedRequest; sink: CallerSink };
+
+/** A front before a gateway that hands its requests to the test. */
+async function open(serve: (served: Served) => void = () => {}) {
+  const requests: PassedRequest[] = [];
+  let cancelled = 0;
+  const gateway = {
+    context: {
+      configuration: {
+        limits: { maxBodyBytes: 100, idleTimeout: 5_000, headerTimeout: 1_000 },
+      },
+    },
+    open(request: PassedRequest, sink: CallerSink) {
+      requests.push(request);
+      serve({ request, sink });
+      return { cancel: () => cancelled++ };
+    },
+  } as unknown as Gateway;
+  const front = Front.create({ gateway, clock: RealClock.create() });
+  const port = await front.listen("127.0.0.1:0");
+  const countCancelled = () => cancelled;
+  return { front, port, requests, countCancelled };
+}
+
+/** Sends raw bytes and returns all that comes back until the connection ends. */
+function talk(port: number, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.write(text));
+    let received = "";
+    socket.on("data", (chunk) => {
+      received += chunk;
+    });
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(received));
+    setTimeout(() => socket.destroy(), 400);
+  });
+}
+
+const head = "POST /b/x?y=1 HTTP/1.1\r\nHost: H.Example:80\r\n";
+const id = "Goldcrestwinch-Request-Id: r1\r\n";
+
+function answer({ sink }: Served): void {
+  sink.start({ status: 200, headers: ["Content-Length", "2"] });
+  sink.write(new TextEncoder().encode("ok"));
+  sink.end();
+}
+
+test("a request is decoded once, with its body", async () => {
+  const { front, port, requests } = await open(answer);
+  const received = await talk(
+    port,
+    `${head}${id}Goldcrestwinch-Model: m0/a3\r\nGoldcrestwinch-Token-Count: 1460,80\r\nGoldcrestwinch-Deadline-Ms: 700\r\nContent-Length: 4\r\n\r\nbody`,
+  );
+  assert.match(received, /^HTTP\/1\.1 200 OK\r\n/);
+  const [request] = requests;
+  assert.equal(request?.host, "h.example");
+  assert.equal(request?.path, "/b/x");
+  assert.equal(request?.target, "/b/x?y=1");
+  assert.equal(request?.deadline, 700);
+  assert.deepEqual(request?.demand, {
+    model: "m0",
+    adapter: "a3",
+    promptTokens: 1460,
+    answerTokens: 80,
+  });
+  assert.equal(new TextDecoder().decode(request?.body), "body");
+  front.stopAccepting();
+});
+
+// What only the system may set must not reach a server from a caller.
+test("headers of the system and of the connection are not passed on", async () => {
+  const { front, port, requests } = await open(answer);
+  await talk(
+    port,
+    `${head}${id}Goldcrestwinch-Hold: h\r\nGoldcrestwinch-Pin-Ms: 9\r\nKv-From: x\r\nGoldcrestwinch-Kv-Backup: y\r\nGoldcrestwinch-Expect-Instance: z\r\nGoldcrestwinch-Request-Priority: 0\r\nConnection: keep-alive, X-Hop\r\nX-Hop: 1\r\nX-Own: kept\r\nContent-Length: 0\r\n\r\n`,
+  );
+  const names = (requests[0]?.headers ?? []).filter((_, at) => at % 2 === 0);
+  assert.deepEqual(names, ["Host", "Goldcrestwinch-Request-Id", "X-Own"]);
+  front.stopAccepting();
+});
+
+test("requests that cannot be taken get a numbered refusal", async () => {
+  const { front, port, requests } = await open();
+  const withoutId = await talk(port, `${head}Content-Length: 0\r\n\r\n`);
+  assert.match(withoutId, /^HTTP\/1\.1 400 /);
+  assert.match(withoutId, /"code":1007/);
+  const large = await talk(
+    port,
+    `${head}${id}Content-Length: 101\r\n\r\n${"x".repeat(101)}`,
+  );
+  assert.match(large, /^HTTP\/1\.1 413 /);
+  const smuggled = await talk(
+    port,
+    `${head}${id}Content-Length: 4\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\nGET / HTTP/1.1\r\n\r\n`,
+  );
+  assert.match(smuggled, /^HTTP\/1\.1 400 /);
+  const endless = await talk(port, `${head}X: ${"y".repeat(20_000)}\r\n\r\n`);
+  assert.match(endless, /^HTTP\/1\.1 431 /);
+  assert.equal(requests.length, 0);
+  front.stopAccepting();
+});
+
+test("a refusal carries its code, no seal, and when to come back", async () => {
+  const { front, port } = await open(({ sink }) => {
+    sink.refuse({
+      code: "noServer",
+      outcome: "not-run",
+      detail: "none",
+      retryAfter: 400 as never,
+    });
+  });
+  const received = await talk(port, `${head}${id}Content-Length: 0\r\n\r\n`);
+  assert.match(received, /^HTTP\/1\.1 503 /);
+  assert.match(received, /retry-after: 0\.40/i);
+  assert.doesNotMatch(received, /server-seal/i);
+  front.stopAccepting();
+});
+
+test("an answer that breaks off does not look complete", async () => {
+  const { front, port } = await open(({ sink }) => {
+    sink.start({ status: 200, headers: [] });
+    sink.write(new TextEncoder().encode("id: 1\n\n"));
+    setTimeout(() => sink.abort(), 20);
+  });
+  const received = await talk(port, `${head}${id}Content-Length: 0\r\n\r\n`);
+  assert.match(received, /id: 1/);
+  assert.doesNotMatch(received, /\r\n0\r\n\r\n$/);
+  front.stopAccepting();
+});
+
+test("a caller that leaves cancels its request", async () => {
+  const { front, port, countCancelled } = await open();
+  await talk(port, `${head}${id}Content-Length: 0\r\n\r\n`);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(countCancelled(), 1);
+  front.stopAccepting();
+});
+
+test("a stopping front ends connections after their answer and takes no more", async () => {
+  const { front, port } = await open(answer);
+  front.startClosing();
+  const received = await talk(port, `${head}${id}Content-Length: 0\r\n\r\n`);
+  assert.match(received, /connection: close/i);
+  front.stopAccepting();
+  assert.equal(await talk(port, `${head}${id}\r\n`), "");
+});
--- /dev/null
+++ b/tests/platform_adapter/installation_feed_test.ts
@@ -0,0 +1,132 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { StoreFeed } from "../../platform/installation_feed.ts";
+import { StoreClient } from "../../platform/store_client.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import type { InstallationChange } from "../../src/ports/gateway.ts";
+import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import { configuration, registration, StandInStore } from "./stand_in_store.ts";
+
+type Change = InstallationChange;
+
+/** Follows a store until the test has ended. */
+async function follow(prepare: (store: StandInStore) => void) {
+  const store = await StandInStore.open();
+  prepare(store);
+  const clock = RealClock.create();
+  const client = StoreClient.create({
+    address: store.address,
+    clock,
+    meter: silentMeter,
+  });
+  const feed = StoreFeed.create({
+    store: client,
+    clock,
+    journal: silentJournal,
+  });
+  const changes: Change[] = [];
+  feed.follow((change) => changes.push(change));
+  async function until(check: (change: Change) => boolean): Promise<Change> {
+    for (let tries = 0; tries < 500; tries++) {
+      const found = changes.find(check);
+      if (found !== undefined) return found;
+      await new Promise((resolve) => setTimeout(resolve, 10));
+    }
+    throw new Error("The change did not come");
+  }
+  function stop(): void {
+    feed.stop();
+    store.close();
+  }
+  return { store, changes, until, stop };
+}
+
+const isComplete = (change: Change) =>
+  change.type === "complete" && change.topic === "servers";
+const isPresent = (change: Change) =>
+  change.type === "server" && change.change.type === "present";
+const isAbsent = (change: Change) =>
+  change.type === "server" && change.change.type === "absent";
+
+test("configuration, versions and servers are decoded and followed", async () => {
+  const { store, until, stop } = await follow((store) => {
+    store.put("op", "config", configuration);
+    store.put("servers", "i-1", registration);
+  });
+  const first = await until(({ type }) => type === "configuration");
+  assert.ok(first.type === "configuration");
+  assert.equal(first.value.revision, 7);
+  const [route] = first.value.routes.get("desk.example") ?? [];
+  assert.equal(route?.repeat, "once");
+  await until(isPresent);
+  store.put("op", "version/m0.a3", { Model: "m0", Adapter: "a3", Version: 2 });
+  const version = await until(({ type }) => type === "adapter-version");
+  assert.deepEqual(version.type === "adapter-version" && version.value, {
+    place: "m0/a3",
+    version: 2,
+  });
+  store.drop("servers", "i-1");
+  const gone = await until(isAbsent);
+  assert.ok(gone.type === "server" && gone.change.type === "absent");
+  assert.equal(gone.change.usableUntil, undefined);
+  stop();
+});
+
+// One broken entry must not hide the others.
+test("entries that cannot be read name no server", async () => {
+  const broken: unknown[] = [
+    "no json",
+    {},
+    { ...registration, State: "odd" },
+    { ...registration, Address: 5 },
+    { ...registration, Slots: "six" },
+    null,
+    [],
+  ];
+  const { changes, until, stop } = await follow((store) => {
+    broken.forEach((value, at) => {
+      store.put("servers", `bad-${at}`, value);
+    });
+    store.put("servers", "i-1", registration);
+    store.put("op", "config", "garbage");
+  });
+  await until(isComplete);
+  assert.equal(changes.filter(isPresent).length, 1);
+  assert.equal(
+    changes.some(({ type }) => type === "configuration"),
+    false,
+  );
+  stop();
+});
+
+test("a forgotten history is read anew, and servers missing in it are gone", async () => {
+  const { store, changes, until, stop } = await follow((store) => {
+    store.put("servers", "i-1", registration);
+    store.put("servers", "i-2", registration);
+  });
+  await until(isComplete);
+  store.drop("servers", "i-2");
+  store.forgotten = 1_000;
+  const gone = await until(isAbsent);
+  assert.equal(
+    gone.type === "server" && "id" in gone.change && gone.change.id,
+    "i-2",
+  );
+  assert.ok(changes.filter(isComplete).length >= 2);
+  stop();
+});
+
+test("a server that vanished around an outage may have lapsed", async () => {
+  const { store, until, stop } = await follow((store) => {
+    store.put("servers", "i-1", registration);
+  });
+  await until(isComplete);
+  store.failWith = 503;
+  await new Promise((resolve) => setTimeout(resolve, 1_400));
+  store.drop("servers", "i-1");
+  store.failWith = undefined;
+  const gone = await until(isAbsent);
+  assert.ok(gone.type === "server" && gone.change.type === "absent");
+  assert.notEqual(gone.change.usableUntil, undefined);
+  stop();
+});
--- /dev/null
+++ b/tests/platform_adapter/server_links_test.ts
@@ -0,0 +1,143 @@
+import assert from "node:assert/strict";
+import { createServer, type Server, type Socket } from "node:net";
+import { test } from "node:test";
+import { HttpServerLinks } from "../../platform/server_links.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis } from "../../src/core/clock.ts";
+import { brandString } from "../../src/core/ids.ts";
+import type { PassedRequest, ServerOrder } from "../../src/ports/gateway.ts";
+import { silentMeter } from "../../src/ports/journal.ts";
+import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+
+type Result = { kind: string; status?: number; text: string; seen: string };
+
+const sealed =
+  "HTTP/1.1 200 OK\r\ngoldcrestwinch-request-id: r1\r\ngoldcrestwinch-server-seal: x.1\r\n";
+
+function createRequest(fields: Partial<PassedRequest> = {}): PassedRequest {
+  return {
+    requestId: brandString("r1"),
+    method: "POST",
+    host: "h.example",
+    target: "/b/x?y=1",
+    path: "/b/x",
+    headers: ["Host", "h.example", "Goldcrestwinch-Request-Id", "r1"],
+    body: new TextEncoder().encode("order"),
+    demand: undefined,
+    deadline: millis(1_000),
+    resumeAfter: undefined,
+    arrivedAt: millis(0),
+    ...fields,
+  };
+}
+
+/** Sends one request to a server that writes raw bytes. */
+async function send(
+  answer: (socket: Socket) => void,
+  fields: Partial<ServerOrder> = {},
+): Promise<Result> {
+  let seen = "";
+  const server: Server = createServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", (chunk) => {
+      if (seen === "") answer(socket);
+      seen += chunk;
+    });
+  });
+  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
+  const { port } = server.address() as { port: number };
+  const links = HttpServerLinks.create({
+    clock: RealClock.create(),
+    meter: silentMeter,
+  });
+  const target = describeServer({ address: `127.0.0.1:${port}` });
+  const result = await new Promise<Result>((resolve) => {
+    let status: number | undefined;
+    let text = "";
+    links.send(
+      {
+        request: createRequest(),
+        server: target,
+        timeLeft: millis(900),
+        adapterVersion: undefined,
+        priority: undefined,
+        resumeAfter: undefined,
+        ...fields,
+      },
+      {
+        onHead: (head) => {
+          status = head.status;
+        },
+        onBytes: (bytes) => {
+          text += new TextDecoder().decode(bytes);
+        },
+        onEnd: () => resolve({ kind: "whole", status, text, seen }),
+        onFailure: ({ kind }) => resolve({ kind, status, text, seen }),
+      },
+    );
+  });
+  await links.endpointOf(target).close();
+  server.close();
+  return result;
+}
+
+function write(text: string) {
+  return (socket: Socket) => socket.end(text);
+}
+
+test("a sealed answer is passed on, and the server sees request and limits unchanged", async () => {
+  const { kind, text, seen } = await send(
+    write(`${sealed}content-length: 6\r\n\r\nbooked`),
+    { adapterVersion: 3, priority: 2, resumeAfter: "7" },
+  );
+  assert.equal(kind, "whole");
+  assert.equal(text, "booked");
+  assert.match(seen, /^POST \/b\/x\?y=1 HTTP\/1\.1\r\n/);
+  assert.match(seen, /goldcrestwinch-deadline-ms: 900\r\n/i);
+  assert.match(seen, /goldcrestwinch-expect-instance: s1\r\n/i);
+  assert.match(seen, /goldcrestwinch-expect-version: 3\r\n/i);
+  assert.match(seen, /last-event-id: 7\r\n/i);
+  assert.ok(seen.endsWith("\r\n\r\norder"));
+});
+
+const broken: Record<string, string> = {
+  "an answer without a seal":
+    "HTTP/1.1 200 OK\r\ngoldcrestwinch-request-id: r1\r\ncontent-length: 1\r\n\r\nx",
+  "an encoded answer": `${sealed}content-encoding: gzip\r\ncontent-length: 1\r\n\r\nx`,
+  "a short answer": `${sealed}content-length: 9\r\n\r\nx`,
+  "bytes that are no answer": "hello\r\n\r\n",
+  "a 503 without a promise":
+    "HTTP/1.1 503 Busy\r\ngoldcrestwinch-request-id: r1\r\ncontent-length: 0\r\n\r\n",
+  "an answer cut in a chunk": `${sealed}transfer-encoding: chunked\r\n\r\n5\r\nab`,
+};
+
+for (const [name, text] of Object.entries(broken)) {
+  test(`${name} is broken: the request may have run`, async () => {
+    assert.equal((await send(write(text))).kind, "broken");
+  });
+}
+
+test("an answer to another request is crossed", async () => {
+  const text = `${sealed.replace("r1", "r0")}content-length: 1\r\n\r\nx`;
+  assert.equal((await send(write(text))).kind, "crossed");
+});
+
+test("a refusal that says so did not run", async () => {
+  const text =
+    "HTTP/1.1 503 Busy\r\ngoldcrestwinch-not-executed: 1\r\ncontent-length: 0\r\n\r\n";
+  assert.equal((await send(write(text))).kind, "not-run");
+});
+
+test("421 by the server itself denies model or version, by another one the address", async () => {
+  const own = "HTTP/1.1 421 No\r\ncontent-length: 0\r\n\r\n";
+  assert.equal((await send(write(own))).kind, "misdirected");
+  const other =
+    "HTTP/1.1 421 No\r\ngoldcrestwinch-instance-id: s9\r\ncontent-length: 0\r\n\r\n";
+  assert.equal((await send(write(other))).kind, "not-run");
+});
+
+test("a server that cannot be reached has got nothing", async () => {
+  const unused = describeServer({ address: "127.0.0.1:1" });
+  const { kind } = await send(() => {}, { server: unused });
+  assert.equal(kind, "unreachable");
+});
--- /dev/null
+++ b/tests/platform_adapter/stand_in_store.ts
@@ -0,0 +1,182 @@
+import { createServer, type Server, type ServerResponse } from "node:http";
+
+type Row = { key: string; version: number; value: string | undefined };
+
+/** The platform's store as far as one node uses it. */
+export class StandInStore {
+  readonly #server: Server;
+  readonly #tables = new Map<string, Map<string, Row>>();
+  #version = 100;
+  /** Answers every call with this status while it is set. */
+  failWith: number | undefined;
+  /** Leaves calls unanswered. */
+  isSilent = false;
+  /** Versions up to this one are no longer in the history. */
+  forgotten = 0;
+  readonly calls: string[] = [];
+
+  private constructor() {
+    this.#server = createServer((request, response) => {
+      const url = new URL(request.url ?? "/", "http://store");
+      this.calls.push(url.pathname);
+      let body = "";
+      request.on("data", (chunk) => {
+        body += chunk;
+      });
+      request.on("end", () => this.#answer(url, body, response));
+    });
+  }
+
+  static async open(): Promise<StandInStore> {
+    const store = new StandInStore();
+    await new Promise<void>((resolve) => {
+      store.#server.listen(0, "127.0.0.1", resolve);
+    });
+    return store;
+  }
+
+  get address(): string {
+    const { port } = this.#server.address() as { port: number };
+    return `127.0.0.1:${port}`;
+  }
+
+  put(table: string, key: string, value: unknown): void {
+    const text = typeof value === "string" ? value : JSON.stringify(value);
+    this.#write(table, key, Buffer.from(text).toString("base64"));
+  }
+
+  drop(table: string, key: string): void {
+    this.#write(table, key, undefined);
+  }
+
+  close(): void {
+    this.#server.close();
+    this.#server.closeAllConnections();
+  }
+
+  #write(table: string, key: string, value: string | undefined): void {
+    const rows = this.#tables.get(table) ?? new Map<string, Row>();
+    this.#tables.set(table, rows);
+    this.#version++;
+    rows.set(key, { key, version: this.#version, value });
+  }
+
+  #answer(url: URL, body: string, response: ServerResponse): void {
+    if (this.isSilent) return;
+    if (this.failWith !== undefined) {
+      response.writeHead(this.failWith).end();
+      return;
+    }
+    if (url.pathname === "/rows-tx") return this.#transact(body, response);
+    const table = url.searchParams.get("TableName") ?? "";
+    const rows = [...(this.#tables.get(table)?.values() ?? [])];
+    if (url.pathname === "/rows-get") {
+      const from = url.searchParams.get("From") ?? "";
+      const live = rows
+        .filter(({ key, value }) => value !== undefined && key >= from)
+        .sort((a, b) => (a.key < b.key ? -1 : 1));
+      return this.#send(response, live);
+    }
+    const after = Number(url.searchParams.get("after"));
+    if (after < this.forgotten) {
+      response.writeHead(410).end();
+      return;
+    }
+    const changed = rows.filter(({ version }) => version > after);
+    const wait = Number(url.searchParams.get("WaitMs"));
+    if (changed.length > 0 || wait <= 0) return this.#send(response, changed);
+    url.searchParams.set("WaitMs", String(wait - 10));
+    setTimeout(() => this.#answer(url, body, response), 10);
+  }
+
+  #transact(body: string, response: ServerResponse): void {
+    const { Expected, Writes } = JSON.parse(body) as {
+      Expected: { TableName: string; Key: string; RowVersion: number }[];
+      Writes: { TableName: string; Key: string; Value: string }[];
+    };
+    const holds = Expected.every(({ TableName, Key, RowVersion }) => {
+      const row = this.#tables.get(TableName)?.get(Key);
+      return (row?.value === undefined ? 0 : row.version) === RowVersion;
+    });
+    if (!holds) {
+      response.writeHead(412).end("{}");
+      return;
+    }
+    for (const { TableName, Key, Value } of Writes) {
+      this.#write(TableName, Key, Value);
+    }
+    this.#send(response, []);
+  }
+
+  #send(response: ServerResponse, rows: readonly Row[]): void {
+    const body = {
+      Rows: rows.map(({ key, version, value }) => ({
+        Key: key,
+        RowVersion: version,
+        ...(value === undefined ? { Tombstone: true } : { Value: value }),
+      })),
+      HasMore: false,
+      RowVersion: this.#version,
+      NowMs: 1,
+    };
+    response.writeHead(200, { "content-type": "application/json" });
+    response.end(JSON.stringify(body));
+  }
+}
+
+export const configuration = {
+  Version: 7,
+  Routes: [
+    {
+      Name: "r1",
+      Host: "Desk.Example",
+      Prefix: "/b/",
+      Kind: "unsafe",
+      TimeoutMs: 3000,
+      TargetLatencyMs: 200,
+      Priority: 2,
+      Service: "booking",
+      MaxAttempts: 2,
+    },
+  ],
+  Services: [
+    { Name: "booking", HealthPath: "/health", MaxConnections: 110 },
+    {
+      Name: "engines",
+      MaxConnections: 630,
+      Engine: {
+        Slots: 128,
+        KvCapacityTokens: 150_000,
+        Models: [
+          {
+            Name: "m0",
+            WeightsMb: 34_300,
+            LoadS: 2,
+            Adapters: 9,
+            AdapterMb: 40,
+          },
+        ],
+        WeightsMb: 35_700,
+        AdapterSlots: 18,
+      },
+    },
+  ],
+  Limits: {
+    MaxHeaderBytes: 16_384,
+    MaxBodyBytes: 1_000,
+    HeaderTimeoutMs: 3_000,
+    IdleTimeoutMs: 15_000,
+  },
+};
+
+export const registration = {
+  Service: "booking",
+  Address: "10.0.0.1:80",
+  Zone: "tatry-a",
+  Version: "v1",
+  Slots: 6,
+  State: "ready",
+  ColdRemainingMs: 0,
+  Sequence: 0,
+  born: 5,
+};
--- /dev/null
+++ b/tests/platform_adapter/store_table_test.ts
@@ -0,0 +1,71 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { ownTable } from "../../platform/names.ts";
+import { StoreClient } from "../../platform/store_client.ts";
+import { StoreTable } from "../../platform/store_table.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import {
+  type AttemptToken,
+  brandString,
+  type RowKey,
+} from "../../src/core/ids.ts";
+import { silentMeter } from "../../src/ports/journal.ts";
+import type { TableFailure } from "../../src/ports/table.ts";
+import { StandInStore } from "./stand_in_store.ts";
+
+const key = brandString<RowKey>("engine/i-1");
+const attempt = brandString<AttemptToken>("p/1");
+
+async function open() {
+  const store = await StandInStore.open();
+  const client = StoreClient.create({
+    address: store.address,
+    clock: RealClock.create(),
+    meter: silentMeter,
+  });
+  return { store, table: StoreTable.create(client) };
+}
+
+test("of two claims of one row one is committed", async () => {
+  const { store, table } = await open();
+  const claim = (value: string) =>
+    table.transact({
+      attempt,
+      conditions: [{ key, version: "absent" }],
+      writes: [{ key, value }],
+    });
+  const first = (await claim("a")).orDefault({ kind: "committed" });
+  const second = (await claim("b")).orDefault({ kind: "committed" });
+  assert.equal(first.kind, "committed");
+  assert.equal(second.kind, "conflict");
+  const row = (await table.read(key)).orDefault(undefined);
+  assert.equal(row?.value, "a");
+  assert.equal(first.kind === "committed" && first.version, row?.version);
+  store.close();
+});
+
+test("rows that another writer spoiled count as absent", async () => {
+  const { store, table } = await open();
+  store.put(ownTable, "engine/i-9", "no json");
+  store.put(ownTable, "engine/i-8", { attempt: "x", value: 1 });
+  const rows = (await table.scan("engine/")).orDefault([]);
+  assert.deepEqual(
+    rows.map(({ key }) => key),
+    ["engine/i-8"],
+  );
+  store.close();
+});
+
+// A silent store must not be taken for one that refused the write.
+test("a write without an answer is unknown, a refused one is not applied", async () => {
+  const { store, table } = await open();
+  const write = { attempt, conditions: [], writes: [{ key, value: 1 }] };
+  store.failWith = 503;
+  const refused = (await table.transact(write)).extract() as TableFailure;
+  assert.equal(refused.kind, "unavailable");
+  store.failWith = undefined;
+  store.isSilent = true;
+  const unanswered = (await table.transact(write)).extract() as TableFailure;
+  assert.equal(unanswered.kind, "unknown");
+  store.close();
+});
