Bound the search for a server apart from the request's first wait; split the call task

Cause: the time for the first server also bounded the search after a broken answer, so that no stream was resumed later than 1.6 s after its arrival, and a silent owner could hold a request past that time.

--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -1,4 +1,4 @@
-import { type Cancel, type Millis, millis, sleep } from "../../core/clock.ts";
+import { type Cancel, type Millis, millis } from "../../core/clock.ts";
 import type { GatewayRoute } from "../../core/gateway/configuration.ts";
 import { noteMissing } from "../../core/gateway/holdings.ts";
 import {
@@ -16,10 +16,12 @@
 } from "../../core/ids.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
 import type { CallerSink, PassedRequest } from "../../ports/gateway.ts";
-import { type GatewayContext, retryPause } from "./context.ts";
+import { CallLog } from "./call_log.ts";
+import type { GatewayContext } from "./context.ts";
 import type { Location, Locator } from "./locator.ts";
 import { PassedAnswer } from "./passed_answer.ts";
 import { Send, type SendReport } from "./send.ts";
+import { searchServer } from "./server_search.ts";
 import type { UseReport } from "./use_report.ts";
 
 /** Time that a request may wait for a server, as a multiple of its target latency. */
@@ -27,6 +29,8 @@
 /** Shortest such time, and time left before the limit at which waiting ends, in ms. */
 const minWait = 600;
 const reserveBeforeLimit = 300;
+/** Time for the search of a further server after a failed send, in ms. */
+const waitForNext = 1_500;
 /** Earliest useful time to come back after a refusal, in ms. */
 const comeBackAfter = millis(400);
 /** Least time left for which a request is still sent, in ms. */
@@ -51,6 +55,7 @@
   readonly #limitAt: Millis;
   readonly #waitUntil: Millis;
   readonly #passed: PassedAnswer;
+  readonly #log: CallLog;
   #cancelLimit: Cancel = () => {};
   #send: Send | undefined;
   /** Server of the latest send. */
@@ -65,6 +70,7 @@
   private constructor(options: CallOptions) {
     this.#options = options;
     const { request, route } = options;
+    this.#log = CallLog.create(options.context, options);
     this.#passed = PassedAnswer.create(options.sink, {
       clock: options.context.setup.clock,
       onStart: () => this.#noteUse("begun"),
@@ -96,7 +102,7 @@
   /** The caller has left: ends the work at the server at once. */
   cancel(): void {
     if (this.#ended) return;
-    this.#record("requestCancelled");
+    this.#log.record("requestCancelled");
     this.#finish("cancelled");
   }
 
@@ -127,40 +133,26 @@
   }
 
   /** Waits until a server can take the request; undefined if none can in time. */
-  async #findServer(): Promise<Location | undefined> {
+  #findServer(): Promise<Location | undefined> {
     const { context, locator, service, request } = this.#options;
-    const startedAt = context.now();
-    for (;;) {
-      const location = await locator.locate(service, {
-        demand: request.demand,
-        tried: this.#tried,
-        deniedBy: this.#deniedBy,
-      });
-      if (this.#ended) return undefined;
-      const now = context.now();
-      if (location !== undefined && location.readyAt <= this.#waitUntil) {
-        await this.#waitForAdapter(location, startedAt);
-        return location;
-      }
-      if (now + retryPause >= this.#waitUntil) return undefined;
-      // Servers that failed once may serve again after the pause.
-      if (location === undefined) this.#tried.clear();
-      await sleep(context.setup.clock, retryPause);
-      if (this.#ended) return undefined;
-    }
-  }
-
-  async #waitForAdapter(location: Location, since: Millis): Promise<void> {
-    const { context, request } = this.#options;
-    const wait = location.readyAt - context.now();
-    if (wait > 0) {
-      this.#record("requestAwaitsAdapter", location.server);
-      await sleep(context.setup.clock, millis(wait));
-    }
-    const { demand } = request;
-    if (demand?.adapter === undefined) return;
-    const waited = context.now() - since;
-    context.setup.meter.observe("gateway_adapter_wait_ms", waited);
+    const later = Math.min(
+      context.now() + waitForNext,
+      this.#limitAt - reserveBeforeLimit,
+    );
+    const isFirst = this.#runs === 0 && this.#rejections === 0;
+    return searchServer({
+      context,
+      locator,
+      service,
+      demand: request.demand,
+      tried: this.#tried,
+      deniedBy: this.#deniedBy,
+      until: isFirst
+        ? this.#waitUntil
+        : millis(Math.max(this.#waitUntil, later)),
+      isOver: () => this.#ended,
+      onAwait: (server) => this.#log.record("requestAwaitsAdapter", { server }),
+    });
   }
 
   /** Sends once; undefined if the answer went to the caller as a whole. */
@@ -171,7 +163,7 @@
       this.#onLimit();
       return Promise.resolve(undefined);
     }
-    this.#record("requestSent", location.server);
+    this.#log.record("requestSent", { server: location.server });
     this.#server = location.server;
     this.#noteUse(this.#passed.hasStarted ? "begun" : "sent");
     return new Promise((resolve) => {
@@ -193,7 +185,7 @@
           this.#send = undefined;
           this.#releaseUse();
           if (report.end.kind !== "whole") return resolve(report);
-          this.#recordAnswer(location.server);
+          this.#log.recordAnswer(location.server, this.#passed);
           this.#finish("answered");
           resolve(undefined);
         },
@@ -219,7 +211,12 @@
   #judge(report: SendReport, server: BackendServer): NextStep {
     const { context, route } = this.#options;
     const { kind } = report.end;
-    this.#record("requestSendFailed", server, `${kind}: ${report.detail}`);
+    this.#log.record("requestSendFailed", {
+      server,
+      detail: `${kind}: ${report.detail}`,
+      runs: this.#runs,
+      rejections: this.#rejections,
+    });
     const history = {
       repeat: route.repeat,
       resumable: route.resumable,
@@ -246,7 +243,9 @@
         result,
         now,
       });
-      if (suspended) this.#record("serverSuspended", server, kind);
+      if (suspended) {
+        this.#log.record("serverSuspended", { server, detail: kind });
+      }
     }
     const counts = { runs: this.#runs, rejections: this.#rejections };
     return decideNextStep({ ...history, ...counts }, report.end as SendEnd);
@@ -309,7 +308,12 @@
 
   #refuse(refusal: Refusal): void {
     const { sink } = this.#options;
-    this.#record("requestRefused", undefined, refusal.detail, refusal.code);
+    this.#log.record("requestRefused", {
+      detail: refusal.detail,
+      code: refusal.code,
+      runs: this.#runs,
+      rejections: this.#rejections,
+    });
     if (this.#passed.hasStarted) sink.abort();
     else sink.refuse(refusal);
     this.#finish(refusal.code);
@@ -322,50 +326,9 @@
     this.#releaseUse();
     this.#send?.cancel();
     this.#send = undefined;
-    const { context, request, route } = this.#options;
-    const { meter } = context.setup;
-    meter.count("gateway_requests_total", { rule: route.repeat, outcome });
-    meter.observe("gateway_answer_ms", context.now() - request.arrivedAt);
+    this.#log.countEnd(outcome);
     this.#onEnd();
   }
-
-  #recordAnswer(server: BackendServer): void {
-    const { context, request, route } = this.#options;
-    const { firstByteAt, longestPause } = this.#passed;
-    const first = Math.round(
-      (firstByteAt ?? context.now()) - request.arrivedAt,
-    );
-    context.setup.meter.observe("gateway_first_byte_ms", first);
-    context.setup.journal.record("requestAnswered", {
-      requestId: request.requestId,
-      route: route.name,
-      server: server.id,
-      firstByte: first,
-      longestPause: Math.round(longestPause),
-      taken: Math.round(context.now() - request.arrivedAt),
-      target: route.targetLatency,
-    });
-  }
-
-  #record(
-    event: Parameters<GatewayContext["setup"]["journal"]["record"]>[0],
-    server?: BackendServer,
-    detail?: string,
-    code?: string,
-  ): void {
-    const { context, request, route } = this.#options;
-    context.setup.journal.record(event, {
-      requestId: request.requestId,
-      route: route.name,
-      revision: context.configuration?.revision,
-      server: server?.id,
-      age: Math.round(context.now() - request.arrivedAt),
-      runs: this.#runs,
-      rejections: this.#rejections,
-      detail,
-      code,
-    });
-  }
 }
 
 /** What the end of a send tells about the server; undefined if nothing. */
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -1,4 +1,4 @@
-import { type Clock, type Millis, millis } from "../../core/clock.ts";
+import type { Clock, Millis } from "../../core/clock.ts";
 import type { ServerOutlook } from "../../core/gateway/choose_server.ts";
 import type { GatewayConfiguration } from "../../core/gateway/configuration.ts";
 import { createHoldings, type Holdings } from "../../core/gateway/holdings.ts";
@@ -111,6 +111,3 @@
     return allowance;
   }
 }
-
-/** Time between a failed try and the next one where nothing else is known. */
-export const retryPause = millis(60);
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -251,6 +251,39 @@
   );
 });
 
+// The time to wait for a first server once bounded the search for the next one too.
+test("a stream that breaks late still goes on elsewhere", async () => {
+  const fixture = await createEngines({ resumable: true });
+  const { answer } = fixture.open({
+    demand: demandOf("a1"),
+    deadline: millis(10_000),
+  });
+  await fixture.advance(5);
+  const [first] = fixture.sends;
+  first?.start();
+  first?.bytes("id: 1\ndata: a\n\n");
+  await fixture.advance(4_000);
+  first?.fail("broken");
+  await fixture.advance(500);
+  assert.equal(fixture.sends.length, 2);
+  fixture.last().start();
+  fixture.last().end();
+  assert.equal(answer.outcome, "whole");
+});
+
+test("a request that no server can take in time is refused well before its limit", async () => {
+  const fixture = await createEngines({}, ["a1", "a2", "a3", "a4"]);
+  fixture.orderAnswer = { kind: "conflict", detail: "409" };
+  const { answer } = fixture.open({
+    demand: demandOf("a9"),
+    deadline: millis(10_000),
+  });
+  const openedAt = fixture.clock.now();
+  await fixture.advance(4_000);
+  assert.equal(answer.refusal?.code, "adapterNotInTime");
+  assert.ok((answer.at as number) - openedAt <= 1_600);
+});
+
 test("a drain is over once the last request has ended", async () => {
   const fixture = await createBookings();
   fixture.open();
