--- a/src/adapters/observe/log.ts
+++ b/src/adapters/observe/log.ts
@@ -1,6 +1,8 @@
 import { destination, type Logger, pino } from "pino";
+import type { Clock } from "../../core/clock.ts";
 import type { NodeId } from "../../core/ids.ts";
 import { eventCatalogue } from "../../core/observe/events.ts";
+import type { Journal } from "../../ports/journal.ts";
 import type { EntryListener } from "./timeline.ts";
 
 /** Logger to standard error; synchronous, since worker transports do not survive bundling. */
@@ -21,3 +23,47 @@
     );
   };
 }
+
+/** Log lines that wait for a slow reader at most, in bytes; later ones are dropped. */
+const maxBufferedBytes = 1024 * 1024;
+/** Lines below the level of a warning that one node writes in a second. */
+const linesPerSecond = 400;
+
+/** Logger to standard output whose writes never wait for the reader. */
+export function createOutputLogger(options: {
+  node: NodeId;
+  level: string;
+}): Logger {
+  return pino(
+    { level: options.level, base: { node: options.node } },
+    destination({ dest: 1, sync: false, maxLength: maxBufferedBytes }),
+  );
+}
+
+/** Bounds the lines of a listener in each second and says how many were left out. */
+export function limitEntries(
+  listener: EntryListener,
+  options: { clock: Clock; journal: () => Journal; limit?: number },
+): EntryListener {
+  const { clock, journal, limit = linesPerSecond } = options;
+  let windowEnd = Number.NEGATIVE_INFINITY;
+  let written = 0;
+  let leftOut = 0;
+  return (entry, level) => {
+    const now = clock.now();
+    if (now >= windowEnd) {
+      const count = leftOut;
+      windowEnd = now + 1_000;
+      written = 0;
+      leftOut = 0;
+      if (count > 0) journal().record("logLinesLeftOut", { count });
+    }
+    const isBounded = level === "debug" || level === "info";
+    if (isBounded && written >= limit) {
+      leftOut++;
+      return;
+    }
+    if (isBounded) written++;
+    listener(entry, level);
+  };
+}
--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -30,6 +30,11 @@
     level: "info",
     meaning: "All work has ended; the process exits",
   },
+  logLinesLeftOut: {
+    number: 105,
+    level: "warn",
+    meaning: "Log lines were left out because their rate passed the limit",
+  },
   engineOwned: {
     number: 201,
     level: "info",
@@ -163,12 +168,12 @@
   },
   requestSent: {
     number: 309,
-    level: "debug",
+    level: "info",
     meaning: "A request was sent to a server",
   },
   requestAwaitsAdapter: {
     number: 310,
-    level: "debug",
+    level: "info",
     meaning: "A request waits until an engine has its adapter",
   },
   requestSendFailed: {
@@ -178,7 +183,7 @@
   },
   requestAnswered: {
     number: 312,
-    level: "debug",
+    level: "info",
     meaning: "The answer was passed on",
   },
   callClaimed: {
