--- a/tests/import_rule_test.ts
+++ b/tests/import_rule_test.ts
@@ -48,3 +48,28 @@
   );
   assert.deepEqual(violations, []);
 });
+
+/** Marks of the users' platform that only its adapter may know. */
+const platformNames =
+  /Goldcrestwinch-|RowVersion|rows-(tx|get|feed)|AdapterSlots|ColdRemainingMs|TableName/;
+
+test("nothing outside platform/ knows the platform's names or imports from it", () => {
+  const found = listSources("src").filter((file) => {
+    const imports = readImports(file).map((specifier) =>
+      normalize(join(dirname(file), specifier)),
+    );
+    return (
+      platformNames.test(readFileSync(file, "utf8")) ||
+      imports.some((target) => target.startsWith("platform/"))
+    );
+  });
+  assert.deepEqual(found, []);
+});
+
+test("platform/ stays below an eighth of src/", () => {
+  const countLines = (folder: string) =>
+    listSources(folder)
+      .map((file) => readFileSync(file, "utf8").split("\n").length)
+      .reduce((sum, lines) => sum + lines, 0);
+  assert.ok(countLines("platform") < countLines("src") / 8);
+});
