--- a/src/adapters/peers/use_datagrams.ts
+++ b/src/adapters/peers/use_datagrams.ts
@@ -74,6 +74,10 @@
     this.#listener = listener;
   }
 
+  close(): void {
+    this.#socket.close();
+  }
+
   #encode(message: UseMessage): Buffer[] {
     const entries =
       message.type === "use"
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -188,6 +188,7 @@
     this.#keepers.stop();
     this.#options.feed.stop();
     await this.#leases.release();
+    this.#options.useChannel.close();
   }
 
   #onCallEnd(call: GatewayCall): void {
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -184,6 +184,7 @@
 export type UseChannel = {
   send(address: string, message: UseMessage): void;
   onMessage(listener: (message: UseMessage, from: string) => void): void;
+  close(): void;
 };
 
 /** What nodes ask of each other. */
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -217,7 +217,7 @@
       nodeLinks: {
         acquire: async () => ({ kind: "refused", reason: "unreachable" }),
       },
-      useChannel: { send: () => {}, onMessage: () => {} },
+      useChannel: { send: () => {}, onMessage: () => {}, close: () => {} },
     });
   }
 
--- /dev/null
+++ b/tests/gateway/node_exchange_test.ts
@@ -0,0 +1,141 @@
+import assert from "node:assert/strict";
+import { createSocket } from "node:dgram";
+import { createServer } from "node:net";
+import { test } from "node:test";
+import { ExchangeLinks } from "../../src/adapters/peers/exchange_links.ts";
+import { createExchangeServer } from "../../src/adapters/peers/exchange_router.ts";
+import { UseDatagrams } from "../../src/adapters/peers/use_datagrams.ts";
+import { brandString } from "../../src/core/ids.ts";
+import type { NodeExchange, UseMessage } from "../../src/ports/gateway.ts";
+import { silentJournal } from "../../src/ports/journal.ts";
+
+const request: Parameters<NodeExchange["acquire"]>[0] = {
+  engine: brandString("i-1"),
+  place: "m0/a1" as never,
+  version: 2,
+  wasDenied: false,
+  patience: 40,
+};
+
+test("a request for an adapter reaches the owner unchanged, and its answer comes back", async () => {
+  const seen: unknown[] = [];
+  const server = createExchangeServer({
+    acquire: async (asked) => {
+      seen.push(asked);
+      return { kind: "ready", inMs: 265 };
+    },
+  });
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve());
+  });
+  const { port } = server.address() as { port: number };
+  const answer = await ExchangeLinks.create().acquire(
+    `127.0.0.1:${port}`,
+    request,
+  );
+  assert.deepEqual(seen, [request]);
+  assert.deepEqual(answer, { kind: "ready", inMs: 265 });
+  server.close();
+  server.closeAllConnections();
+});
+
+// A request must not wait for an owner that has gone silent.
+test("an owner that does not answer counts as unreachable within its time", async () => {
+  const server = createServer(() => {});
+  await new Promise<void>((resolve) => {
+    server.listen(0, "127.0.0.1", () => resolve());
+  });
+  const { port } = server.address() as { port: number };
+  const startedAt = performance.now();
+  const answer = await ExchangeLinks.create().acquire(
+    `127.0.0.1:${port}`,
+    request,
+  );
+  assert.deepEqual(answer, { kind: "refused", reason: "unreachable" });
+  assert.ok(performance.now() - startedAt < 2_000);
+  server.close();
+});
+
+type Heard = { message: UseMessage; from: string };
+
+function openChannel(port: number) {
+  const heard: Heard[] = [];
+  const channel = UseDatagrams.create({
+    host: "127.0.0.1",
+    port,
+    journal: silentJournal,
+  });
+  channel.onMessage((message, from) => heard.push({ message, from }));
+  return { channel, heard };
+}
+
+async function findFreePort(): Promise<number> {
+  const socket = createSocket("udp4");
+  await new Promise<void>((resolve) => {
+    socket.bind(0, "127.0.0.1", () => resolve());
+  });
+  const { port } = socket.address();
+  await new Promise<void>((resolve) => {
+    socket.close(() => resolve());
+  });
+  return port;
+}
+
+async function waitFor(check: () => boolean): Promise<void> {
+  for (let tries = 0; tries < 200 && !check(); tries++) {
+    await new Promise((resolve) => setTimeout(resolve, 10));
+  }
+}
+
+test("reports of use and load keep their form, and broken datagrams are dropped", async () => {
+  const [one, two] = [await findFreePort(), await findFreePort()];
+  const first = openChannel(one);
+  const second = openChannel(two);
+  const use: UseMessage = {
+    type: "use",
+    from: brandString("n1"),
+    engines: ["i-1", "i-2", "i-3"].map((engine) => ({
+      engine: brandString(engine),
+      ran: ["m0/a1" as never],
+      awaited: ["m0/a2" as never],
+      awaitedRequests: 3,
+      awaitedTokens: 900,
+    })),
+  };
+  const load: UseMessage = {
+    type: "load",
+    from: brandString("n2"),
+    engines: [
+      {
+        engine: brandString("i-1"),
+        requests: 1,
+        tokens: 20,
+        places: [{ key: "m0/a1" as never, version: 2, readyIn: 30 }],
+      },
+      {
+        engine: brandString("i-2"),
+        requests: 0,
+        tokens: 0,
+        places: undefined,
+      },
+    ],
+  };
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  first.channel.send(`127.0.0.1:${two}`, use);
+  await waitFor(() => second.heard.length >= 2);
+  const engines = second.heard.flatMap(({ message }) => [...message.engines]);
+  assert.deepEqual(engines, use.engines);
+  second.channel.send(second.heard[0]?.from as string, load);
+  await waitFor(() => first.heard.length >= 1);
+  assert.deepEqual(first.heard[0]?.message, load);
+  const stranger = createSocket("udp4");
+  const known = second.heard.length;
+  for (const text of ["", "garbage", "[1,2,3]"]) {
+    stranger.send(text, two, "127.0.0.1");
+  }
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  assert.equal(second.heard.length, known);
+  stranger.close();
+  first.channel.close();
+  second.channel.close();
+});
