--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -166,10 +166,14 @@
     return this.#keepers.acquire(request);
   }
 
-  /** Stops being ready; resolves once every open request has ended. */
-  drain(): Promise<void> {
+  /** Stops being ready; requests that still come are served. */
+  startDraining(): void {
     this.#draining = true;
     this.#options.journal.record("drainStarted", { open: this.#open.size });
+  }
+
+  /** Resolves once no request is open. */
+  whenIdle(): Promise<void> {
     return new Promise((resolve) => {
       this.#onIdle = resolve;
       if (this.#open.size === 0) resolve();
@@ -194,7 +198,7 @@
   #onCallEnd(call: GatewayCall): void {
     this.#open.delete(call);
     this.context.setup.meter.gauge("gateway_requests_open", this.#open.size);
-    if (this.#draining && this.#open.size === 0) this.#onIdle();
+    if (this.#open.size === 0) this.#onIdle();
   }
 
   readonly #acquire: Acquire = async (server, wanted) => {
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -289,7 +289,8 @@
   fixture.open();
   await fixture.advance(1);
   let isDone = false;
-  void fixture.gateway.drain().then(() => {
+  fixture.gateway.startDraining();
+  void fixture.gateway.whenIdle().then(() => {
     isDone = true;
   });
   assert.equal(fixture.gateway.isReady, false);
@@ -300,6 +301,24 @@
   assert.equal(isDone, true);
 });
 
+// A node without a request at SIGTERM once ended under those that came after it.
+test("a request that comes during a drain is waited for", async () => {
+  const fixture = await createBookings();
+  fixture.gateway.startDraining();
+  const { answer } = fixture.open();
+  await fixture.advance(1);
+  let isDone = false;
+  void fixture.gateway.whenIdle().then(() => {
+    isDone = true;
+  });
+  await fixture.advance(100);
+  assert.equal(isDone, false);
+  fixture.last().answer("booked");
+  await fixture.advance(1);
+  assert.equal(answer.outcome, "whole");
+  assert.equal(isDone, true);
+});
+
 test("a stopping node refuses what no server has got, as not run", async () => {
   const fixture = new Fixture();
   fixture.configure([createRoute({})]);
--- a/tests/platform_adapter/front_test.ts
+++ b/tests/platform_adapter/front_test.ts
@@ -72,7 +72,7 @@
     answerTokens: 80,
   });
   assert.equal(new TextDecoder().decode(request?.body), "body");
-  front.stopAccepting();
+  void front.stopAccepting();
 });
 
 // What only the system may set must not reach a server from a caller.
@@ -84,7 +84,7 @@
   );
   const names = (requests[0]?.headers ?? []).filter((_, at) => at % 2 === 0);
   assert.deepEqual(names, ["Host", "Goldcrestwinch-Request-Id", "X-Own"]);
-  front.stopAccepting();
+  void front.stopAccepting();
 });
 
 test("requests that cannot be taken get a numbered refusal", async () => {
@@ -105,7 +105,7 @@
   const endless = await talk(port, `${head}X: ${"y".repeat(20_000)}\r\n\r\n`);
   assert.match(endless, /^HTTP\/1\.1 431 /);
   assert.equal(requests.length, 0);
-  front.stopAccepting();
+  void front.stopAccepting();
 });
 
 test("a refusal carries its code, no seal, and when to come back", async () => {
@@ -121,7 +121,7 @@
   assert.match(received, /^HTTP\/1\.1 503 /);
   assert.match(received, /retry-after: 0\.40/i);
   assert.doesNotMatch(received, /server-seal/i);
-  front.stopAccepting();
+  void front.stopAccepting();
 });
 
 test("an answer that breaks off does not look complete", async () => {
@@ -133,7 +133,7 @@
   const received = await talk(port, `${head}${id}Content-Length: 0\r\n\r\n`);
   assert.match(received, /id: 1/);
   assert.doesNotMatch(received, /\r\n0\r\n\r\n$/);
-  front.stopAccepting();
+  void front.stopAccepting();
 });
 
 test("a caller that leaves cancels its request", async () => {
@@ -141,7 +141,21 @@
   await talk(port, `${head}${id}Content-Length: 0\r\n\r\n`);
   await new Promise((resolve) => setTimeout(resolve, 50));
   assert.equal(countCancelled(), 1);
-  front.stopAccepting();
+  void front.stopAccepting();
+});
+
+test("a stopping front waits for answers that have begun", async () => {
+  const { front, port } = await open(({ sink }) => {
+    sink.start({ status: 200, headers: [] });
+    sink.write(new TextEncoder().encode("id: 1\n\n"));
+    setTimeout(() => sink.end(), 200);
+  });
+  const talked = talk(port, `${head}${id}Content-Length: 0\r\n\r\n`);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  const startedAt = performance.now();
+  await front.stopAccepting();
+  assert.ok(performance.now() - startedAt > 100);
+  assert.match(await talked, /\r\n0\r\n\r\n$/);
 });
 
 test("a stopping front ends connections after their answer and takes no more", async () => {
@@ -149,6 +163,6 @@
   front.startClosing();
   const received = await talk(port, `${head}${id}Content-Length: 0\r\n\r\n`);
   assert.match(received, /connection: close/i);
-  front.stopAccepting();
+  void front.stopAccepting();
   assert.equal(await talk(port, `${head}${id}\r\n`), "");
 });
