--- a/src/core/gateway/next_step.ts
+++ b/src/core/gateway/next_step.ts
@@ -17,8 +17,6 @@
   readonly runs: number;
   /** Sends that the servers did not run. */
   readonly rejections: number;
-  /** Part of the answer has gone to the caller. */
-  readonly hasStarted: boolean;
 };
 
 /** What happens after a send that brought no whole answer. */
--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -221,7 +221,6 @@
       repeat: route.repeat,
       resumable: route.resumable,
       maxAttempts: route.maxAttempts,
-      hasStarted: this.#passed.hasStarted,
     };
     this.#deniedBy = kind === "misdirected" ? server.id : undefined;
     if (kind === "misdirected") this.#forgetPlace(server);
--- a/src/node/gateway/lease_desk.ts
+++ b/src/node/gateway/lease_desk.ts
@@ -105,11 +105,6 @@
     );
   }
 
-  /** Other nodes known from the table. */
-  nodes(): Iterable<KnownNode> {
-    return this.#state.nodes.values();
-  }
-
   /** The process stood still: rows are read before the next order. */
   doubt(): void {
     doubtLeases(this.#state);
