Add goldcrestwinch explain: one request's story from log files

Reads the logs of any number of nodes, selects the events of a request and those that bear on its servers and nodes, puts them in order and says how the request ended, where it was sent and what happened around it. Text, JSON or an HTML page.

--- /dev/null
+++ b/src/adapters/observe/log_lines.ts
@@ -0,0 +1,62 @@
+import { z } from "zod";
+import { type EventName, eventCatalogue } from "../../core/observe/events.ts";
+import type { LoggedEvent } from "../../core/observe/request_story.ts";
+
+const line = z.looseObject({
+  time: z.number(),
+  node: z.string(),
+  event: z.number(),
+  name: z.string().refine((name) => Object.hasOwn(eventCatalogue, name)),
+});
+
+/** Fields that every line has; they are not repeated among an event's fields. */
+const commonFields = new Set([
+  "level",
+  "time",
+  "node",
+  "event",
+  "name",
+  "msg",
+  "pid",
+  "hostname",
+]);
+
+/** Events of a log, and the number of lines that hold none. */
+export type ReadLog = {
+  readonly events: readonly LoggedEvent[];
+  readonly skippedLines: number;
+};
+
+/** Reads log lines of any number of nodes; what a collector puts before the JSON of a line is ignored. */
+export function readLogLines(text: string): ReadLog {
+  const events: LoggedEvent[] = [];
+  let skippedLines = 0;
+  for (const [index, content] of text.split("\n").entries()) {
+    if (content.trim() === "") continue;
+    const event = readLogLine(content, index);
+    if (event === undefined) skippedLines++;
+    else events.push(event);
+  }
+  return { events, skippedLines };
+}
+
+function readLogLine(content: string, index: number): LoggedEvent | undefined {
+  const start = content.indexOf("{");
+  if (start < 0) return undefined;
+  let value: unknown;
+  try {
+    value = JSON.parse(content.slice(start));
+  } catch {
+    // Counted by the caller: a line cut off at the end of a log is usual.
+    return undefined;
+  }
+  const parsed = line.safeParse(value);
+  if (!parsed.success) return undefined;
+  const { time, node, event: number, name } = parsed.data;
+  const fields = Object.fromEntries(
+    Object.entries(parsed.data).filter(([key]) => !commonFields.has(key)),
+  );
+  const event = name as EventName;
+  // Lines of one ms keep their order in the file.
+  return { time: { wall: time, counter: index }, node, number, event, fields };
+}
--- /dev/null
+++ b/src/cli/commands/explain.ts
@@ -0,0 +1,86 @@
+import { readFileSync, writeFileSync } from "node:fs";
+import { defineCommand } from "citty";
+import { readLogLines } from "../../adapters/observe/log_lines.ts";
+import {
+  type LoggedEvent,
+  tellRequestStory,
+} from "../../core/observe/request_story.ts";
+import type { TimelineEntry } from "../../ports/operators.ts";
+import { exitWithMessage, printLine } from "../exit.ts";
+import { renderTimelinePage } from "../timeline_page.ts";
+
+/** `goldcrestwinch explain`: one request's story from the logs of any number of nodes. */
+export const explainCommand = defineCommand({
+  meta: {
+    name: "explain",
+    description: "Tell from log files what happened to a request",
+  },
+  args: {
+    id: {
+      type: "positional",
+      required: true,
+      description: "Id of the request",
+    },
+    json: {
+      type: "boolean",
+      default: false,
+      description: "Print JSON instead of text",
+    },
+    html: { type: "string", description: "Write one HTML page to this path" },
+  },
+  run({ args }) {
+    const files = args._.slice(1);
+    if (files.length === 0) {
+      exitWithMessage(
+        "No log file is named.\nRemedy: goldcrestwinch explain ID FILE...",
+      );
+    }
+    const logs = files.map((file) => readLogLines(readLogFile(file)));
+    const skipped = logs.reduce((sum, log) => sum + log.skippedLines, 0);
+    if (skipped > 0) {
+      process.stderr.write(`${skipped} lines are not log events\n`);
+    }
+    const events = logs.flatMap((log) => log.events);
+    const story = tellRequestStory(events, args.id);
+    if (story === undefined) {
+      exitWithMessage(
+        `No line names request ${args.id}.\nRemedy: pass the logs of all nodes; look for event 105 (lines left out).`,
+      );
+    }
+    if (args.html !== undefined) {
+      writeFileSync(args.html, renderTimelinePage(story.events.map(toEntry)));
+    }
+    if (args.json) return printLine(JSON.stringify(story));
+    for (const event of story.events) printLine(formatLoggedEvent(event));
+    printLine(story.conclusion);
+  },
+});
+
+function readLogFile(path: string): string {
+  try {
+    return readFileSync(path, "utf8");
+  } catch (error) {
+    return exitWithMessage(
+      `${path} cannot be read: ${(error as Error).message}\nRemedy: name readable log files.`,
+    );
+  }
+}
+
+function toEntry(event: LoggedEvent): TimelineEntry {
+  return { ...event, fields: event.fields as TimelineEntry["fields"] };
+}
+
+/** One line of text for an event. */
+function formatLoggedEvent({
+  time,
+  node,
+  number,
+  event,
+  fields,
+}: LoggedEvent): string {
+  const details = Object.entries(fields)
+    .map(([name, value]) => `${name}=${value}`)
+    .join(" ");
+  const at = new Date(time.wall).toISOString();
+  return `${at} ${node} ${number} ${event} ${details}`.trimEnd();
+}
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -1,6 +1,7 @@
 import { defineCommand, runMain } from "citty";
 import { checkCommand } from "./commands/check.ts";
 import { drainCommand } from "./commands/drain.ts";
+import { explainCommand } from "./commands/explain.ts";
 import { nodeCommand } from "./commands/node.ts";
 import { sheetCommand } from "./commands/sheet.ts";
 import { statusCommand } from "./commands/status.ts";
@@ -19,6 +20,7 @@
     sheet: sheetCommand,
     status: statusCommand,
     timeline: timelineCommand,
+    explain: explainCommand,
     drain: drainCommand,
   },
 });
