--- a/src/core/gateway/engine_places.ts
+++ b/src/core/gateway/engine_places.ts
@@ -1,5 +1,5 @@
 import { type Millis, millis } from "../clock.ts";
-import type { AdapterName, ModelName, PlaceKey } from "../ids.ts";
+import type { AdapterName, MachineName, ModelName, PlaceKey } from "../ids.ts";
 import { formatPlaceKey } from "../ids.ts";
 import type { EngineTraits } from "./configuration.ts";
 import type { HeldPlace } from "./engine_load.ts";
@@ -15,6 +15,10 @@
   /** Time at which the load is expected to be complete. */
   readyAt: Millis;
   usedAt: Millis;
+  /** Nodes whose last report listed a request for the adapter. */
+  readonly usedBy: Set<MachineName>;
+  /** The last of those nodes has reported that its requests have ended. */
+  isReleased: boolean;
   /** Time at which the engine accepted the load. */
   orderedAt: Millis;
   /**
@@ -58,6 +62,8 @@
         phase: "held",
         readyAt,
         usedAt: now,
+        usedBy: new Set(),
+        isReleased: false,
         orderedAt: now,
         isConfirmed: true,
         missedAt: undefined,
@@ -130,6 +136,8 @@
       phase: "loading",
       readyAt,
       usedAt: readyAt,
+      usedBy: known?.usedBy ?? new Set(),
+      isReleased: false,
       orderedAt: known?.orderedAt ?? now,
       isConfirmed: false,
       missedAt: undefined,
@@ -143,9 +151,14 @@
       if (!isGone) replaced.places.set(key, place);
       continue;
     }
-    listed.usedAt = millis(Math.max(place.usedAt, place.readyAt));
     // Runs that the unload waits for keep the adapter listed.
-    if (place.phase === "unloading") replaced.places.set(key, place);
+    if (place.phase === "unloading") {
+      replaced.places.set(key, place);
+      continue;
+    }
+    const { usedBy, isReleased } = place;
+    const usedAt = millis(Math.max(place.usedAt, place.readyAt));
+    replaced.places.set(key, { ...listed, usedAt, usedBy, isReleased });
   }
   for (const [model, readyAt] of contents.models) {
     if (readyAt > now) replaced.models.set(model, readyAt);
@@ -202,18 +215,38 @@
 
 /** Time since its last known use before an adapter may be given up, in ms. */
 const idleBeforeEviction = 520;
+/** The same for an adapter that every node has reported as no longer in use. */
+const idleOnceReleased = 160;
 
 /** The held adapter whose last use is longest ago. */
 export const chooseLeastRecent: VictimPolicy = (places, now) => {
   let victim: Place | undefined;
   for (const place of places) {
     if (place.phase !== "held" || !place.isConfirmed) continue;
-    if (now < place.usedAt + idleBeforeEviction) continue;
+    const idle = place.isReleased ? idleOnceReleased : idleBeforeEviction;
+    if (now < place.usedAt + idle) continue;
     if (victim === undefined || place.usedAt < victim.usedAt) victim = place;
   }
   return victim;
 };
 
+/** Notes whether a node has requests for an adapter. */
+export function noteUser(
+  place: Place,
+  { node, isUsing }: { node: MachineName; isUsing: boolean },
+  now: Millis,
+): void {
+  if (isUsing) {
+    place.usedAt = now;
+    place.usedBy.add(node);
+    place.isReleased = false;
+    return;
+  }
+  if (!place.usedBy.delete(node)) return;
+  place.usedAt = now;
+  place.isReleased = place.usedBy.size === 0;
+}
+
 /** Adapters that requests may be sent for, with the time until each is ready. */
 export function listAvailable(
   contents: EnginePlaces,
--- a/src/core/gateway/keeper_acquire.ts
+++ b/src/core/gateway/keeper_acquire.ts
@@ -1,5 +1,5 @@
 import { type Millis, millis } from "../clock.ts";
-import { countCapacity, type Place } from "./engine_places.ts";
+import { countCapacity, noteUser, type Place } from "./engine_places.ts";
 import type {
   KeeperCommand,
   KeeperEvent,
@@ -24,22 +24,17 @@
   readonly commands: KeeperCommand[];
 };
 
-/** Notes which adapters requests need or ran on. */
+/** Notes which adapters the requests of a node need or ran on. */
 export function noteUse(
   state: KeeperState,
-  { ran, awaited }: Extract<KeeperEvent, { type: "used" }>,
+  { node, ran, awaited }: Extract<KeeperEvent, { type: "used" }>,
   now: Millis,
 ): void {
-  const { places } = state.contents;
-  for (const key of awaited) {
-    const place = places.get(key);
-    if (place !== undefined) place.usedAt = now;
-  }
-  for (const key of ran) {
-    const place = places.get(key);
-    if (place === undefined) continue;
-    place.usedAt = now;
-    if (place.phase !== "held") continue;
+  const running = new Set(ran);
+  const needed = new Set([...ran, ...awaited]);
+  for (const [key, place] of state.contents.places) {
+    noteUser(place, { node, isUsing: needed.has(key) }, now);
+    if (place.phase !== "held" || !running.has(key)) continue;
     place.isConfirmed = true;
     place.missedAt = undefined;
   }
@@ -61,6 +56,7 @@
     place.version >= version;
   if (isUsable) {
     place.usedAt = now;
+    place.isReleased = false;
     const inMs = Math.max(0, place.readyAt - now);
     commands.push({ type: "reply", ticket, reply: { kind: "ready", inMs } });
     return;
--- a/src/core/gateway/keeper_messages.ts
+++ b/src/core/gateway/keeper_messages.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "../clock.ts";
-import type { AdapterName, ModelName, PlaceKey } from "../ids.ts";
+import type { AdapterName, MachineName, ModelName, PlaceKey } from "../ids.ts";
 import type { EngineTraits } from "./configuration.ts";
 import type {
   EnginePlaces,
@@ -65,9 +65,10 @@
       /** Longest wait until the load may begin, in ms. */
       readonly patience: number;
     }
-  /** Adapters on which requests ran lately, and that requests wait for at the engine. */
+  /** Adapters on which requests of a node ran lately, and that its requests wait for at the engine. */
   | {
       readonly type: "used";
+      readonly node: MachineName;
       readonly ran: readonly PlaceKey[];
       readonly awaited: readonly PlaceKey[];
     }
--- a/src/core/gateway/keeper_orders.ts
+++ b/src/core/gateway/keeper_orders.ts
@@ -68,6 +68,8 @@
     phase: "loading",
     readyAt: millis(Number.POSITIVE_INFINITY),
     usedAt: now,
+    usedBy: new Set(),
+    isReleased: false,
     orderedAt: now,
     isConfirmed: false,
     missedAt: undefined,
--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -61,6 +61,8 @@
   /** Server of the latest send. */
   #server: BackendServer | undefined;
   #deniedBy: ServerId | undefined;
+  /** Why the owner that was asked last refused the adapter. */
+  #lastRefusal: string | undefined;
   #runs = 0;
   #rejections = 0;
   #ended = false;
@@ -152,6 +154,9 @@
         : millis(Math.max(this.#waitUntil, later)),
       isOver: () => this.#ended,
       onAwait: (server) => this.#log.record("requestAwaitsAdapter", { server }),
+      onRefused: (engine, reason) => {
+        this.#lastRefusal = `${engine}: ${reason}`;
+      },
     });
   }
 
@@ -289,7 +294,9 @@
       this.#options.request.demand === undefined
         ? "noServer"
         : "adapterNotInTime";
-    const detail = "No server can take the request in time";
+    const last = this.#lastRefusal;
+    const reason = last === undefined ? "" : `; the last one asked, ${last}`;
+    const detail = `No server can take the request in time${reason}`;
     this.#refuse(refuse(code, detail, { retryAfter: comeBackAfter }));
   }
 
--- a/src/node/gateway/engine_keeper.ts
+++ b/src/node/gateway/engine_keeper.ts
@@ -15,7 +15,12 @@
 } from "../../core/gateway/keeper_messages.ts";
 import type { EngineOrder } from "../../core/gateway/orders.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
-import type { AdapterName, ModelName, PlaceKey } from "../../core/ids.ts";
+import type {
+  AdapterName,
+  MachineName,
+  ModelName,
+  PlaceKey,
+} from "../../core/ids.ts";
 import type { EngineOrders, PlaceAnswer } from "../../ports/gateway.ts";
 import { createDecisionLogic, type DecisionActor } from "../decision_actor.ts";
 import type { GatewayContext } from "./context.ts";
@@ -93,9 +98,9 @@
     });
   }
 
-  /** Notes which adapters requests used lately. */
-  noteUse({ ran, awaited }: EngineUse): void {
-    this.#actor.send({ type: "used", ran, awaited });
+  /** Notes which adapters the requests of a node used lately. */
+  noteUse(node: MachineName, { ran, awaited }: EngineUse): void {
+    this.#actor.send({ type: "used", node, ran, awaited });
   }
 
   /** Adapters that requests may be sent for. */
--- a/src/node/gateway/keepers.ts
+++ b/src/node/gateway/keepers.ts
@@ -107,7 +107,7 @@
     for (const use of engines) {
       const keeper = this.#keepers.get(use.engine);
       if (keeper === undefined) continue;
-      keeper.noteUse(use);
+      keeper.noteUse(from, use);
       noteLoad(this.#ledger, { from, use }, now);
       const { engine } = use;
       const of = { engine, except: from };
--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -31,6 +31,12 @@
   readonly version: number | undefined;
 };
 
+/** Hears why the owner of an engine refused an adapter. */
+export type RefusalListener = (
+  engine: ServerId,
+  reason: Extract<PlaceAnswer, { kind: "refused" }>["reason"],
+) => void;
+
 /** Owners asked for an adapter before the request waits. */
 const maxOwnersAsked = 3;
 /** Time that a load may wait for its beginning, at first and then, in ms. */
@@ -65,6 +71,7 @@
       readonly tried: ReadonlySet<ServerId>;
       /** Engine that has just answered that it does not hold the adapter. */
       readonly deniedBy: ServerId | undefined;
+      readonly onRefused: RefusalListener;
     },
   ): Promise<Location | undefined> {
     const usable = listUsable(this.#context.directory, service);
@@ -77,7 +84,7 @@
     const { adapter, model } = demand;
     if (adapter === undefined) return this.#locatePlain(holding, holding);
     const key = formatPlaceKey(model, adapter);
-    return this.#locateAdapter(holding, key, request.deniedBy);
+    return this.#locateAdapter(holding, key, request);
   }
 
   #locatePlain(
@@ -94,7 +101,13 @@
   async #locateAdapter(
     candidates: readonly BackendServer[],
     key: PlaceKey,
-    deniedBy: ServerId | undefined,
+    {
+      deniedBy,
+      onRefused,
+    }: {
+      readonly deniedBy: ServerId | undefined;
+      readonly onRefused: RefusalListener;
+    },
   ): Promise<Location | undefined> {
     const context = this.#context;
     const version = context.versions.get(key) ?? 0;
@@ -119,7 +132,10 @@
       const wasDenied = server.id === deniedBy;
       const request = { place: key, version, wasDenied, patience };
       const answer = await this.#options.acquire(server, request);
-      if (answer.kind !== "ready") continue;
+      if (answer.kind !== "ready") {
+        onRefused(server.id, answer.reason);
+        continue;
+      }
       const now = context.now();
       if (isSuspended(context.health, server.id, now)) continue;
       const ready = millis(now + answer.inMs);
--- a/src/node/gateway/server_search.ts
+++ b/src/node/gateway/server_search.ts
@@ -3,7 +3,7 @@
 import type { ServerId, ServiceName } from "../../core/ids.ts";
 import type { ModelDemand } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
-import type { Location, Locator } from "./locator.ts";
+import type { Location, Locator, RefusalListener } from "./locator.ts";
 
 /** Pause between two looks for a server, in ms. */
 const lookPause = millis(60);
@@ -23,6 +23,7 @@
   readonly isOver: () => boolean;
   /** Called when the request begins to wait for an adapter. */
   readonly onAwait: (server: BackendServer) => void;
+  readonly onRefused: RefusalListener;
 };
 
 /** Waits until a server can take a request; undefined if none can by then. */
@@ -48,9 +49,11 @@
 async function lookForServer(
   options: SearchOptions,
 ): Promise<Location | undefined> {
-  const { context, locator, service, demand, tried, deniedBy } = options;
+  const { context, locator, service } = options;
+  const { demand, tried, deniedBy, onRefused } = options;
+  const request = { demand, tried, deniedBy, onRefused };
   while (!options.isOver()) {
-    const location = await locator.locate(service, { demand, tried, deniedBy });
+    const location = await locator.locate(service, request);
     if (location !== undefined && location.readyAt <= options.until) {
       return location;
     }
--- a/src/node/gateway/use_report.ts
+++ b/src/node/gateway/use_report.ts
@@ -178,8 +178,9 @@
       };
     }
     const ran = new Set([...use.running.keys(), ...use.began]);
+    // Adapters whose requests have ended already are reported as released next time.
+    use.isChanged = ran.size > use.running.size;
     use.began.clear();
-    use.isChanged = false;
     return {
       engine,
       ran: [...ran],
--- a/tests/gateway/keeper_fuzz_test.ts
+++ b/tests/gateway/keeper_fuzz_test.ts
@@ -16,12 +16,14 @@
   type AdapterName,
   brandString,
   formatPlaceKey,
+  type MachineName,
 } from "../../src/core/ids.ts";
 import { EngineOracle, model, traits } from "./engine_oracle.ts";
 
 const seeds = 60;
 const stepMs = 10;
 const steps = 3_000;
+const node: MachineName = brandString("node-1");
 const adapterCount = 12;
 /** Calm end of a play, in which new adapters are asked for one after the other. */
 const quietSteps = 1_600;
@@ -107,7 +109,7 @@
       const key = formatPlaceKey(model, adapter);
       if (engine.held.has(adapter) && random() < 0.5) {
         engine.running.set(adapter, millis(now + random() * 1_500));
-        send({ type: "used", ran: [key], awaited: [] });
+        send({ type: "used", node, ran: [key], awaited: [] });
       } else {
         const wasDenied = random() < 0.2;
         ticket++;
--- a/tests/gateway/keeper_test.ts
+++ b/tests/gateway/keeper_test.ts
@@ -20,6 +20,7 @@
   type AdapterName,
   brandString,
   formatPlaceKey,
+  type MachineName,
 } from "../../src/core/ids.ts";
 import { model, traits } from "./engine_oracle.ts";
 
@@ -89,8 +90,14 @@
   }
 
   use(...names: string[]): void {
+    this.useAt("node-1", ...names);
+  }
+
+  /** A node reports the adapters that its requests use, and no others. */
+  useAt(machine: string, ...names: string[]): void {
+    const node = brandString<MachineName>(machine);
     const ran = names.map((name) => formatPlaceKey(model, brandString(name)));
-    this.send({ type: "used", ran, awaited: [] });
+    this.send({ type: "used", node, ran, awaited: [] });
   }
 
   /** Takes the order that was decided on, if any. */
@@ -381,3 +388,31 @@
   const ticket = owner.acquire("a1");
   assert.deepEqual(owner.replies(ticket), [{ kind: "ready", inMs: 0 }]);
 });
+
+// Places once stayed taken for half a second after each stream, while requests were refused.
+test("an adapter that every node has released makes room at once", () => {
+  const owner = new Owner(list("a1", "a2", "a3", "a4"));
+  owner.use("a1", "a2", "a3", "a4");
+  owner.useAt("node-2", "a1");
+  owner.wait(100);
+  owner.use("a2", "a3", "a4");
+  owner.wait(180);
+  owner.acquire("a5");
+  assert.equal(owner.takeOrder(), undefined);
+  owner.useAt("node-2");
+  owner.use("a2", "a3", "a4");
+  owner.wait(180);
+  assert.equal(describe(owner.takeOrder()), "unload a1");
+});
+
+test("an adapter that was promised after its release does not make room", () => {
+  const owner = new Owner(list("a1", "a2", "a3", "a4"));
+  owner.use("a1", "a2", "a3", "a4");
+  owner.wait(100);
+  owner.use("a2", "a3", "a4");
+  owner.acquire("a1");
+  owner.wait(200);
+  owner.use("a2", "a3", "a4");
+  owner.acquire("a5");
+  assert.equal(owner.takeOrder(), undefined);
+});
