--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -9,14 +9,17 @@
 import { noteCallResult } from "../../core/gateway/server_health.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
-import {
-  formatPlaceKey,
-  type ServerId,
-  type ServiceName,
-} from "../../core/ids.ts";
-import { type Refusal, refuse } from "../../core/results/refusal.ts";
+import { formatPlaceKey, type ServiceName } from "../../core/ids.ts";
+import type { Refusal } from "../../core/results/refusal.ts";
 import type { CallerSink, PassedRequest } from "../../ports/gateway.ts";
+import { CallHistory } from "./call_history.ts";
 import { CallLog } from "./call_log.ts";
+import {
+  refuseAfterSend,
+  refuseAtLimit,
+  refuseUnserved,
+  refuseWhileStopping,
+} from "./call_refusals.ts";
 import type { GatewayContext } from "./context.ts";
 import type { Location, Locator } from "./locator.ts";
 import { PassedAnswer } from "./passed_answer.ts";
@@ -31,8 +34,6 @@
 const reserveBeforeLimit = 300;
 /** Time for the search of a further server after a failed send, in ms. */
 const waitForNext = 1_500;
-/** Earliest useful time to come back after a refusal, in ms. */
-const comeBackAfter = millis(400);
 /** Least time left for which a request is still sent, in ms. */
 const minTimeLeft = 20;
 
@@ -50,7 +51,7 @@
 /** Task of one request: owns its sends and its timer until the final answer. */
 export class GatewayCall {
   readonly #options: CallOptions;
-  readonly #tried = new Set<ServerId>();
+  readonly #history = CallHistory.create();
   readonly #cursor: StreamCursor | undefined;
   readonly #limitAt: Millis;
   readonly #waitUntil: Millis;
@@ -60,11 +61,6 @@
   #send: Send | undefined;
   /** Server of the latest send. */
   #server: BackendServer | undefined;
-  #deniedBy: ServerId | undefined;
-  /** Why the owner that was asked last refused the adapter. */
-  #lastRefusal: string | undefined;
-  #runs = 0;
-  #rejections = 0;
   #ended = false;
   #releaseUse: () => void = () => {};
   #onEnd: () => void = () => {};
@@ -110,9 +106,8 @@
 
   /** The node stops: a request that no server has got is refused. */
   refuseIfWaiting(): void {
-    if (this.#ended || this.#send !== undefined || this.#runs > 0) return;
-    const detail = "The node stops before a server can take the request";
-    this.#refuse(refuse("draining", detail, { retryAfter: millis(0) }));
+    if (this.#ended || this.#maySendHaveRun()) return;
+    this.#refuse(refuseWhileStopping());
   }
 
   async #run(): Promise<void> {
@@ -121,7 +116,10 @@
     while (!this.#ended) {
       const location = await this.#findServer();
       if (this.#ended) return;
-      if (location === undefined) return this.#refuseUnserved();
+      if (location === undefined) {
+        const { demand } = this.#options.request;
+        return this.#refuse(refuseUnserved(this.#history, demand));
+      }
       const report = await this.#sendTo(location);
       if (this.#ended || report === undefined) return;
       const step = this.#judge(report, location.server);
@@ -141,21 +139,21 @@
       context.now() + waitForNext,
       this.#limitAt - reserveBeforeLimit,
     );
-    const isFirst = this.#runs === 0 && this.#rejections === 0;
+    const history = this.#history;
     return searchServer({
       context,
       locator,
       service,
       demand: request.demand,
-      tried: this.#tried,
-      deniedBy: this.#deniedBy,
-      until: isFirst
+      tried: history.tried,
+      deniedBy: history.deniedBy,
+      until: history.isEmpty
         ? this.#waitUntil
         : millis(Math.max(this.#waitUntil, later)),
       isOver: () => this.#ended,
       onAwait: (server) => this.#log.record("requestAwaitsAdapter", { server }),
-      onRefused: (engine, reason) => {
-        this.#lastRefusal = `${engine}: ${reason}`;
+      onRefused: (server, reason) => {
+        history.lastRefusal = { server, reason };
       },
     });
   }
@@ -219,27 +217,10 @@
     this.#log.record("requestSendFailed", {
       server,
       detail: `${kind}: ${report.detail}`,
-      runs: this.#runs,
-      rejections: this.#rejections,
+      ...this.#history.counts,
     });
-    const history = {
-      repeat: route.repeat,
-      resumable: route.resumable,
-      maxAttempts: route.maxAttempts,
-    };
-    this.#deniedBy = kind === "misdirected" ? server.id : undefined;
+    this.#history.noteSendEnd(kind, server.id);
     if (kind === "misdirected") this.#forgetPlace(server);
-    if (
-      kind === "unreachable" ||
-      kind === "not-run" ||
-      kind === "misdirected"
-    ) {
-      this.#rejections++;
-      if (kind !== "misdirected") this.#tried.add(server.id);
-    } else {
-      this.#runs++;
-      this.#tried.add(server.id);
-    }
     const result = rateServer(kind);
     if (result !== undefined) {
       const now = context.now();
@@ -251,8 +232,12 @@
         this.#log.record("serverSuspended", { server, detail: kind });
       }
     }
-    const counts = { runs: this.#runs, rejections: this.#rejections };
-    return decideNextStep({ ...history, ...counts }, report.end as SendEnd);
+    const { repeat, resumable, maxAttempts } = route;
+    const rule = { repeat, resumable, maxAttempts };
+    return decideNextStep(
+      { ...rule, ...this.#history.counts },
+      report.end as SendEnd,
+    );
   }
 
   #forgetPlace(server: BackendServer): void {
@@ -275,50 +260,25 @@
   }
 
   #giveUp(report: SendReport): void {
-    if (this.#runs === 0) {
-      const detail = `Every server rejected the request: ${report.detail}`;
-      const retryAfter = comeBackAfter;
-      return this.#refuse(refuse("noServer", detail, { retryAfter }));
-    }
-    this.#refuse(
-      refuse("serviceBroken", `The answer was lost: ${report.detail}`),
-    );
+    this.#refuse(refuseAfterSend(this.#history, report.detail));
   }
 
-  #refuseUnserved(): void {
-    if (this.#runs > 0) {
-      const detail = "The answer was lost and no other server can take over";
-      return this.#refuse(refuse("serviceBroken", detail));
-    }
-    const code =
-      this.#options.request.demand === undefined
-        ? "noServer"
-        : "adapterNotInTime";
-    const last = this.#lastRefusal;
-    const reason = last === undefined ? "" : `; the last one asked, ${last}`;
-    const detail = `No server can take the request in time${reason}`;
-    this.#refuse(refuse(code, detail, { retryAfter: comeBackAfter }));
-  }
-
-  /** The longest time that the request may be kept waiting is over. */
   #onLimit(): void {
     if (this.#ended) return;
-    const isSent = this.#send !== undefined || this.#runs > 0;
-    const detail = "The time limit of the request is over";
-    this.#refuse(
-      isSent
-        ? refuse("serviceTimeout", detail)
-        : refuse("noServer", detail, { retryAfter: comeBackAfter }),
-    );
+    this.#refuse(refuseAtLimit(this.#maySendHaveRun()));
+  }
+
+  #maySendHaveRun(): boolean {
+    return this.#send !== undefined || this.#history.runs > 0;
   }
 
   #refuse(refusal: Refusal): void {
     const { sink } = this.#options;
     this.#log.record("requestRefused", {
+      server: this.#server ?? this.#history.lastRefusal?.server,
       detail: refusal.detail,
       code: refusal.code,
-      runs: this.#runs,
-      rejections: this.#rejections,
+      ...this.#history.counts,
     });
     if (this.#passed.hasStarted) sink.abort();
     else sink.refuse(refusal);
--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -33,7 +33,7 @@
 
 /** Hears why the owner of an engine refused an adapter. */
 export type RefusalListener = (
-  engine: ServerId,
+  engine: BackendServer,
   reason: Extract<PlaceAnswer, { kind: "refused" }>["reason"],
 ) => void;
 
@@ -133,7 +133,7 @@
       const request = { place: key, version, wasDenied, patience };
       const answer = await this.#options.acquire(server, request);
       if (answer.kind !== "ready") {
-        onRefused(server.id, answer.reason);
+        onRefused(server, answer.reason);
         continue;
       }
       const now = context.now();
