--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -84,7 +84,8 @@
     const { adapter, model } = demand;
     if (adapter === undefined) return this.#locatePlain(holding, holding);
     const key = formatPlaceKey(model, adapter);
-    return this.#locateAdapter(holding, key, request);
+    const { promptTokens } = demand;
+    return this.#locateAdapter(holding, { key, promptTokens }, request);
   }
 
   #locatePlain(
@@ -100,7 +101,7 @@
 
   async #locateAdapter(
     candidates: readonly BackendServer[],
-    key: PlaceKey,
+    { key, promptTokens }: { key: PlaceKey; promptTokens: number },
     {
       deniedBy,
       onRefused,
@@ -112,7 +113,7 @@
     const context = this.#context;
     const version = context.versions.get(key) ?? 0;
     const expected = version > 0 ? version : undefined;
-    const wanted = { key, version };
+    const wanted = { key, version, promptTokens };
     const ranked = rankEngines(candidates, wanted, {
       ...context.outlook(),
       estimateWait: this.#options.estimateWait,
