--- a/src/core/gateway/holdings.ts
+++ b/src/core/gateway/holdings.ts
@@ -157,14 +157,6 @@
 /** Time by which a later home in rendezvous order has to be better, in ms. */
 const homeThreshold = 120;
 
-/** Prompt tokens from which a prompt is long enough to hold up the streams beside it. */
-const longPrompt = 3_000;
-/** Share of the engines that long prompts prefer. */
-const longShare = 0.2;
-/** Cost of a long prompt elsewhere, and of a short one there, in ms of the request's time. */
-const longElsewhere = 250;
-const shortThere = 100;
-
 /** An engine for a request, with the time at which it has the adapter if that is known. */
 export type EngineChoice = {
   readonly server: BackendServer;
@@ -188,20 +180,9 @@
  */
 export function rankEngines(
   candidates: readonly BackendServer[],
-  wanted: {
-    readonly key: PlaceKey;
-    readonly version: number;
-    readonly promptTokens: number;
-  },
+  wanted: { readonly key: PlaceKey; readonly version: number },
   outlook: EngineOutlook,
 ): EngineChoice[] {
-  const isLong = wanted.promptTokens >= longPrompt;
-  const reserved = selectForLongPrompts(candidates);
-  const rate = (server: BackendServer) => {
-    const isReserved = reserved.has(server.id);
-    const misplaced = isLong ? longElsewhere : shortThere;
-    return rateEngine(server, outlook) + (isReserved === isLong ? 0 : misplaced);
-  };
   const holders: Rated[] = [];
   const others = new Map<ServerId, BackendServer>();
   for (const server of candidates) {
@@ -212,7 +193,7 @@
       continue;
     }
     const wait = Math.max(0, readyAt - outlook.now);
-    const cost = wait + rate(server);
+    const cost = wait + rateEngine(server, outlook);
     holders.push({ server, readyAt, cost });
   }
   const homes = selectHomes(wanted.key, {
@@ -222,24 +203,13 @@
   const rated = homes.map((id, rank): Rated => {
     const server = others.get(id) as BackendServer;
     const base = loadTime + rank * homeThreshold;
-    const isCopy = holders.length > 0 && !(isLong && reserved.has(id));
-    const extra = isCopy ? copyThreshold : 0;
-    const cost = base + extra + rate(server);
+    const extra = holders.length > 0 ? copyThreshold : 0;
+    const cost = base + extra + rateEngine(server, outlook);
     return { server, readyAt: undefined, cost };
   });
   return [...holders, ...rated].sort((a, b) => a.cost - b.cost);
 }
 
-/** Engines that long prompts prefer; all nodes choose the same ones. */
-function selectForLongPrompts(
-  candidates: readonly BackendServer[],
-): ReadonlySet<ServerId> {
-  if (candidates.length < 3) return new Set();
-  const engines = candidates.map(({ id }) => ({ engine: id, weight: 1 }));
-  const count = Math.max(1, Math.round(candidates.length * longShare));
-  return new Set(selectHomes("long-prompts", { engines, count }));
-}
-
 /** Time that the distance and the backlog of an engine cost a request, in ms. */
 function rateEngine(server: BackendServer, outlook: EngineOutlook): number {
   return rateDistance(server, outlook) + outlook.estimateWait(server.id);
--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -84,8 +84,7 @@
     const { adapter, model } = demand;
     if (adapter === undefined) return this.#locatePlain(holding, holding);
     const key = formatPlaceKey(model, adapter);
-    const { promptTokens } = demand;
-    return this.#locateAdapter(holding, { key, promptTokens }, request);
+    return this.#locateAdapter(holding, key, request);
   }
 
   #locatePlain(
@@ -101,7 +100,7 @@
 
   async #locateAdapter(
     candidates: readonly BackendServer[],
-    { key, promptTokens }: { key: PlaceKey; promptTokens: number },
+    key: PlaceKey,
     {
       deniedBy,
       onRefused,
@@ -113,7 +112,7 @@
     const context = this.#context;
     const version = context.versions.get(key) ?? 0;
     const expected = version > 0 ? version : undefined;
-    const wanted = { key, version, promptTokens };
+    const wanted = { key, version };
     const ranked = rankEngines(candidates, wanted, {
       ...context.outlook(),
       estimateWait: this.#options.estimateWait,
