--- a/src/core/gateway/engine_places.ts
+++ b/src/core/gateway/engine_places.ts
@@ -216,7 +216,7 @@
 /** Time since its last known use before an adapter may be given up, in ms. */
 const idleBeforeEviction = 520;
 /** The same for an adapter that every node has reported as no longer in use. */
-const idleOnceReleased = 100;
+const idleOnceReleased = 160;
 
 /** The held adapter whose last use is longest ago. */
 export const chooseLeastRecent: VictimPolicy = (places, now) => {
--- a/src/node/gateway/use_report.ts
+++ b/src/node/gateway/use_report.ts
@@ -13,7 +13,7 @@
 import type { LeaseDesk } from "./lease_desk.ts";
 
 /** Time between two looks for changes that owners should hear of, in ms. */
-const reportPeriod = millis(80);
+const reportPeriod = millis(150);
 /** Time between two reports to an owner while its engines are in use, and while they are not, in ms. */
 const busyPeriod = 300;
 const idlePeriod = 900;
