--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -28,8 +28,7 @@
 import type { UseReport } from "./use_report.ts";
 
 /** Time that a request may wait for a server, as a multiple of its target latency. */
-const maxWaitPerTarget = 3.2;
-const lateAfterTargets = 1.6;
+const maxWaitPerTarget = 1.6;
 /** Shortest such time, and time left before the limit at which waiting ends, in ms. */
 const minWait = 600;
 const reserveBeforeLimit = 300;
@@ -141,11 +140,8 @@
       this.#limitAt - reserveBeforeLimit,
     );
     const history = this.#history;
-    const { targetLatency } = this.#options.route;
-    const lateAfter = Math.max(minWait, targetLatency * lateAfterTargets);
     return searchServer({
       context,
-      lateFrom: millis(request.arrivedAt + lateAfter),
       locator,
       service,
       demand: request.demand,
--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -72,8 +72,6 @@
       /** Engine that has just answered that it does not hold the adapter. */
       readonly deniedBy: ServerId | undefined;
       readonly onRefused: RefusalListener;
-      /** The request is late: it takes only what can begin at once. */
-      readonly isLate: boolean;
     },
   ): Promise<Location | undefined> {
     const usable = listUsable(this.#context.directory, service);
@@ -106,11 +104,9 @@
     {
       deniedBy,
       onRefused,
-      isLate,
     }: {
       readonly deniedBy: ServerId | undefined;
       readonly onRefused: RefusalListener;
-      readonly isLate: boolean;
     },
   ): Promise<Location | undefined> {
     const context = this.#context;
@@ -130,10 +126,7 @@
     // At first an owner that can begin at once is looked for, then one that can begin at all.
     const rounds = [
       ...asked.map((choice) => ({ ...choice, patience: firstPatience })),
-      ...(isLate ? [] : asked).map((choice) => ({
-        ...choice,
-        patience: lastPatience,
-      })),
+      ...asked.map((choice) => ({ ...choice, patience: lastPatience })),
     ];
     for (const { server, patience } of rounds) {
       const wasDenied = server.id === deniedBy;
--- a/src/node/gateway/server_search.ts
+++ b/src/node/gateway/server_search.ts
@@ -19,8 +19,6 @@
   readonly deniedBy: ServerId | undefined;
   /** Latest time at which the server has to be able to take the request. */
   readonly until: Millis;
-  /** Time from which on the request takes only what can begin at once. */
-  readonly lateFrom: Millis;
   /** The request has ended in the meantime. */
   readonly isOver: () => boolean;
   /** Called when the request begins to wait for an adapter. */
@@ -53,9 +51,8 @@
 ): Promise<Location | undefined> {
   const { context, locator, service } = options;
   const { demand, tried, deniedBy, onRefused } = options;
+  const request = { demand, tried, deniedBy, onRefused };
   while (!options.isOver()) {
-    const isLate = context.now() >= options.lateFrom;
-    const request = { demand, tried, deniedBy, onRefused, isLate };
     const location = await locator.locate(service, request);
     if (location !== undefined && location.readyAt <= options.until) {
       return location;
