End the process although nobody reads its log

At the exit pino flushes until the reader has taken every line, so a process with a full log pipe stayed until it was killed. Standard output is opened for writes that fail instead of waiting, and the last flush is tried once. The test writes more than a pipe holds to a reader that never reads.

--- a/src/adapters/observe/log.ts
+++ b/src/adapters/observe/log.ts
@@ -1,3 +1,4 @@
+import { constants, fstatSync, openSync } from "node:fs";
 import { destination, type Logger, pino } from "pino";
 import type { Clock } from "../../core/clock.ts";
 import type { NodeId } from "../../core/ids.ts";
@@ -34,10 +35,37 @@
   node: NodeId;
   level: string;
 }): Logger {
-  return pino(
-    { level: options.level, base: { node: options.node } },
-    destination({ dest: 1, sync: false, maxLength: maxBufferedBytes }),
-  );
+  let isExiting = false;
+  const output = destination({
+    dest: openOutput(),
+    sync: false,
+    maxLength: maxBufferedBytes,
+    retryEAGAIN: () => !isExiting,
+  });
+  // pino flushes at the exit until the reader has taken everything, so the process would not end.
+  process.prependOnceListener("exit", () => {
+    isExiting = true;
+    flushOnce(output);
+    output.destroy();
+  });
+  return pino({ level: options.level, base: { node: options.node } }, output);
+}
+
+/**
+ * Descriptor of standard output whose writes fail instead of waiting. A write
+ * that waits for the reader of a pipe would also hold up the end of the process.
+ */
+function openOutput(): number {
+  if (!fstatSync(1).isFIFO()) return 1;
+  return openSync("/proc/self/fd/1", constants.O_WRONLY | constants.O_NONBLOCK);
+}
+
+function flushOnce(output: ReturnType<typeof destination>): void {
+  try {
+    output.flushSync();
+  } catch {
+    // The reader takes no more lines, and there is nowhere else to say so.
+  }
 }
 
 /** Bounds the lines of a listener in each second and says how many were left out. */
--- /dev/null
+++ b/tests/observe/unread_pipe_test.ts
@@ -0,0 +1,47 @@
+import assert from "node:assert/strict";
+import { spawn } from "node:child_process";
+import type { Readable } from "node:stream";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+
+/** Longest time for which a request may wait for a log line, in ms. */
+const longestPauseAllowed = 100;
+/** Time for the process to write its lines and end, in ms. */
+const reportAllowed = 10_000;
+/** Memory of the process with a full buffer of lines, in MB. */
+const memoryAllowed = 200;
+
+// A pipe that nobody reads fills up after 64 KB; a blocking write would then stop every request.
+test("a log pipe that nobody reads holds up neither requests nor the end of the process", async () => {
+  // The shell makes a pipe; a child of Node gets a socket.
+  const command = `("${process.execPath}" --import tsx tests/observe/chatty_process.ts; echo "status $?" >&2) | sleep 15`;
+  const child = spawn("sh", ["-c", command], {
+    stdio: ["ignore", "ignore", "pipe"],
+    detached: true,
+  });
+  try {
+    const report = await readUntilStatus(child.stderr);
+    assert.match(report, /status 0/);
+    const { lines, longestPause, memory } = JSON.parse(
+      report.slice(0, report.indexOf("}") + 1),
+    );
+    assert.ok(lines > 20_000, `only ${lines} lines were written`);
+    assert.ok(longestPause < longestPauseAllowed, `paused ${longestPause} ms`);
+    assert.ok(memory < memoryAllowed, `took ${memory} MB`);
+  } finally {
+    if (child.pid !== undefined) process.kill(-child.pid, "SIGKILL");
+  }
+});
+
+/** Text up to the exit status; what there is after the time allowed. */
+async function readUntilStatus(stream: Readable): Promise<string> {
+  let text = "";
+  stream.on("data", (chunk) => {
+    text += chunk;
+  });
+  const deadline = performance.now() + reportAllowed;
+  while (!text.includes("status") && performance.now() < deadline) {
+    await sleep(50);
+  }
+  return text;
+}
