--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -85,7 +85,8 @@
     });
     this.#locator = Locator.create(this.context, {
       acquire: this.#acquire,
-      estimateWait: (engine) => this.#uses.estimateWait(engine),
+      estimateStart: (engine, promptTokens) =>
+        this.#uses.estimateStart(engine, promptTokens),
     });
     this.#clockGap = clock.wallNow() - clock.now();
   }
--- a/tests/gateway/holdings_test.ts
+++ b/tests/gateway/holdings_test.ts
@@ -58,7 +58,7 @@
     health: createServerHealth(),
     now: millis(0),
     holdings: createHoldings(),
-    estimateWait: (engine: ServerId): Millis => millis(waits[engine] ?? 0),
+    estimateStart: (engine: ServerId): Millis => millis(waits[engine] ?? 0),
   };
 }
 
