--- a/src/core/gateway/engine_load.ts
+++ b/src/core/gateway/engine_load.ts
@@ -94,16 +94,3 @@
   const { requests, tokens } = backlog;
   return millis(tokens / tokensPerMs + requests * timePerPrompt);
 }
-
-/** Least time between a request and its first event beside the reading of the prompt, in ms. */
-const firstEventTime = 80;
-
-/** Expected time until an answer begins behind a backlog, at an engine of usual pace, in ms. */
-export function estimateStart(
-  backlog: EngineBacklog,
-  promptTokens: number,
-): Millis {
-  const { requests, tokens } = backlog;
-  const all = { requests: requests + 1, tokens: tokens + promptTokens };
-  return millis(firstEventTime + estimateBacklog(all));
-}
--- a/src/core/gateway/holdings.ts
+++ b/src/core/gateway/holdings.ts
@@ -184,8 +184,8 @@
 /** What the ranking of engines depends on. */
 export type EngineOutlook = ServerOutlook & {
   readonly holdings: Holdings;
-  /** Expected time at an engine until the answer begins, in ms. */
-  readonly estimateStart: (engine: ServerId) => Millis;
+  /** Expected wait at an engine behind other requests, in ms. */
+  readonly estimateWait: (engine: ServerId) => Millis;
 };
 
 type Rated = EngineChoice & { readonly cost: number };
@@ -240,16 +240,12 @@
   return version !== undefined && version >= wanted.version;
 }
 
-/** Time that the distance, the backlog and the pace of an engine cost a request, in ms. */
+/** Time that the distance and the backlog of an engine cost a request, in ms. */
 function rateEngine(server: BackendServer, outlook: EngineOutlook): number {
-  return rateDistance(server, outlook) + outlook.estimateStart(server.id);
+  return rateDistance(server, outlook) + outlook.estimateWait(server.id);
 }
 
-/** Time that the way to a server and back costs a request, in ms. */
-export function rateDistance(
-  server: BackendServer,
-  outlook: ServerOutlook,
-): number {
+function rateDistance(server: BackendServer, outlook: EngineOutlook): number {
   if (server.dataCentre === outlook.dataCentre) return 0;
   return outlook.regionOf(server.dataCentre) === outlook.region
     ? otherDataCentreTime
--- a/src/node/gateway/call.ts
+++ b/src/node/gateway/call.ts
@@ -63,7 +63,6 @@
   #server: BackendServer | undefined;
   #ended = false;
   #releaseUse: () => void = () => {};
-  #noteStart: () => void = () => {};
   #onEnd: () => void = () => {};
 
   private constructor(options: CallOptions) {
@@ -187,7 +186,6 @@
         sink: this.#passed,
         onReport: (report) => {
           this.#send = undefined;
-          this.#noteStart = () => {};
           this.#releaseUse();
           if (report.end.kind !== "whole") return resolve(report);
           this.#log.recordAnswer(location.server, this.#passed);
@@ -206,13 +204,10 @@
     const key = formatPlaceKey(demand.model, demand.adapter);
     const { id } = this.#server;
     this.#releaseUse();
-    if (stage === "sent") {
-      this.#noteStart = uses.watchStart(this.#server, demand.promptTokens);
-      this.#releaseUse = uses.noteSent(id, key, demand.promptTokens);
-      return;
-    }
-    this.#noteStart();
-    this.#releaseUse = uses.noteBegun(id, key);
+    this.#releaseUse =
+      stage === "sent"
+        ? uses.noteSent(id, key, demand.promptTokens)
+        : uses.noteBegun(id, key);
   }
 
   /** Counts the send and decides what follows. */
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -85,8 +85,7 @@
     });
     this.#locator = Locator.create(this.context, {
       acquire: this.#acquire,
-      estimateStart: (engine, promptTokens) =>
-        this.#uses.estimateStart(engine, promptTokens),
+      estimateWait: (engine) => this.#uses.estimateWait(engine),
     });
     this.#clockGap = clock.wallNow() - clock.now();
   }
--- a/src/node/gateway/locator.ts
+++ b/src/node/gateway/locator.ts
@@ -45,8 +45,8 @@
 
 type LocatorOptions = {
   readonly acquire: Acquire;
-  /** Expected time at an engine until the answer to such a prompt begins, in ms. */
-  readonly estimateStart: (engine: ServerId, promptTokens: number) => Millis;
+  /** Expected wait at an engine behind other requests, in ms. */
+  readonly estimateWait: (engine: ServerId) => Millis;
 };
 
 /** Finds servers for requests; asks the owners of engines for adapters. */
@@ -84,7 +84,7 @@
     const { adapter, model } = demand;
     if (adapter === undefined) return this.#locatePlain(holding, holding);
     const key = formatPlaceKey(model, adapter);
-    return this.#locateAdapter(holding, { key, demand }, request);
+    return this.#locateAdapter(holding, key, request);
   }
 
   #locatePlain(
@@ -100,7 +100,7 @@
 
   async #locateAdapter(
     candidates: readonly BackendServer[],
-    { key, demand }: { key: PlaceKey; demand: ModelDemand },
+    key: PlaceKey,
     {
       deniedBy,
       onRefused,
@@ -115,8 +115,7 @@
     const wanted = { key, version };
     const ranked = rankEngines(candidates, wanted, {
       ...context.outlook(),
-      estimateStart: (engine) =>
-        this.#options.estimateStart(engine, demand.promptTokens),
+      estimateWait: this.#options.estimateWait,
     });
     const [best] = ranked;
     if (best?.readyAt !== undefined) {
--- a/src/node/gateway/use_report.ts
+++ b/src/node/gateway/use_report.ts
@@ -4,15 +4,8 @@
   EngineLoad,
   EngineUse,
 } from "../../core/gateway/engine_load.ts";
-import { estimateStart } from "../../core/gateway/engine_load.ts";
-import {
-  createEnginePaces,
-  findPace,
-  forgetPace,
-  notePace,
-} from "../../core/gateway/engine_pace.ts";
-import { noteContents, rateDistance } from "../../core/gateway/holdings.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
+import { estimateBacklog } from "../../core/gateway/engine_load.ts";
+import { noteContents } from "../../core/gateway/holdings.ts";
 import type { MachineName, PlaceKey, ServerId } from "../../core/ids.ts";
 import type { UseChannel, UseMessage } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
@@ -54,7 +47,6 @@
   readonly #options: UseReportOptions;
   readonly #uses = new Map<ServerId, OwnUse>();
   readonly #loads = new Map<ServerId, EngineLoad & { readonly at: Millis }>();
-  readonly #paces = createEnginePaces();
   readonly #reportedAt = new Map<MachineName, Millis>();
   #cancel: Cancel = () => {};
 
@@ -89,45 +81,24 @@
     return once(countUse(use, use.running, place));
   }
 
-  /** Expected time until an engine begins to answer such a prompt, in ms. */
-  estimateStart(engine: ServerId, promptTokens: number): Millis {
-    const start = estimateStart(this.#sumBacklog(engine), promptTokens);
-    const now = this.#options.context.now();
-    return millis(start * findPace(this.#paces, engine, now));
-  }
-
-  /** Starts to watch how long an engine takes to begin an answer; the result ends it. */
-  watchStart(server: BackendServer, promptTokens: number): () => void {
-    const { context } = this.#options;
-    const sentAt = context.now();
-    const expected =
-      estimateStart(this.#sumBacklog(server.id), promptTokens) +
-      rateDistance(server, context.outlook());
-    return once(() => {
-      const now = context.now();
-      const answer = { actual: now - sentAt, expected, now };
-      notePace(this.#paces, server.id, answer);
-    });
-  }
-
-  /** Requests of all nodes that an engine has not begun. */
-  #sumBacklog(engine: ServerId): EngineBacklog {
+  /** Expected wait at an engine behind the requests of all nodes, in ms. */
+  estimateWait(engine: ServerId): Millis {
     const own = this.#uses.get(engine);
     const others = this.#loads.get(engine);
     const isKnown =
       others !== undefined &&
       this.#options.context.now() < others.at + loadLifetime;
-    return {
+    const backlog: EngineBacklog = {
       requests: (own?.requests ?? 0) + (isKnown ? others.requests : 0),
       tokens: (own?.tokens ?? 0) + (isKnown ? others.tokens : 0),
     };
+    return estimateBacklog(backlog);
   }
 
   /** Forgets an engine that is gone. */
   forget(engine: ServerId): void {
     this.#uses.delete(engine);
     this.#loads.delete(engine);
-    forgetPace(this.#paces, engine);
   }
 
   stop(): void {
--- a/tests/gateway/holdings_test.ts
+++ b/tests/gateway/holdings_test.ts
@@ -58,7 +58,7 @@
     health: createServerHealth(),
     now: millis(0),
     holdings: createHoldings(),
-    estimateStart: (engine: ServerId): Millis => millis(waits[engine] ?? 0),
+    estimateWait: (engine: ServerId): Millis => millis(waits[engine] ?? 0),
   };
 }
 
