--- a/src/core/gateway/keeper_messages.ts
+++ b/src/core/gateway/keeper_messages.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "../clock.ts";
-import type { AdapterName, ModelName, PlaceKey } from "../ids.ts";
+import type { AdapterName, MachineName, ModelName, PlaceKey } from "../ids.ts";
 import type { EngineTraits } from "./configuration.ts";
 import type {
   EnginePlaces,
@@ -36,8 +36,6 @@
   highestCount: number;
   /** Reports in a row that did not show all accepted orders. */
   staleReports: number;
-  /** Two reports in a row with one count are needed before the first order; one alone may miss an adapter. */
-  isNew: boolean;
   asking: boolean;
   askedAt: Millis;
   /** No order is sent before this time. */
@@ -65,9 +63,10 @@
       /** Longest wait until the load may begin, in ms. */
       readonly patience: number;
     }
-  /** Adapters on which requests ran lately, and that requests wait for at the engine. */
+  /** Adapters on which requests of a node ran lately, and that its requests wait for at the engine. */
   | {
       readonly type: "used";
+      readonly node: MachineName;
       readonly ran: readonly PlaceKey[];
       readonly awaited: readonly PlaceKey[];
     }
--- a/src/core/gateway/keeper_orders.ts
+++ b/src/core/gateway/keeper_orders.ts
@@ -17,6 +17,8 @@
   const missing = findMissingModel(state);
   if (missing !== undefined) return orderModel(missing, orderCount);
   const capacity = countCapacity(contents, state.traits);
+  // Adapters of which it is not known whether they are still there count too.
+  if (contents.places.size > capacity) return undefined;
   for (const [key, wanted] of waiting) {
     const readyAt = contents.models.get(wanted.model);
     if (readyAt === undefined || readyAt > now) continue;
@@ -68,6 +70,8 @@
     phase: "loading",
     readyAt: millis(Number.POSITIVE_INFINITY),
     usedAt: now,
+    usedBy: new Set(),
+    isReleased: false,
     orderedAt: now,
     isConfirmed: false,
     missedAt: undefined,
