--- a/tests/gateway/keeper_test.ts
+++ b/tests/gateway/keeper_test.ts
@@ -468,3 +468,18 @@
   owner.acquire("a5");
   assert.equal(describe(owner.takeOrder()), "unload a3");
 });
+
+// Found by the fuzz test: an adapter that may be gone was loaded again into a full engine.
+test("nothing is loaded while more adapters than places may be there", () => {
+  const owner = new Owner(list("a1", "a2", "a3", "a4"), 5);
+  owner.use("a2", "a3", "a4");
+  owner.wait(600);
+  owner.use("a2", "a3", "a4");
+  owner.acquire("a5");
+  owner.answer(owner.takeOrder(), { kind: "lost" });
+  owner.wait(700);
+  owner.report(list("a2", "a3", "a4", "a6"), 6);
+  assert.equal(owner.size, 5);
+  owner.acquire("a1", { version: 2 });
+  assert.equal(owner.takeOrder(), undefined);
+});
