--- a/src/adapters/observe/log.ts
+++ b/src/adapters/observe/log.ts
@@ -57,7 +57,13 @@
  */
 function openOutput(): number {
   if (!fstatSync(1).isFIFO()) return 1;
-  return openSync("/proc/self/fd/1", constants.O_WRONLY | constants.O_NONBLOCK);
+  const { O_WRONLY, O_NONBLOCK } = constants;
+  try {
+    return openSync("/proc/self/fd/1", O_WRONLY | O_NONBLOCK);
+  } catch {
+    // The pipe may belong to another user; the log then goes out by waiting writes.
+    return 1;
+  }
 }
 
 function flushOnce(output: ReturnType<typeof destination>): void {
