--- a/src/cli/commands/explain.ts
+++ b/src/cli/commands/explain.ts
@@ -7,6 +7,7 @@
 } from "../../core/observe/request_story.ts";
 import type { TimelineEntry } from "../../ports/operators.ts";
 import { exitWithMessage, printLine } from "../exit.ts";
+import { formatFields } from "../format_fields.ts";
 import { renderTimelinePage } from "../timeline_page.ts";
 
 /** `goldcrestwinch explain`: one request's story from the logs of any number of nodes. */
@@ -78,9 +79,6 @@
   event,
   fields,
 }: LoggedEvent): string {
-  const details = Object.entries(fields)
-    .map(([name, value]) => `${name}=${value}`)
-    .join(" ");
   const at = new Date(time.wall).toISOString();
-  return `${at} ${node} ${number} ${event} ${details}`.trimEnd();
+  return `${at} ${node} ${number} ${event} ${formatFields(fields)}`.trimEnd();
 }
--- a/src/cli/commands/timeline.ts
+++ b/src/cli/commands/timeline.ts
@@ -1,11 +1,12 @@
 import { writeFileSync } from "node:fs";
 import { defineCommand } from "citty";
 import {
-  compareHybridTime,
+  compareEvents,
   formatHybridTime,
 } from "../../core/observe/hybrid_clock.ts";
 import type { TimelineEntry } from "../../ports/operators.ts";
 import { failureStatus, printLine } from "../exit.ts";
+import { formatFields } from "../format_fields.ts";
 import { callAll, connectNodes, operatorArgs } from "../operator.ts";
 import { renderTimelinePage } from "../timeline_page.ts";
 
@@ -58,20 +59,12 @@
 export function mergeTimelines(
   timelines: readonly (readonly TimelineEntry[])[],
 ): TimelineEntry[] {
-  return timelines
-    .flat()
-    .sort(
-      (a, b) =>
-        compareHybridTime(a.time, b.time) || a.node.localeCompare(b.node),
-    );
+  return timelines.flat().sort(compareEvents);
 }
 
 /** One line of text for an event. */
 export function formatTimelineEntry(entry: TimelineEntry): string {
-  const fields = Object.entries(entry.fields)
-    .filter(([, value]) => value !== undefined)
-    .map(([name, value]) => `${name}=${value}`)
-    .join(" ");
+  const fields = formatFields(entry.fields);
   const time = new Date(entry.time.wall).toISOString();
   const order = formatHybridTime(entry.time).split(".")[1];
   return `${time}.${order} ${entry.node} ${entry.number} ${entry.event} ${fields}`.trimEnd();
--- /dev/null
+++ b/src/cli/format_fields.ts
@@ -0,0 +1,9 @@
+/** Fields of an event as `name=value`, separated by spaces. */
+export function formatFields(
+  fields: Readonly<Record<string, unknown>>,
+): string {
+  return Object.entries(fields)
+    .filter(([, value]) => value !== undefined)
+    .map(([name, value]) => `${name}=${value}`)
+    .join(" ");
+}
--- a/src/cli/timeline_page.ts
+++ b/src/cli/timeline_page.ts
@@ -1,4 +1,5 @@
 import type { TimelineEntry } from "../ports/operators.ts";
+import { formatFields } from "./format_fields.ts";
 
 const style = `
 body { font: 13px system-ui, sans-serif; margin: 1rem; color: #222; }
@@ -41,10 +42,7 @@
 }
 
 function renderRow(entry: TimelineEntry, hue: number): string {
-  const fields = Object.entries(entry.fields)
-    .filter(([, value]) => value !== undefined)
-    .map(([name, value]) => `${name}=${value}`)
-    .join(" ");
+  const fields = formatFields(entry.fields);
   const time = `${new Date(entry.time.wall).toISOString()} +${entry.time.counter}`;
   return `<tr><td>${time}</td><td class="node" style="border-color: hsl(${hue} 70% 45%)">${escapeHtml(entry.node)}</td><td>${entry.number} ${entry.event}</td><td>${escapeHtml(fields)}</td></tr>`;
 }
--- a/src/core/observe/hybrid_clock.ts
+++ b/src/core/observe/hybrid_clock.ts
@@ -37,6 +37,14 @@
   return a.wall - b.wall || a.counter - b.counter;
 }
 
+/** Order of events of several nodes: by time, then by node. */
+export function compareEvents(
+  a: { readonly time: HybridTime; readonly node: string },
+  b: { readonly time: HybridTime; readonly node: string },
+): number {
+  return compareHybridTime(a.time, b.time) || a.node.localeCompare(b.node);
+}
+
 /** Text form that sorts like the stamps; used in message headers. */
 export function formatHybridTime(time: HybridTime): string {
   return `${time.wall}.${time.counter}`;
--- a/src/core/observe/request_story.ts
+++ b/src/core/observe/request_story.ts
@@ -1,6 +1,6 @@
 import { type ResultCodeName, resultCodes } from "../results/codes.ts";
 import type { EventName } from "./events.ts";
-import { compareHybridTime, type HybridTime } from "./hybrid_clock.ts";
+import { compareEvents, type HybridTime } from "./hybrid_clock.ts";
 
 /** Event of a node as its log tells it. */
 export type LoggedEvent = {
@@ -72,10 +72,6 @@
   };
 }
 
-function compareEvents(a: LoggedEvent, b: LoggedEvent): number {
-  return compareHybridTime(a.time, b.time) || a.node.localeCompare(b.node);
-}
-
 function isRelated(
   { event, node, fields }: LoggedEvent,
   to: {
--- /dev/null
+++ b/tests/gateway/keeper_fixture.ts
@@ -0,0 +1,144 @@
+import assert from "node:assert/strict";
+import { type Millis, millis } from "../../src/core/clock.ts";
+import { chooseLeastRecent } from "../../src/core/gateway/engine_places.ts";
+import {
+  createKeeperState,
+  decideKeeper,
+} from "../../src/core/gateway/keeper.ts";
+import type {
+  KeeperCommand,
+  KeeperEvent,
+  KeeperState,
+} from "../../src/core/gateway/keeper_messages.ts";
+import type {
+  EngineOrder,
+  OrderAnswer,
+} from "../../src/core/gateway/orders.ts";
+import type { HeldModel } from "../../src/core/gateway/servers.ts";
+import {
+  type AdapterName,
+  brandString,
+  formatPlaceKey,
+  type MachineName,
+} from "../../src/core/ids.ts";
+import { model, traits } from "./engine_oracle.ts";
+
+/** Models that an engine with these adapters reports. */
+export function list(...names: string[]): HeldModel[] {
+  const adapters = names.map((name) => ({
+    name: brandString<AdapterName>(name),
+    version: 1,
+  }));
+  return [{ name: model, version: 1, adapters }];
+}
+
+/** Drives the decisions of one owner with a clock of its own. */
+export class Owner {
+  readonly state: KeeperState;
+  readonly commands: KeeperCommand[] = [];
+  now: Millis = millis(10_000);
+  #tickets = 0;
+
+  constructor(models: HeldModel[], orderCount = 0) {
+    const policies = { chooseVictim: chooseLeastRecent };
+    this.state = createKeeperState({ traits, models, policies, now: this.now });
+    this.send({ type: "tick", mayOrder: true });
+    for (let reports = 0; reports < 2; reports++) {
+      this.report(models, orderCount);
+      this.wait(300);
+    }
+  }
+
+  send(event: KeeperEvent): void {
+    this.commands.push(...decideKeeper(this.state, event, this.now).commands);
+  }
+
+  wait(ms: number): void {
+    this.now = millis(this.now + ms);
+    this.send({ type: "tick", mayOrder: true });
+  }
+
+  report(models: HeldModel[], orderCount: number, incoming: string[] = []) {
+    const status = {
+      models,
+      orderCount,
+      incoming: incoming.map((name) => ({
+        model,
+        adapter: brandString<AdapterName>(name),
+        version: 1,
+      })),
+    };
+    this.send({ type: "status", status });
+  }
+
+  acquire(
+    name: string,
+    options: { version?: number; denied?: boolean; patience?: number } = {},
+  ) {
+    const adapter = brandString<AdapterName>(name);
+    this.send({
+      type: "acquire",
+      ticket: ++this.#tickets,
+      key: formatPlaceKey(model, adapter),
+      model,
+      adapter,
+      version: options.version ?? 0,
+      wasDenied: options.denied ?? false,
+      patience: options.patience ?? 1_000,
+    });
+    return this.#tickets;
+  }
+
+  use(...names: string[]): void {
+    this.useAt("node-1", ...names);
+  }
+
+  /** A node reports the adapters that its requests use, and no others. */
+  useAt(machine: string, ...names: string[]): void {
+    const node = brandString<MachineName>(machine);
+    const ran = names.map((name) => formatPlaceKey(model, brandString(name)));
+    this.send({ type: "used", node, ran, awaited: [] });
+  }
+
+  /** Takes the order that was decided on, if any. */
+  takeOrder(): EngineOrder | undefined {
+    const at = this.commands.findIndex(({ type }) => type === "order");
+    const [command] = at < 0 ? [] : this.commands.splice(at, 1);
+    return command?.type === "order" ? command.order : undefined;
+  }
+
+  answer(order: EngineOrder | undefined, answer: OrderAnswer): void {
+    assert.ok(order);
+    this.send({ type: "answered", order, answer });
+  }
+
+  replies(ticket: number) {
+    return this.commands.flatMap((command) =>
+      command.type === "reply" && command.ticket === ticket
+        ? [command.reply]
+        : [],
+    );
+  }
+
+  get size(): number {
+    return this.state.contents.places.size;
+  }
+}
+
+/** Operation of an order and what it is about. */
+export function describe(order: EngineOrder | undefined): string | undefined {
+  return order && `${order.operation} ${order.adapter ?? order.model}`;
+}
+
+/** Adapters of a full engine. */
+export const fullEngine = list("a1", "a2", "a3", "a4");
+
+/** Owner of a full engine whose adapter a1 has to make room for a5. */
+export function createFullOwner(orderCount: number): Owner {
+  const owner = new Owner(fullEngine, orderCount);
+  owner.use("a2", "a3", "a4");
+  owner.wait(600);
+  owner.use("a2", "a3", "a4");
+  owner.acquire("a5");
+  return owner;
+}
