--- a/src/adapters/peers/node_links.ts
+++ b/src/adapters/peers/node_links.ts
@@ -1,7 +1,11 @@
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Agent, fetch } from "undici";
+import { z } from "zod";
+import type { Millis } from "../../core/clock.ts";
 import type { AcquireResult, NodeLinks } from "../../ports/gateway.ts";
+import type { RowDelivery, RowPeers, RowRequest } from "../../ports/rows.ts";
 import type { NodeRouter } from "./node_router.ts";
+import { decodeDelivery, deliveryFrame } from "./row_frames.ts";
 
 /** Timeout of `acquire`, in ms; an owner holds the call for at most 600 ms. */
 const acquireTimeoutMillis = 900;
@@ -16,7 +20,7 @@
 };
 
 /** Calls other nodes over tRPC. */
-export class TrpcNodeLinks implements NodeLinks {
+export class TrpcNodeLinks implements NodeLinks, RowPeers {
   readonly #peers = new Map<string, Peer>();
 
   static create(): TrpcNodeLinks {
@@ -38,6 +42,23 @@
     }
   }
 
+  async followRows(
+    address: string,
+    request: RowRequest,
+    timeout: Millis,
+  ): Promise<readonly RowDelivery[] | undefined> {
+    const signal = AbortSignal.timeout(timeout);
+    try {
+      const { client } = this.#getOrCreatePeer(address);
+      const frames = await client.followRows.mutate(request, { signal });
+      return z.array(deliveryFrame).parse(frames).map(decodeDelivery);
+    } catch {
+      // The caller records that the node did not answer.
+      this.#disconnect(address);
+      return undefined;
+    }
+  }
+
   /** Drops connections that may no longer respond; the next call opens new ones. */
   #disconnect(address: string): void {
     const peer = this.#peers.get(address);
--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -3,12 +3,32 @@
 import { z } from "zod";
 import { brandString } from "../../core/ids.ts";
 import type { NodeCallHandler } from "../../ports/gateway.ts";
+import type { RowServer } from "../../ports/rows.ts";
+import { encodeDelivery } from "./row_frames.ts";
 
-const trpc = initTRPC.context<NodeCallHandler>().create();
+/** What a node does for the other nodes. */
+export type NodeService = NodeCallHandler & RowServer;
+
+const trpc = initTRPC.context<NodeService>().create();
+const version = z.number().int().min(0).optional();
 const name = z.string().min(1).max(256);
 
-/** tRPC router for the calls that nodes make to engine owners. */
+/** tRPC router for the calls between nodes. */
 export const nodeRouter = trpc.router({
+  followRows: trpc.procedure
+    .input(
+      z.object({
+        versions: z.object({
+          operator: version,
+          servers: version,
+          nodes: version,
+        }),
+        wait: z.number().min(0),
+      }),
+    )
+    .mutation(async ({ ctx, input }) =>
+      (await ctx.serve(input)).map(encodeDelivery),
+    ),
   acquire: trpc.procedure
     .input(
       z.object({
@@ -34,7 +54,7 @@
 export type NodeRouter = typeof nodeRouter;
 
 /** Creates the HTTP server for calls between nodes. */
-export function createNodeServer(handler: NodeCallHandler) {
+export function createNodeServer(handler: NodeService) {
   return createHTTPServer({
     router: nodeRouter,
     createContext: () => handler,
--- /dev/null
+++ b/src/adapters/peers/row_frames.ts
@@ -0,0 +1,46 @@
+import { z } from "zod";
+import type { RowDelivery } from "../../ports/rows.ts";
+
+const count = z.number().int().min(0);
+const duration = z.number().min(0);
+
+/** Key, version and value in base64 of a row; a removed row has no value. */
+const rowFrame = z.tuple([z.string().max(1_024), count, z.string().nullable()]);
+
+/** A delivery of rows in the response of a node. */
+export const deliveryFrame = z.object({
+  topic: z.enum(["operator", "servers", "nodes"]),
+  newest: count,
+  isComplete: z.boolean(),
+  age: duration,
+  silence: duration,
+  failureAge: duration.optional(),
+  rows: z.array(rowFrame),
+});
+
+type DeliveryFrame = z.infer<typeof deliveryFrame>;
+
+/** Encodes a delivery as JSON values. */
+export function encodeDelivery(delivery: RowDelivery): DeliveryFrame {
+  return {
+    ...delivery,
+    rows: delivery.rows.map(({ key, rowVersion, value }) => [
+      key,
+      rowVersion,
+      value === undefined ? null : Buffer.from(value).toString("base64"),
+    ]),
+  };
+}
+
+/** Decodes a delivery. */
+export function decodeDelivery(frame: DeliveryFrame): RowDelivery {
+  return {
+    ...frame,
+    failureAge: frame.failureAge,
+    rows: frame.rows.map(([key, rowVersion, value]) => ({
+      key,
+      rowVersion,
+      value: value === null ? undefined : Buffer.from(value, "base64"),
+    })),
+  };
+}
--- a/src/adapters/peers/usage_datagrams.ts
+++ b/src/adapters/peers/usage_datagrams.ts
@@ -22,13 +22,19 @@
   z.tuple([
     z.literal("use"),
     name,
-    z.array(z.tuple([name, z.array(name), z.array(name), count, count])),
+    z.array(z.tuple([name, z.array(name), z.array(name), count, count, count])),
   ]),
   z.tuple([
     z.literal("load"),
     name,
     z.array(
-      z.tuple([name, count, count, z.nullable(z.array(availableAdapterFrame))]),
+      z.tuple([
+        name,
+        count,
+        count,
+        count,
+        z.nullable(z.array(availableAdapterFrame)),
+      ]),
     ),
   ]),
 ]);
@@ -92,12 +98,20 @@
             usage.queuedAdapters,
             usage.queuedRequests,
             usage.queuedTokens,
+            usage.contentsVersion,
           ])
         : message.engines.map(
-            ({ engine, requests, tokens, availableAdapters }) => [
+            ({
               engine,
               requests,
               tokens,
+              contentsVersion,
+              availableAdapters,
+            }) => [
+              engine,
+              requests,
+              tokens,
+              contentsVersion,
               availableAdapters?.map(({ key, version, readyIn }) => [
                 key,
                 version,
@@ -137,21 +151,24 @@
           queuedAdapters,
           queuedRequests,
           queuedTokens,
+          contentsVersion,
         ]): EngineUsage => ({
           engine: brandString(engine),
           ran: ran.map((key) => brandString(key)),
           queuedAdapters: queuedAdapters.map((key) => brandString(key)),
           queuedRequests,
           queuedTokens,
+          contentsVersion,
         }),
       );
       return { type, from, engines };
     }
     const engines = parsed.data[2].map(
-      ([engine, requests, tokens, adapters]): OwnerReport => ({
+      ([engine, requests, tokens, contentsVersion, adapters]): OwnerReport => ({
         engine: brandString(engine),
         requests,
         tokens,
+        contentsVersion,
         availableAdapters: adapters?.map(([key, version, readyIn]) => ({
           key: brandString(key),
           version,
--- a/src/core/gateway/adapter_directory.ts
+++ b/src/core/gateway/adapter_directory.ts
@@ -30,6 +30,8 @@
 const maxPreviouslyHeld = 100;
 /** Time for which a report of the owner takes precedence over registrations, in ms. */
 const ownerReportLifetime = 4_000;
+/** Age from which contents may have changed, so that the owner is asked, in ms. */
+const maxContentsAge = 2_500;
 /** Time for which a promise takes precedence over a report that may have been sent before it, in ms. */
 const maxReportDelay = 150;
 
@@ -112,6 +114,25 @@
   }
 }
 
+/** Records that an engine's owner reported the contents to be unchanged. */
+export function confirmContents(
+  directory: AdapterDirectory,
+  engine: ServerId,
+  now: Millis,
+): void {
+  if (directory.byEngine.has(engine)) directory.reportedAt.set(engine, now);
+}
+
+/** Whether an engine's owner reported its contents recently. */
+export function hasRecentReport(
+  directory: AdapterDirectory,
+  engine: ServerId,
+  now: Millis,
+): boolean {
+  const reportedAt = directory.reportedAt.get(engine);
+  return reportedAt !== undefined && now < reportedAt + maxContentsAge;
+}
+
 /** Records that an engine's owner promised an adapter. */
 export function recordPromise(
   directory: AdapterDirectory,
@@ -187,10 +208,12 @@
 /** Time by which an engine must be better than the one before it in rendezvous order, in ms. */
 const rankCost = 120;
 
-/** An engine for a request; `readyAt` is undefined if it would have to load the adapter. */
+/** An engine for a request; `readyAt` is undefined if its owner must be asked for the adapter. */
 export type RankedEngine = {
   readonly server: BackendServer;
   readonly readyAt: Millis | undefined;
+  /** It held the adapter when last heard of. */
+  readonly mayHold: boolean;
 };
 
 /** Inputs of the ranking of engines. */
@@ -198,6 +221,8 @@
   readonly adapterDirectory: AdapterDirectory;
   /** Expected wait at an engine behind other requests, in ms. */
   readonly estimateWait: (engine: ServerId) => Millis;
+  /** Whether the contents of an engine are known well enough to skip its owner. */
+  readonly isKnown: (engine: ServerId) => boolean;
 };
 
 type RatedEngine = RankedEngine & { readonly cost: number };
@@ -206,8 +231,8 @@
  * Ranks the engines for an adapter by the expected time until the response
  * begins. An engine without the adapter is charged for the load, and for a
  * further copy if another engine holds it. Among these, one with a cached copy
- * comes first; the others follow in rendezvous order, so that all nodes ask the
- * same owner for a load.
+ * comes first, or one whose contents are not known well enough; the others
+ * follow in rendezvous order, so that all nodes ask the same owner for a load.
  */
 export function rankEngines(
   candidates: readonly BackendServer[],
@@ -219,13 +244,13 @@
   for (const server of candidates) {
     if (isSuspended(context.health, server.id, context.now)) continue;
     const readyAt = findReadyAt(context.adapterDirectory, server.id, requested);
-    if (readyAt === undefined) {
+    if (readyAt === undefined || !context.isKnown(server.id)) {
       others.set(server.id, server);
       continue;
     }
     const wait = Math.max(0, readyAt - context.now);
     const cost = wait + computeEngineCost(server, context);
-    holders.push({ server, readyAt, cost });
+    holders.push({ server, readyAt, mayHold: true, cost });
   }
   const homes = selectHomes(requested.key, {
     engines: [...others.keys()].map((engine) => ({ engine, weight: 1 })),
@@ -233,11 +258,13 @@
   });
   const rated = homes.map((id, rank): RatedEngine => {
     const server = others.get(id) as BackendServer;
-    const isCached = hasCachedCopy(context.adapterDirectory, id, requested);
-    const base = isCached ? cachedLoadTime : loadTime + rank * rankCost;
+    const { adapterDirectory } = context;
+    const mayHold = findReadyAt(adapterDirectory, id, requested) !== undefined;
+    const isFast = mayHold || hasCachedCopy(adapterDirectory, id, requested);
+    const base = isFast ? cachedLoadTime : loadTime + rank * rankCost;
     const extra = holders.length > 0 ? copyCost : 0;
     const cost = base + extra + computeEngineCost(server, context);
-    return { server, readyAt: undefined, cost };
+    return { server, readyAt: undefined, mayHold, cost };
   });
   return [...holders, ...rated].sort((a, b) => a.cost - b.cost);
 }
--- a/src/core/gateway/engine_backlog.ts
+++ b/src/core/gateway/engine_backlog.ts
@@ -11,6 +11,8 @@
   /** Number of requests that the engine has queued, and their prompt tokens. */
   readonly queuedRequests: number;
   readonly queuedTokens: number;
+  /** Version of the contents that the node knows from this owner; 0 if none. */
+  readonly contentsVersion: number;
 };
 
 /** Requests that an engine has queued, and their prompt tokens. */
@@ -30,7 +32,9 @@
 /** Report of an engine's owner to another node: the backlog of the other nodes and the adapters. */
 export type OwnerReport = EngineBacklog & {
   readonly engine: ServerId;
-  /** Adapters of the engine; undefined if the node has received them already. */
+  /** Changes with the contents of the engine; never 0. */
+  readonly contentsVersion: number;
+  /** Adapters of the engine; undefined if the node knows this version. */
   readonly availableAdapters: readonly AvailableAdapter[] | undefined;
 };
 
--- a/src/core/gateway/engine_lease.ts
+++ b/src/core/gateway/engine_lease.ts
@@ -6,7 +6,7 @@
   type MachineName,
   type ServerId,
 } from "../ids.ts";
-import { chooseByRendezvous } from "../lease/rendezvous.ts";
+import { rankByRendezvous } from "../lease/rendezvous.ts";
 
 /** Lease row of one engine: the machine that may send it orders. */
 export type LeaseRow = {
@@ -78,6 +78,8 @@
   /** Time of the last contact with each machine. */
   readonly lastContactAt: Map<MachineName, Millis>;
   readonly held: Map<ServerId, HeldLease>;
+  /** Rank of this node for each engine; emptied when the known nodes change. */
+  readonly ranks: Map<ServerId, number>;
   /** Time since which each engine is known to have no lease. */
   readonly vacantSince: Map<ServerId, Millis>;
   /** Time at which the last successful read was sent. */
@@ -94,6 +96,7 @@
     nodes: new Map(),
     lastContactAt: new Map(),
     held: new Map(),
+    ranks: new Map(),
     vacantSince: new Map(),
     readAt: millis(Number.NEGATIVE_INFINITY),
   };
@@ -117,6 +120,7 @@
     const known = state.nodes.get(node.machine);
     if (known?.address !== node.address) {
       state.nodes.set(node.machine, node);
+      state.ranks.clear();
       state.lastContactAt.set(node.machine, read.now);
     }
   }
@@ -136,6 +140,11 @@
   }
 }
 
+/** Records that the rows applied last were still current at a time. */
+export function confirmLeaseRead(state: LeaseState, at: Millis): void {
+  state.readAt = millis(Math.max(state.readAt, at));
+}
+
 /** Claim of a lease by this node. */
 export type LeaseClaim = {
   readonly engine: ServerId;
@@ -174,11 +183,15 @@
   if (state.held.has(engine)) return undefined;
   const { settings } = state;
   const row = state.rows.get(engine);
-  const delay = settings.rankDelay * computeOwnRank(state, engine, dataCentre);
+  // The rank is determined only if the lease is about to be claimed.
+  const isDue = (time: number) =>
+    now >= time &&
+    now >=
+      time + settings.rankDelay * getOwnRank(state, { engine, dataCentre });
   if (row === undefined) {
     const since = state.vacantSince.get(engine) ?? now;
     state.vacantSince.set(engine, since);
-    if (now < since + delay) return undefined;
+    if (!isDue(since)) return undefined;
     return { engine, fence: brandNumber(1), basis: "absent", wait: millis(0) };
   }
   const claim = {
@@ -188,19 +201,31 @@
   };
   if (row.machine === state.machine) return { ...claim, wait: millis(0) };
   if (row.released) {
-    if (now < row.since + settings.restartGrace + delay) return undefined;
+    if (!isDue(row.since + settings.restartGrace)) return undefined;
     return { ...claim, wait: settings.quietPeriod };
   }
   const lastContact = Math.max(
     row.since,
     state.lastContactAt.get(row.machine) ?? Number.NEGATIVE_INFINITY,
   );
-  if (now < lastContact + settings.holderTimeout + delay) return undefined;
+  if (!isDue(lastContact + settings.holderTimeout)) return undefined;
   const { validity, clockMargin, quietPeriod } = settings;
   return { ...claim, wait: millis(validity + clockMargin + quietPeriod) };
 }
 
 /** Rank of this node among the candidates for an engine; nodes of its data centre come first. */
+export function getOwnRank(
+  state: LeaseState,
+  { engine, dataCentre }: LeasableEngine,
+): number {
+  let rank = state.ranks.get(engine);
+  if (rank === undefined) {
+    rank = computeOwnRank(state, engine, dataCentre);
+    state.ranks.set(engine, rank);
+  }
+  return rank;
+}
+
 function computeOwnRank(
   state: LeaseState,
   engine: ServerId,
@@ -212,14 +237,12 @@
   const isLocal = state.dataCentre === dataCentre;
   const names = new Set(local.map(({ machine }) => machine));
   if (isLocal) names.add(state.machine);
-  let rank = 0;
-  while (names.size > 0) {
-    const best = chooseByRendezvous(engine, names) as MachineName;
-    if (best === state.machine) return rank;
-    names.delete(best);
-    rank++;
-  }
-  return rank + 1 + [...state.nodes.keys()].sort().indexOf(state.machine);
+  const ranked = rankByRendezvous(engine, names);
+  const rank = ranked.indexOf(state.machine);
+  if (rank >= 0) return rank;
+  return (
+    ranked.length + 1 + [...state.nodes.keys()].sort().indexOf(state.machine)
+  );
 }
 
 /** Records a claim that was committed. */
--- /dev/null
+++ b/src/core/gateway/reader_choice.ts
@@ -0,0 +1,97 @@
+import { type Millis, millis } from "../clock.ts";
+import type { DataCentre, MachineName } from "../ids.ts";
+import { rankByRendezvous } from "../lease/rendezvous.ts";
+
+/** Why a node is not read from for a time. */
+export type ReaderFault = "unreachable" | "stale";
+
+type Suspicion = { readonly until: Millis; readonly failures: number };
+
+/**
+ * Which node of a data centre reads the table service for the others; owned by
+ * one task and updated in place.
+ */
+export type ReaderChoice = {
+  readonly machine: MachineName;
+  readonly dataCentre: DataCentre;
+  readonly suspicions: Map<MachineName, Suspicion>;
+  /** Nodes of the data centre that precede this one, first reader first. */
+  candidates: readonly MachineName[];
+};
+
+/** Number of nodes that one node tries before it reads for itself. */
+const maxCandidates = 3;
+/** Time for which a node that did not answer is not tried again; doubles with each failure, in ms. */
+const minUnreachableTime = 3_000;
+const maxUnreachableTime = 60_000;
+/** Time for which a node that has lost the table service is not tried again, in ms. */
+const staleTime = 1_500;
+
+/** Creates the state of a node that knows no other. */
+export function createReaderChoice(identity: {
+  readonly machine: MachineName;
+  readonly dataCentre: DataCentre;
+}): ReaderChoice {
+  const { machine, dataCentre } = identity;
+  return { machine, dataCentre, suspicions: new Map(), candidates: [] };
+}
+
+/**
+ * Sets the nodes of the data centre. All nodes rank them alike, and a node asks
+ * only those before it, so that no two nodes wait for each other.
+ */
+export function setReaderCandidates(
+  choice: ReaderChoice,
+  machines: Iterable<MachineName>,
+): void {
+  const names = new Set(machines);
+  names.add(choice.machine);
+  const ranked = rankByRendezvous(`reader/${choice.dataCentre}`, names);
+  choice.candidates = ranked.slice(
+    0,
+    Math.min(maxCandidates, ranked.indexOf(choice.machine)),
+  );
+  for (const machine of choice.suspicions.keys()) {
+    if (!names.has(machine)) choice.suspicions.delete(machine);
+  }
+}
+
+/** The node to read from; undefined if this node reads the table service itself. */
+export function chooseReader(
+  choice: ReaderChoice,
+  now: Millis,
+): MachineName | undefined {
+  return choice.candidates.find((machine) => {
+    const suspicion = choice.suspicions.get(machine);
+    return suspicion === undefined || now >= suspicion.until;
+  });
+}
+
+/** Whether this node reads the table service because it comes first, not because others failed. */
+export function isFirstReader(choice: ReaderChoice): boolean {
+  return choice.candidates.length === 0;
+}
+
+/** Records that a node did not answer, or had no recent rows; `spread` in [0, 1) varies the pause. */
+export function recordReaderFault(
+  choice: ReaderChoice,
+  fault: { readonly machine: MachineName; readonly kind: ReaderFault },
+  { now, spread }: { readonly now: Millis; readonly spread: number },
+): void {
+  const { machine, kind } = fault;
+  const failures = (choice.suspicions.get(machine)?.failures ?? 0) + 1;
+  const pause =
+    kind === "stale"
+      ? staleTime
+      : Math.min(maxUnreachableTime, minUnreachableTime * 2 ** (failures - 1));
+  const until = millis(now + pause * (1 + spread / 2));
+  choice.suspicions.set(machine, { until, failures });
+}
+
+/** Records that a node delivered recent rows. */
+export function recordReaderSuccess(
+  choice: ReaderChoice,
+  machine: MachineName,
+): void {
+  choice.suspicions.delete(machine);
+}
--- /dev/null
+++ b/src/core/gateway/row_replica.ts
@@ -0,0 +1,189 @@
+import { type Millis, millis } from "../clock.ts";
+
+/** A row of the table service. */
+export type VersionedRow = {
+  readonly key: string;
+  /** Version of the table service at the write; one counter orders all writes. */
+  readonly rowVersion: number;
+  /** Undefined for a removed row. */
+  readonly value: Uint8Array | undefined;
+};
+
+/** Rows, and the newest version of the table service that they reflect. */
+export type RowBatch = {
+  readonly rows: readonly VersionedRow[];
+  readonly newest: number;
+};
+
+/** Whether followers need a change at once; other changes are passed on at a limited rate. */
+export type UrgencyPolicy = (
+  previous: VersionedRow | undefined,
+  next: VersionedRow,
+) => boolean;
+
+/** Time on the monotonic clock and on the wall clock; only the latter runs on while a process is paused. */
+export type Instant = { readonly now: Millis; readonly wall: Millis };
+
+type ReplicaRow = {
+  row: VersionedRow;
+  /** Version under which the row was last made available to followers. */
+  forwardedVersion: number;
+  forwardedAt: Millis;
+};
+
+/** Copy of one topic, from which other nodes can be served; updated in place. */
+export type RowReplica = {
+  readonly rows: Map<string, ReplicaRow>;
+  /** 0 before the first complete read. */
+  newest: number;
+  /** Followers that know only this version or an older one get all rows. */
+  completeUpTo: number;
+  /** Start of the latest call to the table service that confirmed `newest`. */
+  confirmedAt: Instant;
+  /** Time of the latest answer of the table service. */
+  answeredAt: Millis;
+  failedAt: Millis;
+};
+
+/** Time for which a removed row is kept for followers, in ms. */
+const removalLifetime = 30_000;
+/** Interval of the other changes to one row, in ms for each row of the topic. */
+const deferredIntervalPerRow = 100;
+
+const never = millis(Number.NEGATIVE_INFINITY);
+
+/** Creates a replica without rows. */
+export function createRowReplica(): RowReplica {
+  return {
+    rows: new Map(),
+    newest: 0,
+    completeUpTo: 0,
+    confirmedAt: { now: never, wall: never },
+    answeredAt: never,
+    failedAt: never,
+  };
+}
+
+/** Options of `applyRows`. */
+export type RowApplication = {
+  /** The batch lists all rows. */
+  readonly isComplete: boolean;
+  /** Time from which the batch is known to be up to date. */
+  readonly confirmedAt: Instant;
+  readonly now: Millis;
+  readonly isUrgent: UrgencyPolicy;
+};
+
+/**
+ * Applies rows that were read; returns whether any of them is for followers at
+ * once, or undefined if the batch is older than the replica and was ignored.
+ */
+export function applyRows(
+  replica: RowReplica,
+  batch: RowBatch,
+  application: RowApplication,
+): { readonly hasUrgent: boolean } | undefined {
+  if (batch.newest < replica.newest) return undefined;
+  const { isComplete, confirmedAt } = application;
+  if (replica.newest === 0 && !isComplete) return undefined;
+  replica.newest = batch.newest;
+  if (confirmedAt.now > replica.confirmedAt.now)
+    replica.confirmedAt = confirmedAt;
+  let hasUrgent = false;
+  for (const row of batch.rows) {
+    if (applyRow(replica, row, application)) hasUrgent = true;
+  }
+  if (isComplete) {
+    for (const row of listUnlisted(replica, batch)) {
+      if (applyRow(replica, row, application)) hasUrgent = true;
+    }
+  }
+  removeOldRemovals(replica, application.now);
+  return { hasUrgent };
+}
+
+function applyRow(
+  replica: RowReplica,
+  row: VersionedRow,
+  { now, isUrgent }: RowApplication,
+): boolean {
+  const known = replica.rows.get(row.key);
+  if (known === undefined) {
+    const forwardedVersion = row.rowVersion;
+    replica.rows.set(row.key, { row, forwardedVersion, forwardedAt: now });
+    return true;
+  }
+  if (row.rowVersion <= known.row.rowVersion) return false;
+  const urgent =
+    row.value === undefined ||
+    known.row.value === undefined ||
+    isUrgent(known.row, row);
+  const interval = deferredIntervalPerRow * replica.rows.size;
+  known.row = row;
+  if (urgent || now >= known.forwardedAt + interval) {
+    known.forwardedVersion = row.rowVersion;
+    known.forwardedAt = now;
+  }
+  return urgent;
+}
+
+/** Rows of the replica that a complete batch does not list, as removed rows. */
+function listUnlisted(replica: RowReplica, batch: RowBatch): VersionedRow[] {
+  const listed = new Set(batch.rows.map(({ key }) => key));
+  const removed: VersionedRow[] = [];
+  for (const { row } of replica.rows.values()) {
+    if (row.value === undefined || listed.has(row.key)) continue;
+    removed.push({
+      key: row.key,
+      rowVersion: batch.newest,
+      value: undefined,
+    });
+  }
+  return removed;
+}
+
+function removeOldRemovals(replica: RowReplica, now: Millis): void {
+  for (const [key, { row, forwardedAt }] of replica.rows) {
+    if (row.value !== undefined || now < forwardedAt + removalLifetime)
+      continue;
+    replica.rows.delete(key);
+    replica.completeUpTo = Math.max(replica.completeUpTo, row.rowVersion);
+  }
+}
+
+/** All rows that exist. */
+export function listRows(replica: RowReplica): VersionedRow[] {
+  const rows: VersionedRow[] = [];
+  for (const { row } of replica.rows.values()) {
+    if (row.value !== undefined) rows.push(row);
+  }
+  return rows;
+}
+
+/** Rows for a follower that has the rows up to `after`, or none if it is undefined. */
+export function selectRowsAfter(
+  replica: RowReplica,
+  after: number | undefined,
+): RowBatch & { readonly isComplete: boolean } {
+  const { newest } = replica;
+  if (after === undefined || after < replica.completeUpTo) {
+    return { rows: listRows(replica), newest, isComplete: true };
+  }
+  const rows: VersionedRow[] = [];
+  for (const { row, forwardedVersion } of replica.rows.values()) {
+    if (forwardedVersion > after) rows.push(row);
+  }
+  return { rows, newest, isComplete: false };
+}
+
+/**
+ * Upper bound of the age of a replica. After a pause of the process only the
+ * wall clock shows how much time has passed.
+ */
+export function computeAge(
+  replica: RowReplica,
+  { now, wall }: Instant,
+): number {
+  const { confirmedAt } = replica;
+  return Math.max(now - confirmedAt.now, wall - confirmedAt.wall);
+}
--- a/src/core/lease/rendezvous.ts
+++ b/src/core/lease/rendezvous.ts
@@ -35,6 +35,17 @@
   return best;
 }
 
+/** The candidates by descending hash for a key; ties go to the lower name. */
+export function rankByRendezvous<Name extends string>(
+  key: string,
+  candidates: Iterable<Name>,
+): Name[] {
+  return [...candidates]
+    .map((name) => ({ name, hash: hashPair(key, name) }))
+    .sort((a, b) => b.hash - a.hash || compareText(a.name, b.name))
+    .map(({ name }) => name);
+}
+
 /**
  * Assigns each key to the candidate with the highest hash that has capacity
  * left; no candidate gets more than its even share, rounded up. Without the
--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -269,6 +269,16 @@
     level: "warn",
     meaning: "The socket for reports between nodes failed",
   },
+  rowReaderChosen: {
+    number: 512,
+    level: "info",
+    meaning: "The node reads the store's rows from another node",
+  },
+  rowReaderLost: {
+    number: 513,
+    level: "warn",
+    meaning: "That node does not answer or has no recent rows",
+  },
   memberJoined: {
     number: 601,
     level: "info",
--- a/src/node/gateway/engine_controllers.ts
+++ b/src/node/gateway/engine_controllers.ts
@@ -1,4 +1,3 @@
-import type { Millis } from "../../core/clock.ts";
 import {
   type AvailableAdapter,
   createBacklogLedger,
@@ -25,18 +24,17 @@
 import { EngineController } from "./engine_controller.ts";
 import type { LeaseManager } from "./lease_manager.ts";
 
-/** Interval after which unchanged contents are sent again, since datagrams may be lost, in ms. */
-const resendInterval = 1_500;
+/** Upper bound of the first contents version of a controller, which is drawn at random. */
+const maxFirstVersion = 2 ** 31;
 
-type SentContents = { readonly digest: string; readonly at: Millis };
+type ContentsVersion = { readonly digest: string; readonly version: number };
 
 /** Controllers of the engines whose leases this node holds. */
 export class EngineControllers {
   readonly #context: GatewayContext;
   readonly #orders: EngineOrders;
   readonly #leases: LeaseManager;
-  /** Contents last sent to each node, by engine. */
-  readonly #sentContents = new Map<ServerId, Map<MachineName, SentContents>>();
+  readonly #versions = new Map<ServerId, ContentsVersion>();
   readonly #backlogs = createBacklogLedger();
   readonly #controllers = new Map<ServerId, EngineController>();
 
@@ -113,39 +111,36 @@
       controller.recordUsage(from, use);
       recordUsage(this.#backlogs, { from, use }, now);
       const { engine } = use;
-      const of = { engine, except: from };
-      const availableAdapters = this.#takeContentsUpdate(controller, {
-        engine,
-        to: from,
-      });
+      const adapters = controller.listAvailable();
+      const contentsVersion = this.#updateVersion(engine, adapters);
+      const isCurrent = use.contentsVersion === contentsVersion;
       reports.push({
         engine,
-        availableAdapters,
-        ...sumOtherBacklog(this.#backlogs, of, now),
+        contentsVersion,
+        availableAdapters: isCurrent ? undefined : adapters,
+        ...sumOtherBacklog(this.#backlogs, { engine, except: from }, now),
       });
     }
     return reports;
   }
 
-  /** Contents of an engine if the node lacks the latest ones or they are due to be sent again. */
-  #takeContentsUpdate(
-    controller: EngineController,
-    target: { engine: ServerId; to: MachineName },
-  ): readonly AvailableAdapter[] | undefined {
-    const now = this.#context.now();
-    const adapters = controller.listAvailable();
+  /** Version of the contents; the first one differs from those of earlier controllers. */
+  #updateVersion(
+    engine: ServerId,
+    adapters: readonly AvailableAdapter[],
+  ): number {
     const digest = adapters
       .map(({ key, version }) => `${key}@${version}`)
       .join();
-    const sent =
-      this.#sentContents.get(target.engine) ??
-      new Map<MachineName, SentContents>();
-    this.#sentContents.set(target.engine, sent);
-    const last = sent.get(target.to);
-    const isFresh = last !== undefined && now < last.at + resendInterval;
-    if (isFresh && last.digest === digest) return undefined;
-    sent.set(target.to, { digest, at: now });
-    return adapters;
+    const known = this.#versions.get(engine);
+    if (known?.digest === digest) return known.version;
+    const { random } = this.#context.dependencies;
+    const version =
+      known === undefined
+        ? 1 + Math.floor(random() * maxFirstVersion)
+        : known.version + 1;
+    this.#versions.set(engine, { digest, version });
+    return version;
   }
 
   stop(): void {
@@ -170,7 +165,7 @@
   #stop(engine: ServerId): void {
     this.#controllers.get(engine)?.stop();
     forgetBacklog(this.#backlogs, engine);
-    this.#sentContents.delete(engine);
+    this.#versions.delete(engine);
     this.#controllers.delete(engine);
   }
 }
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -1,6 +1,7 @@
 import { type Cancel, millis } from "../../core/clock.ts";
 import {
   forgetEngineAdapters,
+  hasRecentReport,
   recordRegistration,
 } from "../../core/gateway/adapter_directory.ts";
 import { chooseTarget, findRoute } from "../../core/gateway/configuration.ts";
@@ -28,6 +29,7 @@
 import { GatewayContext, type GatewayDependencies } from "./context.ts";
 import { EngineControllers } from "./engine_controllers.ts";
 import { LeaseManager } from "./lease_manager.ts";
+import type { ReadLeaseRows } from "./lease_rows.ts";
 import { RequestTask } from "./request_task.ts";
 import { type AcquireAdapter, ServerSelector } from "./server_selector.ts";
 import { UsageReporter } from "./usage_reporter.ts";
@@ -40,6 +42,7 @@
 /** Dependencies of a gateway and of its tasks. */
 export type GatewayOptions = GatewayDependencies & {
   readonly table: TableService;
+  readonly readLeaseRows: ReadLeaseRows;
   readonly feed: InstallationFeed;
   readonly orders: EngineOrders;
   readonly nodeLinks: NodeLinks;
@@ -71,6 +74,7 @@
     this.#leases = LeaseManager.create({
       context: this.context,
       table: options.table,
+      readRows: options.readLeaseRows,
       onChange: () => this.#engineControllers.reconcile(),
     });
     this.#engineControllers = EngineControllers.create(this.context, {
@@ -86,6 +90,7 @@
     this.#selector = ServerSelector.create(this.context, {
       acquire: this.#acquire,
       estimateWait: (engine) => this.#usageReporter.estimateWait(engine),
+      isKnown: (engine) => this.#isKnown(engine),
     });
     this.#clockOffset = clock.wallNow() - clock.now();
   }
@@ -218,9 +223,23 @@
     const address = this.#leases.findAddress(holder);
     if (address === undefined || this.#leases.isUnresponsive(holder))
       return refused;
-    return this.#options.nodeLinks.acquire(address, request);
+    this.#leases.recordRequest(holder);
+    const answer = await this.#options.nodeLinks.acquire(address, request);
+    const isAnswered =
+      answer.kind === "ready" || answer.reason !== "unreachable";
+    if (isAnswered) this.#leases.recordContact(holder);
+    return answer;
   };
 
+  /** Whether the contents of an engine are recent, or its owner cannot tell more. */
+  #isKnown(engine: ServerId): boolean {
+    const { adapterDirectory } = this.context;
+    if (hasRecentReport(adapterDirectory, engine, this.context.now()))
+      return true;
+    const holder = this.#leases.findHolder(engine);
+    return holder === undefined || this.#leases.isUnresponsive(holder);
+  }
+
   #applyChange(change: InstallationChange): void {
     const { journal } = this.#options;
     switch (change.type) {
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -1,49 +1,51 @@
 import { type Cancel, type Millis, millis } from "../../core/clock.ts";
 import {
   applyLeaseRead,
+  confirmLeaseRead,
   createLeaseState,
   defaultLeaseSettings,
   findOrderFence,
+  getOwnRank,
   invalidateLeases,
-  type KnownNode,
   type LeaseClaim,
-  type LeaseRow,
   type LeaseState,
   planLeaseClaims,
   recordClaim,
 } from "../../core/gateway/engine_lease.ts";
 import {
   type AttemptToken,
-  brandNumber,
   brandString,
   type FencingNumber,
   type MachineName,
-  type RowKey,
   type ServerId,
 } from "../../core/ids.ts";
-import type { Json, Row, TableService } from "../../ports/table.ts";
+import type { TableService } from "../../ports/table.ts";
 import type { GatewayContext } from "./context.ts";
+import {
+  createLeaseKey,
+  createNodeKey,
+  decodeLeases,
+  decodeNodes,
+  encodeLease,
+  type LeaseRead,
+  type ReadLeaseRows,
+} from "./lease_rows.ts";
 
-/** Interval of reads of the lease rows, in ms. */
-const readInterval = millis(1_500);
 /** Interval of checks for engines that may be claimed, in ms. */
 const tickInterval = millis(250);
 /** Delay before the same engine is claimed again, in ms. */
 const claimRetryDelay = millis(600);
 
-/**
- * Time without a message after which a machine is not sent adapter requests,
- * in ms. A live machine answers a report at least every second.
- */
-const contactTimeout = 1_700;
-
-const leasePrefix = "engine/";
-const nodePrefix = "node/";
+/** Time without an answer after which a machine is not sent adapter requests, in ms. */
+const answerTimeout = 800;
+/** Number of nodes that check regularly whether the holder of an engine is alive. */
+const watcherCount = 3;
 
 /** Dependencies of a lease manager. */
 export type LeaseManagerOptions = {
   readonly context: GatewayContext;
   readonly table: TableService;
+  readonly readRows: ReadLeaseRows;
   /** Called when the node gains or loses the lease of an engine. */
   readonly onChange: () => void;
 };
@@ -53,8 +55,14 @@
   readonly #options: LeaseManagerOptions;
   readonly #state: LeaseState;
   readonly #claimedAt = new Map<ServerId, Millis>();
+  readonly #unansweredSince = new Map<MachineName, Millis>();
   #cancel: Cancel = () => {};
-  #readAt = millis(Number.NEGATIVE_INFINITY);
+  /** The rows that were applied last. */
+  #applied: LeaseRead | undefined;
+  /** Rows of an older version, or confirmed earlier, are ignored. */
+  #minVersion = 0;
+  #minConfirmedAt = millis(Number.NEGATIVE_INFINITY);
+  #needsFreshRead = false;
   #isCycleRunning = false;
   #attempts = 0;
   #isRegistered = false;
@@ -100,24 +108,44 @@
     return this.#state.nodes.get(machine)?.address;
   }
 
+  /** Records that a machine was sent a message that it must answer. */
+  recordRequest(machine: MachineName): void {
+    if (this.#unansweredSince.has(machine)) return;
+    this.#unansweredSince.set(machine, this.#options.context.now());
+  }
+
   /** Records that a message from a machine has arrived. */
   recordContact(machine: MachineName): void {
+    this.#unansweredSince.delete(machine);
     this.#state.lastContactAt.set(machine, this.#options.context.now());
   }
 
-  /** Whether a machine has sent nothing for so long that it is not expected to answer. */
+  /** Time of the first message to a machine that it has not answered. */
+  findUnansweredSince(machine: MachineName): Millis | undefined {
+    return this.#unansweredSince.get(machine);
+  }
+
+  /** Whether a machine has not answered for so long that it is not expected to. */
   isUnresponsive(machine: MachineName): boolean {
-    const lastContact = this.#state.lastContactAt.get(machine);
+    const since = this.#unansweredSince.get(machine);
     return (
-      lastContact !== undefined &&
-      this.#options.context.now() > lastContact + contactTimeout
+      since !== undefined && this.#options.context.now() > since + answerTimeout
     );
   }
 
+  /** Whether this node is among the first to claim an engine whose holder fails. */
+  isWatched(engine: ServerId): boolean {
+    const server = this.#options.context.directory.servers.get(engine);
+    if (server === undefined) return false;
+    const { dataCentre } = server;
+    return getOwnRank(this.#state, { engine, dataCentre }) < watcherCount;
+  }
+
   /** Stops all orders until the rows are read again; called after a pause of the process. */
   invalidate(): void {
     invalidateLeases(this.#state);
-    this.#readAt = millis(Number.NEGATIVE_INFINITY);
+    this.#minConfirmedAt = this.#options.context.now();
+    this.#needsFreshRead = true;
   }
 
   /** Stops all orders and marks the held leases as released, for a planned stop. */
@@ -125,7 +153,7 @@
     this.#stopped = true;
     this.#cancel();
     const writes = [...this.#state.held].map(([engine, lease]) => ({
-      key: createRowKey(leasePrefix, engine),
+      key: createLeaseKey(engine),
       value: encodeLease({
         machine: this.#state.machine,
         process: this.#state.process,
@@ -134,7 +162,7 @@
       }),
     }));
     const conditions = [...this.#state.held].map(([engine, lease]) => ({
-      key: createRowKey(leasePrefix, engine),
+      key: createLeaseKey(engine),
       version: lease.rowVersion,
     }));
     if (writes.length === 0) return;
@@ -152,27 +180,40 @@
 
   async #runCycle(): Promise<void> {
     this.#isCycleRunning = true;
-    const { context } = this.#options;
-    if (context.now() >= this.#readAt + readInterval) await this.#read();
-    if (!this.#isRegistered) await this.#register();
-    if (Number.isFinite(this.#state.readAt)) await this.#claim();
-    this.#isCycleRunning = false;
+    try {
+      await this.#read();
+      if (!this.#isRegistered) await this.#register();
+      if (Number.isFinite(this.#state.readAt)) await this.#claim();
+    } finally {
+      this.#isCycleRunning = false;
+    }
   }
 
   async #read(): Promise<void> {
-    const { context, table, onChange } = this.#options;
-    const sentAt = context.now();
-    this.#readAt = sentAt;
-    const answer = await table.scan("");
+    const isFresh = this.#needsFreshRead;
+    this.#needsFreshRead = false;
+    const read = await this.#options.readRows({ isFresh });
+    if (read === undefined) return;
+    const { newest, confirmedAt } = read;
+    if (newest < this.#minVersion || confirmedAt < this.#minConfirmedAt) return;
+    if (newest === this.#applied?.newest) {
+      confirmLeaseRead(this.#state, confirmedAt);
+      return;
+    }
+    this.#applied = read;
+    this.#applyRead(read);
+  }
+
+  #applyRead({ rows, confirmedAt }: LeaseRead): void {
+    const { context, onChange } = this.#options;
     const held = this.held();
-    answer.ifRight((rows) => {
-      applyLeaseRead(this.#state, {
-        ...decodeRows(rows),
-        sentAt,
-        now: context.now(),
-      });
-      context.nodeCount = Math.max(1, this.#state.nodes.size);
+    applyLeaseRead(this.#state, {
+      leases: decodeLeases(rows),
+      nodes: decodeNodes(rows),
+      sentAt: confirmedAt,
+      now: context.now(),
     });
+    context.nodeCount = Math.max(1, this.#state.nodes.size);
     for (const engine of held) {
       if (this.#state.held.has(engine)) continue;
       const holder = this.findHolder(engine);
@@ -193,7 +234,7 @@
       conditions: [],
       writes: [
         {
-          key: createRowKey(nodePrefix, machine),
+          key: createNodeKey(machine),
           value: { dataCentre, address: peerAddress },
         },
       ],
@@ -212,6 +253,7 @@
           context.configuration?.services.get(service)?.engine !== undefined,
       )
       .map(({ id, dataCentre }) => ({ engine: id, dataCentre }));
+    this.#confirmContacts();
     const now = context.now();
     const claims = planLeaseClaims(this.#state, engines, now).filter(
       ({ engine }) =>
@@ -222,11 +264,22 @@
     for (const claim of claims) await this.#commitClaim(claim);
   }
 
+  /** Counts a holder as alive while it owes no answer, since idle nodes rarely report. */
+  #confirmContacts(): void {
+    const { rows, lastContactAt } = this.#state;
+    const now = this.#options.context.now();
+    for (const { machine } of rows.values()) {
+      const isChecked = this.findAddress(machine) !== undefined;
+      if (isChecked && !this.#unansweredSince.has(machine))
+        lastContactAt.set(machine, now);
+    }
+  }
+
   async #commitClaim(claim: LeaseClaim): Promise<void> {
     const { context, table, onChange } = this.#options;
     const { engine, fence, basis } = claim;
     this.#claimedAt.set(engine, context.now());
-    const key = createRowKey(leasePrefix, engine);
+    const key = createLeaseKey(engine);
     const { machine, process } = this.#state;
     const row = { machine, process, fence, released: false };
     const answer = await table.transact({
@@ -236,9 +289,10 @@
     });
     answer.ifRight((result) => {
       if (result.kind !== "committed" || result.version === undefined) {
-        this.#readAt = millis(Number.NEGATIVE_INFINITY);
+        this.#needsFreshRead = true;
         return;
       }
+      this.#minVersion = Math.max(this.#minVersion, result.version);
       const commit = { rowVersion: result.version, now: context.now() };
       recordClaim(this.#state, claim, commit);
       context.dependencies.journal.record("engineClaimed", {
@@ -256,43 +310,3 @@
     return brandString(`${this.#state.process}/${this.#attempts}`);
   }
 }
-
-function createRowKey(prefix: string, name: string): RowKey {
-  return brandString(`${prefix}${name}`);
-}
-
-function encodeLease(row: LeaseRow): Json {
-  return { ...row };
-}
-
-type Fields = { readonly [key: string]: Json };
-
-/** Decodes the lease and node rows; skips rows of another form. */
-function decodeRows(rows: readonly Row[]): {
-  leases: Map<ServerId, LeaseRow & { rowVersion: number }>;
-  nodes: KnownNode[];
-} {
-  const leases = new Map<ServerId, LeaseRow & { rowVersion: number }>();
-  const nodes: KnownNode[] = [];
-  for (const { key, version, value } of rows) {
-    const fields = (value ?? {}) as Fields;
-    if (key.startsWith(leasePrefix)) {
-      const { machine, process, fence, released } = fields;
-      if (typeof machine !== "string" || typeof fence !== "number") continue;
-      leases.set(brandString(key.slice(leasePrefix.length)), {
-        machine: brandString(machine),
-        process: String(process),
-        fence: brandNumber(fence),
-        released: released === true,
-        rowVersion: version,
-      });
-    } else if (key.startsWith(nodePrefix)) {
-      const { dataCentre, address } = fields;
-      if (typeof dataCentre !== "string" || typeof address !== "string")
-        continue;
-      const machine = brandString<MachineName>(key.slice(nodePrefix.length));
-      nodes.push({ machine, dataCentre: brandString(dataCentre), address });
-    }
-  }
-  return { leases, nodes };
-}
--- /dev/null
+++ b/src/node/gateway/lease_rows.ts
@@ -0,0 +1,103 @@
+import type { Millis } from "../../core/clock.ts";
+import type { KnownNode, LeaseRow } from "../../core/gateway/engine_lease.ts";
+import type { VersionedRow } from "../../core/gateway/row_replica.ts";
+import {
+  brandNumber,
+  brandString,
+  type MachineName,
+  type RowKey,
+  type ServerId,
+} from "../../core/ids.ts";
+import type { RowFollower } from "../../ports/rows.ts";
+import type { Json, Row } from "../../ports/table.ts";
+
+const leasePrefix = "engine/";
+const nodePrefix = "node/";
+
+/** The lease and node rows as of one moment. */
+export type LeaseRead = {
+  readonly rows: readonly Row[];
+  /** Version of the table service that the rows reflect. */
+  readonly newest: number;
+  /** Local time at which the table service held these rows, or later. */
+  readonly confirmedAt: Millis;
+};
+
+/** Reads the lease and node rows; undefined if they are not known. */
+export type ReadLeaseRows = (options: {
+  /** Read the table service instead of the node's copy. */
+  readonly isFresh: boolean;
+}) => Promise<LeaseRead | undefined>;
+
+/** Decodes a row of the nodes' table; undefined if it is malformed. */
+export type DecodeTableRow = (row: VersionedRow) => Row | undefined;
+
+/** Creates a reader of the lease rows that a follower keeps. */
+export function createLeaseReader(
+  follower: RowFollower,
+  decode: DecodeTableRow,
+): ReadLeaseRows {
+  let decoded: { readonly newest: number; rows: readonly Row[] } | undefined;
+  return async ({ isFresh }) => {
+    const snapshot = isFresh
+      ? await follower.refresh("nodes")
+      : follower.snapshot("nodes");
+    if (snapshot === undefined) return undefined;
+    const { newest, confirmedAt } = snapshot;
+    if (decoded?.newest !== newest) {
+      const rows = snapshot.rows.flatMap((row) => decode(row) ?? []);
+      decoded = { newest, rows };
+    }
+    return { rows: decoded.rows, newest, confirmedAt };
+  };
+}
+
+/** Key of the lease row of an engine. */
+export function createLeaseKey(engine: ServerId): RowKey {
+  return brandString(`${leasePrefix}${engine}`);
+}
+
+/** Key of the row of a node. */
+export function createNodeKey(machine: MachineName): RowKey {
+  return brandString(`${nodePrefix}${machine}`);
+}
+
+/** Encodes a lease for its row. */
+export function encodeLease(row: LeaseRow): Json {
+  return { ...row };
+}
+
+type Fields = { readonly [key: string]: Json };
+
+/** Decodes the lease rows; skips rows of another form. */
+export function decodeLeases(
+  rows: readonly Row[],
+): Map<ServerId, LeaseRow & { rowVersion: number }> {
+  const leases = new Map<ServerId, LeaseRow & { rowVersion: number }>();
+  for (const { key, version, value } of rows) {
+    if (!key.startsWith(leasePrefix)) continue;
+    const { machine, process, fence, released } = (value ?? {}) as Fields;
+    if (typeof machine !== "string" || typeof fence !== "number") continue;
+    leases.set(brandString(key.slice(leasePrefix.length)), {
+      machine: brandString(machine),
+      process: String(process),
+      fence: brandNumber(fence),
+      released: released === true,
+      rowVersion: version,
+    });
+  }
+  return leases;
+}
+
+/** Decodes the rows of the nodes; skips rows of another form. */
+export function decodeNodes(rows: readonly Row[]): KnownNode[] {
+  const nodes: KnownNode[] = [];
+  for (const { key, value } of rows) {
+    if (!key.startsWith(nodePrefix)) continue;
+    const { dataCentre, address } = (value ?? {}) as Fields;
+    if (typeof dataCentre !== "string" || typeof address !== "string") continue;
+    const machine: MachineName = brandString(key.slice(nodePrefix.length));
+    nodes.push({ machine, dataCentre: brandString(dataCentre), address });
+  }
+  return nodes;
+}
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -56,6 +56,8 @@
   readonly acquire: AcquireAdapter;
   /** Expected wait at an engine behind other requests, in ms. */
   readonly estimateWait: (engine: ServerId) => Millis;
+  /** Whether the contents of an engine are known well enough to skip its owner. */
+  readonly isKnown: (engine: ServerId) => boolean;
 };
 
 /** Selects servers for requests; requests adapters from the owners of engines. */
@@ -127,7 +129,7 @@
     const wanted = { key, version };
     const ranked = rankEngines(candidates, wanted, {
       ...context.selectionContext(),
-      estimateWait: this.#options.estimateWait,
+      ...this.#options,
     });
     const [best] = ranked;
     if (best?.readyAt !== undefined) {
@@ -143,12 +145,16 @@
       ...owners.map((choice) => ({ ...choice, patience: shortStartTimeout })),
       ...owners.map((choice) => ({ ...choice, patience: longStartTimeout })),
     ];
-    for (const { server, patience } of rounds) {
+    for (const { server, mayHold, patience } of rounds) {
       const wasDenied = server.id === deniedBy;
       const request = { place: key, version, wasDenied, patience };
       const answer = await this.#options.acquire(server, request);
       if (answer.kind !== "ready") {
         onRefused(server, answer.reason);
+        // Without its owner, what was last heard of the engine must do.
+        if (mayHold && isOwnerMissing(answer.reason)) {
+          return { server, readyAt: context.now(), version: expected };
+        }
         continue;
       }
       const now = context.now();
@@ -171,3 +177,7 @@
     };
   }
 }
+
+function isOwnerMissing(reason: Parameters<RefusalListener>[1]): boolean {
+  return reason === "not-owner" || reason === "unreachable";
+}
--- a/src/node/gateway/usage_reporter.ts
+++ b/src/node/gateway/usage_reporter.ts
@@ -1,11 +1,20 @@
 import { type Cancel, type Millis, millis } from "../../core/clock.ts";
-import { recordContents } from "../../core/gateway/adapter_directory.ts";
+import {
+  confirmContents,
+  recordContents,
+} from "../../core/gateway/adapter_directory.ts";
 import type {
   EngineBacklog,
   EngineUsage,
   OwnerReport,
 } from "../../core/gateway/engine_backlog.ts";
 import { estimateBacklogWait } from "../../core/gateway/engine_backlog.ts";
+import {
+  createReportSchedule,
+  type ReportSchedule,
+  type ReportTarget,
+  takeDueReports,
+} from "../../core/gateway/report_schedule.ts";
 import type { MachineName, ModelAdapterKey, ServerId } from "../../core/ids.ts";
 import type { UsageChannel, UsageMessage } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
@@ -14,10 +23,6 @@
 
 /** Interval of checks for usage that is due to be reported to an owner, in ms. */
 const checkInterval = millis(150);
-/** Interval of reports to an owner while its engines are in use, in ms. */
-const busyReportInterval = 300;
-/** Interval of reports to an owner while its engines are idle, in ms. */
-const idleReportInterval = 900;
 /** Age from which the backlog that an owner reported is ignored, in ms. */
 const ownerReportLifetime = 2_000;
 
@@ -40,6 +45,11 @@
   hasUnreportedChanges: boolean;
 };
 
+type ReceivedReport = OwnerReport & {
+  readonly from: MachineName;
+  readonly at: Millis;
+};
+
 /**
  * Reports to the owners of engines which adapters this node's requests use, and
  * receives from them the backlog of the other nodes. The messages also show
@@ -48,15 +58,13 @@
 export class UsageReporter {
   readonly #options: UsageReporterOptions;
   readonly #usage = new Map<ServerId, LocalUsage>();
-  readonly #ownerReports = new Map<
-    ServerId,
-    OwnerReport & { readonly at: Millis }
-  >();
-  readonly #reportedAt = new Map<MachineName, Millis>();
+  readonly #ownerReports = new Map<ServerId, ReceivedReport>();
+  readonly #schedule: ReportSchedule;
   #cancel: Cancel = () => {};
 
   private constructor(options: UsageReporterOptions) {
     this.#options = options;
+    this.#schedule = createReportSchedule(options.context.now());
   }
 
   static create(options: UsageReporterOptions): UsageReporter {
@@ -145,41 +153,62 @@
       if (engines === undefined) byHolder.set(holder, [engine]);
       else engines.push(engine);
     }
-    for (const [holder, engines] of byHolder) {
-      if (this.#isDue(holder, engines)) this.#report(holder, engines);
+    const targets = [...byHolder].map(([holder, engines]) =>
+      this.#describeTarget(holder, engines),
+    );
+    for (const holder of takeDueReports(
+      this.#schedule,
+      targets,
+      context.now(),
+    )) {
+      this.#report(holder, byHolder.get(holder) ?? []);
     }
   }
 
-  #isDue(holder: MachineName, engines: readonly ServerId[]): boolean {
-    const age =
-      this.#options.context.now() -
-      (this.#reportedAt.get(holder) ?? Number.NEGATIVE_INFINITY);
-    if (age >= idleReportInterval) return true;
-    return engines.some((engine) => {
-      const usage = this.#usage.get(engine);
-      if (usage === undefined) return false;
-      const isBusy = usage.running.size > 0 || usage.queued.size > 0;
-      return (
-        usage.hasUnreportedChanges || (isBusy && age >= busyReportInterval)
-      );
-    });
+  #describeTarget(
+    machine: MachineName,
+    engines: readonly ServerId[],
+  ): ReportTarget {
+    const { context, leases } = this.#options;
+    const { machine: own, region, regions } = context.dependencies.identity;
+    const usages = engines.flatMap((engine) => this.#usage.get(engine) ?? []);
+    return {
+      machine,
+      isInRegion: engines.some((engine) => {
+        const server = context.directory.servers.get(engine);
+        return server && regions.get(server.dataCentre) === region;
+      }),
+      isWatched:
+        machine === own || engines.some((engine) => leases.isWatched(engine)),
+      isBusy: usages.some(
+        ({ running, queued }) => running.size > 0 || queued.size > 0,
+      ),
+      hasChanges: usages.some(
+        ({ hasUnreportedChanges }) => hasUnreportedChanges,
+      ),
+      unansweredSince: leases.findUnansweredSince(machine),
+    };
   }
 
   #report(holder: MachineName, engines: readonly ServerId[]): void {
     const { context, leases, engineControllers, channel } = this.#options;
     const { machine: from } = context.dependencies.identity;
-    this.#reportedAt.set(holder, context.now());
-    const usages = engines.map((engine) => this.#takeUsage(engine));
+    const usages = engines.map((engine) => this.#takeUsage(engine, holder));
     if (holder === from) {
-      this.#recordOwnerReports(engineControllers.recordUsage(from, usages));
+      const reports = engineControllers.recordUsage(from, usages);
+      this.#recordOwnerReports(from, reports);
       return;
     }
     const address = leases.findAddress(holder);
     if (address === undefined) return;
+    leases.recordRequest(holder);
     channel.send(address, { type: "use", from, engines: usages });
   }
 
-  #takeUsage(engine: ServerId): EngineUsage {
+  #takeUsage(engine: ServerId, holder: MachineName): EngineUsage {
+    const report = this.#ownerReports.get(engine);
+    const contentsVersion =
+      report?.from === holder ? report.contentsVersion : 0;
     const usage = this.#usage.get(engine);
     if (usage === undefined) {
       return {
@@ -188,6 +217,7 @@
         queuedAdapters: [],
         queuedRequests: 0,
         queuedTokens: 0,
+        contentsVersion,
       };
     }
     const ran = new Set([...usage.running.keys(), ...usage.started]);
@@ -200,6 +230,7 @@
       queuedAdapters: [...usage.queued.keys()],
       queuedRequests: usage.requests,
       queuedTokens: usage.tokens,
+      contentsVersion,
     };
   }
 
@@ -207,7 +238,7 @@
     const { context, leases, engineControllers, channel } = this.#options;
     leases.recordContact(message.from);
     if (message.type === "load")
-      return this.#recordOwnerReports(message.engines);
+      return this.#recordOwnerReports(message.from, message.engines);
     const engines = engineControllers.recordUsage(
       message.from,
       message.engines,
@@ -216,13 +247,18 @@
     channel.send(address, { type: "load", from, engines });
   }
 
-  #recordOwnerReports(reports: readonly OwnerReport[]): void {
+  #recordOwnerReports(
+    from: MachineName,
+    reports: readonly OwnerReport[],
+  ): void {
     const at = this.#options.context.now();
     const { adapterDirectory } = this.#options.context;
     for (const report of reports) {
       const { engine, availableAdapters } = report;
-      this.#ownerReports.set(engine, { ...report, at });
-      if (availableAdapters !== undefined) {
+      this.#ownerReports.set(engine, { ...report, from, at });
+      if (availableAdapters === undefined) {
+        confirmContents(adapterDirectory, engine, at);
+      } else {
         recordContents(adapterDirectory, engine, {
           availableAdapters,
           now: at,
--- a/tests/gateway/adapter_directory_test.ts
+++ b/tests/gateway/adapter_directory_test.ts
@@ -2,9 +2,11 @@
 import { test } from "node:test";
 import { type Millis, millis } from "../../src/core/clock.ts";
 import {
+  confirmContents,
   createAdapterDirectory,
   findReadyAt,
   forgetEngineAdapters,
+  hasRecentReport,
   rankEngines,
   recordContents,
   recordMissing,
@@ -59,6 +61,7 @@
     now: millis(0),
     adapterDirectory: createAdapterDirectory(),
     estimateWait: (engine: ServerId): Millis => millis(waits[engine] ?? 0),
+    isKnown: (_engine: ServerId): boolean => true,
   };
 }
 
@@ -184,3 +187,33 @@
   forgetEngineAdapters(context.adapterDirectory, other.id);
   assert.equal(findFirst(context), home);
 });
+
+// Guards against a request sent to an engine that evicted its adapter long ago.
+test("the owner of an engine with outdated contents is asked before the engine's adapter is used", () => {
+  const context = createContext();
+  const promise = { ...wanted, readyAt: millis(0), now: millis(0) };
+  recordPromise(context.adapterDirectory, servers[2]?.id as ServerId, promise);
+  const [first] = rankEngines(servers, wanted, {
+    ...context,
+    isKnown: () => false,
+  });
+  assert.equal(first?.server.id, "e3");
+  assert.equal(first?.readyAt, undefined);
+  assert.equal(first?.mayHold, true);
+});
+
+test("contents are recent for a time after each report of the owner", () => {
+  const { adapterDirectory } = createContext();
+  const engine = servers[0]?.id as ServerId;
+  const isRecent = (now: number) =>
+    hasRecentReport(adapterDirectory, engine, millis(now));
+  assert.equal(isRecent(0), false);
+  recordContents(adapterDirectory, engine, {
+    availableAdapters: [],
+    now: millis(0),
+  });
+  assert.equal(isRecent(2_000), true);
+  assert.equal(isRecent(3_000), false);
+  confirmContents(adapterDirectory, engine, millis(3_000));
+  assert.equal(isRecent(4_000), true);
+});
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -23,6 +23,7 @@
 } from "../../src/core/ids.ts";
 import type { Refusal } from "../../src/core/results/refusal.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
+import type { LeaseRead } from "../../src/node/gateway/lease_rows.ts";
 import type {
   CallerSink,
   EngineOrders,
@@ -40,6 +41,8 @@
 export const booking: ServiceName = brandString("booking");
 export const engines: ServiceName = brandString("engines");
 const dataCentre: DataCentre = brandString("tatry-a");
+/** Above the version of any single row of the memory table. */
+const minReadVersion = 1_000_000;
 const region: Region = brandString("tatry");
 
 export function createRoute(fields: Partial<GatewayRoute>): GatewayRoute {
@@ -164,6 +167,7 @@
   orderAnswer: OrderAnswer = { kind: "accepted" };
   #publish: (change: InstallationChange) => void = () => {};
   #requests = 0;
+  #leaseReads = 0;
 
   constructor() {
     const links: ServerLinks = {
@@ -207,6 +211,7 @@
       links,
       retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
       table: this.table,
+      readLeaseRows: () => this.#readLeaseRows(),
       feed: {
         follow: (listener) => {
           this.#publish = listener;
@@ -221,6 +226,18 @@
     });
   }
 
+  /** Reads the table at each call; its newest version counts the reads. */
+  async #readLeaseRows(): Promise<LeaseRead | undefined> {
+    const confirmedAt = this.clock.now();
+    const result = await this.table.scan("");
+    this.#leaseReads++;
+    const newest = minReadVersion + this.#leaseReads;
+    return result
+      .map((rows) => ({ rows, newest, confirmedAt }))
+      .toMaybe()
+      .extract();
+  }
+
   publish(change: InstallationChange): void {
     this.#publish(change);
   }
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -24,6 +24,7 @@
       requests.push(received);
       return { kind: "ready", inMs: 265 };
     },
+    serve: async () => [],
   });
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", () => resolve());
@@ -101,6 +102,7 @@
       queuedAdapters: ["m0/a2" as never],
       queuedRequests: 3,
       queuedTokens: 900,
+      contentsVersion: 17,
     })),
   };
   const load: UsageMessage = {
@@ -111,12 +113,14 @@
         engine: brandString("i-1"),
         requests: 1,
         tokens: 20,
+        contentsVersion: 17,
         availableAdapters: [{ key: "m0/a1" as never, version: 2, readyIn: 30 }],
       },
       {
         engine: brandString("i-2"),
         requests: 0,
         tokens: 0,
+        contentsVersion: 18,
         availableAdapters: undefined,
       },
     ],
--- /dev/null
+++ b/tests/gateway/row_relay_test.ts
@@ -0,0 +1,193 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
+import { type FleetNode, RowFleet } from "./row_fleet.ts";
+
+/** Shortest bound within which a change of the configuration must be in force, in ms. */
+const configurationBound = 2_500;
+
+async function startFleet(options: ConstructorParameters<typeof RowFleet>[0]) {
+  const fleet = new RowFleet(options);
+  fleet.write("operator", "config", "1");
+  fleet.write("servers", "i-1", "ready/a1");
+  fleet.start();
+  await fleet.advance(5_000);
+  return fleet;
+}
+
+/** Writes a configuration and checks that the nodes receive it within the bound. */
+async function assertReceived(fleet: RowFleet, receivers: FleetNode[]) {
+  const version = fleet.write("operator", "config", "next");
+  await fleet.advance(configurationBound);
+  const late = receivers.filter(
+    ({ received }) => !received.has(`operator/config@${version}`),
+  );
+  assert.deepEqual(
+    late.map(({ machine }) => machine),
+    [],
+  );
+}
+
+function listOthers(fleet: RowFleet, left: FleetNode): FleetNode[] {
+  return fleet.nodes.filter((node) => node !== left);
+}
+
+// Calls to the table service are priced, and its rate is limited for the whole fleet.
+test("calls to the table service do not grow with the number of nodes", async () => {
+  const callsPerSecond: number[] = [];
+  for (const nodes of [30, 100, 300]) {
+    const fleet = await startFleet({ nodes, dataCentres: 6 });
+    const before = fleet.tableCalls;
+    await fleet.advance(20_000);
+    callsPerSecond.push((fleet.tableCalls - before) / 20);
+  }
+  for (const rate of callsPerSecond) assert.ok(rate < 40, `${rate} calls/s`);
+  const [small = 0, , large = 0] = callsPerSecond;
+  assert.ok(large <= small * 1.05, `${small} and ${large} calls/s`);
+});
+
+test("a change reaches every node soon after the reader of its data centre has it", async () => {
+  const fleet = await startFleet({ nodes: 60, dataCentres: 6 });
+  const version = fleet.write("operator", "config", "2");
+  await fleet.advance(300);
+  assert.equal(fleet.countReceived("operator", "config", version), 60);
+});
+
+test("changes of adapters alone are passed on at a limited rate, others at once", async () => {
+  const fleet = await startFleet({ nodes: 30, dataCentres: 3 });
+  for (let i = 0; i < 100; i++) fleet.write("servers", `s${i}`, "ready/a0");
+  await fleet.advance(3_000);
+  const before = fleet.peerRows;
+  for (let second = 1; second <= 10; second++) {
+    for (let i = 0; i < 100; i++) {
+      fleet.write("servers", `s${i}`, `ready/a${second}`);
+    }
+    await fleet.advance(1_000);
+  }
+  const rowsPerNode = (fleet.peerRows - before) / 27;
+  assert.ok(rowsPerNode <= 200, `${rowsPerNode} of 1000 changes`);
+  const version = fleet.write("servers", "s1", "draining/a10");
+  await fleet.advance(1_100);
+  assert.equal(fleet.countReceived("servers", "s1", version), 30);
+});
+
+test("a removed row is reported to every node", async () => {
+  const fleet = await startFleet({ nodes: 30, dataCentres: 3 });
+  const version = fleet.write("servers", "i-1", undefined);
+  await fleet.advance(1_100);
+  assert.equal(fleet.countReceived("servers", "i-1", version), 30);
+});
+
+test("nodes whose reader is killed get a change in time from another", async () => {
+  const fleet = await startFleet({ nodes: 30, dataCentres: 3 });
+  const [first] = fleet.nodes as [FleetNode];
+  const reader = fleet.findReader(first.dataCentre);
+  fleet.kill(reader);
+  await assertReceived(fleet, listOthers(fleet, reader));
+});
+
+test("nodes whose reader falls silent get a change in time from another", async () => {
+  const fleet = await startFleet({ nodes: 30, dataCentres: 3 });
+  const [first] = fleet.nodes as [FleetNode];
+  const reader = fleet.findReader(first.dataCentre);
+  reader.isReachable = false;
+  await assertReceived(fleet, listOthers(fleet, reader));
+});
+
+test("nodes whose reader is paused get a change in time from another", async () => {
+  const fleet = await startFleet({ nodes: 30, dataCentres: 3 });
+  const [first] = fleet.nodes as [FleetNode];
+  const reader = fleet.findReader(first.dataCentre);
+  reader.clock.pause();
+  await assertReceived(fleet, listOthers(fleet, reader));
+});
+
+test("nodes whose reader loses the table service get a change in time elsewhere", async () => {
+  for (const access of ["silent", "refused"] as const) {
+    const fleet = await startFleet({ nodes: 30, dataCentres: 3 });
+    const [first] = fleet.nodes as [FleetNode];
+    const reader = fleet.findReader(first.dataCentre);
+    reader.access = access;
+    await assertReceived(fleet, listOthers(fleet, reader));
+  }
+});
+
+// A lost reader must not turn every node into a reader for long.
+test("after the loss of a reader the calls return to their level", async () => {
+  const fleet = await startFleet({ nodes: 100, dataCentres: 2 });
+  const [first] = fleet.nodes as [FleetNode];
+  const reader = fleet.findReader(first.dataCentre);
+  reader.access = "silent";
+  await fleet.advance(8_000);
+  const before = fleet.tableCalls;
+  await fleet.advance(10_000);
+  const rate = (fleet.tableCalls - before) / 10;
+  assert.ok(rate < 20, `${rate} calls/s`);
+});
+
+test("while the table service is away for all, few calls are made, and all nodes get a change soon after", async () => {
+  const fleet = await startFleet({ nodes: 100, dataCentres: 6 });
+  for (const node of fleet.nodes) node.access = "refused";
+  const before = fleet.tableCalls;
+  await fleet.advance(10_000);
+  const rate = (fleet.tableCalls - before) / 10;
+  assert.ok(rate < 150, `${rate} calls/s`);
+  for (const node of fleet.nodes) node.access = "open";
+  await assertReceived(fleet, fleet.nodes);
+});
+
+test("after the history is lost all nodes still agree with the table service", async () => {
+  const fleet = await startFleet({ nodes: 30, dataCentres: 3 });
+  fleet.write("servers", "i-1", undefined);
+  fleet.truncateHistory();
+  await fleet.advance(3_000);
+  for (const { relay } of fleet.nodes) {
+    assert.deepEqual(relay.snapshot("servers")?.rows, []);
+  }
+});
+
+test("a fleet that restarts at the same moment soon makes no more calls than before", async () => {
+  const fleet = await startFleet({ nodes: 100, dataCentres: 6 });
+  for (const node of fleet.nodes) fleet.kill(node);
+  await fleet.advance(1_000);
+  const before = fleet.tableCalls;
+  for (const node of fleet.nodes) fleet.restart(node);
+  await fleet.advance(2_000);
+  const started = fleet.tableCalls - before;
+  assert.ok(started < 600, `${started} calls`);
+  await assertReceived(fleet, fleet.nodes);
+});
+
+// Guards the leases: a holder orders for a time after its rows were confirmed,
+// and its successor starts once that time must be over.
+test("rows are never confirmed for a time at which a newer version existed", async () => {
+  for (let seed = 1; seed <= 12; seed++) {
+    const fleet = new RowFleet({ nodes: 12, dataCentres: 2, seed });
+    const random = createSeededRandom(seed);
+    fleet.start();
+    for (let step = 0; step < 120; step++) {
+      const node = fleet.nodes[Math.floor(random() * 12)] as FleetNode;
+      disturb(fleet, node, random);
+      fleet.write("nodes", `engine${step % 5}`, `dc9`);
+      await fleet.advance(50 + random() * 400);
+      fleet.checkConfirmations("nodes");
+    }
+    const violations = fleet.nodes.flatMap((node) => node.violations);
+    assert.deepEqual(violations, [], `seed ${seed}`);
+  }
+});
+
+function disturb(fleet: RowFleet, node: FleetNode, random: () => number): void {
+  const choice = random();
+  if (choice < 0.2) {
+    if (node.clock.paused) node.clock.resume();
+    else node.clock.pause();
+  } else if (choice < 0.35) {
+    node.isReachable = !node.isReachable;
+  } else if (choice < 0.5) {
+    node.access = node.access === "open" ? "silent" : "open";
+  } else if (choice < 0.6 && !node.clock.paused) {
+    if (node.isAlive) fleet.kill(node);
+    else fleet.restart(node);
+  }
+}
--- a/tests/platform_adapter/installation_feed_test.ts
+++ b/tests/platform_adapter/installation_feed_test.ts
@@ -2,7 +2,13 @@
 import { test } from "node:test";
 import { StoreFeed } from "../../platform/installation_feed.ts";
 import { StoreClient } from "../../platform/store_client.ts";
+import {
+  chooseUrgencyPolicy,
+  createStoreRows,
+} from "../../platform/store_rows.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { brandString } from "../../src/core/ids.ts";
+import { RowRelay } from "../../src/node/gateway/row_relay.ts";
 import type { InstallationChange } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { configuration, FakeStore, registration } from "./fake_store.ts";
@@ -19,11 +25,18 @@
     clock,
     meter: silentMeter,
   });
-  const feed = StoreFeed.create({
-    store: client,
+  const rows = RowRelay.create({
+    machine: brandString("n1"),
+    dataCentre: brandString("tatry-a"),
     clock,
+    random: () => 0.5,
     journal: silentJournal,
+    source: createStoreRows(client),
+    peers: { followRows: async () => undefined },
+    isUrgent: chooseUrgencyPolicy,
+    decodeNodes: () => [],
   });
+  const feed = StoreFeed.create({ rows, clock, journal: silentJournal });
   const changes: Change[] = [];
   feed.follow((change) => changes.push(change));
   async function waitForChange(
@@ -38,6 +51,7 @@
   }
   function stop(): void {
     feed.stop();
+    rows.stop();
     store.close();
   }
   return { store, changes, waitForChange, stop };
