Count running requests in the wait at an engine, and learn it with each promise

The wait counted only queued prompts, and a node that had not used an engine lately knew nothing.

Change: reports and promises carry the number of running requests; the wait includes the one for a slot. An owner counts the requests that it has promised and no report shows yet. A node that learns of a long wait ranks the engines again.

--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -32,6 +32,7 @@
   acquire: trpc.procedure
     .input(
       z.object({
+        from: name,
         engine: name,
         place: name,
         version: z.number().int().min(0),
@@ -41,6 +42,7 @@
     )
     .mutation(({ ctx, input }) =>
       ctx.acquire({
+        from: brandString(input.from),
         engine: brandString(input.engine),
         place: brandString(input.place),
         version: input.version,
--- a/src/adapters/peers/usage_datagrams.ts
+++ b/src/adapters/peers/usage_datagrams.ts
@@ -22,7 +22,9 @@
   z.tuple([
     z.literal("use"),
     name,
-    z.array(z.tuple([name, z.array(name), z.array(name), count, count, count])),
+    z.array(
+      z.tuple([name, z.array(name), z.array(name), count, count, count, count]),
+    ),
   ]),
   z.tuple([
     z.literal("load"),
@@ -33,6 +35,7 @@
         count,
         count,
         count,
+        count,
         z.nullable(z.array(availableAdapterFrame)),
       ]),
     ),
@@ -98,6 +101,7 @@
             usage.queuedAdapters,
             usage.queuedRequests,
             usage.queuedTokens,
+            usage.runningRequests,
             usage.contentsVersion,
           ])
         : message.engines.map(
@@ -105,12 +109,14 @@
               engine,
               requests,
               tokens,
+              running,
               contentsVersion,
               availableAdapters,
             }) => [
               engine,
               requests,
               tokens,
+              running,
               contentsVersion,
               availableAdapters?.map(({ key, version, readyIn }) => [
                 key,
@@ -151,6 +157,7 @@
           queuedAdapters,
           queuedRequests,
           queuedTokens,
+          runningRequests,
           contentsVersion,
         ]): EngineUsage => ({
           engine: brandString(engine),
@@ -158,16 +165,25 @@
           queuedAdapters: queuedAdapters.map((key) => brandString(key)),
           queuedRequests,
           queuedTokens,
+          runningRequests,
           contentsVersion,
         }),
       );
       return { type, from, engines };
     }
     const engines = parsed.data[2].map(
-      ([engine, requests, tokens, contentsVersion, adapters]): OwnerReport => ({
+      ([
+        engine,
+        requests,
+        tokens,
+        running,
+        contentsVersion,
+        adapters,
+      ]): OwnerReport => ({
         engine: brandString(engine),
         requests,
         tokens,
+        running,
         contentsVersion,
         availableAdapters: adapters?.map(([key, version, readyIn]) => ({
           key: brandString(key),
--- a/src/core/gateway/adapter_directory.ts
+++ b/src/core/gateway/adapter_directory.ts
@@ -31,7 +31,7 @@
 /** Time for which a report of the owner takes precedence over registrations, in ms. */
 const ownerReportLifetime = 4_000;
 /** Age from which contents may have changed, so that the owner is asked, in ms. */
-const maxContentsAge = 2_500;
+const maxContentsAge = 1_200;
 /** Time for which a promise takes precedence over a report that may have been sent before it, in ms. */
 const maxReportDelay = 150;
 
@@ -244,7 +244,15 @@
   for (const server of candidates) {
     if (isSuspended(context.health, server.id, context.now)) continue;
     const readyAt = findReadyAt(context.adapterDirectory, server.id, requested);
-    if (readyAt === undefined || !context.isKnown(server.id)) {
+    const isCurrent =
+      context.isKnown(server.id) ||
+      wasPromised(
+        context.adapterDirectory,
+        server.id,
+        requested.key,
+        context.now,
+      );
+    if (readyAt === undefined || !isCurrent) {
       others.set(server.id, server);
       continue;
     }
@@ -269,6 +277,17 @@
   return [...holders, ...rated].sort((a, b) => a.cost - b.cost);
 }
 
+/** Whether an engine's owner promised an adapter to this node a short time ago. */
+function wasPromised(
+  directory: AdapterDirectory,
+  engine: ServerId,
+  key: ModelAdapterKey,
+  now: Millis,
+): boolean {
+  const promisedAt = directory.byEngine.get(engine)?.get(key)?.promisedAt;
+  return promisedAt !== undefined && now < promisedAt + maxContentsAge;
+}
+
 /** Whether the host of an engine keeps a copy in memory, which loads faster. */
 function hasCachedCopy(
   directory: AdapterDirectory,
--- a/src/core/gateway/engine_backlog.ts
+++ b/src/core/gateway/engine_backlog.ts
@@ -11,14 +11,19 @@
   /** Number of requests that the engine has queued, and their prompt tokens. */
   readonly queuedRequests: number;
   readonly queuedTokens: number;
+  /** Number of requests that run. */
+  readonly runningRequests: number;
   /** Version of the contents that the node knows from this owner; 0 if none. */
   readonly contentsVersion: number;
 };
 
-/** Requests that an engine has queued, and their prompt tokens. */
+/** Requests at an engine. */
 export type EngineBacklog = {
+  /** Queued requests, and their prompt tokens. */
   readonly requests: number;
   readonly tokens: number;
+  /** Running requests. */
+  readonly running: number;
 };
 
 /** An adapter that an engine holds or is loading, as known to its owner. */
@@ -40,20 +45,39 @@
 
 /** Time after which a report of a node is ignored, in ms. */
 const reportLifetime = 1_500;
+/** Time after which a promised request is part of the report of its node, in ms. */
+const promiseLifetime = 350;
 /** Prompt tokens that an engine processes per ms, and its fixed time per prompt, in ms. */
 const promptTokensPerMs = 14;
 const msPerPrompt = 12;
 
 type Report = EngineBacklog & { readonly at: Millis };
 
+type Promised = { readonly to: MachineName; readonly at: Millis };
+
 /** Backlog reports of all nodes for the engines that one node owns. */
 export type BacklogLedger = {
   readonly byEngine: Map<ServerId, Map<MachineName, Report>>;
+  /** Requests that nodes are about to send to each engine, oldest first. */
+  readonly promised: Map<ServerId, Promised[]>;
 };
 
 /** Creates a ledger without reports. */
 export function createBacklogLedger(): BacklogLedger {
-  return { byEngine: new Map() };
+  return { byEngine: new Map(), promised: new Map() };
+}
+
+/** Records that a node was promised an adapter, for which it sends a request. */
+export function recordPromisedRequest(
+  ledger: BacklogLedger,
+  promise: { readonly engine: ServerId; readonly to: MachineName },
+  now: Millis,
+): void {
+  const { engine, to } = promise;
+  const recent = (ledger.promised.get(engine) ?? []).filter(
+    ({ at }) => now < at + promiseLifetime,
+  );
+  ledger.promised.set(engine, [...recent, { to, at: now }]);
 }
 
 /** Records the report of a node. */
@@ -68,6 +92,7 @@
   reports.set(from, {
     requests: use.queuedRequests,
     tokens: use.queuedTokens,
+    running: use.runningRequests,
     at: now,
   });
 }
@@ -80,21 +105,44 @@
 ): EngineBacklog {
   let requests = 0;
   let tokens = 0;
+  let running = 0;
   for (const [machine, report] of ledger.byEngine.get(of.engine) ?? []) {
     if (machine === of.except || now > report.at + reportLifetime) continue;
     requests += report.requests;
     tokens += report.tokens;
+    running += report.running;
+  }
+  for (const { to, at } of ledger.promised.get(of.engine) ?? []) {
+    if (to !== of.except && now < at + promiseLifetime) requests++;
   }
-  return { requests, tokens };
+  return { requests, tokens, running };
 }
 
 /** Removes the reports for an engine. */
 export function forgetBacklog(ledger: BacklogLedger, engine: ServerId): void {
   ledger.byEngine.delete(engine);
+  ledger.promised.delete(engine);
 }
 
-/** Expected wait behind a backlog, in ms. */
-export function estimateBacklogWait(backlog: EngineBacklog): Millis {
-  const { requests, tokens } = backlog;
-  return millis(tokens / promptTokensPerMs + requests * msPerPrompt);
+/** How an engine works off its backlog. */
+export type EnginePace = {
+  /** Maximum number of requests that run at a time. */
+  readonly slots: number;
+  /** Usual time that a request runs, in ms. */
+  readonly runTime: number;
+};
+
+/**
+ * Expected wait behind a backlog, in ms: for the prompts before, and for a slot
+ * once all are taken.
+ */
+export function estimateBacklogWait(
+  backlog: EngineBacklog,
+  { slots, runTime }: EnginePace,
+): Millis {
+  const { requests, tokens, running } = backlog;
+  const promptWait = tokens / promptTokensPerMs + requests * msPerPrompt;
+  const excess = running + requests + 1 - slots;
+  const slotWait = excess > 0 ? (excess * runTime) / slots : 0;
+  return millis(promptWait + slotWait);
 }
--- a/src/node/gateway/engine_controller.ts
+++ b/src/node/gateway/engine_controller.ts
@@ -27,7 +27,7 @@
   ModelAdapterKey,
   ModelName,
 } from "../../core/ids.ts";
-import type { AcquireResult, EngineOrders } from "../../ports/gateway.ts";
+import type { EngineOrders } from "../../ports/gateway.ts";
 import { createDecisionLogic, type DecisionActor } from "../decision_actor.ts";
 import type { GatewayContext } from "./context.ts";
 import type { LeaseManager } from "./lease_manager.ts";
@@ -35,6 +35,11 @@
 /** Interval of the `tick` events, on which the controller sends due orders and requests due reports, in ms. */
 const tickInterval = millis(50);
 
+/** Reply of a controller, without the requests at its engine. */
+export type AcquireReply =
+  | Extract<EngineControllerCommand, { type: "reply" }>["reply"]
+  | { readonly kind: "refused"; readonly reason: "not-owner" };
+
 type EngineControllerOptions = {
   readonly context: GatewayContext;
   readonly orders: EngineOrders;
@@ -47,7 +52,7 @@
 export class EngineController {
   readonly #options: EngineControllerOptions;
   readonly #actor: DecisionActor<EngineControllerState, EngineControllerEvent>;
-  readonly #pendingReplies = new Map<Ticket, (answer: AcquireResult) => void>();
+  readonly #pendingReplies = new Map<Ticket, (answer: AcquireReply) => void>();
   #server: BackendServer;
   #lastTicket = 0;
   #cancelTick: Cancel = () => {};
@@ -100,7 +105,7 @@
     readonly version: number;
     readonly wasDenied: boolean;
     readonly patience: number;
-  }): Promise<AcquireResult> {
+  }): Promise<AcquireReply> {
     const ticket = ++this.#lastTicket;
     return new Promise((resolve) => {
       this.#pendingReplies.set(ticket, resolve);
--- a/src/node/gateway/engine_controllers.ts
+++ b/src/node/gateway/engine_controllers.ts
@@ -4,6 +4,7 @@
   type EngineUsage,
   forgetBacklog,
   type OwnerReport,
+  recordPromisedRequest,
   recordUsage,
   sumOtherBacklog,
 } from "../../core/gateway/engine_backlog.ts";
@@ -84,11 +85,11 @@
     if (controller === undefined || fence === undefined) {
       return { kind: "refused", reason: "not-owner" };
     }
-    const { place, version, wasDenied, patience } = request;
+    const { from, engine, place, version, wasDenied, patience } = request;
     const slash = place.indexOf("/");
     const model: ModelName = brandString(place.slice(0, slash));
     const adapter: AdapterName = brandString(place.slice(slash + 1));
-    return controller.acquire({
+    const reply = await controller.acquire({
       key: place,
       model,
       adapter,
@@ -96,6 +97,12 @@
       wasDenied,
       patience,
     });
+    if (reply.kind !== "ready") return reply;
+    const now = this.#context.now();
+    const of = { engine, except: from };
+    const backlog = sumOtherBacklog(this.#backlogs, of, now);
+    recordPromisedRequest(this.#backlogs, { engine, to: from }, now);
+    return { ...reply, backlog };
   }
 
   /** Records the usage that a node reports; returns the backlog of the other nodes. */
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -90,6 +90,8 @@
     this.#selector = ServerSelector.create(this.context, {
       acquire: this.#acquire,
       estimateWait: (engine) => this.#usageReporter.estimateWait(engine),
+      recordBacklog: (engine, backlog) =>
+        this.#usageReporter.recordBacklog(engine, backlog),
       isKnown: (engine) => this.#isKnown(engine),
     });
     this.#clockOffset = clock.wallNow() - clock.now();
@@ -214,10 +216,11 @@
 
   readonly #acquire: AcquireAdapter = async (server, adapter) => {
     const holder = this.#leases.findHolder(server.id);
-    const request = { engine: server.id, ...adapter };
+    const { machine: from } = this.context.dependencies.identity;
+    const request = { from, engine: server.id, ...adapter };
     const refused: AcquireResult = { kind: "refused", reason: "not-owner" };
     if (holder === undefined) return refused;
-    if (holder === this.context.dependencies.identity.machine) {
+    if (holder === from) {
       return this.#engineControllers.acquire(request);
     }
     const address = this.#leases.findAddress(holder);
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -1,5 +1,6 @@
 import { type Millis, millis } from "../../core/clock.ts";
 import {
+  type RankedEngine,
   rankEngines,
   recordPromise,
 } from "../../core/gateway/adapter_directory.ts";
@@ -7,6 +8,7 @@
   chooseLeastCost,
   excludeServers,
 } from "../../core/gateway/choose_server.ts";
+import type { EngineBacklog } from "../../core/gateway/engine_backlog.ts";
 import { isSuspended } from "../../core/gateway/server_health.ts";
 import {
   type BackendServer,
@@ -48,6 +50,8 @@
 
 /** Maximum number of owners that one selection requests an adapter from. */
 const maxOwnerRequests = 3;
+/** Maximum number of times that one selection ranks the engines. */
+const maxRankings = 3;
 /** Maximum wait until a load may start, in the first round of owners and in the last, in ms. */
 const shortStartTimeout = 40;
 const longStartTimeout = 500;
@@ -56,6 +60,8 @@
   readonly acquire: AcquireAdapter;
   /** Expected wait at an engine behind other requests, in ms. */
   readonly estimateWait: (engine: ServerId) => Millis;
+  /** Records the requests of the other nodes at an engine. */
+  readonly recordBacklog: (engine: ServerId, backlog: EngineBacklog) => void;
   /** Whether the contents of an engine are known well enough to skip its owner. */
   readonly isKnown: (engine: ServerId) => boolean;
 };
@@ -123,22 +129,52 @@
       readonly onRefused: RefusalListener;
     },
   ): Promise<ServerSelection | undefined> {
-    const context = this.#context;
-    const version = context.versions.get(key) ?? 0;
-    const expected = version > 0 ? version : undefined;
+    const version = this.#context.versions.get(key) ?? 0;
     const wanted = { key, version };
-    const ranked = rankEngines(candidates, wanted, {
-      ...context.selectionContext(),
+    let ranked = this.#rank(candidates, wanted);
+    for (let round = 0; round < maxRankings; round++) {
+      const [best] = ranked;
+      if (best?.readyAt !== undefined) break;
+      const promise = await this.#askOwners(ranked, wanted, {
+        deniedBy,
+        onRefused,
+      });
+      if (promise === undefined) break;
+      if (promise.isNewLoad) return promise.selection;
+      // The reply tells how many requests the engine has, so another may be better.
+      ranked = this.#rank(candidates, wanted);
+    }
+    const holder = ranked.find(({ readyAt }) => readyAt !== undefined);
+    if (holder?.readyAt === undefined) return undefined;
+    return createSelection(holder.server, holder.readyAt, version);
+  }
+
+  #rank(
+    candidates: readonly BackendServer[],
+    wanted: WantedAdapter,
+  ): RankedEngine[] {
+    return rankEngines(candidates, wanted, {
+      ...this.#context.selectionContext(),
       ...this.#options,
     });
-    const [best] = ranked;
-    if (best?.readyAt !== undefined) {
-      return { server: best.server, readyAt: best.readyAt, version: expected };
-    }
-    const loadCandidates = ranked.filter(
-      ({ readyAt }) => readyAt === undefined,
-    );
-    const owners = loadCandidates.slice(0, maxOwnerRequests);
+  }
+
+  /** Asks the owners of engines in turn until one promises the adapter. */
+  async #askOwners(
+    ranked: readonly RankedEngine[],
+    { key, version }: WantedAdapter,
+    {
+      deniedBy,
+      onRefused,
+    }: {
+      readonly deniedBy: ServerId | undefined;
+      readonly onRefused: RefusalListener;
+    },
+  ): Promise<PromisedAdapter | undefined> {
+    const context = this.#context;
+    const owners = ranked
+      .filter(({ readyAt }) => readyAt === undefined)
+      .slice(0, maxOwnerRequests);
     // The first round finds an owner that can start the load at once, the second
     // one that can start it later.
     const rounds = [
@@ -149,35 +185,47 @@
       const wasDenied = server.id === deniedBy;
       const request = { place: key, version, wasDenied, patience };
       const answer = await this.#options.acquire(server, request);
+      const now = context.now();
       if (answer.kind !== "ready") {
         onRefused(server, answer.reason);
         // Without its owner, what was last heard of the engine must do.
-        if (mayHold && isOwnerMissing(answer.reason)) {
-          return { server, readyAt: context.now(), version: expected };
-        }
-        continue;
+        if (!mayHold || !isOwnerMissing(answer.reason)) continue;
+        const selection = createSelection(server, now, version);
+        return { selection, isNewLoad: true };
       }
-      const now = context.now();
       if (isSuspended(context.health, server.id, now)) continue;
-      const ready = millis(now + answer.inMs);
-      recordPromise(context.adapterDirectory, server.id, {
-        key,
-        version,
-        readyAt: ready,
-        now,
-      });
-      return { server, readyAt: ready, version: expected };
+      this.#options.recordBacklog(server.id, answer.backlog);
+      const readyAt = millis(now + answer.inMs);
+      const { adapterDirectory } = context;
+      const promise = { key, version, readyAt, now };
+      recordPromise(adapterDirectory, server.id, promise);
+      const selection = createSelection(server, readyAt, version);
+      return { selection, isNewLoad: answer.inMs > 0 };
     }
-    const holder = ranked.find(({ readyAt }) => readyAt !== undefined);
-    if (holder?.readyAt === undefined) return undefined;
-    return {
-      server: holder.server,
-      readyAt: holder.readyAt,
-      version: expected,
-    };
+    return undefined;
   }
 }
 
+/** An adapter that the owner of an engine promised. */
+type PromisedAdapter = {
+  readonly selection: ServerSelection;
+  /** The engine loads the adapter now, so that the request should not go elsewhere. */
+  readonly isNewLoad: boolean;
+};
+
+type WantedAdapter = {
+  readonly key: ModelAdapterKey;
+  readonly version: number;
+};
+
+function createSelection(
+  server: BackendServer,
+  readyAt: Millis,
+  version: number,
+): ServerSelection {
+  return { server, readyAt, version: version > 0 ? version : undefined };
+}
+
 function isOwnerMissing(reason: Parameters<RefusalListener>[1]): boolean {
   return reason === "not-owner" || reason === "unreachable";
 }
--- a/src/node/gateway/usage_reporter.ts
+++ b/src/node/gateway/usage_reporter.ts
@@ -23,8 +23,11 @@
 
 /** Interval of checks for usage that is due to be reported to an owner, in ms. */
 const checkInterval = millis(150);
+/** Assumed time that a request runs before any has ended, in ms, and the weight of each that ends. */
+const initialRunTime = 1_500;
+const runTimeWeight = 0.05;
 /** Age from which the backlog that an owner reported is ignored, in ms. */
-const ownerReportLifetime = 2_000;
+const backlogLifetime = 2_000;
 
 type UsageReporterOptions = {
   readonly context: GatewayContext;
@@ -41,14 +44,13 @@
   readonly started: Set<ModelAdapterKey>;
   requests: number;
   tokens: number;
+  runningRequests: number;
   /** Whether the latest changes have not been reported to the owner. */
   hasUnreportedChanges: boolean;
 };
 
-type ReceivedReport = OwnerReport & {
-  readonly from: MachineName;
-  readonly at: Millis;
-};
+/** Contents of an engine that the node knows from its owner. */
+type KnownContents = { readonly from: MachineName; readonly version: number };
 
 /**
  * Reports to the owners of engines which adapters this node's requests use, and
@@ -58,7 +60,13 @@
 export class UsageReporter {
   readonly #options: UsageReporterOptions;
   readonly #usage = new Map<ServerId, LocalUsage>();
-  readonly #ownerReports = new Map<ServerId, ReceivedReport>();
+  readonly #backlogs = new Map<
+    ServerId,
+    EngineBacklog & { readonly at: Millis }
+  >();
+  readonly #contents = new Map<ServerId, KnownContents>();
+  /** Moving average of the time that a request runs, in ms. */
+  #runTime = initialRunTime;
   readonly #schedule: ReportSchedule;
   #cancel: Cancel = () => {};
 
@@ -96,28 +104,48 @@
   /** Counts a request that runs on an adapter; the returned function ends the count. */
   trackRunning(engine: ServerId, key: ModelAdapterKey): () => void {
     const usage = this.#obtain(engine);
+    const { context } = this.#options;
+    const startedAt = context.now();
     usage.started.add(key);
-    return once(countRequest(usage, usage.running, key));
+    usage.runningRequests++;
+    const release = countRequest(usage, usage.running, key);
+    return once(() => {
+      usage.runningRequests--;
+      const runTime = context.now() - startedAt;
+      this.#runTime += (runTime - this.#runTime) * runTimeWeight;
+      release();
+    });
   }
 
-  /** Expected wait at an engine behind the queued requests of all nodes, in ms. */
+  /** Records the requests of the other nodes at an engine. */
+  recordBacklog(engine: ServerId, backlog: EngineBacklog): void {
+    const at = this.#options.context.now();
+    this.#backlogs.set(engine, { ...backlog, at });
+  }
+
+  /** Expected wait at an engine behind the requests of all nodes, in ms. */
   estimateWait(engine: ServerId): Millis {
+    const { context } = this.#options;
     const own = this.#usage.get(engine);
-    const others = this.#ownerReports.get(engine);
-    const isRecent =
-      others !== undefined &&
-      this.#options.context.now() < others.at + ownerReportLifetime;
+    const reported = this.#backlogs.get(engine);
+    const others =
+      reported !== undefined && context.now() < reported.at + backlogLifetime
+        ? reported
+        : undefined;
     const backlog: EngineBacklog = {
-      requests: (own?.requests ?? 0) + (isRecent ? others.requests : 0),
-      tokens: (own?.tokens ?? 0) + (isRecent ? others.tokens : 0),
+      requests: (own?.requests ?? 0) + (others?.requests ?? 0),
+      tokens: (own?.tokens ?? 0) + (others?.tokens ?? 0),
+      running: (own?.runningRequests ?? 0) + (others?.running ?? 0),
     };
-    return estimateBacklogWait(backlog);
+    const slots = context.directory.servers.get(engine)?.slots ?? 1;
+    return estimateBacklogWait(backlog, { slots, runTime: this.#runTime });
   }
 
   /** Drops the counts of an engine that is gone. */
   forget(engine: ServerId): void {
     this.#usage.delete(engine);
-    this.#ownerReports.delete(engine);
+    this.#backlogs.delete(engine);
+    this.#contents.delete(engine);
   }
 
   stop(): void {
@@ -133,6 +161,7 @@
         started: new Set(),
         requests: 0,
         tokens: 0,
+        runningRequests: 0,
         hasUnreportedChanges: false,
       };
       this.#usage.set(engine, usage);
@@ -206,9 +235,8 @@
   }
 
   #takeUsage(engine: ServerId, holder: MachineName): EngineUsage {
-    const report = this.#ownerReports.get(engine);
-    const contentsVersion =
-      report?.from === holder ? report.contentsVersion : 0;
+    const known = this.#contents.get(engine);
+    const contentsVersion = known?.from === holder ? known.version : 0;
     const usage = this.#usage.get(engine);
     if (usage === undefined) {
       return {
@@ -217,6 +245,7 @@
         queuedAdapters: [],
         queuedRequests: 0,
         queuedTokens: 0,
+        runningRequests: 0,
         contentsVersion,
       };
     }
@@ -230,6 +259,7 @@
       queuedAdapters: [...usage.queued.keys()],
       queuedRequests: usage.requests,
       queuedTokens: usage.tokens,
+      runningRequests: usage.runningRequests,
       contentsVersion,
     };
   }
@@ -254,8 +284,9 @@
     const at = this.#options.context.now();
     const { adapterDirectory } = this.#options.context;
     for (const report of reports) {
-      const { engine, availableAdapters } = report;
-      this.#ownerReports.set(engine, { ...report, from, at });
+      const { engine, availableAdapters, requests, tokens, running } = report;
+      this.recordBacklog(engine, { requests, tokens, running });
+      this.#contents.set(engine, { from, version: report.contentsVersion });
       if (availableAdapters === undefined) {
         confirmContents(adapterDirectory, engine, at);
       } else {
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -2,6 +2,7 @@
 import type { Millis } from "../core/clock.ts";
 import type { GatewayConfiguration } from "../core/gateway/configuration.ts";
 import type {
+  EngineBacklog,
   EngineUsage,
   OwnerReport,
 } from "../core/gateway/engine_backlog.ts";
@@ -165,8 +166,12 @@
 
 /** Response of an engine's owner to a request for an adapter. */
 export type AcquireResult =
-  /** The adapter is ready now or will be in `inMs` ms. */
-  | { readonly kind: "ready"; readonly inMs: number }
+  /** The adapter is ready now or will be in `inMs` ms; with the requests of the other nodes. */
+  | {
+      readonly kind: "ready";
+      readonly inMs: number;
+      readonly backlog: EngineBacklog;
+    }
   | {
       readonly kind: "refused";
       /**
@@ -201,6 +206,8 @@
 /** Handles the calls of other nodes. */
 export type NodeCallHandler = {
   acquire(request: {
+    /** The node that asks. */
+    readonly from: MachineName;
     readonly engine: ServerId;
     readonly place: ModelAdapterKey;
     readonly version: number;
--- a/tests/gateway/adapter_directory_test.ts
+++ b/tests/gateway/adapter_directory_test.ts
@@ -191,10 +191,13 @@
 // Guards against a request sent to an engine that evicted its adapter long ago.
 test("the owner of an engine with outdated contents is asked before the engine's adapter is used", () => {
   const context = createContext();
-  const promise = { ...wanted, readyAt: millis(0), now: millis(0) };
-  recordPromise(context.adapterDirectory, servers[2]?.id as ServerId, promise);
+  recordContents(context.adapterDirectory, servers[2]?.id as ServerId, {
+    availableAdapters: [{ ...wanted, readyIn: 0 }],
+    now: millis(0),
+  });
   const [first] = rankEngines(servers, wanted, {
     ...context,
+    now: millis(60_000),
     isKnown: () => false,
   });
   assert.equal(first?.server.id, "e3");
@@ -212,7 +215,7 @@
     availableAdapters: [],
     now: millis(0),
   });
-  assert.equal(isRecent(2_000), true);
+  assert.equal(isRecent(1_000), true);
   assert.equal(isRecent(3_000), false);
   confirmContents(adapterDirectory, engine, millis(3_000));
   assert.equal(isRecent(4_000), true);
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -10,6 +10,7 @@
 import { silentJournal } from "../../src/ports/journal.ts";
 
 const request: Parameters<NodeCallHandler["acquire"]>[0] = {
+  from: brandString("n1"),
   engine: brandString("i-1"),
   place: "m0/a1" as never,
   version: 2,
@@ -19,10 +20,12 @@
 
 test("a request for an adapter reaches the owner unchanged, and its answer comes back", async () => {
   const requests: unknown[] = [];
+  const backlog = { requests: 2, tokens: 900, running: 11 };
+  const answer = { kind: "ready", inMs: 265, backlog } as const;
   const server = createNodeServer({
     acquire: async (received) => {
       requests.push(received);
-      return { kind: "ready", inMs: 265 };
+      return answer;
     },
     serve: async () => [],
   });
@@ -30,12 +33,12 @@
     server.listen(0, "127.0.0.1", () => resolve());
   });
   const { port } = server.address() as { port: number };
-  const answer = await TrpcNodeLinks.create().acquire(
+  const received = await TrpcNodeLinks.create().acquire(
     `127.0.0.1:${port}`,
     request,
   );
   assert.deepEqual(requests, [request]);
-  assert.deepEqual(answer, { kind: "ready", inMs: 265 });
+  assert.deepEqual(received, answer);
   server.close();
   server.closeAllConnections();
 });
@@ -102,6 +105,7 @@
       queuedAdapters: ["m0/a2" as never],
       queuedRequests: 3,
       queuedTokens: 900,
+      runningRequests: 4,
       contentsVersion: 17,
     })),
   };
@@ -113,6 +117,7 @@
         engine: brandString("i-1"),
         requests: 1,
         tokens: 20,
+        running: 5,
         contentsVersion: 17,
         availableAdapters: [{ key: "m0/a1" as never, version: 2, readyIn: 30 }],
       },
@@ -120,6 +125,7 @@
         engine: brandString("i-2"),
         requests: 0,
         tokens: 0,
+        running: 0,
         contentsVersion: 18,
         availableAdapters: undefined,
       },
