Change the base models of engines as demand moves

Cause: an engine kept its first base model for good, so that a model that no engine had room for was never served.

Change: nodes ask the owners of engines for a model that no engine holds, or whose engines are overloaded. An owner replaces models that are used least once the unmet demand clearly exceeds the load of its engine, never the last copy of a model in use; the engines share the rate of the weight store. A request whose model does not come in time is refused at once with the time when it will. Requests without an adapter go to the engine with the shortest wait instead of the first in the list, and are counted in the reports.

Tests play fleets with several models: three in demand, rare ones, a shift of demand, empty engines, lost and late orders.

--- a/src/adapters/peers/node_links.ts
+++ b/src/adapters/peers/node_links.ts
@@ -2,7 +2,12 @@
 import { Agent, fetch } from "undici";
 import { z } from "zod";
 import type { Millis } from "../../core/clock.ts";
-import type { AcquireResult, NodeLinks } from "../../ports/gateway.ts";
+import type {
+  AcquireResult,
+  ModelRequest,
+  ModelResult,
+  NodeLinks,
+} from "../../ports/gateway.ts";
 import type { RowDelivery, RowPeers, RowRequest } from "../../ports/rows.ts";
 import type { NodeRouter } from "./node_router.ts";
 import { decodeDelivery, deliveryFrame } from "./row_frames.ts";
@@ -42,6 +47,21 @@
     }
   }
 
+  async requestModel(
+    address: string,
+    request: ModelRequest,
+  ): Promise<ModelResult> {
+    const signal = AbortSignal.timeout(acquireTimeoutMillis);
+    try {
+      const { client } = this.#getOrCreatePeer(address);
+      return await client.requestModel.mutate(request, { signal });
+    } catch {
+      // As for `acquire`, another owner is asked next.
+      this.#disconnect(address);
+      return { kind: "refused", reason: "unreachable" };
+    }
+  }
+
   async followRows(
     address: string,
     request: RowRequest,
--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -29,6 +29,21 @@
     .mutation(async ({ ctx, input }) =>
       (await ctx.serve(input)).map(encodeDelivery),
     ),
+  requestModel: trpc.procedure
+    .input(
+      z.object({
+        engine: name,
+        model: name,
+        requests: z.number().int().min(0),
+      }),
+    )
+    .mutation(({ ctx, input }) =>
+      ctx.requestModel({
+        engine: brandString(input.engine),
+        model: brandString(input.model),
+        requests: input.requests,
+      }),
+    ),
   acquire: trpc.procedure
     .input(
       z.object({
--- a/src/core/gateway/adapter_directory.ts
+++ b/src/core/gateway/adapter_directory.ts
@@ -203,6 +203,8 @@
 /** Extra time of a request to another region or data centre, in ms. */
 const otherRegionTime = 45;
 const otherDataCentreTime = 3;
+/** Cost of an engine that failed recently, above that of any other, in ms. */
+const suspendedCost = 60_000;
 /** Time that a further copy of an adapter must save before it is loaded, in ms. */
 const copyCost = 180;
 /** Time by which an engine must be better than the one before it in rendezvous order, in ms. */
@@ -277,6 +279,32 @@
   return [...holders, ...rated].sort((a, b) => a.cost - b.cost);
 }
 
+/**
+ * Chooses the engine with the shortest wait. The search starts at `offset`, a
+ * share of the list in [0, 1), so that nodes do not all take the first of
+ * several equal ones.
+ */
+export function chooseShortestWait(
+  candidates: readonly BackendServer[],
+  context: Omit<EngineSelectionContext, "isKnown" | "adapterDirectory"> & {
+    readonly offset: number;
+  },
+): BackendServer | undefined {
+  const first = Math.floor(context.offset * candidates.length);
+  const rotated = [...candidates.slice(first), ...candidates.slice(0, first)];
+  let best: BackendServer | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const server of rotated) {
+    const suspended = isSuspended(context.health, server.id, context.now);
+    const cost =
+      computeEngineCost(server, context) + (suspended ? suspendedCost : 0);
+    if (cost >= bestCost) continue;
+    best = server;
+    bestCost = cost;
+  }
+  return best;
+}
+
 /** Whether an engine's owner promised an adapter to this node a short time ago. */
 function wasPromised(
   directory: AdapterDirectory,
@@ -301,14 +329,14 @@
 /** Extra time of a request because of the engine's distance and backlog, in ms. */
 function computeEngineCost(
   server: BackendServer,
-  context: EngineSelectionContext,
+  context: Omit<EngineSelectionContext, "isKnown" | "adapterDirectory">,
 ): number {
   return computeDistanceCost(server, context) + context.estimateWait(server.id);
 }
 
 function computeDistanceCost(
   server: BackendServer,
-  context: EngineSelectionContext,
+  context: ServerSelectionContext,
 ): number {
   if (server.dataCentre === context.dataCentre) return 0;
   return context.regionOf(server.dataCentre) === context.region
--- a/src/core/gateway/configuration.ts
+++ b/src/core/gateway/configuration.ts
@@ -56,6 +56,8 @@
   readonly weightsMb: number;
   /** Maximum number of adapters that one engine holds. */
   readonly maxAdapters: number;
+  /** Loads of base models that the weight store allows per second over all engines. */
+  readonly loadsPerSecond: number;
 };
 
 /** A service that requests are routed to. */
--- a/src/core/gateway/engine_backlog.ts
+++ b/src/core/gateway/engine_backlog.ts
@@ -97,10 +97,14 @@
   });
 }
 
-/** Sums the backlog of all nodes but one at an engine. */
+/** Sums the backlog of all nodes at an engine, without that of one. */
 export function sumOtherBacklog(
   ledger: BacklogLedger,
-  of: { readonly engine: ServerId; readonly except: MachineName },
+  of: {
+    readonly engine: ServerId;
+    /** Undefined for the sum over all nodes. */
+    readonly except: MachineName | undefined;
+  },
   now: Millis,
 ): EngineBacklog {
   let requests = 0;
--- a/src/core/gateway/engine_contents.ts
+++ b/src/core/gateway/engine_contents.ts
@@ -40,6 +40,8 @@
   readonly adapterSlots: Map<ModelAdapterKey, AdapterSlot>;
   /** Base models with the expected end of their loads. */
   readonly models: Map<ModelName, Millis>;
+  /** Base models whose unload the engine has accepted and not yet completed. */
+  readonly unloadingModels: Set<ModelName>;
   /** Adapters that this incarnation held before; they load faster. */
   readonly previouslyHeld: Set<ModelAdapterKey>;
 };
@@ -52,6 +54,7 @@
   const contents: EngineContents = {
     adapterSlots: new Map(),
     models: new Map(),
+    unloadingModels: new Set(),
     previouslyHeld: new Set(),
   };
   for (const { name, adapters } of models) {
@@ -183,6 +186,9 @@
   for (const [model, readyAt] of contents.models) {
     if (readyAt > now) merged.models.set(model, readyAt);
   }
+  for (const model of contents.unloadingModels) {
+    if (merged.models.has(model)) merged.unloadingModels.add(model);
+  }
   return merged;
 }
 
@@ -275,11 +281,13 @@
   const available: AvailableAdapter[] = [];
   for (const {
     key,
+    model,
     version,
     phase,
     readyAt,
   } of contents.adapterSlots.values()) {
     if (phase === "unloading" || !Number.isFinite(readyAt)) continue;
+    if (contents.unloadingModels.has(model)) continue;
     const readyIn = Math.max(0, Math.ceil(readyAt - now));
     available.push({ key, version, readyIn });
   }
--- a/src/core/gateway/engine_controller.ts
+++ b/src/core/gateway/engine_controller.ts
@@ -24,8 +24,10 @@
   EngineControllerPolicies,
   EngineControllerState,
 } from "./engine_controller_messages.ts";
+import { requestModel } from "./engine_controller_models.ts";
 import { chooseNextOrder } from "./engine_controller_orders.ts";
 import { applyStatus } from "./engine_controller_reports.ts";
+import { createModelDemand } from "./model_placement.ts";
 import type { BackendServer } from "./servers.ts";
 
 /** Delay with which a status report shows a load, and minimum time between two requests for a report because of loads, in ms. */
@@ -58,6 +60,9 @@
     mayOrder: false,
     coldLoadTime: minColdLoadTime,
     waiting: new Map(),
+    modelDemand: createModelDemand(options.now),
+    modelChange: undefined,
+    fleet: { engines: 1, holders: new Map(), reserved: new Set(), load: 0 },
   };
 }
 
@@ -77,6 +82,9 @@
     case "acquire":
       acquireAdapter(state, event, { now, commands });
       break;
+    case "model-wanted":
+      requestModel(state, event, { now, commands });
+      break;
     case "used":
       recordUse(state, event, now);
       break;
@@ -98,6 +106,7 @@
       break;
     case "tick":
       state.mayOrder = event.mayOrder;
+      state.fleet = event.fleet;
       break;
   }
   refuseOverdueRequests(state, now, commands);
@@ -142,10 +151,11 @@
   commands.push({ type: "order", order });
 }
 
-/** Whether other loads wait until a report confirms the loads that should be complete. */
+/** Whether other orders wait until a report confirms the loads and unloads that should be complete. */
 function isReportDue(state: EngineControllerState, now: Millis): boolean {
-  if (state.waiting.size === 0) return false;
   if (now < state.statusRequestedAt + minStatusInterval) return false;
+  if (state.contents.unloadingModels.size > 0) return true;
+  if (state.waiting.size === 0) return false;
   const { contents, traits } = state;
   const isFull =
     contents.adapterSlots.size >= countAdapterCapacity(contents, traits);
--- a/src/core/gateway/engine_controller_acquire.ts
+++ b/src/core/gateway/engine_controller_acquire.ts
@@ -1,4 +1,5 @@
 import { type Millis, millis } from "../clock.ts";
+import { parseModelAdapterKey } from "../ids.ts";
 import {
   type AdapterSlot,
   countAdapterCapacity,
@@ -9,7 +10,9 @@
   EngineControllerEvent,
   EngineControllerState,
 } from "./engine_controller_messages.ts";
+import { isModelLeaving } from "./engine_controller_models.ts";
 import { maxConcurrentLoads } from "./engine_controller_orders.ts";
+import { recordUnmetDemand } from "./model_placement.ts";
 
 /** Maximum expected time of an adapter load from the weight store, in ms. */
 const maxColdLoadTime = 1_500;
@@ -38,6 +41,9 @@
   }: Extract<EngineControllerEvent, { type: "used" }>,
   now: Millis,
 ): void {
+  for (const key of [...ran, ...queuedAdapters]) {
+    state.modelDemand.lastUsedAt.set(parseModelAdapterKey(key).model, now);
+  }
   const running = new Set(ran);
   const needed = new Set([...ran, ...queuedAdapters]);
   for (const [key, slot] of state.contents.adapterSlots) {
@@ -60,6 +66,7 @@
   const isUsable =
     slot !== undefined &&
     slot.phase !== "unloading" &&
+    !isModelLeaving(state, model) &&
     Number.isFinite(slot.readyAt) &&
     slot.version >= version;
   if (isUsable) {
@@ -69,6 +76,13 @@
     commands.push({ type: "reply", ticket, reply: { kind: "ready", inMs } });
     return;
   }
+  if (isModelLeaving(state, model)) {
+    const reply = { kind: "refused", reason: "cold" } as const;
+    commands.push({ type: "reply", ticket, reply });
+    return;
+  }
+  if (!state.contents.models.has(model))
+    recordUnmetDemand(state.modelDemand, { model, requests: 1 }, now);
   const pending = state.waiting.get(key);
   if (pending !== undefined) {
     pending.version = Math.max(pending.version, version);
--- a/src/core/gateway/engine_controller_answers.ts
+++ b/src/core/gateway/engine_controller_answers.ts
@@ -2,6 +2,10 @@
 import { formatModelAdapterKey, type ModelAdapterKey } from "../ids.ts";
 import type { EventContext } from "./engine_controller_acquire.ts";
 import type { EngineControllerState } from "./engine_controller_messages.ts";
+import {
+  abandonModelChange,
+  applyModelOrder,
+} from "./engine_controller_models.ts";
 import type { EngineOrder, OrderAnswer } from "./orders.ts";
 
 /** Minimum expected time of an adapter load from the weight store, in ms. */
@@ -48,6 +52,7 @@
       return;
     case "rejected":
       withdrawOrder(state, order, context.now);
+      if (order.adapter === undefined) abandonModelChange(state);
       state.orderCount = undefined;
       state.retryAt = millis(context.now + rejectionRetryDelay);
       return;
@@ -93,14 +98,7 @@
   const { contents } = state;
   const { model, adapter } = order;
   if (adapter === undefined) {
-    const traits = state.traits.models.find(({ name }) => name === model);
-    const loadTime = isDone ? 0 : (traits?.loadTime ?? 0);
-    if (order.operation === "load") {
-      contents.models.set(model, millis(now + loadTime));
-    } else {
-      contents.models.delete(model);
-    }
-    return;
+    return applyModelOrder(state, { order, isDone }, now);
   }
   const key = formatModelAdapterKey(model, adapter);
   if (order.operation === "load") {
--- a/src/core/gateway/engine_controller_messages.ts
+++ b/src/core/gateway/engine_controller_messages.ts
@@ -11,6 +11,7 @@
   EvictionPolicy,
   IncomingAdapter,
 } from "./engine_contents.ts";
+import type { FleetView, ModelChange, ModelDemand } from "./model_placement.ts";
 import type { EngineOrder, OrderAnswer } from "./orders.ts";
 import type { BackendServer } from "./servers.ts";
 
@@ -49,6 +50,10 @@
   /** Expected time of an adapter load from the weight store, in ms. */
   coldLoadTime: number;
   readonly waiting: Map<ModelAdapterKey, PendingLoad>;
+  readonly modelDemand: ModelDemand;
+  /** Change of the base models under way. */
+  modelChange: ModelChange | undefined;
+  fleet: FleetView;
 };
 
 /** Policies of an engine's controller. */
@@ -70,6 +75,13 @@
       /** Maximum wait until the load begins, in ms. */
       readonly patience: number;
     }
+  /** Requests for a base model that no engine can serve in time. */
+  | {
+      readonly type: "model-wanted";
+      readonly ticket: Ticket;
+      readonly model: ModelName;
+      readonly requests: number;
+    }
   /** Adapters on which requests of a node ran since its last report, and those of its queued requests. */
   | {
       readonly type: "used";
@@ -93,7 +105,11 @@
         | undefined;
     }
   | { readonly type: "registered"; readonly models: BackendServer["models"] }
-  | { readonly type: "tick"; readonly mayOrder: boolean };
+  | {
+      readonly type: "tick";
+      readonly mayOrder: boolean;
+      readonly fleet: FleetView;
+    };
 
 /** Command that the actor of an engine's controller carries out. */
 export type EngineControllerCommand =
--- a/src/core/gateway/engine_controller_orders.ts
+++ b/src/core/gateway/engine_controller_orders.ts
@@ -1,5 +1,5 @@
 import { type Millis, millis } from "../clock.ts";
-import type { ModelAdapterKey, ModelName } from "../ids.ts";
+import type { ModelAdapterKey } from "../ids.ts";
 import {
   type AdapterSlot,
   countAdapterCapacity,
@@ -9,6 +9,10 @@
   EngineControllerState,
   PendingLoad,
 } from "./engine_controller_messages.ts";
+import {
+  chooseModelOrder,
+  isModelLeaving,
+} from "./engine_controller_models.ts";
 import type { EngineOrder } from "./orders.ts";
 
 /** Maximum number of adapters that one engine loads at a time. */
@@ -21,14 +25,15 @@
   now: Millis,
 ): EngineOrder | undefined {
   const { contents, waiting } = state;
-  const missing = findMissingModel(state);
-  if (missing !== undefined) return orderModel(missing, orderCount);
+  const modelOrder = chooseModelOrder(state, orderCount, now);
+  if (modelOrder !== undefined) return modelOrder;
   const capacity = countAdapterCapacity(contents, state.traits);
   // Adapters that the engine may no longer hold count as well.
   if (contents.adapterSlots.size > capacity) return undefined;
   for (const [key, pending] of waiting) {
     const readyAt = contents.models.get(pending.model);
     if (readyAt === undefined || readyAt > now) continue;
+    if (isModelLeaving(state, pending.model)) continue;
     const slot = contents.adapterSlots.get(key);
     const isLoadable = slot === undefined || slot.phase === "held";
     if (!isLoadable && !state.unansweredOrders.has(key)) continue;
@@ -92,39 +97,6 @@
   };
 }
 
-/** Finds a base model that the engine should hold but does not, if it fits. */
-function findMissingModel(state: EngineControllerState): ModelName | undefined {
-  const { contents, traits, waiting } = state;
-  for (const { model } of waiting.values()) {
-    if (!contents.models.has(model) && fitsModel(state, model)) return model;
-  }
-  if (contents.models.size > 0) return undefined;
-  return traits.models.find(({ name }) => fitsModel(state, name))?.name;
-}
-
-function fitsModel(state: EngineControllerState, model: ModelName): boolean {
-  const { contents, traits } = state;
-  let freeMb = traits.weightsMb;
-  for (const { name, weightsMb, adapterMb } of traits.models) {
-    if (contents.models.has(name)) freeMb -= weightsMb;
-    for (const slot of contents.adapterSlots.values()) {
-      if (slot.model === name) freeMb -= adapterMb;
-    }
-  }
-  const target = traits.models.find(({ name }) => name === model);
-  return target !== undefined && target.weightsMb <= freeMb;
-}
-
-function orderModel(model: ModelName, expectedCount: number): EngineOrder {
-  return {
-    operation: "load",
-    model,
-    adapter: undefined,
-    version: undefined,
-    expectedCount,
-  };
-}
-
 function orderLoad(pending: PendingLoad, expectedCount: number): EngineOrder {
   return {
     operation: "load",
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -71,6 +71,23 @@
   return `${model}/${adapter}` as ModelAdapterKey;
 }
 
+/** Splits the key of an adapter of a model; the adapter is empty for requests on the model itself. */
+export function parseModelAdapterKey(key: ModelAdapterKey): {
+  model: ModelName;
+  adapter: AdapterName;
+} {
+  const slash = key.indexOf("/");
+  return {
+    model: brandString(key.slice(0, slash)),
+    adapter: brandString(key.slice(slash + 1)),
+  };
+}
+
+/** Key under which requests on a model without an adapter are counted. */
+export function formatModelKey(model: ModelName): ModelAdapterKey {
+  return `${model}/` as ModelAdapterKey;
+}
+
 /** Joins an adapter name and a version to one key. */
 export function formatAdapterKey(
   name: AdapterName,
--- a/src/node/gateway/attempt_history.ts
+++ b/src/node/gateway/attempt_history.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "../../core/clock.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import type { ServerId } from "../../core/ids.ts";
 import type { AcquireResult } from "../../ports/gateway.ts";
@@ -24,6 +25,9 @@
       }
     | undefined;
 
+  /** Time at which an engine should hold the model, if none does. */
+  modelReadyAt: Millis | undefined;
+
   private constructor() {}
 
   static create(): AttemptHistory {
--- a/src/node/gateway/engine_controller.ts
+++ b/src/node/gateway/engine_controller.ts
@@ -19,6 +19,7 @@
   EngineControllerState,
   Ticket,
 } from "../../core/gateway/engine_controller_messages.ts";
+import type { FleetView } from "../../core/gateway/model_placement.ts";
 import type { EngineOrder } from "../../core/gateway/orders.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import type {
@@ -46,6 +47,7 @@
   readonly leases: LeaseManager;
   readonly server: BackendServer;
   readonly traits: EngineTraits;
+  readonly describeFleet: (server: BackendServer) => FleetView;
 };
 
 /** Runs the decisions of an engine's owner: sends its orders and answers the nodes that wait. */
@@ -113,6 +115,15 @@
     });
   }
 
+  /** Resolves to the reply to requests for a base model. */
+  requestModel(model: ModelName, requests: number): Promise<AcquireReply> {
+    const ticket = ++this.#lastTicket;
+    return new Promise((resolve) => {
+      this.#pendingReplies.set(ticket, resolve);
+      this.#actor.send({ type: "model-wanted", ticket, model, requests });
+    });
+  }
+
   /** Records which adapters the requests of a node used recently. */
   recordUsage(node: MachineName, { ran, queuedAdapters }: EngineUsage): void {
     this.#actor.send({ type: "used", node, ran, queuedAdapters });
@@ -137,7 +148,8 @@
   #tick(): void {
     const { context, leases } = this.#options;
     const mayOrder = leases.findOrderFence(this.#server.id) !== undefined;
-    this.#actor.send({ type: "tick", mayOrder });
+    const fleet = this.#options.describeFleet(this.#server);
+    this.#actor.send({ type: "tick", mayOrder, fleet });
     this.#cancelTick = context.dependencies.clock.schedule(tickInterval, () =>
       this.#tick(),
     );
--- a/src/node/gateway/engine_controllers.ts
+++ b/src/node/gateway/engine_controllers.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "../../core/clock.ts";
 import {
   type AvailableAdapter,
   createBacklogLedger,
@@ -8,17 +9,23 @@
   recordUsage,
   sumOtherBacklog,
 } from "../../core/gateway/engine_backlog.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
+import type { FleetView } from "../../core/gateway/model_placement.ts";
+import {
+  type BackendServer,
+  listUsableServers,
+} from "../../core/gateway/servers.ts";
 import {
-  type AdapterName,
-  brandString,
   type MachineName,
   type ModelName,
+  parseModelAdapterKey,
   type ServerId,
+  type ServiceName,
 } from "../../core/ids.ts";
 import type {
   AcquireResult,
   EngineOrders,
+  ModelRequest,
+  ModelResult,
   NodeCallHandler,
 } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
@@ -28,6 +35,16 @@
 /** Upper bound of the first contents version of a controller, which is drawn at random. */
 const maxFirstVersion = 2 ** 31;
 
+/** Time for which the holders of the models are not determined again, in ms. */
+const fleetViewLifetime = 500;
+
+type ModelHolders = {
+  readonly at: Millis;
+  /** Number of engines of the service. */
+  readonly engines: number;
+  readonly byModel: ReadonlyMap<ModelName, readonly ServerId[]>;
+};
+
 type ContentsVersion = { readonly digest: string; readonly version: number };
 
 /** Controllers of the engines whose leases this node holds. */
@@ -38,6 +55,7 @@
   readonly #versions = new Map<ServerId, ContentsVersion>();
   readonly #backlogs = createBacklogLedger();
   readonly #controllers = new Map<ServerId, EngineController>();
+  readonly #holders = new Map<ServiceName, ModelHolders>();
 
   private constructor(
     context: GatewayContext,
@@ -86,9 +104,7 @@
       return { kind: "refused", reason: "not-owner" };
     }
     const { from, engine, place, version, wasDenied, patience } = request;
-    const slash = place.indexOf("/");
-    const model: ModelName = brandString(place.slice(0, slash));
-    const adapter: AdapterName = brandString(place.slice(slash + 1));
+    const { model, adapter } = parseModelAdapterKey(place);
     const reply = await controller.acquire({
       key: place,
       model,
@@ -105,6 +121,54 @@
     return { ...reply, backlog };
   }
 
+  async requestModel(request: ModelRequest): Promise<ModelResult> {
+    const { engine, model, requests } = request;
+    const controller = this.#controllers.get(engine);
+    const fence = this.#leases.findOrderFence(engine);
+    if (controller === undefined || fence === undefined) {
+      return { kind: "refused", reason: "not-owner" };
+    }
+    const reply = await controller.requestModel(model, requests);
+    if (reply.kind === "ready") return reply;
+    const reason = reply.reason === "not-owner" ? "not-owner" : "busy";
+    return { kind: "refused", reason };
+  }
+
+  /** Describes the engines of a service to the controller of one of them. */
+  #describeFleet(server: BackendServer): FleetView {
+    const now = this.#context.now();
+    const known = this.#holders.get(server.service);
+    const holders =
+      known !== undefined && now < known.at + fleetViewLifetime
+        ? known
+        : this.#findHolders(server.service);
+    this.#holders.set(server.service, holders);
+    const counts = new Map<ModelName, number>();
+    const reserved = new Set<ModelName>();
+    for (const [model, engines] of holders.byModel) {
+      counts.set(model, engines.length);
+      if (engines[0] === server.id) reserved.add(model);
+    }
+    const { engines } = holders;
+    const of = { engine: server.id, except: undefined };
+    const { requests, running } = sumOtherBacklog(this.#backlogs, of, now);
+    const load = requests + running;
+    return { engines, holders: counts, reserved, load };
+  }
+
+  /** Engines that hold each model of a service, in the order of their ids. */
+  #findHolders(service: ServiceName): ModelHolders {
+    const byModel = new Map<ModelName, ServerId[]>();
+    const servers = listUsableServers(this.#context.directory, service);
+    servers.sort((a, b) => (a.id < b.id ? -1 : 1));
+    for (const { id, models } of servers) {
+      for (const { name } of models) {
+        byModel.set(name, [...(byModel.get(name) ?? []), id]);
+      }
+    }
+    return { at: this.#context.now(), engines: servers.length, byModel };
+  }
+
   /** Records the usage that a node reports; returns the backlog of the other nodes. */
   recordUsage(
     from: MachineName,
@@ -165,6 +229,7 @@
       leases: this.#leases,
       server,
       traits,
+      describeFleet: (engine) => this.#describeFleet(engine),
     });
     this.#controllers.set(server.id, controller);
   }
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -20,6 +20,8 @@
   EngineOrders,
   InstallationChange,
   InstallationFeed,
+  ModelRequest,
+  ModelResult,
   NodeCallHandler,
   NodeLinks,
   ProxiedRequest,
@@ -30,6 +32,7 @@
 import { EngineControllers } from "./engine_controllers.ts";
 import { LeaseManager } from "./lease_manager.ts";
 import type { ReadLeaseRows } from "./lease_rows.ts";
+import { ModelRequester, type RequestModel } from "./model_requester.ts";
 import { RequestTask } from "./request_task.ts";
 import { type AcquireAdapter, ServerSelector } from "./server_selector.ts";
 import { UsageReporter } from "./usage_reporter.ts";
@@ -93,6 +96,7 @@
       recordBacklog: (engine, backlog) =>
         this.#usageReporter.recordBacklog(engine, backlog),
       isKnown: (engine) => this.#isKnown(engine),
+      models: ModelRequester.create(this.context, this.#requestModel),
     });
     this.#clockOffset = clock.wallNow() - clock.now();
   }
@@ -176,6 +180,11 @@
     return this.#engineControllers.acquire(request);
   }
 
+  /** Handles a request of another node for a base model on an engine that this node owns. */
+  requestModel(request: ModelRequest): Promise<ModelResult> {
+    return this.#engineControllers.requestModel(request);
+  }
+
   /** Reports the node as not ready; requests that still arrive are served. */
   startDraining(): void {
     this.#draining = true;
@@ -234,6 +243,20 @@
     return answer;
   };
 
+  readonly #requestModel: RequestModel = async (server, wanted) => {
+    const request = { engine: server.id, ...wanted };
+    const holder = this.#leases.findHolder(server.id);
+    const refused: ModelResult = { kind: "refused", reason: "not-owner" };
+    if (holder === undefined) return refused;
+    if (holder === this.context.dependencies.identity.machine) {
+      return this.#engineControllers.requestModel(request);
+    }
+    const address = this.#leases.findAddress(holder);
+    if (address === undefined || this.#leases.isUnresponsive(holder))
+      return refused;
+    return this.#options.nodeLinks.requestModel(address, request);
+  };
+
   /** Whether the contents of an engine are recent, or its owner cannot tell more. */
   #isKnown(engine: ServerId): boolean {
     const { adapterDirectory } = this.context;
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/request_refusals.ts
@@ -1,15 +1,18 @@
-import { millis } from "../../core/clock.ts";
+import { type Millis, millis } from "../../core/clock.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
 import type { ModelDemand } from "../../ports/gateway.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
 
 /** Delay before a refused caller should retry, in ms. */
 const retryDelay = millis(400);
+/** Time until the nodes learn that an engine holds a model, in ms. */
+const registrationLag = 1_000;
 
 /** Refusal of a request that no server can take in time. */
 export function refuseWithoutServer(
   history: AttemptHistory,
   demand: ModelDemand | undefined,
+  now: Millis,
 ): Refusal {
   if (history.runs > 0) {
     const detail = "The answer was lost and no other server can take over";
@@ -22,7 +25,12 @@
       ? ""
       : `; the owner of ${last.server.id}: ${last.reason}`;
   const detail = `No server can take the request in time${reason}`;
-  return refuse(code, detail, { retryAfter: retryDelay });
+  const { modelReadyAt } = history;
+  const modelWait = modelReadyAt === undefined ? 0 : modelReadyAt - now;
+  const retryAfter = millis(Math.max(retryDelay, modelWait + registrationLag));
+  return refuse(code, detail, {
+    retryAfter: modelReadyAt === undefined ? retryDelay : retryAfter,
+  });
 }
 
 /** Refusal of a request whose last attempt failed and may not be retried. */
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -9,7 +9,11 @@
 import { recordCallResult } from "../../core/gateway/server_health.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
-import { formatModelAdapterKey, type ServiceName } from "../../core/ids.ts";
+import {
+  formatModelAdapterKey,
+  formatModelKey,
+  type ServiceName,
+} from "../../core/ids.ts";
 import type { Refusal } from "../../core/results/refusal.ts";
 import type { CallerSink, ProxiedRequest } from "../../ports/gateway.ts";
 import { AttemptHistory } from "./attempt_history.ts";
@@ -119,7 +123,9 @@
       if (this.#ended) return;
       if (selection === undefined) {
         const { demand } = this.#options.request;
-        return this.#refuse(refuseWithoutServer(this.#history, demand));
+        return this.#refuse(
+          refuseWithoutServer(this.#history, demand, context.now()),
+        );
       }
       const result = await this.#sendTo(selection);
       if (this.#ended || result === undefined) return;
@@ -158,6 +164,10 @@
       onRefused: (server, reason) => {
         history.lastRefusal = { server, reason };
       },
+      onModelMissing: (outlook) => {
+        history.modelReadyAt =
+          outlook.kind === "coming" ? outlook.readyAt : undefined;
+      },
     });
   }
 
@@ -203,8 +213,12 @@
   #trackUsage(stage: "sent" | "running"): void {
     const { usage, request } = this.#options;
     const { demand } = request;
-    if (demand?.adapter === undefined || this.#server === undefined) return;
-    const key = formatModelAdapterKey(demand.model, demand.adapter);
+    if (demand === undefined || this.#server === undefined) return;
+    const { model, adapter } = demand;
+    const key =
+      adapter === undefined
+        ? formatModelKey(model)
+        : formatModelAdapterKey(model, adapter);
     const { id } = this.#server;
     this.#releaseUsage();
     this.#releaseUsage =
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -1,5 +1,6 @@
 import { type Millis, millis } from "../../core/clock.ts";
 import {
+  chooseShortestWait,
   type RankedEngine,
   rankEngines,
   recordPromise,
@@ -17,11 +18,13 @@
 import {
   formatModelAdapterKey,
   type ModelAdapterKey,
+  type ModelName,
   type ServerId,
   type ServiceName,
 } from "../../core/ids.ts";
 import type { AcquireResult, ModelDemand } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
+import type { ModelOutlook, ModelRequester } from "./model_requester.ts";
 
 /** Requests an adapter from the owner of an engine. */
 export type AcquireAdapter = (
@@ -48,6 +51,8 @@
   reason: Extract<AcquireResult, { kind: "refused" }>["reason"],
 ) => void;
 
+/** Expected wait at the best engine from which its model needs a further copy, in ms. */
+const overloadWait = 1_000;
 /** Maximum number of owners that one selection requests an adapter from. */
 const maxOwnerRequests = 3;
 /** Maximum number of times that one selection ranks the engines. */
@@ -64,6 +69,7 @@
   readonly recordBacklog: (engine: ServerId, backlog: EngineBacklog) => void;
   /** Whether the contents of an engine are known well enough to skip its owner. */
   readonly isKnown: (engine: ServerId) => boolean;
+  readonly models: ModelRequester;
 };
 
 /** Selects servers for requests; requests adapters from the owners of engines. */
@@ -92,19 +98,53 @@
       /** Engine that answered the latest attempt that it does not hold the adapter. */
       readonly deniedBy: ServerId | undefined;
       readonly onRefused: RefusalListener;
+      /** Called if no engine holds the model. */
+      readonly onModelMissing: (outlook: ModelOutlook) => void;
     },
   ): Promise<ServerSelection | undefined> {
     const usable = listUsableServers(this.#context.directory, service);
     const { demand, tried } = request;
     const untried = excludeServers(usable, tried);
     if (demand === undefined) return this.#selectByCost(usable, untried);
-    const withModel = untried.filter(({ models }) =>
-      models.some(({ name }) => name === demand.model),
+    const withModel = untried.filter((server) =>
+      holdsModel(server, demand.model),
     );
     const { adapter, model } = demand;
-    if (adapter === undefined) return this.#selectByCost(withModel, withModel);
-    const key = formatModelAdapterKey(model, adapter);
-    return this.#selectForAdapter(withModel, key, request);
+    if (withModel.length === 0) {
+      if (usable.some((server) => holdsModel(server, model))) return undefined;
+      const { models } = this.#options;
+      request.onModelMissing(await models.request(service, model, usable));
+      return undefined;
+    }
+    const selection =
+      adapter === undefined
+        ? this.#selectByWait(withModel)
+        : await this.#selectForAdapter(
+            withModel,
+            formatModelAdapterKey(model, adapter),
+            request,
+          );
+    this.#requestMoreCopies(service, model, {
+      selection,
+      others: usable.filter((server) => !holdsModel(server, model)),
+    });
+    return selection;
+  }
+
+  /** Asks for a further copy of a model whose engines are all overloaded. */
+  #requestMoreCopies(
+    service: ServiceName,
+    model: ModelName,
+    found: {
+      readonly selection: ServerSelection | undefined;
+      readonly others: readonly BackendServer[];
+    },
+  ): void {
+    const { selection, others } = found;
+    if (others.length === 0 || selection === undefined) return;
+    const { estimateWait, models } = this.#options;
+    if (estimateWait(selection.server.id) < overloadWait) return;
+    void models.request(service, model, others);
   }
 
   #selectByCost(
@@ -118,6 +158,20 @@
     return { server, readyAt: selectionContext.now, version: undefined };
   }
 
+  /** Selects the engine with the shortest wait for a request without an adapter. */
+  #selectByWait(
+    candidates: readonly BackendServer[],
+  ): ServerSelection | undefined {
+    const context = this.#context;
+    const server = chooseShortestWait(candidates, {
+      ...context.selectionContext(),
+      ...this.#options,
+      offset: context.dependencies.random(),
+    });
+    if (server === undefined) return undefined;
+    return { server, readyAt: context.now(), version: undefined };
+  }
+
   async #selectForAdapter(
     candidates: readonly BackendServer[],
     key: ModelAdapterKey,
@@ -206,6 +260,10 @@
   }
 }
 
+function holdsModel(server: BackendServer, model: ModelName): boolean {
+  return server.models.some(({ name }) => name === model);
+}
+
 /** An adapter that the owner of an engine promised. */
 type PromisedAdapter = {
   readonly selection: ServerSelection;
--- a/src/node/gateway/server_wait.ts
+++ b/src/node/gateway/server_wait.ts
@@ -3,6 +3,7 @@
 import type { ServerId, ServiceName } from "../../core/ids.ts";
 import type { ModelDemand } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
+import type { ModelOutlook } from "./model_requester.ts";
 import type {
   RefusalListener,
   ServerSelection,
@@ -31,6 +32,8 @@
   /** Called when the request starts to wait for an adapter. */
   readonly onAdapterWait: (server: BackendServer) => void;
   readonly onRefused: RefusalListener;
+  /** Called if no engine holds the model. */
+  readonly onModelMissing: (outlook: ModelOutlook) => void;
 };
 
 /** Waits until a server can take the request; undefined if none can by `until`. */
@@ -58,8 +61,16 @@
 ): Promise<ServerSelection | undefined> {
   const { context, selector, service } = options;
   const { demand, tried, deniedBy, onRefused } = options;
-  const request = { demand, tried, deniedBy, onRefused };
-  while (!options.hasEnded()) {
+  let isInTime = true;
+  const onModelMissing = (outlook: ModelOutlook) => {
+    // A model that takes longer is not waited for, so that the caller can return later.
+    if (outlook.kind !== "unknown") {
+      isInTime = outlook.kind === "coming" && outlook.readyAt <= options.until;
+    }
+    options.onModelMissing(outlook);
+  };
+  const request = { demand, tried, deniedBy, onRefused, onModelMissing };
+  while (!options.hasEnded() && isInTime) {
     const selection = await selector.select(service, request);
     if (selection !== undefined && selection.readyAt <= options.until) {
       return selection;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -183,6 +183,24 @@
       readonly reason: "not-owner" | "full" | "busy" | "cold" | "unreachable";
     };
 
+/** Response of an engine's owner to a request for a base model. */
+export type ModelResult =
+  /** The engine holds the model, or will in `inMs` ms. */
+  | { readonly kind: "ready"; readonly inMs: number }
+  | {
+      readonly kind: "refused";
+      /** `busy`: the engine keeps what it holds. */
+      readonly reason: "busy" | "not-owner" | "unreachable";
+    };
+
+/** Request for a base model at one engine. */
+export type ModelRequest = {
+  readonly engine: ServerId;
+  readonly model: ModelName;
+  /** Number of requests that need the model since the last call. */
+  readonly requests: number;
+};
+
 /** Report between nodes: engine usage to the owner, or the engine's backlog from the owner. */
 export type UsageMessage =
   | {
@@ -216,6 +234,7 @@
     /** Maximum wait until the load may start, in ms. */
     readonly patience: number;
   }): Promise<AcquireResult>;
+  requestModel(request: ModelRequest): Promise<ModelResult>;
 };
 
 /** Calls to other nodes; each has a timeout and fails as `unreachable`. */
@@ -224,4 +243,5 @@
     address: string,
     request: Parameters<NodeCallHandler["acquire"]>[0],
   ): Promise<AcquireResult>;
+  requestModel(address: string, request: ModelRequest): Promise<ModelResult>;
 };
--- a/tests/gateway/engine_controller_fixture.ts
+++ b/tests/gateway/engine_controller_fixture.ts
@@ -10,6 +10,7 @@
   EngineControllerEvent,
   EngineControllerState,
 } from "../../src/core/gateway/engine_controller_messages.ts";
+import type { FleetView } from "../../src/core/gateway/model_placement.ts";
 import type {
   EngineOrder,
   OrderAnswer,
@@ -32,6 +33,14 @@
   return [{ name: model, version: 1, adapters }];
 }
 
+/** A fleet in which no other engine holds the model. */
+export const fleet: FleetView = {
+  engines: 1,
+  holders: new Map([[model, 1]]),
+  reserved: new Set([model]),
+  load: 0,
+};
+
 /** Drives the decisions of one engine controller with a clock of its own. */
 export class ControllerFixture {
   readonly state: EngineControllerState;
@@ -47,7 +56,7 @@
       policies,
       now: this.now,
     });
-    this.send({ type: "tick", mayOrder: true });
+    this.send({ type: "tick", mayOrder: true, fleet });
     for (let reports = 0; reports < 2; reports++) {
       this.report(models, orderCount);
       this.wait(300);
@@ -62,7 +71,7 @@
 
   wait(ms: number): void {
     this.now = millis(this.now + ms);
-    this.send({ type: "tick", mayOrder: true });
+    this.send({ type: "tick", mayOrder: true, fleet });
   }
 
   report(models: HeldModel[], orderCount: number, incoming: string[] = []) {
--- a/tests/gateway/engine_controller_fuzz_test.ts
+++ b/tests/gateway/engine_controller_fuzz_test.ts
@@ -18,6 +18,7 @@
   formatModelAdapterKey,
   type MachineName,
 } from "../../src/core/ids.ts";
+import { fleet } from "./engine_controller_fixture.ts";
 import { model, SimulatedEngine, traits } from "./simulated_engine.ts";
 
 const seeds = 400;
@@ -131,7 +132,7 @@
         });
       }
     }
-    if (step % 5 === 0) send({ type: "tick", mayOrder: true });
+    if (step % 5 === 0) send({ type: "tick", mayOrder: true, fleet });
   }
   return { engine, served };
 
--- a/tests/gateway/engine_controller_test.ts
+++ b/tests/gateway/engine_controller_test.ts
@@ -4,6 +4,7 @@
   ControllerFixture,
   createModels,
   describe,
+  fleet,
 } from "./engine_controller_fixture.ts";
 
 test("a held adapter is promised at once", () => {
@@ -125,7 +126,7 @@
 
 test("no order is sent without the lease", () => {
   const fixture = new ControllerFixture(createModels());
-  fixture.send({ type: "tick", mayOrder: false });
+  fixture.send({ type: "tick", mayOrder: false, fleet });
   fixture.acquire("a1");
   assert.equal(fixture.takeNextOrder(), undefined);
 });
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -221,6 +221,7 @@
       orders: engineOrders,
       nodeLinks: {
         acquire: async () => ({ kind: "refused", reason: "unreachable" }),
+        requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
       },
       usageChannel: { send: () => {}, onMessage: () => {}, close: () => {} },
     });
--- /dev/null
+++ b/tests/gateway/model_fleet.ts
@@ -0,0 +1,329 @@
+import { type Millis, millis } from "../../src/core/clock.ts";
+import type { EngineTraits } from "../../src/core/gateway/configuration.ts";
+import { chooseLeastRecentlyUsed } from "../../src/core/gateway/engine_contents.ts";
+import {
+  createEngineControllerState,
+  decideEngineController,
+} from "../../src/core/gateway/engine_controller.ts";
+import type {
+  EngineControllerCommand,
+  EngineControllerEvent,
+  EngineControllerState,
+} from "../../src/core/gateway/engine_controller_messages.ts";
+import type { EngineOrder } from "../../src/core/gateway/orders.ts";
+import type { HeldModel } from "../../src/core/gateway/servers.ts";
+import {
+  brandString,
+  formatModelKey,
+  type ModelName,
+} from "../../src/core/ids.ts";
+import { rankByRendezvous } from "../../src/core/lease/rendezvous.ts";
+
+/** Interval of the simulation, in ms. */
+const step = 50;
+/** Delay until the nodes see what an engine holds, in ms. */
+const registrationLag = 1_000;
+/** Time that a request runs, in ms. */
+const runTime = 1_500;
+/** Interval of the calls for one model, in ms. */
+const callInterval = 250;
+/** Number of owners that are asked for a model. */
+const maxOwners = 3;
+
+/** What happens to the answer of the next order. */
+export type OrderFate = "answered" | "lost" | "late";
+
+type Engine = {
+  readonly id: string;
+  controller: EngineControllerState;
+  models: Set<ModelName>;
+  registered: ModelName[];
+  orderCount: number;
+  /** The order in progress and the time at which it is complete. */
+  current: { order: EngineOrder; endsAt: number } | undefined;
+  running: { model: ModelName; endsAt: number }[];
+};
+
+/** Engines with several base models, their controllers and the requests of many nodes. */
+export class ModelFleet {
+  readonly traits: EngineTraits;
+  readonly engines: Engine[];
+  readonly asked = new Map<ModelName, number>();
+  readonly served = new Map<ModelName, number>();
+  /** Times of the loads from the weight store. */
+  readonly loads: number[] = [];
+  readonly violations: string[] = [];
+  now = 0;
+  /** Requests per second for each model. */
+  rates: readonly number[] = [];
+  chooseFate: () => OrderFate = () => "answered";
+  readonly #random: () => number;
+  readonly #late: { at: number; engine: Engine; order: EngineOrder }[] = [];
+  readonly #unmet = new Map<ModelName, number>();
+  #views: { at: number; held: ModelName[][] }[] = [];
+
+  constructor(options: {
+    readonly held: readonly number[];
+    readonly models: number;
+    readonly random: () => number;
+  }) {
+    this.#random = options.random;
+    this.traits = {
+      slots: 16,
+      cacheTokens: 100_000,
+      models: Array.from({ length: options.models }, (_, i) => ({
+        name: nameModel(i),
+        weightsMb: 34_300,
+        adapterMb: 40,
+        loadTime: millis(2_000),
+      })),
+      weightsMb: 35_400,
+      maxAdapters: 10,
+      loadsPerSecond: 3.4,
+    };
+    this.engines = options.held.map((model, i) => ({
+      id: `e${i}`,
+      controller: this.#createController([nameModel(model)]),
+      models: new Set([nameModel(model)]),
+      registered: [nameModel(model)],
+      orderCount: 0,
+      current: undefined,
+      running: [],
+    }));
+  }
+
+  /** Advances by `duration` ms. */
+  run(duration: number): void {
+    const end = this.now + duration;
+    while (this.now < end) {
+      this.now += step;
+      for (const engine of this.engines) this.#advanceEngine(engine);
+      this.#carryOutLate();
+      this.#register();
+      for (const [i, rate] of this.rates.entries()) {
+        this.#arrive(nameModel(i), rate);
+      }
+      if (this.now % callInterval === 0) this.#callOwners();
+      for (const engine of this.engines) this.#tick(engine);
+    }
+  }
+
+  /** Lets an engine return empty, under a new controller. */
+  restart(index: number): void {
+    const engine = this.engines[index] as Engine;
+    engine.models.clear();
+    engine.running = [];
+    engine.current = undefined;
+    engine.orderCount = 0;
+    engine.controller = this.#createController([]);
+  }
+
+  /** Share of the requests for a model that were served since the last reset. */
+  getShare(index: number): number {
+    const name = nameModel(index);
+    const asked = this.asked.get(name) ?? 0;
+    return asked === 0 ? 1 : (this.served.get(name) ?? 0) / asked;
+  }
+
+  resetCounts(): void {
+    this.asked.clear();
+    this.served.clear();
+  }
+
+  /** Number of engines that hold each model. */
+  countHolders(): number[] {
+    return this.traits.models.map(
+      ({ name }) =>
+        this.engines.filter(({ models }) => models.has(name)).length,
+    );
+  }
+
+  /** Maximum number of loads within a time. */
+  countMaxLoads(window: number): number {
+    return Math.max(
+      0,
+      ...this.loads.map(
+        (start) =>
+          this.loads.filter((at) => at >= start && at < start + window).length,
+      ),
+    );
+  }
+
+  #createController(held: ModelName[]): EngineControllerState {
+    return createEngineControllerState({
+      traits: this.traits,
+      models: describeModels(held),
+      policies: { chooseVictim: chooseLeastRecentlyUsed },
+      now: millis(this.now),
+    });
+  }
+
+  #arrive(model: ModelName, rate: number): void {
+    if (this.#random() >= (rate * step) / 1_000) return;
+    this.asked.set(model, (this.asked.get(model) ?? 0) + 1);
+    const usable = this.engines
+      .filter((engine) => engine.registered.includes(model))
+      .sort((a, b) => a.running.length - b.running.length);
+    const target = usable.find(
+      ({ models, running }) =>
+        models.has(model) && running.length < this.traits.slots,
+    );
+    if (target === undefined) {
+      this.#unmet.set(model, (this.#unmet.get(model) ?? 0) + 1);
+      return;
+    }
+    target.running.push({ model, endsAt: this.now + runTime });
+    this.served.set(model, (this.served.get(model) ?? 0) + 1);
+  }
+
+  /** Asks owners for the models whose requests could not be served. */
+  #callOwners(): void {
+    for (const [model, requests] of this.#unmet) {
+      this.#unmet.delete(model);
+      const others = this.engines.filter(
+        ({ registered }) => !registered.includes(model),
+      );
+      const ranked = rankByRendezvous(
+        model,
+        others.map(({ id }) => id),
+      );
+      const isEmpty = (id: string) =>
+        others.find((engine) => engine.id === id)?.registered.length === 0;
+      ranked.sort((a, b) => Number(isEmpty(b)) - Number(isEmpty(a)));
+      for (const id of ranked.slice(0, maxOwners)) {
+        const engine = this.engines.find((entry) => entry.id === id) as Engine;
+        const [reply] = this.#send(engine, {
+          type: "model-wanted",
+          ticket: 1,
+          model,
+          requests,
+        }).filter(({ type }) => type === "reply");
+        if (reply?.type === "reply" && reply.reply.kind === "ready") break;
+      }
+    }
+  }
+
+  #tick(engine: Engine): void {
+    const ran = engine.running.map(({ model }) => formatModelKey(model));
+    this.#send(engine, {
+      type: "used",
+      node: brandString("n1"),
+      ran: [...new Set(ran)],
+      queuedAdapters: [],
+    });
+    const holders = new Map<ModelName, number>();
+    const reserved = new Set<ModelName>();
+    for (const { id, registered } of this.engines) {
+      for (const model of registered) {
+        if (!holders.has(model) && id === engine.id) reserved.add(model);
+        holders.set(model, (holders.get(model) ?? 0) + 1);
+      }
+    }
+    const engines = this.engines.length;
+    const load = engine.running.length;
+    const fleet = { engines, holders, reserved, load };
+    this.#send(engine, { type: "tick", mayOrder: true, fleet });
+  }
+
+  #send(
+    engine: Engine,
+    event: EngineControllerEvent,
+  ): readonly EngineControllerCommand[] {
+    const now: Millis = millis(this.now);
+    const { commands } = decideEngineController(engine.controller, event, now);
+    for (const command of commands) {
+      if (command.type === "order") this.#order(engine, command.order);
+      if (command.type === "request-status") this.#report(engine);
+    }
+    return commands;
+  }
+
+  #order(engine: Engine, order: EngineOrder): void {
+    const fate = this.chooseFate();
+    if (fate === "late") {
+      const at = this.now + 500 + this.#random() * 3_000;
+      this.#late.push({ at, engine, order });
+      this.#send(engine, { type: "answered", order, answer: { kind: "lost" } });
+      return;
+    }
+    const answer = this.#accept(engine, order);
+    const kind = fate === "lost" ? "lost" : answer;
+    const detail = "409";
+    this.#send(engine, { type: "answered", order, answer: { kind, detail } });
+  }
+
+  #accept(
+    engine: Engine,
+    order: EngineOrder,
+  ): "accepted" | "done" | "conflict" {
+    if (engine.current !== undefined) return "conflict";
+    if (order.expectedCount !== engine.orderCount) return "conflict";
+    const isHeld = engine.models.has(order.model);
+    if (isHeld === (order.operation === "load")) return "done";
+    engine.orderCount++;
+    if (order.operation === "load") {
+      const count = engine.models.size + 1;
+      if (count * 34_300 > this.traits.weightsMb) {
+        this.violations.push(
+          `${engine.id} was ordered to hold ${count} models`,
+        );
+      }
+      this.loads.push(this.now);
+    }
+    const lastEnd = Math.max(
+      this.now,
+      ...engine.running.map(({ endsAt }) => endsAt),
+    );
+    const endsAt = order.operation === "load" ? this.now + 2_000 : lastEnd;
+    engine.current = { order, endsAt };
+    return "accepted";
+  }
+
+  #advanceEngine(engine: Engine): void {
+    engine.running = engine.running.filter(({ endsAt }) => endsAt > this.now);
+    const { current } = engine;
+    if (current === undefined || this.now < current.endsAt) return;
+    engine.current = undefined;
+    if (current.order.operation === "load") {
+      engine.models.add(current.order.model);
+    } else {
+      engine.models.delete(current.order.model);
+    }
+  }
+
+  #carryOutLate(): void {
+    for (const late of this.#late.splice(0)) {
+      if (this.now < late.at) this.#late.push(late);
+      else this.#accept(late.engine, late.order);
+    }
+  }
+
+  #report(engine: Engine): void {
+    const status = {
+      models: describeModels([...engine.models]),
+      incoming: [],
+      orderCount: engine.orderCount,
+    };
+    this.#send(engine, { type: "status", status });
+  }
+
+  #register(): void {
+    const held = this.engines.map(({ models }) => [...models]);
+    this.#views.push({ at: this.now, held });
+    while ((this.#views[1]?.at ?? this.now) <= this.now - registrationLag) {
+      this.#views.shift();
+    }
+    this.engines.forEach((engine, i) => {
+      engine.registered = this.#views[0]?.held[i] ?? [];
+    });
+  }
+}
+
+/** Name of a model of the fleet. */
+export function nameModel(index: number): ModelName {
+  return brandString(`m${index}`);
+}
+
+function describeModels(names: readonly ModelName[]): HeldModel[] {
+  return names.map((name) => ({ name, version: 1, adapters: [] }));
+}
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -28,6 +28,7 @@
       return answer;
     },
     serve: async () => [],
+    requestModel: async () => ({ kind: "refused", reason: "busy" }),
   });
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", () => resolve());
--- a/tests/gateway/simulated_engine.ts
+++ b/tests/gateway/simulated_engine.ts
@@ -22,6 +22,7 @@
   ],
   weightsMb: 35_700,
   maxAdapters: 4,
+  loadsPerSecond: 3.5,
 };
 
 /** Maximum number of adapters that load at a time. */
