--- a/src/adapters/peers/node_links.ts
+++ b/src/adapters/peers/node_links.ts
@@ -16,6 +16,8 @@
 const acquireTimeoutMillis = 900;
 /** Timeout for opening a connection to another node, in ms. */
 const connectTimeoutMillis = 500;
+/** Maximum size of a response, in bytes. */
+const maxResponseBytes = 8 * 1024 * 1024;
 /** Maximum number of concurrent calls to one node. */
 const maxConnections = 32;
 
@@ -93,6 +95,7 @@
       connect: { timeout: connectTimeoutMillis },
       connections: maxConnections,
       pipelining: 1,
+      maxResponseSize: maxResponseBytes,
     });
     const client = createTRPCClient<NodeRouter>({
       links: [
--- /dev/null
+++ b/tests/platform_adapter/endless_bytes_test.ts
@@ -0,0 +1,218 @@
+import assert from "node:assert/strict";
+import { createServer, type Server, type Socket } from "node:net";
+import { afterEach, test } from "node:test";
+import { HttpServerLinks } from "../../platform/server_links.ts";
+import { StoreClient } from "../../platform/store_client.ts";
+import { TrpcNodeLinks } from "../../src/adapters/peers/node_links.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis } from "../../src/core/clock.ts";
+import { brandString } from "../../src/core/ids.ts";
+import type { ServerRequestControl } from "../../src/ports/gateway.ts";
+import { silentMeter } from "../../src/ports/journal.ts";
+import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+
+/** Maximum time until a connection with endless bytes is closed, in ms. */
+const closeBound = 3_000;
+/** Maximum number of bytes that are read from it. */
+const byteBound = 32 * 1024 * 1024;
+
+const clock = RealClock.create();
+const chunk = "x".repeat(16 * 1024);
+const open: EndlessServer[] = [];
+
+/** Server that answers each connection with a head, then with bytes until the caller closes. */
+class EndlessServer {
+  readonly #server: Server;
+  address = "";
+  bytesWritten = 0;
+  /** Resolves once the caller has closed the first connection. */
+  readonly closed: Promise<void>;
+
+  constructor(head: string, body = chunk) {
+    let onClosed = () => {};
+    this.closed = new Promise((resolve) => {
+      onClosed = resolve;
+    });
+    this.#server = createServer((socket) => {
+      socket.on("error", () => {});
+      socket.on("close", onClosed);
+      socket.once("data", () => {
+        socket.write(head);
+        this.#pump(socket, body);
+      });
+    });
+  }
+
+  static async open(head: string, body?: string): Promise<EndlessServer> {
+    const server = new EndlessServer(head, body);
+    open.push(server);
+    await new Promise<void>((resolve) => {
+      server.#server.listen(0, "127.0.0.1", resolve);
+    });
+    const { port } = server.#server.address() as { port: number };
+    server.address = `127.0.0.1:${port}`;
+    return server;
+  }
+
+  /** Whether the caller closes the connection within the bound. */
+  async isClosedInTime(): Promise<boolean> {
+    let timer: NodeJS.Timeout | undefined;
+    const late = new Promise<false>((resolve) => {
+      timer = setTimeout(() => resolve(false), closeBound);
+    });
+    const isClosed = await Promise.race([this.closed.then(() => true), late]);
+    clearTimeout(timer);
+    return isClosed;
+  }
+
+  close(): void {
+    this.#server.close();
+  }
+
+  #pump(socket: Socket, body: string): void {
+    if (socket.destroyed) return;
+    this.bytesWritten += body.length;
+    socket.write(body, () => setImmediate(() => this.#pump(socket, body)));
+  }
+}
+
+afterEach(() => {
+  for (const server of open.splice(0)) server.close();
+});
+
+/** Sends a request to the server; returns how it ended, and its control. */
+function send(server: EndlessServer) {
+  let bytesReceived = 0;
+  const links = HttpServerLinks.create({ clock, meter: silentMeter });
+  const target = describeServer({ address: server.address });
+  let control: ServerRequestControl | undefined;
+  const ended = new Promise<string>((resolve) => {
+    control = links.send(
+      {
+        request: {
+          requestId: brandString("r1"),
+          method: "POST",
+          host: "h.example",
+          target: "/b/x",
+          path: "/b/x",
+          headers: ["Host", "h.example", "Goldcrestwinch-Request-Id", "r1"],
+          body: new TextEncoder().encode("order"),
+          demand: undefined,
+          deadline: millis(2_000),
+          resumeAfter: undefined,
+          arrivedAt: clock.now(),
+        },
+        server: target,
+        timeLeft: millis(2_000),
+        adapterVersion: undefined,
+        priority: undefined,
+        resumeAfter: undefined,
+      },
+      {
+        onHead: () => {},
+        onBytes: (bytes) => {
+          bytesReceived += bytes.length;
+        },
+        onEnd: () => resolve("whole"),
+        onFailure: ({ kind }) => resolve(kind),
+      },
+    );
+  });
+  return {
+    ended,
+    cancel: () => control?.cancel(),
+    countBytes: () => bytesReceived,
+  };
+}
+
+async function assertClosed(server: EndlessServer): Promise<void> {
+  assert.ok(await server.isClosedInTime(), "the connection stays open");
+  assert.ok(server.bytesWritten < byteBound, `${server.bytesWritten} bytes`);
+}
+
+const refusal =
+  "HTTP/1.1 503 Service Unavailable\r\ngoldcrestwinch-request-id: r1\r\ngoldcrestwinch-not-executed: true\r\n";
+
+// Guards against a refusal whose body never ends: the request goes on elsewhere,
+// and nobody would close the connection.
+test("a refusal with an endless body counts, and its connection is closed", async () => {
+  const server = await EndlessServer.open(
+    `${refusal}content-length: 99999999999\r\n\r\n`,
+  );
+  const { ended } = send(server);
+  assert.equal(await ended, "not-run");
+  await assertClosed(server);
+});
+
+test("an endless head is a broken answer, and its connection is closed", async () => {
+  const server = await EndlessServer.open("HTTP/1.1 200 OK\r\nx: ");
+  const { ended } = send(server);
+  assert.equal(await ended, "broken");
+  await assertClosed(server);
+});
+
+test("endless bytes that are no answer are a broken answer, and the connection is closed", async () => {
+  const server = await EndlessServer.open("");
+  const { ended } = send(server);
+  assert.equal(await ended, "broken");
+  await assertClosed(server);
+});
+
+test("an unsealed answer with an endless body is broken, and its connection is closed", async () => {
+  const server = await EndlessServer.open("HTTP/1.1 200 OK\r\n\r\n");
+  const { ended } = send(server);
+  assert.equal(await ended, "broken");
+  await assertClosed(server);
+});
+
+test("endless interim responses end with the request's time limit", async () => {
+  const interim = "HTTP/1.1 103 Early Hints\r\nx: y\r\n\r\n";
+  const server = await EndlessServer.open(interim, interim);
+  const { cancel } = send(server);
+  setTimeout(cancel, 300);
+  await assertClosed(server);
+});
+
+test("an endless chunk size ends with the request's time limit", async () => {
+  const server = await EndlessServer.open(
+    "HTTP/1.1 200 OK\r\ngoldcrestwinch-request-id: r1\r\ngoldcrestwinch-server-seal: x.1\r\ntransfer-encoding: chunked\r\n\r\n1;",
+  );
+  const { cancel, countBytes } = send(server);
+  setTimeout(cancel, 300);
+  // The parser skips what follows the size, so that only the time is limited.
+  assert.ok(await server.isClosedInTime());
+  assert.equal(countBytes(), 0);
+});
+
+test("endless bytes after a complete answer close the connection and reach no other request", async () => {
+  const server = await EndlessServer.open(
+    "HTTP/1.1 200 OK\r\ngoldcrestwinch-request-id: r1\r\ngoldcrestwinch-server-seal: x.1\r\ncontent-length: 2\r\n\r\nok",
+  );
+  const { ended } = send(server);
+  assert.equal(await ended, "whole");
+  await assertClosed(server);
+});
+
+test("a read of the store with an endless body fails within its time limit", async () => {
+  for (const head of ["HTTP/1.1 200 OK\r\n\r\n{", "HTTP/1.1 200 OK\r\nx: "]) {
+    const server = await EndlessServer.open(head);
+    const { address } = server;
+    const store = StoreClient.create({ address, clock, meter: silentMeter });
+    const result = await store.read("op");
+    assert.ok(result.isLeft());
+    await assertClosed(server);
+  }
+});
+
+test("a call to a node with an endless answer fails as unreachable", async () => {
+  for (const head of ["HTTP/1.1 200 OK\r\n\r\n{", "HTTP/1.1 200 OK\r\nx: "]) {
+    const server = await EndlessServer.open(head);
+    const answer = await TrpcNodeLinks.create().requestModel(server.address, {
+      engine: brandString("i-1"),
+      model: brandString("m0"),
+      requests: 1,
+    });
+    assert.deepEqual(answer, { kind: "refused", reason: "unreachable" });
+    await assertClosed(server);
+  }
+});
