Charge a request for the share of the engine that running requests take

Change: the expected delay grows with the occupancy of an engine, and with the length of the prompt.

--- a/src/core/gateway/engine_backlog.ts
+++ b/src/core/gateway/engine_backlog.ts
@@ -51,6 +51,9 @@
 const promptTokensPerMs = 14;
 const msPerPrompt = 12;
 
+/** Delay of a short request in a full batch, in ms. */
+const fullBatchDelay = 60;
+
 type Report = EngineBacklog & { readonly at: Millis };
 
 type Promised = { readonly to: MachineName; readonly at: Millis };
@@ -137,16 +140,20 @@
 };
 
 /**
- * Expected wait behind a backlog, in ms: for the prompts before, and for a slot
- * once all are taken.
+ * Expected delay of a request by the others at an engine, in ms: the prompts
+ * before it, the wait for a slot once all are taken, and the share of the engine
+ * that running requests take from its own prompt.
  */
 export function estimateBacklogWait(
   backlog: EngineBacklog,
   { slots, runTime }: EnginePace,
+  promptTokens: number,
 ): Millis {
   const { requests, tokens, running } = backlog;
   const promptWait = tokens / promptTokensPerMs + requests * msPerPrompt;
   const excess = running + requests + 1 - slots;
   const slotWait = excess > 0 ? (excess * runTime) / slots : 0;
-  return millis(promptWait + slotWait);
+  const occupancy = Math.min(1, (running + requests) / slots);
+  const ownTime = fullBatchDelay + promptTokens / promptTokensPerMs;
+  return millis(promptWait + slotWait + occupancy * ownTime);
 }
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -92,7 +92,8 @@
     });
     this.#selector = ServerSelector.create(this.context, {
       acquire: this.#acquire,
-      estimateWait: (engine) => this.#usageReporter.estimateWait(engine),
+      estimateWait: (engine, promptTokens) =>
+        this.#usageReporter.estimateWait(engine, promptTokens),
       recordBacklog: (engine, backlog) =>
         this.#usageReporter.recordBacklog(engine, backlog),
       isKnown: (engine) => this.#isKnown(engine),
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -63,8 +63,8 @@
 
 type ServerSelectorOptions = {
   readonly acquire: AcquireAdapter;
-  /** Expected wait at an engine behind other requests, in ms. */
-  readonly estimateWait: (engine: ServerId) => Millis;
+  /** Expected delay of a request at an engine by other requests, in ms. */
+  readonly estimateWait: (engine: ServerId, promptTokens: number) => Millis;
   /** Records the requests of the other nodes at an engine. */
   readonly recordBacklog: (engine: ServerId, backlog: EngineBacklog) => void;
   /** Whether the contents of an engine are known well enough to skip its owner. */
@@ -118,10 +118,13 @@
     }
     const selection =
       adapter === undefined
-        ? this.#selectByWait(withModel)
+        ? this.#selectByWait(withModel, demand)
         : await this.#selectForAdapter(
             withModel,
-            formatModelAdapterKey(model, adapter),
+            {
+              key: formatModelAdapterKey(model, adapter),
+              promptTokens: demand.promptTokens,
+            },
             request,
           );
     this.#requestMoreCopies(service, model, {
@@ -143,7 +146,7 @@
     const { selection, others } = found;
     if (others.length === 0 || selection === undefined) return;
     const { estimateWait, models } = this.#options;
-    if (estimateWait(selection.server.id) < overloadWait) return;
+    if (estimateWait(selection.server.id, 0) < overloadWait) return;
     void models.request(service, model, others);
   }
 
@@ -161,11 +164,13 @@
   /** Selects the engine with the shortest wait for a request without an adapter. */
   #selectByWait(
     candidates: readonly BackendServer[],
+    { promptTokens }: ModelDemand,
   ): ServerSelection | undefined {
     const context = this.#context;
+    const { estimateWait } = this.#options;
     const server = chooseShortestWait(candidates, {
       ...context.selectionContext(),
-      ...this.#options,
+      estimateWait: (engine) => estimateWait(engine, promptTokens),
       offset: context.dependencies.random(),
     });
     if (server === undefined) return undefined;
@@ -174,7 +179,7 @@
 
   async #selectForAdapter(
     candidates: readonly BackendServer[],
-    key: ModelAdapterKey,
+    { key, promptTokens }: Omit<WantedAdapter, "version">,
     {
       deniedBy,
       onRefused,
@@ -184,7 +189,7 @@
     },
   ): Promise<ServerSelection | undefined> {
     const version = this.#context.versions.get(key) ?? 0;
-    const wanted = { key, version };
+    const wanted = { key, version, promptTokens };
     let ranked = this.#rank(candidates, wanted);
     for (let round = 0; round < maxRankings; round++) {
       const [best] = ranked;
@@ -207,9 +212,11 @@
     candidates: readonly BackendServer[],
     wanted: WantedAdapter,
   ): RankedEngine[] {
+    const { estimateWait, isKnown } = this.#options;
     return rankEngines(candidates, wanted, {
       ...this.#context.selectionContext(),
-      ...this.#options,
+      estimateWait: (engine) => estimateWait(engine, wanted.promptTokens),
+      isKnown,
     });
   }
 
@@ -274,6 +281,7 @@
 type WantedAdapter = {
   readonly key: ModelAdapterKey;
   readonly version: number;
+  readonly promptTokens: number;
 };
 
 function createSelection(
--- a/src/node/gateway/usage_reporter.ts
+++ b/src/node/gateway/usage_reporter.ts
@@ -123,8 +123,8 @@
     this.#backlogs.set(engine, { ...backlog, at });
   }
 
-  /** Expected wait at an engine behind the requests of all nodes, in ms. */
-  estimateWait(engine: ServerId): Millis {
+  /** Expected delay of a request at an engine by the requests of all nodes, in ms. */
+  estimateWait(engine: ServerId, promptTokens: number): Millis {
     const { context } = this.#options;
     const own = this.#usage.get(engine);
     const reported = this.#backlogs.get(engine);
@@ -138,7 +138,8 @@
       running: (own?.runningRequests ?? 0) + (others?.running ?? 0),
     };
     const slots = context.directory.servers.get(engine)?.slots ?? 1;
-    return estimateBacklogWait(backlog, { slots, runTime: this.#runTime });
+    const pace = { slots, runTime: this.#runTime };
+    return estimateBacklogWait(backlog, pace, promptTokens);
   }
 
   /** Drops the counts of an engine that is gone. */
