Keep reading the leases after a read that throws

A rejected call left the flag of the cycle set, so that the node never read its leases again, and the rejection ended the process. It is logged as event 514.

--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -269,6 +269,12 @@
     level: "warn",
     meaning: "The socket for reports between nodes failed",
   },
+  leaseCycleFailed: {
+    number: 514,
+    level: "error",
+    meaning:
+      "A read or claim of engine leases failed unexpectedly; the next one follows",
+  },
   rowReaderChosen: {
     number: 512,
     level: "info",
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -173,8 +173,12 @@
   #tick(): void {
     if (this.#stopped) return;
     const { context } = this.#options;
-    const { clock } = context.dependencies;
-    if (!this.#isCycleRunning) void this.#runCycle();
+    const { clock, journal } = context.dependencies;
+    if (!this.#isCycleRunning) {
+      this.#runCycle().catch((error: Error) =>
+        journal.record("leaseCycleFailed", { detail: error.message }),
+      );
+    }
     this.#cancel = clock.schedule(tickInterval, () => this.#tick());
   }
 
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -168,6 +168,8 @@
   #publish: (change: InstallationChange) => void = () => {};
   #requests = 0;
   #leaseReads = 0;
+  /** Number of reads of the lease rows that reject. */
+  rejectedLeaseReads = 0;
 
   constructor() {
     const links: ServerLinks = {
@@ -229,6 +231,7 @@
 
   /** Reads the table at each call; its newest version counts the reads. */
   async #readLeaseRows(): Promise<LeaseRead | undefined> {
+    if (this.rejectedLeaseReads-- > 0) throw new Error("rejected");
     const confirmedAt = this.clock.now();
     const result = await this.table.scan("");
     this.#leaseReads++;
