Keep the memory of a base model that loads slowly

Change: a model counts as loading until a report lists it, or shows the engine idle without it; a load order without an answer is resolved by the order count. While a model loads or unloads, the controller only asks for reports.

The test of the first order after the load of a base model now expects it after the report that lists the model, since the engine would refuse it before.

--- a/src/core/gateway/engine_contents.ts
+++ b/src/core/gateway/engine_contents.ts
@@ -40,6 +40,8 @@
   readonly adapterSlots: Map<ModelAdapterKey, AdapterSlot>;
   /** Base models with the expected end of their loads. */
   readonly models: Map<ModelName, Millis>;
+  /** Base models whose load the engine has accepted and not yet been seen to complete. */
+  readonly loadingModels: Set<ModelName>;
   /** Base models whose unload the engine has accepted and not yet completed. */
   readonly unloadingModels: Set<ModelName>;
   /** Adapters that this incarnation held before; they load faster. */
@@ -54,6 +56,7 @@
   const contents: EngineContents = {
     adapterSlots: new Map(),
     models: new Map(),
+    loadingModels: new Set(),
     unloadingModels: new Set(),
     previouslyHeld: new Set(),
   };
@@ -131,6 +134,7 @@
   report: {
     readonly models: readonly HeldModel[];
     readonly incoming: readonly IncomingAdapter[];
+    readonly busy: boolean;
   },
   now: Millis,
 ): EngineContents {
@@ -183,8 +187,16 @@
     const known = { readyAt, usedAt, usedBy, isReleased };
     merged.adapterSlots.set(key, { ...listed, ...known });
   }
-  for (const [model, readyAt] of contents.models) {
-    if (readyAt > now) merged.models.set(model, readyAt);
+  for (const model of contents.loadingModels) {
+    if (merged.models.has(model)) continue;
+    const readyAt = contents.models.get(model) ?? now;
+    // A model that loads is in no list; it takes its memory while the engine is busy.
+    if (!report.busy && now > readyAt + reportSkew) continue;
+    merged.models.set(
+      model,
+      millis(Math.max(readyAt, now + remainingLoadTime)),
+    );
+    merged.loadingModels.add(model);
   }
   for (const model of contents.unloadingModels) {
     if (merged.models.has(model)) merged.unloadingModels.add(model);
--- a/src/core/gateway/engine_controller.ts
+++ b/src/core/gateway/engine_controller.ts
@@ -24,7 +24,7 @@
   EngineControllerPolicies,
   EngineControllerState,
 } from "./engine_controller_messages.ts";
-import { requestModel } from "./engine_controller_models.ts";
+import { isModelReportDue, requestModel } from "./engine_controller_models.ts";
 import { chooseNextOrder } from "./engine_controller_orders.ts";
 import { applyStatus } from "./engine_controller_reports.ts";
 import { createModelDemand } from "./model_placement.ts";
@@ -61,6 +61,7 @@
     coldLoadTime: minColdLoadTime,
     waiting: new Map(),
     modelDemand: createModelDemand(options.now),
+    unansweredModel: undefined,
     modelChange: undefined,
     fleet: { engines: 1, holders: new Map(), reserved: new Set(), load: 0 },
   };
@@ -154,7 +155,7 @@
 /** Whether other orders wait until a report confirms the loads and unloads that should be complete. */
 function isReportDue(state: EngineControllerState, now: Millis): boolean {
   if (now < state.statusRequestedAt + minStatusInterval) return false;
-  if (state.contents.unloadingModels.size > 0) return true;
+  if (isModelReportDue(state, now)) return true;
   if (state.waiting.size === 0) return false;
   const { contents, traits } = state;
   const isFull =
--- a/src/core/gateway/engine_controller_answers.ts
+++ b/src/core/gateway/engine_controller_answers.ts
@@ -63,7 +63,10 @@
   state: EngineControllerState,
   order: EngineOrder,
 ): void {
-  if (order.adapter === undefined) return;
+  if (order.adapter === undefined) {
+    if (order.operation === "load") state.unansweredModel = order;
+    return;
+  }
   state.unansweredOrders.set(
     formatModelAdapterKey(order.model, order.adapter),
     order,
@@ -81,6 +84,7 @@
 ): void {
   const earlier = [...state.unansweredOrders.values()];
   state.unansweredOrders.clear();
+  state.unansweredModel = undefined;
   for (const unanswered of earlier) {
     const isOther =
       unanswered.model !== order.model || unanswered.adapter !== order.adapter;
--- a/src/core/gateway/engine_controller_messages.ts
+++ b/src/core/gateway/engine_controller_messages.ts
@@ -51,6 +51,8 @@
   coldLoadTime: number;
   readonly waiting: Map<ModelAdapterKey, PendingLoad>;
   readonly modelDemand: ModelDemand;
+  /** Model whose load order got no answer, while it may still be carried out. */
+  unansweredModel: EngineOrder | undefined;
   /** Change of the base models under way. */
   modelChange: ModelChange | undefined;
   fleet: FleetView;
@@ -100,6 +102,8 @@
         | {
             readonly models: BackendServer["models"];
             readonly incoming: readonly IncomingAdapter[];
+            /** The engine carries out an order. */
+            readonly busy: boolean;
             readonly orderCount: number;
           }
         | undefined;
--- a/src/core/gateway/engine_controller_models.ts
+++ b/src/core/gateway/engine_controller_models.ts
@@ -89,8 +89,11 @@
   orderCount: number,
   now: Millis,
 ): EngineOrder | undefined {
+  const { contents } = state;
+  // The engine refuses other orders while it loads a model.
+  if (contents.loadingModels.size > 0) return undefined;
   updateModelChange(state, now);
-  const { modelChange, contents } = state;
+  const { modelChange } = state;
   if (modelChange === undefined) return undefined;
   const victim = modelChange.victims.find((model) =>
     contents.models.has(model),
@@ -129,6 +132,7 @@
   const entry = traits.models.find(({ name }) => name === model);
   const loadTime = isDone ? 0 : (entry?.loadTime ?? 0);
   contents.models.set(model, millis(now + loadTime));
+  if (!isDone) contents.loadingModels.add(model);
   if (!isDone)
     recordModelLoad(state.modelDemand, { model, traits, fleet }, now);
   if (state.modelChange?.target === model) state.modelChange = undefined;
@@ -141,9 +145,38 @@
   state.modelChange = undefined;
 }
 
+/** Whether a report is needed to see the end of the load or unload of a model. */
+export function isModelReportDue(
+  { contents }: EngineControllerState,
+  now: Millis,
+): boolean {
+  if (contents.unloadingModels.size > 0) return true;
+  return [...contents.loadingModels].some(
+    (model) => now >= (contents.models.get(model) ?? now),
+  );
+}
+
+/**
+ * Applies the order count of a report to a load order without an answer: the
+ * engine has carried it out if the count rose by one, and never will if another
+ * order was accepted.
+ */
+export function resolveUnansweredModel(
+  state: EngineControllerState,
+  orderCount: number,
+  now: Millis,
+): void {
+  const order = state.unansweredModel;
+  if (order === undefined || orderCount === order.expectedCount) return;
+  state.unansweredModel = undefined;
+  if (orderCount !== order.expectedCount + 1) return;
+  applyModelOrder(state, { order, isDone: false }, now);
+}
+
 /** Removes a model and its adapters, which the engine dropped with it. */
 export function dropModel(contents: EngineContents, model: ModelName): void {
   contents.models.delete(model);
+  contents.loadingModels.delete(model);
   contents.unloadingModels.delete(model);
   for (const [key, slot] of contents.adapterSlots) {
     if (slot.model === model) contents.adapterSlots.delete(key);
--- a/src/core/gateway/engine_controller_orders.ts
+++ b/src/core/gateway/engine_controller_orders.ts
@@ -27,6 +27,9 @@
   const { contents, waiting } = state;
   const modelOrder = chooseModelOrder(state, orderCount, now);
   if (modelOrder !== undefined) return modelOrder;
+  // The engine refuses other orders while it loads or unloads a model.
+  if (contents.loadingModels.size + contents.unloadingModels.size > 0)
+    return undefined;
   const capacity = countAdapterCapacity(contents, state.traits);
   // Adapters that the engine may no longer hold count as well.
   if (contents.adapterSlots.size > capacity) return undefined;
--- a/src/core/gateway/engine_controller_reports.ts
+++ b/src/core/gateway/engine_controller_reports.ts
@@ -5,6 +5,7 @@
   EngineControllerEvent,
   EngineControllerState,
 } from "./engine_controller_messages.ts";
+import { resolveUnansweredModel } from "./engine_controller_models.ts";
 
 /** Consecutive reports without all accepted orders after which such a report is applied. */
 const maxStaleReports = 8;
@@ -35,6 +36,7 @@
     status.orderCount === state.highestOrderCount ||
     explainsCount(state, status.orderCount);
   state.highestOrderCount = status.orderCount;
+  resolveUnansweredModel(state, status.orderCount, now);
   resolveUnanswered(state, status.orderCount, now);
   state.contents = mergeStatusReport(state.contents, status, now);
   if (!isCountExplained) {
@@ -50,6 +52,8 @@
   orderCount: number,
 ): boolean {
   if (orderCount !== state.highestOrderCount + 1) return false;
+  if (state.unansweredModel?.expectedCount === state.highestOrderCount)
+    return true;
   return [...state.unansweredOrders.values()].some(
     ({ expectedCount }) => expectedCount + 1 === orderCount,
   );
--- a/tests/gateway/engine_controller_fixture.ts
+++ b/tests/gateway/engine_controller_fixture.ts
@@ -78,6 +78,7 @@
     const status = {
       models,
       orderCount,
+      busy: false,
       incoming: incoming.map((name) => ({
         model,
         adapter: brandString<AdapterName>(name),
--- a/tests/gateway/engine_controller_test.ts
+++ b/tests/gateway/engine_controller_test.ts
@@ -110,6 +110,9 @@
   assert.equal(fixture.takeNextOrder(), undefined);
   fixture.wait(2_100);
   fixture.acquire("a1");
+  // The load may be slow; the engine would refuse the order until it is complete.
+  assert.equal(fixture.takeNextOrder(), undefined);
+  fixture.report(createModels(), 1);
   assert.equal(describe(fixture.takeNextOrder()), "load a1");
 });
 
--- a/tests/gateway/model_placement_test.ts
+++ b/tests/gateway/model_placement_test.ts
@@ -89,6 +89,7 @@
     const random = createSeededRandom(seed);
     const fleet = createFleet([0, 0, 0, 1, 1, 2, 2, 3], 6, seed);
     const fates: OrderFate[] = ["answered", "answered", "lost", "late"];
+    fleet.loadSlowdown = 2;
     fleet.chooseFate = () => fates[Math.floor(random() * 4)] as OrderFate;
     for (let phase = 0; phase < 8; phase++) {
       fleet.rates = Array.from({ length: 6 }, () => random() * 16);
@@ -100,3 +101,25 @@
     assert.ok(loads <= maxLoadsInFiveSeconds, `seed ${seed}: ${loads} loads`);
   }
 });
+
+// Guards against a second load into the memory that a slow first one still takes:
+// the engine crashes once the first is complete. While it loads, the engine
+// refuses every other order.
+test("a load that takes longer than expected keeps its memory, and no order is sent meanwhile", () => {
+  for (let seed = 1; seed <= 10; seed++) {
+    const held = [0, 0, 0, 1, 1, 2, 2, 3];
+    const random = createSeededRandom(seed);
+    const fleet = new ModelFleet({ held, models: 6, capacity: 2, random });
+    fleet.loadSlowdown = 2;
+    for (let phase = 0; phase < 6; phase++) {
+      const wanted = phase % 6;
+      fleet.rates = Array.from({ length: 6 }, (_, i) =>
+        i === wanted ? 40 : 2,
+      );
+      fleet.run(8_000);
+    }
+    assert.deepEqual(fleet.violations, [], `seed ${seed}`);
+    assert.ok(fleet.loads.length > 3);
+    assert.equal(fleet.refusedOrders, 0, `seed ${seed}`);
+  }
+});
--- a/tests/gateway/simulated_engine.ts
+++ b/tests/gateway/simulated_engine.ts
@@ -113,6 +113,7 @@
   report(now: Millis): {
     models: HeldModel[];
     incoming: IncomingAdapter[];
+    busy: boolean;
     orderCount: number;
   } {
     const old = this.#find(millis(now - heldLag));
@@ -125,6 +126,7 @@
         adapter,
         version: 1,
       })),
+      busy: false,
       orderCount: old?.orderCount ?? 0,
     };
   }
