Split the gateway, its reports and the row relay by concern

The gateway hands changes of the installation to InstallationTracker and calls of owners to OwnerCalls; local counts, peer contacts, the ranking of engines, row copies and the answers to other nodes are modules of their own. No change of behaviour.

--- /dev/null
+++ b/src/core/gateway/engine_ranking.ts
@@ -0,0 +1,138 @@
+import type { Millis } from "../clock.ts";
+import type { ModelAdapterKey, ServerId } from "../ids.ts";
+import { selectHomes } from "../placement/rendezvous.ts";
+import {
+  type AdapterDirectory,
+  findReadyAt,
+  hasCachedCopy,
+  wasPromised,
+} from "./adapter_directory.ts";
+import type { ServerSelectionContext } from "./choose_server.ts";
+import { isSuspended } from "./server_health.ts";
+import type { BackendServer } from "./servers.ts";
+
+/** Expected time of an adapter load from the weight store, and from the host's memory, in ms. */
+const loadTime = 320;
+const cachedLoadTime = 70;
+/** Extra time of a request to another region or data centre, in ms. */
+const otherRegionTime = 45;
+const otherDataCentreTime = 3;
+/** Cost of an engine that failed recently, above that of any other, in ms. */
+const suspendedCost = 60_000;
+/** Time that a further copy of an adapter must save before it is loaded, in ms. */
+const copyCost = 180;
+/** Time by which an engine must be better than the one before it in rendezvous order, in ms. */
+const rankCost = 120;
+
+/** An engine for a request; `readyAt` is undefined if its owner must be asked for the adapter. */
+export type RankedEngine = {
+  readonly server: BackendServer;
+  readonly readyAt: Millis | undefined;
+  /** It held the adapter when last heard of. */
+  readonly mayHold: boolean;
+};
+
+/** Inputs of the ranking of engines. */
+export type EngineSelectionContext = ServerSelectionContext & {
+  readonly adapterDirectory: AdapterDirectory;
+  /** Expected wait at an engine behind other requests, in ms. */
+  readonly estimateWait: (engine: ServerId) => Millis;
+  /** Whether the contents of an engine are known well enough to skip its owner. */
+  readonly isKnown: (engine: ServerId) => boolean;
+};
+
+type RatedEngine = RankedEngine & { readonly cost: number };
+
+/**
+ * Ranks the engines for an adapter by the expected time until the response
+ * begins. An engine without the adapter is charged for the load, and for a
+ * further copy if another engine holds it. Among these, one with a cached copy
+ * comes first, or one whose contents are not known well enough; the others
+ * follow in rendezvous order, so that all nodes ask the same owner for a load.
+ */
+export function rankEngines(
+  candidates: readonly BackendServer[],
+  requested: { readonly key: ModelAdapterKey; readonly version: number },
+  context: EngineSelectionContext,
+): RankedEngine[] {
+  const holders: RatedEngine[] = [];
+  const others = new Map<ServerId, BackendServer>();
+  for (const server of candidates) {
+    if (isSuspended(context.health, server.id, context.now)) continue;
+    const readyAt = findReadyAt(context.adapterDirectory, server.id, requested);
+    const isCurrent =
+      context.isKnown(server.id) ||
+      wasPromised(
+        context.adapterDirectory,
+        server.id,
+        requested.key,
+        context.now,
+      );
+    if (readyAt === undefined || !isCurrent) {
+      others.set(server.id, server);
+      continue;
+    }
+    const wait = Math.max(0, readyAt - context.now);
+    const cost = wait + computeEngineCost(server, context);
+    holders.push({ server, readyAt, mayHold: true, cost });
+  }
+  const homes = selectHomes(requested.key, {
+    engines: [...others.keys()].map((engine) => ({ engine, weight: 1 })),
+    count: others.size,
+  });
+  const rated = homes.map((id, rank): RatedEngine => {
+    const server = others.get(id) as BackendServer;
+    const { adapterDirectory } = context;
+    const mayHold = findReadyAt(adapterDirectory, id, requested) !== undefined;
+    const isFast = mayHold || hasCachedCopy(adapterDirectory, id, requested);
+    const base = isFast ? cachedLoadTime : loadTime + rank * rankCost;
+    const extra = holders.length > 0 ? copyCost : 0;
+    const cost = base + extra + computeEngineCost(server, context);
+    return { server, readyAt: undefined, mayHold, cost };
+  });
+  return [...holders, ...rated].sort((a, b) => a.cost - b.cost);
+}
+
+/**
+ * Chooses the engine with the shortest wait. The search starts at `offset`, a
+ * share of the list in [0, 1), so that nodes do not all take the first of
+ * several equal ones.
+ */
+export function chooseShortestWait(
+  candidates: readonly BackendServer[],
+  context: Omit<EngineSelectionContext, "isKnown" | "adapterDirectory"> & {
+    readonly offset: number;
+  },
+): BackendServer | undefined {
+  const first = Math.floor(context.offset * candidates.length);
+  const rotated = [...candidates.slice(first), ...candidates.slice(0, first)];
+  let best: BackendServer | undefined;
+  let bestCost = Number.POSITIVE_INFINITY;
+  for (const server of rotated) {
+    const suspended = isSuspended(context.health, server.id, context.now);
+    const cost =
+      computeEngineCost(server, context) + (suspended ? suspendedCost : 0);
+    if (cost >= bestCost) continue;
+    best = server;
+    bestCost = cost;
+  }
+  return best;
+}
+
+/** Extra time of a request because of the engine's distance and backlog, in ms. */
+function computeEngineCost(
+  server: BackendServer,
+  context: Omit<EngineSelectionContext, "isKnown" | "adapterDirectory">,
+): number {
+  return computeDistanceCost(server, context) + context.estimateWait(server.id);
+}
+
+function computeDistanceCost(
+  server: BackendServer,
+  context: ServerSelectionContext,
+): number {
+  if (server.dataCentre === context.dataCentre) return 0;
+  return context.regionOf(server.dataCentre) === context.region
+    ? otherDataCentreTime
+    : otherRegionTime;
+}
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -1,24 +1,9 @@
 import { type Cancel, millis } from "../../core/clock.ts";
-import {
-  forgetEngineAdapters,
-  hasRecentReport,
-  recordRegistration,
-} from "../../core/gateway/adapter_directory.ts";
 import { chooseTarget, findRoute } from "../../core/gateway/configuration.ts";
-import { forgetServer } from "../../core/gateway/server_health.ts";
-import {
-  applyServerChange,
-  type BackendServer,
-  removeExpiredServers,
-  type ServerChange,
-} from "../../core/gateway/servers.ts";
-import type { ServerId } from "../../core/ids.ts";
 import { refuse } from "../../core/results/refusal.ts";
 import type {
-  AcquireResult,
   CallerSink,
   EngineOrders,
-  InstallationChange,
   InstallationFeed,
   ModelRequest,
   ModelResult,
@@ -30,11 +15,15 @@
 import type { TableService } from "../../ports/table.ts";
 import { GatewayContext, type GatewayDependencies } from "./context.ts";
 import { EngineControllers } from "./engine_controllers.ts";
+import { EngineUsageCounter } from "./engine_usage.ts";
+import { InstallationTracker } from "./installation_tracker.ts";
 import { LeaseManager } from "./lease_manager.ts";
 import type { ReadLeaseRows } from "./lease_rows.ts";
-import { ModelRequester, type RequestModel } from "./model_requester.ts";
+import { ModelRequester } from "./model_requester.ts";
+import { OwnerCalls } from "./owner_calls.ts";
+import { PeerContacts } from "./peer_contacts.ts";
 import { RequestTask } from "./request_task.ts";
-import { type AcquireAdapter, ServerSelector } from "./server_selector.ts";
+import { ServerSelector } from "./server_selector.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 
 /** Interval of the checks for expired servers and pauses of the process, in ms. */
@@ -62,9 +51,10 @@
   readonly #leases: LeaseManager;
   readonly #engineControllers: EngineControllers;
   readonly #selector: ServerSelector;
+  readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
   readonly #requests = new Set<RequestTask>();
-  readonly #completedTopics = new Set<string>();
+  readonly #installation: InstallationTracker;
   #onIdle: () => void = () => {};
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
@@ -74,10 +64,14 @@
     this.#options = options;
     const { clock } = options;
     this.context = GatewayContext.create(options);
+    const now = () => clock.now();
+    const contacts = PeerContacts.create(now);
+    this.#usage = EngineUsageCounter.create(now);
     this.#leases = LeaseManager.create({
       context: this.context,
       table: options.table,
       readRows: options.readLeaseRows,
+      contacts,
       onChange: () => this.#engineControllers.reconcile(),
     });
     this.#engineControllers = EngineControllers.create(this.context, {
@@ -87,31 +81,49 @@
     this.#usageReporter = UsageReporter.create({
       context: this.context,
       leases: this.#leases,
+      contacts,
       engineControllers: this.#engineControllers,
+      usage: this.#usage,
       channel: options.usageChannel,
     });
+    const owners = OwnerCalls.create({
+      context: this.context,
+      leases: this.#leases,
+      contacts,
+      engineControllers: this.#engineControllers,
+      nodeLinks: options.nodeLinks,
+    });
     this.#selector = ServerSelector.create(this.context, {
-      acquire: this.#acquire,
+      acquire: owners.acquire,
       estimateWait: (engine, promptTokens) =>
         this.#usageReporter.estimateWait(engine, promptTokens),
       recordBacklog: (engine, backlog) =>
         this.#usageReporter.recordBacklog(engine, backlog),
-      isKnown: (engine) => this.#isKnown(engine),
-      models: ModelRequester.create(this.context, this.#requestModel),
+      isKnown: (engine) => owners.isKnown(engine),
+      models: ModelRequester.create(this.context, owners.requestModel),
+    });
+    this.#installation = InstallationTracker.create({
+      context: this.context,
+      onConfiguration: () => this.#engineControllers.reconcile(),
+      onServer: (server) => this.#engineControllers.register(server),
+      onServerGone: (id) => {
+        this.#usageReporter.forget(id);
+        this.#engineControllers.reconcile();
+      },
     });
     this.#clockOffset = clock.wallNow() - clock.now();
   }
 
   static create(options: GatewayOptions): Gateway {
     const gateway = new Gateway(options);
-    options.feed.follow((change) => gateway.#applyChange(change));
+    options.feed.follow((change) => gateway.#installation.apply(change));
     gateway.#runChecks();
     return gateway;
   }
 
   /** Whether the node should receive new callers. */
   get isReady(): boolean {
-    return !this.#draining && this.#isInstallationKnown;
+    return !this.#draining && this.#installation.isComplete;
   }
 
   /** Number of requests in progress. */
@@ -119,11 +131,6 @@
     return this.#requests.size;
   }
 
-  get #isInstallationKnown(): boolean {
-    const { configuration } = this.context;
-    return configuration !== undefined && this.#completedTopics.size === 2;
-  }
-
   /** Serves one request; the sink may receive a refusal before this returns. */
   open(request: ProxiedRequest, sink: CallerSink): RequestHandle {
     const { context } = this;
@@ -160,7 +167,7 @@
       {
         context,
         selector: this.#selector,
-        usage: this.#usageReporter,
+        usage: this.#usage,
         request,
         route,
         service,
@@ -224,114 +231,6 @@
     if (this.#requests.size === 0) this.#onIdle();
   }
 
-  readonly #acquire: AcquireAdapter = async (server, adapter) => {
-    const holder = this.#leases.findHolder(server.id);
-    const { machine: from } = this.context.dependencies.identity;
-    const request = { from, engine: server.id, ...adapter };
-    const refused: AcquireResult = { kind: "refused", reason: "not-owner" };
-    if (holder === undefined) return refused;
-    if (holder === from) {
-      return this.#engineControllers.acquire(request);
-    }
-    const address = this.#leases.findAddress(holder);
-    if (address === undefined || this.#leases.isUnresponsive(holder))
-      return refused;
-    this.#leases.recordRequest(holder);
-    const answer = await this.#options.nodeLinks.acquire(address, request);
-    const isAnswered =
-      answer.kind === "ready" || answer.reason !== "unreachable";
-    if (isAnswered) this.#leases.recordContact(holder);
-    return answer;
-  };
-
-  readonly #requestModel: RequestModel = async (server, wanted) => {
-    const request = { engine: server.id, ...wanted };
-    const holder = this.#leases.findHolder(server.id);
-    const refused: ModelResult = { kind: "refused", reason: "not-owner" };
-    if (holder === undefined) return refused;
-    if (holder === this.context.dependencies.identity.machine) {
-      return this.#engineControllers.requestModel(request);
-    }
-    const address = this.#leases.findAddress(holder);
-    if (address === undefined || this.#leases.isUnresponsive(holder))
-      return refused;
-    return this.#options.nodeLinks.requestModel(address, request);
-  };
-
-  /** Whether the contents of an engine are recent, or its owner cannot tell more. */
-  #isKnown(engine: ServerId): boolean {
-    const { adapterDirectory } = this.context;
-    if (hasRecentReport(adapterDirectory, engine, this.context.now()))
-      return true;
-    const holder = this.#leases.findHolder(engine);
-    return holder === undefined || this.#leases.isUnresponsive(holder);
-  }
-
-  #applyChange(change: InstallationChange): void {
-    const { journal } = this.#options;
-    switch (change.type) {
-      case "configuration": {
-        const known = this.context.configuration?.revision ?? -1;
-        if (change.value.revision <= known) return;
-        this.context.configuration = change.value;
-        journal.record("revisionInForce", { revision: change.value.revision });
-        this.#engineControllers.reconcile();
-        return;
-      }
-      case "adapter-version": {
-        const { place, version } = change.value;
-        if (version <= (this.context.versions.get(place) ?? 0)) return;
-        this.context.versions.set(place, version);
-        journal.record("adapterVersionDeclared", { place, version });
-        return;
-      }
-      case "server":
-        this.#applyServerChange(change.change);
-        return;
-      case "complete":
-        this.#completedTopics.add(change.topic);
-        if (this.#completedTopics.size === 2) journal.record("nodeReady");
-        return;
-    }
-  }
-
-  #applyServerChange(change: ServerChange): void {
-    const { directory, adapterDirectory } = this.context;
-    if (change.type === "absent") {
-      applyServerChange(directory, change);
-      if (change.usableUntil === undefined) this.#forgetServer(change.id);
-      return;
-    }
-    const { server } = change;
-    const known = directory.servers.get(server.id);
-    if (known !== undefined && known.born !== server.born) {
-      forgetEngineAdapters(adapterDirectory, server.id);
-      forgetServer(this.context.health, server.id);
-    }
-    applyServerChange(directory, change);
-    recordRegistration(adapterDirectory, server, this.context.now());
-    if (known === undefined || known.leaving !== server.leaving) {
-      this.#recordServer(server);
-    }
-    this.#engineControllers.register(server);
-  }
-
-  #recordServer(server: BackendServer): void {
-    const event = server.leaving ? "serverLeaving" : "serverSeen";
-    const { id, service, address, dataCentre } = server;
-    const fields = { server: id, service, address, dataCentre };
-    this.#options.journal.record(event, fields);
-  }
-
-  #forgetServer(id: ServerId): void {
-    forgetEngineAdapters(this.context.adapterDirectory, id);
-    forgetServer(this.context.health, id);
-    this.#options.links.disconnect(id);
-    this.#usageReporter.forget(id);
-    this.#options.journal.record("serverGone", { server: id });
-    this.#engineControllers.reconcile();
-  }
-
   /**
    * Removes expired servers, and invalidates the leases after a pause of the
    * process, since another node may have claimed them in the meantime.
@@ -346,12 +245,7 @@
       this.#leases.invalidate();
     }
     this.#clockOffset = clockOffset;
-    for (const id of removeExpiredServers(
-      this.context.directory,
-      clock.now(),
-    )) {
-      this.#forgetServer(id);
-    }
+    this.#installation.removeExpired();
     this.#cancelChecks = clock.schedule(checkInterval, () => this.#runChecks());
   }
 }
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -30,14 +30,13 @@
   type LeaseRead,
   type ReadLeaseRows,
 } from "./lease_rows.ts";
+import type { PeerContacts } from "./peer_contacts.ts";
 
 /** Interval of checks for engines that may be claimed, in ms. */
 const tickInterval = millis(250);
 /** Delay before the same engine is claimed again, in ms. */
 const claimRetryDelay = millis(600);
 
-/** Time without an answer after which a machine is not sent adapter requests, in ms. */
-const answerTimeout = 800;
 /** Number of nodes that check regularly whether the holder of an engine is alive. */
 const watcherCount = 3;
 
@@ -46,6 +45,7 @@
   readonly context: GatewayContext;
   readonly table: TableService;
   readonly readRows: ReadLeaseRows;
+  readonly contacts: PeerContacts;
   /** Called when the node gains or loses the lease of an engine. */
   readonly onChange: () => void;
 };
@@ -55,7 +55,6 @@
   readonly #options: LeaseManagerOptions;
   readonly #state: LeaseState;
   readonly #claimedAt = new Map<ServerId, Millis>();
-  readonly #unansweredSince = new Map<MachineName, Millis>();
   #cancel: Cancel = () => {};
   /** The rows that were applied last. */
   #applied: LeaseRead | undefined;
@@ -108,31 +107,6 @@
     return this.#state.nodes.get(machine)?.address;
   }
 
-  /** Records that a machine was sent a message that it must answer. */
-  recordRequest(machine: MachineName): void {
-    if (this.#unansweredSince.has(machine)) return;
-    this.#unansweredSince.set(machine, this.#options.context.now());
-  }
-
-  /** Records that a message from a machine has arrived. */
-  recordContact(machine: MachineName): void {
-    this.#unansweredSince.delete(machine);
-    this.#state.lastContactAt.set(machine, this.#options.context.now());
-  }
-
-  /** Time of the first message to a machine that it has not answered. */
-  findUnansweredSince(machine: MachineName): Millis | undefined {
-    return this.#unansweredSince.get(machine);
-  }
-
-  /** Whether a machine has not answered for so long that it is not expected to. */
-  isUnresponsive(machine: MachineName): boolean {
-    const since = this.#unansweredSince.get(machine);
-    return (
-      since !== undefined && this.#options.context.now() > since + answerTimeout
-    );
-  }
-
   /** Whether this node is among the first to claim an engine whose holder fails. */
   isWatched(engine: ServerId): boolean {
     const server = this.#options.context.directory.servers.get(engine);
@@ -271,11 +245,11 @@
   /** Counts a holder as alive while it owes no answer, since idle nodes rarely report. */
   #confirmContacts(): void {
     const { rows, lastContactAt } = this.#state;
-    const now = this.#options.context.now();
+    const { context, contacts } = this.#options;
     for (const { machine } of rows.values()) {
       const isChecked = this.findAddress(machine) !== undefined;
-      if (isChecked && !this.#unansweredSince.has(machine))
-        lastContactAt.set(machine, now);
+      if (isChecked && contacts.findUnansweredSince(machine) === undefined)
+        lastContactAt.set(machine, context.now());
     }
   }
 
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -6,7 +6,6 @@
   decideRetry,
   type RetryDecision,
 } from "../../core/gateway/retry_decision.ts";
-import { recordCallResult } from "../../core/gateway/server_health.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
 import {
@@ -16,8 +15,10 @@
 } from "../../core/ids.ts";
 import type { Refusal } from "../../core/results/refusal.ts";
 import type { CallerSink, ProxiedRequest } from "../../ports/gateway.ts";
+import { recordAttemptHealth } from "./attempt_health.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import type { GatewayContext } from "./context.ts";
+import type { EngineUsageCounter } from "./engine_usage.ts";
 import { RequestLog } from "./request_log.ts";
 import {
   refuseAfterAttempt,
@@ -29,7 +30,6 @@
 import { type AttemptResult, ServerAttempt } from "./server_attempt.ts";
 import type { ServerSelection, ServerSelector } from "./server_selector.ts";
 import { waitForServer } from "./server_wait.ts";
-import type { UsageReporter } from "./usage_reporter.ts";
 
 /** Maximum wait of a request for its first server, as a multiple of the route's target latency. */
 const maxWaitFactor = 1.6;
@@ -46,7 +46,7 @@
 export type RequestTaskOptions = {
   readonly context: GatewayContext;
   readonly selector: ServerSelector;
-  readonly usage: UsageReporter;
+  readonly usage: EngineUsageCounter;
   readonly request: ProxiedRequest;
   readonly route: GatewayRoute;
   readonly service: ServiceName;
@@ -238,17 +238,8 @@
     });
     this.#history.recordAttemptEnd(kind, server.id);
     if (kind === "misdirected") this.#forgetAdapter(server);
-    const result = toHealthResult(kind);
-    if (result !== undefined) {
-      const now = context.now();
-      const suspended = recordCallResult(context.health, server.id, {
-        result,
-        now,
-      });
-      if (suspended) {
-        this.#log.record("serverSuspended", { server, detail: kind });
-      }
-    }
+    if (recordAttemptHealth(context, server.id, kind))
+      this.#log.record("serverSuspended", { server, detail: kind });
     const { retryRule, resumable, maxAttempts } = route;
     const rule = { retryRule, resumable, maxAttempts };
     return decideRetry(
@@ -313,12 +304,3 @@
     this.#onEnd();
   }
 }
-
-/** Result to record in the server's health; undefined if the attempt says nothing about it. */
-function toHealthResult(
-  kind: AttemptResult["end"]["kind"],
-): "bad" | "unreachable" | undefined {
-  if (kind === "unreachable") return "unreachable";
-  if (kind === "misdirected" || kind === "whole") return undefined;
-  return "bad";
-}
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -1,15 +1,15 @@
 import { type Millis, millis } from "../../core/clock.ts";
-import {
-  chooseShortestWait,
-  type RankedEngine,
-  rankEngines,
-  recordPromise,
-} from "../../core/gateway/adapter_directory.ts";
+import { recordPromise } from "../../core/gateway/adapter_directory.ts";
 import {
   chooseLeastCost,
   excludeServers,
 } from "../../core/gateway/choose_server.ts";
 import type { EngineBacklog } from "../../core/gateway/engine_backlog.ts";
+import {
+  chooseShortestWait,
+  type RankedEngine,
+  rankEngines,
+} from "../../core/gateway/engine_ranking.ts";
 import { isSuspended } from "../../core/gateway/server_health.ts";
 import {
   type BackendServer,
--- a/src/node/gateway/usage_reporter.ts
+++ b/src/node/gateway/usage_reporter.ts
@@ -15,40 +15,30 @@
   type ReportTarget,
   takeDueReports,
 } from "../../core/gateway/report_schedule.ts";
-import type { MachineName, ModelAdapterKey, ServerId } from "../../core/ids.ts";
+import type { MachineName, ServerId } from "../../core/ids.ts";
 import type { UsageChannel, UsageMessage } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
 import type { EngineControllers } from "./engine_controllers.ts";
+import type { EngineUsageCounter } from "./engine_usage.ts";
 import type { LeaseManager } from "./lease_manager.ts";
+import type { PeerContacts } from "./peer_contacts.ts";
 
 /** Interval of checks for usage that is due to be reported to an owner, in ms. */
 const checkInterval = millis(150);
-/** Assumed time that a request runs before any has ended, in ms, and the weight of each that ends. */
-const initialRunTime = 1_500;
-const runTimeWeight = 0.05;
 /** Age from which the backlog that an owner reported is ignored, in ms. */
 const backlogLifetime = 2_000;
 
+const emptyBacklog: EngineBacklog = { requests: 0, tokens: 0, running: 0 };
+
 type UsageReporterOptions = {
   readonly context: GatewayContext;
   readonly leases: LeaseManager;
+  readonly contacts: PeerContacts;
   readonly engineControllers: EngineControllers;
+  readonly usage: EngineUsageCounter;
   readonly channel: UsageChannel;
 };
 
-/** Requests of this node at one engine. */
-type LocalUsage = {
-  readonly running: Map<ModelAdapterKey, number>;
-  readonly queued: Map<ModelAdapterKey, number>;
-  /** Adapters on which requests started since the last report. */
-  readonly started: Set<ModelAdapterKey>;
-  requests: number;
-  tokens: number;
-  runningRequests: number;
-  /** Whether the latest changes have not been reported to the owner. */
-  hasUnreportedChanges: boolean;
-};
-
 /** Contents of an engine that the node knows from its owner. */
 type KnownContents = { readonly from: MachineName; readonly version: number };
 
@@ -59,14 +49,11 @@
  */
 export class UsageReporter {
   readonly #options: UsageReporterOptions;
-  readonly #usage = new Map<ServerId, LocalUsage>();
   readonly #backlogs = new Map<
     ServerId,
     EngineBacklog & { readonly at: Millis }
   >();
   readonly #contents = new Map<ServerId, KnownContents>();
-  /** Moving average of the time that a request runs, in ms. */
-  #runTime = initialRunTime;
   readonly #schedule: ReportSchedule;
   #cancel: Cancel = () => {};
 
@@ -84,39 +71,6 @@
     return reporter;
   }
 
-  /** Counts a request that was sent to an engine; the returned function ends the count. */
-  trackSent(
-    engine: ServerId,
-    key: ModelAdapterKey,
-    tokens: number,
-  ): () => void {
-    const usage = this.#obtain(engine);
-    usage.requests++;
-    usage.tokens += tokens;
-    const release = countRequest(usage, usage.queued, key);
-    return once(() => {
-      usage.requests--;
-      usage.tokens -= tokens;
-      release();
-    });
-  }
-
-  /** Counts a request that runs on an adapter; the returned function ends the count. */
-  trackRunning(engine: ServerId, key: ModelAdapterKey): () => void {
-    const usage = this.#obtain(engine);
-    const { context } = this.#options;
-    const startedAt = context.now();
-    usage.started.add(key);
-    usage.runningRequests++;
-    const release = countRequest(usage, usage.running, key);
-    return once(() => {
-      usage.runningRequests--;
-      const runTime = context.now() - startedAt;
-      this.#runTime += (runTime - this.#runTime) * runTimeWeight;
-      release();
-    });
-  }
-
   /** Records the requests of the other nodes at an engine. */
   recordBacklog(engine: ServerId, backlog: EngineBacklog): void {
     const at = this.#options.context.now();
@@ -125,26 +79,25 @@
 
   /** Expected delay of a request at an engine by the requests of all nodes, in ms. */
   estimateWait(engine: ServerId, promptTokens: number): Millis {
-    const { context } = this.#options;
-    const own = this.#usage.get(engine);
+    const { context, usage } = this.#options;
+    const own = usage.getBacklog(engine);
     const reported = this.#backlogs.get(engine);
-    const others =
-      reported !== undefined && context.now() < reported.at + backlogLifetime
-        ? reported
-        : undefined;
+    const isRecent =
+      reported !== undefined && context.now() < reported.at + backlogLifetime;
+    const others = isRecent ? reported : emptyBacklog;
     const backlog: EngineBacklog = {
-      requests: (own?.requests ?? 0) + (others?.requests ?? 0),
-      tokens: (own?.tokens ?? 0) + (others?.tokens ?? 0),
-      running: (own?.runningRequests ?? 0) + (others?.running ?? 0),
+      requests: own.requests + others.requests,
+      tokens: own.tokens + others.tokens,
+      running: own.running + others.running,
     };
     const slots = context.directory.servers.get(engine)?.slots ?? 1;
-    const pace = { slots, runTime: this.#runTime };
+    const pace = { slots, runTime: usage.runTime };
     return estimateBacklogWait(backlog, pace, promptTokens);
   }
 
   /** Drops the counts of an engine that is gone. */
   forget(engine: ServerId): void {
-    this.#usage.delete(engine);
+    this.#options.usage.forget(engine);
     this.#backlogs.delete(engine);
     this.#contents.delete(engine);
   }
@@ -153,23 +106,6 @@
     this.#cancel();
   }
 
-  #obtain(engine: ServerId): LocalUsage {
-    let usage = this.#usage.get(engine);
-    if (usage === undefined) {
-      usage = {
-        running: new Map(),
-        queued: new Map(),
-        started: new Set(),
-        requests: 0,
-        tokens: 0,
-        runningRequests: 0,
-        hasUnreportedChanges: false,
-      };
-      this.#usage.set(engine, usage);
-    }
-    return usage;
-  }
-
   #tick(): void {
     const { context } = this.#options;
     this.#cancel = context.dependencies.clock.schedule(checkInterval, () =>
@@ -199,9 +135,8 @@
     machine: MachineName,
     engines: readonly ServerId[],
   ): ReportTarget {
-    const { context, leases } = this.#options;
+    const { context, leases, contacts, usage } = this.#options;
     const { machine: own, region, regions } = context.dependencies.identity;
-    const usages = engines.flatMap((engine) => this.#usage.get(engine) ?? []);
     return {
       machine,
       isInRegion: engines.some((engine) => {
@@ -210,18 +145,15 @@
       }),
       isWatched:
         machine === own || engines.some((engine) => leases.isWatched(engine)),
-      isBusy: usages.some(
-        ({ running, queued }) => running.size > 0 || queued.size > 0,
-      ),
-      hasChanges: usages.some(
-        ({ hasUnreportedChanges }) => hasUnreportedChanges,
-      ),
-      unansweredSince: leases.findUnansweredSince(machine),
+      isBusy: engines.some((engine) => usage.isBusy(engine)),
+      hasChanges: engines.some((engine) => usage.hasChanges(engine)),
+      unansweredSince: contacts.findUnansweredSince(machine),
     };
   }
 
   #report(holder: MachineName, engines: readonly ServerId[]): void {
-    const { context, leases, engineControllers, channel } = this.#options;
+    const { context, leases, contacts, engineControllers, channel } =
+      this.#options;
     const { machine: from } = context.dependencies.identity;
     const usages = engines.map((engine) => this.#takeUsage(engine, holder));
     if (holder === from) {
@@ -231,43 +163,19 @@
     }
     const address = leases.findAddress(holder);
     if (address === undefined) return;
-    leases.recordRequest(holder);
+    contacts.recordRequest(holder);
     channel.send(address, { type: "use", from, engines: usages });
   }
 
   #takeUsage(engine: ServerId, holder: MachineName): EngineUsage {
     const known = this.#contents.get(engine);
     const contentsVersion = known?.from === holder ? known.version : 0;
-    const usage = this.#usage.get(engine);
-    if (usage === undefined) {
-      return {
-        engine,
-        ran: [],
-        queuedAdapters: [],
-        queuedRequests: 0,
-        queuedTokens: 0,
-        runningRequests: 0,
-        contentsVersion,
-      };
-    }
-    const ran = new Set([...usage.running.keys(), ...usage.started]);
-    // Requests that have already ended make another report due, which omits their adapters.
-    usage.hasUnreportedChanges = ran.size > usage.running.size;
-    usage.started.clear();
-    return {
-      engine,
-      ran: [...ran],
-      queuedAdapters: [...usage.queued.keys()],
-      queuedRequests: usage.requests,
-      queuedTokens: usage.tokens,
-      runningRequests: usage.runningRequests,
-      contentsVersion,
-    };
+    return { ...this.#options.usage.take(engine), contentsVersion };
   }
 
   #receive(message: UsageMessage, address: string): void {
-    const { context, leases, engineControllers, channel } = this.#options;
-    leases.recordContact(message.from);
+    const { context, contacts, engineControllers, channel } = this.#options;
+    contacts.recordContact(message.from);
     if (message.type === "load")
       return this.#recordOwnerReports(message.from, message.engines);
     const engines = engineControllers.recordUsage(
@@ -299,27 +207,3 @@
     }
   }
 }
-
-function countRequest(
-  usage: LocalUsage,
-  counts: Map<ModelAdapterKey, number>,
-  key: ModelAdapterKey,
-): () => void {
-  usage.hasUnreportedChanges = true;
-  counts.set(key, (counts.get(key) ?? 0) + 1);
-  return () => {
-    usage.hasUnreportedChanges = true;
-    const left = (counts.get(key) ?? 1) - 1;
-    if (left > 0) counts.set(key, left);
-    else counts.delete(key);
-  };
-}
-
-function once(action: () => void): () => void {
-  let isDone = false;
-  return () => {
-    if (isDone) return;
-    isDone = true;
-    action();
-  };
-}
--- a/tests/gateway/adapter_directory_test.ts
+++ b/tests/gateway/adapter_directory_test.ts
@@ -7,12 +7,12 @@
   findReadyAt,
   forgetEngineAdapters,
   hasRecentReport,
-  rankEngines,
   recordContents,
   recordMissing,
   recordPromise,
   recordRegistration,
 } from "../../src/core/gateway/adapter_directory.ts";
+import { rankEngines } from "../../src/core/gateway/engine_ranking.ts";
 import {
   createServerHealth,
   recordCallResult,
