--- a/tests/gateway/row_fleet.ts
+++ b/tests/gateway/row_fleet.ts
@@ -1,14 +1,7 @@
 import { type Either, Left, Right } from "purify-ts";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
-import { PausableClock } from "../../src/adapters/time/pausable_clock.ts";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
-import {
-  type Cancel,
-  type Clock,
-  type Millis,
-  millis,
-  sleep,
-} from "../../src/core/clock.ts";
+import { type Millis, millis, sleep } from "../../src/core/clock.ts";
 import type {
   RowBatch,
   VersionedRow,
@@ -27,6 +20,7 @@
   type RowTopic,
   rowTopics,
 } from "../../src/ports/rows.ts";
+import { MachineClock } from "./machine_clock.ts";
 
 /** Latency of a call to the table service and of a message between nodes, in ms. */
 const tableLatency = millis(4);
@@ -39,57 +33,6 @@
 
 type Write = VersionedRow & { readonly topic: RowTopic; readonly at: number };
 
-/** Clock of a simulated machine; its monotonic time stands still while it is paused, the wall clock does not. */
-class MachineClock implements Clock {
-  readonly #base: Clock;
-  readonly #pausable: PausableClock;
-  #pausedAt = 0;
-  #pausedTime = 0;
-  #resumedAt = Number.NEGATIVE_INFINITY;
-
-  constructor(base: Clock) {
-    this.#base = base;
-    this.#pausable = PausableClock.create(base);
-  }
-
-  get paused(): boolean {
-    return this.#pausable.paused;
-  }
-
-  now(): Millis {
-    const end = this.paused ? this.#pausedAt : this.#base.now();
-    return millis(end - this.#pausedTime);
-  }
-
-  wallNow(): Millis {
-    return this.#base.wallNow();
-  }
-
-  schedule(delay: Millis, callback: () => void): Cancel {
-    return this.#pausable.schedule(delay, callback);
-  }
-
-  whenRunning(): Promise<void> {
-    return this.#pausable.whenRunning();
-  }
-
-  pause(): void {
-    this.#pausedAt = this.#base.now();
-    this.#pausable.pause();
-  }
-
-  resume(): void {
-    this.#resumedAt = this.now();
-    this.#pausedTime += this.#base.now() - this.#pausedAt;
-    this.#pausable.resume();
-  }
-
-  /** Real time of a local monotonic time; undefined if a pause followed it. */
-  toRealTime(local: number): number | undefined {
-    return local < this.#resumedAt ? undefined : local + this.#pausedTime;
-  }
-}
-
 /** A node of the fleet. */
 export type FleetNode = {
   readonly machine: MachineName;
