--- a/src/core/gateway/engine_controller_models.ts
+++ b/src/core/gateway/engine_controller_models.ts
@@ -26,7 +26,8 @@
 ): void {
   const { ticket, model, requests } = event;
   const readyAt = state.contents.models.get(model);
-  if (readyAt === undefined)
+  const isOffered = state.traits.models.some(({ name }) => name === model);
+  if (readyAt === undefined && isOffered)
     recordUnmetDemand(state.modelDemand, { model, requests }, now);
   updateModelChange(state, now);
   const inMs =
--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/lease_rows.ts
@@ -19,7 +19,7 @@
   readonly rows: readonly Row[];
   /** Version of the table service that the rows reflect. */
   readonly newest: number;
-  /** Local time at which the table service held these rows, or later. */
+  /** Local time at which the table service still held these rows. */
   readonly confirmedAt: Millis;
 };
 
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -111,9 +111,10 @@
     );
     const { adapter, model } = demand;
     if (withModel.length === 0) {
-      if (usable.some((server) => holdsModel(server, model))) return undefined;
-      const { models } = this.#options;
-      request.onModelMissing(await models.request(service, model, usable));
+      if (!usable.some((server) => holdsModel(server, model)))
+        request.onModelMissing(
+          await this.#requestModel(service, model, usable),
+        );
       return undefined;
     }
     const selection =
@@ -134,6 +135,18 @@
     return selection;
   }
 
+  /** Asks for a model that no engine holds; the service may not have it. */
+  async #requestModel(
+    service: ServiceName,
+    model: ModelName,
+    candidates: readonly BackendServer[],
+  ): Promise<ModelOutlook> {
+    const engine = this.#context.configuration?.services.get(service)?.engine;
+    const isOffered = engine?.models.some(({ name }) => name === model);
+    if (isOffered !== true) return { kind: "declined" };
+    return this.#options.models.request(service, model, candidates);
+  }
+
   /** Asks for a further copy of a model whose engines are all overloaded. */
   #requestMoreCopies(
     service: ServiceName,
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -34,7 +34,7 @@
 
 /** Copy of a topic, and how recent it is. */
 export type RowSnapshot = RowBatch & {
-  /** Local time at which the source had no newer version, or later. */
+  /** Local time at which the table service still had no newer version. */
   readonly confirmedAt: Millis;
 };
 
