Count a request once in the demand for a model, however often it asks

A request that waits for a model asks every 60 ms, and each time counted as one more. Terms: answer age, availability, waiting calls in place of figurative ones.

--- a/src/adapters/peers/row_frames.ts
+++ b/src/adapters/peers/row_frames.ts
@@ -13,7 +13,7 @@
   newest: count,
   isComplete: z.boolean(),
   age: duration,
-  silence: duration,
+  answerAge: duration,
   failureAge: duration.optional(),
   rows: z.array(rowFrame),
 });
--- a/src/node/gateway/model_requester.ts
+++ b/src/node/gateway/model_requester.ts
@@ -12,7 +12,7 @@
 ) => Promise<ModelResult>;
 
 /** What the owners of engines replied to requests for a model. */
-export type ModelOutlook =
+export type ModelAvailability =
   | { readonly kind: "coming"; readonly readyAt: Millis }
   /** The engines keep what they hold. */
   | { readonly kind: "declined" }
@@ -28,7 +28,7 @@
   /** Requests since the last call. */
   requests: number;
   askedAt: Millis;
-  outlook: ModelOutlook;
+  availability: ModelAvailability;
   /** Engine that promised the model. */
   engine: ServerId | undefined;
   call: Promise<void> | undefined;
@@ -53,16 +53,16 @@
   }
 
   /**
-   * Counts one request for a model and asks the owners of engines for it;
-   * resolves to the latest outlook.
+   * Adds requests to the demand for a model and asks the owners of engines for
+   * it; resolves to the latest availability.
    */
   async request(
     service: ServiceName,
-    model: ModelName,
+    { model, requests }: { readonly model: ModelName; requests: number },
     candidates: readonly BackendServer[],
-  ): Promise<ModelOutlook> {
+  ): Promise<ModelAvailability> {
     const wanted = this.#obtain(`${service}/${model}`);
-    wanted.requests++;
+    wanted.requests += requests;
     const now = this.#context.now();
     if (wanted.call === undefined && now >= wanted.askedAt + callInterval) {
       wanted.askedAt = now;
@@ -71,7 +71,7 @@
       });
     }
     await wanted.call;
-    return wanted.outlook;
+    return wanted.availability;
   }
 
   #obtain(key: string): WantedModel {
@@ -80,7 +80,7 @@
       wanted = {
         requests: 0,
         askedAt: millis(Number.NEGATIVE_INFINITY),
-        outlook: { kind: "unknown" },
+        availability: { kind: "unknown" },
         engine: undefined,
         call: undefined,
       };
@@ -98,7 +98,7 @@
     const { requests, engine: promisedBy } = wanted;
     wanted.requests = 0;
     wanted.engine = undefined;
-    wanted.outlook = { kind: "unknown" };
+    wanted.availability = { kind: "unknown" };
     const ranked = rankByRendezvous(
       model,
       candidates.map(({ id }) => id),
@@ -110,11 +110,11 @@
     for (const server of owners.slice(0, maxOwners)) {
       const reply = await this.#request(server, { model, requests });
       if (reply.kind !== "ready") {
-        if (reply.reason === "busy") wanted.outlook = { kind: "declined" };
+        if (reply.reason === "busy") wanted.availability = { kind: "declined" };
         continue;
       }
       const readyAt = millis(this.#context.now() + reply.inMs);
-      wanted.outlook = { kind: "coming", readyAt };
+      wanted.availability = { kind: "coming", readyAt };
       wanted.engine = server.id;
       return;
     }
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -164,9 +164,9 @@
       onRefused: (server, reason) => {
         history.lastRefusal = { server, reason };
       },
-      onModelMissing: (outlook) => {
+      onModelMissing: (availability) => {
         history.modelReadyAt =
-          outlook.kind === "coming" ? outlook.readyAt : undefined;
+          availability.kind === "coming" ? availability.readyAt : undefined;
       },
     });
   }
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -23,7 +23,7 @@
  * Time without an answer of the table service from which rows count as
  * outdated, in ms; above the longest sum of wait and spacing of the polls.
  */
-export const maxSilence = 1_800;
+export const maxAnswerAge = 1_800;
 
 /** Called with the rows of a topic that changed. */
 export type RowListener = (update: RowUpdate) => void;
@@ -111,10 +111,10 @@
 
   /** Applies rows that another node delivered in response to a request sent at `sentAt`. */
   accept(delivery: RowDelivery, sentAt: Instant): void {
-    const { topic, age, silence, failureAge, isComplete } = delivery;
+    const { topic, age, answerAge, failureAge, isComplete } = delivery;
     const replica = this.replica(topic);
     const { now } = this.instant();
-    replica.answeredAt = latest(replica.answeredAt, now - silence);
+    replica.answeredAt = latest(replica.answeredAt, now - answerAge);
     if (failureAge !== undefined)
       replica.failedAt = latest(replica.failedAt, now - failureAge);
     // The age was known when the response was sent, which was after the request.
@@ -136,7 +136,7 @@
         topic,
         ...selectRowsAfter(replica, versions[topic]),
         age: computeAge(replica, instant),
-        silence: instant.now - answeredAt,
+        answerAge: instant.now - answeredAt,
         failureAge: Number.isFinite(failedAt)
           ? instant.now - failedAt
           : undefined,
@@ -160,7 +160,7 @@
   findOutdatedAt(): number {
     let earliest = Number.POSITIVE_INFINITY;
     for (const { answeredAt } of this.#replicas.values()) {
-      earliest = Math.min(earliest, answeredAt + maxSilence);
+      earliest = Math.min(earliest, answeredAt + maxAnswerAge);
     }
     return earliest;
   }
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -29,7 +29,7 @@
   type RowTopic,
   rowTopics,
 } from "../../ports/rows.ts";
-import { maxSilence, RowCopies, type RowListener } from "./row_copies.ts";
+import { maxAnswerAge, RowCopies, type RowListener } from "./row_copies.ts";
 import { maxServeWait, RowResponder } from "./row_responder.ts";
 import { type PollSchedule, TopicPoller } from "./topic_poller.ts";
 
@@ -90,7 +90,7 @@
     this.#copies = RowCopies.create({
       clock,
       isUrgent,
-      onUrgentChange: () => this.#responder.announceNews(),
+      onUrgentChange: () => this.#responder.wakeWaitingCalls(),
     });
     this.#responder = RowResponder.create({ clock, copies: this.#copies });
     this.#copies.subscribe("nodes", ({ rows, isComplete }) => {
@@ -281,6 +281,6 @@
   if (deliveries === undefined) return "unreachable";
   const isRecent =
     deliveries.length === rowTopics.length &&
-    deliveries.every(({ silence }) => silence < maxSilence);
+    deliveries.every(({ answerAge }) => answerAge < maxAnswerAge);
   return isRecent ? undefined : "stale";
 }
--- a/src/node/gateway/row_responder.ts
+++ b/src/node/gateway/row_responder.ts
@@ -32,27 +32,27 @@
     const until = clock.now() + Math.min(wait, maxServeWait);
     for (;;) {
       const deliveries = copies.collectDeliveries(versions);
-      const hasNews = deliveries.some(
+      const hasChanges = deliveries.some(
         ({ isComplete, rows }) => isComplete || rows.length > 0,
       );
       const left = Math.min(until, copies.findOutdatedAt()) - clock.now();
       const isFull = this.#waiting.size >= maxWaitingCalls;
-      if (hasNews || left <= 0 || isFull || this.#stopped) return deliveries;
-      await this.#waitForNews(millis(left));
+      if (hasChanges || left <= 0 || isFull || this.#stopped) return deliveries;
+      await this.#waitForChange(millis(left));
     }
   }
 
   /** Wakes the calls that wait for a change. */
-  announceNews(): void {
+  wakeWaitingCalls(): void {
     for (const finish of [...this.#waiting]) finish();
   }
 
   stop(): void {
     this.#stopped = true;
-    this.announceNews();
+    this.wakeWaitingCalls();
   }
 
-  #waitForNews(limit: Millis): Promise<void> {
+  #waitForChange(limit: Millis): Promise<void> {
     return new Promise((resolve) => {
       const finish = () => {
         cancel();
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -24,7 +24,7 @@
 } from "../../core/ids.ts";
 import type { AcquireResult, ModelDemand } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
-import type { ModelOutlook, ModelRequester } from "./model_requester.ts";
+import type { ModelAvailability, ModelRequester } from "./model_requester.ts";
 
 /** Requests an adapter from the owner of an engine. */
 export type AcquireAdapter = (
@@ -98,8 +98,10 @@
       /** Engine that answered the latest attempt that it does not hold the adapter. */
       readonly deniedBy: ServerId | undefined;
       readonly onRefused: RefusalListener;
+      /** The first of the selections that are made until a server is found. */
+      readonly isFirst: boolean;
       /** Called if no engine holds the model. */
-      readonly onModelMissing: (outlook: ModelOutlook) => void;
+      readonly onModelMissing: (availability: ModelAvailability) => void;
     },
   ): Promise<ServerSelection | undefined> {
     const usable = listUsableServers(this.#context.directory, service);
@@ -110,10 +112,11 @@
       holdsModel(server, demand.model),
     );
     const { adapter, model } = demand;
+    const wanted = { model, requests: request.isFirst ? 1 : 0 };
     if (withModel.length === 0) {
       if (!usable.some((server) => holdsModel(server, model)))
         request.onModelMissing(
-          await this.#requestModel(service, model, usable),
+          await this.#requestModel(service, wanted, usable),
         );
       return undefined;
     }
@@ -128,7 +131,7 @@
             },
             request,
           );
-    this.#requestMoreCopies(service, model, {
+    this.#requestMoreCopies(service, wanted, {
       selection,
       others: usable.filter((server) => !holdsModel(server, model)),
     });
@@ -138,19 +141,19 @@
   /** Asks for a model that no engine holds; the service may not have it. */
   async #requestModel(
     service: ServiceName,
-    model: ModelName,
+    wanted: WantedModel,
     candidates: readonly BackendServer[],
-  ): Promise<ModelOutlook> {
+  ): Promise<ModelAvailability> {
     const engine = this.#context.configuration?.services.get(service)?.engine;
-    const isOffered = engine?.models.some(({ name }) => name === model);
+    const isOffered = engine?.models.some(({ name }) => name === wanted.model);
     if (isOffered !== true) return { kind: "declined" };
-    return this.#options.models.request(service, model, candidates);
+    return this.#options.models.request(service, wanted, candidates);
   }
 
   /** Asks for a further copy of a model whose engines are all overloaded. */
   #requestMoreCopies(
     service: ServiceName,
-    model: ModelName,
+    wanted: WantedModel,
     found: {
       readonly selection: ServerSelection | undefined;
       readonly others: readonly BackendServer[];
@@ -160,7 +163,7 @@
     if (others.length === 0 || selection === undefined) return;
     const { estimateWait, models } = this.#options;
     if (estimateWait(selection.server.id, 0) < overloadWait) return;
-    void models.request(service, model, others);
+    void models.request(service, wanted, others);
   }
 
   #selectByCost(
@@ -291,6 +294,9 @@
   readonly isNewLoad: boolean;
 };
 
+/** A model, and the number of requests to add to its demand. */
+type WantedModel = { readonly model: ModelName; readonly requests: number };
+
 type WantedAdapter = {
   readonly key: ModelAdapterKey;
   readonly version: number;
--- a/src/node/gateway/server_wait.ts
+++ b/src/node/gateway/server_wait.ts
@@ -3,7 +3,7 @@
 import type { ServerId, ServiceName } from "../../core/ids.ts";
 import type { ModelDemand } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
-import type { ModelOutlook } from "./model_requester.ts";
+import type { ModelAvailability } from "./model_requester.ts";
 import type {
   RefusalListener,
   ServerSelection,
@@ -33,7 +33,7 @@
   readonly onAdapterWait: (server: BackendServer) => void;
   readonly onRefused: RefusalListener;
   /** Called if no engine holds the model. */
-  readonly onModelMissing: (outlook: ModelOutlook) => void;
+  readonly onModelMissing: (availability: ModelAvailability) => void;
 };
 
 /** Waits until a server can take the request; undefined if none can by `until`. */
@@ -62,16 +62,19 @@
   const { context, selector, service } = options;
   const { demand, tried, deniedBy, onRefused } = options;
   let isInTime = true;
-  const onModelMissing = (outlook: ModelOutlook) => {
+  const onModelMissing = (availability: ModelAvailability) => {
     // A model that takes longer is not waited for, so that the caller can return later.
-    if (outlook.kind !== "unknown") {
-      isInTime = outlook.kind === "coming" && outlook.readyAt <= options.until;
+    if (availability.kind !== "unknown") {
+      isInTime =
+        availability.kind === "coming" && availability.readyAt <= options.until;
     }
-    options.onModelMissing(outlook);
+    options.onModelMissing(availability);
   };
   const request = { demand, tried, deniedBy, onRefused, onModelMissing };
+  let isFirst = true;
   while (!options.hasEnded() && isInTime) {
-    const selection = await selector.select(service, request);
+    const selection = await selector.select(service, { ...request, isFirst });
+    isFirst = false;
     if (selection !== undefined && selection.readyAt <= options.until) {
       return selection;
     }
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -65,7 +65,7 @@
   /** Upper bound of the age of `newest`, in ms. */
   readonly age: number;
   /** Time since the table service last answered, in ms. */
-  readonly silence: number;
+  readonly answerAge: number;
   /** Time since the latest failed read, in ms; undefined if there was none. */
   readonly failureAge: number | undefined;
 };
