Decode the lease rows only when one of them changed

The version of the store rises with every heartbeat of a server, so each node decoded and applied all lease and node rows up to four times a second although none had changed. The rows returned, their version and their age are as before.

--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -174,7 +174,7 @@
     if (read === undefined) return;
     const { newest, confirmedAt } = read;
     if (newest < this.#minVersion || confirmedAt < this.#minConfirmedAt) return;
-    if (newest === this.#applied?.newest) {
+    if (read.rows === this.#applied?.rows) {
       confirmLeaseRead(this.#state, confirmedAt);
       return;
     }
--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/lease_rows.ts
@@ -32,21 +32,37 @@
 /** Decodes a row of the nodes' table; undefined if it is malformed. */
 export type DecodeTableRow = (row: VersionedRow) => Row | undefined;
 
-/** Creates a reader of the lease rows that a follower keeps. */
+type DecodedRows = {
+  readonly count: number;
+  readonly latest: number;
+  readonly rows: readonly Row[];
+};
+
+/**
+ * Creates a reader of the lease rows that a follower keeps. While the rows stay
+ * as they are, it returns the same array, although the version of the table
+ * service rises with every write to other rows.
+ */
 export function createLeaseReader(
   follower: RowFollower,
   decode: DecodeTableRow,
 ): ReadLeaseRows {
-  let decoded: { readonly newest: number; rows: readonly Row[] } | undefined;
+  let decoded: DecodedRows | undefined;
   return async ({ isFresh }) => {
     const snapshot = isFresh
       ? await follower.refresh("nodes")
       : follower.snapshot("nodes");
     if (snapshot === undefined) return undefined;
     const { newest, confirmedAt } = snapshot;
-    if (decoded?.newest !== newest) {
+    // A written row has the highest version, and a removed one is missing.
+    const count = snapshot.rows.length;
+    const latest = snapshot.rows.reduce(
+      (version, row) => Math.max(version, row.rowVersion),
+      0,
+    );
+    if (decoded?.count !== count || decoded.latest !== latest) {
       const rows = snapshot.rows.flatMap((row) => decode(row) ?? []);
-      decoded = { newest, rows };
+      decoded = { count, latest, rows };
     }
     return { rows: decoded.rows, newest, confirmedAt };
   };
