Log where news of a server's entry comes from, its version and its age

The three hypotheses on requests to leaving servers could not be told apart: the log named a server that leaves, but not who passed the entry on, how old it may have been, or that a server whose entry disappeared was kept.

--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -95,6 +95,12 @@
     level: "info",
     meaning: "The entry of a backend server was removed",
   },
+  serverUnlisted: {
+    number: 220,
+    level: "info",
+    meaning:
+      "The entry of a backend server disappeared, possibly only expired; it stays usable for a time",
+  },
   serverSuspended: {
     number: 215,
     level: "warn",
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -69,6 +69,8 @@
   gateway_sends_total: "Attempts at servers, by result",
   gateway_answer_ms: "Time from arrival to the end of the answer, in ms",
   gateway_first_byte_ms: "Time from arrival to the first byte, in ms",
+  gateway_connect_ms:
+    "Time from sending a request until it starts on a connection, in ms",
   gateway_adapter_wait_ms: "Time that requests waited for an adapter, in ms",
   gateway_repeats_denied_total: "Retries refused by the shared retry budget",
   gateway_requests_open: "Requests that this node is serving",
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/installation_tracker.ts
@@ -10,7 +10,7 @@
   type ServerChange,
 } from "../../core/gateway/servers.ts";
 import type { ServerId } from "../../core/ids.ts";
-import type { InstallationChange } from "../../ports/gateway.ts";
+import type { EntryNews, InstallationChange } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
 
 type InstallationTrackerOptions = {
@@ -62,7 +62,7 @@
         return;
       }
       case "server":
-        this.#applyServerChange(change.change);
+        this.#applyServerChange(change.change, change.news);
         return;
       case "complete":
         this.#completedTopics.add(change.topic);
@@ -79,12 +79,17 @@
     }
   }
 
-  #applyServerChange(change: ServerChange): void {
+  #applyServerChange(change: ServerChange, news: EntryNews): void {
     const { context, onServer } = this.#options;
     const { directory, adapterDirectory } = context;
     if (change.type === "absent") {
       applyServerChange(directory, change);
-      if (change.usableUntil === undefined) this.#forgetServer(change.id);
+      if (change.usableUntil === undefined)
+        return this.#forgetServer(change.id, news);
+      const { journal } = context.dependencies;
+      const kept = Math.round(change.usableUntil - context.now());
+      const fields = { server: change.id, kept, ...describeNews(news) };
+      journal.record("serverUnlisted", fields);
       return;
     }
     const { server } = change;
@@ -96,25 +101,37 @@
     applyServerChange(directory, change);
     recordRegistration(adapterDirectory, server, context.now());
     if (known === undefined || known.leaving !== server.leaving) {
-      this.#recordServer(server);
+      this.#recordServer(server, news);
     }
     onServer(server);
   }
 
-  #recordServer(server: BackendServer): void {
+  #recordServer(server: BackendServer, news: EntryNews): void {
     const event = server.leaving ? "serverLeaving" : "serverSeen";
     const { id, service, address, dataCentre } = server;
-    const fields = { server: id, service, address, dataCentre };
-    this.#options.context.dependencies.journal.record(event, fields);
+    const { journal } = this.#options.context.dependencies;
+    journal.record(event, {
+      server: id,
+      service,
+      address,
+      dataCentre,
+      ...describeNews(news),
+    });
   }
 
-  #forgetServer(id: ServerId): void {
+  #forgetServer(id: ServerId, news?: EntryNews): void {
     const { context, onServerGone } = this.#options;
     const { links, journal } = context.dependencies;
     forgetEngineAdapters(context.adapterDirectory, id);
     forgetServer(context.health, id);
     links.disconnect(id);
-    journal.record("serverGone", { server: id });
+    const fields = news === undefined ? {} : describeNews(news);
+    journal.record("serverGone", { server: id, ...fields });
     onServerGone(id);
   }
 }
+
+/** Log fields of a change's version, way and highest age. */
+function describeNews({ rowVersion, source, maxAge }: EntryNews) {
+  return { rowVersion, source: source ?? "store", maxAge: Math.round(maxAge) };
+}
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -10,12 +10,13 @@
   selectRowsAfter,
   type UrgencyPolicy,
 } from "../../core/gateway/row_replica.ts";
+import type { MachineName } from "../../core/ids.ts";
 import {
   type RowDelivery,
+  type RowNews,
   type RowRequest,
   type RowSnapshot,
   type RowTopic,
-  type RowUpdate,
   rowTopics,
 } from "../../ports/rows.ts";
 
@@ -26,7 +27,7 @@
 export const maxAnswerAge = 1_800;
 
 /** Called with the rows of a topic that changed. */
-export type RowListener = (update: RowUpdate) => void;
+export type RowListener = (news: RowNews) => void;
 
 type RowCopiesOptions = {
   readonly clock: Clock;
@@ -91,9 +92,15 @@
   apply(
     topic: RowTopic,
     batch: RowBatch,
-    read: { readonly isComplete: boolean; readonly confirmedAt: Instant },
+    read: {
+      readonly isComplete: boolean;
+      readonly confirmedAt: Instant;
+      /** Node that delivered the rows; omitted if this node read them. */
+      readonly source?: MachineName;
+    },
   ): boolean {
     const { clock, isUrgent, onUrgentChange } = this.#options;
+    const maxAge = computeAge(this.replica(topic), this.instant());
     const applied = applyRows(this.replica(topic), batch, {
       ...read,
       now: clock.now(),
@@ -101,16 +108,19 @@
     });
     if (applied === undefined) return false;
     const { rows, newest } = batch;
-    const { isComplete } = read;
+    const { isComplete, source } = read;
     for (const listener of this.#listeners.get(topic) ?? []) {
-      listener({ rows, newest, isComplete });
+      listener({ rows, newest, isComplete, source, maxAge });
     }
     if (applied.hasUrgent) onUrgentChange();
     return true;
   }
 
   /** Applies rows that another node delivered in response to a request sent at `sentAt`. */
-  accept(delivery: RowDelivery, sentAt: Instant): void {
+  accept(
+    delivery: RowDelivery,
+    { source, sentAt }: { source: MachineName; sentAt: Instant },
+  ): void {
     const { topic, age, answerAge, failureAge, isComplete } = delivery;
     const replica = this.replica(topic);
     const { now } = this.instant();
@@ -122,7 +132,7 @@
       now: millis(sentAt.now - age),
       wall: millis(sentAt.wall - age),
     };
-    this.apply(topic, delivery, { isComplete, confirmedAt });
+    this.apply(topic, delivery, { isComplete, confirmedAt, source });
   }
 
   /** Rows for a node that has these versions. */
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -246,7 +246,7 @@
       return;
     }
     for (const delivery of deliveries ?? [])
-      this.#copies.accept(delivery, sentAt);
+      this.#copies.accept(delivery, { source: reader, sentAt });
     if (this.#reader !== reader)
       journal.record("rowReaderChosen", { machine: reader });
     this.#reader = reader;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -150,11 +150,25 @@
   readonly version: number;
 };
 
+/** Where a change of a server's entry comes from, and how old it may be. */
+export type EntryNews = {
+  /** Version of the entry, or of the store when the entry was found missing. */
+  readonly rowVersion: number;
+  /** Node that passed the entry on; undefined if this node read it itself. */
+  readonly source: MachineName | undefined;
+  /** Upper bound of the time since the entry was written, in ms. */
+  readonly maxAge: number;
+};
+
 /** A change to the operator's configuration or to the registered servers. */
 export type InstallationChange =
   | { readonly type: "configuration"; readonly value: GatewayConfiguration }
   | { readonly type: "adapter-version"; readonly value: AdapterVersion }
-  | { readonly type: "server"; readonly change: ServerChange }
+  | {
+      readonly type: "server";
+      readonly change: ServerChange;
+      readonly news: EntryNews;
+    }
   /** All changes of a full read have been delivered. */
   | { readonly type: "complete"; readonly topic: "operator" | "servers" };
 
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -1,6 +1,7 @@
 import type { Either } from "purify-ts";
 import type { Millis } from "../core/clock.ts";
 import type { RowBatch } from "../core/gateway/row_replica.ts";
+import type { MachineName } from "../core/ids.ts";
 
 /** A group of rows that every node follows. */
 export type RowTopic = "operator" | "servers" | "nodes";
@@ -32,6 +33,14 @@
   readonly isComplete: boolean;
 };
 
+/** A change of a copy, and what is known of its way to this node. */
+export type RowNews = RowUpdate & {
+  /** Node that passed the rows on; undefined if this node read them itself. */
+  readonly source: MachineName | undefined;
+  /** Upper bound of the time since the rows were written, in ms. */
+  readonly maxAge: number;
+};
+
 /** Copy of a topic, and how recent it is. */
 export type RowSnapshot = RowBatch & {
   /** Local time at which the table service still had no newer version. */
@@ -41,7 +50,7 @@
 /** Keeps copies of all topics up to date. */
 export type RowFollower = {
   /** Calls the listener with the changes of a topic, from now on. */
-  subscribe(topic: RowTopic, listener: (update: RowUpdate) => void): void;
+  subscribe(topic: RowTopic, listener: (news: RowNews) => void): void;
   /** The current copy; undefined before the first complete read. */
   snapshot(topic: RowTopic): RowSnapshot | undefined;
   /** Reads a topic from the table service; returns the copy after that. */
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -28,6 +28,7 @@
   CallerSink,
   EngineOrders,
   EngineStatus,
+  EntryNews,
   InstallationChange,
   ProxiedRequest,
   ServerLinks,
@@ -45,6 +46,13 @@
 const minReadVersion = 1_000_000;
 const region: Region = brandString("tatry");
 
+/** News of an entry that the node has just read from the store. */
+export const entryNews: EntryNews = {
+  rowVersion: 1,
+  source: undefined,
+  maxAge: 0,
+};
+
 export function createRoute(fields: Partial<GatewayRoute>): GatewayRoute {
   return {
     name: "route",
@@ -267,7 +275,11 @@
 
   register(...servers: BackendServer[]): void {
     for (const server of servers) {
-      this.publish({ type: "server", change: { type: "present", server } });
+      this.publish({
+        type: "server",
+        change: { type: "present", server },
+        news: entryNews,
+      });
     }
     this.publish({ type: "complete", topic: "servers" });
   }
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -12,6 +12,7 @@
   createRoute,
   createServer,
   engines,
+  entryNews,
   GatewayFixture,
 } from "./gateway_fixture.ts";
 import { model } from "./simulated_engine.ts";
@@ -175,6 +176,7 @@
     fixture.publish({
       type: "server",
       change: { type: "absent", id: brandString(id), usableUntil },
+      news: entryNews,
     });
   }
   fixture.open();
