Take a missing entry for expired only after an outage that can expire it

What callers saw: requests were sent to backend servers that had left, for up to 4.5 s after other nodes had learned of it; the bound is 2.5 s from the store's acknowledgement.

Cause: after any failed call of its reader in the last 3 s, a node kept each server whose entry disappeared for another 2 s, since the entry might only have expired. One node's failed call says nothing about the store, and a server that leaves without notice looks just so. The failure was passed on to the followers of the reader, so that nodes kept such servers that had no trouble themselves.

The new test of the feed fails on: after a second of failed calls the server that leaves is kept.

Now an outage is a time without any answer of the store, to this node or to those it hears from, in which a registration can expire: two heartbeats. Servers are kept up to 3 s from the end of the outage and not from the news. The decision moves from platform/ into the directory of servers.

The former test of the feed played an outage of 1.4 s, in which no registration can expire; it is replaced by one of 2.6 s, with its counterpart of 1 s.

--- a/src/adapters/peers/row_frames.ts
+++ b/src/adapters/peers/row_frames.ts
@@ -14,7 +14,6 @@
   isComplete: z.boolean(),
   age: duration,
   answerAge: duration,
-  failureAge: duration.optional(),
   rows: z.array(rowFrame),
 });
 
@@ -36,7 +35,6 @@
 export function decodeDelivery(frame: DeliveryFrame): RowDelivery {
   return {
     ...frame,
-    failureAge: frame.failureAge,
     rows: frame.rows.map(([key, rowVersion, value]) => ({
       key,
       rowVersion,
--- a/src/core/gateway/row_replica.ts
+++ b/src/core/gateway/row_replica.ts
@@ -42,7 +42,6 @@
   confirmedAt: Instant;
   /** Time of the latest answer of the table service. */
   answeredAt: Millis;
-  failedAt: Millis;
 };
 
 /** Time for which a removed row is kept for followers, in ms. */
@@ -60,7 +59,6 @@
     completeUpTo: 0,
     confirmedAt: { now: never, wall: never },
     answeredAt: never,
-    failedAt: never,
   };
 }
 
--- a/src/core/gateway/servers.ts
+++ b/src/core/gateway/servers.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "../clock.ts";
+import { type Millis, millis } from "../clock.ts";
 import type {
   AdapterName,
   DataCentre,
@@ -54,24 +54,40 @@
   | {
       readonly type: "absent";
       readonly id: ServerId;
-      /** Time until which the server stays usable; undefined removes it at once. */
-      readonly usableUntil: Millis | undefined;
+      /** End of the latest outage in which registrations can have expired. */
+      readonly outageEndedAt: Millis;
     };
 
-/** Applies one change. */
+/**
+ * Time after an outage, in ms, within which servers whose registrations
+ * expired in it have registered again and the node has read that.
+ */
+const reregistrationTime = 3_000;
+
+/**
+ * Applies a new or changed registration; `now` decides whether one that
+ * disappeared can have expired in an outage. Returns the time until which such
+ * a server stays usable.
+ */
 export function applyServerChange(
   directory: ServerDirectory,
   change: ServerChange,
-): void {
+  now: Millis,
+): Millis | undefined {
   if (change.type === "present") {
     directory.expiring.delete(change.server.id);
     directory.servers.set(change.server.id, change.server);
-  } else if (change.usableUntil === undefined) {
+    return undefined;
+  }
+  const usableUntil = millis(change.outageEndedAt + reregistrationTime);
+  const known = directory.servers.get(change.id);
+  if (known === undefined || known.leaving || now >= usableUntil) {
     directory.expiring.delete(change.id);
     directory.servers.delete(change.id);
-  } else if (directory.servers.has(change.id)) {
-    directory.expiring.set(change.id, change.usableUntil);
+    return undefined;
   }
+  directory.expiring.set(change.id, usableUntil);
+  return usableUntil;
 }
 
 /** Removes servers whose registration did not return in time; returns their ids. */
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/installation_tracker.ts
@@ -83,11 +83,10 @@
     const { context, onServer } = this.#options;
     const { directory, adapterDirectory } = context;
     if (change.type === "absent") {
-      applyServerChange(directory, change);
-      if (change.usableUntil === undefined)
-        return this.#forgetServer(change.id, news);
+      const usableUntil = applyServerChange(directory, change, context.now());
+      if (usableUntil === undefined) return this.#forgetServer(change.id, news);
       const { journal } = context.dependencies;
-      const kept = Math.round(change.usableUntil - context.now());
+      const kept = Math.round(usableUntil - context.now());
       const fields = { server: change.id, kept, ...describeNews(news) };
       journal.record("serverUnlisted", fields);
       return;
@@ -98,7 +97,7 @@
       forgetEngineAdapters(adapterDirectory, server.id);
       forgetServer(context.health, server.id);
     }
-    applyServerChange(directory, change);
+    applyServerChange(directory, change, context.now());
     recordRegistration(adapterDirectory, server, context.now());
     if (known === undefined || known.leaving !== server.leaving) {
       this.#recordServer(server, news);
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -1,4 +1,9 @@
 import { type Clock, type Millis, millis } from "../../core/clock.ts";
+import {
+  createOutageWatch,
+  type OutageWatch,
+  recordTableAnswer,
+} from "../../core/gateway/outage_watch.ts";
 import {
   applyRows,
   computeAge,
@@ -31,6 +36,8 @@
 
 type RowCopiesOptions = {
   readonly clock: Clock;
+  /** Shortest outage in which registrations can expire. */
+  readonly minOutage: Millis;
   readonly isUrgent: (topic: RowTopic) => UrgencyPolicy;
   /** Called when followers need a change at once. */
   readonly onUrgentChange: () => void;
@@ -41,9 +48,11 @@
   readonly #options: RowCopiesOptions;
   readonly #replicas = new Map<RowTopic, RowReplica>();
   readonly #listeners = new Map<RowTopic, RowListener[]>();
+  readonly #outages: OutageWatch;
 
   private constructor(options: RowCopiesOptions) {
     this.#options = options;
+    this.#outages = createOutageWatch(options.minOutage);
     for (const topic of rowTopics) {
       this.#replicas.set(topic, createRowReplica());
       this.#listeners.set(topic, []);
@@ -121,12 +130,9 @@
     delivery: RowDelivery,
     { source, sentAt }: { source: MachineName; sentAt: Instant },
   ): void {
-    const { topic, age, answerAge, failureAge, isComplete } = delivery;
-    const replica = this.replica(topic);
+    const { topic, age, answerAge, isComplete } = delivery;
     const { now } = this.instant();
-    replica.answeredAt = latest(replica.answeredAt, now - answerAge);
-    if (failureAge !== undefined)
-      replica.failedAt = latest(replica.failedAt, now - failureAge);
+    this.recordAnswer(topic, millis(now - answerAge));
     // The age was known when the response was sent, which was after the request.
     const confirmedAt = {
       now: millis(sentAt.now - age),
@@ -141,29 +147,26 @@
     const instant = this.instant();
     for (const [topic, replica] of this.#replicas) {
       if (replica.newest === 0) continue;
-      const { answeredAt, failedAt } = replica;
       deliveries.push({
         topic,
         ...selectRowsAfter(replica, versions[topic]),
         age: computeAge(replica, instant),
-        answerAge: instant.now - answeredAt,
-        failureAge: Number.isFinite(failedAt)
-          ? instant.now - failedAt
-          : undefined,
+        answerAge: instant.now - replica.answeredAt,
       });
     }
     return deliveries;
   }
 
-  /** Records an answer of the table service. */
-  recordAnswer(topic: RowTopic): void {
-    this.replica(topic).answeredAt = this.#options.clock.now();
+  /** Records an answer of the table service to this node or to another. */
+  recordAnswer(topic: RowTopic, at: Millis): void {
+    const replica = this.replica(topic);
+    replica.answeredAt = millis(Math.max(replica.answeredAt, at));
+    recordTableAnswer(this.#outages, at);
   }
 
-  /** Records a failed call to the table service. */
-  recordFailure(): void {
-    const now = this.#options.clock.now();
-    for (const replica of this.#replicas.values()) replica.failedAt = now;
+  /** End of the latest outage in which registrations can have expired. */
+  get outageEndedAt(): Millis {
+    return this.#outages.endedAt;
   }
 
   /** Time at which the rows of some topic become outdated. */
@@ -175,7 +178,3 @@
     return earliest;
   }
 }
-
-function latest(known: Millis, time: number): Millis {
-  return millis(Math.max(known, time));
-}
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -52,6 +52,8 @@
 export type RowRelayOptions = {
   readonly machine: MachineName;
   readonly dataCentre: DataCentre;
+  /** Shortest outage of the table service in which registrations can expire. */
+  readonly minOutage: Millis;
   readonly clock: Clock;
   readonly random: () => number;
   readonly journal: Journal;
@@ -89,6 +91,7 @@
     const { clock, isUrgent } = options;
     this.#copies = RowCopies.create({
       clock,
+      minOutage: options.minOutage,
       isUrgent,
       onUrgentChange: () => this.#responder.wakeWaitingCalls(),
     });
@@ -126,8 +129,8 @@
     return this.snapshot(topic);
   }
 
-  failedAt(topic: RowTopic): Millis {
-    return this.#copies.replica(topic).failedAt;
+  get outageEndedAt(): Millis {
+    return this.#copies.outageEndedAt;
   }
 
   serve(request: RowRequest): Promise<RowDelivery[]> {
@@ -162,7 +165,7 @@
   }
 
   #recordAnswer(topic: RowTopic): void {
-    this.#copies.recordAnswer(topic);
+    this.#copies.recordAnswer(topic, this.#options.clock.now());
     if (this.#failures === 0) return;
     this.#failures = 0;
     this.#options.journal.record("storeRegained", { table: topic });
@@ -170,7 +173,6 @@
   }
 
   #recordFailure(topic: RowTopic, { detail }: RowFailure): void {
-    this.#copies.recordFailure();
     if (this.#failures === 0)
       this.#options.journal.record("storeLost", { table: topic, detail });
     this.#failures++;
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -55,8 +55,8 @@
   snapshot(topic: RowTopic): RowSnapshot | undefined;
   /** Reads a topic from the table service; returns the copy after that. */
   refresh(topic: RowTopic): Promise<RowSnapshot | undefined>;
-  /** Time of the latest failed read of a topic. */
-  failedAt(topic: RowTopic): Millis;
+  /** End of the latest outage in which registrations can have expired; negative infinity if there was none. */
+  readonly outageEndedAt: Millis;
   stop(): void;
 };
 
@@ -75,8 +75,6 @@
   readonly age: number;
   /** Time since the table service last answered, in ms. */
   readonly answerAge: number;
-  /** Time since the latest failed read, in ms; undefined if there was none. */
-  readonly failureAge: number | undefined;
 };
 
 /** Serves copies of rows to other nodes. */
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -171,24 +171,38 @@
 
 test("a server whose entry expires in an outage stays usable for a grace period", async () => {
   const fixture = await createBookingFixture();
-  const usableUntil = millis(fixture.clock.now() + 2_000);
+  const outageEndedAt = fixture.clock.now();
   for (const id of ["s1", "s2"]) {
     fixture.publish({
       type: "server",
-      change: { type: "absent", id: brandString(id), usableUntil },
+      change: { type: "absent", id: brandString(id), outageEndedAt },
       news: entryNews,
     });
   }
   fixture.open();
   await fixture.advance(1);
   assert.equal(fixture.attempts.length, 1);
-  await fixture.advance(2_500);
+  await fixture.advance(3_100);
   const { answer } = fixture.open();
   await fixture.advance(1_000);
   assert.equal(fixture.attempts.length, 1);
   assert.equal(answer.refusal?.outcome, "not-run");
 });
 
+// The entry of a server that leaves without notice looks like an expired one.
+test("a server whose entry disappears without an outage gets no request", async () => {
+  const fixture = await createBookingFixture();
+  const outageEndedAt = millis(fixture.clock.now() - 3_000);
+  fixture.publish({
+    type: "server",
+    change: { type: "absent", id: brandString("s1"), outageEndedAt },
+    news: entryNews,
+  });
+  for (let i = 0; i < 5; i++) fixture.open();
+  await fixture.advance(1);
+  for (const attempt of fixture.attempts) assert.equal(attempt.server, "s2");
+});
+
 test("a stream goes to an engine that holds its adapter", async () => {
   const fixture = await createEngineFixture();
   const { answer } = fixture.open({ demand: createDemand("a1") });
--- a/tests/gateway/lease_rows_test.ts
+++ b/tests/gateway/lease_rows_test.ts
@@ -19,7 +19,7 @@
     subscribe() {},
     snapshot: () => snapshot,
     refresh: async () => snapshot,
-    failedAt: () => millis(0),
+    outageEndedAt: millis(0),
     stop() {},
   };
   const read = createLeaseReader(follower, ({ key, rowVersion }) => {
--- a/tests/gateway/row_fleet.ts
+++ b/tests/gateway/row_fleet.ts
@@ -101,6 +101,7 @@
     const relay = RowRelay.create({
       machine,
       dataCentre,
+      minOutage: millis(2_400),
       clock,
       random: this.#random,
       journal: silentJournal,
--- a/tests/platform_adapter/installation_feed_test.ts
+++ b/tests/platform_adapter/installation_feed_test.ts
@@ -7,6 +7,7 @@
   createStoreRows,
 } from "../../platform/store_rows.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
 import { RowRelay } from "../../src/node/gateway/row_relay.ts";
 import type { InstallationChange } from "../../src/ports/gateway.ts";
@@ -28,6 +29,7 @@
   const rows = RowRelay.create({
     machine: brandString("n1"),
     dataCentre: brandString("tatry-a"),
+    minOutage: millis(2_400),
     clock,
     random: () => 0.5,
     journal: silentJournal,
@@ -36,7 +38,7 @@
     isUrgent: chooseUrgencyPolicy,
     decodeNodes: () => [],
   });
-  const feed = StoreFeed.create({ rows, clock, journal: silentJournal });
+  const feed = StoreFeed.create({ rows, journal: silentJournal });
   const changes: Change[] = [];
   feed.follow((change) => changes.push(change));
   async function waitForChange(
@@ -84,7 +86,7 @@
   store.drop("servers", "i-1");
   const gone = await waitForChange(isAbsent);
   assert.ok(gone.type === "server" && gone.change.type === "absent");
-  assert.equal(gone.change.usableUntil, undefined);
+  assert.equal(gone.change.outageEndedAt, Number.NEGATIVE_INFINITY);
   stop();
 });
 
@@ -132,17 +134,31 @@
   stop();
 });
 
-test("a server that disappears during a store outage stays usable for a time, as its entry may have expired", async () => {
+/** Fails all calls for a time, drops a server's entry and returns the news of it. */
+async function dropServerAfterFailure(failureTime: number) {
   const { store, waitForChange, stop } = await follow((store) => {
     store.put("servers", "i-1", registration);
   });
   await waitForChange(isComplete);
   store.failWith = 503;
-  await new Promise((resolve) => setTimeout(resolve, 1_400));
+  await new Promise((resolve) => setTimeout(resolve, failureTime));
   store.drop("servers", "i-1");
   store.failWith = undefined;
+  const failedUntil = RealClock.create().now();
   const gone = await waitForChange(isAbsent);
-  assert.ok(gone.type === "server" && gone.change.type === "absent");
-  assert.notEqual(gone.change.usableUntil, undefined);
   stop();
+  assert.ok(gone.type === "server" && gone.change.type === "absent");
+  return { outageEndedAt: gone.change.outageEndedAt, failedUntil };
+}
+
+test("a server that disappears in a store outage may only have expired", async () => {
+  const { outageEndedAt, failedUntil } = await dropServerAfterFailure(2_600);
+  assert.ok(outageEndedAt >= failedUntil);
+});
+
+// A server that leaves without notice got requests for seconds after a call of
+// one node had failed.
+test("a server that disappears after calls failed for a moment has left", async () => {
+  const { outageEndedAt } = await dropServerAfterFailure(1_000);
+  assert.equal(outageEndedAt, Number.NEGATIVE_INFINITY);
 });
