Fetch rows from other nodes while the store does not answer this one

Cause: a node that the platform's store turned away or did not answer knew nothing until the store answered it again, up to 7.8 s, since the first reader of a data centre asks nobody and its followers may be turned away with it. To the users' rules such a node is in touch: the store itself is not disrupted. After the trouble, retries were up to 2.4 s apart.

Now a node whose rows are outdated searches for another node with recent rows, in its own data centre first and then in the others. Rows are outdated 1.8 s after the last answer for their topic, or 1.4 s after the last one at all. Followers notice a silent reader after 0.9 s instead of 1.4 s.

--- a/src/core/gateway/reader_choice.ts
+++ b/src/core/gateway/reader_choice.ts
@@ -5,6 +5,12 @@
 /** Why a node is not read from for a time. */
 export type ReaderFault = "unreachable" | "stale";
 
+/** A node that may read for others. */
+export type ReaderNode = {
+  readonly machine: MachineName;
+  readonly dataCentre: DataCentre;
+};
+
 type Suspicion = { readonly until: Millis; readonly failures: number };
 
 /**
@@ -17,6 +23,8 @@
   readonly suspicions: Map<MachineName, Suspicion>;
   /** Nodes of the data centre that precede this one, first reader first. */
   candidates: readonly MachineName[];
+  /** All other nodes, in the order in which this one asks them without any reader. */
+  others: readonly MachineName[];
 };
 
 /** Number of nodes that one node tries before it reads for itself. */
@@ -33,29 +41,61 @@
   readonly dataCentre: DataCentre;
 }): ReaderChoice {
   const { machine, dataCentre } = identity;
-  return { machine, dataCentre, suspicions: new Map(), candidates: [] };
+  return {
+    machine,
+    dataCentre,
+    suspicions: new Map(),
+    candidates: [],
+    others: [],
+  };
 }
 
 /**
- * Sets the nodes of the data centre. All nodes rank them alike, and a node asks
- * only those before it, so that no two nodes wait for each other.
+ * Sets the known nodes. All nodes rank those of a data centre alike, and a node
+ * waits only for those before it, so that no two nodes wait for each other.
  */
 export function setReaderCandidates(
   choice: ReaderChoice,
-  machines: Iterable<MachineName>,
+  nodes: readonly ReaderNode[],
 ): void {
-  const names = new Set(machines);
+  const names = listMachines(nodes, choice.dataCentre);
   names.add(choice.machine);
   const ranked = rankByRendezvous(`reader/${choice.dataCentre}`, names);
   choice.candidates = ranked.slice(
     0,
     Math.min(maxCandidates, ranked.indexOf(choice.machine)),
   );
+  choice.others = rankOthers(choice, nodes, ranked);
   for (const machine of choice.suspicions.keys()) {
     if (!names.has(machine)) choice.suspicions.delete(machine);
   }
 }
 
+function listMachines(
+  nodes: readonly ReaderNode[],
+  dataCentre: DataCentre,
+): Set<MachineName> {
+  const local = nodes.filter((node) => node.dataCentre === dataCentre);
+  return new Set(local.map(({ machine }) => machine));
+}
+
+/** The nodes of the own data centre, then those of the others in turn, since a data centre may be turned away as a whole. */
+function rankOthers(
+  choice: ReaderChoice,
+  nodes: readonly ReaderNode[],
+  local: readonly MachineName[],
+): MachineName[] {
+  const remote = nodes.filter(
+    ({ dataCentre }) => dataCentre !== choice.dataCentre,
+  );
+  const names = remote.map(({ machine }) => machine);
+  const seed = `fallback/${choice.machine}`;
+  return [
+    ...local.filter((machine) => machine !== choice.machine),
+    ...rankByRendezvous(seed, new Set(names)),
+  ];
+}
+
 /** The node to read from; undefined if this node reads the table service itself. */
 export function chooseReader(
   choice: ReaderChoice,
--- a/src/core/observe/events.ts
+++ b/src/core/observe/events.ts
@@ -286,6 +286,12 @@
     level: "info",
     meaning: "The node reads the store's rows from another node",
   },
+  rowsBorrowed: {
+    number: 515,
+    level: "info",
+    meaning:
+      "The store does not answer this node; another node passes its rows on",
+  },
   rowReaderLost: {
     number: 513,
     level: "warn",
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -27,9 +27,20 @@
 
 /**
  * Time without an answer of the table service from which rows count as
- * outdated, in ms; above the longest sum of wait and spacing of the polls.
+ * outdated, in ms: without one for their topic, and without one for any topic.
+ * Both are above the longest time between two answers to the polls.
  */
-export const maxAnswerAge = 1_800;
+const maxAnswerAge = 1_800;
+const maxSilence = 1_400;
+
+/** Whether answers with these ages in ms, one for each topic, are recent enough to rely on the rows. */
+export function areRecent(answerAges: readonly number[]): boolean {
+  return (
+    answerAges.length === rowTopics.length &&
+    Math.max(...answerAges) < maxAnswerAge &&
+    Math.min(...answerAges) < maxSilence
+  );
+}
 
 /** Called with the rows of a topic that changed. */
 export type RowListener = (news: RowNews) => void;
@@ -169,12 +180,14 @@
     return this.#outages.endedAt;
   }
 
-  /** Time at which the rows of some topic become outdated. */
+  /** Time at which the rows become outdated. */
   findOutdatedAt(): number {
-    let earliest = Number.POSITIVE_INFINITY;
-    for (const { answeredAt } of this.#replicas.values()) {
-      earliest = Math.min(earliest, answeredAt + maxAnswerAge);
-    }
-    return earliest;
+    const times = [...this.#replicas.values()].map(
+      ({ answeredAt }) => answeredAt,
+    );
+    return Math.min(
+      Math.min(...times) + maxAnswerAge,
+      Math.max(...times) + maxSilence,
+    );
   }
 }
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -29,8 +29,9 @@
   type RowTopic,
   rowTopics,
 } from "../../ports/rows.ts";
-import { maxAnswerAge, RowCopies, type RowListener } from "./row_copies.ts";
+import { areRecent, RowCopies, type RowListener } from "./row_copies.ts";
 import { maxServeWait, RowResponder } from "./row_responder.ts";
+import { RowSearch } from "./row_search.ts";
 import { type PollSchedule, TopicPoller } from "./topic_poller.ts";
 
 const schedules: { readonly [topic in RowTopic]: PollSchedule } = {
@@ -42,11 +43,11 @@
 const minRetryDelay = 300;
 const maxRetryDelay = 2_400;
 /** Time beyond the wait for a change in which the response of a node must arrive, in ms. */
-const peerResponseTime = 400;
+const peerResponseTime = 300;
 /** Minimum time between two calls to the same node, so that changes arrive in batches, in ms. */
 const peerSpacing = 100;
 /** Interval at which a node that reads for itself looks for a node to read from, in ms. */
-const reviewInterval = millis(500);
+const reviewInterval = 500;
 
 /** Dependencies of a row relay. */
 export type RowRelayOptions = {
@@ -74,6 +75,7 @@
   readonly #choice: ReaderChoice;
   readonly #copies: RowCopies;
   readonly #responder: RowResponder;
+  readonly #search: RowSearch;
   readonly #pollers = new Map<RowTopic, TopicPoller>();
   #addresses = new Map<MachineName, string>();
   /** The reader of the latest call, if it answered. */
@@ -96,6 +98,12 @@
       onUrgentChange: () => this.#responder.wakeWaitingCalls(),
     });
     this.#responder = RowResponder.create({ clock, copies: this.#copies });
+    this.#search = RowSearch.create({
+      clock,
+      journal: options.journal,
+      listNodes: () => this.#choice.others,
+      fetchRows: (machine) => this.#fetchRows(machine, 0),
+    });
     this.#copies.subscribe("nodes", ({ rows, isComplete }) => {
       if (rows.length > 0 || isComplete) this.#updateNodes();
     });
@@ -191,18 +199,23 @@
     this.#addresses = new Map(
       nodes.map(({ machine, address }) => [machine, address]),
     );
-    const { dataCentre } = this.#options;
-    const local = nodes.filter((node) => node.dataCentre === dataCentre);
-    setReaderCandidates(
-      this.#choice,
-      local.map(({ machine }) => machine),
-    );
+    setReaderCandidates(this.#choice, nodes);
     this.#review();
   }
 
+  #findSearchStart(): number {
+    return this.#search.findStart(this.#copies.findOutdatedAt());
+  }
+
+  /** Waits until there may be a reader, or the own rows are outdated. */
   #waitForReview(): Promise<void> {
+    const { clock } = this.#options;
+    const limit = Math.min(
+      reviewInterval,
+      this.#findSearchStart() - clock.now(),
+    );
     return new Promise((resolve) => {
-      const cancel = this.#options.clock.schedule(reviewInterval, resolve);
+      const cancel = clock.schedule(millis(Math.max(0, limit)), resolve);
       this.#review = () => {
         cancel();
         resolve();
@@ -219,6 +232,7 @@
       if (reader === undefined) {
         this.#reader = undefined;
         await this.#waitForReview();
+        if (clock.now() >= this.#findSearchStart()) await this.#search.run();
         continue;
       }
       const startedAt = clock.now();
@@ -228,18 +242,32 @@
     }
   }
 
-  async #readFrom(reader: MachineName): Promise<void> {
-    const { peers, journal } = this.#options;
+  /** Fetches the rows that a node has and this one lacks; returns why they were not used. */
+  async #fetchRows(
+    machine: MachineName,
+    wait: number,
+  ): Promise<ReaderFault | undefined> {
     const sentAt = this.#copies.instant();
-    // The first call does not wait, so that an unresponsive node is noticed soon.
-    const wait = this.#reader === reader ? maxServeWait : 0;
-    const deliveries = await peers.followRows(
-      this.#addresses.get(reader) ?? "",
+    const deliveries = await this.#options.peers.followRows(
+      this.#addresses.get(machine) ?? "",
       { versions: this.#copies.listVersions(), wait },
       millis(wait + peerResponseTime),
     );
+    if (deliveries === undefined) return "unreachable";
+    if (!areRecent(deliveries.map(({ answerAge }) => answerAge)))
+      return "stale";
+    if (this.#stopped) return undefined;
+    for (const delivery of deliveries)
+      this.#copies.accept(delivery, { source: machine, sentAt });
+    return undefined;
+  }
+
+  async #readFrom(reader: MachineName): Promise<void> {
+    const { journal } = this.#options;
+    // The first call does not wait, so that an unresponsive node is noticed soon.
+    const wait = this.#reader === reader ? maxServeWait : 0;
+    const fault = await this.#fetchRows(reader, wait);
     if (this.#stopped) return;
-    const fault = findFault(deliveries);
     if (fault !== undefined) {
       if (this.#reader === reader)
         journal.record("rowReaderLost", { machine: reader, detail: fault });
@@ -247,8 +275,6 @@
       this.#recordFault(reader, fault);
       return;
     }
-    for (const delivery of deliveries ?? [])
-      this.#copies.accept(delivery, { source: reader, sentAt });
     if (this.#reader !== reader)
       journal.record("rowReaderChosen", { machine: reader });
     this.#reader = reader;
@@ -275,14 +301,3 @@
     for (const poller of this.#pollers.values()) poller.wake();
   }
 }
-
-/** What keeps the response of a reader from being used; undefined if it is complete and recent. */
-function findFault(
-  deliveries: readonly RowDelivery[] | undefined,
-): ReaderFault | undefined {
-  if (deliveries === undefined) return "unreachable";
-  const isRecent =
-    deliveries.length === rowTopics.length &&
-    deliveries.every(({ answerAge }) => answerAge < maxAnswerAge);
-  return isRecent ? undefined : "stale";
-}
--- a/src/node/gateway/row_responder.ts
+++ b/src/node/gateway/row_responder.ts
@@ -3,7 +3,7 @@
 import type { RowCopies } from "./row_copies.ts";
 
 /** Maximum time that a node holds the call of another until a row changes, in ms. */
-export const maxServeWait = 1_000;
+export const maxServeWait = 600;
 /** Maximum number of calls of other nodes that are held at a time. */
 const maxWaitingCalls = 256;
 
