Look again whether a server still accepts requests before each send

Cause: a server was chosen from a list that was read before the waits of the choice: for the owners of engines (up to 0.5 s each), for the load of an adapter, for a connection (up to 1 s). Nobody looked again after them, up to 1.6 s for an objective of 1 s, plus the connection. A decision was made on a state and carried out on a later one.

The new test of the gateway fails without the check.

The server is checked when the request is to be sent, and once more when it starts on its connection. A request that was held back goes to another server; it has not run and costs nothing from the retry budget.

--- a/src/core/gateway/retry_decision.ts
+++ b/src/core/gateway/retry_decision.ts
@@ -2,7 +2,7 @@
 
 /** How one attempt failed, as far as the retry depends on it. */
 export type AttemptFailure =
-  | { readonly kind: "unreachable" | "not-run" | "misdirected" }
+  | { readonly kind: "unreachable" | "left" | "not-run" | "misdirected" }
   /** The response was truncated, missing or invalid; the request may have run. */
   | { readonly kind: "broken" | "crossed" }
   /** The server answered with an error of its own. */
@@ -35,7 +35,7 @@
   history: RetryContext,
   end: AttemptFailure,
 ): RetryDecision {
-  if (end.kind === "unreachable") {
+  if (end.kind === "unreachable" || end.kind === "left") {
     return history.rejections < maxRejections
       ? { kind: "again", usesRetryBudget: false }
       : { kind: "give-up" };
--- a/src/core/gateway/servers.ts
+++ b/src/core/gateway/servers.ts
@@ -105,6 +105,19 @@
   return expired;
 }
 
+/** Whether a server that was selected earlier still accepts new requests. */
+export function acceptsRequests(
+  directory: ServerDirectory,
+  selected: BackendServer,
+): boolean {
+  const server = directory.servers.get(selected.id);
+  return (
+    server !== undefined &&
+    !server.leaving &&
+    server.address === selected.address
+  );
+}
+
 /** Servers of a service that accept new requests. */
 export function listUsableServers(
   directory: ServerDirectory,
--- a/src/node/gateway/attempt_health.ts
+++ b/src/node/gateway/attempt_health.ts
@@ -20,6 +20,6 @@
 /** Result to record in the server's health; undefined if the attempt says nothing about it. */
 function toHealthResult(kind: EndKind): "bad" | "unreachable" | undefined {
   if (kind === "unreachable") return "unreachable";
-  if (kind === "misdirected" || kind === "whole") return undefined;
-  return "bad";
+  const isNeutral = ["misdirected", "left", "whole"].includes(kind);
+  return isNeutral ? undefined : "bad";
 }
--- a/src/node/gateway/attempt_history.ts
+++ b/src/node/gateway/attempt_history.ts
@@ -48,7 +48,7 @@
     const isMisdirected = kind === "misdirected";
     this.deniedBy = isMisdirected ? server : undefined;
     const wasRejected =
-      isMisdirected || ["unreachable", "not-run"].includes(kind);
+      isMisdirected || ["unreachable", "left", "not-run"].includes(kind);
     if (wasRejected) this.rejections++;
     else this.runs++;
     if (!isMisdirected) this.tried.add(server);
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -6,7 +6,10 @@
   decideRetry,
   type RetryDecision,
 } from "../../core/gateway/retry_decision.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
+import {
+  acceptsRequests,
+  type BackendServer,
+} from "../../core/gateway/servers.ts";
 import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
 import {
   formatModelAdapterKey,
@@ -42,6 +45,14 @@
 /** A request with less time left than this is refused instead of sent, in ms. */
 const minTimeLeft = 20;
 
+/** Result of an attempt that was not made because its server had left. */
+const serverLeft: AttemptResult = {
+  end: { kind: "left" },
+  detail: "The server left before the request was sent",
+  head: undefined,
+  body: [],
+};
+
 /** Request to serve and the collaborators of its task. */
 export type RequestTaskOptions = {
   readonly context: GatewayContext;
@@ -179,6 +190,10 @@
       this.#onTimeLimit();
       return Promise.resolve(undefined);
     }
+    const isAccepted = () =>
+      acceptsRequests(context.directory, selection.server);
+    // The selection may have waited for an adapter, or for the owners of engines.
+    if (!isAccepted()) return Promise.resolve(serverLeft);
     this.#log.record("requestSent", { server: selection.server });
     this.#server = selection.server;
     this.#trackUsage(this.#forwarder.hasStarted ? "running" : "sent");
@@ -191,6 +206,7 @@
         serverRequest: {
           request,
           server: selection.server,
+          isAccepted,
           timeLeft,
           adapterVersion: selection.version,
           priority: request.demand === undefined ? undefined : route.priority,
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -73,6 +73,8 @@
 export type ServerRequest = {
   readonly request: ProxiedRequest;
   readonly server: BackendServer;
+  /** Whether the server still accepts requests; checked when the request starts on its connection. */
+  readonly isAccepted: () => boolean;
   /** Time left for the server, in ms. */
   readonly timeLeft: Millis;
   /** Adapter version that must answer. */
@@ -85,7 +87,8 @@
 /** Why an attempt brought no complete response. */
 export type ServerFailure = {
   /**
-   * `unreachable`: no connection. `not-run`: the server states that it did not
+   * `unreachable`: no connection. `left`: the server left before the request
+   * was sent. `not-run`: the server states that it did not
    * run the request, or another server has its address. `misdirected`: as
    * `not-run`, because the server lacks the model, adapter or version.
    * `broken`: the connection ended or the response is invalid. `crossed`: the
@@ -93,6 +96,7 @@
    */
   readonly kind:
     | "unreachable"
+    | "left"
     | "not-run"
     | "misdirected"
     | "broken"
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -174,6 +174,7 @@
   readonly gateway: Gateway;
   orderAnswer: OrderAnswer = { kind: "accepted" };
   #publish: (change: InstallationChange) => void = () => {};
+  readonly #orderedEngines: ServerId[] = [];
   #requests = 0;
   #leaseReads = 0;
   /** Number of reads of the lease rows that reject. */
@@ -193,8 +194,9 @@
       disconnect: () => {},
     };
     const engineOrders: EngineOrders = {
-      order: async (_server, order) => {
+      order: async (server, order) => {
         this.orders.push(order);
+        this.#orderedEngines.push(server.id);
         return this.orderAnswer;
       },
       fetchStatus: async (server): Promise<Either<never, EngineStatus>> =>
@@ -309,6 +311,11 @@
     await this.clock.advance(millis(ms));
   }
 
+  /** Engine that received an order, by the order's position. */
+  engineOfOrder(position: number): ServerId {
+    return this.#orderedEngines[position] as ServerId;
+  }
+
   /** The latest attempt. */
   lastAttempt(): RecordedAttempt {
     const attempt = this.attempts.at(-1);
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -203,6 +203,22 @@
   for (const attempt of fixture.attempts) assert.equal(attempt.server, "s2");
 });
 
+// A request that waited for an adapter was sent to an engine that had left meanwhile.
+test("a request whose server leaves while it waits for an adapter goes to another", async () => {
+  const fixture = await createEngineFixture({}, []);
+  fixture.open({ demand: createDemand("a1") });
+  await fixture.advance(100);
+  assert.equal(fixture.attempts.length, 0);
+  const [order] = fixture.orders;
+  assert.equal(order?.operation, "load");
+  const chosen = fixture.engineOfOrder(0);
+  fixture.register({ ...createEngine(chosen, []), leaving: true });
+  await fixture.advance(1_500);
+  const servers = fixture.attempts.map(({ server }) => server);
+  assert.equal(servers.includes(chosen), false);
+  assert.equal(servers.length, 1);
+});
+
 test("a stream goes to an engine that holds its adapter", async () => {
   const fixture = await createEngineFixture();
   const { answer } = fixture.open({ demand: createDemand("a1") });
--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -58,6 +58,7 @@
       {
         request: createRequest(),
         server: target,
+        isAccepted: () => true,
         timeLeft: millis(900),
         adapterVersion: undefined,
         priority: undefined,
@@ -100,6 +101,13 @@
   assert.ok(seen.endsWith("\r\n\r\norder"));
 });
 
+// The server can leave while the request waits for a connection.
+test("a request to a server that has left is not written to the connection", async () => {
+  const { kind, seen } = await send(write(sealed), { isAccepted: () => false });
+  assert.equal(kind, "left");
+  assert.equal(seen, "");
+});
+
 const broken: Record<string, string> = {
   "a response without a seal":
     "HTTP/1.1 200 OK\r\ngoldcrestwinch-request-id: r1\r\ncontent-length: 1\r\n\r\nx",
