--- /dev/null
+++ b/src/adapters/peers/node_channel.ts
@@ -0,0 +1,57 @@
+import { createSocket, type Socket } from "node:dgram";
+import type { NodeChannel, NodeMessage } from "../../ports/gateway.ts";
+import type { Journal } from "../../ports/journal.ts";
+import { decodeNodeMessage, encodeNodeMessage } from "./node_message_codec.ts";
+
+/** Maximum size of a datagram, in bytes, below the usual path MTU. */
+const maxDatagramBytes = 1_400;
+
+/** Sends messages between nodes over UDP; a later message replaces a lost one. */
+export class UdpNodeChannel implements NodeChannel {
+  readonly #socket: Socket;
+  #listener: (message: NodeMessage, from: string) => void = () => {};
+
+  private constructor(options: {
+    host: string;
+    port: number;
+    journal: Journal;
+  }) {
+    this.#socket = createSocket("udp4");
+    this.#socket.on("error", (error) => {
+      options.journal.record("useChannelFailed", { detail: error.message });
+    });
+    this.#socket.on("message", (frame, sender) => {
+      const message = decodeNodeMessage(frame);
+      if (message === undefined) return;
+      this.#listener(message, `${sender.address}:${sender.port}`);
+    });
+    this.#socket.bind(options.port, options.host);
+  }
+
+  static create(options: {
+    host: string;
+    port: number;
+    journal: Journal;
+  }): UdpNodeChannel {
+    return new UdpNodeChannel(options);
+  }
+
+  send(address: string, message: NodeMessage): void {
+    const colon = address.lastIndexOf(":");
+    const host = address.slice(0, colon);
+    const port = Number(address.slice(colon + 1));
+    for (const frame of encodeNodeMessage(message)) {
+      if (frame.length > maxDatagramBytes) continue;
+      // A send error is ignored because the next report replaces this one.
+      this.#socket.send(frame, port, host, () => {});
+    }
+  }
+
+  onMessage(listener: (message: NodeMessage, from: string) => void): void {
+    this.#listener = listener;
+  }
+
+  close(): void {
+    this.#socket.close();
+  }
+}
--- /dev/null
+++ b/src/adapters/peers/node_message_codec.ts
@@ -0,0 +1,173 @@
+import { Packr } from "msgpackr";
+import { z } from "zod";
+import { millis } from "../../core/clock.ts";
+import type {
+  EngineUsage,
+  OwnerReport,
+} from "../../core/gateway/engine_backlog.ts";
+import { brandString, type Digest, type MachineName } from "../../core/ids.ts";
+import type { NodeMessage } from "../../ports/gateway.ts";
+
+/** Maximum number of engines in one datagram, which keeps it below the usual path MTU. */
+const enginesPerDatagram = 2;
+
+const name = z.string().min(1).max(256);
+const count = z.number().int().min(0);
+/** Adapter key, version and time until the adapter is ready, in ms. */
+const availableAdapterFrame = z.tuple([name, count, count]);
+const usageFrame = z.tuple([
+  name,
+  z.array(name),
+  z.array(name),
+  count,
+  count,
+  count,
+  count,
+]);
+const ownerReportFrame = z.tuple([
+  name,
+  count,
+  count,
+  count,
+  count,
+  z.nullable(z.array(availableAdapterFrame)),
+]);
+/** A message as an array: type, sender, entries. */
+const crashList = z.array(name).max(8);
+const messageFrame = z.union([
+  z.tuple([z.literal("use"), name, z.array(usageFrame)]),
+  z.tuple([z.literal("load"), name, z.array(ownerReportFrame)]),
+  z.tuple([z.literal("poison"), name, name, crashList, crashList]),
+  z.tuple([z.literal("trial"), name, z.array(name).max(64), count]),
+]);
+
+const packr = new Packr({ useRecords: false });
+
+/** Encodes a message as one datagram or more. */
+export function encodeNodeMessage(message: NodeMessage): Buffer[] {
+  switch (message.type) {
+    case "use":
+      return encodeEntries(message, message.engines.map(encodeUsage));
+    case "load":
+      return encodeEntries(message, message.engines.map(encodeOwnerReport));
+    case "poison": {
+      const { type, from, digest, record } = message;
+      const { crashes, cleared } = record;
+      return [packr.pack([type, from, digest, crashes, cleared])];
+    }
+    case "trial": {
+      const { type, from, parts, duration } = message;
+      return [packr.pack([type, from, parts, duration])];
+    }
+  }
+}
+
+function encodeEntries(
+  { type, from }: { readonly type: string; readonly from: MachineName },
+  entries: readonly unknown[],
+): Buffer[] {
+  const frames: Buffer[] = [];
+  for (let at = 0; at === 0 || at < entries.length; at += enginesPerDatagram) {
+    const batch = entries.slice(at, at + enginesPerDatagram);
+    frames.push(packr.pack([type, from, batch]));
+  }
+  return frames;
+}
+
+function encodeUsage(usage: EngineUsage): unknown[] {
+  return [
+    usage.engine,
+    usage.ran,
+    usage.queuedAdapters,
+    usage.queuedRequests,
+    usage.queuedTokens,
+    usage.runningRequests,
+    usage.contentsVersion,
+  ];
+}
+
+function encodeOwnerReport(report: OwnerReport): unknown[] {
+  const adapters = report.availableAdapters?.map(
+    ({ key, version, readyIn }) => [key, version, readyIn],
+  );
+  return [
+    report.engine,
+    report.requests,
+    report.tokens,
+    report.running,
+    report.contentsVersion,
+    adapters ?? null,
+  ];
+}
+
+/** Decodes a datagram; undefined if it is malformed. */
+export function decodeNodeMessage(frame: Buffer): NodeMessage | undefined {
+  let content: unknown;
+  try {
+    content = packr.unpack(frame);
+  } catch {
+    return undefined;
+  }
+  const parsed = messageFrame.safeParse(content);
+  if (!parsed.success) return undefined;
+  const { data } = parsed;
+  const from = brandString<MachineName>(data[1]);
+  switch (data[0]) {
+    case "use":
+      return { type: "use", from, engines: data[2].map(decodeUsage) };
+    case "load":
+      return { type: "load", from, engines: data[2].map(decodeOwnerReport) };
+    case "poison": {
+      const [type, , digest, crashes, cleared] = data;
+      const record = { crashes, cleared };
+      return { type, from, digest: brandString(digest), record };
+    }
+    case "trial": {
+      const [type, , parts, duration] = data;
+      const brandedParts = parts.map((part) => brandString<Digest>(part));
+      return { type, from, parts: brandedParts, duration: millis(duration) };
+    }
+  }
+}
+
+function decodeUsage([
+  engine,
+  ran,
+  queuedAdapters,
+  queuedRequests,
+  queuedTokens,
+  runningRequests,
+  contentsVersion,
+]: z.infer<typeof usageFrame>): EngineUsage {
+  return {
+    engine: brandString(engine),
+    ran: ran.map((key) => brandString(key)),
+    queuedAdapters: queuedAdapters.map((key) => brandString(key)),
+    queuedRequests,
+    queuedTokens,
+    runningRequests,
+    contentsVersion,
+  };
+}
+
+function decodeOwnerReport([
+  engine,
+  requests,
+  tokens,
+  running,
+  contentsVersion,
+  adapters,
+]: z.infer<typeof ownerReportFrame>): OwnerReport {
+  return {
+    engine: brandString(engine),
+    requests,
+    tokens,
+    running,
+    contentsVersion,
+    availableAdapters: adapters?.map(([key, version, readyIn]) => ({
+      key: brandString(key),
+      version,
+      readyIn,
+    })),
+  };
+}
--- /dev/null
+++ b/src/core/poison/parts.ts
@@ -0,0 +1,85 @@
+import type { Millis } from "../clock.ts";
+import type { Digest } from "../ids.ts";
+import {
+  crashesToConvict,
+  listOpenCrashes,
+  type PoisonStatus,
+} from "./record.ts";
+import type { PoisonEntry, PoisonState } from "./registry.ts";
+
+/** Open crashes from which a part that has run well recently is no longer taken for sound. */
+const crashesAgainstSound = 3;
+/** Time for which such a part must have had open crashes, in ms; a sound one is cleared by then. */
+const minSuspicionOfSound = 1_500;
+/** Time without a change after which convicted content may be tried again, in ms. */
+const probationDelay = 600_000;
+
+/** What a node knows beside the records. */
+export type PartsContext = {
+  readonly now: Millis;
+  /** Whether the node has recently seen a whole answer to a request with the part. */
+  readonly isKnownSound: (part: Digest) => boolean;
+};
+
+type Suspect = { readonly part: Digest; readonly crashes: readonly string[] };
+
+/**
+ * Status of a request by the parts of its prompt. A crash concerns all parts of
+ * the requests that had just begun, so a part is convicted only if no other part
+ * explains its crashes as well: the request must hold all parts that do.
+ */
+export function assessParts(
+  state: PoisonState,
+  parts: readonly Digest[],
+  context: PartsContext,
+): PoisonStatus {
+  if (state.entries.size === 0) return "unknown";
+  const suspects = listSuspects(state, context);
+  const others = suspects.filter(({ part }) => !parts.includes(part));
+  let status: PoisonStatus = "unknown";
+  for (const suspect of suspects) {
+    if (!parts.includes(suspect.part)) continue;
+    const rivals = others.filter(({ crashes }) => covers(crashes, suspect));
+    if (rivals.some((rival) => explains(rival, suspect))) continue;
+    const isConvicted =
+      rivals.length === 0 && suspect.crashes.length >= crashesToConvict;
+    const entry = state.entries.get(suspect.part) as PoisonEntry;
+    if (isConvicted && context.now < entry.changedAt + probationDelay)
+      return "convicted";
+    status = "suspect";
+  }
+  return status;
+}
+
+function listSuspects(state: PoisonState, context: PartsContext): Suspect[] {
+  const suspects: Suspect[] = [];
+  for (const [part, entry] of state.entries) {
+    const crashes = listOpenCrashes(entry.record);
+    if (crashes.length === 0) continue;
+    if (context.isKnownSound(part) && !contradictsSound(entry, context.now))
+      continue;
+    suspects.push({ part, crashes });
+  }
+  return suspects;
+}
+
+/** Whether the crashes outweigh that the part has run well recently. */
+function contradictsSound(entry: PoisonEntry, now: Millis): boolean {
+  return (
+    listOpenCrashes(entry.record).length >= crashesAgainstSound &&
+    now >= entry.suspectedAt + minSuspicionOfSound
+  );
+}
+
+/** Whether these crashes include all those of a suspect. */
+function covers(crashes: readonly string[], suspect: Suspect): boolean {
+  return suspect.crashes.every((crash) => crashes.includes(crash));
+}
+
+/** Whether a rival that has all crashes of a suspect is the likelier cause of them. */
+function explains(rival: Suspect, suspect: Suspect): boolean {
+  return (
+    rival.crashes.length >= crashesToConvict &&
+    rival.crashes.length > suspect.crashes.length
+  );
+}
--- a/src/core/poison/record.ts
+++ b/src/core/poison/record.ts
@@ -21,7 +21,7 @@
 export type PoisonStatus = "unknown" | "suspect" | "convicted";
 
 /** Number of crashes after which content is refused. */
-const crashesToConvict = 2;
+export const crashesToConvict = 2;
 /** Maximum number of crashes in a record; two convict, the others leave room for cleared ones. */
 const crashLimit = 8;
 
@@ -38,11 +38,14 @@
   return brandString<RowKey>(`poison/${digest}`);
 }
 
+/** Crashes of which the content may still be the cause. */
+export function listOpenCrashes({ crashes, cleared }: PoisonRecord): string[] {
+  return crashes.filter((crash) => !cleared.includes(crash));
+}
+
 /** Status that follows from a record. */
 export function deriveStatus(record: PoisonRecord): PoisonStatus {
-  const open = record.crashes.filter(
-    (crash) => !record.cleared.includes(crash),
-  ).length;
+  const open = listOpenCrashes(record).length;
   if (open >= crashesToConvict) return "convicted";
   return open > 0 ? "suspect" : "unknown";
 }
@@ -54,7 +57,12 @@
 
 /** Clears all recorded crashes, unless they already convict. */
 export function clearCrashes(record: PoisonRecord): PoisonRecord {
-  if (deriveStatus(record) === "convicted") return record;
+  return deriveStatus(record) === "convicted" ? record : acquit(record);
+}
+
+/** Clears all recorded crashes, since the content has been shown to crash no engine. */
+export function acquit(record: PoisonRecord): PoisonRecord {
+  if (listOpenCrashes(record).length === 0) return record;
   return { ...record, cleared: record.crashes };
 }
 
--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -5,6 +5,7 @@
 import type { MetricName } from "../observe/metrics.ts";
 import { type Refusal, refuse } from "../results/refusal.ts";
 import {
+  acquit,
   addCrash,
   clearCrashes,
   deriveStatus,
@@ -14,12 +15,18 @@
   type PoisonStatus,
 } from "./record.ts";
 
-type Entry = { readonly record: PoisonRecord; readonly changedAt: Millis };
+/** Record of one content digest at one node. */
+export type PoisonEntry = {
+  readonly record: PoisonRecord;
+  readonly changedAt: Millis;
+  /** Time since which it has had open crashes without a break. */
+  readonly suspectedAt: Millis;
+};
 
 /** Records of content that may crash engines, at one node. */
 export type PoisonState = {
   /** Least recently changed first. */
-  readonly entries: Map<Digest, Entry>;
+  readonly entries: Map<Digest, PoisonEntry>;
 };
 
 /** Event that the poison registry handles. */
@@ -33,12 +40,17 @@
     }
   /** Suspect content ran alone and completed. */
   | { readonly type: "completed-alone"; readonly digest: Digest }
-  /** A record was received from another node or read from the table. */
+  /** Content that crashes every engine that runs it was run without a crash. */
+  | { readonly type: "proven-sound"; readonly digest: Digest }
+  /**
+   * A record was received from another node or read from the table; one from
+   * `broadcast` reaches all nodes and the table without this node.
+   */
   | {
       readonly type: "record-received";
       readonly digest: Digest;
       readonly record: PoisonRecord;
-      readonly from: "gossip" | "table";
+      readonly from: "gossip" | "table" | "broadcast";
     }
   /** Drops old records; sent every few minutes. */
   | { readonly type: "sweep" };
@@ -119,6 +131,12 @@
           update: clearCrashes,
         }),
       };
+    case "proven-sound":
+      if (!state.entries.has(event.digest)) return { state, commands: [] };
+      return {
+        state,
+        commands: change(state, { digest: event.digest, now, update: acquit }),
+      };
     case "record-received":
       return mergeRemoteRecord(state, event, now);
     case "sweep":
@@ -137,6 +155,11 @@
     now,
     update: (record) => mergeRecords(record, event.record),
   });
+  if (from === "broadcast") {
+    const isLocal = ({ type }: PoisonCommand) =>
+      type === "record" || type === "count";
+    return { state, commands: commands.filter(isLocal) };
+  }
   // A record read from the table is already stored; the row is written only if the merge adds to it.
   const isKnown =
     from === "table" &&
@@ -166,15 +189,21 @@
   const before = recordOf(state, digest);
   const record = update(before);
   if (record === before) return [];
+  const wasSuspect = deriveStatus(before) !== "unknown";
+  const suspectedAt = wasSuspect
+    ? (state.entries.get(digest)?.suspectedAt ?? now)
+    : now;
   state.entries.delete(digest);
-  state.entries.set(digest, { record, changedAt: now });
+  state.entries.set(digest, { record, changedAt: now, suspectedAt });
   const commands: PoisonCommand[] = [
     { type: "publish-record", digest, record },
   ];
   const status = deriveStatus(record);
-  if (status === "convicted") {
+  const wasConvicted = deriveStatus(before) === "convicted";
+  if (status === "convicted" || wasConvicted)
     commands.push({ type: "write-row", digest, record });
-    if (deriveStatus(before) !== "convicted")
+  if (status === "convicted") {
+    if (!wasConvicted)
       commands.push({
         type: "record",
         event: "poisonConvicted",
--- a/src/core/results/codes.ts
+++ b/src/core/results/codes.ts
@@ -199,6 +199,14 @@
     meaning: "The adapter cannot be loaded on any engine in time",
     remedy: "Send again after Retry-After",
   },
+  partWithheld: {
+    number: 3011,
+    status: 503,
+    outcome: "not-run",
+    meaning: "A part of the prompt has crashed engines, or may have",
+    remedy:
+      "Send again after Retry-After without that part; operators: see the poison rows",
+  },
   unknownService: {
     number: 4001,
     status: 404,
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -1,5 +1,6 @@
 import { type Cancel, millis } from "../../core/clock.ts";
 import { chooseTarget, findRoute } from "../../core/gateway/configuration.ts";
+import { brandString } from "../../core/ids.ts";
 import { refuse } from "../../core/results/refusal.ts";
 import type {
   CallerSink,
@@ -8,12 +9,15 @@
   ModelRequest,
   ModelResult,
   NodeCallHandler,
+  NodeChannel,
   NodeLinks,
+  PoisonMessage,
   ProxiedRequest,
-  UsageChannel,
 } from "../../ports/gateway.ts";
 import type { TableService } from "../../ports/table.ts";
+import { type FollowTableRows, PoisonManager } from "../poison_manager.ts";
 import { GatewayContext, type GatewayDependencies } from "./context.ts";
+import { CrashCheck } from "./crash_check.ts";
 import { EngineControllers } from "./engine_controllers.ts";
 import { EngineUsageCounter } from "./engine_usage.ts";
 import { InstallationTracker } from "./installation_tracker.ts";
@@ -22,6 +26,8 @@
 import { ModelRequester } from "./model_requester.ts";
 import { OwnerCalls } from "./owner_calls.ts";
 import { PeerContacts } from "./peer_contacts.ts";
+import { createPoisonBroadcast } from "./poison_broadcast.ts";
+import { PromptGuard } from "./prompt_guard.ts";
 import { RequestTask } from "./request_task.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { UsageReporter } from "./usage_reporter.ts";
@@ -38,7 +44,9 @@
   readonly feed: InstallationFeed;
   readonly orders: EngineOrders;
   readonly nodeLinks: NodeLinks;
-  readonly usageChannel: UsageChannel;
+  readonly nodeChannel: NodeChannel;
+  /** Delivers the rows of the table, in which other nodes record what crashes engines. */
+  readonly followTableRows: FollowTableRows;
 };
 
 /** Handle by which a front end cancels its request. */
@@ -53,6 +61,9 @@
   readonly #selector: ServerSelector;
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
+  readonly #poison: PoisonManager;
+  readonly #guard: PromptGuard;
+  readonly #broadcast: (message: PoisonMessage) => void;
   readonly #requests = new Set<RequestTask>();
   readonly #installation: InstallationTracker;
   #onIdle: () => void = () => {};
@@ -78,13 +89,31 @@
       orders: options.orders,
       leases: this.#leases,
     });
+    this.#broadcast = createPoisonBroadcast({
+      clock,
+      channel: options.nodeChannel,
+      listAddresses: () => this.#leases.listOtherAddresses(),
+    });
     this.#usageReporter = UsageReporter.create({
       context: this.context,
       leases: this.#leases,
       contacts,
       engineControllers: this.#engineControllers,
       usage: this.#usage,
-      channel: options.usageChannel,
+      channel: options.nodeChannel,
+    });
+    this.#poison = this.#createPoisonManager();
+    this.#guard = PromptGuard.create({
+      context: this.context,
+      poison: this.#poison,
+      crashes: CrashCheck.create(options.orders),
+      broadcast: this.#broadcast,
+    });
+    options.nodeChannel.onMessage((message, address) => {
+      contacts.recordContact(message.from);
+      if (message.type === "use" || message.type === "load")
+        return this.#usageReporter.receive(message, address);
+      this.#guard.receive(message);
     });
     const owners = OwnerCalls.create({
       context: this.context,
@@ -168,6 +197,7 @@
         context,
         selector: this.#selector,
         usage: this.#usage,
+        guard: this.#guard,
         request,
         route,
         service,
@@ -217,9 +247,30 @@
     this.#cancelChecks();
     this.#usageReporter.stop();
     this.#engineControllers.stop();
+    this.#poison.stop();
     this.#options.feed.stop();
     await this.#leases.release();
-    this.#options.usageChannel.close();
+    this.#options.nodeChannel.close();
+  }
+
+  #createPoisonManager(): PoisonManager {
+    const { clock, table, random, journal, meter, identity } = this.#options;
+    const { machine: from, process } = identity;
+    let attempts = 0;
+    return PoisonManager.create({
+      clock,
+      table,
+      random,
+      createToken: () => brandString(`poison-${process}-${attempts++}`),
+      journal,
+      meter,
+      publish: (digest, record) =>
+        this.#broadcast({ type: "poison", from, digest, record }),
+      followRows: this.#options.followTableRows,
+      onConviction: () => {
+        for (const task of [...this.#requests]) task.withdrawIfConvicted();
+      },
+    });
   }
 
   #onRequestEnd(task: RequestTask): void {
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -107,6 +107,15 @@
     return this.#state.nodes.get(machine)?.address;
   }
 
+  /** Peer addresses of all other nodes. */
+  listOtherAddresses(): string[] {
+    const { nodes, machine } = this.#state;
+    const others = [...nodes.values()].filter(
+      (node) => node.machine !== machine,
+    );
+    return others.map(({ address }) => address);
+  }
+
   /** Whether this node is among the first to claim an engine whose holder fails. */
   isWatched(engine: ServerId): boolean {
     const server = this.#options.context.directory.servers.get(engine);
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/request_refusals.ts
@@ -5,6 +5,8 @@
 
 /** Delay before a refused caller should retry, in ms. */
 const retryDelay = millis(400);
+/** Delay before a caller should send a prompt again that has crashed engines, in ms. */
+const convictedDelay = millis(60_000);
 /** Time until the nodes learn that an engine holds a model, in ms. */
 const registrationLag = 1_000;
 
@@ -33,6 +35,26 @@
   });
 }
 
+/** Refusal of a request whose prompt may crash engines, or waits for the trial of one that does. */
+export function refuseWithheld(
+  history: AttemptHistory,
+  reason: "convicted" | "late",
+): Refusal {
+  const detail =
+    reason === "convicted"
+      ? "A part of the prompt has crashed engines"
+      : "Another request is trying whether a part of the prompt crashes engines";
+  if (history.runs > 0) return refuse("serviceBroken", detail);
+  const retryAfter = reason === "convicted" ? convictedDelay : retryDelay;
+  return refuse("partWithheld", detail, { retryAfter });
+}
+
+/** Refusal of a request that was withdrawn from a server, since its prompt would crash it. */
+export function refuseWithdrawn(): Refusal {
+  const detail = "A part of the prompt has crashed engines meanwhile";
+  return refuse("serviceBroken", detail);
+}
+
 /** Refusal of a request whose last attempt failed and may not be retried. */
 export function refuseAfterAttempt(
   history: AttemptHistory,
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -11,53 +11,44 @@
   type BackendServer,
 } from "../../core/gateway/servers.ts";
 import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
-import {
-  formatModelAdapterKey,
-  formatModelKey,
-  type ServiceName,
-} from "../../core/ids.ts";
+import { formatModelAdapterKey, type ServiceName } from "../../core/ids.ts";
 import type { Refusal } from "../../core/results/refusal.ts";
 import type { CallerSink, ProxiedRequest } from "../../ports/gateway.ts";
 import { recordAttemptHealth } from "./attempt_health.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import type { GatewayContext } from "./context.ts";
 import type { EngineUsageCounter } from "./engine_usage.ts";
+import { PromptAdmission } from "./prompt_admission.ts";
+import type { PromptGuard } from "./prompt_guard.ts";
 import { RequestLog } from "./request_log.ts";
 import {
   refuseAfterAttempt,
   refuseAtTimeLimit,
   refuseWhileStopping,
+  refuseWithdrawn,
+  refuseWithheld,
   refuseWithoutServer,
 } from "./request_refusals.ts";
+import { RequestTimeLimits } from "./request_time_limits.ts";
+import { RequestUsage } from "./request_usage.ts";
 import { ResponseForwarder } from "./response_forwarder.ts";
-import { type AttemptResult, ServerAttempt } from "./server_attempt.ts";
+import {
+  type AttemptResult,
+  ServerAttempt,
+  serverLeft,
+} from "./server_attempt.ts";
 import type { ServerSelection, ServerSelector } from "./server_selector.ts";
 import { waitForServer } from "./server_wait.ts";
 
-/** Maximum wait of a request for its first server, as a multiple of the route's target latency. */
-const maxWaitFactor = 1.6;
-/** Lower bound of that maximum, in ms, for routes with a short target latency. */
-const minWaitLimit = 600;
-/** Waiting for a server ends this long before the request's time limit, in ms. */
-const reserveBeforeLimit = 300;
-/** Maximum wait for another server after a failed attempt, in ms. */
-const nextServerWait = 1_500;
 /** A request with less time left than this is refused instead of sent, in ms. */
 const minTimeLeft = 20;
 
-/** Result of an attempt that was not made because its server had left. */
-const serverLeft: AttemptResult = {
-  end: { kind: "left" },
-  detail: "The server left before the request was sent",
-  head: undefined,
-  body: [],
-};
-
 /** Request to serve and the collaborators of its task. */
 export type RequestTaskOptions = {
   readonly context: GatewayContext;
   readonly selector: ServerSelector;
   readonly usage: EngineUsageCounter;
+  readonly guard: PromptGuard;
   readonly request: ProxiedRequest;
   readonly route: GatewayRoute;
   readonly service: ServiceName;
@@ -69,34 +60,36 @@
   readonly #options: RequestTaskOptions;
   readonly #history = AttemptHistory.create();
   readonly #cursor: StreamCursor | undefined;
-  readonly #timeLimitAt: Millis;
-  readonly #serverWaitUntil: Millis;
+  readonly #limits: RequestTimeLimits;
   readonly #forwarder: ResponseForwarder;
   readonly #log: RequestLog;
+  readonly #prompt: PromptAdmission;
+  readonly #usage: RequestUsage;
   #cancelTimeLimit: Cancel = () => {};
   #attempt: ServerAttempt | undefined;
   /** Server of the latest attempt. */
   #server: BackendServer | undefined;
   #ended = false;
-  #releaseUsage: () => void = () => {};
   #onEnd: () => void = () => {};
 
   private constructor(options: RequestTaskOptions) {
     this.#options = options;
     const { request, route } = options;
     this.#log = RequestLog.create(options.context, options);
+    const { clock } = options.context.dependencies;
+    this.#usage = RequestUsage.create(options.usage, request.demand);
+    this.#prompt = PromptAdmission.create(options.guard, {
+      parts: request.demand?.sharedParts ?? [],
+      clock,
+    });
     this.#forwarder = ResponseForwarder.create(options.sink, {
-      clock: options.context.dependencies.clock,
-      onStart: () => this.#trackUsage("running"),
+      clock,
+      onStart: () => {
+        this.#usage.trackRun();
+        this.#prompt.recordStart();
+      },
     });
-    const allowed = Math.min(
-      route.timeout,
-      request.deadline ?? Number.POSITIVE_INFINITY,
-    );
-    this.#timeLimitAt = millis(request.arrivedAt + allowed);
-    const wait = Math.max(minWaitLimit, route.targetLatency * maxWaitFactor);
-    const latest = this.#timeLimitAt - reserveBeforeLimit;
-    this.#serverWaitUntil = millis(Math.min(request.arrivedAt + wait, latest));
+    this.#limits = RequestTimeLimits.create(request, route);
     if (route.retryRule === "stream" && route.resumable) {
       this.#cursor = StreamCursor.create(request.resumeAfter);
     }
@@ -107,7 +100,7 @@
     const task = new RequestTask(options);
     task.#onEnd = onEnd;
     const { clock } = options.context.dependencies;
-    const timeLeft = millis(task.#timeLimitAt - clock.now());
+    const timeLeft = millis(task.#limits.end - clock.now());
     task.#cancelTimeLimit = clock.schedule(timeLeft, () => task.#onTimeLimit());
     void task.#run();
     return task;
@@ -126,10 +119,24 @@
     this.#refuse(refuseWhileStopping());
   }
 
+  /** Ends the request if its prompt was convicted after it was sent, unless its server has begun to answer. */
+  withdrawIfConvicted(): void {
+    if (this.#ended || this.#attempt === undefined) return;
+    if (this.#attempt.hasHead || !this.#prompt.isConvicted) return;
+    this.#refuse(refuseWithdrawn());
+  }
+
   async #run(): Promise<void> {
     const { context, service } = this.#options;
     context.countRequest(service);
     while (!this.#ended) {
+      const reason = await this.#prompt.wait(
+        this.#findWaitEnd(),
+        () => this.#ended,
+      );
+      if (this.#ended) return;
+      if (reason !== undefined)
+        return this.#refuse(refuseWithheld(this.#history, reason));
       const selection = await this.#findServer();
       if (this.#ended) return;
       if (selection === undefined) {
@@ -138,6 +145,7 @@
           refuseWithoutServer(this.#history, demand, context.now()),
         );
       }
+      if (!this.#prompt.maySend()) continue;
       const result = await this.#sendTo(selection);
       if (this.#ended || result === undefined) return;
       const step = this.#handleFailure(result, selection.server);
@@ -151,13 +159,14 @@
     }
   }
 
+  #findWaitEnd(): Millis {
+    const now = this.#options.context.now();
+    return this.#limits.findWaitEnd(now, this.#history.isEmpty);
+  }
+
   /** Waits for a server that can take the request; undefined if none can in time. */
   #findServer(): Promise<ServerSelection | undefined> {
     const { context, selector, service, request } = this.#options;
-    const retryUntil = Math.min(
-      context.now() + nextServerWait,
-      this.#timeLimitAt - reserveBeforeLimit,
-    );
     const history = this.#history;
     return waitForServer({
       context,
@@ -166,9 +175,7 @@
       demand: request.demand,
       tried: history.tried,
       deniedBy: history.deniedBy,
-      until: history.isEmpty
-        ? this.#serverWaitUntil
-        : millis(Math.max(this.#serverWaitUntil, retryUntil)),
+      until: this.#findWaitEnd(),
       hasEnded: () => this.#ended,
       onAdapterWait: (server) =>
         this.#log.record("requestAwaitsAdapter", { server }),
@@ -185,7 +192,7 @@
   /** Makes one attempt; undefined if the caller got the whole response or a refusal. */
   #sendTo(selection: ServerSelection): Promise<AttemptResult | undefined> {
     const { context, request, route } = this.#options;
-    const timeLeft = millis(this.#timeLimitAt - context.now());
+    const timeLeft = millis(this.#limits.end - context.now());
     if (timeLeft < minTimeLeft) {
       this.#onTimeLimit();
       return Promise.resolve(undefined);
@@ -196,7 +203,7 @@
     if (!isAccepted()) return Promise.resolve(serverLeft);
     this.#log.record("requestSent", { server: selection.server });
     this.#server = selection.server;
-    this.#trackUsage(this.#forwarder.hasStarted ? "running" : "sent");
+    this.#usage.trackSend(selection.server, this.#forwarder.hasStarted);
     return new Promise((resolve) => {
       this.#attempt = ServerAttempt.start({
         context,
@@ -215,8 +222,9 @@
         sink: this.#forwarder,
         onResult: (result) => {
           this.#attempt = undefined;
-          this.#releaseUsage();
+          this.#usage.release();
           if (result.end.kind !== "whole") return resolve(result);
+          this.#prompt.recordWhole();
           this.#log.recordResponse(selection.server, this.#forwarder);
           this.#finish("answered");
           resolve(undefined);
@@ -225,24 +233,6 @@
     });
   }
 
-  /** Counts the request at its engine, so that the engine's owner keeps the adapter there. */
-  #trackUsage(stage: "sent" | "running"): void {
-    const { usage, request } = this.#options;
-    const { demand } = request;
-    if (demand === undefined || this.#server === undefined) return;
-    const { model, adapter } = demand;
-    const key =
-      adapter === undefined
-        ? formatModelKey(model)
-        : formatModelAdapterKey(model, adapter);
-    const { id } = this.#server;
-    this.#releaseUsage();
-    this.#releaseUsage =
-      stage === "sent"
-        ? usage.trackSent(id, key, demand.promptTokens)
-        : usage.trackRunning(id, key);
-  }
-
   /** Records a failed attempt and decides whether to retry. */
   #handleFailure(attempt: AttemptResult, server: BackendServer): RetryDecision {
     const { context, route } = this.#options;
@@ -253,6 +243,7 @@
       ...this.#history.counts,
     });
     this.#history.recordAttemptEnd(kind, server.id);
+    this.#prompt.recordFailure(attempt, server);
     if (kind === "misdirected") this.#forgetAdapter(server);
     if (recordAttemptHealth(context, server.id, kind))
       this.#log.record("serverSuspended", { server, detail: kind });
@@ -313,7 +304,8 @@
     if (this.#ended) return;
     this.#ended = true;
     this.#cancelTimeLimit();
-    this.#releaseUsage();
+    this.#usage.release();
+    this.#prompt.end();
     this.#attempt?.cancel();
     this.#attempt = undefined;
     this.#log.countOutcome(outcome);
--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -1,3 +1,4 @@
+import { type Millis, millis } from "../../core/clock.ts";
 import type { GatewayRoute } from "../../core/gateway/configuration.ts";
 import type { AttemptFailure } from "../../core/gateway/retry_decision.ts";
 import {
@@ -24,9 +25,20 @@
   readonly detail: string;
   /** Response of the server, which is forwarded if it is an error that is not retried. */
   readonly head: ResponseHead | undefined;
+  /** Time since the first bytes of the body, or 0 if there were none, in ms; undefined without a head. */
+  readonly runTime: Millis | undefined;
   readonly body: readonly Uint8Array[];
 };
 
+/** Result of an attempt that was not made because its server had left. */
+export const serverLeft: AttemptResult = {
+  end: { kind: "left" },
+  detail: "The server left before the request was sent",
+  head: undefined,
+  runTime: undefined,
+  body: [],
+};
+
 type ServerAttemptOptions = {
   readonly context: GatewayContext;
   readonly route: GatewayRoute;
@@ -50,6 +62,8 @@
   #bufferedBytes = 0;
   #head: ResponseHead | undefined;
   #passesThrough = false;
+  /** Time of the first bytes of the body. */
+  #bodyAt: Millis | undefined;
   #control: ServerRequestControl | undefined;
   #ended = false;
 
@@ -70,6 +84,11 @@
     return attempt;
   }
 
+  /** Whether the server has begun to answer. */
+  get hasHead(): boolean {
+    return this.#head !== undefined;
+  }
+
   /** Cancels the request at the server. */
   cancel(): void {
     if (this.#ended) return;
@@ -87,6 +106,7 @@
 
   #onBytes(bytes: Uint8Array): void {
     if (this.#ended) return;
+    this.#bodyAt ??= this.#options.context.now();
     if (!this.#passesThrough) {
       this.#bufferedBytes += bytes.length;
       this.#buffered.push(bytes);
@@ -147,7 +167,11 @@
       const { id } = serverRequest.server;
       recordCallResult(context.health, id, { result: "good", now });
     }
-    onResult({ end, detail, head: this.#head, body: this.#buffered });
+    const head = this.#head;
+    const now = context.now();
+    const runTime =
+      head && millis(this.#bodyAt === undefined ? 0 : now - this.#bodyAt);
+    onResult({ end, detail, head, runTime, body: this.#buffered });
   }
 
   #close(): void {
--- a/src/node/gateway/usage_reporter.ts
+++ b/src/node/gateway/usage_reporter.ts
@@ -16,7 +16,7 @@
   takeDueReports,
 } from "../../core/gateway/report_schedule.ts";
 import type { MachineName, ServerId } from "../../core/ids.ts";
-import type { UsageChannel, UsageMessage } from "../../ports/gateway.ts";
+import type { NodeChannel, UsageMessage } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
 import type { EngineControllers } from "./engine_controllers.ts";
 import type { EngineUsageCounter } from "./engine_usage.ts";
@@ -36,7 +36,7 @@
   readonly contacts: PeerContacts;
   readonly engineControllers: EngineControllers;
   readonly usage: EngineUsageCounter;
-  readonly channel: UsageChannel;
+  readonly channel: NodeChannel;
 };
 
 /** Contents of an engine that the node knows from its owner. */
@@ -64,9 +64,6 @@
 
   static create(options: UsageReporterOptions): UsageReporter {
     const reporter = new UsageReporter(options);
-    options.channel.onMessage((message, from) =>
-      reporter.#receive(message, from),
-    );
     reporter.#tick();
     return reporter;
   }
@@ -173,9 +170,9 @@
     return { ...this.#options.usage.take(engine), contentsVersion };
   }
 
-  #receive(message: UsageMessage, address: string): void {
-    const { context, contacts, engineControllers, channel } = this.#options;
-    contacts.recordContact(message.from);
+  /** Handles a message that another node has sent from this address. */
+  receive(message: UsageMessage, address: string): void {
+    const { context, engineControllers, channel } = this.#options;
     if (message.type === "load")
       return this.#recordOwnerReports(message.from, message.engines);
     const engines = engineControllers.recordUsage(
--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -6,11 +6,13 @@
   type Digest,
   type RowKey,
 } from "../core/ids.ts";
+import { assessParts } from "../core/poison/parts.ts";
 import {
   emptyRecord,
   formatCrashId,
   mergeRecords,
   type PoisonRecord,
+  type PoisonStatus,
   parsePoisonRecord,
   poisonRowKey,
 } from "../core/poison/record.ts";
@@ -23,7 +25,7 @@
   statusOf,
 } from "../core/poison/registry.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
-import type { TableService } from "../ports/table.ts";
+import type { Row, TableService } from "../ports/table.ts";
 import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
 import type { Suspicion } from "./draft_manager.ts";
 import type { EngineCrash } from "./engine_owner.ts";
@@ -38,6 +40,9 @@
 /** Minimum time between two write attempts, in ms; a random delay of up to the same length is added. */
 const writeRetryMillis = 3_000;
 
+/** Calls the listener with each row that is read or changes. */
+export type FollowTableRows = (listener: (row: Row) => void) => void;
+
 /** Options of the poison manager. */
 export type PoisonManagerOptions = {
   readonly clock: Clock;
@@ -47,6 +52,10 @@
   readonly journal: Journal;
   readonly meter: Meter;
   readonly publish: (digest: Digest, record: PoisonRecord) => void;
+  /** Delivers all rows of the table and their changes; if omitted, the rows are read once. */
+  readonly followRows?: FollowTableRows;
+  /** Called when content has been convicted. */
+  readonly onConviction?: () => void;
 };
 
 /** Tracks content that may crash engines; publishes records to other nodes and stores convictions in the table. */
@@ -59,7 +68,8 @@
   /** Creates the manager and loads the stored records if the table is available. */
   static create(options: PoisonManagerOptions): PoisonManager {
     const manager = new PoisonManager(options);
-    void manager.#readRows();
+    if (options.followRows === undefined) void manager.#readRows();
+    else options.followRows((row) => manager.#receiveRow(row, "broadcast"));
     manager.#scheduleSweep();
     return manager;
   }
@@ -82,6 +92,27 @@
     return status === "unknown" ? "none" : status;
   }
 
+  /** Status of a request by the parts of its prompt. */
+  assess(
+    parts: readonly Digest[],
+    isKnownSound: (part: Digest) => boolean,
+  ): PoisonStatus {
+    const now = this.#options.clock.now();
+    const state = this.#actor.getSnapshot().context;
+    return assessParts(state, parts, { now, isKnownSound });
+  }
+
+  /** Whether content has crashes of which it may be the cause. */
+  isSuspected(digest: Digest): boolean {
+    return statusOf(this.#actor.getSnapshot().context, digest) !== "unknown";
+  }
+
+  /** Records that content which crashes every engine would have run without a crash. */
+  proveSound(digest: Digest): void {
+    if (this.isSuspected(digest))
+      this.#actor.send({ type: "proven-sound", digest });
+  }
+
   suspect({ engine, boot, digests }: EngineCrash): void {
     const crash = formatCrashId(engine, boot);
     this.#actor.send({ type: "crashed", crash, digests });
@@ -91,6 +122,12 @@
     this.#actor.send({ type: "completed-alone", digest });
   }
 
+  /** Handles a record that another node has sent to all. */
+  receiveBroadcast(digest: Digest, record: PoisonRecord): void {
+    const from = "broadcast";
+    this.#actor.send({ type: "record-received", digest, record, from });
+  }
+
   /** Handles a record published by another node. */
   receiveRecord(digest: Digest, record: PoisonRecord): void {
     this.#actor.send({
@@ -108,7 +145,7 @@
   }
 
   #perform(command: PoisonCommand): void {
-    const { journal, meter, publish } = this.#options;
+    const { journal, meter, publish, onConviction } = this.#options;
     switch (command.type) {
       case "publish-record":
         return publish(command.digest, command.record);
@@ -118,27 +155,27 @@
       case "count":
         return meter.count(command.name);
       case "record":
-        return journal.record(command.event, {
+        journal.record(command.event, {
           digest: command.detail,
           requestId: command.requestId,
         });
+        if (command.event === "poisonConvicted") onConviction?.();
+        return;
     }
   }
 
   async #readRows(): Promise<void> {
     const rows = await this.#options.table.scan(poisonRowPrefix);
     if (this.#stopped) return;
-    for (const row of rows.orDefault([])) {
-      const digest = brandString<Digest>(row.key.slice(poisonRowPrefix.length));
-      parsePoisonRecord(row.value).ifRight((record) =>
-        this.#actor.send({
-          type: "record-received",
-          digest,
-          record,
-          from: "table",
-        }),
-      );
-    }
+    for (const row of rows.orDefault([])) this.#receiveRow(row, "table");
+  }
+
+  #receiveRow({ key, value }: Row, from: "table" | "broadcast"): void {
+    if (this.#stopped || !key.startsWith(poisonRowPrefix)) return;
+    const digest = brandString<Digest>(key.slice(poisonRowPrefix.length));
+    parsePoisonRecord(value).ifRight((record) =>
+      this.#actor.send({ type: "record-received", digest, record, from }),
+    );
   }
 
   /** Merges the record into its row; retries, since other nodes may write the same row. */
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -11,6 +11,7 @@
 import type { BackendServer, ServerChange } from "../core/gateway/servers.ts";
 import type {
   AdapterName,
+  Digest,
   FencingNumber,
   MachineName,
   ModelAdapterKey,
@@ -18,6 +19,7 @@
   RequestId,
   ServerId,
 } from "../core/ids.ts";
+import type { PoisonRecord } from "../core/poison/record.ts";
 import type { Refusal } from "../core/results/refusal.ts";
 
 /** Alternating header names and values, as received. */
@@ -30,6 +32,8 @@
   /** Number of prompt tokens and maximum number of answer tokens. */
   readonly promptTokens: number;
   readonly answerTokens: number;
+  /** Parts of the prompt that other requests may have as well. */
+  readonly sharedParts: readonly Digest[];
 };
 
 /** A request that the node forwards without reading its body. */
@@ -232,10 +236,30 @@
       readonly engines: readonly OwnerReport[];
     };
 
-/** Unreliable usage messages between nodes, which are addressed by `IP:PORT`. */
-export type UsageChannel = {
-  send(address: string, message: UsageMessage): void;
-  onMessage(listener: (message: UsageMessage, from: string) => void): void;
+/** Record of content that may crash engines, or announcement of a trial of it. */
+export type PoisonMessage =
+  | {
+      readonly type: "poison";
+      readonly from: MachineName;
+      readonly digest: Digest;
+      readonly record: PoisonRecord;
+    }
+  | {
+      /** The node runs a request with these parts, to see whether they crash an engine. */
+      readonly type: "trial";
+      readonly from: MachineName;
+      readonly parts: readonly Digest[];
+      /** Maximum time for which the other nodes wait for the result. */
+      readonly duration: Millis;
+    };
+
+/** Message between two nodes. */
+export type NodeMessage = UsageMessage | PoisonMessage;
+
+/** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
+export type NodeChannel = {
+  send(address: string, message: NodeMessage): void;
+  onMessage(listener: (message: NodeMessage, from: string) => void): void;
   close(): void;
 };
 
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -1,4 +1,4 @@
-import { type Either, Right } from "purify-ts";
+import { Left, Right } from "purify-ts";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
 import { type Millis, millis } from "../../src/core/clock.ts";
@@ -17,6 +17,7 @@
   brandNumber,
   brandString,
   type DataCentre,
+  type Digest,
   type Region,
   type ServerId,
   type ServiceName,
@@ -27,9 +28,9 @@
 import type {
   CallerSink,
   EngineOrders,
-  EngineStatus,
   EntryNews,
   InstallationChange,
+  NodeMessage,
   ProxiedRequest,
   ServerLinks,
   ServerRequest,
@@ -172,8 +173,11 @@
   readonly attempts: RecordedAttempt[] = [];
   readonly orders: EngineOrder[] = [];
   readonly gateway: Gateway;
+  /** Engines that have crashed. */
+  readonly downEngines = new Set<ServerId>();
   orderAnswer: OrderAnswer = { kind: "accepted" };
   #publish: (change: InstallationChange) => void = () => {};
+  #deliver: (message: NodeMessage, from: string) => void = () => {};
   readonly #orderedEngines: ServerId[] = [];
   #requests = 0;
   #leaseReads = 0;
@@ -199,13 +203,16 @@
         this.#orderedEngines.push(server.id);
         return this.orderAnswer;
       },
-      fetchStatus: async (server): Promise<Either<never, EngineStatus>> =>
-        Right({
+      fetchStatus: async (server) => {
+        if (this.downEngines.has(server.id))
+          return Left({ detail: "The connection was refused" });
+        return Right({
           models: server.models,
           incoming: [],
           busy: false,
           orderCount: this.orders.length,
-        }),
+        });
+      },
     };
     this.gateway = Gateway.create({
       identity: {
@@ -235,7 +242,14 @@
         acquire: async () => ({ kind: "refused", reason: "unreachable" }),
         requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
       },
-      usageChannel: { send: () => {}, onMessage: () => {}, close: () => {} },
+      followTableRows: () => {},
+      nodeChannel: {
+        send: () => {},
+        onMessage: (listener) => {
+          this.#deliver = listener;
+        },
+        close: () => {},
+      },
     });
   }
 
@@ -252,6 +266,11 @@
       .extract();
   }
 
+  /** Delivers a message of another node. */
+  receive(message: NodeMessage): void {
+    this.#deliver(message, "10.0.0.8:7000");
+  }
+
   publish(change: InstallationChange): void {
     this.#publish(change);
   }
@@ -325,11 +344,12 @@
 }
 
 /** Model demand of a request for one adapter. */
-export function createDemand(adapter: string) {
+export function createDemand(adapter: string, parts: string[] = []) {
   return {
     model,
     adapter: brandString<AdapterName>(adapter),
     promptTokens: 500,
     answerTokens: 80,
+    sharedParts: parts.map((part) => brandString<Digest>(part)),
   };
 }
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -2,11 +2,12 @@
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
 import { test } from "node:test";
+import { UdpNodeChannel } from "../../src/adapters/peers/node_channel.ts";
 import { TrpcNodeLinks } from "../../src/adapters/peers/node_links.ts";
 import { createNodeServer } from "../../src/adapters/peers/node_router.ts";
-import { UsageDatagrams } from "../../src/adapters/peers/usage_datagrams.ts";
+import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
-import type { NodeCallHandler, UsageMessage } from "../../src/ports/gateway.ts";
+import type { NodeCallHandler, NodeMessage } from "../../src/ports/gateway.ts";
 import { silentJournal } from "../../src/ports/journal.ts";
 
 const request: Parameters<NodeCallHandler["acquire"]>[0] = {
@@ -62,11 +63,26 @@
   server.close();
 });
 
-type ReceivedMessage = { message: UsageMessage; from: string };
+const poisonMessages: NodeMessage[] = [
+  {
+    type: "poison",
+    from: brandString("n1"),
+    digest: brandString("5c1e07a2"),
+    record: { crashes: ["e1/1"], cleared: ["e1/1"] },
+  },
+  {
+    type: "trial",
+    from: brandString("n1"),
+    parts: [brandString("5c1e07a2")],
+    duration: millis(2_000),
+  },
+];
+
+type ReceivedMessage = { message: NodeMessage; from: string };
 
 function openChannel(port: number) {
   const received: ReceivedMessage[] = [];
-  const channel = UsageDatagrams.create({
+  const channel = UdpNodeChannel.create({
     host: "127.0.0.1",
     port,
     journal: silentJournal,
@@ -97,7 +113,7 @@
   const [firstPort, secondPort] = [await findFreePort(), await findFreePort()];
   const first = openChannel(firstPort);
   const second = openChannel(secondPort);
-  const use: UsageMessage = {
+  const use: NodeMessage = {
     type: "use",
     from: brandString("n1"),
     engines: ["i-1", "i-2", "i-3"].map((engine) => ({
@@ -110,7 +126,7 @@
       contentsVersion: 17,
     })),
   };
-  const load: UsageMessage = {
+  const load: NodeMessage = {
     type: "load",
     from: brandString("n2"),
     engines: [
@@ -135,13 +151,19 @@
   await new Promise((resolve) => setTimeout(resolve, 50));
   first.channel.send(`127.0.0.1:${secondPort}`, use);
   await waitFor(() => second.received.length >= 2);
-  const engines = second.received.flatMap(({ message }) => [
-    ...message.engines,
-  ]);
+  const engines = second.received.flatMap(({ message }) =>
+    message.type === "use" ? [...message.engines] : [],
+  );
   assert.deepEqual(engines, use.engines);
   second.channel.send(second.received[0]?.from as string, load);
   await waitFor(() => first.received.length >= 1);
   assert.deepEqual(first.received[0]?.message, load);
+  for (const message of poisonMessages) {
+    first.channel.send(`127.0.0.1:${secondPort}`, message);
+  }
+  await waitFor(() => second.received.length >= 4);
+  const others = second.received.map(({ message }) => message).slice(2);
+  assert.deepEqual(others, poisonMessages);
   const sender = createSocket("udp4");
   const receivedCount = second.received.length;
   for (const text of ["", "garbage", "[1,2,3]"]) {
--- /dev/null
+++ b/tests/gateway/prompt_guard_test.ts
@@ -0,0 +1,174 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import { brandString } from "../../src/core/ids.ts";
+import {
+  createDemand,
+  createEngine,
+  createRoute,
+  engines,
+  GatewayFixture,
+  type RecordedAttempt,
+} from "./gateway_fixture.ts";
+
+// Guards against requests with one part of a prompt that crash engine after
+// engine, and against sound requests that are refused because of them.
+
+const route = {
+  retryRule: "stream" as const,
+  targets: [{ service: engines, weight: 1 }],
+  targetLatency: millis(1_000),
+  timeout: millis(10_000),
+};
+const deadly = ["tenant", "user", "deadly"];
+const sound = ["tenant", "user"];
+
+async function createFixture(fields: Partial<typeof route> = {}) {
+  const fixture = new GatewayFixture();
+  fixture.configure([createRoute({ ...route, ...fields })]);
+  fixture.register(...["e1", "e2", "e3"].map((id) => createEngine(id, ["a1"])));
+  await fixture.advance(3_000);
+  return fixture;
+}
+
+async function open(fixture: GatewayFixture, parts: string[]) {
+  const before = fixture.attempts.length;
+  const { answer } = fixture.open({ demand: createDemand("a1", parts) });
+  await fixture.advance(5);
+  const [attempt] = fixture.attempts.slice(before);
+  return { answer, attempt };
+}
+
+/** The engine begins an answer, crashes and starts again. */
+async function crash(fixture: GatewayFixture, attempt?: RecordedAttempt) {
+  assert.ok(attempt, "the request was not sent");
+  const { server } = attempt;
+  fixture.downEngines.add(server);
+  attempt.start();
+  attempt.bytes("id: 1\n\n");
+  attempt.fail("broken");
+  await fixture.advance(5);
+  fixture.downEngines.delete(server);
+  fixture.register({
+    ...createEngine(server, ["a1"]),
+    born: fixture.clock.now(),
+  });
+}
+
+async function crashTwice(fixture: GatewayFixture): Promise<void> {
+  for (let crashes = 0; crashes < 2; crashes++) {
+    const { attempt } = await open(fixture, deadly);
+    await crash(fixture, attempt);
+  }
+}
+
+test("a request whose part has crashed two engines is refused as not run, and sent to none", async () => {
+  const fixture = await createFixture();
+  await crashTwice(fixture);
+  const { answer, attempt } = await open(fixture, ["other", "deadly"]);
+  const unproven = await open(fixture, deadly);
+  assert.equal(unproven.attempt, undefined);
+  assert.equal(unproven.answer.refusal?.code, "partWithheld");
+  assert.equal(unproven.answer.refusal?.outcome, "not-run");
+  // One of three parts is to blame; a request with one of them is a trial.
+  assert.ok(attempt);
+  await crash(fixture, attempt);
+  assert.equal(answer.outcome, "aborted");
+  const next = await open(fixture, ["third", "deadly"]);
+  assert.equal(next.attempt, undefined);
+});
+
+test("a sound request with the same first part is sent at once and clears the part", async () => {
+  const fixture = await createFixture();
+  await crashTwice(fixture);
+  const { answer, attempt } = await open(fixture, sound);
+  assert.ok(attempt);
+  attempt.answer("id: 1\n\n");
+  assert.equal(answer.outcome, "whole");
+  for (let i = 0; i < 3; i++) {
+    const next = await open(fixture, sound);
+    assert.ok(next.attempt, "requests with sound parts run side by side");
+  }
+  assert.equal((await open(fixture, deadly)).attempt, undefined);
+});
+
+// Answers also break off at engines that go on working.
+test("an answer that breaks off at an engine that still works convicts no part", async () => {
+  const fixture = await createFixture();
+  for (let broken = 0; broken < 4; broken++) {
+    const { attempt } = await open(fixture, deadly);
+    attempt?.start();
+    attempt?.fail("broken");
+    await fixture.advance(500);
+  }
+  assert.ok((await open(fixture, deadly)).attempt);
+});
+
+test("of the requests with a suspect part one runs at a time, and the others wait for its result", async () => {
+  const fixture = await createFixture();
+  await crash(fixture, (await open(fixture, deadly)).attempt);
+  const trial = await open(fixture, deadly);
+  assert.ok(trial.attempt);
+  const waiting = await open(fixture, deadly);
+  assert.equal(waiting.attempt, undefined);
+  trial.attempt.answer("id: 1\n\n");
+  await fixture.advance(100);
+  assert.equal(fixture.attempts.length, 3);
+  assert.equal(fixture.lastAttempt().cancelled, false);
+});
+
+test("a request that waits for a trial is refused when the trial crashes an engine", async () => {
+  const fixture = await createFixture();
+  await crash(fixture, (await open(fixture, deadly)).attempt);
+  const trial = await open(fixture, deadly);
+  const waiting = await open(fixture, deadly);
+  await crash(fixture, trial.attempt);
+  await fixture.advance(100);
+  assert.equal(waiting.answer.refusal?.code, "partWithheld");
+  assert.equal(fixture.attempts.length, 2);
+});
+
+test("crashes that other nodes report count, and a request already sent is withdrawn", async () => {
+  const fixture = await createFixture();
+  const { answer, attempt } = await open(fixture, ["deadly"]);
+  const record = { crashes: ["e1/1", "e2/1"], cleared: [] };
+  fixture.receive({
+    type: "poison",
+    from: brandString("n2"),
+    digest: brandString("deadly"),
+    record,
+  });
+  await fixture.advance(5);
+  assert.equal(attempt?.cancelled, true);
+  assert.notEqual(answer.refusal?.outcome, "not-run");
+  const next = await open(fixture, ["deadly"]);
+  assert.equal(next.answer.refusal?.outcome, "not-run");
+});
+
+test("a request waits while another node has its part on trial", async () => {
+  const fixture = await createFixture();
+  await crash(fixture, (await open(fixture, deadly)).attempt);
+  fixture.receive({
+    type: "trial",
+    from: brandString("n0"),
+    parts: deadly.map((part) => brandString(part)),
+    duration: millis(400),
+  });
+  assert.equal((await open(fixture, deadly)).attempt, undefined);
+  await fixture.advance(500);
+  assert.equal(fixture.attempts.length, 2);
+});
+
+// A stream that was resumed after a crash would crash the next engine.
+test("a broken stream is resumed only after its engine was checked", async () => {
+  const fixture = await createFixture({
+    ...route,
+    resumable: true,
+  } as typeof route);
+  await crash(fixture, (await open(fixture, deadly)).attempt);
+  await fixture.advance(100);
+  assert.equal(fixture.attempts.length, 2, "the trial");
+  await crash(fixture, fixture.lastAttempt());
+  await fixture.advance(500);
+  assert.equal(fixture.attempts.length, 2, "no further engine");
+});
--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -57,7 +57,7 @@
   const { front, port, requests } = await open(answer);
   const received = await exchangeRaw(
     port,
-    `${head}${id}Goldcrestwinch-Model: m0/a3\r\nGoldcrestwinch-Token-Count: 1460,80\r\nGoldcrestwinch-Deadline-Ms: 700\r\nContent-Length: 4\r\n\r\nbody`,
+    `${head}${id}Goldcrestwinch-Model: m0/a3\r\nGoldcrestwinch-Token-Count: 1460,80\r\nGoldcrestwinch-Prompt-Prefix: 5c1e07a2:800,91bd3f06:410,e4402b7d:250\r\nGoldcrestwinch-Deadline-Ms: 700\r\nContent-Length: 4\r\n\r\nbody`,
   );
   assert.match(received, /^HTTP\/1\.1 200 OK\r\n/);
   const [request] = requests;
@@ -70,6 +70,7 @@
     adapter: "a3",
     promptTokens: 1460,
     answerTokens: 80,
+    sharedParts: ["5c1e07a2", "91bd3f06"],
   });
   assert.equal(new TextDecoder().decode(request?.body), "body");
   void front.stopAccepting();
--- /dev/null
+++ b/tests/poison/parts_test.ts
@@ -0,0 +1,105 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import { brandString, type Digest } from "../../src/core/ids.ts";
+import { assessParts } from "../../src/core/poison/parts.ts";
+import {
+  createPoisonState,
+  decidePoison,
+  type PoisonEvent,
+} from "../../src/core/poison/registry.ts";
+
+const first = brandString<Digest>("first");
+const second = brandString<Digest>("second");
+const other = brandString<Digest>("other");
+const deadly = brandString<Digest>("deadly");
+
+function createNode() {
+  let state = createPoisonState();
+  const send = (event: PoisonEvent, at = 0) => {
+    const decision = decidePoison(state, event, millis(at));
+    state = decision.state;
+    return decision.commands.map(({ type }) => type);
+  };
+  return {
+    send,
+    crash: (crash: string, digests: Digest[], at = 0) =>
+      send({ type: "crashed", crash, digests }, at),
+    proveSound: (digest: Digest) => send({ type: "proven-sound", digest }),
+    assess: (
+      parts: Digest[],
+      options: { sound?: Digest[]; at?: number } = {},
+    ) =>
+      assessParts(state, parts, {
+        now: millis(options.at ?? 0),
+        isKnownSound: (part) => options.sound?.includes(part) === true,
+      }),
+  };
+}
+
+test("a part is suspected after one crash and convicted after the second", () => {
+  const node = createNode();
+  assert.equal(node.assess([first, deadly]), "unknown");
+  node.crash("e1/1", [first, deadly]);
+  assert.equal(node.assess([first, deadly]), "suspect");
+  node.crash("e2/1", [first, deadly]);
+  assert.equal(node.assess([first, deadly]), "convicted");
+});
+
+// Sound requests share their first part with those that crash engines.
+test("a part is not convicted for crashes that another part explains as well", () => {
+  const node = createNode();
+  node.crash("e1/1", [first, deadly]);
+  node.crash("e2/1", [first, deadly]);
+  assert.equal(node.assess([first, second]), "suspect");
+  node.crash("e3/1", [second, deadly]);
+  assert.equal(node.assess([first]), "unknown");
+  assert.equal(node.assess([second]), "unknown");
+  assert.equal(node.assess([other, deadly]), "convicted");
+});
+
+test("a part that is answered without a crash is cleared, though it was convicted", () => {
+  const node = createNode();
+  node.crash("e1/1", [first, deadly]);
+  node.crash("e2/1", [first, deadly]);
+  const commands = node.proveSound(first);
+  assert.ok(commands.includes("publish-record"));
+  assert.ok(commands.includes("write-row"), "the stored record is corrected");
+  assert.equal(node.assess([first, second]), "unknown");
+  assert.equal(node.assess([other, deadly]), "convicted");
+});
+
+// Many servers that are lost at the same moment must not convict what all requests share.
+test("a part that is known to be sound is convicted only if crashes go on", () => {
+  const node = createNode();
+  for (const crash of ["e1/1", "e2/1", "e3/1"]) node.crash(crash, [first]);
+  const sound = [first];
+  assert.equal(node.assess([first], { sound }), "unknown");
+  assert.equal(node.assess([first], { sound, at: 1_499 }), "unknown");
+  assert.equal(node.assess([first], { sound, at: 1_500 }), "convicted");
+});
+
+test("a convicted part may be tried again after ten minutes", () => {
+  const node = createNode();
+  node.crash("e1/1", [deadly]);
+  node.crash("e2/1", [deadly]);
+  assert.equal(node.assess([deadly], { at: 599_999 }), "convicted");
+  assert.equal(node.assess([deadly], { at: 600_000 }), "suspect");
+  node.crash("e3/1", [deadly], 600_000);
+  assert.equal(node.assess([deadly], { at: 600_001 }), "convicted");
+});
+
+// Otherwise each node would send every record to all others.
+test("a record that was sent to all nodes is neither sent on nor stored", () => {
+  const node = createNode();
+  node.crash("e1/1", [deadly]);
+  const record = { crashes: ["e2/1"], cleared: [] };
+  const commands = node.send({
+    type: "record-received",
+    digest: deadly,
+    record,
+    from: "broadcast",
+  });
+  assert.deepEqual(commands, ["record"]);
+  assert.equal(node.assess([deadly]), "convicted");
+});
