Break off streams that end within an event, also those that cannot be resumed

What callers saw: nothing yet; found by reading the rule that an answer may have no length and end with its connection. The end of such a connection is also how a broken stream looks, and a stream that could not be resumed was passed on as complete whatever it ended with.

Evidence: the new test of the gateway fails without the change (the caller gets a complete answer that ends within an event).

--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -1,5 +1,6 @@
 import { type Millis, millis } from "../../core/clock.ts";
 import type { GatewayRoute } from "../../core/gateway/configuration.ts";
+import { EventBoundary } from "../../core/gateway/event_boundary.ts";
 import type { AttemptFailure } from "../../core/gateway/retry_decision.ts";
 import {
   recordCallEnd,
@@ -59,6 +60,7 @@
 export class ServerAttempt {
   readonly #options: ServerAttemptOptions;
   readonly #buffered: Uint8Array[] = [];
+  readonly #boundary = EventBoundary.create();
   #bufferedBytes = 0;
   #head: ResponseHead | undefined;
   #passesThrough = false;
@@ -115,6 +117,7 @@
       return;
     }
     const { cursor, sink } = this.#options;
+    this.#boundary.push(bytes);
     if (cursor === undefined) return sink.write(bytes);
     const events = cursor.push(bytes);
     if (events === undefined) this.#fail("An event of the stream is too large");
@@ -123,10 +126,11 @@
 
   #onEnd(): void {
     if (this.#ended) return;
-    const { cursor, sink } = this.#options;
+    const { sink } = this.#options;
     const head = this.#head as ResponseHead;
     if (this.#passesThrough) {
-      if (cursor !== undefined && cursor.partialBytes > 0) {
+      // Without a length, the end of the connection also ends a broken stream.
+      if (this.#boundary.isWithinEvent) {
         return this.#fail("The stream ended within an event");
       }
       sink.end();
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -219,6 +219,31 @@
   assert.equal(servers.length, 1);
 });
 
+// A stream without a length ends with its connection, also where it has been broken off.
+test("a stream that ends within an event does not look complete", async () => {
+  for (const text of ["id: 1\n\nid: 2\nda", "id: 1\n\nid: 2\n", "id: 1"]) {
+    const fixture = await createEngineFixture();
+    const { answer } = fixture.open({ demand: createDemand("a1") });
+    await fixture.advance(5);
+    fixture.lastAttempt().answer(text);
+    await fixture.advance(1);
+    assert.equal(answer.outcome, "aborted", JSON.stringify(text));
+  }
+});
+
+test("a stream that ends after an event is complete, however its lines end", async () => {
+  for (const end of ["\n\n", "\r\n\r\n", "\r\r"]) {
+    const fixture = await createEngineFixture();
+    const { answer } = fixture.open({ demand: createDemand("a1") });
+    await fixture.advance(5);
+    const attempt = fixture.lastAttempt();
+    attempt.start();
+    for (const byte of `id: 1${end}`) attempt.bytes(byte);
+    attempt.end();
+    assert.equal(answer.outcome, "whole", JSON.stringify(end));
+  }
+});
+
 test("a stream goes to an engine that holds its adapter", async () => {
   const fixture = await createEngineFixture();
   const { answer } = fixture.open({ demand: createDemand("a1") });
