--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -69,6 +69,8 @@
       readonly digest: Digest;
       readonly record: PoisonRecord;
     }
+  /** Removes the row of content that is no longer convicted. */
+  | { readonly type: "remove-row"; readonly digest: Digest }
   | { readonly type: "count"; readonly name: MetricName }
   | {
       readonly type: "record";
@@ -79,7 +81,7 @@
 
 /** Maximum number of records; beyond it suspects are dropped first, oldest first. */
 export const poisonLimit = 10_000;
-/** Time after which a record is dropped, in ms; that of convicted content is read from its row again. */
+/** Time without a change after which a record and its row are dropped, in ms. */
 const retention = 24 * 3_600_000;
 
 export function createPoisonState(): PoisonState {
@@ -229,7 +231,12 @@
 }
 
 function sweep(state: PoisonState, now: Millis): PoisonCommand[] {
-  for (const [digest, { changedAt }] of state.entries)
-    if (now - changedAt >= retention) state.entries.delete(digest);
-  return [];
+  const commands: PoisonCommand[] = [];
+  for (const [digest, { changedAt, record }] of state.entries) {
+    if (now - changedAt < retention) continue;
+    state.entries.delete(digest);
+    if (deriveStatus(record) === "convicted")
+      commands.push({ type: "remove-row", digest });
+  }
+  return commands;
 }
--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -152,6 +152,9 @@
       case "write-row":
         void this.#writeRow(command.digest, command.record);
         return;
+      case "remove-row":
+        void this.#removeRow(poisonRowKey(command.digest));
+        return;
       case "count":
         return meter.count(command.name);
       case "record":
@@ -208,6 +211,18 @@
     });
   }
 
+  /** Removes a row once; if that fails, a node that still has the record tries again later. */
+  async #removeRow(key: RowKey): Promise<void> {
+    const { table, createToken } = this.#options;
+    const row = (await table.read(key)).orDefault(undefined);
+    if (row === undefined || this.#stopped) return;
+    await table.transact({
+      attempt: createToken(),
+      conditions: [{ key, version: row.version }],
+      writes: [{ key, value: undefined }],
+    });
+  }
+
   #waitForRetry(): Promise<void> {
     const { clock, random } = this.#options;
     const delay = millis(writeRetryMillis * (1 + random()));
--- a/tests/poison/parts_test.ts
+++ b/tests/poison/parts_test.ts
@@ -103,3 +103,15 @@
   assert.deepEqual(commands, ["record"]);
   assert.equal(node.assess([deadly]), "convicted");
 });
+
+// A row that stayed would convict the part again at each start of a node.
+test("a conviction is forgotten after a day, and so is its row", () => {
+  const node = createNode();
+  const day = 24 * 3_600_000;
+  node.crash("e1/1", [deadly]);
+  node.crash("e2/1", [deadly]);
+  node.crash("e2/1", [first]);
+  assert.deepEqual(node.send({ type: "sweep" }, day - 1), []);
+  assert.deepEqual(node.send({ type: "sweep" }, day), ["remove-row"]);
+  assert.equal(node.assess([deadly], { at: day }), "unknown");
+});
