Split the catalogues and the gateway's tests by concern

The result codes and log events stand in files by area; the events on their page are sorted by number. The tests of the gateway are split into those of requests, servers and streams; the recorded answers and attempts move out of the fixture.

--- a/scripts/catalogues.ts
+++ b/scripts/catalogues.ts
@@ -10,7 +10,7 @@
   );
   return `# Result codes
 
-Written by \`npm run docs\` from \`src/core/results/codes.ts\`. A refusal carries the number in \`error.code\`, the name in \`error.type\`, and whether the request ran in \`error.outcome\` and the header \`x-outcome\`; the outcome below applies unless the answer states a more exact one.
+Written by \`npm run docs\` from \`src/core/results/*_codes.ts\`. A refusal carries the number in \`error.code\`, the name in \`error.type\`, and whether the request ran in \`error.outcome\` and the header \`x-outcome\`; the outcome below applies unless the answer states a more exact one.
 
 | number | name | HTTP status | outcome | meaning | remedy |
 | --- | --- | --- | --- | --- | --- |
@@ -20,13 +20,16 @@
 
 /** Renders the page of the log events. */
 export function renderEventCatalogue(): string {
-  const rows = Object.entries(eventCatalogue).map(
+  const entries = Object.entries(eventCatalogue).sort(
+    ([, first], [, second]) => first.number - second.number,
+  );
+  const rows = entries.map(
     ([name, event]) =>
       `| ${event.number} | \`${name}\` | ${event.level} | ${event.meaning} |`,
   );
   return `# Log and timeline events
 
-Written by \`npm run docs\` from \`src/core/observe/events.ts\`. Log lines are JSON, written to standard error by \`goldcrestwinch node\` and to standard output by the program for the users' platform, with the fields \`event\` (number), \`name\`, \`node\`, and, where they apply, \`requestId\`, \`engine\`, \`adapter\`. The timeline holds the same events.
+Written by \`npm run docs\` from \`src/core/observe/*_events.ts\`. Log lines are JSON, written to standard error by \`goldcrestwinch node\` and to standard output by the program for the users' platform, with the fields \`event\` (number), \`name\`, \`node\`, and, where they apply, \`requestId\`, \`engine\`, \`adapter\`. The timeline holds the same events.
 
 | number | name | level | meaning |
 | --- | --- | --- | --- |
--- a/src/adapters/observe/timeline.ts
+++ b/src/adapters/observe/timeline.ts
@@ -1,10 +1,7 @@
 import type { Clock } from "../../core/clock.ts";
 import type { NodeId } from "../../core/ids.ts";
-import {
-  type EventEntry,
-  type EventName,
-  eventCatalogue,
-} from "../../core/observe/events.ts";
+import type { EventEntry } from "../../core/observe/event_entry.ts";
+import { type EventName, eventCatalogue } from "../../core/observe/events.ts";
 import {
   type HybridTime,
   mergeHybridTime,
--- /dev/null
+++ b/src/core/observe/node_events.ts
@@ -0,0 +1,80 @@
+import type { EventEntry } from "./event_entry.ts";
+
+/** Events of nodes (1xx), membership (6xx), configuration (7xx) and security (8xx). */
+export const nodeEvents = {
+  nodeStarted: {
+    number: 101,
+    level: "info",
+    meaning: "The daemon listens on its addresses",
+  },
+  nodeReady: {
+    number: 102,
+    level: "info",
+    meaning: "The node has a configuration and takes requests",
+  },
+  drainStarted: {
+    number: 103,
+    level: "info",
+    meaning: "The node stops taking new work",
+  },
+  drainFinished: {
+    number: 104,
+    level: "info",
+    meaning: "All work has ended; the process exits",
+  },
+  logLinesLeftOut: {
+    number: 105,
+    level: "warn",
+    meaning: "Log lines were left out because their rate exceeded the limit",
+  },
+  memberJoined: {
+    number: 601,
+    level: "info",
+    meaning: "A node became a member",
+  },
+  memberSuspected: {
+    number: 602,
+    level: "info",
+    meaning: "A node did not answer probes",
+  },
+  memberDead: {
+    number: 603,
+    level: "warn",
+    meaning: "A node was declared dead",
+  },
+  memberLeft: {
+    number: 604,
+    level: "info",
+    meaning: "A node left after a drain",
+  },
+  revisionInForce: {
+    number: 701,
+    level: "info",
+    meaning: "A configuration revision is in force",
+  },
+  revisionRejected: {
+    number: 702,
+    level: "error",
+    meaning: "A configuration failed its digest or checks",
+  },
+  sheetApplied: {
+    number: 703,
+    level: "info",
+    meaning: "An operator applied a sheet",
+  },
+  operatorAction: {
+    number: 704,
+    level: "info",
+    meaning: "An operator's order was carried out",
+  },
+  signatureRejected: {
+    number: 801,
+    level: "warn",
+    meaning: "A message without a valid signature was refused",
+  },
+  keysReloaded: {
+    number: 802,
+    level: "info",
+    meaning: "The key file was read again",
+  },
+} as const satisfies Record<string, EventEntry>;
--- /dev/null
+++ b/src/core/observe/platform_events.ts
@@ -0,0 +1,84 @@
+import type { EventEntry } from "./event_entry.ts";
+
+/** Events of the platform that the nodes rely on (5xx). */
+export const platformEvents = {
+  tableOutageStarted: {
+    number: 501,
+    level: "warn",
+    meaning: "The table service does not answer",
+  },
+  tableOutageEnded: {
+    number: 502,
+    level: "info",
+    meaning: "The table service answers again",
+  },
+  leaseAcquired: {
+    number: 503,
+    level: "info",
+    meaning: "The session lease was acquired",
+  },
+  leaseLost: {
+    number: 504,
+    level: "warn",
+    meaning: "The session lease ended or was taken",
+  },
+  writeAmbiguous: {
+    number: 505,
+    level: "info",
+    meaning: "An answer of the table was lost; the row is read back",
+  },
+  budgetRowInvalid: {
+    number: 506,
+    level: "error",
+    meaning:
+      "The row of the load budget is malformed; no permit is granted or returned until it is restored",
+  },
+  entryUnreadable: {
+    number: 507,
+    level: "warn",
+    meaning: "An entry of the platform's store cannot be read and is ignored",
+  },
+  storeLost: {
+    number: 508,
+    level: "warn",
+    meaning: "The platform's store does not answer this node",
+  },
+  storeRegained: {
+    number: 509,
+    level: "info",
+    meaning: "The platform's store answers this node again",
+  },
+  processPaused: {
+    number: 510,
+    level: "warn",
+    meaning:
+      "The process was paused or its clock jumped; leases are read again",
+  },
+  useChannelFailed: {
+    number: 511,
+    level: "warn",
+    meaning: "The socket for reports between nodes failed",
+  },
+  leaseCycleFailed: {
+    number: 514,
+    level: "error",
+    meaning:
+      "A read or claim of engine leases failed unexpectedly; the next one follows",
+  },
+  rowReaderChosen: {
+    number: 512,
+    level: "info",
+    meaning: "The node reads the store's rows from another node",
+  },
+  rowsBorrowed: {
+    number: 515,
+    level: "info",
+    meaning:
+      "The store does not answer this node; another node passes its rows on",
+  },
+  rowReaderLost: {
+    number: 513,
+    level: "warn",
+    meaning: "That node does not answer or has no recent rows",
+  },
+} as const satisfies Record<string, EventEntry>;
--- /dev/null
+++ b/src/core/observe/request_events.ts
@@ -0,0 +1,86 @@
+import type { EventEntry } from "./event_entry.ts";
+
+/** Events of requests (3xx) and booking calls (4xx). */
+export const requestEvents = {
+  requestAdmitted: {
+    number: 301,
+    level: "debug",
+    meaning: "A request was admitted",
+  },
+  requestRefused: {
+    number: 302,
+    level: "info",
+    meaning: "A request was refused",
+  },
+  requestDispatched: {
+    number: 303,
+    level: "debug",
+    meaning: "A request was sent to an engine",
+  },
+  requestFinished: {
+    number: 304,
+    level: "debug",
+    meaning: "The whole answer was passed on",
+  },
+  requestResumed: {
+    number: 305,
+    level: "info",
+    meaning: "A broken stream goes on at another engine",
+  },
+  requestFailed: {
+    number: 306,
+    level: "warn",
+    meaning: "An answer broke off for good; it could not be resumed",
+  },
+  requestCancelled: {
+    number: 307,
+    level: "debug",
+    meaning: "The caller disconnected and left its request unfinished",
+  },
+  requestRouted: {
+    number: 308,
+    level: "debug",
+    meaning: "A request was read and its route was found",
+  },
+  requestSent: {
+    number: 309,
+    level: "info",
+    meaning: "A request was sent to a server",
+  },
+  requestAwaitsAdapter: {
+    number: 310,
+    level: "info",
+    meaning: "A request waits until an engine has its adapter",
+  },
+  requestSendFailed: {
+    number: 311,
+    level: "info",
+    meaning: "An attempt got no answer that can be passed on",
+  },
+  requestAnswered: {
+    number: 312,
+    level: "info",
+    meaning: "The answer was passed on",
+  },
+  callClaimed: {
+    number: 401,
+    level: "debug",
+    meaning: "The claim of a call was recorded",
+  },
+  callSent: { number: 402, level: "debug", meaning: "A booking call was sent" },
+  callSettled: {
+    number: 403,
+    level: "debug",
+    meaning: "The outcome of a booking call was recorded",
+  },
+  callOutcomeUnknown: {
+    number: 404,
+    level: "warn",
+    meaning: "The outcome of a booking call is not known",
+  },
+  callReplayed: {
+    number: 405,
+    level: "debug",
+    meaning: "A recorded outcome was returned",
+  },
+} as const satisfies Record<string, EventEntry>;
--- /dev/null
+++ b/src/core/results/service_codes.ts
@@ -0,0 +1,141 @@
+import type { ResultCode } from "./code.ts";
+
+/** Result codes of booking calls (4xxx), nodes and configuration (5xxx), and operators (6xxx). */
+export const serviceCodes = {
+  unknownService: {
+    number: 4001,
+    status: 404,
+    outcome: "not-run",
+    meaning: "No such booking service",
+    remedy: "Use a service named in the settings",
+  },
+  keyReused: {
+    number: 4002,
+    status: 422,
+    outcome: "not-run",
+    meaning: "The idempotency key was used with another body",
+    remedy: "Use a new key for a new call",
+  },
+  callInProgress: {
+    number: 4003,
+    status: 409,
+    outcome: "may-have-run",
+    meaning: "A call with this idempotency key is in progress",
+    remedy: "Send again with the same key after Retry-After",
+  },
+  outcomeUnknown: {
+    number: 4004,
+    status: 409,
+    outcome: "may-have-run",
+    meaning:
+      "A call with this idempotency key may have run; its outcome is not known",
+    remedy: "Check with the booking service before booking again",
+  },
+  claimUnavailable: {
+    number: 4005,
+    status: 503,
+    outcome: "not-run",
+    meaning: "The claim of the idempotency key could not be recorded",
+    remedy: "Send again with the same key after Retry-After",
+  },
+  serviceUnreachable: {
+    number: 4006,
+    status: 502,
+    outcome: "not-run",
+    meaning: "No server of the booking service could be reached",
+    remedy: "Send again after Retry-After",
+  },
+  serviceBroken: {
+    number: 4007,
+    status: 502,
+    outcome: "may-have-run",
+    meaning: "The connection broke after the call was sent",
+    remedy: "Check with the booking service before calling again",
+  },
+  serviceTimeout: {
+    number: 4008,
+    status: 504,
+    outcome: "may-have-run",
+    meaning: "The booking service did not answer in time",
+    remedy: "Check with the booking service before calling again",
+  },
+  answerNotKept: {
+    number: 4009,
+    status: 409,
+    outcome: "ran",
+    meaning:
+      "The call with this idempotency key ran; its answer was too large to keep",
+    remedy: "Look the booking up at the booking service",
+  },
+  draining: {
+    number: 5001,
+    status: 503,
+    outcome: "not-run",
+    meaning: "The node is stopping and accepts no new work",
+    remedy: "Send to another node",
+  },
+  notReady: {
+    number: 5002,
+    status: 503,
+    outcome: "not-run",
+    meaning: "The node has no configuration yet",
+    remedy: "Send to another node",
+  },
+  peerLost: {
+    number: 5003,
+    status: 502,
+    outcome: "may-have-run",
+    meaning: "The connection to the forwarding node broke",
+    remedy: "Send again",
+  },
+  crossedAnswer: {
+    number: 5004,
+    status: 502,
+    outcome: "may-have-run",
+    meaning: "The answer carried the id of another request and was dropped",
+    remedy: "Send again",
+  },
+  invalidSettings: {
+    number: 6001,
+    status: 400,
+    outcome: "not-run",
+    meaning: "The settings file is invalid",
+    remedy: "Correct the field named in the message",
+  },
+  invalidSheet: {
+    number: 6002,
+    status: 400,
+    outcome: "not-run",
+    meaning: "The morning sheet is invalid",
+    remedy: "Correct the entry named in the message",
+  },
+  revisionConflict: {
+    number: 6003,
+    status: 409,
+    outcome: "not-run",
+    meaning:
+      "The configuration changed since the revision that the change was made from",
+    remedy: "Run sheet diff against the newest revision and apply again",
+  },
+  storeUnavailable: {
+    number: 6004,
+    status: 503,
+    outcome: "not-run",
+    meaning: "The platform's store does not answer",
+    remedy: "Try again when the store is available",
+  },
+  applyUnknown: {
+    number: 6005,
+    status: 504,
+    outcome: "may-have-run",
+    meaning: "The store did not confirm whether the change was accepted",
+    remedy: "Run sheet history and look for the attempt token",
+  },
+  nodeUnreachable: {
+    number: 6006,
+    status: 502,
+    outcome: "not-run",
+    meaning: "The node does not answer",
+    remedy: "Check the address and the key file",
+  },
+} as const satisfies Record<string, ResultCode>;
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -1,7 +1,7 @@
 import { Left, Right } from "purify-ts";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
-import { type Millis, millis } from "../../src/core/clock.ts";
+import { millis } from "../../src/core/clock.ts";
 import {
   type GatewayConfiguration,
   type GatewayRoute,
@@ -22,22 +22,19 @@
   type ServerId,
   type ServiceName,
 } from "../../src/core/ids.ts";
-import type { Refusal } from "../../src/core/results/refusal.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
 import type { LeaseRead } from "../../src/node/gateway/lease_rows.ts";
 import type {
-  CallerSink,
   EngineOrders,
   EntryNews,
   InstallationChange,
   NodeMessage,
   ProxiedRequest,
   ServerLinks,
-  ServerRequest,
-  ServerResponseSink,
 } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
+import { RecordedAnswer, RecordedAttempt } from "./recorded_exchange.ts";
 import { model, traits } from "./simulated_engine.ts";
 
 export const booking: ServiceName = brandString("booking");
@@ -97,75 +94,6 @@
   });
 }
 
-/** Records the response that a caller receives. */
-export class RecordedAnswer implements CallerSink {
-  status: number | undefined;
-  text = "";
-  refusal: Refusal | undefined;
-  outcome: "open" | "whole" | "refused" | "aborted" = "open";
-  at: Millis | undefined;
-  readonly #clock: VirtualClock;
-
-  constructor(clock: VirtualClock) {
-    this.#clock = clock;
-  }
-
-  start(head: { status: number }): void {
-    this.status = head.status;
-  }
-  write(bytes: Uint8Array): void {
-    this.text += new TextDecoder().decode(bytes);
-  }
-  end(): void {
-    this.#finish("whole");
-  }
-  refuse(refusal: Refusal): void {
-    this.refusal = refusal;
-    this.#finish("refused");
-  }
-  abort(): void {
-    this.#finish("aborted");
-  }
-  #finish(outcome: RecordedAnswer["outcome"]): void {
-    if (this.outcome !== "open") throw new Error("The answer ended twice");
-    this.outcome = outcome;
-    this.at = this.#clock.now();
-  }
-}
-
-/** One attempt as the server receives it; the test plays the server. */
-export class RecordedAttempt {
-  cancelled = false;
-  readonly order: ServerRequest;
-  readonly #sink: ServerResponseSink;
-
-  constructor(order: ServerRequest, sink: ServerResponseSink) {
-    this.order = order;
-    this.#sink = sink;
-  }
-
-  get server(): ServerId {
-    return this.order.server.id;
-  }
-  start(status = 200): void {
-    this.#sink.onHead({ status, headers: [] });
-  }
-  bytes(text: string): void {
-    this.#sink.onBytes(new TextEncoder().encode(text));
-  }
-  end(): void {
-    this.#sink.onEnd();
-  }
-  answer(text: string, status = 200): void {
-    this.start(status);
-    this.bytes(text);
-    this.end();
-  }
-  fail(kind: Parameters<ServerResponseSink["onFailure"]>[0]["kind"]): void {
-    this.#sink.onFailure({ kind, detail: kind });
-  }
-}
-
 /** Gateway with fakes for its ports, on a virtual clock. */
 export class GatewayFixture {
   readonly clock = VirtualClock.create();
--- a/tests/gateway/prompt_guard_test.ts
+++ b/tests/gateway/prompt_guard_test.ts
@@ -8,8 +8,8 @@
   createRoute,
   engines,
   GatewayFixture,
-  type RecordedAttempt,
 } from "./gateway_fixture.ts";
+import type { RecordedAttempt } from "./recorded_exchange.ts";
 
 // Guards against requests with one part of a prompt that crash engine after
 // engine, and against sound requests that are refused because of them.
