Do not convict what all requests share when engines are lost together

What callers would see: after the loss of all engines at one moment most requests were refused for the parts of their prompts, though the engines were back.

Engines that are lost together have no cause in a request; now crashes within 250 ms count as one moment, and three moments are needed. - A conviction held for ten minutes, so that a wrong one could not be cleared. Now a request tries the part again after 30 s, and four times as late with each further crash, up to ten minutes. - A trial ended before its crash was known, since the engine is asked for its status first; the next trial could crash another engine. Besides, all nodes reported the parts that all requests share to all others after each crash, which grows with the square of the fleet; now about four do.

--- a/src/core/poison/parts.ts
+++ b/src/core/poison/parts.ts
@@ -7,12 +7,14 @@
 } from "./record.ts";
 import type { PoisonEntry, PoisonState } from "./registry.ts";
 
-/** Open crashes from which a part that has run well recently is no longer taken for sound. */
-const crashesAgainstSound = 3;
+/** Moments with crashes from which a part that has run well recently is no longer taken for sound. */
+const momentsAgainstSound = 3;
 /** Time for which such a part must have had open crashes, in ms; a sound one is cleared by then. */
 const minSuspicionOfSound = 1_500;
-/** Time without a change after which convicted content may be tried again, in ms. */
-const probationDelay = 600_000;
+/** Time without a change after which a part convicted by two crashes may be tried again, in ms; four times as long with each further crash. */
+const minProbationDelay = 30_000;
+const probationFactor = 4;
+const maxProbationDelay = 600_000;
 
 /** What a node knows beside the records. */
 export type PartsContext = {
@@ -44,8 +46,8 @@
     const isConvicted =
       rivals.length === 0 && suspect.crashes.length >= crashesToConvict;
     const entry = state.entries.get(suspect.part) as PoisonEntry;
-    if (isConvicted && context.now < entry.changedAt + probationDelay)
-      return "convicted";
+    const retryAt = entry.changedAt + computeProbationDelay(suspect);
+    if (isConvicted && context.now < retryAt) return "convicted";
     status = "suspect";
   }
   return status;
@@ -66,11 +68,18 @@
 /** Whether the crashes outweigh that the part has run well recently. */
 function contradictsSound(entry: PoisonEntry, now: Millis): boolean {
   return (
-    listOpenCrashes(entry.record).length >= crashesAgainstSound &&
+    entry.crashMoments >= momentsAgainstSound &&
     now >= entry.suspectedAt + minSuspicionOfSound
   );
 }
 
+/** Time for which a part stays convicted without a further crash, in ms. */
+function computeProbationDelay({ crashes }: Suspect): number {
+  const further = crashes.length - crashesToConvict;
+  const delay = minProbationDelay * probationFactor ** further;
+  return Math.min(delay, maxProbationDelay);
+}
+
 /** Whether these crashes include all those of a suspect. */
 function covers(crashes: readonly string[], suspect: Suspect): boolean {
   return suspect.crashes.every((crash) => crashes.includes(crash));
--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -10,6 +10,7 @@
   clearCrashes,
   deriveStatus,
   emptyRecord,
+  listOpenCrashes,
   mergeRecords,
   type PoisonRecord,
   type PoisonStatus,
@@ -21,6 +22,9 @@
   readonly changedAt: Millis;
   /** Time since which it has had open crashes without a break. */
   readonly suspectedAt: Millis;
+  /** Number of moments in that time at which crashes were reported, and the latest of them. */
+  readonly crashMoments: number;
+  readonly crashedAt: Millis;
 };
 
 /** Records of content that may crash engines, at one node. */
@@ -84,6 +88,9 @@
 /** Time without a change after which a record and its row are dropped, in ms. */
 const retention = 24 * 3_600_000;
 
+/** Time within which crashes count as one moment, in ms: engines that are lost together had no cause in a request. */
+const momentTime = 250;
+
 export function createPoisonState(): PoisonState {
   return { entries: new Map() };
 }
@@ -191,12 +198,9 @@
   const before = recordOf(state, digest);
   const record = update(before);
   if (record === before) return [];
-  const wasSuspect = deriveStatus(before) !== "unknown";
-  const suspectedAt = wasSuspect
-    ? (state.entries.get(digest)?.suspectedAt ?? now)
-    : now;
+  const entry = updateEntry(state.entries.get(digest), record, now);
   state.entries.delete(digest);
-  state.entries.set(digest, { record, changedAt: now, suspectedAt });
+  state.entries.set(digest, entry);
   const commands: PoisonCommand[] = [
     { type: "publish-record", digest, record },
   ];
@@ -217,6 +221,24 @@
   return [...commands, ...enforceLimit(state)];
 }
 
+/** Entry with a changed record. */
+function updateEntry(
+  known: PoisonEntry | undefined,
+  record: PoisonRecord,
+  now: Millis,
+): PoisonEntry {
+  const openBefore = known ? listOpenCrashes(known.record).length : 0;
+  if (known === undefined || openBefore === 0) {
+    const since = { suspectedAt: now, crashMoments: 1, crashedAt: now };
+    return { record, changedAt: now, ...since };
+  }
+  const isCrash = listOpenCrashes(record).length > openBefore;
+  if (!isCrash || now < known.crashedAt + momentTime)
+    return { ...known, record, changedAt: now };
+  const crashMoments = known.crashMoments + 1;
+  return { ...known, record, changedAt: now, crashMoments, crashedAt: now };
+}
+
 function enforceLimit(state: PoisonState): PoisonCommand[] {
   if (state.entries.size <= poisonLimit) return [];
   state.entries.delete(selectEvicted(state));
--- a/src/node/gateway/prompt_admission.ts
+++ b/src/node/gateway/prompt_admission.ts
@@ -83,6 +83,7 @@
   end(): void {
     const trial = this.#trial;
     this.#trial = undefined;
-    trial?.end();
+    // The next trial must know of the crash that this one has caused.
+    if (trial !== undefined) void this.#recorded.then(() => trial.end());
   }
 }
--- a/src/node/gateway/prompt_guard.ts
+++ b/src/node/gateway/prompt_guard.ts
@@ -23,6 +23,9 @@
 /** Interval at which a request waits for the result of a trial, in ms. */
 const pollInterval = millis(40);
 
+/** Number of nodes that report a part which they know to be sound, if all of them lose requests with it. */
+const reportersOfSound = 4;
+
 /** Whether a request may run now. */
 export type PromptDecision =
   /** With a trial, the request may run only while the node holds it. */
@@ -109,16 +112,27 @@
     server: BackendServer,
     parts: readonly Digest[],
   ): Promise<void> {
-    if (parts.length === 0) return;
     const { crashes, poison } = this.#options;
-    if (!(await crashes.isDown(server))) return;
+    const digests = this.#selectReported(parts);
+    if (digests.length === 0 || !(await crashes.isDown(server))) return;
     poison.suspect({
       engine: brandString(server.id),
       boot: String(server.born ?? server.address),
-      digests: parts,
+      digests,
     });
   }
 
+  /** Parts to report after a crash; of those that run well at many nodes, few nodes report them. */
+  #selectReported(parts: readonly Digest[]): Digest[] {
+    const { context } = this.#options;
+    const share = reportersOfSound / context.nodeCount;
+    return parts.filter(
+      (part) =>
+        !isSoundPart(this.#sound, part, this.#now()) ||
+        context.dependencies.random() < share,
+    );
+  }
+
   /** Handles a message of another node. */
   receive(message: PoisonMessage): void {
     if (message.type === "trial") {
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -1,7 +1,7 @@
 import { Left, Right } from "purify-ts";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
-import { millis } from "../../src/core/clock.ts";
+import { millis, sleep } from "../../src/core/clock.ts";
 import {
   type GatewayConfiguration,
   type GatewayRoute,
@@ -101,6 +101,8 @@
   readonly attempts: RecordedAttempt[] = [];
   readonly orders: EngineOrder[] = [];
   readonly gateway: Gateway;
+  /** Time that a status request takes. */
+  statusDelay = millis(0);
   /** Engines that have crashed. */
   readonly downEngines = new Set<ServerId>();
   orderAnswer: OrderAnswer = { kind: "accepted" };
@@ -132,6 +134,7 @@
         return this.orderAnswer;
       },
       fetchStatus: async (server) => {
+        if (this.statusDelay > 0) await sleep(this.clock, this.statusDelay);
         if (this.downEngines.has(server.id))
           return Left({ detail: "The connection was refused" });
         return Right({
--- a/tests/gateway/prompt_guard_test.ts
+++ b/tests/gateway/prompt_guard_test.ts
@@ -128,6 +128,23 @@
   assert.equal(fixture.attempts.length, 2);
 });
 
+// The engine is asked for its status first, which takes a while.
+test("the next request with a suspect part waits until the crash of the last one is known", async () => {
+  const fixture = await createFixture();
+  await crash(fixture, (await open(fixture, deadly)).attempt);
+  const trial = await open(fixture, deadly);
+  const waiting = await open(fixture, deadly);
+  assert.ok(trial.attempt);
+  fixture.statusDelay = millis(300);
+  fixture.downEngines.add(trial.attempt.server);
+  trial.attempt.start();
+  trial.attempt.fail("broken");
+  await fixture.advance(1_000);
+  assert.equal(trial.answer.outcome, "aborted");
+  assert.equal(waiting.answer.refusal?.code, "partWithheld");
+  assert.equal(fixture.attempts.length, 2);
+});
+
 test("crashes that other nodes report count, and a request already sent is withdrawn", async () => {
   const fixture = await createFixture();
   const { answer, attempt } = await open(fixture, ["deadly"]);
