Leave parts known to be sound out of trials, and send nothing after the channel is closed

Found by reading. A trial claimed all parts with open crashes, also the one that all requests of a tenant share, so that their trials waited for each other; the new test of the guard fails without the change. A repeated record could be due after the node had closed its channel, which throws.

--- a/src/adapters/peers/node_channel.ts
+++ b/src/adapters/peers/node_channel.ts
@@ -9,6 +9,7 @@
 /** Sends messages between nodes over UDP; a later message replaces a lost one. */
 export class UdpNodeChannel implements NodeChannel {
   readonly #socket: Socket;
+  #closed = false;
   #listener: (message: NodeMessage, from: string) => void = () => {};
 
   private constructor(options: {
@@ -37,6 +38,8 @@
   }
 
   send(address: string, message: NodeMessage): void {
+    // A repeated message may be due after the node has stopped.
+    if (this.#closed) return;
     const colon = address.lastIndexOf(":");
     const host = address.slice(0, colon);
     const port = Number(address.slice(colon + 1));
@@ -52,6 +55,7 @@
   }
 
   close(): void {
+    this.#closed = true;
     this.#socket.close();
   }
 }
--- a/src/core/gateway/reader_choice.ts
+++ b/src/core/gateway/reader_choice.ts
@@ -79,7 +79,7 @@
   return new Set(local.map(({ machine }) => machine));
 }
 
-/** The nodes of the own data centre, then those of the others in turn, since a data centre may be turned away as a whole. */
+/** The nodes of the own data centre, then all others, since a data centre may be turned away as a whole. */
 function rankOthers(
   choice: ReaderChoice,
   nodes: readonly ReaderNode[],
--- a/src/node/gateway/prompt_guard.ts
+++ b/src/node/gateway/prompt_guard.ts
@@ -69,10 +69,7 @@
   /** Status of a request with these parts. */
   assess(parts: readonly Digest[]): PoisonStatus {
     if (parts.length === 0) return "unknown";
-    const now = this.#now();
-    return this.#options.poison.assess(parts, (part) =>
-      isSoundPart(this.#sound, part, now),
-    );
+    return this.#options.poison.assess(parts, (part) => this.#isSound(part));
   }
 
   /** Waits until a request may run, at most until `until`. */
@@ -127,9 +124,7 @@
     const { context } = this.#options;
     const share = reportersOfSound / context.nodeCount;
     return parts.filter(
-      (part) =>
-        !isSoundPart(this.#sound, part, this.#now()) ||
-        context.dependencies.random() < share,
+      (part) => !this.#isSound(part) || context.dependencies.random() < share,
     );
   }
 
@@ -147,7 +142,9 @@
   #startTrial(parts: readonly Digest[]): PromptTrial | undefined {
     const { poison, broadcast } = this.#options;
     const machine = this.#machine();
-    const suspects = parts.filter((part) => poison.isSuspected(part));
+    const suspected = parts.filter((part) => poison.isSuspected(part));
+    const unknown = suspected.filter((part) => !this.#isSound(part));
+    const suspects = unknown.length > 0 ? unknown : suspected;
     const claim = { machine, parts: suspects, duration: maxTrialTime };
     if (!claimTrial(this.#trials, claim, this.#now())) return undefined;
     const announce = (duration: Millis) =>
@@ -162,6 +159,10 @@
     };
   }
 
+  #isSound(part: Digest): boolean {
+    return isSoundPart(this.#sound, part, this.#now());
+  }
+
   #machine(): MachineName {
     return this.#options.context.dependencies.identity.machine;
   }
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -68,7 +68,8 @@
 /**
  * Keeps copies of the rows that every node needs. One node of each data centre
  * reads them from the table service, the others read from it; a node that
- * finds no reader with recent rows reads the table service itself.
+ * finds no reader with recent rows reads the table service itself, and while
+ * that does not answer either, it searches for recent rows at all other nodes.
  */
 export class RowRelay implements RowFollower, RowServer {
   readonly #options: RowRelayOptions;
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -202,6 +202,18 @@
     this.#deliver(message, "10.0.0.8:7000");
   }
 
+  /** Delivers another node's records of crashes that one of these parts has caused. */
+  reportCrash(parts: readonly string[], crashes = ["e9/1"]): void {
+    for (const part of parts) {
+      this.receive({
+        type: "poison",
+        from: brandString("n2"),
+        digest: brandString(part),
+        record: { crashes, cleared: [] },
+      });
+    }
+  }
+
   publish(change: InstallationChange): void {
     this.#publish(change);
   }
--- a/tests/gateway/prompt_guard_test.ts
+++ b/tests/gateway/prompt_guard_test.ts
@@ -117,6 +117,19 @@
   assert.equal(fixture.lastAttempt().cancelled, false);
 });
 
+// Otherwise the trials of all requests of one tenant would wait for each other.
+test("a part that is known to be sound is not on trial with the others", async () => {
+  const fixture = await createFixture();
+  const tenant = await open(fixture, ["tenant"]);
+  tenant.attempt?.answer("id: 1\n\n");
+  fixture.reportCrash(["tenant", "user", "third"]);
+  await fixture.advance(5);
+  assert.ok((await open(fixture, ["tenant", "user"])).attempt);
+  assert.ok((await open(fixture, ["tenant", "third"])).attempt);
+  const second = await open(fixture, ["tenant", "user"]);
+  assert.equal(second.attempt, undefined);
+});
+
 test("a request that waits for a trial is refused when the trial crashes an engine", async () => {
   const fixture = await createFixture();
   await crash(fixture, (await open(fixture, deadly)).attempt);
@@ -148,13 +161,7 @@
 test("crashes that other nodes report count, and a request already sent is withdrawn", async () => {
   const fixture = await createFixture();
   const { answer, attempt } = await open(fixture, ["deadly"]);
-  const record = { crashes: ["e1/1", "e2/1"], cleared: [] };
-  fixture.receive({
-    type: "poison",
-    from: brandString("n2"),
-    digest: brandString("deadly"),
-    record,
-  });
+  fixture.reportCrash(["deadly"], ["e1/1", "e2/1"]);
   await fixture.advance(5);
   assert.equal(attempt?.cancelled, true);
   assert.notEqual(answer.refusal?.outcome, "not-run");
