--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -70,7 +70,7 @@
     level: "info",
     meaning: "The node reads the store's rows from another node",
   },
-  rowsBorrowed: {
+  rowsFetched: {
     number: 515,
     level: "info",
     meaning:
--- a/src/core/poison/record.ts
+++ b/src/core/poison/record.ts
@@ -57,11 +57,11 @@
 
 /** Clears all recorded crashes, unless they already convict. */
 export function clearCrashes(record: PoisonRecord): PoisonRecord {
-  return deriveStatus(record) === "convicted" ? record : acquit(record);
+  return deriveStatus(record) === "convicted" ? record : resetCrashes(record);
 }
 
 /** Clears all recorded crashes, since the content has been shown to crash no engine. */
-export function acquit(record: PoisonRecord): PoisonRecord {
+export function resetCrashes(record: PoisonRecord): PoisonRecord {
   if (listOpenCrashes(record).length === 0) return record;
   return { ...record, cleared: record.crashes };
 }
--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -5,7 +5,6 @@
 import type { MetricName } from "../observe/metrics.ts";
 import { type Refusal, refuse } from "../results/refusal.ts";
 import {
-  acquit,
   addCrash,
   clearCrashes,
   deriveStatus,
@@ -14,6 +13,7 @@
   mergeRecords,
   type PoisonRecord,
   type PoisonStatus,
+  resetCrashes,
 } from "./record.ts";
 
 /** Record of one content digest at one node. */
@@ -144,7 +144,11 @@
       if (!state.entries.has(event.digest)) return { state, commands: [] };
       return {
         state,
-        commands: change(state, { digest: event.digest, now, update: acquit }),
+        commands: change(state, {
+          digest: event.digest,
+          now,
+          update: resetCrashes,
+        }),
       };
     case "record-received":
       return mergeRemoteRecord(state, event, now);
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/installation_tracker.ts
@@ -10,7 +10,7 @@
   type ServerChange,
 } from "../../core/gateway/servers.ts";
 import type { ServerId } from "../../core/ids.ts";
-import type { EntryNews, InstallationChange } from "../../ports/gateway.ts";
+import type { EntryOrigin, InstallationChange } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
 
 type InstallationTrackerOptions = {
@@ -62,7 +62,7 @@
         return;
       }
       case "server":
-        this.#applyServerChange(change.change, change.news);
+        this.#applyServerChange(change.change, change.origin);
         return;
       case "complete":
         this.#completedTopics.add(change.topic);
@@ -79,15 +79,16 @@
     }
   }
 
-  #applyServerChange(change: ServerChange, news: EntryNews): void {
+  #applyServerChange(change: ServerChange, origin: EntryOrigin): void {
     const { context, onServer } = this.#options;
     const { directory, adapterDirectory } = context;
     if (change.type === "absent") {
       const usableUntil = applyServerChange(directory, change, context.now());
-      if (usableUntil === undefined) return this.#forgetServer(change.id, news);
+      if (usableUntil === undefined)
+        return this.#forgetServer(change.id, origin);
       const { journal } = context.dependencies;
       const kept = Math.round(usableUntil - context.now());
-      const fields = { server: change.id, kept, ...describeNews(news) };
+      const fields = { server: change.id, kept, ...describeOrigin(origin) };
       journal.record("serverUnlisted", fields);
       return;
     }
@@ -100,12 +101,12 @@
     applyServerChange(directory, change, context.now());
     recordRegistration(adapterDirectory, server, context.now());
     if (known === undefined || known.leaving !== server.leaving) {
-      this.#recordServer(server, news);
+      this.#recordServer(server, origin);
     }
     onServer(server);
   }
 
-  #recordServer(server: BackendServer, news: EntryNews): void {
+  #recordServer(server: BackendServer, origin: EntryOrigin): void {
     const event = server.leaving ? "serverLeaving" : "serverSeen";
     const { id, service, address, dataCentre } = server;
     const { journal } = this.#options.context.dependencies;
@@ -114,23 +115,23 @@
       service,
       address,
       dataCentre,
-      ...describeNews(news),
+      ...describeOrigin(origin),
     });
   }
 
-  #forgetServer(id: ServerId, news?: EntryNews): void {
+  #forgetServer(id: ServerId, origin?: EntryOrigin): void {
     const { context, onServerGone } = this.#options;
     const { links, journal } = context.dependencies;
     forgetEngineAdapters(context.adapterDirectory, id);
     forgetServer(context.health, id);
     links.disconnect(id);
-    const fields = news === undefined ? {} : describeNews(news);
+    const fields = origin === undefined ? {} : describeOrigin(origin);
     journal.record("serverGone", { server: id, ...fields });
     onServerGone(id);
   }
 }
 
 /** Log fields of a change's version, way and highest age. */
-function describeNews({ rowVersion, source, maxAge }: EntryNews) {
+function describeOrigin({ rowVersion, source, maxAge }: EntryOrigin) {
   return { rowVersion, source: source ?? "store", maxAge: Math.round(maxAge) };
 }
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -17,8 +17,8 @@
 } from "../../core/gateway/row_replica.ts";
 import type { MachineName } from "../../core/ids.ts";
 import {
+  type RowChange,
   type RowDelivery,
-  type RowNews,
   type RowRequest,
   type RowSnapshot,
   type RowTopic,
@@ -43,7 +43,7 @@
 }
 
 /** Called with the rows of a topic that changed. */
-export type RowListener = (news: RowNews) => void;
+export type RowListener = (change: RowChange) => void;
 
 type RowCopiesOptions = {
   readonly clock: Clock;
--- a/src/node/gateway/row_search.ts
+++ b/src/node/gateway/row_search.ts
@@ -53,8 +53,7 @@
       const machine = nodes[this.#next % nodes.length] as MachineName;
       const fault = await fetchRows(machine);
       if (fault === undefined) {
-        if (this.#found !== machine)
-          journal.record("rowsBorrowed", { machine });
+        if (this.#found !== machine) journal.record("rowsFetched", { machine });
         this.#found = machine;
         return;
       }
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -159,7 +159,7 @@
 };
 
 /** Where a change of a server's entry comes from, and how old it may be. */
-export type EntryNews = {
+export type EntryOrigin = {
   /** Version of the entry, or of the store when the entry was found missing. */
   readonly rowVersion: number;
   /** Node that passed the entry on; undefined if this node read it itself. */
@@ -175,7 +175,7 @@
   | {
       readonly type: "server";
       readonly change: ServerChange;
-      readonly news: EntryNews;
+      readonly origin: EntryOrigin;
     }
   /** All changes of a full read have been delivered. */
   | { readonly type: "complete"; readonly topic: "operator" | "servers" };
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -34,7 +34,7 @@
 };
 
 /** A change of a copy, and what is known of its way to this node. */
-export type RowNews = RowUpdate & {
+export type RowChange = RowUpdate & {
   /** Node that passed the rows on; undefined if this node read them itself. */
   readonly source: MachineName | undefined;
   /** Upper bound of the time since the rows were written, in ms. */
@@ -50,7 +50,7 @@
 /** Keeps copies of all topics up to date. */
 export type RowFollower = {
   /** Calls the listener with the changes of a topic, from now on. */
-  subscribe(topic: RowTopic, listener: (news: RowNews) => void): void;
+  subscribe(topic: RowTopic, listener: (change: RowChange) => void): void;
   /** The current copy; undefined before the first complete read. */
   snapshot(topic: RowTopic): RowSnapshot | undefined;
   /** Reads a topic from the table service; returns the copy after that. */
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -26,7 +26,7 @@
 import type { LeaseRead } from "../../src/node/gateway/lease_rows.ts";
 import type {
   EngineOrders,
-  EntryNews,
+  EntryOrigin,
   InstallationChange,
   NodeMessage,
   ProxiedRequest,
@@ -44,8 +44,8 @@
 const minReadVersion = 1_000_000;
 const region: Region = brandString("tatry");
 
-/** News of an entry that the node has just read from the store. */
-export const entryNews: EntryNews = {
+/** Origin of an entry that the node has just read from the store. */
+export const entryOrigin: EntryOrigin = {
   rowVersion: 1,
   source: undefined,
   maxAge: 0,
@@ -242,7 +242,7 @@
       this.publish({
         type: "server",
         change: { type: "present", server },
-        news: entryNews,
+        origin: entryOrigin,
       });
     }
     this.publish({ type: "complete", topic: "servers" });
--- a/tests/gateway/gateway_servers_test.ts
+++ b/tests/gateway/gateway_servers_test.ts
@@ -6,7 +6,7 @@
   createDemand,
   createEngine,
   createServer,
-  entryNews,
+  entryOrigin,
 } from "./gateway_fixture.ts";
 import { createBookingFixture, createEngineFixture } from "./gateway_setups.ts";
 
@@ -25,7 +25,7 @@
     fixture.publish({
       type: "server",
       change: { type: "absent", id: brandString(id), outageEndedAt },
-      news: entryNews,
+      origin: entryOrigin,
     });
   }
   fixture.open();
@@ -45,7 +45,7 @@
   fixture.publish({
     type: "server",
     change: { type: "absent", id: brandString("s1"), outageEndedAt },
-    news: entryNews,
+    origin: entryOrigin,
   });
   for (let i = 0; i < 5; i++) fixture.open();
   await fixture.advance(1);
