--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -131,25 +131,12 @@
         ),
       };
     case "completed-alone":
-      if (!state.entries.has(event.digest)) return { state, commands: [] };
-      return {
-        state,
-        commands: change(state, {
-          digest: event.digest,
-          now,
-          update: clearCrashes,
-        }),
-      };
-    case "proven-sound":
-      if (!state.entries.has(event.digest)) return { state, commands: [] };
-      return {
-        state,
-        commands: change(state, {
-          digest: event.digest,
-          now,
-          update: resetCrashes,
-        }),
-      };
+    case "proven-sound": {
+      const { type, digest } = event;
+      if (!state.entries.has(digest)) return { state, commands: [] };
+      const update = type === "proven-sound" ? resetCrashes : clearCrashes;
+      return { state, commands: change(state, { digest, now, update }) };
+    }
     case "record-received":
       return mergeRemoteRecord(state, event, now);
     case "sweep":
