--- a/tests/gateway/model_engine.ts
+++ b/tests/gateway/model_engine.ts
@@ -1,6 +1,10 @@
 import type { EngineOrder } from "../../src/core/gateway/orders.ts";
 import type { HeldModel } from "../../src/core/gateway/servers.ts";
-import type { AdapterName, ModelName } from "../../src/core/ids.ts";
+import {
+  type AdapterName,
+  brandString,
+  type ModelName,
+} from "../../src/core/ids.ts";
 
 /** Size of the weights of each model, in MB, and the usual time of a load, in ms. */
 export const modelMb = 34_300;
@@ -104,3 +108,19 @@
       .map(([adapter]) => ({ name: adapter, version: 1 })),
   }));
 }
+
+/** Name of a model of the fleet. */
+export function nameModel(index: number): ModelName {
+  return brandString(`m${index}`);
+}
+
+/** Maximum number of loads that started within any span of `window` ms. */
+export function countMaxLoads(
+  starts: readonly number[],
+  window: number,
+): number {
+  const counts = starts.map(
+    (start) => starts.filter((at) => at >= start && at < start + window).length,
+  );
+  return Math.max(0, ...counts);
+}
--- a/tests/gateway/model_fleet.ts
+++ b/tests/gateway/model_fleet.ts
@@ -24,6 +24,7 @@
   loadTime,
   ModelEngine,
   modelMb,
+  nameModel,
 } from "./model_engine.ts";
 
 /** Interval of the simulation, in ms. */
@@ -153,17 +154,6 @@
     );
   }
 
-  /** Maximum number of loads within a time. */
-  countMaxLoads(window: number): number {
-    return Math.max(
-      0,
-      ...this.loads.map(
-        (start) =>
-          this.loads.filter((at) => at >= start && at < start + window).length,
-      ),
-    );
-  }
-
   #createController(held: ModelName[]): EngineControllerState {
     return createEngineControllerState({
       traits: this.traits,
@@ -322,8 +312,3 @@
     });
   }
 }
-
-/** Name of a model of the fleet. */
-export function nameModel(index: number): ModelName {
-  return brandString(`m${index}`);
-}
--- a/tests/gateway/model_placement_test.ts
+++ b/tests/gateway/model_placement_test.ts
@@ -1,6 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
+import { countMaxLoads } from "./model_engine.ts";
 import { ModelFleet, type OrderFate } from "./model_fleet.ts";
 
 /** Allowed loads from the weight store in five seconds, for 3.4 per second. */
@@ -97,7 +98,7 @@
       if (random() < 0.3) fleet.restart(Math.floor(random() * 8));
     }
     assert.equal(fleet.violations, 0, `seed ${seed}`);
-    const loads = fleet.countMaxLoads(5_000);
+    const loads = countMaxLoads(fleet.loads, 5_000);
     assert.ok(loads <= maxLoadsInFiveSeconds, `seed ${seed}: ${loads} loads`);
   }
 });
