--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -126,11 +126,12 @@
 
   #onEnd(): void {
     if (this.#ended) return;
-    const { sink } = this.#options;
+    const { cursor, sink } = this.#options;
     const head = this.#head as ResponseHead;
     if (this.#passesThrough) {
       // Without a length, the end of the connection also ends a broken stream.
-      if (this.#boundary.isWithinEvent) {
+      const heldBytes = cursor?.partialBytes ?? 0;
+      if (this.#boundary.isWithinEvent || heldBytes > 0) {
         return this.#fail("The stream ended within an event");
       }
       sink.end();
--- a/tests/gateway/gateway_streams_test.ts
+++ b/tests/gateway/gateway_streams_test.ts
@@ -18,6 +18,20 @@
   }
 });
 
+// The cursor of a resumable stream holds back bytes whose event it has not seen end.
+test("a resumable stream does not look complete without its last bytes", async () => {
+  const fixture = await createEngineFixture({
+    resumable: true,
+    maxAttempts: 1,
+  });
+  const { answer } = fixture.open({ demand: createDemand("a1") });
+  await fixture.advance(5);
+  fixture.lastAttempt().answer("id: 1\n\nid: 2\r\r");
+  await fixture.advance(1);
+  assert.equal(answer.text, "id: 1\n\n");
+  assert.equal(answer.outcome, "aborted");
+});
+
 test("a stream that ends after an event is complete, however its lines end", async () => {
   for (const end of ["\n\n", "\r\n\r\n", "\r\r"]) {
     const fixture = await createEngineFixture();
