Take repeated work off the paths of requests and rows; one source of attempt tokens

Found by reading the whole change once more; behaviour stays as it is.

- A resumable stream was followed twice for the end of its events, byte by byte; the cursor alone tells it, and the boundary serves streams without a cursor.
- Each request with parts went through all records of parts; now only if one of its own parts has an open crash.
- Every changed row of the nodes' table was decoded to look for records of crashes; the key prefix is now checked before.
- All other nodes were ranked on each change of a node row; now only when the rows of another node are searched for.
- The tokens of table writes came from two counters of a gateway; the context creates them.
The limits of poison messages have names.

--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -6,11 +6,15 @@
   OwnerReport,
 } from "../../core/gateway/engine_backlog.ts";
 import { brandString, type Digest, type MachineName } from "../../core/ids.ts";
+import { crashLimit } from "../../core/poison/record.ts";
 import type { NodeMessage } from "../../ports/gateway.ts";
 
 /** Maximum number of engines in one datagram, which keeps it below the usual path MTU. */
 const enginesPerDatagram = 2;
 
+/** Maximum number of parts in the announcement of a trial. */
+const maxTrialParts = 64;
+
 const name = z.string().min(1).max(256);
 const count = z.number().int().min(0);
 /** Adapter key, version and time until the adapter is ready, in ms. */
@@ -32,13 +36,13 @@
   count,
   z.nullable(z.array(availableAdapterFrame)),
 ]);
-/** A message as an array: type, sender, entries. */
-const crashList = z.array(name).max(8);
+const crashListFrame = z.array(name).max(crashLimit);
+/** A message as an array: type, sender, entries or fields. */
 const messageFrame = z.union([
   z.tuple([z.literal("use"), name, z.array(usageFrame)]),
   z.tuple([z.literal("load"), name, z.array(ownerReportFrame)]),
-  z.tuple([z.literal("poison"), name, name, crashList, crashList]),
-  z.tuple([z.literal("trial"), name, z.array(name).max(64), count]),
+  z.tuple([z.literal("poison"), name, name, crashListFrame, crashListFrame]),
+  z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialParts), count]),
 ]);
 
 const packr = new Packr({ useRecords: false });
--- a/src/core/gateway/reader_choice.ts
+++ b/src/core/gateway/reader_choice.ts
@@ -23,8 +23,8 @@
   readonly suspicions: Map<MachineName, Suspicion>;
   /** Nodes of the data centre that precede this one, first reader first. */
   candidates: readonly MachineName[];
-  /** All other nodes, in the order in which this one asks them without any reader. */
-  others: readonly MachineName[];
+  /** All known nodes. */
+  nodes: readonly ReaderNode[];
 };
 
 /** Number of nodes that one node tries before it reads for itself. */
@@ -46,7 +46,7 @@
     dataCentre,
     suspicions: new Map(),
     candidates: [],
-    others: [],
+    nodes: [],
   };
 }
 
@@ -58,41 +58,41 @@
   choice: ReaderChoice,
   nodes: readonly ReaderNode[],
 ): void {
-  const names = listMachines(nodes, choice.dataCentre);
-  names.add(choice.machine);
-  const ranked = rankByRendezvous(`reader/${choice.dataCentre}`, names);
+  choice.nodes = nodes;
+  const ranked = rankLocalNodes(choice);
   choice.candidates = ranked.slice(
     0,
     Math.min(maxCandidates, ranked.indexOf(choice.machine)),
   );
-  choice.others = rankOthers(choice, nodes, ranked);
   for (const machine of choice.suspicions.keys()) {
-    if (!names.has(machine)) choice.suspicions.delete(machine);
+    if (!ranked.includes(machine)) choice.suspicions.delete(machine);
   }
 }
 
-function listMachines(
-  nodes: readonly ReaderNode[],
-  dataCentre: DataCentre,
-): Set<MachineName> {
-  const local = nodes.filter((node) => node.dataCentre === dataCentre);
-  return new Set(local.map(({ machine }) => machine));
+/** The nodes of the own data centre, this one included, first reader first. */
+function rankLocalNodes(choice: ReaderChoice): MachineName[] {
+  const { machine, dataCentre, nodes } = choice;
+  const names = new Set([machine]);
+  for (const node of nodes) {
+    if (node.dataCentre === dataCentre) names.add(node.machine);
+  }
+  return rankByRendezvous(`reader/${dataCentre}`, names);
 }
 
-/** The nodes of the own data centre, then all others, since a data centre may be turned away as a whole. */
-function rankOthers(
-  choice: ReaderChoice,
-  nodes: readonly ReaderNode[],
-  local: readonly MachineName[],
-): MachineName[] {
-  const remote = nodes.filter(
-    ({ dataCentre }) => dataCentre !== choice.dataCentre,
-  );
-  const names = remote.map(({ machine }) => machine);
-  const seed = `fallback/${choice.machine}`;
+/**
+ * All other nodes, in the order in which this one asks them without any reader:
+ * those of the own data centre first, then the rest, since a data centre may be
+ * turned away as a whole.
+ */
+export function rankOtherNodes(choice: ReaderChoice): MachineName[] {
+  const { machine, dataCentre, nodes } = choice;
+  const remote = new Set<MachineName>();
+  for (const node of nodes) {
+    if (node.dataCentre !== dataCentre) remote.add(node.machine);
+  }
   return [
-    ...local.filter((machine) => machine !== choice.machine),
-    ...rankByRendezvous(seed, new Set(names)),
+    ...rankLocalNodes(choice).filter((local) => local !== machine),
+    ...rankByRendezvous(`fallback/${machine}`, remote),
   ];
 }
 
--- a/src/core/poison/parts.ts
+++ b/src/core/poison/parts.ts
@@ -23,7 +23,11 @@
   readonly isKnownSound: (part: Digest) => boolean;
 };
 
-type Suspect = { readonly part: Digest; readonly crashes: readonly string[] };
+type Suspect = {
+  readonly part: Digest;
+  readonly crashes: readonly string[];
+  readonly changedAt: Millis;
+};
 
 /**
  * Status of a request by the parts of its prompt. A crash concerns all parts of
@@ -35,32 +39,39 @@
   parts: readonly Digest[],
   context: PartsContext,
 ): PoisonStatus {
-  if (state.entries.size === 0) return "unknown";
-  const suspects = listSuspects(state, context);
-  const others = suspects.filter(({ part }) => !parts.includes(part));
+  const suspects = listSuspects(state, parts, context);
+  if (suspects.length === 0) return "unknown";
+  const others = listSuspects(state, state.entries.keys(), context).filter(
+    ({ part }) => !parts.includes(part),
+  );
   let status: PoisonStatus = "unknown";
   for (const suspect of suspects) {
-    if (!parts.includes(suspect.part)) continue;
     const rivals = others.filter(({ crashes }) => covers(crashes, suspect));
     if (rivals.some((rival) => explains(rival, suspect))) continue;
     const isConvicted =
       rivals.length === 0 && suspect.crashes.length >= crashesToConvict;
-    const entry = state.entries.get(suspect.part) as PoisonEntry;
-    const retryAt = entry.changedAt + computeProbationDelay(suspect);
+    const retryAt = suspect.changedAt + computeProbationDelay(suspect);
     if (isConvicted && context.now < retryAt) return "convicted";
     status = "suspect";
   }
   return status;
 }
 
-function listSuspects(state: PoisonState, context: PartsContext): Suspect[] {
+/** Those of the parts that may have caused crashes. */
+function listSuspects(
+  state: PoisonState,
+  parts: Iterable<Digest>,
+  context: PartsContext,
+): Suspect[] {
   const suspects: Suspect[] = [];
-  for (const [part, entry] of state.entries) {
+  for (const part of parts) {
+    const entry = state.entries.get(part);
+    if (entry === undefined) continue;
     const crashes = listOpenCrashes(entry.record);
     if (crashes.length === 0) continue;
     if (context.isKnownSound(part) && !contradictsSound(entry, context.now))
       continue;
-    suspects.push({ part, crashes });
+    suspects.push({ part, crashes, changedAt: entry.changedAt });
   }
   return suspects;
 }
--- a/src/core/poison/record.ts
+++ b/src/core/poison/record.ts
@@ -23,7 +23,7 @@
 /** Number of crashes after which content is refused. */
 export const crashesToConvict = 2;
 /** Maximum number of crashes in a record; two convict, the others leave room for cleared ones. */
-const crashLimit = 8;
+export const crashLimit = 8;
 
 /** Record of unknown content. */
 export const emptyRecord: PoisonRecord = { crashes: [], cleared: [] };
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -20,12 +20,14 @@
   type ServiceRetryLimits,
   takeRetry,
 } from "../../core/gateway/service_retry_budget.ts";
-import type {
-  DataCentre,
-  MachineName,
-  ModelAdapterKey,
-  Region,
-  ServiceName,
+import {
+  type AttemptToken,
+  brandString,
+  type DataCentre,
+  type MachineName,
+  type ModelAdapterKey,
+  type Region,
+  type ServiceName,
 } from "../../core/ids.ts";
 import type { ServerLinks } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
@@ -64,6 +66,7 @@
   configuration: GatewayConfiguration | undefined;
   /** Number of nodes that share the retry budget. */
   nodeCount = 1;
+  #attempts = 0;
   readonly #retryBudgets = new Map<ServiceName, ServiceRetryBudget>();
 
   private constructor(dependencies: GatewayDependencies) {
@@ -78,6 +81,13 @@
     return this.dependencies.clock.now();
   }
 
+  /** Creates the token of one write to the table. */
+  createAttemptToken(): AttemptToken {
+    this.#attempts++;
+    const { process } = this.dependencies.identity;
+    return brandString(`${process}/${this.#attempts}`);
+  }
+
   selectionContext(): ServerSelectionContext & {
     readonly adapterDirectory: AdapterDirectory;
   } {
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -1,6 +1,5 @@
 import { type Cancel, millis } from "../../core/clock.ts";
 import { chooseTarget, findRoute } from "../../core/gateway/configuration.ts";
-import { brandString } from "../../core/ids.ts";
 import { refuse } from "../../core/results/refusal.ts";
 import type {
   CallerSink,
@@ -255,13 +254,12 @@
 
   #createPoisonManager(): PoisonManager {
     const { clock, table, random, journal, meter, identity } = this.#options;
-    const { machine: from, process } = identity;
-    let attempts = 0;
+    const { machine: from } = identity;
     return PoisonManager.create({
       clock,
       table,
       random,
-      createToken: () => brandString(`poison-${process}-${attempts++}`),
+      createToken: () => this.context.createAttemptToken(),
       journal,
       meter,
       publish: (digest, record) =>
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -12,13 +12,7 @@
   planLeaseClaims,
   recordClaim,
 } from "../../core/gateway/engine_lease.ts";
-import {
-  type AttemptToken,
-  brandString,
-  type FencingNumber,
-  type MachineName,
-  type ServerId,
-} from "../../core/ids.ts";
+import type { FencingNumber, MachineName, ServerId } from "../../core/ids.ts";
 import type { TableService } from "../../ports/table.ts";
 import type { GatewayContext } from "./context.ts";
 import {
@@ -63,7 +57,6 @@
   #minConfirmedAt = millis(Number.NEGATIVE_INFINITY);
   #needsFreshRead = false;
   #isCycleRunning = false;
-  #attempts = 0;
   #isRegistered = false;
   #stopped = false;
 
@@ -149,7 +142,7 @@
       version: lease.rowVersion,
     }));
     if (writes.length === 0) return;
-    const attempt = this.#nextAttempt();
+    const attempt = this.#options.context.createAttemptToken();
     await this.#options.table.transact({ attempt, conditions, writes });
   }
 
@@ -217,7 +210,7 @@
     const { context, table } = this.#options;
     const { machine, dataCentre, peerAddress } = context.dependencies.identity;
     const answer = await table.transact({
-      attempt: this.#nextAttempt(),
+      attempt: context.createAttemptToken(),
       conditions: [],
       writes: [
         {
@@ -270,7 +263,7 @@
     const { machine, process } = this.#state;
     const row = { machine, process, fence, released: false };
     const answer = await table.transact({
-      attempt: this.#nextAttempt(),
+      attempt: context.createAttemptToken(),
       conditions: [{ key, version: basis }],
       writes: [{ key, value: encodeLease(row) }],
     });
@@ -291,9 +284,4 @@
       onChange();
     });
   }
-
-  #nextAttempt(): AttemptToken {
-    this.#attempts++;
-    return brandString(`${this.#state.process}/${this.#attempts}`);
-  }
 }
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -6,6 +6,7 @@
   isFirstReader,
   type ReaderChoice,
   type ReaderFault,
+  rankOtherNodes,
   recordReaderFault,
   recordReaderSuccess,
   setReaderCandidates,
@@ -102,7 +103,7 @@
     this.#search = RowSearch.create({
       clock,
       journal: options.journal,
-      listNodes: () => this.#choice.others,
+      listNodes: () => rankOtherNodes(this.#choice),
       fetchRows: (machine) => this.#fetchRows(machine, 0),
     });
     this.#copies.subscribe("nodes", ({ rows, isComplete }) => {
--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -60,6 +60,7 @@
 export class ServerAttempt {
   readonly #options: ServerAttemptOptions;
   readonly #buffered: Uint8Array[] = [];
+  /** Follows a stream that has no cursor. */
   readonly #boundary = EventBoundary.create();
   #bufferedBytes = 0;
   #head: ResponseHead | undefined;
@@ -117,8 +118,10 @@
       return;
     }
     const { cursor, sink } = this.#options;
-    this.#boundary.push(bytes);
-    if (cursor === undefined) return sink.write(bytes);
+    if (cursor === undefined) {
+      this.#boundary.push(bytes);
+      return sink.write(bytes);
+    }
     const events = cursor.push(bytes);
     if (events === undefined) this.#fail("An event of the stream is too large");
     else if (events.bytes.length > 0) sink.write(events.bytes);
@@ -130,8 +133,11 @@
     const head = this.#head as ResponseHead;
     if (this.#passesThrough) {
       // Without a length, the end of the connection also ends a broken stream.
-      const heldBytes = cursor?.partialBytes ?? 0;
-      if (this.#boundary.isWithinEvent || heldBytes > 0) {
+      const isWithinEvent =
+        cursor === undefined
+          ? this.#boundary.isWithinEvent
+          : cursor.partialBytes > 0;
+      if (isWithinEvent) {
         return this.#fail("The stream ended within an event");
       }
       sink.end();
@@ -167,13 +173,12 @@
     context.dependencies.meter.count("gateway_sends_total", {
       result: end.kind,
     });
+    const now = context.now();
     if (end.kind === "whole") {
-      const now = context.now();
       const { id } = serverRequest.server;
       recordCallResult(context.health, id, { result: "good", now });
     }
     const head = this.#head;
-    const now = context.now();
     const runTime =
       head && millis(this.#bodyAt === undefined ? 0 : now - this.#bodyAt);
     onResult({ end, detail, head, runTime, body: this.#buffered });
--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -40,8 +40,11 @@
 /** Minimum time between two write attempts, in ms; a random delay of up to the same length is added. */
 const writeRetryMillis = 3_000;
 
-/** Calls the listener with each row that is read or changes. */
-export type FollowTableRows = (listener: (row: Row) => void) => void;
+/** Calls the listener with each row under a key prefix that is read or changes. */
+export type FollowTableRows = (
+  prefix: string,
+  listener: (row: Row) => void,
+) => void;
 
 /** Options of the poison manager. */
 export type PoisonManagerOptions = {
@@ -52,7 +55,7 @@
   readonly journal: Journal;
   readonly meter: Meter;
   readonly publish: (digest: Digest, record: PoisonRecord) => void;
-  /** Delivers all rows of the table and their changes; if omitted, the rows are read once. */
+  /** Delivers the rows of the table and their changes; if omitted, the rows are read once. */
   readonly followRows?: FollowTableRows;
   /** Called when content has been convicted. */
   readonly onConviction?: () => void;
@@ -69,7 +72,10 @@
   static create(options: PoisonManagerOptions): PoisonManager {
     const manager = new PoisonManager(options);
     if (options.followRows === undefined) void manager.#readRows();
-    else options.followRows((row) => manager.#receiveRow(row, "broadcast"));
+    else
+      options.followRows(poisonRowPrefix, (row) =>
+        manager.#receiveRow(row, "broadcast"),
+      );
     manager.#scheduleSweep();
     return manager;
   }
@@ -104,7 +110,7 @@
 
   /** Whether content has crashes of which it may be the cause. */
   isSuspected(digest: Digest): boolean {
-    return statusOf(this.#actor.getSnapshot().context, digest) !== "unknown";
+    return this.findSuspicion(digest) !== "none";
   }
 
   /** Records that content which crashes every engine would have run without a crash. */
@@ -174,7 +180,7 @@
   }
 
   #receiveRow({ key, value }: Row, from: "table" | "broadcast"): void {
-    if (this.#stopped || !key.startsWith(poisonRowPrefix)) return;
+    if (this.#stopped) return;
     const digest = brandString<Digest>(key.slice(poisonRowPrefix.length));
     parsePoisonRecord(value).ifRight((record) =>
       this.#actor.send({ type: "record-received", digest, record, from }),
