Log what a stopping node takes, and what its exit cuts off

Events 313 and 314 tell the ways apart in which a request can be taken late in a stop: the time since SIGTERM, the time since its head arrived, and the number of earlier requests on its connection. No decision changes.

--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -62,6 +62,16 @@
     level: "info",
     meaning: "The answer was passed on",
   },
+  requestTakenInDrain: {
+    number: 313,
+    level: "info",
+    meaning: "A request was taken while the node stops",
+  },
+  requestCutOff: {
+    number: 314,
+    level: "warn",
+    meaning: "The exit of the process cut off a request",
+  },
   callClaimed: {
     number: 401,
     level: "debug",
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -69,6 +69,7 @@
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
   #draining = false;
+  #drainStartedAt = millis(0);
 
   private constructor(options: GatewayOptions) {
     this.#options = options;
@@ -191,6 +192,7 @@
       service,
       revision: configuration.revision,
     });
+    if (this.#draining) this.#recordTakenInDrain(request);
     const task = RequestTask.start(
       {
         context,
@@ -225,6 +227,7 @@
   /** Reports the node as not ready; requests that still arrive are served. */
   startDraining(): void {
     this.#draining = true;
+    this.#drainStartedAt = this.context.now();
     this.#options.journal.record("drainStarted", { open: this.#requests.size });
   }
 
@@ -241,6 +244,11 @@
     for (const task of [...this.#requests]) task.refuseIfWaiting();
   }
 
+  /** Records the requests that the exit of the process is about to cut off. */
+  recordCutOff(): void {
+    for (const task of this.#requests) task.recordCutOff();
+  }
+
   /** Releases the leases and ends all tasks. */
   async stop(): Promise<void> {
     this.#cancelChecks();
@@ -271,6 +279,16 @@
     });
   }
 
+  #recordTakenInDrain(request: ProxiedRequest): void {
+    const now = this.context.now();
+    this.#options.journal.record("requestTakenInDrain", {
+      requestId: request.requestId,
+      sinceDrain: Math.round(now - this.#drainStartedAt),
+      sinceHead: Math.round(now - request.arrivedAt),
+      earlierRequests: request.earlierRequests,
+    });
+  }
+
   #onRequestEnd(task: RequestTask): void {
     this.#requests.delete(task);
     this.context.dependencies.meter.gauge(
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -113,6 +113,14 @@
     this.#finish("cancelled");
   }
 
+  /** Records that the exit of the process is about to cut off the request. */
+  recordCutOff(): void {
+    this.#log.record("requestCutOff", {
+      server: this.#server,
+      ...this.#history.counts,
+    });
+  }
+
   /** Refuses the request if no server can have started it; called when the node stops. */
   refuseIfWaiting(): void {
     if (this.#ended || this.#mayHaveRun()) return;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -54,7 +54,10 @@
   readonly deadline: Millis | undefined;
   /** Id of the last event received, after which the caller resumes a stream. */
   readonly resumeAfter: string | undefined;
+  /** Time at which the head arrived. */
   readonly arrivedAt: Millis;
+  /** Number of requests that arrived before on the same connection, if the front end counts them. */
+  readonly earlierRequests?: number;
 };
 
 /** Status and headers of a server's response. */
