Reproduce requests that a stopping node takes and its exit cuts off

Four tests run the program as a process before a server that streams. A request on a connection whose answer began before SIGTERM, and one whose body ends late, are passed on 3.3 to 3.5 s after SIGTERM and cut at the forced exit; so is one that was sent ahead behind an answer with Connection: close. A request that may have run gets no answer at the exit.

--- /dev/null
+++ b/tests/platform_adapter/stopping_process_test.ts
@@ -0,0 +1,116 @@
+import assert from "node:assert/strict";
+import { type TestContext, test } from "node:test";
+import { configuration, FakeStore, registration } from "./fake_store.ts";
+import { NodeProcess } from "./node_process.ts";
+import { formatRequest, RawCaller } from "./raw_caller.ts";
+import { StreamingServer } from "./streaming_server.ts";
+
+/** Time between SIGTERM and the forced end of the process, in s. */
+const graceSeconds = 5;
+
+const [bookingRoute] = configuration.Routes;
+
+/** A node process in front of one server that streams. */
+async function startInstallation(context: TestContext) {
+  const server = await StreamingServer.open();
+  const store = await FakeStore.open();
+  const route = { ...bookingRoute, TimeoutMs: 20_000, TargetLatencyMs: 4_000 };
+  const streamRoute = {
+    ...route,
+    Name: "r2",
+    Prefix: "/s/",
+    Kind: "streaming",
+  };
+  store.put("op", "config", { ...configuration, Routes: [route, streamRoute] });
+  store.put("servers", "s1", { ...registration, Address: server.address });
+  const node = await NodeProcess.start({
+    storeAddress: store.address,
+    graceSeconds,
+  });
+  await node.waitFor("nodeReady");
+  context.after(async () => {
+    await node.stop();
+    server.close();
+    store.close();
+  });
+  return { server, node };
+}
+
+type Installation = Awaited<ReturnType<typeof startInstallation>>;
+
+/** Resolves after a time in ms. */
+function pause(duration: number): Promise<void> {
+  return new Promise((resolve) => setTimeout(resolve, duration));
+}
+
+/** A request that the node has passed on must reach its caller as a whole answer. */
+function assertNotCut({ server }: Installation, requestId: string): void {
+  assert.notEqual(server.findRun(requestId)?.outcome, "cut");
+}
+
+// Guards against a request that is taken on a kept connection, whose earlier answer
+// began before SIGTERM, and is cut by the exit of the process.
+test("a connection whose answer began before the stop takes no request that the exit would cut", async (context) => {
+  const installation = await startInstallation(context);
+  const { node } = installation;
+  const caller = await RawCaller.open(node.port);
+  caller.write(formatRequest("early", "/s/3500"));
+  await pause(300);
+  node.signal("SIGTERM");
+  await caller.waitUntil(() => caller.countEnds() === 1);
+  caller.write(formatRequest("late", "/s/2500"));
+  await node.ended;
+  await caller.closed;
+  assert.equal(caller.countEnds(), 1);
+  assertNotCut(installation, "early");
+  assertNotCut(installation, "late");
+});
+
+// Guards against a request whose head came before the stop and whose body ends late being
+// taken although the exit of the process cuts it.
+test("a request whose body ends late in a stop is refused as not run if the exit would cut it", async (context) => {
+  const installation = await startInstallation(context);
+  const { node, server } = installation;
+  const caller = await RawCaller.open(node.port);
+  caller.write(formatRequest("slow", "/s/2500", { isComplete: false }));
+  await pause(300);
+  node.signal("SIGTERM");
+  await pause(3_300);
+  caller.write("body");
+  await caller.closed;
+  assertNotCut(installation, "slow");
+  assert.match(caller.received, /^HTTP\/1\.1 503 /);
+  assert.match(caller.received, /connection: close/i);
+  assert.equal(server.findRun("slow"), undefined);
+});
+
+// Guards against requests that a caller sends ahead on one connection being run and then cut,
+// since the answer to the first one closes the connection.
+test("a request that was sent ahead on a connection that closes is not passed on", async (context) => {
+  const installation = await startInstallation(context);
+  const { node, server } = installation;
+  const caller = await RawCaller.open(node.port);
+  node.signal("SIGTERM");
+  await node.waitFor("drainStarted");
+  caller.write(
+    formatRequest("first", "/b/300") + formatRequest("second", "/b/600"),
+  );
+  await caller.closed;
+  assert.match(caller.received, /^HTTP\/1\.1 200 /);
+  assert.equal(server.findRun("first")?.outcome, "whole");
+  assert.equal(server.findRun("second"), undefined);
+});
+
+// Guards against an answer of a request that may have run being cut without a word at the exit.
+test("a request that may have run gets an answer that says so before the exit", async (context) => {
+  const installation = await startInstallation(context);
+  const { node } = installation;
+  const caller = await RawCaller.open(node.port);
+  caller.write(formatRequest("stuck", "/b/20000", { deadline: 20_000 }));
+  await pause(300);
+  node.signal("SIGTERM");
+  await pause(2_000);
+  await caller.closed;
+  assert.match(caller.received, /^HTTP\/1\.1 50[24] /);
+  assert.match(caller.received, /"outcome":"may-have-run"/);
+});
