Take a request in a drain only if it can end before the exit

Callers saw a request taken 6.1 s after SIGTERM and its answer cut off 1.5 s later, at the forced exit of the process. Cause: nothing compared the time that a request needs with the time that was left; the intake was bounded only by the state of connections, and those whose answer began before SIGTERM stay open.

From the start of a drain a request is sent to a server only until the latest time at which it can be expected to end: its time limit, or one and a half times the longest run of its route in the last 15 to 30 s. The time is checked when the request is taken, bounds its wait for a server, and is checked again before the send. Later requests are refused at once, truthfully as not run, so that the caller can go to another node.

--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -1,10 +1,18 @@
-import type { Clock, Millis } from "../../core/clock.ts";
+import { type Clock, type Millis, millis } from "../../core/clock.ts";
 import {
   type AdapterDirectory,
   createAdapterDirectory,
 } from "../../core/gateway/adapter_directory.ts";
 import type { ServerSelectionContext } from "../../core/gateway/choose_server.ts";
-import type { GatewayConfiguration } from "../../core/gateway/configuration.ts";
+import type {
+  GatewayConfiguration,
+  GatewayRoute,
+} from "../../core/gateway/configuration.ts";
+import {
+  findLongestRun,
+  type RunTimes,
+  recordRunTime,
+} from "../../core/gateway/run_times.ts";
 import {
   createServerHealth,
   type ServerHealth,
@@ -20,6 +28,7 @@
   type ServiceRetryLimits,
   takeRetry,
 } from "../../core/gateway/service_retry_budget.ts";
+import type { LatestStart } from "../../core/gateway/stopping.ts";
 import {
   type AttemptToken,
   brandString,
@@ -55,6 +64,15 @@
   readonly retryLimits: ServiceRetryLimits;
 };
 
+/** Planned stop of the process. */
+export type PlannedStop = {
+  readonly startedAt: Millis;
+  /** Time at which the process exits at the latest. */
+  readonly exitAt: Millis;
+  /** Until when requests are still sent to servers. */
+  readonly findLatestStart: LatestStart;
+};
+
 /** State that the tasks of one gateway share; written by the gateway, read by its requests. */
 export class GatewayContext {
   readonly dependencies: GatewayDependencies;
@@ -64,6 +82,9 @@
   /** Newest declared version of each adapter. */
   readonly versions = new Map<ModelAdapterKey, number>();
   configuration: GatewayConfiguration | undefined;
+  /** Present once the process is being stopped. */
+  stop: PlannedStop | undefined;
+  readonly #runTimes: RunTimes = new Map();
   /** Number of nodes that share the retry budget. */
   nodeCount = 1;
   #attempts = 0;
@@ -102,6 +123,26 @@
     };
   }
 
+  /** Records the time that a server worked on a request of a route. */
+  recordRunTime(route: GatewayRoute, sentAt: Millis): void {
+    const now = this.now();
+    const duration = millis(now - sentAt);
+    recordRunTime(this.#runTimes, route.name, { duration, now });
+  }
+
+  /** Longest recent run of a route; undefined if there was none. */
+  findLongestRun(route: string): Millis | undefined {
+    return findLongestRun(this.#runTimes, route, this.now());
+  }
+
+  /** Latest time at which a request with a time limit may be sent; infinite unless the node stops. */
+  findLatestStart(route: GatewayRoute, limit: Millis): number {
+    if (this.stop === undefined) return Number.POSITIVE_INFINITY;
+    const { exitAt, findLatestStart } = this.stop;
+    const longestRun = this.findLongestRun(route.name);
+    return findLatestStart({ exitAt, limit, longestRun });
+  }
+
   /** Adds a request to the retry budget of its service. */
   countRequest(service: ServiceName): void {
     recordRequest(this.#obtainRetryBudget(service), this.now());
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -1,6 +1,5 @@
-import { type Cancel, millis } from "../../core/clock.ts";
-import { chooseTarget, findRoute } from "../../core/gateway/configuration.ts";
-import { refuse } from "../../core/results/refusal.ts";
+import { type Cancel, type Millis, millis } from "../../core/clock.ts";
+import { findLatestStart } from "../../core/gateway/stopping.ts";
 import type {
   CallerSink,
   EngineOrders,
@@ -27,6 +26,7 @@
 import { PeerContacts } from "./peer_contacts.ts";
 import { createPoisonBroadcast } from "./poison_broadcast.ts";
 import { PromptGuard } from "./prompt_guard.ts";
+import { planRequest } from "./request_intake.ts";
 import { RequestTask } from "./request_task.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { UsageReporter } from "./usage_reporter.ts";
@@ -68,8 +68,6 @@
   #onIdle: () => void = () => {};
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
-  #draining = false;
-  #drainStartedAt = millis(0);
 
   private constructor(options: GatewayOptions) {
     this.#options = options;
@@ -152,7 +150,7 @@
 
   /** Whether the node should receive new callers. */
   get isReady(): boolean {
-    return !this.#draining && this.#installation.isComplete;
+    return this.context.stop === undefined && this.#installation.isComplete;
   }
 
   /** Number of requests in progress. */
@@ -163,36 +161,11 @@
   /** Serves one request; the sink may receive a refusal before this returns. */
   open(request: ProxiedRequest, sink: CallerSink): RequestHandle {
     const { context } = this;
-    const { configuration } = context;
-    if (configuration === undefined) {
-      const detail = "The node has not read its configuration yet";
-      sink.refuse(refuse("notReady", detail, { retryAfter: millis(300) }));
+    const plan = planRequest(context, request);
+    if ("code" in plan) {
+      sink.refuse(plan);
       return closedHandle;
     }
-    const route = findRoute(configuration, request);
-    if (route === undefined) {
-      const detail = `No route matches ${request.host}${request.path}`;
-      context.dependencies.journal.record("requestRefused", {
-        requestId: request.requestId,
-        revision: configuration.revision,
-        code: "unknownRoute",
-        detail,
-      });
-      sink.refuse(refuse("unknownRoute", detail));
-      return closedHandle;
-    }
-    const service = chooseTarget(route, context.dependencies.random());
-    if (service === undefined) {
-      sink.refuse(refuse("noServer", `Route ${route.name} has no service`));
-      return closedHandle;
-    }
-    context.dependencies.journal.record("requestRouted", {
-      requestId: request.requestId,
-      route: route.name,
-      service,
-      revision: configuration.revision,
-    });
-    if (this.#draining) this.#recordTakenInDrain(request);
     const task = RequestTask.start(
       {
         context,
@@ -200,8 +173,7 @@
         usage: this.#usage,
         guard: this.#guard,
         request,
-        route,
-        service,
+        plan,
         sink,
       },
       () => this.#onRequestEnd(task),
@@ -224,11 +196,14 @@
     return this.#engineControllers.requestModel(request);
   }
 
-  /** Reports the node as not ready; requests that still arrive are served. */
-  startDraining(): void {
-    this.#draining = true;
-    this.#drainStartedAt = this.context.now();
-    this.#options.journal.record("drainStarted", { open: this.#requests.size });
+  /** Reports the node as not ready; requests that can end before `exitAt` are still served. */
+  startDraining(exitAt: Millis): void {
+    const startedAt = this.context.now();
+    this.context.stop = { startedAt, exitAt, findLatestStart };
+    this.#options.journal.record("drainStarted", {
+      open: this.#requests.size,
+      timeLeft: Math.round(exitAt - startedAt),
+    });
   }
 
   /** Resolves once no request is in progress. */
@@ -279,16 +254,6 @@
     });
   }
 
-  #recordTakenInDrain(request: ProxiedRequest): void {
-    const now = this.context.now();
-    this.#options.journal.record("requestTakenInDrain", {
-      requestId: request.requestId,
-      sinceDrain: Math.round(now - this.#drainStartedAt),
-      sinceHead: Math.round(now - request.arrivedAt),
-      earlierRequests: request.earlierRequests,
-    });
-  }
-
   #onRequestEnd(task: RequestTask): void {
     this.#requests.delete(task);
     this.context.dependencies.meter.gauge(
--- /dev/null
+++ b/src/node/gateway/request_intake.ts
@@ -0,0 +1,95 @@
+import { type Millis, millis } from "../../core/clock.ts";
+import {
+  chooseTarget,
+  findRoute,
+  type GatewayRoute,
+} from "../../core/gateway/configuration.ts";
+import type { ServiceName } from "../../core/ids.ts";
+import { type Refusal, refuse } from "../../core/results/refusal.ts";
+import type { ProxiedRequest } from "../../ports/gateway.ts";
+import type { GatewayContext } from "./context.ts";
+import { refuseWhileStopping } from "./request_refusals.ts";
+import { RequestTimeLimits } from "./request_time_limits.ts";
+
+/** Delay before a caller should send a request again to a node without a configuration, in ms. */
+const configurationDelay = millis(300);
+
+/** Route and service of a request, and the times that bound it. */
+export type RequestPlan = {
+  readonly route: GatewayRoute;
+  readonly service: ServiceName;
+  readonly limits: RequestTimeLimits;
+};
+
+/** Finds the route and the service of a request; a refusal if it cannot be served. */
+export function planRequest(
+  context: GatewayContext,
+  request: ProxiedRequest,
+): RequestPlan | Refusal {
+  const { configuration } = context;
+  const { journal, random } = context.dependencies;
+  if (configuration === undefined) {
+    const detail = "The node has not read its configuration yet";
+    return refuse("notReady", detail, { retryAfter: configurationDelay });
+  }
+  const { requestId } = request;
+  const { revision } = configuration;
+  const route = findRoute(configuration, request);
+  if (route === undefined) {
+    const detail = `No route matches ${request.host}${request.path}`;
+    const code = "unknownRoute";
+    journal.record("requestRefused", { requestId, revision, code, detail });
+    return refuse(code, detail);
+  }
+  const service = chooseTarget(route, random());
+  if (service === undefined)
+    return refuse("noServer", `Route ${route.name} has no service`);
+  journal.record("requestRouted", {
+    requestId,
+    route: route.name,
+    service,
+    revision,
+  });
+  const limits = RequestTimeLimits.create(request, route);
+  return (
+    refuseIfTooLate(context, request, { route, limits }) ?? {
+      route,
+      service,
+      limits,
+    }
+  );
+}
+
+/** Records a request that arrives while the node stops, and refuses it if the exit would cut it off. */
+function refuseIfTooLate(
+  context: GatewayContext,
+  { requestId, arrivedAt, earlierRequests }: ProxiedRequest,
+  { route, limits }: { route: GatewayRoute; limits: RequestTimeLimits },
+): Refusal | undefined {
+  const { stop } = context;
+  if (stop === undefined) return undefined;
+  const { journal } = context.dependencies;
+  const now = context.now();
+  const facts = {
+    requestId,
+    route: route.name,
+    sinceDrain: Math.round(now - stop.startedAt),
+    sinceHead: Math.round(now - arrivedAt),
+    earlierRequests,
+    timeLeft: Math.round(stop.exitAt - now),
+    limit: Math.round(limits.end - now),
+    longestRun: describe(context.findLongestRun(route.name)),
+  };
+  if (now <= context.findLatestStart(route, limits.end)) {
+    journal.record("requestTakenInDrain", facts);
+    return undefined;
+  }
+  const refusal = refuseWhileStopping();
+  const { code, detail } = refusal;
+  journal.record("requestRefused", { ...facts, code, detail });
+  return refusal;
+}
+
+function describe(duration: Millis | undefined): number | undefined {
+  return duration === undefined ? undefined : Math.round(duration);
+}
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -1,6 +1,5 @@
 import { type Cancel, type Millis, millis } from "../../core/clock.ts";
 import { recordMissing } from "../../core/gateway/adapter_directory.ts";
-import type { GatewayRoute } from "../../core/gateway/configuration.ts";
 import {
   type AttemptFailure,
   decideRetry,
@@ -11,7 +10,7 @@
   type BackendServer,
 } from "../../core/gateway/servers.ts";
 import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
-import { formatModelAdapterKey, type ServiceName } from "../../core/ids.ts";
+import { formatModelAdapterKey } from "../../core/ids.ts";
 import type { Refusal } from "../../core/results/refusal.ts";
 import type { CallerSink, ProxiedRequest } from "../../ports/gateway.ts";
 import { recordAttemptHealth } from "./attempt_health.ts";
@@ -20,6 +19,7 @@
 import type { EngineUsageCounter } from "./engine_usage.ts";
 import { PromptAdmission } from "./prompt_admission.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
+import type { RequestPlan } from "./request_intake.ts";
 import { RequestLog } from "./request_log.ts";
 import {
   refuseAfterAttempt,
@@ -29,7 +29,6 @@
   refuseWithheld,
   refuseWithoutServer,
 } from "./request_refusals.ts";
-import { RequestTimeLimits } from "./request_time_limits.ts";
 import { RequestUsage } from "./request_usage.ts";
 import { ResponseForwarder } from "./response_forwarder.ts";
 import {
@@ -50,8 +49,7 @@
   readonly usage: EngineUsageCounter;
   readonly guard: PromptGuard;
   readonly request: ProxiedRequest;
-  readonly route: GatewayRoute;
-  readonly service: ServiceName;
+  readonly plan: RequestPlan;
   readonly sink: CallerSink;
 };
 
@@ -60,7 +58,6 @@
   readonly #options: RequestTaskOptions;
   readonly #history = AttemptHistory.create();
   readonly #cursor: StreamCursor | undefined;
-  readonly #limits: RequestTimeLimits;
   readonly #forwarder: ResponseForwarder;
   readonly #log: RequestLog;
   readonly #prompt: PromptAdmission;
@@ -69,13 +66,15 @@
   #attempt: ServerAttempt | undefined;
   /** Server of the latest attempt. */
   #server: BackendServer | undefined;
+  #sentAt = millis(0);
   #ended = false;
   #onEnd: () => void = () => {};
 
   private constructor(options: RequestTaskOptions) {
     this.#options = options;
-    const { request, route } = options;
-    this.#log = RequestLog.create(options.context, options);
+    const { request, plan } = options;
+    const { route } = plan;
+    this.#log = RequestLog.create(options.context, { request, route });
     const { clock } = options.context.dependencies;
     this.#usage = RequestUsage.create(options.usage, request.demand);
     this.#prompt = PromptAdmission.create(options.guard, {
@@ -89,18 +88,21 @@
         this.#prompt.recordStart();
       },
     });
-    this.#limits = RequestTimeLimits.create(request, route);
     if (route.retryRule === "stream" && route.resumable) {
       this.#cursor = StreamCursor.create(request.resumeAfter);
     }
   }
 
+  get #plan(): RequestPlan {
+    return this.#options.plan;
+  }
+
   /** Starts the task; `onEnd` is called once, however the request ends. */
   static start(options: RequestTaskOptions, onEnd: () => void): RequestTask {
     const task = new RequestTask(options);
     task.#onEnd = onEnd;
     const { clock } = options.context.dependencies;
-    const timeLeft = millis(task.#limits.end - clock.now());
+    const timeLeft = millis(task.#plan.limits.end - clock.now());
     task.#cancelTimeLimit = clock.schedule(timeLeft, () => task.#onTimeLimit());
     void task.#run();
     return task;
@@ -135,7 +137,8 @@
   }
 
   async #run(): Promise<void> {
-    const { context, service } = this.#options;
+    const { context } = this.#options;
+    const { service } = this.#plan;
     context.countRequest(service);
     while (!this.#ended) {
       const reason = await this.#prompt.wait(
@@ -147,12 +150,8 @@
         return this.#refuse(refuseWithheld(this.#history, reason));
       const selection = await this.#findServer();
       if (this.#ended) return;
-      if (selection === undefined) {
-        const { demand } = this.#options.request;
-        return this.#refuse(
-          refuseWithoutServer(this.#history, demand, context.now()),
-        );
-      }
+      if (this.#isTooLateToStart()) return this.#refuse(refuseWhileStopping());
+      if (selection === undefined) return this.#refuseWithoutServer();
       if (!this.#prompt.maySend()) continue;
       const result = await this.#sendTo(selection);
       if (this.#ended || result === undefined) return;
@@ -167,14 +166,39 @@
     }
   }
 
+  #refuseWithoutServer(): void {
+    const { context, request } = this.#options;
+    // Another node may have a server for the request.
+    if (context.stop !== undefined && !this.#mayHaveRun())
+      return this.#refuse(refuseWhileStopping());
+    const { demand } = request;
+    this.#refuse(refuseWithoutServer(this.#history, demand, context.now()));
+  }
+
+  /** Time until which the request waits; while the node stops, no longer than it can be started. */
   #findWaitEnd(): Millis {
-    const now = this.#options.context.now();
-    return this.#limits.findWaitEnd(now, this.#history.isEmpty);
+    const { context } = this.#options;
+    const { limits } = this.#plan;
+    const end = limits.findWaitEnd(context.now(), this.#history.isEmpty);
+    if (this.#mayHaveRun()) return end;
+    return millis(Math.min(end, this.#findLatestStart()));
+  }
+
+  #findLatestStart(): number {
+    const { route, limits } = this.#plan;
+    return this.#options.context.findLatestStart(route, limits.end);
+  }
+
+  /** Whether no server has begun and the exit of the process would cut off the answer. */
+  #isTooLateToStart(): boolean {
+    const { context } = this.#options;
+    return !this.#mayHaveRun() && context.now() >= this.#findLatestStart();
   }
 
   /** Waits for a server that can take the request; undefined if none can in time. */
   #findServer(): Promise<ServerSelection | undefined> {
-    const { context, selector, service, request } = this.#options;
+    const { context, selector, request } = this.#options;
+    const { service } = this.#plan;
     const history = this.#history;
     return waitForServer({
       context,
@@ -199,8 +223,9 @@
 
   /** Makes one attempt; undefined if the caller got the whole response or a refusal. */
   #sendTo(selection: ServerSelection): Promise<AttemptResult | undefined> {
-    const { context, request, route } = this.#options;
-    const timeLeft = millis(this.#limits.end - context.now());
+    const { context, request } = this.#options;
+    const { route } = this.#plan;
+    const timeLeft = millis(this.#plan.limits.end - context.now());
     if (timeLeft < minTimeLeft) {
       this.#onTimeLimit();
       return Promise.resolve(undefined);
@@ -211,6 +236,7 @@
     if (!isAccepted()) return Promise.resolve(serverLeft);
     this.#log.record("requestSent", { server: selection.server });
     this.#server = selection.server;
+    this.#sentAt = context.now();
     this.#usage.trackSend(selection.server, this.#forwarder.hasStarted);
     return new Promise((resolve) => {
       this.#attempt = ServerAttempt.start({
@@ -231,6 +257,7 @@
         onResult: (result) => {
           this.#attempt = undefined;
           this.#usage.release();
+          context.recordRunTime(route, this.#sentAt);
           if (result.end.kind !== "whole") return resolve(result);
           this.#prompt.recordWhole();
           this.#log.recordResponse(selection.server, this.#forwarder);
@@ -243,7 +270,8 @@
 
   /** Records a failed attempt and decides whether to retry. */
   #handleFailure(attempt: AttemptResult, server: BackendServer): RetryDecision {
-    const { context, route } = this.#options;
+    const { context } = this.#options;
+    const { route } = this.#plan;
     const { kind } = attempt.end;
     this.#log.record("requestSendFailed", {
       server,
@@ -314,7 +342,11 @@
     this.#cancelTimeLimit();
     this.#usage.release();
     this.#prompt.end();
-    this.#attempt?.cancel();
+    if (this.#attempt !== undefined) {
+      const { context } = this.#options;
+      context.recordRunTime(this.#plan.route, this.#sentAt);
+      this.#attempt.cancel();
+    }
     this.#attempt = undefined;
     this.#log.countOutcome(outcome);
     this.#onEnd();
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -137,7 +137,7 @@
   fixture.open();
   await fixture.advance(1);
   let isDone = false;
-  fixture.gateway.startDraining();
+  fixture.gateway.startDraining(millis(fixture.clock.now() + 8_000));
   void fixture.gateway.whenIdle().then(() => {
     isDone = true;
   });
@@ -153,7 +153,7 @@
 // afterwards are still in progress.
 test("a drain waits for a request that arrives during it", async () => {
   const fixture = await createBookingFixture();
-  fixture.gateway.startDraining();
+  fixture.gateway.startDraining(millis(fixture.clock.now() + 8_000));
   const { answer } = fixture.open();
   await fixture.advance(1);
   let isDone = false;
--- /dev/null
+++ b/tests/gateway/stopping_test.ts
@@ -0,0 +1,119 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { type Millis, millis } from "../../src/core/clock.ts";
+import {
+  findLongestRun,
+  type RunTimes,
+  recordRunTime,
+} from "../../src/core/gateway/run_times.ts";
+import { findLatestStart } from "../../src/core/gateway/stopping.ts";
+import {
+  createRoute,
+  createServer,
+  GatewayFixture,
+} from "./gateway_fixture.ts";
+
+/** Time between the start of the drain and the exit of the process, in ms. */
+const drainTime = 7_600;
+
+/** A gateway whose route allows more time than a drain leaves. */
+function createLongRequests(): GatewayFixture {
+  const fixture = new GatewayFixture();
+  fixture.configure([createRoute({ timeout: millis(10_000) })]);
+  fixture.register(createServer({}));
+  return fixture;
+}
+
+function openLong(fixture: GatewayFixture) {
+  return fixture.open({ deadline: millis(10_000) }).answer;
+}
+
+/** Has the server run one request for a time in ms. */
+async function observeRun(fixture: GatewayFixture, duration: number) {
+  openLong(fixture);
+  await fixture.advance(duration);
+  fixture.lastAttempt().answer("booked");
+  await fixture.advance(1);
+}
+
+function startDraining(fixture: GatewayFixture): Millis {
+  const exitAt = millis(fixture.clock.now() + drainTime);
+  fixture.gateway.startDraining(exitAt);
+  return exitAt;
+}
+
+// Guards against a request that is taken late in a drain and cut off by the exit.
+test("a draining node takes a request that ends before the exit and refuses a later one as not run", async () => {
+  const fixture = createLongRequests();
+  await observeRun(fixture, 1_000);
+  startDraining(fixture);
+  await fixture.advance(5_000);
+  const early = openLong(fixture);
+  await fixture.advance(1_000);
+  fixture.lastAttempt().answer("booked");
+  await fixture.advance(1);
+  assert.equal(early.outcome, "whole");
+  const sent = fixture.attempts.length;
+  const late = openLong(fixture);
+  assert.equal(late.refusal?.code, "draining");
+  assert.equal(late.refusal?.outcome, "not-run");
+  assert.equal(late.refusal?.retryAfter, 0);
+  await fixture.advance(drainTime);
+  assert.equal(fixture.attempts.length, sent);
+});
+
+// Guards against a guess where nothing is known of the time that a request needs.
+test("a draining node without a recent run relies on the time limit of a request", async () => {
+  const fixture = createLongRequests();
+  startDraining(fixture);
+  assert.equal(openLong(fixture).refusal?.code, "draining");
+  const { answer } = fixture.open({ deadline: millis(2_000) });
+  await fixture.advance(1);
+  assert.equal(answer.refusal, undefined);
+  assert.equal(fixture.attempts.length, 1);
+});
+
+// Guards against a request that is taken in time, waits, and is sent too late to end.
+test("a request that waits for a server is refused as soon as the exit would cut it off", async () => {
+  const fixture = createLongRequests();
+  await observeRun(fixture, 2_000);
+  fixture.publish({
+    type: "server",
+    change: {
+      type: "absent",
+      id: createServer({}).id,
+      outageEndedAt: millis(Number.NEGATIVE_INFINITY),
+    },
+    origin: { rowVersion: 2, source: undefined, maxAge: 0 },
+  });
+  const exitAt = startDraining(fixture);
+  await fixture.advance(4_000);
+  const answer = openLong(fixture);
+  await fixture.advance(500);
+  assert.equal(answer.refusal?.code, "draining");
+  assert.equal(answer.refusal?.outcome, "not-run");
+  assert.ok((answer.at as number) <= exitAt - 2_000);
+});
+
+test("the longest run of a route counts for 15 to 30 s", () => {
+  const times: RunTimes = new Map();
+  const record = (now: number, duration: number) =>
+    recordRunTime(times, "r", { duration: millis(duration), now: millis(now) });
+  const find = (now: number) => findLongestRun(times, "r", millis(now));
+  assert.equal(find(0), undefined);
+  record(0, 900);
+  record(14_000, 300);
+  assert.equal(find(14_999), 900);
+  record(16_000, 400);
+  assert.equal(find(29_000), 900);
+  assert.equal(find(31_000), 400);
+  assert.equal(find(60_000), undefined);
+});
+
+test("a request whose time limit ends before the exit may start at any time", () => {
+  const exitAt = millis(10_000);
+  const longestRun = millis(60_000);
+  const limit = millis(9_000);
+  const latest = findLatestStart({ exitAt, limit, longestRun });
+  assert.equal(latest, Number.POSITIVE_INFINITY);
+});
--- a/tests/platform_adapter/stopping_process_test.ts
+++ b/tests/platform_adapter/stopping_process_test.ts
@@ -92,8 +92,10 @@
   const caller = await RawCaller.open(node.port);
   node.signal("SIGTERM");
   await node.waitFor("drainStarted");
+  const deadline = 2_000;
   caller.write(
-    formatRequest("first", "/b/300") + formatRequest("second", "/b/600"),
+    formatRequest("first", "/b/300", { deadline }) +
+      formatRequest("second", "/b/600", { deadline }),
   );
   await caller.closed;
   assert.match(caller.received, /^HTTP\/1\.1 200 /);
