--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -5,6 +5,7 @@
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import type { Gateway } from "../../src/node/gateway/gateway.ts";
 import type { CallerSink, ProxiedRequest } from "../../src/ports/gateway.ts";
+import { RawCaller } from "./raw_caller.ts";
 
 type Served = { request: ProxiedRequest; sink: CallerSink };
 
@@ -179,3 +180,56 @@
   void front.stopAccepting();
   assert.equal(await exchangeRaw(port, `${head}${id}\r\n`), "");
 });
+
+/** Serves each request as a stream that ends after 200 ms. */
+function stream({ sink }: Served): void {
+  sink.start({ status: 200, headers: [] });
+  sink.write(new TextEncoder().encode("id: 1\n\n"));
+  setTimeout(() => sink.end(), 200);
+}
+
+const request = `${head}${id}Content-Length: 0\r\n\r\n`;
+
+// Guards against a request that is taken long after the stop began, on a connection whose
+// earlier answer could not announce its end.
+test("a connection ends with the answer that began before the stop", async () => {
+  const { front, port, requests } = await open(stream);
+  const caller = await RawCaller.open(port);
+  caller.write(request);
+  await caller.waitUntil(() => caller.received.includes("id: 1"));
+  front.startClosing();
+  await caller.waitUntil(() => caller.countEnds() === 1);
+  caller.write(request);
+  await caller.closed;
+  assert.equal(caller.countEnds(), 1);
+  assert.equal(requests.length, 1);
+  void front.stopAccepting();
+});
+
+// Guards against cutting off a request that was taken behind another one before the stop.
+test("a connection ends with the last of the requests taken before the stop", async () => {
+  const { front, port, requests } = await open(stream);
+  const caller = await RawCaller.open(port);
+  caller.write(request + request);
+  await caller.waitUntil(() => caller.received.includes("id: 1"));
+  assert.equal(requests.length, 2);
+  front.startClosing();
+  await caller.closed;
+  assert.equal(caller.countEnds(), 2);
+  void front.stopAccepting();
+});
+
+// Guards against an answer that is awaited when the stop begins and keeps its connection open.
+test("a request that waits when the stop begins is answered with Connection: close", async () => {
+  const waiting: Served[] = [];
+  const { front, port } = await open((served) => waiting.push(served));
+  const caller = await RawCaller.open(port);
+  caller.write(request);
+  while (waiting.length === 0)
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  front.startClosing();
+  answer(waiting[0] as Served);
+  await caller.closed;
+  assert.match(caller.received, /connection: close/i);
+  void front.stopAccepting();
+});
