--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -70,7 +70,7 @@
   requestCutOff: {
     number: 314,
     level: "warn",
-    meaning: "The exit of the process cut off a request",
+    meaning: "The process exits before the answer to a request is complete",
   },
   callClaimed: {
     number: 401,
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -219,9 +219,9 @@
     for (const task of [...this.#requests]) task.refuseIfWaiting();
   }
 
-  /** Records the requests that the exit of the process is about to cut off. */
-  recordCutOff(): void {
-    for (const task of this.#requests) task.recordCutOff();
+  /** Ends every request that is still in progress, shortly before the process exits. */
+  endAll(): void {
+    for (const task of [...this.#requests]) task.endBeforeExit();
   }
 
   /** Releases the leases and ends all tasks. */
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/request_refusals.ts
@@ -80,3 +80,9 @@
   const detail = "The node is stopping and no server has received the request";
   return refuse("draining", detail, { retryAfter: millis(0) });
 }
+
+/** Refusal of a request whose answer the exit of the process does not wait for. */
+export function refuseAtExit(): Refusal {
+  const detail = "The node exits before the answer is complete";
+  return refuse("serviceBroken", detail);
+}
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -23,6 +23,7 @@
 import { RequestLog } from "./request_log.ts";
 import {
   refuseAfterAttempt,
+  refuseAtExit,
   refuseAtTimeLimit,
   refuseWhileStopping,
   refuseWithdrawn,
@@ -115,12 +116,15 @@
     this.#finish("cancelled");
   }
 
-  /** Records that the exit of the process is about to cut off the request. */
-  recordCutOff(): void {
+  /** Ends the request with a truthful answer; called shortly before the process exits. */
+  endBeforeExit(): void {
+    if (this.#ended) return;
     this.#log.record("requestCutOff", {
       server: this.#server,
       ...this.#history.counts,
     });
+    const mayHaveRun = this.#mayHaveRun();
+    this.#refuse(mayHaveRun ? refuseAtExit() : refuseWhileStopping());
   }
 
   /** Refuses the request if no server can have started it; called when the node stops. */
--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -233,3 +233,19 @@
   assert.match(caller.received, /connection: close/i);
   void front.stopAccepting();
 });
+
+// Guards against a request whose body is still awaited being cut off by the exit without an answer.
+test("a request whose body has not arrived is refused as not run before the exit", async () => {
+  const { front, port, requests } = await open(answer);
+  const caller = await RawCaller.open(port);
+  caller.write(`${head}${id}Content-Length: 4\r\n\r\nbo`);
+  await new Promise((resolve) => setTimeout(resolve, 50));
+  front.startClosing();
+  front.refuseUnread();
+  caller.write("dy");
+  await caller.closed;
+  assert.match(caller.received, /^HTTP\/1\.1 503 /);
+  assert.match(caller.received, /"outcome":"not-run"/);
+  assert.equal(requests.length, 0);
+  void front.stopAccepting();
+});
