--- a/tests/platform_adapter/fake_store.ts
+++ b/tests/platform_adapter/fake_store.ts
@@ -49,6 +49,12 @@
     this.#write(table, key, undefined);
   }
 
+  /** Resolves once a node has made its first call. */
+  async waitForCall(): Promise<void> {
+    while (this.calls.length === 0)
+      await new Promise((resolve) => setTimeout(resolve, 1));
+  }
+
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
--- a/tests/platform_adapter/stopping_process_test.ts
+++ b/tests/platform_adapter/stopping_process_test.ts
@@ -116,3 +116,41 @@
   assert.match(caller.received, /^HTTP\/1\.1 50[24] /);
   assert.match(caller.received, /"outcome":"may-have-run"/);
 });
+
+// Guards against a second SIGTERM ending the process at once, under the requests in progress.
+test("a second SIGTERM does not cut off the requests in progress", async (context) => {
+  const installation = await startInstallation(context);
+  const { node } = installation;
+  const caller = await RawCaller.open(node.port);
+  caller.write(formatRequest("early", "/s/1500"));
+  await pause(300);
+  node.signal("SIGTERM");
+  await pause(300);
+  node.signal("SIGTERM");
+  await caller.closed;
+  assertNotCut(installation, "early");
+  assert.equal(caller.countEnds(), 1);
+  assert.equal(await node.ended, 0);
+});
+
+// Guards against a signal that arrives before the process listens ending it as if it had crashed.
+for (const signal of ["SIGTERM", "SIGHUP"] as const) {
+  test(`${signal} during the start is handled like a later one`, async (context) => {
+    const store = await FakeStore.open();
+    const node = await NodeProcess.start({
+      storeAddress: store.address,
+      graceSeconds,
+    });
+    context.after(async () => {
+      await node.stop();
+      store.close();
+    });
+    await store.waitForCall();
+    node.signal(signal);
+    if (signal === "SIGHUP") {
+      await node.waitFor("nodeStarted");
+      node.signal("SIGTERM");
+    }
+    assert.equal(await node.ended, 0);
+  });
+}
