Estimate the time that a request needs from whole runs and runs in progress

Runs in progress, often the longest, did not count at all.

Only whole answers count now, at least five of them for the route and its service; runs in progress raise the estimate; a request may start if twice the longest fits. With fewer runs the time limit decides. The time is checked once more when the request starts on its connection.

--- a/src/core/gateway/stopping.ts
+++ b/src/core/gateway/stopping.ts
@@ -6,7 +6,7 @@
   readonly exitAt: Millis;
   /** End of the time that the route and the caller allow. */
   readonly limit: Millis;
-  /** Longest recent run of the route; undefined if none is known. */
+  /** Longest recent run of the same kind; undefined if too few are known. */
   readonly longestRun: Millis | undefined;
 };
 
@@ -16,7 +16,7 @@
 /** Time before the exit at which the last bytes of an answer must have arrived, in ms. */
 const answerMargin = 300;
 /** Allowed ratio of a run to the longest recent one. */
-const runTimeFactor = 1.5;
+const runTimeFactor = 2;
 
 /**
  * Latest time at which a request can be expected to end before the exit. Without
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -1,17 +1,15 @@
-import { type Clock, type Millis, millis } from "../../core/clock.ts";
+import type { Clock, Millis } from "../../core/clock.ts";
 import {
   type AdapterDirectory,
   createAdapterDirectory,
 } from "../../core/gateway/adapter_directory.ts";
 import type { ServerSelectionContext } from "../../core/gateway/choose_server.ts";
-import type {
-  GatewayConfiguration,
-  GatewayRoute,
-} from "../../core/gateway/configuration.ts";
+import type { GatewayConfiguration } from "../../core/gateway/configuration.ts";
 import {
+  createRunTimes,
   findLongestRun,
+  type RunKind,
   type RunTimes,
-  recordRunTime,
 } from "../../core/gateway/run_times.ts";
 import {
   createServerHealth,
@@ -84,7 +82,7 @@
   configuration: GatewayConfiguration | undefined;
   /** Present once the process is being stopped. */
   stop: PlannedStop | undefined;
-  readonly #runTimes: RunTimes = new Map();
+  readonly runTimes: RunTimes = createRunTimes();
   /** Number of nodes that share the retry budget. */
   nodeCount = 1;
   #attempts = 0;
@@ -123,23 +121,11 @@
     };
   }
 
-  /** Records the time that a server worked on a request of a route. */
-  recordRunTime(route: GatewayRoute, sentAt: Millis): void {
-    const now = this.now();
-    const duration = millis(now - sentAt);
-    recordRunTime(this.#runTimes, route.name, { duration, now });
-  }
-
-  /** Longest recent run of a route; undefined if there was none. */
-  findLongestRun(route: string): Millis | undefined {
-    return findLongestRun(this.#runTimes, route, this.now());
-  }
-
   /** Latest time at which a request with a time limit may be sent; infinite unless the node stops. */
-  findLatestStart(route: GatewayRoute, limit: Millis): number {
+  findLatestStart(kind: RunKind, limit: Millis): number {
     if (this.stop === undefined) return Number.POSITIVE_INFINITY;
     const { exitAt, findLatestStart } = this.stop;
-    const longestRun = this.findLongestRun(route.name);
+    const longestRun = findLongestRun(this.runTimes, kind, this.now());
     return findLatestStart({ exitAt, limit, longestRun });
   }
 
--- a/src/node/gateway/request_intake.ts
+++ b/src/node/gateway/request_intake.ts
@@ -4,6 +4,7 @@
   findRoute,
   type GatewayRoute,
 } from "../../core/gateway/configuration.ts";
+import { findLongestRun, type RunKind } from "../../core/gateway/run_times.ts";
 import type { ServiceName } from "../../core/ids.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
 import type { ProxiedRequest } from "../../ports/gateway.ts";
@@ -18,6 +19,7 @@
 export type RequestPlan = {
   readonly route: GatewayRoute;
   readonly service: ServiceName;
+  readonly kind: RunKind;
   readonly limits: RequestTimeLimits;
 };
 
@@ -51,20 +53,16 @@
     revision,
   });
   const limits = RequestTimeLimits.create(request, route);
-  return (
-    refuseIfTooLate(context, request, { route, limits }) ?? {
-      route,
-      service,
-      limits,
-    }
-  );
+  const kind = { route: route.name, service };
+  const plan = { route, service, kind, limits };
+  return refuseIfTooLate(context, request, plan) ?? plan;
 }
 
 /** Records a request that arrives while the node stops, and refuses it if the exit would cut it off. */
 function refuseIfTooLate(
   context: GatewayContext,
   { requestId, arrivedAt, earlierRequests }: ProxiedRequest,
-  { route, limits }: { route: GatewayRoute; limits: RequestTimeLimits },
+  { kind, limits }: RequestPlan,
 ): Refusal | undefined {
   const { stop } = context;
   if (stop === undefined) return undefined;
@@ -72,15 +70,15 @@
   const now = context.now();
   const facts = {
     requestId,
-    route: route.name,
+    route: kind.route,
     sinceDrain: Math.round(now - stop.startedAt),
     sinceHead: Math.round(now - arrivedAt),
     earlierRequests,
     timeLeft: Math.round(stop.exitAt - now),
     limit: Math.round(limits.end - now),
-    longestRun: describe(context.findLongestRun(route.name)),
+    longestRun: describe(findLongestRun(context.runTimes, kind, now)),
   };
-  if (now <= context.findLatestStart(route, limits.end)) {
+  if (now <= context.findLatestStart(kind, limits.end)) {
     journal.record("requestTakenInDrain", facts);
     return undefined;
   }
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -5,6 +5,11 @@
   decideRetry,
   type RetryDecision,
 } from "../../core/gateway/retry_decision.ts";
+import {
+  endRun,
+  type OpenRun,
+  startRun,
+} from "../../core/gateway/run_times.ts";
 import {
   acceptsRequests,
   type BackendServer,
@@ -67,7 +72,8 @@
   #attempt: ServerAttempt | undefined;
   /** Server of the latest attempt. */
   #server: BackendServer | undefined;
-  #sentAt = millis(0);
+  /** Run of the request at a server, while it is in progress. */
+  #run: OpenRun | undefined;
   #ended = false;
   #onEnd: () => void = () => {};
 
@@ -105,7 +111,7 @@
     const { clock } = options.context.dependencies;
     const timeLeft = millis(task.#plan.limits.end - clock.now());
     task.#cancelTimeLimit = clock.schedule(timeLeft, () => task.#onTimeLimit());
-    void task.#run();
+    void task.#serve();
     return task;
   }
 
@@ -140,7 +146,7 @@
     this.#refuse(refuseWithdrawn());
   }
 
-  async #run(): Promise<void> {
+  async #serve(): Promise<void> {
     const { context } = this.#options;
     const { service } = this.#plan;
     context.countRequest(service);
@@ -189,14 +195,14 @@
   }
 
   #findLatestStart(): number {
-    const { route, limits } = this.#plan;
-    return this.#options.context.findLatestStart(route, limits.end);
+    const { kind, limits } = this.#plan;
+    return this.#options.context.findLatestStart(kind, limits.end);
   }
 
   /** Whether no server has begun and the exit of the process would cut off the answer. */
   #isTooLateToStart(): boolean {
     const { context } = this.#options;
-    return !this.#mayHaveRun() && context.now() >= this.#findLatestStart();
+    return this.#history.runs === 0 && context.now() >= this.#findLatestStart();
   }
 
   /** Waits for a server that can take the request; undefined if none can in time. */
@@ -235,12 +241,13 @@
       return Promise.resolve(undefined);
     }
     const isAccepted = () =>
-      acceptsRequests(context.directory, selection.server);
+      acceptsRequests(context.directory, selection.server) &&
+      !this.#isTooLateToStart();
     // The selection may have waited for an adapter, or for the owners of engines.
     if (!isAccepted()) return Promise.resolve(serverLeft);
     this.#log.record("requestSent", { server: selection.server });
     this.#server = selection.server;
-    this.#sentAt = context.now();
+    this.#run = startRun(context.runTimes, this.#plan.kind, context.now());
     this.#usage.trackSend(selection.server, this.#forwarder.hasStarted);
     return new Promise((resolve) => {
       this.#attempt = ServerAttempt.start({
@@ -261,7 +268,7 @@
         onResult: (result) => {
           this.#attempt = undefined;
           this.#usage.release();
-          context.recordRunTime(route, this.#sentAt);
+          this.#endRun(result.end.kind === "whole");
           if (result.end.kind !== "whole") return resolve(result);
           this.#prompt.recordWhole();
           this.#log.recordResponse(selection.server, this.#forwarder);
@@ -295,6 +302,13 @@
     );
   }
 
+  #endRun(isWhole: boolean): void {
+    if (this.#run === undefined) return;
+    const { context } = this.#options;
+    endRun(context.runTimes, this.#run, { isWhole, now: context.now() });
+    this.#run = undefined;
+  }
+
   #forgetAdapter(server: BackendServer): void {
     const { context, request } = this.#options;
     const { demand } = request;
@@ -346,11 +360,8 @@
     this.#cancelTimeLimit();
     this.#usage.release();
     this.#prompt.end();
-    if (this.#attempt !== undefined) {
-      const { context } = this.#options;
-      context.recordRunTime(this.#plan.route, this.#sentAt);
-      this.#attempt.cancel();
-    }
+    this.#endRun(false);
+    this.#attempt?.cancel();
     this.#attempt = undefined;
     this.#log.countOutcome(outcome);
     this.#onEnd();
--- a/tests/gateway/stopping_test.ts
+++ b/tests/gateway/stopping_test.ts
@@ -2,12 +2,14 @@
 import { test } from "node:test";
 import { type Millis, millis } from "../../src/core/clock.ts";
 import {
+  createRunTimes,
+  endRun,
   findLongestRun,
-  type RunTimes,
-  recordRunTime,
+  startRun,
 } from "../../src/core/gateway/run_times.ts";
 import { findLatestStart } from "../../src/core/gateway/stopping.ts";
 import {
+  booking,
   createRoute,
   createServer,
   GatewayFixture,
@@ -16,6 +18,9 @@
 /** Time between the start of the drain and the exit of the process, in ms. */
 const drainTime = 7_600;
 
+/** Number of runs from which the next one is estimated. */
+const observedRuns = 5;
+
 /** A gateway whose route allows more time than a drain leaves. */
 function createLongRequests(): GatewayFixture {
   const fixture = new GatewayFixture();
@@ -28,12 +33,14 @@
   return fixture.open({ deadline: millis(10_000) }).answer;
 }
 
-/** Has the server run one request for a time in ms. */
-async function observeRun(fixture: GatewayFixture, duration: number) {
-  openLong(fixture);
-  await fixture.advance(duration);
-  fixture.lastAttempt().answer("booked");
-  await fixture.advance(1);
+/** Has the server run a few requests, one after the other, for a time in ms each. */
+async function observeRuns(fixture: GatewayFixture, duration: number) {
+  for (let run = 0; run < observedRuns; run++) {
+    openLong(fixture);
+    await fixture.advance(duration);
+    fixture.lastAttempt().answer("booked");
+    await fixture.advance(1);
+  }
 }
 
 function startDraining(fixture: GatewayFixture): Millis {
@@ -45,7 +52,7 @@
 // Guards against a request that is taken late in a drain and cut off by the exit.
 test("a draining node takes a request that ends before the exit and refuses a later one as not run", async () => {
   const fixture = createLongRequests();
-  await observeRun(fixture, 1_000);
+  await observeRuns(fixture, 1_000);
   startDraining(fixture);
   await fixture.advance(5_000);
   const early = openLong(fixture);
@@ -76,7 +83,7 @@
 // Guards against a request that is taken in time, waits, and is sent too late to end.
 test("a request that waits for a server is refused as soon as the exit would cut it off", async () => {
   const fixture = createLongRequests();
-  await observeRun(fixture, 2_000);
+  await observeRuns(fixture, 2_000);
   fixture.publish({
     type: "server",
     change: {
@@ -95,18 +102,47 @@
   assert.ok((answer.at as number) <= exitAt - 2_000);
 });
 
-test("the longest run of a route counts for 15 to 30 s", () => {
-  const times: RunTimes = new Map();
-  const record = (now: number, duration: number) =>
-    recordRunTime(times, "r", { duration: millis(duration), now: millis(now) });
-  const find = (now: number) => findLongestRun(times, "r", millis(now));
-  assert.equal(find(0), undefined);
-  record(0, 900);
+// Guards against taking the time until a failure, or until a caller leaves, for that of a run.
+test("attempts without a whole answer do not say how long a run takes", async () => {
+  const fixture = createLongRequests();
+  for (let run = 0; run < 2 * observedRuns; run++) {
+    const { control } = fixture.open({ deadline: millis(10_000) });
+    await fixture.advance(5);
+    if (run % 2 === 0) control.cancel();
+    else fixture.lastAttempt().fail("unreachable");
+    await fixture.advance(700);
+  }
+  startDraining(fixture);
+  assert.equal(openLong(fixture).refusal?.code, "draining");
+});
+
+// Guards against an estimate from short runs while longer ones are still in progress.
+test("runs in progress raise the estimate", async () => {
+  const fixture = createLongRequests();
+  await observeRuns(fixture, 10);
+  openLong(fixture);
+  await fixture.advance(1_500);
+  startDraining(fixture);
+  await fixture.advance(2_000);
+  assert.equal(openLong(fixture).refusal?.code, "draining");
+});
+
+const kind = { route: "r", service: booking };
+
+test("the longest of at least five runs counts for 15 to 30 s", () => {
+  const times = createRunTimes();
+  const record = (now: number, duration: number) => {
+    const run = startRun(times, kind, millis(now - duration));
+    endRun(times, run, { isWhole: true, now: millis(now) });
+  };
+  const find = (now: number) => findLongestRun(times, kind, millis(now));
+  for (const duration of [900, 100, 200, 300]) record(1_000, duration);
+  assert.equal(find(1_000), undefined);
   record(14_000, 300);
   assert.equal(find(14_999), 900);
-  record(16_000, 400);
-  assert.equal(find(29_000), 900);
-  assert.equal(find(31_000), 400);
+  for (let run = 0; run < observedRuns; run++) record(17_000, 400);
+  assert.equal(find(30_000), 900);
+  assert.equal(find(32_000), 400);
   assert.equal(find(60_000), undefined);
 });
 
