Close idle connections with the listener, and no connection that is still being written

A connection that had not carried a request yet stayed open in a stop until its caller left, so requests could arrive on it late, and the stop waited for it up to the forced exit. Also, the check for idle connections destroyed those whose answer had ended but was not written: a caller that read 350 ms late received 3.9 of 8 MiB (found by the review).

The closer now follows every connection and its responses until they are written. It closes the listener alone, ends the connections without a request in progress at once, and the others after their last answer.

--- a/src/adapters/http/connection_closer.ts
+++ b/src/adapters/http/connection_closer.ts
@@ -1,29 +1,37 @@
-import type { IncomingMessage, ServerResponse } from "node:http";
-import type { Socket } from "node:net";
+import type { IncomingMessage, Server, ServerResponse } from "node:http";
+import { Server as Listener, type Socket } from "node:net";
 
 /**
- * Ends the connections of an HTTP server during a stop, each after the last
- * request that it has taken. A request behind that one is not taken, since its
- * answer could not be delivered.
+ * Ends the connections of an HTTP server, each after the last request that it
+ * has taken. A request behind that one is not taken, since its answer could not
+ * be delivered.
  */
 export class ConnectionCloser {
-  /** Latest request of each connection, until its response has ended. */
-  readonly #latest = new Map<Socket, ServerResponse>();
+  readonly #server: Server;
+  /** Open connections, with the responses that have not been written whole, in order. */
+  readonly #connections = new Map<Socket, Set<ServerResponse>>();
   /** Connections that take no further request. */
   readonly #ending = new WeakSet<Socket>();
   #isClosing = false;
 
-  static create(): ConnectionCloser {
-    return new ConnectionCloser();
+  private constructor(server: Server) {
+    this.#server = server;
+    server.on("connection", (socket: Socket) => {
+      this.#connections.set(socket, new Set());
+      socket.once("close", () => this.#connections.delete(socket));
+    });
+  }
+
+  static create(server: Server): ConnectionCloser {
+    return new ConnectionCloser(server);
   }
 
   /** Whether a request is taken; otherwise its connection is about to be closed. */
   admit({ socket }: IncomingMessage, response: ServerResponse): boolean {
     if (this.#ending.has(socket)) return false;
-    this.#latest.set(socket, response);
-    response.once("close", () => {
-      if (this.#latest.get(socket) === response) this.#latest.delete(socket);
-    });
+    const responses = this.#connections.get(socket);
+    responses?.add(response);
+    response.once("close", () => responses?.delete(response));
     if (this.#isClosing) this.#endAfter(socket, response);
     return true;
   }
@@ -31,8 +39,22 @@
   /** Ends each connection after its requests in progress, or after the next one if it is idle. */
   startClosing(): void {
     this.#isClosing = true;
-    for (const [socket, response] of this.#latest)
-      this.#endAfter(socket, response);
+    for (const [socket, responses] of this.#connections) {
+      const last = [...responses].at(-1);
+      if (last !== undefined) this.#endAfter(socket, last);
+    }
+  }
+
+  /** Closes the listener and the connections without a request in progress; resolves when all are closed. */
+  stopListening(): Promise<void> {
+    this.startClosing();
+    return new Promise((resolve) => {
+      // The HTTP server's own method also destroys connections whose response is still being written.
+      Listener.prototype.close.call(this.#server, () => resolve());
+      for (const [socket, responses] of this.#connections) {
+        if (responses.size === 0) socket.destroySoon();
+      }
+    });
   }
 
   #endAfter(socket: Socket, response: ServerResponse): void {
--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -249,3 +249,39 @@
   assert.equal(requests.length, 0);
   void front.stopAccepting();
 });
+
+// Guards against a stop that waits for connections on which no request ever arrives, and
+// against requests that arrive on them late in the stop.
+test("a connection without a request is closed with the listener", async () => {
+  const { front, port } = await open(answer);
+  const caller = await RawCaller.open(port);
+  await new Promise((resolve) => setTimeout(resolve, 20));
+  front.startClosing();
+  await front.stopAccepting();
+  await caller.closed;
+});
+
+/** Size of an answer that does not fit into the buffers of a connection, in bytes. */
+const largeSize = 8 * 1024 * 1024;
+
+// Guards against destroying a connection whose answer has ended but is not written yet.
+test("a slow reader receives a large answer whole during a stop", async () => {
+  const { front, port } = await open(({ sink }) => {
+    const length = String(largeSize);
+    sink.start({ status: 200, headers: ["Content-Length", length] });
+    sink.write(new Uint8Array(largeSize));
+    sink.end();
+  });
+  const socket = connect(port, "127.0.0.1");
+  socket.write(request);
+  await new Promise((resolve) => setTimeout(resolve, 150));
+  front.startClosing();
+  const stopped = front.stopAccepting();
+  await new Promise((resolve) => setTimeout(resolve, 200));
+  let received = 0;
+  socket.on("data", (chunk) => {
+    received += chunk.length;
+  });
+  await stopped;
+  assert.ok(received >= largeSize, `received ${received} bytes`);
+});
