Let the test of a slow reader wait for the end of the reader's connection

It failed once right after it landed: it compared the bytes received when the server's side had closed, while the reader still had some to read. It now waits for the end of both sides; the bound is the same.

--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -1,4 +1,5 @@
 import assert from "node:assert/strict";
+import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "node:test";
 import { FrontServer } from "../../platform/front_server.ts";
@@ -282,6 +283,6 @@
   socket.on("data", (chunk) => {
     received += chunk.length;
   });
-  await stopped;
+  await Promise.all([stopped, once(socket, "close")]);
   assert.ok(received >= largeSize, `received ${received} bytes`);
 });
