--- a/src/adapters/http/connection_closer.ts
+++ b/src/adapters/http/connection_closer.ts
@@ -3,8 +3,8 @@
 
 /**
  * Ends the connections of an HTTP server, each after the last request that it
- * has taken. A request behind that one is not taken, since its answer could not
- * be delivered.
+ * has taken. A request behind that one is not taken; its answer reaches the
+ * caller only if the one before it did not announce the end.
  */
 export class ConnectionCloser {
   readonly #server: Server;
--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -286,3 +286,18 @@
   await Promise.all([stopped, once(socket, "close")]);
   assert.ok(received >= largeSize, `received ${received} bytes`);
 });
+
+// Guards against a request that was read and gets no answer until its connection closes.
+test("a request sent ahead behind an answer that began before the stop is refused as not run", async () => {
+  const { front, port, requests } = await open(stream);
+  const caller = await RawCaller.open(port);
+  caller.write(request);
+  await caller.waitUntil(() => caller.received.includes("id: 1"));
+  front.startClosing();
+  caller.write(request);
+  await caller.closed;
+  assert.equal(requests.length, 1);
+  assert.match(caller.received, /0\r\n\r\nHTTP\/1\.1 503 /);
+  assert.match(caller.received, /"outcome":"not-run"/);
+  void front.stopAccepting();
+});
