Count the grace period from the signal if the process was paused

A process that was stopped by a signal, or whose event loop was busy, handled SIGTERM late and counted its grace period from then; paused for 2.5 s of a grace period of 5 s it exited 7.1 s after SIGTERM (found by the review), so the platform would have killed it under the requests that it still took. The time of the stop is now that of the last regular check before the pause. On a clock that stands still during a pause it makes no difference.

--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import type { ReadLeaseRows } from "./lease_rows.ts";
 import { ModelRequester } from "./model_requester.ts";
 import { OwnerCalls } from "./owner_calls.ts";
+import { PauseWatch } from "./pause_watch.ts";
 import { PeerContacts } from "./peer_contacts.ts";
 import { createPoisonBroadcast } from "./poison_broadcast.ts";
 import { PromptGuard } from "./prompt_guard.ts";
@@ -68,6 +69,7 @@
   #onIdle: () => void = () => {};
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
+  readonly #pauses: PauseWatch;
 
   private constructor(options: GatewayOptions) {
     this.#options = options;
@@ -139,6 +141,7 @@
       },
     });
     this.#clockOffset = clock.wallNow() - clock.now();
+    this.#pauses = PauseWatch.create(() => clock.now());
   }
 
   static create(options: GatewayOptions): Gateway {
@@ -153,6 +156,11 @@
     return this.context.stop === undefined && this.#installation.isComplete;
   }
 
+  /** Earliest time at which a signal that is handled now can have been sent. */
+  get signalTime(): Millis {
+    return this.#pauses.findEventTime();
+  }
+
   /** Number of requests in progress. */
   get openRequests(): number {
     return this.#requests.size;
@@ -277,6 +285,7 @@
       this.#leases.invalidate();
     }
     this.#clockOffset = clockOffset;
+    this.#pauses.recordCheck();
     this.#installation.removeExpired();
     this.#cancelChecks = clock.schedule(checkInterval, () => this.#runChecks());
   }
--- a/tests/platform_adapter/stopping_process_test.ts
+++ b/tests/platform_adapter/stopping_process_test.ts
@@ -133,6 +133,23 @@
   assert.equal(await node.ended, 0);
 });
 
+// Guards against a grace period that counts from the moment at which a paused process handles
+// the signal, so that the platform kills it under the requests that it takes.
+test("the grace period counts from the signal, also if the process was paused", async (context) => {
+  const { node } = await startInstallation(context);
+  const caller = await RawCaller.open(node.port);
+  caller.write(formatRequest("stuck", "/b/20000", { deadline: 20_000 }));
+  await pause(300);
+  node.signal("SIGSTOP");
+  await pause(200);
+  const signalledAt = performance.now();
+  node.signal("SIGTERM");
+  await pause(2_500);
+  node.signal("SIGCONT");
+  await node.ended;
+  assert.ok(performance.now() - signalledAt < graceSeconds * 1_000);
+});
+
 // Guards against a signal that arrives before the process listens ending it as if it had crashed.
 for (const signal of ["SIGTERM", "SIGHUP"] as const) {
   test(`${signal} during the start is handled like a later one`, async (context) => {
