Schedule no probe of a table service that is closed

What operators saw: a node that had finished its drain kept running. When the node closes its clients, table calls in flight fail. These failures opened the circuit breaker after close(), whose probes then failed on the closed client and scheduled the next one, so the process had an active timer for ever. A probe in flight at close() did the same.

A closed table ignores the results of its calls, so it schedules nothing.

--- a/src/adapters/platform/guarded_table.ts
+++ b/src/adapters/platform/guarded_table.ts
@@ -54,6 +54,7 @@
   #state: BreakerState = closedBreaker;
   /** Cancels the timer for the next probe or for the end of the recovery. */
   #cancelTimer: Cancel = () => {};
+  #closed = false;
 
   constructor(options: GuardedTableOptions) {
     const { clock, random, table } = options;
@@ -81,6 +82,7 @@
 
   /** Stops the probes; the table must not be used afterwards. */
   close(): void {
+    this.#closed = true;
     this.#cancelTimer();
   }
 
@@ -122,6 +124,7 @@
   }
 
   #handle(event: BreakerEvent): void {
+    if (this.#closed) return;
     const { clock } = this.#options;
     const { state, commands } = this.#decide(this.#state, event, clock.now());
     this.#state = state;
--- a/tests/platform/guarded_table_test.ts
+++ b/tests/platform/guarded_table_test.ts
@@ -102,3 +102,29 @@
   await clock.advance(millis(100));
   assert.ok((await guard.transact(write("a", 2))).isRight());
 });
+
+// Guards against: calls that fail when the node closes its clients open the breaker, whose probes keep the stopped process running.
+test("a closed table schedules no probe when its calls in flight fail", async () => {
+  const { clock, table, guard } = setUp();
+  table.outage = true;
+  const calls = [1, 2, 3].map(() => guard.read(key("a")));
+  guard.close();
+  await Promise.all(calls);
+  const before = table.totals.reads;
+  await clock.advance(millis(60_000));
+  assert.equal(table.totals.reads, before);
+  assert.equal(guard.outage, false);
+});
+
+// Guards against: a probe in flight at the end of the node schedules the next one.
+test("a closed table schedules no probe when a probe in flight fails", async () => {
+  const fixture = setUp();
+  await failThreeReads(fixture);
+  const { clock, table, guard } = fixture;
+  table.delay = 5_000;
+  await clock.advance(millis(3_000));
+  guard.close();
+  const before = table.totals.reads;
+  await clock.advance(millis(60_000));
+  assert.equal(table.totals.reads, before);
+});
