Answer open requests before a drained node closes its connections

What callers saw: when the drain of a node ended, a request whose body was still on its way and an operator's change in progress lost their connection without an answer, and of an answer of 14 MB only 3.9 MB arrived at a caller that reads slowly.

Cause: the drain waits for drafts, booking calls and engines, but not for the exchanges of the two HTTP servers. closeAllConnections() then cut what had not been decoded yet, what no drain counts (changes of the configuration), and what had been handed to a response but not been sent. close() of http does the latter as well: it treats a connection as idle once end() was called.

HttpListener knows its open exchanges. After the drain it stops listening without closing connections, refuses bodies that have not arrived as not run, and waits up to 5 s until all answers have been sent.

--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -35,6 +35,8 @@
   readonly meter: Meter;
   readonly limits: InFlightLimiter;
   readonly readMetrics: () => Promise<string>;
+  /** Aborted when requests that have not arrived are to be refused. */
+  readonly stopping?: AbortSignal;
 };
 
 /** Creates the HTTP server for callers. */
@@ -84,7 +86,7 @@
     return sendRefusal(options, response, refusal, call);
   }
   response.on("close", () => options.limits.leave(caller));
-  const body = await readBody(request, { clock: options.clock });
+  const body = await readBody(request, options);
   if (body.isLeft()) {
     response.setHeader("connection", "close");
     return sendRefusal(options, response, body.extract(), call);
--- a/src/adapters/http/body.ts
+++ b/src/adapters/http/body.ts
@@ -8,17 +8,18 @@
 /** Timeout for receiving a request body, in ms. */
 export const bodyTimeoutMillis = 10_000;
 
-/** Reads a whole request body within the size limit and the timeout. */
+/** Reads a whole request body within the size limit and the timeout, or until the server stops. */
 export function readBody(
   request: IncomingMessage,
-  options: { clock: Clock; maxBytes?: number },
+  options: { clock: Clock; maxBytes?: number; stopping?: AbortSignal },
 ): Promise<Either<Refusal, Buffer>> {
-  const maxBytes = options.maxBytes ?? maxBodyBytes;
+  const { maxBytes = maxBodyBytes, stopping } = options;
   return new Promise((resolve) => {
     const chunks: Buffer[] = [];
     let size = 0;
     const finish = (result: Either<Refusal, Buffer>): void => {
       cancel();
+      stopping?.removeEventListener("abort", refuseStopping);
       request.removeAllListeners("data");
       request.pause();
       resolve(result);
@@ -33,6 +34,14 @@
         ),
       ),
     );
+    const refuseStopping = (): void =>
+      finish(
+        Left(
+          refuse("draining", "The node stopped before the body had arrived"),
+        ),
+      );
+    stopping?.addEventListener("abort", refuseStopping);
+    if (stopping?.aborted) return refuseStopping();
     request.on("data", (chunk: Buffer) => {
       size += chunk.length;
       if (size > maxBytes) {
--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -38,6 +38,8 @@
   readonly clock: Clock;
   readonly timeline: Timeline;
   readonly meter: Meter;
+  /** Aborted when messages that have not arrived are to be refused. */
+  readonly stopping?: AbortSignal;
 };
 
 /** Creates the HTTP server for other nodes and operators; it rejects messages without a valid signature. */
@@ -70,8 +72,9 @@
     return refuseMessage(options, response, "no signature");
   }
   const maxBytes = path === forwardPath ? maxForwardBytes : maxOperatorBytes;
-  const body = await readBody(request, { clock: options.clock, maxBytes });
+  const body = await readBody(request, { ...options, maxBytes });
   if (body.isLeft()) {
+    response.setHeader("connection", "close");
     return writeRefusal(response, body.extract() as never);
   }
   const bytes = body.extract() as Buffer;
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -1,7 +1,3 @@
-import { once } from "node:events";
-import type { Server } from "node:http";
-import { createCallerServer } from "../adapters/callers/caller_server.ts";
-import { InFlightLimiter } from "../adapters/callers/in_flight_limiter.ts";
 import { UdpDatagrams } from "../adapters/gossip/udp_datagrams.ts";
 import { createToken, Keyring, readKeyFile } from "../adapters/keys/keyring.ts";
 import { createEntryLog, createLogger } from "../adapters/observe/log.ts";
@@ -9,7 +5,6 @@
 import { Timeline } from "../adapters/observe/timeline.ts";
 import { HttpForwarder } from "../adapters/peers/forward_client.ts";
 import { ForwardServer } from "../adapters/peers/forward_server.ts";
-import { createPeerServer } from "../adapters/peers/peer_server.ts";
 import { GuardedTable } from "../adapters/platform/guarded_table.ts";
 import { MachinesClient } from "../adapters/platform/machines_client.ts";
 import { ObjectClient } from "../adapters/platform/object_client.ts";
@@ -18,6 +13,7 @@
 import { RealClock } from "../adapters/time/real_clock.ts";
 import { brandString, type NodeId } from "../core/ids.ts";
 import { connectBackEnds } from "./back_ends.ts";
+import { Listeners } from "./listeners.ts";
 import { MachineWatch } from "./machine_watch.ts";
 import { type NodeComponents, wireNode } from "./wiring.ts";
 
@@ -69,6 +65,7 @@
       ...shared,
       journal: timeline,
     });
+    let listeners: Listeners | undefined;
     let markStopped = () => {};
     const stopped = new Promise<void>((resolve) => {
       markStopped = resolve;
@@ -82,7 +79,10 @@
       backEnds,
       forwarder,
       datagrams,
-      onStopped: () => markStopped(),
+      onStopped: async () => {
+        await listeners?.finish();
+        markStopped();
+      },
     });
     const watch = MachineWatch.create({
       machines: platform.machines,
@@ -90,11 +90,11 @@
       onLeaving: (server) => components.node.markLeaving(server),
     });
     const forwards = ForwardServer.create({ target: components.node, clock });
-    const servers = await openListeners(settings, {
+    listeners = await Listeners.open({
       ...shared,
+      settings,
       components,
       forwards,
-      metrics,
     });
     timeline.record("nodeStarted", {
       callers: formatAddress(settings.listen.callers),
@@ -110,7 +110,7 @@
         () => watch.stop(),
         () => components.stop(),
         () => forwards.close(),
-        () => closeServers(servers),
+        () => listeners?.close(),
         () => forwarder.close(),
         () => datagrams.close(),
         () => backEnds.close(),
@@ -207,45 +207,6 @@
   };
 }
 
-async function openListeners(
-  settings: Settings,
-  options: SharedDependencies & {
-    components: NodeComponents;
-    forwards: ForwardServer;
-    metrics: Metrics;
-  },
-): Promise<Server[]> {
-  const { components, metrics } = options;
-  const peers = createPeerServer({
-    ...options,
-    operators: components.operators,
-  });
-  const callers = createCallerServer({
-    ...options,
-    front: components.node,
-    limits: InFlightLimiter.create(settings.limits),
-    readMetrics: () => metrics.registry.metrics(),
-  });
-  await listen(peers, settings.listen.peers);
-  await listen(callers, settings.listen.callers);
-  return [peers, callers];
-}
-
-async function listen(
-  server: Server,
-  address: { host: string; port: number },
-): Promise<void> {
-  server.listen(address.port, address.host);
-  await once(server, "listening");
-}
-
-async function closeServers(servers: readonly Server[]): Promise<void> {
-  for (const server of servers) {
-    server.closeAllConnections();
-    await new Promise((resolve) => server.close(resolve));
-  }
-}
-
 function formatAddress({ host, port }: { host: string; port: number }): string {
   return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
 }
--- /dev/null
+++ b/src/node/listeners.ts
@@ -0,0 +1,78 @@
+import { createCallerServer } from "../adapters/callers/caller_server.ts";
+import { InFlightLimiter } from "../adapters/callers/in_flight_limiter.ts";
+import { HttpListener } from "../adapters/http/listener.ts";
+import type { Keyring } from "../adapters/keys/keyring.ts";
+import type { Metrics } from "../adapters/observe/metrics.ts";
+import type { Timeline } from "../adapters/observe/timeline.ts";
+import type { ForwardServer } from "../adapters/peers/forward_server.ts";
+import { createPeerServer } from "../adapters/peers/peer_server.ts";
+import type { Settings } from "../adapters/settings/settings.ts";
+import { type Clock, millis } from "../core/clock.ts";
+import type { NodeComponents } from "./wiring.ts";
+
+/** Maximum time that a stopped node waits until callers have taken their answers, in ms. */
+const answerTimeout = millis(5_000);
+
+/** Options of the listeners of a node. */
+export type ListenersOptions = {
+  readonly settings: Settings;
+  readonly clock: Clock;
+  readonly keyring: Keyring;
+  readonly timeline: Timeline;
+  readonly meter: Metrics;
+  readonly components: NodeComponents;
+  readonly forwards: ForwardServer;
+};
+
+/** The listeners of a node for callers, and for peers and operators. */
+export class Listeners {
+  readonly #callers: HttpListener;
+  readonly #peers: HttpListener;
+
+  private constructor(callers: HttpListener, peers: HttpListener) {
+    this.#callers = callers;
+    this.#peers = peers;
+  }
+
+  /** Opens both listeners; rejects if an address is not available. */
+  static async open(options: ListenersOptions): Promise<Listeners> {
+    const { settings, clock, components, meter } = options;
+    const peers = HttpListener.create({
+      clock,
+      createServer: (stopping) =>
+        createPeerServer({
+          ...options,
+          operators: components.operators,
+          stopping,
+        }),
+    });
+    const callers = HttpListener.create({
+      clock,
+      createServer: (stopping) =>
+        createCallerServer({
+          ...options,
+          front: components.node,
+          limits: InFlightLimiter.create(settings.limits),
+          readMetrics: () => meter.registry.metrics(),
+          stopping,
+        }),
+    });
+    await peers.listen(settings.listen.peers);
+    await callers.listen(settings.listen.callers);
+    return new Listeners(callers, peers);
+  }
+
+  /** Resolves when all requests have been answered, or after `answerTimeout`. */
+  async finish(): Promise<void> {
+    await Promise.all([
+      this.#callers.finish(answerTimeout),
+      this.#peers.finish(answerTimeout),
+    ]);
+  }
+
+  /** Closes all connections at once. */
+  async close(): Promise<void> {
+    await this.#peers.close();
+    await this.#callers.close();
+  }
+}
--- /dev/null
+++ b/tests/daemon/stop_test.ts
@@ -0,0 +1,169 @@
+import assert from "node:assert/strict";
+import { createServer, type Server } from "node:http";
+import type { AddressInfo } from "node:net";
+import { after, before, test } from "node:test";
+import { Keyring, readKeyFile } from "../../src/adapters/keys/keyring.ts";
+import { createOperatorClient } from "../../src/adapters/peers/operator_client.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis, sleep } from "../../src/core/clock.ts";
+import {
+  type Installation,
+  startInstallation,
+  stopInstallation,
+} from "../../src/demo/installation.ts";
+import { applyDemoSheet, waitUntilReady } from "../../src/demo/run.ts";
+import { Daemon } from "../../src/node/daemon.ts";
+import type { MemoryService } from "../../src/standins/memory_service.ts";
+import { formatPost, RawConnection } from "../support/raw_connection.ts";
+
+const clock = RealClock.create();
+const reservations = "/services/chains/reservations";
+/** Time within which a node without work in progress stops, in ms. */
+const idleStopLimit = 3_000;
+/** Larger than the buffers of both sockets, smaller than the largest answer. */
+const largeAnswerBytes = 14 * 1024 * 1024;
+
+let installation: Installation;
+let service: MemoryService;
+let archive: Server;
+let nextSpare = 0;
+
+before(async () => {
+  installation = await startInstallation(clock, {
+    regions: ["tatry"],
+    nodesPerRegion: 10,
+    spareNodes: 9,
+  });
+  service = installation.site.services.get("tatry-booking") as MemoryService;
+  archive = createServer((request, response) => {
+    response.setHeader("x-request-id", String(request.headers["x-request-id"]));
+    response.end(Buffer.alloc(largeAnswerBytes, "a"));
+  });
+  await new Promise<void>((resolve) => archive.listen(0, "127.0.0.1", resolve));
+  await applyDemoSheet(installation, clock);
+  await waitUntilReady(installation.daemons, clock);
+});
+
+after(async () => {
+  archive.closeAllConnections();
+  archive.close();
+  await stopInstallation(installation);
+});
+
+/** Starts one more node, which also reaches the service with large answers. */
+async function startNode(): Promise<Daemon> {
+  const settings = installation.spare[nextSpare++];
+  assert.ok(settings);
+  const { port } = archive.address() as AddressInfo;
+  const url = `http://127.0.0.1:${port}`;
+  const daemon = await Daemon.start({
+    ...settings,
+    services: [
+      ...settings.services,
+      {
+        name: "archive",
+        servers: [{ id: "tatry-archive", region: "tatry", url }],
+        idempotent: [],
+      },
+    ],
+  });
+  while (!daemon.ready) await sleep(clock, millis(20));
+  return daemon;
+}
+
+/** Stops a node as the command line does. */
+async function finishStop(daemon: Daemon): Promise<void> {
+  await daemon.stopped;
+  await daemon.stop();
+}
+
+async function waitFor(condition: () => boolean, limit = 5_000) {
+  const end = clock.now() + limit;
+  while (!condition()) {
+    assert.ok(clock.now() < end, "the condition holds in time");
+    await sleep(clock, millis(10));
+  }
+}
+
+// Guards against: the exit cuts a request whose body is still on its way, without any answer.
+test("a request whose body has not arrived when the node stops is refused as not run", async () => {
+  const daemon = await startNode();
+  const caller = await RawConnection.open(daemon.callers);
+  caller.write(
+    `POST ${reservations} HTTP/1.1\r\nhost: node\r\ncontent-length: 100\r\n\r\n{`,
+  );
+  await sleep(clock, millis(100));
+  daemon.drain();
+  await finishStop(daemon);
+  await caller.closed;
+  assert.match(caller.received, /^HTTP\/1\.1 503 /);
+  assert.match(caller.received, /x-outcome: not-run/);
+  assert.match(caller.received, /"type":"draining"/);
+});
+
+// Guards against: the first of several calls sent ahead on one connection closes it before the others are answered.
+test("calls that were sent ahead on one connection before the stop are all answered", async () => {
+  const daemon = await startNode();
+  const ran = service.runs.length;
+  service.fault = "late";
+  service.answerDelay = millis(500);
+  const caller = await RawConnection.open(daemon.callers);
+  caller.write(formatPost(reservations) + formatPost(reservations));
+  await waitFor(() => service.runs.length === ran + 2);
+  daemon.drain();
+  await finishStop(daemon);
+  await caller.closed;
+  assert.equal(caller.received.match(/HTTP\/1\.1 201 /g)?.length, 2);
+  service.fault = "none";
+});
+
+// Guards against: the exit cuts the end of an answer that its caller has not read yet.
+test("a slow reader gets its whole answer although the node stops", async () => {
+  const daemon = await startNode();
+  const caller = await RawConnection.open(daemon.callers);
+  caller.pause();
+  caller.write(formatPost("/services/archive/reports"));
+  await sleep(clock, millis(1_000));
+  daemon.drain();
+  const stopped = finishStop(daemon);
+  await sleep(clock, millis(500));
+  caller.resume();
+  await stopped;
+  await caller.closed;
+  const body = caller.received.slice(caller.received.indexOf("\r\n\r\n") + 4);
+  assert.equal(body.length, largeAnswerBytes);
+});
+
+// Guards against: an operator's change is cut off by the exit, so that its outcome stays unknown.
+test("an operator's change in progress is answered before the node exits", async () => {
+  const daemon = await startNode();
+  const client = createOperatorClient({
+    address: daemon.peers,
+    keyring: Keyring.create(readKeyFile(installation.keyFile).unsafeCoerce()),
+    clock,
+  });
+  const { revision } = await client.showSheet.query();
+  installation.site.table.delay = 400;
+  const applied = client.applySheet.mutate({
+    base: revision,
+    sheet: { adapters: [{ name: "rental-00", versions: ["v1"] }] },
+    operator: "stop",
+    attempt: "stop-1",
+  });
+  await sleep(clock, millis(50));
+  daemon.drain();
+  await finishStop(daemon);
+  installation.site.table.delay = 0;
+  assert.equal((await applied).revision, revision + 1);
+});
+
+test("a node without work stops at once, also when it is told twice", async () => {
+  const daemon = await startNode();
+  const idle = await RawConnection.open(daemon.callers);
+  const startedAt = clock.now();
+  daemon.drain();
+  daemon.drain();
+  await finishStop(daemon);
+  await idle.closed;
+  assert.ok(clock.now() - startedAt < idleStopLimit);
+});
