Cancel drafts sent ahead on a connection when their caller leaves

What callers saw: a caller that sent several requests ahead on one connection and left kept a place among the calls in flight for each request behind the first one, for ever; after enough of them its calls were refused with 429. The drafts ran to their end for nobody.

Cause: http emits 'close' only for the response that has its turn on the connection, not for those that wait behind it. Both the limiter and the draft waited for that event.

--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -10,6 +10,7 @@
 import type { FrontEndPort } from "../../ports/front_end.ts";
 import type { Meter } from "../../ports/journal.ts";
 import { readBody } from "../http/body.ts";
+import { onExchangeEnd } from "../http/exchange_end.ts";
 import { writeJson, writeRefusal } from "../http/responses.ts";
 import { type CallHeaders, parseCallHeaders } from "./call_headers.ts";
 import { type DraftBody, parseDraftBody } from "./draft_body.ts";
@@ -85,7 +86,7 @@
   if (refusal !== undefined) {
     return sendRefusal(options, response, refusal, call);
   }
-  response.on("close", () => options.limits.leave(caller));
+  onExchangeEnd(request, response, () => options.limits.leave(caller));
   const body = await readBody(request, options);
   if (body.isLeft()) {
     response.setHeader("connection", "close");
@@ -97,7 +98,8 @@
   }
   parseDraftBody(bytes, kind).caseOf<void>({
     Left: (refusal) => sendRefusal(options, response, refusal, call),
-    Right: (draft) => handleDraft(options, { response, call, draft, kind }),
+    Right: (draft) =>
+      handleDraft(options, { request, response, call, draft, kind }),
   });
 }
 
@@ -124,13 +126,14 @@
 function handleDraft(
   options: CallerServerOptions,
   exchange: {
+    request: IncomingMessage;
     response: ServerResponse;
     call: CallHeaders;
     draft: DraftBody;
     kind: "chat" | "completion";
   },
 ): void {
-  const { response, call, draft, kind } = exchange;
+  const { request, response, call, draft, kind } = exchange;
   const { requestId } = call;
   const writer = draft.stream
     ? createStreamWriter(response, requestId)
@@ -149,7 +152,7 @@
     writer.sink,
   );
   writer.attach(control);
-  response.on("close", () => {
+  onExchangeEnd(request, response, () => {
     if (!response.writableFinished) control.cancel();
   });
 }
--- a/tests/callers/caller_server_test.ts
+++ b/tests/callers/caller_server_test.ts
@@ -215,6 +215,22 @@
   assert.equal(served.status, 200);
 });
 
+// Guards against: a draft sent ahead behind another one runs on, and holds its place for ever, once the caller has left.
+test("a caller that disconnects cancels the drafts that it sent ahead on the connection", async () => {
+  const opened = drafts.length;
+  const socket = connect(Number(new URL(origin).port), "127.0.0.1");
+  const body = JSON.stringify({ model: "held", prompt: "x", stream: true });
+  const draft = `POST /v1/completions HTTP/1.1\r\nhost: x\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+  socket.write(draft + draft);
+  await waitFor(() => drafts.length === opened + 2);
+  socket.destroy();
+  await waitFor(() =>
+    drafts.slice(opened).every((draft) => draft.events.includes("cancel")),
+  );
+  const served = await postChat({ model: "fitting", messages });
+  assert.equal(served.status, 200);
+});
+
 test("a slow reader pauses only its own draft", async () => {
   const socket = connect(Number(new URL(origin).port), "127.0.0.1");
   const body = JSON.stringify({ model: "held", prompt: "slow", stream: true });
