End the connections of a draining node with their last answer

What callers saw: a node in a drain answered new calls with 'draining' and 'Connection: keep-alive'. The caller kept the connection and sent its next call on it; one that crossed the exit of the node was reset without an answer.

The caller and the peer server now ask their listener whether a request is taken, and the listener uses the same ConnectionCloser as the platform's front server: from the start of the drain the last request that a connection has taken announces its end. Requests sent ahead before the drain are still all answered.

'each answer of a stopping node ends its connection' failed before with 'Connection: keep-alive' in the refusals.

--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -11,6 +11,7 @@
 import type { Meter } from "../../ports/journal.ts";
 import { readBody } from "../http/body.ts";
 import { onExchangeEnd } from "../http/exchange_end.ts";
+import type { Admission } from "../http/listener.ts";
 import { writeJson, writeRefusal } from "../http/responses.ts";
 import { type CallHeaders, parseCallHeaders } from "./call_headers.ts";
 import { type DraftBody, parseDraftBody } from "./draft_body.ts";
@@ -36,8 +37,8 @@
   readonly meter: Meter;
   readonly limits: InFlightLimiter;
   readonly readMetrics: () => Promise<string>;
-  /** Aborted when requests that have not arrived are to be refused. */
-  readonly stopping?: AbortSignal;
+  /** Decides which requests are taken while the node stops; all by default. */
+  readonly admission?: Admission;
 };
 
 /** Creates the HTTP server for callers. */
@@ -51,6 +52,7 @@
     (request, response) => {
       // Disconnects are handled by the `close` listeners of each request.
       response.on("error", () => {});
+      if (options.admission?.admit(request, response) === false) return;
       void handleRequest(options, request, response);
     },
   );
@@ -87,7 +89,10 @@
     return sendRefusal(options, response, refusal, call);
   }
   onExchangeEnd(request, response, () => options.limits.leave(caller));
-  const body = await readBody(request, options);
+  const body = await readBody(request, {
+    clock: options.clock,
+    stopping: options.admission?.stopping,
+  });
   if (body.isLeft()) {
     response.setHeader("connection", "close");
     return sendRefusal(options, response, body.extract(), call);
--- a/src/adapters/http/body.ts
+++ b/src/adapters/http/body.ts
@@ -11,7 +11,11 @@
 /** Reads a whole request body within the size limit and the timeout, or until the server stops. */
 export function readBody(
   request: IncomingMessage,
-  options: { clock: Clock; maxBytes?: number; stopping?: AbortSignal },
+  options: {
+    clock: Clock;
+    maxBytes?: number;
+    stopping?: AbortSignal | undefined;
+  },
 ): Promise<Either<Refusal, Buffer>> {
   const { maxBytes = maxBodyBytes, stopping } = options;
   return new Promise((resolve) => {
--- a/src/adapters/http/listener.ts
+++ b/src/adapters/http/listener.ts
@@ -2,41 +2,69 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import { Server as NetServer } from "node:net";
 import type { Clock, Millis } from "../../core/clock.ts";
+import { ConnectionCloser } from "./connection_closer.ts";
 import { onExchangeEnd } from "./exchange_end.ts";
 
+/** What a server asks its listener. */
+export type Admission = {
+  /** Whether a request is taken; otherwise its connection is about to be closed. */
+  admit(request: IncomingMessage, response: ServerResponse): boolean;
+  /** Aborted when requests that have not arrived are to be refused. */
+  readonly stopping: AbortSignal;
+};
+
+/** Options of {@link HttpListener}. */
+export type HttpListenerOptions = {
+  readonly clock: Clock;
+  readonly createServer: (admission: Admission) => Server;
+};
+
 /** HTTP server that answers its open requests before it closes their connections. */
-export class HttpListener {
+export class HttpListener implements Admission {
   readonly #server: Server;
   readonly #clock: Clock;
   readonly #stopping = new AbortController();
+  readonly #closer = ConnectionCloser.create();
   readonly #open = new Set<ServerResponse>();
   #onIdle = (): void => {};
 
-  private constructor(options: {
-    clock: Clock;
-    createServer: (stopping: AbortSignal) => Server;
-  }) {
+  private constructor(options: HttpListenerOptions) {
     this.#clock = options.clock;
-    this.#server = options.createServer(this.#stopping.signal);
-    this.#server.on("request", (request, response) =>
-      this.#track(request, response),
-    );
+    this.#server = options.createServer(this);
   }
 
-  /** Creates a listener; `stopping` tells the server to refuse requests that have not arrived. */
-  static create(options: {
-    clock: Clock;
-    createServer: (stopping: AbortSignal) => Server;
-  }): HttpListener {
+  static create(options: HttpListenerOptions): HttpListener {
     return new HttpListener(options);
   }
 
+  get stopping(): AbortSignal {
+    return this.#stopping.signal;
+  }
+
+  admit(request: IncomingMessage, response: ServerResponse): boolean {
+    if (!this.#closer.admit(request, response)) {
+      request.resume();
+      return false;
+    }
+    this.#open.add(response);
+    onExchangeEnd(request, response, () => {
+      this.#open.delete(response);
+      if (this.#open.size === 0) this.#onIdle();
+    });
+    return true;
+  }
+
   /** Resolves once the server listens; rejects if the address is not available. */
   async listen(address: { host: string; port: number }): Promise<void> {
     this.#server.listen(address.port, address.host);
     await once(this.#server, "listening");
   }
 
+  /** Ends each connection after the requests that it has taken, or after its next one. */
+  startClosing(): void {
+    this.#closer.startClosing();
+  }
+
   /** Stops accepting connections; resolves when all requests have been answered or `timeout` ms have passed. */
   finish(timeout: Millis): Promise<void> {
     // The `close` of `http` also closes connections whose last answer has not been sent yet.
@@ -57,12 +85,4 @@
     this.#server.closeAllConnections();
     await new Promise((resolve) => this.#server.close(resolve));
   }
-
-  #track(request: IncomingMessage, response: ServerResponse): void {
-    this.#open.add(response);
-    onExchangeEnd(request, response, () => {
-      this.#open.delete(response);
-      if (this.#open.size === 0) this.#onIdle();
-    });
-  }
 }
--- a/src/adapters/peers/peer_server.ts
+++ b/src/adapters/peers/peer_server.ts
@@ -11,6 +11,7 @@
 import type { Meter } from "../../ports/journal.ts";
 import type { OperatorPort } from "../../ports/operators.ts";
 import { readBody } from "../http/body.ts";
+import type { Admission } from "../http/listener.ts";
 import { writeRefusal } from "../http/responses.ts";
 import type { Keyring } from "../keys/keyring.ts";
 import type { Timeline } from "../observe/timeline.ts";
@@ -38,8 +39,8 @@
   readonly clock: Clock;
   readonly timeline: Timeline;
   readonly meter: Meter;
-  /** Aborted when messages that have not arrived are to be refused. */
-  readonly stopping?: AbortSignal;
+  /** Decides which messages are taken while the node stops; all by default. */
+  readonly admission?: Admission;
 };
 
 /** Creates the HTTP server for other nodes and operators; it rejects messages without a valid signature. */
@@ -49,6 +50,7 @@
     { noDelay: true, connectionsCheckingInterval: timeoutCheckMillis },
     (request, response) => {
       response.on("error", () => {});
+      if (options.admission?.admit(request, response) === false) return;
       void handleMessage(options, verifier, { request, response });
     },
   );
@@ -72,7 +74,11 @@
     return refuseMessage(options, response, "no signature");
   }
   const maxBytes = path === forwardPath ? maxForwardBytes : maxOperatorBytes;
-  const body = await readBody(request, { ...options, maxBytes });
+  const body = await readBody(request, {
+    clock: options.clock,
+    maxBytes,
+    stopping: options.admission?.stopping,
+  });
   if (body.isLeft()) {
     response.setHeader("connection", "close");
     return writeRefusal(response, body.extract() as never);
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -79,6 +79,7 @@
       backEnds,
       forwarder,
       datagrams,
+      onDrain: () => listeners?.startClosing(),
       onStopped: async () => {
         await listeners?.finish();
         markStopped();
--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -39,22 +39,22 @@
     const { settings, clock, components, meter } = options;
     const peers = HttpListener.create({
       clock,
-      createServer: (stopping) =>
+      createServer: (admission) =>
         createPeerServer({
           ...options,
           operators: components.operators,
-          stopping,
+          admission,
         }),
     });
     const callers = HttpListener.create({
       clock,
-      createServer: (stopping) =>
+      createServer: (admission) =>
         createCallerServer({
           ...options,
           front: components.node,
           limits: InFlightLimiter.create(settings.limits),
           readMetrics: () => meter.registry.metrics(),
-          stopping,
+          admission,
         }),
     });
     await peers.listen(settings.listen.peers);
@@ -62,6 +62,12 @@
     return new Listeners(callers, peers);
   }
 
+  /** Ends each connection after the requests that it has taken, or after its next one. */
+  startClosing(): void {
+    this.#callers.startClosing();
+    this.#peers.startClosing();
+  }
+
   /** Resolves when all requests have been answered, or after `answerTimeout`. */
   async finish(): Promise<void> {
     await Promise.all([
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -93,6 +93,8 @@
   readonly onDemand?: (adapter: AdapterKey) => void;
   /** Called for each session of another node that this node has removed. */
   readonly onSessionRemoved?: (lease: LeaseId) => void;
+  /** Called once when a drain starts. */
+  readonly onDrain?: () => void;
   /** Called once when a drain has finished. */
   readonly onStopped: () => void;
 };
@@ -288,6 +290,7 @@
   /** Releases the owned engines and waits for all requests, streams and outcomes. */
   async #drainWork(): Promise<void> {
     this.#options.journal.record("drainStarted");
+    this.#options.onDrain?.();
     await this.#waitForCalls();
     this.owners.drain();
     await this.session.release();
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -55,6 +55,7 @@
   readonly backEnds: BackEnds;
   readonly forwarder: PeerForwarder;
   readonly datagrams: Datagrams;
+  readonly onDrain: () => void;
   readonly onStopped: () => void;
 };
 
@@ -206,7 +207,8 @@
   }
 
   #createNode(): Node {
-    const { settings, table, backEnds, forwarder, onStopped } = this.#options;
+    const { settings, table, backEnds, forwarder, onDrain, onStopped } =
+      this.#options;
     const { durationMs, renewMs, marginMs } = settings.lease;
     return Node.create({
       ...this.#shared,
@@ -229,6 +231,7 @@
       },
       onSessionRemoved: (lease) => this.#reclaimPermits(lease),
       onDemand: (adapter) => this.#placement.recordDemand(adapter),
+      onDrain,
       onStopped,
     });
   }
--- a/tests/daemon/stop_test.ts
+++ b/tests/daemon/stop_test.ts
@@ -101,6 +101,36 @@
   assert.match(caller.received, /"type":"draining"/);
 });
 
+// Guards against: callers keep a connection that the node is about to close, and lose what they send on it.
+test("each answer of a stopping node ends its connection", async () => {
+  const daemon = await startNode();
+  service.fault = "late";
+  service.answerDelay = millis(1_500);
+  const held = await RawConnection.open(daemon.callers);
+  held.write(formatPost(reservations));
+  const kept = await RawConnection.open(daemon.callers);
+  kept.write("GET /healthz HTTP/1.1\r\nhost: node\r\n\r\n");
+  await waitFor(() => kept.received.includes("ok"));
+  const halfSent = await RawConnection.open(daemon.callers);
+  const request = formatPost(reservations);
+  halfSent.write(request.slice(0, -1));
+  await sleep(clock, millis(100));
+  daemon.drain();
+  kept.write(formatPost(reservations));
+  halfSent.write(request.slice(-1));
+  await Promise.all([kept.closed, halfSent.closed]);
+  assert.ok(!held.isClosed, "the call in progress goes on");
+  for (const { received } of [kept, halfSent]) {
+    assert.match(received, /HTTP\/1\.1 503 /);
+    assert.match(received, /x-outcome: not-run/);
+    assert.match(received, /connection: close/i);
+  }
+  await finishStop(daemon);
+  await held.closed;
+  assert.match(held.received, /^HTTP\/1\.1 201 /);
+  service.fault = "none";
+});
+
 // Guards against: the first of several calls sent ahead on one connection closes it before the others are answered.
 test("calls that were sent ahead on one connection before the stop are all answered", async () => {
   const daemon = await startNode();
