Stop in order when SIGTERM arrives during the start of a node

What operators saw: a node that got SIGTERM before its start had ended was killed by the signal. Its session row stayed in the table, so that other nodes took over its engines only when the lease ended, and a call forwarded to its peer listener, which opens first, was cut.

Cause: the handlers were registered after Daemon.start(). They now stand before it, and a stop requested meanwhile drains the node once it has started.

The test holds the node at its key file, a FIFO, and sends SIGTERM. It failed before: the process ended at the signal ('EPIPE' for the writer of the key file). The tests for repeated signals and for a frozen node passed before.

--- a/src/cli/commands/node.ts
+++ b/src/cli/commands/node.ts
@@ -18,11 +18,18 @@
       Left: (refusal) => exitWithRefusal(refusal),
       Right: (value) => value,
     });
-    const daemon = await Daemon.start(settings).catch((error: Error) =>
+    let daemon: Daemon | undefined;
+    let isStopRequested = false;
+    const drain = (): void => {
+      isStopRequested = true;
+      daemon?.drain();
+    };
+    process.on("SIGTERM", drain);
+    process.on("SIGINT", drain);
+    daemon = await Daemon.start(settings).catch((error: Error) =>
       exitWithMessage(`Cannot start the node: ${error.message}`),
     );
-    process.on("SIGTERM", () => daemon.drain());
-    process.on("SIGINT", () => daemon.drain());
+    if (isStopRequested) daemon.drain();
     await daemon.stopped;
     await daemon.stop();
   },
