Read the key file again on SIGHUP instead of ending

What callers saw: SIGHUP ended a node at once, with all calls in progress ('fetch failed'), since the daemon had no handler for it. A closed terminal or an operator who expects a reload sends it.

SIGHUP now reads the key file again, the only file that a running node reads. The new test failed before: the call in progress was cut and the process gone.

--- a/src/adapters/keys/keyring.ts
+++ b/src/adapters/keys/keyring.ts
@@ -28,6 +28,13 @@
     .min(1),
 });
 
+/** Options of {@link Keyring.watch}. */
+export type KeyWatchOptions = {
+  readonly clock: Clock;
+  /** Called after each attempt to reload, with the error if it failed. */
+  readonly onReload: (error: string | undefined) => void;
+};
+
 type Key = { readonly id: string; readonly secret: string };
 
 /** Signs with the first key of the key file and accepts signatures by any of them. */
@@ -89,23 +96,14 @@
     this.#keys = keys;
   }
 
-  /** Reloads the key file whenever it changes; keeps the old keys if it is invalid. */
-  watch(
-    path: string,
-    options: { clock: Clock; onReload: (error: string | undefined) => void },
-  ): void {
+  /** Reloads the key file whenever it changes. */
+  watch(path: string, options: KeyWatchOptions): void {
     let modifiedAt = statSync(path).mtimeMs;
     const check = (): void => {
       const current = statSync(path, { throwIfNoEntry: false })?.mtimeMs;
       if (current !== undefined && current !== modifiedAt) {
         modifiedAt = current;
-        readKeyFile(path).caseOf<void>({
-          Left: (error) => options.onReload(error),
-          Right: (keys) => {
-            this.replace(keys);
-            options.onReload(undefined);
-          },
-        });
+        this.reload(path, options.onReload);
       }
       this.#cancelWatch = options.clock.schedule(
         millis(reloadIntervalMillis),
@@ -118,6 +116,17 @@
     );
   }
 
+  /** Reads the key file again; keeps the old keys if it is invalid. */
+  reload(path: string, onReload: KeyWatchOptions["onReload"]): void {
+    readKeyFile(path).caseOf<void>({
+      Left: (error) => onReload(error),
+      Right: (keys) => {
+        this.replace(keys);
+        onReload(undefined);
+      },
+    });
+  }
+
   /** Stops watching the key file. */
   close(): void {
     this.#cancelWatch?.();
--- a/src/cli/commands/node.ts
+++ b/src/cli/commands/node.ts
@@ -26,6 +26,7 @@
     };
     process.on("SIGTERM", drain);
     process.on("SIGINT", drain);
+    process.on("SIGHUP", () => daemon?.reloadKeys());
     daemon = await Daemon.start(settings).catch((error: Error) =>
       exitWithMessage(`Cannot start the node: ${error.message}`),
     );
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -24,6 +24,8 @@
 export class Daemon {
   readonly nodeId: NodeId;
   readonly timeline: Timeline;
+  /** Reads the key file again. */
+  readonly reloadKeys: () => void;
   /** Resolves when a graceful stop has finished. */
   readonly stopped: Promise<void>;
   readonly #components: NodeComponents;
@@ -49,10 +51,9 @@
       listener: createEntryLog(logger),
     });
     const metrics = Metrics.create();
-    keyring.watch(settings.keyFile, {
-      clock,
-      onReload: (error) => timeline.record("keysReloaded", { error }),
-    });
+    const onReload = (error: string | undefined): void =>
+      timeline.record("keysReloaded", { error });
+    keyring.watch(settings.keyFile, { clock, onReload });
     const shared = { clock, keyring, timeline, meter: metrics };
     const { table, closePlatform, ...platform } = connectPlatform(
       settings,
@@ -107,6 +108,7 @@
       stopped,
       components,
       settings,
+      reloadKeys: () => keyring.reload(settings.keyFile, onReload),
       closers: [
         () => watch.stop(),
         () => components.stop(),
@@ -127,6 +129,7 @@
     stopped: Promise<void>;
     components: NodeComponents;
     settings: Settings;
+    reloadKeys: () => void;
     closers: (() => Promise<void> | void)[];
   }) {
     this.nodeId = options.nodeId;
@@ -134,6 +137,7 @@
     this.stopped = options.stopped;
     this.#components = options.components;
     this.#settings = options.settings;
+    this.reloadKeys = options.reloadKeys;
     this.#closers = options.closers;
   }
 
--- a/tests/daemon/stop_signals_test.ts
+++ b/tests/daemon/stop_signals_test.ts
@@ -96,6 +96,17 @@
   assert.equal(await node.ended, 0);
 });
 
+// Guards against: the node has no handler for SIGHUP, so that the signal kills it with all that it has accepted.
+test("SIGHUP cuts no call in progress, and the node goes on", async () => {
+  await startNode();
+  const { answer } = await startCall();
+  node.signal("SIGHUP");
+  assert.equal((await answer).status, 201);
+  const ready = await fetch(`http://${node.callers}/readyz`);
+  assert.equal(ready.status, 200);
+  assert.match(node.log, /keysReloaded/);
+});
+
 // Guards against: a signal that a frozen node gets late cuts the call that it woke up with.
 test("SIGTERM to a frozen node cuts no call in progress when it wakes", async () => {
   await startNode();
