Bound the stop of a node and answer what it gives up

What operators saw: a node in a drain ended only with its last call. A booking service that does not answer held it for the deadline of the caller (up to ten minutes) and the grace after it, an outage of the table held it until the table was back, and a service manager that lost patience killed it with all that was open, without an answer and without a recorded outcome.

Cause: nothing limited the drain. The setting stop.timeoutMs (60 s) does. 2 s before it the node gives up: calls that were sent are answered as may-have-run and recorded as unknown, calls that were not sent as not run, drafts end with the new code 5005 'stopped', and streams of other nodes are refused with it, so that their entry nodes continue them elsewhere. At the limit the process exits, with status 1 if something is still open.

--- a/src/adapters/settings/settings.ts
+++ b/src/adapters/settings/settings.ts
@@ -71,6 +71,12 @@
       marginMs: z.number().int().min(100).max(10_000).default(1_000),
     })
     .default({ durationMs: 6_000, renewMs: 2_000, marginMs: 1_000 }),
+  stop: z
+    .strictObject({
+      /** Maximum time from SIGTERM or `drain` to the end of the node. */
+      timeoutMs: z.number().int().min(5_000).max(3_600_000).default(60_000),
+    })
+    .default({ timeoutMs: 60_000 }),
   limits: z
     .strictObject({
       /** Maximum number of drafts and booking calls in flight at this node. */
--- a/src/cli/commands/node.ts
+++ b/src/cli/commands/node.ts
@@ -1,8 +1,14 @@
 import { defineCommand } from "citty";
 import { readSettings } from "../../adapters/settings/settings.ts";
+import { RealClock } from "../../adapters/time/real_clock.ts";
+import { millis } from "../../core/clock.ts";
 import { Daemon } from "../../node/daemon.ts";
+import { withTimeout } from "../../node/timeout.ts";
 import { exitWithMessage, exitWithRefusal } from "../exit.ts";
 
+/** Maximum time for closing connections and clients at the end, in ms. */
+const closeTimeout = millis(1_000);
+
 /** `goldcrestwinch node`: runs the daemon until a signal stops it. */
 export const nodeCommand = defineCommand({
   meta: { name: "node", description: "Run the daemon of an entry VM" },
@@ -31,7 +37,11 @@
       exitWithMessage(`Cannot start the node: ${error.message}`),
     );
     if (isStopRequested) daemon.drain();
-    await daemon.stopped;
-    await daemon.stop();
+    const isComplete = await daemon.stopped;
+    await withTimeout(RealClock.create(), daemon.stop(), {
+      timeout: closeTimeout,
+      fallback: undefined,
+    });
+    process.exit(isComplete ? 0 : 1);
   },
 });
--- a/src/core/booking/call.ts
+++ b/src/core/booking/call.ts
@@ -70,6 +70,8 @@
         return handleResult(state, event.result, { random, now });
       case "wake":
         return handleWake(state, now);
+      case "stop":
+        return handleStop(state, now);
     }
   };
 }
@@ -200,6 +202,16 @@
   return send({ ...state, hedged: true }, { now, budget: "hedge" });
 }
 
+/** Ends the call as at its deadline; an answer that may still come is not awaited. */
+function handleStop(before: CallState, now: Millis): CallDecision {
+  const deadlineAt = millis(Math.min(before.deadlineAt, now));
+  const state = { ...before, deadlineAt };
+  const isSent = state.phase === "sending" || state.phase === "answered";
+  if (state.kind === "lookup" || !isSent) return handleWake(state, now);
+  const detail = "The node stopped before the service answered";
+  return recordUnknown(state, refuse("serviceTimeout", detail));
+}
+
 function handleDeadline(state: CallState, now: Millis): CallDecision {
   const detail = "No answer before the deadline";
   const refusal = refuse("serviceTimeout", detail);
--- a/src/core/booking/call_messages.ts
+++ b/src/core/booking/call_messages.ts
@@ -83,7 +83,9 @@
   /** Whether the claimant's session exists; undefined when the table gave no answer. */
   | { readonly type: "session"; readonly exists: boolean | undefined }
   | { readonly type: "result"; readonly result: SendResult }
-  | { readonly type: "wake" };
+  | { readonly type: "wake" }
+  /** The node stops and cannot wait for the answer. */
+  | { readonly type: "stop" };
 
 /** Command that the call's task carries out. */
 export type CallCommand =
--- a/src/core/observe/node_events.ts
+++ b/src/core/observe/node_events.ts
@@ -27,6 +27,11 @@
     level: "warn",
     meaning: "Log lines were left out because their rate exceeded the limit",
   },
+  drainTimedOut: {
+    number: 106,
+    level: "warn",
+    meaning: "A drain took too long; the node gives up what is in progress",
+  },
   memberJoined: {
     number: 601,
     level: "info",
--- a/src/core/observe/request_trace.ts
+++ b/src/core/observe/request_trace.ts
@@ -35,6 +35,7 @@
   "nodeReady",
   "drainStarted",
   "drainFinished",
+  "drainTimedOut",
   "logLinesLeftOut",
   "storeLost",
   "storeRegained",
--- a/src/core/requests/draft.ts
+++ b/src/core/requests/draft.ts
@@ -35,6 +35,7 @@
   "engineRefused",
   "engineLost",
   "draining",
+  "stopped",
   "notReady",
   "peerLost",
   "crossedAnswer",
@@ -90,6 +91,8 @@
         return end(state, [{ type: "finish" }]);
       case "cancel":
         return end(state, cancelAttempts(state.open));
+      case "stop":
+        return stop(state);
       case "refused":
         return handleRefusal(state, event, context);
     }
@@ -284,6 +287,13 @@
   };
 }
 
+/** Ends the request since its node has no time left for it. */
+function stop(state: DraftState): DraftDecision {
+  const mayHaveRun = state.mayHaveRun || state.open.length > 0;
+  const detail = "The node stopped before the answer was complete";
+  return fail(state, refuse(mayHaveRun ? "stopped" : "draining", detail));
+}
+
 /** Ends the request; a refusal as not-run becomes may-have-run if an earlier attempt may have run. */
 function fail(state: DraftState, refusal: Refusal): DraftDecision {
   const mayHaveRun = state.mayHaveRun || state.open.length > 0;
--- a/src/core/requests/draft_messages.ts
+++ b/src/core/requests/draft_messages.ts
@@ -71,7 +71,9 @@
       readonly refusal: Refusal;
       readonly delivered: number;
     }
-  | { readonly type: "cancel" };
+  | { readonly type: "cancel" }
+  /** The node stops and cannot wait for the answer. */
+  | { readonly type: "stop" };
 
 /** Command that the task of a draft request carries out. */
 export type DraftCommand =
--- a/src/core/results/service_codes.ts
+++ b/src/core/results/service_codes.ts
@@ -95,6 +95,13 @@
     meaning: "The answer carried the id of another request and was dropped",
     remedy: "Send again",
   },
+  stopped: {
+    number: 5005,
+    status: 502,
+    outcome: "may-have-run",
+    meaning: "The node had to stop before the answer was complete",
+    remedy: "Send to another node",
+  },
   invalidSettings: {
     number: 6001,
     status: 400,
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -11,6 +11,7 @@
 import { TableClient } from "../adapters/platform/table_client.ts";
 import type { Settings } from "../adapters/settings/settings.ts";
 import { RealClock } from "../adapters/time/real_clock.ts";
+import { type Cancel, millis } from "../core/clock.ts";
 import { brandString, type NodeId } from "../core/ids.ts";
 import { connectBackEnds } from "./back_ends.ts";
 import { Listeners } from "./listeners.ts";
@@ -26,8 +27,8 @@
   readonly timeline: Timeline;
   /** Reads the key file again. */
   readonly reloadKeys: () => void;
-  /** Resolves when a graceful stop has finished. */
-  readonly stopped: Promise<void>;
+  /** Resolves when a graceful stop has ended, to false if its time limit ended it. */
+  readonly stopped: Promise<boolean>;
   readonly #components: NodeComponents;
   readonly #closers: (() => Promise<void> | void)[];
   readonly #settings: Settings;
@@ -67,8 +68,9 @@
       journal: timeline,
     });
     let listeners: Listeners | undefined;
-    let markStopped = () => {};
-    const stopped = new Promise<void>((resolve) => {
+    let cancelTimeout: Cancel = () => {};
+    let markStopped = (_isComplete: boolean): void => {};
+    const stopped = new Promise<boolean>((resolve) => {
       markStopped = resolve;
     });
     const components = wireNode({
@@ -80,10 +82,15 @@
       backEnds,
       forwarder,
       datagrams,
-      onDrain: () => listeners?.startClosing(),
+      onDrain: () => {
+        listeners?.startClosing();
+        cancelTimeout = clock.schedule(millis(settings.stop.timeoutMs), () =>
+          markStopped(false),
+        );
+      },
       onStopped: async () => {
         await listeners?.finish();
-        markStopped();
+        markStopped(true);
       },
     });
     const watch = MachineWatch.create({
@@ -110,6 +117,7 @@
       settings,
       reloadKeys: () => keyring.reload(settings.keyFile, onReload),
       closers: [
+        () => cancelTimeout(),
         () => watch.stop(),
         () => components.stop(),
         () => forwards.close(),
@@ -126,7 +134,7 @@
   private constructor(options: {
     nodeId: NodeId;
     timeline: Timeline;
-    stopped: Promise<void>;
+    stopped: Promise<boolean>;
     components: NodeComponents;
     settings: Settings;
     reloadKeys: () => void;
--- a/src/node/draft_manager.ts
+++ b/src/node/draft_manager.ts
@@ -93,6 +93,11 @@
     });
   }
 
+  /** Refuses all requests in progress. */
+  giveUp(): void {
+    for (const request of [...this.#requests.values()]) request.giveUp();
+  }
+
   #resolve(
     input: DraftInput,
   ): Either<Refusal, { key: AdapterKey; draft: EncodedDraft }> {
--- a/src/node/draft_request.ts
+++ b/src/node/draft_request.ts
@@ -102,6 +102,11 @@
     this.#close();
   }
 
+  /** Refuses the request, without waiting for the rest of its answer. */
+  giveUp(): void {
+    this.#actor.send({ type: "stop" });
+  }
+
   /** Stops reading the answer until `resume`. */
   pause(): void {
     this.#paused = true;
--- a/src/node/engine_directory.ts
+++ b/src/node/engine_directory.ts
@@ -59,6 +59,11 @@
     }
   }
 
+  /** Ends all streams of engines owned by this node. */
+  giveUp(): void {
+    for (const owner of this.#owners.values()) owner.giveUp();
+  }
+
   /** Views of the engines owned by this node. */
   ownViews(): EngineView[] {
     const { nodeId, region, clock } = this.#options;
--- a/src/node/engine_owner.ts
+++ b/src/node/engine_owner.ts
@@ -122,6 +122,15 @@
     };
   }
 
+  /** Ends all streams; the nodes that forwarded them may continue them elsewhere. */
+  giveUp(): void {
+    const detail = "The owner node stopped before the answer was complete";
+    for (const [requestId, { sink }] of [...this.#streams]) {
+      this.#cancel(requestId);
+      sink.onRefusal(refuse("stopped", detail));
+    }
+  }
+
   /** Stops the timer and the actor; all streams must have ended before. */
   stop(): void {
     this.#cancelTimer?.();
--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -68,7 +68,7 @@
     this.#peers.startClosing();
   }
 
-  /** Resolves when all requests have been answered, or after `answerTimeout`. */
+  /** Resolves when all requests have been answered, or after `answerTimeout` ms. */
   async finish(): Promise<void> {
     await Promise.all([
       this.#callers.finish(answerTimeout),
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -1,7 +1,7 @@
 import type { Either } from "purify-ts";
 import { Left } from "purify-ts";
 import { type Actor, createActor } from "xstate";
-import { type Cancel, type Clock, millis } from "../core/clock.ts";
+import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
 import type { Catalog, ModelResolution } from "../core/config/catalog.ts";
 import { defaultEnginePolicies } from "../core/engine/mod.ts";
 import {
@@ -53,6 +53,9 @@
 /** Maximum time that a draining node waits for booking calls before it releases its session, in ms. */
 const callDrainTimeout = millis(5_000);
 
+/** Time before the end of a stop at which the node gives up its work, to record and send the outcomes, in ms. */
+const giveUpMargin = 2_000;
+
 /** Read access to the configuration in force. */
 export type ConfigurationReader = {
   current(): Catalog | undefined;
@@ -93,6 +96,8 @@
   readonly onDemand?: (adapter: AdapterKey) => void;
   /** Called for each session of another node that this node has removed. */
   readonly onSessionRemoved?: (lease: LeaseId) => void;
+  /** Time from the start of a drain in which the node ends; unlimited by default. */
+  readonly stopTimeout?: Millis;
   /** Called once when a drain starts. */
   readonly onDrain?: () => void;
   /** Called once when a drain has finished. */
@@ -110,6 +115,7 @@
   readonly #lifecycle: Actor<ReturnType<typeof createLifecycleMachine>>;
   readonly #leavingServers = new Set<string>();
   #cancelPublish: Cancel | undefined;
+  #cancelGiveUp: Cancel | undefined;
   #stopped = false;
 
   static create(options: NodeOptions): Node {
@@ -243,6 +249,7 @@
   stop(): void {
     this.#stopped = true;
     this.#cancelPublish?.();
+    this.#cancelGiveUp?.();
     this.session.stop();
     this.services.stop();
     this.#options.permits.stop();
@@ -291,6 +298,7 @@
   async #drainWork(): Promise<void> {
     this.#options.journal.record("drainStarted");
     this.#options.onDrain?.();
+    this.#limitDrain();
     await this.#waitForCalls();
     this.owners.drain();
     await this.session.release();
@@ -301,6 +309,21 @@
     this.#lifecycle.send({ type: "idle" });
   }
 
+  #limitDrain(): void {
+    const { clock, stopTimeout } = this.#options;
+    if (stopTimeout === undefined) return;
+    const delay = millis(stopTimeout - giveUpMargin);
+    this.#cancelGiveUp = clock.schedule(delay, () => this.#giveUp());
+  }
+
+  /** Tells callers and other nodes what may have run, since the node cannot wait any longer. */
+  #giveUp(): void {
+    this.#options.journal.record("drainTimedOut", { open: this.inFlight });
+    this.drafts.giveUp();
+    this.services.giveUp();
+    this.directory.giveUp();
+  }
+
   /** Waits before the session row is removed, since other nodes then treat the calls in progress as abandoned. */
   async #waitForCalls(): Promise<void> {
     const { clock } = this.#options;
--- a/src/node/service_call_manager.ts
+++ b/src/node/service_call_manager.ts
@@ -132,6 +132,11 @@
     return new Promise((resolve) => this.#idleListeners.push(resolve));
   }
 
+  /** Refuses the calls in progress; their outcomes are still recorded. */
+  giveUp(): void {
+    for (const request of [...this.#requests]) request.giveUp();
+  }
+
   /** Stops without waiting for calls or outcomes, like a killed process. */
   stop(): void {
     this.#writer.stop();
--- a/src/node/service_request.ts
+++ b/src/node/service_request.ts
@@ -99,6 +99,11 @@
     );
   }
 
+  /** Refuses the call and records its outcome, without waiting for an answer. */
+  giveUp(): void {
+    this.#sendEvent({ type: "stop" });
+  }
+
   /** Stops without a reply, like a killed process. */
   stop(): void {
     this.#stopped = true;
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -231,6 +231,7 @@
       },
       onSessionRemoved: (lease) => this.#reclaimPermits(lease),
       onDemand: (adapter) => this.#placement.recordDemand(adapter),
+      stopTimeout: millis(settings.stop.timeoutMs),
       onDrain,
       onStopped,
     });
--- /dev/null
+++ b/tests/booking/stop_test.ts
@@ -0,0 +1,42 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { millis } from "../../src/core/clock.ts";
+import { BookingSetup, describeReply } from "./setup.ts";
+
+// Guards against calls that a stopping node answers wrongly or leaves without an outcome.
+
+const longDeadline = { within: 60_000 };
+
+test("a call whose claim is still being written when the node gives up is not sent", async () => {
+  const setup = new BookingSetup();
+  const [node, other] = [setup.createNode("a"), setup.createNode("b")];
+  setup.rows.delay = 400;
+  const reply = setup.call(node, { key: "k", ...longDeadline });
+  await setup.clock.advance(millis(100));
+  node.callManager.giveUp();
+  await setup.clock.advance(millis(2_000));
+  assert.match(describeReply(reply()), /not-run$/);
+  assert.equal(setup.runs, 0);
+  await node.callManager.waitIdle();
+  setup.rows.delay = 0;
+  assert.equal(await setup.callAndDescribe(other, { key: "k" }), "201");
+});
+
+for (const shape of [{}, { key: "k" }, { method: "GET", path: "/stock" }]) {
+  const kind = shape.key ?? shape.method ?? "no key";
+  test(`a call that was sent is refused as may-have-run when the node gives up (${kind})`, async () => {
+    const setup = new BookingSetup();
+    const [node, other] = [setup.createNode("a"), setup.createNode("b")];
+    setup.failServers("silent");
+    const reply = setup.call(node, { ...shape, ...longDeadline });
+    await setup.clock.advance(millis(1_000));
+    node.callManager.giveUp();
+    await setup.clock.advance(millis(500));
+    assert.equal(describeReply(reply()), "serviceTimeout may-have-run");
+    assert.equal(node.callManager.outstanding, 0, "its outcome is recorded");
+    setup.failServers(undefined);
+    if (shape.key === undefined) return;
+    const again = await setup.callAndDescribe(other, { key: shape.key });
+    assert.equal(again, "outcomeUnknown may-have-run");
+  });
+}
--- a/tests/daemon/stop_test.ts
+++ b/tests/daemon/stop_test.ts
@@ -6,6 +6,7 @@
 import { createOperatorClient } from "../../src/adapters/peers/operator_client.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis, sleep } from "../../src/core/clock.ts";
+import { sendDraft } from "../../src/demo/draft_client.ts";
 import {
   type Installation,
   startInstallation,
@@ -31,8 +32,8 @@
 before(async () => {
   installation = await startInstallation(clock, {
     regions: ["tatry"],
-    nodesPerRegion: 10,
-    spareNodes: 9,
+    nodesPerRegion: 12,
+    spareNodes: 11,
   });
   service = installation.site.services.get("tatry-booking") as MemoryService;
   archive = createServer((request, response) => {
@@ -51,13 +52,14 @@
 });
 
 /** Starts one more node, which also reaches the service with large answers. */
-async function startNode(): Promise<Daemon> {
+async function startNode(stopTimeout = 60_000): Promise<Daemon> {
   const settings = installation.spare[nextSpare++];
   assert.ok(settings);
   const { port } = archive.address() as AddressInfo;
   const url = `http://127.0.0.1:${port}`;
   const daemon = await Daemon.start({
     ...settings,
+    stop: { timeoutMs: stopTimeout },
     services: [
       ...settings.services,
       {
@@ -77,6 +79,13 @@
   await daemon.stop();
 }
 
+/** Number of engines that a node owns. */
+function countOwned({ timeline }: Daemon): number {
+  const events = timeline.read().filter(({ fields }) => fields.engine);
+  const owned = events.filter(({ event }) => event === "engineOwned");
+  return new Set(owned.map(({ fields }) => fields.engine)).size;
+}
+
 async function waitFor(condition: () => boolean, limit = 5_000) {
   const end = clock.now() + limit;
   while (!condition()) {
@@ -197,3 +206,104 @@
   await idle.closed;
   assert.ok(clock.now() - startedAt < idleStopLimit);
 });
+
+/** Time from the start of a drain until the node has ended at the latest, in ms. */
+const shortStopTimeout = 5_000;
+
+// Guards against: a call whose service does not answer keeps a stopping node running, and its outcome is never recorded.
+test("a stop ends within its time limit, and what may have run is answered and recorded as such", async () => {
+  const daemon = await startNode(shortStopTimeout);
+  service.fault = "silent";
+  const ran = service.runs.length;
+  const book = (headers: Record<string, string>) =>
+    fetch(`http://${daemon.callers}${reservations}`, {
+      method: "POST",
+      headers: { "x-deadline-ms": "60000", ...headers },
+      body: "{}",
+    });
+  const calls = [book({}), book({ "idempotency-key": "stopped" })];
+  await waitFor(() => service.runs.length === ran + 2);
+  const startedAt = clock.now();
+  daemon.drain();
+  const answers = await Promise.all(calls);
+  for (const answer of answers) {
+    assert.equal(answer.status, 504);
+    assert.equal(answer.headers.get("x-outcome"), "may-have-run");
+  }
+  assert.equal(await daemon.stopped, true, "all outcomes are recorded");
+  assert.ok(clock.now() - startedAt < shortStopTimeout);
+  await daemon.stop();
+  service.fault = "none";
+  const other = installation.daemons[0] as Daemon;
+  const again = await fetch(`http://${other.callers}${reservations}`, {
+    method: "POST",
+    headers: { "idempotency-key": "stopped" },
+    body: "{}",
+  });
+  assert.match(await again.text(), /outcomeUnknown/);
+  assert.equal(service.runs.length, ran + 2, "the call does not run again");
+});
+
+// Guards against: a caller that does not read its answer keeps a stopping node running.
+test("a caller that never reads its answer does not hold a stop beyond its time limit", async () => {
+  const daemon = await startNode(shortStopTimeout);
+  const caller = await RawConnection.open(daemon.callers);
+  caller.pause();
+  caller.write(formatPost("/services/archive/reports"));
+  await sleep(clock, millis(1_000));
+  const startedAt = clock.now();
+  daemon.drain();
+  await finishStop(daemon);
+  assert.ok(clock.now() - startedAt < shortStopTimeout + 500);
+  caller.destroy();
+});
+
+// Guards against: a stop during an outage of the table waits for outcomes that it cannot record.
+test("a stop ends within its time limit although the table is down", async () => {
+  const daemon = await startNode(shortStopTimeout);
+  service.fault = "late";
+  service.answerDelay = millis(500);
+  const answer = fetch(`http://${daemon.callers}${reservations}`, {
+    method: "POST",
+    headers: { "idempotency-key": "in-outage" },
+    body: "{}",
+  });
+  const ran = service.runs.length;
+  await waitFor(() => service.runs.length === ran + 1);
+  installation.site.table.outage = true;
+  const startedAt = clock.now();
+  daemon.drain();
+  assert.equal((await answer).status, 201);
+  assert.equal(await daemon.stopped, false, "an outcome is not recorded");
+  await daemon.stop();
+  installation.site.table.outage = false;
+  service.fault = "none";
+  assert.ok(clock.now() - startedAt < shortStopTimeout + 500);
+});
+
+// Guards against: the owner of an engine breaks off a stream of another node at its exit, or waits for it without limit.
+test("a stream goes on elsewhere when the owner of its engine has no time left", async () => {
+  const owner = await startNode(shortStopTimeout);
+  const first = installation.daemons[0] as Daemon;
+  first.drain();
+  await finishStop(first);
+  installation = { ...installation, daemons: [] };
+  await waitFor(() => countOwned(owner) === 2, 15_000);
+  const entry = await startNode();
+  const draft = sendDraft({
+    origin: `http://${entry.callers}`,
+    adapter: "rental-00@v1",
+    prompt: "Draft rental terms",
+    tokens: 800,
+    customer: "rysy",
+  });
+  await sleep(clock, millis(1_500));
+  const startedAt = clock.now();
+  owner.drain();
+  await finishStop(owner);
+  assert.ok(clock.now() - startedAt < shortStopTimeout + 500);
+  const { whole, status, text } = await draft;
+  assert.ok(whole, `${status} ${text.slice(-300)}`);
+  assert.ok(clock.now() - startedAt > shortStopTimeout, "the stream was long");
+  await entry.stop();
+});
