Send no booking call that may end after the exit of its node

What callers saw: a call that a node had taken before SIGTERM, and that still waited for its claim, was sent although the node would exit before the call's deadline. If the service was slow, the caller got 504 may-have-run and the key was lost to outcomeUnknown, where an answer as not run would have let the caller send it elsewhere at once.

Cause: the time left until the exit was not part of the decision to send. The check before each send, which already looks at the deadline and the lease, now asks findLatestStart, as the gateway does. A call that must end before the exit is sent, any other is refused as 'draining', not run, and its key is released.

The procedure of a drain moves from Node to Drain, which knows the time.

--- a/src/core/booking/call.ts
+++ b/src/core/booking/call.ts
@@ -147,8 +147,8 @@
   if (result.kind === "answer" && !overloadStatuses.has(result.answer.status)) {
     return close(state, [{ type: "answer", answer: result.answer }]);
   }
-  // A hedge denied by the budget does not end the sends that are in flight.
-  const isDenied = result.kind === "denied";
+  // A hedge that is not allowed does not end the sends that are in flight.
+  const isDenied = result.kind === "denied" || result.kind === "stopping";
   if (isDenied && state.open > 0) return { state, commands: [] };
   const fallback = chooseFallback(state, result);
   const next = { ...state, fallback };
--- a/src/core/booking/call_messages.ts
+++ b/src/core/booking/call_messages.ts
@@ -24,6 +24,8 @@
   | "too-late"
   /** The session lease of the claim ended before the send. */
   | "no-lease"
+  /** The call may end after the exit of the node. */
+  | "stopping"
   /** The retry or hedge budget is spent. */
   | "denied"
   | "broken"
--- a/src/core/booking/call_send.ts
+++ b/src/core/booking/call_send.ts
@@ -84,6 +84,7 @@
   "no-server": "serviceUnreachable",
   "too-late": "deadlinePassed",
   "no-lease": "claimUnavailable",
+  stopping: "draining",
   denied: "serviceUnreachable",
   broken: "serviceBroken",
   timeout: "serviceTimeout",
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -33,6 +33,7 @@
 import type { ForwardTarget, PeerForwarder } from "../ports/peers.ts";
 import type { TableService } from "../ports/table.ts";
 import { DraftManager, type Suspicion } from "./draft_manager.ts";
+import { Drain } from "./drain.ts";
 import { EngineDirectory } from "./engine_directory.ts";
 import type { PermitSource } from "./engine_owner.ts";
 import { EngineOwners, type LocalEngine } from "./engine_owners.ts";
@@ -45,17 +46,10 @@
 } from "./service_call_manager.ts";
 import { Session } from "./session.ts";
 import type { SuspectListener } from "./suspect_listener.ts";
-import { withTimeout } from "./timeout.ts";
 
 /** Interval at which the views of owned engines are published, in ms. */
 const publishIntervalMillis = 200;
 
-/** Maximum time that a draining node waits for booking calls before it releases its session, in ms. */
-const callDrainTimeout = millis(5_000);
-
-/** Time before the end of a stop at which the node gives up its work, to record and send the outcomes, in ms. */
-const giveUpMargin = 2_000;
-
 /** Read access to the configuration in force. */
 export type ConfigurationReader = {
   current(): Catalog | undefined;
@@ -112,10 +106,10 @@
   readonly services: ServiceCallManager;
   readonly session: Session;
   readonly #options: NodeOptions;
+  readonly #drain: Drain;
   readonly #lifecycle: Actor<ReturnType<typeof createLifecycleMachine>>;
   readonly #leavingServers = new Set<string>();
   #cancelPublish: Cancel | undefined;
-  #cancelGiveUp: Cancel | undefined;
   #stopped = false;
 
   static create(options: NodeOptions): Node {
@@ -158,6 +152,15 @@
       currentLease: () =>
         this.session.isUsable() ? this.session.lease() : undefined,
       onLeaving: (_, server) => this.markLeaving(server),
+      exitAt: () => this.#drain.giveUpAt,
+    });
+    this.#drain = Drain.create({
+      ...options,
+      drafts: this.drafts,
+      services: this.services,
+      directory: this.directory,
+      owners: this.owners,
+      session: this.session,
     });
     this.#lifecycle = createActor(
       createLifecycleMachine({
@@ -249,7 +252,7 @@
   stop(): void {
     this.#stopped = true;
     this.#cancelPublish?.();
-    this.#cancelGiveUp?.();
+    this.#drain.stop();
     this.session.stop();
     this.services.stop();
     this.#options.permits.stop();
@@ -294,46 +297,13 @@
     );
   }
 
-  /** Releases the owned engines and waits for all requests, streams and outcomes. */
   async #drainWork(): Promise<void> {
     this.#options.journal.record("drainStarted");
     this.#options.onDrain?.();
-    this.#limitDrain();
-    await this.#waitForCalls();
-    this.owners.drain();
-    await this.session.release();
-    await this.drafts.waitIdle();
-    await this.directory.waitIdle();
-    await this.services.waitIdle();
-    await this.#options.cluster.leave();
+    await this.#drain.run();
     this.#lifecycle.send({ type: "idle" });
   }
 
-  #limitDrain(): void {
-    const { clock, stopTimeout } = this.#options;
-    if (stopTimeout === undefined) return;
-    const delay = millis(stopTimeout - giveUpMargin);
-    this.#cancelGiveUp = clock.schedule(delay, () => this.#giveUp());
-  }
-
-  /** Tells callers and other nodes what may have run, since the node cannot wait any longer. */
-  #giveUp(): void {
-    this.#options.journal.record("drainTimedOut", { open: this.inFlight });
-    this.drafts.giveUp();
-    this.services.giveUp();
-    this.directory.giveUp();
-  }
-
-  /** Waits before the session row is removed, since other nodes then treat the calls in progress as abandoned. */
-  async #waitForCalls(): Promise<void> {
-    const { clock } = this.#options;
-    const idle = this.services.waitIdle();
-    await withTimeout(clock, idle, {
-      timeout: callDrainTimeout,
-      fallback: undefined,
-    });
-  }
-
   #finishStop(): void {
     this.#options.journal.record("drainFinished");
     this.stop();
--- a/src/node/service_call_manager.ts
+++ b/src/node/service_call_manager.ts
@@ -4,7 +4,7 @@
   formatClaimKey,
   outcomeGrace,
 } from "../core/booking/claim.ts";
-import { type Clock, millis } from "../core/clock.ts";
+import { type Clock, type Millis, millis } from "../core/clock.ts";
 import {
   type AttemptToken,
   brandString,
@@ -64,6 +64,8 @@
   readonly nodeId: NodeId;
   /** Lease under which the node may act; undefined without one. */
   readonly currentLease: () => LeaseId | undefined;
+  /** Time at which the node exits; undefined while it does not stop. */
+  readonly exitAt?: () => Millis | undefined;
   /** Services whose expired claims this node removes; none by default. */
   readonly sweepServices?: readonly ServiceName[];
   /** Called when a server refuses a call because it is leaving. */
--- a/src/node/service_request.ts
+++ b/src/node/service_request.ts
@@ -16,6 +16,7 @@
   type RecordedAnswer,
 } from "../core/booking/claim.ts";
 import { type Cancel, type Clock, type Millis, millis } from "../core/clock.ts";
+import { findLatestStart } from "../core/gateway/stopping.ts";
 import type { AttemptToken, LeaseId, NodeId, RequestId } from "../core/ids.ts";
 import { type Refusal, refuse } from "../core/results/refusal.ts";
 import type { BookingAnswer } from "../ports/front_end.ts";
@@ -52,6 +53,8 @@
   ) => void;
   readonly nextToken: () => AttemptToken;
   readonly currentLease: () => LeaseId | undefined;
+  /** Time at which the node exits; undefined while it does not stop. */
+  readonly exitAt?: () => Millis | undefined;
   /** Whether the session still holds the lease; undefined when the table did not answer. */
   readonly hasSession: (
     node: NodeId,
@@ -217,6 +220,13 @@
       );
       return;
     }
+    if (this.#isLateForExit(now)) {
+      this.#reportFailure(
+        "stopping",
+        "The node stops before the call would have to end",
+      );
+      return;
+    }
     if (lease !== undefined && currentLease() !== lease) {
       this.#reportFailure(
         "no-lease",
@@ -246,6 +256,14 @@
     this.#sendEvent({ type: "result", result });
   }
 
+  #isLateForExit(now: Millis): boolean {
+    const { call, exitAt: readExitTime } = this.#options;
+    const exitAt = readExitTime?.();
+    if (exitAt === undefined) return false;
+    const limit = call.deadlineAt;
+    return now > findLatestStart({ exitAt, limit, longestRun: undefined });
+  }
+
   #reportFailure(
     kind: Exclude<SendResult["kind"], "answer">,
     detail: string,
--- a/tests/booking/setup.ts
+++ b/tests/booking/setup.ts
@@ -1,6 +1,6 @@
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
-import { millis } from "../../src/core/clock.ts";
+import { type Millis, millis } from "../../src/core/clock.ts";
 import {
   brandString,
   type LeaseId,
@@ -29,6 +29,8 @@
   readonly id: NodeId;
   lease: LeaseId | undefined;
   readonly leaving: Set<string>;
+  /** Time at which the node exits; undefined while it does not stop. */
+  exitAt: Millis | undefined;
 };
 
 /** Fields of a call that a test sets; the others have defaults. */
@@ -67,7 +69,12 @@
   createNode(name: string): TestNode {
     const id: NodeId = brandString(name);
     const leaving = new Set<string>();
-    const node = { id, leaving, lease: brandString<LeaseId>(`${name}.1`) };
+    const node: Omit<TestNode, "callManager"> = {
+      id,
+      leaving,
+      lease: brandString<LeaseId>(`${name}.1`),
+      exitAt: undefined,
+    };
     this.renewSession(name, node.lease);
     const callManager = ServiceCallManager.create({
       clock: this.clock,
@@ -90,6 +97,7 @@
       random: this.#random,
       nodeId: id,
       currentLease: () => node.lease,
+      exitAt: () => node.exitAt,
     });
     return Object.assign(node, { callManager });
   }
--- a/tests/booking/stop_test.ts
+++ b/tests/booking/stop_test.ts
@@ -22,6 +22,23 @@
   assert.equal(await setup.callAndDescribe(other, { key: "k" }), "201");
 });
 
+// Guards against: a stopping node sends a call that it cannot wait for, so that its outcome stays unknown.
+for (const shape of [{ key: "k" }, { method: "GET", path: "/stock" }]) {
+  const kind = shape.key ?? shape.method ?? "";
+  test(`a call that may end after the exit of its node is not sent (${kind})`, async () => {
+    const setup = new BookingSetup();
+    const [node, other] = [setup.createNode("a"), setup.createNode("b")];
+    node.exitAt = millis(setup.clock.now() + 3_000);
+    const late = { ...shape, ...longDeadline };
+    const refused = await setup.callAndDescribe(node, late);
+    assert.equal(refused, "draining not-run");
+    assert.equal(setup.runs, 0);
+    const short = { ...shape, within: 1_000 };
+    assert.match(await setup.callAndDescribe(node, short), /^20/);
+    assert.match(await setup.callAndDescribe(other, late), /^20/);
+  });
+}
+
 for (const shape of [{}, { key: "k" }, { method: "GET", path: "/stock" }]) {
   const kind = shape.key ?? shape.method ?? "no key";
   test(`a call that was sent is refused as may-have-run when the node gives up (${kind})`, async () => {
