--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -10,6 +10,8 @@
 import type { FrontEndPort } from "../../ports/front_end.ts";
 import type { Meter } from "../../ports/journal.ts";
 import { readBody } from "../http/body.ts";
+import { onExchangeEnd } from "../http/exchange_end.ts";
+import type { Admission } from "../http/listener.ts";
 import { writeJson, writeRefusal } from "../http/responses.ts";
 import { type CallHeaders, parseCallHeaders } from "./call_headers.ts";
 import { type DraftBody, parseDraftBody } from "./draft_body.ts";
@@ -35,6 +37,8 @@
   readonly meter: Meter;
   readonly limits: InFlightLimiter;
   readonly readMetrics: () => Promise<string>;
+  /** Decides which requests are taken while the node stops; all by default. */
+  readonly admission?: Admission;
 };
 
 /** Creates the HTTP server for callers. */
@@ -48,6 +52,7 @@
     (request, response) => {
       // Disconnects are handled by the `close` listeners of each request.
       response.on("error", () => {});
+      if (options.admission?.admit(request, response) === false) return;
       void handleRequest(options, request, response);
     },
   );
@@ -83,8 +88,11 @@
   if (refusal !== undefined) {
     return sendRefusal(options, response, refusal, call);
   }
-  response.on("close", () => options.limits.leave(caller));
-  const body = await readBody(request, { clock: options.clock });
+  onExchangeEnd(request, response, () => options.limits.leave(caller));
+  const body = await readBody(request, {
+    clock: options.clock,
+    stopping: options.admission?.stopping,
+  });
   if (body.isLeft()) {
     response.setHeader("connection", "close");
     return sendRefusal(options, response, body.extract(), call);
@@ -95,7 +103,8 @@
   }
   parseDraftBody(bytes, kind).caseOf<void>({
     Left: (refusal) => sendRefusal(options, response, refusal, call),
-    Right: (draft) => handleDraft(options, { response, call, draft, kind }),
+    Right: (draft) =>
+      handleDraft(options, { request, response, call, draft, kind }),
   });
 }
 
@@ -122,13 +131,14 @@
 function handleDraft(
   options: CallerServerOptions,
   exchange: {
+    request: IncomingMessage;
     response: ServerResponse;
     call: CallHeaders;
     draft: DraftBody;
     kind: "chat" | "completion";
   },
 ): void {
-  const { response, call, draft, kind } = exchange;
+  const { request, response, call, draft, kind } = exchange;
   const { requestId } = call;
   const writer = draft.stream
     ? createStreamWriter(response, requestId)
@@ -147,7 +157,7 @@
     writer.sink,
   );
   writer.attach(control);
-  response.on("close", () => {
+  onExchangeEnd(request, response, () => {
     if (!response.writableFinished) control.cancel();
   });
 }
--- a/src/cli/commands/node.ts
+++ b/src/cli/commands/node.ts
@@ -1,8 +1,14 @@
 import { defineCommand } from "citty";
 import { readSettings } from "../../adapters/settings/settings.ts";
+import { RealClock } from "../../adapters/time/real_clock.ts";
+import { millis } from "../../core/clock.ts";
 import { Daemon } from "../../node/daemon.ts";
+import { withTimeout } from "../../node/timeout.ts";
 import { exitWithMessage, exitWithRefusal } from "../exit.ts";
 
+/** Maximum time for closing connections and clients at the end, in ms. */
+const closeTimeout = millis(1_000);
+
 /** `goldcrestwinch node`: runs the daemon until a signal stops it. */
 export const nodeCommand = defineCommand({
   meta: { name: "node", description: "Run the daemon of an entry VM" },
@@ -18,12 +24,24 @@
       Left: (refusal) => exitWithRefusal(refusal),
       Right: (value) => value,
     });
-    const daemon = await Daemon.start(settings).catch((error: Error) =>
+    let daemon: Daemon | undefined;
+    let isStopRequested = false;
+    const drain = (): void => {
+      isStopRequested = true;
+      daemon?.drain();
+    };
+    process.on("SIGTERM", drain);
+    process.on("SIGINT", drain);
+    process.on("SIGHUP", () => daemon?.reloadKeys());
+    daemon = await Daemon.start(settings).catch((error: Error) =>
       exitWithMessage(`Cannot start the node: ${error.message}`),
     );
-    process.on("SIGTERM", () => daemon.drain());
-    process.on("SIGINT", () => daemon.drain());
-    await daemon.stopped;
-    await daemon.stop();
+    if (isStopRequested) daemon.drain();
+    const isComplete = await daemon.stopped;
+    await withTimeout(RealClock.create(), daemon.stop(), {
+      timeout: closeTimeout,
+      fallback: undefined,
+    });
+    process.exit(isComplete ? 0 : 1);
   },
 });
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -1,7 +1,3 @@
-import { once } from "node:events";
-import type { Server } from "node:http";
-import { createCallerServer } from "../adapters/callers/caller_server.ts";
-import { InFlightLimiter } from "../adapters/callers/in_flight_limiter.ts";
 import { UdpDatagrams } from "../adapters/gossip/udp_datagrams.ts";
 import { createToken, Keyring, readKeyFile } from "../adapters/keys/keyring.ts";
 import { createEntryLog, createLogger } from "../adapters/observe/log.ts";
@@ -9,15 +5,16 @@
 import { Timeline } from "../adapters/observe/timeline.ts";
 import { HttpForwarder } from "../adapters/peers/forward_client.ts";
 import { ForwardServer } from "../adapters/peers/forward_server.ts";
-import { createPeerServer } from "../adapters/peers/peer_server.ts";
 import { GuardedTable } from "../adapters/platform/guarded_table.ts";
 import { MachinesClient } from "../adapters/platform/machines_client.ts";
 import { ObjectClient } from "../adapters/platform/object_client.ts";
 import { TableClient } from "../adapters/platform/table_client.ts";
 import type { Settings } from "../adapters/settings/settings.ts";
 import { RealClock } from "../adapters/time/real_clock.ts";
+import { type Cancel, millis } from "../core/clock.ts";
 import { brandString, type NodeId } from "../core/ids.ts";
 import { connectBackEnds } from "./back_ends.ts";
+import { Listeners } from "./listeners.ts";
 import { MachineWatch } from "./machine_watch.ts";
 import { type NodeComponents, wireNode } from "./wiring.ts";
 
@@ -28,8 +25,10 @@
 export class Daemon {
   readonly nodeId: NodeId;
   readonly timeline: Timeline;
-  /** Resolves when a graceful stop has finished. */
-  readonly stopped: Promise<void>;
+  /** Reads the key file again. */
+  readonly reloadKeys: () => void;
+  /** Resolves when a graceful stop has ended, to false if its time limit ended it. */
+  readonly stopped: Promise<boolean>;
   readonly #components: NodeComponents;
   readonly #closers: (() => Promise<void> | void)[];
   readonly #settings: Settings;
@@ -53,10 +52,9 @@
       listener: createEntryLog(logger),
     });
     const metrics = Metrics.create();
-    keyring.watch(settings.keyFile, {
-      clock,
-      onReload: (error) => timeline.record("keysReloaded", { error }),
-    });
+    const onReload = (error: string | undefined): void =>
+      timeline.record("keysReloaded", { error });
+    keyring.watch(settings.keyFile, { clock, onReload });
     const shared = { clock, keyring, timeline, meter: metrics };
     const { table, closePlatform, ...platform } = connectPlatform(
       settings,
@@ -69,8 +67,10 @@
       ...shared,
       journal: timeline,
     });
-    let markStopped = () => {};
-    const stopped = new Promise<void>((resolve) => {
+    let listeners: Listeners | undefined;
+    let cancelTimeout: Cancel = () => {};
+    let markStopped = (_isComplete: boolean): void => {};
+    const stopped = new Promise<boolean>((resolve) => {
       markStopped = resolve;
     });
     const components = wireNode({
@@ -82,7 +82,16 @@
       backEnds,
       forwarder,
       datagrams,
-      onStopped: () => markStopped(),
+      onDrain: () => {
+        listeners?.startClosing();
+        cancelTimeout = clock.schedule(millis(settings.stop.timeoutMs), () =>
+          markStopped(false),
+        );
+      },
+      onStopped: async () => {
+        await listeners?.finish();
+        markStopped(true);
+      },
     });
     const watch = MachineWatch.create({
       machines: platform.machines,
@@ -90,11 +99,11 @@
       onLeaving: (server) => components.node.markLeaving(server),
     });
     const forwards = ForwardServer.create({ target: components.node, clock });
-    const servers = await openListeners(settings, {
+    listeners = await Listeners.open({
       ...shared,
+      settings,
       components,
       forwards,
-      metrics,
     });
     timeline.record("nodeStarted", {
       callers: formatAddress(settings.listen.callers),
@@ -106,11 +115,13 @@
       stopped,
       components,
       settings,
+      reloadKeys: () => keyring.reload(settings.keyFile, onReload),
       closers: [
+        () => cancelTimeout(),
         () => watch.stop(),
         () => components.stop(),
         () => forwards.close(),
-        () => closeServers(servers),
+        () => listeners?.close(),
         () => forwarder.close(),
         () => datagrams.close(),
         () => backEnds.close(),
@@ -123,9 +134,10 @@
   private constructor(options: {
     nodeId: NodeId;
     timeline: Timeline;
-    stopped: Promise<void>;
+    stopped: Promise<boolean>;
     components: NodeComponents;
     settings: Settings;
+    reloadKeys: () => void;
     closers: (() => Promise<void> | void)[];
   }) {
     this.nodeId = options.nodeId;
@@ -133,6 +145,7 @@
     this.stopped = options.stopped;
     this.#components = options.components;
     this.#settings = options.settings;
+    this.reloadKeys = options.reloadKeys;
     this.#closers = options.closers;
   }
 
@@ -207,45 +220,6 @@
   };
 }
 
-async function openListeners(
-  settings: Settings,
-  options: SharedDependencies & {
-    components: NodeComponents;
-    forwards: ForwardServer;
-    metrics: Metrics;
-  },
-): Promise<Server[]> {
-  const { components, metrics } = options;
-  const peers = createPeerServer({
-    ...options,
-    operators: components.operators,
-  });
-  const callers = createCallerServer({
-    ...options,
-    front: components.node,
-    limits: InFlightLimiter.create(settings.limits),
-    readMetrics: () => metrics.registry.metrics(),
-  });
-  await listen(peers, settings.listen.peers);
-  await listen(callers, settings.listen.callers);
-  return [peers, callers];
-}
-
-async function listen(
-  server: Server,
-  address: { host: string; port: number },
-): Promise<void> {
-  server.listen(address.port, address.host);
-  await once(server, "listening");
-}
-
-async function closeServers(servers: readonly Server[]): Promise<void> {
-  for (const server of servers) {
-    server.closeAllConnections();
-    await new Promise((resolve) => server.close(resolve));
-  }
-}
-
 function formatAddress({ host, port }: { host: string; port: number }): string {
   return host.includes(":") ? `[${host}]:${port}` : `${host}:${port}`;
 }
