--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -52,7 +52,10 @@
     (request, response) => {
       // Disconnects are handled by the `close` listeners of each request.
       response.on("error", () => {});
-      if (options.admission?.admit(request, response) === false) return;
+      if (options.admission?.admit(request, response) === false) {
+        const detail = "The node is stopping and this connection ends";
+        return sendRefusal(options, response, refuse("draining", detail));
+      }
       void handleRequest(options, request, response);
     },
   );
--- a/src/adapters/http/listener.ts
+++ b/src/adapters/http/listener.ts
@@ -1,6 +1,5 @@
 import { once } from "node:events";
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
-import { Server as NetServer } from "node:net";
 import type { Clock, Millis } from "../../core/clock.ts";
 import { ConnectionCloser } from "./connection_closer.ts";
 import { onExchangeEnd } from "./exchange_end.ts";
@@ -24,13 +23,14 @@
   readonly #server: Server;
   readonly #clock: Clock;
   readonly #stopping = new AbortController();
-  readonly #closer = ConnectionCloser.create();
+  readonly #closer: ConnectionCloser;
   readonly #open = new Set<ServerResponse>();
   #onIdle = (): void => {};
 
   private constructor(options: HttpListenerOptions) {
     this.#clock = options.clock;
     this.#server = options.createServer(this);
+    this.#closer = ConnectionCloser.create(this.#server);
   }
 
   static create(options: HttpListenerOptions): HttpListener {
@@ -67,8 +67,7 @@
 
   /** Stops accepting connections; resolves when all requests have been answered or `timeout` ms have passed. */
   finish(timeout: Millis): Promise<void> {
-    // The `close` of `http` also closes connections whose last answer has not been sent yet.
-    NetServer.prototype.close.call(this.#server);
+    void this.#closer.stopListening();
     this.#stopping.abort();
     return new Promise((resolve) => {
       const cancel = this.#clock.schedule(timeout, resolve);
