--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -156,6 +156,19 @@
   void front.stopAccepting();
 });
 
+// Guards against work that goes on at servers for requests behind another one on a lost connection.
+test("a caller that disconnects cancels the requests that it sent ahead", async () => {
+  const { front, port, requests, countCancelled } = await open();
+  const caller = await RawCaller.open(port);
+  caller.write(request + request + request);
+  while (requests.length < 3)
+    await new Promise((resolve) => setTimeout(resolve, 5));
+  caller.destroy();
+  await new Promise((resolve) => setTimeout(resolve, 100));
+  assert.equal(countCancelled(), 3);
+  void front.stopAccepting();
+});
+
 test("a stopping front server waits for answers that have started", async () => {
   const { front, port } = await open(({ sink }) => {
     sink.start({ status: 200, headers: [] });
