--- a/src/adapters/http/exchange_end.ts
+++ b/src/adapters/http/exchange_end.ts
@@ -10,7 +10,11 @@
   response: ServerResponse,
   callback: () => void,
 ): void {
+  let hasEnded = false;
   const end = (): void => {
+    // A lost connection is reported to both, and a listener that is removed meanwhile still runs.
+    if (hasEnded) return;
+    hasEnded = true;
     response.off("close", end);
     socket.off("close", end);
     callback();
