Keep an incarnation of a server that was leaving as leaving

An older copy of a server's entry, as a restored store lists it, made a server that had reported that it leaves usable again. A directory now remembers which incarnations (id and time of start) were leaving, up to a limit, and recordLeaving serves other sources of that news.

--- a/src/core/gateway/servers.ts
+++ b/src/core/gateway/servers.ts
@@ -36,16 +36,55 @@
   readonly born: number | undefined;
 };
 
+/** One start of a server: an id may be used again by a later one. */
+export type Incarnation = Pick<BackendServer, "id" | "born">;
+
 /** Servers known to a node; a change replaces the entry and keeps the map. */
 export type ServerDirectory = {
   readonly servers: Map<ServerId, BackendServer>;
   /** Servers whose registration disappeared during an outage, with the time until which they stay usable. */
   readonly expiring: Map<ServerId, Millis>;
+  /** Incarnations that were known as leaving, oldest first. */
+  readonly leaving: Set<string>;
 };
 
+/** Maximum number of incarnations that a directory remembers as leaving. */
+export const maxRemembered = 10_000;
+
 /** Creates a directory without servers. */
 export function createServerDirectory(): ServerDirectory {
-  return { servers: new Map(), expiring: new Map() };
+  return { servers: new Map(), expiring: new Map(), leaving: new Set() };
+}
+
+/** Identifies an incarnation among all servers. */
+function formatIncarnation({ id, born }: Incarnation): string {
+  return `${id}/${born ?? ""}`;
+}
+
+/**
+ * Records that an incarnation leaves, for good: a registration that says
+ * otherwise is older. Returns whether this changed a server of the directory.
+ */
+export function recordLeaving(
+  directory: ServerDirectory,
+  incarnation: Incarnation,
+): boolean {
+  remember(directory.leaving, formatIncarnation(incarnation));
+  const server = directory.servers.get(incarnation.id);
+  if (server === undefined || server.leaving) return false;
+  if (server.born !== incarnation.born) return false;
+  directory.servers.set(server.id, { ...server, leaving: true });
+  return true;
+}
+
+/** Adds a key to a set of limited size; the oldest ones are dropped. */
+function remember(keys: Set<string>, key: string): void {
+  keys.delete(key);
+  keys.add(key);
+  for (const oldest of keys) {
+    if (keys.size <= maxRemembered) return;
+    keys.delete(oldest);
+  }
 }
 
 /** A changed registration, or the id of one that disappeared. */
@@ -75,8 +114,11 @@
   now: Millis,
 ): Millis | undefined {
   if (change.type === "present") {
-    directory.expiring.delete(change.server.id);
-    directory.servers.set(change.server.id, change.server);
+    const { server } = change;
+    directory.expiring.delete(server.id);
+    directory.servers.set(server.id, server);
+    if (server.leaving || directory.leaving.has(formatIncarnation(server)))
+      recordLeaving(directory, server);
     return undefined;
   }
   const usableUntil = millis(change.outageEndedAt + reregistrationTime);
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/installation_tracker.ts
@@ -92,13 +92,14 @@
       journal.record("serverUnlisted", fields);
       return;
     }
-    const { server } = change;
-    const known = directory.servers.get(server.id);
-    if (known !== undefined && known.born !== server.born) {
-      forgetEngineAdapters(adapterDirectory, server.id);
-      forgetServer(context.health, server.id);
+    const { id, born } = change.server;
+    const known = directory.servers.get(id);
+    if (known !== undefined && known.born !== born) {
+      forgetEngineAdapters(adapterDirectory, id);
+      forgetServer(context.health, id);
     }
     applyServerChange(directory, change, context.now());
+    const server = directory.servers.get(id) ?? change.server;
     recordRegistration(adapterDirectory, server, context.now());
     if (known === undefined || known.leaving !== server.leaving) {
       this.#recordServer(server, origin);
