Read the store's epoch, pass it on with rows, and log when it changes

After a restore the log could not tell a dropped late answer from rows of another history. The epoch (how often the store was restored) is read from every answer and carried with the version by batches, requests between nodes and deliveries. Event 516 names both positions when they differ. Nothing acts on it yet. The stand-ins of the tests can be restored from a copy.

--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -4,13 +4,13 @@
 import { brandString } from "../../core/ids.ts";
 import type { NodeCallHandler } from "../../ports/gateway.ts";
 import type { RowServer } from "../../ports/rows.ts";
-import { encodeDelivery } from "./row_frames.ts";
+import { encodeDelivery, positionFrame } from "./row_frames.ts";
 
 /** What a node does for the other nodes. */
 export type NodeService = NodeCallHandler & RowServer;
 
 const trpc = initTRPC.context<NodeService>().create();
-const version = z.number().int().min(0).optional();
+const position = positionFrame.optional();
 const name = z.string().min(1).max(256);
 
 /** tRPC router for the calls between nodes. */
@@ -18,10 +18,10 @@
   followRows: trpc.procedure
     .input(
       z.object({
-        versions: z.object({
-          operator: version,
-          servers: version,
-          nodes: version,
+        positions: z.object({
+          operator: position,
+          servers: position,
+          nodes: position,
         }),
         wait: z.number().min(0),
       }),
--- a/src/core/gateway/row_replica.ts
+++ b/src/core/gateway/row_replica.ts
@@ -1,20 +1,27 @@
 import { type Millis, millis } from "../clock.ts";
+import { brandNumber, type StoreEpoch } from "../ids.ts";
 
 /** A row of the table service. */
 export type VersionedRow = {
   readonly key: string;
-  /** Version of the table service at the write; one counter orders all writes. */
+  /** Version of the table service at the write; one counter orders all writes of an epoch. */
   readonly rowVersion: number;
   /** Undefined for a removed row. */
   readonly value: Uint8Array | undefined;
 };
 
-/** Rows, and the newest version of the table service that they reflect. */
-export type RowBatch = {
-  readonly rows: readonly VersionedRow[];
+/** A point in the history of the table service. */
+export type RowPosition = {
+  readonly epoch: StoreEpoch;
+  /** Newest version. */
   readonly newest: number;
 };
 
+/** Rows, and the point in the history that they reflect. */
+export type RowBatch = RowPosition & {
+  readonly rows: readonly VersionedRow[];
+};
+
 /** Whether followers need a change at once; other changes are passed on at a limited rate. */
 export type UrgencyPolicy = (
   previous: VersionedRow | undefined,
@@ -34,6 +41,7 @@
 /** Copy of one topic, from which other nodes can be served; updated in place. */
 export type RowReplica = {
   readonly rows: Map<string, ReplicaRow>;
+  epoch: StoreEpoch;
   /** 0 before the first complete read. */
   newest: number;
   /** Followers that know only this version or an older one get all rows. */
@@ -55,6 +63,7 @@
 export function createRowReplica(): RowReplica {
   return {
     rows: new Map(),
+    epoch: brandNumber(0),
     newest: 0,
     completeUpTo: 0,
     confirmedAt: { now: never, wall: never },
@@ -84,6 +93,7 @@
   if (batch.newest < replica.newest) return undefined;
   const { isComplete, confirmedAt } = application;
   if (replica.newest === 0 && !isComplete) return undefined;
+  replica.epoch = batch.epoch;
   replica.newest = batch.newest;
   if (confirmedAt.now > replica.confirmedAt.now)
     replica.confirmedAt = confirmedAt;
@@ -161,17 +171,17 @@
 /** Rows for a follower that has the rows up to `after`, or none if it is undefined. */
 export function selectRowsAfter(
   replica: RowReplica,
-  after: number | undefined,
+  after: RowPosition | undefined,
 ): RowBatch & { readonly isComplete: boolean } {
-  const { newest } = replica;
-  if (after === undefined || after < replica.completeUpTo) {
-    return { rows: listRows(replica), newest, isComplete: true };
+  const { epoch, newest } = replica;
+  if (after === undefined || after.newest < replica.completeUpTo) {
+    return { rows: listRows(replica), epoch, newest, isComplete: true };
   }
   const rows: VersionedRow[] = [];
   for (const { row, forwardedVersion } of replica.rows.values()) {
-    if (forwardedVersion > after) rows.push(row);
+    if (forwardedVersion > after.newest) rows.push(row);
   }
-  return { rows, newest, isComplete: false };
+  return { rows, epoch, newest, isComplete: false };
 }
 
 /**
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -25,6 +25,8 @@
 export type Revision = Branded<number, "Revision">;
 /** Number that an engine compares to refuse orders of an earlier owner. */
 export type FencingNumber = Branded<number, "FencingNumber">;
+/** Number of times that the table service was restored from an older copy; versions are given out again in each epoch. */
+export type StoreEpoch = Branded<number, "StoreEpoch">;
 /** Marks one attempt of a table write, so that a lost answer can be resolved. */
 export type AttemptToken = Branded<string, "AttemptToken">;
 /** Identifies one incarnation of a backend server, as the server names itself. */
--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -81,4 +81,10 @@
     level: "warn",
     meaning: "That node does not answer or has no recent rows",
   },
+  storeRestored: {
+    number: 516,
+    level: "warn",
+    meaning:
+      "The store states another epoch than the rows that the node has: it came back from a copy",
+  },
 } as const satisfies Record<string, EventEntry>;
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -11,11 +11,13 @@
   type Instant,
   listRows,
   type RowBatch,
+  type RowPosition,
   type RowReplica,
   selectRowsAfter,
   type UrgencyPolicy,
 } from "../../core/gateway/row_replica.ts";
 import type { MachineName } from "../../core/ids.ts";
+import type { Journal } from "../../ports/journal.ts";
 import {
   type RowChange,
   type RowDelivery,
@@ -47,6 +49,7 @@
 
 type RowCopiesOptions = {
   readonly clock: Clock;
+  readonly journal: Journal;
   /** Shortest outage in which registrations can expire. */
   readonly minOutage: Millis;
   readonly isUrgent: (topic: RowTopic) => UrgencyPolicy;
@@ -94,18 +97,19 @@
     if (replica.newest === 0) return undefined;
     return {
       rows: listRows(replica),
+      epoch: replica.epoch,
       newest: replica.newest,
       confirmedAt: replica.confirmedAt.now,
     };
   }
 
-  /** Newest version of each topic that the node has. */
-  listVersions(): RowRequest["versions"] {
-    const versions: { [topic in RowTopic]?: number } = {};
-    for (const [topic, { newest }] of this.#replicas) {
-      if (newest > 0) versions[topic] = newest;
+  /** What the node has of each topic. */
+  listPositions(): RowRequest["positions"] {
+    const positions: { [topic in RowTopic]?: RowPosition } = {};
+    for (const [topic, { epoch, newest }] of this.#replicas) {
+      if (newest > 0) positions[topic] = { epoch, newest };
     }
-    return versions;
+    return positions;
   }
 
   /** Applies rows that were read; false if they were older than the copy and ignored. */
@@ -120,22 +124,41 @@
     },
   ): boolean {
     const { clock, isUrgent, onUrgentChange } = this.#options;
-    const maxAge = computeAge(this.replica(topic), this.instant());
-    const applied = applyRows(this.replica(topic), batch, {
+    const replica = this.replica(topic);
+    this.#recordEpoch(topic, batch, read.source);
+    const maxAge = computeAge(replica, this.instant());
+    const applied = applyRows(replica, batch, {
       ...read,
       now: clock.now(),
       isUrgent: isUrgent(topic),
     });
     if (applied === undefined) return false;
-    const { rows, newest } = batch;
+    const { rows, epoch, newest } = batch;
     const { isComplete, source } = read;
     for (const listener of this.#listeners.get(topic) ?? []) {
-      listener({ rows, newest, isComplete, source, maxAge });
+      listener({ rows, epoch, newest, isComplete, source, maxAge });
     }
     if (applied.hasUrgent) onUrgentChange();
     return true;
   }
 
+  #recordEpoch(
+    topic: RowTopic,
+    { epoch, newest }: RowPosition,
+    source: MachineName | undefined,
+  ): void {
+    const known = this.replica(topic);
+    if (known.newest === 0 || known.epoch === epoch) return;
+    this.#options.journal.record("storeRestored", {
+      table: topic,
+      epoch,
+      newest,
+      knownEpoch: known.epoch,
+      knownNewest: known.newest,
+      source: source ?? "store",
+    });
+  }
+
   /** Applies rows that another node delivered in response to a request sent at `sentAt`. */
   accept(
     delivery: RowDelivery,
@@ -152,15 +175,15 @@
     this.apply(topic, delivery, { isComplete, confirmedAt, source });
   }
 
-  /** Rows for a node that has these versions. */
-  collectDeliveries(versions: RowRequest["versions"]): RowDelivery[] {
+  /** Rows for a node that has these. */
+  collectDeliveries(positions: RowRequest["positions"]): RowDelivery[] {
     const deliveries: RowDelivery[] = [];
     const instant = this.instant();
     for (const [topic, replica] of this.#replicas) {
       if (replica.newest === 0) continue;
       deliveries.push({
         topic,
-        ...selectRowsAfter(replica, versions[topic]),
+        ...selectRowsAfter(replica, positions[topic]),
         age: computeAge(replica, instant),
         answerAge: instant.now - replica.answeredAt,
       });
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -95,6 +95,7 @@
     const { clock, isUrgent } = options;
     this.#copies = RowCopies.create({
       clock,
+      journal: options.journal,
       minOutage: options.minOutage,
       isUrgent,
       onUrgentChange: () => this.#responder.wakeWaitingCalls(),
@@ -252,7 +253,7 @@
     const sentAt = this.#copies.instant();
     const deliveries = await this.#options.peers.followRows(
       this.#addresses.get(machine) ?? "",
-      { versions: this.#copies.listVersions(), wait },
+      { positions: this.#copies.listPositions(), wait },
       millis(wait + peerResponseTime),
     );
     if (deliveries === undefined) return "unreachable";
--- a/src/node/gateway/row_responder.ts
+++ b/src/node/gateway/row_responder.ts
@@ -27,11 +27,11 @@
   }
 
   /** Resolves once there is a change, the wait is over or the rows become outdated. */
-  async serve({ versions, wait }: RowRequest): Promise<RowDelivery[]> {
+  async serve({ positions, wait }: RowRequest): Promise<RowDelivery[]> {
     const { clock, copies } = this.#options;
     const until = clock.now() + Math.min(wait, maxServeWait);
     for (;;) {
-      const deliveries = copies.collectDeliveries(versions);
+      const deliveries = copies.collectDeliveries(positions);
       const hasChanges = deliveries.some(
         ({ isComplete, rows }) => isComplete || rows.length > 0,
       );
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -1,7 +1,7 @@
 import type { Either } from "purify-ts";
 import type { Millis } from "../core/clock.ts";
-import type { RowBatch } from "../core/gateway/row_replica.ts";
-import type { MachineName } from "../core/ids.ts";
+import type { RowBatch, RowPosition } from "../core/gateway/row_replica.ts";
+import type { MachineName, StoreEpoch } from "../core/ids.ts";
 
 /** A group of rows that every node follows. */
 export type RowTopic = "operator" | "servers" | "nodes";
@@ -14,6 +14,8 @@
   /** `gone`: the source no longer keeps the changes after the requested version. */
   readonly kind: "refused" | "unknown" | "gone";
   readonly detail: string;
+  /** Epoch that the answer states; undefined without an answer. */
+  readonly epoch?: StoreEpoch | undefined;
 };
 
 /** The table service as a source of rows and of their changes. */
@@ -62,8 +64,8 @@
 
 /** Request of a node for the rows that another node has read. */
 export type RowRequest = {
-  /** Newest version that the caller has of each topic; omitted if it has no rows. */
-  readonly versions: { readonly [topic in RowTopic]?: number };
+  /** What the caller has of each topic; omitted if it has no rows. */
+  readonly positions: { readonly [topic in RowTopic]?: RowPosition };
   /** Maximum wait for a change, in ms. */
   readonly wait: number;
 };
--- a/tests/gateway/lease_rows_test.ts
+++ b/tests/gateway/lease_rows_test.ts
@@ -2,7 +2,11 @@
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
 import type { VersionedRow } from "../../src/core/gateway/row_replica.ts";
-import { brandString } from "../../src/core/ids.ts";
+import {
+  brandNumber,
+  brandString,
+  type StoreEpoch,
+} from "../../src/core/ids.ts";
 import { createLeaseReader } from "../../src/node/gateway/lease_rows.ts";
 import type { RowFollower, RowSnapshot } from "../../src/ports/rows.ts";
 
@@ -28,12 +32,13 @@
     return { key: brandString(key), version: rowVersion, value: null, attempt };
   });
   async function readRows(newest: number, rows: VersionedRow[]) {
-    snapshot = { rows, newest, confirmedAt: millis(newest) };
+    snapshot = { rows, epoch, newest, confirmedAt: millis(newest) };
     const result = await read({ isFresh: false });
     assert.equal(result?.newest, newest);
     assert.equal(result.confirmedAt, newest);
     return result.rows.map(({ key, version }) => `${key}@${version}`);
   }
+  const epoch = brandNumber<StoreEpoch>(0);
   const [first, second] = [createRow("a", 1), createRow("b", 2)];
   assert.deepEqual(await readRows(2, [first, second]), ["a@1", "b@2"]);
   assert.deepEqual(await readRows(9, [first, second]), ["a@1", "b@2"]);
--- a/tests/gateway/row_fleet.ts
+++ b/tests/gateway/row_fleet.ts
@@ -4,12 +4,15 @@
 import { type Millis, millis, sleep } from "../../src/core/clock.ts";
 import type {
   RowBatch,
+  RowPosition,
   VersionedRow,
 } from "../../src/core/gateway/row_replica.ts";
 import {
+  brandNumber,
   brandString,
   type DataCentre,
   type MachineName,
+  type StoreEpoch,
 } from "../../src/core/ids.ts";
 import { RowRelay } from "../../src/node/gateway/row_relay.ts";
 import { silentJournal } from "../../src/ports/journal.ts";
@@ -31,7 +34,14 @@
 /** How the table service treats a node. */
 export type TableAccess = "open" | "refused" | "silent";
 
-type Write = VersionedRow & { readonly topic: RowTopic; readonly at: number };
+type Write = VersionedRow & { readonly topic: RowTopic };
+
+/** A write or a restore, after which the table service has a newer position. */
+type Advance = RowPosition & {
+  /** Undefined for a restore, which concerns all topics. */
+  readonly topic: RowTopic | undefined;
+  readonly at: number;
+};
 
 /** A node of the fleet. */
 export type FleetNode = {
@@ -55,7 +65,10 @@
   readonly clock = VirtualClock.create();
   readonly nodes: FleetNode[] = [];
   readonly #random: () => number;
-  readonly #writes: Write[] = [];
+  /** Writes that the table service still has. */
+  #writes: Write[] = [];
+  readonly #advances: Advance[] = [];
+  #epoch: StoreEpoch = brandNumber(0);
   readonly #waiting = new Set<() => void>();
   #version = 100;
   #historyStart = 0;
@@ -144,17 +157,33 @@
     this.#version++;
     const value =
       text === undefined ? undefined : new TextEncoder().encode(text);
-    this.#writes.push({
-      topic,
-      key,
-      rowVersion: this.#version,
-      value,
-      at: this.clock.now(),
-    });
-    for (const wake of [...this.#waiting]) wake();
+    this.#writes.push({ topic, key, rowVersion: this.#version, value });
+    this.#recordAdvance(topic);
     return this.#version;
   }
 
+  /** Replaces all rows by a copy that lacks the newest versions, which are given out again. */
+  restore(lostVersions: number): void {
+    this.#version -= lostVersions;
+    this.#epoch = brandNumber(this.#epoch + 1);
+    this.#writes = this.#writes.filter(
+      ({ rowVersion }) => rowVersion <= this.#version,
+    );
+    this.#historyStart = Math.min(this.#historyStart, this.#version);
+    this.#recordAdvance(undefined);
+  }
+
+  /** Rows of a topic that the table service has, as text. */
+  listRows(topic: RowTopic): string[] {
+    return describeRows([...this.#latest(topic, 0).values()]);
+  }
+
+  #recordAdvance(topic: RowTopic | undefined): void {
+    const position = { epoch: this.#epoch, newest: this.#version };
+    this.#advances.push({ topic, ...position, at: this.clock.now() });
+    for (const wake of [...this.#waiting]) wake();
+  }
+
   /** Discards the history of changes. */
   truncateHistory(): void {
     this.#historyStart = this.#version;
@@ -192,14 +221,18 @@
       if (!node.isAlive || node.clock.paused) continue;
       const snapshot = node.relay.snapshot(topic);
       if (snapshot === undefined) continue;
-      const next = this.#writes.find(
-        (write) => write.topic === topic && write.rowVersion > snapshot.newest,
+      const next = this.#advances.find(
+        (advance) =>
+          (advance.topic ?? topic) === topic &&
+          (advance.epoch > snapshot.epoch ||
+            (advance.epoch === snapshot.epoch &&
+              advance.newest > snapshot.newest)),
       );
       const confirmedAt = node.clock.toRealTime(snapshot.confirmedAt);
       if (confirmedAt === undefined || confirmedAt <= (next?.at ?? confirmedAt))
         continue;
       node.violations.push(
-        `${node.machine} confirmed ${snapshot.newest} at ${confirmedAt}, but ${next?.rowVersion} was written at ${next?.at}`,
+        `${node.machine} confirmed ${snapshot.epoch}/${snapshot.newest} at ${confirmedAt}, but ${next?.epoch}/${next?.newest} came at ${next?.at}`,
       );
     }
   }
@@ -228,7 +261,7 @@
       ({ value }) => value !== undefined,
     );
     this.tableRows += rows.length;
-    return Right({ rows, newest: this.#version });
+    return Right({ rows, epoch: this.#epoch, newest: this.#version });
   }
 
   async #follow(
@@ -237,15 +270,17 @@
     wait: number,
   ): Promise<Either<RowFailure, RowBatch>> {
     const until = this.clock.now() + wait;
+    const epoch = this.#epoch;
     for (;;) {
-      if (after < this.#historyStart) {
-        return Left({ kind: "gone", detail: "history truncated" });
-      }
+      if (epoch !== this.#epoch)
+        return Left({ kind: "unknown", detail: "connection closed" });
+      if (after < this.#historyStart || after > this.#version)
+        return Left({ kind: "gone", detail: "history truncated", epoch });
       const rows = [...this.#latest(topic, after).values()];
       const left = until - this.clock.now();
       if (rows.length > 0 || left <= 0) {
         this.tableRows += rows.length;
-        return Right({ rows, newest: this.#version });
+        return Right({ rows, epoch, newest: this.#version });
       }
       await this.#waitForWrite(millis(left));
     }
@@ -304,6 +339,14 @@
   }
 }
 
+/** Rows that exist, as sorted text. */
+export function describeRows(rows: readonly VersionedRow[]): string[] {
+  return rows
+    .filter(({ value }) => value !== undefined)
+    .map((row) => `${row.key}=${new TextDecoder().decode(row.value)}`)
+    .sort();
+}
+
 function decode(row: VersionedRow | undefined): string | undefined {
   // The part after the slash stands for the adapters that a server holds.
   return new TextDecoder().decode(row?.value).split("/")[0];
--- a/tests/platform_adapter/fake_store.ts
+++ b/tests/platform_adapter/fake_store.ts
@@ -7,6 +7,9 @@
   readonly #server: Server;
   readonly #tables = new Map<string, Map<string, Row>>();
   #version = 100;
+  #epoch = 0;
+  /** All writes that the store still has, in order. */
+  #writes: (Row & { readonly table: string })[] = [];
   /** Answers every call with this status while it is set. */
   failWith: number | undefined;
   /** Whether calls stay unanswered. */
@@ -49,20 +52,37 @@
     this.#write(table, key, undefined);
   }
 
+  /** Comes back from a copy that lacks the newest versions, which are given out again. */
+  restore(lostVersions: number): void {
+    this.#epoch++;
+    this.#version -= lostVersions;
+    const kept = this.#writes.filter(({ version }) => version <= this.#version);
+    this.#writes = kept;
+    this.#tables.clear();
+    for (const write of kept) this.#apply(write);
+  }
+
   close(): void {
     this.#server.close();
     this.#server.closeAllConnections();
   }
 
   #write(table: string, key: string, value: string | undefined): void {
+    this.#version++;
+    const write = { table, key, version: this.#version, value };
+    this.#writes.push(write);
+    this.#apply(write);
+  }
+
+  #apply({ table, key, version, value }: Row & { readonly table: string }) {
     const rows = this.#tables.get(table) ?? new Map<string, Row>();
     this.#tables.set(table, rows);
-    this.#version++;
-    rows.set(key, { key, version: this.#version, value });
+    rows.set(key, { key, version, value });
   }
 
   #answer(url: URL, body: string, response: ServerResponse): void {
     if (this.isUnresponsive) return;
+    response.setHeader("Store-Era", String(this.#epoch));
     if (this.failWith !== undefined) {
       response.writeHead(this.failWith).end();
       return;
@@ -78,7 +98,7 @@
       return this.#send(response, live);
     }
     const after = Number(url.searchParams.get("after"));
-    if (after < this.historyStart) {
+    if (after < this.historyStart || after > this.#version) {
       response.writeHead(410).end();
       return;
     }
