Follow the store into a new epoch

After a restore of the store the nodes kept the old rows until the versions had passed the old ones: routes added later got 404, servers that left got requests. Batches with a lower version were taken for late answers, and a follow from a version that was given out again brought only the changes after it.

Points in the history are now compared by epoch, then by version. Changes of a later epoch make the poller read all rows, which replace the replica and wake the followers; rows of an earlier epoch are dropped, and a node that delivers them counts as stale. Each replica and delivery states the base of its epoch: rows with a greater version were written after the restore. Status 410 ends the back-off, since the store answers.

--- a/src/adapters/peers/row_frames.ts
+++ b/src/adapters/peers/row_frames.ts
@@ -17,6 +17,7 @@
   topic: z.enum(["operator", "servers", "nodes"]),
   epoch,
   newest: count,
+  base: count,
   isComplete: z.boolean(),
   age: duration,
   answerAge: duration,
--- a/src/core/gateway/row_replica.ts
+++ b/src/core/gateway/row_replica.ts
@@ -17,11 +17,27 @@
   readonly newest: number;
 };
 
+/** Order of two points in the history; versions of different epochs cannot be compared. */
+export function comparePositions(
+  first: RowPosition,
+  second: RowPosition,
+): number {
+  return first.epoch - second.epoch || first.newest - second.newest;
+}
+
 /** Rows, and the point in the history that they reflect. */
 export type RowBatch = RowPosition & {
   readonly rows: readonly VersionedRow[];
 };
 
+/** Rows of one topic that changed. */
+export type RowUpdate = RowBatch & {
+  /** The update lists all rows, so that any other row is gone. */
+  readonly isComplete: boolean;
+  /** Rows with a greater version were written in the epoch, others may come from the copy. */
+  readonly base: number;
+};
+
 /** Whether followers need a change at once; other changes are passed on at a limited rate. */
 export type UrgencyPolicy = (
   previous: VersionedRow | undefined,
@@ -44,7 +60,9 @@
   epoch: StoreEpoch;
   /** 0 before the first complete read. */
   newest: number;
-  /** Followers that know only this version or an older one get all rows. */
+  /** Rows with a greater version were written in the epoch, others may come from the copy. */
+  base: number;
+  /** Followers that know only an older version get all rows. */
   completeUpTo: number;
   /** Start of the latest call to the table service that confirmed `newest`. */
   confirmedAt: Instant;
@@ -65,6 +83,7 @@
     rows: new Map(),
     epoch: brandNumber(0),
     newest: 0,
+    base: 0,
     completeUpTo: 0,
     confirmedAt: { now: never, wall: never },
     answeredAt: never,
@@ -75,6 +94,8 @@
 export type RowApplication = {
   /** The batch lists all rows. */
   readonly isComplete: boolean;
+  /** Base of the epoch as another node knows it. */
+  readonly base?: number | undefined;
   /** Time from which the batch is known to be up to date. */
   readonly confirmedAt: Instant;
   readonly now: Millis;
@@ -83,17 +104,21 @@
 
 /**
  * Applies rows that were read; returns whether any of them is for followers at
- * once, or undefined if the batch is older than the replica and was ignored.
+ * once, or undefined if the batch was ignored: it is older than the replica, or
+ * lists only changes of a history of which the replica has no rows.
  */
 export function applyRows(
   replica: RowReplica,
   batch: RowBatch,
   application: RowApplication,
 ): { readonly hasUrgent: boolean } | undefined {
-  if (batch.newest < replica.newest) return undefined;
-  const { isComplete, confirmedAt } = application;
-  if (replica.newest === 0 && !isComplete) return undefined;
-  replica.epoch = batch.epoch;
+  if (comparePositions(batch, replica) < 0) return undefined;
+  const { isComplete, base, confirmedAt } = application;
+  if (replica.newest === 0 || batch.epoch > replica.epoch) {
+    if (!isComplete) return undefined;
+    startEpoch(replica, batch);
+  }
+  replica.base = Math.min(replica.base, base ?? replica.base);
   replica.newest = batch.newest;
   if (confirmedAt.now > replica.confirmedAt.now)
     replica.confirmedAt = confirmedAt;
@@ -110,6 +135,13 @@
   return { hasUrgent };
 }
 
+/** Discards the rows of the epoch before, since their versions mean nothing in this one. */
+function startEpoch(replica: RowReplica, { epoch, newest }: RowPosition): void {
+  replica.rows.clear();
+  replica.epoch = epoch;
+  replica.base = epoch === 0 ? 0 : newest;
+}
+
 function applyRow(
   replica: RowReplica,
   row: VersionedRow,
@@ -168,20 +200,26 @@
   return rows;
 }
 
-/** Rows for a follower that has the rows up to `after`, or none if it is undefined. */
+/** Rows for a follower that has the rows up to `after`, or none if it is undefined; none for one of a later epoch. */
 export function selectRowsAfter(
   replica: RowReplica,
   after: RowPosition | undefined,
-): RowBatch & { readonly isComplete: boolean } {
-  const { epoch, newest } = replica;
-  if (after === undefined || after.newest < replica.completeUpTo) {
-    return { rows: listRows(replica), epoch, newest, isComplete: true };
+): RowUpdate {
+  const { epoch, newest, base } = replica;
+  const position = { epoch, newest, base };
+  if (
+    after === undefined ||
+    after.epoch < epoch ||
+    (after.epoch === epoch && after.newest < replica.completeUpTo)
+  ) {
+    return { rows: listRows(replica), ...position, isComplete: true };
   }
   const rows: VersionedRow[] = [];
+  if (after.epoch > epoch) return { rows, ...position, isComplete: false };
   for (const { row, forwardedVersion } of replica.rows.values()) {
     if (forwardedVersion > after.newest) rows.push(row);
   }
-  return { rows, epoch, newest, isComplete: false };
+  return { rows, ...position, isComplete: false };
 }
 
 /**
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -119,8 +119,9 @@
     read: {
       readonly isComplete: boolean;
       readonly confirmedAt: Instant;
-      /** Node that delivered the rows; omitted if this node read them. */
+      /** Node that delivered the rows, and the base that it knows; omitted if this node read them. */
       readonly source?: MachineName;
+      readonly base?: number;
     },
   ): boolean {
     const { clock, isUrgent, onUrgentChange } = this.#options;
@@ -135,8 +136,9 @@
     if (applied === undefined) return false;
     const { rows, epoch, newest } = batch;
     const { isComplete, source } = read;
+    const { base } = replica;
     for (const listener of this.#listeners.get(topic) ?? []) {
-      listener({ rows, epoch, newest, isComplete, source, maxAge });
+      listener({ rows, epoch, newest, base, isComplete, source, maxAge });
     }
     if (applied.hasUrgent) onUrgentChange();
     return true;
@@ -159,12 +161,18 @@
     });
   }
 
+  /** Whether a delivery is of an earlier epoch than the rows that the node has. */
+  isOutdated({ topic, epoch }: RowDelivery): boolean {
+    const known = this.replica(topic);
+    return known.newest > 0 && epoch < known.epoch;
+  }
+
   /** Applies rows that another node delivered in response to a request sent at `sentAt`. */
   accept(
     delivery: RowDelivery,
     { source, sentAt }: { source: MachineName; sentAt: Instant },
   ): void {
-    const { topic, age, answerAge, isComplete } = delivery;
+    const { topic, age, answerAge, isComplete, base } = delivery;
     const { now } = this.instant();
     this.recordAnswer(topic, millis(now - answerAge));
     // The age was known when the response was sent, which was after the request.
@@ -172,7 +180,7 @@
       now: millis(sentAt.now - age),
       wall: millis(sentAt.wall - age),
     };
-    this.apply(topic, delivery, { isComplete, confirmedAt, source });
+    this.apply(topic, delivery, { isComplete, base, confirmedAt, source });
   }
 
   /** Rows for a node that has these. */
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -162,7 +162,7 @@
       source,
       clock,
       schedule: schedules[topic],
-      newest: () => replica.newest,
+      position: () => replica,
       // While the table service fails, only one topic tries it.
       isActive: () =>
         this.#isDirect && (this.#failures === 0 || topic === "operator"),
@@ -170,6 +170,7 @@
         this.#recordAnswer(topic);
         return this.#copies.apply(topic, batch, { isComplete, confirmedAt });
       },
+      onGone: () => this.#recordContact(topic),
       onFailure: (failure) => this.#recordFailure(topic, failure),
       retryDelay: () => this.#computeRetryDelay(),
     });
@@ -177,6 +178,11 @@
 
   #recordAnswer(topic: RowTopic): void {
     this.#copies.recordAnswer(topic, this.#options.clock.now());
+    this.#recordContact(topic);
+  }
+
+  /** Records that the table service answers this node again. */
+  #recordContact(topic: RowTopic): void {
     if (this.#failures === 0) return;
     this.#failures = 0;
     this.#options.journal.record("storeRegained", { table: topic });
@@ -259,6 +265,9 @@
     if (deliveries === undefined) return "unreachable";
     if (!areRecent(deliveries.map(({ answerAge }) => answerAge)))
       return "stale";
+    // A node that has not seen a restore yet passes on rows that no longer exist.
+    if (deliveries.some((delivery) => this.#copies.isOutdated(delivery)))
+      return "stale";
     if (this.#stopped) return undefined;
     for (const delivery of deliveries)
       this.#copies.accept(delivery, { source: machine, sentAt });
--- a/src/node/gateway/row_responder.ts
+++ b/src/node/gateway/row_responder.ts
@@ -32,12 +32,16 @@
     const until = clock.now() + Math.min(wait, maxServeWait);
     for (;;) {
       const deliveries = copies.collectDeliveries(positions);
-      const hasChanges = deliveries.some(
-        ({ isComplete, rows }) => isComplete || rows.length > 0,
+      const hasNews = deliveries.some(
+        ({ isComplete, rows, topic, epoch }) =>
+          isComplete ||
+          rows.length > 0 ||
+          // The caller must look for another node.
+          epoch < (positions[topic]?.epoch ?? 0),
       );
       const left = Math.min(until, copies.findOutdatedAt()) - clock.now();
       const isFull = this.#waiting.size >= maxWaitingCalls;
-      if (hasChanges || left <= 0 || isFull || this.#stopped) return deliveries;
+      if (hasNews || left <= 0 || isFull || this.#stopped) return deliveries;
       await this.#waitForChange(millis(left));
     }
   }
--- a/src/node/gateway/topic_poller.ts
+++ b/src/node/gateway/topic_poller.ts
@@ -1,5 +1,9 @@
 import { type Clock, type Millis, millis, sleep } from "../../core/clock.ts";
-import type { Instant, RowBatch } from "../../core/gateway/row_replica.ts";
+import type {
+  Instant,
+  RowBatch,
+  RowPosition,
+} from "../../core/gateway/row_replica.ts";
 import type { RowFailure, RowSource, RowTopic } from "../../ports/rows.ts";
 
 /** Timing of the calls for one topic, in ms. */
@@ -15,8 +19,8 @@
   readonly source: RowSource;
   readonly clock: Clock;
   readonly schedule: PollSchedule;
-  /** Newest version that the node has; 0 if it has no rows. */
-  readonly newest: () => number;
+  /** What the node has; version 0 if it has no rows. */
+  readonly position: () => RowPosition;
   /** Whether the node reads this topic from the table service now. */
   readonly isActive: () => boolean;
   /** Called with rows; returns whether they were recent enough to be applied. */
@@ -24,6 +28,8 @@
     batch: RowBatch,
     read: { readonly isComplete: boolean; readonly sentAt: Instant },
   ) => boolean;
+  /** Called when the table service answers that it no longer has the changes. */
+  readonly onGone: () => void;
   readonly onFailure: (failure: RowFailure) => void;
   /** Delay before the next call after one that failed. */
   readonly retryDelay: () => Millis;
@@ -79,17 +85,20 @@
 
   /** Makes one call; returns the minimum time from its start to the next one. */
   async #call(mustBeComplete: boolean): Promise<Millis> {
-    const { source, topic, schedule, clock, newest } = this.#options;
-    const isComplete =
-      mustBeComplete || this.#needsCompleteRead || newest() === 0;
+    const { source, topic, schedule, clock, position } = this.#options;
+    const { newest: after } = position();
+    const isComplete = mustBeComplete || this.#needsCompleteRead || after === 0;
     const sentAt = { now: clock.now(), wall: clock.wallNow() };
     const result = isComplete
       ? await source.read(topic)
-      : await source.follow(topic, { after: newest(), wait: schedule.wait });
+      : await source.follow(topic, { after, wait: schedule.wait });
     if (this.#stopped) return millis(0);
     return result.caseOf<Millis>({
       Left: (failure) => {
-        if (failure.kind === "gone") this.#needsCompleteRead = true;
+        const { kind, epoch = 0 } = failure;
+        const isGone = kind === "gone";
+        if (isGone || epoch > position().epoch) this.#needsCompleteRead = true;
+        if (isGone) this.#options.onGone();
         else this.#options.onFailure(failure);
         return this.#options.retryDelay();
       },
--- a/src/ports/rows.ts
+++ b/src/ports/rows.ts
@@ -1,6 +1,10 @@
 import type { Either } from "purify-ts";
 import type { Millis } from "../core/clock.ts";
-import type { RowBatch, RowPosition } from "../core/gateway/row_replica.ts";
+import type {
+  RowBatch,
+  RowPosition,
+  RowUpdate,
+} from "../core/gateway/row_replica.ts";
 import type { MachineName, StoreEpoch } from "../core/ids.ts";
 
 /** A group of rows that every node follows. */
@@ -29,12 +33,6 @@
   ): Promise<Either<RowFailure, RowBatch>>;
 };
 
-/** Rows of one topic that changed. */
-export type RowUpdate = RowBatch & {
-  /** The update lists all rows, so that any other row is gone. */
-  readonly isComplete: boolean;
-};
-
 /** A change of a copy, and what is known of its way to this node. */
 export type RowChange = RowUpdate & {
   /** Node that passed the rows on; undefined if this node read them itself. */
--- a/tests/gateway/row_relay_test.ts
+++ b/tests/gateway/row_relay_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
-import { type FleetNode, RowFleet } from "./row_fleet.ts";
+import { millis } from "../../src/core/clock.ts";
+import { describeRows, type FleetNode, RowFleet } from "./row_fleet.ts";
 
 /** Shortest bound within which a change of the configuration must be in force, in ms. */
 const configurationBound = 2_500;
@@ -160,7 +161,7 @@
 
 // Guards the leases: a holder orders for a time after its rows were confirmed,
 // and its successor starts once that time must be over.
-test("rows are never confirmed for a time at which a newer version existed", async () => {
+test("rows are never confirmed for a time at which a newer version or epoch existed", async () => {
   for (let seed = 1; seed <= 12; seed++) {
     const fleet = new RowFleet({ nodes: 12, dataCentres: 2, seed });
     const random = createSeededRandom(seed);
@@ -168,15 +169,112 @@
     for (let step = 0; step < 120; step++) {
       const node = fleet.nodes[Math.floor(random() * 12)] as FleetNode;
       disturb(fleet, node, random);
+      if (random() < 0.08) fleet.restore(Math.ceil(random() * 10));
       fleet.write("nodes", `engine${step % 5}`, `dc9`);
       await fleet.advance(50 + random() * 400);
       fleet.checkConfirmations("nodes");
     }
     const violations = fleet.nodes.flatMap((node) => node.violations);
     assert.deepEqual(violations, [], `seed ${seed}`);
+    await heal(fleet);
+    for (const { relay } of fleet.nodes) {
+      const rows = describeRows(relay.snapshot("nodes")?.rows ?? []);
+      assert.deepEqual(rows, fleet.listRows("nodes"), `seed ${seed}`);
+    }
   }
 });
 
+type Accident = (fleet: RowFleet) => readonly FleetNode[];
+
+/** Accidents while the table service is away; each returns the nodes that are not bound afterwards. */
+const accidents: { readonly [name: string]: Accident } = {
+  "no accident": () => [],
+  "nodes that the table service turns away": ({ nodes }) => {
+    for (const node of nodes.slice(0, 4)) node.access = "refused";
+    return [];
+  },
+  "nodes that others do not reach": ({ nodes }) => {
+    for (const node of nodes.slice(0, 4)) node.isReachable = false;
+    return [];
+  },
+  "killed nodes that start again": (fleet) => {
+    const killed = fleet.nodes.slice(0, 4);
+    for (const node of killed) fleet.kill(node);
+    fleet.clock.schedule(millis(2_200), () => {
+      for (const node of killed) fleet.restart(node);
+    });
+    return killed;
+  },
+  "frozen nodes": (fleet) => {
+    const frozen = fleet.nodes.slice(0, 4);
+    for (const node of frozen) node.clock.pause();
+    fleet.clock.schedule(millis(2_200), () => {
+      for (const node of frozen) node.clock.resume();
+    });
+    return frozen;
+  },
+  "a second restore": (fleet) => {
+    fleet.clock.schedule(millis(2_150), () => fleet.restore(3));
+    return [];
+  },
+};
+
+/** Takes the table service away for a time and brings it back from a copy. */
+async function restoreFleet(
+  fleet: RowFleet,
+  { away, lost }: { away: number; lost: number },
+): Promise<void> {
+  const open = fleet.nodes.filter(({ access }) => access === "open");
+  for (const node of open) node.access = "refused";
+  await fleet.advance(away);
+  fleet.restore(lost);
+  for (const node of open) node.access = "open";
+}
+
+// Nodes kept the rows of before the restore until the versions had passed the
+// old ones: configurations were not in force, leaving servers were used.
+test("after a restore from a copy all nodes have the rows that are written again", async () => {
+  for (const [name, accident] of Object.entries(accidents)) {
+    for (const lost of [4, 9, 19]) {
+      const fleet = await startFleet({ nodes: 18, dataCentres: 3, seed: lost });
+      for (let i = 0; i < 20; i++) {
+        fleet.write(
+          "servers",
+          `i-${i % 7}`,
+          i === 18 ? undefined : `ready${i}`,
+        );
+        await fleet.advance(60);
+      }
+      const exempt = accident(fleet);
+      await restoreFleet(fleet, { away: 2_000, lost });
+      await fleet.advance(400);
+      fleet.write("operator", "config", `after ${lost}`);
+      await fleet.advance(configurationBound);
+      for (const node of fleet.nodes) {
+        if (exempt.includes(node)) continue;
+        for (const topic of ["operator", "servers"] as const) {
+          const rows = describeRows(node.relay.snapshot(topic)?.rows ?? []);
+          const label = `${name}, ${lost} lost, ${topic} of ${node.machine}`;
+          assert.deepEqual(rows, fleet.listRows(topic), label);
+        }
+      }
+    }
+  }
+});
+
+/** Ends all disturbances, writes once more and waits until all nodes must know. */
+async function heal(fleet: RowFleet): Promise<void> {
+  for (const node of fleet.nodes) {
+    if (node.clock.paused) node.clock.resume();
+    if (!node.isAlive) fleet.restart(node);
+    node.isReachable = true;
+    node.access = "open";
+  }
+  await fleet.advance(5_000);
+  fleet.write("nodes", "engine0", "dc9");
+  await fleet.advance(configurationBound);
+}
+
 function disturb(fleet: RowFleet, node: FleetNode, random: () => number): void {
   const choice = random();
   if (choice < 0.2) {
