Give all rows to followers that are older than the first read of their reader

A reader that starts knows no removals from before its first read. A follower with an older version got only the changes, so that a row that was removed in between, such as the entry of a server that left, stayed at that follower. The new test got an incomplete delivery before.

--- a/src/core/gateway/row_replica.ts
+++ b/src/core/gateway/row_replica.ts
@@ -135,11 +135,12 @@
   return { hasUrgent };
 }
 
-/** Discards the rows of the epoch before, since their versions mean nothing in this one. */
+/** Discards the rows of the epoch before, since their versions mean nothing in this one; removals from before are not known. */
 function startEpoch(replica: RowReplica, { epoch, newest }: RowPosition): void {
   replica.rows.clear();
   replica.epoch = epoch;
   replica.base = epoch === 0 ? 0 : newest;
+  replica.completeUpTo = newest;
 }
 
 function applyRow(
--- a/tests/gateway/row_replica_test.ts
+++ b/tests/gateway/row_replica_test.ts
@@ -77,3 +77,12 @@
   apply(replica, delivery, { isComplete: false, base: 6 });
   assert.equal(replica.base, 6);
 });
+
+// A server that was removed while a reader restarted stayed listed at the
+// followers that had an older version of the rows.
+test("a follower whose version is older than the first read of its reader gets all rows", () => {
+  const replica = createRowReplica();
+  apply(replica, batch(position(0, 9), [3]), { isComplete: true });
+  assert.equal(selectRowsAfter(replica, position(0, 5)).isComplete, true);
+  assert.equal(selectRowsAfter(replica, position(0, 9)).isComplete, false);
+});
