--- a/tests/platform_adapter/fake_store.ts
+++ b/tests/platform_adapter/fake_store.ts
@@ -16,6 +16,10 @@
   isUnresponsive = false;
   /** Start of the kept history; polls from an earlier version get status 410. */
   historyStart = 0;
+  /** Maximum number of rows per page of a read. */
+  pageSize = 500;
+  /** Called after each page that is followed by another. */
+  onPage: () => void = () => {};
   readonly calls: string[] = [];
 
   private constructor() {
@@ -95,7 +99,11 @@
       const live = rows
         .filter(({ key, value }) => value !== undefined && key >= from)
         .sort((a, b) => (a.key < b.key ? -1 : 1));
-      return this.#send(response, live);
+      const page = live.slice(0, this.pageSize);
+      const hasMore = page.length < live.length;
+      this.#send(response, page, hasMore);
+      if (hasMore) this.onPage();
+      return;
     }
     const after = Number(url.searchParams.get("after"));
     if (after < this.historyStart || after > this.#version) {
@@ -128,14 +136,14 @@
     this.#send(response, []);
   }
 
-  #send(response: ServerResponse, rows: readonly Row[]): void {
+  #send(response: ServerResponse, rows: readonly Row[], hasMore = false): void {
     const body = {
       Rows: rows.map(({ key, version, value }) => ({
         Key: key,
         RowVersion: version,
         ...(value === undefined ? { Tombstone: true } : { Value: value }),
       })),
-      HasMore: false,
+      HasMore: hasMore,
       RowVersion: this.#version,
       NowMs: 1,
     };
