--- a/tests/platform_adapter/store_client_test.ts
+++ b/tests/platform_adapter/store_client_test.ts
@@ -32,6 +32,7 @@
   const batch = (await client.read("t")).extract() as RowBatch;
   const keys = batch.rows.map(({ key }) => key);
   assert.deepEqual([keys, batch.epoch, batch.newest], [["d"], 1, 101]);
+  store.put("t", "e", 1);
   store.onPage = () => store.restore(0);
   const failure = (await client.read("t")).extract() as RowFailure;
   assert.equal(failure.kind, "unknown");
@@ -53,3 +54,13 @@
 function describe(failure: RowBatch | RowFailure): string {
   return "kind" in failure ? `${failure.kind} ${failure.epoch}` : "rows";
 }
+
+// A row that changed after its page was read was missed for good: the changes
+// were followed from the version of the last page.
+test("the version of a read of several pages is that of its first page", async () => {
+  const { store, client } = await open();
+  store.onPage = () => store.put("t", "a", 2);
+  const batch = (await client.read("t")).extract() as RowBatch;
+  assert.equal(batch.newest, 103);
+  store.close();
+});
