Do not bring servers back that a copy of the store still lists

After a restore the store lists servers that have left since the copy, and lacks those that joined since. A registration that may come from the copy now changes nothing of a server about which the node knows more: one that is gone, a later incarnation, the same one. A restore counts as the end of an outage in which registrations can have expired, so that missing servers stay usable for the time in which they register again.

--- a/src/core/gateway/outage_watch.ts
+++ b/src/core/gateway/outage_watch.ts
@@ -23,6 +23,14 @@
   };
 }
 
+/**
+ * Records that the table service came back from a copy: registrations from
+ * after the copy are missing until the servers have registered again.
+ */
+export function recordTableRestore(watch: OutageWatch, at: Millis): void {
+  watch.endedAt = millis(Math.max(watch.endedAt, at));
+}
+
 /** Records an answer of the table service to any node; an older one than known changes nothing. */
 export function recordTableAnswer(watch: OutageWatch, at: Millis): void {
   const { answeredAt, minOutage } = watch;
--- a/src/core/gateway/servers.ts
+++ b/src/core/gateway/servers.ts
@@ -46,14 +46,21 @@
   readonly expiring: Map<ServerId, Millis>;
   /** Incarnations that were known as leaving, oldest first. */
   readonly leaving: Set<string>;
+  /** Incarnations whose registration was removed, oldest first. */
+  readonly gone: Set<string>;
 };
 
-/** Maximum number of incarnations that a directory remembers as leaving. */
+/** Maximum number of incarnations that a directory remembers as leaving, and as gone. */
 export const maxRemembered = 10_000;
 
 /** Creates a directory without servers. */
 export function createServerDirectory(): ServerDirectory {
-  return { servers: new Map(), expiring: new Map(), leaving: new Set() };
+  return {
+    servers: new Map(),
+    expiring: new Map(),
+    leaving: new Set(),
+    gone: new Set(),
+  };
 }
 
 /** Identifies an incarnation among all servers. */
@@ -89,7 +96,12 @@
 
 /** A changed registration, or the id of one that disappeared. */
 export type ServerChange =
-  | { readonly type: "present"; readonly server: BackendServer }
+  | {
+      readonly type: "present";
+      readonly server: BackendServer;
+      /** The entry may come from the copy from which the table service was restored. */
+      readonly isFromCopy?: boolean;
+    }
   | {
       readonly type: "absent";
       readonly id: ServerId;
@@ -115,6 +127,8 @@
 ): Millis | undefined {
   if (change.type === "present") {
     const { server } = change;
+    if (change.isFromCopy && isOutdated(directory, server)) return undefined;
+    directory.gone.delete(formatIncarnation(server));
     directory.expiring.delete(server.id);
     directory.servers.set(server.id, server);
     if (server.leaving || directory.leaving.has(formatIncarnation(server)))
@@ -124,14 +138,29 @@
   const usableUntil = millis(change.outageEndedAt + reregistrationTime);
   const known = directory.servers.get(change.id);
   if (known === undefined || known.leaving || now >= usableUntil) {
-    directory.expiring.delete(change.id);
-    directory.servers.delete(change.id);
+    removeServer(directory, change.id);
     return undefined;
   }
   directory.expiring.set(change.id, usableUntil);
   return usableUntil;
 }
 
+/** Whether the directory knows more of a server than an entry of a copy says. */
+function isOutdated(directory: ServerDirectory, entry: BackendServer): boolean {
+  if (directory.gone.has(formatIncarnation(entry))) return true;
+  const known = directory.servers.get(entry.id);
+  if (known === undefined || directory.expiring.has(entry.id)) return false;
+  if (known.born === entry.born) return !entry.leaving;
+  return (known.born ?? 0) > (entry.born ?? 0);
+}
+
+function removeServer(directory: ServerDirectory, id: ServerId): void {
+  const known = directory.servers.get(id);
+  if (known !== undefined) remember(directory.gone, formatIncarnation(known));
+  directory.expiring.delete(id);
+  directory.servers.delete(id);
+}
+
 /** Removes servers whose registration did not return in time; returns their ids. */
 export function removeExpiredServers(
   directory: ServerDirectory,
@@ -141,8 +170,7 @@
   for (const [id, until] of directory.expiring) {
     if (now < until) continue;
     expired.push(id);
-    directory.expiring.delete(id);
-    directory.servers.delete(id);
+    removeServer(directory, id);
   }
   return expired;
 }
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -3,6 +3,7 @@
   createOutageWatch,
   type OutageWatch,
   recordTableAnswer,
+  recordTableRestore,
 } from "../../core/gateway/outage_watch.ts";
 import {
   applyRows,
@@ -126,6 +127,8 @@
   ): boolean {
     const { clock, isUrgent, onUrgentChange } = this.#options;
     const replica = this.replica(topic);
+    const isRestored = replica.newest > 0 && batch.epoch > replica.epoch;
+    if (isRestored) recordTableRestore(this.#outages, clock.now());
     this.#recordEpoch(topic, batch, read.source);
     const maxAge = computeAge(replica, this.instant());
     const applied = applyRows(replica, batch, {
