Tell the operator's and the servers' rows of a copy from those written again

StoreFeed dropped each entry of a server whose version was below the one that it had, of whatever epoch. Changes now state whether their row may come from the copy. A configuration or adapter version of a copy does not replace a newer one. One that was written after the restore does, at once if its number is not lower; a lower one must stay the newest for a second, since the operator may write again, one after another, what was lost.

--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -294,7 +294,7 @@
       this.#leases.invalidate();
     }
     this.#clockOffset = clockOffset;
-    this.#installation.removeExpired();
+    this.#installation.applyDue();
     this.#cancelChecks = clock.schedule(checkInterval, () => this.#runChecks());
   }
 }
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/installation_tracker.ts
@@ -1,3 +1,4 @@
+import { type Millis, millis } from "../../core/clock.ts";
 import {
   forgetEngineAdapters,
   recordRegistration,
@@ -23,10 +24,27 @@
   readonly onServerGone: (id: ServerId) => void;
 };
 
+/** Time for which a declaration with a lower number must stay the newest before it comes into force, in ms. */
+const settleTime = 1_000;
+
+/** A numbered declaration of the operator. */
+type Declaration = {
+  /** Number in force, if there is one. */
+  readonly known: number | undefined;
+  readonly next: number;
+  readonly apply: () => void;
+};
+
+type Settling = Pick<Declaration, "next" | "apply"> & {
+  readonly dueAt: Millis;
+};
+
 /** Applies the changes of the installation to the context that all tasks share. */
 export class InstallationTracker {
   readonly #options: InstallationTrackerOptions;
   readonly #completedTopics = new Set<string>();
+  /** Declarations with a lower number than the one in force, by name. */
+  readonly #settling = new Map<string, Settling>();
 
   private constructor(options: InstallationTrackerOptions) {
     this.#options = options;
@@ -47,18 +65,29 @@
     const { journal } = context.dependencies;
     switch (change.type) {
       case "configuration": {
-        const known = context.configuration?.revision ?? -1;
-        if (change.value.revision <= known) return;
-        context.configuration = change.value;
-        journal.record("revisionInForce", { revision: change.value.revision });
-        onConfiguration();
+        const { revision } = change.value;
+        this.#applyDeclaration("configuration", change.isFromCopy, {
+          known: context.configuration?.revision,
+          next: revision,
+          apply: () => {
+            context.configuration = change.value;
+            journal.record("revisionInForce", { revision });
+            onConfiguration();
+          },
+        });
         return;
       }
       case "adapter-version": {
         const { place, version } = change.value;
-        if (version <= (context.versions.get(place) ?? 0)) return;
-        context.versions.set(place, version);
-        journal.record("adapterVersionDeclared", { place, version });
+        this.#applyDeclaration(place, change.isFromCopy, {
+          known: context.versions.get(place),
+          next: version,
+          apply: () => {
+            if (context.versions.get(place) === version) return;
+            context.versions.set(place, version);
+            journal.record("adapterVersionDeclared", { place, version });
+          },
+        });
         return;
       }
       case "server":
@@ -71,9 +100,33 @@
     }
   }
 
-  /** Removes servers whose registration did not return in time. */
-  removeExpired(): void {
+  /**
+   * Brings a declaration of the operator into force. One with a lower number
+   * has to stay the newest for a time, since the operator may be writing again,
+   * one after another, what a restored table service has lost.
+   */
+  #applyDeclaration(
+    name: string,
+    isFromCopy: boolean | undefined,
+    { known, next, apply }: Declaration,
+  ): void {
+    if (known !== undefined && next <= known && isFromCopy) return;
+    if (this.#settling.get(name)?.next === next) return;
+    this.#settling.delete(name);
+    if (known === undefined || next >= known) return apply();
     const { context } = this.#options;
+    const dueAt = millis(context.now() + settleTime);
+    this.#settling.set(name, { next, dueAt, apply });
+  }
+
+  /** Applies what has become due: declarations that have settled, and the loss of servers whose registration did not return in time. */
+  applyDue(): void {
+    const { context } = this.#options;
+    for (const [name, { dueAt, apply }] of this.#settling) {
+      if (context.now() < dueAt) continue;
+      this.#settling.delete(name);
+      apply();
+    }
     for (const id of removeExpiredServers(context.directory, context.now())) {
       this.#forgetServer(id);
     }
@@ -92,14 +145,16 @@
       journal.record("serverUnlisted", fields);
       return;
     }
-    const { id, born } = change.server;
+    const { id } = change.server;
     const known = directory.servers.get(id);
-    if (known !== undefined && known.born !== born) {
+    applyServerChange(directory, change, context.now());
+    const server = directory.servers.get(id);
+    // An entry from a copy of the table service may say less than is known.
+    if (server === undefined || server === known) return;
+    if (known !== undefined && known.born !== server.born) {
       forgetEngineAdapters(adapterDirectory, id);
       forgetServer(context.health, id);
     }
-    applyServerChange(directory, change, context.now());
-    const server = directory.servers.get(id) ?? change.server;
     recordRegistration(adapterDirectory, server, context.now());
     if (known === undefined || known.leaving !== server.leaving) {
       this.#recordServer(server, origin);
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -168,10 +168,22 @@
   readonly maxAge: number;
 };
 
+/** What is known of the age of an operator's row. */
+export type RowOrigin = {
+  /** The row may come from the copy from which the table service was restored. */
+  readonly isFromCopy?: boolean;
+};
+
 /** A change to the operator's configuration or to the registered servers. */
 export type InstallationChange =
-  | { readonly type: "configuration"; readonly value: GatewayConfiguration }
-  | { readonly type: "adapter-version"; readonly value: AdapterVersion }
+  | ({
+      readonly type: "configuration";
+      readonly value: GatewayConfiguration;
+    } & RowOrigin)
+  | ({
+      readonly type: "adapter-version";
+      readonly value: AdapterVersion;
+    } & RowOrigin)
   | {
       readonly type: "server";
       readonly change: ServerChange;
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -30,6 +30,7 @@
   InstallationChange,
   NodeMessage,
   ProxiedRequest,
+  RowOrigin,
   ServerLinks,
 } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
@@ -218,7 +219,11 @@
     this.#publish(change);
   }
 
-  configure(routes: GatewayRoute[], revision = 1): void {
+  configure(
+    routes: GatewayRoute[],
+    revision = 1,
+    origin: RowOrigin = {},
+  ): void {
     const value: GatewayConfiguration = {
       revision: brandNumber(revision),
       routes: groupRoutes(routes),
@@ -233,7 +238,7 @@
         idleTimeout: millis(15_000),
       },
     };
-    this.publish({ type: "configuration", value });
+    this.publish({ type: "configuration", value, ...origin });
     this.publish({ type: "complete", topic: "operator" });
   }
 
--- a/tests/platform_adapter/installation_feed_test.ts
+++ b/tests/platform_adapter/installation_feed_test.ts
@@ -162,3 +162,40 @@
   const { outageEndedAt } = await dropServerAfterFailure(1_000);
   assert.equal(outageEndedAt, Number.NEGATIVE_INFINITY);
 });
+
+// After a restore the feed dropped each entry whose version was below the one
+// that it had, and took servers that had joined lately for gone at once.
+test("after a restore the copy's rows are told from those that are written again", async () => {
+  const { store, changes, waitForChange, stop } = await follow((store) => {
+    store.put("op", "config", configuration);
+    store.put("servers", "i-1", registration);
+  });
+  await waitForChange(isComplete);
+  store.put("op", "config", { ...configuration, Version: 9 });
+  store.put("servers", "i-2", registration);
+  await waitForChange(
+    (change) =>
+      change.type === "server" &&
+      change.change.type === "present" &&
+      change.change.server.id === "i-2",
+  );
+  changes.length = 0;
+  store.restore(2);
+  const copied = await waitForChange(({ type }) => type === "configuration");
+  assert.ok(copied.type === "configuration");
+  assert.deepEqual([copied.value.revision, copied.isFromCopy], [7, true]);
+  const absent = await waitForChange(isAbsent);
+  assert.ok(absent.type === "server" && absent.change.type === "absent");
+  assert.equal(absent.change.id, "i-2");
+  assert.ok(Number.isFinite(absent.change.outageEndedAt));
+  changes.length = 0;
+  store.put("op", "config", { ...configuration, Version: 9 });
+  store.put("servers", "i-1", registration);
+  const written = await waitForChange(({ type }) => type === "configuration");
+  assert.ok(written.type === "configuration");
+  assert.deepEqual([written.value.revision, written.isFromCopy], [9, false]);
+  const present = await waitForChange(isPresent);
+  assert.ok(present.type === "server" && present.change.type === "present");
+  assert.equal(present.change.isFromCopy, false);
+  stop();
+});
