Keep leases and fencing numbers safe across restores of the store

After a restore the rows of the leases were those of some time ago: an earlier holder could reappear and claim at once, two claims could get one fencing number, and a condition could hold for a row of another epoch. The addresses of nodes that joined since the copy were gone.

A lease row states the epoch in which it was claimed and confers no right in another. A holder that could send orders stays the holder until the time for which its lease was confirmed is over, and claims again at once; every other node waits as for a holder that was lost, also where a row is missing. A first order after a wait requires a read from within the quiet period, since the holder before may have claimed again in an epoch that the node has not seen. A commit in another epoch than that of its basis is no proof. A node writes its address again in each epoch. The claims move to lease_claims.ts.

--- a/src/core/gateway/engine_lease.ts
+++ b/src/core/gateway/engine_lease.ts
@@ -5,8 +5,8 @@
   type FencingNumber,
   type MachineName,
   type ServerId,
+  type StoreEpoch,
 } from "../ids.ts";
-import { rankByRendezvous } from "../lease/rendezvous.ts";
 
 /** Lease row of one engine: the machine that may send it orders. */
 export type LeaseRow = {
@@ -16,6 +16,10 @@
   readonly fence: FencingNumber;
   /** The holder has shut down and sends no further order. */
   readonly released: boolean;
+  /** Epoch of the table service in which the holder claimed; the row confers no right in another one. */
+  readonly epoch: StoreEpoch;
+  /** Time from the claim on in which the holder sends no order. */
+  readonly wait: Millis;
 };
 
 /** Lease row as last read. */
@@ -62,7 +66,12 @@
 /** A lease that this node holds. */
 export type HeldLease = {
   readonly fence: FencingNumber;
+  readonly epoch: StoreEpoch;
   readonly rowVersion: number;
+  /** End of the right if the epoch is over, until the lease is claimed again. */
+  readonly endsAt?: Millis;
+  /** The first order requires a read from this time on. */
+  readonly confirmedFrom: Millis;
   /** Earliest time of an order: at least `quietPeriod` after the last order that a holder on another machine may have sent. */
   readonly ordersFrom: Millis;
 };
@@ -82,6 +91,15 @@
   readonly ranks: Map<ServerId, number>;
   /** Time since which each engine is known to have no lease. */
   readonly vacantSince: Map<ServerId, Millis>;
+  /** Holders as known before the latest restore of the table service. */
+  readonly formerHolders: Map<ServerId, MachineName>;
+  epoch: StoreEpoch;
+  /**
+   * Time at which the node learnt of the epoch; leases of the one before may be
+   * in use for a time. Negative infinity if the node knows of none before.
+   */
+  epochSince: Millis;
+  hasRead: boolean;
   /** Time at which the last successful read was sent. */
   readAt: Millis;
 };
@@ -98,6 +116,10 @@
     held: new Map(),
     ranks: new Map(),
     vacantSince: new Map(),
+    formerHolders: new Map(),
+    epoch: brandNumber(0),
+    epochSince: millis(Number.NEGATIVE_INFINITY),
+    hasRead: false,
     readAt: millis(Number.NEGATIVE_INFINITY),
   };
 }
@@ -111,10 +133,15 @@
       LeaseRow & { readonly rowVersion: number }
     >;
     readonly nodes: readonly KnownNode[];
+    readonly epoch: StoreEpoch;
+    /** Some rows were written in an earlier epoch. */
+    readonly hasEarlierRows: boolean;
     readonly sentAt: Millis;
     readonly now: Millis;
   },
 ): void {
+  if (read.epoch !== state.epoch) startLeaseEpoch(state, read);
+  state.hasRead = true;
   state.readAt = read.sentAt;
   for (const node of read.nodes) {
     const known = state.nodes.get(node.machine);
@@ -134,134 +161,73 @@
   }
   for (const [engine, lease] of state.held) {
     const row = state.rows.get(engine);
-    if (row === undefined || row.rowVersion > lease.rowVersion) {
+    if (isLeaseLost(state, lease, { row, now: read.now }))
       state.held.delete(engine);
-    }
   }
 }
 
-/** Records that the rows applied last were still current at a time. */
-export function confirmLeaseRead(state: LeaseState, at: Millis): void {
-  state.readAt = millis(Math.max(state.readAt, at));
-}
-
-/** Claim of a lease by this node. */
-export type LeaseClaim = {
-  readonly engine: ServerId;
-  readonly fence: FencingNumber;
-  /** Version of the row that the claim replaces. */
-  readonly basis: number | "absent";
-  /** Minimum time between the claim and the first order. */
-  readonly wait: Millis;
-};
-
-/** An engine that may be claimed. */
-export type LeasableEngine = {
-  readonly engine: ServerId;
-  readonly dataCentre: DataCentre;
-};
-
-/** Returns the leases that this node should claim now. */
-export function planLeaseClaims(
+/**
+ * Ends the epoch of all known rows. A lease under which this node may send
+ * orders stays its own until the time for which it was confirmed is over.
+ */
+function startLeaseEpoch(
   state: LeaseState,
-  engines: readonly LeasableEngine[],
-  now: Millis,
-): LeaseClaim[] {
-  const claims: LeaseClaim[] = [];
-  for (const engine of engines) {
-    const claim = planClaim(state, engine, now);
-    if (claim !== undefined) claims.push(claim);
-  }
-  return claims;
-}
-
-function planClaim(
-  state: LeaseState,
-  { engine, dataCentre }: LeasableEngine,
-  now: Millis,
-): LeaseClaim | undefined {
-  if (state.held.has(engine)) return undefined;
-  const { settings } = state;
-  const row = state.rows.get(engine);
-  // The rank is determined only if the lease is about to be claimed.
-  const isDue = (time: number) =>
-    now >= time &&
-    now >=
-      time + settings.rankDelay * getOwnRank(state, { engine, dataCentre });
-  if (row === undefined) {
-    const since = state.vacantSince.get(engine) ?? now;
-    state.vacantSince.set(engine, since);
-    if (!isDue(since)) return undefined;
-    return { engine, fence: brandNumber(1), basis: "absent", wait: millis(0) };
+  {
+    epoch,
+    hasEarlierRows,
+    now,
+  }: Pick<
+    Parameters<typeof applyLeaseRead>[1],
+    "epoch" | "hasEarlierRows" | "now"
+  >,
+): void {
+  const { validity } = state.settings;
+  for (const engine of state.rows.keys()) {
+    const holder = findLeaseHolder(state, engine);
+    if (holder !== undefined) state.formerHolders.set(engine, holder);
   }
-  const claim = {
-    engine,
-    fence: brandNumber<FencingNumber>(row.fence + 1),
-    basis: row.rowVersion,
-  };
-  if (row.machine === state.machine) return { ...claim, wait: millis(0) };
-  if (row.released) {
-    if (!isDue(row.since + settings.restartGrace)) return undefined;
-    return { ...claim, wait: settings.quietPeriod };
+  for (const [engine, lease] of state.held) {
+    const endsAt = millis(
+      Math.min(
+        lease.endsAt ?? Number.POSITIVE_INFINITY,
+        state.readAt + validity,
+      ),
+    );
+    // A claim that still waits may have been made again by the holder before.
+    if (now >= endsAt || now < lease.ordersFrom) state.held.delete(engine);
+    else state.held.set(engine, { ...lease, endsAt });
   }
-  const lastContact = Math.max(
-    row.since,
-    state.lastContactAt.get(row.machine) ?? Number.NEGATIVE_INFINITY,
-  );
-  if (!isDue(lastContact + settings.holderTimeout)) return undefined;
-  const { validity, clockMargin, quietPeriod } = settings;
-  return { ...claim, wait: millis(validity + clockMargin + quietPeriod) };
+  state.rows.clear();
+  state.vacantSince.clear();
+  state.epoch = epoch;
+  if (state.hasRead || hasEarlierRows) state.epochSince = now;
 }
 
-/** Rank of this node among the candidates for an engine; nodes of its data centre come first. */
-export function getOwnRank(
-  state: LeaseState,
-  { engine, dataCentre }: LeasableEngine,
-): number {
-  let rank = state.ranks.get(engine);
-  if (rank === undefined) {
-    rank = computeOwnRank(state, engine, dataCentre);
-    state.ranks.set(engine, rank);
+function isLeaseLost(
+  { epoch, machine }: LeaseState,
+  lease: HeldLease,
+  { row, now }: { row: KnownLease | undefined; now: Millis },
+): boolean {
+  if (lease.endsAt !== undefined) {
+    const isClaimed = row?.epoch === epoch && row.machine !== machine;
+    return isClaimed || now >= lease.endsAt;
   }
-  return rank;
+  return row === undefined || row.rowVersion > lease.rowVersion;
 }
 
-function computeOwnRank(
-  state: LeaseState,
+/** Machine that holds the lease of an engine, or held it before a restore of the table service. */
+export function findLeaseHolder(
+  { rows, formerHolders, epoch }: LeaseState,
   engine: ServerId,
-  dataCentre: DataCentre,
-): number {
-  const local = [...state.nodes.values()].filter(
-    (node) => node.dataCentre === dataCentre,
-  );
-  const isLocal = state.dataCentre === dataCentre;
-  const names = new Set(local.map(({ machine }) => machine));
-  if (isLocal) names.add(state.machine);
-  const ranked = rankByRendezvous(engine, names);
-  const rank = ranked.indexOf(state.machine);
-  if (rank >= 0) return rank;
-  return (
-    ranked.length + 1 + [...state.nodes.keys()].sort().indexOf(state.machine)
-  );
+): MachineName | undefined {
+  const row = rows.get(engine);
+  if (row?.epoch === epoch) return row.released ? undefined : row.machine;
+  return formerHolders.get(engine) ?? row?.machine;
 }
 
-/** Records a claim that was committed. */
-export function recordClaim(
-  state: LeaseState,
-  claim: LeaseClaim,
-  commit: { readonly rowVersion: number; readonly now: Millis },
-): void {
-  const { engine, fence, wait } = claim;
-  const { rowVersion, now } = commit;
-  state.rows.set(engine, {
-    machine: state.machine,
-    process: state.process,
-    fence,
-    released: false,
-    rowVersion,
-    since: now,
-  });
-  state.held.set(engine, { fence, rowVersion, ordersFrom: millis(now + wait) });
+/** Records that the rows applied last were still current at a time. */
+export function confirmLeaseRead(state: LeaseState, at: Millis): void {
+  state.readAt = millis(Math.max(state.readAt, at));
 }
 
 /** Fencing number under which this node may send orders to an engine now; undefined if it may not. */
@@ -272,6 +238,8 @@
 ): FencingNumber | undefined {
   const lease = state.held.get(engine);
   if (lease === undefined || now < lease.ordersFrom) return undefined;
+  if (now >= (lease.endsAt ?? Number.POSITIVE_INFINITY)) return undefined;
+  if (state.readAt < lease.confirmedFrom) return undefined;
   if (now >= state.readAt + state.settings.validity) return undefined;
   return lease.fence;
 }
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -4,16 +4,33 @@
   confirmLeaseRead,
   createLeaseState,
   defaultLeaseSettings,
+  findLeaseHolder,
   findOrderFence,
-  getOwnRank,
   invalidateLeases,
-  type LeaseClaim,
   type LeaseState,
+} from "../../core/gateway/engine_lease.ts";
+import {
+  getOwnRank,
+  type LeaseClaim,
   planLeaseClaims,
   recordClaim,
-} from "../../core/gateway/engine_lease.ts";
-import type { FencingNumber, MachineName, ServerId } from "../../core/ids.ts";
-import type { TableService } from "../../ports/table.ts";
+} from "../../core/gateway/lease_claims.ts";
+import {
+  comparePositions,
+  type RowPosition,
+} from "../../core/gateway/row_replica.ts";
+import {
+  brandNumber,
+  type FencingNumber,
+  type MachineName,
+  type ServerId,
+  type StoreEpoch,
+} from "../../core/ids.ts";
+import type {
+  Json,
+  TableService,
+  TransactionResult,
+} from "../../ports/table.ts";
 import type { GatewayContext } from "./context.ts";
 import {
   createLeaseKey,
@@ -21,6 +38,8 @@
   decodeLeases,
   decodeNodes,
   encodeLease,
+  encodeNode,
+  hasEarlierRows,
   type LeaseRead,
   type ReadLeaseRows,
 } from "./lease_rows.ts";
@@ -52,8 +71,8 @@
   #cancel: Cancel = () => {};
   /** The rows that were applied last. */
   #applied: LeaseRead | undefined;
-  /** Rows of an older version, or confirmed earlier, are ignored. */
-  #minVersion = 0;
+  /** Rows of an earlier point in the history, or confirmed earlier, are ignored. */
+  #minPosition: RowPosition = { epoch: brandNumber(0), newest: 0 };
   #minConfirmedAt = millis(Number.NEGATIVE_INFINITY);
   #needsFreshRead = false;
   #isCycleRunning = false;
@@ -91,8 +110,7 @@
 
   /** Machine that holds the lease of an engine. */
   findHolder(engine: ServerId): MachineName | undefined {
-    const row = this.#state.rows.get(engine);
-    return row === undefined || row.released ? undefined : row.machine;
+    return findLeaseHolder(this.#state, engine);
   }
 
   /** Peer address of a machine. */
@@ -128,16 +146,17 @@
   async release(): Promise<void> {
     this.#stopped = true;
     this.#cancel();
-    const writes = [...this.#state.held].map(([engine, lease]) => ({
-      key: createLeaseKey(engine),
-      value: encodeLease({
-        machine: this.#state.machine,
-        process: this.#state.process,
-        fence: lease.fence,
-        released: true,
-      }),
-    }));
-    const conditions = [...this.#state.held].map(([engine, lease]) => ({
+    const { machine, process, epoch } = this.#state;
+    const now = this.#options.context.now();
+    const held = [...this.#state.held].filter(
+      ([, lease]) => lease.epoch === epoch,
+    );
+    const writes = held.map(([engine, { fence, ordersFrom }]) => {
+      const wait = millis(Math.max(0, ordersFrom - now));
+      const lease = { machine, process, fence, released: true, epoch, wait };
+      return { key: createLeaseKey(engine), value: encodeLease(lease) };
+    });
+    const conditions = held.map(([engine, lease]) => ({
       key: createLeaseKey(engine),
       version: lease.rowVersion,
     }));
@@ -174,8 +193,9 @@
     this.#needsFreshRead = false;
     const read = await this.#options.readRows({ isFresh });
     if (read === undefined) return;
-    const { newest, confirmedAt } = read;
-    if (newest < this.#minVersion || confirmedAt < this.#minConfirmedAt) return;
+    const { confirmedAt } = read;
+    if (comparePositions(read, this.#minPosition) < 0) return;
+    if (confirmedAt < this.#minConfirmedAt) return;
     if (read.rows === this.#applied?.rows) {
       confirmLeaseRead(this.#state, confirmedAt);
       return;
@@ -184,12 +204,19 @@
     this.#applyRead(read);
   }
 
-  #applyRead({ rows, confirmedAt }: LeaseRead): void {
+  #applyRead({ rows, epoch, confirmedAt }: LeaseRead): void {
     const { context, onChange } = this.#options;
     const held = this.held();
+    this.#isRegistered = rows.some(
+      ({ key, value }) =>
+        key === createNodeKey(this.#state.machine) &&
+        JSON.stringify(value) === JSON.stringify(this.#encodeOwnNode(epoch)),
+    );
     applyLeaseRead(this.#state, {
       leases: decodeLeases(rows),
       nodes: decodeNodes(rows),
+      epoch,
+      hasEarlierRows: hasEarlierRows(rows, epoch),
       sentAt: confirmedAt,
       now: context.now(),
     });
@@ -205,22 +232,26 @@
     }
   }
 
+  /** Row of this node, as it must be in the epoch. */
+  #encodeOwnNode(epoch: StoreEpoch): Json {
+    const { machine, dataCentre, peerAddress } =
+      this.#options.context.dependencies.identity;
+    return encodeNode({ machine, dataCentre, address: peerAddress }, epoch);
+  }
+
   /** Publishes the peer address of this node. */
   async #register(): Promise<void> {
     const { context, table } = this.#options;
-    const { machine, dataCentre, peerAddress } = context.dependencies.identity;
+    const { machine, epoch } = this.#state;
     const answer = await table.transact({
       attempt: context.createAttemptToken(),
       conditions: [],
       writes: [
-        {
-          key: createNodeKey(machine),
-          value: { dataCentre, address: peerAddress },
-        },
+        { key: createNodeKey(machine), value: this.#encodeOwnNode(epoch) },
       ],
     });
-    answer.ifRight(() => {
-      this.#isRegistered = true;
+    answer.ifRight((result) => {
+      this.#isRegistered = this.#recordCommit(result, epoch) !== undefined;
     });
   }
 
@@ -244,6 +275,29 @@
     for (const claim of claims) await this.#commitClaim(claim);
   }
 
+  /**
+   * Version of a committed write. Undefined if it was not committed in the
+   * epoch of the rows on which it was based: its conditions may have held for
+   * other rows, so that the rows have to be read again.
+   */
+  #recordCommit(
+    result: TransactionResult,
+    epoch: StoreEpoch,
+  ): number | undefined {
+    if (
+      result.kind !== "committed" ||
+      result.version === undefined ||
+      (result.epoch ?? epoch) !== epoch
+    ) {
+      this.#needsFreshRead = true;
+      return undefined;
+    }
+    const position = { epoch, newest: result.version };
+    if (comparePositions(position, this.#minPosition) > 0)
+      this.#minPosition = position;
+    return result.version;
+  }
+
   /** Counts a holder as alive while it owes no answer, since idle nodes rarely report. */
   #confirmContacts(): void {
     const { rows, lastContactAt } = this.#state;
@@ -261,19 +315,17 @@
     this.#claimedAt.set(engine, context.now());
     const key = createLeaseKey(engine);
     const { machine, process } = this.#state;
-    const row = { machine, process, fence, released: false };
+    const { wait, epoch } = claim;
+    const row = { machine, process, fence, released: false, epoch, wait };
     const answer = await table.transact({
       attempt: context.createAttemptToken(),
       conditions: [{ key, version: basis }],
       writes: [{ key, value: encodeLease(row) }],
     });
     answer.ifRight((result) => {
-      if (result.kind !== "committed" || result.version === undefined) {
-        this.#needsFreshRead = true;
-        return;
-      }
-      this.#minVersion = Math.max(this.#minVersion, result.version);
-      const commit = { rowVersion: result.version, now: context.now() };
+      const rowVersion = this.#recordCommit(result, epoch);
+      if (rowVersion === undefined) return;
+      const commit = { rowVersion, now: context.now() };
       recordClaim(this.#state, claim, commit);
       context.dependencies.journal.record("engineClaimed", {
         server: engine,
--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/lease_rows.ts
@@ -1,12 +1,16 @@
-import type { Millis } from "../../core/clock.ts";
+import { type Millis, millis } from "../../core/clock.ts";
 import type { KnownNode, LeaseRow } from "../../core/gateway/engine_lease.ts";
-import type { VersionedRow } from "../../core/gateway/row_replica.ts";
+import type {
+  RowPosition,
+  VersionedRow,
+} from "../../core/gateway/row_replica.ts";
 import {
   brandNumber,
   brandString,
   type MachineName,
   type RowKey,
   type ServerId,
+  type StoreEpoch,
 } from "../../core/ids.ts";
 import type { RowFollower } from "../../ports/rows.ts";
 import type { Json, Row } from "../../ports/table.ts";
@@ -15,10 +19,8 @@
 const nodePrefix = "node/";
 
 /** The lease and node rows as of one moment. */
-export type LeaseRead = {
+export type LeaseRead = RowPosition & {
   readonly rows: readonly Row[];
-  /** Version of the table service that the rows reflect. */
-  readonly newest: number;
   /** Local time at which the table service still held these rows. */
   readonly confirmedAt: Millis;
 };
@@ -33,6 +35,7 @@
 export type DecodeTableRow = (row: VersionedRow) => Row | undefined;
 
 type DecodedRows = {
+  readonly epoch: StoreEpoch;
   readonly count: number;
   readonly latest: number;
   readonly rows: readonly Row[];
@@ -53,18 +56,22 @@
       ? await follower.refresh("nodes")
       : follower.snapshot("nodes");
     if (snapshot === undefined) return undefined;
-    const { newest, confirmedAt } = snapshot;
-    // A written row has the highest version, and a removed one is missing.
+    const { epoch, newest, confirmedAt } = snapshot;
+    // Within an epoch a written row has the highest version, and a removed one is missing.
     const count = snapshot.rows.length;
     const latest = snapshot.rows.reduce(
       (version, row) => Math.max(version, row.rowVersion),
       0,
     );
-    if (decoded?.count !== count || decoded.latest !== latest) {
+    const isUnchanged =
+      decoded?.epoch === epoch &&
+      decoded.count === count &&
+      decoded.latest === latest;
+    if (decoded === undefined || !isUnchanged) {
       const rows = snapshot.rows.flatMap((row) => decode(row) ?? []);
-      decoded = { count, latest, rows };
+      decoded = { epoch, count, latest, rows };
     }
-    return { rows: decoded.rows, newest, confirmedAt };
+    return { rows: decoded.rows, epoch, newest, confirmedAt };
   };
 }
 
@@ -92,19 +99,47 @@
   const leases = new Map<ServerId, LeaseRow & { rowVersion: number }>();
   for (const { key, version, value } of rows) {
     if (!key.startsWith(leasePrefix)) continue;
-    const { machine, process, fence, released } = (value ?? {}) as Fields;
+    const { machine, process, fence, released, wait } = (value ?? {}) as Fields;
     if (typeof machine !== "string" || typeof fence !== "number") continue;
     leases.set(brandString(key.slice(leasePrefix.length)), {
       machine: brandString(machine),
       process: String(process),
       fence: brandNumber(fence),
       released: released === true,
+      epoch: readRowEpoch(value),
+      wait: millis(typeof wait === "number" ? wait : 0),
       rowVersion: version,
     });
   }
   return leases;
 }
 
+/** Whether any row was written in an earlier epoch than the given one. */
+export function hasEarlierRows(
+  rows: readonly Row[],
+  epoch: StoreEpoch,
+): boolean {
+  return rows.some(
+    ({ key, value }) =>
+      (key.startsWith(leasePrefix) || key.startsWith(nodePrefix)) &&
+      readRowEpoch(value) < epoch,
+  );
+}
+
+/** Epoch in which a row was written; 0 if a program wrote it that knew no epochs. */
+function readRowEpoch(value: Json): StoreEpoch {
+  const { epoch } = (value ?? {}) as Fields;
+  return brandNumber(typeof epoch === "number" ? epoch : 0);
+}
+
+/** Encodes the address of a node for its row. */
+export function encodeNode(
+  { dataCentre, address }: KnownNode,
+  epoch: StoreEpoch,
+): Json {
+  return { dataCentre, address, epoch };
+}
+
 /** Decodes the rows of the nodes; skips rows of another form. */
 export function decodeNodes(rows: readonly Row[]): KnownNode[] {
   const nodes: KnownNode[] = [];
--- a/src/ports/table.ts
+++ b/src/ports/table.ts
@@ -1,5 +1,5 @@
 import type { Either } from "purify-ts";
-import type { AttemptToken, RowKey } from "../core/ids.ts";
+import type { AttemptToken, RowKey, StoreEpoch } from "../core/ids.ts";
 
 /** A JSON value as the table service stores it. */
 export type Json =
@@ -45,6 +45,8 @@
       readonly kind: "committed";
       /** Version of the row written last, if the table returns it. */
       readonly version?: number;
+      /** Epoch in which the write took effect; omitted by a table that is never restored. */
+      readonly epoch?: StoreEpoch;
     }
   | {
       readonly kind: "conflict";
