Keep the rest of the wait when a claim replaces one that still waits

A node that takes over an engine waits until the holder before can no longer send orders. If its claim got no answer, it found its own row and claimed again without any wait; so did its process after a restart, and a node that took over a lease that was released while it waited. Two machines then sent orders at the same time. The row now states the wait, and the next claim keeps the rest of it.

--- a/src/core/gateway/lease_claims.ts
+++ b/src/core/gateway/lease_claims.ts
@@ -91,10 +91,13 @@
       return undefined;
     return { ...claim, wait: takeover };
   }
-  if (row.machine === state.machine) return { ...claim, wait: millis(0) };
+  // The holder before the one that is replaced may still send orders.
+  const restOfWait = millis(Math.max(0, row.since + row.wait - now));
+  if (row.machine === state.machine) return { ...claim, wait: restOfWait };
   if (row.released) {
     if (!isDue(row.since + settings.restartGrace)) return undefined;
-    return { ...claim, wait: settings.quietPeriod };
+    const wait = millis(Math.max(settings.quietPeriod, restOfWait));
+    return { ...claim, wait };
   }
   const lastContact = Math.max(
     row.since,
--- a/tests/gateway/engine_lease_test.ts
+++ b/tests/gateway/engine_lease_test.ts
@@ -49,7 +49,7 @@
 function row(
   machine: string,
   options: { fence?: number; version?: number; epoch?: number } & Partial<
-    Pick<LeaseRow, "released">
+    Pick<LeaseRow, "released" | "wait">
   > = {},
 ) {
   return {
@@ -58,7 +58,7 @@
     fence: brandNumber<LeaseRow["fence"]>(options.fence ?? 3),
     released: options.released ?? false,
     epoch: brandNumber<StoreEpoch>(options.epoch ?? 0),
-    wait: millis(0),
+    wait: options.wait ?? millis(0),
     rowVersion: options.version ?? 50,
   };
 }
@@ -171,6 +171,19 @@
   assert.equal(next.claim.wait, settings.quietPeriod);
 });
 
+// A claim that got no answer, or whose process restarted, was made again without
+// its wait, while the holder before still sent orders.
+test("a claim that replaces one which still waits waits for the rest", () => {
+  const state = createNode("a");
+  read(state, 0, row("a", { wait: millis(10_000) }));
+  const [own] = planLeaseClaims(state, engines, millis(4_000));
+  assert.equal(own?.wait, 6_000);
+  const successor = createNode("a");
+  read(successor, 0, row("b", { released: true, wait: millis(10_000) }));
+  const next = findFirstClaim(successor, 0);
+  assert.ok(next !== undefined && next.claim.wait === 10_000 - next.at);
+});
+
 test("a lease claimed by another node forbids orders", () => {
   const state = createNode("a");
   read(state, 0);
