Write convictions again that a restore of the store removed

A node that starts after a restore learns from the table which parts of prompts crash engines. The rows that a restore removed stayed away, since each node writes a conviction once. After a restore the nodes that have the record write it again, within a random part of 10 s and at most 100 each, unless a row of another node has come by then. The listener for restores is new, so that the new test could not run before.

--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -8,6 +8,7 @@
 } from "../core/ids.ts";
 import { assessParts } from "../core/poison/parts.ts";
 import {
+  deriveStatus,
   emptyRecord,
   formatCrashId,
   mergeRecords,
@@ -40,10 +41,23 @@
 /** Minimum time between two write attempts, in ms; a random delay of up to the same length is added. */
 const writeRetryMillis = 3_000;
 
-/** Calls the listener with each row under a key prefix that is read or changes. */
+/** Time over which nodes spread the writes of convictions that a restore removed, in ms. */
+const rewriteSpread = 10_000;
+/** Maximum number of convictions that a node writes again after a restore. */
+const maxRewrites = 100;
+
+/** Receives the rows under a key prefix. */
+export type TableRowListener = {
+  /** Called with each row that is read or changes. */
+  readonly onRow: (row: Row) => void;
+  /** Called with all rows after the table service came back from a copy. */
+  readonly onRestore: (rows: readonly Row[]) => void;
+};
+
+/** Delivers the rows under a key prefix. */
 export type FollowTableRows = (
   prefix: string,
-  listener: (row: Row) => void,
+  listener: TableRowListener,
 ) => void;
 
 /** Options of the poison manager. */
@@ -65,6 +79,8 @@
 export class PoisonManager implements PoisonDetector {
   readonly #options: PoisonManagerOptions;
   readonly #actor: DecisionActor<PoisonState, PoisonEvent>;
+  /** Convictions that a restore of the table service removed. */
+  readonly #missing = new Set<Digest>();
   #cancelSweep: Cancel | undefined;
   #stopped = false;
 
@@ -73,9 +89,10 @@
     const manager = new PoisonManager(options);
     if (options.followRows === undefined) void manager.#readRows();
     else
-      options.followRows(poisonRowPrefix, (row) =>
-        manager.#receiveRow(row, "broadcast"),
-      );
+      options.followRows(poisonRowPrefix, {
+        onRow: (row) => manager.#receiveRow(row, "broadcast"),
+        onRestore: (rows) => manager.#rewriteMissing(rows),
+      });
     manager.#scheduleSweep();
     return manager;
   }
@@ -182,9 +199,36 @@
   #receiveRow({ key, value }: Row, from: "table" | "broadcast"): void {
     if (this.#stopped) return;
     const digest = brandString<Digest>(key.slice(poisonRowPrefix.length));
-    parsePoisonRecord(value).ifRight((record) =>
-      this.#actor.send({ type: "record-received", digest, record, from }),
+    parsePoisonRecord(value).ifRight((record) => {
+      const { entries } = this.#actor.getSnapshot().context;
+      const known = entries.get(digest)?.record ?? emptyRecord;
+      if (mergeRecords(record, known) === record) this.#missing.delete(digest);
+      this.#actor.send({ type: "record-received", digest, record, from });
+    });
+  }
+
+  /** Writes the convictions again that a restored table lacks, unless another node does so first. */
+  #rewriteMissing(rows: readonly Row[]): void {
+    const { clock, random } = this.#options;
+    const { entries } = this.#actor.getSnapshot().context;
+    const stored = new Map(
+      rows.map(({ key, value }) => [key, parsePoisonRecord(value)]),
     );
+    const missing = [...entries].filter(([digest, { record }]) => {
+      const found = stored.get(poisonRowKey(digest))?.orDefault(emptyRecord);
+      return (
+        deriveStatus(record) === "convicted" &&
+        (found === undefined || mergeRecords(found, record) !== found)
+      );
+    });
+    for (const [digest] of missing.slice(-maxRewrites)) {
+      this.#missing.add(digest);
+      clock.schedule(millis(random() * rewriteSpread), () => {
+        const record = entries.get(digest)?.record;
+        if (!this.#missing.delete(digest) || record === undefined) return;
+        void this.#writeRow(digest, record);
+      });
+    }
   }
 
   /** Merges the record into its row; retries, since other nodes may write the same row. */
--- a/tests/platform_adapter/store_table_test.ts
+++ b/tests/platform_adapter/store_table_test.ts
@@ -1,15 +1,18 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { StoreClient } from "../../platform/store_client.ts";
-import { StoreTable } from "../../platform/store_table.ts";
+import { createTableFollower, StoreTable } from "../../platform/store_table.ts";
 import { nodeTable } from "../../platform/wire_names.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import {
   type AttemptToken,
+  brandNumber,
   brandString,
   type RowKey,
+  type StoreEpoch,
 } from "../../src/core/ids.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
+import type { RowChange, RowFollower } from "../../src/ports/rows.ts";
 import type { TableFailure } from "../../src/ports/table.ts";
 import { FakeStore } from "./fake_store.ts";
 
@@ -69,3 +72,29 @@
   assert.equal(unanswered.kind, "unknown");
   store.close();
 });
+
+// Rows that a restore removed are found only by a list of those that are left.
+test("a follower of the nodes' table gets all rows once the epoch has changed", () => {
+  let deliver: (change: RowChange) => void = () => {};
+  const events: string[] = [];
+  createTableFollower({
+    subscribe: (_topic, listener) => {
+      deliver = listener;
+    },
+  } as RowFollower)("engine/", {
+    onRow: (row) => events.push(`row ${row.key}`),
+    onRestore: (rows) => events.push(`restore ${rows.length}`),
+  });
+  const value = Buffer.from(JSON.stringify({ attempt: "x", value: 1 }));
+  const rows = [
+    { key, rowVersion: 5, value },
+    { key: "node/n1", rowVersion: 6, value },
+  ];
+  const origin = { base: 0, source: undefined, maxAge: 0, isComplete: true };
+  for (const epoch of [1, 1, 2]) {
+    const position = { epoch: brandNumber<StoreEpoch>(epoch), newest: 6 };
+    deliver({ rows, ...position, ...origin });
+  }
+  const row = `row ${key}`;
+  assert.deepEqual(events, [row, row, row, "restore 1"]);
+});
