Spread the writes of the nodes' addresses after a restore

All nodes of a large installation would have written within the second in which they learn of the restore, and again every 250 ms where the store refuses.

--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -26,23 +26,18 @@
   type ServerId,
   type StoreEpoch,
 } from "../../core/ids.ts";
-import type {
-  Json,
-  TableService,
-  TransactionResult,
-} from "../../ports/table.ts";
+import type { TableService, TransactionResult } from "../../ports/table.ts";
 import type { GatewayContext } from "./context.ts";
 import {
   createLeaseKey,
-  createNodeKey,
   decodeLeases,
   decodeNodes,
   encodeLease,
-  encodeNode,
   hasEarlierRows,
   type LeaseRead,
   type ReadLeaseRows,
 } from "./lease_rows.ts";
+import { NodeRegistration } from "./node_registration.ts";
 import type { PeerContacts } from "./peer_contacts.ts";
 
 /** Interval of checks for engines that may be claimed, in ms. */
@@ -67,6 +62,7 @@
 export class LeaseManager {
   readonly #options: LeaseManagerOptions;
   readonly #state: LeaseState;
+  readonly #registration: NodeRegistration;
   readonly #claimedAt = new Map<ServerId, Millis>();
   #cancel: Cancel = () => {};
   /** The rows that were applied last. */
@@ -76,7 +72,6 @@
   #minConfirmedAt = millis(Number.NEGATIVE_INFINITY);
   #needsFreshRead = false;
   #isCycleRunning = false;
-  #isRegistered = false;
   #stopped = false;
 
   private constructor(options: LeaseManagerOptions) {
@@ -84,6 +79,8 @@
     const { machine, process, dataCentre } =
       options.context.dependencies.identity;
     const settings = defaultLeaseSettings;
+    const { context, table } = options;
+    this.#registration = NodeRegistration.create(context, table);
     this.#state = createLeaseState({ machine, process, dataCentre, settings });
   }
 
@@ -181,7 +178,7 @@
     this.#isCycleRunning = true;
     try {
       await this.#read();
-      if (!this.#isRegistered) await this.#register();
+      if (this.#registration.isDue) await this.#register();
       if (Number.isFinite(this.#state.readAt)) await this.#claim();
     } finally {
       this.#isCycleRunning = false;
@@ -207,11 +204,7 @@
   #applyRead({ rows, epoch, confirmedAt }: LeaseRead): void {
     const { context, onChange } = this.#options;
     const held = this.held();
-    this.#isRegistered = rows.some(
-      ({ key, value }) =>
-        key === createNodeKey(this.#state.machine) &&
-        JSON.stringify(value) === JSON.stringify(this.#encodeOwnNode(epoch)),
-    );
+    this.#registration.applyRead(rows, epoch);
     applyLeaseRead(this.#state, {
       leases: decodeLeases(rows),
       nodes: decodeNodes(rows),
@@ -232,27 +225,13 @@
     }
   }
 
-  /** Row of this node, as it must be in the epoch. */
-  #encodeOwnNode(epoch: StoreEpoch): Json {
-    const { machine, dataCentre, peerAddress } =
-      this.#options.context.dependencies.identity;
-    return encodeNode({ machine, dataCentre, address: peerAddress }, epoch);
-  }
-
   /** Publishes the peer address of this node. */
   async #register(): Promise<void> {
-    const { context, table } = this.#options;
-    const { machine, epoch } = this.#state;
-    const answer = await table.transact({
-      attempt: context.createAttemptToken(),
-      conditions: [],
-      writes: [
-        { key: createNodeKey(machine), value: this.#encodeOwnNode(epoch) },
-      ],
-    });
-    answer.ifRight((result) => {
-      this.#isRegistered = this.#recordCommit(result, epoch) !== undefined;
-    });
+    const { epoch } = this.#state;
+    const result = await this.#registration.write(epoch);
+    if (result === undefined) return;
+    if (this.#recordCommit(result, epoch) !== undefined)
+      this.#registration.confirm();
   }
 
   async #claim(): Promise<void> {
