--- a/src/core/gateway/servers.ts
+++ b/src/core/gateway/servers.ts
@@ -36,21 +36,72 @@
   readonly born: number | undefined;
 };
 
+/** One start of a server: an id may be used again by a later one. */
+export type Incarnation = Pick<BackendServer, "id" | "born">;
+
 /** Servers known to a node; a change replaces the entry and keeps the map. */
 export type ServerDirectory = {
   readonly servers: Map<ServerId, BackendServer>;
   /** Servers whose registration disappeared during an outage, with the time until which they stay usable. */
   readonly expiring: Map<ServerId, Millis>;
+  /** Incarnations that were known as leaving, oldest first. */
+  readonly leaving: Set<string>;
+  /** Incarnations whose registration was removed, oldest first. */
+  readonly gone: Set<string>;
 };
 
+/** Maximum number of incarnations that a directory remembers as leaving, and as gone. */
+export const maxRemembered = 10_000;
+
 /** Creates a directory without servers. */
 export function createServerDirectory(): ServerDirectory {
-  return { servers: new Map(), expiring: new Map() };
+  return {
+    servers: new Map(),
+    expiring: new Map(),
+    leaving: new Set(),
+    gone: new Set(),
+  };
+}
+
+/** Identifies an incarnation among all servers. */
+function formatIncarnation({ id, born }: Incarnation): string {
+  return `${id}/${born ?? ""}`;
+}
+
+/**
+ * Records that an incarnation leaves, for good: a registration that says
+ * otherwise is older. Returns whether this changed a server of the directory.
+ */
+export function recordLeaving(
+  directory: ServerDirectory,
+  incarnation: Incarnation,
+): boolean {
+  remember(directory.leaving, formatIncarnation(incarnation));
+  const server = directory.servers.get(incarnation.id);
+  if (server === undefined || server.leaving) return false;
+  if (server.born !== incarnation.born) return false;
+  directory.servers.set(server.id, { ...server, leaving: true });
+  return true;
+}
+
+/** Adds a key to a set of limited size; the oldest ones are dropped. */
+function remember(keys: Set<string>, key: string): void {
+  keys.delete(key);
+  keys.add(key);
+  for (const oldest of keys) {
+    if (keys.size <= maxRemembered) return;
+    keys.delete(oldest);
+  }
 }
 
 /** A changed registration, or the id of one that disappeared. */
 export type ServerChange =
-  | { readonly type: "present"; readonly server: BackendServer }
+  | {
+      readonly type: "present";
+      readonly server: BackendServer;
+      /** The entry may come from the copy from which the table service was restored. */
+      readonly isFromCopy?: boolean;
+    }
   | {
       readonly type: "absent";
       readonly id: ServerId;
@@ -75,21 +126,41 @@
   now: Millis,
 ): Millis | undefined {
   if (change.type === "present") {
-    directory.expiring.delete(change.server.id);
-    directory.servers.set(change.server.id, change.server);
+    const { server } = change;
+    if (change.isFromCopy && isOutdated(directory, server)) return undefined;
+    directory.gone.delete(formatIncarnation(server));
+    directory.expiring.delete(server.id);
+    directory.servers.set(server.id, server);
+    if (server.leaving || directory.leaving.has(formatIncarnation(server)))
+      recordLeaving(directory, server);
     return undefined;
   }
   const usableUntil = millis(change.outageEndedAt + reregistrationTime);
   const known = directory.servers.get(change.id);
   if (known === undefined || known.leaving || now >= usableUntil) {
-    directory.expiring.delete(change.id);
-    directory.servers.delete(change.id);
+    removeServer(directory, change.id);
     return undefined;
   }
   directory.expiring.set(change.id, usableUntil);
   return usableUntil;
 }
 
+/** Whether the directory knows more of a server than an entry of a copy says. */
+function isOutdated(directory: ServerDirectory, entry: BackendServer): boolean {
+  if (directory.gone.has(formatIncarnation(entry))) return true;
+  const known = directory.servers.get(entry.id);
+  if (known === undefined || directory.expiring.has(entry.id)) return false;
+  if (known.born === entry.born) return !entry.leaving;
+  return (known.born ?? 0) > (entry.born ?? 0);
+}
+
+function removeServer(directory: ServerDirectory, id: ServerId): void {
+  const known = directory.servers.get(id);
+  if (known !== undefined) remember(directory.gone, formatIncarnation(known));
+  directory.expiring.delete(id);
+  directory.servers.delete(id);
+}
+
 /** Removes servers whose registration did not return in time; returns their ids. */
 export function removeExpiredServers(
   directory: ServerDirectory,
@@ -99,8 +170,7 @@
   for (const [id, until] of directory.expiring) {
     if (now < until) continue;
     expired.push(id);
-    directory.expiring.delete(id);
-    directory.servers.delete(id);
+    removeServer(directory, id);
   }
   return expired;
 }
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -286,7 +286,7 @@
     }
     this.#clockOffset = clockOffset;
     this.#pauses.recordCheck();
-    this.#installation.removeExpired();
+    this.#installation.applyDue();
     this.#cancelChecks = clock.schedule(checkInterval, () => this.#runChecks());
   }
 }
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -4,26 +4,40 @@
   confirmLeaseRead,
   createLeaseState,
   defaultLeaseSettings,
+  findLeaseHolder,
   findOrderFence,
-  getOwnRank,
   invalidateLeases,
-  type LeaseClaim,
   type LeaseState,
+} from "../../core/gateway/engine_lease.ts";
+import {
+  getOwnRank,
+  type LeaseClaim,
   planLeaseClaims,
   recordClaim,
-} from "../../core/gateway/engine_lease.ts";
-import type { FencingNumber, MachineName, ServerId } from "../../core/ids.ts";
-import type { TableService } from "../../ports/table.ts";
+} from "../../core/gateway/lease_claims.ts";
+import {
+  comparePositions,
+  type RowPosition,
+} from "../../core/gateway/row_replica.ts";
+import {
+  brandNumber,
+  type FencingNumber,
+  type MachineName,
+  type ServerId,
+  type StoreEpoch,
+} from "../../core/ids.ts";
+import type { TableService, TransactionResult } from "../../ports/table.ts";
 import type { GatewayContext } from "./context.ts";
 import {
   createLeaseKey,
-  createNodeKey,
   decodeLeases,
   decodeNodes,
   encodeLease,
+  hasEarlierRows,
   type LeaseRead,
   type ReadLeaseRows,
 } from "./lease_rows.ts";
+import { NodeRegistration } from "./node_registration.ts";
 import type { PeerContacts } from "./peer_contacts.ts";
 
 /** Interval of checks for engines that may be claimed, in ms. */
@@ -48,16 +62,16 @@
 export class LeaseManager {
   readonly #options: LeaseManagerOptions;
   readonly #state: LeaseState;
+  readonly #registration: NodeRegistration;
   readonly #claimedAt = new Map<ServerId, Millis>();
   #cancel: Cancel = () => {};
   /** The rows that were applied last. */
   #applied: LeaseRead | undefined;
-  /** Rows of an older version, or confirmed earlier, are ignored. */
-  #minVersion = 0;
+  /** Rows of an earlier point in the history, or confirmed earlier, are ignored. */
+  #minPosition: RowPosition = { epoch: brandNumber(0), newest: 0 };
   #minConfirmedAt = millis(Number.NEGATIVE_INFINITY);
   #needsFreshRead = false;
   #isCycleRunning = false;
-  #isRegistered = false;
   #stopped = false;
 
   private constructor(options: LeaseManagerOptions) {
@@ -65,6 +79,8 @@
     const { machine, process, dataCentre } =
       options.context.dependencies.identity;
     const settings = defaultLeaseSettings;
+    const { context, table } = options;
+    this.#registration = NodeRegistration.create(context, table);
     this.#state = createLeaseState({ machine, process, dataCentre, settings });
   }
 
@@ -91,8 +107,7 @@
 
   /** Machine that holds the lease of an engine. */
   findHolder(engine: ServerId): MachineName | undefined {
-    const row = this.#state.rows.get(engine);
-    return row === undefined || row.released ? undefined : row.machine;
+    return findLeaseHolder(this.#state, engine);
   }
 
   /** Peer address of a machine. */
@@ -128,16 +143,17 @@
   async release(): Promise<void> {
     this.#stopped = true;
     this.#cancel();
-    const writes = [...this.#state.held].map(([engine, lease]) => ({
-      key: createLeaseKey(engine),
-      value: encodeLease({
-        machine: this.#state.machine,
-        process: this.#state.process,
-        fence: lease.fence,
-        released: true,
-      }),
-    }));
-    const conditions = [...this.#state.held].map(([engine, lease]) => ({
+    const { machine, process, epoch } = this.#state;
+    const now = this.#options.context.now();
+    const held = [...this.#state.held].filter(
+      ([, lease]) => lease.epoch === epoch,
+    );
+    const writes = held.map(([engine, { fence, ordersFrom }]) => {
+      const wait = millis(Math.max(0, ordersFrom - now));
+      const lease = { machine, process, fence, released: true, epoch, wait };
+      return { key: createLeaseKey(engine), value: encodeLease(lease) };
+    });
+    const conditions = held.map(([engine, lease]) => ({
       key: createLeaseKey(engine),
       version: lease.rowVersion,
     }));
@@ -162,7 +178,7 @@
     this.#isCycleRunning = true;
     try {
       await this.#read();
-      if (!this.#isRegistered) await this.#register();
+      if (this.#registration.isDue) await this.#register();
       if (Number.isFinite(this.#state.readAt)) await this.#claim();
     } finally {
       this.#isCycleRunning = false;
@@ -174,8 +190,9 @@
     this.#needsFreshRead = false;
     const read = await this.#options.readRows({ isFresh });
     if (read === undefined) return;
-    const { newest, confirmedAt } = read;
-    if (newest < this.#minVersion || confirmedAt < this.#minConfirmedAt) return;
+    const { confirmedAt } = read;
+    if (comparePositions(read, this.#minPosition) < 0) return;
+    if (confirmedAt < this.#minConfirmedAt) return;
     if (read.rows === this.#applied?.rows) {
       confirmLeaseRead(this.#state, confirmedAt);
       return;
@@ -184,12 +201,15 @@
     this.#applyRead(read);
   }
 
-  #applyRead({ rows, confirmedAt }: LeaseRead): void {
+  #applyRead({ rows, epoch, confirmedAt }: LeaseRead): void {
     const { context, onChange } = this.#options;
     const held = this.held();
+    this.#registration.applyRead(rows, epoch);
     applyLeaseRead(this.#state, {
       leases: decodeLeases(rows),
       nodes: decodeNodes(rows),
+      epoch,
+      hasEarlierRows: hasEarlierRows(rows, epoch),
       sentAt: confirmedAt,
       now: context.now(),
     });
@@ -207,21 +227,11 @@
 
   /** Publishes the peer address of this node. */
   async #register(): Promise<void> {
-    const { context, table } = this.#options;
-    const { machine, dataCentre, peerAddress } = context.dependencies.identity;
-    const answer = await table.transact({
-      attempt: context.createAttemptToken(),
-      conditions: [],
-      writes: [
-        {
-          key: createNodeKey(machine),
-          value: { dataCentre, address: peerAddress },
-        },
-      ],
-    });
-    answer.ifRight(() => {
-      this.#isRegistered = true;
-    });
+    const { epoch } = this.#state;
+    const result = await this.#registration.write(epoch);
+    if (result === undefined) return;
+    if (this.#recordCommit(result, epoch) !== undefined)
+      this.#registration.confirm();
   }
 
   async #claim(): Promise<void> {
@@ -244,6 +254,29 @@
     for (const claim of claims) await this.#commitClaim(claim);
   }
 
+  /**
+   * Version of a committed write. Undefined if it was not committed in the
+   * epoch of the rows on which it was based: its conditions may have held for
+   * other rows, so that the rows have to be read again.
+   */
+  #recordCommit(
+    result: TransactionResult,
+    epoch: StoreEpoch,
+  ): number | undefined {
+    if (
+      result.kind !== "committed" ||
+      result.version === undefined ||
+      (result.epoch ?? epoch) !== epoch
+    ) {
+      this.#needsFreshRead = true;
+      return undefined;
+    }
+    const position = { epoch, newest: result.version };
+    if (comparePositions(position, this.#minPosition) > 0)
+      this.#minPosition = position;
+    return result.version;
+  }
+
   /** Counts a holder as alive while it owes no answer, since idle nodes rarely report. */
   #confirmContacts(): void {
     const { rows, lastContactAt } = this.#state;
@@ -261,19 +294,17 @@
     this.#claimedAt.set(engine, context.now());
     const key = createLeaseKey(engine);
     const { machine, process } = this.#state;
-    const row = { machine, process, fence, released: false };
+    const { wait, epoch } = claim;
+    const row = { machine, process, fence, released: false, epoch, wait };
     const answer = await table.transact({
       attempt: context.createAttemptToken(),
       conditions: [{ key, version: basis }],
       writes: [{ key, value: encodeLease(row) }],
     });
     answer.ifRight((result) => {
-      if (result.kind !== "committed" || result.version === undefined) {
-        this.#needsFreshRead = true;
-        return;
-      }
-      this.#minVersion = Math.max(this.#minVersion, result.version);
-      const commit = { rowVersion: result.version, now: context.now() };
+      const rowVersion = this.#recordCommit(result, epoch);
+      if (rowVersion === undefined) return;
+      const commit = { rowVersion, now: context.now() };
       recordClaim(this.#state, claim, commit);
       context.dependencies.journal.record("engineClaimed", {
         server: engine,
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -95,6 +95,7 @@
     const { clock, isUrgent } = options;
     this.#copies = RowCopies.create({
       clock,
+      journal: options.journal,
       minOutage: options.minOutage,
       isUrgent,
       onUrgentChange: () => this.#responder.wakeWaitingCalls(),
@@ -161,7 +162,7 @@
       source,
       clock,
       schedule: schedules[topic],
-      newest: () => replica.newest,
+      position: () => replica,
       // While the table service fails, only one topic tries it.
       isActive: () =>
         this.#isDirect && (this.#failures === 0 || topic === "operator"),
@@ -169,6 +170,7 @@
         this.#recordAnswer(topic);
         return this.#copies.apply(topic, batch, { isComplete, confirmedAt });
       },
+      onGone: () => this.#recordContact(topic),
       onFailure: (failure) => this.#recordFailure(topic, failure),
       retryDelay: () => this.#computeRetryDelay(),
     });
@@ -176,6 +178,11 @@
 
   #recordAnswer(topic: RowTopic): void {
     this.#copies.recordAnswer(topic, this.#options.clock.now());
+    this.#recordContact(topic);
+  }
+
+  /** Records that the table service answers this node again. */
+  #recordContact(topic: RowTopic): void {
     if (this.#failures === 0) return;
     this.#failures = 0;
     this.#options.journal.record("storeRegained", { table: topic });
@@ -252,12 +259,15 @@
     const sentAt = this.#copies.instant();
     const deliveries = await this.#options.peers.followRows(
       this.#addresses.get(machine) ?? "",
-      { versions: this.#copies.listVersions(), wait },
+      { positions: this.#copies.listPositions(), wait },
       millis(wait + peerResponseTime),
     );
     if (deliveries === undefined) return "unreachable";
     if (!areRecent(deliveries.map(({ answerAge }) => answerAge)))
       return "stale";
+    // A node that has not seen a restore yet passes on rows that no longer exist.
+    if (deliveries.some((delivery) => this.#copies.isOutdated(delivery)))
+      return "stale";
     if (this.#stopped) return undefined;
     for (const delivery of deliveries)
       this.#copies.accept(delivery, { source: machine, sentAt });
