--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -67,6 +67,8 @@
     "Members left out because their tag is already taken",
   gateway_requests_total: "Requests passed on, by route rule and outcome",
   gateway_sends_total: "Attempts at servers, by result",
+  gateway_refusals_without_id_total:
+    "Refusals of servers that did not carry the request's id; each closes its connection",
   gateway_answer_ms: "Time from arrival to the end of the answer, in ms",
   gateway_first_byte_ms: "Time from arrival to the first byte, in ms",
   gateway_connect_ms:
--- /dev/null
+++ b/tests/platform_adapter/front_fixture.ts
@@ -0,0 +1,195 @@
+import { connect } from "node:net";
+import { Left } from "purify-ts";
+import { FrontServer } from "../../platform/front_server.ts";
+import { HttpServerLinks } from "../../platform/server_links.ts";
+import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis } from "../../src/core/clock.ts";
+import { groupRoutes } from "../../src/core/gateway/configuration.ts";
+import { brandNumber, brandString, type ServerId } from "../../src/core/ids.ts";
+import { Gateway } from "../../src/node/gateway/gateway.ts";
+import type { InstallationChange } from "../../src/ports/gateway.ts";
+import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import { MemoryTable } from "../../src/standins/memory_table.ts";
+import {
+  booking,
+  createRoute,
+  createServer,
+  entryOrigin,
+} from "../gateway/gateway_fixture.ts";
+import { type RawAnswer, RawServer } from "./raw_server.ts";
+
+/** Time after which a caller stops reading, in ms. */
+const readTimeout = 2_000;
+
+/** Front server, gateway and links on real sockets, with raw backend servers. */
+export class FrontFixture {
+  readonly servers: RawServer[];
+  readonly #gateway: Gateway;
+  readonly #front: FrontServer;
+  readonly #links: HttpServerLinks;
+  #port = 0;
+
+  private constructor(
+    servers: RawServer[],
+    route: Parameters<typeof createRoute>[0],
+  ) {
+    const clock = RealClock.create();
+    this.servers = servers;
+    this.#links = HttpServerLinks.create({ clock, meter: silentMeter });
+    this.#gateway = createGateway({ clock, links: this.#links }, [
+      {
+        type: "configuration",
+        value: {
+          revision: brandNumber(1),
+          routes: groupRoutes([createRoute(route)]),
+          services: new Map([
+            [
+              booking,
+              { name: booking, maxConnections: 100, engine: undefined },
+            ],
+          ]),
+          limits: {
+            maxHeaderBytes: 16_384,
+            maxBodyBytes: 1_000_000,
+            headerTimeout: millis(3_000),
+            idleTimeout: millis(15_000),
+          },
+        },
+      },
+      { type: "complete", topic: "operator" },
+      ...servers.map(
+        ({ address }, at): InstallationChange => ({
+          type: "server",
+          change: { type: "present", server: describeServer(address, at) },
+          origin: entryOrigin,
+        }),
+      ),
+      { type: "complete", topic: "servers" },
+    ]);
+    this.#front = FrontServer.create({ gateway: this.#gateway, clock });
+  }
+
+  /** Starts a front whose route leads to one raw server per answer. */
+  static async create(
+    route: Parameters<typeof createRoute>[0],
+    ...answers: RawAnswer[]
+  ): Promise<FrontFixture> {
+    const servers = await Promise.all(answers.map(RawServer.create));
+    const fixture = new FrontFixture(servers, route);
+    fixture.#port = await fixture.#front.listen("127.0.0.1:0");
+    return fixture;
+  }
+
+  /** Sends one request on a connection of its own; returns all bytes until the connection ends. */
+  call(
+    id: string,
+    options: { readonly version?: string; readonly fields?: string } = {},
+  ): Promise<RawResponse> {
+    const { version = "1.1", fields = "" } = options;
+    const text = `POST /b/x HTTP/${version}\r\nHost: h.example\r\nGoldcrestwinch-Request-Id: ${id}\r\nConnection: close\r\n${fields}Content-Length: 2\r\n\r\nhi`;
+    return new Promise((resolve) => {
+      let received = "";
+      let isReset = false;
+      const socket = connect(this.#port, "127.0.0.1", () => socket.write(text));
+      const timer = setTimeout(() => socket.destroy(), readTimeout);
+      socket.on("data", (chunk) => {
+        received += chunk;
+      });
+      socket.on("error", () => {
+        isReset = true;
+      });
+      socket.on("close", () => {
+        clearTimeout(timer);
+        resolve(parseResponse(received, isReset));
+      });
+    });
+  }
+
+  async close(): Promise<void> {
+    for (const server of this.servers) server.close();
+    for (const [at, { address }] of this.servers.entries())
+      await this.#links.endpointOf(describeServer(address, at)).close();
+    await this.#front.stopAccepting();
+    await this.#gateway.stop();
+  }
+}
+
+/** What a caller received on its connection. */
+export type RawResponse = {
+  /** 0 without an answer. */
+  readonly status: number;
+  readonly head: string;
+  /** Content of the body, without the framing of chunks. */
+  readonly body: string;
+  /** The response is complete by its framing. */
+  readonly isComplete: boolean;
+};
+
+function parseResponse(received: string, isReset: boolean): RawResponse {
+  const end = received.indexOf("\r\n\r\n");
+  const head = end < 0 ? received : received.slice(0, end);
+  const rest = end < 0 ? "" : received.slice(end + 4);
+  const status = Number(/^HTTP\/1\.1 (\d+)/.exec(head)?.[1] ?? 0);
+  const length = /\r\ncontent-length: (\d+)/i.exec(head)?.[1];
+  if (length !== undefined)
+    return { status, head, body: rest, isComplete: rest.length >= +length };
+  if (!/\r\ntransfer-encoding: chunked/i.test(head))
+    return { status, head, body: rest, isComplete: end >= 0 && !isReset };
+  return { status, head, ...readChunks(rest) };
+}
+
+function readChunks(text: string): { body: string; isComplete: boolean } {
+  let body = "";
+  let at = 0;
+  for (;;) {
+    const lineEnd = text.indexOf("\r\n", at);
+    if (lineEnd < 0) return { body, isComplete: false };
+    const size = Number.parseInt(text.slice(at, lineEnd), 16);
+    if (size === 0) return { body, isComplete: true };
+    body += text.slice(lineEnd + 2, lineEnd + 2 + size);
+    at = lineEnd + 2 + size + 2;
+  }
+}
+
+function describeServer(address: string, at: number) {
+  return createServer({ id: brandString<ServerId>(`s${at + 1}`), address });
+}
+
+function createGateway(
+  { clock, links }: { clock: RealClock; links: HttpServerLinks },
+  changes: readonly InstallationChange[],
+): Gateway {
+  return Gateway.create({
+    identity: {
+      machine: brandString("n1"),
+      process: "p1",
+      dataCentre: brandString("tatry-a"),
+      region: brandString("tatry"),
+      regions: new Map([[brandString("tatry-a"), brandString("tatry")]]),
+      peerAddress: "10.0.0.9:7000",
+    },
+    clock,
+    random: createSeededRandom(1),
+    journal: silentJournal,
+    meter: silentMeter,
+    links,
+    retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
+    table: MemoryTable.create(clock),
+    readLeaseRows: async () => undefined,
+    feed: {
+      follow: (listener) => changes.forEach(listener),
+      stop: () => {},
+    },
+    orders: {
+      order: async () => ({ kind: "unreachable" }),
+      fetchStatus: async () => Left({ detail: "No engine" }),
+    },
+    nodeLinks: {
+      acquire: async () => ({ kind: "refused", reason: "unreachable" }),
+      requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
+    },
+    followTableRows: () => {},
+    nodeChannel: { send: () => {}, onMessage: () => {}, close: () => {} },
+  });
+}
--- /dev/null
+++ b/tests/platform_adapter/repeated_refusal_test.ts
@@ -0,0 +1,98 @@
+import assert from "node:assert/strict";
+import type { Socket } from "node:net";
+import { afterEach, test } from "node:test";
+import { FrontFixture } from "./front_fixture.ts";
+import {
+  echo,
+  type RawAnswer,
+  type RawServer,
+  refusal,
+  success,
+} from "./raw_server.ts";
+
+/** Time that a server takes to run a request, in ms. */
+const runTime = 60;
+/** Time in which bytes have certainly arrived, in ms. */
+const settleTime = 60;
+
+/** Statuses that promise that a request has not run and never will. */
+const promises = [408, 421, 429, 503];
+
+let fixture: FrontFixture | undefined;
+
+async function open(
+  route: Parameters<typeof FrontFixture.create>[0],
+  ...answers: RawAnswer[]
+): Promise<FrontFixture> {
+  fixture = await FrontFixture.create(route, ...answers);
+  return fixture;
+}
+
+afterEach(async () => {
+  await fixture?.close();
+  fixture = undefined;
+});
+
+function countRuns(servers: readonly RawServer[], id: string): number {
+  return servers.flatMap(({ ids }) => ids).filter((sent) => sent === id).length;
+}
+
+function run(socket: Socket, id: string): void {
+  setTimeout(() => socket.write(success(id)), runTime);
+}
+
+/** Refuses r1 and runs all others; repeats the refusal on a connection that carried it. */
+function repeatRefusal(write: (id: string) => string): RawAnswer {
+  const refused = new Set<number>();
+  return ({ id, connection }, socket) => {
+    if (id !== "r1" && refused.has(connection)) socket.write(write("r1"));
+    if (id !== "r1") return run(socket, id);
+    refused.add(connection);
+    socket.write(write(id));
+  };
+}
+
+function misdirect(id?: string): string {
+  const idHeader = id === undefined ? "" : echo(id);
+  return `HTTP/1.1 421 Misdirected Request\r\n${idHeader}content-length: 0\r\n\r\n`;
+}
+
+const repeats: Record<string, (id: string) => string> = {
+  "a repeated 503 with the id of the earlier request": (id) => refusal(id),
+  "a repeated 503 without an id": () => refusal(),
+  "a repeated 421 with the id of the earlier request": (id) => misdirect(id),
+  "a repeated 421 without an id": () => misdirect(),
+};
+
+// Guards against callers being told "not run" for a request that a server runs, and
+// against a second server running it, when a server writes an earlier refusal again.
+for (const [name, write] of Object.entries(repeats)) {
+  test(`${name} does not count as the refusal of the next request`, async () => {
+    const answer = repeatRefusal(write);
+    const front = await open({}, answer, answer);
+    assert.equal((await front.call("r1")).status, 503);
+    const { status } = await front.call("r2");
+    assert.ok(!promises.includes(status), `status ${status}`);
+    assert.equal(countRuns(front.servers, "r2"), 1);
+  });
+}
+
+// Guards against bytes on an idle connection becoming the answer to its next request.
+for (const delay of [0, 10]) {
+  const when = delay === 0 ? "in the same segment" : `${delay} ms later`;
+  test(`a refusal repeated ${when} on an idle connection closes it`, async () => {
+    const answer: RawAnswer = ({ id }, socket) => {
+      if (id !== "r1") return run(socket, id);
+      if (delay === 0) return void socket.write(refusal(id) + refusal(id));
+      socket.write(refusal(id));
+      setTimeout(() => socket.write(refusal(id)), delay);
+    };
+    const front = await open({}, answer, answer);
+    assert.equal((await front.call("r1")).status, 503);
+    await new Promise((resolve) => setTimeout(resolve, settleTime));
+    for (const { closedConnections } of front.servers)
+      assert.ok(closedConnections > 0);
+    assert.equal((await front.call("r2")).status, 200);
+    assert.equal(countRuns(front.servers, "r2"), 1);
+  });
+}
