--- a/src/adapters/http/endpoint.ts
+++ b/src/adapters/http/endpoint.ts
@@ -57,6 +57,19 @@
     return true;
   }
 
+  /** As `stream`, on a new connection that carries no other call. */
+  streamOnNewConnection(
+    request: Omit<Dispatcher.DispatchOptions, "origin">,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    if (!this.#tryAcquire()) return false;
+    const client = new Client(this.#options.origin, connectionOptions);
+    client.dispatch(request, this.#releaseOnEnd(handler));
+    // Takes effect when the call has ended.
+    client.close().catch(() => {});
+    return true;
+  }
+
   /** Runs a call on a pooled connection and returns the whole response. */
   async exchange(
     request: ExchangeRequest,
--- a/src/node/gateway/attempt_history.ts
+++ b/src/node/gateway/attempt_history.ts
@@ -11,6 +11,8 @@
 export class AttemptHistory {
   /** Servers that are not selected while others are available. */
   readonly tried = new Set<ServerId>();
+  /** Servers that an attempt may have reached. */
+  readonly reached = new Set<ServerId>();
   /** Attempts that a server may have run. */
   runs = 0;
   /** Attempts that no server ran. */
@@ -52,5 +54,6 @@
     if (wasRejected) this.rejections++;
     else this.runs++;
     if (!isMisdirected) this.tried.add(server);
+    if (kind !== "unreachable" && kind !== "left") this.reached.add(server);
   }
 }
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -258,6 +258,7 @@
         serverRequest: {
           request,
           server: selection.server,
+          isRepeated: this.#history.reached.has(selection.server.id),
           isAccepted,
           timeLeft,
           adapterVersion: selection.version,
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -80,6 +80,8 @@
 export type ServerRequest = {
   readonly request: ProxiedRequest;
   readonly server: BackendServer;
+  /** Whether an earlier attempt of the request may have reached the server. */
+  readonly isRepeated: boolean;
   /** Whether the server still accepts requests; checked when the request starts on its connection. */
   readonly isAccepted: () => boolean;
   /** Time left for the server, in ms. */
--- a/tests/platform_adapter/endless_bytes_test.ts
+++ b/tests/platform_adapter/endless_bytes_test.ts
@@ -103,6 +103,7 @@
           arrivedAt: clock.now(),
         },
         server: target,
+        isRepeated: false,
         isAccepted: () => true,
         timeLeft: millis(2_000),
         adapterVersion: undefined,
--- a/tests/platform_adapter/repeated_refusal_test.ts
+++ b/tests/platform_adapter/repeated_refusal_test.ts
@@ -77,6 +77,21 @@
   });
 }
 
+// Guards against the same when the earlier attempt was one of the same request, whose
+// id the repeated refusal carries.
+for (const write of [refusal, misdirect]) {
+  test(`a repeated ${write("r1").slice(9, 12)} of an earlier attempt of the same request does not count`, async () => {
+    const front = await open({}, ({ id, position, connection }, socket) => {
+      const isRefused = connection < 2 && position === 0;
+      if (!isRefused) run(socket, id);
+      if (connection < 2) socket.write(write(id));
+    });
+    const { status } = await front.call("r1");
+    assert.ok(!promises.includes(status), `status ${status}`);
+    assert.equal(countRuns(front.servers, "r1"), 3);
+  });
+}
+
 // Guards against bytes on an idle connection becoming the answer to its next request.
 for (const delay of [0, 10]) {
   const when = delay === 0 ? "in the same segment" : `${delay} ms later`;
--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -58,6 +58,7 @@
       {
         request: createRequest(),
         server: target,
+        isRepeated: false,
         isAccepted: () => true,
         timeLeft: millis(900),
         adapterVersion: undefined,
