--- a/tests/platform_adapter/repeated_refusal_test.ts
+++ b/tests/platform_adapter/repeated_refusal_test.ts
@@ -111,3 +111,16 @@
     assert.equal(countRuns(front.servers, "r2"), 1);
   });
 }
+
+// Guards against the answer to an earlier request reaching the next caller.
+test("a repeated error without an id is not forwarded as the answer to the next request", async () => {
+  const lost = "HTTP/1.1 404 Not Found\r\ncontent-length: 4\r\n\r\nlost";
+  const front = await open({}, ({ id }, socket) => {
+    socket.write(lost);
+    if (id !== "r1") run(socket, id);
+  });
+  await front.call("r1");
+  const { status, body } = await front.call("r2");
+  assert.equal(status, 502);
+  assert.doesNotMatch(body, /^lost/);
+});
