Take the answer to a request for none to an order or status request

An order that an engine had refused counted as carried out, and a status request as answered: a faulty engine wrote the answer to an earlier request once more, and the pool used that connection for the order.

Cause: orders and status requests carry no request id, so that every answer on their connection was taken, also one that named a request.

A call can now say which responses can be its answer. One that names a request fails the order as lost, which the owner resolves with a status request, and closes the connection.

--- a/src/adapters/http/exchange.ts
+++ b/src/adapters/http/exchange.ts
@@ -17,6 +17,8 @@
   readonly inactivityTimeout?: Millis;
   /** The request must not be written at or after this time. */
   readonly validUntil?: Millis;
+  /** Whether a response can be the answer; another one fails the call and closes its connection. */
+  readonly isAnswer?: (headers: ExchangeResponse["headers"]) => boolean;
 };
 
 /** Complete response of an HTTP call. */
@@ -104,7 +106,10 @@
     headers: ExchangeResponse["headers"],
   ): void {
     this.#lastActivityAt = this.#clock.now();
-    if (status >= 200) this.#head = { status, headers };
+    if (status < 200) return;
+    const { isAnswer = () => true } = this.#request;
+    if (isAnswer(headers)) this.#head = { status, headers };
+    else this.#abort("broken", "The answer belongs to another request");
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer) {
