Continue a broken stream only with an answer of the same status and media type

A caller's stream ended as if it were complete, or held the text of an error: the stream had begun and broke off, and the server at which it was resumed answered 204, 206 or a JSON document with status 200.

Cause: an answer to a resumed attempt was forwarded into the stream if it had any status from 200 to 299 and a seal. Its body is empty or no part of the stream, yet its end ended the stream as complete.

An answer now continues a stream only if its status and media type are those of the answer that started it. Any other one counts as a failed attempt, so that the stream is resumed elsewhere or broken off.

Evidence: with two raw TCP servers behind the real front, the caller got a complete stream after the 204, the text of the error after the JSON document, and the body of the 206.

--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -254,7 +254,7 @@
         context,
         route,
         cursor: this.#cursor,
-        hasStarted: this.#forwarder.hasStarted,
+        started: this.#forwarder.startedHead,
         serverRequest: {
           request,
           server: selection.server,
--- a/src/node/gateway/response_forwarder.ts
+++ b/src/node/gateway/response_forwarder.ts
@@ -13,8 +13,8 @@
   firstByteAt: Millis | undefined;
   /** Longest time between two writes, in ms. */
   longestPause = millis(0);
-  /** Whether the caller has received the head of the response. */
-  hasStarted = false;
+  /** Head of the response, once the caller has received it. */
+  startedHead: ResponseHead | undefined;
 
   private constructor(
     sink: CallerSink,
@@ -32,8 +32,13 @@
     return new ResponseForwarder(sink, options);
   }
 
+  /** Whether the caller has received the head of the response. */
+  get hasStarted(): boolean {
+    return this.startedHead !== undefined;
+  }
+
   start(head: ResponseHead): void {
-    this.hasStarted = true;
+    this.startedHead = head;
     this.#onStart();
     this.#sink.start(head);
   }
--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -16,6 +16,7 @@
   ServerRequestControl,
 } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
+import { continuesStream } from "./stream_head.ts";
 
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
 const maxBufferedBytes = 8 * 1024 * 1024;
@@ -46,8 +47,8 @@
   readonly serverRequest: ServerRequest;
   /** Position in the stream; present if a broken stream may be resumed at another server. */
   readonly cursor: StreamCursor | undefined;
-  /** Whether an earlier attempt has started the response. */
-  readonly hasStarted: boolean;
+  /** Head of the response if an earlier attempt has started it. */
+  readonly started: ResponseHead | undefined;
   readonly sink: Pick<CallerSink, "start" | "write" | "end">;
   readonly onResult: (result: AttemptResult) => void;
 };
@@ -101,10 +102,12 @@
 
   #onHead(head: ResponseHead): void {
     this.#head = head;
-    const { route, hasStarted, sink } = this.#options;
+    const { route, started, sink } = this.#options;
     this.#passesThrough =
-      route.retryRule === "stream" && isSuccess(head.status);
-    if (this.#passesThrough && !hasStarted) sink.start(head);
+      route.retryRule === "stream" &&
+      isSuccess(head.status) &&
+      (started === undefined || continuesStream(started, head));
+    if (this.#passesThrough && started === undefined) sink.start(head);
   }
 
   #onBytes(bytes: Uint8Array): void {
@@ -147,7 +150,7 @@
       return this.#finish({ kind: "server-error" }, `Status ${head.status}`);
     }
     // A stream that has started cannot be replaced by another kind of response.
-    if (this.#options.hasStarted) {
+    if (this.#options.started !== undefined) {
       return this.#finish({ kind: "broken" }, `Status ${head.status}`);
     }
     sink.start(head);
