Forward the events that arrive together with an oversized one

A caller missed events of a resumed stream: when complete events arrived in one piece with the start of an event above the size limit, they were dropped with it, and the stream was resumed after them.

Cause: the cursor had already recorded their ids when it rejected the whole piece. It now returns the complete events together with the fault, and the attempt fails after they were forwarded.

Evidence: the test received nothing before the stream was resumed after event 1; it receives event 1 now.

--- a/src/core/gateway/stream_cursor.ts
+++ b/src/core/gateway/stream_cursor.ts
@@ -8,6 +8,8 @@
 export type CompleteEvents = {
   readonly bytes: Uint8Array;
   readonly count: number;
+  /** Why the stream cannot go on after these events. */
+  readonly fault: string | undefined;
 };
 
 /**
@@ -45,8 +47,8 @@
     this.#partial = new Uint8Array(0);
   }
 
-  /** Adds data and returns the events that are now complete; undefined if one exceeds the size limit. */
-  push(chunk: Uint8Array): CompleteEvents | undefined {
+  /** Adds data and returns the events that are now complete. */
+  push(chunk: Uint8Array): CompleteEvents {
     const data =
       this.#partial.length === 0 ? chunk : join(this.#partial, chunk);
     let start = 0;
@@ -60,8 +62,9 @@
     }
     this.#count += count;
     this.#partial = data.subarray(start);
-    if (this.#partial.length > maxEventBytes) return undefined;
-    return { bytes: data.subarray(0, start), count };
+    const isTooLarge = this.#partial.length > maxEventBytes;
+    const fault = isTooLarge ? "An event is too large" : undefined;
+    return { bytes: data.subarray(0, start), count, fault };
   }
 }
 
--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -126,8 +126,8 @@
       return sink.write(bytes);
     }
     const events = cursor.push(bytes);
-    if (events === undefined) this.#fail("An event of the stream is too large");
-    else if (events.bytes.length > 0) sink.write(events.bytes);
+    if (events.bytes.length > 0) sink.write(events.bytes);
+    if (events.fault !== undefined) this.#fail(events.fault);
   }
 
   #onEnd(): void {
--- a/tests/gateway/gateway_streams_test.ts
+++ b/tests/gateway/gateway_streams_test.ts
@@ -131,3 +131,18 @@
   fixture.lastAttempt().end();
   assert.equal(answer.outcome, "whole");
 });
+
+// Guards against the loss of events that arrive together with the start of one that is
+// too large: the stream went on after them, but the caller had not received them.
+test("the events before one that is too large are forwarded before the stream resumes", async () => {
+  const fixture = await createEngineFixture({ resumable: true });
+  const { answer } = fixture.open({ demand: createDemand("a1") });
+  await fixture.advance(5);
+  const [first] = fixture.attempts;
+  first?.start();
+  first?.bytes(`id: 1\ndata: a\n\nid: 2\ndata: ${"b".repeat(300_000)}`);
+  assert.equal(answer.text, "id: 1\ndata: a\n\n");
+  await fixture.advance(500);
+  assert.equal(fixture.attempts.length, 2);
+  assert.equal(fixture.lastAttempt().order.resumeAfter, "1");
+});
--- a/tests/gateway/request_policies_test.ts
+++ b/tests/gateway/request_policies_test.ts
@@ -150,7 +150,7 @@
   const cursor = StreamCursor.create();
   const push = (text: string) => {
     const whole = cursor.push(encoder.encode(text));
-    return decoder.decode(whole?.bytes);
+    return decoder.decode(whole.bytes);
   };
   assert.equal(push("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
   assert.equal(cursor.lastId, "1");
@@ -169,7 +169,7 @@
     const cursor = StreamCursor.create("6");
     const parts = [text.slice(0, cut), text.slice(cut)];
     const passed = parts
-      .map((part) => decoder.decode(cursor.push(encoder.encode(part))?.bytes))
+      .map((part) => decoder.decode(cursor.push(encoder.encode(part)).bytes))
       .join("");
     assert.equal(passed, text);
     assert.equal(cursor.count, 1);
