Forward only events that follow the last one of a stream

Callers found events twice in a stream that was resumed, or the text of an error as an event: the second server began at the first event again, or repeated the last one, or sent an error with status 200.

Cause: the cursor of a resumable stream took any event of the server at which it was resumed. It now compares each id with the one before it, and a run that goes on must begin with an event that has an id; otherwise the attempt fails, and the stream is resumed elsewhere or broken off.

Evidence: three tests with raw TCP servers behind the real front received the repeated events or the error's text.

--- a/src/core/gateway/stream_cursor.ts
+++ b/src/core/gateway/stream_cursor.ts
@@ -3,6 +3,8 @@
 
 const lineFeed = 0x0a;
 const idField = "id:";
+/** Ids that are compared as numbers, without loss of digits. */
+const decimalNumber = /^\d{1,15}$/;
 
 /** Complete events of the data received. */
 export type CompleteEvents = {
@@ -19,6 +21,10 @@
 export class StreamCursor {
   #partial: Uint8Array = new Uint8Array(0);
   #lastId: string | undefined;
+  /** Id of the last event of this response. */
+  #deliveredId: string | undefined;
+  /** Another run goes on from here, and has not sent an event yet. */
+  #isResuming = false;
   #count = 0;
 
   static create(lastId?: string): StreamCursor {
@@ -42,9 +48,10 @@
     return this.#partial.length;
   }
 
-  /** Discards an event that was cut off. */
+  /** Discards an event that was cut off; another run goes on after the last complete one. */
   discardPartialEvent(): void {
     this.#partial = new Uint8Array(0);
+    this.#isResuming = this.#deliveredId !== undefined;
   }
 
   /** Adds data and returns the events that are now complete. */
@@ -53,19 +60,37 @@
       this.#partial.length === 0 ? chunk : join(this.#partial, chunk);
     let start = 0;
     let count = 0;
+    let fault: string | undefined;
     for (;;) {
       const end = findEventEnd(data, start);
       if (end < 0) break;
-      this.#lastId = readId(data.subarray(start, end)) ?? this.#lastId;
+      fault = this.#accept(decoder.decode(data.subarray(start, end)));
+      if (fault !== undefined) break;
       count++;
       start = end;
     }
     this.#count += count;
     this.#partial = data.subarray(start);
-    const isTooLarge = this.#partial.length > maxEventBytes;
-    const fault = isTooLarge ? "An event is too large" : undefined;
+    if (this.#partial.length > maxEventBytes) fault ??= "An event is too large";
     return { bytes: data.subarray(0, start), count, fault };
   }
+
+  /** Records an event; returns why it cannot follow the events before it, if it cannot. */
+  #accept(event: string): string | undefined {
+    if (isComment(event)) return undefined;
+    const id = readId(event);
+    if (id === undefined) {
+      return this.#isResuming ? "The resumed stream has no ids" : undefined;
+    }
+    const last = this.#deliveredId;
+    if (last !== undefined && !isLater(id, last)) {
+      return `Event ${id} does not follow event ${last}`;
+    }
+    this.#isResuming = false;
+    this.#deliveredId = id;
+    this.#lastId = id;
+    return undefined;
+  }
 }
 
 function join(first: Uint8Array, second: Uint8Array): Uint8Array {
@@ -88,9 +113,22 @@
 
 const decoder = new TextDecoder();
 
-function readId(event: Uint8Array): string | undefined {
-  for (const line of decoder.decode(event).split("\n")) {
+/** Whether an event only keeps the connection open. */
+function isComment(event: string): boolean {
+  return event
+    .split("\n")
+    .every((line) => line.startsWith(":") || line.trim() === "");
+}
+
+function readId(event: string): string | undefined {
+  for (const line of event.split("\n")) {
     if (line.startsWith(idField)) return line.slice(idField.length).trim();
   }
   return undefined;
 }
+
+/** Whether an id follows another one; ids that are no numbers only have to differ. */
+function isLater(id: string, last: string): boolean {
+  const isNumeric = decimalNumber.test(id) && decimalNumber.test(last);
+  return isNumeric ? Number(id) > Number(last) : id !== last;
+}
