Resume a stream only after an event that has an id

Callers found events twice in a resumed stream: when its last event had no id, the next server went on after an earlier one, or began anew.

Cause: a resumable route was enough for a stream to be resumed. The id of the last event is what says where to go on, so that without one the stream is now broken off.

Evidence: two tests with raw TCP servers received the events without an id a second time.

--- a/src/core/gateway/stream_cursor.ts
+++ b/src/core/gateway/stream_cursor.ts
@@ -23,6 +23,8 @@
   #lastId: string | undefined;
   /** Id of the last event of this response. */
   #deliveredId: string | undefined;
+  /** The last event of this response has no id. */
+  #lastIsUnnamed = false;
   /** Another run goes on from here, and has not sent an event yet. */
   #isResuming = false;
   #count = 0;
@@ -38,6 +40,11 @@
     return this.#lastId;
   }
 
+  /** Whether another server can go on after the last complete event. */
+  get isResumable(): boolean {
+    return !this.#lastIsUnnamed;
+  }
+
   /** Number of complete events so far. */
   get count(): number {
     return this.#count;
@@ -80,13 +87,16 @@
     if (isComment(event)) return undefined;
     const id = readId(event);
     if (id === undefined) {
-      return this.#isResuming ? "The resumed stream has no ids" : undefined;
+      if (this.#isResuming) return "The resumed stream has no ids";
+      this.#lastIsUnnamed = true;
+      return undefined;
     }
     const last = this.#deliveredId;
     if (last !== undefined && !isLater(id, last)) {
       return `Event ${id} does not follow event ${last}`;
     }
     this.#isResuming = false;
+    this.#lastIsUnnamed = false;
     this.#deliveredId = id;
     this.#lastId = id;
     return undefined;
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -295,7 +295,8 @@
     if (kind === "misdirected") this.#forgetAdapter(server);
     if (recordAttemptHealth(context, server.id, kind))
       this.#log.record("serverSuspended", { server, detail: kind });
-    const { retryRule, resumable, maxAttempts } = route;
+    const { retryRule, maxAttempts } = route;
+    const resumable = this.#cursor?.isResumable ?? route.resumable;
     const rule = { retryRule, resumable, maxAttempts };
     return decideRetry(
       { ...rule, ...this.#history.counts },
--- a/tests/platform_adapter/broken_stream_test.ts
+++ b/tests/platform_adapter/broken_stream_test.ts
@@ -99,3 +99,23 @@
     assert.equal(isComplete, false);
   });
 }
+
+// Guards against events that come twice, since no id says after which one to resume.
+for (const [name, events] of Object.entries({
+  "no event has an id": "data: a\n\ndata: b\n\n",
+  "the last event has no id": "id: 1\ndata: a\n\ndata: b\n\n",
+})) {
+  test(`a broken stream is not resumed if ${name}`, async () => {
+    const { body, isComplete } = await callBroken(
+      stream("id: 2\ndata: b\n\nid: 3\ndata: c\n\n"),
+      {
+        first: (socket) => {
+          socket.write(streamHead(id) + chunk(events));
+          setTimeout(() => socket.destroy(), 20);
+        },
+      },
+    );
+    assert.equal(body, events);
+    assert.equal(isComplete, false);
+  });
+}
