Send the head of a resumable stream without its length

A caller got more or fewer bytes than the Content-Length of its stream: the first server had announced the length of its whole answer, the stream broke off, and what the next server sent was of another length. The caller would take the rest for another answer, or wait for bytes that never come.

Cause: the length was forwarded with the head of the first answer. A stream that may be resumed is now sent in chunks.

Evidence: the test with raw TCP servers received a head with the first length and a longer body.

--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -16,7 +16,7 @@
   ServerRequestControl,
 } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
-import { continuesStream } from "./stream_head.ts";
+import { continuesStream, withoutLength } from "./stream_head.ts";
 
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
 const maxBufferedBytes = 8 * 1024 * 1024;
@@ -102,12 +102,13 @@
 
   #onHead(head: ResponseHead): void {
     this.#head = head;
-    const { route, started, sink } = this.#options;
+    const { route, started, cursor, sink } = this.#options;
     this.#passesThrough =
       route.retryRule === "stream" &&
       isSuccess(head.status) &&
       (started === undefined || continuesStream(started, head));
-    if (this.#passesThrough && started === undefined) sink.start(head);
+    if (!this.#passesThrough || started !== undefined) return;
+    sink.start(cursor === undefined ? head : withoutLength(head));
   }
 
   #onBytes(bytes: Uint8Array): void {
--- a/src/node/gateway/stream_head.ts
+++ b/src/node/gateway/stream_head.ts
@@ -11,6 +11,16 @@
   );
 }
 
+/** Head without a length, which the rest of a stream from another server may not have. */
+export function withoutLength({ status, headers }: ResponseHead): ResponseHead {
+  const kept: string[] = [];
+  for (let at = 0; at + 1 < headers.length; at += 2) {
+    const [name, value] = headers.slice(at, at + 2) as [string, string];
+    if (name.toLowerCase() !== "content-length") kept.push(name, value);
+  }
+  return { status, headers: kept };
+}
+
 /** Media type without its parameters, in lower case. */
 function findMediaType({ headers }: ResponseHead): string | undefined {
   for (let at = 0; at + 1 < headers.length; at += 2) {
--- a/tests/platform_adapter/broken_stream_test.ts
+++ b/tests/platform_adapter/broken_stream_test.ts
@@ -119,3 +119,20 @@
     assert.equal(isComplete, false);
   });
 }
+
+// Guards against a length of the first answer that the rest from another server does not
+// keep, so that the caller would take its bytes for another answer, or wait for more.
+test("a resumed stream has no length, as its first answer may have had another one", async () => {
+  const rest = "id: 3\ndata: longer than before\n\n";
+  const { head, body, isComplete } = await callBroken(stream(rest), {
+    first: (socket) => {
+      socket.write(
+        `HTTP/1.1 200 OK\r\n${sealed}${eventStream}content-length: 60\r\n\r\n${delivered}`,
+      );
+      setTimeout(() => socket.destroy(), 20);
+    },
+  });
+  assert.doesNotMatch(head, /content-length/i);
+  assert.equal(body, delivered + rest);
+  assert.ok(isComplete);
+});
