--- a/tests/platform_adapter/broken_stream_test.ts
+++ b/tests/platform_adapter/broken_stream_test.ts
@@ -136,3 +136,13 @@
   assert.equal(body, delivered + rest);
   assert.ok(isComplete);
 });
+
+// Guards against a regular end of the connection, which completes an answer without a
+// length or chunks.
+test("a stream that is broken off for good is reset for a caller that reads up to the end of the connection", async () => {
+  const { body, isComplete } = await callBroken(answers["500"] as string, {
+    version: "1.0",
+  });
+  assert.equal(body, delivered);
+  assert.equal(isComplete, false);
+});
