--- a/tests/platform_adapter/broken_stream_test.ts
+++ b/tests/platform_adapter/broken_stream_test.ts
@@ -146,3 +146,28 @@
   assert.equal(body, delivered);
   assert.equal(isComplete, false);
 });
+
+// Guards against an error of a second server as the body of an answer whose head has
+// been forwarded.
+test("a stream that breaks off before its first event takes nothing from an error", async () => {
+  const { body, isComplete } = await callBroken(answers["500"] as string, {
+    first: (socket) => {
+      socket.write(streamHead(id));
+      setTimeout(() => socket.destroy(), 20);
+    },
+  });
+  assert.equal(body, "");
+  assert.equal(isComplete, false);
+});
+
+// Guards against a second run of a stream that may run only once.
+test("a broken stream that may not be resumed is sent to no second server", async () => {
+  const answer: RawAnswer = (_, socket) => breakOff(socket);
+  const route = { ...resumable, resumable: false };
+  fixture = await FrontFixture.create(route, answer, answer);
+  const { body, isComplete } = await fixture.call(id);
+  assert.equal(body, `${delivered}id: 3\nda`);
+  assert.equal(isComplete, false);
+  const attempts = fixture.servers.flatMap(({ ids }) => ids);
+  assert.deepEqual(attempts, [id]);
+});
