Order a refused request again on a new connection to the engine

A request counted as not run while an engine ran it: the engine had refused an earlier attempt of the request, for instance since it lacked the adapter, and wrote that refusal once more on the kept connection that the next attempt used.

Cause: all attempts of a request carry the same id, which the refusals echo. The client of an engine now keeps the ids of the latest requests that the engine refused, and orders those on a new connection.

--- a/src/adapters/backends/engine_client.ts
+++ b/src/adapters/backends/engine_client.ts
@@ -23,6 +23,8 @@
 const reportTimeout = millis(500);
 /** Time without a byte after which a call fails, in ms; tolerates two late keep-alive comments, of which the engine writes one a second. */
 const defaultInactivityTimeout = millis(3000);
+/** Maximum number of refused requests whose ids are kept. */
+const maxRefusedIds = 1_024;
 /** Maximum number of loads, evictions and reports in flight. */
 const controlConnections = 16;
 
@@ -54,6 +56,8 @@
   readonly #control: Endpoint;
   readonly #meter: Meter;
   readonly #inactivityTimeout: Millis;
+  /** Latest requests that the engine has refused. */
+  readonly #refused = new Set<RequestId>();
 
   constructor(options: EngineClientOptions) {
     const { origin, clock, meter = silentMeter } = options;
@@ -91,6 +95,7 @@
       meter: this.#meter,
       inactivityTimeout: this.#inactivityTimeout,
       onInactivity: () => this.#streams.replaceConnections(),
+      onRefusal: () => this.#recordRefused(order.requestId),
     });
     const headers = {
       "content-type": "application/json",
@@ -105,7 +110,11 @@
       headers,
       body,
     } as const;
-    if (this.#streams.stream(request, stream)) return stream;
+    // The id does not tell the refusal of an earlier attempt from that of this one.
+    const isSent = this.#refused.has(order.requestId)
+      ? this.#streams.streamOnNewConnection(request, stream)
+      : this.#streams.stream(request, stream);
+    if (isSent) return stream;
     stream.cancel();
     return refuseAsync(sink, "All connections to the engine are in use");
   }
@@ -137,6 +146,13 @@
     await Promise.all([this.#streams.close(), this.#control.close()]);
   }
 
+  #recordRefused(id: RequestId): void {
+    this.#refused.add(id);
+    if (this.#refused.size <= maxRefusedIds) return;
+    const [oldest] = this.#refused;
+    this.#refused.delete(oldest as RequestId);
+  }
+
   async #sendAdapterOrder(
     path: string,
     order: AdapterOrder,
--- a/src/adapters/backends/engine_stream.ts
+++ b/src/adapters/backends/engine_stream.ts
@@ -28,6 +28,8 @@
   readonly meter: Meter;
   /** Called when the inactivity timeout has expired. */
   readonly onInactivity: () => void;
+  /** Called when the engine has refused the order. */
+  readonly onRefusal: () => void;
 };
 
 /** Handler of one answer stream; checks the request id, inactivity and the explicit end. */
@@ -100,6 +102,7 @@
       this.#failAndAbort("broken", "The answer carries another request id");
     } else if (status !== 200) {
       this.#refusal = { status, text: "" };
+      this.#options.onRefusal();
     }
   }
 
