Tell a repeated answer of an engine to a load from that to the next one

A load or unload counted as refused, or as done, while the engine carried it out: the engine wrote the answer to an earlier order once more on the kept connection. A repeated "stale fence" made the owner give up the engine.

Cause: loads and unloads carried no id. They carry one now, and an answer that names another one fails the order as broken, which closes the connection and leaves it to the engine's report what was done. Engines that echo no id are taken at their word, as before.

Evidence: the test with a raw TCP engine got the earlier refusal for a load that the engine carried out.

--- a/src/adapters/backends/engine_client.ts
+++ b/src/adapters/backends/engine_client.ts
@@ -58,6 +58,8 @@
   readonly #inactivityTimeout: Millis;
   /** Latest requests that the engine has refused. */
   readonly #refused = new Set<RequestId>();
+  /** Number of loads and unloads so far. */
+  #orders = 0;
 
   constructor(options: EngineClientOptions) {
     const { origin, clock, meter = silentMeter } = options;
@@ -157,17 +159,20 @@
     path: string,
     order: AdapterOrder,
   ): Promise<Either<EngineFailure, void>> {
+    const orderId = `order-${++this.#orders}`;
     const result = await this.#control.exchange({
       method: "POST",
       path,
       headers: {
         "content-type": "application/json",
+        "x-request-id": orderId,
         "x-fencing-number": String(order.fence),
       },
       body: JSON.stringify({ lora_name: order.adapter }),
       timeout: loadTimeout,
       inactivityTimeout: this.#inactivityTimeout,
       validUntil: order.validUntil,
+      isAnswer: ({ "x-request-id": echoed = orderId }) => echoed === orderId,
     });
     return result
       .mapLeft(toEngineFailure)
--- a/src/standins/engine_server.ts
+++ b/src/standins/engine_server.ts
@@ -66,8 +66,11 @@
   }
 
   async #runOrder(exchange: HttpExchange): Promise<void> {
+    const { request, response } = exchange;
+    const id = request.headers["x-request-id"];
+    if (id !== undefined) response.setHeader("x-request-id", id);
     const heartbeat = setInterval(
-      () => exchange.response.writeProcessing(),
+      () => response.writeProcessing(),
       heartbeatInterval,
     );
     const { lora_name } = JSON.parse(exchange.body.toString());
--- a/tests/backends/repeated_answer_test.ts
+++ b/tests/backends/repeated_answer_test.ts
@@ -4,7 +4,13 @@
 import { EngineClient } from "../../src/adapters/backends/engine_client.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis, sleep } from "../../src/core/clock.ts";
-import { chains, createCollectingSink, order } from "./engine_orders.ts";
+import {
+  chains,
+  createCollectingSink,
+  fence,
+  order,
+  validUntil,
+} from "./engine_orders.ts";
 
 /** Time that the engine takes to answer, in ms. */
 const runTime = 40;
@@ -85,3 +91,27 @@
   assert.equal(await generate(engine, "r1"), "adapter-missing");
   assert.equal(await generate(engine, "r1"), "whole");
 });
+
+// Guards against a load counting as refused, or as done, while the engine carries it out:
+// the engine wrote the answer to an earlier order once more.
+test("a repeated answer to an earlier load does not count", async () => {
+  let orders = 0;
+  let earlier = "";
+  const engine = await connectTo((request, socket) => {
+    const answer = answerWith("409 Conflict", readId(request));
+    if (orders++ === 0) {
+      earlier = answer;
+      socket.write(answer);
+      return;
+    }
+    socket.write(earlier);
+    const loaded = answerWith("200 OK", readId(request));
+    setTimeout(() => socket.write(loaded), runTime);
+  });
+  const load = { adapter: chains, fence, validUntil };
+  const first = await engine.load(load);
+  assert.equal(first.swap().unsafeCoerce().kind, "stale-fence");
+  await sleep(clock, millis(10));
+  const second = await engine.load(load);
+  assert.equal(second.swap().unsafeCoerce().kind, "broken");
+});
