Break an answer at an event with which the engine reports an error

Callers found the text of an engine's error in the middle of their answer, and the answer ended with [DONE] as if it were whole: some engines report a failure as an event of a stream with status 200.

Cause: the client of an engine forwarded every event whose stream had named the right adapter. An event that reports an error now ends the stream as broken, so that the request is resumed at another engine. The event is recognised by its name or its first key, without parsing the others.

--- a/src/adapters/http/event_splitter.ts
+++ b/src/adapters/http/event_splitter.ts
@@ -7,6 +7,14 @@
 /** Start of the event with which an engine's owner ends a forwarded stream that it cannot complete. */
 const refusalStart = Buffer.from("event: refusal\n");
 
+/** Events with which an engine reports that it cannot complete an answer, up to the first value. */
+const namedErrorStart = Buffer.from("event: error\n");
+const errorEvent = /^data: \{"(?:error"\s*:\s*[{"]|object"\s*:\s*"error")/;
+/** Offset of the first letter of the first key, and length of the part that `errorEvent` needs, in bytes. */
+const firstKeyOffset = 8;
+const errorStartLength = 32;
+const letterO = 0x6f;
+
 /** Maximum size of an incomplete event that is buffered, in bytes. */
 const maxEventBytes = 1024 * 1024;
 
@@ -18,6 +26,8 @@
   readonly done: boolean;
   /** Refusal event that ended the stream; data after it is dropped. */
   readonly refusal: Buffer | undefined;
+  /** Event that reports an error and ended the stream; data after it is dropped. */
+  readonly error: Buffer | undefined;
 };
 
 /** Splits a byte stream into server-sent events without parsing them. */
@@ -41,13 +51,16 @@
     let partStart = 0;
     let done = false;
     let refusal: Buffer | undefined;
-    while (!done && refusal === undefined) {
+    let error: Buffer | undefined;
+    const isOpen = () => !done && refusal === undefined && error === undefined;
+    while (isOpen()) {
       const end = data.indexOf(eventSeparator, start);
       if (end < 0) break;
       const next = end + eventSeparator.length;
       done = isDoneEvent(data, { start, end });
       if (isRefusalEvent(data, start)) refusal = data.subarray(start, end);
-      if (done || refusal !== undefined || data[start] === colon) {
+      if (isErrorEvent(data, start)) error = data.subarray(start, end);
+      if (!isOpen() || data[start] === colon) {
         if (start > partStart) parts.push(data.subarray(partStart, start));
         partStart = next;
       } else {
@@ -55,14 +68,14 @@
       }
       start = next;
     }
-    const open = !done && refusal === undefined;
+    const open = isOpen();
     if (open && data.length - start > maxEventBytes) return undefined;
     if (open && start < data.length)
       this.#incompleteEvent = data.subarray(start);
     if (start > partStart) parts.push(data.subarray(partStart, start));
     const [firstPart = Buffer.alloc(0)] = parts;
     const bytes = parts.length > 1 ? Buffer.concat(parts) : firstPart;
-    return { bytes, count, done, refusal };
+    return { bytes, count, done, refusal, error };
   }
 }
 
@@ -83,3 +96,14 @@
     data.subarray(start, start + refusalStart.length).equals(refusalStart)
   );
 }
+
+function isErrorEvent(data: Buffer, start: number): boolean {
+  const nameEnd = start + namedErrorStart.length;
+  if (data[start] === letterE)
+    return data.subarray(start, nameEnd).equals(namedErrorStart);
+  const letter = data[start + firstKeyOffset];
+  if (letter !== letterE && letter !== letterO) return false;
+  return errorEvent.test(
+    data.toString("latin1", start, start + errorStartLength),
+  );
+}
--- a/src/adapters/peers/forward_client.ts
+++ b/src/adapters/peers/forward_client.ts
@@ -188,10 +188,12 @@
       );
       return;
     }
-    const { bytes, count, done, refusal } = events;
+    const { bytes, count, done, refusal, error } = events;
     if (count > 0) this.#options.sink.onChunk(bytes, count);
     if (done) this.#finish();
     else if (refusal !== undefined) this.#refuse(refusal.toString("utf8"));
+    else if (error !== undefined)
+      this.#fail(refuse("peerLost", "The owner forwarded an engine's error"));
   }
 
   onResponseEnd(): void {
--- a/tests/backends/engine_client_test.ts
+++ b/tests/backends/engine_client_test.ts
@@ -276,3 +276,25 @@
   assert.equal(answer.events, 1);
   assert.equal(engine.runs.length, 1);
 });
+
+const errorEvents = [
+  'data: {"error":{"message":"failed"}}',
+  'data: {"error": {"message": "failed"}}',
+  'data: {"object":"error","message":"failed"}',
+  'data: {"object": "error", "message": "failed"}',
+  'event: error\ndata: {"message":"failed"}',
+];
+
+// Guards against the text of an error in the middle of a caller's answer, and against an
+// answer that passes as whole after it: some engines report a failure as an event.
+for (const error of errorEvents) {
+  test(`an event that reports an error breaks the answer: ${JSON.stringify(error)}`, async (context) => {
+    const answer = await answerWith(context, ({ response }) => {
+      response.setHeader("x-request-id", "r1");
+      const event = 'data: {"model":"chains@3","choices":[{"text":"a"}]}\n\n';
+      response.end(`${event}${error}\n\ndata: [DONE]\n\n`);
+    });
+    const { end, events, text } = answer;
+    assert.deepEqual([end, events, text], ["broken", 1, "a"]);
+  });
+}
