Name the request in an owner's refusal of forwarded work

Work counted as not run while the owner of an engine ran it, when the refusal of earlier work arrived once more on the connection between the two nodes.

Cause: only answers with status 200 carried the request's id and were checked for it. Refusals carry it too now; one that names another request leaves open whether the work ran, and closes the connection. A refusal without an id still counts: an owner that cannot decode a message does not know its id, nor does one of an older version send it.

Evidence: the test with a raw TCP owner got the earlier refusal as that of the next request.

--- a/src/adapters/peers/forward_client.ts
+++ b/src/adapters/peers/forward_client.ts
@@ -158,15 +158,20 @@
   ): void {
     this.#status = status;
     this.#lastByteAt = this.#options.clock.now();
-    if (status !== 200) return;
-    if (headers["x-request-id"] !== this.#options.requestId) {
+    if (status < 200) return;
+    const id = headers["x-request-id"];
+    // A refusal has no id if the owner could not decode the message.
+    const isCrossed =
+      id === undefined ? status === 200 : id !== this.#options.requestId;
+    if (isCrossed) {
       this.#options.meter.count("crossed_answers_total", { hop: "peer" });
       this.#fail(
         refuse("crossedAnswer", "The owner answered with another request id"),
       );
+      controller.abort(new Error("The answer carries another request id"));
       return;
     }
-    if (this.#paused) controller.pause();
+    if (status === 200 && this.#paused) controller.pause();
   }
 
   onResponseData(_: Dispatcher.DispatchController, chunk: Buffer): void {
--- a/src/adapters/peers/forward_server.ts
+++ b/src/adapters/peers/forward_server.ts
@@ -45,7 +45,7 @@
   /** Handles one message whose signature has been verified. */
   handle(body: Buffer, response: ServerResponse): void {
     decodeForward(body, this.#clock.now()).caseOf<void>({
-      Left: (refusal) => writeForwardRefusal(response, refusal),
+      Left: (refusal) => writeForwardRefusal(response, refusal, undefined),
       Right: (message) => this.#serve(message, response),
     });
   }
@@ -90,7 +90,7 @@
       },
       onRefusal: (refusal) => {
         if (response.headersSent) response.end(encodeRefusalEvent(refusal));
-        else writeForwardRefusal(response, refusal);
+        else writeForwardRefusal(response, refusal, stream.requestId);
       },
     };
   }
@@ -125,11 +125,17 @@
   });
 }
 
-function writeForwardRefusal(response: ServerResponse, refusal: Refusal): void {
+/** Refuses a submission; the id is unknown if its message could not be decoded. */
+function writeForwardRefusal(
+  response: ServerResponse,
+  refusal: Refusal,
+  requestId: string | undefined,
+): void {
   const body = JSON.stringify(refusal);
   response.writeHead(resultCodes[refusal.code].status, {
     "content-type": "application/json",
     "content-length": Buffer.byteLength(body),
+    ...(requestId === undefined ? {} : { "x-request-id": requestId }),
   });
   response.end(body);
 }
--- a/tests/peers/peer_server_test.ts
+++ b/tests/peers/peer_server_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { once } from "node:events";
 import type { Server } from "node:http";
-import type { AddressInfo } from "node:net";
+import { type AddressInfo, createServer as createTcpServer } from "node:net";
 import { afterEach, beforeEach, test } from "node:test";
 import { Keyring } from "../../src/adapters/keys/keyring.ts";
 import { Timeline } from "../../src/adapters/observe/timeline.ts";
@@ -165,6 +165,28 @@
   assert.equal(within?.outcome, "may-have-run");
 });
 
+// Guards against work counting as not run while its owner runs it: the refusal of
+// earlier work arrived once more on the connection.
+test("a repeated refusal of earlier work does not count", async () => {
+  const body = JSON.stringify(refuse("queueFull", "full"));
+  const repeated = `HTTP/1.1 429 Too Many Requests\r\nx-request-id: r1\r\ncontent-length: ${body.length}\r\n\r\n${body}`;
+  const owner = createTcpServer((socket) => {
+    socket.on("error", () => {});
+    socket.on("data", () => socket.write(repeated));
+  });
+  owner.listen(0, "127.0.0.1");
+  await once(owner, "listening");
+  address = `127.0.0.1:${(owner.address() as AddressInfo).port}`;
+  const first = forward("r1");
+  await waitFor(() => first.received.refusal !== undefined);
+  const second = forward("r2");
+  await waitFor(() => second.received.refusal !== undefined);
+  owner.close();
+  assert.equal(first.received.refusal?.outcome, "not-run");
+  assert.equal(second.received.refusal?.code, "crossedAnswer");
+  assert.equal(second.received.refusal?.outcome, "may-have-run");
+});
+
 test("a stream that the owner cuts off is reported as broken, not as whole", async () => {
   const { received } = forward("r1");
   await waitFor(() => accepted.length === 1);
