Open one connection for a call on a new connection

A call that was aborted on a new connection opened a second one, which carried no call: undici connects again for an aborted call that is still in its queue, also when the client is only waiting to close. The client is now destroyed at the end of the call.

Evidence: the test saw two connections for one aborted call.

--- a/src/adapters/http/endpoint.ts
+++ b/src/adapters/http/endpoint.ts
@@ -64,9 +64,9 @@
   ): boolean {
     if (!this.#tryAcquire()) return false;
     const client = new Client(this.#options.origin, connectionOptions);
-    client.dispatch(request, this.#releaseOnEnd(handler));
-    // Takes effect when the call has ended.
-    client.close().catch(() => {});
+    // A client that is only closed would connect once more after an aborted call.
+    const destroy = () => void client.destroy().catch(() => {});
+    client.dispatch(request, this.#releaseOnEnd(handler, destroy));
     return true;
   }
 
@@ -146,11 +146,14 @@
   /** Frees the connection when undici has finished the call, not when the caller stops waiting for it. */
   #releaseOnEnd(
     handler: Dispatcher.DispatchHandler,
+    onEnd = () => {},
   ): Dispatcher.DispatchHandler {
     let open = true;
     const end = () => {
-      if (open) this.#inFlight--;
+      if (!open) return;
       open = false;
+      this.#inFlight--;
+      onEnd();
     };
     return {
       onRequestStart: (controller, context) =>
