Break an answer at an event that only owners of engines may send

A caller's answer had a gap and still ended as whole: an engine sent an event named "refusal", with which the owner of an engine ends a forwarded stream, and the rest of the piece that held it was dropped.

Cause: the splitter of events stops there, but the client of an engine looked only for the end of the answer. It now fails the stream as broken.

--- a/src/adapters/backends/engine_stream.ts
+++ b/src/adapters/backends/engine_stream.ts
@@ -130,9 +130,10 @@
       this.#adapterVerified = true;
     }
     if (events.count > 0) sink.onChunk(events.bytes, events.count);
-    if (events.error !== undefined) {
-      const error = events.error.toString("utf8", 0, maxRefusalBytes);
-      this.#failAndAbort("broken", `The engine reported an error: ${error}`);
+    const error = events.error ?? events.refusal;
+    if (error !== undefined) {
+      const text = error.toString("utf8", 0, maxRefusalBytes);
+      this.#failAndAbort("broken", `The engine reported an error: ${text}`);
     }
     if (events.done && !this.#ended) {
       this.#ended = true;
--- a/tests/backends/engine_client_test.ts
+++ b/tests/backends/engine_client_test.ts
@@ -298,3 +298,14 @@
     assert.deepEqual([end, events, text], ["broken", 1, "a"]);
   });
 }
+
+// Guards against a gap in an answer: what followed the event in its piece was dropped.
+test("an engine's event that only owners may send breaks the answer", async (context) => {
+  const event = 'data: {"model":"chains@3","choices":[{"text":"a"}]}\n\n';
+  const answer = await answerWith(context, ({ response }) => {
+    response.setHeader("x-request-id", "r1");
+    response.write(`${event}event: refusal\ndata: {}\n\n${event}`);
+    setTimeout(() => response.end(`${event}data: [DONE]\n\n`), 20);
+  });
+  assert.deepEqual([answer.end, answer.events], ["broken", 1]);
+});
