End an engine's refusal whose body is too long

A request waited for ever: its engine refused it with a body that did not end. Only the start of the body was kept, but the refusal counted when its body was complete, and the bytes kept the stream from being inactive.

The refusal now counts once its body exceeds the part that is kept, and its connection is closed.

Evidence: the test's request was still open when its time was over.

--- a/src/adapters/backends/engine_stream.ts
+++ b/src/adapters/backends/engine_stream.ts
@@ -110,9 +110,8 @@
     this.#lastActivityAt = this.#clock.now();
     if (this.#ended) return;
     if (this.#refusal !== undefined) {
-      if (this.#refusal.text.length < maxRefusalBytes) {
-        this.#refusal.text += chunk.toString();
-      }
+      this.#refusal.text += chunk.toString();
+      if (this.#refusal.text.length > maxRefusalBytes) this.#cutRefusal();
       return;
     }
     const events = this.#splitter.push(chunk);
@@ -184,6 +183,14 @@
     });
   }
 
+  /** Ends a refusal whose body is too long. */
+  #cutRefusal(): void {
+    const { status = 0, text = "" } = this.#refusal ?? {};
+    const shortened = { status, text: text.slice(0, maxRefusalBytes) };
+    const { kind, detail } = classifyRefusal(shortened);
+    this.#failAndAbort(kind, detail);
+  }
+
   #failAndAbort(kind: EngineFailure["kind"], detail: string): void {
     this.#fail(kind, detail);
     this.#controller?.abort(new Error(detail));
--- /dev/null
+++ b/tests/backends/endless_answer_test.ts
@@ -0,0 +1,50 @@
+import assert from "node:assert/strict";
+import type { ServerResponse } from "node:http";
+import { type TestContext, test } from "node:test";
+import { EngineClient } from "../../src/adapters/backends/engine_client.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis, sleep } from "../../src/core/clock.ts";
+import { HttpHost } from "../../src/standins/http_host.ts";
+import { createCollectingSink, order } from "./engine_orders.ts";
+
+/** Maximum time until the connection of an endless answer is closed, in ms. */
+const closeBound = millis(1_000);
+
+const clock = RealClock.create();
+const piece = "x".repeat(1_024);
+
+/** Orders from an engine that goes on writing after `start` has begun its answer. */
+async function orderEndless(
+  context: TestContext,
+  start: (response: ServerResponse) => void,
+) {
+  let isClosed = false;
+  const host = await HttpHost.create(({ response }) => {
+    response.setHeader("x-request-id", "r1");
+    start(response);
+    const timer = setInterval(() => response.write(piece), 5);
+    response.on("close", () => {
+      clearInterval(timer);
+      isClosed = true;
+    });
+  });
+  const { origin } = host;
+  const client = EngineClient.create({ origin, clock, streams: 1 });
+  context.after(async () => {
+    await client.close();
+    await host.close();
+  });
+  const { answer, sink } = createCollectingSink();
+  client.generate(order("r1"), sink);
+  await sleep(clock, closeBound);
+  return { end: answer.end, isClosed };
+}
+
+// Guards against a request that waits for ever for the end of its refusal.
+test("an engine's refusal with an endless body counts, and its connection is closed", async (context) => {
+  const { end, isClosed } = await orderEndless(context, (response) =>
+    response.writeHead(503),
+  );
+  assert.equal(end, "refused");
+  assert.ok(isClosed);
+});
