Close the connection on which an engine writes after a whole answer

A connection was read for ever, and the place of a stream was taken: an engine went on writing after the end marker of its answer. Data after the end was dropped, but it kept the stream from being inactive. It now closes the connection.

Evidence: the test's connection was still open when its time was over.

--- a/src/adapters/backends/engine_stream.ts
+++ b/src/adapters/backends/engine_stream.ts
@@ -108,7 +108,10 @@
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer) {
     this.#lastActivityAt = this.#clock.now();
-    if (this.#ended) return;
+    if (this.#ended) {
+      this.#controller?.abort(new Error("Data after the end of the answer"));
+      return;
+    }
     if (this.#refusal !== undefined) {
       this.#refusal.text += chunk.toString();
       if (this.#refusal.text.length > maxRefusalBytes) this.#cutRefusal();
--- a/tests/backends/endless_answer_test.ts
+++ b/tests/backends/endless_answer_test.ts
@@ -5,7 +5,7 @@
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis, sleep } from "../../src/core/clock.ts";
 import { HttpHost } from "../../src/standins/http_host.ts";
-import { createCollectingSink, order } from "./engine_orders.ts";
+import { chains, createCollectingSink, order } from "./engine_orders.ts";
 
 /** Maximum time until the connection of an endless answer is closed, in ms. */
 const closeBound = millis(1_000);
@@ -48,3 +48,13 @@
   assert.equal(end, "refused");
   assert.ok(isClosed);
 });
+
+// Guards against a connection that is read for ever and takes the place of a stream.
+test("endless bytes after a whole answer of an engine close the connection", async (context) => {
+  const { end, isClosed } = await orderEndless(context, (response) => {
+    response.write(`data: {"model":"${chains}","choices":[{"text":"a"}]}\n\n`);
+    response.write("data: [DONE]\n\n");
+  });
+  assert.equal(end, "whole");
+  assert.ok(isClosed);
+});
