--- a/src/core/gateway/stream_cursor.ts
+++ b/src/core/gateway/stream_cursor.ts
@@ -3,6 +3,8 @@
 
 const lineFeed = 0x0a;
 const idField = "id:";
+/** Start of an event without fields, or with a comment before them. */
+const startsWithComment = /^[:\r\n]/;
 /** Ids that are compared as numbers, without loss of digits. */
 const decimalNumber = /^\d{1,15}$/;
 
@@ -125,6 +127,7 @@
 
 /** Whether an event only keeps the connection open. */
 function isComment(event: string): boolean {
+  if (!startsWithComment.test(event)) return false;
   return event
     .split("\n")
     .every((line) => line.startsWith(":") || line.trim() === "");
--- a/tests/gateway/request_policies_test.ts
+++ b/tests/gateway/request_policies_test.ts
@@ -176,3 +176,23 @@
     assert.equal(cursor.lastId, "7");
   }
 });
+
+test("a comment between the events of a stream neither needs an id nor changes where it resumes", () => {
+  const cursor = StreamCursor.create();
+  const push = (text: string) => cursor.push(encoder.encode(text));
+  assert.equal(push("id: 1\ndata: a\n\n: waiting\n\n").count, 2);
+  assert.ok(cursor.isResumable);
+  cursor.discardPartialEvent();
+  assert.equal(push(":\n\n").fault, undefined);
+  assert.equal(push(": x\nid: 2\ndata: b\n\n").fault, undefined);
+  assert.equal(cursor.lastId, "2");
+});
+
+test("an event that repeats an earlier one ends the stream, and those before it are passed on", () => {
+  const cursor = StreamCursor.create();
+  const push = (text: string) => cursor.push(encoder.encode(text));
+  const { bytes, fault } = push("id: 9\n\nid: 10\n\nid: 9\n\n");
+  assert.equal(decoder.decode(bytes), "id: 9\n\nid: 10\n\n");
+  assert.notEqual(fault, undefined);
+  assert.equal(cursor.lastId, "10");
+});
