--- a/src/adapters/backends/engine_stream.ts
+++ b/src/adapters/backends/engine_stream.ts
@@ -28,6 +28,8 @@
   readonly meter: Meter;
   /** Called when the inactivity timeout has expired. */
   readonly onInactivity: () => void;
+  /** Called when the engine has refused the order. */
+  readonly onRefusal: () => void;
 };
 
 /** Handler of one answer stream; checks the request id, inactivity and the explicit end. */
@@ -100,16 +102,19 @@
       this.#failAndAbort("broken", "The answer carries another request id");
     } else if (status !== 200) {
       this.#refusal = { status, text: "" };
+      this.#options.onRefusal();
     }
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer) {
     this.#lastActivityAt = this.#clock.now();
-    if (this.#ended) return;
+    if (this.#ended) {
+      this.#controller?.abort(new Error("Data after the end of the answer"));
+      return;
+    }
     if (this.#refusal !== undefined) {
-      if (this.#refusal.text.length < maxRefusalBytes) {
-        this.#refusal.text += chunk.toString();
-      }
+      this.#refusal.text += chunk.toString();
+      if (this.#refusal.text.length > maxRefusalBytes) this.#cutRefusal();
       return;
     }
     const events = this.#splitter.push(chunk);
@@ -127,6 +132,11 @@
       this.#adapterVerified = true;
     }
     if (events.count > 0) sink.onChunk(events.bytes, events.count);
+    const error = events.error ?? events.refusal;
+    if (error !== undefined) {
+      const text = error.toString("utf8", 0, maxRefusalBytes);
+      this.#failAndAbort("broken", `The engine reported an error: ${text}`);
+    }
     if (events.done && !this.#ended) {
       this.#ended = true;
       sink.onEnd();
@@ -176,6 +186,14 @@
     });
   }
 
+  /** Ends a refusal whose body is too long. */
+  #cutRefusal(): void {
+    const { status = 0, text = "" } = this.#refusal ?? {};
+    const shortened = { status, text: text.slice(0, maxRefusalBytes) };
+    const { kind, detail } = classifyRefusal(shortened);
+    this.#failAndAbort(kind, detail);
+  }
+
   #failAndAbort(kind: EngineFailure["kind"], detail: string): void {
     this.#fail(kind, detail);
     this.#controller?.abort(new Error(detail));
--- a/src/adapters/http/endpoint.ts
+++ b/src/adapters/http/endpoint.ts
@@ -57,6 +57,19 @@
     return true;
   }
 
+  /** As `stream`, on a new connection that carries no other call. */
+  streamOnNewConnection(
+    request: Omit<Dispatcher.DispatchOptions, "origin">,
+    handler: Dispatcher.DispatchHandler,
+  ): boolean {
+    if (!this.#tryAcquire()) return false;
+    const client = new Client(this.#options.origin, connectionOptions);
+    // A client that is only closed would connect once more after an aborted call.
+    const destroy = () => void client.destroy().catch(() => {});
+    client.dispatch(request, this.#releaseOnEnd(handler, destroy));
+    return true;
+  }
+
   /** Runs a call on a pooled connection and returns the whole response. */
   async exchange(
     request: ExchangeRequest,
@@ -133,11 +146,14 @@
   /** Frees the connection when undici has finished the call, not when the caller stops waiting for it. */
   #releaseOnEnd(
     handler: Dispatcher.DispatchHandler,
+    onEnd = () => {},
   ): Dispatcher.DispatchHandler {
     let open = true;
     const end = () => {
-      if (open) this.#inFlight--;
+      if (!open) return;
       open = false;
+      this.#inFlight--;
+      onEnd();
     };
     return {
       onRequestStart: (controller, context) =>
--- a/src/core/gateway/stream_cursor.ts
+++ b/src/core/gateway/stream_cursor.ts
@@ -3,11 +3,17 @@
 
 const lineFeed = 0x0a;
 const idField = "id:";
+/** Start of an event without fields, or with a comment before them. */
+const startsWithComment = /^[:\r\n]/;
+/** Ids that are compared as numbers, without loss of digits. */
+const decimalNumber = /^\d{1,15}$/;
 
 /** Complete events of the data received. */
 export type CompleteEvents = {
   readonly bytes: Uint8Array;
   readonly count: number;
+  /** Why the stream cannot go on after these events. */
+  readonly fault: string | undefined;
 };
 
 /**
@@ -17,6 +23,12 @@
 export class StreamCursor {
   #partial: Uint8Array = new Uint8Array(0);
   #lastId: string | undefined;
+  /** Id of the last event of this response. */
+  #deliveredId: string | undefined;
+  /** The last event of this response has no id. */
+  #lastIsUnnamed = false;
+  /** Another run goes on from here, and has not sent an event yet. */
+  #isResuming = false;
   #count = 0;
 
   static create(lastId?: string): StreamCursor {
@@ -30,6 +42,11 @@
     return this.#lastId;
   }
 
+  /** Whether another server can go on after the last complete event. */
+  get isResumable(): boolean {
+    return !this.#lastIsUnnamed;
+  }
+
   /** Number of complete events so far. */
   get count(): number {
     return this.#count;
@@ -40,28 +57,51 @@
     return this.#partial.length;
   }
 
-  /** Discards an event that was cut off. */
+  /** Discards an event that was cut off; another run goes on after the last complete one. */
   discardPartialEvent(): void {
     this.#partial = new Uint8Array(0);
+    this.#isResuming = this.#deliveredId !== undefined;
   }
 
-  /** Adds data and returns the events that are now complete; undefined if one exceeds the size limit. */
-  push(chunk: Uint8Array): CompleteEvents | undefined {
+  /** Adds data and returns the events that are now complete. */
+  push(chunk: Uint8Array): CompleteEvents {
     const data =
       this.#partial.length === 0 ? chunk : join(this.#partial, chunk);
     let start = 0;
     let count = 0;
+    let fault: string | undefined;
     for (;;) {
       const end = findEventEnd(data, start);
       if (end < 0) break;
-      this.#lastId = readId(data.subarray(start, end)) ?? this.#lastId;
+      fault = this.#accept(decoder.decode(data.subarray(start, end)));
+      if (fault !== undefined) break;
       count++;
       start = end;
     }
     this.#count += count;
     this.#partial = data.subarray(start);
-    if (this.#partial.length > maxEventBytes) return undefined;
-    return { bytes: data.subarray(0, start), count };
+    if (this.#partial.length > maxEventBytes) fault ??= "An event is too large";
+    return { bytes: data.subarray(0, start), count, fault };
+  }
+
+  /** Records an event; returns why it cannot follow the events before it, if it cannot. */
+  #accept(event: string): string | undefined {
+    if (isComment(event)) return undefined;
+    const id = readId(event);
+    if (id === undefined) {
+      if (this.#isResuming) return "The resumed stream has no ids";
+      this.#lastIsUnnamed = true;
+      return undefined;
+    }
+    const last = this.#deliveredId;
+    if (last !== undefined && !isLater(id, last)) {
+      return `Event ${id} does not follow event ${last}`;
+    }
+    this.#isResuming = false;
+    this.#lastIsUnnamed = false;
+    this.#deliveredId = id;
+    this.#lastId = id;
+    return undefined;
   }
 }
 
@@ -85,9 +125,23 @@
 
 const decoder = new TextDecoder();
 
-function readId(event: Uint8Array): string | undefined {
-  for (const line of decoder.decode(event).split("\n")) {
+/** Whether an event only keeps the connection open. */
+function isComment(event: string): boolean {
+  if (!startsWithComment.test(event)) return false;
+  return event
+    .split("\n")
+    .every((line) => line.startsWith(":") || line.trim() === "");
+}
+
+function readId(event: string): string | undefined {
+  for (const line of event.split("\n")) {
     if (line.startsWith(idField)) return line.slice(idField.length).trim();
   }
   return undefined;
 }
+
+/** Whether an id follows another one; ids that are no numbers only have to differ. */
+function isLater(id: string, last: string): boolean {
+  const isNumeric = decimalNumber.test(id) && decimalNumber.test(last);
+  return isNumeric ? Number(id) > Number(last) : id !== last;
+}
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -254,10 +254,11 @@
         context,
         route,
         cursor: this.#cursor,
-        hasStarted: this.#forwarder.hasStarted,
+        started: this.#forwarder.startedHead,
         serverRequest: {
           request,
           server: selection.server,
+          isRepeated: this.#history.reached.has(selection.server.id),
           isAccepted,
           timeLeft,
           adapterVersion: selection.version,
@@ -294,7 +295,8 @@
     if (kind === "misdirected") this.#forgetAdapter(server);
     if (recordAttemptHealth(context, server.id, kind))
       this.#log.record("serverSuspended", { server, detail: kind });
-    const { retryRule, resumable, maxAttempts } = route;
+    const { retryRule, maxAttempts } = route;
+    const resumable = this.#cursor?.isResumable ?? route.resumable;
     const rule = { retryRule, resumable, maxAttempts };
     return decideRetry(
       { ...rule, ...this.#history.counts },
--- a/tests/gateway/request_policies_test.ts
+++ b/tests/gateway/request_policies_test.ts
@@ -150,7 +150,7 @@
   const cursor = StreamCursor.create();
   const push = (text: string) => {
     const whole = cursor.push(encoder.encode(text));
-    return decoder.decode(whole?.bytes);
+    return decoder.decode(whole.bytes);
   };
   assert.equal(push("id: 1\ndata: a\n\nid: 2\nda"), "id: 1\ndata: a\n\n");
   assert.equal(cursor.lastId, "1");
@@ -169,10 +169,30 @@
     const cursor = StreamCursor.create("6");
     const parts = [text.slice(0, cut), text.slice(cut)];
     const passed = parts
-      .map((part) => decoder.decode(cursor.push(encoder.encode(part))?.bytes))
+      .map((part) => decoder.decode(cursor.push(encoder.encode(part)).bytes))
       .join("");
     assert.equal(passed, text);
     assert.equal(cursor.count, 1);
     assert.equal(cursor.lastId, "7");
   }
 });
+
+test("a comment between the events of a stream neither needs an id nor changes where it resumes", () => {
+  const cursor = StreamCursor.create();
+  const push = (text: string) => cursor.push(encoder.encode(text));
+  assert.equal(push("id: 1\ndata: a\n\n: waiting\n\n").count, 2);
+  assert.ok(cursor.isResumable);
+  cursor.discardPartialEvent();
+  assert.equal(push(":\n\n").fault, undefined);
+  assert.equal(push(": x\nid: 2\ndata: b\n\n").fault, undefined);
+  assert.equal(cursor.lastId, "2");
+});
+
+test("an event that repeats an earlier one ends the stream, and those before it are passed on", () => {
+  const cursor = StreamCursor.create();
+  const push = (text: string) => cursor.push(encoder.encode(text));
+  const { bytes, fault } = push("id: 9\n\nid: 10\n\nid: 9\n\n");
+  assert.equal(decoder.decode(bytes), "id: 9\n\nid: 10\n\n");
+  assert.notEqual(fault, undefined);
+  assert.equal(cursor.lastId, "10");
+});
