Write no error status behind a request in progress

Where bytes that are no request, or an unfinished head, follow a request that a server runs, Node answered 400 or 408 at once and destroyed the connection. The connection now ends after the requests in progress, with nothing further written. Both tests fail without the change (408 after 2.1 s, 400 at once).

--- /dev/null
+++ b/src/adapters/http/bad_requests.ts
@@ -0,0 +1,27 @@
+import type { Server } from "node:http";
+import type { Socket } from "node:net";
+import type { ConnectionCloser } from "./connection_closer.ts";
+
+/** Status lines by the code of the error for which a request cannot be read. */
+const statusLines: { readonly [code: string]: string } = {
+  HPE_HEADER_OVERFLOW: "431 Request Header Fields Too Large",
+  ERR_HTTP_REQUEST_TIMEOUT: "408 Request Timeout",
+};
+const defaultStatusLine = "400 Bad Request";
+
+/**
+ * Answers bytes that are no request. Behind requests in progress nothing is
+ * written, since the caller would take it as the answer to the first of them.
+ */
+export function answerBadRequests(
+  server: Server,
+  closer: ConnectionCloser,
+): void {
+  server.on("clientError", (error: NodeJS.ErrnoException, stream) => {
+    const socket = stream as Socket;
+    if (!socket.writable) return void socket.destroy(error);
+    if (closer.endAfterLast(socket)) return;
+    const statusLine = statusLines[error.code ?? ""] ?? defaultStatusLine;
+    socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
+  });
+}
--- a/src/adapters/http/connection_closer.ts
+++ b/src/adapters/http/connection_closer.ts
@@ -39,10 +39,14 @@
   /** Ends each connection after its requests in progress, or after the next one if it is idle. */
   startClosing(): void {
     this.#isClosing = true;
-    for (const [socket, responses] of this.#connections) {
-      const last = [...responses].at(-1);
-      if (last !== undefined) this.#endAfter(socket, last);
-    }
+    for (const socket of this.#connections.keys()) this.endAfterLast(socket);
+  }
+
+  /** Ends a connection after its requests in progress; false if there are none. */
+  endAfterLast(socket: Socket): boolean {
+    const last = [...(this.#connections.get(socket) ?? [])].at(-1);
+    if (last !== undefined) this.#endAfter(socket, last);
+    return last !== undefined;
   }
 
   /** Closes the listener and the connections without a request in progress; resolves when all are closed. */
@@ -58,6 +62,7 @@
   }
 
   #endAfter(socket: Socket, response: ServerResponse): void {
+    if (this.#ending.has(socket)) return;
     this.#ending.add(socket);
     if (!response.headersSent) response.setHeader("Connection", "close");
     // The caller learns of the end with the last bytes, before it can send another request.
--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -314,3 +314,23 @@
   assert.match(caller.received, /"outcome":"not-run"/);
   void front.stopAccepting();
 });
+
+// Guards against an error status for bytes behind a request that runs: its caller would take
+// it as the answer, and 408 promises that the request has not run.
+for (const rest of ["POST /b/x HTTP/1.1\r\nHo", "no request\r\n\r\n"]) {
+  test(`a request in progress is answered before the connection ends for ${JSON.stringify(rest)}`, async () => {
+    const { front, port } = await open(({ sink }) => {
+      setTimeout(() => {
+        sink.start({ status: 200, headers: ["Content-Length", "2"] });
+        sink.write(new TextEncoder().encode("ok"));
+        sink.end();
+      }, 2_500);
+    });
+    const caller = await RawCaller.open(port);
+    caller.write(request + rest);
+    await caller.closed;
+    assert.match(caller.received, /^HTTP\/1\.1 200 /);
+    assert.ok(caller.received.endsWith("ok"));
+    void front.stopAccepting();
+  });
+}
