Pass on no request behind one that is too large

The answer 413 ends the connection, but a request behind it was still passed on and lost its answer (found by the review: passed on, only 200 and 413 received).

--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -334,3 +334,17 @@
     void front.stopAccepting();
   });
 }
+
+// Guards against running a request whose answer cannot be delivered, since the one before it
+// was too large and ends the connection.
+test("a request behind one that is too large is not passed on", async () => {
+  const { front, port, requests } = await open(answer);
+  const caller = await RawCaller.open(port);
+  const large = `${head}${id}Content-Length: 101\r\n\r\n${"x".repeat(101)}`;
+  caller.write(request + large + request);
+  await caller.closed;
+  assert.equal(requests.length, 1);
+  assert.match(caller.received, /^HTTP\/1\.1 200 /);
+  assert.match(caller.received, /HTTP\/1\.1 413 /);
+  void front.stopAccepting();
+});
