Count the time limit of a stop from the signal if the node was paused

What operators saw: a node that was stopped by a signal, or whose event loop was busy, handled SIGTERM late and counted stop.timeoutMs from then. It ended later than the limit allows, so that a service manager which counts from the signal may kill it under its calls.

Cause: the limit counted from the moment at which the signal is handled. The node now records its regular checks in PauseWatch, as the gateway does, and the limit counts from the last one before the pause.

--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -82,9 +82,10 @@
       backEnds,
       forwarder,
       datagrams,
-      onDrain: () => {
+      onDrain: (requestedAt) => {
         listeners?.startClosing();
-        cancelTimeout = clock.schedule(millis(settings.stop.timeoutMs), () =>
+        const stopAt = requestedAt + settings.stop.timeoutMs;
+        cancelTimeout = clock.schedule(millis(stopAt - clock.now()), () =>
           markStopped(false),
         );
       },
--- a/src/node/drain.ts
+++ b/src/node/drain.ts
@@ -23,7 +23,7 @@
   readonly directory: EngineDirectory;
   readonly owners: EngineOwners;
   readonly session: Session;
-  /** Time from the start of the drain in which the node ends; unlimited by default. */
+  /** Time from the request for the drain in which the node ends; unlimited by default. */
   readonly stopTimeout?: Millis | undefined;
 };
 
@@ -46,11 +46,14 @@
     return this.#giveUpAt;
   }
 
-  /** Releases the owned engines; resolves when all requests, streams and outcomes have ended. */
-  async run(): Promise<void> {
+  /**
+   * Releases the owned engines; resolves when all requests, streams and outcomes
+   * have ended. The time limit counts from `requestedAt`.
+   */
+  async run(requestedAt: Millis): Promise<void> {
     const { owners, session, drafts, directory, services, cluster } =
       this.#options;
-    this.#limitTime();
+    this.#limitTime(requestedAt);
     await this.#waitForCalls();
     owners.drain();
     await session.release();
@@ -65,12 +68,14 @@
     this.#cancelGiveUp();
   }
 
-  #limitTime(): void {
+  #limitTime(requestedAt: Millis): void {
     const { clock, stopTimeout } = this.#options;
     if (stopTimeout === undefined) return;
-    const delay = millis(stopTimeout - giveUpMargin);
-    this.#giveUpAt = millis(clock.now() + delay);
-    this.#cancelGiveUp = clock.schedule(delay, () => this.#giveUp());
+    const giveUpAt = millis(requestedAt + stopTimeout - giveUpMargin);
+    this.#giveUpAt = giveUpAt;
+    this.#cancelGiveUp = clock.schedule(millis(giveUpAt - clock.now()), () =>
+      this.#giveUp(),
+    );
   }
 
   /** Tells callers and other nodes what may have run, since the node cannot wait any longer. */
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -37,6 +37,7 @@
 import { EngineDirectory } from "./engine_directory.ts";
 import type { PermitSource } from "./engine_owner.ts";
 import { EngineOwners, type LocalEngine } from "./engine_owners.ts";
+import { PauseWatch } from "./gateway/pause_watch.ts";
 import { createLifecycleMachine } from "./lifecycle.ts";
 import { RoutingManager } from "./routing_manager.ts";
 import {
@@ -90,10 +91,10 @@
   readonly onDemand?: (adapter: AdapterKey) => void;
   /** Called for each session of another node that this node has removed. */
   readonly onSessionRemoved?: (lease: LeaseId) => void;
-  /** Time from the start of a drain in which the node ends; unlimited by default. */
+  /** Time from the request for a drain in which the node ends; unlimited by default. */
   readonly stopTimeout?: Millis;
-  /** Called once when a drain starts. */
-  readonly onDrain?: () => void;
+  /** Called once when a drain starts, with the time at which it was requested. */
+  readonly onDrain?: (requestedAt: Millis) => void;
   /** Called once when a drain has finished. */
   readonly onStopped: () => void;
 };
@@ -107,6 +108,7 @@
   readonly session: Session;
   readonly #options: NodeOptions;
   readonly #drain: Drain;
+  readonly #pauses: PauseWatch;
   readonly #lifecycle: Actor<ReturnType<typeof createLifecycleMachine>>;
   readonly #leavingServers = new Set<string>();
   #cancelPublish: Cancel | undefined;
@@ -154,6 +156,7 @@
       onLeaving: (_, server) => this.markLeaving(server),
       exitAt: () => this.#drain.giveUpAt,
     });
+    this.#pauses = PauseWatch.create(() => options.clock.now());
     this.#drain = Drain.create({
       ...options,
       drafts: this.drafts,
@@ -289,6 +292,7 @@
 
   #publish(): void {
     if (this.#stopped) return;
+    this.#pauses.recordCheck();
     const { clock, cluster } = this.#options;
     cluster.publishEngines(this.directory.ownViews());
     cluster.publishOutage(this.session.failing);
@@ -299,8 +303,10 @@
 
   async #drainWork(): Promise<void> {
     this.#options.journal.record("drainStarted");
-    this.#options.onDrain?.();
-    await this.#drain.run();
+    // A signal may have waited since the process last ran, while the time of its sender went on.
+    const requestedAt = this.#pauses.findEventTime();
+    this.#options.onDrain?.(requestedAt);
+    await this.#drain.run(requestedAt);
     this.#lifecycle.send({ type: "idle" });
   }
 
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -5,7 +5,7 @@
 import type { GuardedTable } from "../adapters/platform/guarded_table.ts";
 import type { Settings } from "../adapters/settings/settings.ts";
 import { sheetCodec } from "../adapters/settings/sheet.ts";
-import { type Clock, millis } from "../core/clock.ts";
+import { type Clock, type Millis, millis } from "../core/clock.ts";
 import type { Catalog } from "../core/config/catalog.ts";
 import {
   type AttemptToken,
@@ -55,7 +55,7 @@
   readonly backEnds: BackEnds;
   readonly forwarder: PeerForwarder;
   readonly datagrams: Datagrams;
-  readonly onDrain: () => void;
+  readonly onDrain: (requestedAt: Millis) => void;
   readonly onStopped: () => void;
 };
 
--- a/tests/daemon/stop_signals_test.ts
+++ b/tests/daemon/stop_signals_test.ts
@@ -44,14 +44,14 @@
 
 after(() => stopInstallation(installation));
 
-function takeSettings(): Settings {
+function takeSettings(stop = { timeoutMs: 60_000 }): Settings {
   const settings = installation.spare[nextSpare++];
   assert.ok(settings);
-  return { ...settings, log: { level: "info" } };
+  return { ...settings, stop, log: { level: "info" } };
 }
 
-async function startNode(): Promise<void> {
-  node = DaemonProcess.create(takeSettings());
+async function startNode(stop?: Settings["stop"]): Promise<void> {
+  node = DaemonProcess.create(takeSettings(stop));
   await node.waitUntilReady();
 }
 
@@ -107,6 +107,24 @@
   assert.match(node.log, /keysReloaded/);
 });
 
+// Guards against: the time limit of a stop counts from the moment at which a frozen node handles the signal, so that the service manager kills it.
+test("the time limit of a stop counts from the signal, also if the node was frozen", async () => {
+  await startNode({ timeoutMs: 6_000 });
+  service.fault = "silent";
+  const { answer } = await startCall();
+  node.signal("SIGSTOP");
+  await sleep(clock, millis(200));
+  const signalledAt = clock.now();
+  node.signal("SIGTERM");
+  await sleep(clock, millis(3_000));
+  node.signal("SIGCONT");
+  const { status, headers } = await answer;
+  assert.equal(status, 504);
+  assert.equal(headers.get("x-outcome"), "may-have-run");
+  assert.equal(await node.ended, 0);
+  assert.ok(clock.now() - signalledAt < 6_000);
+});
+
 // Guards against: a signal that a frozen node gets late cuts the call that it woke up with.
 test("SIGTERM to a frozen node cuts no call in progress when it wakes", async () => {
   await startNode();
