--- a/tests/daemon/stop_test.ts
+++ b/tests/daemon/stop_test.ts
@@ -32,8 +32,8 @@
 before(async () => {
   installation = await startInstallation(clock, {
     regions: ["tatry"],
-    nodesPerRegion: 12,
-    spareNodes: 11,
+    nodesPerRegion: 13,
+    spareNodes: 12,
   });
   service = installation.site.services.get("tatry-booking") as MemoryService;
   archive = createServer((request, response) => {
@@ -281,6 +281,34 @@
   assert.ok(clock.now() - startedAt < shortStopTimeout + 500);
 });
 
+// Guards against: the exit cuts a draft in progress, or ends its stream as if it were complete.
+test("drafts that a stopping node has no time for end with an answer that says so", async () => {
+  const daemon = await startNode(shortStopTimeout);
+  const send = (stream: boolean) =>
+    fetch(`http://${daemon.callers}/v1/completions`, {
+      method: "POST",
+      body: JSON.stringify({
+        model: "rental-00@v1",
+        prompt: "Draft rental terms",
+        max_tokens: 800,
+        stream,
+      }),
+    });
+  const streamed = await send(true);
+  const collecting = send(false);
+  await sleep(clock, millis(500));
+  daemon.drain();
+  const text = await streamed.text();
+  assert.match(text, /"type":"stopped".*"outcome":"may-have-run"/);
+  assert.doesNotMatch(text, /\[DONE\]/);
+  const collected = await collecting;
+  assert.equal(collected.status, 502);
+  assert.equal(collected.headers.get("x-outcome"), "may-have-run");
+  assert.match(await collected.text(), /"type":"stopped"/);
+  assert.equal(await daemon.stopped, true);
+  await daemon.stop();
+});
+
 // Guards against: the owner of an engine breaks off a stream of another node at its exit, or waits for it without limit.
 test("a stream goes on elsewhere when the owner of its engine has no time left", async () => {
   const owner = await startNode(shortStopTimeout);
