--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -81,6 +81,12 @@
     level: "warn",
     meaning: "That node does not answer or has no recent rows",
   },
+  declarationIgnored: {
+    number: 517,
+    level: "info",
+    meaning:
+      "A declaration of the operator that may come from a copy of the store is older than the one in force",
+  },
   storeRestored: {
     number: 516,
     level: "warn",
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/installation_tracker.ts
@@ -110,11 +110,16 @@
     isFromCopy: boolean | undefined,
     { known, next, apply }: Declaration,
   ): void {
-    if (known !== undefined && next <= known && isFromCopy) return;
+    const { context } = this.#options;
+    if (known !== undefined && next <= known && isFromCopy) {
+      const { journal } = context.dependencies;
+      if (next < known)
+        journal.record("declarationIgnored", { name, next, known });
+      return;
+    }
     if (this.#settling.get(name)?.next === next) return;
     this.#settling.delete(name);
     if (known === undefined || next >= known) return apply();
-    const { context } = this.#options;
     const dueAt = millis(context.now() + settleTime);
     this.#settling.set(name, { next, dueAt, apply });
   }
