Send nothing to a server that asked for a pause

A server that turned a request away with 503 and Retry-After was sent its next requests, retries and orders at once: nothing read the header.

The pause is a decision in the core for one incarnation of a server. It is looked up at the selection, before the send, and when the request starts on its connection, and by the owners of engines before an order or a status request. A caller that no server can take in time is refused at once with a Retry-After after the end of the first pause, spread over up to a second. Slow start limits the rate after a pause, since all waiting requests would otherwise arrive together.

The refusal neither suspends the server as well nor takes a retry from the budget that could not be sent.

--- a/src/adapters/http/exchange.ts
+++ b/src/adapters/http/exchange.ts
@@ -17,6 +17,11 @@
   readonly inactivityTimeout?: Millis;
   /** The request must not be written at or after this time. */
   readonly validUntil?: Millis;
+  /** Called when the head of the final response arrives. */
+  readonly onHead?: (
+    status: number,
+    headers: ExchangeResponse["headers"],
+  ) => void;
 };
 
 /** Complete response of an HTTP call. */
@@ -104,7 +109,9 @@
     headers: ExchangeResponse["headers"],
   ): void {
     this.#lastActivityAt = this.#clock.now();
-    if (status >= 200) this.#head = { status, headers };
+    if (status < 200) return;
+    this.#head = { status, headers };
+    this.#request.onHead?.(status, headers);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer) {
--- a/src/core/observe/engine_events.ts
+++ b/src/core/observe/engine_events.ts
@@ -68,6 +68,18 @@
     meaning:
       "The entry of a backend server disappeared, possibly only expired; it stays usable for a time",
   },
+  serverPaused: {
+    number: 231,
+    level: "info",
+    meaning:
+      "A backend server turned a request away and asked for a pause; the node sends it nothing meanwhile",
+  },
+  retryAfterUnusual: {
+    number: 232,
+    level: "info",
+    meaning:
+      "The Retry-After of a backend server is negative, endless, a date, too long or no number; the pause is bounded",
+  },
   serverSuspended: {
     number: 215,
     level: "warn",
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -73,6 +73,8 @@
     "Time from sending a request until it starts on a connection, in ms",
   gateway_adapter_wait_ms: "Time that requests waited for an adapter, in ms",
   gateway_repeats_denied_total: "Retries refused by the shared retry budget",
+  server_pauses_total:
+    "Answers of servers that ask for a pause, by form of the value",
   gateway_requests_open: "Requests that this node is serving",
   engine_orders_total: "Orders to engines, by operation and answer",
   store_calls_total: "Calls to the platform's store, by call and result",
--- a/src/core/results/engine_codes.ts
+++ b/src/core/results/engine_codes.ts
@@ -82,4 +82,12 @@
     remedy:
       "Send again after Retry-After without that part; operators: see the poison rows",
   },
+  serversPaused: {
+    number: 3012,
+    status: 503,
+    outcome: "not-run",
+    meaning:
+      "Every server that can take the request has asked this node for a pause",
+    remedy: "Send again after Retry-After; operators: see event 231",
+  },
 } as const satisfies Record<string, ResultCode>;
--- a/src/node/gateway/attempt_health.ts
+++ b/src/node/gateway/attempt_health.ts
@@ -1,5 +1,5 @@
 import { recordCallResult } from "../../core/gateway/server_health.ts";
-import type { ServerId } from "../../core/ids.ts";
+import type { BackendServer } from "../../core/gateway/servers.ts";
 import type { GatewayContext } from "./context.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
@@ -8,13 +8,15 @@
 /** Records how an attempt ended in the health of its server; true if that suspends the server. */
 export function recordAttemptHealth(
   context: GatewayContext,
-  server: ServerId,
+  server: BackendServer,
   kind: EndKind,
 ): boolean {
+  // The pause already keeps requests away; a suspension would outlast it.
+  if (kind === "not-run" && context.availability.isPaused(server)) return false;
   const result = toHealthResult(kind);
   if (result === undefined) return false;
   const now = context.now();
-  return recordCallResult(context.health, server, { result, now });
+  return recordCallResult(context.health, server.id, { result, now });
 }
 
 /** Result to record in the server's health; undefined if the attempt says nothing about it. */
--- a/src/node/gateway/attempt_history.ts
+++ b/src/node/gateway/attempt_history.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "../../core/clock.ts";
+import type { Resumption } from "../../core/gateway/server_pauses.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import type { ServerId } from "../../core/ids.ts";
 import type { AcquireResult } from "../../ports/gateway.ts";
@@ -28,6 +29,9 @@
   /** Time at which an engine should hold the model, if none does. */
   modelReadyAt: Millis | undefined;
 
+  /** When the first server takes requests again, if all of them are paused. */
+  resumption: Resumption | undefined;
+
   private constructor() {}
 
   static create(): AttemptHistory {
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -38,6 +38,7 @@
 } from "../../core/ids.ts";
 import type { ServerLinks } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
+import { ServerAvailability } from "./server_availability.ts";
 
 /** Identity, location and peer address of a node. */
 export type NodeIdentity = {
@@ -76,6 +77,7 @@
   readonly dependencies: GatewayDependencies;
   readonly directory: ServerDirectory = createServerDirectory();
   readonly health: ServerHealth = createServerHealth();
+  readonly availability: ServerAvailability;
   readonly adapterDirectory: AdapterDirectory = createAdapterDirectory();
   /** Newest declared version of each adapter. */
   readonly versions = new Map<ModelAdapterKey, number>();
@@ -90,6 +92,10 @@
 
   private constructor(dependencies: GatewayDependencies) {
     this.dependencies = dependencies;
+    this.availability = ServerAvailability.create({
+      ...dependencies,
+      directory: this.directory,
+    });
   }
 
   static create(dependencies: GatewayDependencies): GatewayContext {
--- a/src/node/gateway/engine_controller.ts
+++ b/src/node/gateway/engine_controller.ts
@@ -147,7 +147,9 @@
 
   #tick(): void {
     const { context, leases } = this.#options;
-    const mayOrder = leases.findOrderFence(this.#server.id) !== undefined;
+    const mayOrder =
+      leases.findOrderFence(this.#server.id) !== undefined &&
+      !context.availability.isPaused(this.#server);
     const fleet = this.#options.describeFleet(this.#server);
     this.#actor.send({ type: "tick", mayOrder, fleet });
     this.#cancelTick = context.dependencies.clock.schedule(tickInterval, () =>
@@ -174,7 +176,7 @@
     const { context, orders, leases } = this.#options;
     const { journal, meter, identity } = context.dependencies;
     const fence = leases.findOrderFence(this.#server.id);
-    if (fence === undefined) {
+    if (fence === undefined || context.availability.isPaused(this.#server)) {
       this.#actor.send({
         type: "answered",
         order,
@@ -200,7 +202,10 @@
   }
 
   async #askStatus(): Promise<void> {
-    const answer = await this.#options.orders.fetchStatus(this.#server);
+    const { context, orders } = this.#options;
+    if (context.availability.isPaused(this.#server))
+      return this.#actor.send({ type: "status", status: undefined });
+    const answer = await orders.fetchStatus(this.#server);
     answer.caseOf({
       Left: () => this.#actor.send({ type: "status", status: undefined }),
       Right: (status) => this.#actor.send({ type: "status", status }),
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -11,6 +11,7 @@
   NodeLinks,
   PoisonMessage,
   ProxiedRequest,
+  ServerNotices,
 } from "../../ports/gateway.ts";
 import type { TableService } from "../../ports/table.ts";
 import { type FollowTableRows, PoisonManager } from "../poison_manager.ts";
@@ -43,6 +44,7 @@
   readonly readLeaseRows: ReadLeaseRows;
   readonly feed: InstallationFeed;
   readonly orders: EngineOrders;
+  readonly notices: ServerNotices;
   readonly nodeLinks: NodeLinks;
   readonly nodeChannel: NodeChannel;
   /** Delivers the rows of the table, in which other nodes record what crashes engines. */
@@ -147,6 +149,9 @@
   static create(options: GatewayOptions): Gateway {
     const gateway = new Gateway(options);
     options.feed.follow((change) => gateway.#installation.apply(change));
+    options.notices.follow((server, notice) =>
+      gateway.context.availability.receive(server, notice),
+    );
     gateway.#runChecks();
     return gateway;
   }
@@ -287,6 +292,7 @@
     this.#clockOffset = clockOffset;
     this.#pauses.recordCheck();
     this.#installation.applyDue();
+    this.context.availability.removeEnded();
     this.#cancelChecks = clock.schedule(checkInterval, () => this.#runChecks());
   }
 }
--- a/src/node/gateway/prompt_guard.ts
+++ b/src/node/gateway/prompt_guard.ts
@@ -109,7 +109,9 @@
     server: BackendServer,
     parts: readonly Digest[],
   ): Promise<void> {
-    const { crashes, poison } = this.#options;
+    const { crashes, poison, context } = this.#options;
+    // A paused engine is not asked whether it has crashed.
+    if (context.availability.isPaused(server)) return;
     const digests = this.#selectReported(parts);
     if (digests.length === 0 || !(await crashes.isDown(server))) return;
     poison.suspect({
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/request_refusals.ts
@@ -1,7 +1,12 @@
-import { type Millis, millis } from "../../core/clock.ts";
+import { millis } from "../../core/clock.ts";
+import {
+  computeReturnDelay,
+  type Resumption,
+} from "../../core/gateway/server_pauses.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
 import type { ModelDemand } from "../../ports/gateway.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
+import type { GatewayContext } from "./context.ts";
 
 /** Delay before a refused caller should retry, in ms. */
 const retryDelay = millis(400);
@@ -14,12 +19,14 @@
 export function refuseWithoutServer(
   history: AttemptHistory,
   demand: ModelDemand | undefined,
-  now: Millis,
+  context: GatewayContext,
 ): Refusal {
   if (history.runs > 0) {
     const detail = "The answer was lost and no other server can take over";
     return refuse("serviceBroken", detail);
   }
+  if (history.resumption !== undefined)
+    return refuseWhilePaused(history.resumption, context);
   const code = demand === undefined ? "noServer" : "adapterNotInTime";
   const last = history.lastRefusal;
   const reason =
@@ -28,7 +35,8 @@
       : `; the owner of ${last.server.id}: ${last.reason}`;
   const detail = `No server can take the request in time${reason}`;
   const { modelReadyAt } = history;
-  const modelWait = modelReadyAt === undefined ? 0 : modelReadyAt - now;
+  const modelWait =
+    modelReadyAt === undefined ? 0 : modelReadyAt - context.now();
   const retryAfter = millis(Math.max(retryDelay, modelWait + registrationLag));
   return refuse(code, detail, {
     retryAfter: modelReadyAt === undefined ? retryDelay : retryAfter,
@@ -59,14 +67,30 @@
 export function refuseAfterAttempt(
   history: AttemptHistory,
   attemptDetail: string,
+  context: GatewayContext,
 ): Refusal {
   if (history.runs > 0) {
     return refuse("serviceBroken", `The answer was lost: ${attemptDetail}`);
   }
+  if (history.resumption !== undefined)
+    return refuseWhilePaused(history.resumption, context);
   const detail = `Every server rejected the request: ${attemptDetail}`;
   return refuse("noServer", detail, { retryAfter: retryDelay });
 }
 
+/** Refusal of a request while every server that can take it has asked for a pause. */
+function refuseWhilePaused(
+  resumption: Resumption,
+  context: GatewayContext,
+): Refusal {
+  const now = context.now();
+  const share = context.dependencies.random();
+  const retryAfter = computeReturnDelay(resumption, { now, share });
+  const pause = Math.ceil(resumption.at - now);
+  const detail = `Every server that can take the request has asked for a pause; the first one ends in ${pause} ms`;
+  return refuse("serversPaused", detail, { retryAfter });
+}
+
 /** Refusal of a request that has reached its time limit. */
 export function refuseAtTimeLimit(mayHaveRun: boolean): Refusal {
   const detail = "The request reached its time limit";
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -10,10 +10,7 @@
   type OpenRun,
   startRun,
 } from "../../core/gateway/run_times.ts";
-import {
-  acceptsRequests,
-  type BackendServer,
-} from "../../core/gateway/servers.ts";
+import type { BackendServer } from "../../core/gateway/servers.ts";
 import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
 import { formatModelAdapterKey } from "../../core/ids.ts";
 import type { Refusal } from "../../core/results/refusal.ts";
@@ -163,12 +160,14 @@
       if (this.#isTooLateToStart()) return this.#refuse(refuseWhileStopping());
       if (selection === undefined) return this.#refuseWithoutServer();
       if (!this.#prompt.maySend()) continue;
+      // The selection may have waited for an adapter, or for the owners of engines.
+      if (!context.availability.canTakeNext(selection.server)) continue;
       const result = await this.#sendTo(selection);
       if (this.#ended || result === undefined) return;
       const step = this.#handleFailure(result, selection.server);
       if (step.kind === "pass-on") return this.#forwardServerError(result);
       if (step.kind === "give-up") return this.#giveUp(result);
-      if (step.usesRetryBudget && !context.takeRetry(service)) {
+      if (step.usesRetryBudget && !this.#takeRetry()) {
         if (result.end.kind === "server-error")
           return this.#forwardServerError(result);
         return this.#giveUp(result);
@@ -182,7 +181,7 @@
     if (context.stop !== undefined && !this.#mayHaveRun())
       return this.#refuse(refuseWhileStopping());
     const { demand } = request;
-    this.#refuse(refuseWithoutServer(this.#history, demand, context.now()));
+    this.#refuse(refuseWithoutServer(this.#history, demand, context));
   }
 
   /** Time until which the request waits; while the node stops, no longer than it can be started. */
@@ -224,6 +223,9 @@
       onRefused: (server, reason) => {
         history.lastRefusal = { server, reason };
       },
+      onPaused: (resumption) => {
+        history.resumption = resumption;
+      },
       onModelMissing: (availability) => {
         history.modelReadyAt =
           availability.kind === "coming" ? availability.readyAt : undefined;
@@ -241,9 +243,8 @@
       return Promise.resolve(undefined);
     }
     const isAccepted = () =>
-      acceptsRequests(context.directory, selection.server) &&
+      context.availability.accepts(selection.server) &&
       !this.#isTooLateToStart();
-    // The selection may have waited for an adapter, or for the owners of engines.
     if (!isAccepted()) return Promise.resolve(serverLeft);
     this.#log.record("requestSent", { server: selection.server });
     this.#server = selection.server;
@@ -292,7 +293,7 @@
     this.#history.recordAttemptEnd(kind, server.id);
     this.#prompt.recordFailure(attempt, server);
     if (kind === "misdirected") this.#forgetAdapter(server);
-    if (recordAttemptHealth(context, server.id, kind))
+    if (recordAttemptHealth(context, server, kind))
       this.#log.record("serverSuspended", { server, detail: kind });
     const { retryRule, resumable, maxAttempts } = route;
     const rule = { retryRule, resumable, maxAttempts };
@@ -302,6 +303,16 @@
     );
   }
 
+  /** Takes a retry from the budget of the service, unless all servers are paused for too long. */
+  #takeRetry(): boolean {
+    const { context, selector, request } = this.#options;
+    const { service } = this.#plan;
+    const resumption = selector.findResumption(service, request.demand);
+    if (resumption !== undefined && resumption.at > this.#findWaitEnd())
+      return false;
+    return context.takeRetry(service);
+  }
+
   #endRun(isWhole: boolean): void {
     if (this.#run === undefined) return;
     const { context } = this.#options;
@@ -329,7 +340,11 @@
   }
 
   #giveUp(result: AttemptResult): void {
-    this.#refuse(refuseAfterAttempt(this.#history, result.detail));
+    const { context, selector, request } = this.#options;
+    const { service } = this.#plan;
+    const history = this.#history;
+    history.resumption = selector.findResumption(service, request.demand);
+    this.#refuse(refuseAfterAttempt(history, result.detail, context));
   }
 
   #onTimeLimit(): void {
--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -31,10 +31,10 @@
   readonly body: readonly Uint8Array[];
 };
 
-/** Result of an attempt that was not made because its server had left. */
+/** Result of an attempt that was not made because its server had left or paused. */
 export const serverLeft: AttemptResult = {
   end: { kind: "left" },
-  detail: "The server left before the request was sent",
+  detail: "The server left or paused before the request was sent",
   head: undefined,
   runTime: undefined,
   body: [],
@@ -78,6 +78,7 @@
     const attempt = new ServerAttempt(options);
     const { context, serverRequest } = options;
     recordCallStart(context.health, serverRequest.server.id);
+    context.availability.recordSend(serverRequest.server);
     attempt.#control = context.dependencies.links.send(serverRequest, {
       onHead: (head) => attempt.#onHead(head),
       onBytes: (bytes) => attempt.#onBytes(bytes),
--- /dev/null
+++ b/src/node/gateway/server_availability.ts
@@ -0,0 +1,95 @@
+import type { Clock, Millis } from "../../core/clock.ts";
+import { boundPause, parseRetryAfter } from "../../core/gateway/retry_after.ts";
+import {
+  createServerPauses,
+  findEarliestResumption,
+  findResumption,
+  isPaused,
+  type Resumption,
+  recordPause,
+  recordSend,
+  removeEndedPauses,
+} from "../../core/gateway/server_pauses.ts";
+import {
+  acceptsRequests,
+  type BackendServer,
+  type ServerDirectory,
+} from "../../core/gateway/servers.ts";
+import type { ServerNotice } from "../../ports/gateway.ts";
+import type { Journal, Meter } from "../../ports/journal.ts";
+
+type ServerAvailabilityOptions = {
+  readonly clock: Clock;
+  readonly directory: ServerDirectory;
+  readonly journal: Journal;
+  readonly meter: Meter;
+};
+
+/** Which servers take requests from this node now, by their registrations and their notices. */
+export class ServerAvailability {
+  readonly #options: ServerAvailabilityOptions;
+  readonly #pauses = createServerPauses();
+
+  private constructor(options: ServerAvailabilityOptions) {
+    this.#options = options;
+  }
+
+  static create(options: ServerAvailabilityOptions): ServerAvailability {
+    return new ServerAvailability(options);
+  }
+
+  /** Applies what a server said about itself in an answer. */
+  receive(server: BackendServer, notice: ServerNotice): void {
+    this.#recordPause(server, notice.retryAfter);
+  }
+
+  /** Whether the server has asked this node to send it nothing for a time. */
+  isPaused(server: BackendServer): boolean {
+    return isPaused(this.#pauses, server, this.#now());
+  }
+
+  /** Whether a request that was assigned to the server may be written to its connection. */
+  accepts(server: BackendServer): boolean {
+    const { directory } = this.#options;
+    return acceptsRequests(directory, server) && !this.isPaused(server);
+  }
+
+  /** Whether a further request may be assigned to the server. */
+  canTakeNext(server: BackendServer): boolean {
+    return findResumption(this.#pauses, server, this.#now()) === undefined;
+  }
+
+  /** Earliest resumption of servers that all take no further request now; undefined if one of them does. */
+  findResumption(servers: readonly BackendServer[]): Resumption | undefined {
+    return findEarliestResumption(this.#pauses, servers, this.#now());
+  }
+
+  /** Counts a request that is sent to the server. */
+  recordSend(server: BackendServer): void {
+    recordSend(this.#pauses, server, this.#now());
+  }
+
+  /** Removes the state of servers that are gone. */
+  removeEnded(): void {
+    const { servers } = this.#options.directory;
+    removeEndedPauses(this.#pauses, (id) => servers.has(id), this.#now());
+  }
+
+  #recordPause(server: BackendServer, text: string): void {
+    const { clock, journal, meter } = this.#options;
+    const value = parseRetryAfter(text, clock.wallNow());
+    const duration = boundPause(value);
+    meter.count("server_pauses_total", { value: value.kind });
+    const fields = { server: server.id, value: text, duration };
+    const isBounded = value.delay > duration;
+    if (value.kind !== "seconds" || isBounded)
+      journal.record("retryAfterUnusual", { ...fields, form: value.kind });
+    const now = this.#now();
+    if (recordPause(this.#pauses, server, { duration, now }))
+      journal.record("serverPaused", fields);
+  }
+
+  #now(): Millis {
+    return this.#options.clock.now();
+  }
+}
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -11,6 +11,7 @@
   rankEngines,
 } from "../../core/gateway/engine_ranking.ts";
 import { isSuspended } from "../../core/gateway/server_health.ts";
+import type { Resumption } from "../../core/gateway/server_pauses.ts";
 import {
   type BackendServer,
   listUsableServers,
@@ -104,7 +105,11 @@
       readonly onModelMissing: (availability: ModelAvailability) => void;
     },
   ): Promise<ServerSelection | undefined> {
-    const usable = listUsableServers(this.#context.directory, service);
+    const { availability, directory } = this.#context;
+    const registered = listUsableServers(directory, service);
+    const usable = registered.filter((server) =>
+      availability.canTakeNext(server),
+    );
     const { demand, tried } = request;
     const untried = excludeServers(usable, tried);
     if (demand === undefined) return this.#selectByCost(usable, untried);
@@ -114,7 +119,8 @@
     const { adapter, model } = demand;
     const wanted = { model, requests: request.isFirst ? 1 : 0 };
     if (withModel.length === 0) {
-      if (!usable.some((server) => holdsModel(server, model)))
+      // A paused engine still holds the model, so no other one has to load it.
+      if (!registered.some((server) => holdsModel(server, model)))
         request.onModelMissing(
           await this.#requestModel(service, wanted, usable),
         );
@@ -138,6 +144,20 @@
     return selection;
   }
 
+  /** When the first server takes the request, if all that could are paused now. */
+  findResumption(
+    service: ServiceName,
+    demand: ModelDemand | undefined,
+  ): Resumption | undefined {
+    const { availability, directory } = this.#context;
+    const registered = listUsableServers(directory, service);
+    const able =
+      demand === undefined
+        ? registered
+        : registered.filter((server) => holdsModel(server, demand.model));
+    return availability.findResumption(able);
+  }
+
   /** Asks for a model that no engine holds; the service may not have it. */
   async #requestModel(
     service: ServiceName,
@@ -271,6 +291,7 @@
         return { selection, isNewLoad: true };
       }
       if (isSuspended(context.health, server.id, now)) continue;
+      if (!context.availability.canTakeNext(server)) continue;
       this.#options.recordBacklog(server.id, answer.backlog);
       const readyAt = millis(now + answer.inMs);
       const { adapterDirectory } = context;
--- a/src/node/gateway/server_wait.ts
+++ b/src/node/gateway/server_wait.ts
@@ -1,4 +1,5 @@
 import { type Millis, millis, sleep } from "../../core/clock.ts";
+import type { Resumption } from "../../core/gateway/server_pauses.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import type { ServerId, ServiceName } from "../../core/ids.ts";
 import type { ModelDemand } from "../../ports/gateway.ts";
@@ -34,6 +35,8 @@
   readonly onRefused: RefusalListener;
   /** Called if no engine holds the model. */
   readonly onModelMissing: (availability: ModelAvailability) => void;
+  /** Called with the end of the first pause while all servers are paused, and with undefined once one is not. */
+  readonly onPaused: (resumption: Resumption | undefined) => void;
 };
 
 /** Waits until a server can take the request; undefined if none can by `until`. */
@@ -70,6 +73,11 @@
     }
     options.onModelMissing(availability);
   };
+  const findPauseEnd = () => {
+    const resumption = selector.findResumption(service, demand);
+    options.onPaused(resumption);
+    return resumption?.at ?? context.now();
+  };
   const request = { demand, tried, deniedBy, onRefused, onModelMissing };
   let isFirst = true;
   while (!options.hasEnded() && isInTime) {
@@ -78,7 +86,10 @@
     if (selection !== undefined && selection.readyAt <= options.until) {
       return selection;
     }
-    if (context.now() + pollInterval >= options.until) return undefined;
+    const pauseEnd = findPauseEnd();
+    // A caller that cannot be served in time returns after the pause instead of waiting.
+    const nextAttempt = Math.max(pauseEnd, context.now() + pollInterval);
+    if (nextAttempt >= options.until) return undefined;
     if (selection === undefined) tried.clear();
     await sleep(context.dependencies.clock, pollInterval);
   }
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -80,7 +80,7 @@
 export type ServerRequest = {
   readonly request: ProxiedRequest;
   readonly server: BackendServer;
-  /** Whether the server still accepts requests; checked when the request starts on its connection. */
+  /** Whether the server still accepts requests of this node; checked when the request starts on its connection. */
   readonly isAccepted: () => boolean;
   /** Time left for the server, in ms. */
   readonly timeLeft: Millis;
@@ -94,8 +94,8 @@
 /** Why an attempt brought no complete response. */
 export type ServerFailure = {
   /**
-   * `unreachable`: no connection. `left`: the server left before the request
-   * was sent. `not-run`: the server states that it did not
+   * `unreachable`: no connection. `left`: the server left, or asked for a
+   * pause, before the request was sent. `not-run`: the server states that it did not
    * run the request, or another server has its address. `misdirected`: as
    * `not-run`, because the server lacks the model, adapter or version.
    * `broken`: the connection ended or the response is invalid. `crossed`: the
@@ -125,6 +125,19 @@
   cancel(): void;
 };
 
+/** What a server says about itself in the head of an answer. */
+export type ServerNotice = {
+  /** The server wants nothing from this node for a time. */
+  readonly kind: "pause";
+  /** Retry-After header as received. */
+  readonly retryAfter: string;
+};
+
+/** Delivers the notices of servers in the turn in which the head of the answer arrives. */
+export type ServerNotices = {
+  follow(listener: (server: BackendServer, notice: ServerNotice) => void): void;
+};
+
 /** Connections to backend servers. */
 export type ServerLinks = {
   send(request: ServerRequest, sink: ServerResponseSink): ServerRequestControl;
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -33,6 +33,7 @@
   ProxiedRequest,
   RowOrigin,
   ServerLinks,
+  ServerNotice,
 } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import type { Transaction } from "../../src/ports/table.ts";
@@ -106,10 +107,13 @@
   readonly gateway: Gateway;
   /** Time that a status request takes. */
   statusDelay = millis(0);
+  /** Number of status requests that engines got. */
+  statusRequests = 0;
   /** Engines that have crashed. */
   readonly downEngines = new Set<ServerId>();
   orderAnswer: OrderAnswer = { kind: "accepted" };
   #publish: (change: InstallationChange) => void = () => {};
+  #notify: (server: BackendServer, notice: ServerNotice) => void = () => {};
   #deliver: (message: NodeMessage, from: string) => void = () => {};
   readonly #orderedEngines: ServerId[] = [];
   #requests = 0;
@@ -141,6 +145,7 @@
         return this.orderAnswer;
       },
       fetchStatus: async (server) => {
+        this.statusRequests++;
         if (this.statusDelay > 0) await sleep(this.clock, this.statusDelay);
         if (this.downEngines.has(server.id))
           return Left({ detail: "The connection was refused" });
@@ -180,6 +185,11 @@
         stop: () => {},
       },
       orders: engineOrders,
+      notices: {
+        follow: (listener) => {
+          this.#notify = listener;
+        },
+      },
       nodeLinks: {
         acquire: async () => ({ kind: "refused", reason: "unreachable" }),
         requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
@@ -223,6 +233,11 @@
     this.#deliver(message, "10.0.0.8:7000");
   }
 
+  /** Delivers what a server says about itself in an answer. */
+  notify(server: BackendServer, notice: ServerNotice): void {
+    this.#notify(server, notice);
+  }
+
   /** Delivers another node's records of crashes that one of these parts has caused. */
   reportCrash(parts: readonly string[], crashes = ["e9/1"]): void {
     for (const part of parts) {
