Choose a server for no request once an answer says that it leaves

A server states in all its answers that it leaves, while the store may still list it as ready or be away.

The directory keeps the news for the incarnation.

--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -7,7 +7,7 @@
 } from "../../core/gateway/engine_backlog.ts";
 import { brandString, type Digest, type MachineName } from "../../core/ids.ts";
 import { crashLimit } from "../../core/poison/record.ts";
-import type { NodeMessage } from "../../ports/gateway.ts";
+import type { LeavingMessage, NodeMessage } from "../../ports/gateway.ts";
 
 /** Maximum number of engines in one datagram, which keeps it below the usual path MTU. */
 const enginesPerDatagram = 2;
@@ -43,6 +43,7 @@
   z.tuple([z.literal("load"), name, z.array(ownerReportFrame)]),
   z.tuple([z.literal("poison"), name, name, crashListFrame, crashListFrame]),
   z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialParts), count]),
+  z.tuple([z.literal("leaving"), name, name, z.nullable(z.number().int())]),
 ]);
 
 const packr = new Packr({ useRecords: false });
@@ -63,6 +64,11 @@
       const { type, from, parts, duration } = message;
       return [packr.pack([type, from, parts, duration])];
     }
+    case "leaving": {
+      const { type, from, incarnation } = message;
+      const { id, born } = incarnation;
+      return [packr.pack([type, from, id, born ?? null])];
+    }
   }
 }
 
@@ -131,6 +137,11 @@
       const brandedParts = parts.map((part) => brandString<Digest>(part));
       return { type, from, parts: brandedParts, duration: millis(duration) };
     }
+    case "leaving": {
+      const [type, , id, born] = data;
+      const incarnation = { id: brandString(id), born: born ?? undefined };
+      return { type, from, incarnation } as LeavingMessage;
+    }
   }
 }
 
--- a/src/core/gateway/server_pauses.ts
+++ b/src/core/gateway/server_pauses.ts
@@ -1,9 +1,6 @@
 import { type Millis, millis } from "../clock.ts";
 import type { ServerId } from "../ids.ts";
-import type { BackendServer } from "./servers.ts";
-
-/** Identity of one incarnation of a server. */
-export type ServerIncarnation = Pick<BackendServer, "id" | "born">;
+import type { Incarnation } from "./servers.ts";
 
 /** Time after a pause, in ms, within which the rate of requests grows back. */
 const slowStartTime = 2_000;
@@ -51,7 +48,7 @@
 /** Records a pause from `now` on; the longer one counts. True if the server was not paused before. */
 export function recordPause(
   { pauses, rates }: ServerPauses,
-  server: ServerIncarnation,
+  server: Incarnation,
   { duration, now }: { readonly duration: Millis; readonly now: Millis },
 ): boolean {
   const until = millis(now + duration);
@@ -78,7 +75,7 @@
 /** Whether a server wants nothing from this node at the moment. */
 export function isPaused(
   { pauses }: ServerPauses,
-  server: ServerIncarnation,
+  server: Incarnation,
   now: Millis,
 ): boolean {
   const pause = findPause(pauses, server);
@@ -91,7 +88,7 @@
  */
 export function findResumption(
   { pauses }: ServerPauses,
-  server: ServerIncarnation,
+  server: Incarnation,
   now: Millis,
 ): Resumption | undefined {
   const pause = findPause(pauses, server);
@@ -111,7 +108,7 @@
 /** Earliest resumption of servers that all take no request now; undefined if one of them does. */
 export function findEarliestResumption(
   pauses: ServerPauses,
-  servers: readonly ServerIncarnation[],
+  servers: readonly Incarnation[],
   now: Millis,
 ): Resumption | undefined {
   let earliest: Resumption | undefined;
@@ -127,7 +124,7 @@
 /** Counts a request that is sent to a server. */
 export function recordSend(
   { pauses, rates }: ServerPauses,
-  server: ServerIncarnation,
+  server: Incarnation,
   now: Millis,
 ): void {
   const pause = findPause(pauses, server);
@@ -167,7 +164,7 @@
 
 function findPause(
   pauses: Map<ServerId, Pause>,
-  server: ServerIncarnation,
+  server: Incarnation,
 ): Pause | undefined {
   const pause = pauses.get(server.id);
   return pause?.born === server.born ? pause : undefined;
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -75,6 +75,8 @@
   gateway_repeats_denied_total: "Retries refused by the shared retry budget",
   server_pauses_total:
     "Answers of servers that ask for a pause, by form of the value",
+  server_notices_ignored_total:
+    "Answers of servers with an unknown value of the header that says that they leave",
   gateway_requests_open: "Requests that this node is serving",
   engine_orders_total: "Orders to engines, by operation and answer",
   store_calls_total: "Calls to the platform's store, by call and result",
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -23,6 +23,7 @@
 import { LeaseManager } from "./lease_manager.ts";
 import type { ReadLeaseRows } from "./lease_rows.ts";
 import { ModelRequester } from "./model_requester.ts";
+import { NoticeHandler } from "./notice_handler.ts";
 import { OwnerCalls } from "./owner_calls.ts";
 import { PauseWatch } from "./pause_watch.ts";
 import { PeerContacts } from "./peer_contacts.ts";
@@ -68,6 +69,7 @@
   readonly #broadcast: (message: PoisonMessage) => void;
   readonly #requests = new Set<RequestTask>();
   readonly #installation: InstallationTracker;
+  readonly #notices: NoticeHandler;
   #onIdle: () => void = () => {};
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
@@ -115,6 +117,8 @@
       contacts.recordContact(message.from);
       if (message.type === "use" || message.type === "load")
         return this.#usageReporter.receive(message, address);
+      if (message.type === "leaving")
+        return this.#notices.receiveLeaving(message);
       this.#guard.receive(message);
     });
     const owners = OwnerCalls.create({
@@ -142,6 +146,12 @@
         this.#engineControllers.reconcile();
       },
     });
+    this.#notices = NoticeHandler.create({
+      context: this.context,
+      installation: this.#installation,
+      channel: options.nodeChannel,
+      listAddresses: () => this.#leases.listOtherAddresses(),
+    });
     this.#clockOffset = clock.wallNow() - clock.now();
     this.#pauses = PauseWatch.create(() => clock.now());
   }
@@ -150,7 +160,7 @@
     const gateway = new Gateway(options);
     options.feed.follow((change) => gateway.#installation.apply(change));
     options.notices.follow((server, notice) =>
-      gateway.context.availability.receive(server, notice),
+      gateway.#notices.receive(server, notice),
     );
     gateway.#runChecks();
     return gateway;
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/installation_tracker.ts
@@ -7,11 +7,14 @@
 import {
   applyServerChange,
   type BackendServer,
+  type Incarnation,
+  recordLeaving,
   removeExpiredServers,
   type ServerChange,
 } from "../../core/gateway/servers.ts";
 import type { ServerId } from "../../core/ids.ts";
 import type { EntryOrigin, InstallationChange } from "../../ports/gateway.ts";
+import type { EventFields } from "../../ports/journal.ts";
 import type { GatewayContext } from "./context.ts";
 
 type InstallationTrackerOptions = {
@@ -100,6 +103,21 @@
     }
   }
 
+  /**
+   * Applies the news that a server leaves, which its registration may not say
+   * yet; `source` is the node that passed it on, or the server itself. Returns
+   * whether the node did not know it before.
+   */
+  recordLeaving(incarnation: Incarnation, source: string): boolean {
+    const { context, onServer } = this.#options;
+    if (!recordLeaving(context.directory, incarnation)) return false;
+    const server = context.directory.servers.get(incarnation.id);
+    if (server === undefined) return false;
+    this.#recordServer(server, { source });
+    onServer(server);
+    return true;
+  }
+
   /**
    * Brings a declaration of the operator into force. One with a lower number
    * has to stay the newest for a time, since the operator may be writing again,
@@ -157,12 +175,12 @@
     }
     recordRegistration(adapterDirectory, server, context.now());
     if (known === undefined || known.leaving !== server.leaving) {
-      this.#recordServer(server, origin);
+      this.#recordServer(server, describeOrigin(origin));
     }
     onServer(server);
   }
 
-  #recordServer(server: BackendServer, origin: EntryOrigin): void {
+  #recordServer(server: BackendServer, origin: EventFields): void {
     const event = server.leaving ? "serverLeaving" : "serverSeen";
     const { id, service, address, dataCentre } = server;
     const { journal } = this.#options.context.dependencies;
@@ -171,7 +189,7 @@
       service,
       address,
       dataCentre,
-      ...describeOrigin(origin),
+      ...origin,
     });
   }
 
--- a/src/node/gateway/server_availability.ts
+++ b/src/node/gateway/server_availability.ts
@@ -15,7 +15,6 @@
   type BackendServer,
   type ServerDirectory,
 } from "../../core/gateway/servers.ts";
-import type { ServerNotice } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
 
 type ServerAvailabilityOptions = {
@@ -25,7 +24,7 @@
   readonly meter: Meter;
 };
 
-/** Which servers take requests from this node now, by their registrations and their notices. */
+/** Which servers take requests from this node now, by their registrations and the pauses they asked for. */
 export class ServerAvailability {
   readonly #options: ServerAvailabilityOptions;
   readonly #pauses = createServerPauses();
@@ -38,14 +37,24 @@
     return new ServerAvailability(options);
   }
 
-  /** Applies what a server said about itself in an answer. */
-  receive(server: BackendServer, notice: ServerNotice): void {
-    this.#recordPause(server, notice.retryAfter);
+  /** Records that a server asked for a pause with this Retry-After value. */
+  recordPause(server: BackendServer, text: string): void {
+    const { clock, journal, meter } = this.#options;
+    const value = parseRetryAfter(text, clock.wallNow());
+    const duration = boundPause(value);
+    meter.count("server_pauses_total", { value: value.kind });
+    const fields = { server: server.id, value: text, duration };
+    const isBounded = value.delay > duration;
+    if (value.kind !== "seconds" || isBounded)
+      journal.record("retryAfterUnusual", { ...fields, form: value.kind });
+    const now = this.#now();
+    if (recordPause(this.#pauses, server, { duration, now }))
+      journal.record("serverPaused", fields);
   }
 
   /** Whether the server has asked this node to send it nothing for a time. */
   isPaused(server: BackendServer): boolean {
-    return isPaused(this.#pauses, server, this.#now());
+    return isPaused(this.#pauses, this.#findCurrent(server), this.#now());
   }
 
   /** Whether a request that was assigned to the server may be written to its connection. */
@@ -56,7 +65,8 @@
 
   /** Whether a further request may be assigned to the server. */
   canTakeNext(server: BackendServer): boolean {
-    return findResumption(this.#pauses, server, this.#now()) === undefined;
+    const current = this.#findCurrent(server);
+    return findResumption(this.#pauses, current, this.#now()) === undefined;
   }
 
   /** Earliest resumption of servers that all take no further request now; undefined if one of them does. */
@@ -75,18 +85,9 @@
     removeEndedPauses(this.#pauses, (id) => servers.has(id), this.#now());
   }
 
-  #recordPause(server: BackendServer, text: string): void {
-    const { clock, journal, meter } = this.#options;
-    const value = parseRetryAfter(text, clock.wallNow());
-    const duration = boundPause(value);
-    meter.count("server_pauses_total", { value: value.kind });
-    const fields = { server: server.id, value: text, duration };
-    const isBounded = value.delay > duration;
-    if (value.kind !== "seconds" || isBounded)
-      journal.record("retryAfterUnusual", { ...fields, form: value.kind });
-    const now = this.#now();
-    if (recordPause(this.#pauses, server, { duration, now }))
-      journal.record("serverPaused", fields);
+  /** The incarnation that has the id of a server now; the server may have started again. */
+  #findCurrent(server: BackendServer): BackendServer {
+    return this.#options.directory.servers.get(server.id) ?? server;
   }
 
   #now(): Millis {
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -8,7 +8,11 @@
 } from "../core/gateway/engine_backlog.ts";
 import type { IncomingAdapter } from "../core/gateway/engine_contents.ts";
 import type { EngineOrder, OrderAnswer } from "../core/gateway/orders.ts";
-import type { BackendServer, ServerChange } from "../core/gateway/servers.ts";
+import type {
+  BackendServer,
+  Incarnation,
+  ServerChange,
+} from "../core/gateway/servers.ts";
 import type {
   AdapterName,
   Digest,
@@ -126,12 +130,15 @@
 };
 
 /** What a server says about itself in the head of an answer. */
-export type ServerNotice = {
-  /** The server wants nothing from this node for a time. */
-  readonly kind: "pause";
-  /** Retry-After header as received. */
-  readonly retryAfter: string;
-};
+export type ServerNotice =
+  | {
+      /** The server wants nothing from this node for a time. */
+      readonly kind: "pause";
+      /** Retry-After header as received. */
+      readonly retryAfter: string;
+    }
+  /** The server takes no new requests and stops once it has served the others. */
+  | { readonly kind: "leaving" };
 
 /** Delivers the notices of servers in the turn in which the head of the answer arrives. */
 export type ServerNotices = {
@@ -281,8 +288,15 @@
       readonly duration: Millis;
     };
 
+/** News that one incarnation of a server leaves. */
+export type LeavingMessage = {
+  readonly type: "leaving";
+  readonly from: MachineName;
+  readonly incarnation: Incarnation;
+};
+
 /** Message between two nodes. */
-export type NodeMessage = UsageMessage | PoisonMessage;
+export type NodeMessage = UsageMessage | PoisonMessage | LeavingMessage;
 
 /** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
 export type NodeChannel = {
--- a/tests/platform_adapter/notifying_server.ts
+++ b/tests/platform_adapter/notifying_server.ts
@@ -7,18 +7,20 @@
   readonly headers?: Record<string, string>;
 };
 
-/** Time that a served request takes, in ms. */
-const serviceTime = 20;
+/** Usual time that a served request takes, in ms. */
+const usualServiceTime = 20;
 
 /** Backend server on loopback that records its arrivals and answers as the test says. */
 export class NotifyingServer {
   /** Times of arrival, in ms of `performance.now()`. */
   readonly arrivals: number[] = [];
-  /** Decides the answer to each request; a status below 300 is sealed. */
+  /** Decides the answer to each request; all but 503 are sealed. */
   answer: (now: number) => ServerAnswer = () => ({ status: 200 });
   readonly #server: Server;
+  readonly #serviceTime: number;
 
-  private constructor() {
+  private constructor(serviceTime: number) {
+    this.#serviceTime = serviceTime;
     this.#server = createServer((request, response) => {
       request.resume();
       const now = performance.now();
@@ -29,8 +31,10 @@
     this.#server.keepAliveTimeout = 60_000;
   }
 
-  static async create(): Promise<NotifyingServer> {
-    const created = new NotifyingServer();
+  static async create(
+    serviceTime = usualServiceTime,
+  ): Promise<NotifyingServer> {
+    const created = new NotifyingServer(serviceTime);
     await new Promise<void>((resolve) =>
       created.#server.listen(0, "127.0.0.1", resolve),
     );
@@ -54,17 +58,18 @@
 
   #respond(response: ServerResponse, id: string, answer: ServerAnswer): void {
     const isServed = answer.status < 300;
+    const isSealed = answer.status !== 503;
     const write = () => {
       response.writeHead(answer.status, {
         "Goldcrestwinch-Request-Id": id,
-        ...(isServed
+        ...(isSealed
           ? { "Goldcrestwinch-Server-Seal": "x" }
           : { "Goldcrestwinch-Not-Executed": "1" }),
         ...answer.headers,
       });
       response.end(isServed ? "ok" : "");
     };
-    if (isServed) setTimeout(write, serviceTime);
+    if (isServed) setTimeout(write, this.#serviceTime);
     else write();
   }
 }
