Trace a request that was refused during a pause to the server's answer

The refusal of a request that was never sent named no server, and the trace left the pause out, so that the cause could not be found from the request's id. The refusal names the server whose pause ends first.

--- a/src/core/gateway/server_pauses.ts
+++ b/src/core/gateway/server_pauses.ts
@@ -35,6 +35,7 @@
 
 /** Time from which a paused server takes requests again. */
 export type Resumption = {
+  readonly server: ServerId;
   readonly at: Millis;
   /** Length of the pause, in ms; 0 if the server only limits the rate after one. */
   readonly pauseLength: Millis;
@@ -94,7 +95,12 @@
   const pause = findPause(pauses, server);
   if (pause === undefined) return undefined;
   const { startedAt, until } = pause;
-  if (now < until) return { at: until, pauseLength: millis(until - startedAt) };
+  if (now < until)
+    return {
+      server: server.id,
+      at: until,
+      pauseLength: millis(until - startedAt),
+    };
   const elapsed = now - until;
   if (elapsed >= slowStartTime) return undefined;
   const next = pause.sends + 1;
@@ -102,7 +108,7 @@
   const rate = pause.usualRate * slowStartFactor;
   const delay = rate > 0 ? 1 / rate : Number.POSITIVE_INFINITY;
   const at = Math.min(until + slowStartTime, now + delay);
-  return { at: millis(at), pauseLength: millis(0) };
+  return { server: server.id, at: millis(at), pauseLength: millis(0) };
 }
 
 /** Earliest resumption of servers that all take no request now; undefined if one of them does. */
--- a/src/core/observe/request_trace.ts
+++ b/src/core/observe/request_trace.ts
@@ -26,6 +26,7 @@
   "serverLeaving",
   "serverGone",
   "serverSuspended",
+  "serverPaused",
   "engineClaimed",
   "engineLeaseLost",
 ]);
--- a/src/node/gateway/attempt_history.ts
+++ b/src/node/gateway/attempt_history.ts
@@ -38,6 +38,12 @@
     return new AttemptHistory();
   }
 
+  /** Server that explains why none was found: the first one that ends its pause, or whose owner refused. */
+  get refusingServer(): { readonly id: ServerId } | undefined {
+    if (this.resumption !== undefined) return { id: this.resumption.server };
+    return this.lastRefusal?.server;
+  }
+
   /** Whether no attempt has ended yet. */
   get isEmpty(): boolean {
     return this.runs === 0 && this.rejections === 0;
--- a/src/node/gateway/request_log.ts
+++ b/src/node/gateway/request_log.ts
@@ -1,5 +1,6 @@
 import type { GatewayRoute } from "../../core/gateway/configuration.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
+import type { ServerId } from "../../core/ids.ts";
 import type { EventName } from "../../core/observe/events.ts";
 import type { ProxiedRequest } from "../../ports/gateway.ts";
 import type { GatewayContext } from "./context.ts";
@@ -7,7 +8,7 @@
 
 /** Fields of a log event beyond the request, its route and its age. */
 export type RequestLogFields = {
-  readonly server?: BackendServer | undefined;
+  readonly server?: { readonly id: ServerId } | undefined;
   readonly detail?: string | undefined;
   readonly code?: string | undefined;
   readonly runs?: number;
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/request_refusals.ts
@@ -87,7 +87,7 @@
   const share = context.dependencies.random();
   const retryAfter = computeReturnDelay(resumption, { now, share });
   const pause = Math.ceil(resumption.at - now);
-  const detail = `Every server that can take the request has asked for a pause; the first one ends in ${pause} ms`;
+  const detail = `Every server that can take the request has asked for a pause; the first one, of ${resumption.server}, ends in ${pause} ms`;
   return refuse("serversPaused", detail, { retryAfter });
 }
 
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -359,7 +359,7 @@
   #refuse(refusal: Refusal): void {
     const { sink } = this.#options;
     this.#log.record("requestRefused", {
-      server: this.#server ?? this.#history.lastRefusal?.server,
+      server: this.#server ?? this.#history.refusingServer,
       detail: refusal.detail,
       code: refusal.code,
       ...this.#history.counts,
--- a/tests/gateway/server_pauses_test.ts
+++ b/tests/gateway/server_pauses_test.ts
@@ -110,7 +110,8 @@
 
 test("refused callers return after the end of the pause, spread over a time", () => {
   const now = millis(200);
-  const resumption = { at: millis(1_000), pauseLength: millis(900) };
+  const pause = { at: millis(1_000), pauseLength: millis(900) };
+  const resumption = { server: server.id, ...pause };
   const first = computeReturnDelay(resumption, { now, share: 0 });
   const last = computeReturnDelay(resumption, { now, share: 0.999 });
   assert.equal(first, 800);
--- a/tests/observe/explain_test.ts
+++ b/tests/observe/explain_test.ts
@@ -70,6 +70,23 @@
   assert.match(conclusion, /engineOrdered lost e1/);
 });
 
+// A request that was never sent showed no event of the server that had asked for a pause.
+test("the trace of a request that was refused during a pause shows the pause", () => {
+  const lines = [
+    line(4_000, "edge-1", "serverPaused", { server: "e1", duration: 3_000 }),
+    line(5_000, "edge-1", "requestRefused", {
+      requestId: "r1",
+      server: "e1",
+      age: 0,
+      code: "serversPaused",
+    }),
+  ];
+  const { events } = parseLogLines(lines.join("\n"));
+  const conclusion = buildRequestTrace(events, "r1")?.conclusion ?? "";
+  assert.match(conclusion, /serverPaused e1/);
+  assert.match(conclusion, /never sent, so it has not run/);
+});
+
 // A killed node logs no end; the trace must not report that as an answer.
 test("a request without a logged end is said to be open", () => {
   const { events } = parseLogLines(refused.slice(0, 1).join("\n"));
