Ask other nodes again while the store turns a node away

A node that the store turned away took the rows of another node and asked again only when they were outdated, 1.4 s later.

It now asks while its calls to the store fail. A node of its own data centre mostly has its rows from this one, so that an answer counts only if it is newer, and nodes of other data centres take turns with those.

--- a/src/core/gateway/reader_choice.ts
+++ b/src/core/gateway/reader_choice.ts
@@ -81,8 +81,8 @@
 
 /**
  * All other nodes, in the order in which this one asks them without any reader:
- * those of the own data centre first, then the rest, since a data centre may be
- * turned away as a whole.
+ * one of another data centre and one of the own in turn, since a data centre
+ * may be turned away, or cut off from the others, as a whole.
  */
 export function rankOtherNodes(choice: ReaderChoice): MachineName[] {
   const { machine, dataCentre, nodes } = choice;
@@ -90,10 +90,18 @@
   for (const node of nodes) {
     if (node.dataCentre !== dataCentre) remote.add(node.machine);
   }
-  return [
-    ...rankLocalNodes(choice).filter((local) => local !== machine),
-    ...rankByRendezvous(`fallback/${machine}`, remote),
-  ];
+  const remoteNodes = rankByRendezvous(`fallback/${machine}`, remote);
+  const localNodes = rankLocalNodes(choice).filter(
+    (local) => local !== machine,
+  );
+  const ranked: MachineName[] = [];
+  for (let at = 0; at < Math.max(remoteNodes.length, localNodes.length); at++) {
+    for (const nodes of [remoteNodes, localNodes]) {
+      const node = nodes[at];
+      if (node !== undefined) ranked.push(node);
+    }
+  }
+  return ranked;
 }
 
 /** The node to read from; undefined if this node reads the table service itself. */
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -214,6 +214,12 @@
     return this.#outages.endedAt;
   }
 
+  /** Time of the latest answer of the table service for any topic. */
+  get latestAnswerAt(): number {
+    const replicas = [...this.#replicas.values()];
+    return Math.max(...replicas.map(({ answeredAt }) => answeredAt));
+  }
+
   /** Time at which the rows become outdated. */
   findOutdatedAt(): number {
     const times = [...this.#replicas.values()].map(
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/row_relay.ts
@@ -47,6 +47,8 @@
 const peerResponseTime = 300;
 /** Minimum time between two calls to the same node, so that changes arrive in batches, in ms. */
 const peerSpacing = 100;
+/** Time by which the answers that a node knows must be newer to count, in ms; above the time of a message. */
+const minAnswerGain = 100;
 /** Interval at which a node that reads for itself looks for a node to read from, in ms. */
 const reviewInterval = 500;
 
@@ -87,6 +89,8 @@
   #review: () => void = () => {};
   /** Calls to the table service that failed since the last answer. */
   #failures = 0;
+  /** Time of the first of these failures. */
+  #failedAt = millis(0);
   #stopped = false;
 
   private constructor(options: RowRelayOptions) {
@@ -105,7 +109,7 @@
       clock,
       journal: options.journal,
       listNodes: () => rankOtherNodes(this.#choice),
-      fetchRows: (machine) => this.#fetchRows(machine, 0),
+      fetchRows: (machine) => this.#searchAt(machine),
     });
     this.#copies.subscribe("nodes", ({ rows, isComplete }) => {
       if (rows.length > 0 || isComplete) this.#updateNodes();
@@ -190,8 +194,11 @@
   }
 
   #recordFailure(topic: RowTopic, { detail }: RowFailure): void {
-    if (this.#failures === 0)
+    if (this.#failures === 0) {
       this.#options.journal.record("storeLost", { table: topic, detail });
+      this.#failedAt = this.#options.clock.now();
+      this.#review();
+    }
     this.#failures++;
   }
 
@@ -212,8 +219,11 @@
     this.#review();
   }
 
+  /** Time of the next search: once the rows are outdated, or at once while the table service fails. */
   #findSearchStart(): number {
-    return this.#search.findStart(this.#copies.findOutdatedAt());
+    const isFailing = this.#failures > 0;
+    const due = isFailing ? this.#failedAt : this.#copies.findOutdatedAt();
+    return this.#search.findStart(due);
   }
 
   /** Waits until there may be a reader, or the own rows are outdated. */
@@ -274,6 +284,15 @@
     return undefined;
   }
 
+  /** Fetches rows for a search; a node that has them from this one knows nothing newer. */
+  async #searchAt(machine: MachineName): Promise<ReaderFault | undefined> {
+    const known = this.#copies.latestAnswerAt;
+    const fault = await this.#fetchRows(machine, 0);
+    if (fault !== undefined) return fault;
+    const isNewer = this.#copies.latestAnswerAt > known + minAnswerGain;
+    return isNewer ? undefined : "stale";
+  }
+
   async #readFrom(reader: MachineName): Promise<void> {
     const { journal } = this.#options;
     // The first call does not wait, so that an unresponsive node is noticed soon.
