Follow pauses and notices of leaving in the booking interface

A booking server that answered 503 with Retry-After was called again at once, and its refusal was passed on to the caller as an answer. One that said that it leaves was known only from a refusal. The pool of servers now applies the decisions that the gateway uses; a call that finds all servers paused is refused as not run with a Retry-After after the first pause. A retry is taken from the budget only once a server was found.

--- a/src/adapters/backends/service_client.ts
+++ b/src/adapters/backends/service_client.ts
@@ -87,12 +87,22 @@
       return Left({ kind: "crossed", detail });
     }
     const contentType = headers["content-type"] as string | undefined;
-    const leaving = headers["x-not-run"] === "leaving";
-    return Right({
-      status,
-      contentType,
-      body,
-      ...(leaving ? { notRun: "leaving" as const } : {}),
-    });
+    return Right({ status, contentType, body, ...readNotices(response) });
   }
 }
+
+/** Reads what a server says about itself; other values of the headers are ignored. */
+function readNotices({
+  status,
+  headers,
+}: ExchangeResponse): Partial<ServiceAnswer> {
+  const reason = headers["x-not-run"];
+  const retryAfter = headers["retry-after"];
+  const isNotRun = reason === "leaving" || reason === "paused";
+  const isPause = status === 503 && typeof retryAfter === "string";
+  return {
+    ...(isNotRun ? { notRun: reason } : {}),
+    ...(headers["x-leaving"] === "1" ? { isLeaving: true } : {}),
+    ...(isPause ? { retryAfter } : {}),
+  };
+}
--- a/src/core/booking/call.ts
+++ b/src/core/booking/call.ts
@@ -7,7 +7,7 @@
   CallCommand,
   CallEvent,
   CallState,
-  SendFailureKind,
+  SendFailure,
   SendResult,
 } from "./call_messages.ts";
 import {
@@ -128,10 +128,10 @@
 /** Handles a send that failed before any byte was sent: tries another server if allowed, otherwise releases the key. */
 function handleNotSent(
   state: CallState,
-  failure: { kind: SendFailureKind; detail: string },
+  failure: SendFailure,
   now: Millis,
 ): CallDecision {
-  const mayTry = failure.kind === "not-sent" || failure.kind === "leaving";
+  const mayTry = ["not-sent", "leaving", "paused"].includes(failure.kind);
   if (mayTry && state.sends < maxSends && now < state.deadlineAt) {
     return send(state, { now, budget: "retry" });
   }
@@ -154,7 +154,10 @@
   const next = { ...state, fallback };
   if (next.open > 0) return { state: next, commands: [] };
   const isExhausted =
-    isDenied || result.kind === "no-server" || now >= state.deadlineAt;
+    isDenied ||
+    result.kind === "no-server" ||
+    result.kind === "all-paused" ||
+    now >= state.deadlineAt;
   if (isExhausted || state.sends >= maxSends) return finish(next, fallback);
   const delay = random() * lookupRetryDelay * state.sends;
   return {
--- a/src/core/booking/call_messages.ts
+++ b/src/core/booking/call_messages.ts
@@ -19,7 +19,11 @@
 export type SendFailureKind =
   | "not-sent"
   | "leaving"
+  /** The server asked for a pause. */
+  | "paused"
   | "no-server"
+  /** Every server has asked for a pause. */
+  | "all-paused"
   /** The deadline passed before the send. */
   | "too-late"
   /** The session lease of the claim ended before the send. */
@@ -35,7 +39,15 @@
 /** Result of one send. */
 export type SendResult =
   | { readonly kind: "answer"; readonly answer: CallAnswer }
-  | { readonly kind: SendFailureKind; readonly detail: string };
+  | SendFailure;
+
+/** Send without an answer. */
+export type SendFailure = {
+  readonly kind: SendFailureKind;
+  readonly detail: string;
+  /** Time after which the caller may return, in ms, if it is known. */
+  readonly retryAfter?: Millis;
+};
 
 /** State of one booking call at the node that received it. */
 export type CallState = {
--- a/src/core/booking/call_send.ts
+++ b/src/core/booking/call_send.ts
@@ -6,6 +6,7 @@
   CallAnswer,
   CallCommand,
   CallState,
+  SendFailure,
   SendFailureKind,
 } from "./call_messages.ts";
 import { outcomeGrace } from "./claim.ts";
@@ -81,7 +82,9 @@
 const failureCodes: Record<SendFailureKind, ResultCodeName> = {
   "not-sent": "serviceUnreachable",
   leaving: "serviceUnreachable",
+  paused: "serversPaused",
   "no-server": "serviceUnreachable",
+  "all-paused": "serversPaused",
   "too-late": "deadlinePassed",
   "no-lease": "claimUnavailable",
   stopping: "draining",
@@ -92,12 +95,11 @@
 };
 
 /** Refusal of a call after a failed send. */
-export function describeFailure(failure: {
-  kind: SendFailureKind;
-  detail: string;
-}): Refusal {
+export function describeFailure(failure: SendFailure): Refusal {
   const code = failureCodes[failure.kind];
-  return refuse(code, failure.detail, { retryAfter });
+  return refuse(code, failure.detail, {
+    retryAfter: failure.retryAfter ?? retryAfter,
+  });
 }
 
 /** Ends the call with its answer or refusal. */
--- a/src/node/server_pool.ts
+++ b/src/node/server_pool.ts
@@ -11,8 +11,16 @@
   type ServerStats,
 } from "../core/booking/servers.ts";
 import { type Clock, type Millis, millis } from "../core/clock.ts";
-import type { Meter } from "../ports/journal.ts";
-import type { ServiceCall, ServiceLink } from "../ports/service.ts";
+import { computeReturnDelay } from "../core/gateway/server_pauses.ts";
+import type { Incarnation } from "../core/gateway/servers.ts";
+import { brandString } from "../core/ids.ts";
+import type { Journal, Meter } from "../ports/journal.ts";
+import type {
+  ServiceAnswer,
+  ServiceCall,
+  ServiceLink,
+} from "../ports/service.ts";
+import { PauseTracker } from "./pause_tracker.ts";
 import { withTimeout } from "./timeout.ts";
 
 /** Extra time in ms for a client to report its own timeout before the pool stops waiting. */
@@ -31,6 +39,7 @@
   readonly clock: Clock;
   readonly random: () => number;
   readonly meter: Meter;
+  readonly journal: Journal;
   /** Servers of the service in their current state. */
   readonly servers: () => readonly ServiceServer[];
   /** Called when a server refuses a call because it is leaving. */
@@ -42,6 +51,7 @@
   readonly #options: ServerPoolOptions;
   readonly #stats = new Map<string, ServerStats>();
   readonly #refusing = new Set<string>();
+  readonly #pauses: PauseTracker;
   #budget: SendBudget = fullSendBudget;
 
   static create(options: ServerPoolOptions): ServerPool {
@@ -50,6 +60,7 @@
 
   private constructor(options: ServerPoolOptions) {
     this.#options = options;
+    this.#pauses = PauseTracker.create(options);
   }
 
   /** Time after which a lookup is sent to a second server. */
@@ -83,9 +94,11 @@
     const { servers, random, clock } = this.#options;
     const listed = servers();
     this.#removeUnlisted(listed);
-    const choices = listed.map(({ id, leaving }) => ({
-      id,
-      leaving: leaving || this.#refusing.has(id),
+    const choices = listed.map((server) => ({
+      id: server.id,
+      leaving:
+        this.#isLeaving(server) ||
+        !this.#pauses.canTakeNext(toIncarnation(server.id)),
     }));
     return chooseServer(choices, {
       tried,
@@ -95,6 +108,18 @@
     });
   }
 
+  /** Time until a caller may return if every server has asked for a pause, in ms; undefined if one has not. */
+  findReturnDelay(): Millis | undefined {
+    const { servers, random, clock } = this.#options;
+    const accepting = servers()
+      .filter((server) => !this.#isLeaving(server))
+      .map(({ id }) => toIncarnation(id));
+    const resumption = this.#pauses.findResumption(accepting);
+    if (resumption === undefined) return undefined;
+    const now = clock.now();
+    return computeReturnDelay(resumption, { now, share: random() });
+  }
+
   /** Sends one call and records its latency and result. */
   async call(id: string, call: ServiceCall): Promise<SendResult> {
     const { clock, servers } = this.#options;
@@ -104,10 +129,11 @@
     }
     const stats = this.#stats.get(id) ?? initialServerStats;
     this.#stats.set(id, { ...stats, open: stats.open + 1 });
+    this.#pauses.recordSend(toIncarnation(id));
     const startedAt = clock.now();
     const result = await withTimeout<SendResult>(
       clock,
-      sendCall(server.link, call),
+      this.#send(server, call),
       {
         timeout: millis(call.timeout + linkTimeoutMargin),
         fallback: {
@@ -120,21 +146,49 @@
     return result;
   }
 
+  async #send(
+    { id, link }: ServiceServer,
+    call: ServiceCall,
+  ): Promise<SendResult> {
+    const answer = await link.call(call);
+    answer.ifRight((received) => this.#readNotices(id, received));
+    return answer.caseOf<SendResult>({
+      Left: ({ kind, detail }) => ({ kind, detail }),
+      Right: describeAnswer,
+    });
+  }
+
+  /** Applies what a server says about itself in an answer. */
+  #readNotices(id: string, answer: ServiceAnswer): void {
+    const { retryAfter, notRun, isLeaving } = answer;
+    if (retryAfter !== undefined)
+      this.#pauses.record(toIncarnation(id), retryAfter);
+    if (notRun !== "leaving" && isLeaving !== true) return;
+    if (this.#refusing.has(id)) return;
+    this.#refusing.add(id);
+    this.#options.onLeaving(id);
+  }
+
+  #isLeaving({ id, leaving }: ServiceServer): boolean {
+    return leaving || this.#refusing.has(id);
+  }
+
   #observe(id: string, result: SendResult, startedAt: Millis): void {
-    const { clock, onLeaving } = this.#options;
-    const now = clock.now();
+    const now = this.#options.clock.now();
     const stats = this.#stats.get(id) ?? initialServerStats;
+    // The pause already keeps calls away, and the refusal says nothing about the latency.
+    if (result.kind === "paused") {
+      this.#stats.set(id, { ...stats, open: stats.open - 1 });
+      return;
+    }
     const latency = millis(now - startedAt);
     const reached = result.kind === "answer" || result.kind === "timeout";
     this.#stats.set(id, recordSend(stats, { latency, reached, now }));
-    if (result.kind === "leaving" && !this.#refusing.has(id)) {
-      this.#refusing.add(id);
-      onLeaving(id);
-    }
   }
 
   /** Drops the statistics of servers that are no longer listed. */
   #removeUnlisted(listed: readonly ServiceServer[]): void {
+    this.#pauses.removeEnded((id) => listed.some((server) => server.id === id));
     if (this.#stats.size + this.#refusing.size <= 2 * listed.length) return;
     const ids = new Set(listed.map(({ id }) => id));
     for (const id of this.#stats.keys()) {
@@ -146,16 +200,19 @@
   }
 }
 
-async function sendCall(
-  link: ServiceLink,
-  call: ServiceCall,
-): Promise<SendResult> {
-  const answer = await link.call(call);
-  return answer.caseOf<SendResult>({
-    Left: ({ kind, detail }) => ({ kind, detail }),
-    Right: ({ notRun, ...whole }) =>
-      notRun === undefined
-        ? { kind: "answer", answer: whole }
-        : { kind: notRun, detail: "The server accepts no new calls" },
-  });
+/** Servers of booking services report no start time, so that their id stands for the incarnation. */
+function toIncarnation(id: string): Incarnation {
+  return { id: brandString(id), born: undefined };
+}
+
+const notRunDetails = {
+  leaving: "The server accepts no new calls",
+  paused: "The server asked for a pause",
+} as const;
+
+function describeAnswer(answer: ServiceAnswer): SendResult {
+  const { notRun, status, contentType, body } = answer;
+  if (notRun !== undefined)
+    return { kind: notRun, detail: notRunDetails[notRun] };
+  return { kind: "answer", answer: { status, contentType, body } };
 }
--- a/src/node/service_call_manager.ts
+++ b/src/node/service_call_manager.ts
@@ -285,14 +285,16 @@
   #poolOf(service: ServiceName): ServerPool {
     const known = this.#pools.get(service);
     if (known !== undefined) return known;
-    const { clock, random, meter, listServers, onLeaving } = this.#options;
+    const { clock, random, meter, journal, listServers, onLeaving } =
+      this.#options;
     const pool = ServerPool.create({
       clock,
       random,
       meter,
+      journal,
       servers: () => listServers(service) ?? [],
       onLeaving: (server) => {
-        this.#options.journal.record("serverLeaving", { service, server });
+        journal.record("serverLeaving", { service, server });
         onLeaving?.(service, server);
       },
     });
--- a/src/node/service_request.ts
+++ b/src/node/service_request.ts
@@ -234,6 +234,8 @@
       );
       return;
     }
+    const server = pool.choose(this.#tried);
+    if (server === undefined) return this.#reportNoServer();
     if (command.budget !== "none" && !pool.takeExtraSend(command.budget)) {
       this.#reportFailure(
         "denied",
@@ -241,11 +243,6 @@
       );
       return;
     }
-    const server = pool.choose(this.#tried);
-    if (server === undefined) {
-      this.#reportFailure("no-server", "No server accepts the call");
-      return;
-    }
     this.#tried.add(server);
     journal.record("callSent", { requestId: call.requestId, server });
     const timeout = millis(command.awaitUntil - now);
@@ -256,6 +253,19 @@
     this.#sendEvent({ type: "result", result });
   }
 
+  #reportNoServer(): void {
+    const retryAfter = this.#options.pool.findReturnDelay();
+    const result: SendResult =
+      retryAfter === undefined
+        ? { kind: "no-server", detail: "No server accepts the call" }
+        : {
+            kind: "all-paused",
+            detail: "Every server has asked for a pause",
+            retryAfter,
+          };
+    this.#sendEvent({ type: "result", result });
+  }
+
   #isLateForExit(now: Millis): boolean {
     const { call, exitAt: readExitTime } = this.#options;
     const exitAt = readExitTime?.();
--- a/src/ports/service.ts
+++ b/src/ports/service.ts
@@ -21,8 +21,12 @@
   readonly status: number;
   readonly contentType: string | undefined;
   readonly body: Uint8Array;
-  /** The server is leaving and states that it did not run the call. */
-  readonly notRun?: "leaving";
+  /** Why the server states that it did not run the call: it leaves, or asks for a pause. */
+  readonly notRun?: "leaving" | "paused";
+  /** The server accepts no new calls from now on; it may have run this one. */
+  readonly isLeaving?: boolean;
+  /** Retry-After of an answer with status 503: the server wants no calls for this time. */
+  readonly retryAfter?: string;
 };
 
 /** Why a call brought no answer. */
--- a/src/standins/memory_service.ts
+++ b/src/standins/memory_service.ts
@@ -17,6 +17,10 @@
   answerDelay: Millis = millis(0);
   /** Refuses new calls. */
   leaving = false;
+  /** Says in all its answers that it leaves, and still runs calls. */
+  isLeaving = false;
+  /** Refuses calls and asks for a pause until this time. */
+  pausedUntil: Millis = millis(Number.NEGATIVE_INFINITY);
   /** Refuses connections. */
   down = false;
   /** Request ids of the calls that ran, in order. */
@@ -39,12 +43,24 @@
 
   /** Runs the call at once, unless the server is leaving. */
   run(call: Pick<ServiceCall, "requestId" | "method" | "path">): ServiceAnswer {
-    if (this.leaving) return createAnswer(503, {}, "leaving");
+    const { isLeaving } = this;
+    if (this.leaving)
+      return { ...createAnswer(503, {}), notRun: "leaving", isLeaving };
+    const pause = this.pausedUntil - this.#clock.now();
+    if (pause > 0) {
+      const retryAfter = (pause / 1_000).toFixed(3);
+      const refusal = createAnswer(503, {});
+      return { ...refusal, notRun: "paused", retryAfter, isLeaving };
+    }
     this.runs.push(call.requestId);
     if (call.method === "GET")
-      return createAnswer(200, { stock: 40, path: call.path });
+      return {
+        ...createAnswer(200, { stock: 40, path: call.path }),
+        isLeaving,
+      };
     this.#bookings++;
-    return createAnswer(201, { path: call.path, booking: this.#bookings });
+    const booking = { path: call.path, booking: this.#bookings };
+    return { ...createAnswer(201, booking), isLeaving };
   }
 
   async call(
@@ -62,11 +78,7 @@
   }
 }
 
-function createAnswer(
-  status: number,
-  value: unknown,
-  notRun?: ServiceAnswer["notRun"],
-): ServiceAnswer {
+function createAnswer(status: number, value: unknown): ServiceAnswer {
   const body = Buffer.from(JSON.stringify(value));
-  return { status, contentType: "application/json", body, notRun };
+  return { status, contentType: "application/json", body };
 }
--- a/src/standins/service_server.ts
+++ b/src/standins/service_server.ts
@@ -34,6 +34,10 @@
     "x-request-id": id,
     "content-type": answer.contentType,
     ...(answer.notRun === undefined ? {} : { "x-not-run": answer.notRun }),
+    ...(answer.isLeaving === true ? { "x-leaving": "1" } : {}),
+    ...(answer.retryAfter === undefined
+      ? {}
+      : { "retry-after": answer.retryAfter }),
   });
   response.end(answer.body);
 }
--- a/tests/backends/service_client_test.ts
+++ b/tests/backends/service_client_test.ts
@@ -127,3 +127,23 @@
   assert.deepEqual(failures, ["none", "broken", "timeout", "not-sent"]);
   assert.equal(service.countRuns(id), 3);
 });
+
+// The node sent further calls to a server that had asked for a pause, and passed its refusal on as an answer.
+test("a refusal that asks for a pause is not run and names the time", async (context) => {
+  const { client, service } = await setUp(context);
+  service.pausedUntil = millis(clock.now() + 2_000);
+  const answer = (await client.call(reserve())).unsafeCoerce();
+  assert.equal(answer.notRun, "paused");
+  const seconds = Number(answer.retryAfter);
+  assert.ok(seconds > 1 && seconds <= 2, `${seconds} s`);
+  assert.equal(service.countRuns(id), 0);
+});
+
+test("an answer of a server that leaves says so, and is an answer all the same", async (context) => {
+  const { client, service } = await setUp(context);
+  service.isLeaving = true;
+  const answer = (await client.call(reserve())).unsafeCoerce();
+  assert.equal(answer.status, 201);
+  assert.equal(answer.isLeaving, true);
+  assert.equal(answer.notRun, undefined);
+});
