Fuzz pauses and notices of leaving of booking servers

The faults pausing and announcing join the random scenarios. The world counts a call that reaches a server in a pause that it has asked the node for, and one that is sent to a server after its answer has said that it leaves.

--- a/src/fuzz/installation_simulation.ts
+++ b/src/fuzz/installation_simulation.ts
@@ -131,9 +131,15 @@
     }
   }
 
+  /** Records work that reaches a server in a pause that it has asked the node for. */
+  recordPausedWork(server: string): void {
+    this.oracle.violations.push(`${server}: work in a pause`);
+  }
+
   /** Records that a node has learned that a server is leaving; gossip informs the others. */
   recordLeaving(server: string, node: SimulatedNode): void {
-    node.leavingSince.set(server, this.clock.now());
+    const known = node.leavingSince.get(server);
+    node.leavingSince.set(server, known ?? this.clock.now());
   }
 
   /** Cuts or restores the network between two endpoints: names of nodes, regions, servers, engines or `table`. */
@@ -164,8 +170,8 @@
     return Math.min(cut, downSince);
   }
 
-  /** Makes a server or engine leave: it refuses new work, or the VM list shows it as leaving. */
-  leave(name: string, signal: "refuses" | "listed"): void {
+  /** Makes a server or engine leave: it refuses new work, says so in its answers, or the VM list shows it as leaving. */
+  leave(name: string, signal: "refuses" | "announced" | "listed"): void {
     const engine = this.engines.find((entry) => entry.engine === name);
     if (signal === "refuses") {
       const server = this.servers.get(name);
@@ -173,7 +179,10 @@
       if (engine !== undefined) engine.model.leaving = true;
       return;
     }
-    this.findResponsiveNode()?.receiveLeaving(name);
+    const server = this.servers.get(name);
+    if (signal === "announced" && server !== undefined)
+      server.fault = "announcing";
+    else this.findResponsiveNode()?.receiveLeaving(name);
   }
 
   /** First node that is running and not paused. */
@@ -191,7 +200,8 @@
     this.nodeTableFaults.clear();
     this.#cuts.clear();
     for (const [, server] of this.servers) {
-      if (server.fault !== "leaving") server.fault = undefined;
+      if (server.fault !== "leaving" && server.fault !== "announcing")
+        server.fault = undefined;
     }
     for (const { model } of this.engines) model.batch.slowdown = 1;
     for (const node of this.nodes) {
--- a/src/fuzz/scenario.ts
+++ b/src/fuzz/scenario.ts
@@ -93,7 +93,10 @@
     cut: ({ args: [first = "", second = ""] }) =>
       this.#simulation.setCut(first, second, true),
     leave: ({ args: [name = "", signal] }) =>
-      this.#simulation.leave(name, signal === "refuses" ? "refuses" : "listed"),
+      this.#simulation.leave(
+        name,
+        signal === "refuses" || signal === "announced" ? signal : "listed",
+      ),
     pause: ({ args: [name] }) => this.#withNode(name, "pause"),
     resume: ({ args: [name] }) => this.#withNode(name, "resume"),
     kill: ({ args: [name] }) => this.#withNode(name, "kill"),
--- a/src/fuzz/simulated_node.ts
+++ b/src/fuzz/simulated_node.ts
@@ -144,6 +144,8 @@
               gate,
               isCut: () => !this.running || simulation.isCut(this, id),
               onNewWork: () => simulation.checkNewWork(id, this),
+              onPausedWork: () => simulation.recordPausedWork(id),
+              onLeavingSaid: () => simulation.recordLeaving(id, this),
             }),
           })),
         ],
--- a/src/fuzz/simulated_server.ts
+++ b/src/fuzz/simulated_server.ts
@@ -11,13 +11,16 @@
 
 /**
  * Faults of a booking server. `unreachable`: refuses connections. `leaving`:
- * refuses new calls. `broken`, `crossed`: runs the call, then the connection
+ * refuses new calls. `pausing`: refuses calls and asks for a pause of
+ * `pauseLength`. `announcing`: says in its answers that it leaves. `broken`, `crossed`: runs the call, then the connection
  * breaks or carries another call's answer. `silent`: runs the call and never
  * answers. `slow`: answers after 3 s.
  */
 export const serverFaults = [
   "unreachable",
   "leaving",
+  "pausing",
+  "announcing",
   "broken",
   "crossed",
   "silent",
@@ -33,6 +36,10 @@
 const callDuration = 20;
 const slowCallDuration = 3_000;
 
+/** Pause that a server asks for, and the time after its answer in which calls on their way may arrive, in ms. */
+const pauseLength = 700;
+const onTheWay = 50;
+
 /** One call that a booking server ran. */
 export type ServiceRun = {
   readonly server: string;
@@ -63,16 +70,31 @@
     gate: PauseGate;
     isCut: () => boolean;
     onNewWork: () => void;
+    /** Called when a call reaches the server in a pause that it has asked this node for. */
+    onPausedWork: () => void;
+    /** Called when an answer has told the node that the server leaves. */
+    onLeavingSaid: () => void;
   }): ServiceLink {
+    let pause = { start: 0, end: 0 };
+    const readNotices = (answer: ServiceAnswer) => {
+      const now = this.#clock.now();
+      if (answer.retryAfter !== undefined)
+        pause = { start: now + onTheWay, end: now + pauseLength };
+      if (answer.isLeaving === true) node.onLeavingSaid();
+    };
     return {
       call: async (call) => {
         await sleep(this.#clock, millis(oneWayDelay));
         if (node.isCut()) return createNotSentFailure("No route to the server");
         if (this.fault !== "leaving") node.onNewWork();
+        const now = this.#clock.now();
+        if (now > pause.start && now < pause.end) node.onPausedWork();
         const answer = await this.#run(call);
         await sleep(this.#clock, millis(oneWayDelay));
         if (node.isCut()) return waitForTimeout(this.#clock, call);
-        return node.gate.deliverValue(answer);
+        const received = await node.gate.deliverValue(answer);
+        received.ifRight(readNotices);
+        return received;
       },
     };
   }
@@ -87,6 +109,11 @@
       const answer = { status: 503, contentType: undefined };
       return Right({ ...answer, body: Buffer.from(""), notRun: "leaving" });
     }
+    if (fault === "pausing") {
+      const retryAfter = String(pauseLength / 1_000);
+      const answer = { status: 503, contentType: undefined, retryAfter };
+      return Right({ ...answer, body: Buffer.from(""), notRun: "paused" });
+    }
     const { requestId, path } = call;
     const body = Buffer.from(call.body).toString();
     const at = this.#clock.now();
@@ -106,6 +133,7 @@
       status: 201,
       contentType: "application/json",
       body: Buffer.from(text),
+      ...(fault === "announcing" ? { isLeaving: true } : {}),
     });
   }
 }
--- a/src/fuzz/step_arbitraries.ts
+++ b/src/fuzz/step_arbitraries.ts
@@ -2,7 +2,7 @@
 import { tableFaults } from "./faulty_table.ts";
 import { simulatedServers } from "./installation_simulation.ts";
 import { simulatedAdapters } from "./simulated_catalog.ts";
-import { serverFaults } from "./simulated_server.ts";
+import { type ServerFault, serverFaults } from "./simulated_server.ts";
 
 /** Nodes of the random scenarios and their regions. */
 const nodes = {
@@ -121,11 +121,16 @@
   node.map((nodeName) => `restore ${nodeName}`),
 );
 
+/** Whether a server with this fault leaves for good. */
+function isForGood(fault: ServerFault): boolean {
+  return fault === "leaving" || fault === "announcing";
+}
+
 const serverSteps = fc.oneof(
   fc
     .tuple(
       fc.constantFrom(...simulatedServers),
-      fc.constantFrom(...serverFaults.filter((fault) => fault !== "leaving")),
+      fc.constantFrom(...serverFaults.filter((fault) => !isForGood(fault))),
     )
     .map(([server, fault]) => `fail ${server} ${fault}`),
   {
@@ -135,6 +140,7 @@
       .map((server) => `restore ${server}`),
   },
   fc.constant("leave s0 listed"),
+  fc.constant("leave s1 announced"),
 );
 
 const engineSteps = fc.oneof(
--- a/tests/booking/setup.ts
+++ b/tests/booking/setup.ts
@@ -62,6 +62,8 @@
     gate: new PauseGate(),
     fault: () => this.tableFault,
   });
+  /** Calls that reached a server in a pause that it had asked the node for. */
+  pausedWork = 0;
   readonly #random = createSeededRandom(7);
   #requests = 0;
 
@@ -87,6 +89,8 @@
                 gate: new PauseGate(),
                 isCut: () => false,
                 onNewWork: () => {},
+                onPausedWork: () => this.pausedWork++,
+                onLeavingSaid: () => {},
               }),
               leaving: leaving.has(`s${index}`),
             }))
