Let a server without a usual rate take up work after a pause

A server that asked for a pause in its first answers was allowed two requests in the two seconds after it, since slow start multiplied a rate that was not known. Slow start allows one request at first, and doubles that every 200 ms.

--- a/src/core/gateway/server_pauses.ts
+++ b/src/core/gateway/server_pauses.ts
@@ -6,8 +6,11 @@
 const slowStartTime = 2_000;
 /** Multiple of the usual rate that slow start allows; it doubles after the first half. */
 const slowStartFactor = 1.5;
-/** Requests that slow start allows in any case, since a server may have had none before. */
-const minSlowStartSends = 2;
+/**
+ * Time in which the number of requests that slow start allows doubles, from one
+ * on, in ms; for servers whose usual rate is low or not known.
+ */
+const doublingTime = 200;
 /** Time constant of the moving average of the send rate, in ms. */
 const rateTimeConstant = 2_000;
 /** Bounds of the time after a pause over which refused callers return, in ms. */
@@ -106,7 +109,7 @@
   const next = pause.sends + 1;
   if (next <= countSlowStartSends(pause, elapsed)) return undefined;
   const rate = pause.usualRate * slowStartFactor;
-  const delay = rate > 0 ? 1 / rate : Number.POSITIVE_INFINITY;
+  const delay = Math.min(doublingTime, 1 / rate);
   const at = Math.min(until + slowStartTime, now + delay);
   return { server: server.id, at: millis(at), pauseLength: millis(0) };
 }
@@ -181,7 +184,7 @@
   const half = slowStartTime / 2;
   const weightedTime = elapsed + Math.max(0, elapsed - half);
   const allowed = usualRate * slowStartFactor * weightedTime;
-  return Math.max(minSlowStartSends, allowed);
+  return Math.max(allowed, 2 ** (elapsed / doublingTime));
 }
 
 /** Requests per ms. */
--- a/tests/gateway/server_pauses_test.ts
+++ b/tests/gateway/server_pauses_test.ts
@@ -97,6 +97,20 @@
   assert.equal(findResumption(pauses, server, late), undefined);
 });
 
+// A server that had asked for a pause in its first answers got two requests in two seconds after it.
+test("after a pause a server without a usual rate takes requests that double", () => {
+  const pauses = pauseFor(1_000);
+  const sends = { half: 0, whole: 0 };
+  for (let at = 1_000; at < 2_000; at++) {
+    if (findResumption(pauses, server, millis(at)) !== undefined) continue;
+    recordSend(pauses, server, millis(at));
+    sends.whole++;
+    if (at < 1_500) sends.half++;
+  }
+  assert.ok(sends.half >= 3 && sends.half <= 8, `${sends.half} in 500 ms`);
+  assert.ok(sends.whole >= 25, `${sends.whole} in a second`);
+});
+
 test("the earliest resumption is known only while every server is paused", () => {
   const pauses = pauseFor(1_000);
   const second = { id: brandString<ServerId>("s2"), born: 1 };
