--- a/src/adapters/http/exchange.ts
+++ b/src/adapters/http/exchange.ts
@@ -19,6 +19,11 @@
   readonly validUntil?: Millis;
   /** Whether a response can be the answer; another one fails the call and closes its connection. */
   readonly isAnswer?: (headers: ExchangeResponse["headers"]) => boolean;
+  /** Called when the head of the final response arrives. */
+  readonly onHead?: (
+    status: number,
+    headers: ExchangeResponse["headers"],
+  ) => void;
 };
 
 /** Complete response of an HTTP call. */
@@ -107,9 +112,11 @@
   ): void {
     this.#lastActivityAt = this.#clock.now();
     if (status < 200) return;
-    const { isAnswer = () => true } = this.#request;
-    if (isAnswer(headers)) this.#head = { status, headers };
-    else this.#abort("broken", "The answer belongs to another request");
+    const { isAnswer = () => true, onHead } = this.#request;
+    if (!isAnswer(headers))
+      return this.#abort("broken", "The answer belongs to another request");
+    this.#head = { status, headers };
+    onHead?.(status, headers);
   }
 
   onResponseData(_controller: Dispatcher.DispatchController, chunk: Buffer) {
--- a/src/node/gateway/attempt_history.ts
+++ b/src/node/gateway/attempt_history.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "../../core/clock.ts";
+import type { Resumption } from "../../core/gateway/server_pauses.ts";
 import type { BackendServer } from "../../core/gateway/servers.ts";
 import type { ServerId } from "../../core/ids.ts";
 import type { AcquireResult } from "../../ports/gateway.ts";
@@ -30,12 +31,21 @@
   /** Time at which an engine should hold the model, if none does. */
   modelReadyAt: Millis | undefined;
 
+  /** When the first server takes requests again, if all of them are paused. */
+  resumption: Resumption | undefined;
+
   private constructor() {}
 
   static create(): AttemptHistory {
     return new AttemptHistory();
   }
 
+  /** Server that explains why none was found: the first one that ends its pause, or whose owner refused. */
+  get refusingServer(): { readonly id: ServerId } | undefined {
+    if (this.resumption !== undefined) return { id: this.resumption.server };
+    return this.lastRefusal?.server;
+  }
+
   /** Whether no attempt has ended yet. */
   get isEmpty(): boolean {
     return this.runs === 0 && this.rejections === 0;
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -11,6 +11,7 @@
   NodeLinks,
   PoisonMessage,
   ProxiedRequest,
+  ServerNotices,
 } from "../../ports/gateway.ts";
 import type { TableService } from "../../ports/table.ts";
 import { type FollowTableRows, PoisonManager } from "../poison_manager.ts";
@@ -22,6 +23,7 @@
 import { LeaseManager } from "./lease_manager.ts";
 import type { ReadLeaseRows } from "./lease_rows.ts";
 import { ModelRequester } from "./model_requester.ts";
+import { NoticeHandler } from "./notice_handler.ts";
 import { OwnerCalls } from "./owner_calls.ts";
 import { PauseWatch } from "./pause_watch.ts";
 import { PeerContacts } from "./peer_contacts.ts";
@@ -43,6 +45,7 @@
   readonly readLeaseRows: ReadLeaseRows;
   readonly feed: InstallationFeed;
   readonly orders: EngineOrders;
+  readonly notices: ServerNotices;
   readonly nodeLinks: NodeLinks;
   readonly nodeChannel: NodeChannel;
   /** Delivers the rows of the table, in which other nodes record what crashes engines. */
@@ -66,6 +69,7 @@
   readonly #broadcast: (message: PoisonMessage) => void;
   readonly #requests = new Set<RequestTask>();
   readonly #installation: InstallationTracker;
+  readonly #notices: NoticeHandler;
   #onIdle: () => void = () => {};
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
@@ -113,6 +117,8 @@
       contacts.recordContact(message.from);
       if (message.type === "use" || message.type === "load")
         return this.#usageReporter.receive(message, address);
+      if (message.type === "leaving")
+        return this.#notices.receiveLeaving(message);
       this.#guard.receive(message);
     });
     const owners = OwnerCalls.create({
@@ -140,6 +146,12 @@
         this.#engineControllers.reconcile();
       },
     });
+    this.#notices = NoticeHandler.create({
+      context: this.context,
+      installation: this.#installation,
+      channel: options.nodeChannel,
+      listAddresses: () => this.#leases.listOtherAddresses(),
+    });
     this.#clockOffset = clock.wallNow() - clock.now();
     this.#pauses = PauseWatch.create(() => clock.now());
   }
@@ -147,6 +159,9 @@
   static create(options: GatewayOptions): Gateway {
     const gateway = new Gateway(options);
     options.feed.follow((change) => gateway.#installation.apply(change));
+    options.notices.follow((server, notice) =>
+      gateway.#notices.receive(server, notice),
+    );
     gateway.#runChecks();
     return gateway;
   }
@@ -287,6 +302,7 @@
     this.#clockOffset = clockOffset;
     this.#pauses.recordCheck();
     this.#installation.applyDue();
+    this.context.availability.removeEnded();
     this.#cancelChecks = clock.schedule(checkInterval, () => this.#runChecks());
   }
 }
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -8,7 +8,11 @@
 } from "../core/gateway/engine_backlog.ts";
 import type { IncomingAdapter } from "../core/gateway/engine_contents.ts";
 import type { EngineOrder, OrderAnswer } from "../core/gateway/orders.ts";
-import type { BackendServer, ServerChange } from "../core/gateway/servers.ts";
+import type {
+  BackendServer,
+  Incarnation,
+  ServerChange,
+} from "../core/gateway/servers.ts";
 import type {
   AdapterName,
   Digest,
@@ -82,7 +86,7 @@
   readonly server: BackendServer;
   /** Whether an earlier attempt of the request may have reached the server. */
   readonly isRepeated: boolean;
-  /** Whether the server still accepts requests; checked when the request starts on its connection. */
+  /** Whether the server still accepts requests of this node; checked when the request starts on its connection. */
   readonly isAccepted: () => boolean;
   /** Time left for the server, in ms. */
   readonly timeLeft: Millis;
@@ -96,8 +100,8 @@
 /** Why an attempt brought no complete response. */
 export type ServerFailure = {
   /**
-   * `unreachable`: no connection. `left`: the server left before the request
-   * was sent. `not-run`: the server states that it did not
+   * `unreachable`: no connection. `left`: the server left, or asked for a
+   * pause, before the request was sent. `not-run`: the server states that it did not
    * run the request, or another server has its address. `misdirected`: as
    * `not-run`, because the server lacks the model, adapter or version.
    * `broken`: the connection ended or the response is invalid. `crossed`: the
@@ -127,6 +131,22 @@
   cancel(): void;
 };
 
+/** What a server says about itself in the head of an answer. */
+export type ServerNotice =
+  | {
+      /** The server wants nothing from this node for a time. */
+      readonly kind: "pause";
+      /** Retry-After header as received. */
+      readonly retryAfter: string;
+    }
+  /** The server takes no new requests and stops once it has served the others. */
+  | { readonly kind: "leaving" };
+
+/** Delivers the notices of servers in the turn in which the head of the answer arrives. */
+export type ServerNotices = {
+  follow(listener: (server: BackendServer, notice: ServerNotice) => void): void;
+};
+
 /** Connections to backend servers. */
 export type ServerLinks = {
   send(request: ServerRequest, sink: ServerResponseSink): ServerRequestControl;
@@ -270,8 +290,15 @@
       readonly duration: Millis;
     };
 
+/** News that one incarnation of a server leaves. */
+export type LeavingMessage = {
+  readonly type: "leaving";
+  readonly from: MachineName;
+  readonly incarnation: Incarnation;
+};
+
 /** Message between two nodes. */
-export type NodeMessage = UsageMessage | PoisonMessage;
+export type NodeMessage = UsageMessage | PoisonMessage | LeavingMessage;
 
 /** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
 export type NodeChannel = {
--- a/tests/platform_adapter/engine_orders_test.ts
+++ b/tests/platform_adapter/engine_orders_test.ts
@@ -53,7 +53,11 @@
     name: "test",
   });
   const pool = endpoint;
-  const orders = HttpEngineOrders.create({ clock, endpointOf: () => pool });
+  const orders = HttpEngineOrders.create({
+    clock,
+    endpointOf: () => pool,
+    readHead: () => {},
+  });
   const target = describeServer({ address: server.address });
   return { orders, target, engine: server };
 }
--- a/tests/platform_adapter/front_fixture.ts
+++ b/tests/platform_adapter/front_fixture.ts
@@ -185,6 +185,7 @@
       order: async () => ({ kind: "unreachable" }),
       fetchStatus: async () => Left({ detail: "No engine" }),
     },
+    notices: { follow: () => {} },
     nodeLinks: {
       acquire: async () => ({ kind: "refused", reason: "unreachable" }),
       requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
