Let the time limit of a stop include the closing of connections

stop.timeoutMs is documented as the time until the process ends, but up to 1 s for closing connections and clients came on top. The node now gives up its work 3 s before the limit and starts to close 1 s before it.

The test of a caller that never reads failed once in a run beside others (over 5.5 s for a limit of 5 s). A run with times showed the event loop held up for 684 ms during this test at a load average of 20; without that it took 4.9 to 5.0 s. The tests now hold the limit itself, without the 500 ms on top.

--- a/src/cli/commands/node.ts
+++ b/src/cli/commands/node.ts
@@ -1,14 +1,10 @@
 import { defineCommand } from "citty";
 import { readSettings } from "../../adapters/settings/settings.ts";
 import { RealClock } from "../../adapters/time/real_clock.ts";
-import { millis } from "../../core/clock.ts";
-import { Daemon } from "../../node/daemon.ts";
+import { closeTimeout, Daemon } from "../../node/daemon.ts";
 import { withTimeout } from "../../node/timeout.ts";
 import { exitWithMessage, exitWithRefusal } from "../exit.ts";
 
-/** Maximum time for closing connections and clients at the end, in ms. */
-const closeTimeout = millis(1_000);
-
 /** `goldcrestwinch node`: runs the daemon until a signal stops it. */
 export const nodeCommand = defineCommand({
   meta: { name: "node", description: "Run the daemon of an entry VM" },
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -21,6 +21,9 @@
 /** Length of the random token that distinguishes the starts of a node in its id. */
 const startTokenLength = 6;
 
+/** Maximum time for closing connections and clients at the end, in ms. */
+export const closeTimeout = millis(1_000);
+
 /** A running node with its listeners and clients. */
 export class Daemon {
   readonly nodeId: NodeId;
@@ -84,7 +87,7 @@
       datagrams,
       onDrain: (requestedAt) => {
         listeners?.startClosing();
-        const stopAt = requestedAt + settings.stop.timeoutMs;
+        const stopAt = requestedAt + settings.stop.timeoutMs - closeTimeout;
         cancelTimeout = clock.schedule(millis(stopAt - clock.now()), () =>
           markStopped(false),
         );
--- a/src/node/drain.ts
+++ b/src/node/drain.ts
@@ -11,7 +11,7 @@
 /** Maximum time that a draining node waits for booking calls before it releases its session, in ms. */
 const callDrainTimeout = millis(5_000);
 /** Time before the end of a stop at which the node gives up its work, to record and send the outcomes, in ms. */
-const giveUpMargin = 2_000;
+const giveUpMargin = 3_000;
 
 /** Options of a drain. */
 export type DrainOptions = {
--- a/tests/daemon/stop_test.ts
+++ b/tests/daemon/stop_test.ts
@@ -232,7 +232,7 @@
     assert.equal(answer.headers.get("x-outcome"), "may-have-run");
   }
   assert.equal(await daemon.stopped, true, "all outcomes are recorded");
-  assert.ok(clock.now() - startedAt < shortStopTimeout + 500);
+  assert.ok(clock.now() - startedAt < shortStopTimeout);
   await daemon.stop();
   service.fault = "none";
   const other = installation.daemons[0] as Daemon;
@@ -255,7 +255,7 @@
   const startedAt = clock.now();
   daemon.drain();
   await finishStop(daemon);
-  assert.ok(clock.now() - startedAt < shortStopTimeout + 500);
+  assert.ok(clock.now() - startedAt < shortStopTimeout);
   caller.destroy();
 });
 
@@ -279,7 +279,7 @@
   await daemon.stop();
   installation.site.table.outage = false;
   service.fault = "none";
-  assert.ok(clock.now() - startedAt < shortStopTimeout + 500);
+  assert.ok(clock.now() - startedAt < shortStopTimeout);
 });
 
 // Guards against: the exit cuts a draft in progress, or ends its stream as if it were complete.
@@ -330,7 +330,7 @@
   const startedAt = clock.now();
   owner.drain();
   await finishStop(owner);
-  assert.ok(clock.now() - startedAt < shortStopTimeout + 500);
+  assert.ok(clock.now() - startedAt < shortStopTimeout);
   const { whole, status, text } = await draft;
   assert.ok(whole, `${status} ${text.slice(-300)}`);
   assert.ok(clock.now() - startedAt > shortStopTimeout, "the stream was long");
