--- /dev/null
+++ b/tests/platform_adapter/odd_entries_process_test.ts
@@ -0,0 +1,102 @@
+import assert from "node:assert/strict";
+import { afterEach, test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { configuration, FakeStore, registration } from "./fake_store.ts";
+import { GatewayProcess } from "./gateway_process.ts";
+import { oddServers } from "./odd_entries.ts";
+import { SealedServer } from "./sealed_server.ts";
+
+/** Time in which a change of the store must be in force, in ms. */
+const changeBound = 2_500;
+/** Number of requests that one check sends. */
+const requestsPerCheck = 40;
+
+const closers: (() => unknown)[] = [];
+
+afterEach(async () => {
+  for (const close of closers.splice(0).reverse()) await close();
+});
+
+async function openServer(): Promise<SealedServer> {
+  const server = await SealedServer.open();
+  closers.push(() => server.close());
+  return server;
+}
+
+/** Starts the program beside a store with one good server. */
+async function open(prepare: (store: FakeStore) => void = () => {}) {
+  const store = await FakeStore.open();
+  closers.push(() => store.close());
+  const good = await openServer();
+  store.put("op", "config", configuration);
+  store.put("servers", "good", { ...registration, Address: good.address });
+  prepare(store);
+  const gateway = await GatewayProcess.start(store.address);
+  closers.push(() => gateway.stop());
+  return { store, good, gateway };
+}
+
+/** Sends requests to a route; returns the statuses that occurred. */
+async function sendRequests(gateway: GatewayProcess, path = "/b/x") {
+  const statuses = await Promise.all(
+    Array.from({ length: requestsPerCheck }, () =>
+      gateway.send({ host: "desk.example", path }),
+    ),
+  );
+  assert.equal(gateway.end, undefined, "the process runs");
+  return [...new Set(statuses)];
+}
+
+/** Adds a route to the configuration; whether a request on it is served in time. */
+async function followsNewRoute(store: FakeStore, gateway: GatewayProcess) {
+  const [route] = configuration.Routes;
+  const routes = [...configuration.Routes, { ...route, Prefix: "/new/" }];
+  store.put("op", "config", { ...configuration, Version: 90, Routes: routes });
+  return becomes(
+    async () =>
+      (await gateway.send({ host: "desk.example", path: "/new/x" })) === 200,
+  );
+}
+
+/** Whether a condition holds within the bound. */
+async function becomes(check: () => Promise<boolean>): Promise<boolean> {
+  const deadline = performance.now() + changeBound;
+  while (performance.now() < deadline) {
+    if (await check()) return true;
+    await sleep(50);
+  }
+  return false;
+}
+
+// Guards against one odd entry among those of the servers ending the process of
+// each machine that reads it: a port out of range threw at the first request.
+test("the program lives on and serves from the good server beside odd entries of servers", async () => {
+  const { store, good, gateway } = await open((store) => {
+    for (const { key, value } of oddServers) store.put("servers", key, value);
+  });
+  assert.deepEqual(await sendRequests(gateway), [200]);
+  assert.equal(good.answered, requestsPerCheck);
+  // The same entries arrive as changes.
+  for (const { key, value } of oddServers) store.put("servers", key, value);
+  await sleep(changeBound);
+  assert.deepEqual(await sendRequests(gateway), [200]);
+  assert.equal(gateway.end, undefined);
+
+  const second = await openServer();
+  const address = second.address;
+  store.put("servers", "good-2", { ...registration, Address: address });
+  assert.ok(
+    await becomes(async () => {
+      await sendRequests(gateway);
+      return second.answered > 0;
+    }),
+    "a server that registers later is used",
+  );
+  store.drop("servers", "good");
+  await sleep(changeBound);
+  const answered = good.answered;
+  assert.deepEqual(await sendRequests(gateway), [200]);
+  assert.equal(good.answered, answered, "a server that has left is not used");
+  assert.ok(await followsNewRoute(store, gateway), "a new route is served");
+  assert.equal(gateway.end, undefined);
+});
