--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -1,10 +1,17 @@
 import assert from "node:assert/strict";
 import { createServer, type Server, type Socket } from "node:net";
 import { test } from "node:test";
+import { HttpEngineOrders } from "../../platform/engine_orders.ts";
 import { HttpServerLinks } from "../../platform/server_links.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis } from "../../src/core/clock.ts";
-import { brandString } from "../../src/core/ids.ts";
+import {
+  brandNumber,
+  brandString,
+  type FencingNumber,
+  type MachineName,
+  type ModelName,
+} from "../../src/core/ids.ts";
 import type { ProxiedRequest, ServerRequest } from "../../src/ports/gateway.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
 import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
@@ -150,3 +157,52 @@
   const { kind } = await send(() => {}, { server: unused });
   assert.equal(kind, "unreachable");
 });
+
+// Guards against a call that throws out of its task, which ends the process.
+test("calls to a server whose address is malformed fail as unreachable", async () => {
+  const clock = RealClock.create();
+  const links = HttpServerLinks.create({ clock, meter: silentMeter });
+  const orders = HttpEngineOrders.create({
+    clock,
+    endpointOf: (server) => links.endpointOf(server),
+  });
+  for (const address of ["127.0.0.1:99999", "999.0.0.1:80", ""]) {
+    const server = describeServer({ address });
+    const failure = await new Promise<string>((resolve) => {
+      links.send(
+        {
+          request: createRequest(),
+          server,
+          isAccepted: () => true,
+          isRepeated: false,
+          timeLeft: millis(900),
+          adapterVersion: undefined,
+          priority: undefined,
+          resumeAfter: undefined,
+        },
+        {
+          onHead: () => resolve("head"),
+          onBytes: () => {},
+          onEnd: () => resolve("whole"),
+          onFailure: ({ kind }) => resolve(kind),
+        },
+      );
+    });
+    assert.equal(failure, "unreachable", address);
+    const order = {
+      operation: "load",
+      model: brandString<ModelName>("m0"),
+      adapter: undefined,
+      version: undefined,
+      expectedCount: 0,
+    } as const;
+    const holder = {
+      machine: brandString<MachineName>("n1"),
+      fence: brandNumber<FencingNumber>(1),
+    };
+    const answer = await orders.order(server, order, holder);
+    assert.equal(answer.kind, "unreachable", address);
+    assert.ok((await orders.fetchStatus(server)).isLeft(), address);
+    links.disconnect(server.id);
+  }
+});
