Skip the rows of nodes whose address cannot be sent to

An odd address in the row of another node ended the process of every node that followed the table: `socket.send` throws ERR_SOCKET_BAD_PORT for a port out of range or an address without one, in the timer that reports the use of that node's engines. A datagram from port 0 did the same, since the answer goes to its sender.

Such a row is now skipped, so that the node counts as one without an address, and its engines have another owner after the usual time.

The test starts the program as a process beside rows of nodes with odd addresses that own engines. On the code before, the process ended with the first report, and the message to an odd address threw the RangeError.

--- a/src/adapters/peers/node_channel.ts
+++ b/src/adapters/peers/node_channel.ts
@@ -1,4 +1,5 @@
 import { createSocket, type Socket } from "node:dgram";
+import { isSocketAddress } from "../../core/socket_address.ts";
 import type { NodeChannel, NodeMessage } from "../../ports/gateway.ts";
 import type { Journal } from "../../ports/journal.ts";
 import { decodeNodeMessage, encodeNodeMessage } from "./node_message_codec.ts";
@@ -9,6 +10,7 @@
 /** Sends messages between nodes over UDP; a later message replaces a lost one. */
 export class UdpNodeChannel implements NodeChannel {
   readonly #socket: Socket;
+  readonly #journal: Journal;
   #closed = false;
   #listener: (message: NodeMessage, from: string) => void = () => {};
 
@@ -17,6 +19,7 @@
     port: number;
     journal: Journal;
   }) {
+    this.#journal = options.journal;
     this.#socket = createSocket("udp4");
     this.#socket.on("error", (error) => {
       options.journal.record("useChannelFailed", { detail: error.message });
@@ -40,6 +43,11 @@
   send(address: string, message: NodeMessage): void {
     // A repeated message may be due after the node has stopped.
     if (this.#closed) return;
+    if (!isSocketAddress(address)) {
+      const detail = `Cannot send to the address "${address.slice(0, 64)}"`;
+      this.#journal.record("useChannelFailed", { detail });
+      return;
+    }
     const colon = address.lastIndexOf(":");
     const host = address.slice(0, colon);
     const port = Number(address.slice(colon + 1));
--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/lease_rows.ts
@@ -12,6 +12,7 @@
   type ServerId,
   type StoreEpoch,
 } from "../../core/ids.ts";
+import { isSocketAddress } from "../../core/socket_address.ts";
 import type { RowFollower } from "../../ports/rows.ts";
 import type { Json, Row } from "../../ports/table.ts";
 
@@ -147,6 +148,7 @@
     if (!key.startsWith(nodePrefix)) continue;
     const { dataCentre, address } = (value ?? {}) as Fields;
     if (typeof dataCentre !== "string" || typeof address !== "string") continue;
+    if (!isSocketAddress(address)) continue;
     const machine: MachineName = brandString(key.slice(nodePrefix.length));
     nodes.push({ machine, dataCentre: brandString(dataCentre), address });
   }
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -175,3 +175,19 @@
   first.channel.close();
   second.channel.close();
 });
+
+// Guards against a datagram to an odd address: the throw ended the process. A
+// datagram may also come from port 0, to which no answer can be sent.
+test("a message to an odd address is not sent, and logged", (context) => {
+  const failures: unknown[] = [];
+  const channel = UdpNodeChannel.create({
+    host: "127.0.0.1",
+    port: 0,
+    journal: { record: (event, fields) => failures.push([event, fields]) },
+  });
+  context.after(() => channel.close());
+  const message: NodeMessage = { type: "use", from: request.from, engines: [] };
+  const addresses = ["127.0.0.1:99999", "127.0.0.1:0", "n1", "", ":", "n:x"];
+  for (const address of addresses) channel.send(address, message);
+  assert.equal(failures.length, addresses.length);
+});
--- a/tests/platform_adapter/odd_entries_process_test.ts
+++ b/tests/platform_adapter/odd_entries_process_test.ts
@@ -1,9 +1,10 @@
 import assert from "node:assert/strict";
 import { afterEach, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
+import { nodeTable } from "../../platform/wire_names.ts";
 import { configuration, FakeStore, registration } from "./fake_store.ts";
 import { GatewayProcess } from "./gateway_process.ts";
-import { oddServers } from "./odd_entries.ts";
+import { oddAddresses, oddServers } from "./odd_entries.ts";
 import { SealedServer } from "./sealed_server.ts";
 
 /** Time in which a change of the store must be in force, in ms. */
@@ -100,3 +101,48 @@
   assert.ok(await followsNewRoute(store, gateway), "a new route is served");
   assert.equal(gateway.end, undefined);
 });
+
+/** Time after which the engines of a node without an address have another owner, in ms. */
+const takeoverBound = 8_000;
+
+/** Registers an engine at a server's address. */
+function putEngine(store: FakeStore, key: string, address: string): void {
+  const Models = [{ Name: "m0", Version: 1, Adapters: [] }];
+  const engine = { Service: "engines", Address: address, Models };
+  store.put("servers", key, { ...registration, ...engine });
+}
+
+function putLease(store: FakeStore, engine: string, lease: unknown): void {
+  const row = { attempt: "a", value: lease };
+  store.put(nodeTable, `engine/${engine}`, row);
+}
+
+/** Whether the process claims all these engines in time. */
+async function claims(gateway: GatewayProcess, engines: readonly string[]) {
+  const deadline = performance.now() + takeoverBound;
+  while (performance.now() < deadline) {
+    assert.equal(gateway.end, undefined, "the process runs");
+    const claimed = gateway.logged("engineClaimed").map(({ server }) => server);
+    if (engines.every((engine) => claimed.includes(engine))) return true;
+    await sleep(100);
+  }
+  return false;
+}
+
+// Guards against an odd address in the row of another node: the first report to
+// that node threw in a timer, which ended the process.
+test("the program lives on beside rows of nodes with odd addresses, and takes over their engines", async () => {
+  const engines = oddAddresses.map((_, at) => `e-${at}`);
+  const { store, gateway } = await open((store) => {
+    for (const [at, address] of oddAddresses.entries()) {
+      putEngine(store, `e-${at}`, "127.0.0.1:1");
+      const node = { dataCentre: "tatry-a", address };
+      store.put(nodeTable, `node/x-${at}`, { attempt: "a", value: node });
+      const lease = { process: "p", fence: 1, released: false };
+      putLease(store, `e-${at}`, { ...lease, machine: `x-${at}` });
+    }
+  });
+  assert.ok(await claims(gateway, engines), "the engines have an owner");
+  assert.deepEqual(await sendRequests(gateway), [200]);
+  assert.ok(await followsNewRoute(store, gateway), "a new route is served");
+});
