Skip lease rows whose fields are of another type

One odd row `engine/ID` in the nodes' table froze what each node knew of all leases. The process token was turned into text with `String`, which throws for deeply nested arrays (stack overflow) and for objects whose `toString` is no function. The cycle recorded event 514 once; the next one took the rows as applied and confirmed them, so that the node went on with the leases of before and kept ones that another node had taken.

The fields are checked now, the fence as a whole number from 0 to 2^52 (1e400 in a row is infinite, and the claim after it wrote null). Rows count as applied only once they are.

--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -197,8 +197,8 @@
       confirmLeaseRead(this.#state, confirmedAt);
       return;
     }
-    this.#applied = read;
     this.#applyRead(read);
+    this.#applied = read;
   }
 
   #applyRead({ rows, epoch, confirmedAt }: LeaseRead): void {
--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/lease_rows.ts
@@ -18,6 +18,10 @@
 
 const leasePrefix = "engine/";
 const nodePrefix = "node/";
+/** Highest fencing number of a lease; each claim raises it by one. */
+const maxFence = 2 ** 52;
+/** Longest time without orders that a lease states, in ms. */
+const maxWait = 60_000;
 
 /** The lease and node rows as of one moment. */
 export type LeaseRead = RowPosition & {
@@ -100,15 +104,17 @@
   const leases = new Map<ServerId, LeaseRow & { rowVersion: number }>();
   for (const { key, version, value } of rows) {
     if (!key.startsWith(leasePrefix)) continue;
-    const { machine, process, fence, released, wait } = (value ?? {}) as Fields;
-    if (typeof machine !== "string" || typeof fence !== "number") continue;
+    const fields = (value ?? {}) as Fields;
+    const { machine, process, fence, released, wait = 0 } = fields;
+    if (typeof machine !== "string" || typeof process !== "string") continue;
+    if (!isFence(fence) || !isWait(wait)) continue;
     leases.set(brandString(key.slice(leasePrefix.length)), {
       machine: brandString(machine),
-      process: String(process),
+      process,
       fence: brandNumber(fence),
       released: released === true,
       epoch: readRowEpoch(value),
-      wait: millis(typeof wait === "number" ? wait : 0),
+      wait: millis(wait),
       rowVersion: version,
     });
   }
@@ -130,7 +136,8 @@
 /** Epoch in which a row was written; 0 if a program wrote it that knew no epochs. */
 function readRowEpoch(value: Json): StoreEpoch {
   const { epoch } = (value ?? {}) as Fields;
-  return brandNumber(typeof epoch === "number" ? epoch : 0);
+  const isKnown = Number.isSafeInteger(epoch) && (epoch as number) >= 0;
+  return brandNumber(isKnown ? (epoch as number) : 0);
 }
 
 /** Encodes the address of a node for its row. */
@@ -141,6 +148,20 @@
   return { dataCentre, address, epoch };
 }
 
+/** Whether a fencing number can be raised by one for a very long time. */
+function isFence(value: Json | undefined): value is number {
+  return (
+    Number.isInteger(value) &&
+    (value as number) >= 0 &&
+    (value as number) <= maxFence
+  );
+}
+
+/** Whether a lease may state this time without orders, in ms. */
+function isWait(value: Json): value is number {
+  return typeof value === "number" && value >= 0 && value <= maxWait;
+}
+
 /** Decodes the rows of the nodes; skips rows of another form. */
 export function decodeNodes(rows: readonly Row[]): KnownNode[] {
   const nodes: KnownNode[] = [];
