Let a claim replace a lease row that cannot be read

An engine whose row `engine/ID` had been overwritten by another writer never had an owner again, so that no adapter or model was loaded on it. The unreadable row counted as absent, each claim demanded that there be none, and the store refused it (412).

A row that cannot be read now keeps its version and has no value. As a lease it belongs to a holder that no one hears of, and is claimed after the usual time, with the longest wait before the first order. The fence comes from the version of the row, which is above every fence given out before.

--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/lease_rows.ts
@@ -97,30 +97,49 @@
 
 type Fields = { readonly [key: string]: Json };
 
-/** Decodes the lease rows; skips rows of another form. */
+/** Holder of a lease whose row cannot be read; no node has this name. */
+const unknownMachine: MachineName = brandString("");
+
+/** Decodes the lease rows; one that cannot be read has an unknown holder, so that it can be claimed. */
 export function decodeLeases(
   rows: readonly Row[],
 ): Map<ServerId, LeaseRow & { rowVersion: number }> {
   const leases = new Map<ServerId, LeaseRow & { rowVersion: number }>();
-  for (const { key, version, value } of rows) {
-    if (!key.startsWith(leasePrefix)) continue;
-    const fields = (value ?? {}) as Fields;
-    const { machine, process, fence, released, wait = 0 } = fields;
-    if (typeof machine !== "string" || typeof process !== "string") continue;
-    if (!isFence(fence) || !isWait(wait)) continue;
-    leases.set(brandString(key.slice(leasePrefix.length)), {
-      machine: brandString(machine),
-      process,
-      fence: brandNumber(fence),
-      released: released === true,
-      epoch: readRowEpoch(value),
-      wait: millis(wait),
-      rowVersion: version,
-    });
+  for (const row of rows) {
+    if (!row.key.startsWith(leasePrefix)) continue;
+    const engine: ServerId = brandString(row.key.slice(leasePrefix.length));
+    const lease = decodeLease(row.value) ?? unknownLease;
+    leases.set(engine, { ...lease, rowVersion: row.version });
   }
   return leases;
 }
 
+function decodeLease(value: Json): LeaseRow | undefined {
+  const fields = (value ?? {}) as Fields;
+  const { machine, process, fence, released, wait = 0 } = fields;
+  if (typeof machine !== "string" || typeof process !== "string")
+    return undefined;
+  if (!isFence(fence) || !isWait(wait)) return undefined;
+  return {
+    machine: brandString(machine),
+    process,
+    fence: brandNumber(fence),
+    released: released === true,
+    epoch: readRowEpoch(value),
+    wait: millis(wait),
+  };
+}
+
+/** Lease of an unknown holder; the fence of a claim follows from the version of the row that it replaces. */
+const unknownLease: LeaseRow = {
+  machine: unknownMachine,
+  process: "",
+  fence: brandNumber(0),
+  released: false,
+  epoch: brandNumber(0),
+  wait: millis(0),
+};
+
 /** Whether any row was written in an earlier epoch than the given one. */
 export function hasEarlierRows(
   rows: readonly Row[],
--- a/tests/platform_adapter/odd_entries_process_test.ts
+++ b/tests/platform_adapter/odd_entries_process_test.ts
@@ -4,7 +4,13 @@
 import { nodeTable } from "../../platform/wire_names.ts";
 import { configuration, FakeStore, registration } from "./fake_store.ts";
 import { GatewayProcess } from "./gateway_process.ts";
-import { oddAddresses, oddServers } from "./odd_entries.ts";
+import {
+  deepArray,
+  deepObject,
+  oddAddresses,
+  oddServers,
+  replaceField,
+} from "./odd_entries.ts";
 import { SealedServer } from "./sealed_server.ts";
 
 /** Time in which a change of the store must be in force, in ms. */
@@ -146,3 +152,39 @@
   assert.deepEqual(await sendRequests(gateway), [200]);
   assert.ok(await followsNewRoute(store, gateway), "a new route is served");
 });
+
+const goodLease = { machine: "x", process: "p", fence: 1, released: true };
+
+/** Lease rows as other writers may leave them, as JSON. */
+const oddLeases = [
+  "no json",
+  "null",
+  deepArray,
+  '{"attempt":"a"}',
+  '{"attempt":5,"value":{}}',
+  `{"attempt":"a","value":${deepObject}}`,
+  ...["machine", "process", "fence"].flatMap((field) =>
+    [deepArray, '{"toString":1}', "1e400", "null"].map((json) => {
+      const lease = replaceField(goodLease, field, json);
+      return `{"attempt":"a","value":${lease}}`;
+    }),
+  ),
+];
+
+// Guards against an engine that has no owner until someone repairs its lease
+// row: each claim took the unreadable row for a missing one and was refused.
+test("engines whose lease rows cannot be read get an owner", async () => {
+  const engines = oddLeases.map((_, at) => `e-${at}`);
+  const { store, gateway } = await open((store) => {
+    for (const [at, lease] of oddLeases.entries()) {
+      putEngine(store, `e-${at}`, "127.0.0.1:1");
+      store.put(nodeTable, `engine/e-${at}`, lease);
+    }
+  });
+  assert.ok(await claims(gateway, engines), "the engines have an owner");
+  for (const { fence } of gateway.logged("engineClaimed"))
+    assert.ok(Number.isSafeInteger(fence), `fence ${fence}`);
+  assert.deepEqual(gateway.logged("leaseCycleFailed"), []);
+  assert.deepEqual(await sendRequests(gateway), [200]);
+  assert.ok(await followsNewRoute(store, gateway), "a new route is served");
+});
