--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -65,6 +65,18 @@
     meaning:
       "A read or claim of engine leases failed unexpectedly; the next one follows",
   },
+  rowsNotApplied: {
+    number: 518,
+    level: "error",
+    meaning:
+      "Applying changed rows of the platform's store failed unexpectedly; later changes follow",
+  },
+  entryNotApplied: {
+    number: 519,
+    level: "error",
+    meaning:
+      "Applying one entry of the platform's store failed unexpectedly; the others are applied",
+  },
   rowReaderChosen: {
     number: 512,
     level: "info",
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/row_copies.ts
@@ -141,7 +141,8 @@
     const { isComplete, source } = read;
     const { base } = replica;
     for (const listener of this.#listeners.get(topic) ?? []) {
-      listener({ rows, epoch, newest, base, isComplete, source, maxAge });
+      const change = { rows, epoch, newest, base, isComplete, source, maxAge };
+      this.#notify(listener, topic, change);
     }
     if (applied.hasUrgent) onUrgentChange();
     return true;
@@ -170,6 +171,16 @@
     return known.newest > 0 && epoch < known.epoch;
   }
 
+  /** Calls a listener; its failure must end neither the other listeners nor the reading. */
+  #notify(listener: RowListener, topic: RowTopic, change: RowChange): void {
+    try {
+      listener(change);
+    } catch (error) {
+      const detail = (error as Error).message;
+      this.#options.journal.record("rowsNotApplied", { table: topic, detail });
+    }
+  }
+
   /** Applies rows that another node delivered in response to a request sent at `sentAt`. */
   accept(
     delivery: RowDelivery,
--- a/src/node/gateway/topic_poller.ts
+++ b/src/node/gateway/topic_poller.ts
@@ -77,12 +77,21 @@
         continue;
       }
       const startedAt = clock.now();
-      const delay = await this.#call(false);
+      const delay = await this.#call(false).catch((error: Error) =>
+        this.#recordError(error),
+      );
       const left = startedAt + delay - clock.now();
       if (left > 0) await sleep(clock, millis(left));
     }
   }
 
+  /** Handles an unexpected error of one call, after which the next one follows. */
+  #recordError({ message }: Error): Millis {
+    const detail = `Unexpected error: ${message}`;
+    this.#options.onFailure({ kind: "unknown", detail });
+    return this.#options.retryDelay();
+  }
+
   /** Makes one call; returns the minimum time from its start to the next one. */
   async #call(mustBeComplete: boolean): Promise<Millis> {
     const { source, topic, schedule, clock, position } = this.#options;
