Let no timer with a long delay run at once

A time limit above 2^31 - 1 ms passed at once, since Node runs such a timer after 1 ms.

The clock now starts another timer for the rest of a delay beyond that.

--- a/src/adapters/time/real_clock.ts
+++ b/src/adapters/time/real_clock.ts
@@ -5,6 +5,9 @@
   millis,
 } from "../../core/clock.ts";
 
+/** Longest delay of a timer of Node, in ms; one with a longer delay runs at once. */
+const maxTimerDelay = 2 ** 31 - 1;
+
 /** System clock. */
 export class RealClock implements Clock {
   static create(): RealClock {
@@ -20,7 +23,13 @@
   }
 
   schedule(delay: Millis, callback: () => void): Cancel {
-    const timer = setTimeout(callback, Math.max(0, delay));
+    let timer: NodeJS.Timeout;
+    const start = (left: number) => {
+      const step = Math.min(left, maxTimerDelay);
+      const next = () => (step < left ? start(left - step) : callback());
+      timer = setTimeout(next, step);
+    };
+    start(Math.max(0, delay));
     return () => clearTimeout(timer);
   }
 }
