--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -165,6 +165,7 @@
   const orders = HttpEngineOrders.create({
     clock,
     endpointOf: (server) => links.endpointOf(server),
+    readHead: () => {},
   });
   for (const address of ["127.0.0.1:99999", "999.0.0.1:80", ""]) {
     const server = describeServer({ address });
