Keep the configuration in force if a value of a new one is out of range

A configuration with a negative time limit came into force, and every request of its routes was refused at once.

The process test failed before: requests were refused after the configuration with a time limit of -1 ms.

--- a/tests/platform_adapter/odd_entries_process_test.ts
+++ b/tests/platform_adapter/odd_entries_process_test.ts
@@ -188,3 +188,28 @@
   assert.deepEqual(await sendRequests(gateway), [200]);
   assert.ok(await followsNewRoute(store, gateway), "a new route is served");
 });
+
+// Guards against limits out of range in the configuration, with which every
+// request was refused at once.
+test("a configuration with a value out of range is not in force, and the one before stays", async () => {
+  const { store, gateway } = await open();
+  const [route] = configuration.Routes;
+  const { IdleTimeoutMs: _, ...limits } = configuration.Limits;
+  const odd = [
+    { Routes: [{ ...route, TimeoutMs: 1e308 }] },
+    { Routes: [{ ...route, TimeoutMs: -1 }] },
+    { Limits: { ...limits, IdleTimeoutMs: 1e308 } },
+    { Limits: { ...limits, IdleTimeoutMs: -1 } },
+  ];
+  for (const [at, fields] of odd.entries()) {
+    store.put("op", "config", { ...configuration, Version: 8 + at, ...fields });
+    await sleep(500);
+    assert.deepEqual(await sendRequests(gateway), [200]);
+  }
+  const revisions = gateway.logged("revisionInForce");
+  assert.deepEqual(
+    revisions.map(({ revision }) => revision),
+    [7],
+  );
+  assert.ok(await followsNewRoute(store, gateway), "a new route is served");
+});
