Log each unreadable entry once with its field and the reason

Event 507 named only the key of an entry that cannot be read, and came again with every change of it, which for a server is every heartbeat. Operators could not tell what is wrong with the entry, and a few such entries filled the log.

The event now names the table, the field and the reason, and comes once until the entry can be read, has another fault or is removed. The counter `entries_unreadable_total` counts every change.

The process test failed before: each entry was logged twice after one change.

--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -82,6 +82,8 @@
   gateway_requests_open: "Requests that this node is serving",
   engine_orders_total: "Orders to engines, by operation and answer",
   store_calls_total: "Calls to the platform's store, by call and result",
+  entries_unreadable_total:
+    "Changes of entries of the platform's store that cannot be read, by table",
   node_ready: "1 while the node takes requests",
   session_usable: "1 while the session lease is usable",
   table_outage: "1 while the table service does not answer",
--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -36,7 +36,8 @@
   entryUnreadable: {
     number: 507,
     level: "warn",
-    meaning: "An entry of the platform's store cannot be read and is ignored",
+    meaning:
+      "An entry of the platform's store cannot be read and is ignored; the field and the reason are named",
   },
   storeLost: {
     number: 508,
--- a/tests/gateway/row_failures_test.ts
+++ b/tests/gateway/row_failures_test.ts
@@ -2,6 +2,7 @@
 import { afterEach, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { type Either, Right } from "purify-ts";
+import { EntryFaults } from "../../platform/entry_faults.ts";
 import { StoreFeed } from "../../platform/installation_feed.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis } from "../../src/core/clock.ts";
@@ -16,6 +17,7 @@
 } from "../../src/core/ids.ts";
 import type { EventName } from "../../src/core/observe/events.ts";
 import { RowRelay } from "../../src/node/gateway/row_relay.ts";
+import { silentMeter } from "../../src/ports/journal.ts";
 import type { RowFailure, RowSource, RowTopic } from "../../src/ports/rows.ts";
 import { registration } from "../platform_adapter/fake_store.ts";
 
@@ -109,7 +111,11 @@
   for (const key of ["s1", "odd", "s2"]) source.put(key);
   const { relay, journal, events } = start(source);
   const seen: string[] = [];
-  const feed = StoreFeed.create({ rows: relay, journal });
+  const feed = StoreFeed.create({
+    rows: relay,
+    journal,
+    faults: EntryFaults.create({ journal, meter: silentMeter }),
+  });
   let isComplete = false;
   feed.follow((change) => {
     if (change.type === "complete") isComplete ||= change.topic === "servers";
--- a/tests/platform_adapter/installation_feed_test.ts
+++ b/tests/platform_adapter/installation_feed_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { EntryFaults } from "../../platform/entry_faults.ts";
 import { StoreFeed } from "../../platform/installation_feed.ts";
 import { StoreClient } from "../../platform/store_client.ts";
 import {
@@ -38,7 +39,11 @@
     isUrgent: chooseUrgencyPolicy,
     decodeNodes: () => [],
   });
-  const feed = StoreFeed.create({ rows, journal: silentJournal });
+  const feed = StoreFeed.create({
+    rows,
+    journal: silentJournal,
+    faults: EntryFaults.create({ journal: silentJournal, meter: silentMeter }),
+  });
   const changes: Change[] = [];
   feed.follow((change) => changes.push(change));
   async function waitForChange(
--- a/tests/platform_adapter/odd_entries_process_test.ts
+++ b/tests/platform_adapter/odd_entries_process_test.ts
@@ -75,6 +75,18 @@
   return false;
 }
 
+/** Each odd entry of a server is logged once, with its field and the reason. */
+function assertLoggedOnce(gateway: GatewayProcess): void {
+  const lines = gateway.logged("entryUnreadable");
+  assert.equal(lines.length, oddServers.length);
+  assert.equal(new Set(lines.map(({ key }) => key)).size, oddServers.length);
+  for (const { field, reason, table } of lines) {
+    assert.equal(typeof field, "string");
+    assert.ok(String(reason).length > 0);
+    assert.equal(table, "servers");
+  }
+}
+
 // Guards against one odd entry among those of the servers ending the process of
 // each machine that reads it: a port out of range threw at the first request.
 test("the program lives on and serves from the good server beside odd entries of servers", async () => {
@@ -88,6 +100,7 @@
   await sleep(changeBound);
   assert.deepEqual(await sendRequests(gateway), [200]);
   assert.equal(gateway.end, undefined);
+  assertLoggedOnce(gateway);
 
   const second = await openServer();
   const address = second.address;
@@ -106,6 +119,8 @@
   assert.equal(good.answered, answered, "a server that has left is not used");
   assert.ok(await followsNewRoute(store, gateway), "a new route is served");
   assert.equal(gateway.end, undefined);
+  const metrics = await gateway.readMetrics();
+  assert.match(metrics, /entries_unreadable_total\{table="servers"\} [1-9]/);
 });
 
 /** Time after which the engines of a node without an address have another owner, in ms. */
--- a/tests/platform_adapter/store_answers_test.ts
+++ b/tests/platform_adapter/store_answers_test.ts
@@ -4,6 +4,7 @@
 import { afterEach, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import fc from "fast-check";
+import { EntryFaults } from "../../platform/entry_faults.ts";
 import { StoreFeed } from "../../platform/installation_feed.ts";
 import { decodeRows, parseBody } from "../../platform/store_answers.ts";
 import { StoreClient } from "../../platform/store_client.ts";
@@ -128,7 +129,11 @@
   });
   closers.push(() => rows.stop());
   const found = new Set<string>();
-  const feed = StoreFeed.create({ rows, journal: silentJournal });
+  const feed = StoreFeed.create({
+    rows,
+    journal: silentJournal,
+    faults: EntryFaults.create({ journal: silentJournal, meter: silentMeter }),
+  });
   feed.follow((change) => {
     if (change.type === "server" && change.change.type === "present")
       found.add(change.change.server.id);
