--- a/tests/platform_adapter/installation_feed_test.ts
+++ b/tests/platform_adapter/installation_feed_test.ts
@@ -204,3 +204,20 @@
   assert.equal(present.change.isFromCopy, false);
   stop();
 });
+
+// Guards against requests to a server whose entry was overwritten while the
+// store did not answer: it was kept like one that has only expired.
+test("a server whose entry becomes odd in a store outage is not kept", async (context) => {
+  const { store, waitForChange, stop } = await follow((store) => {
+    store.put("servers", "i-1", registration);
+  });
+  context.after(stop);
+  await waitForChange(isComplete);
+  store.failWith = 503;
+  await new Promise((resolve) => setTimeout(resolve, 2_600));
+  store.put("servers", "i-1", { ...registration, Address: "127.0.0.1:99999" });
+  store.failWith = undefined;
+  const gone = await waitForChange(isAbsent);
+  assert.ok(gone.type === "server" && gone.change.type === "absent");
+  assert.equal(gone.change.outageEndedAt, Number.NEGATIVE_INFINITY);
+});
--- a/tests/platform_adapter/odd_entries_process_test.ts
+++ b/tests/platform_adapter/odd_entries_process_test.ts
@@ -123,6 +123,30 @@
   assert.match(metrics, /entries_unreadable_total\{table="servers"\} [1-9]/);
 });
 
+// Guards against requests to a server whose entry another writer has overwritten.
+test("a server whose entry becomes odd is not used until it can be read again", async () => {
+  const { store, good, gateway } = await open();
+  const second = await openServer();
+  const entry = { ...registration, Address: second.address };
+  const isUsed = async () => {
+    const before = second.answered;
+    assert.deepEqual(await sendRequests(gateway), [200]);
+    return second.answered > before;
+  };
+  for (const [field, json] of [
+    ["Slots", "1e308"],
+    ["Address", '"127.0.0.1:99999"'],
+    ["Models", deepArray],
+  ] as const) {
+    store.put("servers", "second", entry);
+    assert.ok(await becomes(isUsed), "the server is used");
+    store.put("servers", "second", replaceField(entry, field, json));
+    await sleep(changeBound);
+    assert.equal(await isUsed(), false, `used with an odd ${field}`);
+  }
+  assert.ok(good.answered > 0);
+});
+
 /** Time after which the engines of a node without an address have another owner, in ms. */
 const takeoverBound = 8_000;
 
