--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -2,14 +2,19 @@
 import { createSocket } from "node:dgram";
 import { createServer } from "node:net";
 import { test } from "node:test";
+import fc from "fast-check";
+import { Packr } from "msgpackr";
 import { UdpNodeChannel } from "../../src/adapters/peers/node_channel.ts";
 import { TrpcNodeLinks } from "../../src/adapters/peers/node_links.ts";
+import { decodeNodeMessage } from "../../src/adapters/peers/node_message_codec.ts";
 import { createNodeServer } from "../../src/adapters/peers/node_router.ts";
 import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
 import type { NodeCallHandler, NodeMessage } from "../../src/ports/gateway.ts";
 import { silentJournal } from "../../src/ports/journal.ts";
 
+const packr = new Packr({ useRecords: false });
+
 const request: Parameters<NodeCallHandler["acquire"]>[0] = {
   from: brandString("n1"),
   engine: brandString("i-1"),
@@ -191,3 +196,33 @@
   for (const address of addresses) channel.send(address, message);
   assert.equal(failures.length, addresses.length);
 });
+
+test("datagrams of any bytes neither throw nor yield values out of range", () => {
+  const entry = fc.oneof(
+    fc.jsonValue({ maxDepth: 3 }),
+    fc.double(),
+    fc.bigInt({ min: -(2n ** 63n), max: 2n ** 63n - 1n }),
+  );
+  const tuple = fc
+    .tuple(
+      fc.constantFrom("use", "load", "poison", "trial", "__proto__"),
+      fc.string(),
+      fc.array(entry),
+      entry,
+    )
+    .map((fields) => packr.pack(fields));
+  const nested = fc
+    .tuple(fc.constantFrom(0x91, 0x81, 0xdd, 0xdf, 0xc7), fc.nat(65_000))
+    .map(([byte, length]) => Buffer.alloc(length, byte));
+  const bytes = fc
+    .uint8Array({ maxLength: 1_400 })
+    .map((all) => Buffer.from(all));
+  fc.assert(
+    fc.property(fc.oneof(tuple, nested, bytes), (frame) => {
+      const message = decodeNodeMessage(frame);
+      if (message?.type === "trial")
+        assert.ok(Number.isSafeInteger(message.duration));
+    }),
+    { seed: 30, numRuns: 2_000 },
+  );
+});
--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -3,7 +3,19 @@
 import { connect } from "node:net";
 import { test } from "node:test";
 import { FrontServer } from "../../platform/front_server.ts";
+import {
+  decodeNodeMessage,
+  encodeNodeMessage,
+} from "../../src/adapters/peers/node_message_codec.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { millis } from "../../src/core/clock.ts";
+import {
+  brandString,
+  type MachineName,
+  type ModelAdapterKey,
+  type ServerId,
+} from "../../src/core/ids.ts";
+import { EngineUsageCounter } from "../../src/node/gateway/engine_usage.ts";
 import type { Gateway } from "../../src/node/gateway/gateway.ts";
 import type { CallerSink, ProxiedRequest } from "../../src/ports/gateway.ts";
 import { RawCaller } from "./raw_caller.ts";
@@ -348,3 +360,44 @@
   assert.match(caller.received, /HTTP\/1\.1 413 /);
   void front.stopAccepting();
 });
+
+// Guards against one caller whose odd token count spoils the reports of a node:
+// the other nodes refuse a report with such a sum, and take it for unanswered.
+test("an odd number of tokens counts as none, so that the sums of a node can be reported", async () => {
+  const { front, port, requests } = await open(answer);
+  const odd = [
+    "1e308,1e308",
+    "-5,-5",
+    "1.5,1.5",
+    "9007199254740993,x",
+    "Infinity,NaN",
+    ",",
+  ];
+  for (const counts of odd)
+    await exchangeRaw(
+      port,
+      `${head}${id}Goldcrestwinch-Model: m0/a3\r\nGoldcrestwinch-Token-Count: ${counts}\r\nContent-Length: 0\r\n\r\n`,
+    );
+  assert.equal(requests.length, odd.length);
+  const usage = EngineUsageCounter.create(() => millis(0));
+  const engine = brandString<ServerId>("e1");
+  const key = brandString<ModelAdapterKey>("m0/a3");
+  const releases = [
+    { promptTokens: 100 },
+    ...requests.map(({ demand }) => demand),
+  ].map((demand) =>
+    usage.trackSent(engine, key, demand?.promptTokens ?? Number.NaN),
+  );
+  for (const release of [() => {}, ...releases.reverse()]) {
+    release();
+    const engines = [{ ...usage.take(engine), contentsVersion: 0 }];
+    const message = {
+      type: "use",
+      from: brandString<MachineName>("n1"),
+      engines,
+    } as const;
+    const [frame] = encodeNodeMessage(message);
+    assert.deepEqual(decodeNodeMessage(frame as Buffer), message);
+  }
+  void front.stopAccepting();
+});
