Check the head row of the product's configuration

One odd row `config/head` ended the process of each node that polls it: its value was cast to a head, and the read of `revision` from null threw in a task without a catch.

The row is now checked. A malformed one counts as a configuration that fails its checks (event 702): the one in force stays, and the next good row is followed. A failed read of the head is counted like one of its objects.

The test failed before with `Cannot read properties of null (reading 'revision')`.

--- a/src/core/config/revision.ts
+++ b/src/core/config/revision.ts
@@ -29,6 +29,29 @@
   readonly deltas: readonly StoredObject[];
 };
 
+/** Reads the row of the head; undefined if it is malformed. */
+export function parseHead(value: unknown): Head | undefined {
+  const head = (value ?? {}) as Partial<Head>;
+  const isComplete =
+    isRevision(head.revision) &&
+    typeof head.digest === "string" &&
+    typeof head.attempt === "string" &&
+    isStoredObject(head.snapshot) &&
+    Array.isArray(head.deltas) &&
+    head.deltas.length <= maxDeltas &&
+    head.deltas.every(isStoredObject);
+  return isComplete ? (head as Head) : undefined;
+}
+
+function isStoredObject(value: unknown): value is StoredObject {
+  const object = (value ?? {}) as Partial<StoredObject>;
+  return isRevision(object.revision) && typeof object.key === "string";
+}
+
+function isRevision(value: unknown): value is Revision {
+  return Number.isSafeInteger(value) && (value as number) >= 0;
+}
+
 /** Hash of the canonical text of one entry. */
 export type DigestText = (text: string) => bigint;
 
--- a/src/node/configuration_manager.ts
+++ b/src/node/configuration_manager.ts
@@ -203,10 +203,8 @@
   async #followStore(): Promise<void> {
     this.#options.meter.count("config_head_reads_total");
     const read = await readHead(this.#options);
-    if (read.isLeft()) {
-      this.#actor.send({ type: "store-failed" });
-      return;
-    }
+    if (read.isLeft())
+      return this.#recordFailure(read.extract() as StoreFailure);
     const stored = read.extract() as StoredHead | undefined;
     if (stored === undefined) {
       this.#actor.send({ type: "followed", revision: 0 as Revision });
--- a/src/node/configuration_store.ts
+++ b/src/node/configuration_store.ts
@@ -5,6 +5,7 @@
   type Configuration as Config,
   createConfiguration,
   type Head,
+  parseHead,
   planFetch,
   type StoredObject,
 } from "../core/config/revision.ts";
@@ -51,11 +52,17 @@
   });
   return answer
     .mapLeft(({ detail }) => ({ kind: "unavailable" as const, detail }))
-    .map((row: Row | undefined) =>
-      row === undefined
-        ? undefined
-        : { head: row.value as unknown as Head, version: row.version },
-    );
+    .chain(decodeHead);
+}
+
+function decodeHead(
+  row: Row | undefined,
+): Either<StoreFailure, StoredHead | undefined> {
+  if (row === undefined) return Right(undefined);
+  const head = parseHead(row.value);
+  if (head !== undefined) return Right({ head, version: row.version });
+  const detail = `Row ${headKey} is malformed; restore it by writing the one before`;
+  return Left({ kind: "digest", detail });
 }
 
 /** Converts a head to the value stored in the table. */
--- a/tests/config/configuration_test.ts
+++ b/tests/config/configuration_test.ts
@@ -1,9 +1,14 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import type { Either } from "purify-ts";
-import { brandString, type RowKey } from "../../src/core/ids.ts";
+import {
+  type AttemptToken,
+  brandString,
+  type RowKey,
+} from "../../src/core/ids.ts";
 import type { Refusal } from "../../src/core/results/refusal.ts";
 import type { AppliedSheet } from "../../src/ports/operators.ts";
+import type { Json } from "../../src/ports/table.ts";
 import {
   type ConfigurationNode,
   ConfigurationSimulation,
@@ -286,3 +291,37 @@
   await simulation.run(8_000);
   assert.deepEqual(revisions(simulation), Array(9).fill(2));
 });
+
+// Guards against an odd head row: each node that reads it threw outside of any
+// handler, which ends the process.
+test("an odd head row leaves the configuration in force, and the next good one is followed", async () => {
+  const simulation = await startWithSheet(30);
+  const put = async (value: Json) => {
+    const key = brandString<RowKey>("config/head");
+    const attempt = brandString<AttemptToken>("odd");
+    const writes = [{ key, value }];
+    void simulation.table.transact({ attempt, conditions: [], writes });
+    await simulation.run(3_000);
+  };
+  const stored = await readRow(simulation, "config/head");
+  const head = stored as { readonly [field: string]: Json };
+  const odd: Json[] = [
+    null,
+    5,
+    [],
+    {},
+    { ...head, revision: 1e308 },
+    { ...head, revision: "2" },
+    { ...head, revision: 2, snapshot: null },
+    { ...head, revision: 2, deltas: [null] },
+    { ...head, revision: 2, deltas: 5 },
+  ];
+  for (const value of odd) await put(value);
+  assert.deepEqual([...new Set(revisions(simulation))], [1]);
+  await put(head);
+  const at = simulation.nodes[0] as ConfigurationNode;
+  const change = { at, base: 1, attempt: "second" };
+  assert.equal(codeOf(await apply(simulation, change)), "accepted");
+  await simulation.run(14_000);
+  assert.deepEqual([...new Set(revisions(simulation))], [2]);
+});
