Count a datagram to an odd address instead of throwing

`socket.send` throws for a port out of range, and for port 0, from which a signed datagram may come. The throw came from the timers and listeners of the membership and would have ended the process. Such a datagram is now counted as one that could not be sent (`gossip_send_errors_total`).

The test failed before with the RangeError of the socket.

--- a/src/adapters/gossip/udp_datagrams.ts
+++ b/src/adapters/gossip/udp_datagrams.ts
@@ -74,9 +74,20 @@
     for (const body of bodies) {
       const frame = this.#frameCodec.encode(body);
       this.#countBytes("sent", frame);
-      this.#socket.send(frame, Number(to.slice(colon + 1)), host, (error) => {
-        if (error !== null) this.#count("gossip_send_errors_total");
+      this.#sendFrame(frame, { host, port: Number(to.slice(colon + 1)) });
+    }
+  }
+
+  /** Sends a frame; the socket throws for a port out of range. */
+  #sendFrame(frame: Buffer, to: { host: string; port: number }): void {
+    const countError = () => this.#count("gossip_send_errors_total");
+    try {
+      this.#socket.send(frame, to.port, to.host, (error) => {
+        if (error !== null) countError();
       });
+    } catch {
+      // Counted like any other datagram that is not sent; probes tell that a node does not answer.
+      countError();
     }
   }
 
--- a/tests/membership/datagrams_test.ts
+++ b/tests/membership/datagrams_test.ts
@@ -204,3 +204,20 @@
   assert.deepEqual(decodeView(encoded, { ...context, findAdapter }), view);
   assert.equal(decodeView([9], { ...context, findAdapter }), undefined);
 });
+
+// Guards against a member with an odd address, or a datagram from port 0: the
+// send threw in a timer, which ends the process.
+test("a datagram to an odd address is counted and does not throw", async () => {
+  let errors = 0;
+  const meter: Meter = {
+    ...silentMeter,
+    count: (name) => {
+      if (name === "gossip_send_errors_total") errors++;
+    },
+  };
+  const datagrams = await open({ meter });
+  const message: GossipMessage = { purpose: "ping", from: 1, items: [] };
+  const addresses = ["127.0.0.1:99999", "127.0.0.1:0", "127.0.0.1:x", "n1", ""];
+  for (const address of addresses) datagrams.send(address, message);
+  assert.equal(errors, addresses.length);
+});
