Report the rows of nodes and leases that cannot be read

Odd rows of the nodes' own table were skipped silently. The process test failed before: no row was logged.

--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/lease_rows.ts
@@ -114,6 +114,23 @@
   return leases;
 }
 
+/** Field of a lease or node row that is missing or of another form; undefined if the row can be read. */
+export function findOddField({ key, value }: Row): string | undefined {
+  const fields = (value ?? {}) as Fields;
+  if (key.startsWith(leasePrefix)) {
+    if (typeof fields.machine !== "string") return "machine";
+    if (typeof fields.process !== "string") return "process";
+    return isFence(fields.fence) ? undefined : "fence";
+  }
+  if (!key.startsWith(nodePrefix)) return undefined;
+  if (typeof fields.dataCentre !== "string") return "dataCentre";
+  return isAddress(fields.address) ? undefined : "address";
+}
+
+function isAddress(value: Json | undefined): value is string {
+  return typeof value === "string" && isSocketAddress(value);
+}
+
 function decodeLease(value: Json): LeaseRow | undefined {
   const fields = (value ?? {}) as Fields;
   const { machine, process, fence, released, wait = 0 } = fields;
@@ -187,8 +204,7 @@
   for (const { key, value } of rows) {
     if (!key.startsWith(nodePrefix)) continue;
     const { dataCentre, address } = (value ?? {}) as Fields;
-    if (typeof dataCentre !== "string" || typeof address !== "string") continue;
-    if (!isSocketAddress(address)) continue;
+    if (typeof dataCentre !== "string" || !isAddress(address)) continue;
     const machine: MachineName = brandString(key.slice(nodePrefix.length));
     nodes.push({ machine, dataCentre: brandString(dataCentre), address });
   }
--- a/tests/platform_adapter/odd_entries_process_test.ts
+++ b/tests/platform_adapter/odd_entries_process_test.ts
@@ -224,6 +224,15 @@
   for (const { fence } of gateway.logged("engineClaimed"))
     assert.ok(Number.isSafeInteger(fence), `fence ${fence}`);
   assert.deepEqual(gateway.logged("leaseCycleFailed"), []);
+  const lines = gateway.logged("entryUnreadable");
+  assert.deepEqual(
+    lines.map(({ key }) => key).sort(),
+    engines.map((engine) => `engine/${engine}`).sort(),
+  );
+  for (const { table, field } of lines) {
+    assert.equal(table, "nodes");
+    assert.match(String(field), /^(machine|process|fence)$/);
+  }
   assert.deepEqual(await sendRequests(gateway), [200]);
   assert.ok(await followsNewRoute(store, gateway), "a new route is served");
 });
