--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -36,7 +36,8 @@
   entryUnreadable: {
     number: 507,
     level: "warn",
-    meaning: "An entry of the platform's store cannot be read and is ignored",
+    meaning:
+      "An entry of the platform's store cannot be read and is ignored; the field and the reason are named",
   },
   storeLost: {
     number: 508,
@@ -65,6 +66,18 @@
     meaning:
       "A read or claim of engine leases failed unexpectedly; the next one follows",
   },
+  rowsNotApplied: {
+    number: 518,
+    level: "error",
+    meaning:
+      "Applying changed rows of the platform's store failed unexpectedly; later changes follow",
+  },
+  entryNotApplied: {
+    number: 519,
+    level: "error",
+    meaning:
+      "Applying one entry of the platform's store failed unexpectedly; the others are applied",
+  },
   rowReaderChosen: {
     number: 512,
     level: "info",
--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/lease_rows.ts
@@ -12,11 +12,16 @@
   type ServerId,
   type StoreEpoch,
 } from "../../core/ids.ts";
+import { isSocketAddress } from "../../core/socket_address.ts";
 import type { RowFollower } from "../../ports/rows.ts";
 import type { Json, Row } from "../../ports/table.ts";
 
 const leasePrefix = "engine/";
 const nodePrefix = "node/";
+/** Highest fencing number of a lease; each claim raises it by one. */
+const maxFence = 2 ** 52;
+/** Longest time without orders that a lease states, in ms. */
+const maxWait = 60_000;
 
 /** The lease and node rows as of one moment. */
 export type LeaseRead = RowPosition & {
@@ -92,28 +97,66 @@
 
 type Fields = { readonly [key: string]: Json };
 
-/** Decodes the lease rows; skips rows of another form. */
+/** Holder of a lease whose row cannot be read; no node has this name. */
+const unknownMachine: MachineName = brandString("");
+
+/** Decodes the lease rows; one that cannot be read has an unknown holder, so that it can be claimed. */
 export function decodeLeases(
   rows: readonly Row[],
 ): Map<ServerId, LeaseRow & { rowVersion: number }> {
   const leases = new Map<ServerId, LeaseRow & { rowVersion: number }>();
-  for (const { key, version, value } of rows) {
-    if (!key.startsWith(leasePrefix)) continue;
-    const { machine, process, fence, released, wait } = (value ?? {}) as Fields;
-    if (typeof machine !== "string" || typeof fence !== "number") continue;
-    leases.set(brandString(key.slice(leasePrefix.length)), {
-      machine: brandString(machine),
-      process: String(process),
-      fence: brandNumber(fence),
-      released: released === true,
-      epoch: readRowEpoch(value),
-      wait: millis(typeof wait === "number" ? wait : 0),
-      rowVersion: version,
-    });
+  for (const row of rows) {
+    if (!row.key.startsWith(leasePrefix)) continue;
+    const engine: ServerId = brandString(row.key.slice(leasePrefix.length));
+    const lease = decodeLease(row.value) ?? unknownLease;
+    leases.set(engine, { ...lease, rowVersion: row.version });
   }
   return leases;
 }
 
+/** Field of a lease or node row that is missing or of another form; undefined if the row can be read. */
+export function findOddField({ key, value }: Row): string | undefined {
+  const fields = (value ?? {}) as Fields;
+  if (key.startsWith(leasePrefix)) {
+    if (typeof fields.machine !== "string") return "machine";
+    if (typeof fields.process !== "string") return "process";
+    return isFence(fields.fence) ? undefined : "fence";
+  }
+  if (!key.startsWith(nodePrefix)) return undefined;
+  if (typeof fields.dataCentre !== "string") return "dataCentre";
+  return isAddress(fields.address) ? undefined : "address";
+}
+
+function isAddress(value: Json | undefined): value is string {
+  return typeof value === "string" && isSocketAddress(value);
+}
+
+function decodeLease(value: Json): LeaseRow | undefined {
+  const fields = (value ?? {}) as Fields;
+  const { machine, process, fence, released, wait = 0 } = fields;
+  if (typeof machine !== "string" || typeof process !== "string")
+    return undefined;
+  if (!isFence(fence) || !isWait(wait)) return undefined;
+  return {
+    machine: brandString(machine),
+    process,
+    fence: brandNumber(fence),
+    released: released === true,
+    epoch: readRowEpoch(value),
+    wait: millis(wait),
+  };
+}
+
+/** Lease of an unknown holder; the fence of a claim follows from the version of the row that it replaces. */
+const unknownLease: LeaseRow = {
+  machine: unknownMachine,
+  process: "",
+  fence: brandNumber(0),
+  released: false,
+  epoch: brandNumber(0),
+  wait: millis(0),
+};
+
 /** Whether any row was written in an earlier epoch than the given one. */
 export function hasEarlierRows(
   rows: readonly Row[],
@@ -129,7 +172,8 @@
 /** Epoch in which a row was written; 0 if a program wrote it that knew no epochs. */
 function readRowEpoch(value: Json): StoreEpoch {
   const { epoch } = (value ?? {}) as Fields;
-  return brandNumber(typeof epoch === "number" ? epoch : 0);
+  const isKnown = Number.isSafeInteger(epoch) && (epoch as number) >= 0;
+  return brandNumber(isKnown ? (epoch as number) : 0);
 }
 
 /** Encodes the address of a node for its row. */
@@ -140,13 +184,27 @@
   return { dataCentre, address, epoch };
 }
 
+/** Whether a fencing number can be raised by one for a very long time. */
+function isFence(value: Json | undefined): value is number {
+  return (
+    Number.isInteger(value) &&
+    (value as number) >= 0 &&
+    (value as number) <= maxFence
+  );
+}
+
+/** Whether a lease may state this time without orders, in ms. */
+function isWait(value: Json): value is number {
+  return typeof value === "number" && value >= 0 && value <= maxWait;
+}
+
 /** Decodes the rows of the nodes; skips rows of another form. */
 export function decodeNodes(rows: readonly Row[]): KnownNode[] {
   const nodes: KnownNode[] = [];
   for (const { key, value } of rows) {
     if (!key.startsWith(nodePrefix)) continue;
     const { dataCentre, address } = (value ?? {}) as Fields;
-    if (typeof dataCentre !== "string" || typeof address !== "string") continue;
+    if (typeof dataCentre !== "string" || !isAddress(address)) continue;
     const machine: MachineName = brandString(key.slice(nodePrefix.length));
     nodes.push({ machine, dataCentre: brandString(dataCentre), address });
   }
--- a/tests/platform_adapter/installation_feed_test.ts
+++ b/tests/platform_adapter/installation_feed_test.ts
@@ -1,5 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import { EntryFaults } from "../../platform/entry_faults.ts";
 import { StoreFeed } from "../../platform/installation_feed.ts";
 import { StoreClient } from "../../platform/store_client.ts";
 import {
@@ -38,7 +39,11 @@
     isUrgent: chooseUrgencyPolicy,
     decodeNodes: () => [],
   });
-  const feed = StoreFeed.create({ rows, journal: silentJournal });
+  const feed = StoreFeed.create({
+    rows,
+    journal: silentJournal,
+    faults: EntryFaults.create({ journal: silentJournal, meter: silentMeter }),
+  });
   const changes: Change[] = [];
   feed.follow((change) => changes.push(change));
   async function waitForChange(
@@ -199,3 +204,20 @@
   assert.equal(present.change.isFromCopy, false);
   stop();
 });
+
+// Guards against requests to a server whose entry was overwritten while the
+// store did not answer: it was kept like one that has only expired.
+test("a server whose entry becomes odd in a store outage is not kept", async (context) => {
+  const { store, waitForChange, stop } = await follow((store) => {
+    store.put("servers", "i-1", registration);
+  });
+  context.after(stop);
+  await waitForChange(isComplete);
+  store.failWith = 503;
+  await new Promise((resolve) => setTimeout(resolve, 2_600));
+  store.put("servers", "i-1", { ...registration, Address: "127.0.0.1:99999" });
+  store.failWith = undefined;
+  const gone = await waitForChange(isAbsent);
+  assert.ok(gone.type === "server" && gone.change.type === "absent");
+  assert.equal(gone.change.outageEndedAt, Number.NEGATIVE_INFINITY);
+});
