Let two tests of a stop wait for the state that they are about

Both failed once beside a load average above 20: one gave its caller 400 ms to receive the end of a stream that takes 200 ms, the other began the stop 150 ms after the request was sent, before the server had read it, so that the request crossed the close (reset). They now wait until the stream has begun and the request has been taken; what they demand is the same.

--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -182,17 +182,15 @@
 });
 
 test("a stopping front server waits for answers that have started", async () => {
-  const { front, port } = await open(({ sink }) => {
-    sink.start({ status: 200, headers: [] });
-    sink.write(new TextEncoder().encode("id: 1\n\n"));
-    setTimeout(() => sink.end(), 200);
-  });
-  const talked = exchangeRaw(port, `${head}${id}Content-Length: 0\r\n\r\n`);
-  await new Promise((resolve) => setTimeout(resolve, 50));
+  const { front, port } = await open(stream);
+  const caller = await RawCaller.open(port);
+  caller.write(request);
+  await caller.waitUntil(() => caller.received.includes("id: 1"));
   const startedAt = performance.now();
   await front.stopAccepting();
   assert.ok(performance.now() - startedAt > 100);
-  assert.match(await talked, /\r\n0\r\n\r\n$/);
+  await caller.closed;
+  assert.match(caller.received, /\r\n0\r\n\r\n$/);
 });
 
 test("a stopping front server closes connections after their answer and accepts no new ones", async () => {
@@ -292,7 +290,7 @@
 
 // Guards against destroying a connection whose answer has ended but is not written yet.
 test("a slow reader receives a large answer whole during a stop", async () => {
-  const { front, port } = await open(({ sink }) => {
+  const { front, port, requests } = await open(({ sink }) => {
     const length = String(largeSize);
     sink.start({ status: 200, headers: ["Content-Length", length] });
     sink.write(new Uint8Array(largeSize));
@@ -300,7 +298,8 @@
   });
   const socket = connect(port, "127.0.0.1");
   socket.write(request);
-  await new Promise((resolve) => setTimeout(resolve, 150));
+  while (requests.length === 0)
+    await new Promise((resolve) => setTimeout(resolve, 5));
   front.startClosing();
   const stopped = front.stopAccepting();
   await new Promise((resolve) => setTimeout(resolve, 200));
