--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -1,4 +1,4 @@
-import { type Cancel, type Millis, millis } from "../../core/clock.ts";
+import { type Cancel, millis } from "../../core/clock.ts";
 import { recordMissing } from "../../core/gateway/adapter_directory.ts";
 import {
   type AttemptFailure,
@@ -33,6 +33,7 @@
   refuseWithoutServer,
 } from "./request_refusals.ts";
 import { RequestUsage } from "./request_usage.ts";
+import { RequestWait } from "./request_wait.ts";
 import { ResponseForwarder } from "./response_forwarder.ts";
 import {
   type AttemptResult,
@@ -40,7 +41,6 @@
   serverLeft,
 } from "./server_attempt.ts";
 import type { ServerSelection, ServerSelector } from "./server_selector.ts";
-import { waitForServer } from "./server_wait.ts";
 
 /** A request with less time left than this is refused instead of sent, in ms. */
 const minTimeLeft = 20;
@@ -65,6 +65,7 @@
   readonly #log: RequestLog;
   readonly #prompt: PromptAdmission;
   readonly #usage: RequestUsage;
+  readonly #wait: RequestWait;
   #cancelTimeLimit: Cancel = () => {};
   #attempt: ServerAttempt | undefined;
   /** Server of the latest attempt. */
@@ -92,6 +93,13 @@
         this.#prompt.recordStart();
       },
     });
+    this.#wait = RequestWait.create({
+      ...options,
+      history: this.#history,
+      log: this.#log,
+      hasEnded: () => this.#ended,
+      mayHaveRun: () => this.#mayHaveRun(),
+    });
     if (route.retryRule === "stream" && route.resumable) {
       this.#cursor = StreamCursor.create(request.resumeAfter);
     }
@@ -149,15 +157,16 @@
     context.countRequest(service);
     while (!this.#ended) {
       const reason = await this.#prompt.wait(
-        this.#findWaitEnd(),
+        this.#wait.findEnd(),
         () => this.#ended,
       );
       if (this.#ended) return;
       if (reason !== undefined)
         return this.#refuse(refuseWithheld(this.#history, reason));
-      const selection = await this.#findServer();
+      const selection = await this.#wait.findServer();
       if (this.#ended) return;
-      if (this.#isTooLateToStart()) return this.#refuse(refuseWhileStopping());
+      if (this.#wait.isTooLateToStart())
+        return this.#refuse(refuseWhileStopping());
       if (selection === undefined) return this.#refuseWithoutServer();
       if (!this.#prompt.maySend()) continue;
       // The selection may have waited for an adapter, or for the owners of engines.
@@ -167,7 +176,7 @@
       const step = this.#handleFailure(result, selection.server);
       if (step.kind === "pass-on") return this.#forwardServerError(result);
       if (step.kind === "give-up") return this.#giveUp(result);
-      if (step.usesRetryBudget && !this.#takeRetry()) {
+      if (step.usesRetryBudget && !this.#wait.takeRetry()) {
         if (result.end.kind === "server-error")
           return this.#forwardServerError(result);
         return this.#giveUp(result);
@@ -184,55 +193,6 @@
     this.#refuse(refuseWithoutServer(this.#history, demand, context));
   }
 
-  /** Time until which the request waits; while the node stops, no longer than it can be started. */
-  #findWaitEnd(): Millis {
-    const { context } = this.#options;
-    const { limits } = this.#plan;
-    const end = limits.findWaitEnd(context.now(), this.#history.isEmpty);
-    if (this.#mayHaveRun()) return end;
-    return millis(Math.min(end, this.#findLatestStart()));
-  }
-
-  #findLatestStart(): number {
-    const { kind, limits } = this.#plan;
-    return this.#options.context.findLatestStart(kind, limits.end);
-  }
-
-  /** Whether no server has begun and the exit of the process would cut off the answer. */
-  #isTooLateToStart(): boolean {
-    const { context } = this.#options;
-    return this.#history.runs === 0 && context.now() >= this.#findLatestStart();
-  }
-
-  /** Waits for a server that can take the request; undefined if none can in time. */
-  #findServer(): Promise<ServerSelection | undefined> {
-    const { context, selector, request } = this.#options;
-    const { service } = this.#plan;
-    const history = this.#history;
-    return waitForServer({
-      context,
-      selector,
-      service,
-      demand: request.demand,
-      tried: history.tried,
-      deniedBy: history.deniedBy,
-      until: this.#findWaitEnd(),
-      hasEnded: () => this.#ended,
-      onAdapterWait: (server) =>
-        this.#log.record("requestAwaitsAdapter", { server }),
-      onRefused: (server, reason) => {
-        history.lastRefusal = { server, reason };
-      },
-      onPaused: (resumption) => {
-        history.resumption = resumption;
-      },
-      onModelMissing: (availability) => {
-        history.modelReadyAt =
-          availability.kind === "coming" ? availability.readyAt : undefined;
-      },
-    });
-  }
-
   /** Makes one attempt; undefined if the caller got the whole response or a refusal. */
   #sendTo(selection: ServerSelection): Promise<AttemptResult | undefined> {
     const { context, request } = this.#options;
@@ -244,7 +204,7 @@
     }
     const isAccepted = () =>
       context.availability.accepts(selection.server) &&
-      !this.#isTooLateToStart();
+      !this.#wait.isTooLateToStart();
     if (!isAccepted()) return Promise.resolve(serverLeft);
     this.#log.record("requestSent", { server: selection.server });
     this.#server = selection.server;
@@ -305,16 +265,6 @@
     );
   }
 
-  /** Takes a retry from the budget of the service, unless all servers are paused for too long. */
-  #takeRetry(): boolean {
-    const { context, selector, request } = this.#options;
-    const { service } = this.#plan;
-    const resumption = selector.findResumption(service, request.demand);
-    if (resumption !== undefined && resumption.at > this.#findWaitEnd())
-      return false;
-    return context.takeRetry(service);
-  }
-
   #endRun(isWhole: boolean): void {
     if (this.#run === undefined) return;
     const { context } = this.#options;
--- /dev/null
+++ b/src/node/gateway/request_wait.ts
@@ -0,0 +1,88 @@
+import { type Millis, millis } from "../../core/clock.ts";
+import type { ProxiedRequest } from "../../ports/gateway.ts";
+import type { AttemptHistory } from "./attempt_history.ts";
+import type { GatewayContext } from "./context.ts";
+import type { RequestPlan } from "./request_intake.ts";
+import type { RequestLog } from "./request_log.ts";
+import type { ServerSelection, ServerSelector } from "./server_selector.ts";
+import { waitForServer } from "./server_wait.ts";
+
+type RequestWaitOptions = {
+  readonly context: GatewayContext;
+  readonly selector: ServerSelector;
+  readonly request: ProxiedRequest;
+  readonly plan: RequestPlan;
+  readonly history: AttemptHistory;
+  readonly log: RequestLog;
+  /** Whether the request has ended. */
+  readonly hasEnded: () => boolean;
+  /** Whether a server may have begun to run the request. */
+  readonly mayHaveRun: () => boolean;
+};
+
+/** Waits of one request for a server, bounded by its time limits and by the stop of the node. */
+export class RequestWait {
+  readonly #options: RequestWaitOptions;
+
+  private constructor(options: RequestWaitOptions) {
+    this.#options = options;
+  }
+
+  static create(options: RequestWaitOptions): RequestWait {
+    return new RequestWait(options);
+  }
+
+  /** Time until which the request waits; while the node stops, no longer than it can be started. */
+  findEnd(): Millis {
+    const { context, plan, history, mayHaveRun } = this.#options;
+    const end = plan.limits.findWaitEnd(context.now(), history.isEmpty);
+    if (mayHaveRun()) return end;
+    return millis(Math.min(end, this.#findLatestStart()));
+  }
+
+  /** Whether no server has begun and the exit of the process would cut off the answer. */
+  isTooLateToStart(): boolean {
+    const { context, history } = this.#options;
+    return history.runs === 0 && context.now() >= this.#findLatestStart();
+  }
+
+  /** Waits for a server that can take the request; undefined if none can in time. */
+  findServer(): Promise<ServerSelection | undefined> {
+    const { context, selector, request, plan, history, log } = this.#options;
+    return waitForServer({
+      context,
+      selector,
+      service: plan.service,
+      demand: request.demand,
+      tried: history.tried,
+      deniedBy: history.deniedBy,
+      until: this.findEnd(),
+      hasEnded: this.#options.hasEnded,
+      onAdapterWait: (server) => log.record("requestAwaitsAdapter", { server }),
+      onRefused: (server, reason) => {
+        history.lastRefusal = { server, reason };
+      },
+      onPaused: (resumption) => {
+        history.resumption = resumption;
+      },
+      onModelMissing: (availability) => {
+        history.modelReadyAt =
+          availability.kind === "coming" ? availability.readyAt : undefined;
+      },
+    });
+  }
+
+  /** Takes a retry from the budget of the service, unless all servers are paused for too long. */
+  takeRetry(): boolean {
+    const { context, selector, request, plan } = this.#options;
+    const resumption = selector.findResumption(plan.service, request.demand);
+    if (resumption !== undefined && resumption.at > this.findEnd())
+      return false;
+    return context.takeRetry(plan.service);
+  }
+
+  #findLatestStart(): number {
+    const { context, plan } = this.#options;
+    return context.findLatestStart(plan.kind, plan.limits.end);
+  }
+}
