--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -18,7 +18,7 @@
 import { EngineUsageCounter } from "../../src/node/gateway/engine_usage.ts";
 import type { Gateway } from "../../src/node/gateway/gateway.ts";
 import type { CallerSink, ProxiedRequest } from "../../src/ports/gateway.ts";
-import { RawCaller } from "./raw_caller.ts";
+import { RawConnection } from "../support/raw_connection.ts";
 
 type Served = { request: ProxiedRequest; sink: CallerSink };
 
@@ -171,7 +171,7 @@
 // Guards against work that goes on at servers for requests behind another one on a lost connection.
 test("a caller that disconnects cancels the requests that it sent ahead", async () => {
   const { front, port, requests, countCancelled } = await open();
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   caller.write(request + request + request);
   while (requests.length < 3)
     await new Promise((resolve) => setTimeout(resolve, 5));
@@ -183,7 +183,7 @@
 
 test("a stopping front server waits for answers that have started", async () => {
   const { front, port } = await open(stream);
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   caller.write(request);
   await caller.waitUntil(() => caller.received.includes("id: 1"));
   const startedAt = performance.now();
@@ -218,7 +218,7 @@
 // earlier answer could not announce its end.
 test("a connection ends with the answer that began before the stop", async () => {
   const { front, port, requests } = await open(stream);
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   caller.write(request);
   await caller.waitUntil(() => caller.received.includes("id: 1"));
   front.startClosing();
@@ -233,7 +233,7 @@
 // Guards against cutting off a request that was taken behind another one before the stop.
 test("a connection ends with the last of the requests taken before the stop", async () => {
   const { front, port, requests } = await open(stream);
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   caller.write(request + request);
   await caller.waitUntil(() => caller.received.includes("id: 1"));
   assert.equal(requests.length, 2);
@@ -247,7 +247,7 @@
 test("a request that waits when the stop begins is answered with Connection: close", async () => {
   const waiting: Served[] = [];
   const { front, port } = await open((served) => waiting.push(served));
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   caller.write(request);
   while (waiting.length === 0)
     await new Promise((resolve) => setTimeout(resolve, 5));
@@ -261,7 +261,7 @@
 // Guards against a request whose body is still awaited being cut off by the exit without an answer.
 test("a request whose body has not arrived is refused as not run before the exit", async () => {
   const { front, port, requests } = await open(answer);
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   caller.write(`${head}${id}Content-Length: 4\r\n\r\nbo`);
   await new Promise((resolve) => setTimeout(resolve, 50));
   front.startClosing();
@@ -278,7 +278,7 @@
 // against requests that arrive on them late in the stop.
 test("a connection without a request is closed with the listener", async () => {
   const { front, port } = await open(answer);
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   await new Promise((resolve) => setTimeout(resolve, 20));
   front.startClosing();
   await front.stopAccepting();
@@ -314,7 +314,7 @@
 // Guards against a request that was read and gets no answer until its connection closes.
 test("a request sent ahead behind an answer that began before the stop is refused as not run", async () => {
   const { front, port, requests } = await open(stream);
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   caller.write(request);
   await caller.waitUntil(() => caller.received.includes("id: 1"));
   front.startClosing();
@@ -337,7 +337,7 @@
         sink.end();
       }, 2_500);
     });
-    const caller = await RawCaller.open(port);
+    const caller = await RawConnection.open(port);
     caller.write(request + rest);
     await caller.closed;
     assert.match(caller.received, /^HTTP\/1\.1 200 /);
@@ -350,7 +350,7 @@
 // was too large and ends the connection.
 test("a request behind one that is too large is not passed on", async () => {
   const { front, port, requests } = await open(answer);
-  const caller = await RawCaller.open(port);
+  const caller = await RawConnection.open(port);
   const large = `${head}${id}Content-Length: 101\r\n\r\n${"x".repeat(101)}`;
   caller.write(request + large + request);
   await caller.closed;
--- a/tests/platform_adapter/stopping_process_test.ts
+++ b/tests/platform_adapter/stopping_process_test.ts
@@ -1,8 +1,9 @@
 import assert from "node:assert/strict";
 import { type TestContext, test } from "node:test";
+import { RawConnection } from "../support/raw_connection.ts";
 import { configuration, FakeStore, registration } from "./fake_store.ts";
 import { NodeProcess } from "./node_process.ts";
-import { formatRequest, RawCaller } from "./raw_caller.ts";
+import { formatRequest } from "./raw_request.ts";
 import { StreamingServer } from "./streaming_server.ts";
 
 /** Time between SIGTERM and the forced end of the process, in s. */
@@ -53,7 +54,7 @@
 test("a connection whose answer began before the stop takes no request that the exit would cut", async (context) => {
   const installation = await startInstallation(context);
   const { node } = installation;
-  const caller = await RawCaller.open(node.port);
+  const caller = await RawConnection.open(node.port);
   caller.write(formatRequest("early", "/s/3500"));
   await pause(300);
   node.signal("SIGTERM");
@@ -71,7 +72,7 @@
 test("a request whose body ends late in a stop is refused as not run if the exit would cut it", async (context) => {
   const installation = await startInstallation(context);
   const { node, server } = installation;
-  const caller = await RawCaller.open(node.port);
+  const caller = await RawConnection.open(node.port);
   caller.write(formatRequest("slow", "/s/2500", { isComplete: false }));
   await pause(300);
   node.signal("SIGTERM");
@@ -89,7 +90,7 @@
 test("a request that was sent ahead on a connection that closes is not passed on", async (context) => {
   const installation = await startInstallation(context);
   const { node, server } = installation;
-  const caller = await RawCaller.open(node.port);
+  const caller = await RawConnection.open(node.port);
   node.signal("SIGTERM");
   await node.waitFor("drainStarted");
   const deadline = 2_000;
@@ -107,7 +108,7 @@
 test("a request that may have run gets an answer that says so before the exit", async (context) => {
   const installation = await startInstallation(context);
   const { node } = installation;
-  const caller = await RawCaller.open(node.port);
+  const caller = await RawConnection.open(node.port);
   caller.write(formatRequest("stuck", "/b/20000", { deadline: 20_000 }));
   await pause(300);
   node.signal("SIGTERM");
@@ -121,7 +122,7 @@
 test("a second SIGTERM does not cut off the requests in progress", async (context) => {
   const installation = await startInstallation(context);
   const { node } = installation;
-  const caller = await RawCaller.open(node.port);
+  const caller = await RawConnection.open(node.port);
   caller.write(formatRequest("early", "/s/1500"));
   await pause(300);
   node.signal("SIGTERM");
@@ -137,7 +138,7 @@
 // the signal, so that the platform kills it under the requests that it takes.
 test("the grace period counts from the signal, also if the process was paused", async (context) => {
   const { node } = await startInstallation(context);
-  const caller = await RawCaller.open(node.port);
+  const caller = await RawConnection.open(node.port);
   caller.write(formatRequest("stuck", "/b/20000", { deadline: 20_000 }));
   await pause(300);
   node.signal("SIGSTOP");
--- a/tests/support/raw_connection.ts
+++ b/tests/support/raw_connection.ts
@@ -11,6 +11,7 @@
 
   private constructor(socket: Socket) {
     this.#socket = socket;
+    socket.setNoDelay(true);
     socket.on("data", (chunk) => {
       this.received += chunk.toString("latin1");
     });
@@ -23,9 +24,11 @@
     });
   }
 
-  /** Connects to `IP:PORT`. */
-  static async open(address: string): Promise<RawConnection> {
-    const [host, port] = address.split(":");
+  /** Connects to `IP:PORT`, or to a port of this machine. */
+  static async open(address: string | number): Promise<RawConnection> {
+    const [host, port] = `${address}`.includes(":")
+      ? `${address}`.split(":")
+      : ["127.0.0.1", address];
     const socket = connect(Number(port), host);
     await once(socket, "connect");
     return new RawConnection(socket);
@@ -35,6 +38,25 @@
     this.#socket.write(text);
   }
 
+  /** Number of complete chunked responses. */
+  countEnds(): number {
+    return this.received.split("\r\n0\r\n\r\n").length - 1;
+  }
+
+  /** Resolves in the turn in which a condition on the received bytes holds, or at the end of the connection. */
+  waitUntil(isMet: () => boolean): Promise<void> {
+    return new Promise((resolve) => {
+      const check = () => {
+        if (!isMet() && !this.isClosed) return;
+        this.#socket.off("data", check);
+        resolve();
+      };
+      this.#socket.on("data", check);
+      this.#socket.on("close", check);
+      check();
+    });
+  }
+
   /** Stops reading until `resume`. */
   pause(): void {
     this.#socket.pause();
