--- a/tests/platform_adapter/paused_servers_test.ts
+++ b/tests/platform_adapter/paused_servers_test.ts
@@ -101,7 +101,7 @@
     const first = server.countArrivals(end, end + 500);
     assert.ok(first <= rate, `${first} in 500 ms, usually ${rate} a second`);
     const recovered = server.countArrivals(end + 1_000, end + 2_000);
-    assert.ok(recovered >= 0.5 * rate, `${recovered}, usually ${rate}`);
+    assert.ok(recovered >= 0.8 * rate, `${recovered}, usually ${rate}`);
     const start = (pause.startedAt as number) + onTheWay;
     assert.ok(server.countArrivals(start, end) <= maxInPause);
   });
