Let the closer alone know which connections of a listener are open

The listener kept its own set of open responses to learn when all requests had been answered; the closer already resolves when all connections are closed.

--- a/src/adapters/http/listener.ts
+++ b/src/adapters/http/listener.ts
@@ -2,7 +2,6 @@
 import type { IncomingMessage, Server, ServerResponse } from "node:http";
 import type { Clock, Millis } from "../../core/clock.ts";
 import { ConnectionCloser } from "./connection_closer.ts";
-import { onExchangeEnd } from "./exchange_end.ts";
 
 /** What a server asks its listener. */
 export type Admission = {
@@ -24,8 +23,6 @@
   readonly #clock: Clock;
   readonly #stopping = new AbortController();
   readonly #closer: ConnectionCloser;
-  readonly #open = new Set<ServerResponse>();
-  #onIdle = (): void => {};
 
   private constructor(options: HttpListenerOptions) {
     this.#clock = options.clock;
@@ -42,16 +39,9 @@
   }
 
   admit(request: IncomingMessage, response: ServerResponse): boolean {
-    if (!this.#closer.admit(request, response)) {
-      request.resume();
-      return false;
-    }
-    this.#open.add(response);
-    onExchangeEnd(request, response, () => {
-      this.#open.delete(response);
-      if (this.#open.size === 0) this.#onIdle();
-    });
-    return true;
+    if (this.#closer.admit(request, response)) return true;
+    request.resume();
+    return false;
   }
 
   /** Resolves once the server listens; rejects if the address is not available. */
@@ -65,17 +55,16 @@
     this.#closer.startClosing();
   }
 
-  /** Stops accepting connections; resolves when all requests have been answered or `timeout` ms have passed. */
+  /** Stops accepting connections; resolves when all are closed or `timeout` ms have passed. */
   finish(timeout: Millis): Promise<void> {
-    void this.#closer.stopListening();
+    const closed = this.#closer.stopListening();
     this.#stopping.abort();
     return new Promise((resolve) => {
       const cancel = this.#clock.schedule(timeout, resolve);
-      this.#onIdle = () => {
+      void closed.then(() => {
         cancel();
         resolve();
-      };
-      if (this.#open.size === 0) this.#onIdle();
+      });
     });
   }
 
