Use one search for free ports in the tests that start processes

Two fixtures had a copy each that looked at TCP only, beside the one in tests/support that also finds ports free for UDP. The ports of one search now differ from each other, also for the daemon's tests.

--- a/tests/platform_adapter/gateway_process.ts
+++ b/tests/platform_adapter/gateway_process.ts
@@ -2,10 +2,10 @@
 import { once } from "node:events";
 import { mkdtemp, rm, writeFile } from "node:fs/promises";
 import { request } from "node:http";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
+import { findFreePorts } from "../support/free_ports.ts";
 
 /** Time for the process to start and become ready, in ms. */
 const startAllowed = 20_000;
@@ -156,17 +156,3 @@
     });
   }
 }
-
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = [];
-  for (let at = 0; at < count; at++) {
-    const server = createServer().listen(0, "127.0.0.1");
-    await once(server, "listening");
-    servers.push(server);
-  }
-  return servers.map((server) => {
-    const { port } = server.address() as { port: number };
-    server.close();
-    return port;
-  });
-}
--- a/tests/platform_adapter/node_process.ts
+++ b/tests/platform_adapter/node_process.ts
@@ -1,9 +1,9 @@
 import { type ChildProcess, spawn } from "node:child_process";
 import { once } from "node:events";
 import { mkdtempSync, rmSync, writeFileSync } from "node:fs";
-import { createServer } from "node:net";
 import { tmpdir } from "node:os";
 import { join } from "node:path";
+import { findFreePorts } from "../support/free_ports.ts";
 
 /** Maximum time until a process listens, in ms. */
 const startTimeout = 30_000;
@@ -98,15 +98,3 @@
     rmSync(this.#folder, { recursive: true });
   }
 }
-
-async function findFreePorts(count: number): Promise<number[]> {
-  const servers = Array.from({ length: count }, () => createServer());
-  const ports: number[] = [];
-  for (const server of servers) {
-    server.listen(0, "127.0.0.1");
-    await once(server, "listening");
-    ports.push((server.address() as { port: number }).port);
-  }
-  for (const server of servers) server.close();
-  return ports;
-}
--- a/tests/support/free_ports.ts
+++ b/tests/support/free_ports.ts
@@ -19,13 +19,22 @@
   return isFree ? port : findFreePort();
 }
 
+/** Finds different loopback ports that are free for TCP and UDP. */
+export async function findFreePorts(count: number): Promise<number[]> {
+  const ports = new Set<number>();
+  while (ports.size < count) ports.add(await findFreePort());
+  return [...ports];
+}
+
 /**
  * Settings with new addresses for the listeners. The ports that an installation
  * reserved for a node may be taken by the time at which the node starts.
  */
 export async function assignFreePorts(settings: Settings): Promise<Settings> {
   const host = "127.0.0.1";
-  const callers = { host, port: await findFreePort() };
-  const peers = { host, port: await findFreePort() };
+  const [callers, peers] = (await findFreePorts(2)).map((port) => ({
+    host,
+    port,
+  })) as [Settings["listen"]["callers"], Settings["listen"]["peers"]];
   return { ...settings, listen: { callers, peers } };
 }
