--- /dev/null
+++ b/tests/platform_adapter/socket_fleet.ts
@@ -0,0 +1,25 @@
+import type { BackendServer } from "../../src/core/gateway/servers.ts";
+import { SocketGateway } from "./socket_gateway.ts";
+
+/** Several nodes with real connections to the same servers. */
+export class SocketFleet {
+  readonly nodes: readonly SocketGateway[];
+
+  private constructor(nodes: readonly SocketGateway[]) {
+    this.nodes = nodes;
+  }
+
+  static create(count: number): SocketFleet {
+    return new SocketFleet(
+      Array.from({ length: count }, () => SocketGateway.create()),
+    );
+  }
+
+  register(...servers: BackendServer[]): void {
+    for (const node of this.nodes) node.register(...servers);
+  }
+
+  async stop(): Promise<void> {
+    for (const node of this.nodes) await node.stop();
+  }
+}
