Let one node give out the requests to a server that names a limit

Cause: no module read Server-Limit.

Each request to a server with a limit now needs a permit. One node gives the permits of a server to all, itself included: the first in rendezvous order that answers. It starts without credit, and gives out nothing for 3 s after its start or a pause. A permit is checked in the turn of the send, and holds for 400 ms. Orders and reports of an engine's owner need permits too: the timeline shows that orders count. What gets no permit goes to another server; if all are limited the caller is refused at once (3012) with Retry-After.

--- a/src/adapters/peers/node_links.ts
+++ b/src/adapters/peers/node_links.ts
@@ -8,12 +8,15 @@
   ModelResult,
   NodeLinks,
 } from "../../ports/gateway.ts";
+import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
 import type { RowDelivery, RowPeers, RowRequest } from "../../ports/rows.ts";
 import type { NodeRouter } from "./node_router.ts";
 import { decodeDelivery, deliveryFrame } from "./row_frames.ts";
 
 /** Timeout of `acquire`, in ms; an owner holds the call for at most 600 ms. */
 const acquireTimeoutMillis = 900;
+/** Timeout of `requestPermit`, in ms; it is answered at once, over at most two hops. */
+const permitTimeoutMillis = 400;
 /** Timeout for opening a connection to another node, in ms. */
 const connectTimeoutMillis = 500;
 /** Maximum size of a response, in bytes. */
@@ -64,6 +67,21 @@
     }
   }
 
+  async requestPermit(
+    address: string,
+    request: PermitRequest,
+  ): Promise<PermitAnswer | undefined> {
+    const signal = AbortSignal.timeout(permitTimeoutMillis);
+    try {
+      const { client } = this.#getOrCreatePeer(address);
+      return await client.requestPermit.mutate(request, { signal });
+    } catch {
+      // The caller records that the node did not answer.
+      this.#disconnect(address);
+      return undefined;
+    }
+  }
+
   async followRows(
     address: string,
     request: RowRequest,
--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -8,6 +8,7 @@
 import { brandString, type Digest, type MachineName } from "../../core/ids.ts";
 import { crashLimit } from "../../core/poison/record.ts";
 import type { LeavingMessage, NodeMessage } from "../../ports/gateway.ts";
+import type { LimitMessage } from "../../ports/permits.ts";
 
 /** Maximum number of engines in one datagram, which keeps it below the usual path MTU. */
 const enginesPerDatagram = 2;
@@ -17,6 +18,7 @@
 
 const name = z.string().min(1).max(256);
 const count = z.number().int().min(0);
+const born = z.nullable(z.number().int());
 /** Adapter key, version and time until the adapter is ready, in ms. */
 const availableAdapterFrame = z.tuple([name, count, count]);
 const usageFrame = z.tuple([
@@ -43,7 +45,15 @@
   z.tuple([z.literal("load"), name, z.array(ownerReportFrame)]),
   z.tuple([z.literal("poison"), name, name, crashListFrame, crashListFrame]),
   z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialParts), count]),
-  z.tuple([z.literal("leaving"), name, name, z.nullable(z.number().int())]),
+  z.tuple([z.literal("leaving"), name, name, born]),
+  z.tuple([
+    z.literal("limit"),
+    name,
+    name,
+    born,
+    z.nullable(z.number().positive()),
+    count,
+  ]),
 ]);
 
 const packr = new Packr({ useRecords: false });
@@ -69,6 +79,13 @@
       const { id, born } = incarnation;
       return [packr.pack([type, from, id, born ?? null])];
     }
+    case "limit": {
+      const { type, from, server, rate, age } = message;
+      const { id, born } = server;
+      const wholeAge = Math.round(age);
+      const frame = [type, from, id, born ?? null, rate ?? null, wholeAge];
+      return [packr.pack(frame)];
+    }
   }
 }
 
@@ -142,6 +159,12 @@
       const incarnation = { id: brandString(id), born: born ?? undefined };
       return { type, from, incarnation } as LeavingMessage;
     }
+    case "limit": {
+      const [type, , id, born, rate, age] = data;
+      const server = { id: brandString(id), born: born ?? undefined };
+      const heard = { rate: rate ?? undefined, age: millis(age) };
+      return { type, from, server, ...heard } as LimitMessage;
+    }
   }
 }
 
--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -1,6 +1,7 @@
 import { initTRPC } from "@trpc/server";
 import { createHTTPServer } from "@trpc/server/adapters/standalone";
 import { z } from "zod";
+import { millis } from "../../core/clock.ts";
 import { brandString } from "../../core/ids.ts";
 import type { NodeCallHandler } from "../../ports/gateway.ts";
 import type { RowServer } from "../../ports/rows.ts";
@@ -44,6 +45,25 @@
         requests: input.requests,
       }),
     ),
+  requestPermit: trpc.procedure
+    .input(
+      z.object({
+        from: name,
+        server: z.object({ id: name, born: z.number().int().optional() }),
+        rate: z.number().positive(),
+        age: z.number().min(0),
+        patience: z.number().min(0),
+      }),
+    )
+    .mutation(({ ctx, input }) =>
+      ctx.requestPermit({
+        from: brandString(input.from),
+        server: { id: brandString(input.server.id), born: input.server.born },
+        rate: input.rate,
+        age: millis(input.age),
+        patience: millis(input.patience),
+      }),
+    ),
   acquire: trpc.procedure
     .input(
       z.object({
--- a/src/bench/experiments/pausing_servers.ts
+++ b/src/bench/experiments/pausing_servers.ts
@@ -107,6 +107,7 @@
     nodeLinks: {
       acquire: async () => ({ kind: "refused", reason: "unreachable" }),
       requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
+      requestPermit: async () => undefined,
     },
     followTableRows() {},
     nodeChannel: { send() {}, onMessage() {}, close() {} },
--- a/src/core/gateway/server_pauses.ts
+++ b/src/core/gateway/server_pauses.ts
@@ -42,6 +42,8 @@
   readonly at: Millis;
   /** Length of the pause, in ms; 0 if the server only limits the rate after one. */
   readonly pauseLength: Millis;
+  /** The server takes no request because of its limit for all nodes, not of a pause. */
+  readonly isLimit?: boolean;
 };
 
 /** Creates the state of a node without pauses. */
--- a/src/core/observe/engine_events.ts
+++ b/src/core/observe/engine_events.ts
@@ -80,6 +80,23 @@
     meaning:
       "The Retry-After of a backend server is negative, endless, a date, too long or no number; the pause is bounded",
   },
+  serverLimited: {
+    number: 233,
+    level: "info",
+    meaning:
+      "A backend server named the requests a second that it takes from all nodes together; each request to it needs a permit",
+  },
+  serverLimitEnded: {
+    number: 234,
+    level: "info",
+    meaning: "A backend server names its limit no longer",
+  },
+  serverLimitUnusual: {
+    number: 235,
+    level: "info",
+    meaning:
+      "The limit that a backend server names is zero, negative, endless or no number; it is bounded or ignored",
+  },
   serverSuspended: {
     number: 215,
     level: "warn",
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -79,6 +79,10 @@
     "Answers of servers that ask for a pause, by form of the value",
   server_notices_ignored_total:
     "Answers of servers with an unknown value of the header that says that they leave",
+  server_limits_total:
+    "Answers of servers that name a limit, by form of the value",
+  server_permits_total:
+    "Requests of this node for permits to send to servers with a limit, by result",
   gateway_requests_open: "Requests that this node is serving",
   engine_orders_total: "Orders to engines, by operation and answer",
   store_calls_total: "Calls to the platform's store, by call and result",
--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -72,6 +72,12 @@
     level: "warn",
     meaning: "The process exits before the answer to a request is complete",
   },
+  requestNotPermitted: {
+    number: 315,
+    level: "debug",
+    meaning:
+      "The limit of a server left no room for a request; the node looks for another one",
+  },
   callClaimed: {
     number: 401,
     level: "debug",
--- a/src/core/observe/request_trace.ts
+++ b/src/core/observe/request_trace.ts
@@ -27,6 +27,8 @@
   "serverGone",
   "serverSuspended",
   "serverPaused",
+  "serverLimited",
+  "serverLimitEnded",
   "engineClaimed",
   "engineLeaseLost",
 ]);
--- a/src/core/results/engine_codes.ts
+++ b/src/core/results/engine_codes.ts
@@ -87,7 +87,7 @@
     status: 503,
     outcome: "not-run",
     meaning:
-      "Every server that can take the request has asked this node for a pause",
-    remedy: "Send again after Retry-After; operators: see event 231",
+      "Every server that can take the request has asked this node for a pause, or has reached the limit that it named",
+    remedy: "Send again after Retry-After; operators: see events 231 and 233",
   },
 } as const satisfies Record<string, ResultCode>;
--- a/src/node/gateway/engine_controller.ts
+++ b/src/node/gateway/engine_controller.ts
@@ -32,6 +32,7 @@
 import { createDecisionLogic, type DecisionActor } from "../decision_actor.ts";
 import type { GatewayContext } from "./context.ts";
 import type { LeaseManager } from "./lease_manager.ts";
+import type { TakePermit } from "./server_permits.ts";
 
 /** Interval of the `tick` events, on which the controller sends due orders and requests due reports, in ms. */
 const tickInterval = millis(50);
@@ -45,6 +46,7 @@
   readonly context: GatewayContext;
   readonly orders: EngineOrders;
   readonly leases: LeaseManager;
+  readonly takePermit: TakePermit;
   readonly server: BackendServer;
   readonly traits: EngineTraits;
   readonly describeFleet: (server: BackendServer) => FleetView;
@@ -149,7 +151,7 @@
     const { context, leases } = this.#options;
     const mayOrder =
       leases.findOrderFence(this.#server.id) !== undefined &&
-      !context.availability.isPaused(this.#server);
+      context.availability.canTakeNext(this.#server);
     const fleet = this.#options.describeFleet(this.#server);
     this.#actor.send({ type: "tick", mayOrder, fleet });
     this.#cancelTick = context.dependencies.clock.schedule(tickInterval, () =>
@@ -175,8 +177,13 @@
   async #order(order: EngineOrder): Promise<void> {
     const { context, orders, leases } = this.#options;
     const { journal, meter, identity } = context.dependencies;
+    const isPermitted = await this.#takePermit();
     const fence = leases.findOrderFence(this.#server.id);
-    if (fence === undefined || context.availability.isPaused(this.#server)) {
+    if (
+      fence === undefined ||
+      !isPermitted ||
+      context.availability.isPaused(this.#server)
+    ) {
       this.#actor.send({
         type: "answered",
         order,
@@ -201,9 +208,16 @@
     this.#actor.send({ type: "answered", order, answer });
   }
 
+  /** Orders and reports arrive at the engine like requests, so its limit counts them as well. */
+  async #takePermit(): Promise<boolean> {
+    const permit = await this.#options.takePermit(this.#server, millis(0));
+    return permit.kind !== "denied";
+  }
+
   async #askStatus(): Promise<void> {
     const { context, orders } = this.#options;
-    if (context.availability.isPaused(this.#server))
+    const isPermitted = await this.#takePermit();
+    if (!isPermitted || context.availability.isPaused(this.#server))
       return this.#actor.send({ type: "status", status: undefined });
     const answer = await orders.fetchStatus(this.#server);
     answer.caseOf({
--- a/src/node/gateway/engine_controllers.ts
+++ b/src/node/gateway/engine_controllers.ts
@@ -31,6 +31,7 @@
 import type { GatewayContext } from "./context.ts";
 import { EngineController } from "./engine_controller.ts";
 import type { LeaseManager } from "./lease_manager.ts";
+import type { TakePermit } from "./server_permits.ts";
 
 /** Upper bound of the first contents version of a controller, which is drawn at random. */
 const maxFirstVersion = 2 ** 31;
@@ -47,11 +48,18 @@
 
 type ContentsVersion = { readonly digest: string; readonly version: number };
 
+type EngineControllersOptions = {
+  readonly orders: EngineOrders;
+  readonly leases: LeaseManager;
+  readonly takePermit: TakePermit;
+};
+
 /** Controllers of the engines whose leases this node holds. */
 export class EngineControllers {
   readonly #context: GatewayContext;
   readonly #orders: EngineOrders;
   readonly #leases: LeaseManager;
+  readonly #takePermit: TakePermit;
   readonly #versions = new Map<ServerId, ContentsVersion>();
   readonly #backlogs = createBacklogLedger();
   readonly #controllers = new Map<ServerId, EngineController>();
@@ -59,16 +67,17 @@
 
   private constructor(
     context: GatewayContext,
-    options: { orders: EngineOrders; leases: LeaseManager },
+    options: EngineControllersOptions,
   ) {
     this.#context = context;
     this.#orders = options.orders;
     this.#leases = options.leases;
+    this.#takePermit = options.takePermit;
   }
 
   static create(
     context: GatewayContext,
-    options: { orders: EngineOrders; leases: LeaseManager },
+    options: EngineControllersOptions,
   ): EngineControllers {
     return new EngineControllers(context, options);
   }
@@ -227,6 +236,7 @@
       context: this.#context,
       orders: this.#orders,
       leases: this.#leases,
+      takePermit: this.#takePermit,
       server,
       traits,
       describeFleet: (engine) => this.#describeFleet(engine),
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -13,6 +13,7 @@
   ProxiedRequest,
   ServerNotices,
 } from "../../ports/gateway.ts";
+import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
 import type { TableService } from "../../ports/table.ts";
 import { type FollowTableRows, PoisonManager } from "../poison_manager.ts";
 import { GatewayContext, type GatewayDependencies } from "./context.ts";
@@ -31,6 +32,7 @@
 import { PromptGuard } from "./prompt_guard.ts";
 import { planRequest } from "./request_intake.ts";
 import { RequestTask } from "./request_task.ts";
+import { ServerPermits } from "./server_permits.ts";
 import { ServerSelector } from "./server_selector.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 
@@ -61,6 +63,7 @@
   readonly #options: GatewayOptions;
   readonly #leases: LeaseManager;
   readonly #engineControllers: EngineControllers;
+  readonly #permits: ServerPermits;
   readonly #selector: ServerSelector;
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
@@ -89,9 +92,18 @@
       contacts,
       onChange: () => this.#engineControllers.reconcile(),
     });
+    this.#permits = ServerPermits.create({
+      ...options,
+      machine: options.identity.machine,
+      limits: this.context.availability.limits,
+      contacts,
+      listMachines: () => this.#leases.listMachines(),
+      findAddress: (machine) => this.#leases.findAddress(machine),
+    });
     this.#engineControllers = EngineControllers.create(this.context, {
       orders: options.orders,
       leases: this.#leases,
+      takePermit: this.#permits.take,
     });
     this.#broadcast = createPoisonBroadcast({
       clock,
@@ -119,6 +131,7 @@
         return this.#usageReporter.receive(message, address);
       if (message.type === "leaving")
         return this.#notices.receiveLeaving(message);
+      if (message.type === "limit") return this.#notices.receiveLimit(message);
       this.#guard.receive(message);
     });
     const owners = OwnerCalls.create({
@@ -193,6 +206,7 @@
       {
         context,
         selector: this.#selector,
+        takePermit: this.#permits.take,
         usage: this.#usage,
         guard: this.#guard,
         request,
@@ -219,6 +233,11 @@
     return this.#engineControllers.requestModel(request);
   }
 
+  /** Handles a request of another node for the right to send to a server that has a limit. */
+  requestPermit(request: PermitRequest): Promise<PermitAnswer> {
+    return this.#permits.request(request);
+  }
+
   /** Reports the node as not ready; requests that can end before `exitAt` are still served. */
   startDraining(exitAt: Millis): void {
     const startedAt = this.context.now();
@@ -298,11 +317,13 @@
         gap: Math.round(clockOffset - this.#clockOffset),
       });
       this.#leases.invalidate();
+      this.#permits.postpone();
     }
     this.#clockOffset = clockOffset;
     this.#pauses.recordCheck();
     this.#installation.applyDue();
     this.context.availability.removeEnded();
+    this.#permits.removeGone((id) => this.context.directory.servers.has(id));
     this.#cancelChecks = clock.schedule(checkInterval, () => this.#runChecks());
   }
 }
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/lease_manager.ts
@@ -115,6 +115,12 @@
     return this.#state.nodes.get(machine)?.address;
   }
 
+  /** All nodes, this one included; undefined before the first read. */
+  listMachines(): MachineName[] | undefined {
+    const { hasRead, machine, nodes } = this.#state;
+    return hasRead ? [...new Set([machine, ...nodes.keys()])] : undefined;
+  }
+
   /** Peer addresses of all other nodes. */
   listOtherAddresses(): string[] {
     const { nodes, machine } = this.#state;
--- a/src/node/gateway/notice_handler.ts
+++ b/src/node/gateway/notice_handler.ts
@@ -5,12 +5,16 @@
   NodeChannel,
   ServerNotice,
 } from "../../ports/gateway.ts";
+import type { LimitMessage } from "../../ports/permits.ts";
 import type { GatewayContext } from "./context.ts";
 import type { InstallationTracker } from "./installation_tracker.ts";
 
 /** Delays after which the news that a server leaves is repeated, since datagrams may be lost, in ms. */
 const repeatDelays: readonly Millis[] = [100, 400, 1_000].map(millis);
 
+/** Minimum time between two messages of this node about the limit of one server, in ms. */
+const limitInterval = 500;
+
 type NoticeHandlerOptions = {
   readonly context: GatewayContext;
   readonly installation: InstallationTracker;
@@ -19,11 +23,13 @@
   readonly listAddresses: () => readonly string[];
 };
 
-/** Applies what servers say about themselves in their answers, and tells the other nodes which ones leave. */
+/** Applies what servers say about themselves in their answers, and tells the other nodes which ones leave or have a limit. */
 export class NoticeHandler {
   readonly #options: NoticeHandlerOptions;
   /** Servers whose leaving this node still repeats to the others. */
   readonly #announced = new Set<BackendServer["id"]>();
+  /** Time of the latest message of this node about the limit of each server. */
+  readonly #limitSentAt = new Map<BackendServer["id"], Millis>();
 
   private constructor(options: NoticeHandlerOptions) {
     this.#options = options;
@@ -36,9 +42,28 @@
   /** Applies a notice in the head of a server's answer. */
   receive(server: BackendServer, notice: ServerNotice): void {
     const { context, installation } = this.#options;
-    if (notice.kind === "pause")
-      return context.availability.recordPause(server, notice.retryAfter);
-    if (installation.recordLeaving(server, "answer")) this.#announce(server);
+    const { limits } = context.availability;
+    switch (notice.kind) {
+      case "pause":
+        return context.availability.recordPause(server, notice.retryAfter);
+      case "limit":
+        if (limits.recordValue(server, notice.value)) this.#sendLimit(server);
+        return;
+      case "no-limit":
+        if (limits.recordAbsence(server, notice.sentAt))
+          this.#sendLimit(server);
+        return;
+      case "leaving":
+        if (installation.recordLeaving(server, "answer"))
+          this.#announce(server);
+    }
+  }
+
+  /** Applies what another node heard of the limit of a server. */
+  receiveLimit({ from, server, rate, age }: LimitMessage): void {
+    const { context } = this.#options;
+    const heardAt = millis(context.now() - age);
+    context.availability.limits.recordNews(server, { rate, heardAt }, from);
   }
 
   /** Applies the news of another node; this node need not repeat it any more. */
@@ -60,10 +85,28 @@
     clock.schedule(last, () => this.#announced.delete(id));
   }
 
-  #send(incarnation: Incarnation): void {
-    const { context, channel, listAddresses } = this.#options;
+  /** Tells the other nodes of a limit; one that misses it hears it from the server, or with a permit. */
+  #sendLimit({ id, born }: Incarnation): void {
+    const { context } = this.#options;
+    const heard = context.availability.limits.findHeard({ id, born });
+    if (heard === undefined) return;
+    const now = context.now();
+    const sentAt = this.#limitSentAt.get(id) ?? Number.NEGATIVE_INFINITY;
+    if (now < sentAt + limitInterval) return;
+    this.#limitSentAt.set(id, now);
     const { machine: from } = context.dependencies.identity;
-    const message: LeavingMessage = { type: "leaving", from, incarnation };
+    const { rate, heardAt } = heard;
+    const age = millis(now - heardAt);
+    this.#broadcast({ type: "limit", from, server: { id, born }, rate, age });
+  }
+
+  #send(incarnation: Incarnation): void {
+    const { machine: from } = this.#options.context.dependencies.identity;
+    this.#broadcast({ type: "leaving", from, incarnation });
+  }
+
+  #broadcast(message: LeavingMessage | LimitMessage): void {
+    const { channel, listAddresses } = this.#options;
     for (const address of listAddresses()) channel.send(address, message);
   }
 }
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/request_refusals.ts
@@ -78,7 +78,7 @@
   return refuse("noServer", detail, { retryAfter: retryDelay });
 }
 
-/** Refusal of a request while every server that can take it has asked for a pause. */
+/** Refusal of a request while every server that can take it has asked for a pause or has reached its limit. */
 function refuseWhilePaused(
   resumption: Resumption,
   context: GatewayContext,
@@ -87,7 +87,9 @@
   const share = context.dependencies.random();
   const retryAfter = computeReturnDelay(resumption, { now, share });
   const pause = Math.ceil(resumption.at - now);
-  const detail = `Every server that can take the request has asked for a pause; the first one, of ${resumption.server}, ends in ${pause} ms`;
+  const detail = resumption.isLimit
+    ? `Every server that can take the request has reached the limit that it named; ${resumption.server} takes the next one in ${pause} ms`
+    : `Every server that can take the request has asked for a pause; the first one, of ${resumption.server}, ends in ${pause} ms`;
   return refuse("serversPaused", detail, { retryAfter });
 }
 
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -40,6 +40,7 @@
   ServerAttempt,
   serverLeft,
 } from "./server_attempt.ts";
+import type { Permit, TakePermit } from "./server_permits.ts";
 import type { ServerSelection, ServerSelector } from "./server_selector.ts";
 
 /** A request with less time left than this is refused instead of sent, in ms. */
@@ -49,6 +50,7 @@
 export type RequestTaskOptions = {
   readonly context: GatewayContext;
   readonly selector: ServerSelector;
+  readonly takePermit: TakePermit;
   readonly usage: EngineUsageCounter;
   readonly guard: PromptGuard;
   readonly request: ProxiedRequest;
@@ -168,10 +170,12 @@
       if (this.#wait.isTooLateToStart())
         return this.#refuse(refuseWhileStopping());
       if (selection === undefined) return this.#refuseWithoutServer();
-      if (!this.#prompt.maySend()) continue;
-      // The selection may have waited for an adapter, or for the owners of engines.
-      if (!context.availability.canTakeNext(selection.server)) continue;
-      const result = await this.#sendTo(selection);
+      const permit = await this.#wait.takePermit(selection.server);
+      if (this.#ended) return;
+      if (permit.kind === "denied" || !this.#prompt.maySend()) continue;
+      // The selection may have waited for an adapter, the owners of engines or a permit.
+      if (!context.availability.canTakeNext(selection.server, permit)) continue;
+      const result = await this.#sendTo(selection, permit);
       if (this.#ended || result === undefined) return;
       const step = this.#handleFailure(result, selection.server);
       if (step.kind === "pass-on") return this.#forwardServerError(result);
@@ -194,7 +198,10 @@
   }
 
   /** Makes one attempt; undefined if the caller got the whole response or a refusal. */
-  #sendTo(selection: ServerSelection): Promise<AttemptResult | undefined> {
+  #sendTo(
+    selection: ServerSelection,
+    permit: Permit,
+  ): Promise<AttemptResult | undefined> {
     const { context, request } = this.#options;
     const { route } = this.#plan;
     const timeLeft = millis(this.#plan.limits.end - context.now());
@@ -203,7 +210,7 @@
       return Promise.resolve(undefined);
     }
     const isAccepted = () =>
-      context.availability.accepts(selection.server) &&
+      context.availability.accepts(selection.server, permit) &&
       !this.#wait.isTooLateToStart();
     if (!isAccepted()) return Promise.resolve(serverLeft);
     this.#log.record("requestSent", { server: selection.server });
--- a/src/node/gateway/request_wait.ts
+++ b/src/node/gateway/request_wait.ts
@@ -1,15 +1,22 @@
 import { type Millis, millis } from "../../core/clock.ts";
+import type { BackendServer } from "../../core/gateway/servers.ts";
 import type { ProxiedRequest } from "../../ports/gateway.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
 import type { GatewayContext } from "./context.ts";
 import type { RequestPlan } from "./request_intake.ts";
 import type { RequestLog } from "./request_log.ts";
+import type { Permit, TakePermit } from "./server_permits.ts";
 import type { ServerSelection, ServerSelector } from "./server_selector.ts";
 import { waitForServer } from "./server_wait.ts";
 
+/** Maximum wait for a permit while another server may take the request, and while none may, in ms. */
+const shortPermitWait = 60;
+const longPermitWait = 1_000;
+
 type RequestWaitOptions = {
   readonly context: GatewayContext;
   readonly selector: ServerSelector;
+  readonly takePermit: TakePermit;
   readonly request: ProxiedRequest;
   readonly plan: RequestPlan;
   readonly history: AttemptHistory;
@@ -72,6 +79,19 @@
     });
   }
 
+  /** Takes the right to send the request to a server that limits the requests of all nodes. */
+  async takePermit(server: BackendServer): Promise<Permit> {
+    const { context, selector, plan, log } = this.#options;
+    const longest = selector.hasOther(plan.service, server)
+      ? shortPermitWait
+      : longPermitWait;
+    const timeLeft = Math.max(0, this.findEnd() - context.now());
+    const patience = millis(Math.min(longest, timeLeft));
+    const permit = await this.#options.takePermit(server, patience);
+    if (permit.kind === "denied") log.record("requestNotPermitted", { server });
+    return permit;
+  }
+
   /** Takes a retry from the budget of the service, unless all servers are paused for too long. */
   takeRetry(): boolean {
     const { context, selector, request, plan } = this.#options;
--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/server_attempt.ts
@@ -32,10 +32,10 @@
   readonly body: readonly Uint8Array[];
 };
 
-/** Result of an attempt that was not made because its server had left or paused. */
+/** Result of an attempt that was not made because its server had left, paused or named a limit. */
 export const serverLeft: AttemptResult = {
   end: { kind: "left" },
-  detail: "The server left or paused before the request was sent",
+  detail: "The server left, paused or is limited, before the request was sent",
   head: undefined,
   runTime: undefined,
   body: [],
--- a/src/node/gateway/server_availability.ts
+++ b/src/node/gateway/server_availability.ts
@@ -1,4 +1,4 @@
-import type { Clock } from "../../core/clock.ts";
+import { type Clock, millis } from "../../core/clock.ts";
 import type { Resumption } from "../../core/gateway/server_pauses.ts";
 import {
   acceptsRequests,
@@ -7,6 +7,8 @@
 } from "../../core/gateway/servers.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
 import { PauseTracker } from "../pause_tracker.ts";
+import { LimitTracker } from "./limit_tracker.ts";
+import type { Permit } from "./server_permits.ts";
 
 type ServerAvailabilityOptions = {
   readonly clock: Clock;
@@ -15,14 +17,19 @@
   readonly meter: Meter;
 };
 
-/** Which servers take requests from this node now, by their registrations and the pauses they asked for. */
+/** Which servers take requests from this node now, by their registrations, the pauses they asked for and their limits. */
 export class ServerAvailability {
+  /** Limits of the requests of all nodes together. */
+  readonly limits: LimitTracker;
+  readonly #clock: Clock;
   readonly #directory: ServerDirectory;
   readonly #pauses: PauseTracker;
 
   private constructor(options: ServerAvailabilityOptions) {
+    this.#clock = options.clock;
     this.#directory = options.directory;
     this.#pauses = PauseTracker.create(options);
+    this.limits = LimitTracker.create(options);
   }
 
   static create(options: ServerAvailabilityOptions): ServerAvailability {
@@ -39,19 +46,38 @@
     return this.#pauses.isPaused(this.#findCurrent(server));
   }
 
-  /** Whether a request that was assigned to the server may be written to its connection. */
-  accepts(server: BackendServer): boolean {
-    return acceptsRequests(this.#directory, server) && !this.isPaused(server);
+  /** Whether the server limits the requests of all nodes together. */
+  isLimited(server: BackendServer): boolean {
+    return this.limits.find(this.#findCurrent(server)) !== undefined;
   }
 
-  /** Whether a further request may be assigned to the server. */
-  canTakeNext(server: BackendServer): boolean {
-    return this.#pauses.canTakeNext(this.#findCurrent(server));
+  /** Whether a request that was assigned to the server under a permit may be written to its connection. */
+  accepts(server: BackendServer, permit: Permit): boolean {
+    if (!acceptsRequests(this.#directory, server) || this.isPaused(server))
+      return false;
+    // The limit may be younger than the permit, or the permit too old.
+    if (!this.isLimited(server)) return true;
+    return permit.kind === "granted" && this.#clock.now() <= permit.until;
+  }
+
+  /** Whether a further request may be assigned to the server; one with a permit may although later ones are denied. */
+  canTakeNext(server: BackendServer, permit?: Permit): boolean {
+    const current = this.#findCurrent(server);
+    if (!this.#pauses.canTakeNext(current)) return false;
+    const hasPermit = permit?.kind === "granted";
+    return hasPermit || this.limits.findDenialEnd(current) === undefined;
   }
 
   /** Earliest resumption of servers that all take no further request now; undefined if one of them does. */
   findResumption(servers: readonly BackendServer[]): Resumption | undefined {
-    return this.#pauses.findResumption(servers);
+    let earliest: Resumption | undefined;
+    for (const server of servers) {
+      const resumption = this.#findResumptionOf(server);
+      if (resumption === undefined) return undefined;
+      if (earliest === undefined || resumption.at < earliest.at)
+        earliest = resumption;
+    }
+    return earliest;
   }
 
   /** Counts a request that is sent to the server. */
@@ -62,6 +88,17 @@
   /** Removes the state of servers that are gone. */
   removeEnded(): void {
     this.#pauses.removeEnded((id) => this.#directory.servers.has(id));
+    this.limits.removeGone((id) => this.#directory.servers.has(id));
+  }
+
+  /** The later one of the end of the pause and the next permit. */
+  #findResumptionOf(server: BackendServer): Resumption | undefined {
+    const current = this.#findCurrent(server);
+    const pause = this.#pauses.findResumption([current]);
+    const at = this.limits.findDenialEnd(current);
+    if (at === undefined || (pause !== undefined && pause.at >= at))
+      return pause;
+    return { server: server.id, at, pauseLength: millis(0), isLimit: true };
   }
 
   /** The incarnation that has the id of a server now; the server may have started again. */
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -144,6 +144,14 @@
     return selection;
   }
 
+  /** Whether another server of the service takes requests now. */
+  hasOther(service: ServiceName, server: BackendServer): boolean {
+    const { availability, directory } = this.#context;
+    return listUsableServers(directory, service).some(
+      (other) => other.id !== server.id && availability.canTakeNext(other),
+    );
+  }
+
   /** When the first server takes the request, if all that could are paused now. */
   findResumption(
     service: ServiceName,
@@ -269,8 +277,13 @@
     },
   ): Promise<PromisedAdapter | undefined> {
     const context = this.#context;
+    const { availability } = context;
+    const isLimited = ({ server }: RankedEngine) =>
+      Number(availability.isLimited(server));
+    // A load takes two orders and a request of what a limited engine grants.
     const owners = ranked
       .filter(({ readyAt }) => readyAt === undefined)
+      .sort((a, b) => isLimited(a) - isLimited(b))
       .slice(0, maxOwnerRequests);
     // The first round finds an owner that can start the load at once, the second
     // one that can start it later.
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -25,6 +25,7 @@
 } from "../core/ids.ts";
 import type { PoisonRecord } from "../core/poison/record.ts";
 import type { Refusal } from "../core/results/refusal.ts";
+import type { LimitMessage, PermitAnswer, PermitRequest } from "./permits.ts";
 
 /** Alternating header names and values, as received. */
 export type RawHeaders = readonly string[];
@@ -100,8 +101,8 @@
 /** Why an attempt brought no complete response. */
 export type ServerFailure = {
   /**
-   * `unreachable`: no connection. `left`: the server left, or asked for a
-   * pause, before the request was sent. `not-run`: the server states that it did not
+   * `unreachable`: no connection. `left`: the server left, asked for a pause or
+   * named a limit before the request was sent. `not-run`: the server states that it did not
    * run the request, or another server has its address. `misdirected`: as
    * `not-run`, because the server lacks the model, adapter or version.
    * `broken`: the connection ended or the response is invalid. `crossed`: the
@@ -140,7 +141,11 @@
       readonly retryAfter: string;
     }
   /** The server takes no new requests and stops once it has served the others. */
-  | { readonly kind: "leaving" };
+  | { readonly kind: "leaving" }
+  /** The server limits the requests of all nodes; the value of the header as received. */
+  | { readonly kind: "limit"; readonly value: string }
+  /** The answer to a request that was sent at `sentAt` names no limit. */
+  | { readonly kind: "no-limit"; readonly sentAt: Millis };
 
 /** Delivers the notices of servers in the turn in which the head of the answer arrives. */
 export type ServerNotices = {
@@ -298,7 +303,11 @@
 };
 
 /** Message between two nodes. */
-export type NodeMessage = UsageMessage | PoisonMessage | LeavingMessage;
+export type NodeMessage =
+  | UsageMessage
+  | PoisonMessage
+  | LeavingMessage
+  | LimitMessage;
 
 /** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
 export type NodeChannel = {
@@ -321,6 +330,7 @@
     readonly patience: number;
   }): Promise<AcquireResult>;
   requestModel(request: ModelRequest): Promise<ModelResult>;
+  requestPermit(request: PermitRequest): Promise<PermitAnswer>;
 };
 
 /** Calls to other nodes; each has a timeout and fails as `unreachable`. */
@@ -330,4 +340,9 @@
     request: Parameters<NodeCallHandler["acquire"]>[0],
   ): Promise<AcquireResult>;
   requestModel(address: string, request: ModelRequest): Promise<ModelResult>;
+  /** Undefined if the node does not answer. */
+  requestPermit(
+    address: string,
+    request: PermitRequest,
+  ): Promise<PermitAnswer | undefined>;
 };
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -193,6 +193,7 @@
       nodeLinks: {
         acquire: async () => ({ kind: "refused", reason: "unreachable" }),
         requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
+        requestPermit: async () => undefined,
       },
       followTableRows: () => {},
       nodeChannel: {
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -35,6 +35,7 @@
     },
     serve: async () => [],
     requestModel: async () => ({ kind: "refused", reason: "busy" }),
+    requestPermit: async () => ({ kind: "denied", retryIn: millis(0) }),
   });
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", () => resolve());
--- a/tests/platform_adapter/leaving_answers_test.ts
+++ b/tests/platform_adapter/leaving_answers_test.ts
@@ -117,7 +117,7 @@
   };
   const reader = HttpServerNotices.create({ meter });
   reader.follow((_server, notice) => notices.push(notice));
-  reader.readHead(describeServer({}), 200, fields);
+  reader.readHead(describeServer({}), { status: 200, fields });
   return { notices, ignored };
 }
 
--- a/tests/platform_adapter/socket_fleet.ts
+++ b/tests/platform_adapter/socket_fleet.ts
@@ -1,5 +1,6 @@
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import { SocketGateway } from "./socket_gateway.ts";
+import { SocketNetwork } from "./socket_network.ts";
 
 /** Several nodes with real connections to the same servers. */
 export class SocketFleet {
@@ -10,8 +11,11 @@
   }
 
   static create(count: number): SocketFleet {
+    const network = SocketNetwork.create();
     return new SocketFleet(
-      Array.from({ length: count }, () => SocketGateway.create()),
+      Array.from({ length: count }, (_, at) =>
+        SocketGateway.create({}, { machine: `n${at}`, network }),
+      ),
     );
   }
 
--- a/tests/platform_adapter/socket_gateway.ts
+++ b/tests/platform_adapter/socket_gateway.ts
@@ -14,12 +14,12 @@
 import { Gateway } from "../../src/node/gateway/gateway.ts";
 import type { InstallationChange } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
-import { MemoryTable } from "../../src/standins/memory_table.ts";
 import {
   booking,
   createRoute,
   entryOrigin,
 } from "../gateway/gateway_fixture.ts";
+import { SocketNetwork } from "./socket_network.ts";
 
 /** How a request ended for its caller. */
 export type CallEnd =
@@ -36,8 +36,12 @@
   #publish: (change: InstallationChange) => void = () => {};
   #requests = 0;
 
-  constructor(route: Partial<GatewayRoute> = {}) {
+  constructor(
+    route: Partial<GatewayRoute>,
+    { machine, network }: { machine: string; network: SocketNetwork },
+  ) {
     const { clock } = this;
+    const peerAddress = `127.0.0.1:${network.gateways.size + 1}`;
     const dataCentre = brandString<BackendServer["dataCentre"]>("tatry-a");
     const notices = HttpServerNotices.create();
     const { readHead } = notices;
@@ -48,12 +52,12 @@
     });
     this.gateway = Gateway.create({
       identity: {
-        machine: brandString("n1"),
+        machine: brandString(machine),
         process: "p1",
         dataCentre,
         region: brandString("tatry"),
         regions: new Map([[dataCentre, brandString("tatry")]]),
-        peerAddress: "127.0.0.1:1",
+        peerAddress,
       },
       clock,
       random: createSeededRandom(1),
@@ -62,8 +66,8 @@
       links: this.#links,
       notices,
       retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
-      table: MemoryTable.create(clock),
-      readLeaseRows: async () => undefined,
+      table: network.table,
+      readLeaseRows: () => network.readLeaseRows(),
       feed: {
         follow: (listener) => {
           this.#publish = listener;
@@ -77,15 +81,21 @@
       nodeLinks: {
         acquire: async () => ({ kind: "refused", reason: "unreachable" }),
         requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
+        requestPermit: async (address, request) =>
+          network.gateways.get(address)?.requestPermit(request),
       },
       followTableRows: () => {},
       nodeChannel: { send() {}, onMessage() {}, close() {} },
     });
+    network.gateways.set(peerAddress, this.gateway);
     this.#configure(createRoute({ retryRule: "repeatable", ...route }));
   }
 
-  static create(route: Partial<GatewayRoute> = {}): SocketGateway {
-    return new SocketGateway(route);
+  static create(
+    route: Partial<GatewayRoute> = {},
+    member = { machine: "n1", network: SocketNetwork.create() },
+  ): SocketGateway {
+    return new SocketGateway(route, member);
   }
 
   register(...servers: BackendServer[]): void {
