--- /dev/null
+++ b/src/bench/permit_fleet.ts
@@ -0,0 +1,254 @@
+import { VirtualClock } from "../adapters/time/virtual_clock.ts";
+import { millis } from "../core/clock.ts";
+import type { Incarnation } from "../core/gateway/servers.ts";
+import { brandString, type MachineName } from "../core/ids.ts";
+import { LimitTracker } from "../node/gateway/limit_tracker.ts";
+import { PeerContacts } from "../node/gateway/peer_contacts.ts";
+import { type Permit, ServerPermits } from "../node/gateway/server_permits.ts";
+import type { NodeLinks } from "../ports/gateway.ts";
+import { silentJournal, silentMeter } from "../ports/journal.ts";
+import type { PermitAnswer, PermitRequest } from "../ports/permits.ts";
+import { drawExponential } from "./random.ts";
+
+/** The limited server, which all nodes send to. */
+const server: Incarnation = { id: brandString("s1"), born: 1 };
+/** Longest one-way delay of a message between nodes, and to the server, in ms. */
+const maxDelay = 20;
+/** Time after which a call without an answer fails, in ms. */
+const callTimeout = 400;
+/** Maximum time until a node knows of a change of the nodes, in ms. */
+const maxViewLag = 2_500;
+/** Maximum wait of a request for its permit, in ms. */
+const patience = millis(60);
+
+/** How the nodes divide the limit. */
+export type LimitDivision = "permits" | "equal-parts" | "whole";
+
+type FleetNode = {
+  readonly machine: MachineName;
+  readonly permits: ServerPermits;
+  readonly limits: LimitTracker;
+  state: "running" | "frozen" | "dead";
+  /** Nodes that this one knows. */
+  readonly known: Set<MachineName>;
+  /** Requests that the node may send by its own part of the limit. */
+  credit: number;
+  refilledAt: number;
+};
+
+/** A request that reached the server. */
+export type PermittedArrival = {
+  readonly at: number;
+  readonly machine: MachineName;
+};
+
+/** Settings of a fleet. */
+export type PermitFleetOptions = {
+  readonly nodes: number;
+  /** Requests per second that the server names. */
+  readonly limit: number;
+  /** Requests per second of all nodes together. */
+  readonly demand: number;
+  /** Share of the demand at the first node; the rest is spread evenly. */
+  readonly skew?: number;
+  /** Share of the calls between nodes that is lost. */
+  readonly loss?: number;
+  readonly division?: LimitDivision;
+  readonly random: () => number;
+};
+
+/** Nodes that send to one server that limits them all together, on virtual time. */
+export class PermitFleet {
+  readonly clock = VirtualClock.create();
+  readonly arrivals: PermittedArrival[] = [];
+  /** Calls between nodes. */
+  calls = 0;
+  readonly #options: PermitFleetOptions;
+  readonly #nodes = new Map<MachineName, FleetNode>();
+  #started = 0;
+
+  private constructor(options: PermitFleetOptions) {
+    this.#options = options;
+    for (let i = 0; i < options.nodes; i++) this.#start(true);
+  }
+
+  static create(options: PermitFleetOptions): PermitFleet {
+    return new PermitFleet(options);
+  }
+
+  async run(duration: number): Promise<void> {
+    await this.clock.advance(millis(duration));
+  }
+
+  /** Adds a node that the others come to know within their view lag. */
+  join(): void {
+    this.#start(false);
+  }
+
+  /** Ends a random node; its entry stays, as nothing removes it. */
+  kill(): void {
+    const node = this.#draw();
+    if (node !== undefined) node.state = "dead";
+  }
+
+  /** Stops a random node for a time, after which it goes on where it was. */
+  freeze(duration: number): void {
+    const node = this.#draw();
+    if (node === undefined) return;
+    node.state = "frozen";
+    this.clock.schedule(millis(duration), () => {
+      if (node.state !== "frozen") return;
+      node.state = "running";
+      node.permits.postpone();
+    });
+  }
+
+  /** Highest number of arrivals in 4 s from `start` on, over what the rule allows. */
+  findWorstRatio(start: number): number {
+    const allowed = 6 * this.#options.limit + 5;
+    const times = this.arrivals
+      .map(({ at }) => at)
+      .filter((at) => at >= start)
+      .sort((a, b) => a - b);
+    let worst = 0;
+    for (let from = 0, to = 0; from < times.length; from++) {
+      while (
+        to < times.length &&
+        (times[to] as number) <= (times[from] as number) + 4_000
+      )
+        to++;
+      worst = Math.max(worst, to - from);
+    }
+    return worst / allowed;
+  }
+
+  /** Share of the limit that was used from `start` to `end`. */
+  findUse(start: number, end: number): number {
+    const used = this.arrivals.filter(({ at }) => at >= start && at < end);
+    return used.length / ((this.#options.limit * (end - start)) / 1_000);
+  }
+
+  #start(isKnownToAll: boolean): void {
+    const { clock } = this;
+    const index = this.#started++;
+    const machine = brandString<MachineName>(`n${index}`);
+    const known = new Set<MachineName>([...this.#nodes.keys(), machine]);
+    const dependencies = { clock, journal: silentJournal, meter: silentMeter };
+    const limits = LimitTracker.create(dependencies);
+    const node: FleetNode = {
+      machine,
+      limits,
+      permits: ServerPermits.create({
+        ...dependencies,
+        machine,
+        random: this.#options.random,
+        limits,
+        contacts: PeerContacts.create(() => clock.now()),
+        nodeLinks: this.#createLinks(machine),
+        listMachines: () => [...known],
+        findAddress: (other) => (known.has(other) ? other : undefined),
+      }),
+      state: "running",
+      known,
+      credit: 0,
+      refilledAt: clock.now(),
+    };
+    for (const other of this.#nodes.values()) {
+      const lag = isKnownToAll ? 0 : this.#options.random() * maxViewLag;
+      clock.schedule(millis(lag), () => other.known.add(machine));
+    }
+    this.#nodes.set(machine, node);
+    this.#scheduleRequest(node, this.#findDemand(index));
+  }
+
+  #findDemand(index: number): number {
+    const { demand, nodes, skew = 0 } = this.#options;
+    const even = (demand * (1 - skew)) / nodes;
+    return index === 0 ? even + demand * skew : even;
+  }
+
+  #scheduleRequest(node: FleetNode, rate: number): void {
+    const delay = drawExponential(1_000 / rate, this.#options.random);
+    this.clock.schedule(millis(delay), () => {
+      if (node.state === "dead") return;
+      this.#scheduleRequest(node, rate);
+      if (node.state === "running") void this.#request(node);
+    });
+  }
+
+  async #request(node: FleetNode): Promise<void> {
+    const permit = await this.#take(node);
+    if (permit.kind === "denied") return;
+    this.#afterDelay(() => {
+      const at = this.clock.now();
+      if (node.state !== "running") return;
+      if (permit.kind === "granted" && at > permit.until + maxDelay) return;
+      this.arrivals.push({ at, machine: node.machine });
+      const value = String(this.#options.limit);
+      this.#afterDelay(() => node.limits.recordValue(server, value));
+    });
+  }
+
+  async #take(node: FleetNode): Promise<Permit> {
+    const { division = "permits", limit } = this.#options;
+    if (division === "permits") return node.permits.take(server, patience);
+    const now = this.clock.now();
+    const part = division === "whole" ? limit : limit / node.known.size;
+    const grown = node.credit + (part * (now - node.refilledAt)) / 1_000;
+    node.credit = Math.min(1, grown);
+    node.refilledAt = now;
+    if (node.credit < 1) return { kind: "denied" };
+    node.credit--;
+    return { kind: "not-needed" };
+  }
+
+  #createLinks(from: MachineName): NodeLinks {
+    const refused = { kind: "refused", reason: "unreachable" } as const;
+    return {
+      acquire: async () => refused,
+      requestModel: async () => refused,
+      requestPermit: (to, request) =>
+        this.#call(brandString(to), from, request),
+    };
+  }
+
+  #call(
+    to: MachineName,
+    from: MachineName,
+    request: PermitRequest,
+  ): Promise<PermitAnswer | undefined> {
+    this.calls++;
+    return new Promise((resolve) => {
+      this.clock.schedule(millis(callTimeout), () => resolve(undefined));
+      if (this.#isLost()) return;
+      this.#afterDelay(async () => {
+        const target = this.#nodes.get(to);
+        if (target?.state === "dead") return resolve(undefined);
+        if (target?.state !== "running") return;
+        const answer = await target.permits.request(request);
+        if (this.#isLost()) return;
+        this.#afterDelay(() => {
+          if (this.#nodes.get(from)?.state === "running") resolve(answer);
+        });
+      });
+    });
+  }
+
+  #isLost(): boolean {
+    return this.#options.random() < (this.#options.loss ?? 0) / 2;
+  }
+
+  #afterDelay(action: () => void): void {
+    const delay = 1 + this.#options.random() * (maxDelay - 1);
+    this.clock.schedule(millis(delay), action);
+  }
+
+  #draw(): FleetNode | undefined {
+    const running = [...this.#nodes.values()].filter(
+      ({ state }) => state === "running",
+    );
+    // The last node has to stay.
+    if (running.length < 2) return undefined;
+    return running[Math.floor(this.#options.random() * running.length)];
+  }
+}
--- a/src/node/gateway/server_permits.ts
+++ b/src/node/gateway/server_permits.ts
@@ -96,7 +96,8 @@
       }
       case "denied": {
         // The nodes that wait for the same permit do not all return for it at once.
-        const spread = (random() * 1_000) / rate;
+        const nodes = this.#options.listMachines()?.length ?? 1;
+        const spread = (random() * 1_000 * (1 - 1 / nodes)) / rate;
         const duration = millis(answer.retryIn + Math.min(1_000, spread));
         limits.recordDenial(server, duration);
         return { kind: "denied" };
