--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -101,7 +101,7 @@
 /** Gateway with fakes for its ports, on a virtual clock. */
 export class GatewayFixture {
   readonly clock = VirtualClock.create();
-  readonly table = MemoryTable.create(this.clock);
+  readonly table: MemoryTable;
   readonly attempts: RecordedAttempt[] = [];
   readonly orders: EngineOrder[] = [];
   readonly gateway: Gateway;
@@ -125,7 +125,9 @@
   /** Number of reads of the lease rows that reject. */
   rejectedLeaseReads = 0;
 
-  constructor() {
+  /** A table of an earlier fixture outlives its node. */
+  constructor(table?: MemoryTable) {
+    this.table = table ?? MemoryTable.create(this.clock);
     const links: ServerLinks = {
       send: (order, sink) => {
         const attempt = new RecordedAttempt(order, sink);
