Let a stream go on only at the software version that began it

Cause: the version of a server was not decoded, so that a take-up, within an answer or by the caller, went to whichever server was free. Class: a decision about an earlier event without the fact that it depends on.

A stream with events now goes on only at a server of their version, checked in the turn of the send with the start of the server. A node remembers the version that began each stream by the request that brought its first event (Resumes). While servers of several versions of a service are in sight, or were in the last 60 s, each process writes its streams to a row of a table of their own at most every 500 ms; rows are read only when a stream is taken up whose origin the node does not know. If it stays unknown the request is refused as not run (3013), unless a single version has served for long.

--- a/src/bench/experiments/pausing_servers.ts
+++ b/src/bench/experiments/pausing_servers.ts
@@ -70,6 +70,7 @@
     notices: options.hearsNotices ? fleet : { follow() {} },
     retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
     table: MemoryTable.create(clock),
+    streamTable: MemoryTable.create(clock),
     readLeaseRows: async () => undefined,
     feed: {
       follow: (listener) => {
--- a/src/bench/pausing_fleet.ts
+++ b/src/bench/pausing_fleet.ts
@@ -1,6 +1,11 @@
 import { type Clock, type Millis, millis } from "../core/clock.ts";
 import type { BackendServer } from "../core/gateway/servers.ts";
-import { brandString, type ServerId, type ServiceName } from "../core/ids.ts";
+import {
+  brandString,
+  type ServerId,
+  type ServiceName,
+  type SoftwareVersion,
+} from "../core/ids.ts";
 import type {
   ServerLinks,
   ServerNotice,
@@ -39,6 +44,7 @@
       service,
       address: `10.0.0.${at}:80`,
       dataCentre: brandString("tatry-a"),
+      softwareVersion: brandString<SoftwareVersion>("v1"),
       slots,
       leaving: false,
       models: [],
--- a/src/core/gateway/servers.ts
+++ b/src/core/gateway/servers.ts
@@ -5,6 +5,7 @@
   ModelName,
   ServerId,
   ServiceName,
+  SoftwareVersion,
 } from "../ids.ts";
 
 /** An adapter that a server reports as loaded. */
@@ -27,6 +28,8 @@
   /** `IP:PORT`. */
   readonly address: string;
   readonly dataCentre: DataCentre;
+  /** Undefined if the server does not state one; it then equals no other. */
+  readonly softwareVersion: SoftwareVersion | undefined;
   readonly slots: number;
   readonly leaving: boolean;
   readonly models: readonly HeldModel[];
@@ -184,7 +187,10 @@
   return (
     server !== undefined &&
     !server.leaving &&
-    server.address === selected.address
+    server.address === selected.address &&
+    // Under the same id the server may have started again with other software.
+    server.born === selected.born &&
+    server.softwareVersion === selected.softwareVersion
   );
 }
 
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -31,6 +31,8 @@
 export type AttemptToken = Branded<string, "AttemptToken">;
 /** Identifies one incarnation of a backend server, as the server names itself. */
 export type ServerId = Branded<string, "ServerId">;
+/** Software version of a backend server; versions have no order. */
+export type SoftwareVersion = Branded<string, "SoftwareVersion">;
 /** Names a base model. */
 export type ModelName = Branded<string, "ModelName">;
 /** Names an entry VM; unlike a node id it survives a restart of the process. */
--- a/src/core/results/engine_codes.ts
+++ b/src/core/results/engine_codes.ts
@@ -90,4 +90,13 @@
       "Every server that can take the request has asked this node for a pause, or has reached the limit that it named",
     remedy: "Send again after Retry-After; operators: see events 231 and 233",
   },
+  streamNotContinued: {
+    number: 3013,
+    status: 503,
+    outcome: "not-run",
+    meaning:
+      "The rest of a stream can only come from the software version that began it, which is not known or does not serve",
+    remedy:
+      "Send again after Retry-After, or start the request anew; operators: see the versions of the servers",
+  },
 } as const satisfies Record<string, ResultCode>;
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -34,6 +34,7 @@
 import { RequestTask } from "./request_task.ts";
 import { ServerPermits } from "./server_permits.ts";
 import { ServerSelector } from "./server_selector.ts";
+import { StreamKeeper } from "./stream_keeper.ts";
 import { UsageReporter } from "./usage_reporter.ts";
 
 /** Interval of the checks for expired servers and pauses of the process, in ms. */
@@ -44,6 +45,8 @@
 /** Dependencies of a gateway and of its tasks. */
 export type GatewayOptions = GatewayDependencies & {
   readonly table: TableService;
+  /** Table of the streams that the nodes passed on. */
+  readonly streamTable: TableService;
   readonly readLeaseRows: ReadLeaseRows;
   readonly feed: InstallationFeed;
   readonly orders: EngineOrders;
@@ -64,6 +67,7 @@
   readonly #leases: LeaseManager;
   readonly #engineControllers: EngineControllers;
   readonly #permits: ServerPermits;
+  readonly #streams: StreamKeeper;
   readonly #selector: ServerSelector;
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
@@ -92,6 +96,7 @@
       contacts,
       onChange: () => this.#engineControllers.reconcile(),
     });
+    this.#streams = StreamKeeper.create(this.context, options.streamTable);
     this.#permits = ServerPermits.create({
       ...options,
       machine: options.identity.machine,
@@ -207,6 +212,7 @@
         context,
         selector: this.#selector,
         takePermit: this.#permits.take,
+        streams: this.#streams,
         usage: this.#usage,
         guard: this.#guard,
         request,
@@ -272,6 +278,7 @@
     this.#usageReporter.stop();
     this.#engineControllers.stop();
     this.#poison.stop();
+    this.#streams.stop();
     this.#options.feed.stop();
     await this.#leases.release();
     this.#options.nodeChannel.close();
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/installation_tracker.ts
@@ -187,13 +187,14 @@
 
   #recordServer(server: BackendServer, origin: EventFields): void {
     const event = server.leaving ? "serverLeaving" : "serverSeen";
-    const { id, service, address, dataCentre } = server;
+    const { id, service, address, dataCentre, softwareVersion } = server;
     const { journal } = this.#options.context.dependencies;
     journal.record(event, {
       server: id,
       service,
       address,
       dataCentre,
+      softwareVersion,
       ...origin,
     });
   }
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/request_refusals.ts
@@ -3,6 +3,7 @@
   computeReturnDelay,
   type Resumption,
 } from "../../core/gateway/server_pauses.ts";
+import type { SoftwareVersion } from "../../core/ids.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
 import type { ModelDemand } from "../../ports/gateway.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
@@ -12,6 +13,10 @@
 const retryDelay = millis(400);
 /** Delay before a caller should send a prompt again that has crashed engines, in ms. */
 const convictedDelay = millis(60_000);
+/** Time after which a node has recorded a stream for the others, in ms. */
+const originDelay = millis(600);
+/** Time in which a server that crashed may be back, in ms. */
+const versionDelay = millis(1_000);
 /** Time until the nodes learn that an engine holds a model, in ms. */
 const registrationLag = 1_000;
 
@@ -43,6 +48,21 @@
   });
 }
 
+/** Refusal of a request for the rest of a stream that may have begun at any software version. */
+export function refuseUnknownOrigin(): Refusal {
+  const detail =
+    "It is not known which software version began the stream, and several have served lately";
+  return refuse("streamNotContinued", detail, { retryAfter: originDelay });
+}
+
+/** Refusal of a request for the rest of a stream while no server of its software version serves. */
+export function refuseWithoutVersion(
+  version: SoftwareVersion | undefined,
+): Refusal {
+  const detail = `No server of software version ${version}, which began the stream, serves now`;
+  return refuse("streamNotContinued", detail, { retryAfter: versionDelay });
+}
+
 /** Refusal of a request whose prompt may crash engines, or waits for the trial of one that does. */
 export function refuseWithheld(
   history: AttemptHistory,
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -27,10 +27,12 @@
   refuseAfterAttempt,
   refuseAtExit,
   refuseAtTimeLimit,
+  refuseUnknownOrigin,
   refuseWhileStopping,
   refuseWithdrawn,
   refuseWithheld,
   refuseWithoutServer,
+  refuseWithoutVersion,
 } from "./request_refusals.ts";
 import { RequestUsage } from "./request_usage.ts";
 import { RequestWait } from "./request_wait.ts";
@@ -42,6 +44,8 @@
 } from "./server_attempt.ts";
 import type { Permit, TakePermit } from "./server_permits.ts";
 import type { ServerSelection, ServerSelector } from "./server_selector.ts";
+import { StreamContinuation } from "./stream_continuation.ts";
+import type { StreamKeeper } from "./stream_keeper.ts";
 
 /** A request with less time left than this is refused instead of sent, in ms. */
 const minTimeLeft = 20;
@@ -51,6 +55,7 @@
   readonly context: GatewayContext;
   readonly selector: ServerSelector;
   readonly takePermit: TakePermit;
+  readonly streams: StreamKeeper;
   readonly usage: EngineUsageCounter;
   readonly guard: PromptGuard;
   readonly request: ProxiedRequest;
@@ -63,6 +68,7 @@
   readonly #options: RequestTaskOptions;
   readonly #history = AttemptHistory.create();
   readonly #cursor: StreamCursor | undefined;
+  readonly #continuation: StreamContinuation;
   readonly #forwarder: ResponseForwarder;
   readonly #log: RequestLog;
   readonly #prompt: PromptAdmission;
@@ -88,8 +94,13 @@
       parts: request.demand?.sharedParts ?? [],
       clock,
     });
+    this.#continuation = StreamContinuation.create(options.streams, options);
     this.#forwarder = ResponseForwarder.create(options.sink, {
       clock,
+      onFirstBytes: () => {
+        if (this.#server !== undefined)
+          this.#continuation.recordEvents(this.#server);
+      },
       onStart: () => {
         this.#usage.trackRun();
         this.#prompt.recordStart();
@@ -99,6 +110,7 @@
       ...options,
       history: this.#history,
       log: this.#log,
+      isEligible: this.#continuation.allows,
       hasEnded: () => this.#ended,
       mayHaveRun: () => this.#mayHaveRun(),
     });
@@ -157,6 +169,11 @@
     const { context } = this.#options;
     const { service } = this.#plan;
     context.countRequest(service);
+    if (this.#continuation.isResumption) {
+      const isKnown = await this.#continuation.findOrigin();
+      if (this.#ended) return;
+      if (!isKnown) return this.#refuse(refuseUnknownOrigin());
+    }
     while (!this.#ended) {
       const reason = await this.#prompt.wait(
         this.#wait.findEnd(),
@@ -194,6 +211,9 @@
     if (context.stop !== undefined && !this.#mayHaveRun())
       return this.#refuse(refuseWhileStopping());
     const { demand } = request;
+    const { isResumption, version } = this.#continuation;
+    if (isResumption && this.#wait.hasOnlyOtherServers())
+      return this.#refuse(refuseWithoutVersion(version));
     this.#refuse(refuseWithoutServer(this.#history, demand, context));
   }
 
@@ -240,6 +260,7 @@
           this.#endRun(result.end.kind === "whole");
           if (result.end.kind !== "whole") return resolve(result);
           this.#prompt.recordWhole();
+          this.#continuation.recordWhole();
           this.#log.recordResponse(selection.server, this.#forwarder);
           this.#finish("answered");
           resolve(undefined);
@@ -302,7 +323,10 @@
     const { context, selector, request } = this.#options;
     const { service } = this.#plan;
     const history = this.#history;
-    history.resumption = selector.findResumption(service, request.demand);
+    history.resumption = selector.findResumption(service, {
+      demand: request.demand,
+      isEligible: this.#continuation.allows,
+    });
     this.#refuse(refuseAfterAttempt(history, result.detail, context));
   }
 
--- a/src/node/gateway/request_wait.ts
+++ b/src/node/gateway/request_wait.ts
@@ -21,6 +21,8 @@
   readonly plan: RequestPlan;
   readonly history: AttemptHistory;
   readonly log: RequestLog;
+  /** Whether a server may serve the request. */
+  readonly isEligible: (server: BackendServer) => boolean;
   /** Whether the request has ended. */
   readonly hasEnded: () => boolean;
   /** Whether a server may have begun to run the request. */
@@ -53,6 +55,12 @@
     return history.runs === 0 && context.now() >= this.#findLatestStart();
   }
 
+  /** Whether servers are registered, but none that may serve the request. */
+  hasOnlyOtherServers(): boolean {
+    const { selector, plan, isEligible } = this.#options;
+    return selector.hasOnlyServersBut(plan.service, isEligible);
+  }
+
   /** Waits for a server that can take the request; undefined if none can in time. */
   findServer(): Promise<ServerSelection | undefined> {
     const { context, selector, request, plan, history, log } = this.#options;
@@ -61,6 +69,7 @@
       selector,
       service: plan.service,
       demand: request.demand,
+      isEligible: this.#options.isEligible,
       tried: history.tried,
       deniedBy: history.deniedBy,
       until: this.findEnd(),
@@ -82,7 +91,10 @@
   /** Takes the right to send the request to a server that limits the requests of all nodes. */
   async takePermit(server: BackendServer): Promise<Permit> {
     const { context, selector, plan, log } = this.#options;
-    const longest = selector.hasOther(plan.service, server)
+    const { isEligible } = this.#options;
+    const isOther = (other: BackendServer) =>
+      other.id !== server.id && isEligible(other);
+    const longest = selector.hasFreeServer(plan.service, isOther)
       ? shortPermitWait
       : longPermitWait;
     const timeLeft = Math.max(0, this.findEnd() - context.now());
@@ -95,7 +107,11 @@
   /** Takes a retry from the budget of the service, unless all servers are paused for too long. */
   takeRetry(): boolean {
     const { context, selector, request, plan } = this.#options;
-    const resumption = selector.findResumption(plan.service, request.demand);
+    const { isEligible } = this.#options;
+    const resumption = selector.findResumption(plan.service, {
+      demand: request.demand,
+      isEligible,
+    });
     if (resumption !== undefined && resumption.at > this.findEnd())
       return false;
     return context.takeRetry(plan.service);
--- a/src/node/gateway/response_forwarder.ts
+++ b/src/node/gateway/response_forwarder.ts
@@ -1,6 +1,13 @@
 import { type Clock, type Millis, millis } from "../../core/clock.ts";
 import type { CallerSink, ResponseHead } from "../../ports/gateway.ts";
 
+type ResponseForwarderOptions = {
+  readonly clock: Clock;
+  readonly onStart: () => void;
+  /** Called before the first bytes of the body are written. */
+  readonly onFirstBytes: () => void;
+};
+
 /** Forwards a response to the caller and measures the timing that the caller sees. */
 export class ResponseForwarder
   implements Pick<CallerSink, "start" | "write" | "end">
@@ -8,6 +15,7 @@
   readonly #sink: CallerSink;
   readonly #clock: Clock;
   readonly #onStart: () => void;
+  readonly #onFirstBytes: () => void;
   #lastWriteAt: Millis | undefined;
   /** Time of the first byte of the body. */
   firstByteAt: Millis | undefined;
@@ -16,18 +24,16 @@
   /** Head of the response, once the caller has received it. */
   startedHead: ResponseHead | undefined;
 
-  private constructor(
-    sink: CallerSink,
-    options: { clock: Clock; onStart: () => void },
-  ) {
+  private constructor(sink: CallerSink, options: ResponseForwarderOptions) {
     this.#sink = sink;
     this.#clock = options.clock;
     this.#onStart = options.onStart;
+    this.#onFirstBytes = options.onFirstBytes;
   }
 
   static create(
     sink: CallerSink,
-    options: { clock: Clock; onStart: () => void },
+    options: ResponseForwarderOptions,
   ): ResponseForwarder {
     return new ResponseForwarder(sink, options);
   }
@@ -45,6 +51,7 @@
 
   write(bytes: Uint8Array): void {
     const now = this.#clock.now();
+    if (this.firstByteAt === undefined) this.#onFirstBytes();
     this.firstByteAt ??= now;
     if (this.#lastWriteAt !== undefined) {
       const pause = now - this.#lastWriteAt;
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/server_selector.ts
@@ -62,6 +62,13 @@
 const shortStartTimeout = 40;
 const longStartTimeout = 500;
 
+/** Which servers a request can run on. */
+export type Candidates = {
+  readonly demand: ModelDemand | undefined;
+  /** Whether a server may serve the request. */
+  readonly isEligible: (server: BackendServer) => boolean;
+};
+
 type ServerSelectorOptions = {
   readonly acquire: AcquireAdapter;
   /** Expected delay of a request at an engine by other requests, in ms. */
@@ -93,8 +100,7 @@
   /** Selects a server for the request; undefined if none can take it now. */
   async select(
     service: ServiceName,
-    request: {
-      readonly demand: ModelDemand | undefined;
+    request: Candidates & {
       readonly tried: ReadonlySet<ServerId>;
       /** Engine that answered the latest attempt that it does not hold the adapter. */
       readonly deniedBy: ServerId | undefined;
@@ -106,7 +112,9 @@
     },
   ): Promise<ServerSelection | undefined> {
     const { availability, directory } = this.#context;
-    const registered = listUsableServers(directory, service);
+    const registered = listUsableServers(directory, service).filter(
+      request.isEligible,
+    );
     const usable = registered.filter((server) =>
       availability.canTakeNext(server),
     );
@@ -144,21 +152,33 @@
     return selection;
   }
 
-  /** Whether another server of the service takes requests now. */
-  hasOther(service: ServiceName, server: BackendServer): boolean {
+  /** Whether servers of the service are registered, but none that meets a condition. */
+  hasOnlyServersBut(
+    service: ServiceName,
+    condition: (server: BackendServer) => boolean,
+  ): boolean {
+    const registered = listUsableServers(this.#context.directory, service);
+    return registered.length > 0 && !registered.some(condition);
+  }
+
+  /** Whether a server of the service that meets a condition takes requests now. */
+  hasFreeServer(
+    service: ServiceName,
+    condition: (server: BackendServer) => boolean,
+  ): boolean {
     const { availability, directory } = this.#context;
     return listUsableServers(directory, service).some(
-      (other) => other.id !== server.id && availability.canTakeNext(other),
+      (server) => condition(server) && availability.canTakeNext(server),
     );
   }
 
   /** When the first server takes the request, if all that could are paused now. */
   findResumption(
     service: ServiceName,
-    demand: ModelDemand | undefined,
+    { demand, isEligible }: Candidates,
   ): Resumption | undefined {
     const { availability, directory } = this.#context;
-    const registered = listUsableServers(directory, service);
+    const registered = listUsableServers(directory, service).filter(isEligible);
     const able =
       demand === undefined
         ? registered
--- a/src/node/gateway/server_wait.ts
+++ b/src/node/gateway/server_wait.ts
@@ -20,6 +20,8 @@
   readonly selector: ServerSelector;
   readonly service: ServiceName;
   readonly demand: ModelDemand | undefined;
+  /** Whether a server may serve the request. */
+  readonly isEligible: (server: BackendServer) => boolean;
   /**
    * Servers that are not selected; cleared when no other can take the request,
    * since they may have recovered.
@@ -63,7 +65,7 @@
   options: ServerWaitOptions,
 ): Promise<ServerSelection | undefined> {
   const { context, selector, service } = options;
-  const { demand, tried, deniedBy, onRefused } = options;
+  const { demand, isEligible, tried, deniedBy, onRefused } = options;
   let isInTime = true;
   const onModelMissing = (availability: ModelAvailability) => {
     // A model that takes longer is not waited for, so that the caller can return later.
@@ -74,13 +76,20 @@
     options.onModelMissing(availability);
   };
   const findPauseEnd = () => {
-    const resumption = selector.findResumption(service, demand);
+    const resumption = selector.findResumption(service, {
+      demand,
+      isEligible,
+    });
     options.onPaused(resumption);
     return resumption?.at ?? context.now();
   };
-  const request = { demand, tried, deniedBy, onRefused, onModelMissing };
+  const candidates = { demand, isEligible };
+  const callbacks = { onRefused, onModelMissing };
+  const request = { ...candidates, ...callbacks, tried, deniedBy };
   let isFirst = true;
   while (!options.hasEnded() && isInTime) {
+    // Only servers at which the stream cannot go on: the caller can start anew sooner.
+    if (selector.hasOnlyServersBut(service, isEligible)) return undefined;
     const selection = await selector.select(service, { ...request, isFirst });
     isFirst = false;
     if (selection !== undefined && selection.readyAt <= options.until) {
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -59,6 +59,8 @@
   readonly deadline: Millis | undefined;
   /** Id of the last event received, after which the caller resumes a stream. */
   readonly resumeAfter: string | undefined;
+  /** Request that brought the first event of the stream that the caller resumes. */
+  readonly resumes?: RequestId | undefined;
   /** Time at which the head arrived. */
   readonly arrivedAt: Millis;
   /** Number of requests that arrived before on the same connection, if the front end counts them. */
--- a/tests/gateway/adapter_directory_test.ts
+++ b/tests/gateway/adapter_directory_test.ts
@@ -35,6 +35,7 @@
     service: brandString("s"),
     address: "10.0.0.1:80",
     dataCentre: brandString(`${id}-a`),
+    softwareVersion: undefined,
     slots: 128,
     leaving: false,
     models: [
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -21,6 +21,7 @@
   type Region,
   type ServerId,
   type ServiceName,
+  type SoftwareVersion,
   type StoreEpoch,
 } from "../../src/core/ids.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
@@ -77,6 +78,7 @@
     service: booking,
     address: "10.0.0.1:80",
     dataCentre,
+    softwareVersion: brandString<SoftwareVersion>("v1"),
     slots: 6,
     leaving: false,
     models: [],
@@ -179,6 +181,7 @@
         scan: (prefix) => this.table.scan(prefix),
         transact: (transaction) => this.#transact(transaction),
       },
+      streamTable: this.table,
       readLeaseRows: () => this.#readLeaseRows(),
       feed: {
         follow: (listener) => {
--- a/tests/platform_adapter/front_fixture.ts
+++ b/tests/platform_adapter/front_fixture.ts
@@ -176,6 +176,7 @@
     links,
     retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
     table: MemoryTable.create(clock),
+    streamTable: MemoryTable.create(clock),
     readLeaseRows: async () => undefined,
     feed: {
       follow: (listener) => changes.forEach(listener),
--- a/tests/platform_adapter/socket_gateway.ts
+++ b/tests/platform_adapter/socket_gateway.ts
@@ -67,6 +67,7 @@
       notices,
       retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
       table: network.table,
+      streamTable: network.table,
       readLeaseRows: () => network.readLeaseRows(),
       feed: {
         follow: (listener) => {
