Break off a stream that cannot end before the exit instead of resuming it

The bound of a first send now holds for every send; what may have run is broken off or answered as such, so that its caller can go on at another node.

The new test of stopping_test was open 100 ms after the break before, and is aborted now.

--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/request_task.ts
@@ -112,7 +112,6 @@
       log: this.#log,
       isEligible: this.#continuation.allows,
       hasEnded: () => this.#ended,
-      mayHaveRun: () => this.#mayHaveRun(),
     });
     if (route.retryRule === "stream" && route.resumable) {
       this.#cursor = StreamCursor.create(request.resumeAfter);
@@ -148,6 +147,11 @@
       server: this.#server,
       ...this.#history.counts,
     });
+    this.#refuseBeforeExit();
+  }
+
+  /** Ends the request without a further attempt, since the process exits. */
+  #refuseBeforeExit(): void {
     const mayHaveRun = this.#mayHaveRun();
     this.#refuse(mayHaveRun ? refuseAtExit() : refuseWhileStopping());
   }
@@ -184,8 +188,7 @@
         return this.#refuse(refuseWithheld(this.#history, reason));
       const selection = await this.#wait.findServer();
       if (this.#ended) return;
-      if (this.#wait.isTooLateToStart())
-        return this.#refuse(refuseWhileStopping());
+      if (this.#wait.isTooLateToStart()) return this.#refuseBeforeExit();
       if (selection === undefined) return this.#refuseWithoutServer();
       const permit = await this.#wait.takePermit(selection.server);
       if (this.#ended) return;
--- a/src/node/gateway/request_wait.ts
+++ b/src/node/gateway/request_wait.ts
@@ -25,8 +25,6 @@
   readonly isEligible: (server: BackendServer) => boolean;
   /** Whether the request has ended. */
   readonly hasEnded: () => boolean;
-  /** Whether a server may have begun to run the request. */
-  readonly mayHaveRun: () => boolean;
 };
 
 /** Waits of one request for a server, bounded by its time limits and by the stop of the node. */
@@ -43,16 +41,14 @@
 
   /** Time until which the request waits; while the node stops, no longer than it can be started. */
   findEnd(): Millis {
-    const { context, plan, history, mayHaveRun } = this.#options;
+    const { context, plan, history } = this.#options;
     const end = plan.limits.findWaitEnd(context.now(), history.isEmpty);
-    if (mayHaveRun()) return end;
     return millis(Math.min(end, this.#findLatestStart()));
   }
 
-  /** Whether no server has begun and the exit of the process would cut off the answer. */
+  /** Whether the exit of the process would cut off the answer, or the rest of a stream, of a server that gets the request now. */
   isTooLateToStart(): boolean {
-    const { context, history } = this.#options;
-    return history.runs === 0 && context.now() >= this.#findLatestStart();
+    return this.#options.context.now() >= this.#findLatestStart();
   }
 
   /** Whether servers are registered, but none that may serve the request. */
--- a/tests/gateway/stopping_test.ts
+++ b/tests/gateway/stopping_test.ts
@@ -10,10 +10,12 @@
 import { findLatestStart } from "../../src/core/gateway/stopping.ts";
 import {
   booking,
+  createDemand,
   createRoute,
   createServer,
   GatewayFixture,
 } from "./gateway_fixture.ts";
+import { createEngineFixture } from "./gateway_setups.ts";
 
 /** Time between the start of the drain and the exit of the process, in ms. */
 const drainTime = 7_600;
@@ -102,6 +104,28 @@
   assert.ok((answer.at as number) <= exitAt - 2_000);
 });
 
+// The node went on with the stream at another server and cut it off at its exit.
+test("a stream that breaks too late to end before the exit is broken off at once, so that its caller can go on elsewhere", async () => {
+  const fixture = await createEngineFixture({
+    resumable: true,
+    timeout: millis(20_000),
+  });
+  const { answer } = fixture.open({
+    demand: createDemand("a1"),
+    deadline: millis(20_000),
+  });
+  await fixture.advance(5);
+  const first = fixture.lastAttempt();
+  first.start();
+  first.bytes("id: 1\n\n");
+  startDraining(fixture);
+  await fixture.advance(drainTime - 500);
+  first.fail("broken");
+  await fixture.advance(100);
+  assert.equal(answer.outcome, "aborted");
+  assert.equal(fixture.attempts.length, 1);
+});
+
 // Guards against taking the time until a failure, or until a caller leaves, for that of a run.
 test("attempts without a whole answer do not say how long a run takes", async () => {
   const fixture = createLongRequests();
