--- a/src/core/gateway/server_limits.ts
+++ b/src/core/gateway/server_limits.ts
@@ -11,6 +11,8 @@
   heardAt: Millis;
   /** Time before which this node gets no permit. */
   deniedUntil: Millis;
+  /** Latest time at which a caller that this node refused returns. */
+  returnAt: Millis;
 };
 
 /** Limits that servers named; each holds for one incarnation. */
@@ -23,6 +25,9 @@
   readonly heardAt: Millis;
 };
 
+/** Longest time until a refused caller returns, in ms. */
+const maxReturnDelay = 30_000;
+
 /** Creates the state of a node that has heard of no limit. */
 export function createServerLimits(): ServerLimits {
   return new Map();
@@ -44,8 +49,9 @@
   const current = isSame ? known : undefined;
   if (current !== undefined && heardAt < current.heardAt) return false;
   if (current === undefined && rate === undefined) return false;
-  const deniedUntil = current?.deniedUntil ?? millis(Number.NEGATIVE_INFINITY);
-  limits.set(id, { born, rate, heardAt, deniedUntil });
+  const never = millis(Number.NEGATIVE_INFINITY);
+  const { deniedUntil = never, returnAt = never } = current ?? {};
+  limits.set(id, { born, rate, heardAt, deniedUntil, returnAt });
   return current?.rate !== rate;
 }
 
@@ -88,6 +94,23 @@
   return known.deniedUntil;
 }
 
+/**
+ * Time at which the next caller that this node refuses may return: the callers
+ * come back at the rate of the node's part of the limit, one after another.
+ */
+export function planReturn(
+  limits: ServerLimits,
+  server: Incarnation,
+  { now, nodes }: { readonly now: Millis; readonly nodes: number },
+): Millis {
+  const known = findKnown(limits, server);
+  if (known?.rate === undefined) return now;
+  const interval = (1_000 * nodes) / known.rate;
+  const earliest = Math.max(now, known.deniedUntil, known.returnAt + interval);
+  known.returnAt = millis(Math.min(earliest, now + maxReturnDelay));
+  return known.returnAt;
+}
+
 /** Removes the limits of servers that are gone. */
 export function removeLimitsOfGone(
   limits: ServerLimits,
--- a/src/node/gateway/limit_tracker.ts
+++ b/src/node/gateway/limit_tracker.ts
@@ -9,6 +9,7 @@
   findHeardLimit,
   findLimit,
   type HeardLimit,
+  planReturn,
   recordDenial,
   recordLimit,
   removeLimitsOfGone,
@@ -91,6 +92,11 @@
     return findDenialEnd(this.#limits, server, this.#now());
   }
 
+  /** Time at which the next caller that is refused may return, with `nodes` nodes that share the limit. */
+  planReturn(server: Incarnation, nodes: number): Millis {
+    return planReturn(this.#limits, server, { now: this.#now(), nodes });
+  }
+
   /** Removes the limits of servers that are gone. */
   removeGone(isKnown: (id: ServerId) => boolean): void {
     removeLimitsOfGone(this.#limits, isKnown);
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/request_refusals.ts
@@ -103,13 +103,32 @@
   resumption: Resumption,
   context: GatewayContext,
 ): Refusal {
+  if (resumption.isLimit) return refuseWhileLimited(resumption, context);
   const now = context.now();
   const share = context.dependencies.random();
   const retryAfter = computeReturnDelay(resumption, { now, share });
   const pause = Math.ceil(resumption.at - now);
-  const detail = resumption.isLimit
-    ? `Every server that can take the request has reached the limit that it named; ${resumption.server} takes the next one in ${pause} ms`
-    : `Every server that can take the request has asked for a pause; the first one, of ${resumption.server}, ends in ${pause} ms`;
+  const detail = `Every server that can take the request has asked for a pause; the first one, of ${resumption.server}, ends in ${pause} ms`;
+  return refuse("serversPaused", detail, { retryAfter });
+}
+
+/** Refusal of a request while every server that can take it has reached its limit; the callers return one after another. */
+function refuseWhileLimited(
+  resumption: Resumption,
+  context: GatewayContext,
+): Refusal {
+  const { availability, directory, dependencies, nodeCount } = context;
+  const now = context.now();
+  const server = directory.servers.get(resumption.server);
+  const at =
+    server === undefined
+      ? resumption.at
+      : availability.limits.planReturn(server, nodeCount);
+  const returnTime = { ...resumption, at: millis(Math.max(at, resumption.at)) };
+  const share = dependencies.random();
+  const retryAfter = computeReturnDelay(returnTime, { now, share });
+  const wait = Math.ceil(resumption.at - now);
+  const detail = `Every server that can take the request has reached the limit that it named; ${resumption.server} takes the next one in ${wait} ms`;
   return refuse("serversPaused", detail, { retryAfter });
 }
 
