--- a/src/bench/permit_fleet.ts
+++ b/src/bench/permit_fleet.ts
@@ -2,9 +2,12 @@
 import { type Millis, millis } from "../core/clock.ts";
 import type { Incarnation } from "../core/gateway/servers.ts";
 import { brandString, type MachineName } from "../core/ids.ts";
-import { LimitTracker } from "../node/gateway/limit_tracker.ts";
-import { PeerContacts } from "../node/gateway/peer_contacts.ts";
-import { type Permit, ServerPermits } from "../node/gateway/server_permits.ts";
+import { PeerContacts } from "../node/gateway/peers/peer_contacts.ts";
+import { LimitTracker } from "../node/gateway/servers/limit_tracker.ts";
+import {
+  type Permit,
+  ServerPermits,
+} from "../node/gateway/servers/server_permits.ts";
 import type { NodeLinks } from "../ports/gateway.ts";
 import { silentJournal, silentMeter } from "../ports/journal.ts";
 import type { PermitAnswer, PermitRequest } from "../ports/permits.ts";
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -38,7 +38,7 @@
 } from "../../core/ids.ts";
 import type { ServerLinks } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
-import { ServerAvailability } from "./server_availability.ts";
+import { ServerAvailability } from "./servers/server_availability.ts";
 
 /** Identity, location and peer address of a node. */
 export type NodeIdentity = {
--- a/src/node/gateway/engine_controller.ts
+++ b/src/node/gateway/engines/engine_controller.ts
@@ -1,38 +1,41 @@
 import { createActor } from "xstate";
-import { type Cancel, millis } from "../../core/clock.ts";
-import type { EngineTraits } from "../../core/gateway/configuration.ts";
+import { type Cancel, millis } from "../../../core/clock.ts";
+import type { EngineTraits } from "../../../core/gateway/configuration.ts";
 import type {
   AvailableAdapter,
   EngineUsage,
-} from "../../core/gateway/engine_backlog.ts";
+} from "../../../core/gateway/engine_backlog.ts";
 import {
   chooseLeastRecentlyUsed,
   listAvailableAdapters,
-} from "../../core/gateway/engine_contents.ts";
+} from "../../../core/gateway/engine_contents.ts";
 import {
   createEngineControllerState,
   decideEngineController,
-} from "../../core/gateway/engine_controller.ts";
+} from "../../../core/gateway/engine_controller.ts";
 import type {
   EngineControllerCommand,
   EngineControllerEvent,
   EngineControllerState,
   Ticket,
-} from "../../core/gateway/engine_controller_messages.ts";
-import type { FleetView } from "../../core/gateway/model_placement.ts";
-import type { EngineOrder } from "../../core/gateway/orders.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
+} from "../../../core/gateway/engine_controller_messages.ts";
+import type { FleetView } from "../../../core/gateway/model_placement.ts";
+import type { EngineOrder } from "../../../core/gateway/orders.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type {
   AdapterName,
   MachineName,
   ModelAdapterKey,
   ModelName,
-} from "../../core/ids.ts";
-import type { EngineOrders } from "../../ports/gateway.ts";
-import { createDecisionLogic, type DecisionActor } from "../decision_actor.ts";
-import type { GatewayContext } from "./context.ts";
-import type { LeaseManager } from "./lease_manager.ts";
-import type { TakePermit } from "./server_permits.ts";
+} from "../../../core/ids.ts";
+import type { EngineOrders } from "../../../ports/gateway.ts";
+import {
+  createDecisionLogic,
+  type DecisionActor,
+} from "../../decision_actor.ts";
+import type { GatewayContext } from "../context.ts";
+import type { LeaseManager } from "../rows/lease_manager.ts";
+import type { TakePermit } from "../servers/server_permits.ts";
 
 /** Interval of the `tick` events, on which the controller sends due orders and requests due reports, in ms. */
 const tickInterval = millis(50);
--- a/src/node/gateway/engine_controllers.ts
+++ b/src/node/gateway/engines/engine_controllers.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "../../core/clock.ts";
+import type { Millis } from "../../../core/clock.ts";
 import {
   type AvailableAdapter,
   createBacklogLedger,
@@ -8,30 +8,30 @@
   recordPromisedRequest,
   recordUsage,
   sumOtherBacklog,
-} from "../../core/gateway/engine_backlog.ts";
-import type { FleetView } from "../../core/gateway/model_placement.ts";
+} from "../../../core/gateway/engine_backlog.ts";
+import type { FleetView } from "../../../core/gateway/model_placement.ts";
 import {
   type BackendServer,
   listUsableServers,
-} from "../../core/gateway/servers.ts";
+} from "../../../core/gateway/servers.ts";
 import {
   type MachineName,
   type ModelName,
   parseModelAdapterKey,
   type ServerId,
   type ServiceName,
-} from "../../core/ids.ts";
+} from "../../../core/ids.ts";
 import type {
   AcquireResult,
   EngineOrders,
   ModelRequest,
   ModelResult,
   NodeCallHandler,
-} from "../../ports/gateway.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
+import type { LeaseManager } from "../rows/lease_manager.ts";
+import type { TakePermit } from "../servers/server_permits.ts";
 import { EngineController } from "./engine_controller.ts";
-import type { LeaseManager } from "./lease_manager.ts";
-import type { TakePermit } from "./server_permits.ts";
 
 /** Upper bound of the first contents version of a controller, which is drawn at random. */
 const maxFirstVersion = 2 ** 31;
--- a/src/node/gateway/engine_usage.ts
+++ b/src/node/gateway/engines/engine_usage.ts
@@ -1,9 +1,9 @@
-import type { Millis } from "../../core/clock.ts";
+import type { Millis } from "../../../core/clock.ts";
 import type {
   EngineBacklog,
   EngineUsage,
-} from "../../core/gateway/engine_backlog.ts";
-import type { ModelAdapterKey, ServerId } from "../../core/ids.ts";
+} from "../../../core/gateway/engine_backlog.ts";
+import type { ModelAdapterKey, ServerId } from "../../../core/ids.ts";
 
 /** Assumed time that a request runs before any has ended, in ms, and the weight of each that ends. */
 const initialRunTime = 1_500;
--- a/src/node/gateway/owner_calls.ts
+++ b/src/node/gateway/engines/owner_calls.ts
@@ -1,16 +1,16 @@
-import { hasRecentReport } from "../../core/gateway/adapter_directory.ts";
-import type { MachineName, ServerId } from "../../core/ids.ts";
+import { hasRecentReport } from "../../../core/gateway/adapter_directory.ts";
+import type { MachineName, ServerId } from "../../../core/ids.ts";
 import type {
   AcquireResult,
   ModelResult,
   NodeLinks,
-} from "../../ports/gateway.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
+import type { PeerContacts } from "../peers/peer_contacts.ts";
+import type { LeaseManager } from "../rows/lease_manager.ts";
+import type { AcquireAdapter } from "../servers/server_selector.ts";
 import type { EngineControllers } from "./engine_controllers.ts";
-import type { LeaseManager } from "./lease_manager.ts";
 import type { RequestModel } from "./model_requester.ts";
-import type { PeerContacts } from "./peer_contacts.ts";
-import type { AcquireAdapter } from "./server_selector.ts";
 
 type OwnerCallsOptions = {
   readonly context: GatewayContext;
--- a/src/node/gateway/usage_reporter.ts
+++ b/src/node/gateway/engines/usage_reporter.ts
@@ -1,27 +1,27 @@
-import { type Cancel, type Millis, millis } from "../../core/clock.ts";
+import { type Cancel, type Millis, millis } from "../../../core/clock.ts";
 import {
   confirmContents,
   recordContents,
-} from "../../core/gateway/adapter_directory.ts";
+} from "../../../core/gateway/adapter_directory.ts";
 import type {
   EngineBacklog,
   EngineUsage,
   OwnerReport,
-} from "../../core/gateway/engine_backlog.ts";
-import { estimateBacklogWait } from "../../core/gateway/engine_backlog.ts";
+} from "../../../core/gateway/engine_backlog.ts";
+import { estimateBacklogWait } from "../../../core/gateway/engine_backlog.ts";
 import {
   createReportSchedule,
   type ReportSchedule,
   type ReportTarget,
   takeDueReports,
-} from "../../core/gateway/report_schedule.ts";
-import type { MachineName, ServerId } from "../../core/ids.ts";
-import type { NodeChannel, UsageMessage } from "../../ports/gateway.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../core/gateway/report_schedule.ts";
+import type { MachineName, ServerId } from "../../../core/ids.ts";
+import type { NodeChannel, UsageMessage } from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
+import type { PeerContacts } from "../peers/peer_contacts.ts";
+import type { LeaseManager } from "../rows/lease_manager.ts";
 import type { EngineControllers } from "./engine_controllers.ts";
 import type { EngineUsageCounter } from "./engine_usage.ts";
-import type { LeaseManager } from "./lease_manager.ts";
-import type { PeerContacts } from "./peer_contacts.ts";
 
 /** Interval of checks for usage that is due to be reported to an owner, in ms. */
 const checkInterval = millis(150);
--- a/src/node/gateway/notice_handler.ts
+++ b/src/node/gateway/peers/notice_handler.ts
@@ -1,13 +1,16 @@
-import { type Millis, millis } from "../../core/clock.ts";
-import type { BackendServer, Incarnation } from "../../core/gateway/servers.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
+import type {
+  BackendServer,
+  Incarnation,
+} from "../../../core/gateway/servers.ts";
 import type {
   LeavingMessage,
   NodeChannel,
   ServerNotice,
-} from "../../ports/gateway.ts";
-import type { LimitMessage } from "../../ports/permits.ts";
-import type { GatewayContext } from "./context.ts";
-import type { InstallationTracker } from "./installation_tracker.ts";
+} from "../../../ports/gateway.ts";
+import type { LimitMessage } from "../../../ports/permits.ts";
+import type { GatewayContext } from "../context.ts";
+import type { InstallationTracker } from "../servers/installation_tracker.ts";
 
 /** Delays after which the news that a server leaves is repeated, since datagrams may be lost, in ms. */
 const repeatDelays: readonly Millis[] = [100, 400, 1_000].map(millis);
--- a/src/node/gateway/peer_contacts.ts
+++ b/src/node/gateway/peers/peer_contacts.ts
@@ -1,5 +1,5 @@
-import type { Millis } from "../../core/clock.ts";
-import type { MachineName } from "../../core/ids.ts";
+import type { Millis } from "../../../core/clock.ts";
+import type { MachineName } from "../../../core/ids.ts";
 
 /** Time without an answer after which a machine is not sent requests, in ms. */
 const answerTimeout = 800;
--- a/src/node/gateway/attempt_health.ts
+++ b/src/node/gateway/requests/attempt_health.ts
@@ -1,6 +1,6 @@
-import { recordCallResult } from "../../core/gateway/server_health.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import type { GatewayContext } from "./context.ts";
+import { recordCallResult } from "../../../core/gateway/server_health.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { GatewayContext } from "../context.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
 type EndKind = AttemptResult["end"]["kind"];
--- a/src/node/gateway/crash_check.ts
+++ b/src/node/gateway/requests/crash_check.ts
@@ -1,6 +1,6 @@
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import type { ServerId } from "../../core/ids.ts";
-import type { EngineOrders } from "../../ports/gateway.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { ServerId } from "../../../core/ids.ts";
+import type { EngineOrders } from "../../../ports/gateway.ts";
 
 /**
  * Tells a crash of an engine from an answer that broke off for another reason:
--- a/src/node/gateway/prompt_admission.ts
+++ b/src/node/gateway/requests/prompt_admission.ts
@@ -1,7 +1,7 @@
-import type { Clock, Millis } from "../../core/clock.ts";
-import { millis } from "../../core/clock.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import type { Digest } from "../../core/ids.ts";
+import type { Clock, Millis } from "../../../core/clock.ts";
+import { millis } from "../../../core/clock.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { Digest } from "../../../core/ids.ts";
 import type { PromptGuard, PromptTrial } from "./prompt_guard.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
--- a/src/node/gateway/prompt_guard.ts
+++ b/src/node/gateway/requests/prompt_guard.ts
@@ -1,12 +1,16 @@
-import { type Millis, millis, sleep } from "../../core/clock.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import { brandString, type Digest, type MachineName } from "../../core/ids.ts";
-import type { PoisonStatus } from "../../core/poison/record.ts";
+import { type Millis, millis, sleep } from "../../../core/clock.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import {
+  brandString,
+  type Digest,
+  type MachineName,
+} from "../../../core/ids.ts";
+import type { PoisonStatus } from "../../../core/poison/record.ts";
 import {
   isSoundPart,
   recordSoundParts,
   type SoundParts,
-} from "../../core/poison/sound_parts.ts";
+} from "../../../core/poison/sound_parts.ts";
 import {
   claimTrial,
   endTrials,
@@ -14,10 +18,10 @@
   maxTrialTime,
   recordTrialClaim,
   type Trials,
-} from "../../core/poison/trials.ts";
-import type { PoisonMessage } from "../../ports/gateway.ts";
-import type { PoisonManager } from "../poison_manager.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../core/poison/trials.ts";
+import type { PoisonMessage } from "../../../ports/gateway.ts";
+import type { PoisonManager } from "../../poison_manager.ts";
+import type { GatewayContext } from "../context.ts";
 import type { CrashCheck } from "./crash_check.ts";
 
 /** Interval at which a request waits for the result of a trial, in ms. */
--- a/src/node/gateway/request_intake.ts
+++ b/src/node/gateway/requests/request_intake.ts
@@ -1,14 +1,17 @@
-import { type Millis, millis } from "../../core/clock.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
 import {
   chooseTarget,
   findRoute,
   type GatewayRoute,
-} from "../../core/gateway/configuration.ts";
-import { findLongestRun, type RunKind } from "../../core/gateway/run_times.ts";
-import type { ServiceName } from "../../core/ids.ts";
-import { type Refusal, refuse } from "../../core/results/refusal.ts";
-import type { ProxiedRequest } from "../../ports/gateway.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../core/gateway/configuration.ts";
+import {
+  findLongestRun,
+  type RunKind,
+} from "../../../core/gateway/run_times.ts";
+import type { ServiceName } from "../../../core/ids.ts";
+import { type Refusal, refuse } from "../../../core/results/refusal.ts";
+import type { ProxiedRequest } from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
 import { refuseWhileStopping } from "./request_refusals.ts";
 import { RequestTimeLimits } from "./request_time_limits.ts";
 
--- a/src/node/gateway/request_log.ts
+++ b/src/node/gateway/requests/request_log.ts
@@ -1,9 +1,9 @@
-import type { GatewayRoute } from "../../core/gateway/configuration.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import type { ServerId } from "../../core/ids.ts";
-import type { EventName } from "../../core/observe/events.ts";
-import type { ProxiedRequest } from "../../ports/gateway.ts";
-import type { GatewayContext } from "./context.ts";
+import type { GatewayRoute } from "../../../core/gateway/configuration.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { ServerId } from "../../../core/ids.ts";
+import type { EventName } from "../../../core/observe/events.ts";
+import type { ProxiedRequest } from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
 import type { ResponseForwarder } from "./response_forwarder.ts";
 
 /** Fields of a log event beyond the request, its route and its age. */
--- a/src/node/gateway/request_refusals.ts
+++ b/src/node/gateway/requests/request_refusals.ts
@@ -1,13 +1,13 @@
-import { millis } from "../../core/clock.ts";
+import { millis } from "../../../core/clock.ts";
 import {
   computeReturnDelay,
   type Resumption,
-} from "../../core/gateway/server_pauses.ts";
-import type { SoftwareVersion } from "../../core/ids.ts";
-import { type Refusal, refuse } from "../../core/results/refusal.ts";
-import type { ModelDemand } from "../../ports/gateway.ts";
+} from "../../../core/gateway/server_pauses.ts";
+import type { SoftwareVersion } from "../../../core/ids.ts";
+import { type Refusal, refuse } from "../../../core/results/refusal.ts";
+import type { ModelDemand } from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
-import type { GatewayContext } from "./context.ts";
 
 /** Delay before a refused caller should retry, in ms. */
 const retryDelay = millis(400);
--- a/src/node/gateway/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -1,24 +1,31 @@
-import { type Cancel, millis } from "../../core/clock.ts";
-import { recordMissing } from "../../core/gateway/adapter_directory.ts";
+import { type Cancel, millis } from "../../../core/clock.ts";
+import { recordMissing } from "../../../core/gateway/adapter_directory.ts";
 import {
   type AttemptFailure,
   decideRetry,
   type RetryDecision,
-} from "../../core/gateway/retry_decision.ts";
+} from "../../../core/gateway/retry_decision.ts";
 import {
   endRun,
   type OpenRun,
   startRun,
-} from "../../core/gateway/run_times.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import { StreamCursor } from "../../core/gateway/stream_cursor.ts";
-import { formatModelAdapterKey } from "../../core/ids.ts";
-import type { Refusal } from "../../core/results/refusal.ts";
-import type { CallerSink, ProxiedRequest } from "../../ports/gateway.ts";
+} from "../../../core/gateway/run_times.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import { StreamCursor } from "../../../core/gateway/stream_cursor.ts";
+import { formatModelAdapterKey } from "../../../core/ids.ts";
+import type { Refusal } from "../../../core/results/refusal.ts";
+import type { CallerSink, ProxiedRequest } from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
+import type { EngineUsageCounter } from "../engines/engine_usage.ts";
+import type { Permit, TakePermit } from "../servers/server_permits.ts";
+import type {
+  ServerSelection,
+  ServerSelector,
+} from "../servers/server_selector.ts";
+import { StreamContinuation } from "../streams/stream_continuation.ts";
+import type { StreamKeeper } from "../streams/stream_keeper.ts";
 import { recordAttemptHealth } from "./attempt_health.ts";
 import { AttemptHistory } from "./attempt_history.ts";
-import type { GatewayContext } from "./context.ts";
-import type { EngineUsageCounter } from "./engine_usage.ts";
 import { PromptAdmission } from "./prompt_admission.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
 import type { RequestPlan } from "./request_intake.ts";
@@ -42,10 +49,6 @@
   ServerAttempt,
   serverLeft,
 } from "./server_attempt.ts";
-import type { Permit, TakePermit } from "./server_permits.ts";
-import type { ServerSelection, ServerSelector } from "./server_selector.ts";
-import { StreamContinuation } from "./stream_continuation.ts";
-import type { StreamKeeper } from "./stream_keeper.ts";
 
 /** A request with less time left than this is refused instead of sent, in ms. */
 const minTimeLeft = 20;
--- a/src/node/gateway/request_time_limits.ts
+++ b/src/node/gateway/requests/request_time_limits.ts
@@ -1,6 +1,6 @@
-import { type Millis, millis } from "../../core/clock.ts";
-import type { GatewayRoute } from "../../core/gateway/configuration.ts";
-import type { ProxiedRequest } from "../../ports/gateway.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
+import type { GatewayRoute } from "../../../core/gateway/configuration.ts";
+import type { ProxiedRequest } from "../../../ports/gateway.ts";
 
 /** Maximum wait of a request for its first server, as a multiple of the route's target latency. */
 const maxWaitFactor = 1.6;
--- a/src/node/gateway/request_usage.ts
+++ b/src/node/gateway/requests/request_usage.ts
@@ -1,7 +1,7 @@
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import { formatModelAdapterKey, formatModelKey } from "../../core/ids.ts";
-import type { ModelDemand } from "../../ports/gateway.ts";
-import type { EngineUsageCounter } from "./engine_usage.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import { formatModelAdapterKey, formatModelKey } from "../../../core/ids.ts";
+import type { ModelDemand } from "../../../ports/gateway.ts";
+import type { EngineUsageCounter } from "../engines/engine_usage.ts";
 
 /** Counts one request at its engine, so that the engine's owner keeps the adapter there. */
 export class RequestUsage {
--- a/src/node/gateway/request_wait.ts
+++ b/src/node/gateway/requests/request_wait.ts
@@ -1,12 +1,15 @@
-import { type Millis, millis } from "../../core/clock.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import type { ProxiedRequest } from "../../ports/gateway.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { ProxiedRequest } from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
+import type { Permit, TakePermit } from "../servers/server_permits.ts";
+import type {
+  ServerSelection,
+  ServerSelector,
+} from "../servers/server_selector.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
-import type { GatewayContext } from "./context.ts";
 import type { RequestPlan } from "./request_intake.ts";
 import type { RequestLog } from "./request_log.ts";
-import type { Permit, TakePermit } from "./server_permits.ts";
-import type { ServerSelection, ServerSelector } from "./server_selector.ts";
 import { waitForServer } from "./server_wait.ts";
 
 /** Maximum wait for a permit while another server may take the request, and while none may, in ms. */
--- a/src/node/gateway/response_forwarder.ts
+++ b/src/node/gateway/requests/response_forwarder.ts
@@ -1,5 +1,5 @@
-import { type Clock, type Millis, millis } from "../../core/clock.ts";
-import type { CallerSink, ResponseHead } from "../../ports/gateway.ts";
+import { type Clock, type Millis, millis } from "../../../core/clock.ts";
+import type { CallerSink, ResponseHead } from "../../../ports/gateway.ts";
 
 type ResponseForwarderOptions = {
   readonly clock: Clock;
--- a/src/node/gateway/server_attempt.ts
+++ b/src/node/gateway/requests/server_attempt.ts
@@ -1,21 +1,21 @@
-import { type Millis, millis } from "../../core/clock.ts";
-import type { GatewayRoute } from "../../core/gateway/configuration.ts";
-import { EventBoundary } from "../../core/gateway/event_boundary.ts";
-import type { AttemptFailure } from "../../core/gateway/retry_decision.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
+import type { GatewayRoute } from "../../../core/gateway/configuration.ts";
+import { EventBoundary } from "../../../core/gateway/event_boundary.ts";
+import type { AttemptFailure } from "../../../core/gateway/retry_decision.ts";
 import {
   recordCallEnd,
   recordCallResult,
   recordCallStart,
-} from "../../core/gateway/server_health.ts";
-import type { StreamCursor } from "../../core/gateway/stream_cursor.ts";
+} from "../../../core/gateway/server_health.ts";
+import type { StreamCursor } from "../../../core/gateway/stream_cursor.ts";
 import type {
   CallerSink,
   ResponseHead,
   ServerFailure,
   ServerRequest,
   ServerRequestControl,
-} from "../../ports/gateway.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
 import { continuesStream, withoutLength } from "./stream_head.ts";
 
 /** Maximum size of a response that is buffered until it is complete, in bytes. */
--- a/src/node/gateway/server_wait.ts
+++ b/src/node/gateway/requests/server_wait.ts
@@ -1,15 +1,15 @@
-import { type Millis, millis, sleep } from "../../core/clock.ts";
-import type { Resumption } from "../../core/gateway/server_pauses.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import type { ServerId, ServiceName } from "../../core/ids.ts";
-import type { ModelDemand } from "../../ports/gateway.ts";
-import type { GatewayContext } from "./context.ts";
-import type { ModelAvailability } from "./model_requester.ts";
+import { type Millis, millis, sleep } from "../../../core/clock.ts";
+import type { Resumption } from "../../../core/gateway/server_pauses.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { ServerId, ServiceName } from "../../../core/ids.ts";
+import type { ModelDemand } from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
+import type { ModelAvailability } from "../engines/model_requester.ts";
 import type {
   RefusalListener,
   ServerSelection,
   ServerSelector,
-} from "./server_selector.ts";
+} from "../servers/server_selector.ts";
 
 /** Delay between two attempts to select a server, in ms. */
 const pollInterval = millis(60);
--- a/src/node/gateway/stream_head.ts
+++ b/src/node/gateway/requests/stream_head.ts
@@ -1,4 +1,4 @@
-import type { ResponseHead } from "../../ports/gateway.ts";
+import type { ResponseHead } from "../../../ports/gateway.ts";
 
 /** Whether a response can continue the stream that an earlier one started. */
 export function continuesStream(
--- a/src/node/gateway/lease_manager.ts
+++ b/src/node/gateway/rows/lease_manager.ts
@@ -1,4 +1,4 @@
-import { type Cancel, type Millis, millis } from "../../core/clock.ts";
+import { type Cancel, type Millis, millis } from "../../../core/clock.ts";
 import {
   applyLeaseRead,
   confirmLeaseRead,
@@ -8,26 +8,27 @@
   findOrderFence,
   invalidateLeases,
   type LeaseState,
-} from "../../core/gateway/engine_lease.ts";
+} from "../../../core/gateway/engine_lease.ts";
 import {
   getOwnRank,
   type LeaseClaim,
   planLeaseClaims,
   recordClaim,
-} from "../../core/gateway/lease_claims.ts";
+} from "../../../core/gateway/lease_claims.ts";
 import {
   comparePositions,
   type RowPosition,
-} from "../../core/gateway/row_replica.ts";
+} from "../../../core/gateway/row_replica.ts";
 import {
   brandNumber,
   type FencingNumber,
   type MachineName,
   type ServerId,
   type StoreEpoch,
-} from "../../core/ids.ts";
-import type { TableService, TransactionResult } from "../../ports/table.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../core/ids.ts";
+import type { TableService, TransactionResult } from "../../../ports/table.ts";
+import type { GatewayContext } from "../context.ts";
+import type { PeerContacts } from "../peers/peer_contacts.ts";
 import {
   createLeaseKey,
   decodeLeases,
@@ -38,7 +39,6 @@
   type ReadLeaseRows,
 } from "./lease_rows.ts";
 import { NodeRegistration } from "./node_registration.ts";
-import type { PeerContacts } from "./peer_contacts.ts";
 
 /** Interval of checks for engines that may be claimed, in ms. */
 const tickInterval = millis(250);
--- a/src/node/gateway/lease_rows.ts
+++ b/src/node/gateway/rows/lease_rows.ts
@@ -1,9 +1,12 @@
-import { type Millis, millis } from "../../core/clock.ts";
-import type { KnownNode, LeaseRow } from "../../core/gateway/engine_lease.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
+import type {
+  KnownNode,
+  LeaseRow,
+} from "../../../core/gateway/engine_lease.ts";
 import type {
   RowPosition,
   VersionedRow,
-} from "../../core/gateway/row_replica.ts";
+} from "../../../core/gateway/row_replica.ts";
 import {
   brandNumber,
   brandString,
@@ -11,10 +14,10 @@
   type RowKey,
   type ServerId,
   type StoreEpoch,
-} from "../../core/ids.ts";
-import { isSocketAddress } from "../../core/socket_address.ts";
-import type { RowFollower } from "../../ports/rows.ts";
-import type { Json, Row } from "../../ports/table.ts";
+} from "../../../core/ids.ts";
+import { isSocketAddress } from "../../../core/socket_address.ts";
+import type { RowFollower } from "../../../ports/rows.ts";
+import type { Json, Row } from "../../../ports/table.ts";
 
 const leasePrefix = "engine/";
 const nodePrefix = "node/";
--- a/src/node/gateway/node_registration.ts
+++ b/src/node/gateway/rows/node_registration.ts
@@ -1,12 +1,12 @@
-import { type Millis, millis } from "../../core/clock.ts";
-import type { StoreEpoch } from "../../core/ids.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
+import type { StoreEpoch } from "../../../core/ids.ts";
 import type {
   Json,
   Row,
   TableService,
   TransactionResult,
-} from "../../ports/table.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../ports/table.ts";
+import type { GatewayContext } from "../context.ts";
 import { createNodeKey, encodeNode } from "./lease_rows.ts";
 
 /** Time over which the nodes spread the writes of their addresses after a restore of the table service, in ms. */
--- a/src/node/gateway/row_copies.ts
+++ b/src/node/gateway/rows/row_copies.ts
@@ -1,10 +1,10 @@
-import { type Clock, type Millis, millis } from "../../core/clock.ts";
+import { type Clock, type Millis, millis } from "../../../core/clock.ts";
 import {
   createOutageWatch,
   type OutageWatch,
   recordTableAnswer,
   recordTableRestore,
-} from "../../core/gateway/outage_watch.ts";
+} from "../../../core/gateway/outage_watch.ts";
 import {
   applyRows,
   computeAge,
@@ -16,9 +16,9 @@
   type RowReplica,
   selectRowsAfter,
   type UrgencyPolicy,
-} from "../../core/gateway/row_replica.ts";
-import type { MachineName } from "../../core/ids.ts";
-import type { Journal } from "../../ports/journal.ts";
+} from "../../../core/gateway/row_replica.ts";
+import type { MachineName } from "../../../core/ids.ts";
+import type { Journal } from "../../../ports/journal.ts";
 import {
   type RowChange,
   type RowDelivery,
@@ -26,7 +26,7 @@
   type RowSnapshot,
   type RowTopic,
   rowTopics,
-} from "../../ports/rows.ts";
+} from "../../../ports/rows.ts";
 
 /**
  * Time without an answer of the table service from which rows count as
--- a/src/node/gateway/row_relay.ts
+++ b/src/node/gateway/rows/row_relay.ts
@@ -1,5 +1,5 @@
-import { type Clock, type Millis, millis, sleep } from "../../core/clock.ts";
-import type { KnownNode } from "../../core/gateway/engine_lease.ts";
+import { type Clock, type Millis, millis, sleep } from "../../../core/clock.ts";
+import type { KnownNode } from "../../../core/gateway/engine_lease.ts";
 import {
   chooseReader,
   createReaderChoice,
@@ -10,14 +10,14 @@
   recordReaderFault,
   recordReaderSuccess,
   setReaderCandidates,
-} from "../../core/gateway/reader_choice.ts";
+} from "../../../core/gateway/reader_choice.ts";
 import {
   listRows,
   type UrgencyPolicy,
   type VersionedRow,
-} from "../../core/gateway/row_replica.ts";
-import type { DataCentre, MachineName } from "../../core/ids.ts";
-import type { Journal } from "../../ports/journal.ts";
+} from "../../../core/gateway/row_replica.ts";
+import type { DataCentre, MachineName } from "../../../core/ids.ts";
+import type { Journal } from "../../../ports/journal.ts";
 import {
   type RowDelivery,
   type RowFailure,
@@ -29,7 +29,7 @@
   type RowSource,
   type RowTopic,
   rowTopics,
-} from "../../ports/rows.ts";
+} from "../../../ports/rows.ts";
 import { areRecent, RowCopies, type RowListener } from "./row_copies.ts";
 import { maxServeWait, RowResponder } from "./row_responder.ts";
 import { RowSearch } from "./row_search.ts";
--- a/src/node/gateway/row_responder.ts
+++ b/src/node/gateway/rows/row_responder.ts
@@ -1,5 +1,9 @@
-import { type Clock, type Millis, millis } from "../../core/clock.ts";
-import type { RowDelivery, RowRequest, RowServer } from "../../ports/rows.ts";
+import { type Clock, type Millis, millis } from "../../../core/clock.ts";
+import type {
+  RowDelivery,
+  RowRequest,
+  RowServer,
+} from "../../../ports/rows.ts";
 import type { RowCopies } from "./row_copies.ts";
 
 /** Maximum time that a node holds the call of another until a row changes, in ms. */
--- a/src/node/gateway/row_search.ts
+++ b/src/node/gateway/rows/row_search.ts
@@ -1,7 +1,7 @@
-import type { Clock } from "../../core/clock.ts";
-import type { ReaderFault } from "../../core/gateway/reader_choice.ts";
-import type { MachineName } from "../../core/ids.ts";
-import type { Journal } from "../../ports/journal.ts";
+import type { Clock } from "../../../core/clock.ts";
+import type { ReaderFault } from "../../../core/gateway/reader_choice.ts";
+import type { MachineName } from "../../../core/ids.ts";
+import type { Journal } from "../../../ports/journal.ts";
 
 /** Minimum time between the starts of two searches, in ms. */
 const searchInterval = 300;
--- a/src/node/gateway/topic_poller.ts
+++ b/src/node/gateway/rows/topic_poller.ts
@@ -1,10 +1,10 @@
-import { type Clock, type Millis, millis, sleep } from "../../core/clock.ts";
+import { type Clock, type Millis, millis, sleep } from "../../../core/clock.ts";
 import type {
   Instant,
   RowBatch,
   RowPosition,
-} from "../../core/gateway/row_replica.ts";
-import type { RowFailure, RowSource, RowTopic } from "../../ports/rows.ts";
+} from "../../../core/gateway/row_replica.ts";
+import type { RowFailure, RowSource, RowTopic } from "../../../ports/rows.ts";
 
 /** Timing of the calls for one topic, in ms. */
 export type PollSchedule = {
--- a/src/node/gateway/installation_tracker.ts
+++ b/src/node/gateway/servers/installation_tracker.ts
@@ -1,9 +1,9 @@
-import { type Millis, millis } from "../../core/clock.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
 import {
   forgetEngineAdapters,
   recordRegistration,
-} from "../../core/gateway/adapter_directory.ts";
-import { forgetServer } from "../../core/gateway/server_health.ts";
+} from "../../../core/gateway/adapter_directory.ts";
+import { forgetServer } from "../../../core/gateway/server_health.ts";
 import {
   applyServerChange,
   type BackendServer,
@@ -11,11 +11,14 @@
   recordLeaving,
   removeExpiredServers,
   type ServerChange,
-} from "../../core/gateway/servers.ts";
-import type { ServerId } from "../../core/ids.ts";
-import type { EntryOrigin, InstallationChange } from "../../ports/gateway.ts";
-import type { EventFields } from "../../ports/journal.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../core/gateway/servers.ts";
+import type { ServerId } from "../../../core/ids.ts";
+import type {
+  EntryOrigin,
+  InstallationChange,
+} from "../../../ports/gateway.ts";
+import type { EventFields } from "../../../ports/journal.ts";
+import type { GatewayContext } from "../context.ts";
 
 type InstallationTrackerOptions = {
   readonly context: GatewayContext;
--- a/src/node/gateway/limit_tracker.ts
+++ b/src/node/gateway/servers/limit_tracker.ts
@@ -1,8 +1,8 @@
-import { type Clock, type Millis, millis } from "../../core/clock.ts";
+import { type Clock, type Millis, millis } from "../../../core/clock.ts";
 import {
   boundLimit,
   parseRequestLimit,
-} from "../../core/gateway/request_limit.ts";
+} from "../../../core/gateway/request_limit.ts";
 import {
   createServerLimits,
   findDenialEnd,
@@ -13,10 +13,10 @@
   recordDenial,
   recordLimit,
   removeLimitsOfGone,
-} from "../../core/gateway/server_limits.ts";
-import type { Incarnation } from "../../core/gateway/servers.ts";
-import type { ServerId } from "../../core/ids.ts";
-import type { Journal, Meter } from "../../ports/journal.ts";
+} from "../../../core/gateway/server_limits.ts";
+import type { Incarnation } from "../../../core/gateway/servers.ts";
+import type { ServerId } from "../../../core/ids.ts";
+import type { Journal, Meter } from "../../../ports/journal.ts";
 
 type LimitTrackerOptions = {
   readonly clock: Clock;
--- a/src/node/gateway/server_availability.ts
+++ b/src/node/gateway/servers/server_availability.ts
@@ -1,12 +1,12 @@
-import { type Clock, millis } from "../../core/clock.ts";
-import type { Resumption } from "../../core/gateway/server_pauses.ts";
+import { type Clock, millis } from "../../../core/clock.ts";
+import type { Resumption } from "../../../core/gateway/server_pauses.ts";
 import {
   acceptsRequests,
   type BackendServer,
   type ServerDirectory,
-} from "../../core/gateway/servers.ts";
-import type { Journal, Meter } from "../../ports/journal.ts";
-import { PauseTracker } from "../pause_tracker.ts";
+} from "../../../core/gateway/servers.ts";
+import type { Journal, Meter } from "../../../ports/journal.ts";
+import { PauseTracker } from "../../pause_tracker.ts";
 import { LimitTracker } from "./limit_tracker.ts";
 import type { Permit } from "./server_permits.ts";
 
--- a/src/node/gateway/server_permits.ts
+++ b/src/node/gateway/servers/server_permits.ts
@@ -1,17 +1,17 @@
-import { type Clock, type Millis, millis, sleep } from "../../core/clock.ts";
+import { type Clock, type Millis, millis, sleep } from "../../../core/clock.ts";
 import {
   createRateAllocation,
   type RateAllocation,
   takeFromAllocation,
-} from "../../core/gateway/rate_allocation.ts";
-import type { Incarnation } from "../../core/gateway/servers.ts";
-import type { MachineName, ServerId } from "../../core/ids.ts";
-import { rankByRendezvous } from "../../core/lease/rendezvous.ts";
-import type { NodeLinks } from "../../ports/gateway.ts";
-import type { Meter } from "../../ports/journal.ts";
-import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
+} from "../../../core/gateway/rate_allocation.ts";
+import type { Incarnation } from "../../../core/gateway/servers.ts";
+import type { MachineName, ServerId } from "../../../core/ids.ts";
+import { rankByRendezvous } from "../../../core/lease/rendezvous.ts";
+import type { NodeLinks } from "../../../ports/gateway.ts";
+import type { Meter } from "../../../ports/journal.ts";
+import type { PermitAnswer, PermitRequest } from "../../../ports/permits.ts";
+import type { PeerContacts } from "../peers/peer_contacts.ts";
 import type { LimitTracker } from "./limit_tracker.ts";
-import type { PeerContacts } from "./peer_contacts.ts";
 
 /** Time from its grant in which a permit must be used, in ms. */
 const permitLifetime = 400;
--- a/src/node/gateway/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -1,31 +1,34 @@
-import { type Millis, millis } from "../../core/clock.ts";
-import { recordPromise } from "../../core/gateway/adapter_directory.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
+import { recordPromise } from "../../../core/gateway/adapter_directory.ts";
 import {
   chooseLeastCost,
   excludeServers,
-} from "../../core/gateway/choose_server.ts";
-import type { EngineBacklog } from "../../core/gateway/engine_backlog.ts";
+} from "../../../core/gateway/choose_server.ts";
+import type { EngineBacklog } from "../../../core/gateway/engine_backlog.ts";
 import {
   chooseShortestWait,
   type RankedEngine,
   rankEngines,
-} from "../../core/gateway/engine_ranking.ts";
-import { isSuspended } from "../../core/gateway/server_health.ts";
-import type { Resumption } from "../../core/gateway/server_pauses.ts";
+} from "../../../core/gateway/engine_ranking.ts";
+import { isSuspended } from "../../../core/gateway/server_health.ts";
+import type { Resumption } from "../../../core/gateway/server_pauses.ts";
 import {
   type BackendServer,
   listUsableServers,
-} from "../../core/gateway/servers.ts";
+} from "../../../core/gateway/servers.ts";
 import {
   formatModelAdapterKey,
   type ModelAdapterKey,
   type ModelName,
   type ServerId,
   type ServiceName,
-} from "../../core/ids.ts";
-import type { AcquireResult, ModelDemand } from "../../ports/gateway.ts";
-import type { GatewayContext } from "./context.ts";
-import type { ModelAvailability, ModelRequester } from "./model_requester.ts";
+} from "../../../core/ids.ts";
+import type { AcquireResult, ModelDemand } from "../../../ports/gateway.ts";
+import type { GatewayContext } from "../context.ts";
+import type {
+  ModelAvailability,
+  ModelRequester,
+} from "../engines/model_requester.ts";
 
 /** Requests an adapter from the owner of an engine. */
 export type AcquireAdapter = (
--- a/src/node/gateway/stream_continuation.ts
+++ b/src/node/gateway/streams/stream_continuation.ts
@@ -1,7 +1,7 @@
-import type { BackendServer } from "../../core/gateway/servers.ts";
-import type { SoftwareVersion } from "../../core/ids.ts";
-import type { ProxiedRequest } from "../../ports/gateway.ts";
-import type { RequestPlan } from "./request_intake.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { SoftwareVersion } from "../../../core/ids.ts";
+import type { ProxiedRequest } from "../../../ports/gateway.ts";
+import type { RequestPlan } from "../requests/request_intake.ts";
 import type { StreamKeeper } from "./stream_keeper.ts";
 
 /** Servers at which one stream may go on: those of the software version that began it. */
--- a/src/node/gateway/stream_keeper.ts
+++ b/src/node/gateway/streams/stream_keeper.ts
@@ -1,5 +1,5 @@
-import { type Cancel, type Millis, millis } from "../../core/clock.ts";
-import type { BackendServer } from "../../core/gateway/servers.ts";
+import { type Cancel, type Millis, millis } from "../../../core/clock.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
 import {
   createVersionHistory,
   listMixedServices,
@@ -7,20 +7,20 @@
   recordServers,
   recordVersion,
   streamMemory,
-} from "../../core/gateway/software_versions.ts";
+} from "../../../core/gateway/software_versions.ts";
 import {
   recordOrigin,
   recordWholeStream,
   removeOldOrigins,
   type StreamOrigins,
-} from "../../core/gateway/stream_origins.ts";
+} from "../../../core/gateway/stream_origins.ts";
 import type {
   RequestId,
   ServiceName,
   SoftwareVersion,
-} from "../../core/ids.ts";
-import type { Row, TableService } from "../../ports/table.ts";
-import type { GatewayContext } from "./context.ts";
+} from "../../../core/ids.ts";
+import type { Row, TableService } from "../../../ports/table.ts";
+import type { GatewayContext } from "../context.ts";
 import {
   createStreamKey,
   decodeStreamRow,
--- a/src/node/gateway/stream_rows.ts
+++ b/src/node/gateway/streams/stream_rows.ts
@@ -1,4 +1,4 @@
-import { type Millis, millis } from "../../core/clock.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
 import {
   brandString,
   type MachineName,
@@ -6,8 +6,8 @@
   type RowKey,
   type ServiceName,
   type SoftwareVersion,
-} from "../../core/ids.ts";
-import type { Json, Row } from "../../ports/table.ts";
+} from "../../../core/ids.ts";
+import type { Json, Row } from "../../../ports/table.ts";
 
 const streamPrefix = "streams/";
 /** Maximum number of streams in one row, which keeps it below the size that the table allows. */
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -25,7 +25,7 @@
   type StoreEpoch,
 } from "../../src/core/ids.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
-import type { LeaseRead } from "../../src/node/gateway/lease_rows.ts";
+import type { LeaseRead } from "../../src/node/gateway/rows/lease_rows.ts";
 import type {
   EngineOrders,
   EntryOrigin,
--- a/tests/gateway/lease_rows_test.ts
+++ b/tests/gateway/lease_rows_test.ts
@@ -12,7 +12,7 @@
   createLeaseReader,
   decodeLeases,
   decodeNodes,
-} from "../../src/node/gateway/lease_rows.ts";
+} from "../../src/node/gateway/rows/lease_rows.ts";
 import type { RowFollower, RowSnapshot } from "../../src/ports/rows.ts";
 import type { Json, Row } from "../../src/ports/table.ts";
 import { deepArray, oddNumbers } from "../platform_adapter/odd_entries.ts";
--- a/tests/gateway/leaving_notice_test.ts
+++ b/tests/gateway/leaving_notice_test.ts
@@ -5,8 +5,8 @@
   encodeNodeMessage,
 } from "../../src/adapters/peers/node_message_codec.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
-import type { InstallationTracker } from "../../src/node/gateway/installation_tracker.ts";
-import { NoticeHandler } from "../../src/node/gateway/notice_handler.ts";
+import { NoticeHandler } from "../../src/node/gateway/peers/notice_handler.ts";
+import type { InstallationTracker } from "../../src/node/gateway/servers/installation_tracker.ts";
 import type { LeavingMessage, NodeMessage } from "../../src/ports/gateway.ts";
 import {
   createDemand,
--- a/tests/gateway/model_requester_test.ts
+++ b/tests/gateway/model_requester_test.ts
@@ -5,7 +5,7 @@
 import { millis } from "../../src/core/clock.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import { GatewayContext } from "../../src/node/gateway/context.ts";
-import { ModelRequester } from "../../src/node/gateway/model_requester.ts";
+import { ModelRequester } from "../../src/node/gateway/engines/model_requester.ts";
 import type { ModelResult } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { createServer, engines } from "./gateway_fixture.ts";
--- a/tests/gateway/row_failures_test.ts
+++ b/tests/gateway/row_failures_test.ts
@@ -16,7 +16,7 @@
   type StoreEpoch,
 } from "../../src/core/ids.ts";
 import type { EventName } from "../../src/core/observe/events.ts";
-import { RowRelay } from "../../src/node/gateway/row_relay.ts";
+import { RowRelay } from "../../src/node/gateway/rows/row_relay.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
 import type { RowFailure, RowSource, RowTopic } from "../../src/ports/rows.ts";
 import { registration } from "../platform_adapter/fake_store.ts";
--- a/tests/gateway/row_fleet.ts
+++ b/tests/gateway/row_fleet.ts
@@ -14,7 +14,7 @@
   type MachineName,
   type StoreEpoch,
 } from "../../src/core/ids.ts";
-import { RowRelay } from "../../src/node/gateway/row_relay.ts";
+import { RowRelay } from "../../src/node/gateway/rows/row_relay.ts";
 import { silentJournal } from "../../src/ports/journal.ts";
 import {
   type RowDelivery,
--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -15,7 +15,7 @@
   type ModelAdapterKey,
   type ServerId,
 } from "../../src/core/ids.ts";
-import { EngineUsageCounter } from "../../src/node/gateway/engine_usage.ts";
+import { EngineUsageCounter } from "../../src/node/gateway/engines/engine_usage.ts";
 import type { Gateway } from "../../src/node/gateway/gateway.ts";
 import type { CallerSink, ProxiedRequest } from "../../src/ports/gateway.ts";
 import { RawConnection } from "../support/raw_connection.ts";
--- a/tests/platform_adapter/socket_network.ts
+++ b/tests/platform_adapter/socket_network.ts
@@ -1,7 +1,7 @@
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { brandNumber, type StoreEpoch } from "../../src/core/ids.ts";
 import type { Gateway } from "../../src/node/gateway/gateway.ts";
-import type { LeaseRead } from "../../src/node/gateway/lease_rows.ts";
+import type { LeaseRead } from "../../src/node/gateway/rows/lease_rows.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
 
 /** Above the version of any single row of the memory table. */
--- a/tests/platform_adapter/store_answers_test.ts
+++ b/tests/platform_adapter/store_answers_test.ts
@@ -15,7 +15,7 @@
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
-import { RowRelay } from "../../src/node/gateway/row_relay.ts";
+import { RowRelay } from "../../src/node/gateway/rows/row_relay.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { registration } from "./fake_store.ts";
 import { deepArray, oddNumbers } from "./odd_entries.ts";
