--- a/src/adapters/peers/node_channel.ts
+++ b/src/adapters/peers/node_channel.ts
@@ -1,7 +1,7 @@
 import { createSocket, type Socket } from "node:dgram";
 import { isSocketAddress } from "../../core/socket_address.ts";
-import type { NodeChannel, NodeMessage } from "../../ports/gateway.ts";
 import type { Journal } from "../../ports/journal.ts";
+import type { NodeChannel, NodeMessage } from "../../ports/nodes.ts";
 import { decodeNodeMessage, encodeNodeMessage } from "./node_message_codec.ts";
 
 /** Maximum size of a datagram, in bytes, below the usual path MTU. */
--- a/src/adapters/peers/node_links.ts
+++ b/src/adapters/peers/node_links.ts
@@ -7,7 +7,7 @@
   ModelRequest,
   ModelResult,
   NodeLinks,
-} from "../../ports/gateway.ts";
+} from "../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
 import type { RowDelivery, RowPeers, RowRequest } from "../../ports/rows.ts";
 import type { NodeRouter } from "./node_router.ts";
--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -7,7 +7,7 @@
 } from "../../core/gateway/engine_backlog.ts";
 import { brandString, type Digest, type MachineName } from "../../core/ids.ts";
 import { crashLimit } from "../../core/poison/record.ts";
-import type { LeavingMessage, NodeMessage } from "../../ports/gateway.ts";
+import type { LeavingMessage, NodeMessage } from "../../ports/nodes.ts";
 import type { LimitMessage } from "../../ports/permits.ts";
 
 /** Maximum number of engines in one datagram, which keeps it below the usual path MTU. */
--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -3,7 +3,7 @@
 import { z } from "zod";
 import { millis } from "../../core/clock.ts";
 import { brandString } from "../../core/ids.ts";
-import type { NodeCallHandler } from "../../ports/gateway.ts";
+import type { NodeCallHandler } from "../../ports/nodes.ts";
 import type { RowServer } from "../../ports/rows.ts";
 import { encodeDelivery, positionFrame } from "./row_frames.ts";
 
--- a/src/bench/permit_fleet.ts
+++ b/src/bench/permit_fleet.ts
@@ -8,8 +8,8 @@
   type Permit,
   ServerPermits,
 } from "../node/gateway/servers/server_permits.ts";
-import type { NodeLinks } from "../ports/gateway.ts";
 import { silentJournal, silentMeter } from "../ports/journal.ts";
+import type { NodeLinks } from "../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../ports/permits.ts";
 import { drawExponential } from "./random.ts";
 
--- a/src/node/gateway/engines/engine_controllers.ts
+++ b/src/node/gateway/engines/engine_controllers.ts
@@ -21,13 +21,13 @@
   type ServerId,
   type ServiceName,
 } from "../../../core/ids.ts";
+import type { EngineOrders } from "../../../ports/gateway.ts";
 import type {
   AcquireResult,
-  EngineOrders,
   ModelRequest,
   ModelResult,
   NodeCallHandler,
-} from "../../../ports/gateway.ts";
+} from "../../../ports/nodes.ts";
 import type { GatewayContext } from "../context.ts";
 import type { LeaseManager } from "../rows/lease_manager.ts";
 import type { TakePermit } from "../servers/server_permits.ts";
--- a/src/node/gateway/engines/model_requester.ts
+++ b/src/node/gateway/engines/model_requester.ts
@@ -2,7 +2,7 @@
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { ModelName, ServerId, ServiceName } from "../../../core/ids.ts";
 import { rankByRendezvous } from "../../../core/lease/rendezvous.ts";
-import type { ModelResult } from "../../../ports/gateway.ts";
+import type { ModelResult } from "../../../ports/nodes.ts";
 import type { GatewayContext } from "../context.ts";
 
 /** Asks the owner of an engine for a base model. */
--- a/src/node/gateway/engines/owner_calls.ts
+++ b/src/node/gateway/engines/owner_calls.ts
@@ -4,7 +4,7 @@
   AcquireResult,
   ModelResult,
   NodeLinks,
-} from "../../../ports/gateway.ts";
+} from "../../../ports/nodes.ts";
 import type { GatewayContext } from "../context.ts";
 import type { PeerContacts } from "../peers/peer_contacts.ts";
 import type { LeaseManager } from "../rows/lease_manager.ts";
--- a/src/node/gateway/engines/usage_reporter.ts
+++ b/src/node/gateway/engines/usage_reporter.ts
@@ -16,7 +16,7 @@
   takeDueReports,
 } from "../../../core/gateway/report_schedule.ts";
 import type { MachineName, ServerId } from "../../../core/ids.ts";
-import type { NodeChannel, UsageMessage } from "../../../ports/gateway.ts";
+import type { NodeChannel, UsageMessage } from "../../../ports/nodes.ts";
 import type { GatewayContext } from "../context.ts";
 import type { PeerContacts } from "../peers/peer_contacts.ts";
 import type { LeaseManager } from "../rows/lease_manager.ts";
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -4,15 +4,17 @@
   CallerSink,
   EngineOrders,
   InstallationFeed,
+  ProxiedRequest,
+  ServerNotices,
+} from "../../ports/gateway.ts";
+import type {
   ModelRequest,
   ModelResult,
   NodeCallHandler,
   NodeChannel,
   NodeLinks,
   PoisonMessage,
-  ProxiedRequest,
-  ServerNotices,
-} from "../../ports/gateway.ts";
+} from "../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
 import type { TableService } from "../../ports/table.ts";
 import { type FollowTableRows, PoisonManager } from "../poison_manager.ts";
--- a/src/node/gateway/peers/notice_handler.ts
+++ b/src/node/gateway/peers/notice_handler.ts
@@ -3,11 +3,8 @@
   BackendServer,
   Incarnation,
 } from "../../../core/gateway/servers.ts";
-import type {
-  LeavingMessage,
-  NodeChannel,
-  ServerNotice,
-} from "../../../ports/gateway.ts";
+import type { ServerNotice } from "../../../ports/gateway.ts";
+import type { LeavingMessage, NodeChannel } from "../../../ports/nodes.ts";
 import type { LimitMessage } from "../../../ports/permits.ts";
 import type { GatewayContext } from "../context.ts";
 import type { InstallationTracker } from "../servers/installation_tracker.ts";
--- a/src/node/gateway/peers/poison_broadcast.ts
+++ b/src/node/gateway/peers/poison_broadcast.ts
@@ -1,5 +1,5 @@
 import { type Clock, millis } from "../../../core/clock.ts";
-import type { NodeChannel, PoisonMessage } from "../../../ports/gateway.ts";
+import type { NodeChannel, PoisonMessage } from "../../../ports/nodes.ts";
 
 /** Delay of the second copy of a message, which replaces a lost first one, in ms. */
 const repeatDelay = millis(250);
--- a/src/node/gateway/requests/attempt_history.ts
+++ b/src/node/gateway/requests/attempt_history.ts
@@ -2,7 +2,7 @@
 import type { Resumption } from "../../../core/gateway/server_pauses.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { ServerId } from "../../../core/ids.ts";
-import type { AcquireResult } from "../../../ports/gateway.ts";
+import type { AcquireResult } from "../../../ports/nodes.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
 /** How an attempt ended. */
--- a/src/node/gateway/requests/prompt_guard.ts
+++ b/src/node/gateway/requests/prompt_guard.ts
@@ -19,7 +19,7 @@
   recordTrialClaim,
   type Trials,
 } from "../../../core/poison/trials.ts";
-import type { PoisonMessage } from "../../../ports/gateway.ts";
+import type { PoisonMessage } from "../../../ports/nodes.ts";
 import type { PoisonManager } from "../../poison_manager.ts";
 import type { GatewayContext } from "../context.ts";
 import type { CrashCheck } from "./crash_check.ts";
--- a/src/node/gateway/servers/server_permits.ts
+++ b/src/node/gateway/servers/server_permits.ts
@@ -7,8 +7,8 @@
 import type { Incarnation } from "../../../core/gateway/servers.ts";
 import type { MachineName, ServerId } from "../../../core/ids.ts";
 import { rankByRendezvous } from "../../../core/lease/rendezvous.ts";
-import type { NodeLinks } from "../../../ports/gateway.ts";
 import type { Meter } from "../../../ports/journal.ts";
+import type { NodeLinks } from "../../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../../ports/permits.ts";
 import type { PeerContacts } from "../peers/peer_contacts.ts";
 import type { LimitTracker } from "./limit_tracker.ts";
--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -23,7 +23,8 @@
   type ServerId,
   type ServiceName,
 } from "../../../core/ids.ts";
-import type { AcquireResult, ModelDemand } from "../../../ports/gateway.ts";
+import type { ModelDemand } from "../../../ports/gateway.ts";
+import type { AcquireResult } from "../../../ports/nodes.ts";
 import type { GatewayContext } from "../context.ts";
 import type {
   ModelAvailability,
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -1,18 +1,9 @@
 import type { Either } from "purify-ts";
 import type { Millis } from "../core/clock.ts";
 import type { GatewayConfiguration } from "../core/gateway/configuration.ts";
-import type {
-  EngineBacklog,
-  EngineUsage,
-  OwnerReport,
-} from "../core/gateway/engine_backlog.ts";
 import type { IncomingAdapter } from "../core/gateway/engine_contents.ts";
 import type { EngineOrder, OrderAnswer } from "../core/gateway/orders.ts";
-import type {
-  BackendServer,
-  Incarnation,
-  ServerChange,
-} from "../core/gateway/servers.ts";
+import type { BackendServer, ServerChange } from "../core/gateway/servers.ts";
 import type {
   AdapterName,
   Digest,
@@ -23,9 +14,7 @@
   RequestId,
   ServerId,
 } from "../core/ids.ts";
-import type { PoisonRecord } from "../core/poison/record.ts";
 import type { Refusal } from "../core/results/refusal.ts";
-import type { LimitMessage, PermitAnswer, PermitRequest } from "./permits.ts";
 
 /** Alternating header names and values, as received. */
 export type RawHeaders = readonly string[];
@@ -229,123 +218,3 @@
   follow(listener: (change: InstallationChange) => void): void;
   stop(): void;
 };
-
-/** Response of an engine's owner to a request for an adapter. */
-export type AcquireResult =
-  /** The adapter is ready now or will be in `inMs` ms; with the requests of the other nodes. */
-  | {
-      readonly kind: "ready";
-      readonly inMs: number;
-      readonly backlog: EngineBacklog;
-    }
-  | {
-      readonly kind: "refused";
-      /**
-       * `not-owner`: the node does not own the engine. `full`: no slot became
-       * free in time. `busy`: the load could not start within `patience`, or too
-       * many loads are pending. `cold`: the engine did not hold the model in
-       * time. `unreachable`: the call to the owner failed.
-       */
-      readonly reason: "not-owner" | "full" | "busy" | "cold" | "unreachable";
-    };
-
-/** Response of an engine's owner to a request for a base model. */
-export type ModelResult =
-  /** The engine holds the model, or will in `inMs` ms. */
-  | { readonly kind: "ready"; readonly inMs: number }
-  | {
-      readonly kind: "refused";
-      /** `busy`: the engine keeps what it holds. */
-      readonly reason: "busy" | "not-owner" | "unreachable";
-    };
-
-/** Request for a base model at one engine. */
-export type ModelRequest = {
-  readonly engine: ServerId;
-  readonly model: ModelName;
-  /** Number of requests that need the model since the last call. */
-  readonly requests: number;
-};
-
-/** Report between nodes: engine usage to the owner, or the engine's backlog from the owner. */
-export type UsageMessage =
-  | {
-      readonly type: "use";
-      readonly from: MachineName;
-      readonly engines: readonly EngineUsage[];
-    }
-  | {
-      readonly type: "load";
-      readonly from: MachineName;
-      readonly engines: readonly OwnerReport[];
-    };
-
-/** Record of content that may crash engines, or announcement of a trial of it. */
-export type PoisonMessage =
-  | {
-      readonly type: "poison";
-      readonly from: MachineName;
-      readonly digest: Digest;
-      readonly record: PoisonRecord;
-    }
-  | {
-      /** The node runs a request with these parts, to see whether they crash an engine. */
-      readonly type: "trial";
-      readonly from: MachineName;
-      readonly parts: readonly Digest[];
-      /** Maximum time for which the other nodes wait for the result. */
-      readonly duration: Millis;
-    };
-
-/** News that one incarnation of a server leaves. */
-export type LeavingMessage = {
-  readonly type: "leaving";
-  readonly from: MachineName;
-  readonly incarnation: Incarnation;
-};
-
-/** Message between two nodes. */
-export type NodeMessage =
-  | UsageMessage
-  | PoisonMessage
-  | LeavingMessage
-  | LimitMessage;
-
-/** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
-export type NodeChannel = {
-  send(address: string, message: NodeMessage): void;
-  onMessage(listener: (message: NodeMessage, from: string) => void): void;
-  close(): void;
-};
-
-/** Handles the calls of other nodes. */
-export type NodeCallHandler = {
-  acquire(request: {
-    /** The node that asks. */
-    readonly from: MachineName;
-    readonly engine: ServerId;
-    readonly place: ModelAdapterKey;
-    readonly version: number;
-    /** The engine has just answered that the adapter is not loaded. */
-    readonly wasDenied: boolean;
-    /** Maximum wait until the load may start, in ms. */
-    readonly patience: number;
-  }): Promise<AcquireResult>;
-  requestModel(request: ModelRequest): Promise<ModelResult>;
-  requestPermit(request: PermitRequest): Promise<PermitAnswer>;
-};
-
-/** Calls to other nodes; each has a timeout and fails as `unreachable`. */
-export type NodeLinks = {
-  acquire(
-    address: string,
-    request: Parameters<NodeCallHandler["acquire"]>[0],
-  ): Promise<AcquireResult>;
-  requestModel(address: string, request: ModelRequest): Promise<ModelResult>;
-  /** Undefined if the node does not answer within `timeout` ms. */
-  requestPermit(
-    address: string,
-    request: PermitRequest,
-    timeout: Millis,
-  ): Promise<PermitAnswer | undefined>;
-};
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -30,13 +30,13 @@
   EngineOrders,
   EntryOrigin,
   InstallationChange,
-  NodeMessage,
   ProxiedRequest,
   RowOrigin,
   ServerLinks,
   ServerNotice,
 } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import type { NodeMessage } from "../../src/ports/nodes.ts";
 import type { Transaction } from "../../src/ports/table.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
 import { RecordedAnswer, RecordedAttempt } from "./recorded_exchange.ts";
--- a/tests/gateway/leaving_notice_test.ts
+++ b/tests/gateway/leaving_notice_test.ts
@@ -7,7 +7,7 @@
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import { NoticeHandler } from "../../src/node/gateway/peers/notice_handler.ts";
 import type { InstallationTracker } from "../../src/node/gateway/servers/installation_tracker.ts";
-import type { LeavingMessage, NodeMessage } from "../../src/ports/gateway.ts";
+import type { LeavingMessage, NodeMessage } from "../../src/ports/nodes.ts";
 import {
   createDemand,
   createServer,
--- a/tests/gateway/model_requester_test.ts
+++ b/tests/gateway/model_requester_test.ts
@@ -6,8 +6,8 @@
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import { GatewayContext } from "../../src/node/gateway/context.ts";
 import { ModelRequester } from "../../src/node/gateway/engines/model_requester.ts";
-import type { ModelResult } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import type { ModelResult } from "../../src/ports/nodes.ts";
 import { createServer, engines } from "./gateway_fixture.ts";
 
 const model = brandString<never>("m1");
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -10,8 +10,8 @@
 import { createNodeServer } from "../../src/adapters/peers/node_router.ts";
 import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
-import type { NodeCallHandler, NodeMessage } from "../../src/ports/gateway.ts";
 import { silentJournal } from "../../src/ports/journal.ts";
+import type { NodeCallHandler, NodeMessage } from "../../src/ports/nodes.ts";
 import type { PermitRequest } from "../../src/ports/permits.ts";
 
 const packr = new Packr({ useRecords: false });
