--- a/src/node/gateway/engines/owner_calls.ts
+++ b/src/node/gateway/engines/owner_calls.ts
@@ -8,7 +8,7 @@
 import type { GatewayContext } from "../context.ts";
 import type { PeerContacts } from "../peers/peer_contacts.ts";
 import type { LeaseManager } from "../rows/lease_manager.ts";
-import type { AcquireAdapter } from "../servers/server_selector.ts";
+import type { AcquireAdapter } from "../servers/adapter_selector.ts";
 import type { EngineControllers } from "./engine_controllers.ts";
 import type { RequestModel } from "./model_requester.ts";
 
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -1,5 +1,4 @@
 import { type Cancel, millis } from "../../../core/clock.ts";
-import { recordMissing } from "../../../core/gateway/adapter_directory.ts";
 import {
   type AttemptFailure,
   decideRetry,
@@ -12,20 +11,17 @@
 } from "../../../core/gateway/run_times.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import { StreamCursor } from "../../../core/gateway/stream_cursor.ts";
-import { formatModelAdapterKey } from "../../../core/ids.ts";
 import type { Refusal } from "../../../core/results/refusal.ts";
 import type { CallerSink, ProxiedRequest } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
 import type { EngineUsageCounter } from "../engines/engine_usage.ts";
+import type { ServerSelection } from "../servers/adapter_selector.ts";
 import type { Permit, TakePermit } from "../servers/server_permits.ts";
-import type {
-  ServerSelection,
-  ServerSelector,
-} from "../servers/server_selector.ts";
+import type { ServerSelector } from "../servers/server_selector.ts";
 import { StreamContinuation } from "../streams/stream_continuation.ts";
 import type { StreamKeeper } from "../streams/stream_keeper.ts";
-import { recordAttemptHealth } from "./attempt_health.ts";
 import { AttemptHistory } from "./attempt_history.ts";
+import { recordFailedAttempt } from "./failed_attempt.ts";
 import { PromptAdmission } from "./prompt_admission.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
 import type { RequestPlan } from "./request_intake.ts";
@@ -277,19 +273,15 @@
 
   /** Records a failed attempt and decides whether to retry. */
   #handleFailure(attempt: AttemptResult, server: BackendServer): RetryDecision {
-    const { context } = this.#options;
+    const { context, request } = this.#options;
     const { route } = this.#plan;
-    const { kind } = attempt.end;
-    this.#log.record("requestSendFailed", {
-      server,
-      detail: `${kind}: ${attempt.detail}`,
-      ...this.#history.counts,
+    recordFailedAttempt(attempt, server, {
+      context,
+      demand: request.demand,
+      history: this.#history,
+      prompt: this.#prompt,
+      log: this.#log,
     });
-    this.#history.recordAttemptEnd(kind, server.id);
-    this.#prompt.recordFailure(attempt, server);
-    if (kind === "misdirected") this.#forgetAdapter(server);
-    if (recordAttemptHealth(context, server, kind))
-      this.#log.record("serverSuspended", { server, detail: kind });
     const { retryRule, maxAttempts } = route;
     const resumable = this.#cursor?.isResumable ?? route.resumable;
     const rule = { retryRule, resumable, maxAttempts };
@@ -306,14 +298,6 @@
     this.#run = undefined;
   }
 
-  #forgetAdapter(server: BackendServer): void {
-    const { context, request } = this.#options;
-    const { demand } = request;
-    if (demand?.adapter === undefined) return;
-    const key = formatModelAdapterKey(demand.model, demand.adapter);
-    recordMissing(context.adapterDirectory, server.id, key);
-  }
-
   #forwardServerError(result: AttemptResult): void {
     const { sink } = this.#options;
     if (this.#forwarder.hasStarted || result.head === undefined) {
--- a/src/node/gateway/requests/request_wait.ts
+++ b/src/node/gateway/requests/request_wait.ts
@@ -2,11 +2,9 @@
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { ProxiedRequest } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
+import type { ServerSelection } from "../servers/adapter_selector.ts";
 import type { Permit, TakePermit } from "../servers/server_permits.ts";
-import type {
-  ServerSelection,
-  ServerSelector,
-} from "../servers/server_selector.ts";
+import type { ServerSelector } from "../servers/server_selector.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
 import type { RequestPlan } from "./request_intake.ts";
 import type { RequestLog } from "./request_log.ts";
--- a/src/node/gateway/requests/server_wait.ts
+++ b/src/node/gateway/requests/server_wait.ts
@@ -8,8 +8,8 @@
 import type {
   RefusalListener,
   ServerSelection,
-  ServerSelector,
-} from "../servers/server_selector.ts";
+} from "../servers/adapter_selector.ts";
+import type { ServerSelector } from "../servers/server_selector.ts";
 
 /** Delay between two attempts to select a server, in ms. */
 const pollInterval = millis(60);
