Do not say of a take-up that has run that it has not

A request for the rest of a stream that broke at the last server of its version was refused with 3013, as not run. Found by reading; the new test of software_versions_test got not-run before.

--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -209,10 +209,11 @@
 
   #refuseWithoutServer(): void {
     const { context, request } = this.#options;
-    // Another node may have a server for the request.
-    if (context.stop !== undefined && !this.#mayHaveRun())
-      return this.#refuse(refuseWhileStopping());
     const { demand } = request;
+    if (this.#mayHaveRun())
+      return this.#refuse(refuseWithoutServer(this.#history, demand, context));
+    // Another node may have a server for the request.
+    if (context.stop !== undefined) return this.#refuse(refuseWhileStopping());
     const { isResumption, version } = this.#continuation;
     if (isResumption && this.#wait.hasOnlyOtherServers())
       return this.#refuse(refuseWithoutVersion(version));
--- a/tests/gateway/software_versions_test.ts
+++ b/tests/gateway/software_versions_test.ts
@@ -41,9 +41,9 @@
     deadline: millis(10_000),
     ...resumption,
   };
-  const { answer } = fixture.open(fields as Partial<ProxiedRequest>);
+  const { answer, control } = fixture.open(fields as Partial<ProxiedRequest>);
   await fixture.advance(1_000);
-  return { answer };
+  return { answer, control };
 }
 
 /** Version of the server of an attempt. */
@@ -131,6 +131,25 @@
   }
 });
 
+// The take-up had run at the last server of its version: it is not true that it has not run.
+test("a take-up that broke and has no other server of its version is not refused as not run", async () => {
+  const fixture = await createFixture(["v1", "v1.1"]);
+  const { control } = await open(fixture);
+  const first = fixture.lastAttempt();
+  first.start();
+  first.bytes("id: 1\n\n");
+  control.cancel();
+  const resumes = first.order.request.requestId;
+  const { answer } = await open(fixture, { resumeAfter: "1", resumes });
+  const next = fixture.lastAttempt();
+  assert.notEqual(next, first);
+  fixture.notify(next.order.server, { kind: "leaving" });
+  next.fail("broken");
+  await fixture.advance(100);
+  assert.equal(answer.outcome, "refused");
+  assert.equal(answer.refusal?.outcome, "may-have-run");
+});
+
 for (const [name, resumption] of Object.entries({
   "an unknown attempt": { resumeAfter: "1", resumes: "unknown" },
   "no attempt": { resumeAfter: "1" },
