Ask for the origin of streams only

A plain request that carries Last-Event-Id was refused if no version of its service was known, or several.

--- a/src/node/gateway/streams/stream_continuation.ts
+++ b/src/node/gateway/streams/stream_continuation.ts
@@ -21,7 +21,7 @@
     this.#keeper = keeper;
     this.#request = request;
     this.#plan = plan;
-    this.#hasEvents = request.resumeAfter !== undefined;
+    this.#hasEvents = this.isResumption;
   }
 
   static create(
@@ -38,7 +38,8 @@
 
   /** Whether the caller takes up a stream that an earlier request began. */
   get isResumption(): boolean {
-    return this.#request.resumeAfter !== undefined;
+    const isStream = this.#plan.route.retryRule === "stream";
+    return isStream && this.#request.resumeAfter !== undefined;
   }
 
   /** Finds the version that began the stream of an earlier request; false if it is not known. */
--- a/tests/gateway/software_versions_test.ts
+++ b/tests/gateway/software_versions_test.ts
@@ -10,7 +10,7 @@
   createRoute,
   GatewayFixture,
 } from "./gateway_fixture.ts";
-import { streamRoute } from "./gateway_setups.ts";
+import { createBookingFixture, streamRoute } from "./gateway_setups.ts";
 
 /** Time for which a node must know a single version to rely on it, and more, in ms. */
 const longTime = 61_000;
@@ -150,6 +150,14 @@
   assert.equal(answer.refusal?.outcome, "may-have-run");
 });
 
+// Only the rest of a stream depends on the version that began it.
+test("a plain request with the id of an event goes to any server", async () => {
+  const fixture = await createBookingFixture();
+  fixture.open({ resumeAfter: "1" });
+  await fixture.advance(1);
+  assert.equal(fixture.attempts.length, 1);
+});
+
 for (const [name, resumption] of Object.entries({
   "an unknown attempt": { resumeAfter: "1", resumes: "unknown" },
   "no attempt": { resumeAfter: "1" },
