Wait for the record of a stream that has just begun before its take-up is refused

A caller that came back at another node within half a second was refused, since the first node had not written the stream yet. The request now waits for one more write and read, within its usual wait.

--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -173,7 +173,7 @@
     const { service } = this.#plan;
     context.countRequest(service);
     if (this.#continuation.isResumption) {
-      const isKnown = await this.#continuation.findOrigin();
+      const isKnown = await this.#continuation.findOrigin(this.#wait.findEnd());
       if (this.#ended) return;
       if (!isKnown) return this.#refuse(refuseUnknownOrigin());
     }
--- a/src/node/gateway/streams/stream_continuation.ts
+++ b/src/node/gateway/streams/stream_continuation.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "../../../core/clock.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { SoftwareVersion } from "../../../core/ids.ts";
 import type { ProxiedRequest } from "../../../ports/gateway.ts";
@@ -42,12 +43,13 @@
     return isStream && this.#request.resumeAfter !== undefined;
   }
 
-  /** Finds the version that began the stream of an earlier request; false if it is not known. */
-  async findOrigin(): Promise<boolean> {
+  /** Finds the version that began the stream of an earlier request; false if it is not known by `until`. */
+  async findOrigin(until: Millis): Promise<boolean> {
     const { service } = this.#plan;
     this.#version = await this.#keeper.findOrigin(
       service,
       this.#request.resumes,
+      until,
     );
     return this.#version !== undefined;
   }
--- a/src/node/gateway/streams/stream_keeper.ts
+++ b/src/node/gateway/streams/stream_keeper.ts
@@ -1,4 +1,9 @@
-import { type Cancel, type Millis, millis } from "../../../core/clock.ts";
+import {
+  type Cancel,
+  type Millis,
+  millis,
+  sleep,
+} from "../../../core/clock.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import {
   createVersionHistory,
@@ -33,6 +38,8 @@
 /** Minimum interval of the writes of a node, and its growth with the number of nodes, in ms. */
 const minWriteInterval = 500;
 const writeIntervalPerNode = 25;
+/** Time that a write takes, and the checks before it, in ms. */
+const writeMargin = 150;
 /** Delay before the first read of the rows is repeated, in ms. */
 const readRetryDelay = 1_000;
 /** Version of servers that state none; it never continues a stream. */
@@ -95,12 +102,13 @@
 
   /**
    * Version that began a stream which a caller takes up; undefined if it is not
-   * known. Without its origin a stream is only taken up where a single version
+   * known by `until`. Without its origin a stream is only taken up where a single version
    * has served for long.
    */
   async findOrigin(
     service: ServiceName,
     id: RequestId | undefined,
+    until: Millis,
   ): Promise<SoftwareVersion | undefined> {
     const known = this.#find(service, id);
     if (known !== undefined) return known;
@@ -110,14 +118,27 @@
       const single = this.#findSingleVersion(service);
       if (single !== undefined) return single;
     }
-    if (!(await this.#refresh())) return undefined;
-    return this.#find(service, id) ?? this.#findSingleVersion(service);
+    const found = await this.#findInRows(service, id);
+    if (found !== undefined || id === undefined) return found;
+    // The node that passed the stream on may not have written it yet.
+    const delay = millis(this.#writeInterval + writeMargin);
+    if (this.#context.now() + delay >= until) return undefined;
+    await sleep(this.#context.dependencies.clock, delay);
+    return this.#findInRows(service, id);
   }
 
   stop(): void {
     this.#cancel();
   }
 
+  async #findInRows(
+    service: ServiceName,
+    id: RequestId | undefined,
+  ): Promise<SoftwareVersion | undefined> {
+    if (!(await this.#refresh())) return undefined;
+    return this.#find(service, id) ?? this.#findSingleVersion(service);
+  }
+
   #find(
     service: ServiceName,
     id: RequestId | undefined,
@@ -142,14 +163,18 @@
     removeOldOrigins(this.#others, now);
     if (!this.#hasRead && now >= this.#readAt + readRetryDelay)
       void this.#refresh();
-    if (this.#hasRead && !this.#isWriting && now >= this.#findWriteTime())
+    if (
+      this.#hasRead &&
+      !this.#isWriting &&
+      now >= this.#writtenAt + this.#writeInterval
+    )
       void this.#write();
     this.#cancel = clock.schedule(checkInterval, () => this.#check());
   }
 
-  #findWriteTime(): number {
+  get #writeInterval(): number {
     const interval = writeIntervalPerNode * this.#context.nodeCount;
-    return this.#writtenAt + Math.max(minWriteInterval, interval);
+    return Math.max(minWriteInterval, interval);
   }
 
   /** Writes the streams of services with several versions; removes the row once there is none. */
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -102,7 +102,7 @@
 
 /** Gateway with fakes for its ports, on a virtual clock. */
 export class GatewayFixture {
-  readonly clock = VirtualClock.create();
+  readonly clock: VirtualClock;
   readonly table: MemoryTable;
   readonly attempts: RecordedAttempt[] = [];
   readonly orders: EngineOrder[] = [];
@@ -127,9 +127,14 @@
   /** Number of reads of the lease rows that reject. */
   rejectedLeaseReads = 0;
 
-  /** A table of an earlier fixture outlives its node. */
-  constructor(table?: MemoryTable) {
-    this.table = table ?? MemoryTable.create(this.clock);
+  /** The table of another fixture outlives its node; nodes with one clock run at the same time. */
+  constructor({
+    clock = VirtualClock.create(),
+    table = MemoryTable.create(clock),
+    machine = "n1",
+  }: { clock?: VirtualClock; table?: MemoryTable; machine?: string } = {}) {
+    this.clock = clock;
+    this.table = table;
     const links: ServerLinks = {
       send: (order, sink) => {
         const attempt = new RecordedAttempt(order, sink);
@@ -163,7 +168,7 @@
     };
     this.gateway = Gateway.create({
       identity: {
-        machine: brandString("n1"),
+        machine: brandString(machine),
         process: "p1",
         dataCentre,
         region,
--- a/tests/gateway/software_versions_test.ts
+++ b/tests/gateway/software_versions_test.ts
@@ -21,8 +21,11 @@
 }
 
 /** Node with engines `e1`, `e2`, ... of these software versions. */
-async function createFixture(versions: (string | undefined)[]) {
-  const fixture = new GatewayFixture();
+async function createFixture(
+  versions: (string | undefined)[],
+  options: ConstructorParameters<typeof GatewayFixture>[0] = {},
+) {
+  const fixture = new GatewayFixture(options);
   fixture.configure([createRoute({ ...streamRoute, resumable: true })]);
   fixture.register(
     ...versions.map((version, at) => engineOf(`e${at + 1}`, version)),
@@ -198,6 +201,31 @@
   assert.equal(fixture.attempts.length, 1);
 });
 
+// The node that began the stream had not written it yet.
+test("a caller that takes its stream up at once at another node gets a server of the version that began it", async () => {
+  const versions = ["v1", "v1.1", "v1", "v1.1"];
+  const first = await createFixture(versions);
+  const { clock, table } = first;
+  const second = await createFixture(versions, { clock, table, machine: "n2" });
+  for (let turn = 0; turn < 5; turn++) {
+    const { control } = await open(first);
+    const attempt = first.lastAttempt();
+    attempt.start();
+    attempt.bytes("id: 1\n\n");
+    control.cancel();
+    const resumes = attempt.order.request.requestId;
+    const taken = second.attempts.length;
+    await open(second, { resumeAfter: "1", resumes });
+    assert.equal(second.attempts.length, taken + 1);
+    assert.equal(
+      versionOf(versions, second.lastAttempt().server),
+      versionOf(versions, attempt.server),
+    );
+    second.lastAttempt().answer("id: 2\n\n");
+    await clock.advance(millis(130));
+  }
+});
+
 // All nodes had been restarted, and none knew which version had begun a stream.
 test("after a restart of all nodes a stream goes on at the version that began it, and is refused if that is not known", async () => {
   const versions = ["v1", "v1.1", "v1", "v1.1"];
@@ -207,7 +235,7 @@
   first.start();
   first.bytes("id: 1\n\n");
   await before.advance(2_000);
-  const after = new GatewayFixture(before.table);
+  const after = new GatewayFixture({ table: before.table });
   after.configure([createRoute({ ...streamRoute, resumable: true })]);
   after.register(
     ...versions.map((version, at) => engineOf(`e${at + 1}`, version)),
