--- /dev/null
+++ b/src/bench/experiments/resumed_streams.ts
@@ -0,0 +1,69 @@
+import { createSeededRandom } from "../../adapters/random/seeded_random.ts";
+import { millis } from "../../core/clock.ts";
+import type { Experiment, Figures } from "../experiment.ts";
+import { StreamFleet, type TakeUps } from "../stream_fleet.ts";
+
+/** Times of the release, of the restarts and of the end of a run, in ms. */
+const releaseAt = 5_000;
+const restartAt = 12_000;
+const runLength = 24_000;
+
+const sizes = [1, 9, 90, 195, 610];
+
+/** Share of the nodes that are restarted at the same moment. */
+const restartedShares: Readonly<Record<string, number>> = {
+  release: 0.1,
+  "all-restarted": 1,
+};
+
+async function run(variant: string, seed: number): Promise<Figures> {
+  const figures: Record<string, number> = {};
+  let joined = 0;
+  for (const nodes of sizes) {
+    const random = createSeededRandom(seed);
+    const fleet = StreamFleet.create(nodes, random);
+    const { clock, calm, restarted } = fleet;
+    clock.schedule(millis(releaseAt), () => fleet.release());
+    clock.schedule(millis(restartAt), () =>
+      fleet.restart(restartedShares[variant] as number),
+    );
+    await fleet.run(runLength);
+    joined += calm.joined + restarted.joined;
+    figures[`calmGoOnOf${nodes}`] = findShare(calm);
+    figures[`restartedGoOnOf${nodes}`] = findShare(restarted);
+    const nodeSeconds = (nodes * runLength) / 1_000;
+    figures[`writesOf${nodes}`] = fleet.writes / nodeSeconds;
+    figures[`bytesOf${nodes}`] = fleet.writtenBytes / nodeSeconds;
+    figures[`readsOf${nodes}`] = fleet.reads / nodeSeconds;
+  }
+  return { joined, ...figures };
+}
+
+/** Share of the take-ups that went on; 1 if there were none. */
+function findShare({ goneOn, refused, joined }: TakeUps): number {
+  const all = goneOn + refused + joined;
+  return all === 0 ? 1 : goneOn / all;
+}
+
+/** Whether streams go on at the software version that began them, at 1 to 610 nodes. */
+export const experiment: Experiment = {
+  name: "resumed_streams",
+  summary:
+    "1 to 610 nodes begin 2 streams a second each at 12 servers, half of which are replaced by a newer version from 5 s on, on virtual time; a fifth of the streams break and are taken up at a random node within 0.5 s. release: a tenth of the nodes restart at 12 s. all-restarted: all do. joined: streams that went on at another version; calmGoOnOfN, restartedGoOnOfN: share of the take-ups that go on at nodes that were not restarted, and at those that were; writesOfN, bytesOfN, readsOfN: table calls and written bytes a node and second.",
+  variants: Object.keys(restartedShares),
+  run,
+  comparisons: [],
+  targets: [
+    ...Object.keys(restartedShares).map((variant) => ({
+      figure: "joined",
+      variant,
+      target: { atMost: 0 },
+      everyRun: true,
+    })),
+    ...sizes.map((nodes) => ({
+      figure: `calmGoOnOf${nodes}`,
+      variant: "release",
+      target: { atLeast: 0.95 },
+    })),
+  ],
+};
--- /dev/null
+++ b/src/bench/stream_fleet.ts
@@ -0,0 +1,237 @@
+import { VirtualClock } from "../adapters/time/virtual_clock.ts";
+import { type Millis, millis } from "../core/clock.ts";
+import type { BackendServer } from "../core/gateway/servers.ts";
+import {
+  brandString,
+  type RequestId,
+  type ServiceName,
+  type SoftwareVersion,
+} from "../core/ids.ts";
+import { GatewayContext } from "../node/gateway/context.ts";
+import { StreamKeeper } from "../node/gateway/streams/stream_keeper.ts";
+import { silentJournal, silentMeter } from "../ports/journal.ts";
+import type { TableService } from "../ports/table.ts";
+import { MemoryTable } from "../standins/memory_table.ts";
+import { drawExponential } from "./random.ts";
+
+const service: ServiceName = brandString("engines");
+/** Streams that each node begins a second. */
+const streamRate = 2;
+/** Range of the duration of a stream, and of the time until its caller takes it up, in ms. */
+const minDuration = 1_000;
+const maxDuration = 6_000;
+const maxReturnTime = 500;
+/** Share of the streams that break. */
+const breakShare = 0.2;
+/** Time for which a node waits for the origin of a stream, in ms. */
+const maxOriginWait = 1_500;
+/** Servers of the service, of which a half is replaced, one each interval in ms. */
+const serverCount = 12;
+const releaseInterval = 400;
+/** Largest delay until a node sees a change of the servers, in ms. */
+const maxViewLag = 1_000;
+/** Time that a process takes to start again, in ms. */
+const restartTime = 1_000;
+/** Writes per second that the table takes from all nodes. */
+const writesPerSecond = 400;
+/** Time that a call of the table takes, in ms. */
+const tableDelay = millis(8);
+
+type FleetNode = {
+  readonly index: number;
+  context: GatewayContext;
+  keeper: StreamKeeper | undefined;
+  restartedAt: number;
+};
+
+type OpenStream = {
+  readonly id: RequestId;
+  readonly version: SoftwareVersion;
+  readonly node: FleetNode;
+};
+
+/** What became of the take-ups of streams. */
+export type TakeUps = {
+  goneOn: number;
+  refused: number;
+  /** Streams that went on at another version than the one that began them. */
+  joined: number;
+};
+
+/** Nodes that pass on streams of servers of two software versions, on virtual time. */
+export class StreamFleet {
+  readonly clock = VirtualClock.create();
+  /** Take-ups at nodes that were not restarted, and at those that were. */
+  readonly calm: TakeUps = { goneOn: 0, refused: 0, joined: 0 };
+  readonly restarted: TakeUps = { goneOn: 0, refused: 0, joined: 0 };
+  reads = 0;
+  writes = 0;
+  writtenBytes = 0;
+  readonly #random: () => number;
+  readonly #nodes: FleetNode[] = [];
+  readonly #open = new Set<OpenStream>();
+  readonly #table: TableService;
+  #streams = 0;
+
+  private constructor(nodes: number, random: () => number) {
+    this.#random = random;
+    this.#table = this.#countCalls(MemoryTable.create(this.clock));
+    for (let index = 0; index < nodes; index++) {
+      const context = this.#createContext(index, nodes);
+      const keeper = StreamKeeper.create(context, this.#table);
+      const never = Number.NEGATIVE_INFINITY;
+      const node = { index, context, keeper, restartedAt: never };
+      this.#nodes.push(node);
+      for (let at = 0; at < serverCount; at++) this.#show(node, at, "v1");
+      this.#scheduleStream(node);
+    }
+  }
+
+  static create(nodes: number, random: () => number): StreamFleet {
+    return new StreamFleet(nodes, random);
+  }
+
+  async run(duration: number): Promise<void> {
+    await this.clock.advance(millis(duration));
+  }
+
+  /** Replaces half of the servers by ones of a newer version. */
+  release(): void {
+    for (let at = 0; at < serverCount / 2; at++) {
+      this.clock.schedule(millis(at * releaseInterval), () => {
+        for (const node of this.#nodes)
+          this.#afterLag(() => this.#show(node, at, "v1.1"));
+      });
+    }
+  }
+
+  /** Ends the processes of a share of the nodes; their streams break. */
+  restart(share: number): void {
+    for (const node of this.#nodes) {
+      if (this.#random() >= share) continue;
+      const { servers } = node.context.directory;
+      node.keeper?.stop();
+      node.keeper = undefined;
+      for (const stream of this.#open)
+        if (stream.node === node) this.#breakOff(stream, restartTime);
+      this.clock.schedule(millis(restartTime), () => {
+        node.context = this.#createContext(node.index, this.#nodes.length);
+        for (const server of servers.values())
+          node.context.directory.servers.set(server.id, server);
+        node.keeper = StreamKeeper.create(node.context, this.#table);
+        node.restartedAt = this.clock.now();
+      });
+    }
+  }
+
+  #createContext(index: number, nodes: number): GatewayContext {
+    const context = GatewayContext.create({
+      identity: {
+        machine: brandString(`n${index}`),
+        process: `p${this.clock.now()}`,
+        dataCentre: brandString("tatry-a"),
+        region: brandString("tatry"),
+        regions: new Map(),
+        peerAddress: `10.0.0.1:${index + 1}`,
+      },
+      clock: this.clock,
+      random: this.#random,
+      journal: silentJournal,
+      meter: silentMeter,
+      links: {
+        send: () => ({ cancel() {} }),
+        disconnect() {},
+      },
+      retryLimits: { ratio: 0, slack: 0, window: millis(1_000) },
+    });
+    context.nodeCount = nodes;
+    return context;
+  }
+
+  #show({ context }: FleetNode, at: number, version: string): void {
+    const server: BackendServer = {
+      id: brandString(`s${at}`),
+      service,
+      address: `10.0.1.${at}:80`,
+      dataCentre: brandString("tatry-a"),
+      softwareVersion: brandString<SoftwareVersion>(version),
+      slots: 100,
+      leaving: false,
+      models: [],
+      orderCount: 0,
+      born: version === "v1" ? 1 : 2,
+    };
+    context.directory.servers.set(server.id, server);
+  }
+
+  #scheduleStream(node: FleetNode): void {
+    const delay = drawExponential(1_000 / streamRate, this.#random);
+    this.clock.schedule(millis(delay), () => {
+      this.#scheduleStream(node);
+      this.#begin(node);
+    });
+  }
+
+  #begin(node: FleetNode): void {
+    const { keeper, context } = node;
+    if (keeper === undefined) return;
+    const servers = [...context.directory.servers.values()];
+    const server = servers[Math.floor(this.#random() * servers.length)];
+    if (server?.softwareVersion === undefined) return;
+    const id = brandString<RequestId>(`r${++this.#streams}`);
+    const stream: OpenStream = { id, version: server.softwareVersion, node };
+    keeper.recordBegin(id, server);
+    this.#open.add(stream);
+    const isBroken = this.#random() < breakShare;
+    const share = isBroken ? this.#random() : 1;
+    const duration = minDuration + this.#random() * (maxDuration - minDuration);
+    this.clock.schedule(millis(share * duration), () => {
+      if (!this.#open.has(stream)) return;
+      if (isBroken) return this.#breakOff(stream, 0);
+      this.#open.delete(stream);
+      node.keeper?.recordWhole(id);
+    });
+  }
+
+  /** The caller takes the stream up at a random node. */
+  #breakOff(stream: OpenStream, minReturnTime: number): void {
+    this.#open.delete(stream);
+    const delay = minReturnTime + this.#random() * maxReturnTime;
+    this.clock.schedule(millis(delay), () => void this.#takeUp(stream));
+  }
+
+  async #takeUp({ id, version }: OpenStream): Promise<void> {
+    const running = this.#nodes.filter(({ keeper }) => keeper !== undefined);
+    const node = running[Math.floor(this.#random() * running.length)];
+    if (node?.keeper === undefined) return;
+    const until = millis(this.clock.now() + maxOriginWait);
+    const counts =
+      node.restartedAt > Number.NEGATIVE_INFINITY ? this.restarted : this.calm;
+    const origin = await node.keeper.findOrigin(service, id, until);
+    if (origin === undefined) counts.refused++;
+    else if (origin === version) counts.goneOn++;
+    else counts.joined++;
+  }
+
+  #countCalls(table: MemoryTable): TableService {
+    table.delay = tableDelay;
+    table.limits.writes = writesPerSecond;
+    return {
+      read: (key) => table.read(key),
+      scan: (prefix) => {
+        this.reads++;
+        return table.scan(prefix);
+      },
+      transact: (transaction) => {
+        this.writes++;
+        this.writtenBytes += JSON.stringify(transaction.writes).length;
+        return table.transact(transaction);
+      },
+    };
+  }
+
+  #afterLag(action: () => void): void {
+    const lag: Millis = millis(this.#random() * maxViewLag);
+    this.clock.schedule(lag, action);
+  }
+}
