Let two other nodes remember which version began a stream

While several versions serve, a node now tells two others, the first in rendezvous order of the request, and asks them before it reads the rows; the rows remain for the loss of all nodes and are written every 10 ms a node instead of 25, 100 writes a second in all.

--- a/src/adapters/peers/node_links.ts
+++ b/src/adapters/peers/node_links.ts
@@ -2,6 +2,7 @@
 import { Agent, fetch } from "undici";
 import { z } from "zod";
 import type { Millis } from "../../core/clock.ts";
+import { brandString, type SoftwareVersion } from "../../core/ids.ts";
 import type {
   AcquireResult,
   ModelRequest,
@@ -10,11 +11,14 @@
 } from "../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
 import type { RowDelivery, RowPeers, RowRequest } from "../../ports/rows.ts";
+import type { StreamQuery } from "../../ports/streams.ts";
 import type { NodeRouter } from "./node_router.ts";
 import { decodeDelivery, deliveryFrame } from "./row_frames.ts";
 
 /** Timeout of `acquire`, in ms; an owner holds the call for at most 600 ms. */
 const acquireTimeoutMillis = 900;
+/** Timeout of `findStream`, in ms; it is answered from memory. */
+const streamTimeoutMillis = 250;
 /** Timeout for opening a connection to another node, in ms. */
 const connectTimeoutMillis = 500;
 /** Maximum size of a response, in bytes. */
@@ -84,6 +88,24 @@
     }
   }
 
+  async findStream(
+    address: string,
+    query: StreamQuery,
+  ): Promise<SoftwareVersion | undefined> {
+    const signal = AbortSignal.timeout(streamTimeoutMillis);
+    try {
+      const { client } = this.#getOrCreatePeer(address);
+      const version = await client.findStream.mutate(query, { signal });
+      return version === null
+        ? undefined
+        : brandString<SoftwareVersion>(version);
+    } catch {
+      // The caller reads the rows of all nodes instead.
+      this.#disconnect(address);
+      return undefined;
+    }
+  }
+
   async followRows(
     address: string,
     request: RowRequest,
--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -9,6 +9,7 @@
 import { crashLimit } from "../../core/poison/record.ts";
 import type { LeavingMessage, NodeMessage } from "../../ports/nodes.ts";
 import type { LimitMessage } from "../../ports/permits.ts";
+import type { StreamMessage } from "../../ports/streams.ts";
 
 /** Maximum number of engines in one datagram, which keeps it below the usual path MTU. */
 const enginesPerDatagram = 2;
@@ -46,6 +47,7 @@
   z.tuple([z.literal("poison"), name, name, crashListFrame, crashListFrame]),
   z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialParts), count]),
   z.tuple([z.literal("leaving"), name, name, born]),
+  z.tuple([z.literal("stream"), name, name, name, name]),
   z.tuple([
     z.literal("limit"),
     name,
@@ -79,6 +81,10 @@
       const { id, born } = incarnation;
       return [packr.pack([type, from, id, born ?? null])];
     }
+    case "stream": {
+      const { type, from, id, service, version } = message;
+      return [packr.pack([type, from, id, service, version])];
+    }
     case "limit": {
       const { type, from, server, rate, age } = message;
       const { id, born } = server;
@@ -159,6 +165,15 @@
       const incarnation = { id: brandString(id), born: born ?? undefined };
       return { type, from, incarnation } as LeavingMessage;
     }
+    case "stream": {
+      const [type, , id, service, version] = data;
+      const stream = {
+        id: brandString<StreamMessage["id"]>(id),
+        service: brandString<StreamMessage["service"]>(service),
+        version: brandString<StreamMessage["version"]>(version),
+      };
+      return { type, from, ...stream };
+    }
     case "limit": {
       const [type, , id, born, rate, age] = data;
       const server = { id: brandString(id), born: born ?? undefined };
--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -2,7 +2,11 @@
 import { createHTTPServer } from "@trpc/server/adapters/standalone";
 import { z } from "zod";
 import { millis } from "../../core/clock.ts";
-import { brandString } from "../../core/ids.ts";
+import {
+  brandString,
+  type RequestId,
+  type ServiceName,
+} from "../../core/ids.ts";
 import type { NodeCallHandler } from "../../ports/nodes.ts";
 import type { RowServer } from "../../ports/rows.ts";
 import { encodeDelivery, positionFrame } from "./row_frames.ts";
@@ -68,6 +72,13 @@
         except: input.except.map((machine) => brandString(machine)),
       }),
     ),
+  findStream: trpc.procedure
+    .input(z.object({ id: name, service: name }))
+    .mutation(async ({ ctx, input }) => {
+      const id = brandString<RequestId>(input.id);
+      const service = brandString<ServiceName>(input.service);
+      return (await ctx.findStream({ id, service })) ?? null;
+    }),
   acquire: trpc.procedure
     .input(
       z.object({
--- a/src/bench/experiments/pausing_servers.ts
+++ b/src/bench/experiments/pausing_servers.ts
@@ -109,6 +109,7 @@
       acquire: async () => ({ kind: "refused", reason: "unreachable" }),
       requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
       requestPermit: async () => undefined,
+      findStream: async () => undefined,
     },
     followTableRows() {},
     nodeChannel: { send() {}, onMessage() {}, close() {} },
--- a/src/bench/experiments/resumed_streams.ts
+++ b/src/bench/experiments/resumed_streams.ts
@@ -35,6 +35,7 @@
     figures[`writesOf${nodes}`] = fleet.writes / nodeSeconds;
     figures[`bytesOf${nodes}`] = fleet.writtenBytes / nodeSeconds;
     figures[`readsOf${nodes}`] = fleet.reads / nodeSeconds;
+    figures[`messagesOf${nodes}`] = fleet.messages / nodeSeconds;
   }
   return { joined, ...figures };
 }
@@ -49,7 +50,7 @@
 export const experiment: Experiment = {
   name: "resumed_streams",
   summary:
-    "1 to 610 nodes begin 2 streams a second each at 12 servers, half of which are replaced by a newer version from 5 s on, on virtual time; a fifth of the streams break and are taken up at a random node within 0.5 s. release: a tenth of the nodes restart at 12 s. all-restarted: all do. joined: streams that went on at another version; calmGoOnOfN, restartedGoOnOfN: share of the take-ups that go on at nodes that were not restarted, and at those that were; writesOfN, bytesOfN, readsOfN: table calls and written bytes a node and second.",
+    "1 to 610 nodes begin 2 streams a second each at 12 servers, half of which are replaced by a newer version from 5 s on, on virtual time; a fifth of the streams break and are taken up at a random node within 0.5 s. release: a tenth of the nodes restart at 12 s. all-restarted: all do. joined: streams that went on at another version; calmGoOnOfN, restartedGoOnOfN: share of the take-ups that go on at nodes that were not restarted, and at those that were; writesOfN, bytesOfN, readsOfN, messagesOfN: table calls, written bytes, and messages and calls between nodes a node and second.",
   variants: Object.keys(restartedShares),
   run,
   comparisons: [],
--- a/src/bench/permit_fleet.ts
+++ b/src/bench/permit_fleet.ts
@@ -234,6 +234,7 @@
     return {
       acquire: async () => refused,
       requestModel: async () => refused,
+      findStream: async () => undefined,
       requestPermit: (to, request, timeout) =>
         this.#call({ to: brandString(to), from, timeout }, request),
     };
--- a/src/bench/stream_fleet.ts
+++ b/src/bench/stream_fleet.ts
@@ -3,13 +3,17 @@
 import type { BackendServer } from "../core/gateway/servers.ts";
 import {
   brandString,
+  type MachineName,
   type RequestId,
   type ServiceName,
   type SoftwareVersion,
 } from "../core/ids.ts";
 import { GatewayContext } from "../node/gateway/context.ts";
 import { StreamKeeper } from "../node/gateway/streams/stream_keeper.ts";
+import { StreamPeers } from "../node/gateway/streams/stream_peers.ts";
 import { silentJournal, silentMeter } from "../ports/journal.ts";
+import type { NodeLinks, NodeMessage } from "../ports/nodes.ts";
+import type { StreamQuery } from "../ports/streams.ts";
 import type { TableService } from "../ports/table.ts";
 import { MemoryTable } from "../standins/memory_table.ts";
 import { drawExponential } from "./random.ts";
@@ -37,6 +41,18 @@
 /** Time that a call of the table takes, in ms. */
 const tableDelay = millis(8);
 
+/** One-way delay of a message between nodes, in ms, and the share of datagrams that is lost. */
+const minMessageDelay = 1;
+const messageDelaySpread = 20;
+const messageLoss = 0.02;
+
+const refused = { kind: "refused", reason: "unreachable" } as const;
+const unusedLinks: Omit<NodeLinks, "findStream"> = {
+  acquire: async () => refused,
+  requestModel: async () => refused,
+  requestPermit: async () => undefined,
+};
+
 type FleetNode = {
   readonly index: number;
   context: GatewayContext;
@@ -64,6 +80,8 @@
   /** Take-ups at nodes that were not restarted, and at those that were. */
   readonly calm: TakeUps = { goneOn: 0, refused: 0, joined: 0 };
   readonly restarted: TakeUps = { goneOn: 0, refused: 0, joined: 0 };
+  /** Messages and calls between nodes. */
+  messages = 0;
   reads = 0;
   writes = 0;
   writtenBytes = 0;
@@ -71,14 +89,18 @@
   readonly #nodes: FleetNode[] = [];
   readonly #open = new Set<OpenStream>();
   readonly #table: TableService;
+  readonly #machines: readonly MachineName[];
   #streams = 0;
 
   private constructor(nodes: number, random: () => number) {
+    this.#machines = Array.from({ length: nodes }, (_, index) =>
+      brandString<MachineName>(`n${index}`),
+    );
     this.#random = random;
     this.#table = this.#countCalls(MemoryTable.create(this.clock));
     for (let index = 0; index < nodes; index++) {
       const context = this.#createContext(index, nodes);
-      const keeper = StreamKeeper.create(context, this.#table);
+      const keeper = this.#createKeeper(context);
       const never = Number.NEGATIVE_INFINITY;
       const node = { index, context, keeper, restartedAt: never };
       this.#nodes.push(node);
@@ -118,12 +140,56 @@
         node.context = this.#createContext(node.index, this.#nodes.length);
         for (const server of servers.values())
           node.context.directory.servers.set(server.id, server);
-        node.keeper = StreamKeeper.create(node.context, this.#table);
+        node.keeper = this.#createKeeper(node.context);
         node.restartedAt = this.clock.now();
       });
     }
   }
 
+  #createKeeper(context: GatewayContext): StreamKeeper {
+    const { machine } = context.dependencies.identity;
+    const peers = StreamPeers.create({
+      machine,
+      channel: {
+        send: (to, message) => this.#send(to, message),
+        onMessage() {},
+        close() {},
+      },
+      nodeLinks: {
+        ...unusedLinks,
+        findStream: (to, query) => this.#ask(to, query),
+      },
+      listMachines: () => this.#machines,
+      findAddress: (name) => name,
+    });
+    return StreamKeeper.create(context, { table: this.#table, peers });
+  }
+
+  #send(to: string, message: NodeMessage): void {
+    this.messages++;
+    if (message.type !== "stream" || this.#random() < messageLoss) return;
+    this.#afterDelay(() => this.#findNode(to)?.keeper?.receive(message));
+  }
+
+  #ask(to: string, query: StreamQuery): Promise<SoftwareVersion | undefined> {
+    this.messages++;
+    return new Promise((resolve) => {
+      this.#afterDelay(() => {
+        const version = this.#findNode(to)?.keeper?.find(query);
+        this.#afterDelay(() => resolve(version));
+      });
+    });
+  }
+
+  #findNode(machine: string): FleetNode | undefined {
+    return this.#nodes[Number(machine.slice(1))];
+  }
+
+  #afterDelay(action: () => void): void {
+    const delay = minMessageDelay + this.#random() * messageDelaySpread;
+    this.clock.schedule(millis(delay), action);
+  }
+
   #createContext(index: number, nodes: number): GatewayContext {
     const context = GatewayContext.create({
       identity: {
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -1,5 +1,6 @@
 import { type Cancel, type Millis, millis } from "../../core/clock.ts";
 import { findLatestStart } from "../../core/gateway/stopping.ts";
+import type { MachineName, SoftwareVersion } from "../../core/ids.ts";
 import type {
   CallerSink,
   EngineOrders,
@@ -16,6 +17,7 @@
   PoisonMessage,
 } from "../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
+import type { StreamQuery } from "../../ports/streams.ts";
 import type { TableService } from "../../ports/table.ts";
 import { type FollowTableRows, PoisonManager } from "../poison_manager.ts";
 import { GatewayContext, type GatewayDependencies } from "./context.ts";
@@ -38,6 +40,7 @@
 import { ServerPermits } from "./servers/server_permits.ts";
 import { ServerSelector } from "./servers/server_selector.ts";
 import { StreamKeeper } from "./streams/stream_keeper.ts";
+import { StreamPeers } from "./streams/stream_peers.ts";
 
 /** Interval of the checks for expired servers and pauses of the process, in ms. */
 const checkInterval = millis(100);
@@ -98,14 +101,24 @@
       contacts,
       onChange: () => this.#engineControllers.reconcile(),
     });
-    this.#streams = StreamKeeper.create(this.context, options.streamTable);
+    const nodes = {
+      machine: options.identity.machine,
+      listMachines: () => this.#leases.listMachines(),
+      findAddress: (machine: MachineName) => this.#leases.findAddress(machine),
+    };
+    this.#streams = StreamKeeper.create(this.context, {
+      table: options.streamTable,
+      peers: StreamPeers.create({
+        ...nodes,
+        channel: options.nodeChannel,
+        nodeLinks: options.nodeLinks,
+      }),
+    });
     this.#permits = ServerPermits.create({
       ...options,
-      machine: options.identity.machine,
+      ...nodes,
       limits: this.context.availability.limits,
       contacts,
-      listMachines: () => this.#leases.listMachines(),
-      findAddress: (machine) => this.#leases.findAddress(machine),
     });
     this.#engineControllers = EngineControllers.create(this.context, {
       orders: options.orders,
@@ -139,6 +152,7 @@
       if (message.type === "leaving")
         return this.#notices.receiveLeaving(message);
       if (message.type === "limit") return this.#notices.receiveLimit(message);
+      if (message.type === "stream") return this.#streams.receive(message);
       this.#guard.receive(message);
     });
     const owners = OwnerCalls.create({
@@ -246,6 +260,11 @@
     return this.#permits.request(request);
   }
 
+  /** Handles the question of another node which software version began a stream. */
+  async findStream(query: StreamQuery): Promise<SoftwareVersion | undefined> {
+    return this.#streams.find(query);
+  }
+
   /** Reports the node as not ready; requests that can end before `exitAt` are still served. */
   startDraining(exitAt: Millis): void {
     const startedAt = this.context.now();
--- a/src/node/gateway/streams/stream_keeper.ts
+++ b/src/node/gateway/streams/stream_keeper.ts
@@ -24,8 +24,10 @@
   ServiceName,
   SoftwareVersion,
 } from "../../../core/ids.ts";
+import type { StreamMessage, StreamQuery } from "../../../ports/streams.ts";
 import type { Row, TableService } from "../../../ports/table.ts";
 import type { GatewayContext } from "../context.ts";
+import type { StreamPeers } from "./stream_peers.ts";
 import {
   createStreamKey,
   decodeStreamRow,
@@ -37,7 +39,7 @@
 const checkInterval = millis(100);
 /** Minimum interval of the writes of a node, and its growth with the number of nodes, in ms. */
 const minWriteInterval = 500;
-const writeIntervalPerNode = 25;
+const writeIntervalPerNode = 10;
 /** Time that a write takes, and the checks before it, in ms. */
 const writeMargin = 150;
 /** Delay before the first read of the rows is repeated, in ms. */
@@ -45,6 +47,11 @@
 /** Version of servers that state none; it never continues a stream. */
 const noVersion: SoftwareVersion = "" as SoftwareVersion;
 
+type StreamKeeperOptions = {
+  readonly table: TableService;
+  readonly peers: StreamPeers;
+};
+
 /**
  * Knows which software version began a stream, so that it only goes on there.
  * While servers of several versions serve, the streams are also kept in the
@@ -53,12 +60,15 @@
 export class StreamKeeper {
   readonly #context: GatewayContext;
   readonly #table: TableService;
+  readonly #peers: StreamPeers;
   readonly #history = createVersionHistory();
   /** Streams that this machine passed on. */
   readonly #own: StreamOrigins = new Map();
   /** Streams of the other nodes, from their rows. */
   readonly #others: StreamOrigins = new Map();
   readonly #startedAt: Millis;
+  /** Services of which several versions were in sight lately. */
+  #mixed: ReadonlySet<ServiceName> = new Set();
   #hasRead = false;
   #readAt: Millis;
   #writtenAt: Millis;
@@ -70,17 +80,21 @@
   #formerRows: readonly Row[] = [];
   #cancel: Cancel = () => {};
 
-  private constructor(context: GatewayContext, table: TableService) {
+  private constructor(context: GatewayContext, options: StreamKeeperOptions) {
     this.#context = context;
-    this.#table = table;
+    this.#table = options.table;
+    this.#peers = options.peers;
     const never = millis(Number.NEGATIVE_INFINITY);
     this.#startedAt = context.now();
     this.#readAt = never;
     this.#writtenAt = never;
   }
 
-  static create(context: GatewayContext, table: TableService): StreamKeeper {
-    const keeper = new StreamKeeper(context, table);
+  static create(
+    context: GatewayContext,
+    options: StreamKeeperOptions,
+  ): StreamKeeper {
+    const keeper = new StreamKeeper(context, options);
     keeper.#check();
     return keeper;
   }
@@ -93,6 +107,20 @@
     if (softwareVersion === undefined) return;
     const now = this.#context.now();
     recordOrigin(this.#own, id, { service, version: softwareVersion, now });
+    if (this.#mixed.has(service))
+      this.#peers.tell({ id, service, version: softwareVersion });
+  }
+
+  /** Records the origin of a stream that another node passes on. */
+  receive({ id, service, version }: StreamMessage): void {
+    const now = this.#context.now();
+    recordOrigin(this.#others, id, { service, version, now });
+  }
+
+  /** Version that began a stream, if this node remembers it. */
+  find({ service, id }: StreamQuery): SoftwareVersion | undefined {
+    const origin = this.#own.get(id) ?? this.#others.get(id);
+    return origin?.service === service ? origin.version : undefined;
   }
 
   /** Records that the caller got a whole stream. */
@@ -110,7 +138,8 @@
     id: RequestId | undefined,
     until: Millis,
   ): Promise<SoftwareVersion | undefined> {
-    const known = this.#find(service, id);
+    const query = id === undefined ? undefined : { service, id };
+    const known = query && this.find(query);
     if (known !== undefined) return known;
     const hasLongHistory =
       this.#hasRead || this.#context.now() >= this.#startedAt + streamMemory;
@@ -118,8 +147,11 @@
       const single = this.#findSingleVersion(service);
       if (single !== undefined) return single;
     }
+    if (query === undefined) return this.#findInRows(service, id);
+    const told = await this.#peers.ask(query);
+    if (told !== undefined) return told;
     const found = await this.#findInRows(service, id);
-    if (found !== undefined || id === undefined) return found;
+    if (found !== undefined) return found;
     // The node that passed the stream on may not have written it yet.
     const delay = millis(this.#writeInterval + writeMargin);
     if (this.#context.now() + delay >= until) return undefined;
@@ -136,16 +168,8 @@
     id: RequestId | undefined,
   ): Promise<SoftwareVersion | undefined> {
     if (!(await this.#refresh())) return undefined;
-    return this.#find(service, id) ?? this.#findSingleVersion(service);
-  }
-
-  #find(
-    service: ServiceName,
-    id: RequestId | undefined,
-  ): SoftwareVersion | undefined {
-    if (id === undefined) return undefined;
-    const origin = this.#own.get(id) ?? this.#others.get(id);
-    return origin?.service === service ? origin.version : undefined;
+    const known = id === undefined ? undefined : this.find({ service, id });
+    return known ?? this.#findSingleVersion(service);
   }
 
   #findSingleVersion(service: ServiceName): SoftwareVersion | undefined {
@@ -159,6 +183,7 @@
     const now = this.#context.now();
     const { servers } = this.#context.directory;
     recordServers(this.#history, [...servers.values()].map(withVersion), now);
+    this.#tellOfMixedServices();
     removeOldOrigins(this.#own, now);
     removeOldOrigins(this.#others, now);
     if (!this.#hasRead && now >= this.#readAt + readRetryDelay)
@@ -172,6 +197,16 @@
     this.#cancel = clock.schedule(checkInterval, () => this.#check());
   }
 
+  /** Tells the peers of the streams that began before a service had several versions. */
+  #tellOfMixedServices(): void {
+    const mixed = new Set(listMixedServices(this.#history));
+    for (const [id, { service, version }] of this.#own) {
+      if (mixed.has(service) && !this.#mixed.has(service))
+        this.#peers.tell({ id, service, version });
+    }
+    this.#mixed = mixed;
+  }
+
   get #writeInterval(): number {
     const interval = writeIntervalPerNode * this.#context.nodeCount;
     return Math.max(minWriteInterval, interval);
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -11,9 +11,11 @@
   ModelAdapterKey,
   ModelName,
   ServerId,
+  SoftwareVersion,
 } from "../core/ids.ts";
 import type { PoisonRecord } from "../core/poison/record.ts";
 import type { LimitMessage, PermitAnswer, PermitRequest } from "./permits.ts";
+import type { StreamMessage, StreamQuery } from "./streams.ts";
 
 /** Response of an engine's owner to a request for an adapter. */
 export type AcquireResult =
@@ -94,7 +96,8 @@
   | UsageMessage
   | PoisonMessage
   | LeavingMessage
-  | LimitMessage;
+  | LimitMessage
+  | StreamMessage;
 
 /** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
 export type NodeChannel = {
@@ -118,6 +121,8 @@
   }): Promise<AcquireResult>;
   requestModel(request: ModelRequest): Promise<ModelResult>;
   requestPermit(request: PermitRequest): Promise<PermitAnswer>;
+  /** Version that began a stream, if the node remembers it. */
+  findStream(query: StreamQuery): Promise<SoftwareVersion | undefined>;
 };
 
 /** Calls to other nodes; each has a timeout and fails as `unreachable`. */
@@ -133,4 +138,9 @@
     request: PermitRequest,
     timeout: Millis,
   ): Promise<PermitAnswer | undefined>;
+  /** Undefined if the node does not know the stream, or does not answer. */
+  findStream(
+    address: string,
+    query: StreamQuery,
+  ): Promise<SoftwareVersion | undefined>;
 };
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -204,6 +204,7 @@
         acquire: async () => ({ kind: "refused", reason: "unreachable" }),
         requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
         requestPermit: async () => undefined,
+        findStream: async () => undefined,
       },
       followTableRows: () => {},
       nodeChannel: {
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -9,7 +9,11 @@
 import { decodeNodeMessage } from "../../src/adapters/peers/node_message_codec.ts";
 import { createNodeServer } from "../../src/adapters/peers/node_router.ts";
 import { millis } from "../../src/core/clock.ts";
-import { brandString } from "../../src/core/ids.ts";
+import {
+  brandString,
+  type ServiceName,
+  type SoftwareVersion,
+} from "../../src/core/ids.ts";
 import { silentJournal } from "../../src/ports/journal.ts";
 import type { NodeCallHandler, NodeMessage } from "../../src/ports/nodes.ts";
 import type { PermitRequest } from "../../src/ports/permits.ts";
@@ -37,6 +41,7 @@
     serve: async () => [],
     requestModel: async () => ({ kind: "refused", reason: "busy" }),
     requestPermit: async () => ({ kind: "denied", retryIn: millis(0) }),
+    findStream: async () => undefined,
   });
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", () => resolve());
@@ -52,7 +57,7 @@
   server.closeAllConnections();
 });
 
-test("a request for a permit reaches the other node unchanged, and its answer comes back", async () => {
+test("a request for a permit and a question about a stream reach the other node unchanged, and their answers come back", async () => {
   const requests: unknown[] = [];
   const answer = { kind: "granted", inMs: millis(40) } as const;
   const server = createNodeServer({
@@ -63,6 +68,10 @@
       requests.push(received);
       return answer;
     },
+    findStream: async (query) => {
+      requests.push(query);
+      return query.id === "r1" ? brandString<SoftwareVersion>("v1") : undefined;
+    },
   });
   await new Promise<void>((resolve) => {
     server.listen(0, "127.0.0.1", () => resolve());
@@ -82,8 +91,14 @@
   const received = await links.requestPermit(address, permitRequest, timeout);
   assert.deepEqual(requests, [permitRequest]);
   assert.deepEqual(received, answer);
+  const service = brandString<ServiceName>("engines");
+  const find = (id: string) =>
+    links.findStream(address, { id: brandString(id), service });
+  assert.equal(await find("r1"), "v1");
+  assert.equal(await find("r2"), undefined);
   server.close();
   server.closeAllConnections();
+  assert.equal(await find("r1"), undefined);
   const late = await links.requestPermit(address, permitRequest, timeout);
   assert.equal(late, undefined);
 });
--- a/tests/platform_adapter/socket_gateway.ts
+++ b/tests/platform_adapter/socket_gateway.ts
@@ -84,6 +84,8 @@
         requestModel: async () => ({ kind: "refused", reason: "unreachable" }),
         requestPermit: async (address, request) =>
           network.gateways.get(address)?.requestPermit(request),
+        findStream: async (address, query) =>
+          network.gateways.get(address)?.findStream(query),
       },
       followTableRows: () => {},
       nodeChannel: { send() {}, onMessage() {}, close() {} },
