--- a/src/bench/experiments/shared_rate.ts
+++ b/src/bench/experiments/shared_rate.ts
@@ -47,7 +47,7 @@
     random,
   });
   for (let at = settleTime; churn && at < runLength; at += churnInterval)
-    fleet.clock.schedule(millis(at), () => disturb(fleet, random));
+    fleet.clock.schedule(millis(at), () => fleet.disturb());
   await fleet.run(runLength);
   return {
     worst: fleet.findWorstRatio(settleTime),
@@ -56,13 +56,6 @@
   };
 }
 
-function disturb(fleet: PermitFleet, random: () => number): void {
-  const choice = random();
-  if (choice < 0.35) fleet.join();
-  else if (choice < 0.65) fleet.kill();
-  else fleet.freeze(500 + random() * 4_000);
-}
-
 async function run(name: string, seed: number): Promise<Figures> {
   const variant = variants[name] as Variant;
   const figures: Record<string, number> = {};
--- a/src/bench/permit_fleet.ts
+++ b/src/bench/permit_fleet.ts
@@ -24,6 +24,12 @@
 /** Maximum wait of a request for its permit, in ms. */
 const patience = millis(60);
 
+/** Shares of joins and ends among the disturbances; the rest are freezes, of a duration in ms. */
+const joinShare = 0.35;
+const killShare = 0.3;
+const minFreeze = 500;
+const freezeSpread = 4_000;
+
 /** How the nodes divide the limit. */
 export type LimitDivision = "permits" | "equal-parts" | "whole";
 
@@ -110,6 +116,15 @@
     });
   }
 
+  /** Lets a random node join, end or freeze. */
+  disturb(): void {
+    const { random } = this.#options;
+    const choice = random();
+    if (choice < joinShare) this.join();
+    else if (choice < joinShare + killShare) this.kill();
+    else this.freeze(minFreeze + random() * freezeSpread);
+  }
+
   /** Highest number of arrivals from bound nodes in 4 s from `start` on, over what is allowed. */
   findWorstRatio(start: number): number {
     const allowed = 6 * this.#options.limit + 5;
--- a/src/core/gateway/request_limit.ts
+++ b/src/core/gateway/request_limit.ts
@@ -1,3 +1,5 @@
+import { parseHeaderNumber } from "./header_number.ts";
+
 /** Form of a limit that a server names; only `rate` is the usual one. */
 export type RequestLimitKind =
   | "rate"
@@ -14,9 +16,6 @@
   readonly rate: number;
 };
 
-const numberPattern = /^[+-]?(\d+\.?\d*|\.\d+)(e[+-]?\d+)?$/i;
-const infinityPattern = /^\+?inf(inity)?$/i;
-
 /** Rate from which on a limit has no effect, in requests per second. */
 const maxRate = 100_000;
 /** Rate at which a server without any capacity is still asked, since only an answer can end its limit. */
@@ -24,10 +23,8 @@
 
 /** Parses the requests per second that a server takes from all nodes together. */
 export function parseRequestLimit(text: string): RequestLimit {
-  const trimmed = text.trim();
-  if (infinityPattern.test(trimmed)) return { kind: "endless", rate: 0 };
-  if (!numberPattern.test(trimmed)) return { kind: "malformed", rate: 0 };
-  const rate = Number(trimmed);
+  const rate = parseHeaderNumber(text);
+  if (rate === undefined) return { kind: "malformed", rate: 0 };
   if (rate < 0) return { kind: "negative", rate };
   if (rate === 0) return { kind: "zero", rate };
   return { kind: rate > maxRate ? "endless" : "rate", rate };
--- a/src/core/gateway/retry_after.ts
+++ b/src/core/gateway/retry_after.ts
@@ -1,4 +1,5 @@
 import { type Millis, millis } from "../clock.ts";
+import { parseHeaderNumber } from "./header_number.ts";
 
 /** Form of a Retry-After value; only `seconds` is the usual one. */
 export type RetryAfterKind =
@@ -16,16 +17,14 @@
   readonly delay: Millis;
 };
 
-const numberPattern = /^[+-]?(\d+\.?\d*|\.\d+)(e[+-]?\d+)?$/i;
-const infinityPattern = /^\+?inf(inity)?$/i;
 /** A date begins with the name of a day, so that no other text is taken for one. */
 const datePattern = /^(mon|tue|wed|thu|fri|sat|sun)/i;
 
 /** Parses a Retry-After header: seconds with fractions, or an HTTP date relative to `wallNow`. */
 export function parseRetryAfter(text: string, wallNow: Millis): RetryAfter {
+  const seconds = parseHeaderNumber(text);
+  if (seconds !== undefined) return describeSeconds(seconds);
   const trimmed = text.trim();
-  if (numberPattern.test(trimmed)) return describeSeconds(Number(trimmed));
-  if (infinityPattern.test(trimmed)) return describeSeconds(Infinity);
   const date = datePattern.test(trimmed) ? Date.parse(trimmed) : Number.NaN;
   if (Number.isNaN(date)) return { kind: "malformed", delay: millis(0) };
   return { kind: "date", delay: millis(Math.max(0, date - wallNow)) };
--- a/tests/gateway/server_permits_test.ts
+++ b/tests/gateway/server_permits_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import { PermitFleet } from "../../src/bench/permit_fleet.ts";
+import { millis } from "../../src/core/clock.ts";
 
 /** Seeds that each case is run with. */
 const seeds = 60;
@@ -38,14 +39,8 @@
 
 /** Joins, ends and freezes of nodes at random times. */
 function schedule(fleet: PermitFleet, random: () => number): void {
-  for (let at = settleTime; at < duration; at += 2_000 + random() * 3_000) {
-    const choice = random();
-    fleet.clock.schedule(at as never, () => {
-      if (choice < 0.35) fleet.join();
-      else if (choice < 0.65) fleet.kill();
-      else fleet.freeze(500 + random() * 4_000);
-    });
-  }
+  for (let at = settleTime; at < duration; at += 2_000 + random() * 3_000)
+    fleet.clock.schedule(millis(at), () => fleet.disturb());
 }
 
 for (const { name, nodes, limit, hasChurn, loss } of cases) {
