--- a/src/bench/stream_fleet.ts
+++ b/src/bench/stream_fleet.ts
@@ -33,7 +33,7 @@
 const serverCount = 12;
 const releaseInterval = 400;
 /** Largest delay until a node sees a change of the servers, in ms. */
-const maxViewLag = 1_000;
+const maxViewLag = 2_700;
 /** Time that a process takes to start again, in ms. */
 const restartTime = 1_000;
 /** Writes per second that the table takes from all nodes. */
--- a/src/node/gateway/streams/stream_keeper.ts
+++ b/src/node/gateway/streams/stream_keeper.ts
@@ -141,6 +141,9 @@
     const query = id === undefined ? undefined : { service, id };
     const known = query && this.find(query);
     if (known !== undefined) return known;
+    // Another node may have seen a further version sooner.
+    const told = query && (await this.#peers.ask(query));
+    if (told !== undefined) return told;
     const hasLongHistory =
       this.#hasRead || this.#context.now() >= this.#startedAt + streamMemory;
     if (hasLongHistory) {
@@ -148,8 +151,6 @@
       if (single !== undefined) return single;
     }
     if (query === undefined) return this.#findInRows(service, id);
-    const told = await this.#peers.ask(query);
-    if (told !== undefined) return told;
     const found = await this.#findInRows(service, id);
     if (found !== undefined) return found;
     // The node that passed the stream on may not have written it yet.
