--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -14,6 +14,7 @@
   NodeCallHandler,
   NodeChannel,
   NodeLinks,
+  NodeMessage,
   PoisonMessage,
 } from "../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
@@ -31,9 +32,9 @@
 import { PeerContacts } from "./peers/peer_contacts.ts";
 import { createPoisonBroadcast } from "./peers/poison_broadcast.ts";
 import { CrashCheck } from "./requests/crash_check.ts";
+import { OpenRequests } from "./requests/open_requests.ts";
 import { PromptGuard } from "./requests/prompt_guard.ts";
 import { planRequest } from "./requests/request_intake.ts";
-import { RequestTask } from "./requests/request_task.ts";
 import { LeaseManager } from "./rows/lease_manager.ts";
 import type { ReadLeaseRows } from "./rows/lease_rows.ts";
 import { InstallationTracker } from "./servers/installation_tracker.ts";
@@ -79,10 +80,9 @@
   readonly #poison: PoisonManager;
   readonly #guard: PromptGuard;
   readonly #broadcast: (message: PoisonMessage) => void;
-  readonly #requests = new Set<RequestTask>();
+  readonly #requests: OpenRequests;
   readonly #installation: InstallationTracker;
   readonly #notices: NoticeHandler;
-  #onIdle: () => void = () => {};
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
   readonly #pauses: PauseWatch;
@@ -91,6 +91,7 @@
     this.#options = options;
     const { clock } = options;
     this.context = GatewayContext.create(options);
+    this.#requests = OpenRequests.create(options.meter);
     const now = () => clock.now();
     const contacts = PeerContacts.create(now);
     this.#usage = EngineUsageCounter.create(now);
@@ -147,13 +148,7 @@
     });
     options.nodeChannel.onMessage((message, address) => {
       contacts.recordContact(message.from);
-      if (message.type === "use" || message.type === "load")
-        return this.#usageReporter.receive(message, address);
-      if (message.type === "leaving")
-        return this.#notices.receiveLeaving(message);
-      if (message.type === "limit") return this.#notices.receiveLimit(message);
-      if (message.type === "stream") return this.#streams.receive(message);
-      this.#guard.receive(message);
+      this.#receive(message, address);
     });
     const owners = OwnerCalls.create({
       context: this.context,
@@ -223,26 +218,17 @@
       sink.refuse(plan);
       return closedHandle;
     }
-    const task = RequestTask.start(
-      {
-        context,
-        selector: this.#selector,
-        takePermit: this.#permits.take,
-        streams: this.#streams,
-        usage: this.#usage,
-        guard: this.#guard,
-        request,
-        plan,
-        sink,
-      },
-      () => this.#onRequestEnd(task),
-    );
-    this.#requests.add(task);
-    context.dependencies.meter.gauge(
-      "gateway_requests_open",
-      this.#requests.size,
-    );
-    return task;
+    return this.#requests.start({
+      context,
+      selector: this.#selector,
+      takePermit: this.#permits.take,
+      streams: this.#streams,
+      usage: this.#usage,
+      guard: this.#guard,
+      request,
+      plan,
+      sink,
+    });
   }
 
   /** Handles a request of another node for an adapter on an engine that this node owns. */
@@ -277,20 +263,17 @@
 
   /** Resolves once no request is in progress. */
   whenIdle(): Promise<void> {
-    return new Promise((resolve) => {
-      this.#onIdle = resolve;
-      if (this.#requests.size === 0) resolve();
-    });
+    return this.#requests.whenIdle();
   }
 
   /** Refuses every request that no server can have started. */
   refuseWaiting(): void {
-    for (const task of [...this.#requests]) task.refuseIfWaiting();
+    this.#requests.refuseWaiting();
   }
 
   /** Ends every request that is still in progress, shortly before the process exits. */
   endAll(): void {
-    for (const task of [...this.#requests]) task.endBeforeExit();
+    this.#requests.endAll();
   }
 
   /** Releases the leases and ends all tasks. */
@@ -318,19 +301,25 @@
       publish: (digest, record) =>
         this.#broadcast({ type: "poison", from, digest, record }),
       followRows: this.#options.followTableRows,
-      onConviction: () => {
-        for (const task of [...this.#requests]) task.withdrawIfConvicted();
-      },
+      onConviction: () => this.#requests.withdrawConvicted(),
     });
   }
 
-  #onRequestEnd(task: RequestTask): void {
-    this.#requests.delete(task);
-    this.context.dependencies.meter.gauge(
-      "gateway_requests_open",
-      this.#requests.size,
-    );
-    if (this.#requests.size === 0) this.#onIdle();
+  #receive(message: NodeMessage, address: string): void {
+    switch (message.type) {
+      case "use":
+      case "load":
+        return this.#usageReporter.receive(message, address);
+      case "leaving":
+        return this.#notices.receiveLeaving(message);
+      case "limit":
+        return this.#notices.receiveLimit(message);
+      case "stream":
+        return this.#streams.receive(message);
+      case "poison":
+      case "trial":
+        return this.#guard.receive(message);
+    }
   }
 
   /**
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -4,11 +4,6 @@
   decideRetry,
   type RetryDecision,
 } from "../../../core/gateway/retry_decision.ts";
-import {
-  endRun,
-  type OpenRun,
-  startRun,
-} from "../../../core/gateway/run_times.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import { StreamCursor } from "../../../core/gateway/stream_cursor.ts";
 import type { Refusal } from "../../../core/results/refusal.ts";
@@ -37,6 +32,7 @@
   refuseWithoutServer,
   refuseWithoutVersion,
 } from "./request_refusals.ts";
+import { RequestRun } from "./request_run.ts";
 import { RequestUsage } from "./request_usage.ts";
 import { RequestWait } from "./request_wait.ts";
 import { ResponseForwarder } from "./response_forwarder.ts";
@@ -73,12 +69,11 @@
   readonly #prompt: PromptAdmission;
   readonly #usage: RequestUsage;
   readonly #wait: RequestWait;
+  readonly #run: RequestRun;
   #cancelTimeLimit: Cancel = () => {};
   #attempt: ServerAttempt | undefined;
   /** Server of the latest attempt. */
   #server: BackendServer | undefined;
-  /** Run of the request at a server, while it is in progress. */
-  #run: OpenRun | undefined;
   #ended = false;
   #onEnd: () => void = () => {};
 
@@ -89,6 +84,7 @@
     this.#log = RequestLog.create(options.context, { request, route });
     const { clock } = options.context.dependencies;
     this.#usage = RequestUsage.create(options.usage, request.demand);
+    this.#run = RequestRun.create(options.context, plan.kind);
     this.#prompt = PromptAdmission.create(options.guard, {
       parts: request.demand?.sharedParts ?? [],
       clock,
@@ -238,7 +234,7 @@
     if (!isAccepted()) return Promise.resolve(serverLeft);
     this.#log.record("requestSent", { server: selection.server });
     this.#server = selection.server;
-    this.#run = startRun(context.runTimes, this.#plan.kind, context.now());
+    this.#run.start();
     this.#usage.trackSend(selection.server, this.#forwarder.hasStarted);
     return new Promise((resolve) => {
       this.#attempt = ServerAttempt.start({
@@ -260,7 +256,7 @@
         onResult: (result) => {
           this.#attempt = undefined;
           this.#usage.release();
-          this.#endRun(result.end.kind === "whole");
+          this.#run.end(result.end.kind === "whole");
           if (result.end.kind !== "whole") return resolve(result);
           this.#prompt.recordWhole();
           this.#continuation.recordWhole();
@@ -292,13 +288,6 @@
     );
   }
 
-  #endRun(isWhole: boolean): void {
-    if (this.#run === undefined) return;
-    const { context } = this.#options;
-    endRun(context.runTimes, this.#run, { isWhole, now: context.now() });
-    this.#run = undefined;
-  }
-
   #forwardServerError(result: AttemptResult): void {
     const { sink } = this.#options;
     if (this.#forwarder.hasStarted || result.head === undefined) {
@@ -349,7 +338,7 @@
     this.#cancelTimeLimit();
     this.#usage.release();
     this.#prompt.end();
-    this.#endRun(false);
+    this.#run.end(false);
     this.#attempt?.cancel();
     this.#attempt = undefined;
     this.#log.countOutcome(outcome);
