Remove the rows of processes that ended long ago

A process that ended in a release left its row of streams for good, since only its successor on the same machine removes it, and only in the next release.

--- a/src/core/gateway/software_versions.ts
+++ b/src/core/gateway/software_versions.ts
@@ -1,5 +1,5 @@
 import { type Millis, millis } from "../clock.ts";
-import type { ServiceName, SoftwareVersion } from "../ids.ts";
+import { brandString, type ServiceName, type SoftwareVersion } from "../ids.ts";
 import type { BackendServer } from "./servers.ts";
 
 /**
@@ -8,6 +8,9 @@
  */
 export const streamMemory = 60_000;
 
+/** Stands for the version of servers that state none; it never continues a stream. */
+export const unknownVersion: SoftwareVersion = brandString("");
+
 /** When servers of each software version of a service were last in sight. */
 type SeenVersions = Map<SoftwareVersion, Millis>;
 
@@ -27,10 +30,8 @@
   servers: Iterable<BackendServer>,
   now: Millis,
 ): void {
-  for (const { service, softwareVersion } of servers) {
-    if (softwareVersion !== undefined)
-      recordVersion(history, { service, version: softwareVersion, at: now });
-  }
+  for (const { service, softwareVersion = unknownVersion } of servers)
+    recordVersion(history, { service, version: softwareVersion, at: now });
   for (const [service, versions] of history.services) {
     for (const [version, at] of versions)
       if (now > at + streamMemory) versions.delete(version);
--- a/src/node/gateway/streams/stream_keeper.ts
+++ b/src/node/gateway/streams/stream_keeper.ts
@@ -12,6 +12,7 @@
   recordServers,
   recordVersion,
   streamMemory,
+  unknownVersion,
 } from "../../../core/gateway/software_versions.ts";
 import {
   recordOrigin,
@@ -32,6 +33,7 @@
   createStreamKey,
   decodeStreamRow,
   encodeStreamRow,
+  type StreamRow,
   streamPrefixOf,
 } from "./stream_rows.ts";
 
@@ -44,8 +46,10 @@
 const writeMargin = 150;
 /** Delay before the first read of the rows is repeated, in ms. */
 const readRetryDelay = 1_000;
-/** Version of servers that state none; it never continues a stream. */
-const noVersion: SoftwareVersion = "" as SoftwareVersion;
+/** Age from which the row of an ended process is removed, in ms; clocks of nodes differ by seconds. */
+const rowLifetime = 2 * streamMemory;
+/** Maximum number of rows that one transaction removes. */
+const maxRemovedRows = 50;
 
 type StreamKeeperOptions = {
   readonly table: TableService;
@@ -175,7 +179,7 @@
 
   #findSingleVersion(service: ServiceName): SoftwareVersion | undefined {
     const [version, ...others] = listVersions(this.#history, service);
-    if (others.length > 0 || version === noVersion) return undefined;
+    if (others.length > 0 || version === unknownVersion) return undefined;
     return version;
   }
 
@@ -183,7 +187,7 @@
     const { clock } = this.#context.dependencies;
     const now = this.#context.now();
     const { servers } = this.#context.directory;
-    recordServers(this.#history, [...servers.values()].map(withVersion), now);
+    recordServers(this.#history, servers.values(), now);
     this.#tellOfMixedServices();
     removeOldOrigins(this.#own, now);
     removeOldOrigins(this.#others, now);
@@ -201,6 +205,7 @@
   /** Tells the peers of the streams that began before a service had several versions. */
   #tellOfMixedServices(): void {
     const mixed = new Set(listMixedServices(this.#history));
+    if (mixed.size === 0 && this.#mixed.size === 0) return;
     for (const [id, { service, version }] of this.#own) {
       if (mixed.has(service) && !this.#mixed.has(service))
         this.#peers.tell({ id, service, version });
@@ -279,19 +284,42 @@
     const isFirst = !this.#hasRead;
     this.#hasRead = true;
     const formerRows = rows.filter(({ key }) => key.startsWith(ownPrefix));
-    if (isFirst) this.#formerRows = formerRows;
+    if (isFirst) {
+      this.#formerRows = formerRows;
+      void this.#removeOldRows(rows);
+    }
     for (const row of rows) {
       const isFormer = isFirst && row.key.startsWith(ownPrefix);
       this.#applyRow(row, isFormer ? this.#own : this.#others);
     }
   }
 
+  /** Removes the rows of processes that ended long ago, once in the life of this one. */
+  async #removeOldRows(rows: readonly Row[]): Promise<void> {
+    const old = rows.filter((row) => {
+      const decoded = decodeStreamRow(row);
+      return decoded === undefined || this.#computeAge(decoded) > rowLifetime;
+    });
+    if (old.length === 0) return;
+    await this.#table.transact({
+      attempt: this.#context.createAttemptToken(),
+      conditions: [],
+      writes: old
+        .slice(0, maxRemovedRows)
+        .map(({ key }) => ({ key, value: undefined })),
+    });
+  }
+
+  #computeAge({ writtenAt }: StreamRow): number {
+    const { clock } = this.#context.dependencies;
+    return Math.max(0, clock.wallNow() - writtenAt);
+  }
+
   #applyRow(row: Row, origins: StreamOrigins): void {
     const decoded = decodeStreamRow(row);
     if (decoded === undefined) return;
     const now = this.#context.now();
-    const wallNow = this.#context.dependencies.clock.wallNow();
-    const age = Math.max(0, wallNow - decoded.writtenAt);
+    const age = this.#computeAge(decoded);
     if (age > streamMemory) return;
     const at = millis(now - age);
     for (const { service, versions, streams } of decoded.services) {
@@ -304,8 +332,3 @@
     }
   }
 }
-
-function withVersion(server: BackendServer): BackendServer {
-  const { softwareVersion = noVersion } = server;
-  return { ...server, softwareVersion };
-}
--- a/tests/gateway/software_versions_test.ts
+++ b/tests/gateway/software_versions_test.ts
@@ -194,6 +194,25 @@
   assert.equal(fixture.lastAttempt().server, "e2");
 });
 
+// The rows of processes that ended in a release stayed for good.
+test("a node that starts removes the rows of processes that ended long ago, and no others", async () => {
+  const before = await createFixture(["v1", "v1.1"]);
+  await before.advance(2_000);
+  const { clock, table } = before;
+  const listKeys = async () => {
+    const rows = (await table.scan("streams/")).orDefault([]);
+    return rows.map(({ key }) => key);
+  };
+  assert.deepEqual(await listKeys(), ["streams/n1/p1"]);
+  await before.gateway.stop();
+  await clock.advance(millis(longTime));
+  await createFixture(["v1.1"], { clock, table, machine: "n2" });
+  assert.deepEqual(await listKeys(), ["streams/n1/p1"]);
+  await clock.advance(millis(longTime));
+  await createFixture(["v1.1"], { clock, table, machine: "n3" });
+  assert.deepEqual(await listKeys(), []);
+});
+
 test("a stream of an unknown origin is taken up where all servers have had one version for long", async () => {
   const fixture = await createFixture(["v1", "v1"]);
   await fixture.advance(longTime);
