--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -177,8 +177,8 @@
     case "limit": {
       const [type, , id, born, rate, age] = data;
       const server = { id: brandString(id), born: born ?? undefined };
-      const heard = { rate: rate ?? undefined, age: millis(age) };
-      return { type, from, server, ...heard } as LimitMessage;
+      const observed = { rate: rate ?? undefined, age: millis(age) };
+      return { type, from, server, ...observed } as LimitMessage;
     }
   }
 }
--- a/src/bench/experiments/resumed_streams.ts
+++ b/src/bench/experiments/resumed_streams.ts
@@ -22,15 +22,15 @@
   for (const nodes of sizes) {
     const random = createSeededRandom(seed);
     const fleet = StreamFleet.create(nodes, random);
-    const { clock, calm, restarted } = fleet;
+    const { clock, unaffected, restarted } = fleet;
     clock.schedule(millis(releaseAt), () => fleet.release());
     clock.schedule(millis(restartAt), () =>
       fleet.restart(restartedShares[variant] as number),
     );
     await fleet.run(runLength);
-    joined += calm.joined + restarted.joined;
-    figures[`calmGoOnOf${nodes}`] = findShare(calm);
-    figures[`restartedGoOnOf${nodes}`] = findShare(restarted);
+    joined += unaffected.joined + restarted.joined;
+    figures[`resumedShareOf${nodes}`] = findShare(unaffected);
+    figures[`resumedShareAfterRestartOf${nodes}`] = findShare(restarted);
     const nodeSeconds = (nodes * runLength) / 1_000;
     figures[`writesOf${nodes}`] = fleet.writes / nodeSeconds;
     figures[`bytesOf${nodes}`] = fleet.writtenBytes / nodeSeconds;
@@ -41,16 +41,16 @@
 }
 
 /** Share of the take-ups that went on; 1 if there were none. */
-function findShare({ goneOn, refused, joined }: TakeUps): number {
-  const all = goneOn + refused + joined;
-  return all === 0 ? 1 : goneOn / all;
+function findShare({ resumed, refused, joined }: TakeUps): number {
+  const all = resumed + refused + joined;
+  return all === 0 ? 1 : resumed / all;
 }
 
 /** Whether streams go on at the software version that began them, at 1 to 610 nodes. */
 export const experiment: Experiment = {
   name: "resumed_streams",
   summary:
-    "1 to 610 nodes begin 2 streams a second each at 12 servers, half of which are replaced by a newer version from 5 s on, on virtual time; a fifth of the streams break and are taken up at a random node within 0.5 s. release: a tenth of the nodes restart at 12 s. all-restarted: all do. joined: streams that went on at another version; calmGoOnOfN, restartedGoOnOfN: share of the take-ups that go on at nodes that were not restarted, and at those that were; writesOfN, bytesOfN, readsOfN, messagesOfN: table calls, written bytes, and messages and calls between nodes a node and second.",
+    "1 to 610 nodes begin 2 streams a second each at 12 servers, half of which are replaced by a newer version from 5 s on, on virtual time; a fifth of the streams break and are taken up at a random node within 0.5 s. release: a tenth of the nodes restart at 12 s. all-restarted: all do. joined: streams that went on at another version; resumedShareOfN, resumedShareAfterRestartOfN: share of the take-ups that go on at nodes that were not restarted, and at those that were; writesOfN, bytesOfN, readsOfN, messagesOfN: table calls, written bytes, and messages and calls between nodes a node and second.",
   variants: Object.keys(restartedShares),
   run,
   comparisons: [],
@@ -62,7 +62,7 @@
       everyRun: true,
     })),
     ...sizes.map((nodes) => ({
-      figure: `calmGoOnOf${nodes}`,
+      figure: `resumedShareOf${nodes}`,
       variant: "release",
       target: { atLeast: 0.95 },
     })),
--- a/src/bench/permit_fleet.ts
+++ b/src/bench/permit_fleet.ts
@@ -220,13 +220,13 @@
     const value = String(this.#options.limit);
     if (!node.limits.recordValue(server, value)) return;
     const rate = this.#options.limit;
-    const heardAt = this.clock.now();
+    const observedAt = this.clock.now();
     for (const name of node.known) {
       const other = this.#nodes.get(name);
       if (other === undefined || this.#isLost()) continue;
       this.#afterDelay(() => {
         if (other.state === "running")
-          other.limits.recordNews(server, { rate, heardAt }, node.machine);
+          other.limits.recordNews(server, { rate, observedAt }, node.machine);
       });
     }
   }
--- a/src/bench/stream_fleet.ts
+++ b/src/bench/stream_fleet.ts
@@ -68,7 +68,7 @@
 
 /** What became of the take-ups of streams. */
 export type TakeUps = {
-  goneOn: number;
+  resumed: number;
   refused: number;
   /** Streams that went on at another version than the one that began them. */
   joined: number;
@@ -78,8 +78,8 @@
 export class StreamFleet {
   readonly clock = VirtualClock.create();
   /** Take-ups at nodes that were not restarted, and at those that were. */
-  readonly calm: TakeUps = { goneOn: 0, refused: 0, joined: 0 };
-  readonly restarted: TakeUps = { goneOn: 0, refused: 0, joined: 0 };
+  readonly unaffected: TakeUps = { resumed: 0, refused: 0, joined: 0 };
+  readonly restarted: TakeUps = { resumed: 0, refused: 0, joined: 0 };
   /** Messages and calls between nodes. */
   messages = 0;
   reads = 0;
@@ -272,10 +272,12 @@
     if (node?.keeper === undefined) return;
     const until = millis(this.clock.now() + maxOriginWait);
     const counts =
-      node.restartedAt > Number.NEGATIVE_INFINITY ? this.restarted : this.calm;
+      node.restartedAt > Number.NEGATIVE_INFINITY
+        ? this.restarted
+        : this.unaffected;
     const origin = await node.keeper.findOrigin(service, id, until);
     if (origin === undefined) counts.refused++;
-    else if (origin === version) counts.goneOn++;
+    else if (origin === version) counts.resumed++;
     else counts.joined++;
   }
 
--- a/src/core/gateway/server_limits.ts
+++ b/src/core/gateway/server_limits.ts
@@ -7,8 +7,8 @@
   readonly born: number | undefined;
   /** Requests per second from all nodes together; undefined once the server has ended its limit. */
   rate: number | undefined;
-  /** Time at which a node heard this from the server. */
-  heardAt: Millis;
+  /** Time at which a node learned this from the server. */
+  observedAt: Millis;
   /** Time before which this node gets no permit. */
   deniedUntil: Millis;
   /** Latest time at which a caller that this node refused returns. */
@@ -18,17 +18,17 @@
 /** Limits that servers named; each holds for one incarnation. */
 export type ServerLimits = Map<ServerId, KnownLimit>;
 
-/** A limit as a node heard it. */
-export type HeardLimit = {
+/** A limit as a node learned it. */
+export type ObservedLimit = {
   /** Requests per second; undefined if the server names none. */
   readonly rate: number | undefined;
-  readonly heardAt: Millis;
+  readonly observedAt: Millis;
 };
 
 /** Longest time until a refused caller returns, in ms. */
 const maxReturnDelay = 30_000;
 
-/** Creates the state of a node that has heard of no limit. */
+/** Creates the state of a node that knows of no limit. */
 export function createServerLimits(): ServerLimits {
   return new Map();
 }
@@ -40,18 +40,18 @@
 export function recordLimit(
   limits: ServerLimits,
   { id, born }: Incarnation,
-  { rate, heardAt }: HeardLimit,
+  { rate, observedAt }: ObservedLimit,
 ): boolean {
   const known = limits.get(id);
   const isSame = known?.born === born;
   if (known !== undefined && !isSame && (known.born ?? 0) > (born ?? 0))
     return false;
   const current = isSame ? known : undefined;
-  if (current !== undefined && heardAt < current.heardAt) return false;
+  if (current !== undefined && observedAt < current.observedAt) return false;
   if (current === undefined && rate === undefined) return false;
   const never = millis(Number.NEGATIVE_INFINITY);
   const { deniedUntil = never, returnAt = never } = current ?? {};
-  limits.set(id, { born, rate, heardAt, deniedUntil, returnAt });
+  limits.set(id, { born, rate, observedAt, deniedUntil, returnAt });
   return current?.rate !== rate;
 }
 
@@ -59,17 +59,17 @@
 export function findLimit(
   limits: ServerLimits,
   server: Incarnation,
-): { readonly rate: number; readonly heardAt: Millis } | undefined {
+): { readonly rate: number; readonly observedAt: Millis } | undefined {
   const known = findKnown(limits, server);
   if (known?.rate === undefined) return undefined;
-  return { rate: known.rate, heardAt: known.heardAt };
+  return { rate: known.rate, observedAt: known.observedAt };
 }
 
-/** What was last heard of the limit of a server, its end included. */
-export function findHeardLimit(
+/** What is last known of the limit of a server, its end included. */
+export function findLastLimit(
   limits: ServerLimits,
   server: Incarnation,
-): HeardLimit | undefined {
+): ObservedLimit | undefined {
   return findKnown(limits, server);
 }
 
--- a/src/node/gateway/peers/notice_handler.ts
+++ b/src/node/gateway/peers/notice_handler.ts
@@ -59,11 +59,11 @@
     }
   }
 
-  /** Applies what another node heard of the limit of a server. */
+  /** Applies what another node learned of the limit of a server. */
   receiveLimit({ from, server, rate, age }: LimitMessage): void {
     const { context } = this.#options;
-    const heardAt = millis(context.now() - age);
-    context.availability.limits.recordNews(server, { rate, heardAt }, from);
+    const observedAt = millis(context.now() - age);
+    context.availability.limits.recordNews(server, { rate, observedAt }, from);
   }
 
   /** Applies the news of another node; this node need not repeat it any more. */
@@ -88,15 +88,15 @@
   /** Tells the other nodes of a limit; one that misses it hears it from the server, or with a permit. */
   #sendLimit({ id, born }: Incarnation): void {
     const { context } = this.#options;
-    const heard = context.availability.limits.findHeard({ id, born });
-    if (heard === undefined) return;
+    const observed = context.availability.limits.findLast({ id, born });
+    if (observed === undefined) return;
     const now = context.now();
     const sentAt = this.#limitSentAt.get(id) ?? Number.NEGATIVE_INFINITY;
     if (now < sentAt + limitInterval) return;
     this.#limitSentAt.set(id, now);
     const { machine: from } = context.dependencies.identity;
-    const { rate, heardAt } = heard;
-    const age = millis(now - heardAt);
+    const { rate, observedAt } = observed;
+    const age = millis(now - observedAt);
     this.#broadcast({ type: "limit", from, server: { id, born }, rate, age });
   }
 
--- a/src/node/gateway/servers/limit_tracker.ts
+++ b/src/node/gateway/servers/limit_tracker.ts
@@ -6,9 +6,9 @@
 import {
   createServerLimits,
   findDenialEnd,
-  findHeardLimit,
+  findLastLimit,
   findLimit,
-  type HeardLimit,
+  type ObservedLimit,
   planReturn,
   recordDenial,
   recordLimit,
@@ -49,23 +49,27 @@
     const rate = boundLimit(limit);
     // No limit at all is what an endless one says; any other value says nothing.
     if (rate === undefined && limit.kind !== "endless") return false;
-    return this.recordNews(server, { rate, heardAt: this.#now() }, "answer");
+    return this.recordNews(server, { rate, observedAt: this.#now() }, "answer");
   }
 
   /** Records that a server answered a request of `sentAt` without a limit; true if it had one. */
   recordAbsence(server: Incarnation, sentAt: Millis): boolean {
     const known = this.find(server);
     // The answer may have left the server before the limit was named.
-    if (known === undefined || sentAt <= known.heardAt) return false;
-    const news = { rate: undefined, heardAt: sentAt };
+    if (known === undefined || sentAt <= known.observedAt) return false;
+    const news = { rate: undefined, observedAt: sentAt };
     return this.recordNews(server, news, "answer");
   }
 
   /** Records what the server, or another node, says of its limit; true if it changes the limit. */
-  recordNews(server: Incarnation, news: HeardLimit, source: string): boolean {
+  recordNews(
+    server: Incarnation,
+    news: ObservedLimit,
+    source: string,
+  ): boolean {
     if (!recordLimit(this.#limits, server, news)) return false;
-    const { rate, heardAt } = news;
-    const age = Math.round(this.#now() - heardAt);
+    const { rate, observedAt } = news;
+    const age = Math.round(this.#now() - observedAt);
     const event = rate === undefined ? "serverLimitEnded" : "serverLimited";
     const fields = { server: server.id, rate, source, age };
     this.#options.journal.record(event, fields);
@@ -77,9 +81,9 @@
     return findLimit(this.#limits, server);
   }
 
-  /** What was last heard of the limit of a server, its end included. */
-  findHeard(server: Incarnation): HeardLimit | undefined {
-    return findHeardLimit(this.#limits, server);
+  /** What is last known of the limit of a server, its end included. */
+  findLast(server: Incarnation): ObservedLimit | undefined {
+    return findLastLimit(this.#limits, server);
   }
 
   /** Records that the node gets no permit for a server for a time. */
--- a/src/node/gateway/servers/server_permits.ts
+++ b/src/node/gateway/servers/server_permits.ts
@@ -86,8 +86,8 @@
     if (limit === undefined) return { kind: "not-needed" };
     if (limits.findDenialEnd(server) !== undefined) return { kind: "denied" };
     const { id, born } = server;
-    const { rate, heardAt } = limit;
-    const age = millis(clock.now() - heardAt);
+    const { rate, observedAt } = limit;
+    const age = millis(clock.now() - observedAt);
     const limited = { from, server: { id, born }, rate, age };
     const answer = await this.request({ ...limited, patience, except: [] });
     this.#options.meter.count("server_permits_total", { result: answer.kind });
@@ -96,7 +96,7 @@
         if (answer.inMs > 0) await sleep(clock, answer.inMs);
         return { kind: "granted", until: millis(clock.now() + permitLifetime) };
       case "ended": {
-        const news = { rate: undefined, heardAt: this.#toTime(answer.age) };
+        const news = { rate: undefined, observedAt: this.#toTime(answer.age) };
         limits.recordNews(server, news, "allocator");
         return limits.find(server) === undefined
           ? { kind: "not-needed" }
@@ -156,12 +156,12 @@
     const { clock, limits } = this.#options;
     const now = clock.now();
     const { server, from, patience } = request;
-    const news = { rate: request.rate, heardAt: this.#toTime(request.age) };
+    const news = { rate: request.rate, observedAt: this.#toTime(request.age) };
     limits.recordNews(server, news, from);
-    const heard = limits.findHeard(server);
-    const rate = heard === undefined ? request.rate : heard.rate;
-    if (heard !== undefined && rate === undefined)
-      return { kind: "ended", age: millis(now - heard.heardAt) };
+    const observed = limits.findLast(server);
+    const rate = observed === undefined ? request.rate : observed.rate;
+    if (observed !== undefined && rate === undefined)
+      return { kind: "ended", age: millis(now - observed.observedAt) };
     const allocation = this.#obtainAllocation(server, now);
     const limit = { rate: rate ?? request.rate, patience };
     return takeFromAllocation(allocation, limit, now);
--- a/src/node/membership_cluster.ts
+++ b/src/node/membership_cluster.ts
@@ -14,7 +14,10 @@
 import type { Membership, PublishedValue } from "./membership.ts";
 
 /** Fields of an engine view that its encoded form omits. */
-export type ViewOrigin = Pick<EngineView, "engine" | "region" | "heardAt"> & {
+export type ViewOrigin = Pick<
+  EngineView,
+  "engine" | "region" | "observedAt"
+> & {
   readonly owner: NodeId;
 };
 
@@ -200,7 +203,7 @@
       engine: brandString(entry.key),
       owner: entry.node,
       region,
-      heardAt: clock.now(),
+      observedAt: clock.now(),
     });
     if (view === undefined) return undefined;
     this.#views.set(entry.key, { value: entry.value, view });
--- a/src/ports/permits.ts
+++ b/src/ports/permits.ts
@@ -1,5 +1,5 @@
 import type { Millis } from "../core/clock.ts";
-import type { HeardLimit } from "../core/gateway/server_limits.ts";
+import type { ObservedLimit } from "../core/gateway/server_limits.ts";
 import type { Incarnation } from "../core/gateway/servers.ts";
 import type { MachineName } from "../core/ids.ts";
 
@@ -20,7 +20,7 @@
 export type PermitAnswer =
   | { readonly kind: "granted"; readonly inMs: Millis }
   | { readonly kind: "denied"; readonly retryIn: Millis }
-  /** The server has ended its limit, as heard `age` ms ago. */
+  /** The server has ended its limit, as learned `age` ms ago. */
   | { readonly kind: "ended"; readonly age: Millis };
 
 /** News of the limit of a server. */
@@ -29,7 +29,7 @@
   readonly from: MachineName;
   readonly server: Incarnation;
   /** Requests per second; undefined once the server has ended its limit. */
-  readonly rate: HeardLimit["rate"];
-  /** Time since a node heard it from the server, in ms. */
+  readonly rate: ObservedLimit["rate"];
+  /** Time since a node learned it from the server, in ms. */
   readonly age: Millis;
 };
--- a/tests/gateway/server_limits_test.ts
+++ b/tests/gateway/server_limits_test.ts
@@ -50,36 +50,36 @@
   });
 }
 
-// An answer that was on its way longer replaced what had been heard since.
+// An answer that was on its way longer replaced what had been learned since.
 test("older news of a limit does not replace newer news, and its end only ends the limit of one start", () => {
   const limits = createServerLimits();
-  const heard = { rate: 5, heardAt: millis(100) };
-  assert.ok(recordLimit(limits, server, heard));
-  assert.ok(!recordLimit(limits, server, { rate: 9, heardAt: millis(90) }));
+  const observed = { rate: 5, observedAt: millis(100) };
+  assert.ok(recordLimit(limits, server, observed));
+  assert.ok(!recordLimit(limits, server, { rate: 9, observedAt: millis(90) }));
   assert.equal(findLimit(limits, server)?.rate, 5);
-  assert.ok(recordLimit(limits, server, { rate: 2, heardAt: millis(110) }));
+  assert.ok(recordLimit(limits, server, { rate: 2, observedAt: millis(110) }));
   assert.equal(findLimit(limits, { ...server, born: 2 }), undefined);
-  const ended = { rate: undefined, heardAt: millis(120) };
+  const ended = { rate: undefined, observedAt: millis(120) };
   assert.ok(!recordLimit(limits, { ...server, born: 2 }, ended));
   assert.equal(findLimit(limits, server)?.rate, 2);
   assert.ok(recordLimit(limits, server, ended));
   assert.equal(findLimit(limits, server), undefined);
-  assert.ok(!recordLimit(limits, server, { rate: 4, heardAt: millis(115) }));
+  assert.ok(!recordLimit(limits, server, { rate: 4, observedAt: millis(115) }));
 });
 
 test("a denial ends with the limit", () => {
   const limits = createServerLimits();
-  recordLimit(limits, server, { rate: 5, heardAt: millis(0) });
+  recordLimit(limits, server, { rate: 5, observedAt: millis(0) });
   recordDenial(limits, server, millis(900));
   assert.equal(findDenialEnd(limits, server, millis(100)), 900);
-  recordLimit(limits, server, { rate: undefined, heardAt: millis(200) });
+  recordLimit(limits, server, { rate: undefined, observedAt: millis(200) });
   assert.equal(findDenialEnd(limits, server, millis(300)), undefined);
 });
 
 // All refused callers were told the time of the one next request.
 test("refused callers return one after another, at the rate of the node's part of the limit", () => {
   const limits = createServerLimits();
-  recordLimit(limits, server, { rate: 2, heardAt: millis(0) });
+  recordLimit(limits, server, { rate: 2, observedAt: millis(0) });
   recordDenial(limits, server, millis(400));
   const options = { now: millis(100), nodes: 4 };
   const times = [1, 2, 3].map(() => planReturn(limits, server, options));
--- a/tests/gateway/stream_fleet_test.ts
+++ b/tests/gateway/stream_fleet_test.ts
@@ -11,30 +11,30 @@
 const restartAt = 9_000;
 const runLength = 16_000;
 
-function countAll({ goneOn, refused, joined }: TakeUps): number {
-  return goneOn + refused + joined;
+function countAll({ resumed, refused, joined }: TakeUps): number {
+  return resumed + refused + joined;
 }
 
 for (const share of [0.25, 1]) {
   // Many take-ups ran to their end with a text joined from two versions, with nothing to show it.
   test(`no stream is joined from two software versions while ${share * 100}% of the nodes restart in a release`, async () => {
-    let goneOn = 0;
+    let resumed = 0;
     let takeUps = 0;
     for (let seed = 1; seed <= seeds; seed++) {
       const random = createSeededRandom(seed);
       const fleet = StreamFleet.create(nodes, random);
-      const { clock, calm, restarted } = fleet;
+      const { clock, unaffected, restarted } = fleet;
       clock.schedule(millis(releaseAt), () => fleet.release());
       const moment = millis(restartAt + random() * 3_000);
       clock.schedule(moment, () => fleet.restart(share));
       await fleet.run(runLength);
-      assert.equal(calm.joined + restarted.joined, 0, `seed ${seed}`);
-      const counted = share < 1 ? calm : restarted;
-      goneOn += counted.goneOn;
+      assert.equal(unaffected.joined + restarted.joined, 0, `seed ${seed}`);
+      const counted = share < 1 ? unaffected : restarted;
+      resumed += counted.resumed;
       takeUps += countAll(counted);
     }
     // At nodes that keep running 95% go on; a loss of all nodes leaves at least half.
     const required = share < 1 ? 0.95 : 0.5;
-    assert.ok(goneOn >= required * takeUps, `${goneOn} of ${takeUps}`);
+    assert.ok(resumed >= required * takeUps, `${resumed} of ${takeUps}`);
   });
 }
