--- a/src/adapters/gossip/view_codec.ts
+++ b/src/adapters/gossip/view_codec.ts
@@ -53,7 +53,7 @@
   readonly engine: EngineId;
   readonly owner: NodeId;
   readonly region: Region;
-  readonly observedAt: Millis;
+  readonly heardAt: Millis;
   /** Finds the adapter version with this hash in the configuration in force. */
   readonly findAdapter: (hash: number) => AdapterKey | undefined;
 };
--- a/src/bench/simulation.ts
+++ b/src/bench/simulation.ts
@@ -162,13 +162,13 @@
   }
 
   #refreshViews(): void {
-    const observedAt = this.clock.now();
+    const heardAt = this.clock.now();
     this.#views = [...this.hosts].map(([engine, host]) => ({
       ...host.summarize(),
       engine,
       region: this.#regions.get(engine) as Region,
       owner: brandString<NodeId>(`owner-of-${engine}`),
-      observedAt,
+      heardAt,
     }));
     const period = millis(this.#options.viewInterval ?? 200);
     this.clock.schedule(period, () => this.#refreshViews());
--- a/src/core/engine/summary.ts
+++ b/src/core/engine/summary.ts
@@ -7,7 +7,7 @@
 /** Fields of an engine view that only the owner can provide. */
 export type EngineSummary = Omit<
   EngineView,
-  "engine" | "region" | "owner" | "observedAt"
+  "engine" | "region" | "owner" | "heardAt"
 > & {
   /** Expected time until another load can start, in ms. */
   readonly loadWait: Millis;
--- a/src/core/routing/route.ts
+++ b/src/core/routing/route.ts
@@ -146,7 +146,7 @@
 }
 
 function countSent(view: EngineView, context: RouteContext): number {
-  return context.policies.sentSince?.(view.engine, view.observedAt) ?? 0;
+  return context.policies.sentSince?.(view.engine, view.heardAt) ?? 0;
 }
 
 function toWaitOptions(context: RouteContext): Omit<WaitOptions, "adapter"> {
--- a/src/core/routing/view.ts
+++ b/src/core/routing/view.ts
@@ -28,5 +28,5 @@
   /** Wait until the owner can start another load, in ms; undefined if it was not reported. */
   readonly loadWait?: Millis;
   /** Local time at which this view was received. */
-  readonly observedAt: Millis;
+  readonly heardAt: Millis;
 };
--- a/src/fuzz/simulated_node.ts
+++ b/src/fuzz/simulated_node.ts
@@ -293,8 +293,8 @@
   }
 
   #receiveViews(views: readonly EngineView[]): void {
-    const observedAt = this.#simulation.clock.now();
+    const heardAt = this.#simulation.clock.now();
     for (const view of views)
-      this.#views.set(view.engine, { ...view, observedAt });
+      this.#views.set(view.engine, { ...view, heardAt });
   }
 }
--- a/src/node/engine_directory.ts
+++ b/src/node/engine_directory.ts
@@ -74,7 +74,7 @@
       engine,
       region,
       owner: nodeId,
-      observedAt: now,
+      heardAt: now,
     }));
   }
 
--- a/src/node/membership_cluster.ts
+++ b/src/node/membership_cluster.ts
@@ -14,10 +14,7 @@
 import type { Membership, PublishedValue } from "./membership.ts";
 
 /** Fields of an engine view that its encoded form omits. */
-export type ViewOrigin = Pick<
-  EngineView,
-  "engine" | "region" | "observedAt"
-> & {
+export type ViewOrigin = Pick<EngineView, "engine" | "region" | "heardAt"> & {
   readonly owner: NodeId;
 };
 
@@ -203,7 +200,7 @@
       engine: brandString(entry.key),
       owner: entry.node,
       region,
-      observedAt: clock.now(),
+      heardAt: clock.now(),
     });
     if (view === undefined) return undefined;
     this.#views.set(entry.key, { value: entry.value, view });
--- a/tests/membership/datagrams_test.ts
+++ b/tests/membership/datagrams_test.ts
@@ -193,11 +193,11 @@
     interTokenTime: millis(22.5),
     serviceTime: millis(2_300),
     loadWait: millis(240),
-    observedAt: millis(5),
+    heardAt: millis(5),
   };
-  const { engine, region, observedAt } = view;
+  const { engine, region, heardAt } = view;
   const owner = brandString<NodeId>("a#1");
-  const context = { engine, owner, region, observedAt };
+  const context = { engine, owner, region, heardAt };
   const findAdapter = (hash: number) =>
     hash === hashText(key) ? key : undefined;
   const encoded = encodeView(view);
--- a/tests/routing/routing_fixture.ts
+++ b/tests/routing/routing_fixture.ts
@@ -55,7 +55,7 @@
     timeToFirstToken: millis(50),
     interTokenTime: millis(20),
     serviceTime: millis(2000),
-    observedAt: millis(0),
+    heardAt: millis(0),
     ...rest,
   };
 }
