Survive a table that fails unexpectedly; split the rows of streams off their keeper

A call of the table that rejects would have ended the process: the new test of software_versions_test got an unhandled rejection before. The calls of the table stand in a module of their own; a row holds at most 1,000 streams.

--- a/src/node/gateway/streams/stream_keeper.ts
+++ b/src/node/gateway/streams/stream_keeper.ts
@@ -26,31 +26,18 @@
   SoftwareVersion,
 } from "../../../core/ids.ts";
 import type { StreamMessage, StreamQuery } from "../../../ports/streams.ts";
-import type { Row, TableService } from "../../../ports/table.ts";
+import type { TableService } from "../../../ports/table.ts";
 import type { GatewayContext } from "../context.ts";
 import type { StreamPeers } from "./stream_peers.ts";
-import {
-  createStreamKey,
-  decodeStreamRow,
-  encodeStreamRow,
-  type StreamRow,
-  streamPrefixOf,
-} from "./stream_rows.ts";
+import type { ServiceStreams } from "./stream_rows.ts";
+import { StreamTable, type WrittenStreams } from "./stream_table.ts";
 
 /** Interval of the checks of the servers' versions, in ms. */
 const checkInterval = millis(100);
-/** Minimum interval of the writes of a node, and its growth with the number of nodes, in ms. */
-const minWriteInterval = 500;
-const writeIntervalPerNode = 10;
 /** Time that a write takes, and the checks before it, in ms. */
 const writeMargin = 150;
 /** Delay before the first read of the rows is repeated, in ms. */
 const readRetryDelay = 1_000;
-/** Age from which the row of an ended process is removed, in ms; clocks of nodes differ by seconds. */
-const rowLifetime = 2 * streamMemory;
-/** Maximum number of rows that one transaction removes. */
-const maxRemovedRows = 50;
-
 type StreamKeeperOptions = {
   readonly table: TableService;
   readonly peers: StreamPeers;
@@ -63,7 +50,7 @@
  */
 export class StreamKeeper {
   readonly #context: GatewayContext;
-  readonly #table: TableService;
+  readonly #table: StreamTable;
   readonly #peers: StreamPeers;
   readonly #history = createVersionHistory();
   /** Streams that this machine passed on. */
@@ -73,25 +60,15 @@
   readonly #startedAt: Millis;
   /** Services of which several versions were in sight lately. */
   #mixed: ReadonlySet<ServiceName> = new Set();
-  #hasRead = false;
-  #readAt: Millis;
-  #writtenAt: Millis;
-  #isWriting = false;
-  #hasRow = false;
   #reading: Promise<boolean> | undefined;
   #nextRead: Promise<boolean> | undefined;
-  /** Rows of earlier processes of this machine. */
-  #formerRows: readonly Row[] = [];
   #cancel: Cancel = () => {};
 
   private constructor(context: GatewayContext, options: StreamKeeperOptions) {
     this.#context = context;
-    this.#table = options.table;
+    this.#table = StreamTable.create(context, options.table);
     this.#peers = options.peers;
-    const never = millis(Number.NEGATIVE_INFINITY);
     this.#startedAt = context.now();
-    this.#readAt = never;
-    this.#writtenAt = never;
   }
 
   static create(
@@ -149,7 +126,8 @@
     const told = query && (await this.#peers.ask(query));
     if (told !== undefined) return told;
     const hasLongHistory =
-      this.#hasRead || this.#context.now() >= this.#startedAt + streamMemory;
+      this.#table.hasRead ||
+      this.#context.now() >= this.#startedAt + streamMemory;
     if (hasLongHistory) {
       const single = this.#findSingleVersion(service);
       if (single !== undefined) return single;
@@ -158,7 +136,7 @@
     const found = await this.#findInRows(service, id);
     if (found !== undefined) return found;
     // The node that passed the stream on may not have written it yet.
-    const delay = millis(this.#writeInterval + writeMargin);
+    const delay = millis(this.#table.writeInterval + writeMargin);
     if (this.#context.now() + delay >= until) return undefined;
     await sleep(this.#context.dependencies.clock, delay);
     return this.#findInRows(service, id);
@@ -191,14 +169,9 @@
     this.#tellOfMixedServices();
     removeOldOrigins(this.#own, now);
     removeOldOrigins(this.#others, now);
-    if (!this.#hasRead && now >= this.#readAt + readRetryDelay)
-      void this.#refresh();
-    if (
-      this.#hasRead &&
-      !this.#isWriting &&
-      now >= this.#writtenAt + this.#writeInterval
-    )
-      void this.#write();
+    const { hasRead, readAt, isWriteDue } = this.#table;
+    if (!hasRead && now >= readAt + readRetryDelay) void this.#refresh();
+    if (isWriteDue) void this.#table.write(this.#listStreams());
     this.#cancel = clock.schedule(checkInterval, () => this.#check());
   }
 
@@ -213,44 +186,6 @@
     this.#mixed = mixed;
   }
 
-  get #writeInterval(): number {
-    const interval = writeIntervalPerNode * this.#context.nodeCount;
-    return Math.max(minWriteInterval, interval);
-  }
-
-  /** Writes the streams of services with several versions; removes the row once there is none. */
-  async #write(): Promise<void> {
-    const mixed = listMixedServices(this.#history);
-    if (mixed.length === 0 && !this.#hasRow) return;
-    const { clock, identity } = this.#context.dependencies;
-    const { machine, process } = identity;
-    this.#isWriting = true;
-    this.#writtenAt = this.#context.now();
-    const key = createStreamKey(machine, process);
-    const services = mixed.map((service) => ({
-      service,
-      versions: listVersions(this.#history, service),
-      streams: [...this.#own].flatMap(([id, origin]) =>
-        origin.service === service ? [[id, origin.version] as const] : [],
-      ),
-    }));
-    const row = encodeStreamRow({ writtenAt: clock.wallNow(), services });
-    const former = this.#formerRows.filter((other) => other.key !== key);
-    const result = await this.#table.transact({
-      attempt: this.#context.createAttemptToken(),
-      conditions: [],
-      writes: [
-        { key, value: mixed.length === 0 ? undefined : row },
-        // This row has their streams.
-        ...former.map((other) => ({ key: other.key, value: undefined })),
-      ],
-    });
-    this.#isWriting = false;
-    if (result.isLeft()) return;
-    this.#hasRow = mixed.length > 0;
-    this.#formerRows = [];
-  }
-
   /** Reads the rows of all nodes by a call that starts from now on; false if the table does not answer. */
   #refresh(): Promise<boolean> {
     if (this.#reading === undefined) {
@@ -267,62 +202,15 @@
   }
 
   async #read(): Promise<boolean> {
-    this.#readAt = this.#context.now();
-    const result = await this.#table.scan("streams/");
-    return result.caseOf({
-      Left: () => false,
-      Right: (rows) => {
-        this.#apply(rows);
-        return true;
-      },
-    });
-  }
-
-  #apply(rows: readonly Row[]): void {
-    const { machine } = this.#context.dependencies.identity;
-    const ownPrefix = streamPrefixOf(machine);
-    const isFirst = !this.#hasRead;
-    this.#hasRead = true;
-    const formerRows = rows.filter(({ key }) => key.startsWith(ownPrefix));
-    if (isFirst) {
-      this.#formerRows = formerRows;
-      void this.#removeOldRows(rows);
-    }
-    for (const row of rows) {
-      const isFormer = isFirst && row.key.startsWith(ownPrefix);
-      this.#applyRow(row, isFormer ? this.#own : this.#others);
-    }
-  }
-
-  /** Removes the rows of processes that ended long ago, once in the life of this one. */
-  async #removeOldRows(rows: readonly Row[]): Promise<void> {
-    const old = rows.filter((row) => {
-      const decoded = decodeStreamRow(row);
-      return decoded === undefined || this.#computeAge(decoded) > rowLifetime;
-    });
-    if (old.length === 0) return;
-    await this.#table.transact({
-      attempt: this.#context.createAttemptToken(),
-      conditions: [],
-      writes: old
-        .slice(0, maxRemovedRows)
-        .map(({ key }) => ({ key, value: undefined })),
-    });
+    const written = await this.#table.read();
+    for (const streams of written ?? []) this.#apply(streams);
+    return written !== undefined;
   }
 
-  #computeAge({ writtenAt }: StreamRow): number {
-    const { clock } = this.#context.dependencies;
-    return Math.max(0, clock.wallNow() - writtenAt);
-  }
-
-  #applyRow(row: Row, origins: StreamOrigins): void {
-    const decoded = decodeStreamRow(row);
-    if (decoded === undefined) return;
-    const now = this.#context.now();
-    const age = this.#computeAge(decoded);
-    if (age > streamMemory) return;
-    const at = millis(now - age);
-    for (const { service, versions, streams } of decoded.services) {
+  #apply({ services, age, isFormer }: WrittenStreams): void {
+    const origins = isFormer ? this.#own : this.#others;
+    const at = millis(this.#context.now() - age);
+    for (const { service, versions, streams } of services) {
       for (const version of versions)
         recordVersion(this.#history, { service, version, at });
       for (const [id, version] of streams) {
@@ -331,4 +219,15 @@
       }
     }
   }
+
+  /** The streams of services with several versions that this machine passed on. */
+  #listStreams(): ServiceStreams[] {
+    return listMixedServices(this.#history).map((service) => ({
+      service,
+      versions: listVersions(this.#history, service),
+      streams: [...this.#own].flatMap(([id, origin]) =>
+        origin.service === service ? [[id, origin.version] as const] : [],
+      ),
+    }));
+  }
 }
--- a/src/node/gateway/streams/stream_rows.ts
+++ b/src/node/gateway/streams/stream_rows.ts
@@ -9,9 +9,10 @@
 } from "../../../core/ids.ts";
 import type { Json, Row } from "../../../ports/table.ts";
 
-const streamPrefix = "streams/";
+/** Key prefix of the rows of all machines. */
+export const streamPrefix = "streams/";
 /** Maximum number of streams in one row, which keeps it below the size that the table allows. */
-const maxStreams = 1_500;
+const maxStreams = 1_000;
 
 /** Streams of one service that one node passed on while several versions served. */
 export type ServiceStreams = {
--- a/tests/gateway/software_versions_test.ts
+++ b/tests/gateway/software_versions_test.ts
@@ -213,6 +213,17 @@
   assert.deepEqual(await listKeys(), []);
 });
 
+// A rejected call of the table ended the process.
+test("a table that fails unexpectedly costs a take-up of unknown origin, not the process", async () => {
+  const fixture = await createFixture(["v1", "v1.1"]);
+  fixture.table.scan = () => Promise.reject(new Error("failed"));
+  fixture.table.transact = () => Promise.reject(new Error("failed"));
+  const resumption = { resumeAfter: "1", resumes: "unknown" };
+  const { answer } = await open(fixture, resumption);
+  await fixture.advance(1_000);
+  assert.equal(answer.refusal?.code, "streamNotContinued");
+});
+
 test("a stream of an unknown origin is taken up where all servers have had one version for long", async () => {
   const fixture = await createFixture(["v1", "v1"]);
   await fixture.advance(longTime);
