--- a/src/bench/permit_fleet.ts
+++ b/src/bench/permit_fleet.ts
@@ -50,7 +50,6 @@
 /** A request that reached the server. */
 export type PermittedArrival = {
   readonly at: number;
-  readonly machine: MachineName;
   /** The node had been told of the limit for long enough to keep to it. */
   readonly isBound: boolean;
 };
@@ -206,10 +205,9 @@
     this.#afterDelay(() => {
       const at = this.clock.now();
       if (node.state !== "running") return;
-      if (permit.kind === "granted" && at > permit.until + maxDelay) return;
       const boundFrom = (node.toldAt ?? at) + noticeTime;
       const isBound = at >= boundFrom;
-      this.arrivals.push({ at, machine: node.machine, isBound });
+      this.arrivals.push({ at, isBound });
       this.#afterDelay(() => this.#answer(node));
     });
   }
--- a/src/core/gateway/server_limits.ts
+++ b/src/core/gateway/server_limits.ts
@@ -6,9 +6,9 @@
 type KnownLimit = {
   readonly born: number | undefined;
   /** Requests per second from all nodes together; undefined once the server has ended its limit. */
-  rate: number | undefined;
+  readonly rate: number | undefined;
   /** Time at which a node learned this from the server. */
-  observedAt: Millis;
+  readonly observedAt: Millis;
   /** Time before which this node gets no permit. */
   deniedUntil: Millis;
   /** Latest time at which a caller that this node refused returns. */
--- a/src/core/gateway/servers.ts
+++ b/src/core/gateway/servers.ts
@@ -194,6 +194,11 @@
   );
 }
 
+/** Whether a server belongs to a service and accepts new requests. */
+export function isUsable(server: BackendServer, service: ServiceName): boolean {
+  return server.service === service && !server.leaving;
+}
+
 /** Servers of a service that accept new requests. */
 export function listUsableServers(
   directory: ServerDirectory,
@@ -201,7 +206,7 @@
 ): BackendServer[] {
   const usable: BackendServer[] = [];
   for (const server of directory.servers.values()) {
-    if (server.service === service && !server.leaving) usable.push(server);
+    if (isUsable(server, service)) usable.push(server);
   }
   return usable;
 }
--- a/src/node/gateway/peers/notice_handler.ts
+++ b/src/node/gateway/peers/notice_handler.ts
@@ -93,6 +93,8 @@
     const now = context.now();
     const sentAt = this.#limitSentAt.get(id) ?? Number.NEGATIVE_INFINITY;
     if (now < sentAt + limitInterval) return;
+    for (const [other, at] of this.#limitSentAt)
+      if (now >= at + limitInterval) this.#limitSentAt.delete(other);
     this.#limitSentAt.set(id, now);
     const { machine: from } = context.dependencies.identity;
     const { rate, observedAt } = observed;
--- a/src/node/gateway/servers/limit_tracker.ts
+++ b/src/node/gateway/servers/limit_tracker.ts
@@ -42,7 +42,7 @@
     const { journal, meter } = this.#options;
     const limit = parseRequestLimit(value);
     meter.count("server_limits_total", { value: limit.kind });
-    if (limit.kind !== "rate" && this.find(server)?.rate !== limit.rate) {
+    if (limit.kind !== "rate") {
       const form = limit.kind;
       journal.record("serverLimitUnusual", { server: server.id, value, form });
     }
--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -6,6 +6,7 @@
 import type { Resumption } from "../../../core/gateway/server_pauses.ts";
 import {
   type BackendServer,
+  isUsable,
   listUsableServers,
 } from "../../../core/gateway/servers.ts";
 import {
@@ -120,8 +121,13 @@
     service: ServiceName,
     condition: (server: BackendServer) => boolean,
   ): boolean {
-    const registered = listUsableServers(this.#context.directory, service);
-    return registered.length > 0 && !registered.some(condition);
+    let hasServer = false;
+    for (const server of this.#context.directory.servers.values()) {
+      if (!isUsable(server, service)) continue;
+      if (condition(server)) return false;
+      hasServer = true;
+    }
+    return hasServer;
   }
 
   /** Whether a server of the service that meets a condition takes requests now. */
--- a/src/node/gateway/streams/stream_keeper.ts
+++ b/src/node/gateway/streams/stream_keeper.ts
@@ -38,6 +38,7 @@
 const writeMargin = 150;
 /** Delay before the first read of the rows is repeated, in ms. */
 const readRetryDelay = 1_000;
+
 type StreamKeeperOptions = {
   readonly table: TableService;
   readonly peers: StreamPeers;
@@ -111,8 +112,8 @@
 
   /**
    * Version that began a stream which a caller takes up; undefined if it is not
-   * known by `until`. Without its origin a stream is only taken up where a single version
-   * has served for long.
+   * known by `until`. Without its origin a stream is only taken up where a
+   * single version has served for long.
    */
   async findOrigin(
     service: ServiceName,
@@ -132,14 +133,13 @@
       const single = this.#findSingleVersion(service);
       if (single !== undefined) return single;
     }
-    if (query === undefined) return this.#findInRows(service, id);
-    const found = await this.#findInRows(service, id);
-    if (found !== undefined) return found;
+    const found = await this.#findInRows(service, query);
+    if (found !== undefined || query === undefined) return found;
     // The node that passed the stream on may not have written it yet.
     const delay = millis(this.#table.writeInterval + writeMargin);
     if (this.#context.now() + delay >= until) return undefined;
     await sleep(this.#context.dependencies.clock, delay);
-    return this.#findInRows(service, id);
+    return this.#findInRows(service, query);
   }
 
   stop(): void {
@@ -148,10 +148,10 @@
 
   async #findInRows(
     service: ServiceName,
-    id: RequestId | undefined,
+    query: StreamQuery | undefined,
   ): Promise<SoftwareVersion | undefined> {
     if (!(await this.#refresh())) return undefined;
-    const known = id === undefined ? undefined : this.find({ service, id });
+    const known = query && this.find(query);
     return known ?? this.#findSingleVersion(service);
   }
 
@@ -222,7 +222,7 @@
 
   /** The streams of services with several versions that this machine passed on. */
   #listStreams(): ServiceStreams[] {
-    return listMixedServices(this.#history).map((service) => ({
+    return [...this.#mixed].map((service) => ({
       service,
       versions: listVersions(this.#history, service),
       streams: [...this.#own].flatMap(([id, origin]) =>
