--- a/src/adapters/peers/node_links.ts
+++ b/src/adapters/peers/node_links.ts
@@ -1,7 +1,7 @@
 import { createTRPCClient, httpLink } from "@trpc/client";
 import { Agent, fetch } from "undici";
 import { z } from "zod";
-import type { Millis } from "../../core/clock.ts";
+import { type Millis, millis } from "../../core/clock.ts";
 import { brandString, type SoftwareVersion } from "../../core/ids.ts";
 import type {
   AcquireResult,
@@ -16,9 +16,9 @@
 import { decodeDelivery, deliveryFrame } from "./row_frames.ts";
 
 /** Timeout of `acquire`, in ms; an owner holds the call for at most 600 ms. */
-const acquireTimeoutMillis = 900;
+const acquireTimeout = millis(900);
 /** Timeout of `findStream`, in ms; it is answered from memory. */
-const streamTimeoutMillis = 250;
+const streamTimeout = millis(250);
 /** Timeout for opening a connection to another node, in ms. */
 const connectTimeoutMillis = 500;
 /** Maximum size of a response, in bytes. */
@@ -31,6 +31,8 @@
   readonly agent: Agent;
 };
 
+type CallOptions = { readonly signal: AbortSignal };
+
 /** Calls other nodes over tRPC. */
 export class TrpcNodeLinks implements NodeLinks, RowPeers {
   readonly #peers = new Map<string, Peer>();
@@ -43,81 +45,76 @@
     address: string,
     request: Parameters<NodeLinks["acquire"]>[1],
   ): Promise<AcquireResult> {
-    const signal = AbortSignal.timeout(acquireTimeoutMillis);
-    try {
-      const { client } = this.#getOrCreatePeer(address);
-      return await client.acquire.mutate(request, { signal });
-    } catch {
-      // The cause is not reported because the caller tries another owner in any case.
-      this.#disconnect(address);
-      return { kind: "refused", reason: "unreachable" };
-    }
+    const answer = await this.#call(
+      address,
+      acquireTimeout,
+      (client, options) => client.acquire.mutate(request, options),
+    );
+    // The cause is not reported because the caller tries another owner in any case.
+    return answer ?? { kind: "refused", reason: "unreachable" };
   }
 
   async requestModel(
     address: string,
     request: ModelRequest,
   ): Promise<ModelResult> {
-    const signal = AbortSignal.timeout(acquireTimeoutMillis);
-    try {
-      const { client } = this.#getOrCreatePeer(address);
-      return await client.requestModel.mutate(request, { signal });
-    } catch {
-      // As for `acquire`, another owner is asked next.
-      this.#disconnect(address);
-      return { kind: "refused", reason: "unreachable" };
-    }
+    const answer = await this.#call(
+      address,
+      acquireTimeout,
+      (client, options) => client.requestModel.mutate(request, options),
+    );
+    // As for `acquire`, another owner is asked next.
+    return answer ?? { kind: "refused", reason: "unreachable" };
   }
 
-  async requestPermit(
+  requestPermit(
     address: string,
     request: PermitRequest,
     timeout: Millis,
   ): Promise<PermitAnswer | undefined> {
-    const signal = AbortSignal.timeout(timeout);
-    try {
-      const { client } = this.#getOrCreatePeer(address);
-      return await client.requestPermit.mutate(
-        { ...request, except: [...request.except] },
-        { signal },
-      );
-    } catch {
-      // The caller records that the node did not answer.
-      this.#disconnect(address);
-      return undefined;
-    }
+    const input = { ...request, except: [...request.except] };
+    return this.#call(address, timeout, (client, options) =>
+      client.requestPermit.mutate(input, options),
+    );
   }
 
   async findStream(
     address: string,
     query: StreamQuery,
   ): Promise<SoftwareVersion | undefined> {
-    const signal = AbortSignal.timeout(streamTimeoutMillis);
-    try {
-      const { client } = this.#getOrCreatePeer(address);
-      const version = await client.findStream.mutate(query, { signal });
-      return version === null
-        ? undefined
-        : brandString<SoftwareVersion>(version);
-    } catch {
-      // The caller reads the rows of all nodes instead.
-      this.#disconnect(address);
-      return undefined;
-    }
+    const version = await this.#call(
+      address,
+      streamTimeout,
+      (client, options) => client.findStream.mutate(query, options),
+    );
+    return typeof version === "string"
+      ? brandString<SoftwareVersion>(version)
+      : undefined;
   }
 
-  async followRows(
+  followRows(
     address: string,
     request: RowRequest,
     timeout: Millis,
   ): Promise<readonly RowDelivery[] | undefined> {
+    return this.#call(address, timeout, async (client, options) => {
+      const frames = await client.followRows.mutate(request, options);
+      return z.array(deliveryFrame).parse(frames).map(decodeDelivery);
+    });
+  }
+
+  /** Makes one call; undefined if the node does not answer properly within `timeout` ms. */
+  async #call<Answer>(
+    address: string,
+    timeout: Millis,
+    run: (client: Peer["client"], options: CallOptions) => Promise<Answer>,
+  ): Promise<Answer | undefined> {
     const signal = AbortSignal.timeout(timeout);
     try {
       const { client } = this.#getOrCreatePeer(address);
-      const frames = await client.followRows.mutate(request, { signal });
-      return z.array(deliveryFrame).parse(frames).map(decodeDelivery);
+      return await run(client, { signal });
     } catch {
-      // The caller records that the node did not answer.
+      // The caller records that the node did not answer, or asks another one.
       this.#disconnect(address);
       return undefined;
     }
