Review: a case for ORDER, streams of two software versions after a start under one id

Cause: the version of a stream is what the directory says of its server, also where the server has started again and its new entry has not been read.

--- a/review/common/platform.mjs
+++ b/review/common/platform.mjs
@@ -28,13 +28,17 @@
   }
 }
 
-/** Free TCP ports of the loopback address. */
+/** Free TCP ports of the loopback address, below those that the system gives to connections. */
 export async function findFreePorts(count) {
   const servers = [];
-  for (let at = 0; at < count; at++) {
+  while (servers.length < count) {
     const server = createTcpServer();
-    await new Promise((done) => server.listen(0, host, done));
-    servers.push(server);
+    const port = 10_240 + Math.floor(Math.random() * 20_000);
+    const isFree = await new Promise((done) => {
+      server.once("error", () => done(false));
+      server.listen(port, host, () => done(true));
+    });
+    if (isFree) servers.push(server);
   }
   const ports = servers.map((server) => server.address().port);
   await Promise.all(servers.map((server) => new Promise((done) => server.close(done))));
@@ -47,6 +51,9 @@
   #changes = [];
   #version = 100;
   #waiting = new Set();
+  #era = 0;
+  /** While set, the store answers nothing. */
+  isAway = false;
   #server;
   /** May answer a call in place of the store; returns whether it did. */
   intercept = () => false;
@@ -59,9 +66,9 @@
       request.on("end", () => {
         const url = new URL(request.url, "http://store");
         const body = Buffer.concat(chunks).toString();
-        if (store.intercept(url, body, request, response)) return;
+        if (store.isAway || store.intercept(url, body, request, response)) return;
         // An answer of the store takes 4 ms.
-        setTimeout(() => store.#answer(url, body, response), 4);
+        setTimeout(() => !store.isAway && store.#answer(url, body, response), 4);
       });
     });
     store.#server.keepAliveTimeout = 60_000;
@@ -94,6 +101,19 @@
     return row?.Value === undefined ? undefined : JSON.parse(Buffer.from(row.Value, "base64"));
   }
 
+  /** A copy from which the store can come back. */
+  copy() {
+    return { rows: new Map(this.#rows), changes: [...this.#changes], version: this.#version };
+  }
+
+  /** Comes back from a copy; versions after it are given out again. */
+  restore({ rows, changes, version }) {
+    this.#rows = new Map(rows);
+    this.#changes = [...changes];
+    this.#version = version;
+    this.#era++;
+  }
+
   close() {
     this.#server.close();
     this.#server.closeAllConnections();
@@ -130,9 +150,18 @@
 
   #feed(url, table, response) {
     const after = Number(url.searchParams.get("after"));
+    if (after > this.#version) return this.#send(response, 410, {});
+    const era = this.#era;
     const until = performance.now() + Math.min(30_000, Number(url.searchParams.get("WaitMs") ?? 0));
     let timer;
     const check = () => {
+      // What the store had promised before it went away is lost.
+      if (this.isAway || this.#era !== era) {
+        this.#waiting.delete(check);
+        clearTimeout(timer);
+        response.destroy();
+        return;
+      }
       const latest = new Map();
       for (const row of this.#changes)
         if (row.TableName === table && row.RowVersion > after) {
@@ -166,7 +195,7 @@
   #send(response, status, body) {
     if (response.destroyed) return;
     const text = JSON.stringify({ ...body, RowVersion: this.#version, NowMs: Math.round(performance.now()) });
-    response.writeHead(status, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(text), "Store-Era": "0" });
+    response.writeHead(status, { "Content-Type": "application/json", "Content-Length": Buffer.byteLength(text), "Store-Era": String(this.#era) });
     response.end(text);
   }
 }
@@ -295,6 +324,9 @@
       stdio: ["ignore", "pipe", "pipe"],
     });
     this.#child = child;
+    child.once("error", (error) => {
+      this.stderr = String(error);
+    });
     child.stdout.on("data", (chunk) => {
       this.log = (this.log + chunk).slice(-4_000_000);
     });
@@ -328,6 +360,8 @@
     for (const close of closing.reverse()) await Promise.resolve(close()).catch(() => {});
     process.exit(status);
   }
+  for (const event of ["uncaughtException", "unhandledRejection"])
+    process.on(event, (error) => finish(2, `could not run: ${error.stack}`));
   for (const signal of ["SIGTERM", "SIGINT"]) process.on(signal, () => finish(2, `ended by ${signal}`));
   record.write(trouble ? "with the disruption" : "without the disruption");
   try {
