--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -103,6 +103,18 @@
   });
 }
 
+type GatewayFixtureOptions = {
+  readonly clock?: VirtualClock;
+  readonly table?: MemoryTable;
+  readonly machine?: string;
+  readonly peerAddress?: string;
+  /** Sends a message to another node. */
+  readonly sendMessage?: (address: string, message: NodeMessage) => void;
+  /** Called with each request that is sent to a server. */
+  readonly onAttempt?: (attempt: RecordedAttempt) => void;
+  readonly reportFailure?: ReportFailure;
+};
+
 /** Gateway with fakes for its ports, on a virtual clock. */
 export class GatewayFixture {
   readonly clock: VirtualClock;
@@ -142,19 +154,18 @@
     clock = VirtualClock.create(),
     table = MemoryTable.create(clock),
     machine = "n1",
+    peerAddress = "10.0.0.9:7000",
+    sendMessage = () => {},
+    onAttempt = () => {},
     reportFailure,
-  }: {
-    clock?: VirtualClock;
-    table?: MemoryTable;
-    machine?: string;
-    reportFailure?: ReportFailure;
-  } = {}) {
+  }: GatewayFixtureOptions = {}) {
     this.clock = clock;
     this.table = table;
     const links: ServerLinks = {
       send: (order, sink) => {
         const attempt = new RecordedAttempt(order, sink);
         this.attempts.push(attempt);
+        queueMicrotask(() => onAttempt(attempt));
         return {
           cancel: () => {
             attempt.cancelled = true;
@@ -196,7 +207,7 @@
         dataCentre,
         region,
         regions: new Map([[dataCentre, region]]),
-        peerAddress: "10.0.0.9:7000",
+        peerAddress,
       },
       clock:
         reportFailure === undefined
@@ -234,9 +245,13 @@
         requestPermit: async () => undefined,
         findStream: async () => undefined,
       },
-      followTableRows: () => {},
+      followTableRows: (prefix, { onRow }) => {
+        void this.table
+          .scan(prefix)
+          .then((rows) => rows.orDefault([]).forEach(onRow));
+      },
       nodeChannel: {
-        send: () => {},
+        send: sendMessage,
         onMessage: (listener) => {
           this.#deliver = listener;
         },
@@ -338,7 +353,8 @@
       target: "/b/x",
       path: "/b/x",
       headers: [],
-      body: new Uint8Array(0),
+      // The requests of different callers are not alike.
+      body: new TextEncoder().encode(`body ${this.#requests}`),
       demand: undefined,
       deadline: millis(3_000),
       resumeAfter: undefined,
