Record the crashes of whole requests, with or without a prompt, and before the first byte

Cause: crashes were recorded for the shared parts of prompts only, and only after the head of an answer. A request without a model has no parts, and the last part, which tells a request from all others, is left out; a server that ends before its first byte left no record. Class: a fact is known for a unit that the code can see on one kind of request only. Change: the digest of method, host, target and body is one more unit of the record beside the parts. An attempt that breaks without a head blames that unit alone. Since each request that runs at a crash has a digest of its own, its crashes go to three nodes by rendezvous; all nodes learn of it, and the store, once two crashes convict it. Content that has been answered lately stays sound, so that callers who ask alike are not refused for the crashes of others.

--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -47,6 +47,7 @@
   z.tuple([z.literal("use"), name, z.array(usageFrame)]),
   z.tuple([z.literal("load"), name, z.array(ownerReportFrame)]),
   z.tuple([z.literal("poison"), name, name, crashListFrame, crashListFrame]),
+  z.tuple([z.literal("crashes"), name, name, crashListFrame, crashListFrame]),
   z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialParts), count]),
   z.tuple([z.literal("leaving"), name, name, born]),
   z.tuple([z.literal("stream"), name, name, name, version]),
@@ -69,7 +70,8 @@
       return encodeEntries(message, message.engines.map(encodeUsage));
     case "load":
       return encodeEntries(message, message.engines.map(encodeOwnerReport));
-    case "poison": {
+    case "poison":
+    case "crashes": {
       const { type, from, digest, record } = message;
       const { crashes, cleared } = record;
       return [packr.pack([type, from, digest, crashes, cleared])];
@@ -152,7 +154,8 @@
       return { type: "use", from, engines: data[2].map(decodeUsage) };
     case "load":
       return { type: "load", from, engines: data[2].map(decodeOwnerReport) };
-    case "poison": {
+    case "poison":
+    case "crashes": {
       const [type, , digest, crashes, cleared] = data;
       const record = { crashes, cleared };
       return { type, from, digest: brandString(digest), record };
--- a/src/core/observe/engine_events.ts
+++ b/src/core/observe/engine_events.ts
@@ -126,7 +126,7 @@
   poisonSuspected: {
     number: 211,
     level: "warn",
-    meaning: "A request was running on an engine that crashed",
+    meaning: "A request was running on a server that crashed",
   },
   poisonConvicted: {
     number: 212,
--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -15,6 +15,7 @@
   type PoisonStatus,
   resetCrashes,
 } from "./record.ts";
+import { isRequestDigest } from "./units.ts";
 
 /** Record of one content digest at one node. */
 export type PoisonEntry = {
@@ -59,14 +60,18 @@
   /** Drops old records; sent every few minutes. */
   | { readonly type: "sweep" };
 
+/** Publishes a record to other nodes. */
+export type PublishCommand = {
+  readonly type: "publish-record";
+  readonly digest: Digest;
+  readonly record: PoisonRecord;
+  /** The few nodes that put together the crashes of a whole request, or all nodes. */
+  readonly audience: "keepers" | "all";
+};
+
 /** Command that the registry's owner carries out. */
 export type PoisonCommand =
-  /** Publishes the record to the other nodes. */
-  | {
-      readonly type: "publish-record";
-      readonly digest: Digest;
-      readonly record: PoisonRecord;
-    }
+  | PublishCommand
   /** Writes the row of convicted content, merged with the stored record. */
   | {
       readonly type: "write-row";
@@ -192,11 +197,14 @@
   const entry = updateEntry(state.entries.get(digest), record, now);
   state.entries.delete(digest);
   state.entries.set(digest, entry);
-  const commands: PoisonCommand[] = [
-    { type: "publish-record", digest, record },
-  ];
   const status = deriveStatus(record);
   const wasConvicted = deriveStatus(before) === "convicted";
+  const isForAll =
+    !isRequestDigest(digest) || status === "convicted" || wasConvicted;
+  const audience = isForAll ? "all" : "keepers";
+  const commands: PoisonCommand[] = [
+    { type: "publish-record", digest, record, audience },
+  ];
   if (status === "convicted" || wasConvicted)
     commands.push({ type: "write-row", digest, record });
   if (status === "convicted") {
--- a/src/core/results/engine_codes.ts
+++ b/src/core/results/engine_codes.ts
@@ -78,9 +78,10 @@
     number: 3011,
     status: 503,
     outcome: "not-run",
-    meaning: "A part of the prompt has crashed engines, or may have",
+    meaning:
+      "The request, or a part of its prompt, has crashed servers, or may have",
     remedy:
-      "Send again after Retry-After without that part; operators: see the poison rows",
+      "Send again after Retry-After without that content; operators: see the poison rows",
   },
   serversPaused: {
     number: 3012,
--- a/src/fuzz/simulated_node.ts
+++ b/src/fuzz/simulated_node.ts
@@ -77,7 +77,8 @@
       createToken: () => brandString(`${this.id}.poison.${this.#tokens++}`),
       journal: silentJournal,
       meter: silentMeter,
-      publish: (digest, record) => this.#cluster.publishPoison(digest, record),
+      publish: ({ digest, record }) =>
+        this.#cluster.publishPoison(digest, record),
     });
     this.#permits = this.#createPermits();
     this.node = this.#createNode();
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -15,7 +15,6 @@
   NodeChannel,
   NodeLinks,
   NodeMessage,
-  PoisonMessage,
 } from "../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
 import type { StreamQuery } from "../../ports/streams.ts";
@@ -30,7 +29,11 @@
 import { PauseWatch } from "./pause_watch.ts";
 import { NoticeHandler } from "./peers/notice_handler.ts";
 import { PeerContacts } from "./peers/peer_contacts.ts";
-import { createPoisonBroadcast } from "./peers/poison_broadcast.ts";
+import {
+  createPoisonBroadcast,
+  type PoisonBroadcast,
+} from "./peers/poison_broadcast.ts";
+import { createPoisonPublisher } from "./peers/poison_publisher.ts";
 import { CrashCheck } from "./requests/crash_check.ts";
 import { OpenRequests } from "./requests/open_requests.ts";
 import { PromptGuard } from "./requests/prompt_guard.ts";
@@ -87,7 +90,7 @@
   readonly #usageReporter: UsageReporter;
   readonly #poison: PoisonManager;
   readonly #guard: PromptGuard;
-  readonly #broadcast: (message: PoisonMessage) => void;
+  readonly #broadcast: PoisonBroadcast;
   readonly #requests: OpenRequests;
   readonly #installation: InstallationTracker;
   readonly #notices: NoticeHandler;
@@ -312,7 +315,12 @@
 
   #createPoisonManager(): PoisonManager {
     const { clock, table, random, journal, meter, identity } = this.#options;
-    const { machine: from } = identity;
+    const publish = createPoisonPublisher({
+      machine: identity.machine,
+      listMachines: () => this.#leases.listMachines(),
+      findAddress: (machine) => this.#leases.findAddress(machine),
+      send: this.#broadcast,
+    });
     return PoisonManager.create({
       clock,
       table,
@@ -320,8 +328,7 @@
       createToken: () => this.context.createAttemptToken(),
       journal,
       meter,
-      publish: (digest, record) =>
-        this.#broadcast({ type: "poison", from, digest, record }),
+      publish,
       followRows: this.#options.followTableRows,
       onConviction: () => this.#requests.withdrawConvicted(),
     });
@@ -339,6 +346,7 @@
       case "stream":
         return this.#streams.receive(message);
       case "poison":
+      case "crashes":
       case "trial":
         return this.#guard.receive(message);
     }
--- a/src/node/gateway/peers/poison_broadcast.ts
+++ b/src/node/gateway/peers/poison_broadcast.ts
@@ -11,18 +11,24 @@
   readonly listAddresses: () => readonly string[];
 };
 
-/** Creates a function that sends a message to all other nodes, twice since datagrams may be lost. */
+/** Sends a message to these nodes, or to all others. */
+export type PoisonBroadcast = (
+  message: PoisonMessage,
+  addresses?: readonly string[],
+) => void;
+
+/** Creates a function that sends a message to other nodes, twice since datagrams may be lost. */
 export function createPoisonBroadcast(
   options: PoisonBroadcastOptions,
-): (message: PoisonMessage) => void {
+): PoisonBroadcast {
   const { clock, channel, listAddresses } = options;
-  const send = (message: PoisonMessage) => {
-    for (const address of listAddresses()) channel.send(address, message);
-  };
-  return (message) => {
-    send(message);
+  return (message, addresses) => {
+    const send = () => {
+      for (const address of addresses ?? listAddresses())
+        channel.send(address, message);
+    };
+    send();
     // A late copy of a trial's announcement would outlast the trial.
-    if (message.type === "poison")
-      clock.schedule(repeatDelay, () => send(message));
+    if (message.type !== "trial") clock.schedule(repeatDelay, send);
   };
 }
--- a/src/node/gateway/requests/prompt_admission.ts
+++ b/src/node/gateway/requests/prompt_admission.ts
@@ -2,38 +2,41 @@
 import { millis } from "../../../core/clock.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { Digest } from "../../../core/ids.ts";
+import { listUnits, type RequestContent } from "../../../core/poison/units.ts";
 import type { PromptGuard, PromptTrial } from "./prompt_guard.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
-/** Time for which an answer must have run to show that its prompt crashes no engine, in ms. */
+/** Time for which an answer must have run to show that its request crashes no server, in ms. */
 const soundRunTime = millis(1_000);
 
-/** The parts of one request's prompt at the guard; ends its trial with the request. */
+/** The content of one request at the guard; ends its trial with the request. */
 export class PromptAdmission {
   readonly #guard: PromptGuard;
-  readonly #parts: readonly Digest[];
+  readonly #content: RequestContent;
+  readonly #units: readonly Digest[];
   readonly #clock: Clock;
   #trial: PromptTrial | undefined;
   #recorded: Promise<void> = Promise.resolve();
 
   private constructor(
     guard: PromptGuard,
-    options: { parts: readonly Digest[]; clock: Clock },
+    options: { content: RequestContent; clock: Clock },
   ) {
     this.#guard = guard;
-    this.#parts = options.parts;
+    this.#content = options.content;
+    this.#units = listUnits(options.content);
     this.#clock = options.clock;
   }
 
   static create(
     guard: PromptGuard,
-    options: { parts: readonly Digest[]; clock: Clock },
+    options: { content: RequestContent; clock: Clock },
   ): PromptAdmission {
     return new PromptAdmission(guard, options);
   }
 
   get isConvicted(): boolean {
-    return this.#guard.assess(this.#parts) === "convicted";
+    return this.#guard.assess(this.#units) === "convicted";
   }
 
   /** Waits until the request may run; returns why it may not. */
@@ -44,7 +47,7 @@
     this.end();
     // The crash of an earlier attempt must be known before the next one.
     await this.#recorded;
-    const admission = await this.#guard.admit(this.#parts, { until, hasEnded });
+    const admission = await this.#guard.admit(this.#units, { until, hasEnded });
     if (admission.kind !== "admitted") return admission.kind;
     this.#trial = admission.trial;
     if (hasEnded()) this.end();
@@ -53,7 +56,7 @@
 
   /** Whether the request may still be sent. */
   maySend(): boolean {
-    return this.#guard.maySend(this.#parts, this.#trial);
+    return this.#guard.maySend(this.#units, this.#trial);
   }
 
   /** Ends a trial once the answer has run for long enough. */
@@ -67,16 +70,19 @@
 
   /** Records a whole answer. */
   recordWhole(): void {
-    this.#guard.recordSound(this.#parts);
+    this.#guard.recordSound(this.#units);
     this.end();
   }
 
   /** Records how an attempt without a whole answer ended. */
   recordFailure({ end, runTime }: AttemptResult, server: BackendServer): void {
-    if (runTime === undefined) return;
-    if (runTime >= soundRunTime) return this.#guard.recordSound(this.#parts);
-    if (end.kind === "broken")
-      this.#recorded = this.#guard.recordBreak(server, this.#parts);
+    const hasBegun = runTime !== undefined;
+    if (hasBegun && runTime >= soundRunTime)
+      return this.#guard.recordSound(this.#units);
+    if (end.kind !== "broken") return;
+    // No part of a prompt can have crashed a server that had not begun to answer.
+    const units = hasBegun ? this.#units : [this.#content.request];
+    this.#recorded = this.#guard.recordBreak(server, units);
   }
 
   /** Ends the trial of the request, if it holds one. */
--- a/src/node/gateway/requests/prompt_guard.ts
+++ b/src/node/gateway/requests/prompt_guard.ts
@@ -19,6 +19,7 @@
   recordTrialClaim,
   type Trials,
 } from "../../../core/poison/trials.ts";
+import { isRequestDigest } from "../../../core/poison/units.ts";
 import type { PoisonMessage } from "../../../ports/nodes.ts";
 import type { PoisonManager } from "../../poison_manager.ts";
 import type { GatewayContext } from "../context.ts";
@@ -35,10 +36,10 @@
   /** With a trial, the request may run only while the node holds it. */
   | { readonly kind: "admitted"; readonly trial: PromptTrial | undefined }
   | { readonly kind: "convicted" }
-  /** Another request with the same parts was on trial until the end of the wait. */
+  /** Another request with the same units was on trial until the end of the wait. */
   | { readonly kind: "late" };
 
-/** Permission to run the only request with certain suspect parts. */
+/** Permission to run the only request with certain suspect units. */
 export type PromptTrial = {
   /** Whether the node still holds the trial. */
   readonly isHeld: () => boolean;
@@ -53,9 +54,9 @@
 };
 
 /**
- * Keeps requests whose prompts hold a part that crashes engines away from them.
- * Parts are suspected after one crash and run one request at a time until they
- * are shown to be sound or crash a second engine.
+ * Keeps requests that crash servers, or whose prompts hold a part that does,
+ * away from them. Such a unit is suspected after one crash; its requests run one
+ * at a time until it is shown to be sound or crashes a second server.
  */
 export class PromptGuard {
   readonly #options: PromptGuardOptions;
@@ -70,23 +71,22 @@
     return new PromptGuard(options);
   }
 
-  /** Status of a request with these parts. */
-  assess(parts: readonly Digest[]): PoisonStatus {
-    if (parts.length === 0) return "unknown";
-    return this.#options.poison.assess(parts, (part) => this.#isSound(part));
+  /** Status of a request with these units. */
+  assess(units: readonly Digest[]): PoisonStatus {
+    return this.#options.poison.assess(units, (unit) => this.#isSound(unit));
   }
 
   /** Waits until a request may run, at most until `until`. */
   async admit(
-    parts: readonly Digest[],
+    units: readonly Digest[],
     { until, hasEnded }: { until: Millis; hasEnded: () => boolean },
   ): Promise<PromptDecision> {
     const { clock } = this.#options.context.dependencies;
     for (;;) {
-      const status = this.assess(parts);
+      const status = this.assess(units);
       if (status === "unknown") return { kind: "admitted", trial: undefined };
       if (status === "convicted") return { kind: "convicted" };
-      const trial = this.#startTrial(parts);
+      const trial = this.#startTrial(units);
       if (trial !== undefined) return { kind: "admitted", trial };
       if (hasEnded() || this.#now() + pollInterval >= until)
         return { kind: "late" };
@@ -95,28 +95,27 @@
   }
 
   /** Whether an admitted request may still be sent. */
-  maySend(parts: readonly Digest[], trial: PromptTrial | undefined): boolean {
-    const status = this.assess(parts);
+  maySend(units: readonly Digest[], trial: PromptTrial | undefined): boolean {
+    const status = this.assess(units);
     if (status === "unknown") return true;
     return status === "suspect" && trial?.isHeld() === true;
   }
 
-  /** Records that a request with these parts has run without a crash. */
-  recordSound(parts: readonly Digest[]): void {
-    if (parts.length === 0) return;
-    recordSoundParts(this.#sound, parts, this.#now());
-    for (const part of parts) this.#options.poison.proveSound(part);
+  /** Records that a request with these units has run without a crash. */
+  recordSound(units: readonly Digest[]): void {
+    recordSoundParts(this.#sound, units, this.#now());
+    for (const unit of units) this.#options.poison.proveSound(unit);
   }
 
-  /** Records that the answer to a request broke off soon after it began. */
+  /** Records that the answer to a request broke off before it began, or soon after. */
   async recordBreak(
     server: BackendServer,
-    parts: readonly Digest[],
+    units: readonly Digest[],
   ): Promise<void> {
     const { crashes, poison, context } = this.#options;
-    // A paused engine is not asked whether it has crashed.
+    // A paused server is not asked whether it has crashed.
     if (context.availability.isPaused(server)) return;
-    const digests = this.#selectReported(parts);
+    const digests = this.#selectReported(units);
     if (digests.length === 0 || !(await crashes.isDown(server))) return;
     poison.suspect({
       engine: brandString(server.id),
@@ -125,12 +124,15 @@
     });
   }
 
-  /** Parts to report after a crash; of those that run well at many nodes, few nodes report them. */
-  #selectReported(parts: readonly Digest[]): Digest[] {
+  /** Units to report after a crash; of the parts that run well at many nodes, few nodes report them. */
+  #selectReported(units: readonly Digest[]): Digest[] {
     const { context } = this.#options;
     const share = reportersOfSound / context.nodeCount;
-    return parts.filter(
-      (part) => !this.#isSound(part) || context.dependencies.random() < share,
+    return units.filter(
+      (unit) =>
+        isRequestDigest(unit) ||
+        !this.#isSound(unit) ||
+        context.dependencies.random() < share,
     );
   }
 
@@ -141,20 +143,25 @@
       const claim = { machine, parts, duration };
       return recordTrialClaim(this.#trials, claim, this.#now());
     }
-    const { digest, record } = message;
+    const { type, digest, record } = message;
+    if (type === "crashes")
+      return this.#options.poison.receiveRecord(digest, record);
     this.#options.poison.receiveBroadcast(digest, record);
   }
 
-  #startTrial(parts: readonly Digest[]): PromptTrial | undefined {
+  #startTrial(units: readonly Digest[]): PromptTrial | undefined {
     const { poison, broadcast } = this.#options;
     const machine = this.#machine();
-    const suspected = parts.filter((part) => poison.isSuspected(part));
-    const unknown = suspected.filter((part) => !this.#isSound(part));
+    const suspected = units.filter((unit) => poison.isSuspected(unit));
+    const unknown = suspected.filter((unit) => !this.#isSound(unit));
     const suspects = unknown.length > 0 ? unknown : suspected;
     const claim = { machine, parts: suspects, duration: maxTrialTime };
     if (!claimTrial(this.#trials, claim, this.#now())) return undefined;
-    const announce = (duration: Millis) =>
-      broadcast({ type: "trial", from: machine, parts: suspects, duration });
+    const announced = suspects.filter((unit) => poison.isKnownToAll(unit));
+    const announce = (duration: Millis) => {
+      if (announced.length === 0) return;
+      broadcast({ type: "trial", from: machine, parts: announced, duration });
+    };
     announce(maxTrialTime);
     return {
       isHeld: () => holdsTrial(this.#trials, claim, this.#now()),
@@ -165,8 +172,8 @@
     };
   }
 
-  #isSound(part: Digest): boolean {
-    return isSoundPart(this.#sound, part, this.#now());
+  #isSound(unit: Digest): boolean {
+    return isSoundPart(this.#sound, unit, this.#now());
   }
 
   #machine(): MachineName {
--- a/src/node/gateway/requests/request_refusals.ts
+++ b/src/node/gateway/requests/request_refusals.ts
@@ -11,7 +11,7 @@
 
 /** Delay before a refused caller should retry, in ms. */
 const retryDelay = millis(400);
-/** Delay before a caller should send a prompt again that has crashed engines, in ms. */
+/** Delay before a caller should send a request again that has crashed servers, in ms. */
 const convictedDelay = millis(60_000);
 /** Time after which a node has recorded a stream for the others, in ms. */
 const originDelay = millis(600);
@@ -71,23 +71,24 @@
   return refuse("streamNotContinued", detail, { retryAfter: versionDelay });
 }
 
-/** Refusal of a request whose prompt may crash engines, or waits for the trial of one that does. */
+/** Refusal of a request that may crash servers, or waits for the trial of one that does. */
 export function refuseWithheld(
   history: AttemptHistory,
   reason: "convicted" | "late",
 ): Refusal {
   const detail =
     reason === "convicted"
-      ? "A part of the prompt has crashed engines"
-      : "Another request is trying whether a part of the prompt crashes engines";
+      ? "The request, or a part of its prompt, has crashed servers"
+      : "Another request is trying whether the same content crashes servers";
   if (history.runs > 0) return refuse("serviceBroken", detail);
   const retryAfter = reason === "convicted" ? convictedDelay : retryDelay;
   return refuse("partWithheld", detail, { retryAfter });
 }
 
-/** Refusal of a request that was withdrawn from a server, since its prompt would crash it. */
+/** Refusal of a request that was withdrawn from a server, since it would crash it. */
 export function refuseWithdrawn(): Refusal {
-  const detail = "A part of the prompt has crashed engines meanwhile";
+  const detail =
+    "The request, or a part of its prompt, has crashed servers meanwhile";
   return refuse("serviceBroken", detail);
 }
 
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -20,6 +20,7 @@
 import { recordFailedAttempt } from "./failed_attempt.ts";
 import { PromptAdmission } from "./prompt_admission.ts";
 import type { PromptGuard } from "./prompt_guard.ts";
+import { describeContent } from "./request_content.ts";
 import type { RequestPlan } from "./request_intake.ts";
 import { RequestLog } from "./request_log.ts";
 import {
@@ -91,7 +92,7 @@
     this.#usage = RequestUsage.create(options.usage, request.demand);
     this.#run = RequestRun.create(options.context, plan.kind);
     this.#prompt = PromptAdmission.create(options.guard, {
-      parts: request.demand?.sharedParts ?? [],
+      content: describeContent(request),
       clock,
     });
     this.#continuation = StreamContinuation.create(options.streams, options);
@@ -175,7 +176,7 @@
     this.#refuse(refuseWhileStopping());
   }
 
-  /** Ends the request if its prompt was convicted after it was sent, unless its server has begun to answer. */
+  /** Ends the request if its content was convicted after it was sent, unless its server has begun to answer. */
   withdrawIfConvicted(): void {
     if (this.#ended || this.#attempt === undefined) return;
     if (this.#attempt.hasHead || !this.#prompt.isConvicted) return;
--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -23,8 +23,10 @@
   type PoisonCommand,
   type PoisonEvent,
   type PoisonState,
+  type PublishCommand,
   statusOf,
 } from "../core/poison/registry.ts";
+import { isRequestDigest } from "../core/poison/units.ts";
 import type { Journal, Meter } from "../ports/journal.ts";
 import type { Row, TableService } from "../ports/table.ts";
 import { createDecisionLogic, type DecisionActor } from "./decision_actor.ts";
@@ -68,7 +70,7 @@
   readonly createToken: () => AttemptToken;
   readonly journal: Journal;
   readonly meter: Meter;
-  readonly publish: (digest: Digest, record: PoisonRecord) => void;
+  readonly publish: (command: PublishCommand) => void;
   /** Delivers the rows of the table and their changes; if omitted, the rows are read once. */
   readonly followRows?: FollowTableRows;
   /** Called when content has been convicted. */
@@ -125,6 +127,13 @@
     return assessParts(state, parts, { now, isKnownSound });
   }
 
+  /** Whether the record of the content goes to all nodes. */
+  isKnownToAll(digest: Digest): boolean {
+    return (
+      !isRequestDigest(digest) || this.findSuspicion(digest) === "convicted"
+    );
+  }
+
   /** Whether content has crashes of which it may be the cause. */
   isSuspected(digest: Digest): boolean {
     return this.findSuspicion(digest) !== "none";
@@ -171,7 +180,7 @@
     const { journal, meter, publish, onConviction } = this.#options;
     switch (command.type) {
       case "publish-record":
-        return publish(command.digest, command.record);
+        return publish(command);
       case "write-row":
         void this.#writeRow(command.digest, command.record);
         return;
--- a/src/node/service_call.ts
+++ b/src/node/service_call.ts
@@ -1,7 +1,7 @@
-import { createHash } from "node:crypto";
 import type { CallKind } from "../core/booking/call_messages.ts";
-import { brandString, type Digest } from "../core/ids.ts";
+import type { Digest } from "../core/ids.ts";
 import type { ServiceInput } from "../ports/front_end.ts";
+import { digestContent } from "./content_digest.ts";
 
 /** Method and path prefix of calls that may be repeated; the prefix matches whole path segments. */
 export type LookupRoute = { readonly method: string; readonly path: string };
@@ -29,15 +29,10 @@
 
 /** Computes the digest of method, path and body, which detects a key reused for another call. */
 export function digestCall(call: IncomingServiceCall): Digest {
-  const hash = createHash("sha256");
-  hash.update(JSON.stringify([call.method, call.path]));
-  hash.update(call.body);
-  return brandString(hash.digest("hex"));
+  return digestContent([call.method, call.path], call.body);
 }
 
 /** Computes the digest of a customer's idempotency key. */
 export function digestKey(call: IncomingServiceCall): Digest {
-  const hash = createHash("sha256");
-  hash.update(JSON.stringify([call.customer, call.idempotencyKey]));
-  return brandString(hash.digest("hex"));
+  return digestContent([call.customer, call.idempotencyKey]);
 }
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -193,7 +193,8 @@
       ...this.#shared,
       table: this.#options.table,
       createToken: () => brandString<AttemptToken>(createToken()),
-      publish: (digest, record) => this.#cluster.publishPoison(digest, record),
+      publish: ({ digest, record }) =>
+        this.#cluster.publishPoison(digest, record),
     });
   }
 
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -67,10 +67,11 @@
       readonly engines: readonly OwnerReport[];
     };
 
-/** Record of content that may crash engines, or announcement of a trial of it. */
+/** Record of content that may crash servers, or announcement of a trial of it. */
 export type PoisonMessage =
   | {
-      readonly type: "poison";
+      /** `poison` goes to all nodes, `crashes` to those that put together the crashes of a whole request. */
+      readonly type: "poison" | "crashes";
       readonly from: MachineName;
       readonly digest: Digest;
       readonly record: PoisonRecord;
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -128,6 +128,12 @@
     digest: brandString("5c1e07a2"),
     record: { crashes: ["e1/1"], cleared: ["e1/1"] },
   },
+  {
+    type: "crashes",
+    from: brandString("n1"),
+    digest: brandString("request:5c1e07a2"),
+    record: { crashes: ["s1/1"], cleared: [] },
+  },
   {
     type: "trial",
     from: brandString("n1"),
--- a/tests/gateway/prompt_guard_test.ts
+++ b/tests/gateway/prompt_guard_test.ts
@@ -31,9 +31,13 @@
   return fixture;
 }
 
-async function open(fixture: GatewayFixture, parts: string[]) {
+/** Opens a request; without `text` no other has the same body. */
+async function open(fixture: GatewayFixture, parts: string[], text?: string) {
   const before = fixture.attempts.length;
-  const { answer } = fixture.open({ demand: createDemand("a1", parts) });
+  const body =
+    text === undefined ? {} : { body: new TextEncoder().encode(text) };
+  const demand = createDemand("a1", parts);
+  const { answer } = fixture.open({ demand, ...body });
   await fixture.advance(5);
   const [attempt] = fixture.attempts.slice(before);
   return { answer, attempt };
@@ -196,3 +200,45 @@
   await fixture.advance(500);
   assert.equal(fixture.attempts.length, 2, "no further engine");
 });
+
+// Its parts run well elsewhere, so only the whole request tells it from the others.
+test("a prompt that comes again and crashes engines is refused, and others with the same parts are not", async () => {
+  const fixture = await createFixture();
+  const shared = ["tenant", "user"];
+  const sendAgain = () => open(fixture, shared, "again");
+  (await open(fixture, shared)).attempt?.answer("id: 1\n\n");
+  for (let crashes = 0; crashes < 2; crashes++) {
+    await crash(fixture, (await sendAgain()).attempt);
+    (await open(fixture, shared)).attempt?.answer("id: 1\n\n");
+  }
+  const again = await sendAgain();
+  assert.equal(again.attempt, undefined);
+  assert.equal(again.answer.refusal?.code, "partWithheld");
+  assert.ok((await open(fixture, shared)).attempt);
+});
+
+// A server that crashes while it holds many requests would otherwise block their parts.
+test("an engine that crashes before it answers leaves no suspicion on the parts of a prompt", async () => {
+  const fixture = await createFixture();
+  const { attempt } = await open(fixture, deadly);
+  assert.ok(attempt);
+  fixture.downEngines.add(attempt.server);
+  attempt.fail("broken");
+  await fixture.advance(5);
+  fixture.downEngines.delete(attempt.server);
+  assert.ok((await open(fixture, deadly)).attempt);
+  assert.ok((await open(fixture, deadly)).attempt);
+});
+
+// Callers that ask the same question would lose its answer with the next server that crashes.
+test("a request that others have sent alike, and that is answered, is not refused after two crashes", async () => {
+  const fixture = await createFixture();
+  const ask = () => open(fixture, [], "popular");
+  (await ask()).attempt?.answer("id: 1\n\n");
+  for (let crashes = 0; crashes < 2; crashes++)
+    await crash(fixture, (await ask()).attempt);
+  const next = await ask();
+  assert.ok(next.attempt);
+  next.attempt.answer("id: 1\n\n");
+  assert.equal(next.answer.outcome, "whole");
+});
--- a/tests/poison/registry_test.ts
+++ b/tests/poison/registry_test.ts
@@ -15,6 +15,7 @@
   refusePoison,
   statusOf,
 } from "../../src/core/poison/registry.ts";
+import { formatRequestDigest } from "../../src/core/poison/units.ts";
 
 // Guards against content that crashes engines repeatedly, and against harmless
 // content that stays suspect.
@@ -156,3 +157,19 @@
   assert.ok(parsePoisonRecord({ crashes: "e1" }).isLeft());
   assert.ok(parsePoisonRecord({ crashes: ["e1"], cleared: [] }).isRight());
 });
+
+// A crash leaves a record for each request that the server had in hand, which must not go to all nodes.
+test("a request goes to the nodes that put its crashes together, and to all once it is convicted", () => {
+  const node = createNode();
+  const request = formatRequestDigest(brandString("d3"));
+  const crash = (id: string) =>
+    node
+      .send({ type: "crashed", crash: id, digests: [request, digest] })
+      .flatMap((command) =>
+        command.type === "publish-record" ? command.audience : [],
+      );
+  assert.deepEqual(crash("s1/1"), ["keepers", "all"]);
+  assert.deepEqual(crash("s2/1"), ["all", "all"]);
+  const [cleared] = node.send({ type: "proven-sound", digest: request });
+  assert.equal(cleared?.type === "publish-record" && cleared.audience, "all");
+});
