Ask whether a caller still waits after a standstill, and in the turn of the write

Cause, by tests of our own: a process that had no processor time for a while reads a request before the close that follows it on its connection, and runs its timers before it reads at all, so that requests are sent on though the close has reached the machine. And a request that waits up to 1 s for a connection was written whatever had become of its caller, with the deadline of the time before. Class: a decision is carried out later than it was made, and is not asked again. Change: LoopBacklog knows when the event loop was held up; for 250 ms after that a request is sent only once the loop has turned. In the turn of the write the request must still be open, within its time limit, and at most 400 ms old as a send; else it is sent anew with the time that is left. The metric gateway_requests_held_back_total counts what waited, and whose caller had left. That this is what the users saw is not shown: the fault did not come again for them or for us.

--- a/src/bench/experiments/pausing_servers.ts
+++ b/src/bench/experiments/pausing_servers.ts
@@ -13,6 +13,7 @@
   type ServiceName,
 } from "../../core/ids.ts";
 import { Gateway } from "../../node/gateway/gateway.ts";
+import { noBacklog } from "../../ports/event_backlog.ts";
 import { silentJournal, silentMeter } from "../../ports/journal.ts";
 import { MemoryTable } from "../../standins/memory_table.ts";
 import type { Experiment, Figures } from "../experiment.ts";
@@ -67,6 +68,7 @@
     journal: silentJournal,
     meter: silentMeter,
     links: fleet.createLinks(),
+    backlog: noBacklog,
     notices: options.hearsNotices ? fleet : { follow() {} },
     retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
     table: MemoryTable.create(clock),
--- a/src/bench/stream_fleet.ts
+++ b/src/bench/stream_fleet.ts
@@ -17,6 +17,7 @@
 } from "../node/gateway/servers/incarnation_watch.ts";
 import { StreamKeeper } from "../node/gateway/streams/stream_keeper.ts";
 import { StreamPeers } from "../node/gateway/streams/stream_peers.ts";
+import { noBacklog } from "../ports/event_backlog.ts";
 import { silentJournal, silentMeter } from "../ports/journal.ts";
 import type { NodeLinks, NodeMessage } from "../ports/nodes.ts";
 import type { StreamQuery } from "../ports/streams.ts";
@@ -330,6 +331,7 @@
         send: () => ({ cancel() {}, pause() {}, resume() {} }),
         disconnect() {},
       },
+      backlog: noBacklog,
       retryLimits: { ratio: 0, slack: 0, window: millis(1_000) },
     });
     context.nodeCount = nodes;
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -39,6 +39,7 @@
   type Region,
   type ServiceName,
 } from "../../core/ids.ts";
+import type { EventBacklog } from "../../ports/event_backlog.ts";
 import type { ReportFailure } from "../../ports/failures.ts";
 import type { ServerLinks } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
@@ -69,6 +70,7 @@
   /** Reports unexpected errors; they are discarded without it. */
   readonly reportFailure?: ReportFailure;
   readonly links: ServerLinks;
+  readonly backlog: EventBacklog;
   readonly retryLimits: ServiceRetryLimits;
 };
 
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -47,6 +47,8 @@
 
 /** A request with less time left than this is refused instead of sent, in ms. */
 const minTimeLeft = 20;
+/** Maximum wait for a connection, in ms: the server is told the time that was left before. */
+const maxConnectionWait = 400;
 
 /** Request to serve and the collaborators of its task. */
 export type RequestTaskOptions = {
@@ -211,6 +213,7 @@
       const permit = await this.#wait.takePermit(selection.server);
       if (this.#ended) return;
       if (permit.kind === "denied" || !this.#prompt.maySend()) continue;
+      if (!(await this.#isWaitedFor())) return;
       // The selection may have waited for an adapter, the owners of engines or a permit.
       if (!context.availability.canTakeNext(selection.server, permit)) continue;
       const result = await this.#sendTo(selection, permit);
@@ -229,6 +232,16 @@
     }
   }
 
+  /** Whether the caller still waits; after a standstill of the process its close may not have been handled yet. */
+  async #isWaitedFor(): Promise<boolean> {
+    const { backlog, meter } = this.#options.context.dependencies;
+    if (!backlog.isBehind) return true;
+    await backlog.whenHandled();
+    const result = this.#ended ? "left" : "waits";
+    meter.count("gateway_requests_held_back_total", { result });
+    return !this.#ended;
+  }
+
   /** Ends the request after an unexpected error; its caller would wait for good otherwise. */
   #fail(error: unknown): void {
     const { dependencies } = this.#options.context;
@@ -259,12 +272,15 @@
   ): Promise<AttemptResult | undefined> {
     const { context, request } = this.#options;
     const { route } = this.#plan;
-    const timeLeft = millis(this.#plan.limits.end - context.now());
+    const sentAt = context.now();
+    const timeLeft = millis(this.#plan.limits.end - sentAt);
     if (timeLeft < minTimeLeft) {
       this.#onTimeLimit();
       return Promise.resolve(undefined);
     }
     const isAccepted = () =>
+      !this.#ended &&
+      context.now() <= sentAt + Math.min(timeLeft, maxConnectionWait) &&
       context.availability.accepts(selection.server, permit) &&
       !this.#wait.isTooLateToStart();
     if (!isAccepted()) return Promise.resolve(serverLeft);
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -27,6 +27,7 @@
 } from "../../src/core/ids.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
 import type { LeaseRead } from "../../src/node/gateway/rows/lease_rows.ts";
+import { noBacklog } from "../../src/ports/event_backlog.ts";
 import type { ReportFailure } from "../../src/ports/failures.ts";
 import type {
   EngineOrders,
@@ -218,6 +219,7 @@
       journal: silentJournal,
       meter: silentMeter,
       links,
+      backlog: noBacklog,
       retryLimits: ampleRetryLimits,
       table: {
         read: (key) => this.table.read(key),
--- a/tests/gateway/model_requester_test.ts
+++ b/tests/gateway/model_requester_test.ts
@@ -6,6 +6,7 @@
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import { GatewayContext } from "../../src/node/gateway/context.ts";
 import { ModelRequester } from "../../src/node/gateway/engines/model_requester.ts";
+import { noBacklog } from "../../src/ports/event_backlog.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import type { ModelResult } from "../../src/ports/nodes.ts";
 import { createServer, engines } from "./gateway_fixture.ts";
@@ -33,6 +34,7 @@
       send: () => ({ cancel() {}, pause() {}, resume() {} }),
       disconnect() {},
     },
+    backlog: noBacklog,
     retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
   });
   const requester = ModelRequester.create(context, async (server, wanted) => {
--- a/tests/gateway/small_models_test.ts
+++ b/tests/gateway/small_models_test.ts
@@ -10,6 +10,7 @@
 import { IncarnationWatch } from "../../src/node/gateway/servers/incarnation_watch.ts";
 import { StreamKeeper } from "../../src/node/gateway/streams/stream_keeper.ts";
 import { StreamPeers } from "../../src/node/gateway/streams/stream_peers.ts";
+import { noBacklog } from "../../src/ports/event_backlog.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
 import { createEngine, engines } from "./gateway_fixture.ts";
@@ -159,6 +160,7 @@
         send: () => ({ cancel() {}, pause() {}, resume() {} }),
         disconnect() {},
       },
+      backlog: noBacklog,
       retryLimits: { ratio: 0, slack: 0, window: millis(1_000) },
     });
   }
--- a/tests/platform_adapter/front_fixture.ts
+++ b/tests/platform_adapter/front_fixture.ts
@@ -8,6 +8,7 @@
 import { groupRoutes } from "../../src/core/gateway/configuration.ts";
 import { brandNumber, brandString, type ServerId } from "../../src/core/ids.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
+import { noBacklog } from "../../src/ports/event_backlog.ts";
 import type { InstallationChange } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
@@ -186,6 +187,7 @@
     journal: silentJournal,
     meter: silentMeter,
     links,
+    backlog: noBacklog,
     retryLimits: ampleRetryLimits,
     table: MemoryTable.create(clock),
     streamTable: MemoryTable.create(clock),
--- a/tests/platform_adapter/socket_gateway.ts
+++ b/tests/platform_adapter/socket_gateway.ts
@@ -12,6 +12,7 @@
 import { brandNumber, brandString } from "../../src/core/ids.ts";
 import type { Refusal } from "../../src/core/results/refusal.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
+import { noBacklog } from "../../src/ports/event_backlog.ts";
 import type { InstallationChange } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import {
@@ -65,6 +66,7 @@
       journal: silentJournal,
       meter: silentMeter,
       links: this.#links,
+      backlog: noBacklog,
       notices,
       retryLimits: ampleRetryLimits,
       table: network.table,
--- /dev/null
+++ b/tests/time/loop_backlog_test.ts
@@ -0,0 +1,36 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { setTimeout as sleep } from "node:timers/promises";
+import { LoopBacklog } from "../../src/adapters/time/loop_backlog.ts";
+import { RealClock } from "../../src/adapters/time/real_clock.ts";
+
+const standstill = 400;
+
+/** Keeps the thread from running for a time in ms. */
+function standStill(duration: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, duration);
+}
+
+// Guards against work that goes on after a standstill as if nothing had come meanwhile.
+test("events may be waiting right after a standstill, and some time later no more", async (context) => {
+  const backlog = LoopBacklog.create(RealClock.create());
+  context.after(() => backlog.stop());
+  await sleep(150);
+  assert.equal(backlog.isBehind, false);
+  standStill(standstill);
+  assert.equal(backlog.isBehind, true);
+  await backlog.whenHandled();
+  await sleep(standstill);
+  assert.equal(backlog.isBehind, false);
+});
+
+test("what a standstill has held up is handled first", async (context) => {
+  const backlog = LoopBacklog.create(RealClock.create());
+  context.after(() => backlog.stop());
+  await sleep(20);
+  const handled: string[] = [];
+  setTimeout(() => handled.push("held up"), standstill / 2);
+  standStill(standstill);
+  await backlog.whenHandled();
+  assert.deepEqual(handled, ["held up"]);
+});
