Pass requests on to another node while no server accepts connections

Cause: a node had one way to a server, and nothing told 'no server reaches me' from 'this service is down', so that requests waited or hung until their callers left. Class: a fault of the node itself is put down to each of its counterparts. Change: ReachWatch tries new connections to servers of several services after failures or silence; while none is accepted, requests go one hop to a node that reaches servers, over the port for calls between nodes. What may have run is repeated only where the route allows it; refusals stay true.

--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -50,6 +50,7 @@
   z.tuple([z.literal("crashes"), name, name, crashListFrame, crashListFrame]),
   z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialParts), count]),
   z.tuple([z.literal("leaving"), name, name, born]),
+  z.tuple([z.literal("reach"), name, z.boolean()]),
   z.tuple([z.literal("stream"), name, name, name, version]),
   z.tuple([
     z.literal("limit"),
@@ -80,6 +81,10 @@
       const { type, from, parts, duration } = message;
       return [packr.pack([type, from, parts, duration])];
     }
+    case "reach": {
+      const { type, from, isLost } = message;
+      return [packr.pack([type, from, isLost])];
+    }
     case "leaving": {
       const { type, from, incarnation } = message;
       const { id, born } = incarnation;
@@ -165,6 +170,10 @@
       const brandedParts = parts.map((part) => brandString<Digest>(part));
       return { type, from, parts: brandedParts, duration: millis(duration) };
     }
+    case "reach": {
+      const [type, , isLost] = data;
+      return { type, from, isLost };
+    }
     case "leaving": {
       const [type, , id, born] = data;
       const incarnation = { id: brandString(id), born: born ?? undefined };
--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -1,5 +1,11 @@
+import {
+  createServer,
+  type IncomingMessage,
+  type Server,
+  type ServerResponse,
+} from "node:http";
 import { initTRPC } from "@trpc/server";
-import { createHTTPServer } from "@trpc/server/adapters/standalone";
+import { createHTTPHandler } from "@trpc/server/adapters/standalone";
 import { z } from "zod";
 import { millis } from "../../core/clock.ts";
 import {
@@ -106,12 +112,19 @@
 /** Type of the router, for clients. */
 export type NodeRouter = typeof nodeRouter;
 
+/** Serves a request if it is none of the calls between nodes; returns whether it is served. */
+export type ServeOther = (
+  message: IncomingMessage,
+  response: ServerResponse,
+) => boolean;
+
 /** Creates the HTTP server for calls between nodes; a call that fails is answered with an error and reported. */
 export function createNodeServer(
   handler: NodeService,
   reportFailure: ReportFailure = ignoreFailures,
-) {
-  return createHTTPServer({
+  serveOther: ServeOther = () => false,
+): Server {
+  const handleCall = createHTTPHandler({
     router: nodeRouter,
     createContext: () => handler,
     onError: ({ error }) => {
@@ -120,4 +133,7 @@
         reportFailure("nodeCall", error.cause ?? error);
     },
   });
+  return createServer((message, response) => {
+    if (!serveOther(message, response)) handleCall(message, response);
+  });
 }
--- a/src/bench/experiments/pausing_servers.ts
+++ b/src/bench/experiments/pausing_servers.ts
@@ -15,6 +15,7 @@
 import { Gateway } from "../../node/gateway/gateway.ts";
 import { noBacklog } from "../../ports/event_backlog.ts";
 import { silentJournal, silentMeter } from "../../ports/journal.ts";
+import { noRelays } from "../../ports/relays.ts";
 import { MemoryTable } from "../../standins/memory_table.ts";
 import type { Experiment, Figures } from "../experiment.ts";
 import { PausingFleet } from "../pausing_fleet.ts";
@@ -69,6 +70,8 @@
     meter: silentMeter,
     links: fleet.createLinks(),
     backlog: noBacklog,
+    probe: async () => true,
+    relayLinks: noRelays,
     notices: options.hearsNotices ? fleet : { follow() {} },
     retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
     table: MemoryTable.create(clock),
--- a/src/bench/stream_fleet.ts
+++ b/src/bench/stream_fleet.ts
@@ -332,6 +332,7 @@
         disconnect() {},
       },
       backlog: noBacklog,
+      probe: async () => true,
       retryLimits: { ratio: 0, slack: 0, window: millis(1_000) },
     });
     context.nodeCount = nodes;
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -77,6 +77,8 @@
     "Answers ended because their callers did not take them in time",
   gateway_answers_without_room_total:
     "Answers cut off because all buffered answers together exceeded their limit",
+  gateway_relays_total:
+    "Requests passed on to another node while this one reaches no server, by how that ended",
   gateway_requests_held_back_total:
     "Requests that waited before they were sent until the events of a standstill were handled, by whether their callers had left",
   gateway_bodies_without_room_total:
--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -113,4 +113,15 @@
     meaning:
       "The store states another epoch than the rows that the node has: it came back from a copy",
   },
+  serversOutOfReach: {
+    number: 236,
+    level: "warn",
+    meaning:
+      "No server accepts connections of this node; its requests go to other nodes",
+  },
+  serversInReach: {
+    number: 237,
+    level: "info",
+    meaning: "A server accepts connections of this node again",
+  },
 } as const satisfies Record<string, EventEntry>;
--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -47,6 +47,12 @@
     level: "info",
     meaning: "A request was sent to a server",
   },
+  requestRelayed: {
+    number: 320,
+    level: "info",
+    meaning:
+      "A request was passed on to another node, since this one reaches no server",
+  },
   requestAwaitsAdapter: {
     number: 310,
     level: "info",
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -41,8 +41,9 @@
 } from "../../core/ids.ts";
 import type { EventBacklog } from "../../ports/event_backlog.ts";
 import type { ReportFailure } from "../../ports/failures.ts";
-import type { ServerLinks } from "../../ports/gateway.ts";
+import type { ProbeServer, ServerLinks } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
+import { ReachWatch } from "./servers/reach_watch.ts";
 import { ServerAvailability } from "./servers/server_availability.ts";
 
 /** Maximum size of all answers together that are kept until they are complete, in bytes. */
@@ -70,6 +71,7 @@
   /** Reports unexpected errors; they are discarded without it. */
   readonly reportFailure?: ReportFailure;
   readonly links: ServerLinks;
+  readonly probe: ProbeServer;
   readonly backlog: EventBacklog;
   readonly retryLimits: ServiceRetryLimits;
 };
@@ -89,6 +91,7 @@
   readonly directory: ServerDirectory = createServerDirectory();
   readonly health: ServerHealth = createServerHealth();
   readonly availability: ServerAvailability;
+  readonly reach: ReachWatch;
   readonly adapterDirectory: AdapterDirectory = createAdapterDirectory();
   /** Newest declared version of each adapter. */
   readonly versions = new Map<ModelAdapterKey, number>();
@@ -108,6 +111,10 @@
   private constructor(dependencies: GatewayDependencies) {
     this.dependencies = dependencies;
     this.slackShare = ShareTracker.create(dependencies.retryLimits.window);
+    this.reach = ReachWatch.create({
+      ...dependencies,
+      directory: this.directory,
+    });
     this.availability = ServerAvailability.create({
       ...dependencies,
       directory: this.directory,
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -17,6 +17,7 @@
   NodeMessage,
 } from "../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
+import type { RelayLinks } from "../../ports/relays.ts";
 import type { StreamQuery } from "../../ports/streams.ts";
 import type { TableService } from "../../ports/table.ts";
 import { type FollowTableRows, PoisonManager } from "../poison_manager.ts";
@@ -34,6 +35,7 @@
   type PoisonBroadcast,
 } from "./peers/poison_broadcast.ts";
 import { createPoisonPublisher } from "./peers/poison_publisher.ts";
+import { RelayPeers } from "./peers/relay_peers.ts";
 import { CrashCheck } from "./requests/crash_check.ts";
 import { OpenRequests } from "./requests/open_requests.ts";
 import { PromptGuard } from "./requests/prompt_guard.ts";
@@ -63,6 +65,7 @@
   readonly notices: ServerNotices;
   readonly nodeLinks: NodeLinks;
   readonly nodeChannel: NodeChannel;
+  readonly relayLinks: RelayLinks;
   /** Delivers the rows of the table, in which other nodes record what crashes engines. */
   readonly followTableRows: FollowTableRows;
 };
@@ -94,6 +97,7 @@
   readonly #requests: OpenRequests;
   readonly #installation: InstallationTracker;
   readonly #notices: NoticeHandler;
+  readonly #relayPeers: RelayPeers;
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
   readonly #pauses: PauseWatch;
@@ -124,6 +128,17 @@
       limits: this.context.availability.limits,
       contacts,
     });
+    this.#relayPeers = RelayPeers.create({
+      ...options,
+      ...nodes,
+      channel: options.nodeChannel,
+      contacts,
+      listAddresses: () => this.#leases.listOtherAddresses(),
+    });
+    this.context.reach.follow((isLost) => {
+      this.#relayPeers.announce(isLost);
+      if (isLost) this.#requests.leaveUnreached();
+    });
     this.#incarnations = IncarnationWatch.create(this.context, {
       fetchStatus: (server) => options.orders.fetchStatus(server),
       takePermit: this.#permits.take,
@@ -249,6 +264,7 @@
       streams: this.#streams,
       incarnations: this.#incarnations,
       usage: this.#usage,
+      relays: { peers: this.#relayPeers, links: this.#options.relayLinks },
       guard: this.#guard,
       request,
       plan,
@@ -343,6 +359,8 @@
         return this.#notices.receiveLeaving(message);
       case "limit":
         return this.#notices.receiveLimit(message);
+      case "reach":
+        return this.#relayPeers.receive(message);
       case "stream":
         return this.#streams.receive(message);
       case "poison":
@@ -370,6 +388,7 @@
     }
     this.#clockOffset = clockOffset;
     this.#pauses.recordCheck();
+    this.context.reach.check();
     this.#installation.applyDue();
     this.context.availability.removeEnded();
     this.#permits.removeGone((id) => this.context.directory.servers.has(id));
--- a/src/node/gateway/requests/open_requests.ts
+++ b/src/node/gateway/requests/open_requests.ts
@@ -46,6 +46,11 @@
     for (const task of [...this.#tasks]) task.withdrawIfConvicted();
   }
 
+  /** Frees the requests that wait at servers which are out of reach and may run again. */
+  leaveUnreached(): void {
+    for (const task of [...this.#tasks]) task.leaveUnreached();
+  }
+
   /** Ends every request that is still in progress, shortly before the process exits. */
   endAll(): void {
     for (const task of [...this.#tasks]) task.endBeforeExit();
--- a/src/node/gateway/requests/prompt_guard.ts
+++ b/src/node/gateway/requests/prompt_guard.ts
@@ -117,6 +117,7 @@
     if (context.availability.isPaused(server)) return;
     const digests = this.#selectReported(units);
     if (digests.length === 0 || !(await crashes.isDown(server))) return;
+    if (context.reach.isLost) return;
     poison.suspect({
       engine: brandString(server.id),
       boot: String(server.born ?? server.address),
--- a/src/node/gateway/requests/request_intake.ts
+++ b/src/node/gateway/requests/request_intake.ts
@@ -37,6 +37,11 @@
     const detail = "The node has not read its configuration yet";
     return refuse("notReady", detail, { retryAfter: configurationDelay });
   }
+  // A request is passed on once.
+  if (request.isRelayed === true && context.reach.isLost)
+    return refuse("noServer", "The node reaches no server", {
+      retryAfter: configurationDelay,
+    });
   const { requestId } = request;
   const { revision } = configuration;
   const route = findRoute(configuration, request);
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -35,6 +35,7 @@
   refuseWithoutServer,
   refuseWithoutVersion,
 } from "./request_refusals.ts";
+import { type RelayWay, RequestRelay } from "./request_relay.ts";
 import { RequestRun } from "./request_run.ts";
 import { RequestUsage } from "./request_usage.ts";
 import { RequestWait } from "./request_wait.ts";
@@ -58,6 +59,7 @@
   readonly streams: StreamKeeper;
   readonly incarnations: IncarnationWatch;
   readonly usage: EngineUsageCounter;
+  readonly relays: RelayWay;
   readonly guard: PromptGuard;
   readonly request: ProxiedRequest;
   readonly plan: RequestPlan;
@@ -76,6 +78,7 @@
   readonly #usage: RequestUsage;
   readonly #wait: RequestWait;
   readonly #run: RequestRun;
+  readonly #relay: RequestRelay;
   #cancelTimeLimit: Cancel = () => {};
   #attempt: ServerAttempt | undefined;
   /** Server of the latest attempt. */
@@ -109,12 +112,13 @@
         this.#prompt.recordStart();
       },
     });
+    this.#relay = RequestRelay.create({ ...options, sink: this.#forwarder });
     this.#wait = RequestWait.create({
       ...options,
       history: this.#history,
       log: this.#log,
       isEligible: this.#continuation.allows,
-      hasEnded: () => this.#ended,
+      hasEnded: () => this.#ended || this.#goesToOtherNode,
     });
     if (route.retryRule === "stream" && route.resumable) {
       this.#cursor = StreamCursor.create(request.resumeAfter);
@@ -146,6 +150,7 @@
   /** Reads the answer on, since the caller's connection takes bytes again. */
   resume(): void {
     this.#attempt?.resume();
+    this.#relay.resume();
   }
 
   /** Ends the request, since its caller does not take the answer. */
@@ -185,10 +190,22 @@
     this.#refuse(refuseWithdrawn());
   }
 
+  /** Ends an attempt without an answer whose request may run again, since the node reaches no server. */
+  leaveUnreached(): void {
+    if (this.#attempt?.hasHead !== false) return;
+    if (this.#plan.route.retryRule === "repeatable") this.#attempt.giveUp();
+  }
+
+  /** Whether another node should serve the request, of which the caller has nothing yet. */
+  get #goesToOtherNode(): boolean {
+    return this.#relay.isNeeded && !this.#forwarder.hasStarted;
+  }
+
   async #serve(): Promise<void> {
-    const { context } = this.#options;
+    const { context, request } = this.#options;
     const { service } = this.#plan;
-    context.countRequest(service);
+    // The node that has passed a request on has counted it.
+    if (request.isRelayed !== true) context.countRequest(service);
     if (this.#continuation.isResumption) {
       const end = this.#wait.findEnd();
       const { version, source } = await this.#continuation.findOrigin(end);
@@ -199,6 +216,10 @@
         return this.#refuse(refuseUnknownOrigin(source === "open"));
     }
     while (!this.#ended) {
+      if (this.#goesToOtherNode) {
+        if (await this.#passOn()) continue;
+        return;
+      }
       const reason = await this.#prompt.wait(
         this.#wait.findEnd(),
         () => this.#ended,
@@ -208,6 +229,7 @@
         return this.#refuse(refuseWithheld(this.#history, reason));
       const selection = await this.#wait.findServer();
       if (this.#ended) return;
+      if (this.#goesToOtherNode) continue;
       if (this.#wait.isTooLateToStart()) return this.#refuseBeforeExit();
       if (selection === undefined) return this.#refuseWithoutServer();
       const permit = await this.#wait.takePermit(selection.server);
@@ -242,6 +264,32 @@
     return !this.#ended;
   }
 
+  /** Has another node serve the request; true if it has not run there, or may run again. */
+  async #passOn(): Promise<boolean> {
+    const { context } = this.#options;
+    if (this.#plan.limits.end - context.now() < minTimeLeft) {
+      this.#onTimeLimit();
+      return false;
+    }
+    if (!(await this.#isWaitedFor())) return false;
+    this.#log.record("requestRelayed");
+    const result = await this.#relay.run();
+    if (this.#ended) return false;
+    if (result.kind === "whole") {
+      this.#finish("relayed");
+      return false;
+    }
+    if (result.kind === "not-run" || result.kind === "unreachable") return true;
+    this.#history.runs++;
+    const mayRunAgain =
+      this.#plan.route.retryRule === "repeatable" &&
+      this.#history.runs < this.#plan.route.maxAttempts;
+    if (mayRunAgain && !this.#forwarder.hasStarted && this.#wait.takeRetry())
+      return true;
+    this.#refuse(refuseAfterAttempt(this.#history, result.detail, context));
+    return false;
+  }
+
   /** Ends the request after an unexpected error; its caller would wait for good otherwise. */
   #fail(error: unknown): void {
     const { dependencies } = this.#options.context;
@@ -378,7 +426,8 @@
   }
 
   #mayHaveRun(): boolean {
-    return this.#attempt !== undefined || this.#history.runs > 0;
+    const isSent = this.#attempt !== undefined || this.#relay.isSent;
+    return isSent || this.#history.runs > 0;
   }
 
   #refuse(refusal: Refusal): void {
@@ -403,6 +452,7 @@
     this.#run.end(false);
     this.#attempt?.cancel();
     this.#attempt = undefined;
+    this.#relay.cancel();
     this.#log.countOutcome(outcome);
     this.#onEnd();
   }
--- a/src/node/gateway/requests/server_attempt.ts
+++ b/src/node/gateway/requests/server_attempt.ts
@@ -93,6 +93,7 @@
     const { context, serverRequest } = options;
     recordCallStart(context.health, serverRequest.server.id);
     context.availability.recordSend(serverRequest.server);
+    context.reach.recordSend(attempt);
     const sink = {
       onHead: (head: ResponseHead) => attempt.#onHead(head),
       onBytes: (bytes: Uint8Array) => attempt.#onBytes(bytes),
@@ -117,10 +118,16 @@
     return this.#head !== undefined;
   }
 
+  /** Ends an attempt whose server is out of reach as one that may have run. */
+  giveUp(): void {
+    if (!this.#ended) this.#fail("The node reaches no server");
+  }
+
   /** Cancels the request at the server. */
   cancel(): void {
     if (this.#ended) return;
     this.#close();
+    this.#options.context.reach.recordEnd(this, false);
     this.#control?.cancel();
   }
 
@@ -138,6 +145,7 @@
 
   #onHead(head: ResponseHead): void {
     this.#head = head;
+    this.#options.context.reach.recordAnswer(this);
     const { route, started, cursor, sink } = this.#options;
     this.#passesThrough =
       route.retryRule === "stream" &&
@@ -149,6 +157,7 @@
 
   #onBytes(bytes: Uint8Array): void {
     if (this.#ended) return;
+    this.#options.context.reach.recordAnswer(this);
     this.#bodyAt ??= this.#options.context.now();
     if (!this.#passesThrough) {
       return this.#buffer(bytes);
@@ -238,6 +247,8 @@
     context.dependencies.meter.count("gateway_sends_total", {
       result: end.kind,
     });
+    const hasFailed = end.kind === "unreachable" || end.kind === "broken";
+    context.reach.recordEnd(this, hasFailed);
     const now = context.now();
     if (end.kind === "whole") {
       const { id } = serverRequest.server;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -52,6 +52,8 @@
   readonly resumes?: RequestId | undefined;
   /** Time at which the head arrived. */
   readonly arrivedAt: Millis;
+  /** Another node has passed the request on, since it reaches no server. */
+  readonly isRelayed?: boolean;
   /** Number of requests that arrived before on the same connection, if the front end counts them. */
   readonly earlierRequests?: number;
 };
@@ -153,6 +155,9 @@
   follow(listener: (server: BackendServer, notice: ServerNotice) => void): void;
 };
 
+/** Tries to open a connection to a server; resolves to whether it was opened. */
+export type ProbeServer = (server: BackendServer) => Promise<boolean>;
+
 /** Connections to backend servers. */
 export type ServerLinks = {
   send(request: ServerRequest, sink: ServerResponseSink): ServerRequestControl;
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -92,12 +92,20 @@
   readonly incarnation: Incarnation;
 };
 
+/** Whether a node reaches any server. */
+export type ReachMessage = {
+  readonly type: "reach";
+  readonly from: MachineName;
+  readonly isLost: boolean;
+};
+
 /** Message between two nodes. */
 export type NodeMessage =
   | UsageMessage
   | PoisonMessage
   | LeavingMessage
   | LimitMessage
+  | ReachMessage
   | StreamMessage;
 
 /** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
--- /dev/null
+++ b/src/ports/relays.ts
@@ -0,0 +1,25 @@
+import type { Millis } from "../core/clock.ts";
+import type {
+  ProxiedRequest,
+  ServerRequestControl,
+  ServerResponseSink,
+} from "./gateway.ts";
+
+/** Passes requests on to other nodes, which serve them as their own. */
+export type RelayLinks = {
+  /** Fails as `not-run` if the other node refuses the request, as `unreachable` if it was not sent. */
+  send(
+    address: string,
+    relayed: { readonly request: ProxiedRequest; readonly timeLeft: Millis },
+    sink: ServerResponseSink,
+  ): ServerRequestControl;
+};
+
+/** For nodes without others: each request fails as not sent. */
+export const noRelays: RelayLinks = {
+  send: (_address, _relayed, sink) => {
+    const detail = "There is no other node";
+    queueMicrotask(() => sink.onFailure({ kind: "unreachable", detail }));
+    return { cancel() {}, pause() {}, resume() {} };
+  },
+};
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -33,6 +33,7 @@
   EngineOrders,
   EntryOrigin,
   InstallationChange,
+  ProbeServer,
   ProxiedRequest,
   RowOrigin,
   ServerLinks,
@@ -40,6 +41,7 @@
 } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import type { NodeMessage } from "../../src/ports/nodes.ts";
+import { noRelays, type RelayLinks } from "../../src/ports/relays.ts";
 import type { Transaction } from "../../src/ports/table.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
 import { ampleRetryLimits } from "../support/retry_limits.ts";
@@ -113,6 +115,9 @@
   readonly sendMessage?: (address: string, message: NodeMessage) => void;
   /** Called with each request that is sent to a server. */
   readonly onAttempt?: (attempt: RecordedAttempt) => void;
+  /** Whether the node can open a connection to a server. */
+  readonly probe?: ProbeServer;
+  readonly relayLinks?: RelayLinks;
   readonly reportFailure?: ReportFailure;
 };
 
@@ -158,6 +163,8 @@
     peerAddress = "10.0.0.9:7000",
     sendMessage = () => {},
     onAttempt = () => {},
+    probe = async () => true,
+    relayLinks = noRelays,
     reportFailure,
   }: GatewayFixtureOptions = {}) {
     this.clock = clock;
@@ -220,6 +227,8 @@
       meter: silentMeter,
       links,
       backlog: noBacklog,
+      probe,
+      relayLinks,
       retryLimits: ampleRetryLimits,
       table: {
         read: (key) => this.table.read(key),
--- a/tests/gateway/model_requester_test.ts
+++ b/tests/gateway/model_requester_test.ts
@@ -35,6 +35,7 @@
       disconnect() {},
     },
     backlog: noBacklog,
+    probe: async () => true,
     retryLimits: { ratio: 0.2, slack: 50, window: millis(10_000) },
   });
   const requester = ModelRequester.create(context, async (server, wanted) => {
--- a/tests/gateway/small_models_test.ts
+++ b/tests/gateway/small_models_test.ts
@@ -161,6 +161,7 @@
         disconnect() {},
       },
       backlog: noBacklog,
+      probe: async () => true,
       retryLimits: { ratio: 0, slack: 0, window: millis(1_000) },
     });
   }
--- a/tests/platform_adapter/front_fixture.ts
+++ b/tests/platform_adapter/front_fixture.ts
@@ -11,6 +11,7 @@
 import { noBacklog } from "../../src/ports/event_backlog.ts";
 import type { InstallationChange } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import { noRelays } from "../../src/ports/relays.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
 import {
   booking,
@@ -188,6 +189,8 @@
     meter: silentMeter,
     links,
     backlog: noBacklog,
+    probe: async () => true,
+    relayLinks: noRelays,
     retryLimits: ampleRetryLimits,
     table: MemoryTable.create(clock),
     streamTable: MemoryTable.create(clock),
--- a/tests/platform_adapter/socket_gateway.ts
+++ b/tests/platform_adapter/socket_gateway.ts
@@ -15,6 +15,7 @@
 import { noBacklog } from "../../src/ports/event_backlog.ts";
 import type { InstallationChange } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import { noRelays } from "../../src/ports/relays.ts";
 import {
   booking,
   createRoute,
@@ -67,6 +68,8 @@
       meter: silentMeter,
       links: this.#links,
       backlog: noBacklog,
+      probe: async () => true,
+      relayLinks: noRelays,
       notices,
       retryLimits: ampleRetryLimits,
       table: network.table,
