Bound the requests at servers that fall over under rejections

Callers saw: three servers that bear five rejections a second fell over 12 times in 7 s under twice their load; 21 of 2,262 requests were served (LIMIT). Cause: nothing read Server-Brittle; a node found out by rejections how much room a server has, sent the next request elsewhere at once, and gave a server that was back all that had waited. Class: a bound for all nodes together that each node finds by itself. Change: while a server says that it is brittle, a node has no more requests there than had room; it risks a rejection only at intervals that grow with the nodes, spread at random.

--- a/src/core/gateway/server_health.ts
+++ b/src/core/gateway/server_health.ts
@@ -56,6 +56,11 @@
   record.inFlight = Math.max(0, record.inFlight - 1);
 }
 
+/** Number of calls in progress at a server. */
+export function countCalls({ records }: ServerHealth, id: ServerId): number {
+  return records.get(id)?.inFlight ?? 0;
+}
+
 /** Records the result of a call; true if it suspends the server. */
 export function recordCallResult(
   health: ServerHealth,
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -77,6 +77,8 @@
     "Answers ended because their callers did not take them in time",
   gateway_answers_without_room_total:
     "Answers cut off because all buffered answers together exceeded their limit",
+  brittle_rejections_total:
+    "Requests that servers rejected while they say that they are brittle",
   gateway_relays_total:
     "Requests passed on to another node while this one reaches no server, by how that ended",
   gateway_requests_held_back_total:
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -117,6 +117,8 @@
     });
     this.availability = ServerAvailability.create({
       ...dependencies,
+      health: this.health,
+      countNodes: () => this.nodeCount,
       directory: this.directory,
     });
   }
--- a/src/node/gateway/peers/notice_handler.ts
+++ b/src/node/gateway/peers/notice_handler.ts
@@ -46,6 +46,10 @@
     switch (notice.kind) {
       case "pause":
         return context.availability.recordPause(server, notice.retryAfter);
+      case "brittle":
+        return context.availability.recordTolerance(server, notice.value);
+      case "sturdy":
+        return context.availability.forgetTolerance(server);
       case "limit":
         if (limits.recordValue(server, notice.value)) this.#sendLimit(server);
         return;
--- a/src/node/gateway/requests/attempt_health.ts
+++ b/src/node/gateway/requests/attempt_health.ts
@@ -13,6 +13,10 @@
 ): boolean {
   // The pause already keeps requests away; a suspension would outlast it.
   if (kind === "not-run" && context.availability.isPaused(server)) return false;
+  if (kind === "not-run" && context.availability.isBrittle(server)) {
+    context.availability.recordRejection(server);
+    return false;
+  }
   const result = toHealthResult(kind);
   if (result === undefined) return false;
   const now = context.now();
--- a/src/node/gateway/requests/server_attempt.ts
+++ b/src/node/gateway/requests/server_attempt.ts
@@ -253,6 +253,7 @@
     if (end.kind === "whole") {
       const { id } = serverRequest.server;
       recordCallResult(context.health, id, { result: "good", now });
+      context.availability.recordServed(serverRequest.server);
     }
     const head = this.#head;
     const runTime =
--- a/src/node/gateway/servers/server_availability.ts
+++ b/src/node/gateway/servers/server_availability.ts
@@ -1,4 +1,16 @@
 import { type Clock, millis } from "../../../core/clock.ts";
+import {
+  type BrittleServers,
+  hasRoom,
+  parseTolerance,
+  recordRejection,
+  recordServed,
+  recordTolerance,
+} from "../../../core/gateway/brittle_servers.ts";
+import {
+  countCalls,
+  type ServerHealth,
+} from "../../../core/gateway/server_health.ts";
 import type { Resumption } from "../../../core/gateway/server_pauses.ts";
 import {
   acceptsRequests,
@@ -13,6 +25,9 @@
 type ServerAvailabilityOptions = {
   readonly clock: Clock;
   readonly directory: ServerDirectory;
+  readonly health: ServerHealth;
+  readonly random: () => number;
+  readonly countNodes: () => number;
   readonly journal: Journal;
   readonly meter: Meter;
 };
@@ -24,8 +39,11 @@
   readonly #clock: Clock;
   readonly #directory: ServerDirectory;
   readonly #pauses: PauseTracker;
+  readonly #options: ServerAvailabilityOptions;
+  readonly #brittle: BrittleServers = new Map();
 
   private constructor(options: ServerAvailabilityOptions) {
+    this.#options = options;
     this.#clock = options.clock;
     this.#directory = options.directory;
     this.#pauses = PauseTracker.create(options);
@@ -41,6 +59,38 @@
     this.#pauses.record(server, retryAfter);
   }
 
+  /** Records that a server falls over if it has to reject more requests a second. */
+  recordTolerance(server: BackendServer, value: string): void {
+    const tolerance = parseTolerance(value);
+    const { meter } = this.#options;
+    if (tolerance === undefined)
+      return meter.count("server_notices_ignored_total");
+    const moment = this.#describeMoment(server);
+    recordTolerance(this.#brittle, server, { tolerance, ...moment });
+  }
+
+  /** Records that a server is no longer brittle. */
+  forgetTolerance({ id }: BackendServer): void {
+    this.#brittle.delete(id);
+  }
+
+  /** Whether a server says that it falls over if it has to reject too many requests. */
+  isBrittle({ id }: BackendServer): boolean {
+    return this.#brittle.has(id);
+  }
+
+  /** Records that a server had no room for a request. */
+  recordRejection(server: BackendServer): void {
+    recordRejection(this.#brittle, server, this.#describeMoment(server));
+    if (this.isBrittle(server))
+      this.#options.meter.count("brittle_rejections_total");
+  }
+
+  /** Records that a server has served a request. */
+  recordServed({ id }: BackendServer): void {
+    recordServed(this.#brittle, id);
+  }
+
   /** Whether the server has asked this node to send it nothing for a time. */
   isPaused(server: BackendServer): boolean {
     return this.#pauses.isPaused(this.#findCurrent(server));
@@ -64,6 +114,8 @@
   canTakeNext(server: BackendServer, permit?: Permit): boolean {
     const current = this.#findCurrent(server);
     if (!this.#pauses.canTakeNext(current)) return false;
+    if (!hasRoom(this.#brittle, current, this.#describeMoment(current)))
+      return false;
     const hasPermit = permit?.kind === "granted";
     return hasPermit || this.limits.findDenialEnd(current) === undefined;
   }
@@ -89,6 +141,15 @@
   removeEnded(): void {
     this.#pauses.removeEnded((id) => this.#directory.servers.has(id));
     this.limits.removeGone((id) => this.#directory.servers.has(id));
+    for (const id of this.#brittle.keys())
+      if (!this.#directory.servers.has(id)) this.#brittle.delete(id);
+  }
+
+  #describeMoment({ id }: BackendServer) {
+    const { health, countNodes, random } = this.#options;
+    const inFlight = countCalls(health, id);
+    const now = this.#clock.now();
+    return { now, nodes: countNodes(), inFlight, random };
   }
 
   /** The later one of the end of the pause and the next permit. */
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -147,6 +147,10 @@
   | { readonly kind: "leaving" }
   /** The server limits the requests of all nodes; the value of the header as received. */
   | { readonly kind: "limit"; readonly value: string }
+  /** The server falls over if it has to reject more requests a second; the value of the header as received. */
+  | { readonly kind: "brittle"; readonly value: string }
+  /** The server has served a request and does not say that it is brittle. */
+  | { readonly kind: "sturdy" }
   /** The answer to a request that was sent at `sentAt` names no limit. */
   | { readonly kind: "no-limit"; readonly sentAt: Millis };
 
