Name the guard after what it keeps away: requests and prompts that crash servers

PromptGuard and PromptAdmission judge whole requests too since; the files and types are now PoisonGuard and PoisonAdmission. No change of behaviour.

--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -38,7 +38,7 @@
 import { RelayPeers } from "./peers/relay_peers.ts";
 import { CrashCheck } from "./requests/crash_check.ts";
 import { OpenRequests } from "./requests/open_requests.ts";
-import { PromptGuard } from "./requests/prompt_guard.ts";
+import { PoisonGuard } from "./requests/poison_guard.ts";
 import { planRequest } from "./requests/request_intake.ts";
 import { LeaseManager } from "./rows/lease_manager.ts";
 import type { ReadLeaseRows } from "./rows/lease_rows.ts";
@@ -92,7 +92,7 @@
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
   readonly #poison: PoisonManager;
-  readonly #guard: PromptGuard;
+  readonly #guard: PoisonGuard;
   readonly #broadcast: PoisonBroadcast;
   readonly #requests: OpenRequests;
   readonly #installation: InstallationTracker;
@@ -176,7 +176,7 @@
       channel: options.nodeChannel,
     });
     this.#poison = this.#createPoisonManager();
-    this.#guard = PromptGuard.create({
+    this.#guard = PoisonGuard.create({
       context: this.context,
       poison: this.#poison,
       crashes: CrashCheck.create(orders),
--- a/src/node/gateway/requests/failed_attempt.ts
+++ b/src/node/gateway/requests/failed_attempt.ts
@@ -5,7 +5,7 @@
 import type { GatewayContext } from "../context.ts";
 import { recordAttemptHealth } from "./attempt_health.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
-import type { PromptAdmission } from "./prompt_admission.ts";
+import type { PoisonAdmission } from "./poison_admission.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
@@ -14,7 +14,7 @@
   readonly context: GatewayContext;
   readonly demand: ModelDemand | undefined;
   readonly history: AttemptHistory;
-  readonly prompt: PromptAdmission;
+  readonly prompt: PoisonAdmission;
   readonly log: RequestLog;
 };
 
--- a/src/node/gateway/requests/prompt_admission.ts
+++ b/src/node/gateway/requests/poison_admission.ts
@@ -3,23 +3,23 @@
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { Digest } from "../../../core/ids.ts";
 import { listUnits, type RequestContent } from "../../../core/poison/units.ts";
-import type { PromptGuard, PromptTrial } from "./prompt_guard.ts";
+import type { PoisonGuard, PoisonTrial } from "./poison_guard.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
 /** Time for which an answer must have run to show that its request crashes no server, in ms. */
 const soundRunTime = millis(1_000);
 
 /** The content of one request at the guard; ends its trial with the request. */
-export class PromptAdmission {
-  readonly #guard: PromptGuard;
+export class PoisonAdmission {
+  readonly #guard: PoisonGuard;
   readonly #content: RequestContent;
   readonly #units: readonly Digest[];
   readonly #clock: Clock;
-  #trial: PromptTrial | undefined;
+  #trial: PoisonTrial | undefined;
   #recorded: Promise<void> = Promise.resolve();
 
   private constructor(
-    guard: PromptGuard,
+    guard: PoisonGuard,
     options: { content: RequestContent; clock: Clock },
   ) {
     this.#guard = guard;
@@ -29,10 +29,10 @@
   }
 
   static create(
-    guard: PromptGuard,
+    guard: PoisonGuard,
     options: { content: RequestContent; clock: Clock },
-  ): PromptAdmission {
-    return new PromptAdmission(guard, options);
+  ): PoisonAdmission {
+    return new PoisonAdmission(guard, options);
   }
 
   get isConvicted(): boolean {
--- a/src/node/gateway/requests/prompt_guard.ts
+++ b/src/node/gateway/requests/poison_guard.ts
@@ -32,21 +32,21 @@
 const reportersOfSound = 4;
 
 /** Whether a request may run now. */
-export type PromptDecision =
+export type PoisonDecision =
   /** With a trial, the request may run only while the node holds it. */
-  | { readonly kind: "admitted"; readonly trial: PromptTrial | undefined }
+  | { readonly kind: "admitted"; readonly trial: PoisonTrial | undefined }
   | { readonly kind: "convicted" }
   /** Another request with the same units was on trial until the end of the wait. */
   | { readonly kind: "late" };
 
 /** Permission to run the only request with certain suspect units. */
-export type PromptTrial = {
+export type PoisonTrial = {
   /** Whether the node still holds the trial. */
   readonly isHeld: () => boolean;
   readonly end: () => void;
 };
 
-type PromptGuardOptions = {
+type PoisonGuardOptions = {
   readonly context: GatewayContext;
   readonly poison: PoisonManager;
   readonly crashes: CrashCheck;
@@ -58,17 +58,17 @@
  * away from them. Such a unit is suspected after one crash; its requests run one
  * at a time until it is shown to be sound or crashes a second server.
  */
-export class PromptGuard {
-  readonly #options: PromptGuardOptions;
+export class PoisonGuard {
+  readonly #options: PoisonGuardOptions;
   readonly #sound: SoundParts = new Map();
   readonly #trials: Trials = new Map();
 
-  private constructor(options: PromptGuardOptions) {
+  private constructor(options: PoisonGuardOptions) {
     this.#options = options;
   }
 
-  static create(options: PromptGuardOptions): PromptGuard {
-    return new PromptGuard(options);
+  static create(options: PoisonGuardOptions): PoisonGuard {
+    return new PoisonGuard(options);
   }
 
   /** Status of a request with these units. */
@@ -80,7 +80,7 @@
   async admit(
     units: readonly Digest[],
     { until, hasEnded }: { until: Millis; hasEnded: () => boolean },
-  ): Promise<PromptDecision> {
+  ): Promise<PoisonDecision> {
     const { clock } = this.#options.context.dependencies;
     for (;;) {
       const status = this.assess(units);
@@ -95,7 +95,7 @@
   }
 
   /** Whether an admitted request may still be sent. */
-  maySend(units: readonly Digest[], trial: PromptTrial | undefined): boolean {
+  maySend(units: readonly Digest[], trial: PoisonTrial | undefined): boolean {
     const status = this.assess(units);
     if (status === "unknown") return true;
     return status === "suspect" && trial?.isHeld() === true;
@@ -150,7 +150,7 @@
     this.#options.poison.receiveBroadcast(digest, record);
   }
 
-  #startTrial(units: readonly Digest[]): PromptTrial | undefined {
+  #startTrial(units: readonly Digest[]): PoisonTrial | undefined {
     const { poison, broadcast } = this.#options;
     const machine = this.#machine();
     const suspected = units.filter((unit) => poison.isSuspected(unit));
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -18,8 +18,8 @@
 import type { StreamKeeper } from "../streams/stream_keeper.ts";
 import { AttemptHistory } from "./attempt_history.ts";
 import { recordFailedAttempt } from "./failed_attempt.ts";
-import { PromptAdmission } from "./prompt_admission.ts";
-import type { PromptGuard } from "./prompt_guard.ts";
+import { PoisonAdmission } from "./poison_admission.ts";
+import type { PoisonGuard } from "./poison_guard.ts";
 import { describeContent } from "./request_content.ts";
 import type { RequestPlan } from "./request_intake.ts";
 import { RequestLog } from "./request_log.ts";
@@ -60,7 +60,7 @@
   readonly incarnations: IncarnationWatch;
   readonly usage: EngineUsageCounter;
   readonly relays: RelayWay;
-  readonly guard: PromptGuard;
+  readonly guard: PoisonGuard;
   readonly request: ProxiedRequest;
   readonly plan: RequestPlan;
   readonly sink: CallerSink;
@@ -74,7 +74,7 @@
   readonly #continuation: StreamContinuation;
   readonly #forwarder: ResponseForwarder;
   readonly #log: RequestLog;
-  readonly #prompt: PromptAdmission;
+  readonly #prompt: PoisonAdmission;
   readonly #usage: RequestUsage;
   readonly #wait: RequestWait;
   readonly #run: RequestRun;
@@ -96,7 +96,7 @@
     const { clock } = options.context.dependencies;
     this.#usage = RequestUsage.create(options.usage, request.demand);
     this.#run = RequestRun.create(options.context, plan.kind);
-    this.#prompt = PromptAdmission.create(options.guard, {
+    this.#prompt = PoisonAdmission.create(options.guard, {
       content: describeContent(request),
       clock,
     });
