--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -37,19 +37,14 @@
 } from "./request_refusals.ts";
 import { type RelayWay, RequestRelay } from "./request_relay.ts";
 import { RequestRun } from "./request_run.ts";
+import { RequestSends } from "./request_sends.ts";
 import { RequestUsage } from "./request_usage.ts";
 import { RequestWait } from "./request_wait.ts";
 import { ResponseForwarder } from "./response_forwarder.ts";
-import {
-  type AttemptResult,
-  ServerAttempt,
-  serverLeft,
-} from "./server_attempt.ts";
+import type { AttemptResult } from "./server_attempt.ts";
 
 /** A request with less time left than this is refused instead of sent, in ms. */
 const minTimeLeft = 20;
-/** Maximum wait for a connection, in ms: the server is told the time that was left before. */
-const maxConnectionWait = 400;
 
 /** Request to serve and the collaborators of its task. */
 export type RequestTaskOptions = {
@@ -80,11 +75,7 @@
   readonly #run: RequestRun;
   readonly #relay: RequestRelay;
   #cancelTimeLimit: Cancel = () => {};
-  #attempt: ServerAttempt | undefined;
-  /** Server of the latest attempt. */
-  #server: BackendServer | undefined;
-  /** Time at which the connection was opened on which that server answers. */
-  #openedAt = millis(Number.POSITIVE_INFINITY);
+  readonly #sends: RequestSends;
   #ended = false;
   #onEnd: () => void = () => {};
 
@@ -104,8 +95,9 @@
     this.#forwarder = ResponseForwarder.create(options.sink, {
       clock,
       onFirstBytes: () => {
-        if (this.#server !== undefined)
-          this.#continuation.recordEvents(this.#server, this.#openedAt);
+        const { server, openedAt } = this.#sends;
+        if (server !== undefined)
+          this.#continuation.recordEvents(server, openedAt);
       },
       onStart: () => {
         this.#usage.trackRun();
@@ -123,6 +115,18 @@
     if (route.retryRule === "stream" && route.resumable) {
       this.#cursor = StreamCursor.create(request.resumeAfter);
     }
+    this.#sends = RequestSends.create({
+      ...options,
+      history: this.#history,
+      cursor: this.#cursor,
+      continuation: this.#continuation,
+      forwarder: this.#forwarder,
+      usage: this.#usage,
+      run: this.#run,
+      log: this.#log,
+      mayStart: () => !this.#ended && !this.#wait.isTooLateToStart(),
+      onWhole: (server) => this.#recordWhole(server),
+    });
   }
 
   get #plan(): RequestPlan {
@@ -149,7 +153,7 @@
 
   /** Reads the answer on, since the caller's connection takes bytes again. */
   resume(): void {
-    this.#attempt?.resume();
+    this.#sends.resume();
     this.#relay.resume();
   }
 
@@ -157,7 +161,7 @@
   stall(detail: string): void {
     const { meter } = this.#options.context.dependencies;
     meter.count("gateway_answers_stalled_total");
-    this.#log.record("requestStalled", { server: this.#server, detail });
+    this.#log.record("requestStalled", { server: this.#sends.server, detail });
     this.#finish("stalled");
   }
 
@@ -165,7 +169,7 @@
   endBeforeExit(): void {
     if (this.#ended) return;
     this.#log.record("requestCutOff", {
-      server: this.#server,
+      server: this.#sends.server,
       ...this.#history.counts,
     });
     this.#refuseBeforeExit();
@@ -185,15 +189,15 @@
 
   /** Ends the request if its content was convicted after it was sent, unless its server has begun to answer. */
   withdrawIfConvicted(): void {
-    if (this.#ended || this.#attempt === undefined) return;
-    if (this.#attempt.hasHead || !this.#prompt.isConvicted) return;
+    if (this.#ended || !this.#sends.isUnanswered) return;
+    if (!this.#prompt.isConvicted) return;
     this.#refuse(refuseWithdrawn());
   }
 
   /** Ends an attempt without an answer whose request may run again, since the node reaches no server. */
   leaveUnreached(): void {
-    if (this.#attempt?.hasHead !== false) return;
-    if (this.#plan.route.retryRule === "repeatable") this.#attempt.giveUp();
+    if (!this.#sends.isUnanswered) return;
+    if (this.#plan.route.retryRule === "repeatable") this.#sends.giveUp();
   }
 
   /** Whether another node should serve the request, of which the caller has nothing yet. */
@@ -267,10 +271,7 @@
   /** Has another node serve the request; true if it has not run there, or may run again. */
   async #passOn(): Promise<boolean> {
     const { context } = this.#options;
-    if (this.#plan.limits.end - context.now() < minTimeLeft) {
-      this.#onTimeLimit();
-      return false;
-    }
+    if (this.#refuseAtLimit()) return false;
     if (!(await this.#isWaitedFor())) return false;
     this.#log.record("requestRelayed");
     const result = await this.#relay.run();
@@ -314,68 +315,28 @@
   }
 
   /** Makes one attempt; undefined if the caller got the whole response or a refusal. */
-  #sendTo(
+  async #sendTo(
     selection: ServerSelection,
     permit: Permit,
   ): Promise<AttemptResult | undefined> {
-    const { context, request } = this.#options;
-    const { route } = this.#plan;
-    const sentAt = context.now();
-    const timeLeft = millis(this.#plan.limits.end - sentAt);
-    if (timeLeft < minTimeLeft) {
-      this.#onTimeLimit();
-      return Promise.resolve(undefined);
-    }
-    const isAccepted = () =>
-      !this.#ended &&
-      context.now() <= sentAt + Math.min(timeLeft, maxConnectionWait) &&
-      context.availability.accepts(selection.server, permit) &&
-      !this.#wait.isTooLateToStart();
-    if (!isAccepted()) return Promise.resolve(serverLeft);
-    const { server } = selection;
-    const { born, softwareVersion: version } = server;
-    this.#log.record("requestSent", { server, version, born });
-    this.#server = selection.server;
-    this.#run.start();
-    this.#usage.trackSend(selection.server, this.#forwarder.hasStarted);
-    return new Promise((resolve) => {
-      this.#attempt = ServerAttempt.start({
-        context,
-        route,
-        cursor: this.#cursor,
-        started: this.#forwarder.startedHead,
-        serverRequest: {
-          request,
-          server: selection.server,
-          isRepeated: this.#history.reached.has(selection.server.id),
-          isAccepted,
-          timeLeft,
-          adapterVersion: selection.version,
-          priority: request.demand === undefined ? undefined : route.priority,
-          resumeAfter: this.#cursor?.lastId ?? request.resumeAfter,
-        },
-        sink: this.#forwarder,
-        prove: (times) => {
-          this.#openedAt = times.openedAt;
-          this.#options.incarnations.recordAnswer(selection.server, times);
-          return this.#continuation.provesServer(
-            selection.server,
-            times.openedAt,
-          );
-        },
-        onResult: (result) => {
-          this.#attempt = undefined;
-          this.#usage.release();
-          this.#run.end(result.end.kind === "whole");
-          if (result.end.kind !== "whole") return resolve(result);
-          this.#prompt.recordWhole();
-          this.#continuation.recordWhole();
-          this.#log.recordResponse(selection.server, this.#forwarder);
-          this.#finish("answered");
-          resolve(undefined);
-        },
-      });
-    });
+    if (this.#refuseAtLimit()) return undefined;
+    const result = await this.#sends.send(selection, permit);
+    return result.end.kind === "whole" ? undefined : result;
+  }
+
+  /** Records that the caller has the whole response of a server. */
+  #recordWhole(server: BackendServer): void {
+    this.#prompt.recordWhole();
+    this.#continuation.recordWhole();
+    this.#log.recordResponse(server, this.#forwarder);
+    this.#finish("answered");
+  }
+
+  /** Refuses the request if too little time is left to send it. */
+  #refuseAtLimit(): boolean {
+    const timeLeft = this.#plan.limits.end - this.#options.context.now();
+    if (timeLeft < minTimeLeft) this.#onTimeLimit();
+    return timeLeft < minTimeLeft;
   }
 
   /** Records a failed attempt and decides whether to retry. */
@@ -426,14 +387,14 @@
   }
 
   #mayHaveRun(): boolean {
-    const isSent = this.#attempt !== undefined || this.#relay.isSent;
+    const isSent = this.#sends.isOpen || this.#relay.isSent;
     return isSent || this.#history.runs > 0;
   }
 
   #refuse(refusal: Refusal): void {
     const { sink } = this.#options;
     this.#log.record("requestRefused", {
-      server: this.#server ?? this.#history.refusingServer,
+      server: this.#sends.server ?? this.#history.refusingServer,
       detail: refusal.detail,
       code: refusal.code,
       ...this.#history.counts,
@@ -450,8 +411,7 @@
     this.#usage.release();
     this.#prompt.end();
     this.#run.end(false);
-    this.#attempt?.cancel();
-    this.#attempt = undefined;
+    this.#sends.cancel();
     this.#relay.cancel();
     this.#log.countOutcome(outcome);
     this.#onEnd();
