Leave the origin of a relayed stream to the node that has its server

Callers would see a stream joined from two software versions: a node that passed a stream on after an attempt of its own recorded the server of that attempt as the one that began it. Cause: the recorder took the server of the latest attempt. Found by reading the relay again. Change: the task forgets that server when it passes the request on. Result: the test (a stream that came by way of another node) failed without the change: one message names an origin, none with it.

--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -139,6 +139,11 @@
     this.#attempt?.giveUp();
   }
 
+  /** Forgets the server of the latest send, since the answer comes another way. */
+  forgetServer(): void {
+    this.#server = undefined;
+  }
+
   /** Cancels the request at its server. */
   cancel(): void {
     this.#attempt?.cancel();
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -274,6 +274,8 @@
     if (this.#refuseAtLimit()) return false;
     if (!(await this.#isWaitedFor())) return false;
     this.#log.record("requestRelayed");
+    // The other node remembers which server began a stream.
+    this.#sends.forgetServer();
     const result = await this.#relay.run();
     if (this.#ended) return false;
     if (result.kind === "whole") {
--- a/tests/gateway/stranded_node_test.ts
+++ b/tests/gateway/stranded_node_test.ts
@@ -8,9 +8,11 @@
   ProxiedRequest,
   ServerResponseSink,
 } from "../../src/ports/gateway.ts";
+import type { NodeMessage } from "../../src/ports/nodes.ts";
 import type { RelayLinks } from "../../src/ports/relays.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
 import {
+  createDemand,
   createEngine,
   createRoute,
   createServer,
@@ -47,6 +49,7 @@
   readonly nodes: GatewayFixture[] = [];
   readonly stranded = new Set<number>();
   readonly relayed: ProxiedRequest[] = [];
+  onMessage: (message: NodeMessage) => void = () => {};
   /** What servers do with a request. */
   serve: (attempt: RecordedAttempt) => void = (attempt) => attempt.answer("ok");
 
@@ -71,10 +74,12 @@
       table: this.table,
       machine: `n${at}`,
       peerAddress: `10.0.0.${at}:7000`,
-      sendMessage: (address, message) =>
+      sendMessage: (address, message) => {
+        this.onMessage(message);
         this.clock.schedule(millis(20), () =>
           this.nodes[findNode(address)]?.receive(message),
-        ),
+        );
+      },
       onAttempt: (attempt) => {
         if (!this.stranded.has(at)) this.serve(attempt);
       },
@@ -82,7 +87,7 @@
       relayLinks: { send: (...relay) => this.#pass(...relay) },
     });
     this.nodes.push(node);
-    const stream = { ...streamRoute, prefix: "/s/" };
+    const stream = { ...streamRoute, prefix: "/s/", resumable: true };
     node.configure([
       createRoute({ retryRule: "repeatable" }),
       createRoute({ prefix: "/o/" }),
@@ -90,7 +95,7 @@
     ]);
     for (const id of ["s1", "s2", "s3"])
       node.register(createServer({ id: brandString<ServerId>(id) }));
-    node.register(createEngine("e1", []), createEngine("e2", []));
+    node.register(createEngine("e1", ["a1"]), createEngine("e2", ["a1"]));
   }
 
   #pass(
@@ -194,3 +199,23 @@
   control.cancel();
   assert.equal(attempt?.cancelled, true);
 });
+
+// The origin would be that of the server of an earlier attempt, at which no event began.
+test("a node does not record which server began a stream that came by way of another node", async () => {
+  const fleet = await StrandedFleet.create(2);
+  const messages: NodeMessage[] = [];
+  fleet.onMessage = (message) => messages.push(message);
+  const demand = createDemand("a1");
+  const target = { target: "/s/1", path: "/s/1", demand };
+  fleet.serve = (attempt) => attempt.answer("id: 1\n\n");
+  fleet.stranded.add(0);
+  const { answer } = fleet.open(0, { ...target, deadline: millis(8_000) });
+  await fleet.advance(1_500);
+  fleet.nodes[0]?.lastAttempt().fail("unreachable");
+  await fleet.advance(500);
+  assert.equal(answer.text, "id: 1\n\n");
+  const told = messages.filter(
+    ({ type, from }) => type === "stream" && from === "n0",
+  );
+  assert.equal(told.length, 0);
+});
