Look for unanswered requests, starved subjects and requests that crash servers in the soak

The soak checked answers that contradict their promises and retries in a window, but not whether a request ends without an answer at an undisturbed machine, whether a subject or kind is never served, whether what crashes servers is sent on, whether paused servers get requests, and whether more time is handed on than is left.

New disturbances: stops in turn, paused servers, and requests, streams and prompts that crash servers. The script takes names of disturbances.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,7 +1,9 @@
-/** Plays soaks by hand: `npm run soak -- FIRST_SEED COUNT [SECONDS]`; exit status 1 if a promise was broken. */
+/** Plays soaks by hand: `npm run soak -- FIRST_SEED COUNT [SECONDS [DISTURBANCE,...]]`; exit status 1 if a promise was broken. */
 import { playSoak, type SoakResult } from "../tests/soak/soak.ts";
 
-const [first = "1", count = "50", seconds = "30"] = process.argv.slice(2);
+const [first = "1", count = "50", seconds = "30", chosen] =
+  process.argv.slice(2);
+const names = chosen?.split(",");
 const duration = Number(seconds) * 1_000;
 
 function describe({
@@ -19,7 +21,11 @@
 }
 
 for (let at = 0; at < Number(count); at++) {
-  const result = await playSoak({ seed: Number(first) + at, duration });
+  const result = await playSoak({
+    seed: Number(first) + at,
+    duration,
+    ...(names && { names }),
+  });
   console.log(describe(result));
   if (result.violations.length > 0) process.exitCode = 1;
 }
--- a/tests/rig/backend.ts
+++ b/tests/rig/backend.ts
@@ -30,6 +30,8 @@
   readonly at: number;
   readonly requestId: string;
   readonly backend: string;
+  /** Time that is left to the request, in ms. */
+  readonly deadline?: number;
 };
 
 /** An order that has reached a server. */
@@ -165,11 +167,12 @@
     message.on("end", () => {
       const requestId = String(message.headers[headers.requestId] ?? "");
       if (requestId !== "") {
-        const backend = this.id;
+        const left = message.headers["goldcrestwinch-deadline-ms"];
         this.#options.onArrival?.({
           at: performance.now(),
           requestId,
-          backend,
+          backend: this.id,
+          ...(left !== undefined && { deadline: Number(left) }),
         });
       }
       const expected = message.headers["goldcrestwinch-expect-instance"];
--- a/tests/rig/caller.ts
+++ b/tests/rig/caller.ts
@@ -14,6 +14,8 @@
   readonly headers?: Readonly<Record<string, string>>;
   /** Connections to reuse; a connection of its own without. */
   readonly agent?: Agent;
+  /** Id of the request; a new one without. */
+  readonly requestId?: string;
 };
 
 /** How a request ended for its caller. */
@@ -30,10 +32,15 @@
 
 const defaultDeadline = 10_000;
 
+/** Id of a new request. */
+export function createRequestId(): string {
+  return randomBytes(8).toString("hex");
+}
+
 /** Sends a request; resolves however it ends. */
 export function sendCall(call: Call): Promise<CallEnd> {
-  const requestId = randomBytes(8).toString("hex");
   const { deadline = defaultDeadline, body = "" } = call;
+  const { requestId = createRequestId() } = call;
   return new Promise((resolve) => {
     let status = 0;
     let text = "";
@@ -74,12 +81,15 @@
 }
 
 /** Headers of a request to a language model; no two have the same last part. */
-export function describePrompt(model: string): Record<string, string> {
+export function describePrompt(
+  model: string,
+  sharedPart = "aa",
+): Record<string, string> {
   const part = randomBytes(4).toString("hex");
   return {
     "goldcrestwinch-model": model,
     "goldcrestwinch-token-count": "491,70",
-    "goldcrestwinch-prompt-prefix": `aa:93,${part}:398`,
+    "goldcrestwinch-prompt-prefix": `${sharedPart}:93,${part}:398`,
   };
 }
 
--- /dev/null
+++ b/tests/soak/crashing_requests.ts
@@ -0,0 +1,127 @@
+import { randomBytes } from "node:crypto";
+import { setTimeout as sleep } from "node:timers/promises";
+import type { Backend, Exchange, Serve } from "../rig/backend.ts";
+import type { Calm } from "./calm.ts";
+import type { Violation } from "./observations.ts";
+import type { RequestLog } from "./request_log.ts";
+
+/** Time from the start of a run to the crash of its server, in ms. */
+const crashDelay = 40;
+const minDownTime = 1_000;
+const maxDownTime = 3_000;
+/** Time after the last tolerated crash from which sends count, in ms. */
+const contactTime = 4_000;
+/** Sends that may come later than that. */
+const maxLateSends = 3;
+/** Crashes after which a whole request, or a part of prompts, must be known. */
+const crashesOfRequests = 3;
+const crashesOfParts = 5;
+
+/** What crashes servers: requests to a path, or prompts that begin with a part. */
+type Unit = {
+  readonly name: string;
+  readonly toleratedCrashes: number;
+  readonly crashes: number[];
+  readonly arrivals: { readonly at: number; readonly requestId: string }[];
+};
+
+/** Prefixes of names by which servers tell what crashes them. */
+const requestPrefix = "deadly";
+const partPrefix = "dead";
+
+/** Crashes servers that run certain requests, and counts the sends that come later than allowed. */
+export class CrashingRequests {
+  readonly #units = new Map<string, Unit>();
+  readonly #random: () => number;
+  readonly #calm: Calm;
+  #isOver = false;
+
+  private constructor(random: () => number, calm: Calm) {
+    this.#random = random;
+    this.#calm = calm;
+  }
+
+  static create(random: () => number, calm: Calm): CrashingRequests {
+    return new CrashingRequests(random, calm);
+  }
+
+  /** Name of a path whose requests crash servers. */
+  addRequest(): string {
+    return this.#add(requestPrefix, crashesOfRequests);
+  }
+
+  /** Name of a part of prompts that crashes servers. */
+  addPart(): string {
+    return this.#add(partPrefix, crashesOfParts);
+  }
+
+  #add(prefix: string, toleratedCrashes: number): string {
+    const name = `${prefix}${randomBytes(4).toString("hex")}`;
+    const unit = { name, toleratedCrashes, crashes: [], arrivals: [] };
+    this.#units.set(name, unit);
+    return name;
+  }
+
+  /** Lets a server crash under these requests and serve the others. */
+  crashUnder(serve: Serve): Serve {
+    return (exchange) => {
+      const unit = this.#findUnit(exchange);
+      if (unit === undefined) return serve(exchange);
+      const { backend, requestId } = exchange;
+      unit.arrivals.push({ at: performance.now(), requestId });
+      const isStream = exchange.message.url?.startsWith("/stream/") === true;
+      if (isStream) serve(exchange);
+      setTimeout(() => {
+        if (!backend.isRunning || this.#isOver) return;
+        unit.crashes.push(performance.now());
+        void this.crash(backend);
+      }, crashDelay);
+    };
+  }
+
+  #findUnit({ message }: Exchange): Unit | undefined {
+    const name = message.url?.split("/")[2] ?? "";
+    const prompt = String(message.headers["goldcrestwinch-prompt-prefix"]);
+    const part = prompt.split(":")[0] ?? "";
+    return this.#units.get(name) ?? this.#units.get(part);
+  }
+
+  /** Crashes a server; it is back after some seconds. */
+  async crash(backend: Backend): Promise<void> {
+    if (!backend.isRunning) return;
+    const end = this.#calm.disturb(backend.id);
+    backend.crash();
+    const down = maxDownTime - minDownTime;
+    await sleep(minDownTime + this.#random() * down);
+    if (!backend.isRunning && !this.#isOver) await backend.start();
+    end();
+  }
+
+  /** Ends crashes and restarts at the end of a test. */
+  close(): void {
+    this.#isOver = true;
+  }
+
+  /** Sends by machines in touch that came later than allowed. */
+  findViolations(log: RequestLog): Violation[] {
+    return [...this.#units.values()].flatMap((unit) => {
+      const { name, crashes, arrivals, toleratedCrashes } = unit;
+      const last = crashes[toleratedCrashes - 1];
+      if (last === undefined) return [];
+      const late = arrivals.filter(
+        ({ at, requestId }) =>
+          at > last + contactTime && this.#isInTouch(log, requestId, at),
+      );
+      if (late.length <= maxLateSends) return [];
+      const times = late.map(({ at }) => ((at - last) / 1_000).toFixed(1));
+      const detail = `${name}: ${crashes.length} crashes, ${late.length} sends late by ${times.join(", ")} s`;
+      return [{ rule: "sent on though it crashes servers", detail }];
+    });
+  }
+
+  #isInTouch(log: RequestLog, requestId: string, at: number): boolean {
+    const attempt = log.find(requestId);
+    if (attempt === undefined) return false;
+    return this.#calm.hasLasted([attempt.machine, "store"], at);
+  }
+}
--- a/tests/soak/disturbances.ts
+++ b/tests/soak/disturbances.ts
@@ -3,13 +3,21 @@
 import { holdTcpPort } from "../rig/held_port.ts";
 import type { Installation } from "../rig/installation.ts";
 import type { Machine } from "../rig/machine.ts";
+import type { Calm } from "./calm.ts";
+import type { CrashingRequests } from "./crashing_requests.ts";
 import type { Observations } from "./observations.ts";
+import type { Pauses } from "./pauses.ts";
 import { failRequests } from "./servers.ts";
+import type { Traffic } from "./traffic.ts";
 
 /** What a disturbance may act on. */
 export type Scene = {
   readonly installation: Installation;
   readonly observations: Observations;
+  readonly calm: Calm;
+  readonly crashing: CrashingRequests;
+  readonly pauses: Pauses;
+  readonly traffic: Traffic;
   readonly random: () => number;
   /** Announces that a process will be ended by a signal. */
   readonly expectEnd: (machine: Machine) => void;
@@ -20,6 +28,11 @@
 
 /** Time between SIGTERM and the forced end of a process, in ms. */
 const gracePeriod = 8_000;
+/** Time for a process to end and start again, in ms. */
+const restartTime = 1_500;
+/** Requests that crash servers, and the time between two of them, in ms. */
+const crashingCount = 80;
+const crashingInterval = 120;
 
 function choose<Item>(items: readonly Item[], random: () => number): Item {
   return items[Math.floor(random() * items.length)] as Item;
@@ -44,7 +57,9 @@
 function kill(scene: Scene, machine: Machine): void {
   if (!machine.isRunning) return;
   scene.expectEnd(machine);
+  const end = scene.calm.disturb(machine.name);
   machine.signal("SIGKILL");
+  setTimeout(end, restartTime);
 }
 
 const killMachine: Disturbance = async (scene) =>
@@ -60,14 +75,27 @@
   await killAllMachines(scene);
 };
 
-const stopMachine: Disturbance = async (scene) => {
-  const machine = chooseMachine(scene);
+async function stop(scene: Scene, machine: Machine): Promise<void> {
   const { pid } = machine;
   if (!machine.isLogging) return;
   scene.expectEnd(machine);
   machine.signal("SIGTERM");
   await sleep(gracePeriod);
-  if (machine.isRunning && machine.pid === pid) machine.signal("SIGKILL");
+  if (!machine.isRunning || machine.pid !== pid) return;
+  scene.calm.disturb(machine.name)();
+  machine.signal("SIGKILL");
+}
+
+const stopMachine: Disturbance = async (scene) =>
+  stop(scene, chooseMachine(scene));
+
+const stopMachinesInTurn: Disturbance = async (scene) => {
+  const stops: Promise<void>[] = [];
+  for (const machine of scene.installation.machines) {
+    stops.push(stop(scene, machine));
+    await sleep(restartTime);
+  }
+  await Promise.all(stops);
 };
 
 const reloadSettings: Disturbance = async (scene) => {
@@ -80,56 +108,94 @@
 
 const freezeMachine: Disturbance = async (scene) => {
   const machine = chooseMachine(scene);
+  const end = scene.calm.disturb(machine.name);
   machine.signal("SIGSTOP");
   await sleep(draw(scene.random, 300, 4_000));
   machine.signal("SIGCONT");
+  end();
 };
 
 const holdFrontPort: Disturbance = async (scene) => {
   const machine = chooseMachine(scene);
   if (!machine.isRunning) return;
   kill(scene, machine);
+  const end = scene.calm.disturb(machine.name);
   await machine.waitForEnd();
   const free = await holdTcpPort(machine.front).catch(() => undefined);
   await sleep(draw(scene.random, 500, 2_500));
   await free?.();
+  setTimeout(end, restartTime);
 };
 
-const silenceStore: Disturbance = async ({ installation, random }) => {
+const silenceStore: Disturbance = async ({ installation, random, calm }) => {
+  const end = calm.disturb("store");
   installation.store.isUnresponsive = true;
   await sleep(draw(random, 500, 4_000));
   installation.store.isUnresponsive = false;
+  end();
 };
 
-const failStore: Disturbance = async ({ installation, random }) => {
+const failStore: Disturbance = async ({ installation, random, calm }) => {
+  const end = calm.disturb("store");
   installation.store.failWith = 503;
   await sleep(draw(random, 500, 4_000));
   installation.store.failWith = undefined;
+  end();
 };
 
-const crashBackend: Disturbance = async (scene) => {
-  const backend = chooseBackend(scene);
-  if (!backend.isRunning) return;
-  backend.crash();
-  await sleep(draw(scene.random, 500, 4_000));
-  await backend.start();
-};
+const crashBackend: Disturbance = async (scene) =>
+  scene.crashing.crash(chooseBackend(scene));
 
 /** An engine crashes and comes back under its id with newer software. */
 const upgradeBackend: Disturbance = async (scene) => {
   const backend = chooseBackend(scene, "engines");
   if (!backend.isRunning) return;
-  backend.crash();
-  await sleep(draw(scene.random, 500, 4_000));
+  const restarted = scene.crashing.crash(backend);
   backend.version = `v${Number(backend.version.slice(1)) + 1}`;
-  await backend.start();
+  await restarted;
 };
 
 const failBackend: Disturbance = async (scene) => {
   const share = draw(scene.random, 0.2, 0.9);
-  const recover = failRequests(chooseBackend(scene), { ...scene, share });
+  const backend = chooseBackend(scene);
+  const end = scene.calm.disturb(backend.id);
+  const recover = failRequests(backend, { ...scene, share });
   await sleep(draw(scene.random, 1_000, 5_000));
   recover();
+  end();
+};
+
+/** A server turns requests away and names a time for which it wants none. */
+const pauseBackend: Disturbance = async (scene) => {
+  const recover = scene.pauses.pause(chooseBackend(scene));
+  await sleep(draw(scene.random, 1_000, 4_000));
+  recover();
+};
+
+/** Sends requests at an even rate; resolves when all have ended. */
+async function repeat(send: () => Promise<void>): Promise<void> {
+  const sent: Promise<void>[] = [];
+  for (let at = 0; at < crashingCount; at++) {
+    sent.push(send());
+    await sleep(crashingInterval);
+  }
+  await Promise.all(sent);
+}
+
+const sendCrashingLookups: Disturbance = async ({ crashing, traffic }) => {
+  const path = crashing.addRequest();
+  await repeat(() => traffic.sendLookup(path, true));
+};
+
+const sendCrashingStreams: Disturbance = async ({ crashing, traffic }) => {
+  const path = crashing.addRequest();
+  await repeat(() => traffic.sendCrashingStream(path, "aa0"));
+};
+
+const sendCrashingPrompts: Disturbance = async ({ crashing, traffic }) => {
+  const part = crashing.addPart();
+  let streams = 0;
+  await repeat(() => traffic.sendCrashingStream(`${part}-${streams++}`, part));
 };
 
 /** All kinds of disturbances by name. */
@@ -138,6 +204,7 @@
   killAllMachines,
   killMachinesTwice,
   stopMachine,
+  stopMachinesInTurn,
   reloadSettings,
   freezeMachine,
   holdFrontPort,
@@ -146,4 +213,8 @@
   crashBackend,
   upgradeBackend,
   failBackend,
+  pauseBackend,
+  sendCrashingLookups,
+  sendCrashingStreams,
+  sendCrashingPrompts,
 };
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,11 +1,16 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
+import type { Arrival } from "../rig/backend.ts";
 import { waitUntilServing } from "../rig/callers.ts";
 import { Installation, models } from "../rig/installation.ts";
 import { type Machine, usualRetryLimits } from "../rig/machine.ts";
 import { RetryWindow } from "../rig/retry_window.ts";
+import { Calm } from "./calm.ts";
+import { CrashingRequests } from "./crashing_requests.ts";
 import { type Disturbance, disturbances, type Scene } from "./disturbances.ts";
 import { Observations, type Violation } from "./observations.ts";
+import { Pauses } from "./pauses.ts";
+import { RequestLog } from "./request_log.ts";
 import { createBookingService, serveStream } from "./servers.ts";
 import { Traffic } from "./traffic.ts";
 
@@ -23,7 +28,20 @@
 const memoryInterval = 250;
 
 /** One soak: its seed and for how long new disturbances begin, in ms. */
-export type SoakOptions = { readonly seed: number; readonly duration: number };
+export type SoakOptions = {
+  readonly seed: number;
+  readonly duration: number;
+  /** Names of the disturbances to choose from; all without. */
+  readonly names?: readonly string[];
+};
+
+/** What records a soak. */
+type Records = {
+  readonly observations: Observations;
+  readonly requests: RequestLog;
+  readonly crashing: CrashingRequests;
+  readonly pauses: Pauses;
+};
 
 export type SoakResult = {
   readonly seed: number;
@@ -39,9 +57,15 @@
 export async function playSoak(options: SoakOptions): Promise<SoakResult> {
   const random = createSeededRandom(options.seed);
   const observations = Observations.create();
+  const calm = Calm.create();
+  const crashing = CrashingRequests.create(random, calm);
+  const requests = RequestLog.create();
+  const pauses = Pauses.create(calm);
+  const records = { observations, requests, crashing, pauses };
   const installation = await Installation.open();
+  installation.onClose(() => crashing.close());
   try {
-    const windows = await addBackends(installation, observations);
+    const windows = await addBackends(installation, records);
     const ends = watchEnds();
     const machines = await installation.addMachines(machineCount);
     await waitUntilServing(machines, startTime);
@@ -49,12 +73,16 @@
     const traffic = Traffic.start({
       machines,
       observations,
+      requests,
       random,
       onRequest: (service, at) => windows.get(service)?.recordRequest(at),
     });
     const { expectEnd } = ends;
-    const scene = { installation, observations, random, expectEnd };
-    const steps = await disturb(scene, options.duration);
+    const scene = {
+      ...{ installation, observations, random, expectEnd },
+      ...{ calm, crashing, pauses, traffic },
+    };
+    const steps = await disturb(scene, options);
     await sleep(recoveryTime);
     await traffic.stop();
     if (!(await waitUntilServing(machines, 0)))
@@ -66,7 +94,12 @@
       observations.add("memory over the limit", `${peakMemory} MB`);
     return {
       seed: options.seed,
-      violations: observations.findViolations(),
+      violations: [
+        ...observations.findViolations(),
+        ...requests.findViolations(calm),
+        ...crashing.findViolations(requests),
+        ...pauses.findViolations(requests),
+      ],
       steps,
       answers: observations.answers,
       peakMemory,
@@ -78,35 +111,43 @@
 
 async function addBackends(
   installation: Installation,
-  observations: Observations,
+  records: Records,
 ): Promise<ReadonlyMap<string, RetryWindow>> {
+  const { observations, requests, crashing, pauses } = records;
   const windows = new Map(
     ["booking", "engines"].map((service) => [
       service,
       RetryWindow.create(usualRetryLimits),
     ]),
   );
-  const serve = createBookingService(observations);
+  const recordArrival = (service: string) => (arrival: Arrival) => {
+    windows.get(service)?.recordArrival(arrival);
+    requests.recordArrival(arrival);
+    pauses.recordArrival(arrival);
+  };
+  const serve = crashing.crashUnder(createBookingService(observations));
   for (let at = 0; at < bookingServers; at++)
     await installation.addBackend({
       service: "booking",
       serve,
-      onArrival: (arrival) => windows.get("booking")?.recordArrival(arrival),
+      onArrival: recordArrival("booking"),
     });
   for (let at = 0; at < engineCount; at++)
     await installation.addBackend({
       service: "engines",
-      serve: serveStream,
+      serve: crashing.crashUnder(serveStream),
       models,
-      onArrival: (arrival) => windows.get("engines")?.recordArrival(arrival),
+      onArrival: recordArrival("engines"),
     });
   return windows;
 }
 
 /** Starts disturbances one after another; resolves when the last has ended. */
-async function disturb(scene: Scene, duration: number): Promise<string[]> {
+async function disturb(
+  scene: Scene,
+  { duration, names = Object.keys(disturbances) }: SoakOptions,
+): Promise<string[]> {
   const { random } = scene;
-  const names = Object.keys(disturbances);
   const steps: string[] = [];
   const running: Promise<void>[] = [];
   const startedAt = performance.now();
--- a/tests/soak/traffic.ts
+++ b/tests/soak/traffic.ts
@@ -1,9 +1,16 @@
 import { Agent } from "node:http";
 import { setTimeout as sleep } from "node:timers/promises";
-import { type CallEnd, describePrompt, sendCall } from "../rig/caller.ts";
+import {
+  type Call,
+  type CallEnd,
+  createRequestId,
+  describePrompt,
+  sendCall,
+} from "../rig/caller.ts";
 import { sendAtRate } from "../rig/callers.ts";
 import type { Machine } from "../rig/machine.ts";
 import type { Observations } from "./observations.ts";
+import type { Attempt, RequestLog } from "./request_log.ts";
 
 /** Requests a second of each kind. */
 const lookupRate = 25;
@@ -11,6 +18,12 @@
 const streamRate = 6;
 /** Events of a stream. */
 export const eventCount = 40;
+/** Numbers of different lookups, and of shared parts of prompts. */
+const lookupCount = 24;
+const partCount = 24;
+/** Longest time that callers wait, in ms. */
+const serviceDeadline = 3_000;
+const streamDeadline = 10_000;
 /** Attempts of a caller to take up a stream that broke off, and the delay before each without `Retry-After`, in ms. */
 const maxResumptions = 4;
 const resumptionDelay = 200;
@@ -18,11 +31,22 @@
 export type TrafficOptions = {
   readonly machines: readonly Machine[];
   readonly observations: Observations;
+  readonly requests: RequestLog;
   readonly random: () => number;
   /** Called when a caller sends a request to a service. */
   readonly onRequest: (service: string, at: number) => void;
 };
 
+/** What tells a stream from others. */
+type Prompt = {
+  /** Name of the stream in its path. */
+  readonly stream: string;
+  /** First part of its prompt. */
+  readonly part: string;
+  /** Whether engines crash under it. */
+  readonly isCrashing: boolean;
+};
+
 /** Callers that send lookups, bookings on kept connections and streams that they take up when they break off. */
 export class Traffic {
   readonly #options: TrafficOptions;
@@ -73,38 +97,92 @@
     return (this.#options.machines[machine] as Machine).front;
   }
 
+  #draw(count: number): number {
+    return Math.floor(this.#options.random() * count);
+  }
+
   async #look(): Promise<void> {
-    const { observations, onRequest } = this.#options;
-    onRequest("booking", performance.now());
-    const port = this.#portOf(this.#choose());
-    const end = await sendCall({ port, path: "/lookup/1", deadline: 3_000 });
+    await this.sendLookup(String(this.#draw(lookupCount)));
+  }
+
+  /** Sends a lookup to any machine; every second one on a kept connection. */
+  async sendLookup(subject: string, isCrashing = false): Promise<void> {
+    const { observations } = this.#options;
+    const machine = this.#choose();
+    const isKept = this.#draw(2) === 0;
+    const end = await this.#send(
+      { machine, kind: "lookup", subject, maxAttempts: 3, isCrashing },
+      {
+        path: `/lookup/${subject}`,
+        deadline: serviceDeadline,
+        ...(isKept && { agent: this.#agents[machine] as Agent }),
+      },
+    );
     observations.recordAnswer("lookup", end);
   }
 
   async #book(): Promise<void> {
-    const { observations, onRequest } = this.#options;
-    onRequest("booking", performance.now());
+    const { observations } = this.#options;
     const machine = this.#choose();
     const agent = this.#agents[machine] as Agent;
-    const port = this.#portOf(machine);
-    const call = { port, path: "/book/1", deadline: 3_000, agent };
-    const end = await sendCall(call);
+    const end = await this.#send(
+      {
+        ...{ machine, kind: "booking", subject: "1" },
+        ...{ maxAttempts: 1, isCrashing: false },
+      },
+      { path: "/book/1", deadline: serviceDeadline, agent },
+    );
     observations.recordAnswer("booking", end);
     observations.recordOnce(end);
   }
 
+  /** Sends a request to a machine and records how it ends. */
+  async #send(
+    request: Omit<Attempt, "machine" | "requestId" | "sentAt" | "deadline"> & {
+      readonly machine: number;
+    },
+    call: Omit<Call, "port"> & { readonly deadline: number },
+  ): Promise<CallEnd> {
+    const { requests, onRequest, machines } = this.#options;
+    const { machine, kind } = request;
+    const requestId = createRequestId();
+    const sentAt = performance.now();
+    onRequest(kind === "stream" ? "engines" : "booking", sentAt);
+    requests.recordAttempt({
+      ...request,
+      requestId,
+      machine: (machines[machine] as Machine).name,
+      sentAt,
+      deadline: call.deadline,
+    });
+    const port = this.#portOf(machine);
+    const end = await sendCall({ ...call, port, requestId });
+    requests.recordEnd(end);
+    return end;
+  }
+
   async #stream(): Promise<void> {
-    const { observations } = this.#options;
     this.#streams++;
-    const stream = `s${this.#streams}`;
-    const first = await this.#attempt(stream, {});
+    await this.sendStream(`s${this.#streams}`, `aa${this.#draw(partCount)}`);
+  }
+
+  /** Sends a stream that crashes the engine which runs it, once. */
+  async sendCrashingStream(stream: string, part: string): Promise<void> {
+    await this.#sendStream({ stream, part, isCrashing: true }, {});
+  }
+
+  /** Sends a stream whose prompt begins with a part, and takes it up when it breaks off. */
+  async sendStream(stream: string, part: string): Promise<void> {
+    const { observations } = this.#options;
+    const prompt = { stream, part, isCrashing: false };
+    const first = await this.#attempt(prompt, {});
     observations.recordAnswer("stream", first);
     if (first.status !== 200 || first.isWhole) return;
     for (let at = 0; at < maxResumptions; at++) {
       const events = observations.countEvents(stream);
       if (events === 0 || events >= eventCount) return;
       await sleep(resumptionDelay);
-      const end = await this.#attempt(stream, {
+      const end = await this.#attempt(prompt, {
         resumes: first.requestId,
         "last-event-id": String(events),
       });
@@ -115,18 +193,35 @@
   }
 
   async #attempt(
-    stream: string,
+    prompt: Prompt,
     headers: Record<string, string>,
   ): Promise<CallEnd> {
-    const { observations, onRequest } = this.#options;
-    onRequest("engines", performance.now());
-    const end = await sendCall({
-      port: this.#portOf(this.#choose()),
-      path: `/stream/${stream}`,
-      headers: { ...describePrompt("m0"), ...headers },
-    });
+    const { observations } = this.#options;
+    const end = await this.#sendStream(prompt, headers);
     const isWhole = end.isWhole && end.status === 200;
-    observations.recordStream(stream, end.text, { isWhole, count: eventCount });
+    observations.recordStream(prompt.stream, end.text, {
+      isWhole,
+      count: eventCount,
+    });
     return end;
   }
+
+  #sendStream(
+    prompt: Prompt,
+    headers: Record<string, string>,
+  ): Promise<CallEnd> {
+    const { stream, part, isCrashing } = prompt;
+    const machine = this.#choose();
+    return this.#send(
+      {
+        ...{ machine, kind: "stream", subject: part },
+        ...{ maxAttempts: 2, isCrashing },
+      },
+      {
+        path: `/stream/${stream}`,
+        deadline: streamDeadline,
+        headers: { ...describePrompt("m0", part), ...headers },
+      },
+    );
+  }
 }
