--- a/tests/soak/disturbances.ts
+++ b/tests/soak/disturbances.ts
@@ -7,6 +7,7 @@
 import type { CrashingRequests } from "./crashing_requests.ts";
 import type { Observations } from "./observations.ts";
 import type { Pauses } from "./pauses.ts";
+import type { RequestLog } from "./request_log.ts";
 import { failRequests } from "./servers.ts";
 import type { Traffic } from "./traffic.ts";
 
@@ -14,6 +15,7 @@
 export type Scene = {
   readonly installation: Installation;
   readonly observations: Observations;
+  readonly requests: RequestLog;
   readonly calm: Calm;
   readonly crashing: CrashingRequests;
   readonly pauses: Pauses;
@@ -167,7 +169,7 @@
 
 /** A server turns requests away and names a time for which it wants none. */
 const pauseBackend: Disturbance = async (scene) => {
-  const recover = scene.pauses.pause(chooseBackend(scene));
+  const recover = scene.pauses.pause(chooseBackend(scene), scene.requests);
   await sleep(draw(scene.random, 1_000, 4_000));
   recover();
 };
--- a/tests/soak/pauses.ts
+++ b/tests/soak/pauses.ts
@@ -32,13 +32,14 @@
   }
 
   /** Lets a server turn all requests away; returns a function that ends this. */
-  pause(backend: Backend): () => void {
+  pause(backend: Backend, log: RequestLog): () => void {
     const sound = backend.serve;
     const fail = answerNotExecutedFor(pauseLength);
     const pausing: Serve = (exchange) => {
       const pauses = this.#pauses.get(backend.id) ?? [];
       pauses.push({ requestId: exchange.requestId, at: performance.now() });
       this.#pauses.set(backend.id, pauses);
+      log.recordRefusal(exchange);
       fail(exchange);
     };
     backend.serve = pausing;
--- a/tests/soak/request_log.ts
+++ b/tests/soak/request_log.ts
@@ -1,4 +1,4 @@
-import type { Arrival } from "../rig/backend.ts";
+import type { Arrival, Exchange } from "../rig/backend.ts";
 import type { CallEnd } from "../rig/caller.ts";
 import type { Calm } from "./calm.ts";
 import type { Violation } from "./observations.ts";
@@ -50,6 +50,8 @@
 export class RequestLog {
   readonly #attempts = new Map<string, Attempt>();
   readonly #arrivals = new Map<string, Arrival[]>();
+  /** Servers that have turned a request away without running it. */
+  readonly #refusals = new Map<string, Set<string>>();
   readonly #ends: AttemptEnd[] = [];
 
   static create(): RequestLog {
@@ -73,6 +75,12 @@
     this.#arrivals.set(arrival.requestId, [...known, arrival]);
   }
 
+  /** Records that a server has not run a request that has reached it. */
+  recordRefusal({ requestId, backend }: Exchange): void {
+    const known = this.#refusals.get(requestId) ?? new Set();
+    this.#refusals.set(requestId, known.add(backend.id));
+  }
+
   recordEnd(end: CallEnd): void {
     const attempt = this.#attempts.get(end.requestId);
     if (attempt === undefined) return;
@@ -143,7 +151,12 @@
   #findOverAttempted(): Violation[] {
     const over = [...this.#arrivals].filter(([requestId, arrivals]) => {
       const attempt = this.#attempts.get(requestId);
-      const servers = new Set(arrivals.map(({ backend }) => backend));
+      const refused = this.#refusals.get(requestId);
+      const servers = new Set(
+        arrivals
+          .map(({ backend }) => backend)
+          .filter((backend) => refused?.has(backend) !== true),
+      );
       return attempt !== undefined && servers.size > attempt.maxAttempts;
     });
     if (over.length <= maxOverAttempted) return [];
--- a/tests/soak/servers.ts
+++ b/tests/soak/servers.ts
@@ -12,6 +12,7 @@
   resetConnection,
 } from "../rig/failures.ts";
 import type { Observations } from "./observations.ts";
+import type { RequestLog } from "./request_log.ts";
 import { eventCount } from "./traffic.ts";
 
 /** Work of a booking or lookup, and the interval between two events of a stream, in ms. */
@@ -51,17 +52,18 @@
     readonly random: () => number;
     readonly share: number;
     readonly observations: Observations;
+    readonly requests: RequestLog;
   },
 ): () => void {
-  const { random, share, observations } = options;
+  const { random, share, observations, requests } = options;
   const sound = backend.serve;
   const kind = Math.floor(random() * failures.length);
   const fail = failures[kind] as Failure;
   const failing: Serve = (exchange) => {
     if (random() >= share) return sound(exchange);
     const isBooking = exchange.message.url?.startsWith("/book/") === true;
-    if (isBooking && fail !== answerNotExecuted)
-      observations.recordRun(exchange.requestId);
+    if (fail === answerNotExecuted) requests.recordRefusal(exchange);
+    else if (isBooking) observations.recordRun(exchange.requestId);
     fail(exchange);
   };
   backend.serve = failing;
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -80,7 +80,7 @@
     const { expectEnd } = ends;
     const scene = {
       ...{ installation, observations, random, expectEnd },
-      ...{ calm, crashing, pauses, traffic },
+      ...{ requests, calm, crashing, pauses, traffic },
     };
     const steps = await disturb(scene, options);
     await sleep(recoveryTime);
