Try a convicted part of prompts again after seconds, and count failed trials instead of crashes

Cause: nothing with a convicted part runs, so nothing can clear it; and each crash counted as if a trial had failed, though requests sent before the conviction cause most of them. Class: a state that is left only by evidence which the state itself prevents.

Change: a convicted part is tried after 4 s, four times as late after each trial that crashed a server; a crash counts as that of a trial only if it comes after half of that time. A process that reads a conviction from the table takes its crashes for failed trials, so that restarts do not try it once more each. Whole requests, which tell themselves from all others, keep 30 s.

--- a/src/core/poison/parts.ts
+++ b/src/core/poison/parts.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "../clock.ts";
 import type { Digest } from "../ids.ts";
+import { findRetryTime } from "./probation.ts";
 import {
   crashesToConvict,
   listOpenCrashes,
@@ -11,11 +12,6 @@
 const momentsAgainstSound = 3;
 /** Time for which such a part must have had open crashes, in ms; a sound one is cleared by then. */
 const minSuspicionOfSound = 1_500;
-/** Time without a change after which a part convicted by two crashes may be tried again, in ms; four times as long with each further crash. */
-const minProbationDelay = 30_000;
-const probationFactor = 4;
-const maxProbationDelay = 600_000;
-
 /** What a node knows beside the records. */
 export type PartsContext = {
   readonly now: Millis;
@@ -26,7 +22,8 @@
 type Suspect = {
   readonly part: Digest;
   readonly crashes: readonly string[];
-  readonly changedAt: Millis;
+  /** Time from which it may be tried again once it is convicted. */
+  readonly retryAt: Millis;
 };
 
 /**
@@ -50,8 +47,7 @@
     if (rivals.some((rival) => explains(rival, suspect))) continue;
     const isConvicted =
       rivals.length === 0 && suspect.crashes.length >= crashesToConvict;
-    const retryAt = suspect.changedAt + computeProbationDelay(suspect);
-    if (isConvicted && context.now < retryAt) return "convicted";
+    if (isConvicted && context.now < suspect.retryAt) return "convicted";
     status = "suspect";
   }
   return status;
@@ -71,7 +67,7 @@
     if (crashes.length === 0) continue;
     if (context.isKnownSound(part) && !contradictsSound(entry, context.now))
       continue;
-    suspects.push({ part, crashes, changedAt: entry.changedAt });
+    suspects.push({ part, crashes, retryAt: findRetryTime(entry) });
   }
   return suspects;
 }
@@ -84,13 +80,6 @@
   );
 }
 
-/** Time for which a part stays convicted without a further crash, in ms. */
-function computeProbationDelay({ crashes }: Suspect): number {
-  const further = crashes.length - crashesToConvict;
-  const delay = minProbationDelay * probationFactor ** further;
-  return Math.min(delay, maxProbationDelay);
-}
-
 /** Whether these crashes include all those of a suspect. */
 function covers(crashes: readonly string[], suspect: Suspect): boolean {
   return suspect.crashes.every((crash) => crashes.includes(crash));
--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -4,9 +4,11 @@
 import type { EventName } from "../observe/events.ts";
 import type { MetricName } from "../observe/metrics.ts";
 import { type Refusal, refuse } from "../results/refusal.ts";
+import { isTrialCrash, type Probation } from "./probation.ts";
 import {
   addCrash,
   clearCrashes,
+  crashesToConvict,
   deriveStatus,
   emptyRecord,
   listOpenCrashes,
@@ -18,9 +20,8 @@
 import { isRequestDigest } from "./units.ts";
 
 /** Record of one content digest at one node. */
-export type PoisonEntry = {
+export type PoisonEntry = Probation & {
   readonly record: PoisonRecord;
-  readonly changedAt: Millis;
   /** Time since which it has had open crashes without a break. */
   readonly suspectedAt: Millis;
   /** Number of moments in that time at which crashes were reported, and the latest of them. */
@@ -49,13 +50,13 @@
   | { readonly type: "proven-sound"; readonly digest: Digest }
   /**
    * A record was received from another node or read from the table; one from
-   * `broadcast` reaches all nodes and the table without this node.
+   * `broadcast` or a followed `row` reaches all nodes and the table without this node.
    */
   | {
       readonly type: "record-received";
       readonly digest: Digest;
       readonly record: PoisonRecord;
-      readonly from: "gossip" | "table" | "broadcast";
+      readonly from: "gossip" | "table" | "broadcast" | "row";
     }
   /** Drops old records; sent every few minutes. */
   | { readonly type: "sweep" };
@@ -155,12 +156,14 @@
   now: Millis,
 ): Decision<PoisonState, PoisonCommand> {
   const { digest, from } = event;
+  const isStored = from === "table" || from === "row";
   const commands = change(state, {
     digest,
     now,
     update: (record) => mergeRecords(record, event.record),
+    failedTrials: isStored ? countFurtherCrashes(event.record) : 0,
   });
-  if (from === "broadcast") {
+  if (from === "broadcast" || from === "row") {
     const isLocal = ({ type }: PoisonCommand) =>
       type === "record" || type === "count";
     return { state, commands: commands.filter(isLocal) };
@@ -188,13 +191,18 @@
     digest: Digest;
     now: Millis;
     update: (record: PoisonRecord) => PoisonRecord;
+    /** Failed trials of content that was unknown; none if omitted. */
+    failedTrials?: number;
   },
 ): PoisonCommand[] {
-  const { digest, now, update } = options;
+  const { digest, now, update, failedTrials = 0 } = options;
   const before = recordOf(state, digest);
   const record = update(before);
   if (record === before) return [];
-  const entry = updateEntry(state.entries.get(digest), record, now);
+  const known = state.entries.get(digest);
+  const entry = known
+    ? updateEntry(known, record, now)
+    : createEntry({ digest, record, now, failedTrials });
   state.entries.delete(digest);
   state.entries.set(digest, entry);
   const status = deriveStatus(record);
@@ -220,22 +228,40 @@
   return [...commands, ...enforceLimit(state)];
 }
 
+/** Crashes beyond those that convict; a process that starts takes them for failed trials. */
+function countFurtherCrashes(record: PoisonRecord): number {
+  return Math.max(0, listOpenCrashes(record).length - crashesToConvict);
+}
+
+/** Entry of content without open crashes before. */
+function createEntry({
+  now,
+  ...fields
+}: Pick<PoisonEntry, "digest" | "record" | "failedTrials"> & {
+  now: Millis;
+}): PoisonEntry {
+  const since = { suspectedAt: now, crashMoments: 1, crashedAt: now };
+  return { ...fields, ...since, changedAt: now };
+}
+
 /** Entry with a changed record. */
 function updateEntry(
-  known: PoisonEntry | undefined,
+  known: PoisonEntry,
   record: PoisonRecord,
   now: Millis,
 ): PoisonEntry {
-  const openBefore = known ? listOpenCrashes(known.record).length : 0;
-  if (known === undefined || openBefore === 0) {
-    const since = { suspectedAt: now, crashMoments: 1, crashedAt: now };
-    return { record, changedAt: now, ...since };
-  }
+  const openBefore = listOpenCrashes(known.record).length;
+  const { digest } = known;
+  if (openBefore === 0)
+    return createEntry({ digest, record, now, failedTrials: 0 });
   const isCrash = listOpenCrashes(record).length > openBefore;
-  if (!isCrash || now < known.crashedAt + momentTime)
-    return { ...known, record, changedAt: now };
-  const crashMoments = known.crashMoments + 1;
-  return { ...known, record, changedAt: now, crashMoments, crashedAt: now };
+  if (!isCrash) return { ...known, record, changedAt: now };
+  const hasFailedTrial =
+    deriveStatus(known.record) === "convicted" && isTrialCrash(known, now);
+  const failedTrials = known.failedTrials + (hasFailedTrial ? 1 : 0);
+  const changed = { ...known, record, changedAt: now, failedTrials };
+  if (now < known.crashedAt + momentTime) return changed;
+  return { ...changed, crashMoments: known.crashMoments + 1, crashedAt: now };
 }
 
 function enforceLimit(state: PoisonState): PoisonCommand[] {
--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -92,7 +92,7 @@
     if (options.followRows === undefined) void manager.#readRows();
     else
       options.followRows(poisonRowPrefix, {
-        onRow: (row) => manager.#receiveRow(row, "broadcast"),
+        onRow: (row) => manager.#receiveRow(row, "row"),
         onRestore: (rows) => manager.#rewriteMissing(rows),
       });
     manager.#scheduleSweep();
@@ -205,7 +205,7 @@
     for (const row of rows.orDefault([])) this.#receiveRow(row, "table");
   }
 
-  #receiveRow({ key, value }: Row, from: "table" | "broadcast"): void {
+  #receiveRow({ key, value }: Row, from: "table" | "row"): void {
     if (this.#stopped) return;
     const digest = brandString<Digest>(key.slice(poisonRowPrefix.length));
     parsePoisonRecord(value).ifRight((record) => {
