Count the crash of a trial also where the record of crashes is full

Cause: a record holds eight crashes, the lowest ids. A trial whose crash had a higher id left it unchanged, so that the conviction stayed due for a trial. In the same way a part with eight cleared crashes took no further one. Class: a bounded record whose overflow drops the news.

Change: 16 crashes; beyond that cleared ones go first and new ones last, and a crash counts as new by its id instead of by the number of open ones. Sixteen fit into a datagram with all of them cleared (node_exchange_test sends one).

Measured: both new tests of parts_test failed before (suspect instead of convicted at the third trial; unknown after two open crashes).

--- a/src/core/poison/record.ts
+++ b/src/core/poison/record.ts
@@ -7,8 +7,9 @@
 } from "../ids.ts";
 
 /**
- * Crash record of the content of a request. Both lists only grow, so that records
- * from gossip and from the table merge to the same result in any order.
+ * Crash record of the content of a request. Both lists only grow until they are
+ * full, so that records from gossip and from the table merge to the same result
+ * in any order.
  */
 export type PoisonRecord = {
   /** Crashes during which the content was running. */
@@ -22,8 +23,8 @@
 
 /** Number of crashes after which content is refused. */
 export const crashesToConvict = 2;
-/** Maximum number of crashes in a record; two convict, the others leave room for cleared ones. */
-export const crashLimit = 8;
+/** Maximum number of crashes in a record; with all of them cleared it fits into one datagram. */
+export const crashLimit = 16;
 
 /** Record of unknown content. */
 export const emptyRecord: PoisonRecord = { crashes: [], cleared: [] };
@@ -74,7 +75,8 @@
   const crashes = mergeLists(first.crashes, second.crashes);
   const cleared = mergeLists(first.cleared, second.cleared);
   const same = crashes === first.crashes && cleared === first.cleared;
-  return same ? first : { crashes, cleared };
+  if (same) return first;
+  return trimRecord({ crashes, cleared }, second.crashes);
 }
 
 /** Checks a record from a row or from another node. */
@@ -98,7 +100,27 @@
 ): readonly string[] {
   const added = second.filter((entry) => !first.includes(entry));
   if (added.length === 0) return first;
-  return [...first, ...added].sort().slice(0, crashLimit);
+  return [...first, ...added].sort();
+}
+
+/** Drops crashes beyond the limit: those that were cleared first, the new ones last. */
+function trimRecord(
+  record: PoisonRecord,
+  added: readonly string[],
+): PoisonRecord {
+  const { crashes, cleared } = record;
+  if (crashes.length <= crashLimit) return record;
+  const rank = (crash: string) => {
+    if (cleared.includes(crash)) return 0;
+    return added.includes(crash) ? 2 : 1;
+  };
+  const kept = [...crashes]
+    .sort((a, b) => rank(a) - rank(b))
+    .slice(-crashLimit);
+  return {
+    crashes: kept.sort(),
+    cleared: cleared.filter((crash) => kept.includes(crash)),
+  };
 }
 
 function isCrashList(value: unknown): value is readonly string[] {
--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -254,7 +254,9 @@
   const { digest } = known;
   if (openBefore === 0)
     return createEntry({ digest, record, now, failedTrials: 0 });
-  const isCrash = listOpenCrashes(record).length > openBefore;
+  const isCrash = listOpenCrashes(record).some(
+    (crash) => !known.record.crashes.includes(crash),
+  );
   if (!isCrash) return { ...known, record, changedAt: now };
   const hasFailedTrial =
     deriveStatus(known.record) === "convicted" && isTrialCrash(known, now);
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -14,6 +14,7 @@
   type ServiceName,
   type SoftwareVersion,
 } from "../../src/core/ids.ts";
+import { crashLimit } from "../../src/core/poison/record.ts";
 import { silentJournal } from "../../src/ports/journal.ts";
 import type { NodeCallHandler, NodeMessage } from "../../src/ports/nodes.ts";
 import type { PermitRequest } from "../../src/ports/permits.ts";
@@ -121,7 +122,19 @@
   server.close();
 });
 
+/** Record of as many crashes as fit, all of them cleared, with ids as long as those of engines in use. */
+const fullCrashes = Array.from(
+  { length: crashLimit },
+  (_, at) => `i-${"f".repeat(12)}/${1_700_000_000_000 + at}`,
+);
+
 const broadcastMessages: NodeMessage[] = [
+  {
+    type: "poison",
+    from: brandString("edge-ab-a-10"),
+    digest: brandString(`request:${"f".repeat(64)}`),
+    record: { crashes: fullCrashes, cleared: fullCrashes },
+  },
   { type: "reach", from: brandString("n1"), isLost: true },
   {
     type: "poison",
--- a/tests/poison/parts_test.ts
+++ b/tests/poison/parts_test.ts
@@ -107,6 +107,32 @@
   assert.equal(node.assess([deadly], { at: 5_500 }), "suspect");
 });
 
+// A record keeps some crashes only; a trial whose crash it did not take was followed by the next one at once.
+test("a convicted part is tried more and more rarely, however many engines it has crashed", () => {
+  const node = createNode();
+  let at = 0;
+  for (; at < 20; at++) node.crash(`e${at}/1`, [deadly], 300 * at);
+  let time = 300 * at + 4_000;
+  for (const delay of [16_000, 64_000, 256_000]) {
+    assert.equal(node.assess([deadly], { at: time }), "suspect");
+    node.crash(`e${at++}/1`, [deadly], time);
+    time += delay;
+    assert.equal(node.assess([deadly], { at: time - 500 }), "convicted");
+  }
+});
+
+// A part that has run well for long collects crashes of other causes, which its good runs clear.
+test("a part with many cleared crashes is convicted after two more", () => {
+  const node = createNode();
+  for (let at = 0; at < 40; at++) {
+    node.crash(`e${at}/1`, [deadly], at * 1_000);
+    node.proveSound(deadly);
+  }
+  node.crash("e90/1", [deadly], 50_000);
+  node.crash("e91/1", [deadly], 50_500);
+  assert.equal(node.assess([deadly], { at: 50_500 }), "convicted");
+});
+
 // Each process that starts would otherwise begin with a trial at once.
 test("a process that reads a conviction from the table waits as long as its crashes tell", () => {
   const node = createNode();
--- a/tests/soak/traffic.ts
+++ b/tests/soak/traffic.ts
@@ -26,6 +26,9 @@
 const streamDeadline = 10_000;
 /** Longest `Retry-After` that callers wait for, in ms. */
 const maxReturnDelay = streamDeadline / 3;
+/** Largest body of a booking and of a prompt, in bytes. */
+const maxBookingBytes = 3_600;
+const maxPromptBytes = 110_000;
 /** Attempts of a caller to take up a stream that broke off, and the delay before each without `Retry-After`, in ms. */
 const maxResumptions = 4;
 const resumptionDelay = 200;
@@ -103,6 +106,10 @@
     return Math.floor(this.#options.random() * count);
   }
 
+  #drawBody(maxBytes: number): string {
+    return "x".repeat(this.#draw(maxBytes));
+  }
+
   async #look(): Promise<void> {
     await this.sendLookup(String(this.#draw(lookupCount)));
   }
@@ -132,7 +139,12 @@
         ...{ machine, kind: "booking", subject: "1" },
         ...{ maxAttempts: 1, isCrashing: false },
       },
-      { path: "/book/1", deadline: serviceDeadline, agent },
+      {
+        path: "/book/1",
+        body: this.#drawBody(maxBookingBytes),
+        deadline: serviceDeadline,
+        agent,
+      },
     );
     observations.recordAnswer("booking", end);
     observations.recordOnce(end);
@@ -216,6 +228,7 @@
   ): Promise<CallEnd> {
     const { stream, part, isCrashing } = prompt;
     const machine = this.#choose();
+    const isKept = this.#draw(2) === 0;
     return this.#send(
       {
         ...{ machine, kind: "stream", subject: part },
@@ -224,7 +237,9 @@
       {
         path: `/stream/${stream}`,
         deadline: streamDeadline,
+        body: isCrashing ? "" : this.#drawBody(maxPromptBytes),
         headers: { ...describePrompt("m0", part), ...headers },
+        ...(isKept && { agent: this.#agents[machine] as Agent }),
       },
     );
   }
