Do not take a trial that crashed its server for sound a second later

The request of the first trial, which had crashed its engine at 1.39 s, was still at the node until 2.90 s: it waited for the software version that its stream had begun at.

Cause: a second after the start of an answer its trial counted as sound, if the request was still there. The end of the attempt did not stop that timer. Class: a timer that outlives what it measures.

Change: the failure of an attempt, and the end of the trial, cancel it.

--- a/src/node/gateway/requests/poison_admission.ts
+++ b/src/node/gateway/requests/poison_admission.ts
@@ -1,4 +1,4 @@
-import type { Clock, Millis } from "../../../core/clock.ts";
+import type { Cancel, Clock, Millis } from "../../../core/clock.ts";
 import { millis } from "../../../core/clock.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { Digest } from "../../../core/ids.ts";
@@ -9,17 +9,24 @@
 /** Time for which an answer must have run to show that its request crashes no server, in ms. */
 const soundRunTime = millis(1_000);
 
+/** What an admission needs of the guard. */
+type Guard = Pick<
+  PoisonGuard,
+  "assess" | "admit" | "maySend" | "recordSound" | "recordBreak"
+>;
+
 /** The content of one request at the guard; ends its trial with the request. */
 export class PoisonAdmission {
-  readonly #guard: PoisonGuard;
+  readonly #guard: Guard;
   readonly #content: RequestContent;
   readonly #units: readonly Digest[];
   readonly #clock: Clock;
   #trial: PoisonTrial | undefined;
+  #cancelProof: Cancel = () => {};
   #recorded: Promise<void> = Promise.resolve();
 
   private constructor(
-    guard: PoisonGuard,
+    guard: Guard,
     options: { content: RequestContent; clock: Clock },
   ) {
     this.#guard = guard;
@@ -29,7 +36,7 @@
   }
 
   static create(
-    guard: PoisonGuard,
+    guard: Guard,
     options: { content: RequestContent; clock: Clock },
   ): PoisonAdmission {
     return new PoisonAdmission(guard, options);
@@ -62,10 +69,9 @@
   /** Ends a trial once the answer has run for long enough. */
   recordStart(): void {
     if (this.#trial === undefined) return;
-    const trial = this.#trial;
-    this.#clock.schedule(soundRunTime, () => {
-      if (this.#trial === trial) this.recordWhole();
-    });
+    this.#cancelProof = this.#clock.schedule(soundRunTime, () =>
+      this.recordWhole(),
+    );
   }
 
   /** Records a whole answer. */
@@ -76,6 +82,7 @@
 
   /** Records how an attempt without a whole answer ended. */
   recordFailure({ end, runTime }: AttemptResult, server: BackendServer): void {
+    this.#cancelProof();
     const hasBegun = runTime !== undefined;
     if (hasBegun && runTime >= soundRunTime)
       return this.#guard.recordSound(this.#units);
@@ -87,6 +94,7 @@
 
   /** Ends the trial of the request, if it holds one. */
   end(): void {
+    this.#cancelProof();
     const trial = this.#trial;
     this.#trial = undefined;
     // The next trial must know of the crash that this one has caused.
