Wait for crossing claims before a suspect part is tried

Cause: a node announced its claim and sent the request in the same turn. Claims that cross are settled by name, but by then both requests were sent. Class: an exclusive right that is used before the others can object.

Change: a claim that other nodes hear of holds for 60 ms before it is used; a node that has lost it by then goes on waiting. A trial costs that much more.

--- a/src/node/gateway/requests/poison_guard.ts
+++ b/src/node/gateway/requests/poison_guard.ts
@@ -27,6 +27,8 @@
 
 /** Interval at which a request waits for the result of a trial, in ms. */
 const pollInterval = millis(40);
+/** Time for claims of other nodes that cross that of a trial to arrive, in ms. */
+const claimTime = millis(60);
 
 /** Number of nodes that report a part which they know to be sound, if all of them lose requests with it. */
 const reportersOfSound = 4;
@@ -86,7 +88,7 @@
       const status = this.assess(units);
       if (status === "unknown") return { kind: "admitted", trial: undefined };
       if (status === "convicted") return { kind: "convicted" };
-      const trial = this.#startTrial(units);
+      const trial = await this.#startTrial(units);
       if (trial !== undefined) return { kind: "admitted", trial };
       if (hasEnded() || this.#now() + pollInterval >= until)
         return { kind: "late" };
@@ -150,8 +152,11 @@
     this.#options.poison.receiveBroadcast(digest, record);
   }
 
-  #startTrial(units: readonly Digest[]): PoisonTrial | undefined {
-    const { poison, broadcast } = this.#options;
+  /** Claims the trial of the suspects among the units; undefined if another node has it. */
+  async #startTrial(
+    units: readonly Digest[],
+  ): Promise<PoisonTrial | undefined> {
+    const { poison, broadcast, context } = this.#options;
     const machine = this.#machine();
     const suspected = units.filter((unit) => poison.isSuspected(unit));
     const unknown = suspected.filter((unit) => !this.#isSound(unit));
@@ -163,14 +168,17 @@
       if (announced.length === 0) return;
       broadcast({ type: "trial", from: machine, parts: announced, duration });
     };
-    announce(maxTrialTime);
-    return {
-      isHeld: () => holdsTrial(this.#trials, claim, this.#now()),
-      end: () => {
-        endTrials(this.#trials, claim);
-        announce(millis(0));
-      },
+    const isHeld = () => holdsTrial(this.#trials, claim, this.#now());
+    const end = () => {
+      endTrials(this.#trials, claim);
+      announce(millis(0));
     };
+    announce(maxTrialTime);
+    if (announced.length > 0 && context.nodeCount > 1)
+      await sleep(context.dependencies.clock, claimTime);
+    if (isHeld()) return { isHeld, end };
+    end();
+    return undefined;
   }
 
   #isSound(unit: Digest): boolean {
