Count the attempts of both nodes where a request is passed on

What servers would see: a request ran on more servers than its route allows in one attempt of its caller (BUDGET).

Cause: a node that reaches no server passes a request on after an attempt of its own; the other node began to count at nothing.

Change: the attempts so far go with the request.

Measured: the new test of stranded_node_test failed before, with two sends at the second node after one at the first, of two allowed; it passes.

--- a/src/node/gateway/requests/request_intake.ts
+++ b/src/node/gateway/requests/request_intake.ts
@@ -38,7 +38,7 @@
     return refuse("notReady", detail, { retryAfter: configurationDelay });
   }
   // A request is passed on once.
-  if (request.isRelayed === true && context.reach.isLost)
+  if (request.relayed !== undefined && context.reach.isLost)
     return refuse("noServer", "The node reaches no server", {
       retryAfter: configurationDelay,
     });
--- a/src/node/gateway/requests/request_relay.ts
+++ b/src/node/gateway/requests/request_relay.ts
@@ -49,7 +49,7 @@
   /** Whether the request should go to another node now: no further than one, and only from one that reaches no server. */
   get isNeeded(): boolean {
     const { context, request } = this.#options;
-    if (!context.reach.isLost || request.isRelayed === true) return false;
+    if (!context.reach.isLost || request.relayed !== undefined) return false;
     return this.#choosePeer() !== undefined;
   }
 
@@ -58,8 +58,8 @@
     return this.#control !== undefined;
   }
 
-  /** Passes the request on; resolves when its answer has ended. */
-  run(): Promise<RelayEnd> {
+  /** Passes the request on after so many attempts that may have run it; resolves when its answer has ended. */
+  run(runs: number): Promise<RelayEnd> {
     const { context, relays, request, plan, sink } = this.#options;
     const address = this.#choosePeer();
     if (address === undefined)
@@ -75,7 +75,7 @@
       };
       this.#control = relays.links.send(
         address,
-        { request, timeLeft },
+        { request, timeLeft, runs },
         {
           onHead: (head) => sink.start(head),
           onBytes: (bytes) => {
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -209,7 +209,7 @@
     const { context, request } = this.#options;
     const { service } = this.#plan;
     // The node that has passed a request on has counted it.
-    if (request.isRelayed !== true) context.countRequest(service);
+    if (request.relayed === undefined) context.countRequest(service);
     if (this.#continuation.isResumption) {
       const end = this.#wait.findEnd();
       const { version, source } = await this.#continuation.findOrigin(end);
@@ -276,7 +276,7 @@
     this.#log.record("requestRelayed");
     // The other node remembers which server began a stream.
     this.#sends.forgetServer();
-    const result = await this.#relay.run();
+    const result = await this.#relay.run(this.#history.runs);
     if (this.#ended) return false;
     if (result.kind === "whole") {
       this.#finish("relayed");
@@ -352,7 +352,8 @@
       prompt: this.#prompt,
       log: this.#log,
     });
-    const { retryRule, maxAttempts } = route;
+    const { retryRule } = route;
+    const maxAttempts = route.maxAttempts - (request.relayed?.runs ?? 0);
     const resumable = this.#cursor?.isResumable ?? route.resumable;
     const rule = { retryRule, resumable, maxAttempts };
     return decideRetry(
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -52,8 +52,11 @@
   readonly resumes?: RequestId | undefined;
   /** Time at which the head arrived. */
   readonly arrivedAt: Millis;
-  /** Another node has passed the request on, since it reaches no server. */
-  readonly isRelayed?: boolean;
+  /** Present if another node has passed the request on, since it reaches no server. */
+  readonly relayed?: {
+    /** Attempts of that node that may have run the request. */
+    readonly runs: number;
+  };
   /** Number of requests that arrived before on the same connection, if the front end counts them. */
   readonly earlierRequests?: number;
 };
--- a/src/ports/relays.ts
+++ b/src/ports/relays.ts
@@ -5,12 +5,20 @@
   ServerResponseSink,
 } from "./gateway.ts";
 
+/** A request for another node to serve. */
+export type RelayedRequest = {
+  readonly request: ProxiedRequest;
+  readonly timeLeft: Millis;
+  /** Attempts so far that may have run the request. */
+  readonly runs: number;
+};
+
 /** Passes requests on to other nodes, which serve them as their own. */
 export type RelayLinks = {
   /** Fails as `not-run` if the other node refuses the request, as `unreachable` if it was not sent. */
   send(
     address: string,
-    relayed: { readonly request: ProxiedRequest; readonly timeLeft: Millis },
+    relayed: RelayedRequest,
     sink: ServerResponseSink,
   ): ServerRequestControl;
 };
--- a/tests/gateway/stranded_node_test.ts
+++ b/tests/gateway/stranded_node_test.ts
@@ -98,15 +98,16 @@
     node.register(createEngine("e1", ["a1"]), createEngine("e2", ["a1"]));
   }
 
-  #pass(
-    ...[address, { request, timeLeft }, sink]: Parameters<RelayLinks["send"]>
-  ) {
+  #pass(...[address, relayed, sink]: Parameters<RelayLinks["send"]>) {
+    const { request, timeLeft, runs } = relayed;
     this.relayed.push(request);
     const arrivedAt: Millis = this.clock.now();
-    const fields = { deadline: timeLeft, arrivedAt, isRelayed: true };
+    const fields = { deadline: timeLeft, arrivedAt, relayed: { runs } };
     const peer = this.nodes[findNode(address)] as GatewayFixture;
-    const relayed = { ...request, ...fields };
-    const handle = peer.gateway.open(relayed, answerNode(sink));
+    const handle = peer.gateway.open(
+      { ...request, ...fields },
+      answerNode(sink),
+    );
     return {
       cancel: () => handle.cancel(),
       pause: () => {},
@@ -178,6 +179,24 @@
   assert.notEqual(answer.refusal?.outcome, "not-run");
 });
 
+// The other node would count from nothing again, so that one request ran on more servers than its route allows.
+test("a request that is passed on runs on no more servers than its route allows, both nodes counted", async () => {
+  const fleet = await StrandedFleet.create(2);
+  // Retries are earned by requests.
+  for (let at = 0; at < 200; at++) fleet.open(at % 2);
+  await fleet.advance(100);
+  const countSends = () => fleet.nodes.map(({ attempts }) => attempts.length);
+  const [first = 0, second = 0] = countSends();
+  fleet.stranded.add(0);
+  const { answer } = fleet.open(0);
+  fleet.serve = (attempt) => attempt.fail("broken");
+  await fleet.advance(3_000);
+  const [atFirst = 0, atSecond = 0] = countSends();
+  const sends = [atFirst - first, atSecond - second];
+  assert.deepEqual(sends, [1, 1], "two attempts are allowed");
+  assert.equal(answer.refusal?.code, "serviceBroken");
+});
+
 test("a lookup that waits for a server out of reach is passed on within 2 s", async () => {
   const fleet = await StrandedFleet.create(2);
   fleet.stranded.add(0);
