Name units of requests as such where whole requests are meant too

The assessment, the trials and the memory of sound content have held whole requests since, but spoke of parts of prompts. assessParts, SoundParts, isSoundPart, recordSoundParts and the field parts of trials are now those of units; parts.ts is assessment.ts, sound_parts.ts sound_units.ts. The encoded message is the same.

--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -14,8 +14,8 @@
 /** Maximum number of engines in one datagram, which keeps it below the usual path MTU. */
 const enginesPerDatagram = 2;
 
-/** Maximum number of parts in the announcement of a trial. */
-const maxTrialParts = 64;
+/** Maximum number of units in the announcement of a trial. */
+const maxTrialUnits = 64;
 
 const name = z.string().min(1).max(256);
 /** Empty for a version that is not known. */
@@ -48,7 +48,7 @@
   z.tuple([z.literal("load"), name, z.array(ownerReportFrame)]),
   z.tuple([z.literal("poison"), name, name, crashListFrame, crashListFrame]),
   z.tuple([z.literal("crashes"), name, name, crashListFrame, crashListFrame]),
-  z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialParts), count]),
+  z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialUnits), count]),
   z.tuple([z.literal("leaving"), name, name, born]),
   z.tuple([z.literal("reach"), name, z.boolean()]),
   z.tuple([z.literal("stream"), name, name, name, version]),
@@ -78,8 +78,8 @@
       return [packr.pack([type, from, digest, crashes, cleared])];
     }
     case "trial": {
-      const { type, from, parts, duration } = message;
-      return [packr.pack([type, from, parts, duration])];
+      const { type, from, units, duration } = message;
+      return [packr.pack([type, from, units, duration])];
     }
     case "reach": {
       const { type, from, isLost } = message;
@@ -166,9 +166,9 @@
       return { type, from, digest: brandString(digest), record };
     }
     case "trial": {
-      const [type, , parts, duration] = data;
-      const brandedParts = parts.map((part) => brandString<Digest>(part));
-      return { type, from, parts: brandedParts, duration: millis(duration) };
+      const [type, , names, duration] = data;
+      const units = names.map((unit) => brandString<Digest>(unit));
+      return { type, from, units, duration: millis(duration) };
     }
     case "reach": {
       const [type, , isLost] = data;
--- a/src/core/poison/parts.ts
+++ b/src/core/poison/assessment.ts
@@ -8,38 +8,40 @@
 } from "./record.ts";
 import type { PoisonEntry, PoisonState } from "./registry.ts";
 
-/** Moments with crashes from which a part that has run well recently is no longer taken for sound. */
+/** Moments with crashes from which a unit that has run well recently is no longer taken for sound. */
 const momentsAgainstSound = 3;
-/** Time for which such a part must have had open crashes, in ms; a sound one is cleared by then. */
+/** Time for which such a unit must have had open crashes, in ms; a sound one is cleared by then. */
 const minSuspicionOfSound = 1_500;
+
 /** What a node knows beside the records. */
-export type PartsContext = {
+export type UnitsContext = {
   readonly now: Millis;
-  /** Whether the node has recently seen a whole answer to a request with the part. */
-  readonly isKnownSound: (part: Digest) => boolean;
+  /** Whether the node has recently seen a whole answer to a request with the unit. */
+  readonly isKnownSound: (unit: Digest) => boolean;
 };
 
 type Suspect = {
-  readonly part: Digest;
+  readonly unit: Digest;
   readonly crashes: readonly string[];
   /** Time from which it may be tried again once it is convicted. */
   readonly retryAt: Millis;
 };
 
 /**
- * Status of a request by the parts of its prompt. A crash concerns all parts of
- * the requests that had just begun, so a part is convicted only if no other part
- * explains its crashes as well: the request must hold all parts that do.
+ * Status of a request by its units, the parts of its prompt and the whole request.
+ * A crash concerns all units of the requests that had just begun, so a unit is
+ * convicted only if no other explains its crashes as well: the request must hold
+ * all that do.
  */
-export function assessParts(
+export function assessUnits(
   state: PoisonState,
-  parts: readonly Digest[],
-  context: PartsContext,
+  units: readonly Digest[],
+  context: UnitsContext,
 ): PoisonStatus {
-  const suspects = listSuspects(state, parts, context);
+  const suspects = listSuspects(state, units, context);
   if (suspects.length === 0) return "unknown";
   const others = listSuspects(state, state.entries.keys(), context).filter(
-    ({ part }) => !parts.includes(part),
+    ({ unit }) => !units.includes(unit),
   );
   let status: PoisonStatus = "unknown";
   for (const suspect of suspects) {
@@ -53,26 +55,26 @@
   return status;
 }
 
-/** Those of the parts that may have caused crashes. */
+/** Those of the units that may have caused crashes. */
 function listSuspects(
   state: PoisonState,
-  parts: Iterable<Digest>,
-  context: PartsContext,
+  units: Iterable<Digest>,
+  context: UnitsContext,
 ): Suspect[] {
   const suspects: Suspect[] = [];
-  for (const part of parts) {
-    const entry = state.entries.get(part);
+  for (const unit of units) {
+    const entry = state.entries.get(unit);
     if (entry === undefined) continue;
     const crashes = listOpenCrashes(entry.record);
     if (crashes.length === 0) continue;
-    if (context.isKnownSound(part) && !contradictsSound(entry, context.now))
+    if (context.isKnownSound(unit) && !contradictsSound(entry, context.now))
       continue;
-    suspects.push({ part, crashes, retryAt: findRetryTime(entry) });
+    suspects.push({ unit, crashes, retryAt: findRetryTime(entry) });
   }
   return suspects;
 }
 
-/** Whether the crashes outweigh that the part has run well recently. */
+/** Whether the crashes outweigh that the unit has run well recently. */
 function contradictsSound(entry: PoisonEntry, now: Millis): boolean {
   return (
     entry.crashMoments >= momentsAgainstSound &&
--- a/src/core/poison/trials.ts
+++ b/src/core/poison/trials.ts
@@ -1,32 +1,32 @@
 import { type Millis, millis } from "../clock.ts";
 import type { Digest, MachineName } from "../ids.ts";
 
-/** Maximum time for which a node may keep the others from trying a part, in ms. */
+/** Maximum time for which a node may keep the others from trying a unit, in ms. */
 export const maxTrialTime = millis(2_000);
-/** Maximum number of parts on trial at a time. */
+/** Maximum number of units on trial at a time. */
 const maxTrials = 1_024;
 
 type Trial = { readonly machine: MachineName; readonly until: Millis };
 
-/** Which node tries a suspect part now; at most one of them does. */
+/** Which node tries a suspect unit now; at most one of them does. */
 export type Trials = Map<Digest, Trial>;
 
 /** A trial by this node or, as it was announced, by another. */
 export type TrialClaim = {
   readonly machine: MachineName;
-  readonly parts: readonly Digest[];
+  readonly units: readonly Digest[];
   readonly duration: Millis;
 };
 
-/** Claims a trial of parts for this node; false if one of them is on trial. */
+/** Claims a trial of units for this node; false if one of them is on trial. */
 export function claimTrial(
   trials: Trials,
   claim: TrialClaim,
   now: Millis,
 ): boolean {
   removeEndedTrials(trials, now);
-  const isFree = claim.parts.every((part) => !trials.has(part));
-  if (!isFree || trials.size + claim.parts.length > maxTrials) return false;
+  const isFree = claim.units.every((unit) => !trials.has(unit));
+  if (!isFree || trials.size + claim.units.length > maxTrials) return false;
   setTrials(trials, claim, now);
   return true;
 }
@@ -39,21 +39,21 @@
 ): void {
   removeEndedTrials(trials, now);
   if (claim.duration <= 0) return endTrials(trials, claim);
-  if (trials.size + claim.parts.length > maxTrials) return;
-  const won = claim.parts.filter(
-    (part) => claim.machine <= (trials.get(part)?.machine ?? claim.machine),
+  if (trials.size + claim.units.length > maxTrials) return;
+  const won = claim.units.filter(
+    (unit) => claim.machine <= (trials.get(unit)?.machine ?? claim.machine),
   );
-  setTrials(trials, { ...claim, parts: won }, now);
+  setTrials(trials, { ...claim, units: won }, now);
 }
 
-/** Whether a node holds the trial of all these parts. */
+/** Whether a node holds the trial of all these units. */
 export function holdsTrial(
   trials: Trials,
-  { machine, parts }: Pick<TrialClaim, "machine" | "parts">,
+  { machine, units }: Pick<TrialClaim, "machine" | "units">,
   now: Millis,
 ): boolean {
-  return parts.every((part) => {
-    const trial = trials.get(part);
+  return units.every((unit) => {
+    const trial = trials.get(unit);
     return trial?.machine === machine && now < trial.until;
   });
 }
@@ -61,21 +61,21 @@
 /** Ends the trials of a node. */
 export function endTrials(
   trials: Trials,
-  { machine, parts }: Pick<TrialClaim, "machine" | "parts">,
+  { machine, units }: Pick<TrialClaim, "machine" | "units">,
 ): void {
-  for (const part of parts) {
-    if (trials.get(part)?.machine === machine) trials.delete(part);
+  for (const unit of units) {
+    if (trials.get(unit)?.machine === machine) trials.delete(unit);
   }
 }
 
 function setTrials(trials: Trials, claim: TrialClaim, now: Millis): void {
-  const { machine, parts, duration } = claim;
+  const { machine, units, duration } = claim;
   const until = millis(now + Math.min(duration, maxTrialTime));
-  for (const part of parts) trials.set(part, { machine, until });
+  for (const unit of units) trials.set(unit, { machine, until });
 }
 
 function removeEndedTrials(trials: Trials, now: Millis): void {
-  for (const [part, { until }] of trials) {
-    if (now >= until) trials.delete(part);
+  for (const [unit, { until }] of trials) {
+    if (now >= until) trials.delete(unit);
   }
 }
--- a/src/node/gateway/requests/poison_guard.ts
+++ b/src/node/gateway/requests/poison_guard.ts
@@ -7,10 +7,10 @@
 } from "../../../core/ids.ts";
 import type { PoisonStatus } from "../../../core/poison/record.ts";
 import {
-  isSoundPart,
-  recordSoundParts,
-  type SoundParts,
-} from "../../../core/poison/sound_parts.ts";
+  isSoundUnit,
+  recordSoundUnits,
+  type SoundUnits,
+} from "../../../core/poison/sound_units.ts";
 import {
   claimTrial,
   endTrials,
@@ -62,7 +62,7 @@
  */
 export class PoisonGuard {
   readonly #options: PoisonGuardOptions;
-  readonly #sound: SoundParts = new Map();
+  readonly #sound: SoundUnits = new Map();
   readonly #trials: Trials = new Map();
 
   private constructor(options: PoisonGuardOptions) {
@@ -105,7 +105,7 @@
 
   /** Records that a request with these units has run without a crash. */
   recordSound(units: readonly Digest[]): void {
-    recordSoundParts(this.#sound, units, this.#now());
+    recordSoundUnits(this.#sound, units, this.#now());
     for (const unit of units) this.#options.poison.proveSound(unit);
   }
 
@@ -142,8 +142,8 @@
   /** Handles a message of another node. */
   receive(message: PoisonMessage): void {
     if (message.type === "trial") {
-      const { from: machine, parts, duration } = message;
-      const claim = { machine, parts, duration };
+      const { from: machine, units, duration } = message;
+      const claim = { machine, units, duration };
       return recordTrialClaim(this.#trials, claim, this.#now());
     }
     const { type, digest, record } = message;
@@ -161,12 +161,12 @@
     const suspected = units.filter((unit) => poison.isSuspected(unit));
     const unknown = suspected.filter((unit) => !this.#isSound(unit));
     const suspects = unknown.length > 0 ? unknown : suspected;
-    const claim = { machine, parts: suspects, duration: maxTrialTime };
+    const claim = { machine, units: suspects, duration: maxTrialTime };
     if (!claimTrial(this.#trials, claim, this.#now())) return undefined;
     const announced = suspects.filter((unit) => poison.isKnownToAll(unit));
     const announce = (duration: Millis) => {
       if (announced.length === 0) return;
-      broadcast({ type: "trial", from: machine, parts: announced, duration });
+      broadcast({ type: "trial", from: machine, units: announced, duration });
     };
     const isHeld = () => holdsTrial(this.#trials, claim, this.#now());
     const end = () => {
@@ -182,7 +182,7 @@
   }
 
   #isSound(unit: Digest): boolean {
-    return isSoundPart(this.#sound, unit, this.#now());
+    return isSoundUnit(this.#sound, unit, this.#now());
   }
 
   #machine(): MachineName {
--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -6,7 +6,7 @@
   type Digest,
   type RowKey,
 } from "../core/ids.ts";
-import { assessParts } from "../core/poison/parts.ts";
+import { assessUnits } from "../core/poison/assessment.ts";
 import {
   deriveStatus,
   emptyRecord,
@@ -124,7 +124,7 @@
   ): PoisonStatus {
     const now = this.#options.clock.now();
     const state = this.#actor.getSnapshot().context;
-    return assessParts(state, parts, { now, isKnownSound });
+    return assessUnits(state, parts, { now, isKnownSound });
   }
 
   /** Whether the record of the content goes to all nodes. */
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -77,10 +77,10 @@
       readonly record: PoisonRecord;
     }
   | {
-      /** The node runs a request with these parts, to see whether they crash an engine. */
+      /** The node runs a request with these units, to see whether they crash an engine. */
       readonly type: "trial";
       readonly from: MachineName;
-      readonly parts: readonly Digest[];
+      readonly units: readonly Digest[];
       /** Maximum time for which the other nodes wait for the result. */
       readonly duration: Millis;
     };
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -151,7 +151,7 @@
   {
     type: "trial",
     from: brandString("n1"),
-    parts: [brandString("5c1e07a2")],
+    units: [brandString("5c1e07a2")],
     duration: millis(2_000),
   },
 ];
--- a/tests/gateway/poison_guard_test.ts
+++ b/tests/gateway/poison_guard_test.ts
@@ -179,7 +179,7 @@
   fixture.receive({
     type: "trial",
     from: brandString("n0"),
-    parts: deadly.map((part) => brandString(part)),
+    units: deadly.map((part) => brandString(part)),
     duration: millis(400),
   });
   assert.equal((await open(fixture, deadly)).attempt, undefined);
--- a/tests/poison/parts_test.ts
+++ b/tests/poison/assessment_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
 import { brandString, type Digest } from "../../src/core/ids.ts";
-import { assessParts } from "../../src/core/poison/parts.ts";
+import { assessUnits } from "../../src/core/poison/assessment.ts";
 import {
   createPoisonState,
   decidePoison,
@@ -30,7 +30,7 @@
       parts: Digest[],
       options: { sound?: Digest[]; at?: number } = {},
     ) =>
-      assessParts(state, parts, {
+      assessUnits(state, parts, {
         now: millis(options.at ?? 0),
         isKnownSound: (part) => options.sound?.includes(part) === true,
       }),
--- a/tests/poison/trials_test.ts
+++ b/tests/poison/trials_test.ts
@@ -15,12 +15,12 @@
   type Trials,
 } from "../../src/core/poison/trials.ts";
 
-const parts = [brandString<Digest>("p1")];
+const units = [brandString<Digest>("p1")];
 const now = millis(0);
 
 function createClaim(machine: string) {
   const name = brandString<MachineName>(machine);
-  return { machine: name, parts, duration: maxTrialTime };
+  return { machine: name, units, duration: maxTrialTime };
 }
 
 const own = createClaim("n2");
