Do not put off the trials of a conviction for crashes that another unit explains better

Cause: each crash under a trial counted as a failed one.

Change: the crashes of trials are kept by id. One that also stands against a unit with more open crashes does not make the next trial later. One change of a record adds one crash of a trial at most.

Measured: the new test of assessment_test failed before (convicted instead of suspect at 8.1 s).

--- a/src/core/poison/assessment.ts
+++ b/src/core/poison/assessment.ts
@@ -23,8 +23,7 @@
 type Suspect = {
   readonly unit: Digest;
   readonly crashes: readonly string[];
-  /** Time from which it may be tried again once it is convicted. */
-  readonly retryAt: Millis;
+  readonly entry: PoisonEntry;
 };
 
 /**
@@ -49,7 +48,8 @@
     if (rivals.some((rival) => explains(rival, suspect))) continue;
     const isConvicted =
       rivals.length === 0 && suspect.crashes.length >= crashesToConvict;
-    if (isConvicted && context.now < suspect.retryAt) return "convicted";
+    if (isConvicted && context.now < findTrialTime(suspect, others))
+      return "convicted";
     status = "suspect";
   }
   return status;
@@ -69,7 +69,7 @@
     if (crashes.length === 0) continue;
     if (context.isKnownSound(unit) && !contradictsSound(entry, context.now))
       continue;
-    suspects.push({ unit, crashes, retryAt: findRetryTime(entry) });
+    suspects.push({ unit, crashes, entry });
   }
   return suspects;
 }
@@ -82,6 +82,16 @@
   );
 }
 
+/** Time from which a convicted suspect may be tried. */
+function findTrialTime(suspect: Suspect, others: readonly Suspect[]): Millis {
+  const likelier = others.filter(
+    ({ crashes }) => crashes.length > suspect.crashes.length,
+  );
+  return findRetryTime(suspect.entry, (crash) =>
+    likelier.some(({ crashes }) => crashes.includes(crash)),
+  );
+}
+
 /** Whether these crashes include all those of a suspect. */
 function covers(crashes: readonly string[], suspect: Suspect): boolean {
   return suspect.crashes.every((crash) => crashes.includes(crash));
--- a/src/core/poison/registry.ts
+++ b/src/core/poison/registry.ts
@@ -9,6 +9,7 @@
   addCrash,
   clearCrashes,
   crashesToConvict,
+  crashLimit,
   deriveStatus,
   emptyRecord,
   listOpenCrashes,
@@ -161,7 +162,7 @@
     digest,
     now,
     update: (record) => mergeRecords(record, event.record),
-    failedTrials: isStored ? countFurtherCrashes(event.record) : 0,
+    trialCrashes: isStored ? listFurtherCrashes(event.record) : [],
   });
   if (from === "broadcast" || from === "row") {
     const isLocal = ({ type }: PoisonCommand) =>
@@ -191,18 +192,18 @@
     digest: Digest;
     now: Millis;
     update: (record: PoisonRecord) => PoisonRecord;
-    /** Failed trials of content that was unknown; none if omitted. */
-    failedTrials?: number;
+    /** Crashes under trials of content that was unknown; none if omitted. */
+    trialCrashes?: readonly string[];
   },
 ): PoisonCommand[] {
-  const { digest, now, update, failedTrials = 0 } = options;
+  const { digest, now, update, trialCrashes = [] } = options;
   const before = recordOf(state, digest);
   const record = update(before);
   if (record === before) return [];
   const known = state.entries.get(digest);
   const entry = known
     ? updateEntry(known, record, now)
-    : createEntry({ digest, record, now, failedTrials });
+    : createEntry({ digest, record, now, trialCrashes });
   state.entries.delete(digest);
   state.entries.set(digest, entry);
   const status = deriveStatus(record);
@@ -228,16 +229,16 @@
   return [...commands, ...enforceLimit(state)];
 }
 
-/** Crashes beyond those that convict; a process that starts takes them for failed trials. */
-function countFurtherCrashes(record: PoisonRecord): number {
-  return Math.max(0, listOpenCrashes(record).length - crashesToConvict);
+/** Crashes beyond those that convict; a process that starts takes them for those of trials. */
+function listFurtherCrashes(record: PoisonRecord): string[] {
+  return listOpenCrashes(record).slice(crashesToConvict);
 }
 
 /** Entry of content without open crashes before. */
 function createEntry({
   now,
   ...fields
-}: Pick<PoisonEntry, "digest" | "record" | "failedTrials"> & {
+}: Pick<PoisonEntry, "digest" | "record" | "trialCrashes"> & {
   now: Millis;
 }): PoisonEntry {
   const since = { suspectedAt: now, crashMoments: 1, crashedAt: now };
@@ -253,15 +254,17 @@
   const openBefore = listOpenCrashes(known.record).length;
   const { digest } = known;
   if (openBefore === 0)
-    return createEntry({ digest, record, now, failedTrials: 0 });
-  const isCrash = listOpenCrashes(record).some(
+    return createEntry({ digest, record, now, trialCrashes: [] });
+  const added = listOpenCrashes(record).filter(
     (crash) => !known.record.crashes.includes(crash),
   );
-  if (!isCrash) return { ...known, record, changedAt: now };
-  const hasFailedTrial =
+  if (added.length === 0) return { ...known, record, changedAt: now };
+  const isOfTrial =
     deriveStatus(known.record) === "convicted" && isTrialCrash(known, now);
-  const failedTrials = known.failedTrials + (hasFailedTrial ? 1 : 0);
-  const changed = { ...known, record, changedAt: now, failedTrials };
+  const trialCrashes = isOfTrial
+    ? [...known.trialCrashes, ...added.slice(-1)].slice(-crashLimit)
+    : known.trialCrashes;
+  const changed = { ...known, record, changedAt: now, trialCrashes };
   if (now < known.crashedAt + momentTime) return changed;
   return { ...changed, crashMoments: known.crashMoments + 1, crashedAt: now };
 }
--- a/tests/poison/assessment_test.ts
+++ b/tests/poison/assessment_test.ts
@@ -133,6 +133,20 @@
   assert.equal(node.assess([deadly], { at: 50_500 }), "convicted");
 });
 
+// Engines crash under the trials of sound sessions too, while other requests crash engine after engine.
+test("a trial whose crash another unit explains better does not put off the next one", () => {
+  const node = createNode();
+  node.crash("e1/1", [first]);
+  node.crash("e2/1", [first]);
+  node.crash("e3/1", [deadly], 3_000);
+  node.crash("e4/1", [first, deadly], 4_100);
+  assert.equal(node.assess([first], { at: 20_099 }), "convicted");
+  node.crash("e5/1", [deadly], 5_000);
+  node.crash("e6/1", [deadly], 5_500);
+  assert.equal(node.assess([first], { at: 8_099 }), "convicted");
+  assert.equal(node.assess([first], { at: 8_100 }), "suspect");
+});
+
 // Each process that starts would otherwise begin with a trial at once.
 test("a process that reads a conviction from the table waits as long as its crashes tell", () => {
   const node = createNode();
