--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -42,6 +42,8 @@
 async function send(
   answer: (socket: Socket) => void,
   fields: Partial<ServerRequest> = {},
+  /** Called in the turn of the send. */
+  onSent: () => void = () => {},
 ): Promise<Result> {
   let seen = "";
   const server: Server = createServer((socket) => {
@@ -84,6 +86,7 @@
         onFailure: ({ kind }) => resolve({ kind, status, text, seen }),
       },
     );
+    onSent();
   });
   await links.endpointOf(target).close();
   server.close();
@@ -207,3 +210,23 @@
     links.disconnect(server.id);
   }
 });
+
+/** Keeps this process from handling events for a time in ms. */
+function standStill(duration: number): void {
+  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, duration);
+}
+
+// Guards against servers that are told the time that was left when a process with too little
+// processor time began to connect, and work on for callers that have given up.
+for (const isRepeated of [false, true]) {
+  test(`a request on a ${isRepeated ? "new" : "pooled"} connection that took long names the time that is left when it is written`, async () => {
+    const { kind, seen } = await send(
+      (socket) => socket.end(`${sealed}content-length: 2\r\n\r\nok`),
+      { timeLeft: millis(900), isRepeated },
+      () => standStill(300),
+    );
+    const left = Number(/goldcrestwinch-deadline-ms: (\d+)/.exec(seen)?.[1]);
+    assert.equal(kind, "whole");
+    assert.ok(left > 0 && left <= 650, `${left} ms`);
+  });
+}
