Run whole requests one at a time after two crashes, also where another unit explains them

Cause, found by reading: a unit whose crashes another one has as well, and more, counts as unknown. A sound session that ran at the crashes of several requests has more than each of them, so that a request which crashes servers ran without any restriction until its next crash. Class: the evidence against a unit comes from others.

Change: with two crashes a whole request is tried alone then; few copies of it wait. Parts, which many sound requests share, stay free.

Measured: the new test of assessment_test failed before (unknown).

--- a/src/core/poison/assessment.ts
+++ b/src/core/poison/assessment.ts
@@ -7,6 +7,7 @@
   type PoisonStatus,
 } from "./record.ts";
 import type { PoisonEntry, PoisonState } from "./registry.ts";
+import { isRequestDigest } from "./units.ts";
 
 /** Moments with crashes from which a unit that has run well recently is no longer taken for sound. */
 const momentsAgainstSound = 3;
@@ -45,9 +46,13 @@
   let status: PoisonStatus = "unknown";
   for (const suspect of suspects) {
     const rivals = others.filter(({ crashes }) => covers(crashes, suspect));
-    if (rivals.some((rival) => explains(rival, suspect))) continue;
-    const isConvicted =
-      rivals.length === 0 && suspect.crashes.length >= crashesToConvict;
+    if (rivals.some((rival) => explains(rival, suspect))) {
+      // Many sound requests share a part; of a whole request few copies wait.
+      if (isRequestDigest(suspect.unit) && hasConvicting(suspect))
+        status = "suspect";
+      continue;
+    }
+    const isConvicted = rivals.length === 0 && hasConvicting(suspect);
     if (isConvicted && context.now < findTrialTime(suspect, others))
       return "convicted";
     status = "suspect";
@@ -99,8 +104,10 @@
 
 /** Whether a rival that has all crashes of a suspect is the likelier cause of them. */
 function explains(rival: Suspect, suspect: Suspect): boolean {
-  return (
-    rival.crashes.length >= crashesToConvict &&
-    rival.crashes.length > suspect.crashes.length
-  );
+  return hasConvicting(rival) && rival.crashes.length > suspect.crashes.length;
+}
+
+/** Whether a suspect has as many crashes as a conviction needs. */
+function hasConvicting({ crashes }: Suspect): boolean {
+  return crashes.length >= crashesToConvict;
 }
--- a/tests/poison/assessment_test.ts
+++ b/tests/poison/assessment_test.ts
@@ -8,6 +8,7 @@
   decidePoison,
   type PoisonEvent,
 } from "../../src/core/poison/registry.ts";
+import { formatRequestDigest } from "../../src/core/poison/units.ts";
 
 const first = brandString<Digest>("first");
 const second = brandString<Digest>("second");
@@ -147,6 +148,19 @@
   assert.equal(node.assess([first], { at: 8_100 }), "suspect");
 });
 
+// A session that ran at the crashes of several requests has more of them than each of these.
+test("a whole request that another unit explains runs one at a time after two crashes", () => {
+  const node = createNode();
+  const request = formatRequestDigest(brandString("r"));
+  node.crash("e1/1", [first, request]);
+  node.crash("e2/1", [first, request]);
+  node.crash("e3/1", [first]);
+  assert.equal(node.assess([request]), "suspect");
+  assert.equal(node.assess([second, request]), "suspect");
+  node.crash("e4/1", [request]);
+  assert.equal(node.assess([request]), "convicted");
+});
+
 // Each process that starts would otherwise begin with a trial at once.
 test("a process that reads a conviction from the table waits as long as its crashes tell", () => {
   const node = createNode();
