Take events for waiting while the turns after a standstill are slow

Cause: for 250 ms after a standstill each request waits until the loop has turned, so that the close behind it is seen. A process with too little processor time is still accepting the connections of the standstill then. Class: a time that stands for a state of the process.

Change: that time begins anew as long as the turns of a check take over 40 ms.

--- a/src/adapters/time/loop_backlog.ts
+++ b/src/adapters/time/loop_backlog.ts
@@ -10,8 +10,10 @@
 const checkInterval = millis(100);
 /** Age of the latest check from which events may be waiting, in ms. */
 const maxCheckAge = 250;
-/** Time after a standstill in which connections from it are still being accepted, in ms. */
+/** Time after a standstill in which connections from it are still being accepted, in ms; it begins anew while the loop is slow. */
 const recoveryTime = 250;
+/** Time from which the turns of a check are slow, in ms. */
+const slowTurns = 40;
 /** Turns of the event loop from the arrival of a close until it is reported: it is read, answered and closed. */
 const turnsToClose = 4;
 
@@ -76,11 +78,20 @@
     this.#turn(turnsToClose, () => {
       this.#isChecking = false;
       this.#handledAt = startedAt;
+      this.#prolongRecovery(startedAt);
       for (const resolve of served) resolve();
       if (this.#waiting.length > 0) this.#check();
     });
   }
 
+  /** Begins the time after a standstill anew if the loop has been slow in it. */
+  #prolongRecovery(startedAt: Millis): void {
+    const now = this.#clock.now();
+    const isRecovering = startedAt < this.#recoversUntil;
+    if (isRecovering && now > startedAt + slowTurns)
+      this.#recoversUntil = millis(now + recoveryTime);
+  }
+
   #turn(turns: number, onDone: () => void): void {
     setImmediate(() => (turns > 1 ? this.#turn(turns - 1, onDone) : onDone()));
   }
