--- a/tests/rig/backend.ts
+++ b/tests/rig/backend.ts
@@ -64,16 +64,18 @@
   readonly orders: Order[] = [];
   version: string;
   serve: Serve;
-  readonly #options: BackendOptions;
+  readonly options: BackendOptions;
   readonly #sockets = new Set<Socket>();
   #server: Server | undefined;
   #port = 0;
   #registered = "";
   #heartbeat: NodeJS.Timeout | undefined;
   #born = 0;
+  #isDraining = false;
+  #hasLeft = false;
 
   private constructor(options: BackendOptions) {
-    this.#options = options;
+    this.options = options;
     this.service = options.service;
     this.version = options.version ?? "v1";
     this.serve = options.serve;
@@ -93,8 +95,9 @@
     return this.#server !== undefined;
   }
 
-  /** Starts the server at its address and registers it. */
+  /** Starts the server at its address and registers it, unless it has left. */
   async start(): Promise<void> {
+    if (this.#hasLeft) return;
     this.#born = Date.now();
     const server = createServer((message, response) =>
       this.#receive(message, response),
@@ -108,7 +111,7 @@
     server.listen(this.#port, host);
     await once(server, "listening");
     this.#port = (server.address() as AddressInfo).port;
-    const { registerAs } = this.#options;
+    const { registerAs } = this.options;
     if (this.#registered === "")
       this.#registered = (await registerAs?.(this.address)) ?? this.address;
     this.register();
@@ -117,14 +120,14 @@
 
   /** Writes the registration to the store. */
   register(fields: Readonly<Record<string, unknown>> = {}): void {
-    const { store, service, zone, slots, models } = this.#options;
+    const { store, service, zone, slots, models } = this.options;
     store.put("servers", this.id, {
       Service: service,
       Address: this.#registered,
       Zone: zone ?? "tatry-a",
       Version: this.version,
       Slots: slots ?? 128,
-      State: "ready",
+      State: this.#isDraining ? "draining" : "ready",
       ColdRemainingMs: 0,
       Stage: "both",
       Models: models ?? [],
@@ -146,9 +149,16 @@
     for (const socket of this.#sockets) socket.destroy();
   }
 
+  /** Registers as draining from now on; requests that reach it are still served. */
+  drain(): void {
+    this.#isDraining = true;
+    this.register();
+  }
+
   /** Removes the registration, then crashes. */
   leave(): void {
-    this.#options.store.drop("servers", this.id);
+    this.#hasLeft = true;
+    this.options.store.drop("servers", this.id);
     this.crash();
   }
 
@@ -168,7 +178,7 @@
       const requestId = String(message.headers[headers.requestId] ?? "");
       if (requestId !== "") {
         const left = message.headers["goldcrestwinch-deadline-ms"];
-        this.#options.onArrival?.({
+        this.options.onArrival?.({
           at: performance.now(),
           requestId,
           backend: this.id,
@@ -193,7 +203,7 @@
   #report(response: ServerResponse): void {
     const report = {
       Stage: "both",
-      Models: this.#options.models ?? [],
+      Models: this.options.models ?? [],
       Incoming: [],
       Busy: false,
       Sequence: this.orders.length,
--- a/tests/rig/installation.ts
+++ b/tests/rig/installation.ts
@@ -94,6 +94,7 @@
   readonly machines: Machine[] = [];
   readonly backends: Backend[] = [];
   readonly #closers: (() => unknown)[] = [];
+  #version = configuration.Version;
 
   private constructor(store: FakeStore) {
     this.store = store;
@@ -107,7 +108,15 @@
     return installation;
   }
 
-  async addBackend(options: Omit<BackendOptions, "store">): Promise<Backend> {
+  /** Writes a configuration of the operator under the next version. */
+  publish(content: typeof configuration): void {
+    this.#version++;
+    this.store.put("op", "config", { ...content, Version: this.#version });
+  }
+
+  async addBackend(
+    options: Omit<BackendOptions, "store"> & { readonly store?: FakeStore },
+  ): Promise<Backend> {
     const backend = await Backend.open({ ...options, store: this.store });
     this.backends.push(backend);
     this.onClose(() => backend.close());
--- a/tests/soak/disturbances.ts
+++ b/tests/soak/disturbances.ts
@@ -1,7 +1,11 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Backend } from "../rig/backend.ts";
 import { holdTcpPort } from "../rig/held_port.ts";
-import type { Installation } from "../rig/installation.ts";
+import {
+  configuration,
+  type Installation,
+  lookupRoute,
+} from "../rig/installation.ts";
 import type { Machine } from "../rig/machine.ts";
 import type { Calm } from "./calm.ts";
 import type { CrashingRequests } from "./crashing_requests.ts";
@@ -32,10 +36,27 @@
 const gracePeriod = 8_000;
 /** Time for a process to end and start again, in ms. */
 const restartTime = 1_500;
+/** Time from the notice that a server drains until it is gone, in ms. */
+const drainTime = 6_000;
+/** Servers of a service below which none is released. */
+const minServers = 2;
 /** Requests that crash servers, and the time between two of them, in ms. */
 const crashingCount = 80;
 const crashingInterval = 120;
 
+/** Configuration with other limits and a route more. */
+const changedConfiguration = {
+  ...configuration,
+  Routes: [
+    ...configuration.Routes.map((route) => ({
+      ...route,
+      TimeoutMs: route.TimeoutMs + 1_000,
+    })),
+    { ...lookupRoute, Name: "spare", Prefix: "/spare/" },
+  ],
+  Limits: { ...configuration.Limits, IdleTimeoutMs: 12_000 },
+};
+
 function choose<Item>(items: readonly Item[], random: () => number): Item {
   return items[Math.floor(random() * items.length)] as Item;
 }
@@ -184,6 +205,30 @@
   await Promise.all(sent);
 }
 
+/** A new server starts, then one of its service drains and leaves. */
+const releaseBackend: Disturbance = async ({ installation, random, calm }) => {
+  const running = installation.backends.filter(({ isRunning }) => isRunning);
+  const leaving = choose(running, random);
+  const { service } = leaving;
+  const sound = running.filter((backend) => backend.service === service);
+  if (sound.length < minServers) return;
+  const { version } = leaving;
+  await installation.addBackend({ ...leaving.options, version });
+  await sleep(draw(random, 500, 1_500));
+  leaving.drain();
+  await sleep(drainTime);
+  calm.disturb(leaving.id);
+  leaving.leave();
+};
+
+/** The operator changes time limits, weights and an unused route, and takes this back. */
+const changeConfiguration: Disturbance = async ({ installation, random }) => {
+  for (const content of [changedConfiguration, configuration]) {
+    installation.publish(content);
+    await sleep(draw(random, 200, 2_000));
+  }
+};
+
 const sendCrashingLookups: Disturbance = async ({ crashing, traffic }) => {
   const path = crashing.addRequest();
   await repeat(() => traffic.sendLookup(path, true));
@@ -216,6 +261,8 @@
   upgradeBackend,
   failBackend,
   pauseBackend,
+  releaseBackend,
+  changeConfiguration,
   sendCrashingLookups,
   sendCrashingStreams,
   sendCrashingPrompts,
