Leave a full record unchanged by crashes that it has dropped

Found in the reading of the diff: a node that gets a crash which its full record has dropped made a new, equal record of it and published that; two nodes with different old crashes of one request would do so for good.

Measured: the new test of assessment_test failed before.

--- a/src/core/poison/record.ts
+++ b/src/core/poison/record.ts
@@ -76,7 +76,8 @@
   const cleared = mergeLists(first.cleared, second.cleared);
   const same = crashes === first.crashes && cleared === first.cleared;
   if (same) return first;
-  return trimRecord({ crashes, cleared }, second.crashes);
+  const merged = trimRecord({ crashes, cleared }, second.crashes);
+  return isEqualRecord(merged, first) ? first : merged;
 }
 
 /** Checks a record from a row or from another node. */
@@ -123,6 +124,14 @@
   };
 }
 
+/** Whether two records hold the same crashes; the lists are sorted and have no repeats. */
+function isEqualRecord(first: PoisonRecord, second: PoisonRecord): boolean {
+  return (
+    first.crashes.join() === second.crashes.join() &&
+    first.cleared.join() === second.cleared.join()
+  );
+}
+
 function isCrashList(value: unknown): value is readonly string[] {
   return (
     Array.isArray(value) &&
--- a/tests/poison/assessment_test.ts
+++ b/tests/poison/assessment_test.ts
@@ -3,6 +3,7 @@
 import { millis } from "../../src/core/clock.ts";
 import { brandString, type Digest } from "../../src/core/ids.ts";
 import { assessUnits } from "../../src/core/poison/assessment.ts";
+import { crashLimit, mergeRecords } from "../../src/core/poison/record.ts";
 import {
   createPoisonState,
   decidePoison,
@@ -122,6 +123,14 @@
   }
 });
 
+// Two nodes that keep different old crashes would send their records to each other for good.
+test("a full record is not changed by a crash that it has dropped", () => {
+  const old = { crashes: ["e00/1"], cleared: ["e00/1"] };
+  const crashes = Array.from({ length: crashLimit }, (_, at) => `e${at + 10}`);
+  const full = { crashes, cleared: crashes };
+  assert.equal(mergeRecords(full, old), full);
+});
+
 // A part that has run well for long collects crashes of other causes, which its good runs clear.
 test("a part with many cleared crashes is convicted after two more", () => {
   const node = createNode();
