--- a/tests/gateway/crossing_trials_test.ts
+++ b/tests/gateway/crossing_trials_test.ts
@@ -9,9 +9,9 @@
   createDemand,
   createEngine,
   createRoute,
-  engines,
   GatewayFixture,
 } from "./gateway_fixture.ts";
+import { streamRoute } from "./gateway_setups.ts";
 
 const nodeCount = 8;
 /** Minimum and maximum delay of a message between two nodes, in ms. */
@@ -37,14 +37,7 @@
       ...{ clock, table, machine, peerAddress, sendMessage },
     });
     nodes.push(node);
-    node.configure([
-      createRoute({
-        retryRule: "stream",
-        targets: [{ service: engines, weight: 1 }],
-        targetLatency: millis(1_000),
-        timeout: millis(10_000),
-      }),
-    ]);
+    node.configure([createRoute(streamRoute)]);
     node.register(...["e1", "e2", "e3"].map((id) => createEngine(id, ["a1"])));
   }
   await clock.advance(millis(4_000));
--- a/tests/gateway/poison_guard_test.ts
+++ b/tests/gateway/poison_guard_test.ts
@@ -6,26 +6,20 @@
   createDemand,
   createEngine,
   createRoute,
-  engines,
   GatewayFixture,
 } from "./gateway_fixture.ts";
+import { streamRoute } from "./gateway_setups.ts";
 import type { RecordedAttempt } from "./recorded_exchange.ts";
 
 // Guards against requests with one part of a prompt that crash engine after
 // engine, and against sound requests that are refused because of them.
 
-const route = {
-  retryRule: "stream" as const,
-  targets: [{ service: engines, weight: 1 }],
-  targetLatency: millis(1_000),
-  timeout: millis(10_000),
-};
 const deadly = ["tenant", "user", "deadly"];
 const sound = ["tenant", "user"];
 
-async function createFixture(fields: Partial<typeof route> = {}) {
+async function createFixture(fields: Partial<typeof streamRoute> = {}) {
   const fixture = new GatewayFixture();
-  fixture.configure([createRoute({ ...route, ...fields })]);
+  fixture.configure([createRoute({ ...streamRoute, ...fields })]);
   fixture.register(...["e1", "e2", "e3"].map((id) => createEngine(id, ["a1"])));
   await fixture.advance(3_000);
   return fixture;
@@ -190,9 +184,9 @@
 // A stream that was resumed after a crash would crash the next engine.
 test("a broken stream is resumed only after its engine was checked", async () => {
   const fixture = await createFixture({
-    ...route,
+    ...streamRoute,
     resumable: true,
-  } as typeof route);
+  } as typeof streamRoute);
   await crash(fixture, (await open(fixture, deadly)).attempt);
   await fixture.advance(100);
   assert.equal(fixture.attempts.length, 2, "the trial");
--- a/tests/gateway/starved_sessions_test.ts
+++ b/tests/gateway/starved_sessions_test.ts
@@ -1,13 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { millis } from "../../src/core/clock.ts";
-import {
-  createDemand,
-  createEngine,
-  createRoute,
-  engines,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { createDemand, type GatewayFixture } from "./gateway_fixture.ts";
+import { createEngineFixture } from "./gateway_setups.ts";
 
 // Guards against sessions that are refused for half a minute and longer because
 // their requests were running when engines crashed for another reason.
@@ -18,21 +12,6 @@
 
 const session = ["tenant", "session"];
 
-async function createFixture() {
-  const fixture = new GatewayFixture();
-  fixture.configure([
-    createRoute({
-      retryRule: "stream",
-      targets: [{ service: engines, weight: 1 }],
-      targetLatency: millis(1_000),
-      timeout: millis(10_000),
-    }),
-  ]);
-  fixture.register(...["e1", "e2", "e3"].map((id) => createEngine(id, ["a1"])));
-  await fixture.advance(3_000);
-  return fixture;
-}
-
 /** Sends requests of the session until one is served; returns the time that took, in ms. */
 async function waitUntilServed(fixture: GatewayFixture): Promise<number> {
   const startedAt = fixture.clock.now();
@@ -49,7 +28,7 @@
 
 for (const crashes of [2, 4, 7]) {
   test(`a session whose requests ran at ${crashes} crashes of other causes is served again within seconds`, async () => {
-    const fixture = await createFixture();
+    const fixture = await createEngineFixture();
     const ids = Array.from({ length: crashes }, (_, at) => `e${at % 3}/${at}`);
     fixture.reportCrash(["session"], ids);
     await fixture.advance(5);
