Share what the soak and the rig wrote twice, and drop a getter without a caller

From a last reading of the change: two answers that a request was not executed, two constants of the contact time, a comment that named weights which are not changed, and the units of the poison manager, still called parts. No behaviour changes; no assertion or bound is touched.

--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -117,14 +117,14 @@
     return status === "unknown" ? "none" : status;
   }
 
-  /** Status of a request by the parts of its prompt. */
+  /** Status of a request by its units. */
   assess(
-    parts: readonly Digest[],
-    isKnownSound: (part: Digest) => boolean,
+    units: readonly Digest[],
+    isKnownSound: (unit: Digest) => boolean,
   ): PoisonStatus {
     const now = this.#options.clock.now();
     const state = this.#actor.getSnapshot().context;
-    return assessUnits(state, parts, { now, isKnownSound });
+    return assessUnits(state, units, { now, isKnownSound });
   }
 
   /** Whether the record of the content goes to all nodes. */
--- a/tests/rig/failures.ts
+++ b/tests/rig/failures.ts
@@ -4,19 +4,21 @@
 export type Failure = (exchange: Exchange) => void;
 
 /** Answers that the request was not executed. */
-export const answerNotExecuted: Failure = ({ requestId, response }) => {
-  const head = { ...sealHead(requestId), "goldcrestwinch-not-executed": "1" };
-  response.writeHead(503, head).end();
-};
+export const answerNotExecuted: Failure = (exchange) =>
+  writeNotExecuted(exchange, {});
 
 /** Answers that the request was not executed, and that none is wanted for a time in s. */
 export function answerNotExecutedFor(retryAfter: number): Failure {
-  return ({ requestId, response }) => {
-    const head = { ...sealHead(requestId), "goldcrestwinch-not-executed": "1" };
-    response
-      .writeHead(503, { ...head, "retry-after": String(retryAfter) })
-      .end();
-  };
+  return (exchange) =>
+    writeNotExecuted(exchange, { "retry-after": String(retryAfter) });
+}
+
+function writeNotExecuted(
+  { requestId, response }: Exchange,
+  fields: Readonly<Record<string, string>>,
+): void {
+  const head = { ...sealHead(requestId), "goldcrestwinch-not-executed": "1" };
+  response.writeHead(503, { ...head, ...fields }).end();
 }
 
 /** Answers with an error of the server's own. */
--- a/tests/soak/calm.ts
+++ b/tests/soak/calm.ts
@@ -1,5 +1,5 @@
 /** Time in ms for which nothing may have disturbed a process before its promises with a time bound hold. */
-const contactTime = 4_000;
+export const contactTime = 4_000;
 
 /** Span in which something was disturbed; `end` is `Infinity` while it lasts. */
 type Span = { readonly begin: number; end: number };
--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -1,7 +1,7 @@
 import { randomBytes } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Backend, Exchange, Serve } from "../rig/backend.ts";
-import type { Calm } from "./calm.ts";
+import { type Calm, contactTime } from "./calm.ts";
 import type { Violation } from "./observations.ts";
 import type { RequestLog } from "./request_log.ts";
 
@@ -9,9 +9,7 @@
 const crashDelay = 40;
 const minDownTime = 1_000;
 const maxDownTime = 3_000;
-/** Time after the last tolerated crash from which sends count, in ms. */
-const contactTime = 4_000;
-/** Sends that may come later than that. */
+/** Sends that may come later than the contact time after the last tolerated crash. */
 const maxLateSends = 3;
 /** Crashes after which a whole request, or a part of prompts, must be known. */
 const crashesOfRequests = 3;
--- a/tests/soak/disturbances.ts
+++ b/tests/soak/disturbances.ts
@@ -221,7 +221,7 @@
   leaving.leave();
 };
 
-/** The operator changes time limits, weights and an unused route, and takes this back. */
+/** The operator changes time limits and adds a route, and takes this back. */
 const changeConfiguration: Disturbance = async ({ installation, random }) => {
   for (const content of [changedConfiguration, configuration]) {
     installation.publish(content);
--- a/tests/soak/request_log.ts
+++ b/tests/soak/request_log.ts
@@ -59,10 +59,6 @@
     return new RequestLog();
   }
 
-  get ends(): readonly AttemptEnd[] {
-    return this.#ends;
-  }
-
   find(requestId: string): Attempt | undefined {
     return this.#attempts.get(requestId);
   }
