Give each port to one listener of the tests only

Cause: findFreePorts asked the kernel for a port and freed it at once. Until the machine listened, the kernel could give it out again, to another machine or to an outgoing connection. The machine then tried to listen for its 30 s.

Change: a test process claims blocks of ports below those of outgoing connections, by listening on the first of each, and hands out each port once. The report of a machine that is not ready names its last events.

--- a/tests/rig/held_address_test.ts
+++ b/tests/rig/held_address_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { type TestContext, test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
-import { holdTcpPort, holdUdpPort } from "./held_port.ts";
+import { holdTcpPort, holdUdpPort } from "../support/held_port.ts";
 import { Installation } from "./installation.ts";
 import type { Machine } from "./machine.ts";
 
--- a/tests/rig/machine.ts
+++ b/tests/rig/machine.ts
@@ -17,6 +17,8 @@
 const defaultRestartDelay = 300;
 /** Interval at which conditions are checked, in ms. */
 const checkInterval = 20;
+/** Log lines that the report of a failure ends with. */
+const reportedLines = 5;
 
 /** One line of the log of a process. */
 export type LogLine = {
@@ -276,7 +278,11 @@
 
   #report(): string {
     const ends = this.ends.map(({ status, errors }) => `${status}: ${errors}`);
-    return `ended ${ends.length} times: ${ends.join("; ").slice(0, 2_000)}`;
+    const lines = this.log.slice(-reportedLines).map((line) => {
+      const { name, detail = "" } = line;
+      return `${name} ${detail}`.trim();
+    });
+    return `ended ${ends.length} times: ${ends.join("; ").slice(0, 2_000)}; last events: ${lines.join("; ") || "none"}`;
   }
 
   #read(path: string): Promise<{ status: number; text: string }> {
--- a/tests/soak/disturbances.ts
+++ b/tests/soak/disturbances.ts
@@ -1,12 +1,12 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Backend } from "../rig/backend.ts";
-import { holdTcpPort } from "../rig/held_port.ts";
 import {
   configuration,
   type Installation,
   lookupRoute,
 } from "../rig/installation.ts";
 import type { Machine } from "../rig/machine.ts";
+import { holdTcpPort } from "../support/held_port.ts";
 import type { Calm } from "./calm.ts";
 import type { CrashingRequests } from "./crashing_requests.ts";
 import type { Observations } from "./observations.ts";
--- a/tests/support/free_ports.ts
+++ b/tests/support/free_ports.ts
@@ -1,29 +1,40 @@
-import { createSocket } from "node:dgram";
-import { once } from "node:events";
-import { type AddressInfo, createServer } from "node:net";
 import type { Settings } from "../../src/adapters/settings/settings.ts";
+import { holdTcpPort, holdUdpPort } from "./held_port.ts";
+import { PortBlock } from "./port_block.ts";
+
+let opened: Promise<PortBlock> | undefined;
+
+async function takePort(): Promise<number> {
+  opened ??= PortBlock.open();
+  const used = opened;
+  const port = (await used).take();
+  if (port !== undefined) return port;
+  if (opened === used) opened = undefined;
+  return takePort();
+}
+
+async function isFree(port: number): Promise<boolean> {
+  try {
+    for (const hold of [holdTcpPort, holdUdpPort]) {
+      const release = await hold(port);
+      await release();
+    }
+    return true;
+  } catch {
+    return false;
+  }
+}
 
-/** Finds a loopback port that is free for TCP and UDP. */
 async function findFreePort(): Promise<number> {
-  const server = createServer().listen(0, "127.0.0.1");
-  await once(server, "listening");
-  const { port } = server.address() as AddressInfo;
-  const socket = createSocket("udp4");
-  const isFree = await new Promise<boolean>((resolve) => {
-    socket.once("error", () => resolve(false));
-    socket.bind(port, "127.0.0.1", () => resolve(true));
-  });
-  socket.close();
-  server.close();
-  await once(server, "close");
-  return isFree ? port : findFreePort();
+  const port = await takePort();
+  return (await isFree(port)) ? port : findFreePort();
 }
 
-/** Finds different loopback ports that are free for TCP and UDP. */
+/** Finds loopback ports that are free for TCP and UDP, and that no earlier call has found. */
 export async function findFreePorts(count: number): Promise<number[]> {
-  const ports = new Set<number>();
-  while (ports.size < count) ports.add(await findFreePort());
-  return [...ports];
+  const ports: number[] = [];
+  while (ports.length < count) ports.push(await findFreePort());
+  return ports;
 }
 
 /**
