Play soaks in which machines change between two builds

The soak takes `--earlier REVISION`: its machines start with the program of that revision, and upgradeMachinesInTurn leads them to the present one and back. `--machines N` sets the number of processes, so far edited in the file.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -1,11 +1,7 @@
-/** Plays soaks by hand: `npm run soak -- FIRST_SEED COUNT [SECONDS [DISTURBANCE,...]]`; exit status 1 if a promise was broken. */
+/** Plays soaks by hand; exit status 1 if a promise was broken. */
+import { defineCommand, runMain } from "citty";
 import { playSoak, type SoakResult } from "../tests/soak/soak.ts";
 
-const [first = "1", count = "50", seconds = "30", chosen] =
-  process.argv.slice(2);
-const names = chosen?.split(",");
-const duration = Number(seconds) * 1_000;
-
 function describe({
   seed,
   violations,
@@ -20,12 +16,46 @@
   return [summary, ...faults, `  ${steps.join("; ")}`].join("\n");
 }
 
-for (let at = 0; at < Number(count); at++) {
-  const result = await playSoak({
-    seed: Number(first) + at,
-    duration,
-    ...(names && { names }),
-  });
-  console.log(describe(result));
-  if (result.violations.length > 0) process.exitCode = 1;
-}
+const soak = defineCommand({
+  meta: { name: "soak", description: "Plays soaks from a seed on" },
+  args: {
+    seed: { type: "positional", default: "1", description: "First seed" },
+    count: {
+      type: "positional",
+      default: "50",
+      description: "Number of seeds",
+    },
+    seconds: {
+      type: "positional",
+      default: "30",
+      description: "Time in which disturbances begin, in s",
+    },
+    names: {
+      type: "positional",
+      required: false,
+      description:
+        "Names of the disturbances, separated by commas; all without",
+    },
+    machines: { type: "string", description: "Number of machines" },
+    earlier: {
+      type: "string",
+      description:
+        "Revision that the machines are upgraded from, and go back to",
+    },
+  },
+  run: async ({ args }) => {
+    for (let at = 0; at < Number(args.count); at++) {
+      const result = await playSoak({
+        seed: Number(args.seed) + at,
+        duration: Number(args.seconds) * 1_000,
+        ...(args.names && { names: args.names.split(",") }),
+        machineCount: args.machines ? Number(args.machines) : undefined,
+        earlier: args.earlier,
+      });
+      console.log(describe(result));
+      if (result.violations.length > 0) process.exitCode = 1;
+    }
+  },
+});
+
+await runMain(soak);
--- a/tests/rig/machine.ts
+++ b/tests/rig/machine.ts
@@ -47,6 +47,8 @@
   readonly bounds?: Readonly<Record<string, unknown>>;
   /** Time until an ended process starts again, in ms; undefined: it does not. */
   readonly restartDelay?: number | undefined;
+  /** Command that starts the processes; that of the present program without. */
+  readonly command?: Command;
   /** Further options of Node for the processes. */
   readonly nodeOptions?: readonly string[];
   /** Called before the first process starts. */
@@ -77,7 +79,7 @@
   readonly ended: Promise<ProcessEnd>;
   #resolveEnded: (end: ProcessEnd) => void = () => {};
   readonly #folder: string;
-  readonly #command: Command;
+  #command: Command;
   readonly #nodeOptions: readonly string[];
   readonly #restartDelay: number | undefined;
   #child: ChildProcess | undefined;
@@ -107,7 +109,7 @@
   /** Starts a machine without waiting for its process. */
   static async start(options: MachineOptions): Promise<Machine> {
     const machine = new Machine(options, {
-      command: await prepareProgram(),
+      command: options.command ?? (await prepareProgram()),
       folder: mkdtempSync(join(tmpdir(), "rig-machine-")),
       ports: await findFreePorts(3),
     });
@@ -146,6 +148,11 @@
     return this.#readMemory("VmHWM");
   }
 
+  /** Starts the next processes with another command. */
+  replaceCommand(command: Command): void {
+    this.#command = command;
+  }
+
   signal(signal: NodeJS.Signals): void {
     this.#child?.kill(signal);
   }
--- a/tests/soak/disturbances.ts
+++ b/tests/soak/disturbances.ts
@@ -6,6 +6,7 @@
   lookupRoute,
 } from "../rig/installation.ts";
 import type { Machine } from "../rig/machine.ts";
+import type { Command } from "../rig/program.ts";
 import { holdTcpPort } from "../support/held_port.ts";
 import type { Calm } from "./calm.ts";
 import type { CrashingRequests } from "./crashing_requests.ts";
@@ -25,6 +26,8 @@
   readonly pauses: Pauses;
   readonly traffic: Traffic;
   readonly random: () => number;
+  /** Commands of the programs that machines change between. */
+  readonly commands: readonly Command[];
   /** Announces that a process will be ended by a signal. */
   readonly expectEnd: (machine: Machine) => void;
 };
@@ -121,6 +124,16 @@
   await Promise.all(stops);
 };
 
+/** Machine by machine changes to the next program and, once all have, machine by machine on to the one after it. */
+const upgradeMachinesInTurn: Disturbance = async (scene) => {
+  const { commands, installation } = scene;
+  for (const command of [...commands.slice(1), ...commands.slice(0, 1)]) {
+    for (const machine of installation.machines)
+      machine.replaceCommand(command);
+    await stopMachinesInTurn(scene);
+  }
+};
+
 const reloadSettings: Disturbance = async (scene) => {
   const machine = chooseMachine(scene);
   for (let at = 0; at < 3; at++) {
@@ -267,3 +280,8 @@
   sendCrashingStreams,
   sendCrashingPrompts,
 };
+
+/** Kinds of disturbances that need a second program. */
+export const upgrades: Readonly<Record<string, Disturbance>> = {
+  upgradeMachinesInTurn,
+};
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -4,17 +4,23 @@
 import { waitUntilServing } from "../rig/callers.ts";
 import { Installation, models } from "../rig/installation.ts";
 import { type Machine, usualRetryLimits } from "../rig/machine.ts";
+import { prepareEarlierProgram, prepareProgram } from "../rig/program.ts";
 import { RetryWindow } from "../rig/retry_window.ts";
 import { Calm } from "./calm.ts";
 import { CrashingRequests } from "./crashing_requests.ts";
-import { type Disturbance, disturbances, type Scene } from "./disturbances.ts";
+import {
+  type Disturbance,
+  disturbances,
+  type Scene,
+  upgrades,
+} from "./disturbances.ts";
 import { Observations, type Violation } from "./observations.ts";
 import { Pauses } from "./pauses.ts";
 import { RequestLog } from "./request_log.ts";
 import { createBookingService, serveStream } from "./servers.ts";
 import { Traffic } from "./traffic.ts";
 
-const machineCount = 4;
+const usualMachineCount = 4;
 const bookingServers = 3;
 const engineCount = 4;
 /** Time for the first answer of each machine, in ms. */
@@ -33,6 +39,10 @@
   readonly duration: number;
   /** Names of the disturbances to choose from; all without. */
   readonly names?: readonly string[];
+  /** Number of machines; callers and servers do not change with it. */
+  readonly machineCount?: number | undefined;
+  /** Revision of the program that the machines start with; upgrades are then among the disturbances. */
+  readonly earlier?: string | undefined;
 };
 
 /** What records a soak. */
@@ -55,6 +65,9 @@
 
 /** Plays overlapping disturbances, drawn from the seed, on real processes under traffic. */
 export async function playSoak(options: SoakOptions): Promise<SoakResult> {
+  const { machineCount = usualMachineCount, earlier } = options;
+  const commands = [await prepareProgram()];
+  if (earlier !== undefined) commands.unshift(prepareEarlierProgram(earlier));
   const random = createSeededRandom(options.seed);
   const observations = Observations.create();
   const calm = Calm.create();
@@ -67,7 +80,9 @@
   try {
     const windows = await addBackends(installation, records);
     const ends = watchEnds();
-    const machines = await installation.addMachines(machineCount);
+    const machines = await installation.addMachines(machineCount, {
+      command: commands[0],
+    });
     await waitUntilServing(machines, startTime);
     const memory = watchMemory(machines);
     const traffic = Traffic.start({
@@ -79,7 +94,7 @@
     });
     const { expectEnd } = ends;
     const scene = {
-      ...{ installation, observations, random, expectEnd },
+      ...{ installation, observations, random, expectEnd, commands },
       ...{ requests, calm, crashing, pauses, traffic },
     };
     const steps = await disturb(scene, options);
@@ -145,9 +160,11 @@
 /** Starts disturbances one after another; resolves when the last has ended. */
 async function disturb(
   scene: Scene,
-  { duration, names = Object.keys(disturbances) }: SoakOptions,
+  { duration, names: chosen }: SoakOptions,
 ): Promise<string[]> {
-  const { random } = scene;
+  const { random, commands } = scene;
+  const known = { ...disturbances, ...(commands.length > 1 && upgrades) };
+  const names = chosen ?? Object.keys(known);
   const steps: string[] = [];
   const running: Promise<void>[] = [];
   const startedAt = performance.now();
@@ -155,7 +172,7 @@
     const name = names[Math.floor(random() * names.length)] as string;
     const at = ((performance.now() - startedAt) / 1_000).toFixed(1);
     steps.push(`${at} s ${name}`);
-    running.push((disturbances[name] as Disturbance)(scene));
+    running.push((known[name] as Disturbance)(scene));
     await sleep(random() * maxPause);
   }
   await Promise.all(running);
