--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -37,6 +37,10 @@
         "Names of the disturbances, separated by commas; all without",
     },
     machines: { type: "string", description: "Number of machines" },
+    logs: {
+      type: "string",
+      description: "Folder for the logs of machines that broke a promise",
+    },
     earlier: {
       type: "string",
       description:
@@ -51,6 +55,7 @@
         ...(args.names && { names: args.names.split(",") }),
         machineCount: args.machines ? Number(args.machines) : undefined,
         earlier: args.earlier,
+        logs: args.logs,
       });
       console.log(describe(result));
       if (result.violations.length > 0) process.exitCode = 1;
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -1,3 +1,5 @@
+import { mkdirSync, writeFileSync } from "node:fs";
+import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import type { Arrival } from "../rig/backend.ts";
@@ -18,6 +20,7 @@
 import { Pauses } from "./pauses.ts";
 import { RequestLog } from "./request_log.ts";
 import { createBookingService, serveStream } from "./servers.ts";
+import { Standstills } from "./standstills.ts";
 import { Traffic } from "./traffic.ts";
 
 const usualMachineCount = 4;
@@ -39,6 +42,8 @@
   readonly duration: number;
   /** Names of the disturbances to choose from; all without. */
   readonly names?: readonly string[];
+  /** Folder that the logs of the machines are written to if a promise was broken. */
+  readonly logs?: string | undefined;
   /** Number of machines; callers and servers do not change with it. */
   readonly machineCount?: number | undefined;
   /** Revision of the program that the machines start with; upgrades are then among the disturbances. */
@@ -56,7 +61,7 @@
 export type SoakResult = {
   readonly seed: number;
   readonly violations: readonly Violation[];
-  /** Disturbances in the order of their starts, with the time in s. */
+  /** Disturbances in the order of their starts, with the time in s, then standstills of the callers. */
   readonly steps: readonly string[];
   readonly answers: ReadonlyMap<string, number>;
   /** Maximum memory of a process, in MB. */
@@ -97,6 +102,7 @@
       ...{ installation, observations, random, expectEnd, commands },
       ...{ requests, calm, crashing, pauses, traffic },
     };
+    const standstills = Standstills.watch();
     const steps = await disturb(scene, options);
     await sleep(recoveryTime);
     await traffic.stop();
@@ -104,17 +110,20 @@
       observations.add("not serving after recovery", describeEnds(machines));
     ends.check(machines, observations);
     checkRetries(windows, observations);
+    steps.push(...standstills.stop());
     const peakMemory = memory.stop();
     if (peakMemory > memoryLimit)
       observations.add("memory over the limit", `${peakMemory} MB`);
+    const violations = [
+      ...observations.findViolations(),
+      ...requests.findViolations(calm),
+      ...crashing.findViolations(requests),
+      ...pauses.findViolations(requests),
+    ];
+    if (violations.length > 0) keepLogs(machines, options);
     return {
       seed: options.seed,
-      violations: [
-        ...observations.findViolations(),
-        ...requests.findViolations(calm),
-        ...crashing.findViolations(requests),
-        ...pauses.findViolations(requests),
-      ],
+      violations,
       steps,
       answers: observations.answers,
       peakMemory,
@@ -200,6 +209,18 @@
   };
 }
 
+function keepLogs(
+  machines: readonly Machine[],
+  { logs, seed }: SoakOptions,
+): void {
+  if (logs === undefined) return;
+  mkdirSync(logs, { recursive: true });
+  for (const { name, log } of machines) {
+    const lines = log.map((line) => JSON.stringify(line));
+    writeFileSync(join(logs, `${seed}-${name}.jsonl`), lines.join("\n"));
+  }
+}
+
 function describeEnds(machines: readonly Machine[]): string {
   return machines
     .map(({ name, ends }) => `${name}: ${ends.map(({ status }) => status)}`)
