--- a/tests/rig/callers.ts
+++ b/tests/rig/callers.ts
@@ -40,3 +40,17 @@
   }
   return true;
 }
+
+/** Machines that do not serve a request now, with their answers. */
+export async function findNotServing(
+  machines: readonly Machine[],
+): Promise<string[]> {
+  const answers = await Promise.all(
+    machines.map(async ({ name, front: port }) => {
+      const call = { port, path: "/lookup/1", deadline: probeDeadline };
+      const { status, text } = await sendCall(call);
+      return status === 200 ? [] : [`${name}: ${status} ${text.trim()}`];
+    }),
+  );
+  return answers.flat();
+}
--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -111,8 +111,11 @@
           at > last + contactTime && this.#isInTouch(log, requestId, at),
       );
       if (late.length <= maxLateSends) return [];
-      const times = late.map(({ at }) => ((at - last) / 1_000).toFixed(1));
-      const detail = `${name}: ${crashes.length} crashes, ${late.length} sends late by ${times.join(", ")} s`;
+      const sends = late.map(({ at, requestId }) => {
+        const machine = log.find(requestId)?.machine;
+        return `${machine} ${((at - last) / 1_000).toFixed(1)} s`;
+      });
+      const detail = `${name}: ${crashes.length} crashes, ${late.length} sends late: ${sends.join(", ")}`;
       return [{ rule: "sent on though it crashes servers", detail }];
     });
   }
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -3,7 +3,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import type { Arrival } from "../rig/backend.ts";
-import { waitUntilServing } from "../rig/callers.ts";
+import { findNotServing, waitUntilServing } from "../rig/callers.ts";
 import { Installation, models } from "../rig/installation.ts";
 import { type Machine, usualRetryLimits } from "../rig/machine.ts";
 import { prepareEarlierProgram, prepareProgram } from "../rig/program.ts";
@@ -106,8 +106,9 @@
     const steps = await disturb(scene, options);
     await sleep(recoveryTime);
     await traffic.stop();
-    if (!(await waitUntilServing(machines, 0)))
-      observations.add("not serving after recovery", describeEnds(machines));
+    const idle = await findNotServing(machines);
+    if (idle.length > 0)
+      observations.add("not serving after recovery", idle.join("; "));
     ends.check(machines, observations);
     checkRetries(windows, observations);
     steps.push(...standstills.stop());
