--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -2,12 +2,10 @@
 import { once } from "node:events";
 import { connect } from "node:net";
 import { test } from "node:test";
-import { FrontServer } from "../../platform/front_server.ts";
 import {
   decodeNodeMessage,
   encodeNodeMessage,
 } from "../../src/adapters/peers/node_message_codec.ts";
-import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis } from "../../src/core/clock.ts";
 import {
   brandString,
@@ -16,33 +14,8 @@
   type ServerId,
 } from "../../src/core/ids.ts";
 import { EngineUsageCounter } from "../../src/node/gateway/engines/engine_usage.ts";
-import type { Gateway } from "../../src/node/gateway/gateway.ts";
-import type { CallerSink, ProxiedRequest } from "../../src/ports/gateway.ts";
 import { RawConnection } from "../support/raw_connection.ts";
-
-type Served = { request: ProxiedRequest; sink: CallerSink };
-
-/** Starts a front server whose gateway passes its requests to the test. */
-async function open(serve: (served: Served) => void = () => {}) {
-  const requests: ProxiedRequest[] = [];
-  let cancelled = 0;
-  const gateway = {
-    context: {
-      configuration: {
-        limits: { maxBodyBytes: 100, idleTimeout: 5_000, headerTimeout: 1_000 },
-      },
-    },
-    open(request: ProxiedRequest, sink: CallerSink) {
-      requests.push(request);
-      serve({ request, sink });
-      return { cancel: () => cancelled++ };
-    },
-  } as unknown as Gateway;
-  const front = FrontServer.create({ gateway, clock: RealClock.create() });
-  const port = await front.listen("127.0.0.1:0");
-  const countCancelled = () => cancelled;
-  return { front, port, requests, countCancelled };
-}
+import { answer, openFront as open, type Served } from "./front_gateway.ts";
 
 /** Sends raw bytes and returns everything received until the connection closes. */
 function exchangeRaw(port: number, text: string): Promise<string> {
@@ -61,12 +34,6 @@
 const head = "POST /b/x?y=1 HTTP/1.1\r\nHost: H.Example:80\r\n";
 const id = "Goldcrestwinch-Request-Id: r1\r\n";
 
-function answer({ sink }: Served): void {
-  sink.start({ status: 200, headers: ["Content-Length", "2"] });
-  sink.write(new TextEncoder().encode("ok"));
-  sink.end();
-}
-
 test("a request is decoded once, with its head, model demand and body", async () => {
   const { front, port, requests } = await open(answer);
   const received = await exchangeRaw(
--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -15,6 +15,7 @@
 import type { ProxiedRequest, ServerRequest } from "../../src/ports/gateway.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
 import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { standStill } from "../support/stand_still.ts";
 
 type Result = { kind: string; status?: number; text: string; seen: string };
 
@@ -211,11 +212,6 @@
   }
 });
 
-/** Keeps this process from handling events for a time in ms. */
-function standStill(duration: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, duration);
-}
-
 // Guards against servers that are told the time that was left when a process with too little
 // processor time began to connect, and work on for callers that have given up.
 for (const isRepeated of [false, true]) {
--- a/tests/time/loop_backlog_test.ts
+++ b/tests/time/loop_backlog_test.ts
@@ -6,14 +6,10 @@
 } from "node:timers/promises";
 import { LoopBacklog } from "../../src/adapters/time/loop_backlog.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { standStill } from "../support/stand_still.ts";
 
 const standstill = 400;
 
-/** Keeps the thread from running for a time in ms. */
-function standStill(duration: number): void {
-  Atomics.wait(new Int32Array(new SharedArrayBuffer(4)), 0, 0, duration);
-}
-
 // Guards against work that goes on after a standstill as if nothing had come meanwhile.
 test("events may be waiting right after a standstill, and some time later no more", async (context) => {
   const backlog = LoopBacklog.create(RealClock.create());
