Run no request whose head arrives after its 408

Cause: the answer to bytes that are no request, or that come too late, ends the writing side of the connection only; the parser stayed attached, and the rest of the head was read and passed on as a request. The class is an answer that ends a request for its caller but not for the node. The closer, which refuses requests behind the last answer of a connection, was told of it only if another request was in progress.

Why it works: the connection takes nothing more from the moment the answer is written, whatever arrives on it.

--- a/src/adapters/http/bad_requests.ts
+++ b/src/adapters/http/bad_requests.ts
@@ -22,6 +22,8 @@
     const socket = stream as Socket;
     if (!socket.writable) return void socket.destroy(error);
     if (closer.endAfterComplete(socket)) return;
+    // The rest of the request may still arrive, and must not run after this answer.
+    closer.takeNoMore(socket);
     const statusLine = statusLines[error.code ?? ""] ?? defaultStatusLine;
     socket.end(`HTTP/1.1 ${statusLine}\r\nConnection: close\r\n\r\n`);
   });
--- a/src/adapters/http/connection_closer.ts
+++ b/src/adapters/http/connection_closer.ts
@@ -68,6 +68,11 @@
     socket.destroySoon();
   }
 
+  /** Takes no further request from a connection that is given its last answer. */
+  takeNoMore(socket: Socket): void {
+    this.#ending.add(socket);
+  }
+
   /** Closes the listener and the connections without a request in progress; resolves when all are closed. */
   stopListening(): Promise<void> {
     this.startClosing();
