Serve a request whose head arrived while the process stood still

Cause: in the turn after a standstill the timer of the head timeout comes before the connections are read, so that a request which had arrived counted as late. The class is the one of departed callers: a decision that is taken before the events of the standstill have been handled.

--- a/src/adapters/http/connection_closer.ts
+++ b/src/adapters/http/connection_closer.ts
@@ -10,6 +10,8 @@
   readonly #server: Server;
   /** Open connections, with the responses that have not been written whole, in order. */
   readonly #connections = new Map<Socket, Set<ServerResponse>>();
+  /** Number of requests that each connection has brought so far, taken or not. */
+  readonly #counts = new WeakMap<Socket, number>();
   /** Connections that take no further request. */
   readonly #ending = new WeakSet<Socket>();
   #isClosing = false;
@@ -28,6 +30,7 @@
 
   /** Whether a request is taken; otherwise its connection is about to be closed. */
   admit({ socket }: IncomingMessage, response: ServerResponse): boolean {
+    this.#counts.set(socket, this.countRequests(socket) + 1);
     if (this.#ending.has(socket)) return false;
     const responses = this.#connections.get(socket);
     responses?.add(response);
@@ -36,6 +39,11 @@
     return true;
   }
 
+  /** Number of requests that a connection has brought. */
+  countRequests(socket: Socket): number {
+    return this.#counts.get(socket) ?? 0;
+  }
+
   /** Ends each connection after its requests in progress, or after the next one if it is idle. */
   startClosing(): void {
     this.#isClosing = true;
