Give servers of the rig ports that no outgoing connection takes

The class is that of: a listener's port from the range of the kernel's own. Servers now take their ports from the block of the process.

--- a/tests/rig/backend.ts
+++ b/tests/rig/backend.ts
@@ -6,9 +6,10 @@
   type Server,
   type ServerResponse,
 } from "node:http";
-import type { AddressInfo, Socket } from "node:net";
+import type { Socket } from "node:net";
 import { headers } from "../../platform/wire_names.ts";
 import type { FakeStore } from "../platform_adapter/fake_store.ts";
+import { findFreePorts } from "../support/free_ports.ts";
 
 const host = "127.0.0.1";
 /** Interval at which a server renews its registration, in ms. */
@@ -67,22 +68,24 @@
   readonly options: BackendOptions;
   readonly #sockets = new Set<Socket>();
   #server: Server | undefined;
-  #port = 0;
+  readonly #port: number;
   #registered = "";
   #heartbeat: NodeJS.Timeout | undefined;
   #born = 0;
   #isDraining = false;
   #hasLeft = false;
 
-  private constructor(options: BackendOptions) {
+  private constructor(options: BackendOptions, port: number) {
     this.options = options;
+    this.#port = port;
     this.service = options.service;
     this.version = options.version ?? "v1";
     this.serve = options.serve;
   }
 
   static async open(options: BackendOptions): Promise<Backend> {
-    const backend = new Backend(options);
+    const [port] = await findFreePorts(1);
+    const backend = new Backend(options, port as number);
     await backend.start();
     return backend;
   }
@@ -110,7 +113,6 @@
     });
     server.listen(this.#port, host);
     await once(server, "listening");
-    this.#port = (server.address() as AddressInfo).port;
     const { registerAs } = this.options;
     if (this.#registered === "")
       this.#registered = (await registerAs?.(this.address)) ?? this.address;
