Watch no connection whose caller has taken all bytes

Found in reading again, before anybody saw it: the watch looked on after the caller had taken everything, found nothing received in between, and broke off a stream of the product's own interface that paused for longer than 1.25 times the limit. A look that ended after the response did could also set the timeout of the next request on the connection.

Cause: before, a timeout with nothing waiting was ignored, and that check was lost. Now such a look ends the watch, and one that has waited for the kernel's table leaves the timeout of the connection alone.

--- a/src/adapters/http/stall_watch.ts
+++ b/src/adapters/http/stall_watch.ts
@@ -10,7 +10,7 @@
 
 /** Options of {@link StallWatch}. */
 export type StallWatchOptions = {
-  /** How long the other end may receive none of the bytes that wait for it, in ms. */
+  /** How long the other end may receive none of the bytes that wait for it, in ms; noticed up to half of it later. */
   readonly limit: Millis;
   readonly onStall: () => void;
 };
@@ -63,8 +63,14 @@
   async #judge(): Promise<void> {
     const socket = this.#watched;
     if (socket === undefined) return;
+    if (this.#response.writableLength === 0) return this.#stop();
     const queued = (await sendQueues.find(socket)) ?? 0;
     if (socket !== this.#watched || socket.destroyed) return;
+    if (this.#response.writableLength === 0) {
+      // The connection may be that of the next response by now, so its timeout stays.
+      this.#watched = undefined;
+      return;
+    }
     const received = socket.bytesWritten - socket.writableLength - queued;
     this.#quietChecks = received === this.#received ? this.#quietChecks + 1 : 0;
     this.#received = received;
