--- a/tests/gateway/answer_flow_test.ts
+++ b/tests/gateway/answer_flow_test.ts
@@ -1,11 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
-import {
-  createRoute,
-  createServer,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
+import { createRoute, createServer } from "./gateway_values.ts";
 
 /** Gateway with one server and a stream whose caller takes nothing after the first event. */
 async function openPausedStream(resumable = false) {
--- a/tests/gateway/confined_failures_test.ts
+++ b/tests/gateway/confined_failures_test.ts
@@ -17,11 +17,8 @@
 import type { NodeMessage } from "../../src/ports/nodes.ts";
 import { findFreePorts } from "../support/free_ports.ts";
 import { waitUntil } from "../support/wait.ts";
-import {
-  createRoute,
-  createServer,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
+import { createRoute, createServer } from "./gateway_values.ts";
 import { RowFleet } from "./row_fleet.ts";
 
 const host = "127.0.0.1";
--- a/tests/gateway/crashing_fleet.ts
+++ b/tests/gateway/crashing_fleet.ts
@@ -4,11 +4,8 @@
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import type { NodeMessage } from "../../src/ports/nodes.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
-import {
-  createRoute,
-  createServer,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
+import { createRoute, createServer } from "./gateway_values.ts";
 import type { RecordedAnswer, RecordedAttempt } from "./recorded_exchange.ts";
 
 /** How long a server works on a request, and how long it is down after a crash, in ms. */
--- a/tests/gateway/crossing_trials_test.ts
+++ b/tests/gateway/crossing_trials_test.ts
@@ -5,13 +5,9 @@
 import { millis } from "../../src/core/clock.ts";
 import type { NodeMessage } from "../../src/ports/nodes.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
-import {
-  createDemand,
-  createEngine,
-  createRoute,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import { streamRoute } from "./gateway_setups.ts";
+import { createDemand, createEngine, createRoute } from "./gateway_values.ts";
 
 const nodeCount = 8;
 /** Minimum and maximum delay of a message between two nodes, in ms. */
--- a/tests/gateway/event_boundary_test.ts
+++ b/tests/gateway/event_boundary_test.ts
@@ -2,11 +2,8 @@
 import { test } from "node:test";
 import fc from "fast-check";
 import { EventBoundary } from "../../src/core/gateway/event_boundary.ts";
-import {
-  createRoute,
-  createServer,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
+import { createRoute, createServer } from "./gateway_values.ts";
 
 const seed = 1;
 const bytesOf = (text: string) => new TextEncoder().encode(text);
--- a/tests/gateway/failed_report_test.ts
+++ b/tests/gateway/failed_report_test.ts
@@ -6,7 +6,7 @@
 import type { GatewayContext } from "../../src/node/gateway/context.ts";
 import { IncarnationWatch } from "../../src/node/gateway/servers/incarnation_watch.ts";
 import type { EngineStatus, StatusFailure } from "../../src/ports/gateway.ts";
-import { createEngine } from "./gateway_fixture.ts";
+import { createEngine } from "./gateway_values.ts";
 
 // Guards against a server whose entry alone is relied on after one failed report (such as 503 while
 // it starts again), although its reports state its start: a stream then goes on there without proof.
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -14,15 +14,9 @@
 } from "../../src/core/gateway/orders.ts";
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import {
-  type AdapterName,
   brandNumber,
   brandString,
-  type DataCentre,
-  type Digest,
-  type Region,
   type ServerId,
-  type ServiceName,
-  type SoftwareVersion,
   type StoreEpoch,
 } from "../../src/core/ids.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
@@ -31,12 +25,10 @@
 import type { ReportFailure } from "../../src/ports/failures.ts";
 import type {
   EngineOrders,
-  EntryOrigin,
   InstallationChange,
   ProbeServer,
   ProxiedRequest,
   RowOrigin,
-  ServerLinks,
   ServerNotice,
 } from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
@@ -45,66 +37,22 @@
 import type { Transaction } from "../../src/ports/table.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
 import { ampleRetryLimits } from "../support/retry_limits.ts";
-import { RecordedAnswer, RecordedAttempt } from "./recorded_exchange.ts";
-import { model, traits } from "./simulated_engine.ts";
+import {
+  booking,
+  dataCentre,
+  engines,
+  entryOrigin,
+  region,
+} from "./gateway_values.ts";
+import {
+  RecordedAnswer,
+  type RecordedAttempt,
+  recordAttempts,
+} from "./recorded_exchange.ts";
+import { traits } from "./simulated_engine.ts";
 
-export const booking: ServiceName = brandString("booking");
-export const engines: ServiceName = brandString("engines");
-const dataCentre: DataCentre = brandString("tatry-a");
 /** Above the version of any single row of the memory table. */
 const minReadVersion = 1_000_000;
-const region: Region = brandString("tatry");
-
-/** Origin of an entry that the node has just read from the store. */
-export const entryOrigin: EntryOrigin = {
-  rowVersion: 1,
-  source: undefined,
-  maxAge: 0,
-};
-
-export function createRoute(fields: Partial<GatewayRoute>): GatewayRoute {
-  return {
-    name: "route",
-    host: "h.example",
-    prefix: "/b/",
-    retryRule: "once",
-    resumable: false,
-    timeout: millis(3_000),
-    targetLatency: millis(200),
-    priority: 0,
-    maxAttempts: 2,
-    targets: [{ service: booking, weight: 1 }],
-    ...fields,
-  };
-}
-
-export function createServer(fields: Partial<BackendServer>): BackendServer {
-  return {
-    id: brandString<ServerId>("s1"),
-    service: booking,
-    address: "10.0.0.1:80",
-    dataCentre,
-    softwareVersion: brandString<SoftwareVersion>("v1"),
-    slots: 6,
-    leaving: false,
-    models: [],
-    orderCount: 0,
-    born: 1,
-    ...fields,
-  };
-}
-
-export function createEngine(id: string, adapters: string[]): BackendServer {
-  const held = adapters.map((name) => ({
-    name: brandString<AdapterName>(name),
-    version: 1,
-  }));
-  return createServer({
-    id: brandString<ServerId>(id),
-    service: engines,
-    models: [{ name: model, version: 1, adapters: held }],
-  });
-}
 
 type GatewayFixtureOptions = {
   readonly clock?: VirtualClock;
@@ -169,25 +117,6 @@
   }: GatewayFixtureOptions = {}) {
     this.clock = clock;
     this.table = table;
-    const links: ServerLinks = {
-      send: (order, sink) => {
-        const attempt = new RecordedAttempt(order, sink);
-        this.attempts.push(attempt);
-        queueMicrotask(() => onAttempt(attempt));
-        return {
-          cancel: () => {
-            attempt.cancelled = true;
-          },
-          pause: () => {
-            attempt.paused = true;
-          },
-          resume: () => {
-            attempt.paused = false;
-          },
-        };
-      },
-      disconnect: () => {},
-    };
     const engineOrders: EngineOrders = {
       order: async (server, order) => {
         this.orders.push(order);
@@ -225,7 +154,10 @@
       random: createSeededRandom(1),
       journal: silentJournal,
       meter: silentMeter,
-      links,
+      links: recordAttempts((attempt) => {
+        this.attempts.push(attempt);
+        queueMicrotask(() => onAttempt(attempt));
+      }),
       backlog: noBacklog,
       probe,
       relayLinks,
@@ -392,14 +324,3 @@
     return attempt;
   }
 }
-
-/** Model demand of a request for one adapter. */
-export function createDemand(adapter: string, parts: string[] = []) {
-  return {
-    model,
-    adapter: brandString<AdapterName>(adapter),
-    promptTokens: 500,
-    answerTokens: 80,
-    sharedParts: parts.map((part) => brandString<Digest>(part)),
-  };
-}
--- a/tests/gateway/gateway_servers_test.ts
+++ b/tests/gateway/gateway_servers_test.ts
@@ -2,13 +2,13 @@
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
+import { createBookingFixture, createEngineFixture } from "./gateway_setups.ts";
 import {
   createDemand,
   createEngine,
   createServer,
   entryOrigin,
-} from "./gateway_fixture.ts";
-import { createBookingFixture, createEngineFixture } from "./gateway_setups.ts";
+} from "./gateway_values.ts";
 
 test("a leaving server gets no request", async () => {
   const fixture = await createBookingFixture();
--- a/tests/gateway/gateway_setups.ts
+++ b/tests/gateway/gateway_setups.ts
@@ -1,12 +1,12 @@
 import { millis } from "../../src/core/clock.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import {
   createEngine,
   createRoute,
   createServer,
   engines,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+} from "./gateway_values.ts";
 
 const second = createServer({
   id: brandString<ServerId>("s2"),
--- a/tests/gateway/gateway_streams_test.ts
+++ b/tests/gateway/gateway_streams_test.ts
@@ -2,8 +2,8 @@
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
 import { brandString, formatModelAdapterKey } from "../../src/core/ids.ts";
-import { createDemand } from "./gateway_fixture.ts";
 import { createEngineFixture } from "./gateway_setups.ts";
+import { createDemand } from "./gateway_values.ts";
 import { model } from "./simulated_engine.ts";
 
 // A stream without a length ends with its connection, also where it has been broken off.
--- a/tests/gateway/gateway_test.ts
+++ b/tests/gateway/gateway_test.ts
@@ -1,12 +1,9 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
-import {
-  createDemand,
-  createRoute,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import { createBookingFixture, createEngineFixture } from "./gateway_setups.ts";
+import { createDemand, createRoute } from "./gateway_values.ts";
 
 test("a node without a configuration refuses as not run", () => {
   const { answer } = new GatewayFixture().open();
--- a/tests/gateway/lease_manager_test.ts
+++ b/tests/gateway/lease_manager_test.ts
@@ -6,13 +6,13 @@
   type RowKey,
   type StoreEpoch,
 } from "../../src/core/ids.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import {
   createDemand,
   createEngine,
   createRoute,
   engines,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+} from "./gateway_values.ts";
 
 /** Starts a gateway with one engine that holds adapter a1. */
 function startGateway(): GatewayFixture {
--- a/tests/gateway/leaving_notice_test.ts
+++ b/tests/gateway/leaving_notice_test.ts
@@ -8,12 +8,9 @@
 import { NoticeHandler } from "../../src/node/gateway/peers/notice_handler.ts";
 import type { InstallationTracker } from "../../src/node/gateway/servers/installation_tracker.ts";
 import type { LeavingMessage, NodeMessage } from "../../src/ports/nodes.ts";
-import {
-  createDemand,
-  createServer,
-  type GatewayFixture,
-} from "./gateway_fixture.ts";
+import type { GatewayFixture } from "./gateway_fixture.ts";
 import { createBookingFixture, createEngineFixture } from "./gateway_setups.ts";
+import { createDemand, createServer } from "./gateway_values.ts";
 
 const first = createServer({});
 
--- a/tests/gateway/model_requester_test.ts
+++ b/tests/gateway/model_requester_test.ts
@@ -9,7 +9,7 @@
 import { noBacklog } from "../../src/ports/event_backlog.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import type { ModelResult } from "../../src/ports/nodes.ts";
-import { createServer, engines } from "./gateway_fixture.ts";
+import { createServer, engines } from "./gateway_values.ts";
 
 const model = brandString<never>("m1");
 
--- a/tests/gateway/new_versions_test.ts
+++ b/tests/gateway/new_versions_test.ts
@@ -3,12 +3,9 @@
 import { millis } from "../../src/core/clock.ts";
 import { brandString, type RequestId } from "../../src/core/ids.ts";
 import type { ProxiedRequest } from "../../src/ports/gateway.ts";
-import {
-  createDemand,
-  createRoute,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import { streamRoute } from "./gateway_setups.ts";
+import { createDemand, createRoute } from "./gateway_values.ts";
 import { createVersionedEngine } from "./stream_callers.ts";
 
 async function createFixture(route = { ...streamRoute, resumable: true }) {
--- a/tests/gateway/paused_servers_test.ts
+++ b/tests/gateway/paused_servers_test.ts
@@ -3,12 +3,9 @@
 import { millis } from "../../src/core/clock.ts";
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
-import {
-  createDemand,
-  createServer,
-  type GatewayFixture,
-} from "./gateway_fixture.ts";
+import type { GatewayFixture } from "./gateway_fixture.ts";
 import { createBookingFixture, createEngineFixture } from "./gateway_setups.ts";
+import { createDemand, createServer } from "./gateway_values.ts";
 
 const first = createServer({});
 const second = createServer({
--- a/tests/gateway/poison_admission_test.ts
+++ b/tests/gateway/poison_admission_test.ts
@@ -5,7 +5,7 @@
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import { brandString, type Digest } from "../../src/core/ids.ts";
 import { PoisonAdmission } from "../../src/node/gateway/requests/poison_admission.ts";
-import { createEngine } from "./gateway_fixture.ts";
+import { createEngine } from "./gateway_values.ts";
 
 /** Time until the check of a broken server has ended, in ms. */
 const checkTime = millis(20);
--- a/tests/gateway/poison_guard_test.ts
+++ b/tests/gateway/poison_guard_test.ts
@@ -2,13 +2,9 @@
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
-import {
-  createDemand,
-  createEngine,
-  createRoute,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import { streamRoute } from "./gateway_setups.ts";
+import { createDemand, createEngine, createRoute } from "./gateway_values.ts";
 import type { RecordedAttempt } from "./recorded_exchange.ts";
 
 // Guards against requests with one part of a prompt that crash engine after
--- a/tests/gateway/recorded_exchange.ts
+++ b/tests/gateway/recorded_exchange.ts
@@ -4,6 +4,7 @@
 import type { Refusal } from "../../src/core/results/refusal.ts";
 import type {
   CallerSink,
+  ServerLinks,
   ServerRequest,
   ServerResponseSink,
 } from "../../src/ports/gateway.ts";
@@ -82,3 +83,27 @@
     this.#sink.onFailure({ kind, detail: kind });
   }
 }
+
+/** Links to servers that send nothing and hand over each attempt. */
+export function recordAttempts(
+  onAttempt: (attempt: RecordedAttempt) => void,
+): ServerLinks {
+  return {
+    send: (order, sink) => {
+      const attempt = new RecordedAttempt(order, sink);
+      onAttempt(attempt);
+      return {
+        cancel: () => {
+          attempt.cancelled = true;
+        },
+        pause: () => {
+          attempt.paused = true;
+        },
+        resume: () => {
+          attempt.paused = false;
+        },
+      };
+    },
+    disconnect: () => {},
+  };
+}
--- a/tests/gateway/restored_installation_test.ts
+++ b/tests/gateway/restored_installation_test.ts
@@ -2,13 +2,13 @@
 import { test } from "node:test";
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import { brandString, type ModelAdapterKey } from "../../src/core/ids.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import {
   booking,
   createRoute,
   createServer,
   entryOrigin,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+} from "./gateway_values.ts";
 
 /** Time after which a lower number that stays the newest must be in force, in ms. */
 const settled = 1_200;
--- a/tests/gateway/server_limits_test.ts
+++ b/tests/gateway/server_limits_test.ts
@@ -23,8 +23,8 @@
 } from "../../src/core/gateway/server_limits.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import type { LimitMessage } from "../../src/ports/permits.ts";
-import { createServer } from "./gateway_fixture.ts";
 import { createBookingFixture } from "./gateway_setups.ts";
+import { createServer } from "./gateway_values.ts";
 
 const server = { id: brandString<ServerId>("s1"), born: 1 };
 
--- a/tests/gateway/servers_test.ts
+++ b/tests/gateway/servers_test.ts
@@ -10,7 +10,7 @@
   recordLeaving,
 } from "../../src/core/gateway/servers.ts";
 import { brandString } from "../../src/core/ids.ts";
-import { booking, createServer } from "./gateway_fixture.ts";
+import { booking, createServer } from "./gateway_values.ts";
 
 const now = millis(10_000);
 
--- a/tests/gateway/small_models_test.ts
+++ b/tests/gateway/small_models_test.ts
@@ -13,7 +13,7 @@
 import { noBacklog } from "../../src/ports/event_backlog.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
-import { createEngine, engines } from "./gateway_fixture.ts";
+import { createEngine, engines } from "./gateway_values.ts";
 
 /** All sequences of some length over a set of events. */
 function* listSequences<Event>(
--- a/tests/gateway/software_versions_test.ts
+++ b/tests/gateway/software_versions_test.ts
@@ -2,8 +2,9 @@
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
 import type { ServerId } from "../../src/core/ids.ts";
-import { createRoute, GatewayFixture } from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import { createBookingFixture, streamRoute } from "./gateway_setups.ts";
+import { createRoute } from "./gateway_values.ts";
 import {
   createStreamFixture,
   createVersionedEngine,
--- a/tests/gateway/starved_sessions_test.ts
+++ b/tests/gateway/starved_sessions_test.ts
@@ -1,7 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { createDemand, type GatewayFixture } from "./gateway_fixture.ts";
+import type { GatewayFixture } from "./gateway_fixture.ts";
 import { createEngineFixture } from "./gateway_setups.ts";
+import { createDemand } from "./gateway_values.ts";
 
 // Guards against sessions that are refused for half a minute and longer because
 // their requests were running when engines crashed for another reason.
--- a/tests/gateway/stopping_test.ts
+++ b/tests/gateway/stopping_test.ts
@@ -8,14 +8,14 @@
   startRun,
 } from "../../src/core/gateway/run_times.ts";
 import { findLatestStart } from "../../src/core/gateway/stopping.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
+import { createEngineFixture } from "./gateway_setups.ts";
 import {
   booking,
   createDemand,
   createRoute,
   createServer,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
-import { createEngineFixture } from "./gateway_setups.ts";
+} from "./gateway_values.ts";
 
 /** Time between the start of the drain and the exit of the process, in ms. */
 const drainTime = 7_600;
--- a/tests/gateway/stranded_node_test.ts
+++ b/tests/gateway/stranded_node_test.ts
@@ -11,14 +11,14 @@
 import type { NodeMessage } from "../../src/ports/nodes.ts";
 import type { RelayLinks } from "../../src/ports/relays.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
+import { streamRoute } from "./gateway_setups.ts";
 import {
   createDemand,
   createEngine,
   createRoute,
   createServer,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
-import { streamRoute } from "./gateway_setups.ts";
+} from "./gateway_values.ts";
 import type { RecordedAttempt } from "./recorded_exchange.ts";
 
 // Guards against nodes that lose their links to all servers and keep what they cannot serve.
--- a/tests/gateway/stream_callers.ts
+++ b/tests/gateway/stream_callers.ts
@@ -1,13 +1,9 @@
 import { millis } from "../../src/core/clock.ts";
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import type { ProxiedRequest } from "../../src/ports/gateway.ts";
-import {
-  createDemand,
-  createEngine,
-  createRoute,
-  GatewayFixture,
-} from "./gateway_fixture.ts";
+import { GatewayFixture } from "./gateway_fixture.ts";
 import { streamRoute } from "./gateway_setups.ts";
+import { createDemand, createEngine, createRoute } from "./gateway_values.ts";
 import type { RecordedAttempt } from "./recorded_exchange.ts";
 
 /** Time for a node to learn of its servers, in ms. */
--- a/tests/platform_adapter/endless_bytes_test.ts
+++ b/tests/platform_adapter/endless_bytes_test.ts
@@ -16,7 +16,7 @@
 } from "../../src/core/ids.ts";
 import type { ServerRequestControl } from "../../src/ports/gateway.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
-import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { createServer as describeServer } from "../gateway/gateway_values.ts";
 import { EndlessServer } from "./endless_server.ts";
 
 /** Upper bound of a report, in bytes, with what the buffers of a connection hold. */
--- a/tests/platform_adapter/engine_orders_test.ts
+++ b/tests/platform_adapter/engine_orders_test.ts
@@ -11,7 +11,7 @@
   type FencingNumber,
   type MachineName,
 } from "../../src/core/ids.ts";
-import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { createServer as describeServer } from "../gateway/gateway_values.ts";
 import { waitUntil } from "../support/wait.ts";
 import { RawServer, success } from "./raw_server.ts";
 
--- a/tests/platform_adapter/engine_status_test.ts
+++ b/tests/platform_adapter/engine_status_test.ts
@@ -5,7 +5,7 @@
 import { HttpServerLinks } from "../../platform/server_links.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
-import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { createServer as describeServer } from "../gateway/gateway_values.ts";
 import {
   deepArray,
   deepObject,
--- a/tests/platform_adapter/front_fixture.ts
+++ b/tests/platform_adapter/front_fixture.ts
@@ -18,7 +18,7 @@
   createRoute,
   createServer,
   entryOrigin,
-} from "../gateway/gateway_fixture.ts";
+} from "../gateway/gateway_values.ts";
 import { ampleRetryLimits } from "../support/retry_limits.ts";
 import { type RawAnswer, RawServer } from "./raw_server.ts";
 
--- a/tests/platform_adapter/front_gateway.ts
+++ b/tests/platform_adapter/front_gateway.ts
@@ -1,3 +1,4 @@
+import { connect } from "node:net";
 import { FrontServer } from "../../platform/front_server.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import type { Gateway } from "../../src/node/gateway/gateway.ts";
@@ -34,3 +35,23 @@
   sink.write(new TextEncoder().encode("ok"));
   sink.end();
 }
+
+/** Sends raw bytes and returns everything received until the connection closes. */
+export function exchangeRaw(port: number, text: string): Promise<string> {
+  return new Promise((resolve) => {
+    const socket = connect(port, "127.0.0.1", () => socket.write(text));
+    let received = "";
+    socket.on("data", (chunk) => {
+      received += chunk;
+    });
+    socket.on("error", () => {});
+    socket.on("close", () => resolve(received));
+    setTimeout(() => socket.destroy(), 400);
+  });
+}
+
+/** First lines of a request, and its id. */
+export const head = "POST /b/x?y=1 HTTP/1.1\r\nHost: H.Example:80\r\n";
+export const id = "Goldcrestwinch-Request-Id: r1\r\n";
+/** A request without a body. */
+export const request = `${head}${id}Content-Length: 0\r\n\r\n`;
--- a/tests/platform_adapter/leaving_answers_test.ts
+++ b/tests/platform_adapter/leaving_answers_test.ts
@@ -5,7 +5,7 @@
 import { HttpServerNotices } from "../../platform/server_notices.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import type { ServerNotice } from "../../src/ports/gateway.ts";
-import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { createServer as describeServer } from "../gateway/gateway_values.ts";
 import { NotifyingServer } from "./notifying_server.ts";
 import { SocketGateway } from "./socket_gateway.ts";
 
--- a/tests/platform_adapter/limited_server_test.ts
+++ b/tests/platform_adapter/limited_server_test.ts
@@ -2,7 +2,7 @@
 import { test } from "node:test";
 import { setTimeout as sleep } from "node:timers/promises";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
-import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { createServer as describeServer } from "../gateway/gateway_values.ts";
 import { NotifyingServer } from "./notifying_server.ts";
 import { SocketFleet } from "./socket_fleet.ts";
 
--- a/tests/platform_adapter/paused_servers_test.ts
+++ b/tests/platform_adapter/paused_servers_test.ts
@@ -4,7 +4,7 @@
 import { millis } from "../../src/core/clock.ts";
 import type { GatewayRoute } from "../../src/core/gateway/configuration.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
-import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { createServer as describeServer } from "../gateway/gateway_values.ts";
 import { NotifyingServer, RequestedPause } from "./notifying_server.ts";
 import { type CallEnd, SocketGateway } from "./socket_gateway.ts";
 
--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -14,7 +14,7 @@
 } from "../../src/core/ids.ts";
 import type { ProxiedRequest, ServerRequest } from "../../src/ports/gateway.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
-import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { createServer as describeServer } from "../gateway/gateway_values.ts";
 import { standStill } from "../support/stand_still.ts";
 
 type Result = { kind: string; status?: number; text: string; seen: string };
--- a/tests/platform_adapter/socket_gateway.ts
+++ b/tests/platform_adapter/socket_gateway.ts
@@ -20,7 +20,7 @@
   booking,
   createRoute,
   entryOrigin,
-} from "../gateway/gateway_fixture.ts";
+} from "../gateway/gateway_values.ts";
 import { ampleRetryLimits } from "../support/retry_limits.ts";
 import { SocketNetwork } from "./socket_network.ts";
 
--- a/tests/platform_adapter/stopped_head_test.ts
+++ b/tests/platform_adapter/stopped_head_test.ts
@@ -9,7 +9,7 @@
 import { millis, sleep } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
-import { createServer as describeServer } from "../gateway/gateway_fixture.ts";
+import { createServer as describeServer } from "../gateway/gateway_values.ts";
 
 const clock = RealClock.create();
 const id = "r1";
