--- a/src/bench/stream_fleet.ts
+++ b/src/bench/stream_fleet.ts
@@ -7,25 +7,28 @@
   type MachineName,
   type RequestId,
   type ServerId,
-  type ServiceName,
   type SoftwareVersion,
 } from "../core/ids.ts";
-import { GatewayContext } from "../node/gateway/context.ts";
+import type { GatewayContext } from "../node/gateway/context.ts";
 import {
   type FetchStatus,
   IncarnationWatch,
 } from "../node/gateway/servers/incarnation_watch.ts";
 import { StreamKeeper } from "../node/gateway/streams/stream_keeper.ts";
 import { StreamPeers } from "../node/gateway/streams/stream_peers.ts";
-import { noBacklog } from "../ports/event_backlog.ts";
-import { silentJournal, silentMeter } from "../ports/journal.ts";
 import type { NodeLinks, NodeMessage } from "../ports/nodes.ts";
 import type { StreamQuery } from "../ports/streams.ts";
 import type { TableService } from "../ports/table.ts";
 import { MemoryTable } from "../standins/memory_table.ts";
 import { drawExponential } from "./random.ts";
+import { type Cut, isDelivered, reachesStore } from "./stream_fleet_cuts.ts";
+import {
+  createContext,
+  createServer,
+  type FleetNode,
+  service,
+} from "./stream_fleet_node.ts";
 
-const service: ServiceName = brandString("engines");
 /** Streams that each node begins a second. */
 const streamRate = 2;
 /** Range of the duration of a stream, and of the time until its caller takes it up, in ms. */
@@ -64,21 +67,6 @@
   requestPermit: async () => undefined,
 };
 
-/** What a node out of step does not reach: other nodes, also in one direction only, or the store. */
-export type Cut = "others" | "to-others" | "from-others" | "store" | "all";
-
-type FleetNode = {
-  readonly index: number;
-  /** What the node is cut off from now, and since when. */
-  cut: Cut | undefined;
-  cutAt: Millis;
-  /** When it has read the changes that it missed. */
-  behindUntil: Millis;
-  context: GatewayContext;
-  keeper: StreamKeeper | undefined;
-  restartedAt: number;
-};
-
 type OpenStream = {
   readonly id: RequestId;
   /** Version of the server that began it. */
@@ -131,7 +119,7 @@
     for (let at = 0; at < serverCount; at++)
       this.#running.push(createServer(at, "v1"));
     for (let index = 0; index < nodes; index++) {
-      const context = this.#createContext(index, nodes);
+      const context = this.#createContext(index);
       const keeper = this.#createKeeper(context);
       const never = Number.NEGATIVE_INFINITY;
       const touch = {
@@ -189,7 +177,7 @@
       for (const stream of this.#open)
         if (stream.node === node) this.#breakOff(stream, restartTime);
       this.clock.schedule(millis(restartTime), () => {
-        node.context = this.#createContext(node.index, this.#nodes.length);
+        node.context = this.#createContext(node.index);
         for (const server of servers.values())
           node.context.directory.servers.set(server.id, server);
         node.keeper = this.#createKeeper(node.context);
@@ -250,10 +238,7 @@
 
   /** Table as one machine reaches it. */
   #createTable(machine: MachineName): TableService {
-    const isCut = () => {
-      const cut = this.#findNode(machine)?.cut;
-      return cut === "store" || cut === "all";
-    };
+    const isCut = () => !reachesStore(this.#findNode(machine)?.cut);
     const lost = Left({ kind: "unavailable", detail: "Cut off" } as const);
     return {
       read: async (key) => (isCut() ? lost : this.#table.read(key)),
@@ -265,16 +250,7 @@
 
   /** Whether a message of a node reaches another one. */
   #isDelivered(from: string, to: string): boolean {
-    const sender = this.#findNode(from)?.cut;
-    const receiver = this.#findNode(to)?.cut;
-    const isSent =
-      sender === undefined || sender === "store" || sender === "from-others";
-    return (
-      isSent &&
-      (receiver === undefined ||
-        receiver === "store" ||
-        receiver === "to-others")
-    );
+    return isDelivered(this.#findNode(from)?.cut, this.#findNode(to)?.cut);
   }
 
   #send(from: string, to: string, message: NodeMessage): void {
@@ -313,30 +289,13 @@
     this.clock.schedule(millis(delay), action);
   }
 
-  #createContext(index: number, nodes: number): GatewayContext {
-    const context = GatewayContext.create({
-      identity: {
-        machine: brandString(`n${index}`),
-        process: `p${this.clock.now()}`,
-        dataCentre: brandString("tatry-a"),
-        region: brandString("tatry"),
-        regions: new Map(),
-        peerAddress: `10.0.0.1:${index + 1}`,
-      },
+  #createContext(index: number): GatewayContext {
+    return createContext({
+      index,
+      nodes: this.#machines.length,
       clock: this.clock,
       random: this.#random,
-      journal: silentJournal,
-      meter: silentMeter,
-      links: {
-        send: () => ({ cancel() {}, pause() {}, resume() {} }),
-        disconnect() {},
-      },
-      backlog: noBacklog,
-      probe: async () => true,
-      retryLimits: { ratio: 0, slack: 0, window: millis(1_000) },
     });
-    context.nodeCount = nodes;
-    return context;
   }
 
   /** A node sees a server, in place of another one. */
@@ -452,18 +411,3 @@
     });
   }
 }
-
-function createServer(at: number, version: string): BackendServer {
-  return {
-    id: brandString(`s${at}`),
-    service,
-    address: `10.0.1.${at}:80`,
-    dataCentre: brandString("tatry-a"),
-    softwareVersion: brandString<SoftwareVersion>(version),
-    slots: 100,
-    leaving: false,
-    models: [],
-    orderCount: 0,
-    born: version === "v1" ? 1 : 2,
-  };
-}
