Take an answer without a length that ends within its upload for broken

Callers got a part of an answer as the whole (MIXED): a server answered a long upload at once with a 200 without a length, sent part of the body and reset the connection while the upload was still being written.

Cause: Node reports a reset right behind data as an end of the connection. The write that is made to tell the two apart waits behind the bytes of the upload, so that it does not fail in time, and undici takes the answer for complete. Class: a probe that is queued behind what it should look past.

Change: an end while bytes of the request still wait cuts the answer off. A server that ends its side regularly before it has read the request can not be told from one that resets the connection; its answer counts as broken too.

Evidence, 20 MB on loopback, 15 calls each, before: "complete" in 15 of 15 for a reset right behind data, for one a moment later and for a close with unread bytes; uploads up to 3 MB fit into the kernel's buffers and were broken as they should be. unframed_answer_test: two cases failed before and pass now; an answer whose server has read the whole upload still counts as whole.

--- a/src/adapters/http/connector.ts
+++ b/src/adapters/http/connector.ts
@@ -11,14 +11,15 @@
   readonly onSkipped?: () => void;
 };
 
-/** Whether the connection whose end is being handled was reset by the peer. */
-let endIsReset = false;
+/** Whether the connection whose end is being handled was cut: reset by the peer, or ended within a request. */
+let endIsCut = false;
 
 /**
- * Connects, and distinguishes resets from regular ends. undici treats a
- * response without a length as complete when its connection is reset, and Node
- * reports a reset that arrives directly after data as an end. A write to such
- * a connection fails, which reveals the reset.
+ * Connects, and distinguishes cuts from regular ends. undici treats a response
+ * without a length as complete when its connection is reset, and Node reports a
+ * reset that arrives directly after data as an end. A write to such a connection
+ * fails, which reveals the reset; while an earlier write is still waiting, a
+ * reset cannot be told from an end.
  */
 export function createConnector(
   options: ConnectorOptions,
@@ -31,11 +32,12 @@
         if (error.code === "ECONNRESET") error.code = "ERR_CONNECTION_RESET";
       });
       socket?.on("end", () => {
+        const isWriting = socket.writableLength > 0;
         socket.write(" ");
-        endIsReset = socket.errored !== null;
+        endIsCut = isWriting || socket.errored !== null;
         // undici handles the end synchronously, before the microtask runs.
         queueMicrotask(() => {
-          endIsReset = false;
+          endIsCut = false;
         });
       });
       if (socket !== null && socket !== undefined)
@@ -48,7 +50,7 @@
   };
 }
 
-/** Whether the end of a connection that is being handled is that of a reset. */
-export function isEndOfReset(): boolean {
-  return endIsReset;
+/** Whether the end of a connection that is being handled cuts its response off. */
+export function isEndOfCut(): boolean {
+  return endIsCut;
 }
--- a/src/adapters/http/flow_handler.ts
+++ b/src/adapters/http/flow_handler.ts
@@ -1,5 +1,5 @@
 import type { Dispatcher } from "undici";
-import { isEndOfReset } from "./connector.ts";
+import { isEndOfCut } from "./connector.ts";
 import { PieceJoiner } from "./piece_joiner.ts";
 import { ReadGate, type ResponseFlow } from "./read_gate.ts";
 
@@ -57,8 +57,8 @@
     onResponseEnd: (controller, trailers) => {
       body?.flush();
       end();
-      if (isEndOfReset()) {
-        const error = new Error("The connection was reset");
+      if (isEndOfCut()) {
+        const error = new Error("The connection was cut");
         return handler.onResponseError?.(controller, error);
       }
       handler.onResponseEnd?.(controller, trailers);
--- a/tests/http/unframed_answer_test.ts
+++ b/tests/http/unframed_answer_test.ts
@@ -1,7 +1,9 @@
 import assert from "node:assert/strict";
+import { createServer as createHttpServer } from "node:http";
 import { createServer, type Server, type Socket } from "node:net";
 import { test } from "node:test";
 import { Endpoint } from "../../src/adapters/http/endpoint.ts";
+import { listenOn } from "../../src/adapters/listening/tcp_address.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis } from "../../src/core/clock.ts";
 
@@ -16,7 +18,7 @@
   return server;
 }
 
-async function sendRequest(server: Server) {
+async function sendRequest(server: Server, body?: Uint8Array) {
   const { port } = server.address() as { port: number };
   const endpoint = Endpoint.create({
     origin: `http://127.0.0.1:${port}`,
@@ -25,8 +27,9 @@
     name: "test",
   });
   const answer = await endpoint.exchange({
-    method: "GET",
+    method: body === undefined ? "GET" : "POST",
     path: "/",
+    ...(body !== undefined && { body }),
     timeout: millis(2_000),
   });
   await endpoint.close();
@@ -34,6 +37,12 @@
   return answer;
 }
 
+/** Values of the headers that give an answer a length. */
+function frameOf(headers: Readonly<Record<string, unknown>>): unknown[] {
+  const names = ["content-length", "transfer-encoding"];
+  return names.flatMap((name) => headers[name] ?? []);
+}
+
 test("an answer without a length that ends with its connection counts as whole", async () => {
   const server = await startServer((socket) => socket.end(`${head}whole`));
   const answer = await sendRequest(server);
@@ -57,3 +66,42 @@
   const answer = await sendRequest(server);
   assert.equal(answer.isLeft(), true);
 });
+
+/** Size of an upload that the kernel does not take at once, in bytes. */
+const longUpload = 20 * 1024 * 1024;
+
+const cutsDuringUpload: Record<string, (socket: Socket) => void> = {
+  "a reset directly after data": (socket) =>
+    socket.write(`${head}half`, () => socket.resetAndDestroy()),
+  "a close with unread bytes of the upload": (socket) => {
+    socket.write(`${head}half`);
+    socket.destroy();
+  },
+};
+
+// The bytes of the upload that wait hid the reset: the caller would get a part as the whole.
+for (const [name, cut] of Object.entries(cutsDuringUpload)) {
+  test(`${name} breaks an answer without a length to an upload that is still being written`, async () => {
+    const server = await startServer((socket) => {
+      socket.pause();
+      cut(socket);
+    });
+    const answer = await sendRequest(server, new Uint8Array(longUpload));
+    assert.equal(answer.isLeft(), true);
+  });
+}
+
+// The upload ends before the answer, so that nothing is left to be written at its end.
+test("an answer without a length to a long upload counts as whole once the upload has been read", async () => {
+  const server = createHttpServer((message, response) => {
+    message.resume();
+    message.on("end", () => {
+      response.useChunkedEncodingByDefault = false;
+      response.writeHead(200, { connection: "close" }).end("whole");
+    });
+  });
+  await listenOn(server, "127.0.0.1:0");
+  const answer = await sendRequest(server, new Uint8Array(longUpload));
+  assert.equal(answer.map(({ body }) => String(body)).extract(), "whole");
+  assert.deepEqual(answer.map(({ headers }) => frameOf(headers)).extract(), []);
+});
