Take an answer whose status is above 599 for broken

A server in trouble may write a status that HTTP does not have. The parser rejects 000 and all others below 100, and names of fields that hold a blank or a control byte; 600 to 999 reached callers as answers.

Change: the handler that all calls to servers, engines, stores of objects and other nodes share aborts a response with such a status.

--- a/src/adapters/http/flow_handler.ts
+++ b/src/adapters/http/flow_handler.ts
@@ -3,6 +3,9 @@
 import { PieceJoiner } from "./piece_joiner.ts";
 import { ReadGate, type ResponseFlow } from "./read_gate.ts";
 
+/** Largest status of HTTP; the parser rejects those below 100. */
+const maxStatus = 599;
+
 /** Handler that may pause the reading of its response. */
 export type StreamHandler = Dispatcher.DispatchHandler & {
   /** Called before the head of the response. */
@@ -44,6 +47,8 @@
         gate = ReadGate.current;
         if (gate !== undefined) handler.onFlow?.(createFlow(gate));
       }
+      if (status > maxStatus)
+        return controller.abort(new Error(`Status ${status} is not HTTP`));
       if (status >= 200) gate?.recordContent();
       handler.onResponseStart?.(controller, status, headers, message);
     },
--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -129,8 +129,23 @@
   "a 503 without the not-executed header":
     "HTTP/1.1 503 Busy\r\ngoldcrestwinch-request-id: r1\r\ncontent-length: 0\r\n\r\n",
   "a response cut off within a chunk": `${sealed}transfer-encoding: chunked\r\n\r\n5\r\nab`,
+  ...describeMalformedHeads(),
 };
 
+/** Heads that are no answer in HTTP: odd statuses, and blanks and control bytes in names of fields. */
+function describeMalformedHeads(): Record<string, string> {
+  const statuses = ["000", "099", "600", "999", "20", "2000"].map((status) => [
+    `a response with status ${status}`,
+    `${sealed.replace("200", status)}content-length: 1\r\n\r\nx`,
+  ]);
+  const names = ["x y", "x\ty", "x\u0001y", "x\u007f", "x ", "content-length "];
+  const fields = names.map((name) => [
+    `a response with a field named ${JSON.stringify(name)}`,
+    `${sealed}${name}: 1\r\nconnection: close\r\n\r\nx`,
+  ]);
+  return Object.fromEntries([...statuses, ...fields]);
+}
+
 for (const [name, text] of Object.entries(broken)) {
   test(`${name} is broken: the request may have run`, async () => {
     assert.equal((await send(write(text))).kind, "broken");
