Look in the soak for crashing parts of prompts behind shared ones, and for sound streams that are withheld

Now the part that crashes stands between one that many share and a session; servers crash soon or late, by a reset or an end, within an answer with chunks or without a length; streams with the same first part must begin at least half as often as at other times.

--- a/scripts/soak.ts
+++ b/scripts/soak.ts
@@ -37,6 +37,8 @@
         "Names of the disturbances, separated by commas; all without",
     },
     machines: { type: "string", description: "Number of machines" },
+    engines: { type: "string", description: "Number of engines" },
+    streams: { type: "string", description: "Streams a second" },
     logs: {
       type: "string",
       description: "Folder for the logs of machines that broke a promise",
@@ -54,6 +56,8 @@
         duration: Number(args.seconds) * 1_000,
         ...(args.names && { names: args.names.split(",") }),
         machineCount: args.machines ? Number(args.machines) : undefined,
+        engineCount: args.engines ? Number(args.engines) : undefined,
+        streamRate: args.streams ? Number(args.streams) : undefined,
         earlier: args.earlier,
         logs: args.logs,
       });
--- a/tests/rig/backend.ts
+++ b/tests/rig/backend.ts
@@ -23,6 +23,9 @@
   readonly response: ServerResponse;
 };
 
+/** How the connections of a server that crashes end. */
+export type CrashEnd = "reset" | "end";
+
 /** What a server does with a request; it has read the whole body. */
 export type Serve = (exchange: Exchange) => void;
 
@@ -139,10 +142,13 @@
     });
   }
 
-  /** Resets all connections and ends without a word. */
-  crash(): void {
+  /** Resets all connections, or ends them as the kernel does for a process that is gone, without a word. */
+  crash(end: CrashEnd = "reset"): void {
     this.#stopListening();
-    for (const socket of this.#sockets) socket.resetAndDestroy();
+    for (const socket of this.#sockets) {
+      if (end === "reset") socket.resetAndDestroy();
+      else socket.destroy();
+    }
   }
 
   /** Closes the server and its connections at the end of a test; a reset may leave a connection open for good. */
--- a/tests/rig/caller.ts
+++ b/tests/rig/caller.ts
@@ -83,13 +83,14 @@
 /** Headers of a request to a language model; no two have the same last part. */
 export function describePrompt(
   model: string,
-  sharedPart = "aa",
+  sharedParts: readonly string[] = ["aa"],
 ): Record<string, string> {
   const part = randomBytes(4).toString("hex");
+  const parts = [...sharedParts.map((id) => `${id}:93`), `${part}:398`];
   return {
     "goldcrestwinch-model": model,
     "goldcrestwinch-token-count": "491,70",
-    "goldcrestwinch-prompt-prefix": `${sharedPart}:93,${part}:398`,
+    "goldcrestwinch-prompt-prefix": parts.join(","),
   };
 }
 
--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -1,12 +1,11 @@
 import { randomBytes } from "node:crypto";
 import { setTimeout as sleep } from "node:timers/promises";
-import type { Backend, Exchange, Serve } from "../rig/backend.ts";
+import type { Backend, CrashEnd, Exchange, Serve } from "../rig/backend.ts";
 import { type Calm, contactTime } from "./calm.ts";
+import { type CrashManner, drawManner, usualManner } from "./crash_manner.ts";
 import type { Violation } from "./observations.ts";
 import type { RequestLog } from "./request_log.ts";
 
-/** Time from the start of a run to the crash of its server, in ms. */
-const crashDelay = 40;
 const minDownTime = 1_000;
 const maxDownTime = 3_000;
 /** Sends that may come later than the contact time after the last tolerated crash. */
@@ -15,17 +14,24 @@
 const crashesOfRequests = 3;
 const crashesOfParts = 5;
 
-/** What crashes servers: requests to a path, or prompts that begin with a part. */
+/** What crashes servers: requests to a path, or prompts that hold a part. */
 type Unit = {
   readonly name: string;
+  readonly manner: CrashManner;
   readonly toleratedCrashes: number;
   readonly crashes: number[];
   readonly arrivals: { readonly at: number; readonly requestId: string }[];
 };
 
-/** Prefixes of names by which servers tell what crashes them. */
 const requestPrefix = "deadly";
-const partPrefix = "dead";
+const partPrefix = "fatal";
+
+/** Sends the head of a stream at once, with chunks or without. */
+function beginAnswer(exchange: Exchange, serve: Serve, isFramed: boolean) {
+  exchange.response.useChunkedEncodingByDefault = isFramed;
+  serve(exchange);
+  exchange.response.flushHeaders();
+}
 
 /** Crashes servers that run certain requests, and counts the sends that come later than allowed. */
 export class CrashingRequests {
@@ -45,17 +51,17 @@
 
   /** Name of a path whose requests crash servers. */
   addRequest(): string {
-    return this.#add(requestPrefix, crashesOfRequests);
+    return this.#add(requestPrefix, crashesOfRequests, usualManner);
   }
 
   /** Name of a part of prompts that crashes servers. */
   addPart(): string {
-    return this.#add(partPrefix, crashesOfParts);
+    return this.#add(partPrefix, crashesOfParts, drawManner(this.#random));
   }
 
-  #add(prefix: string, toleratedCrashes: number): string {
+  #add(prefix: string, toleratedCrashes: number, manner: CrashManner): string {
     const name = `${prefix}${randomBytes(4).toString("hex")}`;
-    const unit = { name, toleratedCrashes, crashes: [], arrivals: [] };
+    const unit = { name, manner, toleratedCrashes, crashes: [], arrivals: [] };
     this.#units.set(name, unit);
     return name;
   }
@@ -67,34 +73,44 @@
       if (unit === undefined) return serve(exchange);
       const { backend, requestId } = exchange;
       unit.arrivals.push({ at: performance.now(), requestId });
+      const { delay, end, isFramed } = unit.manner;
       const isStream = exchange.message.url?.startsWith("/stream/") === true;
-      if (isStream) serve(exchange);
+      if (isStream) beginAnswer(exchange, serve, isFramed);
       setTimeout(() => {
         if (!backend.isRunning || this.#isOver) return;
         unit.crashes.push(performance.now());
-        void this.crash(backend);
-      }, crashDelay);
+        void this.crash(backend, end);
+      }, delay);
     };
   }
 
   #findUnit({ message }: Exchange): Unit | undefined {
     const name = message.url?.split("/")[2] ?? "";
     const prompt = String(message.headers["goldcrestwinch-prompt-prefix"]);
-    const part = prompt.split(":")[0] ?? "";
-    return this.#units.get(name) ?? this.#units.get(part);
+    const parts = prompt.split(",").map((pair) => pair.split(":")[0] ?? "");
+    return [name, ...parts]
+      .map((unit) => this.#units.get(unit))
+      .find((unit) => unit !== undefined);
   }
 
   /** Crashes a server; it is back after some seconds. */
-  async crash(backend: Backend): Promise<void> {
+  async crash(backend: Backend, ending?: CrashEnd): Promise<void> {
     if (!backend.isRunning) return;
     const end = this.#calm.disturb(backend.id);
-    backend.crash();
+    backend.crash(ending);
     const down = maxDownTime - minDownTime;
     await sleep(minDownTime + this.#random() * down);
     if (!backend.isRunning && !this.#isOver) await backend.start();
     end();
   }
 
+  /** Parts of prompts that crash servers, with the crashes so far. */
+  get parts(): readonly Unit[] {
+    return [...this.#units.values()].filter(({ name }) =>
+      name.startsWith(partPrefix),
+    );
+  }
+
   /** Ends crashes and restarts at the end of a test. */
   close(): void {
     this.#isOver = true;
@@ -103,7 +119,7 @@
   /** Sends by machines in touch that came later than allowed. */
   findViolations(log: RequestLog): Violation[] {
     return [...this.#units.values()].flatMap((unit) => {
-      const { name, crashes, arrivals, toleratedCrashes } = unit;
+      const { name, manner, crashes, arrivals, toleratedCrashes } = unit;
       const last = crashes[toleratedCrashes - 1];
       if (last === undefined) return [];
       const late = arrivals.filter(
@@ -115,7 +131,7 @@
         const machine = log.find(requestId)?.machine;
         return `${machine} ${((at - last) / 1_000).toFixed(1)} s`;
       });
-      const detail = `${name}: ${crashes.length} crashes, ${late.length} sends late: ${sends.join(", ")}`;
+      const detail = `${name} ${JSON.stringify(manner)}: ${crashes.length} crashes, ${late.length} sends late: ${sends.join(", ")}`;
       return [{ rule: "sent on though it crashes servers", detail }];
     });
   }
--- a/tests/soak/disturbances.ts
+++ b/tests/soak/disturbances.ts
@@ -45,7 +45,7 @@
 const minServers = 2;
 /** Requests that crash servers, and the time between two of them, in ms. */
 const crashingCount = 80;
-const crashingInterval = 120;
+const crashingInterval = 250;
 
 /** Configuration with other limits and a route more. */
 const changedConfiguration = {
@@ -249,13 +249,19 @@
 
 const sendCrashingStreams: Disturbance = async ({ crashing, traffic }) => {
   const path = crashing.addRequest();
-  await repeat(() => traffic.sendCrashingStream(path, "aa0"));
+  const parts = traffic.drawParts();
+  await repeat(() => traffic.sendCrashingStream(path, parts));
 };
 
 const sendCrashingPrompts: Disturbance = async ({ crashing, traffic }) => {
   const part = crashing.addPart();
+  const [beginning = ""] = traffic.drawParts();
   let streams = 0;
-  await repeat(() => traffic.sendCrashingStream(`${part}-${streams++}`, part));
+  await repeat(() => {
+    const [, session = ""] = traffic.drawParts();
+    const parts = [beginning, part, session];
+    return traffic.sendCrashingStream(`${part}-${streams++}`, parts);
+  });
 };
 
 /** All kinds of disturbances by name. */
--- a/tests/soak/request_log.ts
+++ b/tests/soak/request_log.ts
@@ -19,6 +19,10 @@
   readonly maxAttempts: number;
   /** Whether it crashes servers, so that nobody misses its answer. */
   readonly isCrashing: boolean;
+  /** Shared parts of its prompt; none without a model. */
+  readonly parts?: readonly string[];
+  /** Whether it takes up a stream that broke off. */
+  readonly isTakeUp?: boolean;
 };
 
 /** How an attempt ended, and when. */
@@ -59,6 +63,11 @@
     return new RequestLog();
   }
 
+  /** All attempts that have ended. */
+  get ends(): readonly AttemptEnd[] {
+    return this.#ends;
+  }
+
   find(requestId: string): Attempt | undefined {
     return this.#attempts.get(requestId);
   }
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -22,10 +22,11 @@
 import { createBookingService, serveStream } from "./servers.ts";
 import { Standstills } from "./standstills.ts";
 import { Traffic } from "./traffic.ts";
+import { findWithheldStreams } from "./withheld_streams.ts";
 
 const usualMachineCount = 4;
 const bookingServers = 3;
-const engineCount = 4;
+const usualEngineCount = 4;
 /** Time for the first answer of each machine, in ms. */
 const startTime = 10_000;
 /** Limit of the platform for one process, in MB. */
@@ -46,6 +47,9 @@
   readonly logs?: string | undefined;
   /** Number of machines; callers and servers do not change with it. */
   readonly machineCount?: number | undefined;
+  /** Number of engines, and of streams a second. */
+  readonly engineCount?: number | undefined;
+  readonly streamRate?: number | undefined;
   /** Revision of the program that the machines start with; upgrades are then among the disturbances. */
   readonly earlier?: string | undefined;
 };
@@ -83,7 +87,7 @@
   const installation = await Installation.open();
   installation.onClose(() => crashing.close());
   try {
-    const windows = await addBackends(installation, records);
+    const windows = await addBackends(installation, records, options);
     const ends = watchEnds();
     const machines = await installation.addMachines(machineCount, {
       command: commands[0],
@@ -96,6 +100,7 @@
       requests,
       random,
       onRequest: (service, at) => windows.get(service)?.recordRequest(at),
+      streamRate: options.streamRate,
     });
     const { expectEnd } = ends;
     const scene = {
@@ -119,6 +124,12 @@
       ...observations.findViolations(),
       ...requests.findViolations(calm),
       ...crashing.findViolations(requests),
+      ...findWithheldStreams(crashing.parts, requests.ends, {
+        calm,
+        servers: installation.backends
+          .filter(({ service }) => service === "engines")
+          .map(({ id }) => id),
+      }),
       ...pauses.findViolations(requests),
     ];
     if (violations.length > 0) keepLogs(machines, options);
@@ -137,6 +148,7 @@
 async function addBackends(
   installation: Installation,
   records: Records,
+  { engineCount = usualEngineCount }: SoakOptions,
 ): Promise<ReadonlyMap<string, RetryWindow>> {
   const { observations, requests, crashing, pauses } = records;
   const windows = new Map(
--- a/tests/soak/traffic.ts
+++ b/tests/soak/traffic.ts
@@ -15,12 +15,13 @@
 /** Requests a second of each kind. */
 const lookupRate = 25;
 const bookingRate = 12;
-const streamRate = 6;
+const usualStreamRate = 6;
 /** Events of a stream. */
 export const eventCount = 40;
-/** Numbers of different lookups, and of shared parts of prompts. */
+/** Numbers of different lookups, of sessions, and of first parts that many sessions share. */
 const lookupCount = 24;
-const partCount = 24;
+const sessionCount = 24;
+const beginningCount = 3;
 /** Longest time that callers wait, in ms. */
 const serviceDeadline = 3_000;
 const streamDeadline = 10_000;
@@ -40,14 +41,16 @@
   readonly random: () => number;
   /** Called when a caller sends a request to a service. */
   readonly onRequest: (service: string, at: number) => void;
+  /** Streams a second; some without. */
+  readonly streamRate?: number | undefined;
 };
 
 /** What tells a stream from others. */
 type Prompt = {
   /** Name of the stream in its path. */
   readonly stream: string;
-  /** First part of its prompt. */
-  readonly part: string;
+  /** Shared parts of its prompt. */
+  readonly parts: readonly string[];
   /** Whether engines crash under it. */
   readonly isCrashing: boolean;
 };
@@ -67,7 +70,7 @@
     this.#loops = [
       this.#repeat(lookupRate, () => this.#look()),
       this.#repeat(bookingRate, () => this.#book()),
-      this.#repeat(streamRate, () => this.#stream()),
+      this.#repeat(options.streamRate ?? usualStreamRate, () => this.#stream()),
     ];
   }
 
@@ -177,18 +180,27 @@
 
   async #stream(): Promise<void> {
     this.#streams++;
-    await this.sendStream(`s${this.#streams}`, `aa${this.#draw(partCount)}`);
+    await this.sendStream(`s${this.#streams}`, this.drawParts());
+  }
+
+  /** Shared parts of a prompt: what many sessions begin with, and what belongs to one. */
+  drawParts(): readonly string[] {
+    const session = this.#draw(sessionCount);
+    return [`bb${session % beginningCount}`, `aa${session}`];
   }
 
   /** Sends a stream that crashes the engine which runs it, once. */
-  async sendCrashingStream(stream: string, part: string): Promise<void> {
-    await this.#sendStream({ stream, part, isCrashing: true }, {});
+  async sendCrashingStream(
+    stream: string,
+    parts: readonly string[],
+  ): Promise<void> {
+    await this.#sendStream({ stream, parts, isCrashing: true }, {});
   }
 
-  /** Sends a stream whose prompt begins with a part, and takes it up when it breaks off. */
-  async sendStream(stream: string, part: string): Promise<void> {
+  /** Sends a stream with these shared parts in its prompt, and takes it up when it breaks off. */
+  async sendStream(stream: string, parts: readonly string[]): Promise<void> {
     const { observations } = this.#options;
-    const prompt = { stream, part, isCrashing: false };
+    const prompt = { stream, parts, isCrashing: false };
     const first = await this.#attempt(prompt, {});
     observations.recordAnswer("stream", first);
     if (first.status !== 200 || first.isWhole) return;
@@ -226,19 +238,20 @@
     prompt: Prompt,
     headers: Record<string, string>,
   ): Promise<CallEnd> {
-    const { stream, part, isCrashing } = prompt;
+    const { stream, parts, isCrashing } = prompt;
     const machine = this.#choose();
     const isKept = this.#draw(2) === 0;
     return this.#send(
       {
-        ...{ machine, kind: "stream", subject: part },
-        ...{ maxAttempts: 2, isCrashing },
+        ...{ machine, kind: "stream", subject: parts.join(" ") },
+        ...{ maxAttempts: 2, isCrashing, parts },
+        isTakeUp: headers.resumes !== undefined,
       },
       {
         path: `/stream/${stream}`,
         deadline: streamDeadline,
         body: isCrashing ? "" : this.#drawBody(maxPromptBytes),
-        headers: { ...describePrompt("m0", part), ...headers },
+        headers: { ...describePrompt("m0", parts), ...headers },
         ...(isKept && { agent: this.#agents[machine] as Agent }),
       },
     );
