Ask whether a server has gone down when its answer ends with its connection

Cause: a server that crashes may end its connections regularly. An answer with neither a length nor chunks then looks complete: the request counted as sound, which cleared the crashes of its own part and left the other parts to blame. Its caller took a part of a stream for the whole. Class: the absence of an error is taken for evidence of success.

Change: links say whether a length or the connection ended a response; in the second case the attempt ends only once the server is known to be up, by the check that answers which break off already share. It costs a status request for each such answer.

Evidence: poison_guard_test, two cases failed before.

--- a/src/bench/pausing_fleet.ts
+++ b/src/bench/pausing_fleet.ts
@@ -79,7 +79,7 @@
               const now = this.#clock.now();
               const times = { openedAt: now, sentAt: now };
               sink.onHead({ status: 200, headers: [] }, times);
-              sink.onEnd();
+              sink.onEnd("length");
               return;
             }
             if (arrival === "paused") this.#notify(server);
--- a/src/node/gateway/requests/poison_guard.ts
+++ b/src/node/gateway/requests/poison_guard.ts
@@ -114,19 +114,23 @@
     server: BackendServer,
     units: readonly Digest[],
   ): Promise<void> {
-    const { crashes, poison, context } = this.#options;
-    // A paused server is not asked whether it has crashed.
-    if (context.availability.isPaused(server)) return;
     const digests = this.#selectReported(units);
-    if (digests.length === 0 || !(await crashes.isDown(server))) return;
-    if (context.reach.isLost) return;
-    poison.suspect({
+    if (digests.length === 0 || !(await this.hasCrashed(server))) return;
+    this.#options.poison.suspect({
       engine: brandString(server.id),
       boot: String(server.born ?? server.address),
       digests,
     });
   }
 
+  /** Whether a server whose answer has ended or broken off has gone down. */
+  async hasCrashed(server: BackendServer): Promise<boolean> {
+    const { crashes, context } = this.#options;
+    // A paused server is not asked whether it has crashed.
+    if (context.availability.isPaused(server)) return false;
+    return (await crashes.isDown(server)) && !context.reach.isLost;
+  }
+
   /** Units to report after a crash; of the parts that run well at many nodes, few nodes report them. */
   #selectReported(units: readonly Digest[]): Digest[] {
     const { context } = this.#options;
--- a/src/node/gateway/requests/proven_sink.ts
+++ b/src/node/gateway/requests/proven_sink.ts
@@ -1,5 +1,6 @@
 import type {
   AttemptTimes,
+  ResponseEnd,
   ResponseHead,
   ServerFailure,
   ServerResponseSink,
@@ -64,8 +65,8 @@
     this.#pass(() => this.#sink.onBytes(bytes));
   }
 
-  onEnd(): void {
-    this.#pass(() => this.#sink.onEnd());
+  onEnd(by: ResponseEnd): void {
+    this.#pass(() => this.#sink.onEnd(by));
   }
 
   onFailure(failure: ServerFailure): void {
--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -8,6 +8,7 @@
 import type { Permit } from "../servers/server_permits.ts";
 import type { StreamContinuation } from "../streams/stream_continuation.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
+import type { PoisonGuard } from "./poison_guard.ts";
 import type { RequestPlan } from "./request_intake.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { RequestRun } from "./request_run.ts";
@@ -34,6 +35,7 @@
   readonly usage: RequestUsage;
   readonly run: RequestRun;
   readonly log: RequestLog;
+  readonly guard: Pick<PoisonGuard, "hasCrashed">;
   /** Whether the request may still be written to a server. */
   readonly mayStart: () => boolean;
   /** Called in the turn in which the caller has the whole response. */
@@ -117,6 +119,7 @@
           this.#options.incarnations.recordAnswer(server, times);
           return continuation.provesServer(server, times.openedAt);
         },
+        hasCrashed: () => this.#options.guard.hasCrashed(server),
         onResult: (result) => {
           this.#attempt = undefined;
           usage.release();
--- a/src/node/gateway/requests/server_attempt.ts
+++ b/src/node/gateway/requests/server_attempt.ts
@@ -14,6 +14,7 @@
 } from "../../../core/gateway/stream_cursor.ts";
 import type {
   CallerSink,
+  ResponseEnd,
   ResponseHead,
   ServerFailure,
   ServerRequest,
@@ -61,6 +62,8 @@
   readonly sink: Pick<CallerSink, "start" | "write" | "end">;
   /** Whether the process that answers on a connection may answer the request; it is asked with the head. */
   readonly prove: ProveServer;
+  /** Whether the server has gone down; it is asked at the end of a response that its connection ends. */
+  readonly hasCrashed: () => Promise<boolean>;
   readonly onResult: (result: AttemptResult) => void;
 };
 
@@ -97,7 +100,7 @@
     const sink = {
       onHead: (head: ResponseHead) => attempt.#onHead(head),
       onBytes: (bytes: Uint8Array) => attempt.#onBytes(bytes),
-      onEnd: () => attempt.#onEnd(),
+      onEnd: (by: ResponseEnd) => attempt.#onEnd(by),
       onFailure: (failure: ServerFailure) => attempt.#onFailure(failure),
     };
     attempt.#proven = ProvenSink.create(sink, {
@@ -200,8 +203,21 @@
     this.#control?.pause();
   }
 
-  #onEnd(): void {
+  #onEnd(by: ResponseEnd): void {
     if (this.#ended) return;
+    if (by === "connection") void this.#completeUnlessCrashed();
+    else this.#complete();
+  }
+
+  /** Completes a response without a length, unless the connection ended because its server went down. */
+  async #completeUnlessCrashed(): Promise<void> {
+    const hasCrashed = await this.#options.hasCrashed();
+    if (this.#ended) return;
+    if (hasCrashed) this.#fail("The server went down at the end of its answer");
+    else this.#complete();
+  }
+
+  #complete(): void {
     const { cursor, sink } = this.#options;
     const head = this.#head as ResponseHead;
     if (this.#passesThrough) {
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -121,11 +121,14 @@
   readonly sentAt: Millis;
 };
 
+/** What tells that a response is complete: its length or last chunk, or no more than the end of its connection. */
+export type ResponseEnd = "length" | "connection";
+
 /** Receives the response to one attempt; `onEnd` and `onFailure` are final. */
 export type ServerResponseSink = {
   onHead(head: ResponseHead, times: AttemptTimes): void;
   onBytes(bytes: Uint8Array): void;
-  onEnd(): void;
+  onEnd(by: ResponseEnd): void;
   onFailure(failure: ServerFailure): void;
 };
 
--- a/tests/gateway/poison_guard_test.ts
+++ b/tests/gateway/poison_guard_test.ts
@@ -33,14 +33,24 @@
   return { answer, attempt };
 }
 
+/** How the node sees the end of an answer whose engine crashes. */
+type CrashView = (attempt: RecordedAttempt) => void;
+
+const breakOff: CrashView = (attempt) => attempt.fail("broken");
+const endConnection: CrashView = (attempt) => attempt.end("connection");
+
 /** The engine begins an answer, crashes and starts again. */
-async function crash(fixture: GatewayFixture, attempt?: RecordedAttempt) {
+async function crash(
+  fixture: GatewayFixture,
+  attempt?: RecordedAttempt,
+  showEnd: CrashView = breakOff,
+) {
   assert.ok(attempt, "the request was not sent");
   const { server } = attempt;
   fixture.downEngines.add(server);
   attempt.start();
   attempt.bytes("id: 1\n\n");
-  attempt.fail("broken");
+  showEnd(attempt);
   await fixture.advance(5);
   fixture.downEngines.delete(server);
   fixture.register({
@@ -49,10 +59,13 @@
   });
 }
 
-async function crashTwice(fixture: GatewayFixture): Promise<void> {
+async function crashTwice(
+  fixture: GatewayFixture,
+  showEnd?: CrashView,
+): Promise<void> {
   for (let crashes = 0; crashes < 2; crashes++) {
     const { attempt } = await open(fixture, deadly);
-    await crash(fixture, attempt);
+    await crash(fixture, attempt, showEnd);
   }
 }
 
@@ -86,6 +99,37 @@
   assert.equal((await open(fixture, deadly)).attempt, undefined);
 });
 
+// The end of an answer without a length looks like that of a whole one, and a part that
+// has been answered counts as sound: engine after engine crashed under it.
+test("a part is convicted also if its engines crash at the end of answers without a length", async () => {
+  const fixture = await createFixture();
+  await crashTwice(fixture, endConnection);
+  const { answer, attempt } = await open(fixture, deadly);
+  assert.equal(attempt, undefined);
+  assert.equal(answer.refusal?.code, "partWithheld");
+});
+
+// Its caller would take the part for the whole.
+test("an answer without a length whose engine crashes at its end is broken off", async () => {
+  const fixture = await createFixture();
+  const { answer, attempt } = await open(fixture, deadly);
+  await crash(fixture, attempt, endConnection);
+  assert.equal(answer.outcome, "aborted");
+});
+
+test("an answer without a length whose engine still works is whole and clears its parts", async () => {
+  const fixture = await createFixture();
+  await crash(fixture, (await open(fixture, deadly)).attempt);
+  const { answer, attempt } = await open(fixture, deadly);
+  attempt?.start();
+  attempt?.bytes("id: 1\n\n");
+  attempt?.end("connection");
+  await fixture.advance(100);
+  assert.equal(answer.outcome, "whole");
+  const next = [await open(fixture, deadly), await open(fixture, deadly)];
+  assert.ok(next.every((request) => request.attempt));
+});
+
 // Answers also break off at engines that go on working.
 test("an answer that breaks off at an engine that still works convicts no part", async () => {
   const fixture = await createFixture();
--- a/tests/gateway/recorded_exchange.ts
+++ b/tests/gateway/recorded_exchange.ts
@@ -4,6 +4,7 @@
 import type { Refusal } from "../../src/core/results/refusal.ts";
 import type {
   CallerSink,
+  ResponseEnd,
   ServerLinks,
   ServerRequest,
   ServerResponseSink,
@@ -71,8 +72,8 @@
   bytes(text: string): void {
     this.#sink.onBytes(new TextEncoder().encode(text));
   }
-  end(): void {
-    this.#sink.onEnd();
+  end(by: ResponseEnd = "length"): void {
+    this.#sink.onEnd(by);
   }
   answer(text: string, status = 200): void {
     this.start(status);
--- a/tests/gateway/stranded_node_test.ts
+++ b/tests/gateway/stranded_node_test.ts
@@ -33,7 +33,7 @@
       sink.onBytes(bytes);
       return true;
     },
-    end: () => sink.onEnd(),
+    end: () => sink.onEnd("length"),
     refuse: ({ outcome, detail }) => {
       const kind = outcome === "not-run" ? "not-run" : "broken";
       sink.onFailure({ kind, detail });
--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -12,12 +12,22 @@
   type MachineName,
   type ModelName,
 } from "../../src/core/ids.ts";
-import type { ProxiedRequest, ServerRequest } from "../../src/ports/gateway.ts";
+import type {
+  ProxiedRequest,
+  ResponseEnd,
+  ServerRequest,
+} from "../../src/ports/gateway.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
 import { createServer as describeServer } from "../gateway/gateway_values.ts";
 import { standStill } from "../support/stand_still.ts";
 
-type Result = { kind: string; status?: number; text: string; seen: string };
+type Result = {
+  kind: string;
+  status?: number;
+  text: string;
+  seen: string;
+  by?: ResponseEnd;
+};
 
 const sealed =
   "HTTP/1.1 200 OK\r\ngoldcrestwinch-request-id: r1\r\ngoldcrestwinch-server-seal: x.1\r\n";
@@ -83,7 +93,7 @@
         onBytes: (bytes) => {
           text += new TextDecoder().decode(bytes);
         },
-        onEnd: () => resolve({ kind: "whole", status, text, seen }),
+        onEnd: (by) => resolve({ kind: "whole", status, text, seen, by }),
         onFailure: ({ kind }) => resolve({ kind, status, text, seen }),
       },
     );
@@ -113,6 +123,21 @@
   assert.ok(seen.endsWith("\r\n\r\norder"));
 });
 
+const ends: Record<string, readonly [string, ResponseEnd]> = {
+  "a length": ["content-length: 1\r\n\r\nx", "length"],
+  chunks: ["transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", "length"],
+  "neither a length nor chunks": ["connection: close\r\n\r\nx", "connection"],
+};
+
+// Nothing but the end of its connection tells that the last of these is complete.
+for (const [name, [text, expected]] of Object.entries(ends)) {
+  test(`the end of an answer with ${name} is that of its ${expected}`, async () => {
+    const { kind, by } = await send(write(`${sealed}${text}`));
+    assert.equal(kind, "whole");
+    assert.equal(by, expected);
+  });
+}
+
 // The server can leave while the request waits for a connection.
 test("a request to a server that has left is not written to the connection", async () => {
   const { kind, seen } = await send(write(sealed), { isAccepted: () => false });
