Count a request as sound by the bytes of its answer, not by the time since the first

A server that goes down without a word leaves its connections open.

Cause and class: a time that passes is taken for work that is done.

Change: the run of an answer lasts from its first to its latest bytes, and a trial ends with the bytes that come a second after the first.

Evidence: poison_guard_test, a part whose servers become silent after one event was sent on after two crashes before the change.

--- a/src/node/gateway/requests/poison_admission.ts
+++ b/src/node/gateway/requests/poison_admission.ts
@@ -1,12 +1,11 @@
-import type { Cancel, Clock, Millis } from "../../../core/clock.ts";
-import { millis } from "../../../core/clock.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { Digest } from "../../../core/ids.ts";
 import { listUnits, type RequestContent } from "../../../core/poison/units.ts";
 import type { PoisonGuard, PoisonTrial } from "./poison_guard.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
-/** Time for which an answer must have run to show that its request crashes no server, in ms. */
+/** Time for which bytes of an answer must have come to show that its request crashes no server, in ms. */
 const soundRunTime = millis(1_000);
 
 /** What an admission needs of the guard. */
@@ -20,26 +19,17 @@
   readonly #guard: Guard;
   readonly #content: RequestContent;
   readonly #units: readonly Digest[];
-  readonly #clock: Clock;
   #trial: PoisonTrial | undefined;
-  #cancelProof: Cancel = () => {};
   #recorded: Promise<void> = Promise.resolve();
 
-  private constructor(
-    guard: Guard,
-    options: { content: RequestContent; clock: Clock },
-  ) {
+  private constructor(guard: Guard, content: RequestContent) {
     this.#guard = guard;
-    this.#content = options.content;
-    this.#units = listUnits(options.content);
-    this.#clock = options.clock;
+    this.#content = content;
+    this.#units = listUnits(content);
   }
 
-  static create(
-    guard: Guard,
-    options: { content: RequestContent; clock: Clock },
-  ): PoisonAdmission {
-    return new PoisonAdmission(guard, options);
+  static create(guard: Guard, content: RequestContent): PoisonAdmission {
+    return new PoisonAdmission(guard, content);
   }
 
   get isConvicted(): boolean {
@@ -66,12 +56,10 @@
     return this.#guard.maySend(this.#units, this.#trial);
   }
 
-  /** Ends a trial once the answer has run for long enough. */
-  recordStart(): void {
-    if (this.#trial === undefined) return;
-    this.#cancelProof = this.#clock.schedule(soundRunTime, () =>
-      this.recordWhole(),
-    );
+  /** Ends a trial once bytes of the answer have come for long enough. */
+  recordRun(runTime: Millis): void {
+    if (this.#trial === undefined || runTime < soundRunTime) return;
+    this.recordWhole();
   }
 
   /** Records a whole answer. */
@@ -82,7 +70,6 @@
 
   /** Records how an attempt without a whole answer ended. */
   recordFailure({ end, runTime }: AttemptResult, server: BackendServer): void {
-    this.#cancelProof();
     const hasBegun = runTime !== undefined;
     if (hasBegun && runTime >= soundRunTime)
       return this.#guard.recordSound(this.#units);
@@ -94,7 +81,6 @@
 
   /** Ends the trial of the request, if it holds one. */
   end(): void {
-    this.#cancelProof();
     const trial = this.#trial;
     this.#trial = undefined;
     // The next trial must know of the crash that this one has caused.
--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -38,6 +38,8 @@
   readonly guard: Pick<PoisonGuard, "hasCrashed">;
   /** Whether the request may still be written to a server. */
   readonly mayStart: () => boolean;
+  /** Called with bytes of a response, and with the time since the first ones of its server. */
+  readonly onRun: (runTime: Millis) => void;
   /** Called in the turn in which the caller has the whole response. */
   readonly onWhole: (server: BackendServer) => void;
 };
@@ -119,6 +121,7 @@
           this.#options.incarnations.recordAnswer(server, times);
           return continuation.provesServer(server, times.openedAt);
         },
+        onRun: this.#options.onRun,
         hasCrashed: () => this.#options.guard.hasCrashed(server),
         onResult: (result) => {
           this.#attempt = undefined;
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -84,25 +84,21 @@
     const { request, plan } = options;
     const { route } = plan;
     this.#log = RequestLog.create(options.context, { request, route });
-    const { clock } = options.context.dependencies;
     this.#usage = RequestUsage.create(options.usage, request.demand);
     this.#run = RequestRun.create(options.context, plan.kind);
-    this.#prompt = PoisonAdmission.create(options.guard, {
-      content: describeContent(request),
-      clock,
-    });
+    this.#prompt = PoisonAdmission.create(
+      options.guard,
+      describeContent(request),
+    );
     this.#continuation = StreamContinuation.create(options.streams, options);
     this.#forwarder = ResponseForwarder.create(options.sink, {
-      clock,
+      clock: options.context.dependencies.clock,
       onFirstBytes: () => {
         const { server, openedAt } = this.#sends;
         if (server !== undefined)
           this.#continuation.recordEvents(server, openedAt);
       },
-      onStart: () => {
-        this.#usage.trackRun();
-        this.#prompt.recordStart();
-      },
+      onStart: () => this.#usage.trackRun(),
     });
     this.#relay = RequestRelay.create({ ...options, sink: this.#forwarder });
     this.#wait = RequestWait.create({
@@ -125,6 +121,7 @@
       run: this.#run,
       log: this.#log,
       mayStart: () => !this.#ended && !this.#wait.isTooLateToStart(),
+      onRun: (runTime) => this.#prompt.recordRun(runTime),
       onWhole: (server) => this.#recordWhole(server),
     });
   }
--- a/src/node/gateway/requests/server_attempt.ts
+++ b/src/node/gateway/requests/server_attempt.ts
@@ -37,7 +37,7 @@
   readonly detail: string;
   /** Response of the server, which is forwarded if it is an error that is not retried. */
   readonly head: ResponseHead | undefined;
-  /** Time since the first bytes of the body, or 0 if there were none, in ms; undefined without a head. */
+  /** Time from the first to the latest bytes of the body, or 0 if there were none, in ms; undefined without a head. */
   readonly runTime: Millis | undefined;
   readonly body: readonly Uint8Array[];
 };
@@ -64,6 +64,8 @@
   readonly prove: ProveServer;
   /** Whether the server has gone down; it is asked at the end of a response that its connection ends. */
   readonly hasCrashed: () => Promise<boolean>;
+  /** Called with bytes of the body, and with the time since the first ones. */
+  readonly onRun: (runTime: Millis) => void;
   readonly onResult: (result: AttemptResult) => void;
 };
 
@@ -81,8 +83,9 @@
   #share: BudgetShare | undefined;
   #head: ResponseHead | undefined;
   #passesThrough = false;
-  /** Time of the first bytes of the body. */
+  /** Times of the first and the latest bytes of the body. */
   #bodyAt: Millis | undefined;
+  #latestAt = millis(0);
   #control: ServerRequestControl | undefined;
   #proven: ProvenSink | undefined;
   #ended = false;
@@ -161,7 +164,9 @@
   #onBytes(bytes: Uint8Array): void {
     if (this.#ended) return;
     this.#options.context.reach.recordAnswer(this);
-    this.#bodyAt ??= this.#options.context.now();
+    this.#latestAt = this.#options.context.now();
+    this.#bodyAt ??= this.#latestAt;
+    this.#options.onRun(this.#runTime);
     if (!this.#passesThrough) {
       return this.#buffer(bytes);
     }
@@ -265,18 +270,23 @@
     });
     const hasFailed = end.kind === "unreachable" || end.kind === "broken";
     context.reach.recordEnd(this, hasFailed);
-    const now = context.now();
     if (end.kind === "whole") {
       const { id } = serverRequest.server;
-      recordCallResult(context.health, id, { result: "good", now });
+      const result = { result: "good", now: context.now() } as const;
+      recordCallResult(context.health, id, result);
       context.availability.recordServed(serverRequest.server);
     }
     const head = this.#head;
-    const runTime =
-      head && millis(this.#bodyAt === undefined ? 0 : now - this.#bodyAt);
+    const runTime = head && this.#runTime;
     onResult({ end, detail, head, runTime, body: this.#buffered });
   }
 
+  get #runTime(): Millis {
+    return millis(
+      this.#bodyAt === undefined ? 0 : this.#latestAt - this.#bodyAt,
+    );
+  }
+
   #close(): void {
     this.#ended = true;
     this.#proven?.close();
--- a/tests/gateway/poison_admission_test.ts
+++ b/tests/gateway/poison_admission_test.ts
@@ -36,10 +36,7 @@
           });
         }),
     },
-    {
-      content: { parts: [brandString("deadly")], request: brandString("r") },
-      clock,
-    },
+    { parts: [brandString("deadly")], request: brandString("r") },
   );
   await admission.wait(millis(10_000), () => false);
   return { admission, clock, sound, broken, isHeld: () => isHeld };
@@ -49,8 +46,7 @@
 // its request may live on while its node finds out where the stream may go on.
 test("a trial that has crashed its engine does not clear the part a second after its start", async () => {
   const { admission, clock, sound, broken } = await admitTrial();
-  admission.recordStart();
-  await clock.advance(millis(40));
+  admission.recordRun(millis(40));
   const end = { kind: "broken" } as const;
   const result = { end, detail: "", head: undefined, body: [] };
   const runTime = millis(40);
@@ -61,9 +57,11 @@
 });
 
 test("a trial whose answer has run for a second clears the part", async () => {
-  const { admission, clock, sound, isHeld } = await admitTrial();
-  admission.recordStart();
-  await clock.advance(millis(1_000));
+  const { admission, sound, isHeld } = await admitTrial();
+  admission.recordRun(millis(960));
+  assert.deepEqual(sound, []);
+  admission.recordRun(millis(1_000));
+  await Promise.resolve();
   assert.deepEqual(sound, ["deadly", "r"]);
   assert.equal(isHeld(), false);
 });
--- a/tests/gateway/poison_guard_test.ts
+++ b/tests/gateway/poison_guard_test.ts
@@ -130,6 +130,27 @@
   assert.ok(next.every((request) => request.attempt));
 });
 
+// An engine that goes down without a word leaves the connection open: the silence after its
+// first events counted as a run without a crash.
+test("a part is convicted also if its engines become silent at once and are found down later", async () => {
+  const fixture = await createFixture();
+  const silence = 2_000;
+  for (let crashes = 0; crashes < 2; crashes++) {
+    const { attempt } = await open(fixture, deadly);
+    assert.ok(attempt, "the request was not sent");
+    fixture.downEngines.add(attempt.server);
+    attempt.start();
+    attempt.bytes("id: 1\n\n");
+    await fixture.advance(silence);
+    attempt.fail("broken");
+    await fixture.advance(5);
+    fixture.downEngines.delete(attempt.server);
+    const born = fixture.clock.now();
+    fixture.register({ ...createEngine(attempt.server, ["a1"]), born });
+  }
+  assert.equal((await open(fixture, deadly)).attempt, undefined);
+});
+
 // Answers also break off at engines that go on working.
 test("an answer that breaks off at an engine that still works convicts no part", async () => {
   const fixture = await createFixture();
