Clear the parts of each request whose answer has run for a second, not of trials only

Sound streams with the same first part as one that crashes engines were refused (LOST): the shared part had a crash for each of them.

Cause: an answer counted as evidence only once it was whole, or on a trial. A stream lasts for seconds, and those of engines that crash never become whole. Class: evidence that exists is used on one path only.

Change: bytes that come a second after the first clear the parts of any request.

Evidence: poison_guard_test, the case of two streams that share their parts failed before.

--- a/src/node/gateway/requests/poison_admission.ts
+++ b/src/node/gateway/requests/poison_admission.ts
@@ -20,6 +20,7 @@
   readonly #content: RequestContent;
   readonly #units: readonly Digest[];
   #trial: PoisonTrial | undefined;
+  #hasRun = false;
   #recorded: Promise<void> = Promise.resolve();
 
   private constructor(guard: Guard, content: RequestContent) {
@@ -47,6 +48,7 @@
     const admission = await this.#guard.admit(this.#units, { until, hasEnded });
     if (admission.kind !== "admitted") return admission.kind;
     this.#trial = admission.trial;
+    this.#hasRun = false;
     if (hasEnded()) this.end();
     return undefined;
   }
@@ -56,9 +58,10 @@
     return this.#guard.maySend(this.#units, this.#trial);
   }
 
-  /** Ends a trial once bytes of the answer have come for long enough. */
+  /** Records once that bytes of an answer have come for long enough, and ends the trial of the request. */
   recordRun(runTime: Millis): void {
-    if (this.#trial === undefined || runTime < soundRunTime) return;
+    if (this.#hasRun || runTime < soundRunTime) return;
+    this.#hasRun = true;
     this.recordWhole();
   }
 
--- a/tests/gateway/poison_guard_test.ts
+++ b/tests/gateway/poison_guard_test.ts
@@ -176,6 +176,22 @@
   assert.equal(fixture.lastAttempt().cancelled, false);
 });
 
+// Answers that are still running when others crash their engines are often the only sign that
+// a part which all of them share is sound.
+test("an answer that goes on after the crash of another engine clears the parts that both share", async () => {
+  const fixture = await createFixture();
+  const running = await open(fixture, sound);
+  running.attempt?.start();
+  running.attempt?.bytes("id: 1\n\n");
+  fixture.reportCrash([...sound], ["e8/1", "e9/1"]);
+  await fixture.advance(1_000);
+  assert.equal((await open(fixture, sound)).attempt, undefined);
+  running.attempt?.bytes("id: 2\n\n");
+  const next = await open(fixture, sound);
+  assert.ok(next.attempt, "the shared parts are still refused");
+  assert.equal(running.answer.outcome, "open");
+});
+
 // Otherwise the trials of all requests of one tenant would wait for each other.
 test("a part that is known to be sound is not on trial with the others", async () => {
   const fixture = await createFixture();
