Do not blame a sound part for crashes that several other parts explain

While several parts crash engines behind one that many prompts share, all prompts with the shared part were refused, also after the crashes had ended (LOST).

Cause: a part that had run well was no longer taken for sound after crashes at three moments, and a single other part had to have all its crashes to take the blame. Class: the explanations are compared one by one, not together.

Change: crashes of units that have enough of them for a conviction, and have not run well, do not count against a part that has.

Evidence: assessment_test, two parts with two crashes each behind a sound one: convicted before, unknown now; the two parts are convicted in both.

--- a/src/core/poison/assessment.ts
+++ b/src/core/poison/assessment.ts
@@ -9,7 +9,7 @@
 import type { PoisonEntry, PoisonState } from "./registry.ts";
 import { isRequestDigest } from "./units.ts";
 
-/** Moments with crashes from which a unit that has run well recently is no longer taken for sound. */
+/** Moments with crashes, and crashes that no other unit explains, from which a unit that has run well recently is no longer taken for sound. */
 const momentsAgainstSound = 3;
 /** Time for which such a unit must have had open crashes, in ms; a sound one is cleared by then. */
 const minSuspicionOfSound = 1_500;
@@ -72,19 +72,42 @@
     if (entry === undefined) continue;
     const crashes = listOpenCrashes(entry.record);
     if (crashes.length === 0) continue;
-    if (context.isKnownSound(unit) && !contradictsSound(entry, context.now))
+    const suspect = { unit, crashes, entry };
+    if (
+      context.isKnownSound(unit) &&
+      !contradictsSound(suspect, state, context)
+    )
       continue;
-    suspects.push({ unit, crashes, entry });
+    suspects.push(suspect);
   }
   return suspects;
 }
 
 /** Whether the crashes outweigh that the unit has run well recently. */
-function contradictsSound(entry: PoisonEntry, now: Millis): boolean {
-  return (
-    entry.crashMoments >= momentsAgainstSound &&
-    now >= entry.suspectedAt + minSuspicionOfSound
-  );
+function contradictsSound(
+  { crashes, entry }: Suspect,
+  state: PoisonState,
+  context: UnitsContext,
+): boolean {
+  if (entry.crashMoments < momentsAgainstSound) return false;
+  if (context.now < entry.suspectedAt + minSuspicionOfSound) return false;
+  const explained = collectExplained(state, context);
+  const unexplained = crashes.filter((crash) => !explained.has(crash));
+  return unexplained.length >= momentsAgainstSound;
+}
+
+/** Crashes of units that have enough of them for a conviction and have not run well recently. */
+function collectExplained(
+  { entries }: PoisonState,
+  { isKnownSound }: UnitsContext,
+): ReadonlySet<string> {
+  const explained = new Set<string>();
+  for (const [unit, { record }] of entries) {
+    const crashes = listOpenCrashes(record);
+    if (crashes.length < crashesToConvict || isKnownSound(unit)) continue;
+    for (const crash of crashes) explained.add(crash);
+  }
+  return explained;
 }
 
 /** Time from which a convicted suspect may be tried. */
--- a/tests/poison/assessment_test.ts
+++ b/tests/poison/assessment_test.ts
@@ -87,6 +87,23 @@
   assert.equal(node.assess([first], { sound, at: 21_500 }), "convicted");
 });
 
+// Several parts that crash engines stand behind one that many share: it ran at all of their crashes.
+test("a part that is known to be sound is not convicted for crashes that several other parts explain", () => {
+  const node = createNode();
+  const sound = [first];
+  const parts = [deadly, second];
+  for (const [at, part] of parts.entries())
+    for (const attempt of [0, 1])
+      node.crash(
+        `e${at}/${attempt}`,
+        [first, part],
+        1_000 * (2 * at + attempt),
+      );
+  assert.equal(node.assess([first, other], { sound, at: 4_500 }), "unknown");
+  for (const part of parts)
+    assert.equal(node.assess([first, part], { sound, at: 4_500 }), "convicted");
+});
+
 test("a convicted part may be tried again, the later the more trials have crashed engines", () => {
   const node = createNode();
   node.crash("e1/1", [deadly]);
