Leave the trial of convicted parts to requests that can tell them apart

After a conviction any request could be the trial.

Cause: trials are given to the first who asks, whether or not its result tells the suspects apart. Class: an experiment without a control.

Change: a request that holds all units which may have caused the crashes waits 300 ms before it claims the trial; a request with fewer of them comes first.

Evidence: poison_guard_test, the sound request came second before the change.

--- a/src/core/poison/assessment.ts
+++ b/src/core/poison/assessment.ts
@@ -40,9 +40,7 @@
 ): PoisonStatus {
   const suspects = listSuspects(state, units, context);
   if (suspects.length === 0) return "unknown";
-  const others = listSuspects(state, state.entries.keys(), context).filter(
-    ({ unit }) => !units.includes(unit),
-  );
+  const others = listOthers(state, units, context);
   let status: PoisonStatus = "unknown";
   for (const suspect of suspects) {
     const rivals = others.filter(({ crashes }) => covers(crashes, suspect));
@@ -60,6 +58,33 @@
   return status;
 }
 
+/** Whether a request holds several units that each may have caused the same crashes, and all of these: a crash under it would not tell them apart. */
+export function isAmbiguous(
+  state: PoisonState,
+  units: readonly Digest[],
+  context: UnitsContext,
+): boolean {
+  const suspects = listSuspects(state, units, context);
+  if (suspects.length < 2) return false;
+  const others = listOthers(state, units, context);
+  return suspects.some(
+    (suspect) =>
+      hasConvicting(suspect) &&
+      !others.some(({ crashes }) => covers(crashes, suspect)),
+  );
+}
+
+/** Suspects that a request with these units does not hold. */
+function listOthers(
+  state: PoisonState,
+  units: readonly Digest[],
+  context: UnitsContext,
+): Suspect[] {
+  return listSuspects(state, state.entries.keys(), context).filter(
+    ({ unit }) => !units.includes(unit),
+  );
+}
+
 /** Those of the units that may have caused crashes. */
 function listSuspects(
   state: PoisonState,
--- a/src/node/gateway/requests/poison_guard.ts
+++ b/src/node/gateway/requests/poison_guard.ts
@@ -27,6 +27,8 @@
 
 /** Interval at which a request waits for the result of a trial, in ms. */
 const pollInterval = millis(40);
+/** Time for which a request that holds all suspects leaves their trial to one that holds fewer, in ms. */
+const yieldTime = 300;
 /** Time for claims of other nodes that cross that of a trial to arrive, in ms. */
 const claimTime = millis(60);
 
@@ -84,11 +86,13 @@
     { until, hasEnded }: { until: Millis; hasEnded: () => boolean },
   ): Promise<PoisonDecision> {
     const { clock } = this.#options.context.dependencies;
+    const yieldUntil = this.#now() + yieldTime;
     for (;;) {
       const status = this.assess(units);
       if (status === "unknown") return { kind: "admitted", trial: undefined };
       if (status === "convicted") return { kind: "convicted" };
-      const trial = await this.#startTrial(units);
+      const yields = this.#now() < yieldUntil && this.#isAmbiguous(units);
+      const trial = yields ? undefined : await this.#startTrial(units);
       if (trial !== undefined) return { kind: "admitted", trial };
       if (hasEnded() || this.#now() + pollInterval >= until)
         return { kind: "late" };
@@ -156,6 +160,11 @@
     this.#options.poison.receiveBroadcast(digest, record);
   }
 
+  #isAmbiguous(units: readonly Digest[]): boolean {
+    const { poison } = this.#options;
+    return poison.isAmbiguous(units, (unit) => this.#isSound(unit));
+  }
+
   /** Claims the trial of the suspects among the units; undefined if another node has it. */
   async #startTrial(
     units: readonly Digest[],
--- a/src/node/poison_manager.ts
+++ b/src/node/poison_manager.ts
@@ -6,7 +6,7 @@
   type Digest,
   type RowKey,
 } from "../core/ids.ts";
-import { assessUnits } from "../core/poison/assessment.ts";
+import { assessUnits, isAmbiguous } from "../core/poison/assessment.ts";
 import {
   deriveStatus,
   emptyRecord,
@@ -113,7 +113,7 @@
   }
 
   findSuspicion(digest: Digest): Suspicion {
-    const status = statusOf(this.#actor.getSnapshot().context, digest);
+    const status = statusOf(this.#state, digest);
     return status === "unknown" ? "none" : status;
   }
 
@@ -123,8 +123,20 @@
     isKnownSound: (unit: Digest) => boolean,
   ): PoisonStatus {
     const now = this.#options.clock.now();
-    const state = this.#actor.getSnapshot().context;
-    return assessUnits(state, units, { now, isKnownSound });
+    return assessUnits(this.#state, units, { now, isKnownSound });
+  }
+
+  /** Whether a crash under a request would not tell which of its units caused those before. */
+  isAmbiguous(
+    units: readonly Digest[],
+    isKnownSound: (unit: Digest) => boolean,
+  ): boolean {
+    const now = this.#options.clock.now();
+    return isAmbiguous(this.#state, units, { now, isKnownSound });
+  }
+
+  get #state(): PoisonState {
+    return this.#actor.getSnapshot().context;
   }
 
   /** Whether the record of the content goes to all nodes. */
@@ -209,7 +221,7 @@
     if (this.#stopped) return;
     const digest = brandString<Digest>(key.slice(poisonRowPrefix.length));
     parsePoisonRecord(value).ifRight((record) => {
-      const { entries } = this.#actor.getSnapshot().context;
+      const { entries } = this.#state;
       const known = entries.get(digest)?.record ?? emptyRecord;
       if (mergeRecords(record, known) === record) this.#missing.delete(digest);
       this.#actor.send({ type: "record-received", digest, record, from });
@@ -219,7 +231,7 @@
   /** Writes the convictions again that a restored table lacks, unless another node does so first. */
   #rewriteMissing(rows: readonly Row[]): void {
     const { clock, random } = this.#options;
-    const { entries } = this.#actor.getSnapshot().context;
+    const { entries } = this.#state;
     const stored = new Map(
       rows.map(({ key, value }) => [key, parsePoisonRecord(value)]),
     );
--- a/tests/gateway/poison_guard_test.ts
+++ b/tests/gateway/poison_guard_test.ts
@@ -192,6 +192,22 @@
   assert.equal(running.answer.outcome, "open");
 });
 
+// Each trial that crashed an engine put off the next one of the parts that sound requests share.
+test("a convicted part that sound requests share is tried by one of those, not by one with further suspects", async () => {
+  const fixture = await createFixture();
+  await crashTwice(fixture);
+  await fixture.advance(4_000);
+  const repeated = await open(fixture, deadly);
+  assert.equal(repeated.attempt, undefined);
+  await fixture.advance(100);
+  const { attempt } = await open(fixture, ["tenant"]);
+  assert.ok(attempt, "the sound request is not tried");
+  attempt.answer("id: 1\n\n");
+  const before = fixture.attempts.length;
+  await fixture.advance(500);
+  assert.equal(fixture.attempts.length, before + 1, "the other is tried later");
+});
+
 // Otherwise the trials of all requests of one tenant would wait for each other.
 test("a part that is known to be sound is not on trial with the others", async () => {
   const fixture = await createFixture();
