Let several heavier suspects explain the crashes of a part together

Change: a unit is explained if each of its crashes also stands against a unit with more crashes. The order by number keeps two from explaining each other.

Evidence: assessment_test, convicted before, unknown now; a crash of its own convicts the part as before.

--- a/src/core/poison/assessment.ts
+++ b/src/core/poison/assessment.ts
@@ -44,7 +44,7 @@
   let status: PoisonStatus = "unknown";
   for (const suspect of suspects) {
     const rivals = others.filter(({ crashes }) => covers(crashes, suspect));
-    if (rivals.some((rival) => explains(rival, suspect))) {
+    if (isExplained(suspect, others)) {
       // Many sound requests share a part; of a whole request few copies wait.
       if (isRequestDigest(suspect.unit) && hasConvicting(suspect))
         status = "suspect";
@@ -150,9 +150,15 @@
   return suspect.crashes.every((crash) => crashes.includes(crash));
 }
 
-/** Whether a rival that has all crashes of a suspect is the likelier cause of them. */
-function explains(rival: Suspect, suspect: Suspect): boolean {
-  return hasConvicting(rival) && rival.crashes.length > suspect.crashes.length;
+/** Whether each crash of a suspect has a likelier cause among the others. */
+function isExplained(suspect: Suspect, others: readonly Suspect[]): boolean {
+  const likelier = others.filter(
+    (other) =>
+      hasConvicting(other) && other.crashes.length > suspect.crashes.length,
+  );
+  return suspect.crashes.every((crash) =>
+    likelier.some(({ crashes }) => crashes.includes(crash)),
+  );
 }
 
 /** Whether a suspect has as many crashes as a conviction needs. */
--- a/tests/poison/assessment_test.ts
+++ b/tests/poison/assessment_test.ts
@@ -104,6 +104,20 @@
     assert.equal(node.assess([first, part], { sound, at: 4_500 }), "convicted");
 });
 
+// A session ran at the crashes of two parts, of which each has crashed more engines.
+test("a part whose crashes other parts with more of them explain together is not convicted", () => {
+  const node = createNode();
+  for (const [at, part] of [deadly, second].entries()) {
+    node.crash(`e${at}/1`, [first, part], 1_000 * at);
+    node.crash(`e${at}/2`, [part], 1_000 * at + 200);
+    node.crash(`e${at}/3`, [part], 1_000 * at + 400);
+  }
+  assert.equal(node.assess([first], { at: 2_000 }), "unknown");
+  assert.equal(node.assess([first, deadly], { at: 2_000 }), "convicted");
+  node.crash("e9/1", [first], 2_000);
+  assert.equal(node.assess([first], { at: 2_000 }), "convicted");
+});
+
 test("a convicted part may be tried again, the later the more trials have crashed engines", () => {
   const node = createNode();
   node.crash("e1/1", [deadly]);
