Try units that several others explain one at a time instead of freely

Change: only a single other unit that has all crashes lets a unit run freely; one that several explain together is tried by one node at a time.

--- a/src/core/poison/assessment.ts
+++ b/src/core/poison/assessment.ts
@@ -44,13 +44,16 @@
   let status: PoisonStatus = "unknown";
   for (const suspect of suspects) {
     const rivals = others.filter(({ crashes }) => covers(crashes, suspect));
-    if (isExplained(suspect, others)) {
+    if (rivals.some((rival) => isLikelier(rival, suspect))) {
       // Many sound requests share a part; of a whole request few copies wait.
       if (isRequestDigest(suspect.unit) && hasConvicting(suspect))
         status = "suspect";
       continue;
     }
-    const isConvicted = rivals.length === 0 && hasConvicting(suspect);
+    const isConvicted =
+      rivals.length === 0 &&
+      hasConvicting(suspect) &&
+      !isExplained(suspect, others);
     if (isConvicted && context.now < findTrialTime(suspect, others))
       return "convicted";
     status = "suspect";
@@ -150,12 +153,14 @@
   return suspect.crashes.every((crash) => crashes.includes(crash));
 }
 
+/** Whether a suspect that shares crashes with another one is the likelier cause of them. */
+function isLikelier(rival: Suspect, suspect: Suspect): boolean {
+  return hasConvicting(rival) && rival.crashes.length > suspect.crashes.length;
+}
+
 /** Whether each crash of a suspect has a likelier cause among the others. */
 function isExplained(suspect: Suspect, others: readonly Suspect[]): boolean {
-  const likelier = others.filter(
-    (other) =>
-      hasConvicting(other) && other.crashes.length > suspect.crashes.length,
-  );
+  const likelier = others.filter((other) => isLikelier(other, suspect));
   return suspect.crashes.every((crash) =>
     likelier.some(({ crashes }) => crashes.includes(crash)),
   );
--- a/tests/poison/assessment_test.ts
+++ b/tests/poison/assessment_test.ts
@@ -105,14 +105,14 @@
 });
 
 // A session ran at the crashes of two parts, of which each has crashed more engines.
-test("a part whose crashes other parts with more of them explain together is not convicted", () => {
+test("a part whose crashes other parts with more of them explain together is tried, not convicted", () => {
   const node = createNode();
   for (const [at, part] of [deadly, second].entries()) {
     node.crash(`e${at}/1`, [first, part], 1_000 * at);
     node.crash(`e${at}/2`, [part], 1_000 * at + 200);
     node.crash(`e${at}/3`, [part], 1_000 * at + 400);
   }
-  assert.equal(node.assess([first], { at: 2_000 }), "unknown");
+  assert.equal(node.assess([first], { at: 2_000 }), "suspect");
   assert.equal(node.assess([first, deadly], { at: 2_000 }), "convicted");
   node.crash("e9/1", [first], 2_000);
   assert.equal(node.assess([first], { at: 2_000 }), "convicted");
