Take the endings of a request out of its task, and split the tests of the guard

The tests of how a crash looks to a node have a file of their own, with the set-up that both share.

The crashes that other units explain are collected once an assessment, instead of once for each sound unit in doubt. No behaviour changes.

--- a/src/core/poison/assessment.ts
+++ b/src/core/poison/assessment.ts
@@ -9,8 +9,9 @@
 import type { PoisonEntry, PoisonState } from "./registry.ts";
 import { isRequestDigest } from "./units.ts";
 
-/** Moments with crashes, and crashes that no other unit explains, from which a unit that has run well recently is no longer taken for sound. */
+/** Moments with crashes, and crashes without another explanation, from which a unit that has run well recently is no longer taken for sound. */
 const momentsAgainstSound = 3;
+const crashesAgainstSound = 3;
 /** Time for which such a unit must have had open crashes, in ms; a sound one is cleared by then. */
 const minSuspicionOfSound = 1_500;
 
@@ -95,33 +96,38 @@
   context: UnitsContext,
 ): Suspect[] {
   const suspects: Suspect[] = [];
+  let explained: ReadonlySet<string> | undefined;
   for (const unit of units) {
     const entry = state.entries.get(unit);
     if (entry === undefined) continue;
     const crashes = listOpenCrashes(entry.record);
     if (crashes.length === 0) continue;
     const suspect = { unit, crashes, entry };
-    if (
-      context.isKnownSound(unit) &&
-      !contradictsSound(suspect, state, context)
-    )
-      continue;
+    if (context.isKnownSound(unit)) {
+      if (!outlastsSound(entry, context.now)) continue;
+      explained ??= collectExplained(state, context);
+      if (!hasUnexplained(suspect, explained)) continue;
+    }
     suspects.push(suspect);
   }
   return suspects;
 }
 
-/** Whether the crashes outweigh that the unit has run well recently. */
-function contradictsSound(
-  { crashes, entry }: Suspect,
-  state: PoisonState,
-  context: UnitsContext,
+/** Whether crashes have gone on for longer than it takes a sound unit to be cleared. */
+function outlastsSound(entry: PoisonEntry, now: Millis): boolean {
+  return (
+    entry.crashMoments >= momentsAgainstSound &&
+    now >= entry.suspectedAt + minSuspicionOfSound
+  );
+}
+
+/** Whether enough crashes for doubt in a sound unit have no other explanation. */
+function hasUnexplained(
+  { crashes }: Suspect,
+  explained: ReadonlySet<string>,
 ): boolean {
-  if (entry.crashMoments < momentsAgainstSound) return false;
-  if (context.now < entry.suspectedAt + minSuspicionOfSound) return false;
-  const explained = collectExplained(state, context);
   const unexplained = crashes.filter((crash) => !explained.has(crash));
-  return unexplained.length >= momentsAgainstSound;
+  return unexplained.length >= crashesAgainstSound;
 }
 
 /** Crashes of units that have enough of them for a conviction and have not run well recently. */
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -6,7 +6,7 @@
 } from "../../../core/gateway/retry_decision.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import { StreamCursor } from "../../../core/gateway/stream_cursor.ts";
-import { type Refusal, refuse } from "../../../core/results/refusal.ts";
+import { refuse } from "../../../core/results/refusal.ts";
 import type { CallerSink, ProxiedRequest } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
 import type { EngineUsageCounter } from "../engines/engine_usage.ts";
@@ -21,19 +21,15 @@
 import { PoisonAdmission } from "./poison_admission.ts";
 import type { PoisonGuard } from "./poison_guard.ts";
 import { describeContent } from "./request_content.ts";
+import { RequestEnding } from "./request_ending.ts";
 import type { RequestPlan } from "./request_intake.ts";
 import { RequestLog } from "./request_log.ts";
 import {
   refuseAfterAttempt,
-  refuseAtExit,
-  refuseAtTimeLimit,
   refuseOpenOrigin,
   refuseUnknownOrigin,
-  refuseWhileStopping,
   refuseWithdrawn,
   refuseWithheld,
-  refuseWithoutServer,
-  refuseWithoutVersion,
 } from "./request_refusals.ts";
 import { type RelayWay, RequestRelay } from "./request_relay.ts";
 import { RequestRun } from "./request_run.ts";
@@ -43,9 +39,6 @@
 import { ResponseForwarder } from "./response_forwarder.ts";
 import type { AttemptResult } from "./server_attempt.ts";
 
-/** A request with less time left than this is refused instead of sent, in ms. */
-const minTimeLeft = 20;
-
 /** Request to serve and the collaborators of its task. */
 export type RequestTaskOptions = {
   readonly context: GatewayContext;
@@ -76,7 +69,7 @@
   readonly #relay: RequestRelay;
   #cancelTimeLimit: Cancel = () => {};
   readonly #sends: RequestSends;
-  #ended = false;
+  readonly #ending: RequestEnding;
   #onEnd: () => void = () => {};
 
   private constructor(options: RequestTaskOptions) {
@@ -106,7 +99,7 @@
       history: this.#history,
       log: this.#log,
       isEligible: this.#continuation.allows,
-      hasEnded: () => this.#ended || this.#goesToOtherNode,
+      hasEnded: () => this.#hasEnded || this.#goesToOtherNode,
     });
     if (route.retryRule === "stream" && route.resumable) {
       this.#cursor = StreamCursor.create(request.resumeAfter);
@@ -120,10 +113,21 @@
       usage: this.#usage,
       run: this.#run,
       log: this.#log,
-      mayStart: () => !this.#ended && !this.#wait.isTooLateToStart(),
+      mayStart: () => !this.#hasEnded && !this.#wait.isTooLateToStart(),
       onRun: (runTime) => this.#prompt.recordRun(runTime),
       onWhole: (server) => this.#recordWhole(server),
     });
+    this.#ending = RequestEnding.create({
+      ...options,
+      history: this.#history,
+      continuation: this.#continuation,
+      forwarder: this.#forwarder,
+      log: this.#log,
+      sends: this.#sends,
+      relay: this.#relay,
+      wait: this.#wait,
+      onEnd: () => this.#release(),
+    });
   }
 
   get #plan(): RequestPlan {
@@ -136,16 +140,18 @@
     task.#onEnd = onEnd;
     const { clock } = options.context.dependencies;
     const timeLeft = millis(task.#plan.limits.end - clock.now());
-    task.#cancelTimeLimit = clock.schedule(timeLeft, () => task.#onTimeLimit());
+    task.#cancelTimeLimit = clock.schedule(timeLeft, () =>
+      task.#ending.refuseAtTimeLimit(),
+    );
     task.#serve().catch((error) => task.#fail(error));
     return task;
   }
 
   /** Stops the work at the server at once, since the caller has disconnected. */
   cancel(): void {
-    if (this.#ended) return;
+    if (this.#hasEnded) return;
     this.#log.record("requestCancelled");
-    this.#finish("cancelled");
+    this.#ending.finish("cancelled");
   }
 
   /** Reads the answer on, since the caller's connection takes bytes again. */
@@ -159,36 +165,29 @@
     const { meter } = this.#options.context.dependencies;
     meter.count("gateway_answers_stalled_total");
     this.#log.record("requestStalled", { server: this.#sends.server, detail });
-    this.#finish("stalled");
+    this.#ending.finish("stalled");
   }
 
   /** Ends the request with a truthful answer; called shortly before the process exits. */
   endBeforeExit(): void {
-    if (this.#ended) return;
+    if (this.#hasEnded) return;
     this.#log.record("requestCutOff", {
       server: this.#sends.server,
       ...this.#history.counts,
     });
-    this.#refuseBeforeExit();
-  }
-
-  /** Ends the request without a further attempt, since the process exits. */
-  #refuseBeforeExit(): void {
-    const mayHaveRun = this.#mayHaveRun();
-    this.#refuse(mayHaveRun ? refuseAtExit() : refuseWhileStopping());
+    this.#ending.refuseBeforeExit();
   }
 
   /** Refuses the request if no server can have started it; called when the node stops. */
   refuseIfWaiting(): void {
-    if (this.#ended || this.#mayHaveRun()) return;
-    this.#refuse(refuseWhileStopping());
+    this.#ending.refuseIfWaiting();
   }
 
   /** Ends the request if its content was convicted after it was sent, unless its server has begun to answer. */
   withdrawIfConvicted(): void {
-    if (this.#ended || !this.#sends.isUnanswered) return;
+    if (this.#hasEnded || !this.#sends.isUnanswered) return;
     if (!this.#prompt.isConvicted) return;
-    this.#refuse(refuseWithdrawn());
+    this.#ending.refuse(refuseWithdrawn());
   }
 
   /** Ends an attempt without an answer whose request may run again, since the node reaches no server. */
@@ -210,48 +209,49 @@
     if (this.#continuation.isResumption) {
       const end = this.#wait.findEnd();
       const { version, source } = await this.#continuation.findOrigin(end);
-      if (this.#ended) return;
+      if (this.#hasEnded) return;
       const { resumes } = this.#options.request;
       this.#log.record("streamTakenUp", { resumes, version, source });
       if (version === undefined)
-        return this.#refuse(refuseUnknownOrigin(source === "open"));
+        return this.#ending.refuse(refuseUnknownOrigin(source === "open"));
     }
-    while (!this.#ended) {
+    while (!this.#hasEnded) {
       if (this.#goesToOtherNode) {
         if (await this.#passOn()) continue;
         return;
       }
       const reason = await this.#prompt.wait(
         this.#wait.findEnd(),
-        () => this.#ended,
+        () => this.#hasEnded,
       );
-      if (this.#ended) return;
+      if (this.#hasEnded) return;
       if (reason !== undefined)
-        return this.#refuse(refuseWithheld(this.#history, reason));
+        return this.#ending.refuse(refuseWithheld(this.#history, reason));
       const selection = await this.#wait.findServer();
-      if (this.#ended) return;
+      if (this.#hasEnded) return;
       if (this.#goesToOtherNode) continue;
-      if (this.#wait.isTooLateToStart()) return this.#refuseBeforeExit();
-      if (selection === undefined) return this.#refuseWithoutServer();
+      if (this.#wait.isTooLateToStart()) return this.#ending.refuseBeforeExit();
+      if (selection === undefined) return this.#ending.refuseWithoutServer();
       const permit = await this.#wait.takePermit(selection.server);
-      if (this.#ended) return;
+      if (this.#hasEnded) return;
       if (permit.kind === "denied" || !this.#prompt.maySend()) continue;
       if (!(await this.#isWaitedFor())) return;
       // The selection may have waited for an adapter, the owners of engines or a permit.
       if (!context.availability.canTakeNext(selection.server, permit)) continue;
       const result = await this.#sendTo(selection, permit);
-      if (this.#ended || result === undefined) return;
+      if (this.#hasEnded || result === undefined) return;
       const step = this.#handleFailure(result, selection.server);
-      if (step.kind === "pass-on") return this.#forwardServerError(result);
-      if (step.kind === "give-up") return this.#giveUp(result);
+      if (step.kind === "pass-on")
+        return this.#ending.forwardServerError(result);
+      if (step.kind === "give-up") return this.#ending.giveUp(result);
       if (step.usesRetryBudget && !this.#wait.takeRetry()) {
         if (result.end.kind === "server-error")
-          return this.#forwardServerError(result);
-        return this.#giveUp(result);
+          return this.#ending.forwardServerError(result);
+        return this.#ending.giveUp(result);
       }
       const isSettled = await this.#continuation.settle(this.#wait.findEnd());
-      if (this.#ended) return;
-      if (!isSettled) return this.#refuse(refuseOpenOrigin());
+      if (this.#hasEnded) return;
+      if (!isSettled) return this.#ending.refuse(refuseOpenOrigin());
     }
   }
 
@@ -260,23 +260,23 @@
     const { backlog, meter } = this.#options.context.dependencies;
     if (!backlog.isBehind) return true;
     await backlog.whenHandled();
-    const result = this.#ended ? "left" : "waits";
+    const result = this.#hasEnded ? "left" : "waits";
     meter.count("gateway_requests_held_back_total", { result });
-    return !this.#ended;
+    return !this.#hasEnded;
   }
 
   /** Has another node serve the request; true if it has not run there, or may run again. */
   async #passOn(): Promise<boolean> {
     const { context } = this.#options;
-    if (this.#refuseAtLimit()) return false;
+    if (this.#ending.refuseAtLimit()) return false;
     if (!(await this.#isWaitedFor())) return false;
     this.#log.record("requestRelayed");
     // The other node remembers which server began a stream.
     this.#sends.forgetServer();
     const result = await this.#relay.run(this.#history.runs);
-    if (this.#ended) return false;
+    if (this.#hasEnded) return false;
     if (result.kind === "whole") {
-      this.#finish("relayed");
+      this.#ending.finish("relayed");
       return false;
     }
     if (result.kind === "not-run" || result.kind === "unreachable") return true;
@@ -286,7 +286,9 @@
       this.#history.runs < this.#plan.route.maxAttempts;
     if (mayRunAgain && !this.#forwarder.hasStarted && this.#wait.takeRetry())
       return true;
-    this.#refuse(refuseAfterAttempt(this.#history, result.detail, context));
+    this.#ending.refuse(
+      refuseAfterAttempt(this.#history, result.detail, context),
+    );
     return false;
   }
 
@@ -294,23 +296,10 @@
   #fail(error: unknown): void {
     const { dependencies } = this.#options.context;
     dependencies.reportFailure?.("request", error);
-    if (this.#ended) return;
-    const outcome = this.#mayHaveRun() ? "may-have-run" : "not-run";
+    if (this.#hasEnded) return;
+    const outcome = this.#ending.mayHaveRun ? "may-have-run" : "not-run";
     const detail = "The node failed to handle the request";
-    this.#refuse(refuse("unexpectedError", detail, { outcome }));
-  }
-
-  #refuseWithoutServer(): void {
-    const { context, request } = this.#options;
-    const { demand } = request;
-    if (this.#mayHaveRun())
-      return this.#refuse(refuseWithoutServer(this.#history, demand, context));
-    // Another node may have a server for the request.
-    if (context.stop !== undefined) return this.#refuse(refuseWhileStopping());
-    const { isResumption, version } = this.#continuation;
-    if (isResumption && this.#wait.hasOnlyOtherServers())
-      return this.#refuse(refuseWithoutVersion(version));
-    this.#refuse(refuseWithoutServer(this.#history, demand, context));
+    this.#ending.refuse(refuse("unexpectedError", detail, { outcome }));
   }
 
   /** Makes one attempt; undefined if the caller got the whole response or a refusal. */
@@ -318,7 +307,7 @@
     selection: ServerSelection,
     permit: Permit,
   ): Promise<AttemptResult | undefined> {
-    if (this.#refuseAtLimit()) return undefined;
+    if (this.#ending.refuseAtLimit()) return undefined;
     const result = await this.#sends.send(selection, permit);
     return result.end.kind === "whole" ? undefined : result;
   }
@@ -328,14 +317,7 @@
     this.#prompt.recordWhole();
     this.#continuation.recordWhole();
     this.#log.recordResponse(server, this.#forwarder);
-    this.#finish("answered");
-  }
-
-  /** Refuses the request if too little time is left to send it. */
-  #refuseAtLimit(): boolean {
-    const timeLeft = this.#plan.limits.end - this.#options.context.now();
-    if (timeLeft < minTimeLeft) this.#onTimeLimit();
-    return timeLeft < minTimeLeft;
+    this.#ending.finish("answered");
   }
 
   /** Records a failed attempt and decides whether to retry. */
@@ -359,61 +341,18 @@
     );
   }
 
-  #forwardServerError(result: AttemptResult): void {
-    const { sink } = this.#options;
-    if (this.#forwarder.hasStarted || result.head === undefined) {
-      return this.#giveUp(result);
-    }
-    sink.start(result.head);
-    for (const bytes of result.body) sink.write(bytes);
-    sink.end();
-    this.#finish("server-error");
-  }
-
-  #giveUp(result: AttemptResult): void {
-    const { context, selector, request } = this.#options;
-    const { service } = this.#plan;
-    const history = this.#history;
-    history.resumption = selector.findResumption(service, {
-      demand: request.demand,
-      isEligible: this.#continuation.allows,
-    });
-    this.#refuse(refuseAfterAttempt(history, result.detail, context));
-  }
-
-  #onTimeLimit(): void {
-    if (this.#ended) return;
-    this.#refuse(refuseAtTimeLimit(this.#mayHaveRun()));
-  }
-
-  #mayHaveRun(): boolean {
-    const isSent = this.#sends.isOpen || this.#relay.isSent;
-    return isSent || this.#history.runs > 0;
-  }
-
-  #refuse(refusal: Refusal): void {
-    const { sink } = this.#options;
-    this.#log.record("requestRefused", {
-      server: this.#sends.server ?? this.#history.refusingServer,
-      detail: refusal.detail,
-      code: refusal.code,
-      ...this.#history.counts,
-    });
-    if (this.#forwarder.hasStarted) sink.abort();
-    else sink.refuse(refusal);
-    this.#finish(refusal.code);
+  get #hasEnded(): boolean {
+    return this.#ending.hasEnded;
   }
 
-  #finish(outcome: string): void {
-    if (this.#ended) return;
-    this.#ended = true;
+  /** Lets go of all that the request holds. */
+  #release(): void {
     this.#cancelTimeLimit();
     this.#usage.release();
     this.#prompt.end();
     this.#run.end(false);
     this.#sends.cancel();
     this.#relay.cancel();
-    this.#log.countOutcome(outcome);
     this.#onEnd();
   }
 }
--- a/tests/gateway/poison_guard_test.ts
+++ b/tests/gateway/poison_guard_test.ts
@@ -2,73 +2,19 @@
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
 import { brandString } from "../../src/core/ids.ts";
-import { GatewayFixture } from "./gateway_fixture.ts";
+import {
+  crash,
+  crashTwice,
+  createFixture,
+  deadly,
+  open,
+  sound,
+} from "./crashing_prompts.ts";
 import { streamRoute } from "./gateway_setups.ts";
-import { createDemand, createEngine, createRoute } from "./gateway_values.ts";
-import type { RecordedAttempt } from "./recorded_exchange.ts";
 
 // Guards against requests with one part of a prompt that crash engine after
 // engine, and against sound requests that are refused because of them.
 
-const deadly = ["tenant", "user", "deadly"];
-const sound = ["tenant", "user"];
-
-async function createFixture(fields: Partial<typeof streamRoute> = {}) {
-  const fixture = new GatewayFixture();
-  fixture.configure([createRoute({ ...streamRoute, ...fields })]);
-  fixture.register(...["e1", "e2", "e3"].map((id) => createEngine(id, ["a1"])));
-  await fixture.advance(3_000);
-  return fixture;
-}
-
-/** Opens a request; without `text` no other has the same body. */
-async function open(fixture: GatewayFixture, parts: string[], text?: string) {
-  const before = fixture.attempts.length;
-  const body =
-    text === undefined ? {} : { body: new TextEncoder().encode(text) };
-  const demand = createDemand("a1", parts);
-  const { answer } = fixture.open({ demand, ...body });
-  await fixture.advance(5);
-  const [attempt] = fixture.attempts.slice(before);
-  return { answer, attempt };
-}
-
-/** How the node sees the end of an answer whose engine crashes. */
-type CrashView = (attempt: RecordedAttempt) => void;
-
-const breakOff: CrashView = (attempt) => attempt.fail("broken");
-const endConnection: CrashView = (attempt) => attempt.end("connection");
-
-/** The engine begins an answer, crashes and starts again. */
-async function crash(
-  fixture: GatewayFixture,
-  attempt?: RecordedAttempt,
-  showEnd: CrashView = breakOff,
-) {
-  assert.ok(attempt, "the request was not sent");
-  const { server } = attempt;
-  fixture.downEngines.add(server);
-  attempt.start();
-  attempt.bytes("id: 1\n\n");
-  showEnd(attempt);
-  await fixture.advance(5);
-  fixture.downEngines.delete(server);
-  fixture.register({
-    ...createEngine(server, ["a1"]),
-    born: fixture.clock.now(),
-  });
-}
-
-async function crashTwice(
-  fixture: GatewayFixture,
-  showEnd?: CrashView,
-): Promise<void> {
-  for (let crashes = 0; crashes < 2; crashes++) {
-    const { attempt } = await open(fixture, deadly);
-    await crash(fixture, attempt, showEnd);
-  }
-}
-
 test("a request whose part has crashed two engines is refused as not run, and sent to none", async () => {
   const fixture = await createFixture();
   await crashTwice(fixture);
@@ -99,70 +45,6 @@
   assert.equal((await open(fixture, deadly)).attempt, undefined);
 });
 
-// The end of an answer without a length looks like that of a whole one, and a part that
-// has been answered counts as sound: engine after engine crashed under it.
-test("a part is convicted also if its engines crash at the end of answers without a length", async () => {
-  const fixture = await createFixture();
-  await crashTwice(fixture, endConnection);
-  const { answer, attempt } = await open(fixture, deadly);
-  assert.equal(attempt, undefined);
-  assert.equal(answer.refusal?.code, "partWithheld");
-});
-
-// Its caller would take the part for the whole.
-test("an answer without a length whose engine crashes at its end is broken off", async () => {
-  const fixture = await createFixture();
-  const { answer, attempt } = await open(fixture, deadly);
-  await crash(fixture, attempt, endConnection);
-  assert.equal(answer.outcome, "aborted");
-});
-
-test("an answer without a length whose engine still works is whole and clears its parts", async () => {
-  const fixture = await createFixture();
-  await crash(fixture, (await open(fixture, deadly)).attempt);
-  const { answer, attempt } = await open(fixture, deadly);
-  attempt?.start();
-  attempt?.bytes("id: 1\n\n");
-  attempt?.end("connection");
-  await fixture.advance(100);
-  assert.equal(answer.outcome, "whole");
-  const next = [await open(fixture, deadly), await open(fixture, deadly)];
-  assert.ok(next.every((request) => request.attempt));
-});
-
-// An engine that goes down without a word leaves the connection open: the silence after its
-// first events counted as a run without a crash.
-test("a part is convicted also if its engines become silent at once and are found down later", async () => {
-  const fixture = await createFixture();
-  const silence = 2_000;
-  for (let crashes = 0; crashes < 2; crashes++) {
-    const { attempt } = await open(fixture, deadly);
-    assert.ok(attempt, "the request was not sent");
-    fixture.downEngines.add(attempt.server);
-    attempt.start();
-    attempt.bytes("id: 1\n\n");
-    await fixture.advance(silence);
-    attempt.fail("broken");
-    await fixture.advance(5);
-    fixture.downEngines.delete(attempt.server);
-    const born = fixture.clock.now();
-    fixture.register({ ...createEngine(attempt.server, ["a1"]), born });
-  }
-  assert.equal((await open(fixture, deadly)).attempt, undefined);
-});
-
-// Answers also break off at engines that go on working.
-test("an answer that breaks off at an engine that still works convicts no part", async () => {
-  const fixture = await createFixture();
-  for (let broken = 0; broken < 4; broken++) {
-    const { attempt } = await open(fixture, deadly);
-    attempt?.start();
-    attempt?.fail("broken");
-    await fixture.advance(500);
-  }
-  assert.ok((await open(fixture, deadly)).attempt);
-});
-
 test("of the requests with a suspect part one runs at a time, and the others wait for its result", async () => {
   const fixture = await createFixture();
   await crash(fixture, (await open(fixture, deadly)).attempt);
