Draw how servers crash under whole requests of the soak too

Whole requests crashed servers by a reset 40 ms after the head only. They crash them now in the same ways as parts of prompts: soon or late, by a reset or an end, within chunks or an answer without a length.

--- a/tests/soak/crash_manner.ts
+++ b/tests/soak/crash_manner.ts
@@ -12,13 +12,6 @@
 /** Delays to choose from, in ms. */
 const delays = [5, 40, 300];
 
-/** A reset within a framed answer. */
-export const usualManner: CrashManner = {
-  delay: 40,
-  end: "reset",
-  isFramed: true,
-};
-
 /** Draws how servers crash under one kind of request. */
 export function drawManner(random: () => number): CrashManner {
   return {
--- a/tests/soak/crashing_requests.ts
+++ b/tests/soak/crashing_requests.ts
@@ -2,7 +2,7 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Backend, CrashEnd, Exchange, Serve } from "../rig/backend.ts";
 import { type Calm, contactTime } from "./calm.ts";
-import { type CrashManner, drawManner, usualManner } from "./crash_manner.ts";
+import { type CrashManner, drawManner } from "./crash_manner.ts";
 import type { Violation } from "./observations.ts";
 import type { RequestLog } from "./request_log.ts";
 
@@ -51,16 +51,17 @@
 
   /** Name of a path whose requests crash servers. */
   addRequest(): string {
-    return this.#add(requestPrefix, crashesOfRequests, usualManner);
+    return this.#add(requestPrefix, crashesOfRequests);
   }
 
   /** Name of a part of prompts that crashes servers. */
   addPart(): string {
-    return this.#add(partPrefix, crashesOfParts, drawManner(this.#random));
+    return this.#add(partPrefix, crashesOfParts);
   }
 
-  #add(prefix: string, toleratedCrashes: number, manner: CrashManner): string {
+  #add(prefix: string, toleratedCrashes: number): string {
     const name = `${prefix}${randomBytes(4).toString("hex")}`;
+    const manner = drawManner(this.#random);
     const unit = { name, manner, toleratedCrashes, crashes: [], arrivals: [] };
     this.#units.set(name, unit);
     return name;
