Count the table calls of the stream fleet in a class of its own; share a route and a probe between tests

The request policies test had a copy of createRoute, and two functions of the rig sent the same probe. No behaviour changes: the tests of the fleet pass.

--- a/src/bench/experiments/resumed_streams.ts
+++ b/src/bench/experiments/resumed_streams.ts
@@ -32,9 +32,9 @@
     figures[`resumedShareOf${nodes}`] = findShare(unaffected);
     figures[`resumedShareAfterRestartOf${nodes}`] = findShare(restarted);
     const nodeSeconds = (nodes * runLength) / 1_000;
-    figures[`writesOf${nodes}`] = fleet.writes / nodeSeconds;
-    figures[`bytesOf${nodes}`] = fleet.writtenBytes / nodeSeconds;
-    figures[`readsOf${nodes}`] = fleet.reads / nodeSeconds;
+    figures[`writesOf${nodes}`] = fleet.table.writes / nodeSeconds;
+    figures[`bytesOf${nodes}`] = fleet.table.writtenBytes / nodeSeconds;
+    figures[`readsOf${nodes}`] = fleet.table.reads / nodeSeconds;
     figures[`messagesOf${nodes}`] = fleet.messages / nodeSeconds;
   }
   return { joined, ...figures };
--- a/src/bench/stream_fleet.ts
+++ b/src/bench/stream_fleet.ts
@@ -19,7 +19,7 @@
 import type { NodeLinks, NodeMessage } from "../ports/nodes.ts";
 import type { StreamQuery } from "../ports/streams.ts";
 import type { TableService } from "../ports/table.ts";
-import { MemoryTable } from "../standins/memory_table.ts";
+import { CountedTable } from "./counted_table.ts";
 import { drawExponential } from "./random.ts";
 import { type Cut, isDelivered, reachesStore } from "./stream_fleet_cuts.ts";
 import {
@@ -50,10 +50,6 @@
 const callTimeout = millis(250);
 /** Servers at which a take-up is tried. */
 const maxAttempts = 2;
-/** Writes per second that the table takes from all nodes. */
-const writesPerSecond = 400;
-/** Time that a call of the table takes, in ms. */
-const tableDelay = millis(8);
 
 /** One-way delay of a message between nodes, in ms, and the share of datagrams that is lost. */
 const minMessageDelay = 1;
@@ -97,16 +93,13 @@
   messages = 0;
   /** Reports that nodes asked servers for. */
   reports = 0;
-  reads = 0;
-  writes = 0;
-  writtenBytes = 0;
+  readonly table = CountedTable.create(this.clock);
   readonly #random: () => number;
   readonly #nodes: FleetNode[] = [];
   readonly #open = new Set<OpenStream>();
   /** The servers that run; nodes see them later. */
   readonly #running: BackendServer[] = [];
   readonly #watches = new Map<GatewayContext, IncarnationWatch>();
-  readonly #table: TableService;
   readonly #machines: readonly MachineName[];
   #streams = 0;
 
@@ -115,7 +108,6 @@
       brandString<MachineName>(`n${index}`),
     );
     this.#random = random;
-    this.#table = this.#countCalls(MemoryTable.create(this.clock));
     for (let at = 0; at < serverCount; at++)
       this.#running.push(createServer(at, "v1"));
     for (let index = 0; index < nodes; index++) {
@@ -241,10 +233,10 @@
     const isCut = () => !reachesStore(this.#findNode(machine)?.cut);
     const lost = Left({ kind: "unavailable", detail: "Cut off" } as const);
     return {
-      read: async (key) => (isCut() ? lost : this.#table.read(key)),
-      scan: async (prefix) => (isCut() ? lost : this.#table.scan(prefix)),
+      read: async (key) => (isCut() ? lost : this.table.read(key)),
+      scan: async (prefix) => (isCut() ? lost : this.table.scan(prefix)),
       transact: async (transaction) =>
-        isCut() ? lost : this.#table.transact(transaction),
+        isCut() ? lost : this.table.transact(transaction),
     };
   }
 
@@ -385,23 +377,6 @@
     return undefined;
   }
 
-  #countCalls(table: MemoryTable): TableService {
-    table.delay = tableDelay;
-    table.limits.writes = writesPerSecond;
-    return {
-      read: (key) => table.read(key),
-      scan: (prefix) => {
-        this.reads++;
-        return table.scan(prefix);
-      },
-      transact: (transaction) => {
-        this.writes++;
-        this.writtenBytes += JSON.stringify(transaction.writes).length;
-        return table.transact(transaction);
-      },
-    };
-  }
-
   /** Runs an action once a node has read a change of the servers. */
   #afterLag(node: FleetNode, action: () => void): void {
     const lag: Millis = millis(this.#random() * maxViewLag);
--- a/tests/gateway/gateway_values.ts
+++ b/tests/gateway/gateway_values.ts
@@ -14,6 +14,7 @@
 import type { EntryOrigin } from "../../src/ports/gateway.ts";
 import { model } from "./simulated_engine.ts";
 
+/** Services, data centre and region of the nodes under test. */
 export const booking: ServiceName = brandString("booking");
 export const engines: ServiceName = brandString("engines");
 export const dataCentre: DataCentre = brandString("tatry-a");
@@ -26,6 +27,7 @@
   maxAge: 0,
 };
 
+/** Route to the booking service, with some fields of a test. */
 export function createRoute(fields: Partial<GatewayRoute>): GatewayRoute {
   return {
     name: "route",
@@ -42,6 +44,7 @@
   };
 }
 
+/** Backend server of the booking service, with some fields of a test. */
 export function createServer(fields: Partial<BackendServer>): BackendServer {
   return {
     id: brandString<ServerId>("s1"),
@@ -58,6 +61,7 @@
   };
 }
 
+/** Engine that holds some adapters of one base model. */
 export function createEngine(id: string, adapters: string[]): BackendServer {
   const held = adapters.map((name) => ({
     name: brandString<AdapterName>(name),
--- a/tests/gateway/request_policies_test.ts
+++ b/tests/gateway/request_policies_test.ts
@@ -16,22 +16,7 @@
 } from "../../src/core/gateway/server_health.ts";
 import { StreamCursor } from "../../src/core/gateway/stream_cursor.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
-
-function createRoute(fields: Partial<GatewayRoute>): GatewayRoute {
-  return {
-    name: "r",
-    host: "h.example",
-    prefix: "/",
-    retryRule: "once",
-    resumable: false,
-    timeout: millis(3_000),
-    targetLatency: millis(200),
-    priority: 0,
-    maxAttempts: 2,
-    targets: [{ service: brandString("s"), weight: 1 }],
-    ...fields,
-  };
-}
+import { createRoute } from "./gateway_values.ts";
 
 function createConfiguration(routes: GatewayRoute[]): GatewayConfiguration {
   return {
--- a/tests/rig/callers.ts
+++ b/tests/rig/callers.ts
@@ -1,5 +1,5 @@
 import { setTimeout as sleep } from "node:timers/promises";
-import { sendCall } from "./caller.ts";
+import { type CallEnd, sendCall } from "./caller.ts";
 import type { Machine } from "./machine.ts";
 
 /** Interval at which due requests are sent, and at which a machine is asked again, in ms. */
@@ -30,10 +30,9 @@
   allowed: number,
 ): Promise<boolean> {
   const until = performance.now() + allowed;
-  for (const { front: port } of machines) {
+  for (const machine of machines) {
     for (;;) {
-      const call = { port, path: "/lookup/1", deadline: probeDeadline };
-      if ((await sendCall(call)).status === 200) break;
+      if ((await probe(machine)).status === 200) break;
       if (performance.now() >= until) return false;
       await sleep(askInterval);
     }
@@ -46,11 +45,16 @@
   machines: readonly Machine[],
 ): Promise<string[]> {
   const answers = await Promise.all(
-    machines.map(async ({ name, front: port }) => {
-      const call = { port, path: "/lookup/1", deadline: probeDeadline };
-      const { status, text } = await sendCall(call);
-      return status === 200 ? [] : [`${name}: ${status} ${text.trim()}`];
+    machines.map(async (machine) => {
+      const { status, text } = await probe(machine);
+      if (status === 200) return [];
+      return [`${machine.name}: ${status} ${text.trim()}`];
     }),
   );
   return answers.flat();
 }
+
+/** Sends one lookup to a machine. */
+function probe({ front: port }: Machine): Promise<CallEnd> {
+  return sendCall({ port, path: "/lookup/1", deadline: probeDeadline });
+}
