--- a/tests/soak/withheld_streams.ts
+++ b/tests/soak/withheld_streams.ts
@@ -7,8 +7,8 @@
 /** Share of the usual one at which sound streams must begin at least. */
 const minShare = 0.5;
 
-/** Time from the crash by which a part must be known, to the last request with it. */
-type Ordeal = {
+/** Time from when a part must be known to the last request with it. */
+type AttackWindow = {
   readonly name: string;
   readonly from: number;
   readonly to: number;
@@ -40,7 +40,7 @@
     calm.hasLasted(servers, sentAt),
   );
   return parts
-    .flatMap((part) => findOrdeal(part, ends) ?? [])
+    .flatMap((part) => findAttackWindow(part, ends) ?? [])
     .flatMap(({ name, from, to, beginning }) => {
       const hasBeginning = ({ parts = [] }: AttemptEnd) =>
         parts[0] === beginning;
@@ -56,10 +56,10 @@
     });
 }
 
-function findOrdeal(
+function findAttackWindow(
   { name, crashes, toleratedCrashes }: CrashingPart,
   ends: readonly AttemptEnd[],
-): Ordeal | undefined {
+): AttackWindow | undefined {
   const last = crashes[Math.min(toleratedCrashes, crashes.length) - 1];
   const deadly = ends.filter(({ parts = [] }) => parts.includes(name));
   const [first] = deadly;
