Set down the types that organisations, quotas, order under load and server pace share

Cause: two customers bring callers who compete for too little room, keys and quotas of organisations, and servers of uneven speed. The parts that answer them are built side by side and need one type each for an organisation, the work of a request and the expected wait at a server.

--- a/src/core/gateway/configuration.ts
+++ b/src/core/gateway/configuration.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "../clock.ts";
 import type { ModelName, Revision, ServiceName } from "../ids.ts";
+import type { OrganisationDirectory } from "./organisations.ts";
 
 /**
  * How often a request of a route may run: `repeatable` any number of times,
@@ -32,6 +33,8 @@
   /** Maximum number of servers that one request may run on. */
   readonly maxAttempts: number;
   readonly targets: readonly RouteTarget[];
+  /** Callers need no key even if the configuration has organisations. */
+  readonly isPublic?: boolean;
 };
 
 /** A base model that the engines of a service can load. */
@@ -84,6 +87,8 @@
   readonly routes: ReadonlyMap<string, readonly GatewayRoute[]>;
   readonly services: ReadonlyMap<ServiceName, GatewayService>;
   readonly limits: CallerLimits;
+  /** Undefined if callers need no key. */
+  readonly organisations?: OrganisationDirectory | undefined;
 };
 
 /** Groups routes by host, longest prefix first. */
--- a/src/core/ids.ts
+++ b/src/core/ids.ts
@@ -49,6 +49,10 @@
 export type DataCentre = Branded<string, "DataCentre">;
 /** Names a customer, one firm or utility that shares the installation. */
 export type Customer = Branded<string, "Customer">;
+/** Names an organisation, whose callers share keys and a quota. */
+export type OrganisationName = Branded<string, "OrganisationName">;
+/** Hex digest of the API key of an organisation; the key itself is not kept. */
+export type KeyDigest = Branded<string, "KeyDigest">;
 /** Hex digest of some content. */
 export type Digest = Branded<string, "Digest">;
 
--- a/src/node/gateway/requests/request_intake.ts
+++ b/src/node/gateway/requests/request_intake.ts
@@ -4,11 +4,16 @@
   findRoute,
   type GatewayRoute,
 } from "../../../core/gateway/configuration.ts";
+import type { Organisation } from "../../../core/gateway/organisations.ts";
+import {
+  plainWork,
+  type RequestWork,
+} from "../../../core/gateway/request_work.ts";
 import {
   findLongestRun,
   type RunKind,
 } from "../../../core/gateway/run_times.ts";
-import type { ServiceName } from "../../../core/ids.ts";
+import { formatModelAdapterKey, type ServiceName } from "../../../core/ids.ts";
 import { type Refusal, refuse } from "../../../core/results/refusal.ts";
 import type { ProxiedRequest } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
@@ -24,6 +29,11 @@
   readonly service: ServiceName;
   readonly kind: RunKind;
   readonly limits: RequestTimeLimits;
+  /** Organisation of the caller; undefined on a public route or without organisations. */
+  readonly organisation: Organisation | undefined;
+  /** Priority of the request: that of its organisation, or of its route; 0 is the most urgent. */
+  readonly priority: number;
+  readonly work: RequestWork;
 };
 
 /** Finds the route and the service of a request; a refusal if it cannot be served. */
@@ -62,7 +72,10 @@
   });
   const limits = RequestTimeLimits.create(request, route);
   const kind = { route: route.name, service };
-  const plan = { route, service, kind, limits };
+  const organisation = undefined;
+  const { priority } = route;
+  const work = describeWork(request);
+  const plan = { route, service, kind, limits, organisation, priority, work };
   return refuseIfTooLate(context, request, plan) ?? plan;
 }
 
@@ -96,6 +109,17 @@
   return refusal;
 }
 
+function describeWork({ demand }: ProxiedRequest): RequestWork {
+  if (demand === undefined) return plainWork;
+  const { model, adapter, promptTokens, answerTokens } = demand;
+  return {
+    promptTokens,
+    answerTokens,
+    adapter:
+      adapter === undefined ? undefined : formatModelAdapterKey(model, adapter),
+  };
+}
+
 function describe(duration: Millis | undefined): number | undefined {
   return duration === undefined ? undefined : Math.round(duration);
 }
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -3,6 +3,7 @@
 import type { GatewayConfiguration } from "../core/gateway/configuration.ts";
 import type { IncomingAdapter } from "../core/gateway/engine_contents.ts";
 import type { EngineOrder, OrderAnswer } from "../core/gateway/orders.ts";
+import type { Credential } from "../core/gateway/organisations.ts";
 import type { BackendServer, ServerChange } from "../core/gateway/servers.ts";
 import type {
   AdapterName,
@@ -11,6 +12,7 @@
   MachineName,
   ModelAdapterKey,
   ModelName,
+  OrganisationName,
   RequestId,
   ServerId,
 } from "../core/ids.ts";
@@ -42,6 +44,8 @@
   /** Headers to forward, without hop-by-hop headers and those that only the system sets. */
   readonly headers: RawHeaders;
   readonly body: Uint8Array;
+  /** How the caller identifies itself; none if the front end reads no keys. */
+  readonly credential?: Credential;
   /** Undefined if the request is for a service without models. */
   readonly demand: ModelDemand | undefined;
   /** Time that the caller waits for the answer, in ms from the arrival. */
@@ -91,6 +95,8 @@
   /** Adapter version that must answer. */
   readonly adapterVersion: number | undefined;
   readonly priority: number | undefined;
+  /** Organisation of the caller, which the server is told. */
+  readonly organisation?: OrganisationName | undefined;
   /** Id of the event after which the stream resumes. */
   readonly resumeAfter: string | undefined;
 };
