--- a/src/core/gateway/organisations.ts
+++ b/src/core/gateway/organisations.ts
@@ -1,3 +1,4 @@
+import { type Either, Left, Right } from "purify-ts";
 import type { KeyDigest, OrganisationName } from "../ids.ts";
 
 /** What the work of a request is counted in: one for each, or its tokens. */
@@ -35,3 +36,47 @@
   | { readonly kind: "key"; readonly digest: KeyDigest }
   /** Several keys, or one that cannot be a key. */
   | { readonly kind: "malformed"; readonly detail: string };
+
+/** An organisation with the digests of its keys. */
+export type KeyedOrganisation = {
+  readonly organisation: Organisation;
+  readonly keys: readonly KeyDigest[];
+};
+
+/** Why organisations cannot form a directory; positions count from 0. */
+export type DirectoryFault =
+  | { readonly kind: "repeated-name"; readonly position: number }
+  | {
+      readonly kind: "shared-key";
+      readonly position: number;
+      readonly keyPosition: number;
+      /** Organisation that has the key as well. */
+      readonly holder: OrganisationName;
+    };
+
+/** Creates a directory, in which each key belongs to one organisation. */
+export function createDirectory(
+  entries: readonly KeyedOrganisation[],
+): Either<DirectoryFault, OrganisationDirectory> {
+  const byKey = new Map<KeyDigest, Organisation>();
+  const byName = new Map<OrganisationName, Organisation>();
+  for (const [position, { organisation, keys }] of entries.entries()) {
+    if (byName.has(organisation.name))
+      return Left({ kind: "repeated-name", position });
+    byName.set(organisation.name, organisation);
+    for (const [keyPosition, key] of keys.entries()) {
+      const holder = byKey.get(key);
+      if (holder !== undefined && holder !== organisation) {
+        const { name } = holder;
+        return Left({
+          kind: "shared-key",
+          position,
+          keyPosition,
+          holder: name,
+        });
+      }
+      byKey.set(key, organisation);
+    }
+  }
+  return Right({ byKey, byName });
+}
