--- a/src/core/gateway/organisations.ts
+++ b/src/core/gateway/organisations.ts
@@ -1,5 +1,6 @@
 import { type Either, Left, Right } from "purify-ts";
 import type { KeyDigest, OrganisationName } from "../ids.ts";
+import { type Refusal, refuse } from "../results/refusal.ts";
 
 /** What the work of a request is counted in: one for each, or its tokens. */
 export type QuotaUnit = "requests" | "tokens";
@@ -80,3 +81,38 @@
   }
   return Right({ byKey, byName });
 }
+
+/** Request whose caller is to be identified. */
+export type Authentication = {
+  /** Undefined if callers need no key. */
+  readonly organisations: OrganisationDirectory | undefined;
+  /** Whether the route of the request needs no key. */
+  readonly isPublic: boolean;
+  readonly credential: Credential | undefined;
+};
+
+/** Finds the organisation of a caller; undefined if it has none and needs none. */
+export function authenticate({
+  organisations,
+  isPublic,
+  credential = { kind: "none" },
+}: Authentication): Either<Refusal, Organisation | undefined> {
+  if (organisations === undefined) return Right(undefined);
+  const organisation =
+    credential.kind === "key"
+      ? organisations.byKey.get(credential.digest)
+      : undefined;
+  if (organisation !== undefined || isPublic) return Right(organisation);
+  return Left(refuseCredential(credential));
+}
+
+function refuseCredential(credential: Credential): Refusal {
+  switch (credential.kind) {
+    case "none":
+      return refuse("unknownKey", "The request carries no key");
+    case "key":
+      return refuse("unknownKey", "No organisation has the key of the request");
+    case "malformed":
+      return refuse("malformedKey", credential.detail);
+  }
+}
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -79,6 +79,8 @@
     "Answers cut off because all buffered answers together exceeded their limit",
   brittle_rejections_total:
     "Requests that servers rejected while they say that they are brittle",
+  gateway_callers_rejected_total:
+    "Requests refused since their keys belong to no organisation, by result code",
   gateway_relays_total:
     "Requests passed on to another node while this one reaches no server, by how that ended",
   gateway_requests_held_back_total:
--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -53,6 +53,12 @@
     meaning:
       "A request was passed on to another node, since this one reaches no server",
   },
+  callerRejected: {
+    number: 321,
+    level: "info",
+    meaning:
+      "A request was refused, since its key belongs to no organisation; names the route and the configuration",
+  },
   requestAwaitsAdapter: {
     number: 310,
     level: "info",
--- a/src/core/results/request_codes.ts
+++ b/src/core/results/request_codes.ts
@@ -67,6 +67,21 @@
     meaning: "No route of the configuration in force matches host and path",
     remedy: "Correct host and path, or add the route to the configuration",
   },
+  unknownKey: {
+    number: 1010,
+    status: 401,
+    outcome: "not-run",
+    meaning:
+      "The request carries no key, or one that belongs to no organisation of the configuration in force",
+    remedy: "Send a current key of your organisation",
+  },
+  malformedKey: {
+    number: 1011,
+    status: 401,
+    outcome: "not-run",
+    meaning: "The request carries several keys, or text that cannot be a key",
+    remedy: "Send the key alone, once",
+  },
   deadlineTooClose: {
     number: 2001,
     status: 503,
--- a/src/node/gateway/requests/request_intake.ts
+++ b/src/node/gateway/requests/request_intake.ts
@@ -4,7 +4,10 @@
   findRoute,
   type GatewayRoute,
 } from "../../../core/gateway/configuration.ts";
-import type { Organisation } from "../../../core/gateway/organisations.ts";
+import {
+  authenticate,
+  type Organisation,
+} from "../../../core/gateway/organisations.ts";
 import {
   plainWork,
   type RequestWork,
@@ -42,7 +45,7 @@
   request: ProxiedRequest,
 ): RequestPlan | Refusal {
   const { configuration } = context;
-  const { journal, random } = context.dependencies;
+  const { journal } = context.dependencies;
   if (configuration === undefined) {
     const detail = "The node has not read its configuration yet";
     return refuse("notReady", detail, { retryAfter: configurationDelay });
@@ -61,24 +64,61 @@
     journal.record("requestRefused", { requestId, revision, code, detail });
     return refuse(code, detail);
   }
+  return authenticate({
+    organisations: configuration.organisations,
+    isPublic: route.isPublic ?? false,
+    credential: request.credential,
+  }).caseOf({
+    Left: (refusal) => recordRejection(context, request, route, refusal),
+    Right: (organisation) =>
+      planOnRoute(context, request, { route, organisation }),
+  });
+}
+
+/** Chooses the service of an identified caller's request on its route. */
+function planOnRoute(
+  context: GatewayContext,
+  request: ProxiedRequest,
+  { route, organisation }: Pick<RequestPlan, "route" | "organisation">,
+): RequestPlan | Refusal {
+  const { journal, random } = context.dependencies;
   const service = chooseTarget(route, random());
   if (service === undefined)
     return refuse("noServer", `Route ${route.name} has no service`);
   journal.record("requestRouted", {
-    requestId,
+    requestId: request.requestId,
     route: route.name,
     service,
-    revision,
+    organisation: organisation?.name,
+    revision: context.configuration?.revision,
   });
   const limits = RequestTimeLimits.create(request, route);
   const kind = { route: route.name, service };
-  const organisation = undefined;
-  const { priority } = route;
+  const priority = organisation?.priority ?? route.priority;
   const work = describeWork(request);
   const plan = { route, service, kind, limits, organisation, priority, work };
   return refuseIfTooLate(context, request, plan) ?? plan;
 }
 
+/** Records that a caller could not be identified. */
+function recordRejection(
+  { configuration, dependencies }: GatewayContext,
+  { requestId }: ProxiedRequest,
+  route: GatewayRoute,
+  refusal: Refusal,
+): Refusal {
+  const { code, detail } = refusal;
+  dependencies.meter.count("gateway_callers_rejected_total", { code });
+  dependencies.journal.record("callerRejected", {
+    requestId,
+    route: route.name,
+    revision: configuration?.revision,
+    code,
+    detail,
+  });
+  return refusal;
+}
+
 /** Records a request that arrives while the node stops, and refuses it if the exit would cut it off. */
 function refuseIfTooLate(
   context: GatewayContext,
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -255,7 +255,10 @@
   configure(
     routes: GatewayRoute[],
     revision = 1,
-    origin: RowOrigin = {},
+    {
+      organisations,
+      ...origin
+    }: RowOrigin & Pick<GatewayConfiguration, "organisations"> = {},
   ): void {
     const value: GatewayConfiguration = {
       revision: brandNumber(revision),
@@ -270,6 +273,7 @@
         headerTimeout: millis(3_000),
         idleTimeout: millis(15_000),
       },
+      organisations,
     };
     this.publish({ type: "configuration", value, ...origin });
     this.publish({ type: "complete", topic: "operator" });
--- a/tests/gateway/gateway_values.ts
+++ b/tests/gateway/gateway_values.ts
@@ -1,5 +1,11 @@
 import { millis } from "../../src/core/clock.ts";
 import type { GatewayRoute } from "../../src/core/gateway/configuration.ts";
+import {
+  type Credential,
+  createDirectory,
+  type Organisation,
+  type OrganisationDirectory,
+} from "../../src/core/gateway/organisations.ts";
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import {
   type AdapterName,
@@ -84,3 +90,33 @@
     sharedParts: parts.map((part) => brandString<Digest>(part)),
   };
 }
+
+/** Organisation without a priority or quota of its own, with some fields of a test. */
+export function createOrganisation(
+  name: string,
+  fields: Partial<Organisation> = {},
+): Organisation {
+  return {
+    name: brandString(name),
+    priority: undefined,
+    quota: undefined,
+    ...fields,
+  };
+}
+
+/** Directory of organisations, each with the digests of its keys. */
+export function createOrganisations(
+  ...entries: readonly [Organisation, ...string[]][]
+): OrganisationDirectory {
+  return createDirectory(
+    entries.map(([organisation, ...keys]) => ({
+      organisation,
+      keys: keys.map((key) => brandString(key)),
+    })),
+  ).unsafeCoerce();
+}
+
+/** Credential of a caller with the key of this digest. */
+export function createCredential(digest: string): Credential {
+  return { kind: "key", digest: brandString(digest) };
+}
--- a/tests/platform_adapter/server_links_test.ts
+++ b/tests/platform_adapter/server_links_test.ts
@@ -11,6 +11,7 @@
   type FencingNumber,
   type MachineName,
   type ModelName,
+  type OrganisationName,
 } from "../../src/core/ids.ts";
 import type {
   ProxiedRequest,
@@ -123,6 +124,15 @@
   assert.ok(seen.endsWith("\r\n\r\norder"));
 });
 
+test("a server is told the organisation of the caller, if there is one", async () => {
+  const whole = write(`${sealed}content-length: 0\r\n\r\n`);
+  const organisation = brandString<OrganisationName>("north");
+  const told = await send(whole, { organisation });
+  assert.match(told.seen, /\r\ngoldcrestwinch-tenant: north\r\n/i);
+  const untold = await send(whole);
+  assert.doesNotMatch(untold.seen, /goldcrestwinch-tenant/i);
+});
+
 const ends: Record<string, readonly [string, ResponseEnd]> = {
   "a length": ["content-length: 1\r\n\r\nx", "length"],
   chunks: ["transfer-encoding: chunked\r\n\r\n1\r\nx\r\n0\r\n\r\n", "length"],
