Prefer nodes with more processor cores as owners of engines

Change: a node states its cores in its row, and owners are ranked by rendezvous weighted by the square of them; equal nodes keep their order. Nodes of older builds count as one core. Only the rank of a claim depends on it, so that builds that rank differently still agree by the lease.

--- a/src/core/gateway/engine_lease.ts
+++ b/src/core/gateway/engine_lease.ts
@@ -35,6 +35,8 @@
   readonly dataCentre: DataCentre;
   /** `IP:PORT` of its peer listener. */
   readonly address: string;
+  /** Processor cores that the node may use; undefined if it does not say. */
+  readonly capacity?: number | undefined;
 };
 
 /** Durations of engine leases, in ms. */
@@ -81,6 +83,8 @@
   readonly machine: MachineName;
   readonly process: string;
   readonly dataCentre: DataCentre;
+  /** Processor cores that this node may use, if it knows. */
+  readonly capacity?: number | undefined;
   readonly settings: LeaseSettings;
   readonly rows: Map<ServerId, KnownLease>;
   readonly nodes: Map<MachineName, KnownNode>;
@@ -106,7 +110,10 @@
 
 /** Creates the state of a node before its first read. */
 export function createLeaseState(
-  identity: Pick<LeaseState, "machine" | "process" | "dataCentre" | "settings">,
+  identity: Pick<
+    LeaseState,
+    "machine" | "process" | "dataCentre" | "capacity" | "settings"
+  >,
 ): LeaseState {
   return {
     ...identity,
--- a/src/core/gateway/lease_claims.ts
+++ b/src/core/gateway/lease_claims.ts
@@ -3,10 +3,11 @@
   brandNumber,
   type DataCentre,
   type FencingNumber,
+  type MachineName,
   type ServerId,
   type StoreEpoch,
 } from "../ids.ts";
-import { rankByRendezvous } from "../lease/rendezvous.ts";
+import { rankByWeight } from "../lease/rendezvous.ts";
 import type { KnownLease, LeaseSettings, LeaseState } from "./engine_lease.ts";
 
 /** Claim of a lease by this node. */
@@ -113,6 +114,17 @@
   return millis(validity + clockMargin + quietPeriod);
 }
 
+/** Processor cores of a node that does not say how many it may use. */
+const usualCapacity = 1;
+
+/**
+ * Weight of a node in the choice of an engine's owner. It grows faster than the
+ * capacity, since an owner answers calls of all nodes beside its own requests.
+ */
+function weighOwner(capacity = usualCapacity): number {
+  return capacity ** 2;
+}
+
 /** Rank of this node among the candidates for an engine; nodes of its data centre come first. */
 export function getOwnRank(
   state: LeaseState,
@@ -131,13 +143,14 @@
   engine: ServerId,
   dataCentre: DataCentre,
 ): number {
-  const local = [...state.nodes.values()].filter(
-    (node) => node.dataCentre === dataCentre,
-  );
-  const isLocal = state.dataCentre === dataCentre;
-  const names = new Set(local.map(({ machine }) => machine));
-  if (isLocal) names.add(state.machine);
-  const ranked = rankByRendezvous(engine, names);
+  const weights = new Map<MachineName, number>();
+  for (const node of state.nodes.values()) {
+    if (node.dataCentre === dataCentre)
+      weights.set(node.machine, weighOwner(node.capacity));
+  }
+  if (state.dataCentre === dataCentre)
+    weights.set(state.machine, weighOwner(state.capacity));
+  const ranked = rankByWeight(engine, weights);
   const rank = ranked.indexOf(state.machine);
   if (rank >= 0) return rank;
   return (
--- a/src/core/lease/rendezvous.ts
+++ b/src/core/lease/rendezvous.ts
@@ -46,6 +46,26 @@
     .map(({ name }) => name);
 }
 
+/** Number of values of a hash. */
+const hashRange = 2 ** 32;
+
+/**
+ * The candidates in rendezvous order, each as likely to come first as its
+ * weight is part of the sum; with equal weights as `rankByRendezvous`.
+ */
+export function rankByWeight<Name extends string>(
+  key: string,
+  weights: ReadonlyMap<Name, number>,
+): Name[] {
+  return [...weights]
+    .map(([name, weight]) => {
+      const draw = (hashPair(key, name) + 0.5) / hashRange;
+      return { name, cost: -Math.log(draw) / weight };
+    })
+    .sort((a, b) => a.cost - b.cost || compareText(a.name, b.name))
+    .map(({ name }) => name);
+}
+
 /**
  * Assigns each key to the candidate with the highest hash that has capacity
  * left; no candidate gets more than its even share, rounded up. Without the
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -59,6 +59,8 @@
   readonly regions: ReadonlyMap<DataCentre, Region>;
   /** `IP:PORT` of the peer listener. */
   readonly peerAddress: string;
+  /** Processor cores that the process may use; undefined if its settings do not say. */
+  readonly capacity?: number | undefined;
 };
 
 /** Port implementations and settings that all tasks of a gateway share. */
--- a/src/node/gateway/rows/lease_manager.ts
+++ b/src/node/gateway/rows/lease_manager.ts
@@ -80,13 +80,19 @@
 
   private constructor(options: LeaseManagerOptions) {
     this.#options = options;
-    const { machine, process, dataCentre } =
+    const { machine, process, dataCentre, capacity } =
       options.context.dependencies.identity;
     const settings = defaultLeaseSettings;
     const { context, table } = options;
     this.#registration = NodeRegistration.create(context, table);
     this.#shareWatch = SlackShareWatch.create(context);
-    this.#state = createLeaseState({ machine, process, dataCentre, settings });
+    this.#state = createLeaseState({
+      machine,
+      process,
+      dataCentre,
+      capacity,
+      settings,
+    });
   }
 
   /** Starts to read the lease rows and to claim engines. */
--- a/src/node/gateway/rows/lease_rows.ts
+++ b/src/node/gateway/rows/lease_rows.ts
@@ -10,6 +10,7 @@
 import {
   brandNumber,
   brandString,
+  type DataCentre,
   type MachineName,
   type RowKey,
   type ServerId,
@@ -23,6 +24,8 @@
 const nodePrefix = "node/";
 /** Highest fencing number of a lease; each claim raises it by one. */
 const maxFence = 2 ** 52;
+/** Most processor cores of a node. */
+const maxCapacity = 1_024;
 /** Longest time without orders that a lease states, in ms. */
 const maxWait = 60_000;
 
@@ -179,12 +182,17 @@
   return brandNumber(isKnown ? (epoch as number) : 0);
 }
 
-/** Encodes the address of a node for its row. */
+/** Encodes the address of a node, and its capacity if it knows it, for its row. */
 export function encodeNode(
-  { dataCentre, address }: KnownNode,
+  { dataCentre, address, capacity }: KnownNode,
   epoch: StoreEpoch,
 ): Json {
-  return { dataCentre, address, epoch };
+  const fields = { dataCentre, address, epoch };
+  return capacity === undefined ? fields : { ...fields, capacity };
+}
+
+function isCapacity(value: Json | undefined): value is number {
+  return typeof value === "number" && value > 0 && value <= maxCapacity;
 }
 
 /** Whether a fencing number can be raised by one for a very long time. */
@@ -206,10 +214,15 @@
   const nodes: KnownNode[] = [];
   for (const { key, value } of rows) {
     if (!key.startsWith(nodePrefix)) continue;
-    const { dataCentre, address } = (value ?? {}) as Fields;
+    const { dataCentre, address, capacity } = (value ?? {}) as Fields;
     if (typeof dataCentre !== "string" || !isAddress(address)) continue;
     const machine: MachineName = brandString(key.slice(nodePrefix.length));
-    nodes.push({ machine, dataCentre: brandString(dataCentre), address });
+    const node = { machine, dataCentre: brandString<DataCentre>(dataCentre) };
+    nodes.push({
+      ...node,
+      address,
+      capacity: isCapacity(capacity) ? capacity : undefined,
+    });
   }
   return nodes;
 }
--- a/src/node/gateway/rows/node_registration.ts
+++ b/src/node/gateway/rows/node_registration.ts
@@ -73,8 +73,9 @@
   }
 
   #encode(epoch: StoreEpoch): Json {
-    const { machine, dataCentre, peerAddress } =
+    const { machine, dataCentre, peerAddress, capacity } =
       this.#context.dependencies.identity;
-    return encodeNode({ machine, dataCentre, address: peerAddress }, epoch);
+    const node = { machine, dataCentre, address: peerAddress, capacity };
+    return encodeNode(node, epoch);
   }
 }
--- a/tests/gateway/engine_lease_test.ts
+++ b/tests/gateway/engine_lease_test.ts
@@ -12,6 +12,7 @@
   type LeaseState,
 } from "../../src/core/gateway/engine_lease.ts";
 import {
+  getOwnRank,
   planLeaseClaims,
   recordClaim,
 } from "../../src/core/gateway/lease_claims.ts";
@@ -98,6 +99,39 @@
   assert.equal(Math.min(...times), 0);
 });
 
+// Guards against weak nodes that own as many engines as strong ones.
+test("nodes with more processor cores claim most engines, and one that does not say counts as one core", () => {
+  const capacities = { n1: 1.35, n2: 0.25, n3: 0.25, n4: undefined };
+  const known = nodes(...Object.keys(capacities)).map((node) => ({
+    ...node,
+    capacity: capacities[node.machine as keyof typeof capacities],
+  }));
+  const first = new Map<string, number>();
+  for (const { machine, capacity } of known) {
+    const state = createLeaseState({
+      machine,
+      process: `${machine}/1`,
+      dataCentre,
+      capacity,
+      settings,
+    });
+    for (const node of known) state.nodes.set(node.machine, node);
+    for (let at = 0; at < 500; at++) {
+      const engine = brandString<ServerId>(`e${at}`);
+      if (getOwnRank(state, { engine, dataCentre }) > 0) continue;
+      first.set(machine, (first.get(machine) ?? 0) + 1);
+    }
+  }
+  const counts = known.map(({ machine }) => first.get(machine) ?? 0);
+  const [strong, weak, , unknown] = counts as [number, number, number, number];
+  assert.equal(
+    counts.reduce((sum, count) => sum + count, 0),
+    500,
+  );
+  assert.ok(strong > 250 && weak < 30, `${counts}`);
+  assert.ok(unknown > 4 * weak, `${counts}`);
+});
+
 test("a node sends orders only while its lease is confirmed by a recent read", () => {
   const state = createNode("a");
   read(state, 0);
--- a/tests/lease/rendezvous_test.ts
+++ b/tests/lease/rendezvous_test.ts
@@ -3,6 +3,8 @@
 import {
   assignByRendezvous,
   chooseByRendezvous,
+  rankByRendezvous,
+  rankByWeight,
 } from "../../src/core/lease/rendezvous.ts";
 
 // Guards against engines that change their owner although its node stays.
@@ -43,3 +45,22 @@
   // Six have to move; the bound may push on as many again.
   assert.ok(moved.length <= 12, `${moved.length} moved`);
 });
+
+// Guards against owners on the weakest nodes, which answer the calls of all others too late.
+test("a node comes first as often as its weight is part of the sum, and equal weights change no order", () => {
+  const weights = new Map([
+    ["strong", 6],
+    ["weak-1", 1],
+    ["weak-2", 1],
+  ]);
+  const equal = new Map([...weights.keys()].map((name) => [name, 2]));
+  const engines = Array.from({ length: 4_000 }, (_, index) => `e${index}`);
+  let strong = 0;
+  for (const engine of engines) {
+    if (rankByWeight(engine, weights)[0] === "strong") strong++;
+    const plain = rankByRendezvous(engine, weights.keys());
+    assert.deepEqual(rankByWeight(engine, equal), plain);
+  }
+  const share = strong / engines.length;
+  assert.ok(Math.abs(share - 6 / 8) < 0.03, `${share}`);
+});
