Ask owners of engines for adapters less often, and at half the cost of a call

Cause: a request that waits for an adapter asks up to three owners twice at each attempt, every 60 ms. Change: a node remembers that an owner refused or did not answer, and for how long; requests for one adapter share a call; an owner may say when it can start a load. Calls between nodes use undici's request in place of its Fetch API.

--- a/src/adapters/peers/node_links.ts
+++ b/src/adapters/peers/node_links.ts
@@ -1,5 +1,5 @@
 import { createTRPCClient, httpLink } from "@trpc/client";
-import { Agent, fetch } from "undici";
+import { type Dispatcher, Pool } from "undici";
 import { z } from "zod";
 import { type Millis, millis } from "../../core/clock.ts";
 import { brandString, type SoftwareVersion } from "../../core/ids.ts";
@@ -28,9 +28,11 @@
 
 type Peer = {
   readonly client: ReturnType<typeof createTRPCClient<NodeRouter>>;
-  readonly agent: Agent;
+  readonly pool: Pool;
 };
 
+type TrpcFetch = NonNullable<Parameters<typeof httpLink>[0]["fetch"]>;
+
 type CallOptions = { readonly signal: AbortSignal };
 
 /** Calls other nodes over tRPC. */
@@ -124,37 +126,43 @@
   #disconnect(address: string): void {
     const peer = this.#peers.get(address);
     this.#peers.delete(address);
-    peer?.agent.close().catch(() => {});
+    peer?.pool.close().catch(() => {});
   }
 
   #getOrCreatePeer(address: string): Peer {
     const existing = this.#peers.get(address);
     if (existing !== undefined) return existing;
-    const agent = new Agent({
+    const pool = new Pool(`http://${address}`, {
       connect: { timeout: connectTimeoutMillis },
       connections: maxConnections,
       pipelining: 1,
       maxResponseSize: maxResponseBytes,
     });
+    const url = `http://${address}`;
     const client = createTRPCClient<NodeRouter>({
-      links: [
-        httpLink({
-          url: `http://${address}`,
-          fetch: async (url, init) => {
-            const response = await fetch(String(url), {
-              method: init?.method ?? "POST",
-              body: init?.body as string,
-              headers: { "content-type": "application/json" },
-              signal: init?.signal ?? null,
-              dispatcher: agent,
-            });
-            return response as unknown as Response;
-          },
-        }),
-      ],
+      links: [httpLink({ url, fetch: createFetch(pool) })],
     });
-    const peer = { client, agent };
+    const peer = { client, pool };
     this.#peers.set(address, peer);
     return peer;
   }
 }
+
+/** The part of the Fetch API that tRPC needs, over a pool; it takes half the processor time of the whole API. */
+function createFetch(pool: Pool): TrpcFetch {
+  return async (url, init) => {
+    const { pathname, search } = new URL(String(url));
+    const { statusCode, body } = await pool.request({
+      method: (init?.method ?? "POST") as Dispatcher.HttpMethod,
+      path: `${pathname}${search}`,
+      headers: { "content-type": "application/json" },
+      body: init?.body as string,
+      signal: init?.signal ?? null,
+    });
+    return {
+      ok: statusCode < 400,
+      status: statusCode,
+      json: () => body.json(),
+    };
+  };
+}
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -92,6 +92,8 @@
   gateway_connect_ms:
     "Time from sending a request until it starts on a connection, in ms",
   gateway_adapter_wait_ms: "Time that requests waited for an adapter, in ms",
+  gateway_owner_calls_saved_total:
+    "Requests for adapters that were not sent to the owner of their engine, by reason: refused before, or joined to one in progress",
   gateway_repeats_total:
     "Retries taken from the shared retry budget, by service",
   gateway_repeats_denied_total:
--- a/src/node/gateway/engines/owner_calls.ts
+++ b/src/node/gateway/engines/owner_calls.ts
@@ -1,4 +1,11 @@
 import { hasRecentReport } from "../../../core/gateway/adapter_directory.ts";
+import {
+  clearRefusals,
+  createOwnerRefusals,
+  isHeldOff,
+  recordRefusal,
+} from "../../../core/gateway/owner_refusals.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { MachineName, ServerId } from "../../../core/ids.ts";
 import type {
   AcquireResult,
@@ -26,9 +33,14 @@
   | { readonly kind: "peer"; machine: MachineName; address: string }
   | { readonly kind: "missing" };
 
+type WantedAdapter = Parameters<AcquireAdapter>[1];
+
 /** Calls to the owners of engines, which may be this node. */
 export class OwnerCalls {
   readonly #options: OwnerCallsOptions;
+  readonly #refusals = createOwnerRefusals();
+  /** Calls in progress, by what they ask for; requests for the same share one. */
+  readonly #calls = new Map<string, Promise<AcquireResult>>();
 
   private constructor(options: OwnerCallsOptions) {
     this.#options = options;
@@ -39,6 +51,62 @@
   }
 
   readonly acquire: AcquireAdapter = async (server, adapter) => {
+    const { context } = this.#options;
+    const { patience, wasDenied } = adapter;
+    const now = context.now();
+    if (isHeldOff(this.#refusals, server.id, { patience, now })) {
+      context.dependencies.meter.count("gateway_owner_calls_saved_total", {
+        reason: "refused-before",
+      });
+      return { kind: "refused", reason: "busy" };
+    }
+    // A denial is news for the owner.
+    if (wasDenied) return this.#ask(server, adapter);
+    const { place, version } = adapter;
+    const key = JSON.stringify([server.id, place, version, patience]);
+    const call = this.#calls.get(key);
+    if (call !== undefined) {
+      context.dependencies.meter.count("gateway_owner_calls_saved_total", {
+        reason: "joined",
+      });
+      return call;
+    }
+    const started = this.#ask(server, adapter).finally(() =>
+      this.#calls.delete(key),
+    );
+    this.#calls.set(key, started);
+    return started;
+  };
+
+  /** Asks the owner of an engine, and remembers whether it refused. */
+  async #ask(
+    server: BackendServer,
+    adapter: WantedAdapter,
+  ): Promise<AcquireResult> {
+    const answer = await this.#call(server, adapter);
+    if (answer.kind === "ready") {
+      clearRefusals(this.#refusals, server.id);
+      return answer;
+    }
+    const { reason } = answer;
+    // Another node may be the owner at once.
+    if (reason === "not-owner") return answer;
+    const { random } = this.#options.context.dependencies;
+    const refusal = {
+      engine: server.id,
+      isUnanswered: reason === "unreachable",
+      patience: adapter.patience,
+      retryIn: answer.retryIn,
+    };
+    const moment = { now: this.#options.context.now(), spread: random() };
+    recordRefusal(this.#refusals, refusal, moment);
+    return answer;
+  }
+
+  async #call(
+    server: BackendServer,
+    adapter: WantedAdapter,
+  ): Promise<AcquireResult> {
     const { context, contacts, engineControllers, nodeLinks } = this.#options;
     const { machine: from } = context.dependencies.identity;
     const request = { from, engine: server.id, ...adapter };
@@ -52,7 +120,7 @@
       answer.kind === "ready" || answer.reason !== "unreachable";
     if (isAnswered) contacts.recordContact(owner.machine);
     return answer;
-  };
+  }
 
   readonly requestModel: RequestModel = async (server, wanted) => {
     const { engineControllers, nodeLinks } = this.#options;
@@ -73,6 +141,11 @@
     return holder === undefined || contacts.isUnresponsive(holder);
   }
 
+  /** Drops what is remembered of an engine that is gone. */
+  forget(engine: ServerId): void {
+    clearRefusals(this.#refusals, engine);
+  }
+
   #findOwner(engine: ServerId): Owner {
     const { context, leases, contacts } = this.#options;
     const machine = leases.findHolder(engine);
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -211,6 +211,7 @@
       onServerGone: (id) => {
         this.#incarnations.forget(id);
         this.#usageReporter.forget(id);
+        owners.forget(id);
         this.#engineControllers.reconcile();
       },
     });
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -34,6 +34,8 @@
        * time. `unreachable`: the call to the owner failed.
        */
       readonly reason: "not-owner" | "full" | "busy" | "cold" | "unreachable";
+      /** Time after which the load could start within the patience, in ms, if the owner says so. */
+      readonly retryIn?: number | undefined;
     };
 
 /** Response of an engine's owner to a request for a base model. */
