Rank requests by priority, target, work and age, and tell engines late ones from those in time

Cause: nothing ranks the requests that wait, and engines learn the priority of the route only, where priorities above 9 are all the same.

--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -12,6 +12,7 @@
 import type { RequestPlan } from "./request_intake.ts";
 import type { RequestLog } from "./request_log.ts";
 import type { RequestRun } from "./request_run.ts";
+import { findEngineLevel, findRequestUrgency } from "./request_urgency.ts";
 import type { RequestUsage } from "./request_usage.ts";
 import type { ResponseForwarder } from "./response_forwarder.ts";
 import {
@@ -112,7 +113,7 @@
           isAccepted,
           timeLeft,
           adapterVersion,
-          priority: request.demand === undefined ? undefined : plan.priority,
+          priority: this.#findEngineLevel(),
           organisation: plan.organisation?.name,
           resumeAfter: cursor?.lastId ?? request.resumeAfter,
         },
@@ -136,6 +137,15 @@
     });
   }
 
+  /** Level at which the engine queues the request; undefined for a service without models. */
+  #findEngineLevel(): number | undefined {
+    const { context, request, plan, forwarder } = this.#options;
+    if (request.demand === undefined) return undefined;
+    const urgency = findRequestUrgency(request, plan, { hasServer: true });
+    const hasBegun = forwarder.hasStarted || request.resumeAfter !== undefined;
+    return findEngineLevel(context, urgency, { now: context.now(), hasBegun });
+  }
+
   /** Reads the answer on. */
   resume(): void {
     this.#attempt?.resume();
