Ask a server that had no room again after a short hold, and don't count that as a failure

Cause: two rejections for want of room in a row suspended a server for 0.4 to 3 s, as if it had failed, so that its load fell on the others and they were suspended too; below that, a full server was asked again at once. Change: a rejection holds the server back at this node for 40 to 80 ms, doubling up to 1 to 2 s, until it serves a request of this node; its health stays as it is. Brittle servers keep their own rule.

--- a/src/node/gateway/requests/attempt_health.ts
+++ b/src/node/gateway/requests/attempt_health.ts
@@ -13,7 +13,8 @@
 ): boolean {
   // The pause already keeps requests away; a suspension would outlast it.
   if (kind === "not-run" && context.availability.isPaused(server)) return false;
-  if (kind === "not-run" && context.availability.isBrittle(server)) {
+  // A server without room is asked less often; it has not failed.
+  if (kind === "not-run") {
     context.availability.recordRejection(server);
     return false;
   }
--- a/src/node/gateway/servers/server_availability.ts
+++ b/src/node/gateway/servers/server_availability.ts
@@ -12,6 +12,12 @@
   type ServerHealth,
 } from "../../../core/gateway/server_health.ts";
 import type { Resumption } from "../../../core/gateway/server_pauses.ts";
+import {
+  type FullServers,
+  isFull,
+  recordNoRoom,
+  recordRoom,
+} from "../../../core/gateway/server_room.ts";
 import {
   acceptsRequests,
   type BackendServer,
@@ -41,6 +47,7 @@
   readonly #pauses: PauseTracker;
   readonly #options: ServerAvailabilityOptions;
   readonly #brittle: BrittleServers = new Map();
+  readonly #full: FullServers = new Map();
 
   private constructor(options: ServerAvailabilityOptions) {
     this.#options = options;
@@ -81,14 +88,20 @@
 
   /** Records that a server had no room for a request. */
   recordRejection(server: BackendServer): void {
+    if (this.isBrittle(server)) return this.#recordBrittleRejection(server);
+    const now = this.#clock.now();
+    recordNoRoom(this.#full, server, { now, share: this.#options.random() });
+  }
+
+  #recordBrittleRejection(server: BackendServer): void {
     recordRejection(this.#brittle, server, this.#describeMoment(server));
-    if (this.isBrittle(server))
-      this.#options.meter.count("brittle_rejections_total");
+    this.#options.meter.count("brittle_rejections_total");
   }
 
   /** Records that a server has served a request. */
   recordServed({ id }: BackendServer): void {
     recordServed(this.#brittle, id);
+    recordRoom(this.#full, id);
   }
 
   /** Whether the server has asked this node to send it nothing for a time. */
@@ -114,6 +127,7 @@
   canTakeNext(server: BackendServer, permit?: Permit): boolean {
     const current = this.#findCurrent(server);
     if (!this.#pauses.canTakeNext(current)) return false;
+    if (isFull(this.#full, current, this.#clock.now())) return false;
     if (!hasRoom(this.#brittle, current, this.#describeMoment(current)))
       return false;
     const hasPermit = permit?.kind === "granted";
@@ -141,6 +155,8 @@
   removeEnded(): void {
     this.#pauses.removeEnded((id) => this.#directory.servers.has(id));
     this.limits.removeGone((id) => this.#directory.servers.has(id));
+    for (const id of this.#full.keys())
+      if (!this.#directory.servers.has(id)) this.#full.delete(id);
     for (const id of this.#brittle.keys())
       if (!this.#directory.servers.has(id)) this.#brittle.delete(id);
   }
