Let requests wait for servers in one line a service, in the order of their urgency

Cause: each request polled for a server by itself, so that whoever asked first was served; a request whose retry the budget refused ended at once, after one rejection, though no server had run it; requests were sent to engines that could not begin them before their deadlines. Change: a line a service wakes its requests by priority, target, work and age on events (an answer or rejection ended, a server registered, the owners reported contents, a pause ended) and by one timer of 60 ms; it holds 2,000 and refuses the least urgent beyond them. A request that nothing has run waits up to 500 ms for a retry of the budget. One that no engine is expected to begin before its deadline is refused at once with a jittered Retry-After. Refusals and waits are counted by priority.

--- a/src/core/gateway/service_retry_budget.ts
+++ b/src/core/gateway/service_retry_budget.ts
@@ -79,11 +79,7 @@
   budget: ServiceRetryBudget,
   moment: BudgetMoment,
 ): boolean {
-  refill(budget, moment);
-  if (budget.tokens >= 1) {
-    budget.tokens--;
-    return true;
-  }
+  if (takeEarnedRetry(budget, moment)) return true;
   // A bucket that never holds a whole token is spent with the chance that it stands for.
   const isSmall = findCapacity(budget, moment.share.part) < 1;
   if (!isSmall || moment.random() >= budget.tokens) return false;
@@ -91,6 +87,17 @@
   return true;
 }
 
+/** Takes one retry if a whole one is left; it may be asked for again and again. */
+export function takeEarnedRetry(
+  budget: ServiceRetryBudget,
+  moment: BudgetMoment,
+): boolean {
+  refill(budget, moment);
+  if (budget.tokens < 1) return false;
+  budget.tokens--;
+  return true;
+}
+
 function refill(budget: ServiceRetryBudget, { now, share }: BudgetMoment) {
   const { limits, slots } = budget;
   const first = findSlot(limits, millis(now - limits.window)) + 1;
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -97,6 +97,10 @@
   retry_slack_share:
     "Part of the slack of the retry budget that this node may use, from 0 to 1",
   retry_slack_nodes: "Nodes by which the slack of the retry budget is divided",
+  gateway_line_wait_ms:
+    "Time that requests waited in line for a server until they were sent or ended, by priority, in ms",
+  gateway_line_length: "Requests that wait in line for a server, by service",
+  gateway_refusals_total: "Requests refused, by result code and priority",
   server_pauses_total:
     "Answers of servers that ask for a pause, by form of the value",
   server_notices_ignored_total:
--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -108,6 +108,24 @@
     meaning:
       "The server of a stream has started again with another software version, and either may have begun the stream",
   },
+  requestOutranked: {
+    number: 330,
+    level: "info",
+    meaning:
+      "A request is refused, since more urgent ones fill the line of its service",
+  },
+  requestTooLateToBegin: {
+    number: 331,
+    level: "info",
+    meaning:
+      "A request is refused, since no server is expected to begin it before its deadline",
+  },
+  retryAwaitsBudget: {
+    number: 332,
+    level: "debug",
+    meaning:
+      "A request that no server has run waits for a retry, since the retry budget is spent",
+  },
   callClaimed: {
     number: 401,
     level: "debug",
--- a/src/core/results/request_codes.ts
+++ b/src/core/results/request_codes.ts
@@ -110,6 +110,21 @@
     meaning: "The node keeps as many bytes of request bodies as it may",
     remedy: "Send to another node, or again after Retry-After",
   },
+  tooLateToBegin: {
+    number: 2010,
+    status: 503,
+    outcome: "not-run",
+    meaning: "No server is expected to begin the request before its deadline",
+    remedy: "Send again after Retry-After",
+  },
+  outranked: {
+    number: 2011,
+    status: 503,
+    outcome: "not-run",
+    meaning:
+      "More urgent requests fill the line of those that wait for the service",
+    remedy: "Send again after Retry-After",
+  },
   retryBudgetSpent: {
     number: 2006,
     status: 503,
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -26,6 +26,7 @@
   recordRequest,
   type ServiceRetryBudget,
   type ServiceRetryLimits,
+  takeEarnedRetry,
   takeRetry,
 } from "../../core/gateway/service_retry_budget.ts";
 import { ShareTracker } from "../../core/gateway/slack_share.ts";
@@ -43,6 +44,7 @@
 import type { ReportFailure } from "../../ports/failures.ts";
 import type { ProbeServer, ServerLinks } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
+import { WaitingLines } from "./requests/waiting_lines.ts";
 import { ReachWatch } from "./servers/reach_watch.ts";
 import { ServerAvailability } from "./servers/server_availability.ts";
 
@@ -92,6 +94,8 @@
   readonly health: ServerHealth = createServerHealth();
   readonly availability: ServerAvailability;
   readonly reach: ReachWatch;
+  /** Requests that wait for servers. */
+  readonly lines: WaitingLines;
   readonly adapterDirectory: AdapterDirectory = createAdapterDirectory();
   /** Newest declared version of each adapter. */
   readonly versions = new Map<ModelAdapterKey, number>();
@@ -110,6 +114,7 @@
 
   private constructor(dependencies: GatewayDependencies) {
     this.dependencies = dependencies;
+    this.lines = WaitingLines.create(dependencies);
     this.slackShare = ShareTracker.create(dependencies.retryLimits.window);
     this.reach = ReachWatch.create({
       ...dependencies,
@@ -175,6 +180,15 @@
     return taken;
   }
 
+  /** Takes a retry that was refused before, once the budget holds a whole one. */
+  takeEarnedRetry(service: ServiceName): boolean {
+    const budget = this.#obtainRetryBudget(service);
+    const taken = takeEarnedRetry(budget, this.#budgetMoment());
+    if (taken)
+      this.dependencies.meter.count("gateway_repeats_total", { service });
+    return taken;
+  }
+
   #budgetMoment(): BudgetMoment {
     const now = this.now();
     const { random } = this.dependencies;
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -205,7 +205,10 @@
     this.#installation = InstallationTracker.create({
       context: this.context,
       onConfiguration: () => this.#engineControllers.reconcile(),
-      onServer: (server) => this.#engineControllers.register(server),
+      onServer: (server) => {
+        this.#engineControllers.register(server);
+        this.context.lines.notify(server.service);
+      },
       onEntry: (server, maxAge) =>
         this.#incarnations.recordRegistration(server, maxAge),
       onServerGone: (id) => {
@@ -353,8 +356,10 @@
   #receive(message: NodeMessage, address: string): void {
     switch (message.type) {
       case "use":
-      case "load":
         return this.#usageReporter.receive(message, address);
+      case "load":
+        this.#usageReporter.receive(message, address);
+        return this.context.lines.notifyAll();
       case "leaving":
         return this.#notices.receiveLeaving(message);
       case "limit":
--- a/src/node/gateway/requests/attempt_history.ts
+++ b/src/node/gateway/requests/attempt_history.ts
@@ -1,4 +1,5 @@
 import type { Millis } from "../../../core/clock.ts";
+import type { BeginDecision } from "../../../core/gateway/begin_in_time.ts";
 import type { Resumption } from "../../../core/gateway/server_pauses.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { ServerId } from "../../../core/ids.ts";
@@ -8,6 +9,13 @@
 /** How an attempt ended. */
 export type AttemptEndKind = AttemptResult["end"]["kind"];
 
+/** Refusal of a request for the sake of others, or of its deadline. */
+export type TurnedAway =
+  /** More urgent requests fill the line. */
+  | { readonly kind: "outranked" }
+  /** No server can begin it before its deadline. */
+  | Extract<BeginDecision, { kind: "too-late" }>;
+
 /** Failed attempts and refusals of one request. */
 export class AttemptHistory {
   /** Servers that are not selected while others are available. */
@@ -34,6 +42,9 @@
   /** When the first server takes requests again, if all of them are paused. */
   resumption: Resumption | undefined;
 
+  /** Why the request is refused though servers take others. */
+  turnedAway: TurnedAway | undefined;
+
   private constructor() {}
 
   static create(): AttemptHistory {
--- a/src/node/gateway/requests/request_ending.ts
+++ b/src/node/gateway/requests/request_ending.ts
@@ -72,11 +72,19 @@
       code: refusal.code,
       ...history.counts,
     });
+    this.#countRefusal(refusal);
     if (forwarder.hasStarted) sink.abort();
     else sink.refuse(refusal);
     this.finish(refusal.code);
   }
 
+  #countRefusal({ code }: Refusal): void {
+    const { context, plan } = this.#options;
+    const priority = String(plan.priority);
+    const { meter } = context.dependencies;
+    meter.count("gateway_refusals_total", { code, priority });
+  }
+
   /** Ends the request without a word to its caller. */
   finish(outcome: string): void {
     if (this.#hasEnded) return;
--- a/src/node/gateway/requests/request_refusals.ts
+++ b/src/node/gateway/requests/request_refusals.ts
@@ -7,7 +7,8 @@
 import { type Refusal, refuse } from "../../../core/results/refusal.ts";
 import type { ModelDemand } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
-import type { AttemptHistory } from "./attempt_history.ts";
+import type { AttemptHistory, TurnedAway } from "./attempt_history.ts";
+import { maxWaitingRequests } from "./waiting_line.ts";
 
 /** Delay before a refused caller should retry, in ms. */
 const retryDelay = millis(400);
@@ -30,6 +31,8 @@
     const detail = "The answer was lost and no other server can take over";
     return refuse("serviceBroken", detail);
   }
+  if (history.turnedAway !== undefined)
+    return refuseTurnedAway(history.turnedAway, context);
   if (history.resumption !== undefined)
     return refuseWhilePaused(history.resumption, context);
   const code = demand === undefined ? "noServer" : "adapterNotInTime";
@@ -48,6 +51,22 @@
   });
 }
 
+/** Refusal of a request for more urgent ones, or because it cannot begin before its deadline. */
+function refuseTurnedAway(
+  reason: TurnedAway,
+  context: GatewayContext,
+): Refusal {
+  // The callers that are refused together do not come back together.
+  const spread = millis(retryDelay * (1 + context.dependencies.random()));
+  if (reason.kind === "outranked") {
+    const detail = `${maxWaitingRequests} more urgent requests wait for the service`;
+    return refuse("outranked", detail, { retryAfter: spread });
+  }
+  const retryAfter = millis(reason.returnsIn + spread);
+  const detail = `No server is expected to begin the request before its deadline; one may in ${Math.ceil(reason.returnsIn)} ms`;
+  return refuse("tooLateToBegin", detail, { retryAfter });
+}
+
 /** Refusal of a request for the rest of a stream that may have begun at any software version; `isOpen` if its server may have started again before. */
 export function refuseUnknownOrigin(isOpen: boolean): Refusal {
   const detail = isOpen
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -99,6 +99,7 @@
       history: this.#history,
       log: this.#log,
       isEligible: this.#continuation.allows,
+      isResumption: this.#continuation.isResumption,
       hasEnded: () => this.#hasEnded || this.#goesToOtherNode,
     });
     if (route.retryRule === "stream" && route.resumable) {
@@ -244,7 +245,8 @@
       if (step.kind === "pass-on")
         return this.#ending.forwardServerError(result);
       if (step.kind === "give-up") return this.#ending.giveUp(result);
-      if (step.usesRetryBudget && !this.#wait.takeRetry()) {
+      if (step.usesRetryBudget && !(await this.#wait.awaitRetry())) {
+        if (this.#hasEnded) return;
         if (result.end.kind === "server-error")
           return this.#ending.forwardServerError(result);
         return this.#ending.giveUp(result);
@@ -308,7 +310,9 @@
     permit: Permit,
   ): Promise<AttemptResult | undefined> {
     if (this.#ending.refuseAtLimit()) return undefined;
-    const result = await this.#sends.send(selection, permit);
+    const attempt = this.#sends.send(selection, permit);
+    this.#wait.leaveLine();
+    const result = await attempt;
     return result.end.kind === "whole" ? undefined : result;
   }
 
@@ -348,6 +352,7 @@
   /** Lets go of all that the request holds. */
   #release(): void {
     this.#cancelTimeLimit();
+    this.#wait.leaveLine();
     this.#usage.release();
     this.#prompt.end();
     this.#run.end(false);
--- a/src/node/gateway/requests/request_wait.ts
+++ b/src/node/gateway/requests/request_wait.ts
@@ -8,11 +8,16 @@
 import type { AttemptHistory } from "./attempt_history.ts";
 import type { RequestPlan } from "./request_intake.ts";
 import type { RequestLog } from "./request_log.ts";
+import { findRequestUrgency } from "./request_urgency.ts";
 import { waitForServer } from "./server_wait.ts";
+import type { WaitingPlace } from "./waiting_line.ts";
 
 /** Maximum wait for a permit while another server may take the request, and while none may, in ms. */
 const shortPermitWait = 60;
 const longPermitWait = 1_000;
+/** Maximum wait for a retry while the budget of the service is spent, and delay between two looks at it, in ms. */
+const maxRetryWait = 500;
+const retryPollInterval = 60;
 
 type RequestWaitOptions = {
   readonly context: GatewayContext;
@@ -24,6 +29,8 @@
   readonly log: RequestLog;
   /** Whether a server may serve the request. */
   readonly isEligible: (server: BackendServer) => boolean;
+  /** Whether the request goes on with a stream. */
+  readonly isResumption: boolean;
   /** Whether the request has ended. */
   readonly hasEnded: () => boolean;
 };
@@ -31,6 +38,7 @@
 /** Waits of one request for a server, bounded by its time limits and by the stop of the node. */
 export class RequestWait {
   readonly #options: RequestWaitOptions;
+  #place: WaitingPlace | undefined;
 
   private constructor(options: RequestWaitOptions) {
     this.#options = options;
@@ -69,7 +77,14 @@
       isEligible: this.#options.isEligible,
       tried: history.tried,
       deniedBy: history.deniedBy,
+      place: this.#join(),
+      isResumption: this.#options.isResumption,
       until: this.findEnd(),
+      // One that has run is not refused for an estimate, since its answer is lost then.
+      deadline: millis(
+        history.runs > 0 ? Number.POSITIVE_INFINITY : plan.limits.end,
+      ),
+      fullTime: millis(plan.limits.end - request.arrivedAt),
       hasEnded: this.#options.hasEnded,
       onAdapterWait: (server) => log.record("requestAwaitsAdapter", { server }),
       onRefused: (server, reason) => {
@@ -78,6 +93,14 @@
       onPaused: (resumption) => {
         history.resumption = resumption;
       },
+      onOutranked: () => {
+        log.record("requestOutranked");
+        history.turnedAway = { kind: "outranked" };
+      },
+      onTooLate: (decision) => {
+        log.record("requestTooLateToBegin");
+        history.turnedAway = decision;
+      },
       onModelMissing: (availability) => {
         history.modelReadyAt =
           availability.kind === "coming" ? availability.readyAt : undefined;
@@ -88,6 +111,7 @@
   /** Takes the right to send the request to a server that limits the requests of all nodes. */
   async takePermit(server: BackendServer): Promise<Permit> {
     const { context, selector, plan, log, isEligible } = this.#options;
+    this.#place?.passTurn();
     if (!context.availability.isLimited(server)) return { kind: "not-needed" };
     const isOther = (other: BackendServer) =>
       other.id !== server.id && isEligible(other);
@@ -101,17 +125,60 @@
     return permit;
   }
 
+  /** Leaves the line, since the request is sent or has ended. */
+  leaveLine(): void {
+    const place = this.#place;
+    if (place === undefined) return;
+    this.#place = undefined;
+    place.leave();
+    const { context, plan } = this.#options;
+    const wait = context.now() - place.joinedAt;
+    const priority = String(plan.priority);
+    const { meter } = context.dependencies;
+    meter.observe("gateway_line_wait_ms", wait, { priority });
+  }
+
+  /**
+   * Takes a retry from the budget of the service. A request that no server has
+   * run waits a short time for one, in the order of the line.
+   */
+  async awaitRetry(): Promise<boolean> {
+    const { context, plan, history, hasEnded, log } = this.#options;
+    if (this.takeRetry()) return true;
+    if (history.runs > 0 || this.#arePausedTooLong()) return false;
+    log.record("retryAwaitsBudget");
+    const until = Math.min(this.findEnd(), context.now() + maxRetryWait);
+    const need = { key: "retry", mayProceed: () => true };
+    const place = this.#join();
+    while (!hasEnded()) {
+      const nextTurn = context.now() + retryPollInterval;
+      if (nextTurn >= until) return false;
+      if ((await place.wait(need, millis(nextTurn))) === "outranked")
+        return false;
+      if (context.takeEarnedRetry(plan.service)) return true;
+    }
+    return false;
+  }
+
   /** Takes a retry from the budget of the service, unless all servers are paused for too long. */
   takeRetry(): boolean {
-    const { context, selector, request, plan } = this.#options;
-    const { isEligible } = this.#options;
-    const resumption = selector.findResumption(plan.service, {
-      demand: request.demand,
-      isEligible,
-    });
-    if (resumption !== undefined && resumption.at > this.findEnd())
-      return false;
-    return context.takeRetry(plan.service);
+    const { context, plan } = this.#options;
+    return !this.#arePausedTooLong() && context.takeRetry(plan.service);
+  }
+
+  #arePausedTooLong(): boolean {
+    const { selector, request, plan, isEligible } = this.#options;
+    const { demand } = request;
+    const candidates = { demand, isEligible };
+    const resumption = selector.findResumption(plan.service, candidates);
+    return resumption !== undefined && resumption.at > this.findEnd();
+  }
+
+  #join(): WaitingPlace {
+    const { context, request, plan } = this.#options;
+    const urgency = findRequestUrgency(request, plan, { hasServer: false });
+    this.#place ??= context.lines.obtain(plan.service).join(urgency);
+    return this.#place;
   }
 
   #findLatestStart(): number {
--- a/src/node/gateway/requests/server_wait.ts
+++ b/src/node/gateway/requests/server_wait.ts
@@ -1,7 +1,19 @@
 import { type Millis, millis, sleep } from "../../../core/clock.ts";
+import { findReadyAt } from "../../../core/gateway/adapter_directory.ts";
+import {
+  type BeginDecision,
+  decideBegin,
+} from "../../../core/gateway/begin_in_time.ts";
 import type { Resumption } from "../../../core/gateway/server_pauses.ts";
-import type { BackendServer } from "../../../core/gateway/servers.ts";
-import type { ServerId, ServiceName } from "../../../core/ids.ts";
+import {
+  type BackendServer,
+  listUsableServers,
+} from "../../../core/gateway/servers.ts";
+import {
+  formatModelAdapterKey,
+  type ServerId,
+  type ServiceName,
+} from "../../../core/ids.ts";
 import type { ModelDemand } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
 import type { ModelAvailability } from "../engines/model_requester.ts";
@@ -10,8 +22,9 @@
   ServerSelection,
 } from "../servers/adapter_selector.ts";
 import type { ServerSelector } from "../servers/server_selector.ts";
+import type { Need, WaitingPlace } from "./waiting_line.ts";
 
-/** Delay between two attempts to select a server, in ms. */
+/** Maximum delay between two attempts to select a server, in ms. */
 const pollInterval = millis(60);
 
 /** Criteria and callbacks of a wait for a server. */
@@ -20,6 +33,10 @@
   readonly selector: ServerSelector;
   readonly service: ServiceName;
   readonly demand: ModelDemand | undefined;
+  /** Place of the request among those that wait for the service. */
+  readonly place: WaitingPlace;
+  /** Whether the request goes on with a stream, which not all servers may. */
+  readonly isResumption: boolean;
   /** Whether a server may serve the request. */
   readonly isEligible: (server: BackendServer) => boolean;
   /**
@@ -30,6 +47,9 @@
   readonly deniedBy: ServerId | undefined;
   /** Time by which the server must be able to take the request. */
   readonly until: Millis;
+  /** End of the time that the route and the caller allow, and that time from the arrival on. */
+  readonly deadline: Millis;
+  readonly fullTime: Millis;
   /** Whether the request has ended in the meantime. */
   readonly hasEnded: () => boolean;
   /** Called when the request starts to wait for an adapter. */
@@ -39,6 +59,12 @@
   readonly onModelMissing: (availability: ModelAvailability) => void;
   /** Called with the end of the first pause while all servers are paused, and with undefined once one is not. */
   readonly onPaused: (resumption: Resumption | undefined) => void;
+  /** Called if more urgent requests fill the line. */
+  readonly onOutranked: () => void;
+  /** Called if no server can begin the request before its deadline. */
+  readonly onTooLate: (
+    decision: Extract<BeginDecision, { kind: "too-late" }>,
+  ) => void;
 };
 
 /** Waits until a server can take the request; undefined if none can by `until`. */
@@ -86,25 +112,70 @@
   const candidates = { demand, isEligible };
   const callbacks = { onRefused, onModelMissing };
   const request = { ...candidates, ...callbacks, tried, deniedBy };
+  const { place } = options;
+  const need = describeNeed(options);
+  /** Waits for the next turn; whether the request may go on. */
+  const waitForTurn = async (wakeAt: Millis) => {
+    const end = await place.wait(need, wakeAt);
+    if (end === "outranked") options.onOutranked();
+    return end === "turn";
+  };
+  if (place.isBehindOthers(need.key) && !(await waitForTurn(context.now())))
+    return undefined;
   let isFirst = true;
   while (!options.hasEnded() && isInTime) {
     // Only servers at which the stream cannot go on: the caller can start anew sooner.
     if (selector.hasOnlyServersBut(service, isEligible)) return undefined;
+    // The owners of engines order the loads of adapters, so the next request need not wait.
+    if (demand?.adapter !== undefined) place.passTurn();
     const selection = await selector.select(service, { ...request, isFirst });
     isFirst = false;
     if (selection !== undefined && selection.readyAt <= options.until) {
-      return selection;
+      const begin = decideBegin(selector.listWaits(service, candidates), {
+        timeLeft: millis(options.deadline - context.now()),
+        fullTime: options.fullTime,
+      });
+      if (begin.kind === "in-time") return selection;
+      options.onTooLate(begin);
+      return undefined;
     }
     const pauseEnd = findPauseEnd();
+    const nextPoll = context.now() + pollInterval;
     // A caller that cannot be served in time returns after the pause instead of waiting.
-    const nextAttempt = Math.max(pauseEnd, context.now() + pollInterval);
-    if (nextAttempt >= options.until) return undefined;
+    if (Math.max(pauseEnd, nextPoll) >= options.until) return undefined;
     if (selection === undefined) tried.clear();
-    await sleep(context.dependencies.clock, pollInterval);
+    const wakeAt = pauseEnd > context.now() ? pauseEnd : nextPoll;
+    if (!(await waitForTurn(millis(wakeAt)))) return undefined;
   }
   return undefined;
 }
 
+/** Describes what the request waits for, so that those of equal needs keep their order. */
+function describeNeed({
+  context,
+  service,
+  demand,
+  isResumption,
+  isEligible,
+}: ServerWaitOptions): Need {
+  if (demand?.adapter === undefined) {
+    const key = isResumption ? undefined : `model ${demand?.model ?? ""}`;
+    return { key, mayProceed: () => true };
+  }
+  const key = formatModelAdapterKey(demand.model, demand.adapter);
+  const { adapterDirectory, availability, directory, versions } = context;
+  const mayProceed = () => {
+    const requested = { key, version: versions.get(key) ?? 0 };
+    return listUsableServers(directory, service).some(
+      (server) =>
+        findReadyAt(adapterDirectory, server.id, requested) !== undefined &&
+        isEligible(server) &&
+        availability.canTakeNext(server),
+    );
+  };
+  return { key: isResumption ? undefined : `adapter ${key}`, mayProceed };
+}
+
 /** Resolves to undefined at `until`, since the owners of engines may answer too late. */
 function withDeadline(
   { context, until }: ServerWaitOptions,
--- /dev/null
+++ b/src/node/gateway/requests/waiting_line.ts
@@ -0,0 +1,266 @@
+import {
+  type Cancel,
+  type Clock,
+  type Millis,
+  millis,
+} from "../../../core/clock.ts";
+import { compareUrgency, type Urgency } from "../../../core/gateway/urgency.ts";
+import type { ServiceName } from "../../../core/ids.ts";
+import type { Meter } from "../../../ports/journal.ts";
+
+/** Maximum time between two turns of a line, in ms. */
+const maxTurnInterval = 60;
+/** Minimum time between two turns, in ms, however many events there are. */
+const minTurnInterval = 10;
+/** Maximum time for which the next request waits until the one before it is sent, in ms. */
+const turnPatience = millis(5);
+/** Maximum number of requests that wait for servers of one service. */
+export const maxWaitingRequests = 2_000;
+
+/** How a wait in the line ended: the request may look for a server, or is refused for more urgent ones. */
+export type WaitEnd = "turn" | "outranked";
+
+/** What a request waits for. */
+export type Need = {
+  /** Equal for requests that the same servers can take; undefined if no other request needs the same. */
+  readonly key: string | undefined;
+  /** Whether an event may have made a server available. */
+  readonly mayProceed: () => boolean;
+};
+
+type WaitingLineOptions = {
+  readonly clock: Clock;
+  readonly meter: Meter;
+  readonly service: ServiceName;
+};
+
+/**
+ * The requests that wait for servers of one service. Events wake them in the
+ * order of their urgency; the next one looks for a server once the one before it
+ * is sent or waits again.
+ */
+export class WaitingLine {
+  readonly #options: WaitingLineOptions;
+  readonly #waiting = new Set<WaitingPlace>();
+  #cancelTimer: Cancel = () => {};
+  #nextTurnAt = millis(Number.POSITIVE_INFINITY);
+  #lastTurnAt = millis(Number.NEGATIVE_INFINITY);
+  #isInTurn = false;
+
+  private constructor(options: WaitingLineOptions) {
+    this.#options = options;
+  }
+
+  static create(options: WaitingLineOptions): WaitingLine {
+    return new WaitingLine(options);
+  }
+
+  /** Number of requests that wait. */
+  get length(): number {
+    return this.#waiting.size;
+  }
+
+  /** Creates the place of a request, which waits from its first `wait` on. */
+  join(urgency: Urgency): WaitingPlace {
+    return WaitingPlace.create(urgency, {
+      clock: this.#options.clock,
+      enter: (place, wakeAt) => this.#enter(place, wakeAt),
+      leave: (place) => this.#remove(place),
+      isBehind: (place, key) => this.#isBehind(place, key),
+    });
+  }
+
+  /** Tells the line that a server may have room. */
+  notify(): void {
+    if (this.#waiting.size > 0) this.#scheduleTurn(this.#now());
+  }
+
+  #now(): Millis {
+    return this.#options.clock.now();
+  }
+
+  #isBehind(place: WaitingPlace, key: string): boolean {
+    const now = this.#now();
+    for (const other of this.#waiting) {
+      if (other === place || other.need?.key !== key) continue;
+      if (compareUrgency(other.urgency, place.urgency, now) < 0) return true;
+    }
+    return false;
+  }
+
+  #enter(place: WaitingPlace, wakeAt: Millis): void {
+    this.#waiting.add(place);
+    if (this.#waiting.size > maxWaitingRequests) this.#refuseLeastUrgent();
+    this.#reportLength();
+    const latest = millis(this.#now() + maxTurnInterval);
+    this.#scheduleTurn(millis(Math.min(wakeAt, latest)));
+  }
+
+  #remove(place: WaitingPlace): void {
+    if (this.#waiting.delete(place)) this.#reportLength();
+  }
+
+  #refuseLeastUrgent(): void {
+    const now = this.#now();
+    let last: WaitingPlace | undefined;
+    for (const place of this.#waiting) {
+      if (last === undefined) last = place;
+      else if (compareUrgency(place.urgency, last.urgency, now) > 0)
+        last = place;
+    }
+    if (last === undefined) return;
+    this.#waiting.delete(last);
+    last.end("outranked");
+  }
+
+  #listInOrder(): WaitingPlace[] {
+    const now = this.#now();
+    return [...this.#waiting].sort((a, b) =>
+      compareUrgency(a.urgency, b.urgency, now),
+    );
+  }
+
+  #scheduleTurn(at: Millis): void {
+    const earliest = Math.max(at, this.#lastTurnAt + minTurnInterval);
+    if (this.#isInTurn || earliest >= this.#nextTurnAt) {
+      this.#nextTurnAt = millis(Math.min(this.#nextTurnAt, earliest));
+      return;
+    }
+    this.#cancelTimer();
+    this.#nextTurnAt = millis(earliest);
+    const delay = millis(Math.max(0, earliest - this.#now()));
+    this.#cancelTimer = this.#options.clock.schedule(delay, () => {
+      void this.#runTurn();
+    });
+  }
+
+  async #runTurn(): Promise<void> {
+    this.#isInTurn = true;
+    this.#lastTurnAt = this.#now();
+    this.#nextTurnAt = millis(Number.POSITIVE_INFINITY);
+    try {
+      await this.#wakeInOrder();
+    } finally {
+      this.#isInTurn = false;
+      const next = this.#nextTurnAt;
+      this.#nextTurnAt = millis(Number.POSITIVE_INFINITY);
+      if (this.#waiting.size > 0)
+        this.#scheduleTurn(
+          millis(Math.min(next, this.#now() + maxTurnInterval)),
+        );
+    }
+  }
+
+  async #wakeInOrder(): Promise<void> {
+    const now = this.#now();
+    /** Needs for which no server was found in this turn. */
+    const unmet = new Set<string>();
+    for (const place of this.#listInOrder()) {
+      if (!this.#waiting.has(place)) continue;
+      const { need } = place;
+      const isDue = now >= place.enteredAt + maxTurnInterval;
+      if (!isDue && need?.mayProceed() === false) continue;
+      if (!isDue && need?.key !== undefined && unmet.has(need.key)) continue;
+      this.#waiting.delete(place);
+      const waitsAgain = await place.takeTurn(turnPatience);
+      if (waitsAgain && need?.key !== undefined) unmet.add(need.key);
+    }
+    this.#reportLength();
+  }
+
+  #reportLength(): void {
+    const { meter, service } = this.#options;
+    meter.gauge("gateway_line_length", this.#waiting.size, { service });
+  }
+}
+
+/** What a place needs of its line. */
+type PlaceLine = {
+  readonly clock: Clock;
+  readonly enter: (place: WaitingPlace, wakeAt: Millis) => void;
+  readonly leave: (place: WaitingPlace) => void;
+  readonly isBehind: (place: WaitingPlace, key: string) => boolean;
+};
+
+/** The place of one request in the line of its service. */
+export class WaitingPlace {
+  readonly urgency: Urgency;
+  readonly joinedAt: Millis;
+  readonly #line: PlaceLine;
+  #need: Need | undefined;
+  #enteredAt = millis(0);
+  #resolve: ((end: WaitEnd) => void) | undefined;
+  #onTurnEnd: ((waitsAgain: boolean) => void) | undefined;
+
+  private constructor(urgency: Urgency, line: PlaceLine) {
+    this.urgency = urgency;
+    this.#line = line;
+    this.joinedAt = line.clock.now();
+  }
+
+  static create(urgency: Urgency, line: PlaceLine): WaitingPlace {
+    return new WaitingPlace(urgency, line);
+  }
+
+  get need(): Need | undefined {
+    return this.#need;
+  }
+
+  /** Time since which the request waits for its next turn. */
+  get enteredAt(): Millis {
+    return this.#enteredAt;
+  }
+
+  /** Whether a more urgent request waits for the same servers. */
+  isBehindOthers(key: string | undefined): boolean {
+    return key !== undefined && this.#line.isBehind(this, key);
+  }
+
+  /** Waits for the next turn, which begins at `wakeAt` at the latest. */
+  wait(need: Need, wakeAt: Millis): Promise<WaitEnd> {
+    this.#need = need;
+    this.#enteredAt = this.#line.clock.now();
+    return new Promise((resolve) => {
+      this.#resolve = resolve;
+      this.#line.enter(this, wakeAt);
+      this.#endTurn(true);
+    });
+  }
+
+  /** Lets the next request look for a server, though this one is not sent yet. */
+  passTurn(): void {
+    this.#endTurn(false);
+  }
+
+  /** Leaves the line, since the request is sent or has ended. */
+  leave(): void {
+    this.#line.leave(this);
+    this.#resolve = undefined;
+    this.#endTurn(false);
+  }
+
+  /** Ends the wait. */
+  end(end: WaitEnd): void {
+    this.#resolve?.(end);
+    this.#resolve = undefined;
+  }
+
+  /** Has the request look for a server; resolves to whether it waits again, at the latest after `patience` ms. */
+  takeTurn(patience: Millis): Promise<boolean> {
+    return new Promise((resolve) => {
+      const cancel = this.#line.clock.schedule(patience, () =>
+        this.#endTurn(false),
+      );
+      this.#onTurnEnd = (waitsAgain) => {
+        cancel();
+        resolve(waitsAgain);
+      };
+      this.end("turn");
+    });
+  }
+
+  #endTurn(waitsAgain: boolean): void {
+    this.#onTurnEnd?.(waitsAgain);
+    this.#onTurnEnd = undefined;
+  }
+}
--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "../../../core/clock.ts";
 import {
   chooseLeastCost,
   excludeServers,
@@ -141,6 +142,20 @@
     );
   }
 
+  /** Expected waits at the engines that may serve the request; none for a service without models. */
+  listWaits(
+    service: ServiceName,
+    { demand, isEligible }: Candidates,
+  ): Millis[] {
+    if (demand === undefined) return [];
+    const { directory } = this.#context;
+    return listUsableServers(directory, service)
+      .filter(
+        (server) => isEligible(server) && holdsModel(server, demand.model),
+      )
+      .map(({ id }) => this.#options.estimateWait(id, demand.promptTokens));
+  }
+
   /** When the first server takes the request, if all that could are paused now. */
   findResumption(
     service: ServiceName,
--- /dev/null
+++ b/tests/gateway/waiting_line_test.ts
@@ -0,0 +1,114 @@
+import assert from "node:assert/strict";
+import { test } from "node:test";
+import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
+import { millis } from "../../src/core/clock.ts";
+import { plainWork } from "../../src/core/gateway/request_work.ts";
+import { describeUrgency } from "../../src/core/gateway/urgency.ts";
+import { brandString, type ServiceName } from "../../src/core/ids.ts";
+import {
+  maxWaitingRequests,
+  WaitingLine,
+  type WaitingPlace,
+} from "../../src/node/gateway/requests/waiting_line.ts";
+import { silentMeter } from "../../src/ports/journal.ts";
+
+const need = { key: "any", mayProceed: () => true };
+
+function createLine() {
+  const clock = VirtualClock.create();
+  const service = brandString<ServiceName>("booking");
+  const line = WaitingLine.create({ clock, meter: silentMeter, service });
+  const join = (priority: number) =>
+    line.join(
+      describeUrgency({
+        priority,
+        arrivedAt: clock.now(),
+        targetLatency: millis(1_000),
+        work: plainWork,
+        isAdapterMissing: false,
+        isStream: true,
+      }),
+    );
+  return { clock, line, join };
+}
+
+function waitFor(place: WaitingPlace, wakeAt = 60) {
+  return place.wait(need, millis(wakeAt));
+}
+
+// Load: four requests wait and none arrives. Guards against whoever asks first being served.
+test("a turn wakes requests by priority, and the next one once the one before is sent", async () => {
+  const { clock, line, join } = createLine();
+  const order: number[] = [];
+  for (const priority of [2, 0, 1, 0]) {
+    const place = join(priority);
+    void waitFor(place).then(() => {
+      order.push(priority);
+      // A send takes a few callbacks of promises.
+      void Promise.resolve().then(() => place.leave());
+    });
+  }
+  line.notify();
+  await clock.advance(millis(1));
+  assert.deepEqual(order, [0, 0, 1, 2]);
+  assert.equal(line.length, 0);
+});
+
+// Load: 50 requests wait for the same servers, which have no room.
+// Guards against each event asking the servers once for every request that waits.
+test("an event wakes no further request once one of the same need waits again", async () => {
+  const { clock, line, join } = createLine();
+  let turns = 0;
+  for (let i = 0; i < 50; i++) {
+    const place = join(1);
+    const waitAgain = (): void => {
+      turns++;
+      void waitFor(place, 120).then(waitAgain);
+    };
+    void waitFor(place).then(waitAgain);
+  }
+  line.notify();
+  await clock.advance(millis(20));
+  assert.equal(turns, 1);
+  // At the latest after the interval of the timer, all look for themselves.
+  await clock.advance(millis(60));
+  assert.ok(turns >= 50, `${turns} turns`);
+});
+
+// Load: one more request than the line holds. Guards against a line that grows without
+// bound, and against one that refuses whoever comes last.
+test("a full line refuses the least urgent request", async () => {
+  const { clock, line, join } = createLine();
+  const ends: string[] = [];
+  void waitFor(join(7)).then((end) => ends.push(`7 ${end}`));
+  for (let i = 0; i < maxWaitingRequests; i++) void waitFor(join(3));
+  await clock.advance(millis(0));
+  assert.deepEqual(ends, ["7 outranked"]);
+  assert.equal(line.length, maxWaitingRequests);
+});
+
+// Guards against a request that is not woken while no event comes.
+test("without an event a request looks for a server every 60 ms", async () => {
+  const { clock, join } = createLine();
+  const place = join(1);
+  const times: number[] = [];
+  const waitAgain = (): void => {
+    times.push(clock.now());
+    void waitFor(place, clock.now() + 60).then(waitAgain);
+  };
+  void waitFor(place).then(waitAgain);
+  await clock.advance(millis(185));
+  assert.deepEqual(times, [60, 120, 180]);
+});
+
+test("a request whose turn takes too long does not hold up the next one", async () => {
+  const { clock, line, join } = createLine();
+  let isNextWoken = false;
+  void waitFor(join(0));
+  void waitFor(join(1)).then(() => {
+    isNextWoken = true;
+  });
+  line.notify();
+  await clock.advance(millis(10));
+  assert.ok(isNextWoken);
+});
