Have the owner of an engine order pending loads by urgency, and mend when it says that it is busy

Cause: loads of adapters were first come, first served at an engine's owner. It also counted a load whose order was in flight twice, and took it to last for ever, so that with three pending loads it refused every further one as busy. Change: acquire carries the level and the turn of the request (optional, dropped by older nodes); the owner begins loads by level, which 150 ms of waiting raise by one, and then by turn. Only loads that go first count against a request's patience, and a full list of pending loads refuses the least urgent. An order without an answer counts once, with the usual load time.

--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -95,6 +95,9 @@
         version: z.number().int().min(0),
         wasDenied: z.boolean(),
         patience: z.number().min(0),
+        urgency: z
+          .object({ level: z.number().min(0), delay: z.number() })
+          .optional(),
       }),
     )
     .mutation(({ ctx, input }) =>
@@ -105,6 +108,7 @@
         version: input.version,
         wasDenied: input.wasDenied,
         patience: input.patience,
+        urgency: input.urgency,
       }),
     ),
 });
--- a/src/core/gateway/engine_controller_acquire.ts
+++ b/src/core/gateway/engine_controller_acquire.ts
@@ -11,7 +11,16 @@
   EngineControllerState,
 } from "./engine_controller_messages.ts";
 import { isModelLeaving } from "./engine_controller_models.ts";
-import { maxConcurrentLoads } from "./engine_controller_orders.ts";
+import {
+  listPendingLoads,
+  maxConcurrentLoads,
+} from "./engine_controller_orders.ts";
+import {
+  compareLoadTurns,
+  createLoadTurn,
+  joinLoadTurns,
+  type LoadTurn,
+} from "./load_urgency.ts";
 import { recordUnmetDemand } from "./model_placement.ts";
 
 /** Maximum expected time of an adapter load from the weight store, in ms. */
@@ -83,30 +92,62 @@
   }
   if (!state.contents.models.has(model))
     recordUnmetDemand(state.modelDemand, { model, requests: 1 }, now);
+  const turn = createLoadTurn(event.urgency, now);
   const pending = state.waiting.get(key);
   if (pending !== undefined) {
     pending.version = Math.max(pending.version, version);
+    pending.turn = joinLoadTurns(pending.turn, turn);
     pending.tickets.push(ticket);
     return;
   }
-  const isBusy = estimateStart(state, now) > event.patience;
-  if (isBusy || state.waiting.size >= maxPendingLoads) {
+  const isBusy = estimateStart(state, turn, now) > event.patience;
+  if (isBusy || !makeRoomForLoad(state, turn, { now, commands })) {
     const reply = { kind: "refused", reason: "busy" } as const;
     commands.push({ type: "reply", ticket, reply });
     return;
   }
-  const tickets = [ticket];
-  state.waiting.set(key, { model, adapter, version, since: now, tickets });
+  const load = { model, adapter, version, since: now, turn };
+  state.waiting.set(key, { ...load, tickets: [ticket] });
 }
 
-/** Expected time until the load of one more adapter may begin, in ms. */
-function estimateStart(state: EngineControllerState, now: Millis): number {
-  const { contents, traits, waiting, policies } = state;
-  const ends = [...contents.adapterSlots.values()]
-    .filter(({ phase, readyAt }) => phase === "loading" && readyAt > now)
-    .map(({ readyAt }) => readyAt - now)
+/** Makes room among the pending loads for a more urgent one; false if it is the least urgent. */
+function makeRoomForLoad(
+  state: EngineControllerState,
+  turn: LoadTurn,
+  { now, commands }: EventContext,
+): boolean {
+  if (state.waiting.size < maxPendingLoads) return true;
+  const [key, last] = listPendingLoads(state, now).at(-1) ?? [];
+  if (key === undefined || last === undefined) return true;
+  if (compareLoadTurns(turn, last.turn, now) >= 0) return false;
+  state.waiting.delete(key);
+  for (const ticket of last.tickets) {
+    const reply = { kind: "refused", reason: "busy" } as const;
+    commands.push({ type: "reply", ticket, reply });
+  }
+  return true;
+}
+
+/** Expected time until a load with this turn may begin, in ms. */
+function estimateStart(
+  state: EngineControllerState,
+  turn: LoadTurn,
+  now: Millis,
+): number {
+  const { contents, traits, policies } = state;
+  const loading = [...contents.adapterSlots.values()].filter(
+    ({ phase, readyAt }) => phase === "loading" && readyAt > now,
+  );
+  const ends = loading
+    // The engine has not answered an order yet whose load ends at no known time.
+    .map(({ readyAt }) => Math.min(readyAt - now, state.coldLoadTime))
     .sort((a, b) => a - b);
-  const ahead = waiting.size + 1 + ends.length - maxConcurrentLoads;
+  const ordered = new Set(loading.map(({ key }) => key));
+  const before = listPendingLoads(state, now).filter(
+    ([key, pending]) =>
+      !ordered.has(key) && compareLoadTurns(pending.turn, turn, now) <= 0,
+  );
+  const ahead = before.length + 1 + ends.length - maxConcurrentLoads;
   const isFull =
     contents.adapterSlots.size >= countAdapterCapacity(contents, traits);
   const victim = isFull
--- a/src/core/gateway/engine_controller_messages.ts
+++ b/src/core/gateway/engine_controller_messages.ts
@@ -11,6 +11,7 @@
   EvictionPolicy,
   IncomingAdapter,
 } from "./engine_contents.ts";
+import type { LoadTurn, LoadUrgency } from "./load_urgency.ts";
 import type { FleetView, ModelChange, ModelDemand } from "./model_placement.ts";
 import type { EngineOrder, OrderAnswer } from "./orders.ts";
 import type { BackendServer } from "./servers.ts";
@@ -24,6 +25,8 @@
   readonly adapter: AdapterName;
   version: number;
   readonly since: Millis;
+  /** Place among the pending loads, by the most urgent request. */
+  turn: LoadTurn;
   readonly tickets: Ticket[];
 };
 
@@ -76,6 +79,7 @@
       readonly wasDenied: boolean;
       /** Maximum wait until the load begins, in ms. */
       readonly patience: number;
+      readonly urgency: LoadUrgency;
     }
   /** Requests for a base model that no engine can serve in time. */
   | {
--- a/src/core/gateway/engine_controller_orders.ts
+++ b/src/core/gateway/engine_controller_orders.ts
@@ -13,18 +13,29 @@
   chooseModelOrder,
   isModelLeaving,
 } from "./engine_controller_models.ts";
+import { compareLoadTurns } from "./load_urgency.ts";
 import type { EngineOrder } from "./orders.ts";
 
 /** Maximum number of adapters that one engine loads at a time. */
 export const maxConcurrentLoads = 4;
 
-/** Chooses the order that serves the request that has waited longest; undefined if none may be sent now. */
+/** Pending loads in the order in which they are to begin. */
+export function listPendingLoads(
+  { waiting }: EngineControllerState,
+  now: Millis,
+): [ModelAdapterKey, PendingLoad][] {
+  return [...waiting].sort(([, a], [, b]) =>
+    compareLoadTurns(a.turn, b.turn, now),
+  );
+}
+
+/** Chooses the order that serves the most urgent request; undefined if none may be sent now. */
 export function chooseNextOrder(
   state: EngineControllerState,
   orderCount: number,
   now: Millis,
 ): EngineOrder | undefined {
-  const { contents, waiting } = state;
+  const { contents } = state;
   const modelOrder = chooseModelOrder(state, orderCount, now);
   if (modelOrder !== undefined) return modelOrder;
   // The engine refuses other orders while it loads or unloads a model.
@@ -33,7 +44,7 @@
   const capacity = countAdapterCapacity(contents, state.traits);
   // Adapters that the engine may no longer hold count as well.
   if (contents.adapterSlots.size > capacity) return undefined;
-  for (const [key, pending] of waiting) {
+  for (const [key, pending] of listPendingLoads(state, now)) {
     const readyAt = contents.models.get(pending.model);
     if (readyAt === undefined || readyAt > now) continue;
     if (isModelLeaving(state, pending.model)) continue;
--- a/src/node/gateway/engines/engine_controller.ts
+++ b/src/node/gateway/engines/engine_controller.ts
@@ -19,6 +19,7 @@
   EngineControllerState,
   Ticket,
 } from "../../../core/gateway/engine_controller_messages.ts";
+import type { LoadUrgency } from "../../../core/gateway/load_urgency.ts";
 import type { FleetView } from "../../../core/gateway/model_placement.ts";
 import type { EngineOrder } from "../../../core/gateway/orders.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
@@ -112,6 +113,7 @@
     readonly version: number;
     readonly wasDenied: boolean;
     readonly patience: number;
+    readonly urgency: LoadUrgency;
   }): Promise<AcquireReply> {
     const ticket = ++this.#lastTicket;
     return new Promise((resolve) => {
--- a/src/node/gateway/engines/engine_controllers.ts
+++ b/src/node/gateway/engines/engine_controllers.ts
@@ -9,6 +9,7 @@
   recordUsage,
   sumOtherBacklog,
 } from "../../../core/gateway/engine_backlog.ts";
+import { usualLoadUrgency } from "../../../core/gateway/load_urgency.ts";
 import type { FleetView } from "../../../core/gateway/model_placement.ts";
 import {
   type BackendServer,
@@ -121,6 +122,7 @@
       version,
       wasDenied,
       patience,
+      urgency: request.urgency ?? usualLoadUrgency,
     });
     if (reply.kind !== "ready") return reply;
     const now = this.#context.now();
--- a/src/node/gateway/requests/request_urgency.ts
+++ b/src/node/gateway/requests/request_urgency.ts
@@ -1,7 +1,9 @@
 import type { Millis } from "../../../core/clock.ts";
+import type { LoadUrgency } from "../../../core/gateway/load_urgency.ts";
 import { findPriorityScale } from "../../../core/gateway/priority_scale.ts";
 import {
   describeUrgency,
+  findTurn,
   isInTime,
   type Urgency,
 } from "../../../core/gateway/urgency.ts";
@@ -36,3 +38,13 @@
   const isLate = !hasBegun && !isInTime(urgency, now);
   return findPriorityScale(configuration).findLevel(urgency.priority, isLate);
 }
+
+/** Describes to the owner of an engine how urgent the load for a waiting request is. */
+export function findLoadUrgency(
+  context: Pick<GatewayContext, "configuration" | "now">,
+  urgency: Urgency,
+): LoadUrgency {
+  const now = context.now();
+  const level = findEngineLevel(context, urgency, { now, hasBegun: false });
+  return { level, delay: Math.round(findTurn(urgency, now) - now) };
+}
--- a/src/node/gateway/requests/server_wait.ts
+++ b/src/node/gateway/requests/server_wait.ts
@@ -22,6 +22,7 @@
   ServerSelection,
 } from "../servers/adapter_selector.ts";
 import type { ServerSelector } from "../servers/server_selector.ts";
+import { findLoadUrgency } from "./request_urgency.ts";
 import type { Need, WaitingPlace } from "./waiting_line.ts";
 
 /** Maximum delay between two attempts to select a server, in ms. */
@@ -111,8 +112,9 @@
   };
   const candidates = { demand, isEligible };
   const callbacks = { onRefused, onModelMissing };
-  const request = { ...candidates, ...callbacks, tried, deniedBy };
   const { place } = options;
+  const rankLoad = () => findLoadUrgency(context, place.urgency);
+  const request = { ...candidates, ...callbacks, tried, deniedBy, rankLoad };
   const need = describeNeed(options);
   /** Waits for the next turn; whether the request may go on. */
   const waitForTurn = async (wakeAt: Millis) => {
--- a/src/node/gateway/servers/adapter_selector.ts
+++ b/src/node/gateway/servers/adapter_selector.ts
@@ -5,6 +5,7 @@
   type RankedEngine,
   rankEngines,
 } from "../../../core/gateway/engine_ranking.ts";
+import type { LoadUrgency } from "../../../core/gateway/load_urgency.ts";
 import { isSuspended } from "../../../core/gateway/server_health.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { ModelAdapterKey, ServerId } from "../../../core/ids.ts";
@@ -19,6 +20,7 @@
     readonly version: number;
     readonly wasDenied: boolean;
     readonly patience: number;
+    readonly urgency: LoadUrgency;
   },
 ) => Promise<AcquireResult>;
 
@@ -55,6 +57,15 @@
   readonly isKnown: (engine: ServerId) => boolean;
 };
 
+/** What a selection needs to know of the request that it is made for. */
+export type AdapterRequest = {
+  /** Engine that answered the latest attempt that it does not hold the adapter. */
+  readonly deniedBy: ServerId | undefined;
+  readonly onRefused: RefusalListener;
+  /** Urgency of a load that is requested now. */
+  readonly rankLoad: () => LoadUrgency;
+};
+
 /** Selects the engine for an adapter by the expected time to its answer; requests the adapter from the owners of engines. */
 export class AdapterSelector {
   readonly #context: GatewayContext;
@@ -79,13 +90,7 @@
   async select(
     candidates: readonly BackendServer[],
     { key, promptTokens }: Omit<WantedAdapter, "version">,
-    {
-      deniedBy,
-      onRefused,
-    }: {
-      readonly deniedBy: ServerId | undefined;
-      readonly onRefused: RefusalListener;
-    },
+    request: AdapterRequest,
   ): Promise<ServerSelection | undefined> {
     const version = this.#context.versions.get(key) ?? 0;
     const wanted = { key, version, promptTokens };
@@ -93,10 +98,7 @@
     for (let round = 0; round < maxRankings; round++) {
       const [best] = ranked;
       if (best?.readyAt !== undefined) break;
-      const promise = await this.#askOwners(ranked, wanted, {
-        deniedBy,
-        onRefused,
-      });
+      const promise = await this.#askOwners(ranked, wanted, request);
       if (promise === undefined) break;
       if (promise.isNewLoad) return promise.selection;
       // The reply tells how many requests the engine has, so another may be better.
@@ -123,13 +125,7 @@
   async #askOwners(
     ranked: readonly RankedEngine[],
     { key, version }: WantedAdapter,
-    {
-      deniedBy,
-      onRefused,
-    }: {
-      readonly deniedBy: ServerId | undefined;
-      readonly onRefused: RefusalListener;
-    },
+    { deniedBy, onRefused, rankLoad }: AdapterRequest,
   ): Promise<PromisedAdapter | undefined> {
     const context = this.#context;
     const { availability } = context;
@@ -148,8 +144,13 @@
     ];
     for (const { server, mayHold, patience } of rounds) {
       const wasDenied = server.id === deniedBy;
-      const request = { place: key, version, wasDenied, patience };
-      const answer = await this.#options.acquire(server, request);
+      const answer = await this.#options.acquire(server, {
+        place: key,
+        version,
+        wasDenied,
+        patience,
+        urgency: rankLoad(),
+      });
       const now = context.now();
       if (answer.kind !== "ready") {
         onRefused(server, answer.reason);
--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -23,9 +23,9 @@
   ModelRequester,
 } from "../engines/model_requester.ts";
 import {
+  type AdapterRequest,
   AdapterSelector,
   type AdapterSelectorOptions,
-  type RefusalListener,
   type ServerSelection,
 } from "./adapter_selector.ts";
 
@@ -65,16 +65,14 @@
   /** Selects a server for the request; undefined if none can take it now. */
   async select(
     service: ServiceName,
-    request: Candidates & {
-      readonly tried: ReadonlySet<ServerId>;
-      /** Engine that answered the latest attempt that it does not hold the adapter. */
-      readonly deniedBy: ServerId | undefined;
-      readonly onRefused: RefusalListener;
-      /** The first of the selections that are made until a server is found. */
-      readonly isFirst: boolean;
-      /** Called if no engine holds the model. */
-      readonly onModelMissing: (availability: ModelAvailability) => void;
-    },
+    request: Candidates &
+      AdapterRequest & {
+        readonly tried: ReadonlySet<ServerId>;
+        /** The first of the selections that are made until a server is found. */
+        readonly isFirst: boolean;
+        /** Called if no engine holds the model. */
+        readonly onModelMissing: (availability: ModelAvailability) => void;
+      },
   ): Promise<ServerSelection | undefined> {
     const { availability, directory } = this.#context;
     const registered = listUsableServers(directory, service).filter(
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -4,6 +4,7 @@
   EngineUsage,
   OwnerReport,
 } from "../core/gateway/engine_backlog.ts";
+import type { LoadUrgency } from "../core/gateway/load_urgency.ts";
 import type { Incarnation } from "../core/gateway/servers.ts";
 import type {
   Digest,
@@ -127,6 +128,8 @@
     readonly wasDenied: boolean;
     /** Maximum wait until the load may start, in ms. */
     readonly patience: number;
+    /** Place of the load among those that the owner has to order; the usual one if undefined. */
+    readonly urgency?: LoadUrgency | undefined;
   }): Promise<AcquireResult>;
   requestModel(request: ModelRequest): Promise<ModelResult>;
   requestPermit(request: PermitRequest): Promise<PermitAnswer>;
--- a/tests/gateway/engine_controller_fixture.ts
+++ b/tests/gateway/engine_controller_fixture.ts
@@ -10,6 +10,10 @@
   EngineControllerEvent,
   EngineControllerState,
 } from "../../src/core/gateway/engine_controller_messages.ts";
+import {
+  type LoadUrgency,
+  usualLoadUrgency,
+} from "../../src/core/gateway/load_urgency.ts";
 import type { FleetView } from "../../src/core/gateway/model_placement.ts";
 import type {
   EngineOrder,
@@ -90,7 +94,12 @@
 
   acquire(
     name: string,
-    options: { version?: number; denied?: boolean; patience?: number } = {},
+    options: {
+      version?: number;
+      denied?: boolean;
+      patience?: number;
+      urgency?: LoadUrgency;
+    } = {},
   ) {
     const adapter = brandString<AdapterName>(name);
     this.send({
@@ -102,6 +111,7 @@
       version: options.version ?? 0,
       wasDenied: options.denied ?? false,
       patience: options.patience ?? 1_000,
+      urgency: options.urgency ?? usualLoadUrgency,
     });
     return this.#tickets;
   }
--- a/tests/gateway/engine_controller_fuzz_test.ts
+++ b/tests/gateway/engine_controller_fuzz_test.ts
@@ -12,6 +12,7 @@
   EngineControllerEvent,
   EngineControllerState,
 } from "../../src/core/gateway/engine_controller_messages.ts";
+import { usualLoadUrgency } from "../../src/core/gateway/load_urgency.ts";
 import {
   type AdapterName,
   brandString,
@@ -129,6 +130,7 @@
           version,
           wasDenied,
           patience: random() * 500,
+          urgency: { level: ticket % 10, delay: (ticket % 7) * 100 - 300 },
         });
       }
     }
@@ -141,7 +143,8 @@
     const key = formatModelAdapterKey(model, adapter);
     const patience = 1_000;
     const wanted = { key, model, adapter, version: 0, wasDenied: false };
-    send({ type: "acquire", ticket, ...wanted, patience });
+    const urgency = usualLoadUrgency;
+    send({ type: "acquire", ticket, ...wanted, patience, urgency });
   }
 }
 
--- a/tests/gateway/model_fleet.ts
+++ b/tests/gateway/model_fleet.ts
@@ -10,6 +10,7 @@
   EngineControllerEvent,
   EngineControllerState,
 } from "../../src/core/gateway/engine_controller_messages.ts";
+import { usualLoadUrgency } from "../../src/core/gateway/load_urgency.ts";
 import type { EngineOrder } from "../../src/core/gateway/orders.ts";
 import {
   type AdapterName,
@@ -227,6 +228,7 @@
         version: 0,
         wasDenied: false,
         patience: 500,
+        urgency: usualLoadUrgency,
       });
     });
   }
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -28,6 +28,7 @@
   version: 2,
   wasDenied: false,
   patience: 40,
+  urgency: { level: 3, delay: -120 },
 };
 
 test("a request for an adapter reaches the owner unchanged, and its answer comes back", async () => {
@@ -48,12 +49,14 @@
     server.listen(0, "127.0.0.1", () => resolve());
   });
   const { port } = server.address() as { port: number };
-  const received = await TrpcNodeLinks.create().acquire(
-    `127.0.0.1:${port}`,
-    request,
-  );
+  const links = TrpcNodeLinks.create();
+  const received = await links.acquire(`127.0.0.1:${port}`, request);
   assert.deepEqual(requests, [request]);
   assert.deepEqual(received, answer);
+  // Nodes with older software do not state how urgent a load is.
+  const { urgency: _, ...older } = request;
+  await links.acquire(`127.0.0.1:${port}`, older);
+  assert.deepEqual(requests.at(-1), { ...older, urgency: undefined });
   server.close();
   server.closeAllConnections();
 });
