--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -1,3 +1,4 @@
+import type { Millis } from "../../../core/clock.ts";
 import {
   chooseLeastCost,
   excludeServers,
@@ -22,9 +23,9 @@
   ModelRequester,
 } from "../engines/model_requester.ts";
 import {
+  type AdapterRequest,
   AdapterSelector,
   type AdapterSelectorOptions,
-  type RefusalListener,
   type ServerSelection,
 } from "./adapter_selector.ts";
 
@@ -64,16 +65,14 @@
   /** Selects a server for the request; undefined if none can take it now. */
   async select(
     service: ServiceName,
-    request: Candidates & {
-      readonly tried: ReadonlySet<ServerId>;
-      /** Engine that answered the latest attempt that it does not hold the adapter. */
-      readonly deniedBy: ServerId | undefined;
-      readonly onRefused: RefusalListener;
-      /** The first of the selections that are made until a server is found. */
-      readonly isFirst: boolean;
-      /** Called if no engine holds the model. */
-      readonly onModelMissing: (availability: ModelAvailability) => void;
-    },
+    request: Candidates &
+      AdapterRequest & {
+        readonly tried: ReadonlySet<ServerId>;
+        /** The first of the selections that are made until a server is found. */
+        readonly isFirst: boolean;
+        /** Called if no engine holds the model. */
+        readonly onModelMissing: (availability: ModelAvailability) => void;
+      },
   ): Promise<ServerSelection | undefined> {
     const { availability, directory } = this.#context;
     const registered = listUsableServers(directory, service).filter(
@@ -141,6 +140,20 @@
     );
   }
 
+  /** Expected waits at the engines that may serve the request; none for a service without models. */
+  listWaits(
+    service: ServiceName,
+    { demand, isEligible }: Candidates,
+  ): Millis[] {
+    if (demand === undefined) return [];
+    const { directory } = this.#context;
+    return listUsableServers(directory, service)
+      .filter(
+        (server) => isEligible(server) && holdsModel(server, demand.model),
+      )
+      .map(({ id }) => this.#options.estimateWait(id, demand.promptTokens));
+  }
+
   /** When the first server takes the request, if all that could are paused now. */
   findResumption(
     service: ServiceName,
