Share a call for an adapter only among requests of one level of urgency

Cause: two parts met in the call to an engine's owner; a request that joins one in progress could not raise the turn of its load. Change: the level is part of what is asked for.

--- a/src/node/gateway/engines/owner_calls.ts
+++ b/src/node/gateway/engines/owner_calls.ts
@@ -62,8 +62,10 @@
     }
     // A denial is news for the owner.
     if (wasDenied) return this.#ask(server, adapter);
-    const { place, version } = adapter;
-    const key = JSON.stringify([server.id, place, version, patience]);
+    const { place, version, urgency } = adapter;
+    // A more urgent request may raise the turn of a load that is pending.
+    const wanted = [server.id, place, version, patience, urgency.level];
+    const key = JSON.stringify(wanted);
     const call = this.#calls.get(key);
     if (call !== undefined) {
       context.dependencies.meter.count("gateway_owner_calls_saved_total", {
--- a/tests/gateway/owner_calls_test.ts
+++ b/tests/gateway/owner_calls_test.ts
@@ -23,6 +23,7 @@
   version: 0,
   wasDenied: false,
   patience: 40,
+  urgency: { level: 1, delay: 0 },
 };
 const busy: AcquireResult = { kind: "refused", reason: "busy" };
 const backlog = { requests: 0, tokens: 0, running: 0 };
