--- a/tests/gateway/gateway_values.ts
+++ b/tests/gateway/gateway_values.ts
@@ -106,7 +106,7 @@
 
 /** Directory of organisations, each with the digests of its keys. */
 export function createOrganisations(
-  ...entries: readonly [Organisation, ...string[]][]
+  ...entries: readonly (readonly [Organisation, ...string[]])[]
 ): OrganisationDirectory {
   return createDirectory(
     entries.map(([organisation, ...keys]) => ({
--- a/tests/platform_adapter/front_fixture.ts
+++ b/tests/platform_adapter/front_fixture.ts
@@ -1,15 +1,23 @@
-import { connect } from "node:net";
+import { createServer as createHttpServer, type Server } from "node:http";
+import { type AddressInfo, connect } from "node:net";
 import { Right } from "purify-ts";
 import { FrontServer } from "../../platform/front_server.ts";
 import { HttpServerLinks } from "../../platform/server_links.ts";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { type Millis, millis } from "../../src/core/clock.ts";
-import { groupRoutes } from "../../src/core/gateway/configuration.ts";
+import {
+  type GatewayConfiguration,
+  groupRoutes,
+} from "../../src/core/gateway/configuration.ts";
+import type { OrganisationDirectory } from "../../src/core/gateway/organisations.ts";
 import { brandNumber, brandString, type ServerId } from "../../src/core/ids.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
 import { noBacklog } from "../../src/ports/event_backlog.ts";
-import type { InstallationChange } from "../../src/ports/gateway.ts";
+import type {
+  InstallationChange,
+  InstallationFeed,
+} from "../../src/ports/gateway.ts";
 import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
 import { noRelays } from "../../src/ports/relays.ts";
 import { MemoryTable } from "../../src/standins/memory_table.ts";
@@ -28,6 +36,8 @@
 /** Route of the fixture, and how long a connection of a caller may be idle. */
 type FrontOptions = Parameters<typeof createRoute>[0] & {
   readonly idleTimeout?: Millis;
+  /** Organisations of the first configuration. */
+  readonly organisations?: OrganisationDirectory;
 };
 
 /** Front server, gateway and links on real sockets, with raw backend servers. */
@@ -36,45 +46,29 @@
   readonly #gateway: Gateway;
   readonly #front: FrontServer;
   readonly #links: HttpServerLinks;
+  readonly #options: FrontOptions;
+  #nodeCalls: Server | undefined;
+  #publish: (change: InstallationChange) => void = () => {};
+  #revision = 0;
   #port = 0;
 
-  private constructor(
-    servers: RawServer[],
-    { idleTimeout = millis(15_000), ...route }: FrontOptions,
-  ) {
+  private constructor(servers: RawServer[], options: FrontOptions) {
     const clock = RealClock.create();
+    this.#options = options;
     this.servers = servers;
     this.#links = HttpServerLinks.create({ clock, meter: silentMeter });
-    this.#gateway = createGateway({ clock, links: this.#links }, [
-      {
-        type: "configuration",
-        value: {
-          revision: brandNumber(1),
-          routes: groupRoutes([createRoute(route)]),
-          services: new Map([
-            [
-              booking,
-              { name: booking, maxConnections: 100, engine: undefined },
-            ],
-          ]),
-          limits: {
-            maxHeaderBytes: 16_384,
-            maxBodyBytes: 1_000_000,
-            headerTimeout: millis(3_000),
-            idleTimeout,
-          },
-        },
-      },
-      { type: "complete", topic: "operator" },
-      ...servers.map(
-        ({ address }, at): InstallationChange => ({
+    this.#gateway = createGateway({ clock, links: this.#links }, (listener) => {
+      this.#publish = listener;
+      this.configure(options.organisations);
+      for (const [at, { address }] of servers.entries()) {
+        listener({
           type: "server",
           change: { type: "present", server: describeServer(address, at) },
           origin: entryOrigin,
-        }),
-      ),
-      { type: "complete", topic: "servers" },
-    ]);
+        });
+      }
+      listener({ type: "complete", topic: "servers" });
+    });
     this.#front = FrontServer.create({ gateway: this.#gateway, clock });
   }
 
@@ -89,6 +83,47 @@
     return fixture;
   }
 
+  /** Puts the next configuration into force, with these organisations. */
+  configure(organisations?: OrganisationDirectory): void {
+    this.#revision++;
+    const value = this.#describeConfiguration(organisations);
+    this.#publish({ type: "configuration", value });
+    this.#publish({ type: "complete", topic: "operator" });
+  }
+
+  #describeConfiguration(
+    organisations: OrganisationDirectory | undefined,
+  ): GatewayConfiguration {
+    const { idleTimeout = millis(15_000), ...route } = this.#options;
+    return {
+      revision: brandNumber(this.#revision),
+      routes: groupRoutes([createRoute(route)]),
+      services: new Map([
+        [booking, { name: booking, maxConnections: 100, engine: undefined }],
+      ]),
+      limits: {
+        maxHeaderBytes: 16_384,
+        maxBodyBytes: 1_000_000,
+        headerTimeout: millis(3_000),
+        idleTimeout,
+      },
+      organisations,
+    };
+  }
+
+  /** Opens the listener for the other nodes; returns its address. */
+  async openNodeCalls(): Promise<string> {
+    const server = createHttpServer((message, response) => {
+      if (!this.#front.serveRelayed(message, response))
+        response.writeHead(404).end();
+    });
+    this.#nodeCalls = server;
+    await new Promise<void>((resolve) => {
+      server.listen(0, "127.0.0.1", resolve);
+    });
+    return `127.0.0.1:${(server.address() as AddressInfo).port}`;
+  }
+
   /** Port for callers. */
   get port(): number {
     return this.#port;
@@ -120,6 +155,8 @@
   }
 
   async close(): Promise<void> {
+    this.#nodeCalls?.closeAllConnections();
+    this.#nodeCalls?.close();
     for (const server of this.servers) server.close();
     for (const [at, { address }] of this.servers.entries())
       await this.#links.endpointOf(describeServer(address, at)).close();
@@ -172,7 +209,7 @@
 
 function createGateway(
   { clock, links }: { clock: RealClock; links: HttpServerLinks },
-  changes: readonly InstallationChange[],
+  follow: InstallationFeed["follow"],
 ): Gateway {
   return Gateway.create({
     identity: {
@@ -197,7 +234,7 @@
     readLeaseRows: async () => undefined,
     feed: {
       viewTime: () => clock.now(),
-      follow: (listener) => changes.forEach(listener),
+      follow,
       stop: () => {},
     },
     orders: {
