--- a/tests/rig/installation.ts
+++ b/tests/rig/installation.ts
@@ -88,6 +88,17 @@
   },
 };
 
+/** Operator's configuration, which may name organisations. */
+export type OperatorConfiguration = typeof configuration & {
+  readonly Tenants?: readonly OrganisationEntry[];
+};
+
+/** An organisation in the operator's configuration. */
+export type OrganisationEntry = {
+  readonly Name: string;
+  readonly ApiKeys: readonly string[];
+};
+
 /** Store, servers and machines of one test, as processes and sockets of this machine. */
 export class Installation {
   readonly store: FakeStore;
@@ -109,7 +120,7 @@
   }
 
   /** Writes a configuration of the operator under the next version. */
-  publish(content: typeof configuration): void {
+  publish(content: OperatorConfiguration): void {
     this.#version++;
     this.store.put("op", "config", { ...content, Version: this.#version });
   }
