Identify callers of the product's own interface by keys as well

Cause: whoever reached a node could call it in the name of any customer. Change: an organisation file, named in the settings, lists organisations with the digests of their keys; it is read again on change and on SIGHUP, like the key file, which need not be shared with those who manage callers. A call without a known key in x-api-key gets 401, and the organisation of the key is the customer. check names entries that cannot be used. The code that follows a file is shared with the key file.

--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Clock } from "../../core/clock.ts";
+import type { OrganisationDirectory } from "../../core/gateway/organisations.ts";
 import { brandString, parseAdapterKey } from "../../core/ids.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
 import type { FrontEndPort } from "../../ports/front_end.ts";
@@ -14,6 +15,7 @@
 import type { Admission } from "../http/listener.ts";
 import { writeJson, writeRefusal } from "../http/responses.ts";
 import { type CallHeaders, parseCallHeaders } from "./call_headers.ts";
+import { identifyCaller } from "./caller_identity.ts";
 import { type DraftBody, parseDraftBody } from "./draft_body.ts";
 import type { InFlightLimiter } from "./in_flight_limiter.ts";
 import {
@@ -37,6 +39,8 @@
   readonly meter: Meter;
   readonly limits: InFlightLimiter;
   readonly readMetrics: () => Promise<string>;
+  /** Organisations whose callers are served now; undefined if callers need no key. */
+  readonly listOrganisations?: (() => OrganisationDirectory) | undefined;
   /** Decides which requests are taken while the node stops; all by default. */
   readonly admission?: Admission;
 };
@@ -73,7 +77,7 @@
 ): Promise<void> {
   const path = request.url ?? "/";
   if (request.method === "GET" && !path.startsWith("/services/")) {
-    return handleGet(options, path, response);
+    return handleGet(options, request, response);
   }
   const kind = findDraftKind(request.method, path);
   if (kind === undefined && !path.startsWith("/services/")) {
@@ -82,7 +86,11 @@
       refuse("unknownPath", `Unknown call: ${request.method} ${path}`),
     );
   }
-  const headers = parseCallHeaders(request.headers);
+  const headers = parseCallHeaders(request.headers).chain((call) =>
+    identifyCaller(request.rawHeaders, options.listOrganisations?.()).map(
+      (customer) => (customer === undefined ? call : { ...call, customer }),
+    ),
+  );
   if (headers.isLeft())
     return sendRefusal(options, response, headers.extract());
   const call = headers.extract() as CallHeaders;
@@ -208,10 +216,11 @@
 
 async function handleGet(
   options: CallerServerOptions,
-  path: string,
+  request: IncomingMessage,
   response: ServerResponse,
 ): Promise<void> {
   const { front } = options;
+  const path = request.url ?? "/";
   switch (path) {
     case "/healthz":
       return writeJson(response, { status: 200, value: { status: "ok" } });
@@ -227,6 +236,10 @@
       return;
     }
     case "/v1/models": {
+      const directory = options.listOrganisations?.();
+      const caller = identifyCaller(request.rawHeaders, directory);
+      if (caller.isLeft())
+        return sendRefusal(options, response, caller.extract());
       const data = [...front.listModels()].map((key) => ({
         id: key,
         object: "model",
--- a/src/adapters/keys/keyring.ts
+++ b/src/adapters/keys/keyring.ts
@@ -4,13 +4,12 @@
   randomBytes,
   timingSafeEqual,
 } from "node:crypto";
-import { readFileSync, statSync } from "node:fs";
+import { readFileSync } from "node:fs";
 import { type Either, Left, Right } from "purify-ts";
 import { z } from "zod";
-import { type Cancel, type Clock, millis } from "../../core/clock.ts";
+import type { Cancel, Clock } from "../../core/clock.ts";
+import { watchFile } from "./file_watch.ts";
 
-/** Interval between checks of the key file for changes, in ms. */
-const reloadIntervalMillis = 2_000;
 /** Minimum length of a secret, in characters. */
 const minSecretLength = 16;
 
@@ -98,22 +97,8 @@
 
   /** Reloads the key file whenever it changes. */
   watch(path: string, options: KeyWatchOptions): void {
-    let modifiedAt = statSync(path).mtimeMs;
-    const check = (): void => {
-      const current = statSync(path, { throwIfNoEntry: false })?.mtimeMs;
-      if (current !== undefined && current !== modifiedAt) {
-        modifiedAt = current;
-        this.reload(path, options.onReload);
-      }
-      this.#cancelWatch = options.clock.schedule(
-        millis(reloadIntervalMillis),
-        check,
-      );
-    };
-    this.#cancelWatch = options.clock.schedule(
-      millis(reloadIntervalMillis),
-      check,
-    );
+    const onChange = () => this.reload(path, options.onReload);
+    this.#cancelWatch = watchFile(path, { clock: options.clock, onChange });
   }
 
   /** Reads the key file again; keeps the old keys if it is invalid. */
--- a/src/adapters/settings/settings.ts
+++ b/src/adapters/settings/settings.ts
@@ -53,6 +53,8 @@
   seeds: z.array(peerAddress).default([]),
   /** Path of the key file, relative to the settings file. */
   keyFile: z.string().min(1),
+  /** Path of the organisation file, relative to the settings file; callers need no key without. */
+  organisationFile: z.string().min(1).optional(),
   platform: z.strictObject({ table: url, objects: url, machines: url }),
   engines: z.array(engineSchema).min(1),
   services: z.array(serviceSchema).default([]),
@@ -108,6 +110,9 @@
   return parseSettings(content).map((settings) => ({
     ...settings,
     keyFile: resolve(dirname(path), settings.keyFile),
+    ...(settings.organisationFile !== undefined && {
+      organisationFile: resolve(dirname(path), settings.organisationFile),
+    }),
   }));
 }
 
--- a/src/core/gateway/organisations.ts
+++ b/src/core/gateway/organisations.ts
@@ -55,6 +55,13 @@
       readonly holder: OrganisationName;
     };
 
+/** Says what is wrong with an entry and how to correct it, without a key. */
+export function describeDirectoryFault(fault: DirectoryFault): string {
+  return fault.kind === "repeated-name"
+    ? "names an organisation a second time; merge the two entries"
+    : `is a key of ${fault.holder} as well; remove it from one of the two`;
+}
+
 /** Creates a directory, in which each key belongs to one organisation. */
 export function createDirectory(
   entries: readonly KeyedOrganisation[],
--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -59,6 +59,12 @@
     meaning:
       "A request was refused, since its key belongs to no organisation; names the route and the configuration",
   },
+  organisationsReloaded: {
+    number: 322,
+    level: "info",
+    meaning:
+      "The organisation file was read again; with an error what was read before stays in force",
+  },
   requestAwaitsAdapter: {
     number: 310,
     level: "info",
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -1,5 +1,7 @@
+import type { Either } from "purify-ts";
 import { UdpDatagrams } from "../adapters/gossip/udp_datagrams.ts";
 import { createToken, Keyring, readKeyFile } from "../adapters/keys/keyring.ts";
+import { OrganisationFile } from "../adapters/keys/organisation_file.ts";
 import { createEntryLog, createLogger } from "../adapters/observe/log.ts";
 import { Metrics } from "../adapters/observe/metrics.ts";
 import { Timeline } from "../adapters/observe/timeline.ts";
@@ -28,7 +30,7 @@
 export class Daemon {
   readonly nodeId: NodeId;
   readonly timeline: Timeline;
-  /** Reads the key file again. */
+  /** Reads the key file and the organisation file again. */
   readonly reloadKeys: () => void;
   /** Resolves when a graceful stop has ended, to false if its time limit ended it. */
   readonly stopped: Promise<boolean>;
@@ -36,14 +38,9 @@
   readonly #closers: (() => Promise<void> | void)[];
   readonly #settings: Settings;
 
-  /** Starts a node; throws when a listener cannot be opened or the key file is invalid. */
+  /** Starts a node; throws when a listener cannot be opened or a file of keys is invalid. */
   static async start(settings: Settings): Promise<Daemon> {
-    const keys = readKeyFile(settings.keyFile).caseOf({
-      Left: (error) => {
-        throw new Error(error);
-      },
-      Right: (value) => value,
-    });
+    const keys = unwrap(readKeyFile(settings.keyFile));
     const clock = RealClock.create();
     const keyring = Keyring.create(keys);
     const token = createToken().slice(0, startTokenLength);
@@ -58,6 +55,7 @@
     const onReload = (error: string | undefined): void =>
       timeline.record("keysReloaded", { error });
     keyring.watch(settings.keyFile, { clock, onReload });
+    const organisations = openOrganisations(settings, { clock, timeline });
     const shared = { clock, keyring, timeline, meter: metrics };
     const { table, closePlatform, ...platform } = connectPlatform(
       settings,
@@ -108,6 +106,7 @@
       settings,
       components,
       forwards,
+      organisations,
     });
     timeline.record("nodeStarted", {
       callers: formatAddress(settings.listen.callers),
@@ -119,7 +118,10 @@
       stopped,
       components,
       settings,
-      reloadKeys: () => keyring.reload(settings.keyFile, onReload),
+      reloadKeys: () => {
+        keyring.reload(settings.keyFile, onReload);
+        organisations?.reload();
+      },
       closers: [
         () => cancelTimeout(),
         () => watch.stop(),
@@ -131,6 +133,7 @@
         () => backEnds.close(),
         () => closePlatform(),
         () => keyring.close(),
+        () => organisations?.close(),
       ],
     });
   }
@@ -186,6 +189,26 @@
   readonly meter: Metrics;
 };
 
+function unwrap<Value>(result: Either<string, Value>): Value {
+  return result.caseOf({
+    Left: (error) => {
+      throw new Error(error);
+    },
+    Right: (value) => value,
+  });
+}
+
+/** Opens the organisation file; undefined if callers need no key. */
+function openOrganisations(
+  { organisationFile }: Settings,
+  { clock, timeline }: Pick<SharedDependencies, "clock" | "timeline">,
+): OrganisationFile | undefined {
+  if (organisationFile === undefined) return undefined;
+  const onReload = (error: string | undefined): void =>
+    timeline.record("organisationsReloaded", { error });
+  return unwrap(OrganisationFile.open(organisationFile, { clock, onReload }));
+}
+
 function connectPlatform(settings: Settings, shared: SharedDependencies) {
   const { clock, meter, timeline } = shared;
   const origins = settings.platform;
--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -2,6 +2,7 @@
 import { InFlightLimiter } from "../adapters/callers/in_flight_limiter.ts";
 import { HttpListener } from "../adapters/http/listener.ts";
 import type { Keyring } from "../adapters/keys/keyring.ts";
+import type { OrganisationFile } from "../adapters/keys/organisation_file.ts";
 import type { Metrics } from "../adapters/observe/metrics.ts";
 import type { Timeline } from "../adapters/observe/timeline.ts";
 import type { ForwardServer } from "../adapters/peers/forward_server.ts";
@@ -22,6 +23,8 @@
   readonly meter: Metrics;
   readonly components: NodeComponents;
   readonly forwards: ForwardServer;
+  /** Undefined if callers need no key. */
+  readonly organisations: OrganisationFile | undefined;
 };
 
 /** The listeners of a node for callers, and for peers and operators. */
@@ -36,7 +39,7 @@
 
   /** Opens both listeners; rejects if an address is not available. */
   static async open(options: ListenersOptions): Promise<Listeners> {
-    const { settings, clock, components, meter } = options;
+    const { settings, clock, components, meter, organisations } = options;
     const peers = HttpListener.create({
       clock,
       createServer: (admission) =>
@@ -52,6 +55,7 @@
         createCallerServer({
           ...options,
           front: components.node,
+          listOrganisations: organisations && (() => organisations.directory),
           limits: InFlightLimiter.create(settings.limits),
           readMetrics: () => meter.registry.metrics(),
           admission,
--- a/tests/platform_adapter/caller_keys_test.ts
+++ b/tests/platform_adapter/caller_keys_test.ts
@@ -1,6 +1,6 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
-import { digestKey } from "../../src/adapters/keys/key_digest.ts";
+import { digestKey } from "../../src/adapters/keys/api_key.ts";
 import { answer, exchangeRaw, head, id, openFront } from "./front_gateway.ts";
 
 const digest = digestKey("key-1");
--- a/tests/platform_adapter/key_changes_test.ts
+++ b/tests/platform_adapter/key_changes_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { HttpRelayLinks } from "../../platform/relay_links.ts";
-import { digestKey } from "../../src/adapters/keys/key_digest.ts";
+import { digestKey } from "../../src/adapters/keys/api_key.ts";
 import { RealClock } from "../../src/adapters/time/real_clock.ts";
 import { millis } from "../../src/core/clock.ts";
 import type { OrganisationDirectory } from "../../src/core/gateway/organisations.ts";
--- a/tests/platform_adapter/organisation_rows_test.ts
+++ b/tests/platform_adapter/organisation_rows_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { decodeConfiguration } from "../../platform/operator_rows.ts";
-import { digestKey } from "../../src/adapters/keys/key_digest.ts";
+import { digestKey } from "../../src/adapters/keys/api_key.ts";
 import { configuration } from "./fake_store.ts";
 
 function decode(fields: Record<string, unknown>) {
