Let the soak's callers send keys, one of which is taken away while it runs

Cause: keys had been tested by themselves, not amid kills, outages of the store and changes of the configuration. Change: callers of two organisations; a disturbance takes a key away and gives it back; servers check what they are told. A booking answered 401 must not run. What the operator changes stands in a file of its own.

--- a/tests/rig/callers.ts
+++ b/tests/rig/callers.ts
@@ -28,11 +28,12 @@
 export async function waitUntilServing(
   machines: readonly Machine[],
   allowed: number,
+  headers: Readonly<Record<string, string>> = {},
 ): Promise<boolean> {
   const until = performance.now() + allowed;
   for (const machine of machines) {
     for (;;) {
-      if ((await probe(machine)).status === 200) break;
+      if ((await probe(machine, headers)).status === 200) break;
       if (performance.now() >= until) return false;
       await sleep(askInterval);
     }
@@ -43,10 +44,11 @@
 /** Machines that do not serve a request now, with their answers. */
 export async function findNotServing(
   machines: readonly Machine[],
+  headers: Readonly<Record<string, string>> = {},
 ): Promise<string[]> {
   const answers = await Promise.all(
     machines.map(async (machine) => {
-      const { status, text } = await probe(machine);
+      const { status, text } = await probe(machine, headers);
       if (status === 200) return [];
       return [`${machine.name}: ${status} ${text.trim()}`];
     }),
@@ -55,6 +57,14 @@
 }
 
 /** Sends one lookup to a machine. */
-function probe({ front: port }: Machine): Promise<CallEnd> {
-  return sendCall({ port, path: "/lookup/1", deadline: probeDeadline });
+function probe(
+  { front: port }: Machine,
+  headers: Readonly<Record<string, string>>,
+): Promise<CallEnd> {
+  return sendCall({
+    port,
+    path: "/lookup/1",
+    deadline: probeDeadline,
+    headers,
+  });
 }
--- a/tests/soak/disturbances.ts
+++ b/tests/soak/disturbances.ts
@@ -1,16 +1,15 @@
 import { setTimeout as sleep } from "node:timers/promises";
 import type { Backend } from "../rig/backend.ts";
-import {
-  configuration,
-  type Installation,
-  lookupRoute,
-} from "../rig/installation.ts";
+import type { Installation } from "../rig/installation.ts";
 import type { Machine } from "../rig/machine.ts";
 import type { Command } from "../rig/program.ts";
 import { holdTcpPort } from "../support/held_port.ts";
+import type { CallerKeys } from "./caller_keys.ts";
 import type { Calm } from "./calm.ts";
 import type { CrashingRequests } from "./crashing_requests.ts";
+import { choose, draw } from "./draws.ts";
 import type { Observations } from "./observations.ts";
+import { changeConfiguration } from "./operator_changes.ts";
 import type { Pauses } from "./pauses.ts";
 import type { RequestLog } from "./request_log.ts";
 import { failRequests } from "./servers.ts";
@@ -25,6 +24,8 @@
   readonly crashing: CrashingRequests;
   readonly pauses: Pauses;
   readonly traffic: Traffic;
+  /** Undefined if the machines know no keys. */
+  readonly keys: CallerKeys | undefined;
   readonly random: () => number;
   /** Commands of the programs that machines change between. */
   readonly commands: readonly Command[];
@@ -47,28 +48,6 @@
 const crashingCount = 80;
 const crashingInterval = 250;
 
-/** Configuration with other limits and a route more. */
-const changedConfiguration = {
-  ...configuration,
-  Routes: [
-    ...configuration.Routes.map((route) => ({
-      ...route,
-      TimeoutMs: route.TimeoutMs + 1_000,
-    })),
-    { ...lookupRoute, Name: "spare", Prefix: "/spare/" },
-  ],
-  Limits: { ...configuration.Limits, IdleTimeoutMs: 12_000 },
-};
-
-function choose<Item>(items: readonly Item[], random: () => number): Item {
-  return items[Math.floor(random() * items.length)] as Item;
-}
-
-/** A time in ms between two bounds. */
-function draw(random: () => number, from: number, to: number): number {
-  return from + random() * (to - from);
-}
-
 function chooseMachine({ installation, random }: Scene): Machine {
   return choose(installation.machines, random);
 }
@@ -234,14 +213,6 @@
   leaving.leave();
 };
 
-/** The operator changes time limits and adds a route, and takes this back. */
-const changeConfiguration: Disturbance = async ({ installation, random }) => {
-  for (const content of [changedConfiguration, configuration]) {
-    installation.publish(content);
-    await sleep(draw(random, 200, 2_000));
-  }
-};
-
 const sendCrashingLookups: Disturbance = async ({ crashing, traffic }) => {
   const path = crashing.addRequest();
   await repeat(() => traffic.sendLookup(path, true));
--- a/tests/soak/observations.ts
+++ b/tests/soak/observations.ts
@@ -11,7 +11,7 @@
 };
 
 /** Statuses by which a node promises that a request was not and will not be run. */
-const notRunStatuses: ReadonlySet<number> = new Set([408, 421, 429, 503]);
+const notRunStatuses: ReadonlySet<number> = new Set([401, 408, 421, 429, 503]);
 
 /** Reads the events of an answer; what is no event of the expected form is left out. */
 export function readEvents(text: string): StreamEvent[] {
--- a/tests/soak/soak.ts
+++ b/tests/soak/soak.ts
@@ -2,12 +2,13 @@
 import { join } from "node:path";
 import { setTimeout as sleep } from "node:timers/promises";
 import { createSeededRandom } from "../../src/adapters/random/seeded_random.ts";
-import type { Arrival } from "../rig/backend.ts";
+import type { Arrival, Serve } from "../rig/backend.ts";
 import { findNotServing, waitUntilServing } from "../rig/callers.ts";
-import { Installation, models } from "../rig/installation.ts";
+import { configuration, Installation, models } from "../rig/installation.ts";
 import { type Machine, usualRetryLimits } from "../rig/machine.ts";
 import { prepareEarlierProgram, prepareProgram } from "../rig/program.ts";
 import { RetryWindow } from "../rig/retry_window.ts";
+import { CallerKeys } from "./caller_keys.ts";
 import { Calm } from "./calm.ts";
 import { CrashingRequests } from "./crashing_requests.ts";
 import {
@@ -17,6 +18,7 @@
   upgrades,
 } from "./disturbances.ts";
 import { Observations, type Violation } from "./observations.ts";
+import { keyChanges } from "./operator_changes.ts";
 import { Pauses } from "./pauses.ts";
 import { RequestLog } from "./request_log.ts";
 import { createBookingService, serveStream } from "./servers.ts";
@@ -60,6 +62,7 @@
   readonly requests: RequestLog;
   readonly crashing: CrashingRequests;
   readonly pauses: Pauses;
+  readonly keys: CallerKeys | undefined;
 };
 
 export type SoakResult = {
@@ -83,8 +86,13 @@
   const crashing = CrashingRequests.create(random, calm);
   const requests = RequestLog.create();
   const pauses = Pauses.create(calm);
-  const records = { observations, requests, crashing, pauses };
-  const installation = await Installation.open();
+  // Earlier programs may not know keys.
+  const keys =
+    earlier === undefined ? CallerKeys.create(random, calm) : undefined;
+  const records = { observations, requests, crashing, pauses, keys };
+  const installation = await Installation.open(
+    keys?.configure(configuration) ?? configuration,
+  );
   installation.onClose(() => crashing.close());
   try {
     const windows = await addBackends(installation, records, options);
@@ -92,12 +100,14 @@
     const machines = await installation.addMachines(machineCount, {
       command: commands[0],
     });
-    await waitUntilServing(machines, startTime);
+    const { probeHeaders } = CallerKeys;
+    await waitUntilServing(machines, startTime, probeHeaders);
     const memory = watchMemory(machines);
     const traffic = Traffic.start({
       machines,
       observations,
       requests,
+      keys,
       random,
       onRequest: (service, at) => windows.get(service)?.recordRequest(at),
       streamRate: options.streamRate,
@@ -105,13 +115,13 @@
     const { expectEnd } = ends;
     const scene = {
       ...{ installation, observations, random, expectEnd, commands },
-      ...{ requests, calm, crashing, pauses, traffic },
+      ...{ requests, calm, crashing, pauses, traffic, keys },
     };
     const standstills = Standstills.watch();
     const steps = await disturb(scene, options);
     await sleep(recoveryTime);
     await traffic.stop();
-    const idle = await findNotServing(machines);
+    const idle = await findNotServing(machines, probeHeaders);
     if (idle.length > 0)
       observations.add("not serving after recovery", idle.join("; "));
     ends.check(machines, observations);
@@ -131,6 +141,7 @@
           .map(({ id }) => id),
       }),
       ...pauses.findViolations(requests),
+      ...(keys?.findViolations(requests) ?? []),
     ];
     if (violations.length > 0) keepLogs(machines, options);
     return {
@@ -150,7 +161,7 @@
   records: Records,
   { engineCount = usualEngineCount }: SoakOptions,
 ): Promise<ReadonlyMap<string, RetryWindow>> {
-  const { observations, requests, crashing, pauses } = records;
+  const { observations, requests, crashing, pauses, keys } = records;
   const windows = new Map(
     ["booking", "engines"].map((service) => [
       service,
@@ -162,7 +173,10 @@
     requests.recordArrival(arrival);
     pauses.recordArrival(arrival);
   };
-  const serve = crashing.crashUnder(createBookingService(observations));
+  const observe = (serve: Serve) => keys?.observe(serve) ?? serve;
+  const serve = observe(
+    crashing.crashUnder(createBookingService(observations)),
+  );
   for (let at = 0; at < bookingServers; at++)
     await installation.addBackend({
       service: "booking",
@@ -172,7 +186,7 @@
   for (let at = 0; at < engineCount; at++)
     await installation.addBackend({
       service: "engines",
-      serve: crashing.crashUnder(serveStream),
+      serve: observe(crashing.crashUnder(serveStream)),
       models,
       onArrival: recordArrival("engines"),
     });
@@ -185,7 +199,10 @@
   { duration, names: chosen }: SoakOptions,
 ): Promise<string[]> {
   const { random, commands } = scene;
-  const known = { ...disturbances, ...(commands.length > 1 && upgrades) };
+  const known = {
+    ...disturbances,
+    ...(commands.length > 1 ? upgrades : keyChanges),
+  };
   const names = chosen ?? Object.keys(known);
   const steps: string[] = [];
   const running: Promise<void>[] = [];
--- a/tests/soak/traffic.ts
+++ b/tests/soak/traffic.ts
@@ -9,6 +9,7 @@
 } from "../rig/caller.ts";
 import { sendAtRate } from "../rig/callers.ts";
 import type { Machine } from "../rig/machine.ts";
+import type { CallerKeys } from "./caller_keys.ts";
 import type { Observations } from "./observations.ts";
 import type { Attempt, RequestLog } from "./request_log.ts";
 
@@ -38,6 +39,8 @@
   readonly machines: readonly Machine[];
   readonly observations: Observations;
   readonly requests: RequestLog;
+  /** Undefined if the machines know no keys. */
+  readonly keys: CallerKeys | undefined;
   readonly random: () => number;
   /** Called when a caller sends a request to a service. */
   readonly onRequest: (service: string, at: number) => void;
@@ -160,7 +163,7 @@
     },
     call: Omit<Call, "port"> & { readonly deadline: number },
   ): Promise<CallEnd> {
-    const { requests, onRequest, machines } = this.#options;
+    const { requests, keys, onRequest, machines } = this.#options;
     const { machine, kind } = request;
     const requestId = createRequestId();
     const sentAt = performance.now();
@@ -173,8 +176,10 @@
       deadline: call.deadline,
     });
     const port = this.#portOf(machine);
-    const end = await sendCall({ ...call, port, requestId });
+    const headers = { ...call.headers, ...keys?.sign(requestId) };
+    const end = await sendCall({ ...call, headers, port, requestId });
     requests.recordEnd(end);
+    keys?.recordEnd(end);
     return end;
   }
 
