Reject fewer requests while an engine replaces an adapter, and stay open to others meanwhile

Cause: an engine replaces an adapter's version once no request runs on the old one. Until then its owner promised the new version every 110 ms, each request sent was rejected (421) and took a retry from the budget of the service; the wait raised the expected time of all loads up to 1.5 s, so that the owner refused other adapters as busy. A new version of an adapter held before was promised after 45 ms. An adapter that an engine had lost was promised at once until reports had omitted it for 500 ms. Change: the delay after such an answer doubles from 110 to 880 ms; it says nothing about other loads if the adapter was replaced or lost; only the version that was held before counts as near.

--- a/src/core/gateway/engine_contents.ts
+++ b/src/core/gateway/engine_contents.ts
@@ -33,6 +33,10 @@
   isConfirmed: boolean;
   /** Time of the first of the latest reports that did not list the adapter. */
   missingSince: Millis | undefined;
+  /** Says nothing about the time of other loads: the engine replaces an older version once no request runs on it, or has lost the adapter. */
+  isAtypical: boolean;
+  /** Requests in a row that the engine answered with not holding the adapter. */
+  denials: number;
 };
 
 /** Contents of one engine, as tracked by its owner. */
@@ -44,8 +48,8 @@
   readonly loadingModels: Set<ModelName>;
   /** Base models whose unload the engine has accepted and not yet completed. */
   readonly unloadingModels: Set<ModelName>;
-  /** Adapters that this incarnation held before; they load faster. */
-  readonly previouslyHeld: Set<ModelAdapterKey>;
+  /** Versions of adapters that this incarnation held before; they load faster. */
+  readonly previouslyHeld: Map<ModelAdapterKey, number>;
 };
 
 /** Creates the contents of an engine from the models that it reports. */
@@ -58,7 +62,7 @@
     models: new Map(),
     loadingModels: new Set(),
     unloadingModels: new Set(),
-    previouslyHeld: new Set(),
+    previouslyHeld: new Map(),
   };
   for (const { name, adapters } of models) {
     contents.models.set(name, now);
@@ -78,6 +82,8 @@
         orderedAt: now,
         isConfirmed: true,
         missingSince: undefined,
+        isAtypical: false,
+        denials: 0,
       });
     }
   }
@@ -162,6 +168,8 @@
       orderedAt: known?.orderedAt ?? now,
       isConfirmed: false,
       missingSince: undefined,
+      isAtypical: known?.isAtypical ?? false,
+      denials: known?.denials ?? 0,
     });
   }
   for (const [key, slot] of contents.adapterSlots) {
--- a/src/core/gateway/engine_controller_acquire.ts
+++ b/src/core/gateway/engine_controller_acquire.ts
@@ -25,8 +25,9 @@
 
 /** Maximum expected time of an adapter load from the weight store, in ms. */
 const maxColdLoadTime = 1_500;
-/** Delay before the next attempt after an engine answered that it does not hold an adapter yet, in ms. */
+/** Delay before the next attempt after an engine answered that it does not hold an adapter yet, in ms; it doubles up to a maximum. */
 const deniedRetryDelay = 110;
+const maxDeniedRetryDelay = 880;
 /** Maximum time that a request for an adapter waits for a slot, in ms. */
 const maxSlotWait = 600;
 /** Expected wait for a slot while all adapters are in use, in ms. */
@@ -170,15 +171,20 @@
   if (slot.isConfirmed) {
     // The adapter had been confirmed, so a slow load is not the cause.
     state.orderCount = undefined;
-    return;
+    slot.isConfirmed = false;
+    slot.isAtypical = true;
   }
-  const elapsed = now - slot.orderedAt + deniedRetryDelay;
-  state.coldLoadTime = Math.min(
-    maxColdLoadTime,
-    Math.max(state.coldLoadTime, elapsed),
-  );
+  if (!slot.isAtypical) {
+    const elapsed = now - slot.orderedAt + deniedRetryDelay;
+    state.coldLoadTime = Math.min(
+      maxColdLoadTime,
+      Math.max(state.coldLoadTime, elapsed),
+    );
+  }
+  const delay = deniedRetryDelay * 2 ** slot.denials;
+  slot.denials++;
   slot.phase = "loading";
-  slot.readyAt = millis(now + deniedRetryDelay);
+  slot.readyAt = millis(now + Math.min(maxDeniedRetryDelay, delay));
 }
 
 /** Refuses requests that waited too long for a slot, so that they try another engine. */
--- a/src/core/gateway/engine_controller_answers.ts
+++ b/src/core/gateway/engine_controller_answers.ts
@@ -110,7 +110,7 @@
   }
   const slot = contents.adapterSlots.get(key);
   if (slot === undefined) return;
-  contents.previouslyHeld.add(key);
+  contents.previouslyHeld.set(key, slot.version);
   if (isDone) contents.adapterSlots.delete(key);
   else slot.readyAt = millis(now + maxUnloadTime);
 }
@@ -124,14 +124,17 @@
   const { order, key, isDone } = load;
   const slot = state.contents.adapterSlots.get(key);
   if (slot === undefined) return;
-  const loadTime = isDone ? 0 : estimateLoadTime(state, key);
+  const version = Math.max(slot.version, order.version ?? 0);
+  const loadTime = isDone ? 0 : estimateLoadTime(state, key, version);
+  slot.isAtypical = slot.phase === "held" && !isDone;
+  slot.denials = 0;
   slot.phase = isDone ? "held" : "loading";
   slot.readyAt = millis(now + loadTime);
   slot.usedAt = slot.readyAt;
   slot.orderedAt = now;
   slot.isConfirmed = isDone;
   slot.missingSince = undefined;
-  slot.version = Math.max(slot.version, order.version ?? 0);
+  slot.version = version;
   const pending = state.waiting.get(key);
   if (pending === undefined || slot.version < pending.version) return;
   state.waiting.delete(key);
@@ -167,8 +170,11 @@
 function estimateLoadTime(
   state: EngineControllerState,
   key: ModelAdapterKey,
+  version: number,
 ): number {
-  if (state.contents.previouslyHeld.has(key)) return cachedLoadTime;
+  // Only the version that the engine held is near.
+  const held = state.contents.previouslyHeld.get(key);
+  if (held !== undefined && version <= held) return cachedLoadTime;
   const excess = state.coldLoadTime - minColdLoadTime;
   state.coldLoadTime = minColdLoadTime + excess * (1 - loadTimeDecay);
   return state.coldLoadTime;
--- a/src/core/gateway/engine_controller_orders.ts
+++ b/src/core/gateway/engine_controller_orders.ts
@@ -108,6 +108,8 @@
     orderedAt: now,
     isConfirmed: false,
     missingSince: undefined,
+    isAtypical: false,
+    denials: 0,
   };
 }
 
