Give an earned retry to the most urgent request, and wait for one only where it can come

Cause: a request whose attempt had just been rejected took the retry before more urgent ones that waited, and at a node whose budget never holds a whole retry all of them waited in vain. Change: it goes behind them; without capacity for a whole retry none waits.

--- a/src/core/gateway/service_retry_budget.ts
+++ b/src/core/gateway/service_retry_budget.ts
@@ -98,6 +98,14 @@
   return true;
 }
 
+/** Whether the budget of this node can hold a whole retry, so that waiting for one is of use. */
+export function canEarnRetry(
+  budget: ServiceRetryBudget,
+  { share }: BudgetMoment,
+): boolean {
+  return findCapacity(budget, share.part) >= 1;
+}
+
 function refill(budget: ServiceRetryBudget, { now, share }: BudgetMoment) {
   const { limits, slots } = budget;
   const first = findSlot(limits, millis(now - limits.window)) + 1;
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -22,6 +22,7 @@
 } from "../../core/gateway/servers.ts";
 import {
   type BudgetMoment,
+  canEarnRetry,
   createServiceRetryBudget,
   recordRequest,
   type ServiceRetryBudget,
@@ -189,6 +190,12 @@
     return taken;
   }
 
+  /** Whether it is of use to wait for a retry of this node's budget. */
+  canEarnRetry(service: ServiceName): boolean {
+    const budget = this.#obtainRetryBudget(service);
+    return canEarnRetry(budget, this.#budgetMoment());
+  }
+
   #budgetMoment(): BudgetMoment {
     const now = this.now();
     const { random } = this.dependencies;
--- a/src/node/gateway/requests/request_wait.ts
+++ b/src/node/gateway/requests/request_wait.ts
@@ -19,6 +19,9 @@
 const maxRetryWait = 500;
 const retryPollInterval = 60;
 
+/** Need of the requests that wait for a retry of the budget. */
+const retryNeed = { key: "retry", mayProceed: () => true };
+
 type RequestWaitOptions = {
   readonly context: GatewayContext;
   readonly selector: ServerSelector;
@@ -144,20 +147,21 @@
    */
   async awaitRetry(): Promise<boolean> {
     const { context, plan, history, hasEnded, log } = this.#options;
-    if (this.takeRetry()) return true;
+    const place = this.#join();
+    if (!place.isBehindOthers(retryNeed.key) && this.takeRetry()) return true;
     if (history.runs > 0 || this.#arePausedTooLong()) return false;
+    if (!context.canEarnRetry(plan.service)) return false;
     log.record("retryAwaitsBudget");
     const until = Math.min(this.findEnd(), context.now() + maxRetryWait);
-    const need = { key: "retry", mayProceed: () => true };
-    const place = this.#join();
     while (!hasEnded()) {
       const nextTurn = context.now() + retryPollInterval;
       if (nextTurn >= until) return false;
-      if ((await place.wait(need, millis(nextTurn))) === "outranked")
+      if ((await place.wait(retryNeed, millis(nextTurn))) === "outranked")
         return false;
       if (context.takeEarnedRetry(plan.service)) return true;
     }
-    return false;
+    // The request has ended, or goes on at another node.
+    return true;
   }
 
   /** Takes a retry from the budget of the service, unless all servers are paused for too long. */
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -13,6 +13,7 @@
   OrderAnswer,
 } from "../../src/core/gateway/orders.ts";
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
+import type { ServiceRetryLimits } from "../../src/core/gateway/service_retry_budget.ts";
 import {
   brandNumber,
   brandString,
@@ -67,6 +68,7 @@
   readonly probe?: ProbeServer;
   readonly relayLinks?: RelayLinks;
   readonly reportFailure?: ReportFailure;
+  readonly retryLimits?: ServiceRetryLimits;
 };
 
 /** Gateway with fakes for its ports, on a virtual clock. */
@@ -114,6 +116,7 @@
     probe = async () => true,
     relayLinks = noRelays,
     reportFailure,
+    retryLimits = ampleRetryLimits,
   }: GatewayFixtureOptions = {}) {
     this.clock = clock;
     this.table = table;
@@ -161,7 +164,7 @@
       backlog: noBacklog,
       probe,
       relayLinks,
-      retryLimits: ampleRetryLimits,
+      retryLimits,
       table: {
         read: (key) => this.table.read(key),
         scan: (prefix) => this.table.scan(prefix),
