--- a/src/core/gateway/engine_controller_acquire.ts
+++ b/src/core/gateway/engine_controller_acquire.ts
@@ -27,8 +27,9 @@
 const maxColdLoadTime = 1_500;
 /** Maximum time that one denial shows to be the usual one of a load, in ms; more is contention. */
 const maxUsualLoadTime = 600;
-/** Delay before the next attempt after an engine answered that it does not hold an adapter yet, in ms. */
+/** Delay before the next attempt after an engine answered that it does not hold an adapter yet, in ms; it doubles up to a maximum. */
 const deniedRetryDelay = 110;
+const maxDeniedRetryDelay = 880;
 /** Maximum time that a request for an adapter waits for a slot, in ms. */
 const maxSlotWait = 600;
 /** Expected wait for a slot while all adapters are in use, in ms. */
@@ -172,21 +173,27 @@
   if (slot.isConfirmed) {
     // The adapter had been confirmed, so a slow load is not the cause.
     state.orderCount = undefined;
-    return;
-  }
-  if (!state.contents.previouslyHeld.has(slot.key)) {
-    const elapsed = now - slot.orderedAt;
-    state.usualLoadTime = Math.max(
-      state.usualLoadTime,
-      Math.min(maxUsualLoadTime, elapsed),
-    );
-    state.coldLoadTime = Math.min(
-      maxColdLoadTime,
-      Math.max(state.coldLoadTime, elapsed + deniedRetryDelay),
-    );
+    slot.isConfirmed = false;
+    slot.isAtypical = true;
   }
+  if (!slot.isAtypical && !state.contents.previouslyHeld.has(slot.key))
+    recordSlowLoad(state, millis(now - slot.orderedAt));
+  const delay = deniedRetryDelay * 2 ** slot.denials;
+  slot.denials++;
   slot.phase = "loading";
-  slot.readyAt = millis(now + deniedRetryDelay);
+  slot.readyAt = millis(now + Math.min(maxDeniedRetryDelay, delay));
+}
+
+/** Records that a load has taken longer than expected. */
+function recordSlowLoad(state: EngineControllerState, elapsed: Millis): void {
+  state.usualLoadTime = Math.max(
+    state.usualLoadTime,
+    Math.min(maxUsualLoadTime, elapsed),
+  );
+  state.coldLoadTime = Math.min(
+    maxColdLoadTime,
+    Math.max(state.coldLoadTime, elapsed + deniedRetryDelay),
+  );
 }
 
 /** Refuses requests that waited too long for a slot, so that they try another engine. */
