Learn the pace of servers from their answers, and expect waits by it

The wait at an engine was estimated with one rate for all engines, so that engines which differ in speed got the same work and the slow ones queued. Each node now learns the rates of a service and the slowness of each server from first events and whole runs, and ranks engines by the expected time to the first event with its parts (queue, load, prompt, distance). Until something is learned, the estimate is that of before.

--- a/src/core/gateway/choose_server.ts
+++ b/src/core/gateway/choose_server.ts
@@ -1,5 +1,6 @@
 import type { Millis } from "../clock.ts";
-import type { DataCentre, Region, ServerId } from "../ids.ts";
+import type { ServerId } from "../ids.ts";
+import type { NodeLocation } from "./server_distance.ts";
 import {
   countInFlight,
   isSuspended,
@@ -15,10 +16,7 @@
 const failureCost = 8;
 
 /** Location of the node, and the health of the servers as it has observed them. */
-export type ServerSelectionContext = {
-  readonly dataCentre: DataCentre;
-  readonly region: Region;
-  readonly regionOf: (dataCentre: DataCentre) => Region | undefined;
+export type ServerSelectionContext = NodeLocation & {
   readonly health: ServerHealth;
   readonly now: Millis;
 };
--- a/src/core/gateway/engine_backlog.ts
+++ b/src/core/gateway/engine_backlog.ts
@@ -47,12 +47,21 @@
 const reportLifetime = 1_500;
 /** Time after which a promised request is part of the report of its node, in ms. */
 const promiseLifetime = 350;
-/** Prompt tokens that an engine processes per ms, and its fixed time per prompt, in ms. */
-const promptTokensPerMs = 14;
-const msPerPrompt = 12;
+/** Rates at which an engine reads prompts. */
+export type PromptRates = {
+  readonly promptTokensPerMs: number;
+  /** Fixed time per prompt, in ms. */
+  readonly msPerPrompt: number;
+  /** Delay of a short request in a full batch, in ms. */
+  readonly fullBatchDelay: number;
+};
 
-/** Delay of a short request in a full batch, in ms. */
-const fullBatchDelay = 60;
+/** Rates of a service of which nothing has been learned. */
+export const defaultPromptRates: PromptRates = {
+  promptTokensPerMs: 14,
+  msPerPrompt: 12,
+  fullBatchDelay: 60,
+};
 
 type Report = EngineBacklog & { readonly at: Millis };
 
@@ -137,23 +146,62 @@
   readonly slots: number;
   /** Usual time that a request runs, in ms. */
   readonly runTime: number;
+  readonly rates?: PromptRates;
+};
+
+/** Time until an engine answers, by what takes it, in ms. */
+export type DelayParts = {
+  /** Fixed times of prompts. */
+  readonly prompts: number;
+  /** Reading of prompt tokens. */
+  readonly tokens: number;
+  /** Share of the engine that running requests take. */
+  readonly batch: number;
+  /** Wait for a slot. */
+  readonly slots: number;
 };
 
 /**
- * Expected delay of a request by the others at an engine, in ms: the prompts
- * before it, the wait for a slot once all are taken, and the share of the engine
- * that running requests take from its own prompt.
+ * Expected delay of a request by the others at an engine: the prompts before it,
+ * the wait for a slot once all are taken, and the share of the engine that
+ * running requests take from its own prompt.
  */
-export function estimateBacklogWait(
+export function estimateBacklogDelay(
   backlog: EngineBacklog,
-  { slots, runTime }: EnginePace,
+  { slots, runTime, rates = defaultPromptRates }: EnginePace,
   promptTokens: number,
-): Millis {
+): DelayParts {
   const { requests, tokens, running } = backlog;
-  const promptWait = tokens / promptTokensPerMs + requests * msPerPrompt;
+  const { promptTokensPerMs, msPerPrompt, fullBatchDelay } = rates;
   const excess = running + requests + 1 - slots;
-  const slotWait = excess > 0 ? (excess * runTime) / slots : 0;
   const occupancy = Math.min(1, (running + requests) / slots);
-  const ownTime = fullBatchDelay + promptTokens / promptTokensPerMs;
-  return millis(promptWait + slotWait + occupancy * ownTime);
+  return {
+    prompts: requests * msPerPrompt,
+    tokens: (tokens + occupancy * promptTokens) / promptTokensPerMs,
+    batch: occupancy * fullBatchDelay,
+    slots: excess > 0 ? (excess * runTime) / slots : 0,
+  };
+}
+
+/** Sum of the expected delays of a request by the others at an engine, in ms. */
+export function estimateBacklogWait(
+  backlog: EngineBacklog,
+  pace: EnginePace,
+  promptTokens: number,
+): Millis {
+  return sumDelays(estimateBacklogDelay(backlog, pace, promptTokens));
+}
+
+/** Sum of the parts of a delay, in ms. */
+export function sumDelays(parts: DelayParts): Millis {
+  return millis(parts.prompts + parts.tokens + parts.batch + parts.slots);
+}
+
+/** Expected time of a request's own prompt at an idle engine. */
+export function estimateOwnPrompt(
+  { promptTokensPerMs, msPerPrompt }: PromptRates,
+  promptTokens: number,
+): DelayParts {
+  const tokens = promptTokens / promptTokensPerMs;
+  return { prompts: msPerPrompt, tokens, batch: 0, slots: 0 };
 }
--- a/src/core/gateway/engine_ranking.ts
+++ b/src/core/gateway/engine_ranking.ts
@@ -1,4 +1,4 @@
-import type { Millis } from "../clock.ts";
+import { type Millis, millis } from "../clock.ts";
 import type { ModelAdapterKey, ServerId } from "../ids.ts";
 import { selectHomes } from "../placement/rendezvous.ts";
 import {
@@ -8,15 +8,13 @@
   wasPromised,
 } from "./adapter_directory.ts";
 import type { ServerSelectionContext } from "./choose_server.ts";
+import { estimateDistance } from "./server_distance.ts";
 import { isSuspended } from "./server_health.ts";
 import type { BackendServer } from "./servers.ts";
 
 /** Expected time of an adapter load from the weight store, and from the host's memory, in ms. */
 const loadTime = 320;
 const cachedLoadTime = 70;
-/** Extra time of a request to another region or data centre, in ms. */
-const otherRegionTime = 45;
-const otherDataCentreTime = 3;
 /** Cost of an engine that failed recently, above that of any other, in ms. */
 const suspendedCost = 60_000;
 /** Time that a further copy of an adapter must save before it is loaded, in ms. */
@@ -24,6 +22,27 @@
 /** Time by which an engine must be better than the one before it in rendezvous order, in ms. */
 const rankCost = 120;
 
+/** Expected time until an engine has an adapter, as far as this node knows, in ms. */
+export function estimateLoad(
+  directory: AdapterDirectory,
+  engine: ServerId,
+  {
+    requested,
+    now,
+  }: {
+    readonly requested: {
+      readonly key: ModelAdapterKey;
+      readonly version: number;
+    };
+    readonly now: Millis;
+  },
+): Millis {
+  const readyAt = findReadyAt(directory, engine, requested);
+  if (readyAt !== undefined) return millis(Math.max(0, readyAt - now));
+  const isCached = hasCachedCopy(directory, engine, requested);
+  return millis(isCached ? cachedLoadTime : loadTime);
+}
+
 /** An engine for a request; `readyAt` is undefined if its owner must be asked for the adapter. */
 export type RankedEngine = {
   readonly server: BackendServer;
@@ -35,7 +54,7 @@
 /** Inputs of the ranking of engines. */
 export type EngineSelectionContext = ServerSelectionContext & {
   readonly adapterDirectory: AdapterDirectory;
-  /** Expected wait at an engine behind other requests, in ms. */
+  /** Expected time at an engine until the answer begins, without a load, in ms. */
   readonly estimateWait: (engine: ServerId) => Millis;
   /** Whether the contents of an engine are known well enough to skip its owner. */
   readonly isKnown: (engine: ServerId) => boolean;
@@ -124,15 +143,5 @@
   server: BackendServer,
   context: Omit<EngineSelectionContext, "isKnown" | "adapterDirectory">,
 ): number {
-  return computeDistanceCost(server, context) + context.estimateWait(server.id);
-}
-
-function computeDistanceCost(
-  server: BackendServer,
-  context: ServerSelectionContext,
-): number {
-  if (server.dataCentre === context.dataCentre) return 0;
-  return context.regionOf(server.dataCentre) === context.region
-    ? otherDataCentreTime
-    : otherRegionTime;
+  return estimateDistance(server, context) + context.estimateWait(server.id);
 }
--- a/src/core/gateway/expected_wait.ts
+++ b/src/core/gateway/expected_wait.ts
@@ -1,4 +1,12 @@
 import { type Millis, millis } from "../clock.ts";
+import {
+  type EngineBacklog,
+  type EnginePace,
+  estimateBacklogWait,
+  estimateOwnPrompt,
+  type PromptRates,
+  sumDelays,
+} from "./engine_backlog.ts";
 
 /**
  * Expected time until a server begins to answer a request, by what causes it.
@@ -24,3 +32,29 @@
 }: ExpectedWait): Millis {
   return millis(queue + load + prompt + distance);
 }
+
+/** What the wait at an engine depends on. */
+export type EngineState = {
+  /** Requests of all nodes at the engine. */
+  readonly backlog: EngineBacklog;
+  readonly pace: EnginePace & { readonly rates: PromptRates };
+  /** Time that the engine takes, relative to the mean of its service. */
+  readonly slowness: number;
+  readonly load: Millis;
+  readonly distance: Millis;
+};
+
+/** Expected wait of a request at an engine. */
+export function expectEngineWait(
+  { backlog, pace, slowness, load, distance }: EngineState,
+  promptTokens: number,
+): ExpectedWait {
+  const delay = estimateBacklogWait(backlog, pace, promptTokens);
+  const prompt = sumDelays(estimateOwnPrompt(pace.rates, promptTokens));
+  return {
+    queue: millis(delay * slowness),
+    load,
+    prompt: millis(prompt * slowness),
+    distance,
+  };
+}
--- /dev/null
+++ b/src/core/gateway/server_pace.ts
@@ -0,0 +1,230 @@
+import type { Millis } from "../clock.ts";
+import type { ServerId, ServiceName } from "../ids.ts";
+import {
+  type DelayParts,
+  defaultPromptRates,
+  type PromptRates,
+} from "./engine_backlog.ts";
+import type { BackendServer } from "./servers.ts";
+
+/** Weight of one answer in the pace of its server, and in the mean pace of the service. */
+const serverWeight = 0.15;
+const serviceWeight = 0.03;
+/** Limit on the natural logarithm of observed to expected time, so that an outlier counts little. */
+const maxLogRatio = 0.7;
+/** Limit on the natural logarithm of a server's slowness. */
+const maxLogSlowness = 2;
+/** Time after which half of what was learned of a server is forgotten, in ms. */
+const halfLife = 15_000;
+
+/** Mean pace of the servers of a service. */
+type ServicePace = {
+  rates: PromptRates;
+  /** Mean time of a run, by kind of run, in ms. */
+  readonly runTimes: Map<number, number>;
+};
+
+/** Slowness of one incarnation of a server, as a natural logarithm; 0 is the mean of its service. */
+type ServerPace = {
+  readonly born: number | undefined;
+  /** Slowness as measured by all nodes together. */
+  shared: number;
+  /** What the answers to this node add to it. */
+  own: number;
+  learnedAt: Millis;
+};
+
+/** Pace of servers and services as learned by one node; owned by one task and updated in place. */
+export type PaceTable = {
+  readonly services: Map<ServiceName, ServicePace>;
+  readonly servers: Map<ServerId, ServerPace>;
+};
+
+/** A server whose pace is learned. */
+export type PacedServer = Pick<BackendServer, "id" | "born" | "service">;
+
+/** Creates a table in which all servers have the same pace. */
+export function createPaceTable(): PaceTable {
+  return { services: new Map(), servers: new Map() };
+}
+
+/**
+ * Learns from the time between a send and the first event of the answer; returns
+ * the logarithm of its ratio to the time expected of the mean server.
+ */
+export function learnFirstEvent(
+  table: PaceTable,
+  server: PacedServer,
+  {
+    expected,
+    elapsed,
+    now,
+  }: {
+    /** Parts of the time that the mean server of the service was expected to take. */
+    readonly expected: DelayParts;
+    readonly elapsed: Millis;
+    readonly now: Millis;
+  },
+): number {
+  const { prompts, tokens, batch, slots } = expected;
+  const total = prompts + tokens + batch + slots;
+  if (total <= 0) return 0;
+  const ratio = limitRatio(Math.max(1, elapsed) / total);
+  const service = obtainService(table, server.service);
+  const adjust = (part: number) =>
+    Math.exp((serviceWeight * limit(ratio, maxLogRatio) * part) / total);
+  const { msPerPrompt, promptTokensPerMs, fullBatchDelay } = service.rates;
+  service.rates = {
+    msPerPrompt: msPerPrompt * adjust(prompts),
+    promptTokensPerMs: promptTokensPerMs / adjust(tokens),
+    fullBatchDelay: fullBatchDelay * adjust(batch),
+  };
+  learnRatio(table, server, { ratio, now });
+  return ratio;
+}
+
+/** Learns from the time of a whole run; returns the logarithm of its ratio to the mean time. */
+export function learnRun(
+  table: PaceTable,
+  server: PacedServer,
+  {
+    answerTokens,
+    runTime,
+    now,
+  }: {
+    /** Answer tokens at most; 0 for a service without models. */
+    readonly answerTokens: number;
+    readonly runTime: Millis;
+    readonly now: Millis;
+  },
+): number {
+  const { runTimes } = obtainService(table, server.service);
+  const kind = findRunKind(answerTokens);
+  const observed = Math.max(1, runTime);
+  const mean = runTimes.get(kind);
+  if (mean === undefined) {
+    runTimes.set(kind, observed);
+    return 0;
+  }
+  const ratio = limitRatio(observed / mean);
+  const change = serviceWeight * limit(ratio, maxLogRatio);
+  runTimes.set(kind, mean * Math.exp(change));
+  learnRatio(table, server, { ratio, now });
+  return ratio;
+}
+
+/** Learns that a server took much longer than usual, or had no room. */
+export function learnDelay(
+  table: PaceTable,
+  server: PacedServer,
+  now: Millis,
+): void {
+  learnRatio(table, server, { ratio: maxLogRatio, now });
+}
+
+/** Records the slowness that all nodes together have measured. */
+export function recordSharedPace(
+  table: PaceTable,
+  server: PacedServer,
+  { logSlowness, now }: { readonly logSlowness: number; readonly now: Millis },
+): void {
+  const pace = obtainServer(table, server, now);
+  pace.shared = limit(logSlowness, maxLogSlowness);
+  pace.own = 0;
+  pace.learnedAt = now;
+}
+
+/** Time that a server takes, relative to the mean of its service; 1 if nothing is known. */
+export function readSlowness(
+  { servers }: PaceTable,
+  { id, born }: Pick<PacedServer, "id" | "born">,
+  now: Millis,
+): number {
+  const pace = servers.get(id);
+  if (pace === undefined || pace.born !== born) return 1;
+  return Math.exp(pace.shared + readOwn(pace, now));
+}
+
+/** Slowness that all nodes together have measured, by which homes are weighted; 1 if none is known. */
+export function readSharedSlowness(
+  { servers }: PaceTable,
+  { id, born }: Pick<PacedServer, "id" | "born">,
+): number {
+  const pace = servers.get(id);
+  return pace?.born === born ? Math.exp(pace?.shared ?? 0) : 1;
+}
+
+/** Mean rates at which the engines of a service read prompts. */
+export function readPromptRates(
+  { services }: PaceTable,
+  service: ServiceName,
+): PromptRates {
+  return services.get(service)?.rates ?? defaultPromptRates;
+}
+
+/** Mean time of a run at a service, in ms; undefined if none has ended. */
+export function readRunTime(
+  { services }: PaceTable,
+  service: ServiceName,
+  answerTokens: number,
+): number | undefined {
+  return services.get(service)?.runTimes.get(findRunKind(answerTokens));
+}
+
+/** Removes a server that is gone. */
+export function forgetPace({ servers }: PaceTable, id: ServerId): void {
+  servers.delete(id);
+}
+
+/** Kind of a run by the order of magnitude of its answer. */
+function findRunKind(answerTokens: number): number {
+  return answerTokens <= 0 ? -1 : Math.floor(Math.log2(answerTokens));
+}
+
+function obtainService(table: PaceTable, name: ServiceName): ServicePace {
+  let service = table.services.get(name);
+  if (service === undefined) {
+    service = { rates: defaultPromptRates, runTimes: new Map() };
+    table.services.set(name, service);
+  }
+  return service;
+}
+
+function obtainServer(
+  table: PaceTable,
+  { id, born }: Pick<PacedServer, "id" | "born">,
+  now: Millis,
+): ServerPace {
+  let pace = table.servers.get(id);
+  if (pace === undefined || pace.born !== born) {
+    pace = { born, shared: 0, own: 0, learnedAt: now };
+    table.servers.set(id, pace);
+  }
+  return pace;
+}
+
+function learnRatio(
+  table: PaceTable,
+  server: PacedServer,
+  { ratio, now }: { readonly ratio: number; readonly now: Millis },
+): void {
+  const pace = obtainServer(table, server, now);
+  const own = readOwn(pace, now);
+  const surprise = limit(ratio - pace.shared - own, maxLogRatio);
+  const learned = own + serverWeight * surprise;
+  pace.own = limit(pace.shared + learned, maxLogSlowness) - pace.shared;
+  pace.learnedAt = now;
+}
+
+/** What this node has learned itself, as far as it is not forgotten. */
+function readOwn({ own, learnedAt }: ServerPace, now: Millis): number {
+  return own * 0.5 ** (Math.max(0, now - learnedAt) / halfLife);
+}
+
+function limitRatio(ratio: number): number {
+  return limit(Math.log(ratio), maxLogSlowness);
+}
+
+function limit(value: number, bound: number): number {
+  return Math.max(-bound, Math.min(bound, value));
+}
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -12,10 +12,15 @@
   type RunKind,
   type RunTimes,
 } from "../../core/gateway/run_times.ts";
+import type { NodeLocation } from "../../core/gateway/server_distance.ts";
 import {
   createServerHealth,
   type ServerHealth,
 } from "../../core/gateway/server_health.ts";
+import {
+  createPaceTable,
+  type PaceTable,
+} from "../../core/gateway/server_pace.ts";
 import {
   createServerDirectory,
   type ServerDirectory,
@@ -90,6 +95,8 @@
   readonly dependencies: GatewayDependencies;
   readonly directory: ServerDirectory = createServerDirectory();
   readonly health: ServerHealth = createServerHealth();
+  /** Speed of the servers, as the answers show it. */
+  readonly paces: PaceTable = createPaceTable();
   readonly availability: ServerAvailability;
   readonly reach: ReachWatch;
   readonly adapterDirectory: AdapterDirectory = createAdapterDirectory();
@@ -138,14 +145,17 @@
     return brandString(`${process}/${this.#attempts}`);
   }
 
+  /** Where the node stands. */
+  get location(): NodeLocation {
+    const { dataCentre, region, regions } = this.dependencies.identity;
+    return { dataCentre, region, regionOf: (other) => regions.get(other) };
+  }
+
   selectionContext(): ServerSelectionContext & {
     readonly adapterDirectory: AdapterDirectory;
   } {
-    const { dataCentre, region, regions } = this.dependencies.identity;
     return {
-      dataCentre,
-      region,
-      regionOf: (other) => regions.get(other),
+      ...this.location,
       health: this.health,
       adapterDirectory: this.adapterDirectory,
       now: this.now(),
--- a/src/node/gateway/engines/usage_reporter.ts
+++ b/src/node/gateway/engines/usage_reporter.ts
@@ -8,14 +8,35 @@
   EngineUsage,
   OwnerReport,
 } from "../../../core/gateway/engine_backlog.ts";
-import { estimateBacklogWait } from "../../../core/gateway/engine_backlog.ts";
+import {
+  type DelayParts,
+  estimateBacklogDelay,
+  estimateOwnPrompt,
+} from "../../../core/gateway/engine_backlog.ts";
+import { estimateLoad } from "../../../core/gateway/engine_ranking.ts";
+import {
+  type ExpectedWait,
+  expectEngineWait,
+} from "../../../core/gateway/expected_wait.ts";
 import {
   createReportSchedule,
   type ReportSchedule,
   type ReportTarget,
   takeDueReports,
 } from "../../../core/gateway/report_schedule.ts";
-import type { MachineName, ServerId } from "../../../core/ids.ts";
+import type { RequestWork } from "../../../core/gateway/request_work.ts";
+import { estimateDistance } from "../../../core/gateway/server_distance.ts";
+import {
+  forgetPace,
+  readPromptRates,
+  readSlowness,
+} from "../../../core/gateway/server_pace.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type {
+  MachineName,
+  ModelAdapterKey,
+  ServerId,
+} from "../../../core/ids.ts";
 import type { NodeChannel, UsageMessage } from "../../../ports/nodes.ts";
 import type { GatewayContext } from "../context.ts";
 import type { PeerContacts } from "../peers/peer_contacts.ts";
@@ -28,6 +49,7 @@
 /** Age from which the backlog that an owner reported is ignored, in ms. */
 const backlogLifetime = 2_000;
 
+const noTime = millis(0);
 const emptyBacklog: EngineBacklog = { requests: 0, tokens: 0, running: 0 };
 
 type UsageReporterOptions = {
@@ -76,25 +98,92 @@
 
   /** Expected delay of a request at an engine by the requests of all nodes, in ms. */
   estimateWait(engine: ServerId, promptTokens: number): Millis {
+    const server = this.#options.context.directory.servers.get(engine);
+    if (server === undefined) return millis(0);
+    return this.#expectWait(server, promptTokens, noTime).queue;
+  }
+
+  /** Expected time at an engine until the answer begins, without a load and the way there, in ms. */
+  estimateAnswer(engine: ServerId, promptTokens: number): Millis {
+    const server = this.#options.context.directory.servers.get(engine);
+    if (server === undefined) return millis(0);
+    const { queue, prompt } = this.#expectWait(server, promptTokens, noTime);
+    return millis(queue + prompt);
+  }
+
+  /** Expected wait of a request at an engine, by its parts. */
+  expectWait(
+    server: BackendServer,
+    { promptTokens, adapter }: RequestWork,
+  ): ExpectedWait {
+    const load =
+      adapter === undefined ? noTime : this.#estimateLoad(server.id, adapter);
+    return this.#expectWait(server, promptTokens, load);
+  }
+
+  /** Delay of a request by all requests at an engine, as expected of the mean engine of its service. */
+  describeDelay(server: BackendServer, promptTokens: number): DelayParts {
+    const backlog = this.#sumBacklog(server.id);
+    const pace = this.#describePace(server);
+    const delay = estimateBacklogDelay(backlog, pace, promptTokens);
+    const own = estimateOwnPrompt(pace.rates, promptTokens);
+    return {
+      ...delay,
+      prompts: delay.prompts + own.prompts,
+      tokens: delay.tokens + own.tokens,
+    };
+  }
+
+  #expectWait(
+    server: BackendServer,
+    promptTokens: number,
+    load: Millis,
+  ): ExpectedWait {
+    const { context } = this.#options;
+    const state = {
+      backlog: this.#sumBacklog(server.id),
+      pace: this.#describePace(server),
+      slowness: readSlowness(context.paces, server, context.now()),
+      load,
+      distance: estimateDistance(server, context.location),
+    };
+    return expectEngineWait(state, promptTokens);
+  }
+
+  /** Time until an engine has an adapter, in ms. */
+  #estimateLoad(engine: ServerId, key: ModelAdapterKey): Millis {
+    const { context } = this.#options;
+    const { adapterDirectory, versions } = context;
+    const now = context.now();
+    const requested = { key, version: versions.get(key) ?? 0 };
+    return estimateLoad(adapterDirectory, engine, { requested, now });
+  }
+
+  #describePace(server: BackendServer) {
+    const { context, usage } = this.#options;
+    const rates = readPromptRates(context.paces, server.service);
+    return { slots: server.slots, runTime: usage.runTime, rates };
+  }
+
+  /** Requests of all nodes at an engine, as far as known. */
+  #sumBacklog(engine: ServerId): EngineBacklog {
     const { context, usage } = this.#options;
     const own = usage.getBacklog(engine);
     const reported = this.#backlogs.get(engine);
     const isRecent =
       reported !== undefined && context.now() < reported.at + backlogLifetime;
     const others = isRecent ? reported : emptyBacklog;
-    const backlog: EngineBacklog = {
+    return {
       requests: own.requests + others.requests,
       tokens: own.tokens + others.tokens,
       running: own.running + others.running,
     };
-    const slots = context.directory.servers.get(engine)?.slots ?? 1;
-    const pace = { slots, runTime: usage.runTime };
-    return estimateBacklogWait(backlog, pace, promptTokens);
   }
 
   /** Drops the counts of an engine that is gone. */
   forget(engine: ServerId): void {
     this.#options.usage.forget(engine);
+    forgetPace(this.#options.context.paces, engine);
     this.#backlogs.delete(engine);
     this.#contents.delete(engine);
   }
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -44,6 +44,7 @@
 import type { ReadLeaseRows } from "./rows/lease_rows.ts";
 import { IncarnationWatch } from "./servers/incarnation_watch.ts";
 import { InstallationTracker } from "./servers/installation_tracker.ts";
+import { PaceTracker } from "./servers/pace_tracker.ts";
 import { ServerPermits } from "./servers/server_permits.ts";
 import { ServerSelector } from "./servers/server_selector.ts";
 import { StreamKeeper } from "./streams/stream_keeper.ts";
@@ -91,6 +92,7 @@
   readonly #selector: ServerSelector;
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
+  readonly #paces: PaceTracker;
   readonly #poison: PoisonManager;
   readonly #guard: PoisonGuard;
   readonly #broadcast: PoisonBroadcast;
@@ -175,6 +177,11 @@
       usage: this.#usage,
       channel: options.nodeChannel,
     });
+    this.#paces = PaceTracker.create({
+      context: this.context,
+      describeDelay: (engine, promptTokens) =>
+        this.#usageReporter.describeDelay(engine, promptTokens),
+    });
     this.#poison = this.#createPoisonManager();
     this.#guard = PoisonGuard.create({
       context: this.context,
@@ -197,6 +204,8 @@
       acquire: owners.acquire,
       estimateWait: (engine, promptTokens) =>
         this.#usageReporter.estimateWait(engine, promptTokens),
+      estimateAnswer: (engine, promptTokens) =>
+        this.#usageReporter.estimateAnswer(engine, promptTokens),
       recordBacklog: (engine, backlog) =>
         this.#usageReporter.recordBacklog(engine, backlog),
       isKnown: (engine) => owners.isKnown(engine),
@@ -264,6 +273,7 @@
       streams: this.#streams,
       incarnations: this.#incarnations,
       usage: this.#usage,
+      paces: this.#paces,
       relays: { peers: this.#relayPeers, links: this.#options.relayLinks },
       guard: this.#guard,
       request,
--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -5,6 +5,7 @@
 import type { GatewayContext } from "../context.ts";
 import type { ServerSelection } from "../servers/adapter_selector.ts";
 import type { IncarnationWatch } from "../servers/incarnation_watch.ts";
+import type { PaceMeasurement, PaceTracker } from "../servers/pace_tracker.ts";
 import type { Permit } from "../servers/server_permits.ts";
 import type { StreamContinuation } from "../streams/stream_continuation.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
@@ -34,6 +35,7 @@
   readonly forwarder: ResponseForwarder;
   readonly usage: RequestUsage;
   readonly run: RequestRun;
+  readonly paces: PaceTracker;
   readonly log: RequestLog;
   readonly guard: Pick<PoisonGuard, "hasCrashed">;
   /** Whether the request may still be written to a server. */
@@ -98,6 +100,7 @@
     log.record("requestSent", { server, version, born });
     this.#server = server;
     run.start();
+    const measurement = this.#measure(server);
     usage.trackSend(server, forwarder.hasStarted);
     return new Promise((resolve) => {
       this.#attempt = ServerAttempt.start({
@@ -122,13 +125,18 @@
           this.#options.incarnations.recordAnswer(server, times);
           return continuation.provesServer(server, times.openedAt);
         },
-        onRun: this.#options.onRun,
+        onRun: (runTime) => {
+          if (runTime === 0) measurement?.recordFirstEvent();
+          this.#options.onRun(runTime);
+        },
         hasCrashed: () => this.#options.guard.hasCrashed(server),
         onResult: (result) => {
           this.#attempt = undefined;
           usage.release();
           const isWhole = result.end.kind === "whole";
           run.end(isWhole);
+          if (isWhole && !result.wasPaused)
+            measurement?.recordWhole(result.runTime ?? millis(0));
           if (isWhole) this.#options.onWhole(server);
           resolve(result);
         },
@@ -136,6 +144,15 @@
     });
   }
 
+  /** Measures the pace of a server, unless the answer does not tell: its stream goes on, or its model answers at once. */
+  #measure(server: BackendServer): PaceMeasurement | undefined {
+    const { paces, plan, forwarder, request } = this.#options;
+    const isStream = plan.route.retryRule === "stream";
+    const isPlain = request.demand === undefined;
+    if (forwarder.hasStarted || isStream === isPlain) return undefined;
+    return paces.start(server, plan.work);
+  }
+
   /** Reads the answer on. */
   resume(): void {
     this.#attempt?.resume();
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -12,6 +12,7 @@
 import type { EngineUsageCounter } from "../engines/engine_usage.ts";
 import type { ServerSelection } from "../servers/adapter_selector.ts";
 import type { IncarnationWatch } from "../servers/incarnation_watch.ts";
+import type { PaceTracker } from "../servers/pace_tracker.ts";
 import type { Permit, TakePermit } from "../servers/server_permits.ts";
 import type { ServerSelector } from "../servers/server_selector.ts";
 import { StreamContinuation } from "../streams/stream_continuation.ts";
@@ -47,6 +48,7 @@
   readonly streams: StreamKeeper;
   readonly incarnations: IncarnationWatch;
   readonly usage: EngineUsageCounter;
+  readonly paces: PaceTracker;
   readonly relays: RelayWay;
   readonly guard: PoisonGuard;
   readonly request: ProxiedRequest;
--- a/src/node/gateway/requests/server_attempt.ts
+++ b/src/node/gateway/requests/server_attempt.ts
@@ -39,6 +39,8 @@
   readonly head: ResponseHead | undefined;
   /** Time from the first to the latest bytes of the body, or 0 if there were none, in ms; undefined without a head. */
   readonly runTime: Millis | undefined;
+  /** The server had to wait for the caller, so that the times do not tell its pace. */
+  readonly wasPaused?: boolean;
   readonly body: readonly Uint8Array[];
 };
 
@@ -80,6 +82,7 @@
   /** Follows a stream that has no cursor. */
   readonly #boundary = EventBoundary.create();
   #bufferedBytes = 0;
+  #wasPaused = false;
   #share: BudgetShare | undefined;
   #head: ResponseHead | undefined;
   #passesThrough = false;
@@ -205,6 +208,7 @@
     const { context, sink } = this.#options;
     if (sink.write(bytes)) return;
     context.dependencies.meter.count("gateway_answers_paused_total");
+    this.#wasPaused = true;
     this.#control?.pause();
   }
 
@@ -278,7 +282,8 @@
     }
     const head = this.#head;
     const runTime = head && this.#runTime;
-    onResult({ end, detail, head, runTime, body: this.#buffered });
+    const wasPaused = this.#wasPaused;
+    onResult({ end, detail, head, runTime, wasPaused, body: this.#buffered });
   }
 
   get #runTime(): Millis {
--- a/src/node/gateway/servers/adapter_selector.ts
+++ b/src/node/gateway/servers/adapter_selector.ts
@@ -49,6 +49,8 @@
   readonly acquire: AcquireAdapter;
   /** Expected delay of a request at an engine by other requests, in ms. */
   readonly estimateWait: (engine: ServerId, promptTokens: number) => Millis;
+  /** Expected time at an engine until the answer begins, without a load, in ms. */
+  readonly estimateAnswer: (engine: ServerId, promptTokens: number) => Millis;
   /** Records the requests of the other nodes at an engine. */
   readonly recordBacklog: (engine: ServerId, backlog: EngineBacklog) => void;
   /** Whether the contents of an engine are known well enough to skip its owner. */
@@ -111,10 +113,10 @@
     candidates: readonly BackendServer[],
     wanted: WantedAdapter,
   ): RankedEngine[] {
-    const { estimateWait, isKnown } = this.#options;
+    const { estimateAnswer, isKnown } = this.#options;
     return rankEngines(candidates, wanted, {
       ...this.#context.selectionContext(),
-      estimateWait: (engine) => estimateWait(engine, wanted.promptTokens),
+      estimateWait: (engine) => estimateAnswer(engine, wanted.promptTokens),
       isKnown,
     });
   }
--- /dev/null
+++ b/src/node/gateway/servers/pace_tracker.ts
@@ -0,0 +1,84 @@
+import { type Millis, millis } from "../../../core/clock.ts";
+import type { DelayParts } from "../../../core/gateway/engine_backlog.ts";
+import type { RequestWork } from "../../../core/gateway/request_work.ts";
+import { estimateDistance } from "../../../core/gateway/server_distance.ts";
+import {
+  learnFirstEvent,
+  learnRun,
+} from "../../../core/gateway/server_pace.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { GatewayContext } from "../context.ts";
+
+type PaceTrackerOptions = {
+  readonly context: GatewayContext;
+  /** Time until the first event of an answer, as expected of the mean engine. */
+  readonly describeDelay: (
+    engine: BackendServer,
+    promptTokens: number,
+  ) => DelayParts;
+};
+
+/** Learns the pace of servers from the answers that this node passes on. */
+export class PaceTracker {
+  readonly #options: PaceTrackerOptions;
+
+  private constructor(options: PaceTrackerOptions) {
+    this.#options = options;
+  }
+
+  static create(options: PaceTrackerOptions): PaceTracker {
+    return new PaceTracker(options);
+  }
+
+  /** Starts to measure a request that is sent to a server. */
+  start(server: BackendServer, work: RequestWork): PaceMeasurement {
+    const { context } = this.#options;
+    const startedAt = context.now();
+    // The delay is that of the requests which are at the server before this one.
+    const expected =
+      work.promptTokens > 0
+        ? this.#options.describeDelay(server, work.promptTokens)
+        : undefined;
+    const distance = estimateDistance(server, context.location);
+    const getElapsed = () =>
+      millis(Math.max(0, context.now() - startedAt - distance));
+    return {
+      recordFirstEvent: () => {
+        if (expected !== undefined)
+          this.#learnFirstEvent(server, expected, getElapsed());
+      },
+      recordWhole: (runTime) => {
+        const time = work.answerTokens > 0 ? runTime : getElapsed();
+        this.#learnRun(server, work, time);
+      },
+    };
+  }
+
+  #learnFirstEvent(
+    server: BackendServer,
+    expected: DelayParts,
+    elapsed: Millis,
+  ): void {
+    const { context } = this.#options;
+    const now = context.now();
+    learnFirstEvent(context.paces, server, { expected, elapsed, now });
+  }
+
+  #learnRun(
+    server: BackendServer,
+    { answerTokens }: RequestWork,
+    runTime: Millis,
+  ): void {
+    const { context } = this.#options;
+    const now = context.now();
+    learnRun(context.paces, server, { answerTokens, runTime, now });
+  }
+}
+
+/** Measurement of one request at a server. */
+export type PaceMeasurement = {
+  /** The first event of a stream arrives. */
+  recordFirstEvent(): void;
+  /** The answer is whole; `runTime` is the time from its first to its last bytes. */
+  recordWhole(runTime: Millis): void;
+};
--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -200,10 +200,10 @@
     { promptTokens }: ModelDemand,
   ): ServerSelection | undefined {
     const context = this.#context;
-    const { estimateWait } = this.#options;
+    const { estimateAnswer } = this.#options;
     const server = chooseShortestWait(candidates, {
       ...context.selectionContext(),
-      estimateWait: (engine) => estimateWait(engine, promptTokens),
+      estimateWait: (engine) => estimateAnswer(engine, promptTokens),
       offset: context.dependencies.random(),
     });
     if (server === undefined) return undefined;
--- /dev/null
+++ b/tests/gateway/paced_servers.ts
@@ -0,0 +1,34 @@
+import type { NodeLocation } from "../../src/core/gateway/server_distance.ts";
+import type { BackendServer } from "../../src/core/gateway/servers.ts";
+import { brandString, type Region } from "../../src/core/ids.ts";
+
+/** A node in the data centre of the servers. */
+export const location: NodeLocation = {
+  dataCentre: brandString("e1-a"),
+  region: brandString("e1"),
+  regionOf: (dataCentre) => brandString<Region>(dataCentre.slice(0, 2)),
+};
+
+/** Creates a server; by default it stands in the data centre of {@link location}. */
+export function createServer(
+  id: string,
+  options: {
+    readonly slots?: number;
+    readonly dataCentre?: string;
+    readonly born?: number;
+  } = {},
+): BackendServer {
+  const { slots = 6, dataCentre = "e1-a", born = 1 } = options;
+  return {
+    id: brandString(id),
+    service: brandString("s"),
+    address: "10.0.0.1:80",
+    dataCentre: brandString(dataCentre),
+    softwareVersion: undefined,
+    slots,
+    leaving: false,
+    models: [],
+    orderCount: 0,
+    born,
+  };
+}
