Choose servers without models by the expected time, and tell which are crowded

With 70 nodes before six servers of six slots, a node has at most one call at a server, so that its own calls say nothing of the room there: requests were rejected by a server in a spell of slowness while others had room. A node now adds up the requests of all at each server and publishes the load while that exceeds the slots. Servers are chosen by pace, load, overdue calls and the way there as times. A rejection for want of room holds a server back for a moment that grows, instead of counting as a failure of its health.

--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -5,6 +5,7 @@
   EngineUsage,
   OwnerReport,
 } from "../../core/gateway/engine_backlog.ts";
+import type { Incarnation } from "../../core/gateway/servers.ts";
 import { brandString, type Digest, type MachineName } from "../../core/ids.ts";
 import { crashLimit } from "../../core/poison/record.ts";
 import type { LeavingMessage, NodeMessage } from "../../ports/nodes.ts";
@@ -51,6 +52,8 @@
   z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialUnits), count]),
   z.tuple([z.literal("leaving"), name, name, born]),
   z.tuple([z.literal("reach"), name, z.boolean()]),
+  z.tuple([z.literal("calls"), name, name, born, count]),
+  z.tuple([z.literal("crowd"), name, name, born, count]),
   z.tuple([z.literal("stream"), name, name, name, version]),
   z.tuple([
     z.literal("limit"),
@@ -90,6 +93,14 @@
       const { id, born } = incarnation;
       return [packr.pack([type, from, id, born ?? null])];
     }
+    case "calls": {
+      const { type, from, server, calls } = message;
+      return [packr.pack([type, from, server.id, server.born ?? null, calls])];
+    }
+    case "crowd": {
+      const { type, from, server, load } = message;
+      return [packr.pack([type, from, server.id, server.born ?? null, load])];
+    }
     case "stream": {
       const { type, from, id, service, version } = message;
       return [packr.pack([type, from, id, service, version])];
@@ -179,6 +190,14 @@
       const incarnation = { id: brandString(id), born: born ?? undefined };
       return { type, from, incarnation } as LeavingMessage;
     }
+    case "calls": {
+      const [type, , id, born, calls] = data;
+      return { type, from, server: readIncarnation(id, born), calls };
+    }
+    case "crowd": {
+      const [type, , id, born, load] = data;
+      return { type, from, server: readIncarnation(id, born), load };
+    }
     case "stream": {
       const [type, , id, service, version] = data;
       const stream = {
@@ -197,6 +216,10 @@
   }
 }
 
+function readIncarnation(id: string, born: number | null): Incarnation {
+  return { id: brandString(id), born: born ?? undefined };
+}
+
 function decodeUsage([
   engine,
   ran,
--- a/src/core/gateway/engine_ranking.ts
+++ b/src/core/gateway/engine_ranking.ts
@@ -9,7 +9,7 @@
 } from "./adapter_directory.ts";
 import type { ServerSelectionContext } from "./choose_server.ts";
 import { estimateDistance } from "./server_distance.ts";
-import { isSuspended } from "./server_health.ts";
+import { isHeld, isSuspended } from "./server_health.ts";
 import type { BackendServer } from "./servers.ts";
 
 /** Expected time of an adapter load from the weight store, and from the host's memory, in ms. */
@@ -17,6 +17,8 @@
 const cachedLoadTime = 70;
 /** Cost of an engine that failed recently, above that of any other, in ms. */
 const suspendedCost = 60_000;
+/** Cost of an engine that had no room a moment ago, in ms. */
+const holdCost = 300;
 /** Time that a further copy of an adapter must save before it is loaded, in ms. */
 const copyCost = 180;
 /** Time by which an engine must be better than the one before it in rendezvous order, in ms. */
@@ -143,5 +145,8 @@
   server: BackendServer,
   context: Omit<EngineSelectionContext, "isKnown" | "adapterDirectory">,
 ): number {
-  return estimateDistance(server, context) + context.estimateWait(server.id);
+  const held = isHeld(context.health, server.id, context.now) ? holdCost : 0;
+  return (
+    estimateDistance(server, context) + context.estimateWait(server.id) + held
+  );
 }
--- a/src/core/gateway/server_pace.ts
+++ b/src/core/gateway/server_pace.ts
@@ -34,10 +34,18 @@
   learnedAt: Millis;
 };
 
+/** A call that a server has not answered yet. */
+export type OpenCall = {
+  readonly server: ServerId;
+  readonly startedAt: Millis;
+};
+
 /** Pace of servers and services as learned by one node; owned by one task and updated in place. */
 export type PaceTable = {
   readonly services: Map<ServiceName, ServicePace>;
   readonly servers: Map<ServerId, ServerPace>;
+  /** Unanswered calls of this node to servers without models, oldest first. */
+  readonly open: Map<ServerId, Set<OpenCall>>;
 };
 
 /** A server whose pace is learned. */
@@ -45,7 +53,7 @@
 
 /** Creates a table in which all servers have the same pace. */
 export function createPaceTable(): PaceTable {
-  return { services: new Map(), servers: new Map() };
+  return { services: new Map(), servers: new Map(), open: new Map() };
 }
 
 /**
@@ -113,13 +121,35 @@
   return ratio;
 }
 
-/** Learns that a server took much longer than usual, or had no room. */
-export function learnDelay(
-  table: PaceTable,
-  server: PacedServer,
+/** Records a call to a server without models. */
+export function startCall(
+  { open }: PaceTable,
+  server: ServerId,
   now: Millis,
-): void {
-  learnRatio(table, server, { ratio: maxLogRatio, now });
+): OpenCall {
+  const call = { server, startedAt: now };
+  const calls = open.get(server) ?? new Set();
+  open.set(server, calls);
+  calls.add(call);
+  return call;
+}
+
+/** Records that a call has ended in any way; false if that was known. */
+export function endCall({ open }: PaceTable, call: OpenCall): boolean {
+  const calls = open.get(call.server);
+  const isNews = calls?.delete(call) === true;
+  if (calls?.size === 0) open.delete(call.server);
+  return isNews;
+}
+
+/** Time since the oldest unanswered call to a server was sent, in ms; 0 if there is none. */
+export function readOldestCall(
+  { open }: PaceTable,
+  server: ServerId,
+  now: Millis,
+): number {
+  for (const { startedAt } of open.get(server) ?? []) return now - startedAt;
+  return 0;
 }
 
 /** Records the slowness that all nodes together have measured. */
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -101,6 +101,8 @@
     "Answers of servers that ask for a pause, by form of the value",
   server_notices_ignored_total:
     "Answers of servers with an unknown value of the header that says that they leave",
+  server_crowds_total:
+    "Publications of this node that a server without models has more requests than slots, or no longer, by state",
   server_limits_total:
     "Answers of servers that name a limit, by form of the value",
   server_permits_total:
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -12,6 +12,7 @@
   type RunKind,
   type RunTimes,
 } from "../../core/gateway/run_times.ts";
+import type { CrowdView } from "../../core/gateway/server_crowds.ts";
 import type { NodeLocation } from "../../core/gateway/server_distance.ts";
 import {
   createServerHealth,
@@ -97,6 +98,8 @@
   readonly health: ServerHealth = createServerHealth();
   /** Speed of the servers, as the answers show it. */
   readonly paces: PaceTable = createPaceTable();
+  /** Servers without models that have more requests than slots. */
+  readonly crowds: CrowdView = new Map();
   readonly availability: ServerAvailability;
   readonly reach: ReachWatch;
   readonly adapterDirectory: AdapterDirectory = createAdapterDirectory();
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -42,6 +42,7 @@
 import { planRequest } from "./requests/request_intake.ts";
 import { LeaseManager } from "./rows/lease_manager.ts";
 import type { ReadLeaseRows } from "./rows/lease_rows.ts";
+import { CrowdTracker } from "./servers/crowd_tracker.ts";
 import { IncarnationWatch } from "./servers/incarnation_watch.ts";
 import { InstallationTracker } from "./servers/installation_tracker.ts";
 import { PaceTracker } from "./servers/pace_tracker.ts";
@@ -93,6 +94,7 @@
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
   readonly #paces: PaceTracker;
+  readonly #crowds: CrowdTracker;
   readonly #poison: PoisonManager;
   readonly #guard: PoisonGuard;
   readonly #broadcast: PoisonBroadcast;
@@ -177,8 +179,15 @@
       usage: this.#usage,
       channel: options.nodeChannel,
     });
+    this.#crowds = CrowdTracker.create({
+      ...nodes,
+      context: this.context,
+      channel: options.nodeChannel,
+      listAddresses: () => this.#leases.listOtherAddresses(),
+    });
     this.#paces = PaceTracker.create({
       context: this.context,
+      reportCalls: (server) => this.#crowds.report(server),
       describeDelay: (engine, promptTokens) =>
         this.#usageReporter.describeDelay(engine, promptTokens),
     });
@@ -220,6 +229,7 @@
       onServerGone: (id) => {
         this.#incarnations.forget(id);
         this.#usageReporter.forget(id);
+        this.#crowds.forget(id);
         this.#engineControllers.reconcile();
       },
     });
@@ -369,6 +379,10 @@
         return this.#notices.receiveLeaving(message);
       case "limit":
         return this.#notices.receiveLimit(message);
+      case "calls":
+        return this.#crowds.receiveCalls(message);
+      case "crowd":
+        return this.#crowds.receiveCrowd(message);
       case "reach":
         return this.#relayPeers.receive(message);
       case "stream":
--- a/src/node/gateway/requests/attempt_health.ts
+++ b/src/node/gateway/requests/attempt_health.ts
@@ -1,4 +1,7 @@
-import { recordCallResult } from "../../../core/gateway/server_health.ts";
+import {
+  recordCallResult,
+  recordNoRoom,
+} from "../../../core/gateway/server_health.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { GatewayContext } from "../context.ts";
 import type { AttemptResult } from "./server_attempt.ts";
@@ -17,9 +20,14 @@
     context.availability.recordRejection(server);
     return false;
   }
+  const now = context.now();
+  if (kind === "not-run") {
+    const { random } = context.dependencies;
+    recordNoRoom(context.health, server.id, { now, random });
+    return false;
+  }
   const result = toHealthResult(kind);
   if (result === undefined) return false;
-  const now = context.now();
   return recordCallResult(context.health, server.id, { result, now });
 }
 
--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -50,6 +50,7 @@
 export class RequestSends {
   readonly #options: RequestSendsOptions;
   #attempt: ServerAttempt | undefined;
+  #measurement: PaceMeasurement | undefined;
   #server: BackendServer | undefined;
   #openedAt = millis(Number.POSITIVE_INFINITY);
 
@@ -101,6 +102,7 @@
     this.#server = server;
     run.start();
     const measurement = this.#measure(server);
+    this.#measurement = measurement;
     usage.trackSend(server, forwarder.hasStarted);
     return new Promise((resolve) => {
       this.#attempt = ServerAttempt.start({
@@ -133,6 +135,7 @@
         onResult: (result) => {
           this.#attempt = undefined;
           usage.release();
+          measurement?.recordEnd();
           const isWhole = result.end.kind === "whole";
           run.end(isWhole);
           if (isWhole && !result.wasPaused)
@@ -141,6 +144,7 @@
           resolve(result);
         },
       });
+      measurement?.recordSent();
     });
   }
 
@@ -172,5 +176,6 @@
   cancel(): void {
     this.#attempt?.cancel();
     this.#attempt = undefined;
+    this.#measurement?.recordEnd();
   }
 }
--- a/src/node/gateway/servers/pace_tracker.ts
+++ b/src/node/gateway/servers/pace_tracker.ts
@@ -3,8 +3,10 @@
 import type { RequestWork } from "../../../core/gateway/request_work.ts";
 import { estimateDistance } from "../../../core/gateway/server_distance.ts";
 import {
+  endCall,
   learnFirstEvent,
   learnRun,
+  startCall,
 } from "../../../core/gateway/server_pace.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { GatewayContext } from "../context.ts";
@@ -16,6 +18,8 @@
     engine: BackendServer,
     promptTokens: number,
   ) => DelayParts;
+  /** Tells the other nodes that the requests at a server without models have changed. */
+  readonly reportCalls: (server: BackendServer) => void;
 };
 
 /** Learns the pace of servers from the answers that this node passes on. */
@@ -32,7 +36,7 @@
 
   /** Starts to measure a request that is sent to a server. */
   start(server: BackendServer, work: RequestWork): PaceMeasurement {
-    const { context } = this.#options;
+    const { context, reportCalls } = this.#options;
     const startedAt = context.now();
     // The delay is that of the requests which are at the server before this one.
     const expected =
@@ -42,7 +46,18 @@
     const distance = estimateDistance(server, context.location);
     const getElapsed = () =>
       millis(Math.max(0, context.now() - startedAt - distance));
+    const isPlain = expected === undefined;
+    const call = isPlain
+      ? startCall(context.paces, server.id, startedAt)
+      : undefined;
     return {
+      recordSent: () => {
+        if (isPlain) reportCalls(server);
+      },
+      recordEnd: () => {
+        if (call === undefined || !endCall(context.paces, call)) return;
+        reportCalls(server);
+      },
       recordFirstEvent: () => {
         if (expected !== undefined)
           this.#learnFirstEvent(server, expected, getElapsed());
@@ -77,6 +92,10 @@
 
 /** Measurement of one request at a server. */
 export type PaceMeasurement = {
+  /** The server has the request. */
+  recordSent(): void;
+  /** The server no longer has the request, however that ended. */
+  recordEnd(): void;
   /** The first event of a stream arrives. */
   recordFirstEvent(): void;
   /** The answer is whole; `runTime` is the time from its first to its last bytes. */
--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -1,8 +1,6 @@
-import {
-  chooseLeastCost,
-  excludeServers,
-} from "../../../core/gateway/choose_server.ts";
+import { excludeServers } from "../../../core/gateway/choose_server.ts";
 import { chooseShortestWait } from "../../../core/gateway/engine_ranking.ts";
+import { chooseShortestRun } from "../../../core/gateway/plain_server_choice.ts";
 import type { Resumption } from "../../../core/gateway/server_pauses.ts";
 import {
   type BackendServer,
@@ -84,7 +82,7 @@
     );
     const { demand, tried } = request;
     const untried = excludeServers(usable, tried);
-    if (demand === undefined) return this.#selectByCost(usable, untried);
+    if (demand === undefined) return this.#selectByRun(usable, untried);
     const withModel = untried.filter((server) =>
       holdsModel(server, demand.model),
     );
@@ -183,15 +181,22 @@
     void models.request(service, wanted, others);
   }
 
-  #selectByCost(
+  /** Selects the server with the shortest expected run for a request without a model. */
+  #selectByRun(
     usable: readonly BackendServer[],
     untried: readonly BackendServer[],
   ): ServerSelection | undefined {
-    const selectionContext = this.#context.selectionContext();
+    const { paces, crowds, dependencies } = this.#context;
+    const context = this.#context.selectionContext();
     const candidates = untried.length > 0 ? untried : usable;
-    const server = chooseLeastCost(candidates, selectionContext);
+    const server = chooseShortestRun(candidates, {
+      ...context,
+      paces,
+      crowds,
+      random: dependencies.random,
+    });
     if (server === undefined) return undefined;
-    return { server, readyAt: selectionContext.now, version: undefined };
+    return { server, readyAt: context.now, version: undefined };
   }
 
   /** Selects the engine with the shortest wait for a request without an adapter. */
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -4,6 +4,7 @@
   EngineUsage,
   OwnerReport,
 } from "../core/gateway/engine_backlog.ts";
+import type { ServerCrowd } from "../core/gateway/server_crowds.ts";
 import type { Incarnation } from "../core/gateway/servers.ts";
 import type {
   Digest,
@@ -99,6 +100,20 @@
   readonly isLost: boolean;
 };
 
+/** Requests that a node has at a server without models, to the node that adds them up. */
+export type CallsMessage = {
+  readonly type: "calls";
+  readonly from: MachineName;
+  readonly server: Incarnation;
+  readonly calls: number;
+};
+
+/** News that a server without models is crowded, or no longer. */
+export type CrowdMessage = ServerCrowd & {
+  readonly type: "crowd";
+  readonly from: MachineName;
+};
+
 /** Message between two nodes. */
 export type NodeMessage =
   | UsageMessage
@@ -106,6 +121,8 @@
   | LeavingMessage
   | LimitMessage
   | ReachMessage
+  | CallsMessage
+  | CrowdMessage
   | StreamMessage;
 
 /** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -136,6 +136,18 @@
     record: { crashes: fullCrashes, cleared: fullCrashes },
   },
   { type: "reach", from: brandString("n1"), isLost: true },
+  {
+    type: "calls",
+    from: brandString("n1"),
+    server: { id: brandString("p1"), born: 7 },
+    calls: 2,
+  },
+  {
+    type: "crowd",
+    from: brandString("n1"),
+    server: { id: brandString("p1"), born: undefined },
+    load: 9,
+  },
   {
     type: "poison",
     from: brandString("n1"),
