Weight the homes of adapters by the pace that all nodes measured

Each engine was the home of as many adapters as any other, so that slow ones were overloaded. One of 80 nodes sees an answer of an engine every few seconds. Nodes now report deviations of run times to the owner of an engine once they say enough; the owner keeps a level of slowness, which changes after it has differed for three seconds, and tells the nodes that use its engines. Homes are weighted by the level, on which the nodes agree. Older nodes drop the messages.

--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -18,6 +18,9 @@
 /** Maximum number of units in the announcement of a trial. */
 const maxTrialUnits = 64;
 
+/** Maximum number of servers in a message about their paces. */
+const maxPaces = 64;
+
 const name = z.string().min(1).max(256);
 /** Empty for a version that is not known. */
 const version = z.string().max(256);
@@ -42,6 +45,8 @@
   count,
   z.nullable(z.array(availableAdapterFrame)),
 ]);
+/** Natural logarithm of the slowness of a server, in hundredths. */
+const slowness = z.number().int().min(-300).max(300);
 const crashListFrame = z.array(name).max(crashLimit);
 /** A message as an array: type, sender, entries or fields. */
 const messageFrame = z.union([
@@ -52,6 +57,12 @@
   z.tuple([z.literal("trial"), name, z.array(name).max(maxTrialUnits), count]),
   z.tuple([z.literal("leaving"), name, name, born]),
   z.tuple([z.literal("reach"), name, z.boolean()]),
+  z.tuple([z.literal("pace"), name, name, born, slowness, count.min(1)]),
+  z.tuple([
+    z.literal("paces"),
+    name,
+    z.array(z.tuple([name, born, slowness])).max(maxPaces),
+  ]),
   z.tuple([z.literal("calls"), name, name, born, count]),
   z.tuple([z.literal("crowd"), name, name, born, count]),
   z.tuple([z.literal("stream"), name, name, name, version]),
@@ -93,6 +104,21 @@
       const { id, born } = incarnation;
       return [packr.pack([type, from, id, born ?? null])];
     }
+    case "pace": {
+      const { type, from, server, logSlowness, answers } = message;
+      const { id, born } = server;
+      const hundredths = Math.round(logSlowness * 100);
+      return [packr.pack([type, from, id, born ?? null, hundredths, answers])];
+    }
+    case "paces": {
+      const { type, from, servers } = message;
+      const frames = servers.map(({ server: { id, born }, logSlowness }) => [
+        id,
+        born ?? null,
+        Math.round(logSlowness * 100),
+      ]);
+      return [packr.pack([type, from, frames])];
+    }
     case "calls": {
       const { type, from, server, calls } = message;
       return [packr.pack([type, from, server.id, server.born ?? null, calls])];
@@ -190,6 +216,19 @@
       const incarnation = { id: brandString(id), born: born ?? undefined };
       return { type, from, incarnation } as LeavingMessage;
     }
+    case "pace": {
+      const [type, , id, born, hundredths, answers] = data;
+      const server = readIncarnation(id, born);
+      return { type, from, server, logSlowness: hundredths / 100, answers };
+    }
+    case "paces": {
+      const [type, , frames] = data;
+      const servers = frames.map(([id, born, hundredths]) => ({
+        server: readIncarnation(id, born),
+        logSlowness: hundredths / 100,
+      }));
+      return { type, from, servers };
+    }
     case "calls": {
       const [type, , id, born, calls] = data;
       return { type, from, server: readIncarnation(id, born), calls };
--- a/src/core/gateway/engine_ranking.ts
+++ b/src/core/gateway/engine_ranking.ts
@@ -60,8 +60,14 @@
   readonly estimateWait: (engine: ServerId) => Millis;
   /** Whether the contents of an engine are known well enough to skip its owner. */
   readonly isKnown: (engine: ServerId) => boolean;
+  /** Weight of an engine as a home of adapters, on which the nodes agree; 1 for the mean engine. */
+  readonly findWeight: (engine: ServerId) => number;
 };
 
+/** Inputs of the expected wait at an engine. */
+type EngineWaitContext = ServerSelectionContext &
+  Pick<EngineSelectionContext, "estimateWait">;
+
 type RatedEngine = RankedEngine & { readonly cost: number };
 
 /**
@@ -98,7 +104,10 @@
     holders.push({ server, readyAt, mayHold: true, cost });
   }
   const homes = selectHomes(requested.key, {
-    engines: [...others.keys()].map((engine) => ({ engine, weight: 1 })),
+    engines: [...others.keys()].map((engine) => ({
+      engine,
+      weight: context.findWeight(engine),
+    })),
     count: others.size,
   });
   const rated = homes.map((id, rank): RatedEngine => {
@@ -121,7 +130,7 @@
  */
 export function chooseShortestWait(
   candidates: readonly BackendServer[],
-  context: Omit<EngineSelectionContext, "isKnown" | "adapterDirectory"> & {
+  context: EngineWaitContext & {
     readonly offset: number;
   },
 ): BackendServer | undefined {
@@ -143,7 +152,7 @@
 /** Extra time of a request because of the engine's distance and backlog, in ms. */
 function computeEngineCost(
   server: BackendServer,
-  context: Omit<EngineSelectionContext, "isKnown" | "adapterDirectory">,
+  context: EngineWaitContext,
 ): number {
   const held = isHeld(context.health, server.id, context.now) ? holdCost : 0;
   return (
--- a/src/core/gateway/server_pace.ts
+++ b/src/core/gateway/server_pace.ts
@@ -14,22 +14,30 @@
 const maxLogRatio = 0.7;
 /** Limit on the natural logarithm of a server's slowness. */
 const maxLogSlowness = 2;
+/** Number of runs from which their mean is that of the service. */
+const minRuns = 40;
 /** Time after which half of what was learned of a server is forgotten, in ms. */
 const halfLife = 15_000;
+/** Time for which a slowness that all nodes measured counts, in ms. */
+const sharedLifetime = 30_000;
 
 /** Mean pace of the servers of a service. */
 type ServicePace = {
   rates: PromptRates;
   /** Mean time of a run, by kind of run, in ms. */
-  readonly runTimes: Map<number, number>;
+  readonly runTimes: Map<number, RunMean>;
 };
 
+/** Mean time of a number of runs, in ms. */
+type RunMean = { time: number; runs: number };
+
 /** Slowness of one incarnation of a server, as a natural logarithm; 0 is the mean of its service. */
 type ServerPace = {
   readonly born: number | undefined;
-  /** Slowness as measured by all nodes together. */
+  /** Slowness as measured by all nodes together, and when that was last heard. */
   shared: number;
-  /** What the answers to this node add to it. */
+  sharedAt: Millis;
+  /** Slowness in the recent answers to this node, which also shows queues that are not known yet. */
   own: number;
   learnedAt: Millis;
 };
@@ -56,10 +64,7 @@
   return { services: new Map(), servers: new Map(), open: new Map() };
 }
 
-/**
- * Learns from the time between a send and the first event of the answer; returns
- * the logarithm of its ratio to the time expected of the mean server.
- */
+/** Learns from the time between a send and the first event of the answer. */
 export function learnFirstEvent(
   table: PaceTable,
   server: PacedServer,
@@ -73,10 +78,10 @@
     readonly elapsed: Millis;
     readonly now: Millis;
   },
-): number {
+): void {
   const { prompts, tokens, batch, slots } = expected;
   const total = prompts + tokens + batch + slots;
-  if (total <= 0) return 0;
+  if (total <= 0) return;
   const ratio = limitRatio(Math.max(1, elapsed) / total);
   const service = obtainService(table, server.service);
   const adjust = (part: number) =>
@@ -88,10 +93,12 @@
     fullBatchDelay: fullBatchDelay * adjust(batch),
   };
   learnRatio(table, server, { ratio, now });
-  return ratio;
 }
 
-/** Learns from the time of a whole run; returns the logarithm of its ratio to the mean time. */
+/**
+ * Learns from the time of a whole run; returns the logarithm of its ratio to the
+ * mean time, or undefined while that is the mean of few runs.
+ */
 export function learnRun(
   table: PaceTable,
   server: PacedServer,
@@ -105,20 +112,18 @@
     readonly runTime: Millis;
     readonly now: Millis;
   },
-): number {
+): number | undefined {
   const { runTimes } = obtainService(table, server.service);
   const kind = findRunKind(answerTokens);
   const observed = Math.max(1, runTime);
-  const mean = runTimes.get(kind);
-  if (mean === undefined) {
-    runTimes.set(kind, observed);
-    return 0;
-  }
-  const ratio = limitRatio(observed / mean);
-  const change = serviceWeight * limit(ratio, maxLogRatio);
-  runTimes.set(kind, mean * Math.exp(change));
+  const mean = runTimes.get(kind) ?? { time: observed, runs: 0 };
+  runTimes.set(kind, mean);
+  const ratio = limitRatio(observed / mean.time);
+  mean.runs++;
+  const weight = Math.max(serviceWeight, 1 / mean.runs);
+  mean.time *= Math.exp(weight * limit(ratio, maxLogRatio));
   learnRatio(table, server, { ratio, now });
-  return ratio;
+  return mean.runs < minRuns ? undefined : ratio;
 }
 
 /** Records a call to a server without models. */
@@ -160,11 +165,10 @@
 ): void {
   const pace = obtainServer(table, server, now);
   pace.shared = limit(logSlowness, maxLogSlowness);
-  pace.own = 0;
-  pace.learnedAt = now;
+  pace.sharedAt = now;
 }
 
-/** Time that a server takes, relative to the mean of its service; 1 if nothing is known. */
+/** Time that a server took for recent answers to this node, relative to the mean of its service; 1 if nothing is known. */
 export function readSlowness(
   { servers }: PaceTable,
   { id, born }: Pick<PacedServer, "id" | "born">,
@@ -172,16 +176,18 @@
 ): number {
   const pace = servers.get(id);
   if (pace === undefined || pace.born !== born) return 1;
-  return Math.exp(pace.shared + readOwn(pace, now));
+  return Math.exp(readOwn(pace, now));
 }
 
 /** Slowness that all nodes together have measured, by which homes are weighted; 1 if none is known. */
 export function readSharedSlowness(
   { servers }: PaceTable,
   { id, born }: Pick<PacedServer, "id" | "born">,
+  now: Millis,
 ): number {
   const pace = servers.get(id);
-  return pace?.born === born ? Math.exp(pace?.shared ?? 0) : 1;
+  if (pace === undefined || pace.born !== born) return 1;
+  return Math.exp(readShared(pace, now));
 }
 
 /** Mean rates at which the engines of a service read prompts. */
@@ -198,7 +204,7 @@
   service: ServiceName,
   answerTokens: number,
 ): number | undefined {
-  return services.get(service)?.runTimes.get(findRunKind(answerTokens));
+  return services.get(service)?.runTimes.get(findRunKind(answerTokens))?.time;
 }
 
 /** Removes a server that is gone. */
@@ -227,7 +233,7 @@
 ): ServerPace {
   let pace = table.servers.get(id);
   if (pace === undefined || pace.born !== born) {
-    pace = { born, shared: 0, own: 0, learnedAt: now };
+    pace = { born, shared: 0, sharedAt: now, own: 0, learnedAt: now };
     table.servers.set(id, pace);
   }
   return pace;
@@ -240,12 +246,16 @@
 ): void {
   const pace = obtainServer(table, server, now);
   const own = readOwn(pace, now);
-  const surprise = limit(ratio - pace.shared - own, maxLogRatio);
-  const learned = own + serverWeight * surprise;
-  pace.own = limit(pace.shared + learned, maxLogSlowness) - pace.shared;
+  const surprise = limit(ratio - own, maxLogRatio);
+  pace.own = limit(own + serverWeight * surprise, maxLogSlowness);
   pace.learnedAt = now;
 }
 
+/** What all nodes have measured, unless that was long ago. */
+function readShared({ shared, sharedAt }: ServerPace, now: Millis): number {
+  return now < sharedAt + sharedLifetime ? shared : 0;
+}
+
 /** What this node has learned itself, as far as it is not forgotten. */
 function readOwn({ own, learnedAt }: ServerPace, now: Millis): number {
   return own * 0.5 ** (Math.max(0, now - learnedAt) / halfLife);
--- a/src/core/observe/engine_events.ts
+++ b/src/core/observe/engine_events.ts
@@ -103,6 +103,12 @@
     meaning:
       "A backend server is suspended: left out for a time after failures",
   },
+  serverPaceChanged: {
+    number: 335,
+    level: "info",
+    meaning:
+      "The nodes together measured that an engine takes more or less time than the mean of its service",
+  },
   engineClaimed: {
     number: 216,
     level: "info",
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -101,6 +101,12 @@
     "Answers of servers that ask for a pause, by form of the value",
   server_notices_ignored_total:
     "Answers of servers with an unknown value of the header that says that they leave",
+  server_slowness:
+    "Time that an engine of this node takes relative to the mean of its service, as all nodes measured it, by server",
+  pace_reports_total:
+    "Reports of this node to the owners of engines on the pace that it measured",
+  gateway_sends_by_place_total:
+    "Attempts at servers by service and place: data-centre, region or other-region",
   server_crowds_total:
     "Publications of this node that a server without models has more requests than slots, or no longer, by state",
   server_limits_total:
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -45,6 +45,7 @@
 import { CrowdTracker } from "./servers/crowd_tracker.ts";
 import { IncarnationWatch } from "./servers/incarnation_watch.ts";
 import { InstallationTracker } from "./servers/installation_tracker.ts";
+import { PaceExchange } from "./servers/pace_exchange.ts";
 import { PaceTracker } from "./servers/pace_tracker.ts";
 import { ServerPermits } from "./servers/server_permits.ts";
 import { ServerSelector } from "./servers/server_selector.ts";
@@ -94,6 +95,7 @@
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
   readonly #paces: PaceTracker;
+  readonly #paceExchange: PaceExchange;
   readonly #crowds: CrowdTracker;
   readonly #poison: PoisonManager;
   readonly #guard: PoisonGuard;
@@ -185,8 +187,15 @@
       channel: options.nodeChannel,
       listAddresses: () => this.#leases.listOtherAddresses(),
     });
+    this.#paceExchange = PaceExchange.create({
+      context: this.context,
+      channel: options.nodeChannel,
+      findHolder: (engine) => this.#leases.findHolder(engine),
+      findAddress: (machine) => this.#leases.findAddress(machine),
+    });
     this.#paces = PaceTracker.create({
       context: this.context,
+      onRatio: (engine, ratio) => this.#paceExchange.recordRatio(engine, ratio),
       reportCalls: (server) => this.#crowds.report(server),
       describeDelay: (engine, promptTokens) =>
         this.#usageReporter.describeDelay(engine, promptTokens),
@@ -373,12 +382,18 @@
   #receive(message: NodeMessage, address: string): void {
     switch (message.type) {
       case "use":
+        this.#usageReporter.receive(message, address);
+        return this.#paceExchange.tell(message.from, address);
       case "load":
         return this.#usageReporter.receive(message, address);
       case "leaving":
         return this.#notices.receiveLeaving(message);
       case "limit":
         return this.#notices.receiveLimit(message);
+      case "pace":
+        return this.#paceExchange.receiveReport(message);
+      case "paces":
+        return this.#paceExchange.receiveNews(message);
       case "calls":
         return this.#crowds.receiveCalls(message);
       case "crowd":
@@ -415,6 +430,7 @@
     this.context.reach.check();
     this.#installation.applyDue();
     this.context.availability.removeEnded();
+    this.#paceExchange.removeEnded();
     this.#permits.removeGone((id) => this.context.directory.servers.has(id));
   }
 }
--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -1,4 +1,5 @@
 import { type Millis, millis } from "../../../core/clock.ts";
+import { findPlace } from "../../../core/gateway/server_distance.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { StreamCursor } from "../../../core/gateway/stream_cursor.ts";
 import type { ProxiedRequest } from "../../../ports/gateway.ts";
@@ -99,6 +100,10 @@
     if (!isAccepted()) return Promise.resolve(serverLeft);
     const { born, softwareVersion: version } = server;
     log.record("requestSent", { server, version, born });
+    context.dependencies.meter.count("gateway_sends_by_place_total", {
+      service: server.service,
+      place: findPlace(server, context.location),
+    });
     this.#server = server;
     run.start();
     const measurement = this.#measure(server);
--- a/src/node/gateway/servers/adapter_selector.ts
+++ b/src/node/gateway/servers/adapter_selector.ts
@@ -6,6 +6,7 @@
   rankEngines,
 } from "../../../core/gateway/engine_ranking.ts";
 import { isSuspended } from "../../../core/gateway/server_health.ts";
+import { readSharedSlowness } from "../../../core/gateway/server_pace.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { ModelAdapterKey, ServerId } from "../../../core/ids.ts";
 import type { AcquireResult } from "../../../ports/nodes.ts";
@@ -114,8 +115,17 @@
     wanted: WantedAdapter,
   ): RankedEngine[] {
     const { estimateAnswer, isKnown } = this.#options;
+    const { paces, directory } = this.#context;
+    const now = this.#context.now();
+    const findWeight = (engine: ServerId) => {
+      const server = directory.servers.get(engine);
+      return server === undefined
+        ? 1
+        : 1 / readSharedSlowness(paces, server, now);
+    };
     return rankEngines(candidates, wanted, {
       ...this.#context.selectionContext(),
+      findWeight,
       estimateWait: (engine) => estimateAnswer(engine, wanted.promptTokens),
       isKnown,
     });
--- a/src/node/gateway/servers/pace_tracker.ts
+++ b/src/node/gateway/servers/pace_tracker.ts
@@ -18,6 +18,8 @@
     engine: BackendServer,
     promptTokens: number,
   ) => DelayParts;
+  /** Called with the logarithm of the time of a run at an engine to the mean time. */
+  readonly onRatio: (engine: BackendServer, logRatio: number) => void;
   /** Tells the other nodes that the requests at a server without models have changed. */
   readonly reportCalls: (server: BackendServer) => void;
 };
@@ -84,9 +86,11 @@
     { answerTokens }: RequestWork,
     runTime: Millis,
   ): void {
-    const { context } = this.#options;
+    const { context, onRatio } = this.#options;
     const now = context.now();
-    learnRun(context.paces, server, { answerTokens, runTime, now });
+    const sample = { answerTokens, runTime, now };
+    const logRatio = learnRun(context.paces, server, sample);
+    if (answerTokens > 0 && logRatio !== undefined) onRatio(server, logRatio);
   }
 }
 
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -6,6 +6,7 @@
 } from "../core/gateway/engine_backlog.ts";
 import type { ServerCrowd } from "../core/gateway/server_crowds.ts";
 import type { Incarnation } from "../core/gateway/servers.ts";
+import type { PaceNews, PaceReport } from "../core/gateway/shared_pace.ts";
 import type {
   Digest,
   MachineName,
@@ -114,6 +115,19 @@
   readonly from: MachineName;
 };
 
+/** Pace of an engine that a node has measured, to the engine's owner. */
+export type PaceMessage = PaceReport & {
+  readonly type: "pace";
+  readonly from: MachineName;
+};
+
+/** Paces of engines that all nodes together have measured, from the owner. */
+export type PacesMessage = {
+  readonly type: "paces";
+  readonly from: MachineName;
+  readonly servers: readonly PaceNews[];
+};
+
 /** Message between two nodes. */
 export type NodeMessage =
   | UsageMessage
@@ -122,6 +136,8 @@
   | LimitMessage
   | ReachMessage
   | CallsMessage
+  | PaceMessage
+  | PacesMessage
   | CrowdMessage
   | StreamMessage;
 
--- a/tests/gateway/adapter_directory_test.ts
+++ b/tests/gateway/adapter_directory_test.ts
@@ -63,6 +63,7 @@
     adapterDirectory: createAdapterDirectory(),
     estimateWait: (engine: ServerId): Millis => millis(waits[engine] ?? 0),
     isKnown: (_engine: ServerId): boolean => true,
+    findWeight: (_engine: ServerId): number => 1,
   };
 }
 
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -136,6 +136,20 @@
     record: { crashes: fullCrashes, cleared: fullCrashes },
   },
   { type: "reach", from: brandString("n1"), isLost: true },
+  {
+    type: "pace",
+    from: brandString("n1"),
+    server: { id: brandString("e1"), born: 7 },
+    logSlowness: -0.25,
+    answers: 12,
+  },
+  {
+    type: "paces",
+    from: brandString("n1"),
+    servers: [
+      { server: { id: brandString("e1"), born: undefined }, logSlowness: 0.5 },
+    ],
+  },
   {
     type: "calls",
     from: brandString("n1"),
