--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -42,8 +42,11 @@
 import { planRequest } from "./requests/request_intake.ts";
 import { LeaseManager } from "./rows/lease_manager.ts";
 import type { ReadLeaseRows } from "./rows/lease_rows.ts";
+import { CrowdTracker } from "./servers/crowd_tracker.ts";
 import { IncarnationWatch } from "./servers/incarnation_watch.ts";
 import { InstallationTracker } from "./servers/installation_tracker.ts";
+import { PaceExchange } from "./servers/pace_exchange.ts";
+import { PaceTracker } from "./servers/pace_tracker.ts";
 import { ServerPermits } from "./servers/server_permits.ts";
 import { ServerSelector } from "./servers/server_selector.ts";
 import { StreamKeeper } from "./streams/stream_keeper.ts";
@@ -91,6 +94,9 @@
   readonly #selector: ServerSelector;
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
+  readonly #paces: PaceTracker;
+  readonly #paceExchange: PaceExchange;
+  readonly #crowds: CrowdTracker;
   readonly #poison: PoisonManager;
   readonly #guard: PoisonGuard;
   readonly #broadcast: PoisonBroadcast;
@@ -175,6 +181,25 @@
       usage: this.#usage,
       channel: options.nodeChannel,
     });
+    this.#crowds = CrowdTracker.create({
+      ...nodes,
+      context: this.context,
+      channel: options.nodeChannel,
+      listAddresses: () => this.#leases.listOtherAddresses(),
+    });
+    this.#paceExchange = PaceExchange.create({
+      context: this.context,
+      channel: options.nodeChannel,
+      findHolder: (engine) => this.#leases.findHolder(engine),
+      findAddress: (machine) => this.#leases.findAddress(machine),
+    });
+    this.#paces = PaceTracker.create({
+      context: this.context,
+      onRatio: (engine, ratio) => this.#paceExchange.recordRatio(engine, ratio),
+      reportCalls: (server) => this.#crowds.report(server),
+      describeDelay: (engine, promptTokens) =>
+        this.#usageReporter.describeDelay(engine, promptTokens),
+    });
     this.#poison = this.#createPoisonManager();
     this.#guard = PoisonGuard.create({
       context: this.context,
@@ -197,6 +222,8 @@
       acquire: owners.acquire,
       estimateWait: (engine, promptTokens) =>
         this.#usageReporter.estimateWait(engine, promptTokens),
+      estimateAnswer: (engine, promptTokens) =>
+        this.#usageReporter.estimateAnswer(engine, promptTokens),
       recordBacklog: (engine, backlog) =>
         this.#usageReporter.recordBacklog(engine, backlog),
       isKnown: (engine) => owners.isKnown(engine),
@@ -215,6 +242,7 @@
         this.#incarnations.forget(id);
         this.#usageReporter.forget(id);
         owners.forget(id);
+        this.#crowds.forget(id);
         this.#engineControllers.reconcile();
       },
     });
@@ -268,6 +296,7 @@
       streams: this.#streams,
       incarnations: this.#incarnations,
       usage: this.#usage,
+      paces: this.#paces,
       relays: { peers: this.#relayPeers, links: this.#options.relayLinks },
       guard: this.#guard,
       request,
@@ -357,7 +386,8 @@
   #receive(message: NodeMessage, address: string): void {
     switch (message.type) {
       case "use":
-        return this.#usageReporter.receive(message, address);
+        this.#usageReporter.receive(message, address);
+        return this.#paceExchange.tell(message.from, address);
       case "load":
         this.#usageReporter.receive(message, address);
         return this.context.lines.notifyAll();
@@ -365,6 +395,14 @@
         return this.#notices.receiveLeaving(message);
       case "limit":
         return this.#notices.receiveLimit(message);
+      case "pace":
+        return this.#paceExchange.receiveReport(message);
+      case "paces":
+        return this.#paceExchange.receiveNews(message);
+      case "calls":
+        return this.#crowds.receiveCalls(message);
+      case "crowd":
+        return this.#crowds.receiveCrowd(message);
       case "reach":
         return this.#relayPeers.receive(message);
       case "stream":
@@ -397,6 +435,7 @@
     this.context.reach.check();
     this.#installation.applyDue();
     this.context.availability.removeEnded();
+    this.#paceExchange.removeEnded();
     this.#permits.removeGone((id) => this.context.directory.servers.has(id));
   }
 }
--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -1,10 +1,12 @@
 import { type Millis, millis } from "../../../core/clock.ts";
+import { findPlace } from "../../../core/gateway/server_distance.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { StreamCursor } from "../../../core/gateway/stream_cursor.ts";
 import type { ProxiedRequest } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
 import type { ServerSelection } from "../servers/adapter_selector.ts";
 import type { IncarnationWatch } from "../servers/incarnation_watch.ts";
+import type { PaceMeasurement, PaceTracker } from "../servers/pace_tracker.ts";
 import type { Permit } from "../servers/server_permits.ts";
 import type { StreamContinuation } from "../streams/stream_continuation.ts";
 import type { AttemptHistory } from "./attempt_history.ts";
@@ -35,6 +37,7 @@
   readonly forwarder: ResponseForwarder;
   readonly usage: RequestUsage;
   readonly run: RequestRun;
+  readonly paces: PaceTracker;
   readonly log: RequestLog;
   readonly guard: Pick<PoisonGuard, "hasCrashed">;
   /** Whether the request may still be written to a server. */
@@ -49,6 +52,7 @@
 export class RequestSends {
   readonly #options: RequestSendsOptions;
   #attempt: ServerAttempt | undefined;
+  #measurement: PaceMeasurement | undefined;
   #server: BackendServer | undefined;
   #openedAt = millis(Number.POSITIVE_INFINITY);
 
@@ -97,8 +101,14 @@
     if (!isAccepted()) return Promise.resolve(serverLeft);
     const { born, softwareVersion: version } = server;
     log.record("requestSent", { server, version, born });
+    context.dependencies.meter.count("gateway_sends_by_place_total", {
+      service: server.service,
+      place: findPlace(server, context.location),
+    });
     this.#server = server;
     run.start();
+    const measurement = this.#measure(server);
+    this.#measurement = measurement;
     usage.trackSend(server, forwarder.hasStarted);
     return new Promise((resolve) => {
       this.#attempt = ServerAttempt.start({
@@ -123,17 +133,24 @@
           this.#options.incarnations.recordAnswer(server, times);
           return continuation.provesServer(server, times.openedAt);
         },
-        onRun: this.#options.onRun,
+        onRun: (runTime) => {
+          if (runTime === 0) measurement?.recordFirstEvent();
+          this.#options.onRun(runTime);
+        },
         hasCrashed: () => this.#options.guard.hasCrashed(server),
         onResult: (result) => {
           this.#attempt = undefined;
           usage.release();
+          measurement?.recordEnd();
           const isWhole = result.end.kind === "whole";
           run.end(isWhole);
+          if (isWhole && !result.wasPaused)
+            measurement?.recordWhole(result.runTime ?? millis(0));
           if (isWhole) this.#options.onWhole(server);
           resolve(result);
         },
       });
+      measurement?.recordSent();
     });
   }
 
@@ -146,6 +163,15 @@
     return findEngineLevel(context, urgency, { now: context.now(), hasBegun });
   }
 
+  /** Measures the pace of a server, unless the answer does not tell: its stream goes on, or its model answers at once. */
+  #measure(server: BackendServer): PaceMeasurement | undefined {
+    const { paces, plan, forwarder, request } = this.#options;
+    const isStream = plan.route.retryRule === "stream";
+    const isPlain = request.demand === undefined;
+    if (forwarder.hasStarted || isStream === isPlain) return undefined;
+    return paces.start(server, plan.work);
+  }
+
   /** Reads the answer on. */
   resume(): void {
     this.#attempt?.resume();
@@ -165,5 +191,6 @@
   cancel(): void {
     this.#attempt?.cancel();
     this.#attempt = undefined;
+    this.#measurement?.recordEnd();
   }
 }
--- a/src/node/gateway/servers/adapter_selector.ts
+++ b/src/node/gateway/servers/adapter_selector.ts
@@ -7,6 +7,7 @@
 } from "../../../core/gateway/engine_ranking.ts";
 import type { LoadUrgency } from "../../../core/gateway/load_urgency.ts";
 import { isSuspended } from "../../../core/gateway/server_health.ts";
+import { readSharedSlowness } from "../../../core/gateway/server_pace.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { ModelAdapterKey, ServerId } from "../../../core/ids.ts";
 import type { AcquireResult } from "../../../ports/nodes.ts";
@@ -51,6 +52,8 @@
   readonly acquire: AcquireAdapter;
   /** Expected delay of a request at an engine by other requests, in ms. */
   readonly estimateWait: (engine: ServerId, promptTokens: number) => Millis;
+  /** Expected time at an engine until the answer begins, without a load, in ms. */
+  readonly estimateAnswer: (engine: ServerId, promptTokens: number) => Millis;
   /** Records the requests of the other nodes at an engine. */
   readonly recordBacklog: (engine: ServerId, backlog: EngineBacklog) => void;
   /** Whether the contents of an engine are known well enough to skip its owner. */
@@ -113,10 +116,19 @@
     candidates: readonly BackendServer[],
     wanted: WantedAdapter,
   ): RankedEngine[] {
-    const { estimateWait, isKnown } = this.#options;
+    const { estimateAnswer, isKnown } = this.#options;
+    const { paces, directory } = this.#context;
+    const now = this.#context.now();
+    const findWeight = (engine: ServerId) => {
+      const server = directory.servers.get(engine);
+      return server === undefined
+        ? 1
+        : 1 / readSharedSlowness(paces, server, now);
+    };
     return rankEngines(candidates, wanted, {
       ...this.#context.selectionContext(),
-      estimateWait: (engine) => estimateWait(engine, wanted.promptTokens),
+      findWeight,
+      estimateWait: (engine) => estimateAnswer(engine, wanted.promptTokens),
       isKnown,
     });
   }
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -5,7 +5,9 @@
   OwnerReport,
 } from "../core/gateway/engine_backlog.ts";
 import type { LoadUrgency } from "../core/gateway/load_urgency.ts";
+import type { ServerCrowd } from "../core/gateway/server_crowds.ts";
 import type { Incarnation } from "../core/gateway/servers.ts";
+import type { PaceNews, PaceReport } from "../core/gateway/shared_pace.ts";
 import type {
   Digest,
   MachineName,
@@ -102,6 +104,33 @@
   readonly isLost: boolean;
 };
 
+/** Requests that a node has at a server without models, to the node that adds them up. */
+export type CallsMessage = {
+  readonly type: "calls";
+  readonly from: MachineName;
+  readonly server: Incarnation;
+  readonly calls: number;
+};
+
+/** News that a server without models is crowded, or no longer. */
+export type CrowdMessage = ServerCrowd & {
+  readonly type: "crowd";
+  readonly from: MachineName;
+};
+
+/** Pace of an engine that a node has measured, to the engine's owner. */
+export type PaceMessage = PaceReport & {
+  readonly type: "pace";
+  readonly from: MachineName;
+};
+
+/** Paces of engines that all nodes together have measured, from the owner. */
+export type PacesMessage = {
+  readonly type: "paces";
+  readonly from: MachineName;
+  readonly servers: readonly PaceNews[];
+};
+
 /** Message between two nodes. */
 export type NodeMessage =
   | UsageMessage
@@ -109,6 +138,10 @@
   | LeavingMessage
   | LimitMessage
   | ReachMessage
+  | CallsMessage
+  | PaceMessage
+  | PacesMessage
+  | CrowdMessage
   | StreamMessage;
 
 /** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -139,6 +139,32 @@
     record: { crashes: fullCrashes, cleared: fullCrashes },
   },
   { type: "reach", from: brandString("n1"), isLost: true },
+  {
+    type: "pace",
+    from: brandString("n1"),
+    server: { id: brandString("e1"), born: 7 },
+    logSlowness: -0.25,
+    answers: 12,
+  },
+  {
+    type: "paces",
+    from: brandString("n1"),
+    servers: [
+      { server: { id: brandString("e1"), born: undefined }, logSlowness: 0.5 },
+    ],
+  },
+  {
+    type: "calls",
+    from: brandString("n1"),
+    server: { id: brandString("p1"), born: 7 },
+    calls: 2,
+  },
+  {
+    type: "crowd",
+    from: brandString("n1"),
+    server: { id: brandString("p1"), born: undefined },
+    load: 9,
+  },
   {
     type: "poison",
     from: brandString("n1"),
