--- a/src/adapters/keys/organisation_file.ts
+++ b/src/adapters/keys/organisation_file.ts
@@ -6,40 +6,34 @@
   createDirectory,
   type DirectoryFault,
   describeDirectoryFault,
+  type KeyedOrganisation,
   type OrganisationDirectory,
 } from "../../core/gateway/organisations.ts";
-import {
-  brandString,
-  type KeyDigest,
-  type OrganisationName,
-} from "../../core/ids.ts";
+import { brandString } from "../../core/ids.ts";
 import { isKeyDigest } from "./api_key.ts";
 import { watchFile } from "./file_watch.ts";
 
 /** Maximum length of the name of an organisation, in characters. */
 const maxNameLength = 200;
 
+const organisationSchema = z.strictObject({
+  name: z
+    .string()
+    .max(maxNameLength)
+    .regex(/^[\x21-\x7e]+$/, "must be printable characters without spaces"),
+  keyDigests: z.array(
+    z
+      .string()
+      .refine(
+        isKeyDigest,
+        "must be the SHA-256 digest of a key, as 64 lower-case hexadecimal digits",
+      ),
+  ),
+});
+
 const organisationFileSchema = z.strictObject({
   organisations: z
-    .array(
-      z.strictObject({
-        name: z
-          .string()
-          .max(maxNameLength)
-          .regex(
-            /^[\x21-\x7e]+$/,
-            "must be printable characters without spaces",
-          ),
-        keyDigests: z.array(
-          z
-            .string()
-            .refine(
-              isKeyDigest,
-              "must be the SHA-256 digest of a key, as 64 lower-case hexadecimal digits",
-            ),
-        ),
-      }),
-    )
+    .array(organisationSchema)
     .min(1, "must list at least one organisation"),
 });
 
@@ -112,25 +106,38 @@
       `Cannot read organisation file "${path}" as JSON; expected {"organisations": [{"name": …, "keyDigests": […]}]}`,
     );
   }
-  const fail = (field: string, reason: string) =>
-    `Cannot use organisation file "${path}": ${field}: ${reason}`;
+  return parseOrganisations(content).mapLeft(
+    (fault) => `Cannot use organisation file "${path}": ${fault}`,
+  );
+}
+
+function parseOrganisations(
+  content: unknown,
+): Either<string, OrganisationDirectory> {
   const parsed = organisationFileSchema.safeParse(content);
   if (!parsed.success) {
     const [issue] = parsed.error.issues;
     const field = issue?.path.join(".") || "(top level)";
-    return Left(fail(field, `${issue?.message}; correct the value`));
+    return Left(`${field}: ${issue?.message}; correct the value`);
   }
-  const entries = parsed.data.organisations.map(({ name, keyDigests }) => ({
+  const entries = parsed.data.organisations.map(decodeOrganisation);
+  return createDirectory(entries).mapLeft(
+    (fault) => `${nameField(fault)}: ${describeDirectoryFault(fault)}`,
+  );
+}
+
+function decodeOrganisation({
+  name,
+  keyDigests,
+}: z.infer<typeof organisationSchema>): KeyedOrganisation {
+  return {
     organisation: {
-      name: brandString<OrganisationName>(name),
+      name: brandString(name),
       priority: undefined,
       quota: undefined,
     },
-    keys: keyDigests.map((digest) => brandString<KeyDigest>(digest)),
-  }));
-  return createDirectory(entries).mapLeft((fault) =>
-    fail(nameField(fault), describeDirectoryFault(fault)),
-  );
+    keys: keyDigests.map((digest) => brandString(digest)),
+  };
 }
 
 function nameField(fault: DirectoryFault): string {
