--- a/src/core/gateway/server_health.ts
+++ b/src/core/gateway/server_health.ts
@@ -11,8 +11,8 @@
 /** Failure rate above which a server is suspended even if some calls succeed. */
 const failureRateLimit = 0.35;
 
-/** Result of a call, as an observation of the server's health. */
-export type CallResult = "good" | "bad" | "unreachable";
+/** Result of a call, as an observation of the server's health; `full` if the server had no room. */
+export type CallResult = "good" | "bad" | "full" | "unreachable";
 
 type ServerRecord = {
   consecutiveFailures: number;
@@ -76,6 +76,8 @@
     if (record.failureRate < failureRateLimit) record.suspensions = 0;
     return false;
   }
+  // A full server is chosen less often, but it has not failed.
+  if (result === "full") return false;
   record.consecutiveFailures++;
   const isSuspect =
     result === "unreachable" ||
--- a/src/node/gateway/requests/attempt_health.ts
+++ b/src/node/gateway/requests/attempt_health.ts
@@ -1,4 +1,7 @@
-import { recordCallResult } from "../../../core/gateway/server_health.ts";
+import {
+  type CallResult,
+  recordCallResult,
+} from "../../../core/gateway/server_health.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { GatewayContext } from "../context.ts";
 import type { AttemptResult } from "./server_attempt.ts";
@@ -13,11 +16,10 @@
 ): boolean {
   // The pause already keeps requests away; a suspension would outlast it.
   if (kind === "not-run" && context.availability.isPaused(server)) return false;
-  // A server without room is asked less often; it has not failed.
-  if (kind === "not-run") {
-    context.availability.recordRejection(server);
-    return false;
-  }
+  const { availability } = context;
+  if (kind === "not-run") availability.recordRejection(server);
+  // A brittle server keeps its own rule.
+  if (kind === "not-run" && availability.isBrittle(server)) return false;
   const result = toHealthResult(kind);
   if (result === undefined) return false;
   const now = context.now();
@@ -25,8 +27,9 @@
 }
 
 /** Result to record in the server's health; undefined if the attempt says nothing about it. */
-function toHealthResult(kind: EndKind): "bad" | "unreachable" | undefined {
+function toHealthResult(kind: EndKind): CallResult | undefined {
   if (kind === "unreachable") return "unreachable";
+  if (kind === "not-run") return "full";
   const isNeutral = ["misdirected", "left", "whole"].includes(kind);
   return isNeutral ? undefined : "bad";
 }
