--- a/src/core/gateway/server_health.ts
+++ b/src/core/gateway/server_health.ts
@@ -15,8 +15,8 @@
 const minHold = 100;
 const maxHold = 1_600;
 
-/** Result of a call, as an observation of the server's health. */
-export type CallResult = "good" | "bad" | "unreachable";
+/** Result of a call, as an observation of the server's health; `full` if the server had no room. */
+export type CallResult = "good" | "bad" | "full" | "unreachable";
 
 type ServerRecord = {
   consecutiveFailures: number;
@@ -86,6 +86,8 @@
     if (record.failureRate < failureRateLimit) record.suspensions = 0;
     return false;
   }
+  // A full server is chosen less often, but it has not failed.
+  if (result === "full") return false;
   record.consecutiveFailures++;
   const isSuspect =
     result === "unreachable" ||
