Charge loads of adapters with the times that they take

The cost of a load, of a further copy and of an engine further down the order of homes were fixed, so that copies were loaded as readily while the weight store was busy, when each load takes longer for all. They now follow the time from the request for an adapter until it is ready, apart for the weight store and the host's memory, and begin with the values of before.

--- a/src/core/gateway/engine_ranking.ts
+++ b/src/core/gateway/engine_ranking.ts
@@ -8,21 +8,19 @@
   wasPromised,
 } from "./adapter_directory.ts";
 import type { ServerSelectionContext } from "./choose_server.ts";
+import type { LoadTimes } from "./load_times.ts";
 import { estimateDistance } from "./server_distance.ts";
 import { isHeld, isSuspended } from "./server_health.ts";
 import type { BackendServer } from "./servers.ts";
 
-/** Expected time of an adapter load from the weight store, and from the host's memory, in ms. */
-const loadTime = 320;
-const cachedLoadTime = 70;
 /** Cost of an engine that failed recently, above that of any other, in ms. */
 const suspendedCost = 60_000;
 /** Cost of an engine that had no room a moment ago, in ms. */
 const holdCost = 300;
-/** Time that a further copy of an adapter must save before it is loaded, in ms. */
-const copyCost = 180;
-/** Time by which an engine must be better than the one before it in rendezvous order, in ms. */
-const rankCost = 120;
+/** Time that a further copy of an adapter must save before it is loaded, in loads from the weight store. */
+const copyLoads = 0.56;
+/** Time by which an engine must be better than the one before it in rendezvous order, in loads from the weight store. */
+const rankLoads = 0.375;
 
 /** Expected time until an engine has an adapter, as far as this node knows, in ms. */
 export function estimateLoad(
@@ -30,8 +28,10 @@
   engine: ServerId,
   {
     requested,
+    loadTimes,
     now,
   }: {
+    readonly loadTimes: LoadTimes;
     readonly requested: {
       readonly key: ModelAdapterKey;
       readonly version: number;
@@ -42,7 +42,7 @@
   const readyAt = findReadyAt(directory, engine, requested);
   if (readyAt !== undefined) return millis(Math.max(0, readyAt - now));
   const isCached = hasCachedCopy(directory, engine, requested);
-  return millis(isCached ? cachedLoadTime : loadTime);
+  return millis(loadTimes[isCached ? "host-memory" : "store"]);
 }
 
 /** An engine for a request; `readyAt` is undefined if its owner must be asked for the adapter. */
@@ -56,6 +56,7 @@
 /** Inputs of the ranking of engines. */
 export type EngineSelectionContext = ServerSelectionContext & {
   readonly adapterDirectory: AdapterDirectory;
+  readonly loadTimes: LoadTimes;
   /** Expected time at an engine until the answer begins, without a load, in ms. */
   readonly estimateWait: (engine: ServerId) => Millis;
   /** Whether the contents of an engine are known well enough to skip its owner. */
@@ -112,11 +113,15 @@
   });
   const rated = homes.map((id, rank): RatedEngine => {
     const server = others.get(id) as BackendServer;
-    const { adapterDirectory } = context;
+    const { adapterDirectory, loadTimes } = context;
     const mayHold = findReadyAt(adapterDirectory, id, requested) !== undefined;
     const isFast = mayHold || hasCachedCopy(adapterDirectory, id, requested);
-    const base = isFast ? cachedLoadTime : loadTime + rank * rankCost;
-    const extra = holders.length > 0 ? copyCost : 0;
+    // Loads that take longer than usual are for fewer further copies.
+    const loadTime = loadTimes.store;
+    const base = isFast
+      ? loadTimes["host-memory"]
+      : loadTime * (1 + rank * rankLoads);
+    const extra = holders.length > 0 ? loadTime * copyLoads : 0;
     const cost = base + extra + computeEngineCost(server, context);
     return { server, readyAt: undefined, mayHold, cost };
   });
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -6,6 +6,10 @@
 import { ByteBudget } from "../../core/gateway/byte_budget.ts";
 import type { ServerSelectionContext } from "../../core/gateway/choose_server.ts";
 import type { GatewayConfiguration } from "../../core/gateway/configuration.ts";
+import {
+  createLoadTimes,
+  type LoadTimes,
+} from "../../core/gateway/load_times.ts";
 import {
   createRunTimes,
   findLongestRun,
@@ -96,6 +100,7 @@
   readonly dependencies: GatewayDependencies;
   readonly directory: ServerDirectory = createServerDirectory();
   readonly health: ServerHealth = createServerHealth();
+  readonly loadTimes: LoadTimes = createLoadTimes();
   /** Speed of the servers, as the answers show it. */
   readonly paces: PaceTable = createPaceTable();
   /** Servers without models that have more requests than slots. */
--- a/src/node/gateway/engines/usage_reporter.ts
+++ b/src/node/gateway/engines/usage_reporter.ts
@@ -153,10 +153,14 @@
   /** Time until an engine has an adapter, in ms. */
   #estimateLoad(engine: ServerId, key: ModelAdapterKey): Millis {
     const { context } = this.#options;
-    const { adapterDirectory, versions } = context;
+    const { adapterDirectory, loadTimes, versions } = context;
     const now = context.now();
     const requested = { key, version: versions.get(key) ?? 0 };
-    return estimateLoad(adapterDirectory, engine, { requested, now });
+    return estimateLoad(adapterDirectory, engine, {
+      requested,
+      loadTimes,
+      now,
+    });
   }
 
   #describePace(server: BackendServer) {
--- a/src/node/gateway/servers/adapter_selector.ts
+++ b/src/node/gateway/servers/adapter_selector.ts
@@ -1,10 +1,14 @@
 import { type Millis, millis } from "../../../core/clock.ts";
-import { recordPromise } from "../../../core/gateway/adapter_directory.ts";
+import {
+  hasCachedCopy,
+  recordPromise,
+} from "../../../core/gateway/adapter_directory.ts";
 import type { EngineBacklog } from "../../../core/gateway/engine_backlog.ts";
 import {
   type RankedEngine,
   rankEngines,
 } from "../../../core/gateway/engine_ranking.ts";
+import { recordLoad } from "../../../core/gateway/load_times.ts";
 import { isSuspended } from "../../../core/gateway/server_health.ts";
 import { readSharedSlowness } from "../../../core/gateway/server_pace.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
@@ -115,7 +119,7 @@
     wanted: WantedAdapter,
   ): RankedEngine[] {
     const { estimateAnswer, isKnown } = this.#options;
-    const { paces, directory } = this.#context;
+    const { paces, directory, loadTimes } = this.#context;
     const now = this.#context.now();
     const findWeight = (engine: ServerId) => {
       const server = directory.servers.get(engine);
@@ -126,6 +130,7 @@
     return rankEngines(candidates, wanted, {
       ...this.#context.selectionContext(),
       findWeight,
+      loadTimes,
       estimateWait: (engine) => estimateAnswer(engine, wanted.promptTokens),
       isKnown,
     });
@@ -161,6 +166,7 @@
     for (const { server, mayHold, patience } of rounds) {
       const wasDenied = server.id === deniedBy;
       const request = { place: key, version, wasDenied, patience };
+      const askedAt = context.now();
       const answer = await this.#options.acquire(server, request);
       const now = context.now();
       if (answer.kind !== "ready") {
@@ -174,7 +180,15 @@
       if (!context.availability.canTakeNext(server)) continue;
       this.#options.recordBacklog(server.id, answer.backlog);
       const readyAt = millis(now + answer.inMs);
-      const { adapterDirectory } = context;
+      const { adapterDirectory, loadTimes } = context;
+      if (answer.inMs > 0 && !mayHold) {
+        const requested = { key, version };
+        const isCached = hasCachedCopy(adapterDirectory, server.id, requested);
+        const source = isCached ? "host-memory" : "store";
+        // A load that is nearly done was begun for an earlier request.
+        if (answer.inMs > loadTimes[source] / 2)
+          recordLoad(loadTimes, source, readyAt - askedAt);
+      }
       const promise = { key, version, readyAt, now };
       recordPromise(adapterDirectory, server.id, promise);
       const selection = createSelection(server, readyAt, version);
--- a/tests/gateway/adapter_directory_test.ts
+++ b/tests/gateway/adapter_directory_test.ts
@@ -13,6 +13,10 @@
   recordRegistration,
 } from "../../src/core/gateway/adapter_directory.ts";
 import { rankEngines } from "../../src/core/gateway/engine_ranking.ts";
+import {
+  createLoadTimes,
+  recordLoad,
+} from "../../src/core/gateway/load_times.ts";
 import {
   createServerHealth,
   recordCallResult,
@@ -63,6 +67,7 @@
     adapterDirectory: createAdapterDirectory(),
     estimateWait: (engine: ServerId): Millis => millis(waits[engine] ?? 0),
     isKnown: (_engine: ServerId): boolean => true,
+    loadTimes: createLoadTimes(),
     findWeight: (_engine: ServerId): number => 1,
   };
 }
@@ -222,3 +227,23 @@
   confirmContents(adapterDirectory, engine, millis(3_000));
   assert.equal(isRecent(4_000), true);
 });
+
+// Guards against further copies of adapters while the weight store is already
+// busy: each of them makes all loads take longer.
+test("a further copy has to save more while loads take longer", () => {
+  const holder = servers[0]?.id as ServerId;
+  const choose = (wait: number, loadTime: number) => {
+    const context = createContext({ [holder]: wait });
+    recordContents(context.adapterDirectory, holder, {
+      availableAdapters: [{ ...wanted, readyIn: 0 }],
+      now: millis(0),
+    });
+    for (let load = 0; load < 100; load++)
+      recordLoad(context.loadTimes, "store", loadTime);
+    return findFirst(context);
+  };
+  assert.equal(choose(400, 250), holder);
+  assert.notEqual(choose(450, 250), holder);
+  assert.equal(choose(450, 600), holder);
+  assert.notEqual(choose(1_100, 600), holder);
+});
--- a/tests/gateway/paced_engines.ts
+++ b/tests/gateway/paced_engines.ts
@@ -9,6 +9,11 @@
 } from "../../src/core/gateway/engine_backlog.ts";
 import { chooseShortestWait } from "../../src/core/gateway/engine_ranking.ts";
 import { expectEngineWait } from "../../src/core/gateway/expected_wait.ts";
+import {
+  estimateDistance,
+  findPlace,
+  type NodeLocation,
+} from "../../src/core/gateway/server_distance.ts";
 import { createServerHealth } from "../../src/core/gateway/server_health.ts";
 import {
   createPaceTable,
@@ -29,13 +34,15 @@
   takePaceNews,
 } from "../../src/core/gateway/shared_pace.ts";
 import { brandString, type MachineName } from "../../src/core/ids.ts";
-import { createServer, location, service } from "./paced_servers.ts";
+import { createServer, dataCentres, locate, service } from "./paced_servers.ts";
 
 /** Interval at which nodes hear of the requests of the others, in ms. */
 const reportInterval = 250;
 /** Prompt tokens that an engine of speed 1 reads per ms, and its time per step in an idle batch, in ms. */
 const tokensPerMs = 40;
 const stepTime = 4;
+/** Interval of the crests of one data centre, in ms. */
+const crestInterval = 20_000;
 /** Answer tokens of a request. */
 const answerTokens = 64;
 /** Prompt tokens of most requests and of the others, and the share of these. */
@@ -51,6 +58,7 @@
 ) => Millis;
 
 type EngineNode = {
+  readonly location: NodeLocation;
   readonly machine: MachineName;
   readonly deviations: PaceDeviations;
   readonly paces: PaceTable;
@@ -122,9 +130,13 @@
 
   static create(
     clock: VirtualClock,
-    { id, speed, slots }: { id: string; speed: number; slots: number },
+    {
+      id,
+      speed,
+      ...options
+    }: { id: string; speed: number; slots: number; dataCentre: string },
   ): Engine {
-    return new Engine(clock, createServer(id, { slots }), speed);
+    return new Engine(clock, createServer(id, options), speed);
   }
 
   get backlog(): EngineBacklog {
@@ -161,8 +173,12 @@
   readonly speeds: readonly number[];
   readonly slots: number;
   readonly nodes: number;
-  /** Requests a second. */
+  /** Requests a second in all data centres. */
   readonly rate: number;
+  /** Number of data centres over which engines and nodes are spread; 1 by default. */
+  readonly places?: number;
+  /** Part of the rate by which the data centres crest one after another. */
+  readonly swing?: number;
   /** Length of the run, of which the first fifth is not counted, in ms. */
   readonly duration: number;
   /** Changes of the engines' speeds. */
@@ -182,6 +198,8 @@
   readonly busiest: number;
   /** Share of the requests that each engine got. */
   readonly shares: readonly number[];
+  /** Share of the requests that ran in another region. */
+  readonly spilled: number;
   /** Datagrams a second that each node sends to share paces. */
   readonly datagrams: number;
 };
@@ -202,15 +220,22 @@
   readonly #counts = new Map<Engine, number>();
   readonly #ledger: PaceLedger = new Map();
   #datagrams = 0;
+  #spilled = 0;
 
   constructor(policy: WaitPolicy, load: EngineLoad) {
     this.#policy = policy;
     this.#load = load;
-    const { slots } = load;
+    const { slots, places = 1 } = load;
     this.#engines = load.speeds.map((speed, index) =>
-      Engine.create(this.#clock, { id: `e${index}`, speed, slots }),
+      Engine.create(this.#clock, {
+        id: `e${index}`,
+        speed,
+        slots,
+        dataCentre: dataCentres[index % places] as string,
+      }),
     );
     this.#nodes = Array.from({ length: load.nodes }, (_, index) => ({
+      location: locate(index % places),
       machine: brandString<MachineName>(`n${index}`),
       deviations: new Map(),
       paces: createPaceTable(),
@@ -261,20 +286,31 @@
   #arrive(): void {
     const gap = (-Math.log(1 - this.#random()) * 1_000) / this.#load.rate;
     this.#clock.schedule(millis(gap), () => this.#arrive());
-    const index = Math.floor(this.#random() * this.#nodes.length);
-    const node = this.#nodes[index] as EngineNode;
+    const node = this.#drawNode();
     const promptTokens =
       this.#random() < longPromptShare ? longPrompt : shortPrompt;
     this.#send(node, this.#choose(node, promptTokens), promptTokens);
   }
 
+  /** Draws the node of a request; those of a data centre at its crest get more. */
+  #drawNode(): EngineNode {
+    const { swing = 0, places = 1 } = this.#load;
+    for (;;) {
+      const index = Math.floor(this.#random() * this.#nodes.length);
+      const place = (index % places) / places;
+      const phase = 2 * Math.PI * (this.#clock.now() / crestInterval + place);
+      const share = (1 + swing * Math.sin(phase)) / (1 + swing);
+      if (this.#random() < share) return this.#nodes[index] as EngineNode;
+    }
+  }
+
   #choose(node: EngineNode, promptTokens: number): Engine {
     const byId = new Map(
       this.#engines.map((engine) => [engine.server.id, engine]),
     );
     const servers = this.#engines.map(({ server }) => server);
     const server = chooseShortestWait(servers, {
-      ...location,
+      ...node.location,
       health: createServerHealth(),
       now: this.#clock.now(),
       estimateWait: (id) =>
@@ -291,6 +327,8 @@
     node.own.set(server.id, (node.own.get(server.id) ?? 0) + 1);
     const sentAt = this.#clock.now();
     const isCounted = sentAt >= this.#warmUp;
+    const place = findPlace(server, node.location);
+    if (isCounted && place === "other-region") this.#spilled++;
     if (isCounted)
       this.#counts.set(engine, (this.#counts.get(engine) ?? 0) + 1);
     let firstAt = sentAt;
@@ -298,7 +336,8 @@
       const now = this.#clock.now();
       firstAt = now;
       const elapsed = millis(now - sentAt);
-      if (isCounted) this.#times.push(elapsed);
+      const way = estimateDistance(server, node.location);
+      if (isCounted) this.#times.push(elapsed + way);
       if (!learns) return;
       learnFirstEvent(node.paces, server, { expected, elapsed, now });
     };
@@ -334,6 +373,7 @@
       p95: times[Math.floor(times.length * 0.95)] ?? 0,
       busiest: (Math.max(...busy) * busy.length) / sum(busy),
       shares: counts.map((count) => count / sum(counts)),
+      spilled: this.#spilled / sum(counts),
       datagrams:
         (this.#datagrams * 1_000) / this.#load.duration / this.#nodes.length,
     };
--- a/tests/gateway/paced_plain_servers.ts
+++ b/tests/gateway/paced_plain_servers.ts
@@ -39,13 +39,10 @@
 import {
   brandString,
   type MachineName,
-  type Region,
   type ServerId,
 } from "../../src/core/ids.ts";
-import { createServer } from "./paced_servers.ts";
+import { createServer, dataCentres, locate } from "./paced_servers.ts";
 
-/** Data centres of the simulation: two in each region. */
-const dataCentres = ["r1-a", "r1-b", "r2-a", "r2-b", "r3-a", "r3-b"];
 /** Requests that a server queues beyond its slots. */
 const queueRoom = 4;
 /** Times between the spells of slowness of one server, and their length, in ms. */
@@ -317,9 +314,3 @@
     };
   }
 }
-
-function locate(dataCentre: number): NodeLocation {
-  const regionOf = (name: string) => brandString<Region>(name.slice(0, 2));
-  const name = dataCentres[dataCentre] as string;
-  return { dataCentre: brandString(name), region: regionOf(name), regionOf };
-}
--- a/tests/gateway/paced_servers.ts
+++ b/tests/gateway/paced_servers.ts
@@ -39,3 +39,13 @@
     born,
   };
 }
+
+/** Data centres of the simulations: two in each region. */
+export const dataCentres = ["r1-a", "r1-b", "r2-a", "r2-b", "r3-a", "r3-b"];
+
+/** Location of a node in one of the data centres. */
+export function locate(dataCentre: number): NodeLocation {
+  const regionOf = (name: string) => brandString<Region>(name.slice(0, 2));
+  const name = dataCentres[dataCentre] as string;
+  return { dataCentre: brandString(name), region: regionOf(name), regionOf };
+}
--- a/tests/gateway/server_pace_test.ts
+++ b/tests/gateway/server_pace_test.ts
@@ -132,3 +132,20 @@
   const recovered = runEngines(learnedPace, { ...load, changes });
   assert.ok((recovered.shares[5] ?? 0) > 0.14, `${recovered.shares}`);
 });
+
+// Pattern: data centres that crest one after another. Work leaves its region
+// while the wait there is longer than the way; with rates of another type of
+// engine it left too early, and callers waited longer.
+test("work leaves its region at a crest and comes back, with shorter waits than with one pace for all", () => {
+  const speeds = Array.from({ length: 42 }, (_, index) =>
+    index % 4 === 3 ? 0.55 : 1,
+  );
+  const load = { speeds, slots: 12, nodes: 80, duration: 40_000, places: 6 };
+  const steady = runEngines(learnedPace, { ...load, rate: 420 });
+  const crests = { ...load, rate: 420, swing: 0.55 };
+  const cresting = runEngines(learnedPace, crests);
+  const earlier = runEngines(fixedPace, crests);
+  assert.ok(cresting.spilled > 2 * steady.spilled, `${cresting.spilled}`);
+  assert.ok(cresting.spilled < earlier.spilled, `${earlier.spilled}`);
+  assert.ok(cresting.mean < 0.9 * earlier.mean, `${cresting.mean}`);
+});
