--- a/src/core/gateway/engine_controller_messages.ts
+++ b/src/core/gateway/engine_controller_messages.ts
@@ -11,6 +11,7 @@
   EvictionPolicy,
   IncomingAdapter,
 } from "./engine_contents.ts";
+import type { LoadTurn, LoadUrgency } from "./load_urgency.ts";
 import type { FleetView, ModelChange, ModelDemand } from "./model_placement.ts";
 import type { EngineOrder, OrderAnswer } from "./orders.ts";
 import type { BackendServer } from "./servers.ts";
@@ -24,6 +25,8 @@
   readonly adapter: AdapterName;
   version: number;
   readonly since: Millis;
+  /** Place among the pending loads, by the most urgent request. */
+  turn: LoadTurn;
   readonly tickets: Ticket[];
 };
 
@@ -47,8 +50,10 @@
   /** Earliest time of the next order. */
   retryAt: Millis;
   mayOrder: boolean;
-  /** Expected time of an adapter load from the weight store, in ms. */
+  /** Expected time of the next adapter load from the weight store, in ms. */
   coldLoadTime: number;
+  /** Time that a load takes without contention, as far as the engine has shown, in ms. */
+  usualLoadTime: number;
   readonly waiting: Map<ModelAdapterKey, PendingLoad>;
   readonly modelDemand: ModelDemand;
   /** Model whose load order got no answer, while it may still be carried out. */
@@ -76,6 +81,7 @@
       readonly wasDenied: boolean;
       /** Maximum wait until the load begins, in ms. */
       readonly patience: number;
+      readonly urgency: LoadUrgency;
     }
   /** Requests for a base model that no engine can serve in time. */
   | {
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -79,6 +79,8 @@
     "Answers cut off because all buffered answers together exceeded their limit",
   brittle_rejections_total:
     "Requests that servers rejected while they say that they are brittle",
+  gateway_callers_rejected_total:
+    "Requests refused since their keys belong to no organisation, by result code",
   gateway_relays_total:
     "Requests passed on to another node while this one reaches no server, by how that ended",
   gateway_requests_held_back_total:
@@ -90,6 +92,8 @@
   gateway_connect_ms:
     "Time from sending a request until it starts on a connection, in ms",
   gateway_adapter_wait_ms: "Time that requests waited for an adapter, in ms",
+  gateway_owner_calls_saved_total:
+    "Requests for adapters that were not sent to the owner of their engine, by reason: refused before, or joined to one in progress",
   gateway_repeats_total:
     "Retries taken from the shared retry budget, by service",
   gateway_repeats_denied_total:
@@ -103,6 +107,10 @@
     "Units that requests took from the quota, were refused or gave back, by organisation and result",
   quota_credit_moved_total:
     "Units that this node lent to the pool of its data centre or borrowed from it, by organisation and direction",
+  gateway_line_wait_ms:
+    "Time that requests waited in line for a server until they were sent or ended, by priority, in ms",
+  gateway_line_length: "Requests that wait in line for a server, by service",
+  gateway_refusals_total: "Requests refused, by result code and priority",
   server_pauses_total:
     "Answers of servers that ask for a pause, by form of the value",
   server_notices_ignored_total:
--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -71,6 +71,12 @@
     meaning:
       "The node exchanges quota credit with the pool at another node; with none if no name is given",
   },
+  callerRejected: {
+    number: 321,
+    level: "info",
+    meaning:
+      "A request was refused, since its key belongs to no organisation; names the route and the configuration",
+  },
   requestAwaitsAdapter: {
     number: 310,
     level: "info",
@@ -126,6 +132,24 @@
     meaning:
       "The server of a stream has started again with another software version, and either may have begun the stream",
   },
+  requestOutranked: {
+    number: 330,
+    level: "info",
+    meaning:
+      "A request is refused, since more urgent ones fill the line of its service",
+  },
+  requestTooLateToBegin: {
+    number: 331,
+    level: "info",
+    meaning:
+      "A request is refused, since no server is expected to begin it before its deadline",
+  },
+  retryAwaitsBudget: {
+    number: 332,
+    level: "debug",
+    meaning:
+      "A request that no server has run waits for a retry, since the retry budget is spent",
+  },
   callClaimed: {
     number: 401,
     level: "debug",
--- a/src/core/results/request_codes.ts
+++ b/src/core/results/request_codes.ts
@@ -67,6 +67,21 @@
     meaning: "No route of the configuration in force matches host and path",
     remedy: "Correct host and path, or add the route to the configuration",
   },
+  unknownKey: {
+    number: 1010,
+    status: 401,
+    outcome: "not-run",
+    meaning:
+      "The request carries no key, or one that belongs to no organisation of the configuration in force",
+    remedy: "Send a current key of your organisation",
+  },
+  malformedKey: {
+    number: 1011,
+    status: 401,
+    outcome: "not-run",
+    meaning: "The request carries several keys, or text that cannot be a key",
+    remedy: "Send the key alone, once",
+  },
   deadlineTooClose: {
     number: 2001,
     status: 503,
@@ -117,6 +132,21 @@
     meaning: "The organisation of the caller has used up its quota",
     remedy: "Send again after Retry-After",
   },
+  tooLateToBegin: {
+    number: 2010,
+    status: 503,
+    outcome: "not-run",
+    meaning: "No server is expected to begin the request before its deadline",
+    remedy: "Send again after Retry-After",
+  },
+  outranked: {
+    number: 2011,
+    status: 503,
+    outcome: "not-run",
+    meaning:
+      "More urgent requests fill the line of those that wait for the service",
+    remedy: "Send again after Retry-After",
+  },
   retryBudgetSpent: {
     number: 2006,
     status: 503,
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -4,6 +4,7 @@
   EngineUsage,
   OwnerReport,
 } from "../core/gateway/engine_backlog.ts";
+import type { LoadUrgency } from "../core/gateway/load_urgency.ts";
 import type { Incarnation } from "../core/gateway/servers.ts";
 import type {
   Digest,
@@ -35,6 +36,8 @@
        * time. `unreachable`: the call to the owner failed.
        */
       readonly reason: "not-owner" | "full" | "busy" | "cold" | "unreachable";
+      /** Time after which the load could start within the patience, in ms, if the owner says so. */
+      readonly retryIn?: number | undefined;
     };
 
 /** Response of an engine's owner to a request for a base model. */
@@ -129,6 +132,8 @@
     readonly wasDenied: boolean;
     /** Maximum wait until the load may start, in ms. */
     readonly patience: number;
+    /** Place of the load among those that the owner has to order; the usual one if undefined. */
+    readonly urgency?: LoadUrgency | undefined;
   }): Promise<AcquireResult>;
   requestModel(request: ModelRequest): Promise<ModelResult>;
   requestPermit(request: PermitRequest): Promise<PermitAnswer>;
