--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -11,6 +11,7 @@
 import type { LeavingMessage, NodeMessage } from "../../ports/nodes.ts";
 import type { LimitMessage } from "../../ports/permits.ts";
 import type { StreamMessage } from "../../ports/streams.ts";
+import { creditFrame, decodeCredit, encodeCredit } from "./credit_frames.ts";
 
 /** Maximum number of engines in one datagram, which keeps it below the usual path MTU. */
 const enginesPerDatagram = 2;
@@ -74,6 +75,7 @@
     z.nullable(z.number().positive()),
     count,
   ]),
+  creditFrame,
 ]);
 
 const packr = new Packr({ useRecords: false });
@@ -138,6 +140,8 @@
       const frame = [type, from, id, born ?? null, rate ?? null, wholeAge];
       return [packr.pack(frame)];
     }
+    case "credit":
+      return [packr.pack(encodeCredit(message))];
   }
 }
 
@@ -252,6 +256,8 @@
       const observed = { rate: rate ?? undefined, age: millis(age) };
       return { type, from, server, ...observed } as LimitMessage;
     }
+    case "credit":
+      return decodeCredit(data);
   }
 }
 
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -10,6 +10,7 @@
   createLoadTimes,
   type LoadTimes,
 } from "../../core/gateway/load_times.ts";
+import type { QuotaTolerance } from "../../core/gateway/quota_terms.ts";
 import {
   createRunTimes,
   findLongestRun,
@@ -89,6 +90,8 @@
   readonly probe: ProbeServer;
   readonly backlog: EventBacklog;
   readonly retryLimits: ServiceRetryLimits;
+  /** By how much the work of an organisation may exceed its quota; not at all without it. */
+  readonly quotaTolerance?: QuotaTolerance;
 };
 
 /** Planned stop of the process. */
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -36,6 +36,7 @@
 } from "./peers/poison_broadcast.ts";
 import { createPoisonPublisher } from "./peers/poison_publisher.ts";
 import { RelayPeers } from "./peers/relay_peers.ts";
+import { QuotaManager } from "./quotas/quota_manager.ts";
 import { CrashCheck } from "./requests/crash_check.ts";
 import { OpenRequests } from "./requests/open_requests.ts";
 import { PoisonGuard } from "./requests/poison_guard.ts";
@@ -104,6 +105,7 @@
   readonly #installation: InstallationTracker;
   readonly #notices: NoticeHandler;
   readonly #relayPeers: RelayPeers;
+  readonly #quotas: QuotaManager;
   #cancelChecks: Cancel = () => {};
   #clockOffset: number;
   readonly #pauses: PauseWatch;
@@ -122,6 +124,7 @@
       readRows: options.readLeaseRows,
       contacts,
       onChange: () => this.#engineControllers.reconcile(),
+      onNodeList: (read) => this.#quotas.recordRead(read),
     });
     const nodes = {
       machine: options.identity.machine,
@@ -134,6 +137,14 @@
       limits: this.context.availability.limits,
       contacts,
     });
+    this.#quotas = QuotaManager.create({
+      ...options,
+      ...nodes,
+      channel: options.nodeChannel,
+      tolerance: options.quotaTolerance,
+      findDataCentre: (machine) => this.#leases.findDataCentre(machine),
+      findOrganisations: () => this.context.configuration?.organisations,
+    });
     this.#relayPeers = RelayPeers.create({
       ...options,
       ...nodes,
@@ -299,6 +310,7 @@
       paces: this.#paces,
       relays: { peers: this.#relayPeers, links: this.#options.relayLinks },
       guard: this.#guard,
+      quotas: this.#quotas,
       request,
       plan,
       sink,
@@ -354,6 +366,7 @@
   async stop(): Promise<void> {
     this.#cancelChecks();
     this.#usageReporter.stop();
+    this.#quotas.stop();
     this.#engineControllers.stop();
     this.#poison.stop();
     this.#streams.stop();
@@ -403,6 +416,8 @@
         return this.#crowds.receiveCalls(message);
       case "crowd":
         return this.#crowds.receiveCrowd(message);
+      case "credit":
+        return this.#quotas.receive(message);
       case "reach":
         return this.#relayPeers.receive(message);
       case "stream":
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -18,6 +18,7 @@
 } from "../core/ids.ts";
 import type { PoisonRecord } from "../core/poison/record.ts";
 import type { LimitMessage, PermitAnswer, PermitRequest } from "./permits.ts";
+import type { CreditMessage } from "./quotas.ts";
 import type { StreamMessage, StreamQuery } from "./streams.ts";
 
 /** Response of an engine's owner to a request for an adapter. */
@@ -142,6 +143,7 @@
   | PaceMessage
   | PacesMessage
   | CrowdMessage
+  | CreditMessage
   | StreamMessage;
 
 /** Unreliable messages between nodes, which are addressed by `IP:PORT`. */
