Split the search for a server into steps, and spread the returns of refused callers

Cause: one function of 60 lines did the whole search; callers that were refused together for want of a server all returned after the same 400 ms. Change: a class with a method for each step, the need of a request in its own file; the delay is 400 to 600 ms.

--- a/src/node/gateway/requests/request_refusals.ts
+++ b/src/node/gateway/requests/request_refusals.ts
@@ -1,4 +1,4 @@
-import { millis } from "../../../core/clock.ts";
+import { type Millis, millis } from "../../../core/clock.ts";
 import {
   computeReturnDelay,
   type Resumption,
@@ -12,6 +12,8 @@
 
 /** Delay before a refused caller should retry, in ms. */
 const retryDelay = millis(400);
+/** Part of that delay by which those of callers differ at most. */
+const delaySpread = 0.5;
 /** Delay before a caller should send a request again that has crashed servers, in ms. */
 const convictedDelay = millis(60_000);
 /** Time after which a node has recorded a stream for the others, in ms. */
@@ -45,9 +47,10 @@
   const { modelReadyAt } = history;
   const modelWait =
     modelReadyAt === undefined ? 0 : modelReadyAt - context.now();
-  const retryAfter = millis(Math.max(retryDelay, modelWait + registrationLag));
+  const spread = spreadDelay(context);
+  const retryAfter = millis(Math.max(spread, modelWait + registrationLag));
   return refuse(code, detail, {
-    retryAfter: modelReadyAt === undefined ? retryDelay : retryAfter,
+    retryAfter: modelReadyAt === undefined ? spread : retryAfter,
   });
 }
 
@@ -56,8 +59,7 @@
   reason: TurnedAway,
   context: GatewayContext,
 ): Refusal {
-  // The callers that are refused together do not come back together.
-  const spread = millis(retryDelay * (1 + context.dependencies.random()));
+  const spread = spreadDelay(context);
   if (reason.kind === "outranked") {
     const detail = `${maxWaitingRequests} more urgent requests wait for the service`;
     return refuse("outranked", detail, { retryAfter: spread });
@@ -123,7 +125,12 @@
   if (history.resumption !== undefined)
     return refuseWhilePaused(history.resumption, context);
   const detail = `Every server rejected the request: ${attemptDetail}`;
-  return refuse("noServer", detail, { retryAfter: retryDelay });
+  return refuse("noServer", detail, { retryAfter: spreadDelay(context) });
+}
+
+/** Delay that differs by caller, so that those that are refused together do not come back together. */
+function spreadDelay({ dependencies }: GatewayContext): Millis {
+  return millis(retryDelay * (1 + delaySpread * dependencies.random()));
 }
 
 /** Refusal of a request while every server that can take it has asked for a pause or has reached its limit. */
--- a/src/node/gateway/requests/server_wait.ts
+++ b/src/node/gateway/requests/server_wait.ts
@@ -1,19 +1,11 @@
 import { type Millis, millis, sleep } from "../../../core/clock.ts";
-import { findReadyAt } from "../../../core/gateway/adapter_directory.ts";
 import {
   type BeginDecision,
   decideBegin,
 } from "../../../core/gateway/begin_in_time.ts";
 import type { Resumption } from "../../../core/gateway/server_pauses.ts";
-import {
-  type BackendServer,
-  listUsableServers,
-} from "../../../core/gateway/servers.ts";
-import {
-  formatModelAdapterKey,
-  type ServerId,
-  type ServiceName,
-} from "../../../core/ids.ts";
+import type { BackendServer } from "../../../core/gateway/servers.ts";
+import type { ServerId, ServiceName } from "../../../core/ids.ts";
 import type { ModelDemand } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
 import type { ModelAvailability } from "../engines/model_requester.ts";
@@ -23,6 +15,7 @@
 } from "../servers/adapter_selector.ts";
 import type { ServerSelector } from "../servers/server_selector.ts";
 import { findLoadUrgency } from "./request_urgency.ts";
+import { describeNeed } from "./server_need.ts";
 import type { Need, WaitingPlace } from "./waiting_line.ts";
 
 /** Maximum delay between two attempts to select a server, in ms. */
@@ -75,7 +68,10 @@
   const { context, until } = options;
   const { clock, meter } = context.dependencies;
   const startedAt = context.now();
-  const selection = await withDeadline(options, pollForServer(options));
+  const selection = await withDeadline(
+    options,
+    ServerSearch.create(options).run(),
+  );
   if (selection === undefined || options.hasEnded()) return undefined;
   const wait = millis(selection.readyAt - context.now());
   if (wait > 0) {
@@ -88,96 +84,104 @@
   return selection;
 }
 
-async function pollForServer(
-  options: ServerWaitOptions,
-): Promise<ServerSelection | undefined> {
-  const { context, selector, service } = options;
-  const { demand, isEligible, tried, deniedBy, onRefused } = options;
-  let isInTime = true;
-  const onModelMissing = (availability: ModelAvailability) => {
-    // A model that takes longer is not waited for, so that the caller can return later.
-    if (availability.kind !== "unknown") {
-      isInTime =
-        availability.kind === "coming" && availability.readyAt <= options.until;
+/** Search of one request for a server, in the line of those that wait. */
+class ServerSearch {
+  readonly #options: ServerWaitOptions;
+  readonly #need: Need;
+  /** Whether an engine will hold the model in time, as far as is known. */
+  #isModelInTime = true;
+  #isFirst = true;
+
+  private constructor(options: ServerWaitOptions) {
+    this.#options = options;
+    this.#need = describeNeed(options);
+  }
+
+  static create(options: ServerWaitOptions): ServerSearch {
+    return new ServerSearch(options);
+  }
+
+  /** Resolves to undefined if no server can take the request in time. */
+  async run(): Promise<ServerSelection | undefined> {
+    const { context, selector, service, place } = this.#options;
+    const { isEligible, hasEnded, tried, until } = this.#options;
+    if (place.isBehindOthers(this.#need.key)) {
+      if (!(await this.#waitForTurn(context.now()))) return undefined;
     }
-    options.onModelMissing(availability);
-  };
-  const findPauseEnd = () => {
-    const resumption = selector.findResumption(service, {
-      demand,
-      isEligible,
-    });
-    options.onPaused(resumption);
-    return resumption?.at ?? context.now();
-  };
-  const candidates = { demand, isEligible };
-  const callbacks = { onRefused, onModelMissing };
-  const { place } = options;
-  const rankLoad = () => findLoadUrgency(context, place.urgency);
-  const request = { ...candidates, ...callbacks, tried, deniedBy, rankLoad };
-  const need = describeNeed(options);
+    while (!hasEnded() && this.#isModelInTime) {
+      // Only servers at which the stream cannot go on: the caller can start anew sooner.
+      if (selector.hasOnlyServersBut(service, isEligible)) return undefined;
+      const selection = await this.#select();
+      if (selection !== undefined && selection.readyAt <= until)
+        return this.#canBegin(selection) ? selection : undefined;
+      const pauseEnd = this.#findPauseEnd();
+      const nextPoll = context.now() + pollInterval;
+      // A caller that cannot be served in time returns after the pause instead of waiting.
+      if (Math.max(pauseEnd, nextPoll) >= until) return undefined;
+      if (selection === undefined) tried.clear();
+      const wakeAt = pauseEnd > context.now() ? pauseEnd : nextPoll;
+      if (!(await this.#waitForTurn(millis(wakeAt)))) return undefined;
+    }
+    return undefined;
+  }
+
   /** Waits for the next turn; whether the request may go on. */
-  const waitForTurn = async (wakeAt: Millis) => {
-    const end = await place.wait(need, wakeAt);
-    if (end === "outranked") options.onOutranked();
+  async #waitForTurn(wakeAt: Millis): Promise<boolean> {
+    const end = await this.#options.place.wait(this.#need, wakeAt);
+    if (end === "outranked") this.#options.onOutranked();
     return end === "turn";
-  };
-  if (place.isBehindOthers(need.key) && !(await waitForTurn(context.now())))
-    return undefined;
-  let isFirst = true;
-  while (!options.hasEnded() && isInTime) {
-    // Only servers at which the stream cannot go on: the caller can start anew sooner.
-    if (selector.hasOnlyServersBut(service, isEligible)) return undefined;
+  }
+
+  #select(): Promise<ServerSelection | undefined> {
+    const { context, selector, service, demand, place } = this.#options;
+    const { isEligible, tried, deniedBy, onRefused } = this.#options;
     // The owners of engines order the loads of adapters, so the next request need not wait.
     if (demand?.adapter !== undefined) place.passTurn();
-    const selection = await selector.select(service, { ...request, isFirst });
-    isFirst = false;
-    if (selection !== undefined && selection.readyAt <= options.until) {
-      const { server } = selection;
-      const waits = selector.listWaits(service, candidates, server);
-      const begin = decideBegin(waits, {
-        timeLeft: millis(options.deadline - context.now()),
-        fullTime: options.fullTime,
-      });
-      if (begin.kind === "in-time") return selection;
-      options.onTooLate(begin);
-      return undefined;
+    const isFirst = this.#isFirst;
+    this.#isFirst = false;
+    return selector.select(service, {
+      demand,
+      isEligible,
+      tried,
+      deniedBy,
+      isFirst,
+      onRefused,
+      onModelMissing: (availability) => this.#onModelMissing(availability),
+      rankLoad: () => findLoadUrgency(context, place.urgency),
+    });
+  }
+
+  #onModelMissing(availability: ModelAvailability): void {
+    const { until, onModelMissing } = this.#options;
+    // A model that takes longer is not waited for, so that the caller can return later.
+    if (availability.kind !== "unknown") {
+      this.#isModelInTime =
+        availability.kind === "coming" && availability.readyAt <= until;
     }
-    const pauseEnd = findPauseEnd();
-    const nextPoll = context.now() + pollInterval;
-    // A caller that cannot be served in time returns after the pause instead of waiting.
-    if (Math.max(pauseEnd, nextPoll) >= options.until) return undefined;
-    if (selection === undefined) tried.clear();
-    const wakeAt = pauseEnd > context.now() ? pauseEnd : nextPoll;
-    if (!(await waitForTurn(millis(wakeAt)))) return undefined;
+    onModelMissing(availability);
+  }
+
+  /** Whether some server is expected to begin the request before its deadline. */
+  #canBegin({ server }: ServerSelection): boolean {
+    const { context, selector, service, demand } = this.#options;
+    const { isEligible, deadline, fullTime, onTooLate } = this.#options;
+    const candidates = { demand, isEligible };
+    const begin = decideBegin(selector.listWaits(service, candidates, server), {
+      timeLeft: millis(deadline - context.now()),
+      fullTime,
+    });
+    if (begin.kind === "too-late") onTooLate(begin);
+    return begin.kind === "in-time";
   }
-  return undefined;
-}
 
-/** Describes what the request waits for, so that those of equal needs keep their order. */
-function describeNeed({
-  context,
-  service,
-  demand,
-  isResumption,
-  isEligible,
-}: ServerWaitOptions): Need {
-  if (demand?.adapter === undefined) {
-    const key = isResumption ? undefined : `model ${demand?.model ?? ""}`;
-    return { key, mayProceed: () => true };
+  #findPauseEnd(): Millis {
+    const { context, selector, service, demand } = this.#options;
+    const { isEligible, onPaused } = this.#options;
+    const candidates = { demand, isEligible };
+    const resumption = selector.findResumption(service, candidates);
+    onPaused(resumption);
+    return resumption?.at ?? context.now();
   }
-  const key = formatModelAdapterKey(demand.model, demand.adapter);
-  const { adapterDirectory, availability, directory, versions } = context;
-  const mayProceed = () => {
-    const requested = { key, version: versions.get(key) ?? 0 };
-    return listUsableServers(directory, service).some(
-      (server) =>
-        findReadyAt(adapterDirectory, server.id, requested) !== undefined &&
-        isEligible(server) &&
-        availability.canTakeNext(server),
-    );
-  };
-  return { key: isResumption ? undefined : `adapter ${key}`, mayProceed };
 }
 
 /** Resolves to undefined at `until`, since the owners of engines may answer too late. */
