Bound what one process holds for callers by the memory and descriptors of its machine

Chunks of bodies were kept one by one, requests sent ahead were parsed and served without a bound, and connections were limited to 2,500 whatever the machine. Now chunks are joined in blocks, what callers send is parsed in small pieces in turns, a connection with over 16 open requests is not read, and one budget covers bodies, answers and requests ahead; beyond it the largest holder is refused or closed. A new connection beyond the limit takes the place of a silent, idle or stopped one.

--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -83,6 +83,10 @@
     "Requests passed on to another node while this one reaches no server, by how that ended",
   gateway_requests_held_back_total:
     "Requests that waited before they were sent until the events of a standstill were handled, by whether their callers had left",
+  gateway_bodies_stalled_total:
+    "Requests refused because nothing of their bodies arrived for too long",
+  callers_turned_away_total:
+    "Connections of callers closed, by reason: silent, idle, body, full or ahead",
   gateway_bodies_without_room_total:
     "Requests refused because all request bodies together exceeded their limit",
   gateway_answer_ms: "Time from arrival to the end of the answer, in ms",
--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -119,6 +119,12 @@
     meaning:
       "No server accepts connections of this node; its requests go to other nodes",
   },
+  callersTurnedAway: {
+    number: 340,
+    level: "warn",
+    meaning:
+      "Connections of callers were closed at a limit of the node; at most one line in 10 s",
+  },
   serversInReach: {
     number: 237,
     level: "info",
--- a/src/core/results/request_codes.ts
+++ b/src/core/results/request_codes.ts
@@ -110,6 +110,14 @@
     meaning: "The node keeps as many bytes of request bodies as it may",
     remedy: "Send to another node, or again after Retry-After",
   },
+  noRoomForConnection: {
+    number: 2013,
+    status: 503,
+    outcome: "not-run",
+    meaning:
+      "The body had stopped, and its connection was needed for another caller",
+    remedy: "Send the body without pauses, again after Retry-After",
+  },
   retryBudgetSpent: {
     number: 2006,
     status: 503,
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -74,6 +74,8 @@
   readonly probe: ProbeServer;
   readonly backlog: EventBacklog;
   readonly retryLimits: ServiceRetryLimits;
+  /** Budget of all that the process holds for callers; kept answers have a limit of their own without. */
+  readonly held?: ByteBudget;
 };
 
 /** Planned stop of the process. */
@@ -104,12 +106,16 @@
   /** Share of this node in the slack of the retry budget. */
   readonly slackShare: ShareTracker;
   /** Limits the answers that are kept until they are complete. */
-  readonly answerBudget = ByteBudget.create(maxBufferedAnswers);
+  readonly answerBudget: ByteBudget;
   #attempts = 0;
   readonly #retryBudgets = new Map<ServiceName, ServiceRetryBudget>();
 
   private constructor(dependencies: GatewayDependencies) {
     this.dependencies = dependencies;
+    this.answerBudget = ByteBudget.create(
+      maxBufferedAnswers,
+      dependencies.held,
+    );
     this.slackShare = ShareTracker.create(dependencies.retryLimits.window);
     this.reach = ReachWatch.create({
       ...dependencies,
--- a/tests/gateway/byte_budget_test.ts
+++ b/tests/gateway/byte_budget_test.ts
@@ -44,3 +44,30 @@
   assert.equal(budget.used, 0);
   assert.deepEqual(lost, []);
 });
+
+// Guards against kinds of holders that each stay within their limit but not together.
+test("beyond the limit of the whole, the largest share of all its parts is taken back", () => {
+  const whole = ByteBudget.create(100);
+  const bodies = ByteBudget.create(80, whole);
+  const answers = ByteBudget.create(80, whole);
+  const lost: string[] = [];
+  const large = bodies.open(() => lost.push("large"));
+  const small = answers.open(() => lost.push("small"));
+  large.add(70);
+  small.add(40);
+  assert.deepEqual(lost, ["large"]);
+  assert.equal(bodies.used, 0);
+  assert.equal(whole.used, 40);
+  small.release();
+  assert.equal(whole.used, 0);
+});
+
+// Guards against bytes that stay counted in the whole after a part took them back.
+test("a share that its part takes back counts no longer in the whole", () => {
+  const whole = ByteBudget.create(1_000);
+  const part = ByteBudget.create(100, whole);
+  const lost: string[] = [];
+  part.open(() => lost.push("first")).add(120);
+  assert.deepEqual(lost, ["first"]);
+  assert.equal(whole.used, 0);
+});
