--- a/src/core/results/request_codes.ts
+++ b/src/core/results/request_codes.ts
@@ -147,6 +147,14 @@
       "More urgent requests fill the line of those that wait for the service",
     remedy: "Send again after Retry-After",
   },
+  noRoomForConnection: {
+    number: 2013,
+    status: 503,
+    outcome: "not-run",
+    meaning:
+      "The body had stopped, and its connection was needed for another caller",
+    remedy: "Send the body without pauses, again after Retry-After",
+  },
   retryBudgetSpent: {
     number: 2006,
     status: 503,
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -92,6 +92,8 @@
   readonly retryLimits: ServiceRetryLimits;
   /** By how much the work of an organisation may exceed its quota; not at all without it. */
   readonly quotaTolerance?: QuotaTolerance;
+  /** Budget of all that the process holds for callers; kept answers have a limit of their own without. */
+  readonly held?: ByteBudget;
 };
 
 /** Planned stop of the process. */
@@ -129,13 +131,17 @@
   /** Share of this node in the slack of the retry budget. */
   readonly slackShare: ShareTracker;
   /** Limits the answers that are kept until they are complete. */
-  readonly answerBudget = ByteBudget.create(maxBufferedAnswers);
+  readonly answerBudget: ByteBudget;
   #attempts = 0;
   readonly #retryBudgets = new Map<ServiceName, ServiceRetryBudget>();
 
   private constructor(dependencies: GatewayDependencies) {
     this.dependencies = dependencies;
     this.lines = WaitingLines.create(dependencies);
+    this.answerBudget = ByteBudget.create(
+      maxBufferedAnswers,
+      dependencies.held,
+    );
     this.slackShare = ShareTracker.create(dependencies.retryLimits.window);
     this.reach = ReachWatch.create({
       ...dependencies,
