Keep one record of servers without room

Cause: two parts that were built side by side each held back a server that had rejected a request for want of room, one in its health and one in its availability; only the latter was still recorded. Change: the hold in the health of a server is gone; the choice among servers without models and its simulation use that of the availability.

--- a/src/core/gateway/engine_ranking.ts
+++ b/src/core/gateway/engine_ranking.ts
@@ -10,13 +10,11 @@
 import type { ServerSelectionContext } from "./choose_server.ts";
 import type { LoadTimes } from "./load_times.ts";
 import { estimateDistance } from "./server_distance.ts";
-import { isHeld, isSuspended } from "./server_health.ts";
+import { isSuspended } from "./server_health.ts";
 import type { BackendServer } from "./servers.ts";
 
 /** Cost of an engine that failed recently, above that of any other, in ms. */
 const suspendedCost = 60_000;
-/** Cost of an engine that had no room a moment ago, in ms. */
-const holdCost = 300;
 /** Time that a further copy of an adapter must save before it is loaded, in loads from the weight store. */
 const copyLoads = 0.56;
 /** Time by which an engine must be better than the one before it in rendezvous order, in loads from the weight store. */
@@ -159,8 +157,5 @@
   server: BackendServer,
   context: EngineWaitContext,
 ): number {
-  const held = isHeld(context.health, server.id, context.now) ? holdCost : 0;
-  return (
-    estimateDistance(server, context) + context.estimateWait(server.id) + held
-  );
+  return estimateDistance(server, context) + context.estimateWait(server.id);
 }
--- a/src/core/gateway/plain_server_choice.ts
+++ b/src/core/gateway/plain_server_choice.ts
@@ -7,7 +7,6 @@
 import { estimateDistance } from "./server_distance.ts";
 import {
   countInFlight,
-  isHeld,
   isSuspended,
   readFailureRate,
 } from "./server_health.ts";
@@ -24,7 +23,6 @@
 /** Expected extra time at a server whose recent calls all failed, in ms. */
 const failureTime = 500;
 /** Extra time of a server that should get nothing now, in ms. */
-const holdTime = 5_000;
 const suspensionTime = 60_000;
 /** Run times by which the requests at a server that exceed its slots delay the next one, relative to the others. */
 const excessWeight = 2;
@@ -83,12 +81,10 @@
   const queue = (load + excessWeight * excess) / Math.max(1, slots);
   const run = runTime * (readSlowness(paces, server, now) + queue);
   const overdue = readOldestCall(paces, id, now) - overdueRuns * runTime;
-  const held = isHeld(health, id, now) ? holdTime : 0;
   const suspended = isSuspended(health, id, now) ? suspensionTime : 0;
   return millis(
     run +
       Math.max(0, overdue) +
-      held +
       suspended +
       failureTime * readFailureRate(health, id) +
       estimateDistance(server, context),
--- a/src/core/gateway/server_health.ts
+++ b/src/core/gateway/server_health.ts
@@ -11,10 +11,6 @@
 /** Failure rate above which a server is suspended even if some calls succeed. */
 const failureRateLimit = 0.35;
 
-/** First and longest time for which a server that had no room gets nothing, in ms; it doubles with each rejection in a row. */
-const minHold = 100;
-const maxHold = 1_600;
-
 /** Result of a call, as an observation of the server's health; `full` if the server had no room. */
 export type CallResult = "good" | "bad" | "full" | "unreachable";
 
@@ -23,9 +19,6 @@
   failureRate: number;
   suspensions: number;
   suspendedUntil: Millis;
-  /** Rejections for want of room in a row, and the time until which the server gets nothing. */
-  rejections: number;
-  heldUntil: Millis;
   inFlight: number;
 };
 
@@ -45,8 +38,6 @@
       failureRate: 0,
       suspensions: 0,
       suspendedUntil: millis(Number.NEGATIVE_INFINITY),
-      rejections: 0,
-      heldUntil: millis(Number.NEGATIVE_INFINITY),
       inFlight: 0,
     };
     health.records.set(id, record);
@@ -82,7 +73,6 @@
   record.failureRate += failureWeight * (failed - record.failureRate);
   if (failed === 0) {
     record.consecutiveFailures = 0;
-    record.rejections = 0;
     if (record.failureRate < failureRateLimit) record.suspensions = 0;
     return false;
   }
@@ -103,30 +93,6 @@
   return true;
 }
 
-/** Records that a server had no room for a request; it gets nothing for a moment. */
-export function recordNoRoom(
-  health: ServerHealth,
-  id: ServerId,
-  { now, random }: { readonly now: Millis; readonly random: () => number },
-): void {
-  const record = getOrCreateRecord(health, id);
-  const hold = Math.min(maxHold, minHold * 2 ** record.rejections);
-  record.rejections++;
-  // Nodes that were rejected together do not return together.
-  const until = millis(now + hold * (0.5 + random()));
-  record.heldUntil = millis(Math.max(record.heldUntil, until));
-}
-
-/** Whether a server gets nothing now, since it had no room a moment ago. */
-export function isHeld(
-  health: ServerHealth,
-  id: ServerId,
-  now: Millis,
-): boolean {
-  const record = health.records.get(id);
-  return record !== undefined && now < record.heldUntil;
-}
-
 /** Whether a server is suspended because of failures. */
 export function isSuspended(
   health: ServerHealth,
--- a/tests/gateway/paced_plain_servers.ts
+++ b/tests/gateway/paced_plain_servers.ts
@@ -25,7 +25,6 @@
   recordCallEnd,
   recordCallResult,
   recordCallStart,
-  recordNoRoom,
   type ServerHealth,
 } from "../../src/core/gateway/server_health.ts";
 import {
@@ -35,6 +34,12 @@
   type PaceTable,
   startCall,
 } from "../../src/core/gateway/server_pace.ts";
+import {
+  type FullServers,
+  isFull,
+  recordNoRoom,
+  recordRoom,
+} from "../../src/core/gateway/server_room.ts";
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import {
   brandString,
@@ -55,9 +60,9 @@
 export type PlainPolicy = {
   readonly choose: PlainServerPolicy;
   readonly onRejection: (
-    health: ServerHealth,
-    id: ServerId,
-    moment: { readonly now: Millis; readonly random: () => number },
+    node: { readonly health: ServerHealth; readonly full: FullServers },
+    server: BackendServer,
+    moment: { readonly now: Millis; readonly share: number },
   ) => void;
   /** Whether nodes tell of their requests at servers. */
   readonly tells: boolean;
@@ -66,7 +71,7 @@
 /** Own calls in flight alone, and a rejection as a failure. */
 export const ownCalls: PlainPolicy = {
   choose: chooseLeastCost,
-  onRejection: (health, id, { now }) =>
+  onRejection: ({ health }, { id }, { now }) =>
     recordCallResult(health, id, { result: "bad", now }),
   tells: false,
 };
@@ -74,7 +79,10 @@
 /** Expected time to the answer, and a hold after a rejection. */
 export const shortestRun: PlainPolicy = {
   choose: chooseShortestRun,
-  onRejection: recordNoRoom,
+  onRejection: ({ health, full }, server, moment) => {
+    recordNoRoom(full, server, moment);
+    recordCallResult(health, server.id, { result: "full", now: moment.now });
+  },
   tells: true,
 };
 
@@ -143,6 +151,7 @@
   readonly machine: MachineName;
   readonly location: NodeLocation;
   readonly health: ServerHealth;
+  readonly full: FullServers;
   readonly paces: PaceTable;
   readonly crowds: CrowdView;
 };
@@ -176,6 +185,7 @@
       machine: brandString(`n${index}`),
       location: locate(index % dataCentres.length),
       health: createServerHealth(),
+      full: new Map(),
       paces: createPaceTable(),
       crowds: new Map(),
     }));
@@ -210,7 +220,10 @@
     const now = this.#clock.now();
     const servers = this.#servers.map(({ server }) => server);
     const random = this.#random;
-    const chosen = this.#policy.choose(excludeServers(servers, tried), {
+    const untried = excludeServers(servers, tried);
+    const open = untried.filter((server) => !isFull(node.full, server, now));
+    const candidates = open.length > 0 ? open : untried;
+    const chosen = this.#policy.choose(candidates, {
       ...node.location,
       health: node.health,
       paces: node.paces,
@@ -239,7 +252,8 @@
         this.#clock.schedule(millis(way / 2), () => {
           end();
           const at = this.#clock.now();
-          this.#policy.onRejection(node.health, id, { now: at, random });
+          const moment = { now: at, share: random() };
+          this.#policy.onRejection(node, server, moment);
           tried.add(id);
           if (tried.size < maxTries) this.#send(node, tried, arrivedAt);
         });
@@ -295,6 +309,7 @@
     const region = node.location.regionOf(server.dataCentre);
     if (region !== node.location.region) this.#spilled++;
     recordCallResult(node.health, server.id, { result: "good", now });
+    recordRoom(node.full, server.id);
     const runTime = millis(now - sentAt - way);
     learnRun(node.paces, server, { answerTokens: 0, runTime, now });
   }
--- a/tests/gateway/plain_server_choice_test.ts
+++ b/tests/gateway/plain_server_choice_test.ts
@@ -13,9 +13,7 @@
 } from "../../src/core/gateway/server_crowds.ts";
 import {
   createServerHealth,
-  isHeld,
   recordCallResult,
-  recordNoRoom,
 } from "../../src/core/gateway/server_health.ts";
 import {
   createPaceTable,
@@ -23,6 +21,12 @@
   learnRun,
   startCall,
 } from "../../src/core/gateway/server_pace.ts";
+import {
+  type FullServers,
+  isFull,
+  recordNoRoom,
+  recordRoom,
+} from "../../src/core/gateway/server_room.ts";
 import { brandString, type MachineName } from "../../src/core/ids.ts";
 import { ownCalls, PlainFleet, shortestRun } from "./paced_plain_servers.ts";
 import { createServer, location } from "./paced_servers.ts";
@@ -58,19 +62,15 @@
 });
 
 test("a server without room gets nothing for a moment that grows with each rejection in a row", () => {
-  const context = createContext();
-  const { health } = context;
-  const moment = { now: millis(0), random: () => 0.5 };
-  recordNoRoom(health, first.id, moment);
-  assert.equal(chooseShortestRun(servers, context), second);
-  assert.equal(isHeld(health, first.id, millis(99)), true);
-  assert.equal(isHeld(health, first.id, millis(100)), false);
-  recordNoRoom(health, first.id, moment);
-  assert.equal(isHeld(health, first.id, millis(199)), true);
-  const good = { result: "good", now: millis(300) } as const;
-  recordCallResult(health, first.id, good);
-  recordNoRoom(health, first.id, { ...moment, now: millis(300) });
-  assert.equal(isHeld(health, first.id, millis(400)), false);
+  const full: FullServers = new Map();
+  const isFullAt = (now: number) => isFull(full, first, millis(now));
+  recordNoRoom(full, first, { now: millis(0), share: 0.5 });
+  assert.deepEqual([isFullAt(59), isFullAt(60)], [true, false]);
+  recordNoRoom(full, first, { now: millis(100), share: 0.5 });
+  assert.deepEqual([isFullAt(219), isFullAt(220)], [true, false]);
+  recordRoom(full, first.id);
+  recordNoRoom(full, first, { now: millis(300), share: 0.5 });
+  assert.deepEqual([isFullAt(359), isFullAt(360)], [true, false]);
 });
 
 test("a server that other nodes crowd gets no further call", () => {
