--- a/tests/gateway/quota_fleet_test.ts
+++ b/tests/gateway/quota_fleet_test.ts
@@ -108,7 +108,6 @@
     const load = fleet.startLoad(createLoad(fleet, small, usual), 20_000);
     await disturb();
     await fleet.run(Math.max(0, 22_200 - fleet.clock.now()));
-    if (process.env.SHOW) console.log(load.taken/load.asked, fleet.findWorstWindow(large));
     assertRule(fleet, ...all);
     assertPassed(load, share);
   }
