--- a/src/adapters/http/read_pacer.ts
+++ b/src/adapters/http/read_pacer.ts
@@ -16,6 +16,10 @@
   rest: Buffer | undefined;
   isHeld: boolean;
   isQueued: boolean;
+  /** The last read brought more than one piece. */
+  isBulk: boolean;
+  /** Waits for its turn to read on. */
+  isWaiting: boolean;
 };
 
 /**
@@ -28,6 +32,8 @@
   readonly #readings = new WeakMap<Socket, Reading>();
   /** Connections with bytes to parse, in the order of their turns. */
   readonly #queue: Reading[] = [];
+  /** Connections that read on one after another, once nothing is left to parse. */
+  readonly #waiting: Reading[] = [];
   #isScheduled = false;
 
   private constructor(server: Server, clock: Clock) {
@@ -65,6 +71,8 @@
       rest: undefined,
       isHeld: false,
       isQueued: false,
+      isBulk: false,
+      isWaiting: false,
     };
     this.#readings.set(socket, reading);
     socket.removeAllListeners("data");
@@ -73,13 +81,15 @@
         reading.rest === undefined
           ? bytes
           : Buffer.concat([reading.rest, bytes]);
+      reading.isBulk = bytes.length > pieceBytes;
       this.#parseNext(reading);
     });
     // The end of a response and the reading of a body make Node read on.
     socket.on("resume", () => {
-      if (!reading.isHeld && reading.rest === undefined) return;
+      const { isHeld, isWaiting, rest } = reading;
+      if (!isHeld && !isWaiting && rest === undefined) return;
       socket.pause();
-      if (!reading.isHeld) this.#enqueue(reading);
+      if (!isHeld && rest !== undefined) this.#enqueue(reading);
     });
   }
 
@@ -89,7 +99,7 @@
     const turnEnd = this.#clock.now() + turnTime;
     while (mayParse(reading)) {
       const { rest } = reading;
-      if (rest === undefined) return void socket.resume();
+      if (rest === undefined) return this.#readOn(reading);
       if (this.#clock.now() >= turnEnd) {
         socket.pause();
         return this.#enqueue(reading);
@@ -109,19 +119,40 @@
     this.#schedule();
   }
 
-  /** One piece in each turn of the event loop, so that other work goes on between them. */
+  /** Reads on at once behind a small read; else in turn, so that few large reads are kept at a time. */
+  #readOn(reading: Reading): void {
+    const { socket, isBulk, isWaiting } = reading;
+    if (!isBulk) return void socket.resume();
+    if (isWaiting) return;
+    reading.isWaiting = true;
+    socket.pause();
+    this.#waiting.push(reading);
+    this.#schedule();
+  }
+
+  /** One connection in each turn of the event loop, so that other work goes on between them. */
   #schedule(): void {
-    if (this.#isScheduled || this.#queue.length === 0) return;
+    const isIdle = this.#queue.length === 0 && this.#waiting.length === 0;
+    if (this.#isScheduled || isIdle) return;
     this.#isScheduled = true;
     setImmediate(() => {
       this.#isScheduled = false;
-      const reading = this.#queue.shift();
+      this.#takeTurn();
       this.#schedule();
-      if (reading === undefined) return;
-      reading.isQueued = false;
-      this.#parseNext(reading);
     });
   }
+
+  #takeTurn(): void {
+    const reading = this.#queue.shift();
+    if (reading !== undefined) {
+      reading.isQueued = false;
+      return this.#parseNext(reading);
+    }
+    const next = this.#waiting.shift();
+    if (next === undefined) return;
+    next.isWaiting = false;
+    if (mayParse(next)) next.socket.resume();
+  }
 }
 
 function mayParse({ socket, isHeld }: Reading): boolean {
