Join the chunks of bodies at the product's own interface as well

Each chunk was kept by itself there too; a body of one-byte chunks cost many times its size. Its connections, requests sent ahead and bodies in progress have no limit by the machine yet.

--- a/src/adapters/http/body.ts
+++ b/src/adapters/http/body.ts
@@ -2,12 +2,16 @@
 import { type Either, Left, Right } from "purify-ts";
 import { type Clock, millis } from "../../core/clock.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
+import { BlockPool, BodyBuffer } from "./body_buffer.ts";
 
 /** Maximum size of a request body, in bytes. */
 export const maxBodyBytes = 1024 * 1024;
 /** Timeout for receiving a request body, in ms. */
 export const bodyTimeoutMillis = 10_000;
 
+/** Blocks of all bodies of this process that are being read. */
+const blocks = BlockPool.create(16 * maxBodyBytes);
+
 /** Reads a whole request body within the size limit and the timeout, or until the server stops. */
 export function readBody(
   request: IncomingMessage,
@@ -19,13 +23,14 @@
 ): Promise<Either<Refusal, Buffer>> {
   const { maxBytes = maxBodyBytes, stopping } = options;
   return new Promise((resolve) => {
-    const chunks: Buffer[] = [];
+    const body = BodyBuffer.create(blocks);
     let size = 0;
     const finish = (result: Either<Refusal, Buffer>): void => {
       cancel();
       stopping?.removeEventListener("abort", refuseStopping);
       request.removeAllListeners("data");
       request.pause();
+      body.clear();
       resolve(result);
     };
     const cancel = options.clock.schedule(millis(bodyTimeoutMillis), () =>
@@ -59,9 +64,9 @@
         );
         return;
       }
-      chunks.push(chunk);
+      body.push(chunk);
     });
-    request.on("end", () => finish(Right(Buffer.concat(chunks))));
+    request.on("end", () => finish(Right(body.take())));
     request.on("error", () =>
       finish(
         Left(
