--- a/src/node/gateway/requests/request_sends.ts
+++ b/src/node/gateway/requests/request_sends.ts
@@ -153,13 +153,13 @@
     });
   }
 
-  /** Measures the pace of a server, unless the answer does not tell: its stream goes on, or its model answers at once. */
+  /** Measures the pace of a server; an answer that continues a stream, or is a model's but no stream, does not show it. */
   #measure(server: BackendServer): PaceMeasurement | undefined {
     const { paces, plan, forwarder, request } = this.#options;
     const isStream = plan.route.retryRule === "stream";
     const isPlain = request.demand === undefined;
     if (forwarder.hasStarted || isStream === isPlain) return undefined;
-    return paces.start(server, plan.work);
+    return paces.start(server, { work: plan.work, isPlain });
   }
 
   /** Reads the answer on. */
--- a/src/node/gateway/servers/pace_tracker.ts
+++ b/src/node/gateway/servers/pace_tracker.ts
@@ -37,18 +37,19 @@
   }
 
   /** Starts to measure a request that is sent to a server. */
-  start(server: BackendServer, work: RequestWork): PaceMeasurement {
+  start(
+    server: BackendServer,
+    { work, isPlain }: MeasuredRequest,
+  ): PaceMeasurement {
     const { context, reportCalls } = this.#options;
     const startedAt = context.now();
     // The delay is that of the requests which are at the server before this one.
-    const expected =
-      work.promptTokens > 0
-        ? this.#options.describeDelay(server, work.promptTokens)
-        : undefined;
+    const expected = isPlain
+      ? undefined
+      : this.#options.describeDelay(server, work.promptTokens);
     const distance = estimateDistance(server, context.location);
     const getElapsed = () =>
       millis(Math.max(0, context.now() - startedAt - distance));
-    const isPlain = expected === undefined;
     const call = isPlain
       ? startCall(context.paces, server.id, startedAt)
       : undefined;
@@ -65,8 +66,8 @@
           this.#learnFirstEvent(server, expected, getElapsed());
       },
       recordWhole: (runTime) => {
-        const time = work.answerTokens > 0 ? runTime : getElapsed();
-        this.#learnRun(server, work, time);
+        if (isPlain) this.#learnRun(server, work, getElapsed());
+        else this.#shareRun(server, this.#learnRun(server, work, runTime));
       },
     };
   }
@@ -85,15 +86,25 @@
     server: BackendServer,
     { answerTokens }: RequestWork,
     runTime: Millis,
-  ): void {
-    const { context, onRatio } = this.#options;
+  ): number | undefined {
+    const { context } = this.#options;
     const now = context.now();
     const sample = { answerTokens, runTime, now };
-    const logRatio = learnRun(context.paces, server, sample);
-    if (answerTokens > 0 && logRatio !== undefined) onRatio(server, logRatio);
+    return learnRun(context.paces, server, sample);
+  }
+
+  #shareRun(engine: BackendServer, logRatio: number | undefined): void {
+    if (logRatio !== undefined) this.#options.onRatio(engine, logRatio);
   }
 }
 
+/** What of a request tells how long it should take. */
+type MeasuredRequest = {
+  readonly work: RequestWork;
+  /** The service has no models. */
+  readonly isPlain: boolean;
+};
+
 /** Measurement of one request at a server. */
 export type PaceMeasurement = {
   /** The server has the request. */
