--- a/tests/gateway/paced_engines.ts
+++ b/tests/gateway/paced_engines.ts
@@ -34,19 +34,14 @@
   takePaceNews,
 } from "../../src/core/gateway/shared_pace.ts";
 import { brandString, type MachineName } from "../../src/core/ids.ts";
-import { createServer, dataCentres, locate, service } from "./paced_servers.ts";
+import { answerTokens, Engine, shortPrompt } from "./paced_engine.ts";
+import { dataCentres, locate, service } from "./paced_servers.ts";
 
 /** Interval at which nodes hear of the requests of the others, in ms. */
 const reportInterval = 250;
-/** Prompt tokens that an engine of speed 1 reads per ms, and its time per step in an idle batch, in ms. */
-const tokensPerMs = 40;
-const stepTime = 4;
 /** Interval of the crests of one data centre, in ms. */
 const crestInterval = 20_000;
-/** Answer tokens of a request. */
-const answerTokens = 64;
-/** Prompt tokens of most requests and of the others, and the share of these. */
-const shortPrompt = 650;
+/** Prompt tokens of the requests with long prompts, and their share. */
 const longPrompt = 9_000;
 const longPromptShare = 0.04;
 
@@ -108,67 +103,6 @@
   return { requests: requests + own, tokens, running };
 }
 
-class Engine {
-  readonly server: BackendServer;
-  speed: number;
-  /** Time for which slots were taken, in ms. */
-  busy = 0;
-  running = 0;
-  readonly #clock: VirtualClock;
-  readonly #queue: (() => void)[] = [];
-  #promptsUntil = 0;
-
-  private constructor(
-    clock: VirtualClock,
-    server: BackendServer,
-    speed: number,
-  ) {
-    this.#clock = clock;
-    this.server = server;
-    this.speed = speed;
-  }
-
-  static create(
-    clock: VirtualClock,
-    {
-      id,
-      speed,
-      ...options
-    }: { id: string; speed: number; slots: number; dataCentre: string },
-  ): Engine {
-    return new Engine(clock, createServer(id, options), speed);
-  }
-
-  get backlog(): EngineBacklog {
-    const requests = this.#queue.length;
-    return { requests, tokens: requests * shortPrompt, running: this.running };
-  }
-
-  run(promptTokens: number, onFirst: () => void, onEnd: () => void): void {
-    const start = () => this.#start(promptTokens, onFirst, onEnd);
-    if (this.running < this.server.slots) start();
-    else this.#queue.push(start);
-  }
-
-  #start(promptTokens: number, onFirst: () => void, onEnd: () => void): void {
-    this.running++;
-    const now = this.#clock.now();
-    const crowding = 1 + this.running / this.server.slots;
-    const step = (stepTime * crowding) / this.speed;
-    const prompt = (promptTokens / tokensPerMs / this.speed) * crowding;
-    this.#promptsUntil = Math.max(now, this.#promptsUntil) + prompt;
-    const first = this.#promptsUntil + step - now;
-    const runTime = answerTokens * step;
-    this.#clock.schedule(millis(first), onFirst);
-    this.#clock.schedule(millis(first + runTime), () => {
-      this.running--;
-      this.busy += first + runTime;
-      onEnd();
-      this.#queue.shift()?.();
-    });
-  }
-}
-
 type EngineLoad = {
   readonly speeds: readonly number[];
   readonly slots: number;
--- a/tests/gateway/paced_plain_servers.ts
+++ b/tests/gateway/paced_plain_servers.ts
@@ -41,10 +41,9 @@
   type MachineName,
   type ServerId,
 } from "../../src/core/ids.ts";
+import { PlainServer } from "./paced_plain_server.ts";
 import { createServer, dataCentres, locate } from "./paced_servers.ts";
 
-/** Requests that a server queues beyond its slots. */
-const queueRoom = 4;
 /** Times between the spells of slowness of one server, and their length, in ms. */
 const spellInterval = 5_000;
 const spellLength = 600;
@@ -105,40 +104,6 @@
   readonly datagrams: number;
 };
 
-class PlainServer {
-  readonly server: BackendServer;
-  load = 0;
-  readonly #clock: VirtualClock;
-  readonly #draw: () => number;
-  readonly #queue: (() => void)[] = [];
-  #running = 0;
-
-  constructor(clock: VirtualClock, server: BackendServer, draw: () => number) {
-    this.#clock = clock;
-    this.server = server;
-    this.#draw = draw;
-  }
-
-  get hasRoom(): boolean {
-    return this.load < this.server.slots + queueRoom;
-  }
-
-  run(onEnd: () => void): void {
-    this.load++;
-    const start = () => {
-      this.#running++;
-      this.#clock.schedule(millis(this.#draw()), () => {
-        this.#running--;
-        this.load--;
-        this.#queue.shift()?.();
-        onEnd();
-      });
-    };
-    if (this.#running < this.server.slots) start();
-    else this.#queue.push(start);
-  }
-}
-
 type PlainNode = {
   readonly machine: MachineName;
   readonly location: NodeLocation;
