--- /dev/null
+++ b/tests/gateway/quota_large_fleet_test.ts
@@ -0,0 +1,3 @@
+import { describeFleet } from "./quota_loads.ts";
+
+describeFleet(300, 6_000);
