Take credit again only for requests that have not run

Cause: a request whose credit had expired took it again before each attempt, also before a retry after an attempt that may have run it. A spent quota then refused it as not run, or broke a stream off of which its caller had a part. Nor was expired credit taken again before a request was passed on to another node, and a wait for it came after the last check of the server. Change: credit is renewed only while no server or node may have run the request, before the check of the server and before the request is passed on.

--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -249,9 +249,9 @@
       if (this.#hasEnded) return;
       if (permit.kind === "denied" || !this.#prompt.maySend()) continue;
       if (!(await this.#isWaitedFor())) return;
-      // The selection may have waited for an adapter, the owners of engines or a permit.
+      if (!(await this.#renewQuota())) return;
+      // The selection may have waited for an adapter, the owners of engines, a permit or credit.
       if (!context.availability.canTakeNext(selection.server, permit)) continue;
-      if (this.#quota.isExpired && !(await this.#takeQuota())) return;
       const result = await this.#sendTo(selection, permit);
       if (this.#hasEnded || result === undefined) return;
       const step = this.#handleFailure(result, selection.server);
@@ -278,6 +278,12 @@
     return refusal === undefined;
   }
 
+  /** Takes expired credit again; a request that may have run has used its credit up, and a retry needs none. */
+  async #renewQuota(): Promise<boolean> {
+    if (!this.#quota.isExpired || this.#ending.mayHaveRun) return true;
+    return await this.#takeQuota();
+  }
+
   /** Whether the caller still waits; after a standstill of the process its close may not have been handled yet. */
   async #isWaitedFor(): Promise<boolean> {
     const { backlog, meter } = this.#options.context.dependencies;
@@ -293,6 +299,7 @@
     const { context } = this.#options;
     if (this.#ending.refuseAtLimit()) return false;
     if (!(await this.#isWaitedFor())) return false;
+    if (!(await this.#renewQuota())) return false;
     this.#log.record("requestRelayed");
     // The other node remembers which server began a stream.
     this.#sends.forgetServer();
--- a/tests/gateway/quota_gateway_test.ts
+++ b/tests/gateway/quota_gateway_test.ts
@@ -1,6 +1,8 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
+import type { GatewayRoute } from "../../src/core/gateway/configuration.ts";
 import type { OrganisationQuota } from "../../src/core/gateway/organisations.ts";
+import { brandString, type ServerId } from "../../src/core/ids.ts";
 import { GatewayFixture } from "./gateway_fixture.ts";
 import {
   createCredential,
@@ -24,9 +26,10 @@
 
 async function createFixture(
   servers = [createServer({})],
+  route: Partial<GatewayRoute> = {},
 ): Promise<GatewayFixture> {
   const fixture = new GatewayFixture();
-  fixture.configure([createRoute({})], 1, { organisations });
+  fixture.configure([createRoute(route)], 1, { organisations });
   fixture.register(...servers);
   await fixture.advance(startTime);
   return fixture;
@@ -109,3 +112,20 @@
   await fixture.advance(10);
   assert.equal(fixture.attempts.length, sent + 20);
 });
+
+// Guards against retries that are refused as not run, although a server may have run the request.
+test("a retry after a run takes no credit, however long the run took", async () => {
+  const servers = ["s1", "s2"].map((id) =>
+    createServer({ id: brandString<ServerId>(id), slots: 20 }),
+  );
+  const fixture = await createFixture(servers, { retryRule: "repeatable" });
+  const opened = openAs(fixture, "n1", 8);
+  await fixture.advance(1_500);
+  openAs(fixture, "n1", 20);
+  await fixture.advance(100);
+  const sent = fixture.attempts.length;
+  for (const attempt of fixture.attempts.slice(0, 8)) attempt.fail("broken");
+  await fixture.advance(10);
+  for (const { answer } of opened) assert.equal(answer.refusal, undefined);
+  assert.equal(fixture.attempts.length, sent + 8);
+});
