Count a request without usable tokens as a plain one in quotas of tokens

Cause: the units of a request came from its demand for a model. One that named a model but no tokens counted nothing, as did one with a malformed count, and one with tokens but no model counted as a plain request. Change: the head of a request has its tokens besides the demand, undefined without a usable count; the quota counts these. The unit test of the quota reads the new field.

--- a/src/node/gateway/requests/request_quota.ts
+++ b/src/node/gateway/requests/request_quota.ts
@@ -8,7 +8,7 @@
 type RequestQuotaOptions = {
   readonly quotas: ServiceQuotas;
   readonly now: () => number;
-  readonly request: Pick<ProxiedRequest, "demand" | "relayed">;
+  readonly request: Pick<ProxiedRequest, "tokens" | "relayed">;
   readonly plan: Pick<RequestPlan, "organisation">;
   readonly log: Pick<RequestLog, "record">;
 };
@@ -48,9 +48,7 @@
     const { organisation } = plan;
     if (organisation?.quota === undefined) return undefined;
     this.#giveBack();
-    const { demand } = request;
-    const tokens = demand && demand.promptTokens + demand.answerTokens;
-    const units = countUnits(organisation.quota, tokens);
+    const units = countUnits(organisation.quota, request.tokens);
     const result = await quotas.take(organisation, units);
     if (result.kind === "taken") {
       this.#credit = result.credit;
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -48,6 +48,8 @@
   readonly credential?: Credential;
   /** Undefined if the request is for a service without models. */
   readonly demand: ModelDemand | undefined;
+  /** Tokens of prompt and answer that count in a quota; undefined if the request names none. */
+  readonly tokens?: number | undefined;
   /** Time that the caller waits for the answer, in ms from the arrival. */
   readonly deadline: Millis | undefined;
   /** Id of the last event received, after which the caller resumes a stream. */
--- a/tests/gateway/request_quota_test.ts
+++ b/tests/gateway/request_quota_test.ts
@@ -1,20 +1,12 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
-import { brandString } from "../../src/core/ids.ts";
 import { RequestQuota } from "../../src/node/gateway/requests/request_quota.ts";
 import type { ProxiedRequest } from "../../src/ports/gateway.ts";
 import type { QuotaResult, ServiceQuotas } from "../../src/ports/quotas.ts";
 import { createOrganisation } from "./quota_fleet.ts";
 
 const organisation = createOrganisation("small", 1_000);
-const demand: ProxiedRequest["demand"] = {
-  model: brandString("m"),
-  adapter: undefined,
-  promptTokens: 500,
-  answerTokens: 150,
-  sharedParts: [],
-};
 
 /** Quotas that record what is taken and given back. */
 function createQuotas(refusal?: QuotaResult) {
@@ -31,7 +23,7 @@
   return { quotas, taken, returned };
 }
 
-type Call = Partial<Pick<ProxiedRequest, "demand" | "relayed">> & {
+type Call = Partial<Pick<ProxiedRequest, "tokens" | "relayed">> & {
   now?: number;
 };
 
@@ -39,7 +31,7 @@
   return RequestQuota.create({
     quotas,
     now: () => call.now ?? 0,
-    request: { demand: call.demand, relayed: call.relayed },
+    request: { tokens: call.tokens, relayed: call.relayed },
     plan: { organisation },
     log: { record() {} },
   });
@@ -48,7 +40,7 @@
 // Guards against requests that count less than the tokens of their head.
 test("a request takes its tokens, or those of a plain one", async () => {
   const { quotas, taken } = createQuotas();
-  await createQuota(quotas, { demand }).take();
+  await createQuota(quotas, { tokens: 650 }).take();
   await createQuota(quotas).take();
   assert.deepEqual(taken, [650, 100]);
 });
--- a/tests/platform_adapter/front_server_test.ts
+++ b/tests/platform_adapter/front_server_test.ts
@@ -198,6 +198,19 @@
   void front.stopAccepting();
 });
 
+// Guards against requests that escape a quota of tokens, since they name a model without tokens, or no number.
+test("the tokens of a request count with a model and without, a request without them names none", async () => {
+  const { front, port, requests } = await open(answer);
+  const model = "Goldcrestwinch-Model: m0\r\n";
+  const tokens = "Goldcrestwinch-Token-Count: 1460,80\r\n";
+  const odd = "Goldcrestwinch-Token-Count: x,-5\r\n";
+  for (const named of [model + tokens, tokens, model, model + odd])
+    await exchangeRaw(port, `${head}${id}${named}Content-Length: 0\r\n\r\n`);
+  const counted = requests.map((request) => request.tokens);
+  assert.deepEqual(counted, [1540, 1540, undefined, undefined]);
+  void front.stopAccepting();
+});
+
 // Guards against one caller whose odd token count spoils the reports of a node:
 // the other nodes refuse a report with such a sum, and take it for unanswered.
 test("an odd number of tokens counts as none, so that the sums of a node can be reported", async () => {
