--- a/tests/gateway/stranded_node_test.ts
+++ b/tests/gateway/stranded_node_test.ts
@@ -2,6 +2,7 @@
 import { test } from "node:test";
 import { VirtualClock } from "../../src/adapters/time/virtual_clock.ts";
 import { type Millis, millis } from "../../src/core/clock.ts";
+import type { OrganisationDirectory } from "../../src/core/gateway/organisations.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import type {
   CallerSink,
@@ -14,8 +15,11 @@
 import { GatewayFixture } from "./gateway_fixture.ts";
 import { streamRoute } from "./gateway_setups.ts";
 import {
+  createCredential,
   createDemand,
   createEngine,
+  createOrganisation,
+  createOrganisations,
   createRoute,
   createServer,
 } from "./gateway_values.ts";
@@ -53,8 +57,17 @@
   /** What servers do with a request. */
   serve: (attempt: RecordedAttempt) => void = (attempt) => attempt.answer("ok");
 
-  static async create(count: number): Promise<StrandedFleet> {
-    const fleet = new StrandedFleet();
+  readonly #organisations: OrganisationDirectory | undefined;
+
+  private constructor(organisations: OrganisationDirectory | undefined) {
+    this.#organisations = organisations;
+  }
+
+  static async create(
+    count: number,
+    organisations?: OrganisationDirectory,
+  ): Promise<StrandedFleet> {
+    const fleet = new StrandedFleet(organisations);
     for (let at = 0; at < count; at++) fleet.#addNode(at);
     await fleet.advance(3_000);
     return fleet;
@@ -88,11 +101,18 @@
     });
     this.nodes.push(node);
     const stream = { ...streamRoute, prefix: "/s/", resumable: true };
-    node.configure([
+    const routes = [
       createRoute({ retryRule: "repeatable" }),
       createRoute({ prefix: "/o/" }),
+      createRoute({
+        prefix: "/none/",
+        timeout: millis(20_000),
+        targetLatency: millis(20_000),
+        targets: [{ service: brandString("none"), weight: 1 }],
+      }),
       createRoute(stream),
-    ]);
+    ];
+    node.configure(routes, 1, { organisations: this.#organisations });
     for (const id of ["s1", "s2", "s3"])
       node.register(createServer({ id: brandString<ServerId>(id) }));
     node.register(createEngine("e1", ["a1"]), createEngine("e2", ["a1"]));
@@ -238,3 +258,31 @@
   );
   assert.equal(told.length, 0);
 });
+
+// Guards against requests that wait with credit, and are all passed on in one later window.
+test("credit that has expired is taken again before a request is passed on", async () => {
+  const quota = { unit: "requests", rate: 10, burst: 10 } as const;
+  const organisations = createOrganisations(
+    [
+      createOrganisation("north", { quota: { ...quota, plainTokens: 0 } }),
+      "n1",
+    ],
+    [createOrganisation("south"), "s1"],
+  );
+  const fleet = await StrandedFleet.create(2, organisations);
+  await fleet.advance(3_000);
+  fleet.serve = () => {};
+  const deadline = millis(20_000);
+  const waiting = { target: "/none/1", path: "/none/1", deadline };
+  for (let round = 0; round < 4; round++) {
+    for (let at = 0; at < 7; at++)
+      fleet.open(0, { ...waiting, credential: createCredential("n1") });
+    await fleet.advance(1_200);
+  }
+  fleet.stranded.add(0);
+  fleet.open(0, { credential: createCredential("s1") });
+  await fleet.advance(2_500);
+  const passedOn = fleet.relayed.filter(({ path }) => path === "/none/1");
+  const { length } = passedOn;
+  assert.ok(length >= 5 && length <= 15, `${length} requests`);
+});
