Say what quota terms mean, and drop the unused way to take credit

Cause: comments on the terms of quotas, credit states and organisations did not say what they mean or were wrong for public routes, and nothing took the youngest credit. Change: wording, and takeOldest without its callback.

--- a/src/core/gateway/quota_account.ts
+++ b/src/core/gateway/quota_account.ts
@@ -8,7 +8,7 @@
 /** Place of an account. */
 export type QuotaLevel = (typeof quotaLevels)[number];
 
-/** States of the credit at an account that was asked. */
+/** States of the credit at an account that was asked: no more for now, some, or so much that nothing need be lent to it. */
 export const creditStates = ["dry", "some", "ample"] as const;
 
 /** State of the credit at an account that was asked. */
--- a/src/core/gateway/quota_credit.ts
+++ b/src/core/gateway/quota_credit.ts
@@ -49,12 +49,18 @@
 
   /** Takes up to `amount` units, those that expire first. */
   takeOldest(amount: number): CreditLot[] {
-    return this.#take(amount, () => this.#lots.shift());
-  }
-
-  /** Takes up to `amount` units, those that expire last. */
-  takeYoungest(amount: number): CreditLot[] {
-    return this.#take(amount, () => this.#lots.pop()).reverse();
+    const taken: CreditLot[] = [];
+    let missing = amount;
+    while (missing > 0) {
+      const oldest = this.#lots[0];
+      if (oldest === undefined) break;
+      const part = Math.min(missing, oldest.amount);
+      missing -= part;
+      taken.push({ amount: part, born: oldest.born });
+      if (oldest.amount > part) oldest.amount -= part;
+      else this.#lots.shift();
+    }
+    return taken;
   }
 
   /** Adds to the debt. */
@@ -68,34 +74,10 @@
       this.#lots.shift();
   }
 
-  /** Scales all credit down, or up to what it was; a debt stays. */
+  /** Multiplies all credit by a factor; a debt stays. */
   scale(factor: number): void {
     for (const lot of this.#lots) lot.amount *= factor;
   }
-
-  #take(
-    amount: number,
-    next: () => { amount: number; born: Millis } | undefined,
-  ): CreditLot[] {
-    const taken: CreditLot[] = [];
-    let missing = amount;
-    while (missing > 0) {
-      const lot = next();
-      if (lot === undefined) break;
-      const part = Math.min(missing, lot.amount);
-      missing -= part;
-      taken.push({ amount: part, born: lot.born });
-      if (lot.amount <= part) continue;
-      const rest = { amount: lot.amount - part, born: lot.born };
-      this.#insertBack(rest);
-    }
-    return taken;
-  }
-
-  #insertBack(rest: { amount: number; born: Millis }): void {
-    const next = this.#lots.findIndex((lot) => lot.born > rest.born);
-    this.#lots.splice(next < 0 ? this.#lots.length : next, 0, rest);
-  }
 }
 
 /** Units of several lots together. */
--- a/src/core/gateway/quota_terms.ts
+++ b/src/core/gateway/quota_terms.ts
@@ -32,13 +32,13 @@
   readonly poolDebt: number;
   /** Units that one pool keeps for a request larger than usual. */
   readonly poolReserve: number;
-  /** Units that count as much, of all that the nodes can hold. */
+  /** Balance from which the pool of all tells others to keep what they have left over. */
   readonly ample: number;
 };
 
-/** Share of the largest total of credit that counts as much. */
+/** That balance as a share of all credit that the nodes can hold. */
 const ampleShare = 0.4;
-/** Share that all pools keep together. */
+/** Share of that credit that all pools reserve together. */
 const reserveShare = 0.12;
 
 /** Derives the terms of a quota; without a tolerance the nodes hold the burst and no more. */
--- a/src/node/gateway/quotas/credit_holder.ts
+++ b/src/node/gateway/quotas/credit_holder.ts
@@ -46,7 +46,7 @@
   readonly need: number;
 };
 
-/** Level of the accounts above and below. */
+/** Level of the accounts above and below; nothing is below a node, which no one asks. */
 const levelAbove: Record<QuotaLevel, QuotaLevel | undefined> = {
   node: "pool",
   pool: "root",
--- a/src/node/gateway/requests/request_intake.ts
+++ b/src/node/gateway/requests/request_intake.ts
@@ -32,7 +32,7 @@
   readonly service: ServiceName;
   readonly kind: RunKind;
   readonly limits: RequestTimeLimits;
-  /** Organisation of the caller; undefined on a public route or without organisations. */
+  /** Organisation of the caller; undefined without organisations, or on a public route without a known key. */
   readonly organisation: Organisation | undefined;
   /** Priority of the request: that of its organisation, or of its route; 0 is the most urgent. */
   readonly priority: number;
