--- a/src/core/gateway/quota_credit.ts
+++ b/src/core/gateway/quota_credit.ts
@@ -52,12 +52,12 @@
     const taken: CreditLot[] = [];
     let missing = amount;
     while (missing > 0) {
-      const lot = this.#lots[0];
-      if (lot === undefined) break;
-      const part = Math.min(missing, lot.amount);
+      const oldest = this.#lots[0];
+      if (oldest === undefined) break;
+      const part = Math.min(missing, oldest.amount);
       missing -= part;
-      taken.push({ amount: part, born: lot.born });
-      if (part < lot.amount) lot.amount -= part;
+      taken.push({ amount: part, born: oldest.born });
+      if (oldest.amount > part) oldest.amount -= part;
       else this.#lots.shift();
     }
     return taken;
@@ -74,7 +74,7 @@
       this.#lots.shift();
   }
 
-  /** Multiplies all credit by a factor below 1; a debt stays. */
+  /** Multiplies all credit by a factor; a debt stays. */
   scale(factor: number): void {
     for (const lot of this.#lots) lot.amount *= factor;
   }
