Learn no pace from answers that were handled late, and bound what is learned

Cause: after a standstill of the process the answers that had waited in it counted as slow: 20 answers after 0.9 s gave their servers a slowness of 3.5. The rates of a service had no bound, and one run of ten minutes raised the average run time from 1.5 s to 31 s. Expected waits follow from all three, so that requests could be refused as too late to begin (2010) though engines had room. Change: answers that are handled while events may wait in the process teach nothing; rates stay within a factor of ten of their defaults; a run counts as at most four times the average. Result: slowness below 1.1 after the same standstill; the long run raises the average by 15 %; the rates stay bounded after 2,000 answers of a minute each. An unused import of a test is removed.

--- a/src/core/gateway/server_pace.ts
+++ b/src/core/gateway/server_pace.ts
@@ -14,6 +14,8 @@
 const maxLogRatio = 0.7;
 /** Limit on the natural logarithm of a server's slowness. */
 const maxLogSlowness = 2;
+/** Maximum factor between a learned rate and its default, since rates also show queues that are not known. */
+const maxRateFactor = 10;
 /** Number of runs from which their mean is that of the service. */
 const minRuns = 40;
 /** Time after which half of what was learned of a server is forgotten, in ms. */
@@ -87,11 +89,11 @@
   const adjust = (part: number) =>
     Math.exp((serviceWeight * limit(ratio, maxLogRatio) * part) / total);
   const { msPerPrompt, promptTokensPerMs, fullBatchDelay } = service.rates;
-  service.rates = {
+  service.rates = limitRates({
     msPerPrompt: msPerPrompt * adjust(prompts),
     promptTokensPerMs: promptTokensPerMs / adjust(tokens),
     fullBatchDelay: fullBatchDelay * adjust(batch),
-  };
+  });
   learnRatio(table, server, { ratio, now });
 }
 
@@ -261,6 +263,19 @@
   return own * 0.5 ** (Math.max(0, now - learnedAt) / halfLife);
 }
 
+function limitRates(rates: PromptRates): PromptRates {
+  const limitRate = (name: keyof PromptRates) => {
+    const usual = defaultPromptRates[name];
+    const highest = usual * maxRateFactor;
+    return Math.max(usual / maxRateFactor, Math.min(highest, rates[name]));
+  };
+  return {
+    msPerPrompt: limitRate("msPerPrompt"),
+    promptTokensPerMs: limitRate("promptTokensPerMs"),
+    fullBatchDelay: limitRate("fullBatchDelay"),
+  };
+}
+
 function limitRatio(ratio: number): number {
   return limit(Math.log(ratio), maxLogSlowness);
 }
--- a/src/node/gateway/engines/engine_usage.ts
+++ b/src/node/gateway/engines/engine_usage.ts
@@ -8,6 +8,8 @@
 /** Assumed time that a request runs before any has ended, in ms, and the weight of each that ends. */
 const initialRunTime = 1_500;
 const runTimeWeight = 0.05;
+/** Factor by which a run counts as longer than the average at most. */
+const maxRunFactor = 4;
 
 /** Requests of this node at one engine. */
 type UsageRecord = {
@@ -67,7 +69,8 @@
     const release = countRequest(record, record.running, key);
     return once(() => {
       record.runningRequests--;
-      const runTime = this.#now() - startedAt;
+      const longest = maxRunFactor * Math.max(1, this.#runTime);
+      const runTime = Math.min(longest, this.#now() - startedAt);
       this.#runTime += (runTime - this.#runTime) * runTimeWeight;
       release();
     });
--- a/src/node/gateway/servers/pace_tracker.ts
+++ b/src/node/gateway/servers/pace_tracker.ts
@@ -62,16 +62,22 @@
         reportCalls(server);
       },
       recordFirstEvent: () => {
-        if (expected !== undefined)
+        if (expected !== undefined && !this.#isBehind)
           this.#learnFirstEvent(server, expected, getElapsed());
       },
       recordWhole: (runTime) => {
+        if (this.#isBehind) return;
         if (isPlain) this.#learnRun(server, work, getElapsed());
         else this.#shareRun(server, this.#learnRun(server, work, runTime));
       },
     };
   }
 
+  /** Whether answers may have come earlier than this process handles them, so that they show no pace. */
+  get #isBehind(): boolean {
+    return this.#options.context.dependencies.backlog.isBehind;
+  }
+
   #learnFirstEvent(
     server: BackendServer,
     expected: DelayParts,
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -22,7 +22,7 @@
 } from "../../src/core/ids.ts";
 import { Gateway } from "../../src/node/gateway/gateway.ts";
 import type { LeaseRead } from "../../src/node/gateway/rows/lease_rows.ts";
-import { noBacklog } from "../../src/ports/event_backlog.ts";
+import { type EventBacklog, noBacklog } from "../../src/ports/event_backlog.ts";
 import type { ReportFailure } from "../../src/ports/failures.ts";
 import type {
   EngineOrders,
@@ -69,6 +69,7 @@
   readonly relayLinks?: RelayLinks;
   readonly reportFailure?: ReportFailure;
   readonly retryLimits?: ServiceRetryLimits;
+  readonly backlog?: EventBacklog;
 };
 
 /** Gateway with fakes for its ports, on a virtual clock. */
@@ -117,6 +118,7 @@
     relayLinks = noRelays,
     reportFailure,
     retryLimits = ampleRetryLimits,
+    backlog = noBacklog,
   }: GatewayFixtureOptions = {}) {
     this.clock = clock;
     this.table = table;
@@ -161,7 +163,7 @@
         this.attempts.push(attempt);
         queueMicrotask(() => onAttempt(attempt));
       }),
-      backlog: noBacklog,
+      backlog,
       probe,
       relayLinks,
       retryLimits,
--- a/tests/gateway/pace_exchange_test.ts
+++ b/tests/gateway/pace_exchange_test.ts
@@ -2,7 +2,10 @@
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
 import { findCrowd } from "../../src/core/gateway/server_crowds.ts";
-import { readSharedSlowness } from "../../src/core/gateway/server_pace.ts";
+import {
+  readSharedSlowness,
+  readSlowness,
+} from "../../src/core/gateway/server_pace.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import type { NodeMessage } from "../../src/ports/nodes.ts";
 import { GatewayFixture } from "./gateway_fixture.ts";
@@ -79,6 +82,31 @@
   assert.ok(slow.length < 12, `${slow.length} calls to the slow server`);
 });
 
+// Load: 20 calls whose answers wait in the process while it stands still for 0.9 s.
+// Guards against servers that count as slow because the node was.
+test("answers that were handled late because the process stood still show no pace", async () => {
+  const backlog = { isBehind: false, whenHandled: () => Promise.resolve() };
+  const node = new GatewayFixture({ backlog });
+  node.configure([createRoute({})]);
+  node.register(...plain);
+  await node.advance(1_000);
+  const answerAll = async (time: number) => {
+    for (let call = 0; call < 20; call++) node.open();
+    await node.advance(time);
+    backlog.isBehind = time > 100;
+    for (const attempt of node.attempts.splice(0)) attempt.answer("ok");
+    await node.advance(1);
+    backlog.isBehind = false;
+  };
+  for (let round = 0; round < 3; round++) await answerAll(50);
+  await answerAll(900);
+  const { paces } = node.gateway.context;
+  for (const server of plain) {
+    const slowness = readSlowness(paces, server, node.clock.now());
+    assert.ok(slowness < 1.1, `${slowness}`);
+  }
+});
+
 // Guards against homes by a pace that nobody measures: the owner of the engines
 // has to hear what the answers show.
 test("the owner of engines learns from answers which one is slow", async () => {
--- a/tests/gateway/plain_server_choice_test.ts
+++ b/tests/gateway/plain_server_choice_test.ts
@@ -11,10 +11,7 @@
   recordCalls,
   recordCrowd,
 } from "../../src/core/gateway/server_crowds.ts";
-import {
-  createServerHealth,
-  recordCallResult,
-} from "../../src/core/gateway/server_health.ts";
+import { createServerHealth } from "../../src/core/gateway/server_health.ts";
 import {
   createPaceTable,
   endCall,
--- a/tests/gateway/server_pace_test.ts
+++ b/tests/gateway/server_pace_test.ts
@@ -15,6 +15,12 @@
   readPromptRates,
   readSlowness,
 } from "../../src/core/gateway/server_pace.ts";
+import {
+  brandString,
+  formatModelKey,
+  type ModelName,
+} from "../../src/core/ids.ts";
+import { EngineUsageCounter } from "../../src/node/gateway/engines/engine_usage.ts";
 import { fixedPace, learnedPace, runEngines } from "./paced_engines.ts";
 import { createServer } from "./paced_servers.ts";
 
@@ -99,6 +105,33 @@
   }
 });
 
+// Load: 2,000 answers that each took a minute. Guards against rates without bound, by
+// which requests would be refused long after the engines have recovered.
+test("the rates of a service stay within a factor of ten of the defaults", () => {
+  const table = createPaceTable();
+  for (let i = 0; i < 2_000; i++) {
+    const expected = { prompts: 10, tokens: 10, batch: 10, slots: 10 };
+    const elapsed = millis(60_000);
+    learnFirstEvent(table, server, { expected, elapsed, now: millis(i) });
+  }
+  const own = estimateOwnPrompt(readPromptRates(table, service), 1_400);
+  const usual = estimateOwnPrompt(defaultPromptRates, 1_400);
+  assert.ok(sumDelays(own) < 10.01 * sumDelays(usual));
+});
+
+// Load: one run of ten minutes among usual ones. Guards against a wait at all engines
+// that is estimated from it for long.
+test("one very long run changes the average run time by a sixth at most", () => {
+  let now = millis(0);
+  const usage = EngineUsageCounter.create(() => now);
+  const key = formatModelKey(brandString<ModelName>("m"));
+  const before = usage.runTime;
+  const end = usage.trackRunning(server.id, key);
+  now = millis(600_000);
+  end();
+  assert.ok(usage.runTime < (before * 7) / 6, `${usage.runTime}`);
+});
+
 // Pattern: engines of one service that differ in speed by half. Requests queue
 // at the slow ones, whose queues look as short as those of the others.
 test("callers wait less before 42 engines, one or every fourth of them slow, than with one pace for all", () => {
