Hold no further engine back for a request that others rejected as well

Cause: an engine rejects a request that exceeds its memory as if it were full. Each engine that such a request was sent to got nothing else of the node for 40 ms up to 2 s, and it is sent up to 24 times, so that one caller could hold up all others. Result: a new test with two engines: the next request is sent within 20 ms, which failed before.

--- a/src/node/gateway/requests/failed_attempt.ts
+++ b/src/node/gateway/requests/failed_attempt.ts
@@ -30,10 +30,13 @@
     detail: `${kind}: ${attempt.detail}`,
     ...history.counts,
   });
+  // Engines also reject what exceeds their memory as if they were full; other
+  // requests must not wait for that.
+  const mayBeTooLarge = demand !== undefined && history.rejections > 0;
   history.recordAttemptEnd(kind, server.id);
   prompt.recordFailure(attempt, server);
   if (kind === "misdirected") forgetAdapter(context, demand, server);
-  if (recordAttemptHealth(context, server, kind))
+  if (recordAttemptHealth(context, server, { kind, mayBeTooLarge }))
     log.record("serverSuspended", { server, detail: kind });
 }
 
--- a/tests/gateway/order_under_load_test.ts
+++ b/tests/gateway/order_under_load_test.ts
@@ -4,7 +4,8 @@
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import { GatewayFixture } from "./gateway_fixture.ts";
-import { createRoute, createServer } from "./gateway_values.ts";
+import { createEngineFixture } from "./gateway_setups.ts";
+import { createDemand, createRoute, createServer } from "./gateway_values.ts";
 import type { RecordedAttempt } from "./recorded_exchange.ts";
 
 /** Kinds of requests of one service, most urgent first. */
@@ -230,6 +231,24 @@
   for (const { refusal } of refused) assert.equal(refusal?.outcome, "not-run");
 });
 
+// Load: one request that no engine has memory for, and one after it. Guards against a
+// single caller whose requests keep all engines from the others.
+test("a request that several engines reject holds up no other one", async () => {
+  const fixture = await createEngineFixture();
+  const demand = createDemand("a1");
+  fixture.open({ demand });
+  for (let rejection = 0; rejection < 2; rejection++) {
+    await fixture.advance(1);
+    fixture.attempts.pop()?.fail("not-run");
+  }
+  await fixture.advance(1);
+  fixture.attempts.splice(0);
+  fixture.open({ demand, path: "/b/next", target: "/b/next" });
+  await fixture.advance(20);
+  const paths = fixture.attempts.map(({ order }) => order.request.path);
+  assert.ok(paths.includes("/b/next"), `${paths}`);
+});
+
 // Load: six requests wait for a service without servers until two servers register.
 // Guards against a request that looks for a server before the one ahead of it is counted there.
 test("requests that wait for the same servers see each other's sends", async () => {
