End the wait of a request that leaves the line

Cause: the search of a request whose caller had left while it waited never settled, so that its timer stayed until the deadline of the request, also after a stop of the node. Change: leaving ends the wait with a kind of its own, and the search or the wait for a retry ends with it. Result: a new test, which failed before.

--- a/src/node/gateway/requests/request_wait.ts
+++ b/src/node/gateway/requests/request_wait.ts
@@ -156,8 +156,8 @@
     while (!hasEnded()) {
       const nextTurn = context.now() + retryPollInterval;
       if (nextTurn >= until) return false;
-      if ((await place.wait(retryNeed, millis(nextTurn))) === "outranked")
-        return false;
+      const end = await place.wait(retryNeed, millis(nextTurn));
+      if (end !== "turn") return false;
       if (context.takeEarnedRetry(plan.service)) return true;
     }
     // The request has ended, or goes on at another node.
--- a/src/node/gateway/requests/waiting_line.ts
+++ b/src/node/gateway/requests/waiting_line.ts
@@ -18,8 +18,8 @@
 /** Maximum number of requests that wait for servers of one service. */
 export const maxWaitingRequests = 2_000;
 
-/** How a wait in the line ended: the request may look for a server, or is refused for more urgent ones. */
-export type WaitEnd = "turn" | "outranked";
+/** How a wait in the line ended: the request may look for a server, is refused for more urgent ones, or has left. */
+export type WaitEnd = "turn" | "outranked" | "left";
 
 /** What a request waits for. */
 export type Need = {
@@ -246,7 +246,7 @@
   /** Leaves the line, since the request is sent or has ended. */
   leave(): void {
     this.#line.leave(this);
-    this.#resolve = undefined;
+    this.end("left");
     this.#endTurn(false);
   }
 
--- a/tests/gateway/waiting_line_test.ts
+++ b/tests/gateway/waiting_line_test.ts
@@ -103,6 +103,18 @@
   assert.equal(line.length, maxWaitingRequests);
 });
 
+// Guards against searches, and their timers, that go on until the deadline of a request
+// whose caller has left.
+test("a request that leaves the line ends its wait", async () => {
+  const { clock, join } = createLine();
+  const place = join(1);
+  const ends: string[] = [];
+  void waitFor(place).then((end) => ends.push(end));
+  place.leave();
+  await clock.advance(millis(0));
+  assert.deepEqual(ends, ["left"]);
+});
+
 // Guards against a request that is not woken while no event comes.
 test("without an event a request looks for a server every 60 ms", async () => {
   const { clock, join } = createLine();
