--- a/src/node/gateway/requests/request_wait.ts
+++ b/src/node/gateway/requests/request_wait.ts
@@ -114,8 +114,8 @@
   /** Takes the right to send the request to a server that limits the requests of all nodes. */
   async takePermit(server: BackendServer): Promise<Permit> {
     const { context, selector, plan, log, isEligible } = this.#options;
-    this.#place?.passTurn();
     if (!context.availability.isLimited(server)) return { kind: "not-needed" };
+    this.#place?.passTurn();
     const isOther = (other: BackendServer) =>
       other.id !== server.id && isEligible(other);
     const longest = selector.hasFreeServer(plan.service, isOther)
@@ -156,8 +156,8 @@
     while (!hasEnded()) {
       const nextTurn = context.now() + retryPollInterval;
       if (nextTurn >= until) return false;
-      if ((await place.wait(retryNeed, millis(nextTurn))) === "outranked")
-        return false;
+      const end = await place.wait(retryNeed, millis(nextTurn));
+      if (end !== "turn") return false;
       if (context.takeEarnedRetry(plan.service)) return true;
     }
     // The request has ended, or goes on at another node.
--- a/tests/gateway/order_under_load_test.ts
+++ b/tests/gateway/order_under_load_test.ts
@@ -4,7 +4,8 @@
 import type { BackendServer } from "../../src/core/gateway/servers.ts";
 import { brandString, type ServerId } from "../../src/core/ids.ts";
 import { GatewayFixture } from "./gateway_fixture.ts";
-import { createRoute, createServer } from "./gateway_values.ts";
+import { createEngineFixture } from "./gateway_setups.ts";
+import { createDemand, createRoute, createServer } from "./gateway_values.ts";
 import type { RecordedAttempt } from "./recorded_exchange.ts";
 
 /** Kinds of requests of one service, most urgent first. */
@@ -146,7 +147,6 @@
   });
   const [urgent = 0, usual = 0, idle = 0] = shares;
   const text = JSON.stringify({ tally, rejections: servers.rejections });
-  if (process.env.SHOW_TALLY) console.log(text);
   assert.ok(urgent >= 0.95, text);
   assert.ok(urgent >= usual && usual >= idle, text);
 });
@@ -206,7 +206,6 @@
   for (let i = 0; i < 20; i++) repeat();
   const tally = await play(servers, { interval: 50, duration: 3_000 });
   const text = JSON.stringify({ tally, repeats });
-  if (process.env.SHOW_TALLY) console.log(text);
   assert.ok(repeats > 20, text);
   assert.equal(tally.urgent?.served, tally.urgent?.opened, text);
   assert.ok(
@@ -232,6 +231,39 @@
   for (const { refusal } of refused) assert.equal(refusal?.outcome, "not-run");
 });
 
+// Load: one request that no engine has memory for, and one after it. Guards against a
+// single caller whose requests keep all engines from the others.
+test("a request that several engines reject holds up no other one", async () => {
+  const fixture = await createEngineFixture();
+  const demand = createDemand("a1");
+  fixture.open({ demand });
+  for (let rejection = 0; rejection < 2; rejection++) {
+    await fixture.advance(1);
+    fixture.attempts.pop()?.fail("not-run");
+  }
+  await fixture.advance(1);
+  fixture.attempts.splice(0);
+  fixture.open({ demand, path: "/b/next", target: "/b/next" });
+  await fixture.advance(20);
+  const paths = fixture.attempts.map(({ order }) => order.request.path);
+  assert.ok(paths.includes("/b/next"), `${paths}`);
+});
+
+// Load: six requests wait for a service without servers until two servers register.
+// Guards against a request that looks for a server before the one ahead of it is counted there.
+test("requests that wait for the same servers see each other's sends", async () => {
+  const fixture = new GatewayFixture({});
+  fixture.configure([createRoute({})]);
+  await fixture.advance(10);
+  for (let i = 0; i < 6; i++) fixture.open();
+  await fixture.advance(5);
+  fixture.register(first, second);
+  await fixture.advance(100);
+  const atFirst = fixture.attempts.filter(({ server }) => server === first.id);
+  assert.equal(fixture.attempts.length, 6);
+  assert.equal(atFirst.length, 3);
+});
+
 // Load: 60 requests a second of three kinds for four servers with room for 80, of which two
 // vanish after 1 s. Guards against inversion while the servers that are left take all.
 test("with half of the servers gone the urgent kind keeps its answers", async () => {
@@ -251,7 +283,6 @@
   });
   const tally = await play(servers, { interval: 50, duration: 4_000 });
   const text = JSON.stringify(tally);
-  if (process.env.SHOW_TALLY) console.log(text);
   const share = (kind: string) =>
     (tally[kind]?.served ?? 0) / (tally[kind]?.opened ?? 1);
   assert.ok(share("urgent") >= 0.95, text);
