Keep no body of a caller without a valid key

Keys were checked once the body had arrived, so callers without a key held the memory that is set aside for request bodies, and part of them got 503.

Requests that another node has passed on are judged as before.

--- a/src/node/gateway/requests/request_intake.ts
+++ b/src/node/gateway/requests/request_intake.ts
@@ -1,7 +1,9 @@
+import type { Either } from "purify-ts";
 import { type Millis, millis } from "../../../core/clock.ts";
 import {
   chooseTarget,
   findRoute,
+  type GatewayConfiguration,
   type GatewayRoute,
 } from "../../../core/gateway/configuration.ts";
 import {
@@ -18,7 +20,7 @@
 } from "../../../core/gateway/run_times.ts";
 import { formatModelAdapterKey, type ServiceName } from "../../../core/ids.ts";
 import { type Refusal, refuse } from "../../../core/results/refusal.ts";
-import type { ProxiedRequest } from "../../../ports/gateway.ts";
+import type { ProxiedRequest, UnreadRequest } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
 import { refuseWhileStopping } from "./request_refusals.ts";
 import { RequestTimeLimits } from "./request_time_limits.ts";
@@ -64,17 +66,41 @@
     journal.record("requestRefused", { requestId, revision, code, detail });
     return refuse(code, detail);
   }
-  return authenticate({
-    organisations: configuration.organisations,
-    isPublic: route.isPublic ?? false,
-    credential: request.credential,
-  }).caseOf({
+  return identifyCaller(configuration, route, request).caseOf({
     Left: (refusal) => recordRejection(context, request, route, refusal),
     Right: (organisation) =>
       planOnRoute(context, request, { route, organisation }),
   });
 }
 
+/**
+ * Refuses a request by its head alone, if no organisation has its key; so its body need not
+ * be kept. Without a configuration or a route, and if it was passed on, it is judged whole.
+ */
+export function rejectCaller(
+  context: GatewayContext,
+  request: UnreadRequest,
+): Refusal | undefined {
+  const { configuration } = context;
+  if (configuration?.organisations === undefined) return undefined;
+  if (request.relayed !== undefined) return undefined;
+  const route = findRoute(configuration, request);
+  if (route === undefined) return undefined;
+  return identifyCaller(configuration, route, request).caseOf({
+    Left: (refusal) => recordRejection(context, request, route, refusal),
+    Right: () => undefined,
+  });
+}
+
+function identifyCaller(
+  { organisations }: GatewayConfiguration,
+  route: GatewayRoute,
+  { credential }: UnreadRequest,
+): Either<Refusal, Organisation | undefined> {
+  const isPublic = route.isPublic ?? false;
+  return authenticate({ organisations, isPublic, credential });
+}
+
 /** Chooses the service of an identified caller's request on its route. */
 function planOnRoute(
   context: GatewayContext,
@@ -103,7 +129,7 @@
 /** Records that a caller could not be identified. */
 function recordRejection(
   { configuration, dependencies }: GatewayContext,
-  { requestId }: ProxiedRequest,
+  { requestId }: UnreadRequest,
   route: GatewayRoute,
   refusal: Refusal,
 ): Refusal {
--- a/src/ports/gateway.ts
+++ b/src/ports/gateway.ts
@@ -65,6 +65,9 @@
   readonly earlierRequests?: number;
 };
 
+/** A request of which only the head has arrived. */
+export type UnreadRequest = Omit<ProxiedRequest, "body">;
+
 /** Status and headers of a server's response. */
 export type ResponseHead = {
   readonly status: number;
--- a/tests/rig/crowd.ts
+++ b/tests/rig/crowd.ts
@@ -37,6 +37,11 @@
     await Promise.all(all);
   }
 
+  /** Writes the same bytes on all connections, behind what each has sent. */
+  async pushAll(bytes: string): Promise<void> {
+    await Promise.all(this.#sockets.map((socket) => push(socket, bytes)));
+  }
+
   close(): void {
     for (const socket of this.#sockets.splice(0)) socket.destroy();
   }
