Limit the bytes of all request bodies at the product's own interface

Each body was limited to 1 MB and the calls in flight to 4096, so that bodies which stop short of their end could take 4 GB of a node.

All bodies now count in one budget from limits.bodyBytes (64 MB by default) until their responses have ended, without the first 16 KB of each. Beyond it the largest that has not arrived whole is dropped and refused with 503 (noRoomForBody, not run) after its end. The limit of open connections, a constant so far, is limits.connections with the same default.

--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -5,6 +5,7 @@
   type ServerResponse,
 } from "node:http";
 import type { Clock } from "../../core/clock.ts";
+import type { ByteBudget } from "../../core/gateway/byte_budget.ts";
 import type { OrganisationDirectory } from "../../core/gateway/organisations.ts";
 import { brandString, parseAdapterKey } from "../../core/ids.ts";
 import { type Refusal, refuse } from "../../core/results/refusal.ts";
@@ -29,15 +30,16 @@
 const timeoutCheckMillis = 1_000;
 /** Maximum total size of the headers, in bytes. */
 const maxHeaderBytes = 16 * 1024;
-/** Maximum number of open caller connections. */
-const maxConnections = 10_000;
-
 /** Options of the caller server. */
 export type CallerServerOptions = {
   readonly front: FrontEndPort;
   readonly clock: Clock;
   readonly meter: Meter;
   readonly limits: InFlightLimiter;
+  /** Budget of all request bodies together; no limit by default. */
+  readonly bodies?: ByteBudget;
+  /** Maximum number of open connections; no limit by default. */
+  readonly maxConnections?: number;
   readonly readMetrics: () => Promise<string>;
   /** Organisations whose callers are served now; undefined if callers need no key. */
   readonly listOrganisations?: (() => OrganisationDirectory) | undefined;
@@ -65,7 +67,7 @@
   );
   server.headersTimeout = headersTimeoutMillis;
   server.requestTimeout = 0;
-  server.maxConnections = maxConnections;
+  server.maxConnections = options.maxConnections ?? Number.POSITIVE_INFINITY;
   server.on("drop", () => options.meter.count("refused_connections_total"));
   return server;
 }
@@ -100,9 +102,11 @@
     return sendRefusal(options, response, refusal, call);
   }
   onExchangeEnd(request, response, () => options.limits.leave(caller));
+  const budget = options.bodies;
   const body = await readBody(request, {
     clock: options.clock,
     stopping: options.admission?.stopping,
+    room: budget && { budget, response },
   });
   if (body.isLeft()) {
     response.setHeader("connection", "close");
--- a/src/adapters/settings/settings.ts
+++ b/src/adapters/settings/settings.ts
@@ -19,6 +19,10 @@
   .string()
   .regex(/^http:\/\/[0-9a-fA-F.:[\]]+:\d+$/, "must be http://IP:PORT");
 
+const megabyte = 1024 * 1024;
+/** Least that all request bodies together may take, so that one of the largest size is served. */
+const minBodyBytes = 4 * megabyte;
+
 const engineSchema = z.strictObject({
   id: name,
   region: name,
@@ -87,8 +91,16 @@
       inFlightPerCaller: z.number().int().min(1).default(1_024),
       /** Maximum length of the queue at the owner of an engine. */
       engineQueue: z.number().int().min(1).default(512),
+      /** Maximum size of all request bodies together, in bytes. */
+      bodyBytes: z
+        .number()
+        .int()
+        .min(minBodyBytes)
+        .default(64 * megabyte),
+      /** Maximum number of open connections of callers. */
+      connections: z.number().int().min(64).default(10_000),
     })
-    .default({ inFlight: 4_096, inFlightPerCaller: 1_024, engineQueue: 512 }),
+    .prefault({}),
 });
 
 /** Validated settings of one node. */
--- a/src/node/listeners.ts
+++ b/src/node/listeners.ts
@@ -9,6 +9,7 @@
 import { createPeerServer } from "../adapters/peers/peer_server.ts";
 import type { Settings } from "../adapters/settings/settings.ts";
 import { type Clock, millis } from "../core/clock.ts";
+import { ByteBudget } from "../core/gateway/byte_budget.ts";
 import type { NodeComponents } from "./wiring.ts";
 
 /** Maximum time that a stopped node waits until callers have taken their answers, in ms. */
@@ -57,6 +58,8 @@
           front: components.node,
           listOrganisations: organisations && (() => organisations.directory),
           limits: InFlightLimiter.create(settings.limits),
+          bodies: ByteBudget.create(settings.limits.bodyBytes),
+          maxConnections: settings.limits.connections,
           readMetrics: () => meter.registry.metrics(),
           admission,
         }),
--- a/tests/config/settings_test.ts
+++ b/tests/config/settings_test.ts
@@ -14,3 +14,19 @@
   assert.match(refusal.detail, /"stop\.timeoutMs": value 1000/);
   assert.equal(parseSettings(example).unsafeCoerce().stop.timeoutMs, 60_000);
 });
+
+// Guards against: a total for request bodies or connections with which an ordinary caller is refused.
+test("limits of bodies and connections have defaults, and values that are too low are named", () => {
+  const { limits } = parseSettings(example).unsafeCoerce();
+  assert.equal(limits.bodyBytes, 64 * 1024 * 1024);
+  assert.equal(limits.connections, 10_000);
+  for (const [field, value] of [
+    ["bodyBytes", 1024],
+    ["connections", 0],
+  ] as const) {
+    const content = { ...example, limits: { [field]: value } };
+    const refusal = parseSettings(content).swap().unsafeCoerce();
+    const expected = new RegExp(`"limits\\.${field}": value ${value}`);
+    assert.match(refusal.detail, expected);
+  }
+});
