Leave connections alone that a server reads without a listener

The pacer takes the place of the listener with which Node's server parses, a detail of Node. Where a server had none, the pacer's own listener took the bytes and passed them to nobody, so that every request waited for ever.

Such connections are now not followed. The test hung for 2 s before and is answered at once now.

--- a/src/adapters/http/read_pacer.ts
+++ b/src/adapters/http/read_pacer.ts
@@ -63,6 +63,8 @@
   /** Takes the place of the listener with which Node's server parses what it reads. */
   #follow(socket: Socket): void {
     const listeners = socket.listeners("data") as Reading["parse"][];
+    // A server that reads in another way is left to do so; its connections are never held.
+    if (listeners.length === 0) return;
     const reading: Reading = {
       socket,
       parse: (bytes) => {
