--- a/src/core/gateway/begin_in_time.ts
+++ b/src/core/gateway/begin_in_time.ts
@@ -10,8 +10,9 @@
 
 /**
  * Decides whether servers can begin a request before its deadline. `waits` are
- * those at the servers that may serve it, read until one is short enough; with no server known, it may wait for
- * one. `fullTime` is the time that a caller has when it sends the request again.
+ * those at the servers that may serve it, read until one is short enough; with no
+ * server known, the request may wait for one. `fullTime` is the time that a caller
+ * has when it sends the request again.
  */
 export function decideBegin(
   waits: Iterable<Millis>,
--- a/src/core/gateway/engine_backlog.ts
+++ b/src/core/gateway/engine_backlog.ts
@@ -47,6 +47,7 @@
 const reportLifetime = 1_500;
 /** Time after which a promised request is part of the report of its node, in ms. */
 const promiseLifetime = 350;
+
 /** Rates at which an engine reads prompts. */
 export type PromptRates = {
   readonly promptTokensPerMs: number;
--- a/src/node/gateway/engines/usage_reporter.ts
+++ b/src/node/gateway/engines/usage_reporter.ts
@@ -3,15 +3,13 @@
   confirmContents,
   recordContents,
 } from "../../../core/gateway/adapter_directory.ts";
-import type {
-  EngineBacklog,
-  EngineUsage,
-  OwnerReport,
-} from "../../../core/gateway/engine_backlog.ts";
 import {
   type DelayParts,
+  type EngineBacklog,
+  type EngineUsage,
   estimateBacklogDelay,
   estimateOwnPrompt,
+  type OwnerReport,
 } from "../../../core/gateway/engine_backlog.ts";
 import { estimateLoad } from "../../../core/gateway/engine_ranking.ts";
 import {
