Limit the requests sent ahead at the product's own interface

A connection was read on while its first request ran, so that all that it sent ahead was taken and kept behind that answer.

The caller server now follows its connections with ReadPacer and RequestsAhead: one with more than 16 requests open is not read on, and what it has brought counts in the budget of bodies. Up to one piece of 8 KB is parsed behind that limit, so that requests of less than 100 bytes may exceed it by a hundred.

All are answered in order.

--- a/src/adapters/callers/caller_server.ts
+++ b/src/adapters/callers/caller_server.ts
@@ -14,6 +14,8 @@
 import { readBody } from "../http/body.ts";
 import { onExchangeEnd } from "../http/exchange_end.ts";
 import type { Admission } from "../http/listener.ts";
+import { ReadPacer } from "../http/read_pacer.ts";
+import { RequestsAhead } from "../http/requests_ahead.ts";
 import { writeJson, writeRefusal } from "../http/responses.ts";
 import { type CallHeaders, parseCallHeaders } from "./call_headers.ts";
 import { identifyCaller } from "./caller_identity.ts";
@@ -36,7 +38,7 @@
   readonly clock: Clock;
   readonly meter: Meter;
   readonly limits: InFlightLimiter;
-  /** Budget of all request bodies together; no limit by default. */
+  /** Budget of all request bodies and requests sent ahead; no limit by default. */
   readonly bodies?: ByteBudget;
   /** Maximum number of open connections; no limit by default. */
   readonly maxConnections?: number;
@@ -62,9 +64,11 @@
         const detail = "The node is stopping and this connection ends";
         return sendRefusal(options, response, refuse("draining", detail));
       }
+      if (ahead?.admit(request, response) === false) return;
       void handleRequest(options, request, response);
     },
   );
+  const ahead = limitRequestsAhead(server, options);
   server.headersTimeout = headersTimeoutMillis;
   server.requestTimeout = 0;
   server.maxConnections = options.maxConnections ?? Number.POSITIVE_INFINITY;
@@ -72,6 +76,19 @@
   return server;
 }
 
+/** Limits the requests that a connection sends ahead, as part of the budget of bodies. */
+function limitRequestsAhead(
+  server: Server,
+  { bodies, clock, meter }: CallerServerOptions,
+): RequestsAhead | undefined {
+  if (bodies === undefined) return undefined;
+  return RequestsAhead.create({
+    budget: bodies,
+    pacer: ReadPacer.create(server, clock),
+    onCut: () => meter.count("callers_turned_away_total", { reason: "ahead" }),
+  });
+}
+
 async function handleRequest(
   options: CallerServerOptions,
   request: IncomingMessage,
