Explain where a request would go, without sending it

Cause: the only way to learn where a request would go was to send one and read the logs; operators asked for a command that explains the route, the credit, the waits and the choice without a request. Change: a dry run of the gateway reads the state of the node with the functions that decide on requests, and the nodes answer it on the peer listener. Checks that change what they read have a form that does not (mayHaveRoom, findObstacle, preview). A wrong argument gives the new code 6007.

--- a/src/adapters/peers/node_router.ts
+++ b/src/adapters/peers/node_router.ts
@@ -9,17 +9,20 @@
 import { z } from "zod";
 import { millis } from "../../core/clock.ts";
 import {
+  type AdapterName,
   brandString,
+  type OrganisationName,
   type RequestId,
   type ServiceName,
 } from "../../core/ids.ts";
+import type { DryRunHandler } from "../../ports/dry_runs.ts";
 import { ignoreFailures, type ReportFailure } from "../../ports/failures.ts";
 import type { NodeCallHandler } from "../../ports/nodes.ts";
 import type { RowServer } from "../../ports/rows.ts";
 import { encodeDelivery, positionFrame } from "./row_frames.ts";
 
 /** What a node does for the other nodes. */
-export type NodeService = NodeCallHandler & RowServer;
+export type NodeService = NodeCallHandler & RowServer & DryRunHandler;
 
 const trpc = initTRPC.context<NodeService>().create();
 const position = positionFrame.optional();
@@ -27,6 +30,9 @@
 /** Maximum number of nodes that a request for a permit passes over. */
 const maxSkippedNodes = 16;
 
+/** Maximum length of the path of a request, in characters. */
+const maxPathLength = 8_192;
+
 /** tRPC router for the calls between nodes. */
 export const nodeRouter = trpc.router({
   followRows: trpc.procedure
@@ -86,6 +92,39 @@
       const service = brandString<ServiceName>(input.service);
       return (await ctx.findStream({ id, service })) ?? null;
     }),
+  dryRun: trpc.procedure
+    .input(
+      z.object({
+        host: name,
+        path: z.string().min(1).max(maxPathLength),
+        organisation: name.optional(),
+        demand: z
+          .object({
+            model: name,
+            adapter: name.optional(),
+            promptTokens: z.number().int().min(0),
+            answerTokens: z.number().int().min(0),
+          })
+          .optional(),
+      }),
+    )
+    .query(({ ctx, input }) => {
+      const { host, path, organisation, demand } = input;
+      return ctx.dryRun({
+        host,
+        path,
+        organisation: organisation
+          ? brandString<OrganisationName>(organisation)
+          : undefined,
+        demand: demand && {
+          ...demand,
+          model: brandString(demand.model),
+          adapter: demand.adapter
+            ? brandString<AdapterName>(demand.adapter)
+            : undefined,
+        },
+      });
+    }),
   acquire: trpc.procedure
     .input(
       z.object({
--- a/src/cli/main.ts
+++ b/src/cli/main.ts
@@ -3,6 +3,7 @@
 import { drainCommand } from "./commands/drain.ts";
 import { explainCommand } from "./commands/explain.ts";
 import { nodeCommand } from "./commands/node.ts";
+import { routeCommand } from "./commands/route.ts";
 import { sheetCommand } from "./commands/sheet.ts";
 import { statusCommand } from "./commands/status.ts";
 import { timelineCommand } from "./commands/timeline.ts";
@@ -21,6 +22,7 @@
     status: statusCommand,
     timeline: timelineCommand,
     explain: explainCommand,
+    route: routeCommand,
     drain: drainCommand,
   },
 });
--- a/src/core/gateway/brittle_servers.ts
+++ b/src/core/gateway/brittle_servers.ts
@@ -90,20 +90,30 @@
   server.rejections++;
 }
 
-/** Whether a brittle server should have room for one more request of this node; true for others. */
-export function hasRoom(
+/** Whether a brittle server should have room for one more request of this node, its room as it is or grown by one; true for others. */
+export function mayHaveRoom(
   servers: BrittleServers,
   { id, born }: Incarnation,
-  moment: BrittleMoment,
+  { now, inFlight }: BrittleMoment,
 ): boolean {
   const server = servers.get(id);
   if (server === undefined) return true;
-  const { now, inFlight } = moment;
   // A new incarnation says so in its first answer; until then it gets single requests.
   if (server.born !== born) return inFlight === 0;
   if (now < server.heldUntil) return false;
-  if (inFlight < server.room) return true;
-  if (now < server.growsAt) return false;
+  return inFlight < server.room || now >= server.growsAt;
+}
+
+/** Whether a brittle server should have room, which grows by the request if it is due to. */
+export function hasRoom(
+  servers: BrittleServers,
+  incarnation: Incarnation,
+  moment: BrittleMoment,
+): boolean {
+  if (!mayHaveRoom(servers, incarnation, moment)) return false;
+  const server = servers.get(incarnation.id);
+  if (server === undefined || server.born !== incarnation.born) return true;
+  if (moment.inFlight < server.room) return true;
   server.room++;
   server.growsAt = planReturn(server.tolerance, moment);
   return true;
--- a/src/core/results/service_codes.ts
+++ b/src/core/results/service_codes.ts
@@ -152,4 +152,11 @@
     meaning: "The node does not answer",
     remedy: "Check the address and the key file",
   },
+  invalidArgument: {
+    number: 6007,
+    status: 400,
+    outcome: "not-run",
+    meaning: "An argument of the command is missing or invalid",
+    remedy: "Correct the argument named in the message",
+  },
 } as const satisfies Record<string, ResultCode>;
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -1,4 +1,5 @@
 import { type Cancel, type Millis, millis } from "../../core/clock.ts";
+import type { DryRun, DryRunQuery } from "../../core/gateway/dry_run.ts";
 import { findLatestStart } from "../../core/gateway/stopping.ts";
 import type { MachineName, SoftwareVersion } from "../../core/ids.ts";
 import type {
@@ -40,6 +41,7 @@
 import { CrashCheck } from "./requests/crash_check.ts";
 import { OpenRequests } from "./requests/open_requests.ts";
 import { PoisonGuard } from "./requests/poison_guard.ts";
+import { RequestDryRun } from "./requests/request_dry_run.ts";
 import { planRequest } from "./requests/request_intake.ts";
 import { LeaseManager } from "./rows/lease_manager.ts";
 import type { ReadLeaseRows } from "./rows/lease_rows.ts";
@@ -93,6 +95,7 @@
   readonly #incarnations: IncarnationWatch;
   readonly #streams: StreamKeeper;
   readonly #selector: ServerSelector;
+  readonly #dryRun: RequestDryRun;
   readonly #usage: EngineUsageCounter;
   readonly #usageReporter: UsageReporter;
   readonly #paces: PaceTracker;
@@ -240,6 +243,14 @@
       isKnown: (engine) => owners.isKnown(engine),
       models: ModelRequester.create(this.context, owners.requestModel),
     });
+    this.#dryRun = RequestDryRun.create({
+      context: this.context,
+      selector: this.#selector,
+      expectWait: (server, work) =>
+        this.#usageReporter.expectWait(server, work),
+      describeCredit: (organisation, units) =>
+        this.#quotas.describeCredit(organisation, units),
+    });
     this.#installation = InstallationTracker.create({
       context: this.context,
       onConfiguration: () => this.#engineControllers.reconcile(),
@@ -317,6 +328,11 @@
     });
   }
 
+  /** Describes where a request would go now, without sending it. */
+  dryRun(query: DryRunQuery): DryRun {
+    return this.#dryRun.describe(query);
+  }
+
   /** Handles a request of another node for an adapter on an engine that this node owns. */
   acquire(request: Parameters<NodeCallHandler["acquire"]>[0]) {
     return this.#engineControllers.acquire(request);
--- a/src/node/gateway/quotas/quota_manager.ts
+++ b/src/node/gateway/quotas/quota_manager.ts
@@ -4,6 +4,7 @@
   type Millis,
   millis,
 } from "../../../core/clock.ts";
+import type { CreditOutlook } from "../../../core/gateway/dry_run.ts";
 import type {
   Organisation,
   OrganisationDirectory,
@@ -161,6 +162,20 @@
     this.#count(name, "returned", units);
   }
 
+  /** Describes the credit for a request, without taking any or asking for it; undefined without a quota. */
+  describeCredit(
+    { name }: Organisation,
+    units: number,
+  ): CreditOutlook | undefined {
+    const account = this.#node.find(name);
+    if (account === undefined) return undefined;
+    const now = this.#options.clock.now();
+    const left = account.balance(now);
+    const missing = account.isDry(now) ? "used-up" : "short";
+    const state = left < account.findThreshold(units) ? missing : "sufficient";
+    return { units, left, state };
+  }
+
   stop(): void {
     this.#cancel();
   }
--- a/src/node/gateway/requests/request_intake.ts
+++ b/src/node/gateway/requests/request_intake.ts
@@ -149,7 +149,10 @@
   return refusal;
 }
 
-function describeWork({ demand }: ProxiedRequest): RequestWork {
+/** Describes the work of a request by the demand that its head states. */
+export function describeWork({
+  demand,
+}: Pick<ProxiedRequest, "demand">): RequestWork {
   if (demand === undefined) return plainWork;
   const { model, adapter, promptTokens, answerTokens } = demand;
   return {
--- a/src/node/gateway/requests/request_refusals.ts
+++ b/src/node/gateway/requests/request_refusals.ts
@@ -64,8 +64,16 @@
     const detail = `${maxWaitingRequests} more urgent requests wait for the service`;
     return refuse("outranked", detail, { retryAfter: spread });
   }
-  const retryAfter = millis(reason.returnsIn + spread);
-  const detail = `No server is expected to begin the request before its deadline; one may in ${Math.ceil(reason.returnsIn)} ms`;
+  return refuseTooLate(reason.returnsIn, spread);
+}
+
+/** Refusal of a request that no server is expected to begin in time; one may in `returnsIn` ms. */
+export function refuseTooLate(
+  returnsIn: Millis,
+  spread: Millis = millis(0),
+): Refusal {
+  const retryAfter = millis(returnsIn + spread);
+  const detail = `No server is expected to begin the request before its deadline; one may in ${Math.ceil(returnsIn)} ms`;
   return refuse("tooLateToBegin", detail, { retryAfter });
 }
 
--- a/src/node/gateway/requests/request_time_limits.ts
+++ b/src/node/gateway/requests/request_time_limits.ts
@@ -11,13 +11,16 @@
 /** Maximum wait for another server after a failed attempt, in ms. */
 const nextServerWait = 1_500;
 
+/** Arrival of a request and the time that its caller allows. */
+type RequestTimes = Pick<ProxiedRequest, "arrivedAt" | "deadline">;
+
 /** Times until which one request may wait and run. */
 export class RequestTimeLimits {
   /** End of the time that the route and the caller allow. */
   readonly end: Millis;
   readonly #firstServerWaitEnd: Millis;
 
-  private constructor(request: ProxiedRequest, route: GatewayRoute) {
+  private constructor(request: RequestTimes, route: GatewayRoute) {
     const { deadline = Number.POSITIVE_INFINITY, arrivedAt } = request;
     this.end = millis(arrivedAt + Math.min(route.timeout, deadline));
     const wait = Math.max(minWaitLimit, route.targetLatency * maxWaitFactor);
@@ -26,10 +29,7 @@
     );
   }
 
-  static create(
-    request: ProxiedRequest,
-    route: GatewayRoute,
-  ): RequestTimeLimits {
+  static create(request: RequestTimes, route: GatewayRoute): RequestTimeLimits {
     return new RequestTimeLimits(request, route);
   }
 
--- a/src/node/gateway/requests/waiting_lines.ts
+++ b/src/node/gateway/requests/waiting_lines.ts
@@ -31,6 +31,11 @@
     return line;
   }
 
+  /** The line of a service, if any request has waited for it. */
+  find(service: ServiceName): WaitingLine | undefined {
+    return this.#lines.get(service);
+  }
+
   /** Tells the line of a service that a server may have room. */
   notify(service: ServiceName): void {
     this.#lines.get(service)?.notify();
--- a/src/node/gateway/servers/adapter_selector.ts
+++ b/src/node/gateway/servers/adapter_selector.ts
@@ -116,6 +116,15 @@
     return createSelection(holder.server, holder.readyAt, version);
   }
 
+  /** Ranks the engines as the selection does before it asks any owner; the first one is the best. */
+  rank(
+    candidates: readonly BackendServer[],
+    { key, promptTokens }: Omit<WantedAdapter, "version">,
+  ): RankedEngine[] {
+    const version = this.#context.versions.get(key) ?? 0;
+    return this.#rank(candidates, { key, version, promptTokens });
+  }
+
   #rank(
     candidates: readonly BackendServer[],
     wanted: WantedAdapter,
--- a/src/node/gateway/servers/server_availability.ts
+++ b/src/node/gateway/servers/server_availability.ts
@@ -2,11 +2,13 @@
 import {
   type BrittleServers,
   hasRoom,
+  mayHaveRoom,
   parseTolerance,
   recordRejection,
   recordServed,
   recordTolerance,
 } from "../../../core/gateway/brittle_servers.ts";
+import type { ServerObstacle } from "../../../core/gateway/dry_run.ts";
 import {
   countCalls,
   type ServerHealth,
@@ -125,13 +127,27 @@
 
   /** Whether a further request may be assigned to the server; one with a permit may although later ones are denied. */
   canTakeNext(server: BackendServer, permit?: Permit): boolean {
+    return this.#findObstacle(server, hasRoom, permit) === undefined;
+  }
+
+  /** What keeps a further request from the server; changes nothing, unlike `canTakeNext`. */
+  findObstacle(server: BackendServer): ServerObstacle | undefined {
+    return this.#findObstacle(server, mayHaveRoom);
+  }
+
+  #findObstacle(
+    server: BackendServer,
+    checkRoom: typeof hasRoom,
+    permit?: Permit,
+  ): ServerObstacle | undefined {
     const current = this.#findCurrent(server);
-    if (!this.#pauses.canTakeNext(current)) return false;
-    if (isFull(this.#full, current, this.#clock.now())) return false;
-    if (!hasRoom(this.#brittle, current, this.#describeMoment(current)))
-      return false;
-    const hasPermit = permit?.kind === "granted";
-    return hasPermit || this.limits.findDenialEnd(current) === undefined;
+    if (!this.#pauses.canTakeNext(current)) return "paused";
+    if (isFull(this.#full, current, this.#clock.now())) return "no-room";
+    if (!checkRoom(this.#brittle, current, this.#describeMoment(current)))
+      return "no-room";
+    if (permit?.kind === "granted") return undefined;
+    const isDenied = this.limits.findDenialEnd(current) !== undefined;
+    return isDenied ? "limited" : undefined;
   }
 
   /** Earliest resumption of servers that all take no further request now; undefined if one of them does. */
--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -30,6 +30,16 @@
 /** Expected wait at the best engine from which its model needs a further copy, in ms. */
 const overloadWait = 1_000;
 
+/** Takes the place of a random number in a preview: the median, which favours no server. */
+const previewDraw = 0.5;
+
+/** The server that a selection would begin with. */
+export type SelectionPreview = {
+  readonly server: BackendServer;
+  /** The owner of the engine would be asked for the adapter. */
+  readonly asksOwner: boolean;
+};
+
 /** Which servers a request can run on. */
 export type Candidates = {
   readonly demand: ModelDemand | undefined;
@@ -81,7 +91,8 @@
     );
     const { demand, tried } = request;
     const untried = excludeServers(usable, tried);
-    if (demand === undefined) return this.#selectByRun(usable, untried);
+    const { random } = this.#context.dependencies;
+    if (demand === undefined) return this.#selectByRun(usable, untried, random);
     const withModel = untried.filter((server) =>
       holdsModel(server, demand.model),
     );
@@ -97,7 +108,7 @@
     }
     const selection =
       adapter === undefined
-        ? this.#selectByWait(withModel, demand)
+        ? this.#selectByWait(withModel, demand, random())
         : await this.#adapters.select(
             withModel,
             {
@@ -113,6 +124,44 @@
     return selection;
   }
 
+  /** The server that `select` would begin with; asks no owner, draws no random number and changes nothing. */
+  preview(
+    service: ServiceName,
+    { demand, isEligible }: Candidates,
+  ): SelectionPreview | undefined {
+    const { availability, directory } = this.#context;
+    const usable = listUsableServers(directory, service).filter(
+      (server) =>
+        isEligible(server) && availability.findObstacle(server) === undefined,
+    );
+    if (demand === undefined) {
+      const selection = this.#selectByRun(usable, usable, () => previewDraw);
+      return selection && { server: selection.server, asksOwner: false };
+    }
+    const { model, adapter, promptTokens } = demand;
+    const withModel = usable.filter((server) => holdsModel(server, model));
+    if (adapter === undefined) {
+      const selection = this.#selectByWait(withModel, demand, 0);
+      return selection && { server: selection.server, asksOwner: false };
+    }
+    const key = formatModelAdapterKey(model, adapter);
+    const [best] = this.#adapters.rank(withModel, { key, promptTokens });
+    if (best === undefined) return undefined;
+    return { server: best.server, asksOwner: best.readyAt === undefined };
+  }
+
+  /** Whether an engine of the service holds a model or may load it. */
+  findModelState(
+    service: ServiceName,
+    demand: ModelDemand | undefined,
+  ): "held" | "loadable" | "not-offered" {
+    if (demand === undefined) return "held";
+    const { model } = demand;
+    const registered = listUsableServers(this.#context.directory, service);
+    if (registered.some((server) => holdsModel(server, model))) return "held";
+    return this.#isOffered(service, model) ? "loadable" : "not-offered";
+  }
+
   /** Whether servers of the service are registered, but none that meets a condition. */
   hasOnlyServersBut(
     service: ServiceName,
@@ -174,12 +223,15 @@
     wanted: WantedModel,
     candidates: readonly BackendServer[],
   ): Promise<ModelAvailability> {
-    const engine = this.#context.configuration?.services.get(service)?.engine;
-    const isOffered = engine?.models.some(({ name }) => name === wanted.model);
-    if (isOffered !== true) return { kind: "declined" };
+    if (!this.#isOffered(service, wanted.model)) return { kind: "declined" };
     return this.#options.models.request(service, wanted, candidates);
   }
 
+  #isOffered(service: ServiceName, model: ModelName): boolean {
+    const engine = this.#context.configuration?.services.get(service)?.engine;
+    return engine?.models.some(({ name }) => name === model) ?? false;
+  }
+
   /** Asks for a further copy of a model whose engines are all overloaded. */
   #requestMoreCopies(
     service: ServiceName,
@@ -200,15 +252,16 @@
   #selectByRun(
     usable: readonly BackendServer[],
     untried: readonly BackendServer[],
+    random: () => number,
   ): ServerSelection | undefined {
-    const { paces, crowds, dependencies } = this.#context;
+    const { paces, crowds } = this.#context;
     const context = this.#context.selectionContext();
     const candidates = untried.length > 0 ? untried : usable;
     const server = chooseShortestRun(candidates, {
       ...context,
       paces,
       crowds,
-      random: dependencies.random,
+      random,
     });
     if (server === undefined) return undefined;
     return { server, readyAt: context.now, version: undefined };
@@ -218,20 +271,22 @@
   #selectByWait(
     candidates: readonly BackendServer[],
     { promptTokens }: ModelDemand,
+    offset: number,
   ): ServerSelection | undefined {
     const context = this.#context;
     const { estimateAnswer } = this.#options;
     const server = chooseShortestWait(candidates, {
       ...context.selectionContext(),
       estimateWait: (engine) => estimateAnswer(engine, promptTokens),
-      offset: context.dependencies.random(),
+      offset,
     });
     if (server === undefined) return undefined;
     return { server, readyAt: context.now(), version: undefined };
   }
 }
 
-function holdsModel(server: BackendServer, model: ModelName): boolean {
+/** Whether an engine holds a model. */
+export function holdsModel(server: BackendServer, model: ModelName): boolean {
   return server.models.some(({ name }) => name === model);
 }
 
--- a/tests/gateway/brittle_servers_test.ts
+++ b/tests/gateway/brittle_servers_test.ts
@@ -5,6 +5,7 @@
 import {
   type BrittleServers,
   hasRoom,
+  mayHaveRoom,
   parseTolerance,
   recordRejection,
   recordServed,
@@ -106,3 +107,17 @@
     assert.equal(parseTolerance(value), undefined, value);
   assert.ok(Number.isFinite(parseTolerance("Infinity")));
 });
+
+// Guards against a question about the room of a server that lets it grow.
+test("a question about the room says what a request would find and leaves the room as it is", () => {
+  const servers: BrittleServers = new Map();
+  const moment = { nodes: 1, inFlight: 3, random: () => 0 };
+  const start = { ...moment, now: millis(0) };
+  recordTolerance(servers, server, { ...start, tolerance: 4 });
+  const later = { ...moment, now: millis(duration) };
+  assert.equal(mayHaveRoom(servers, server, start), false);
+  assert.equal(mayHaveRoom(servers, server, later), true);
+  assert.equal(mayHaveRoom(servers, server, start), false);
+  assert.equal(hasRoom(servers, server, later), true);
+  assert.equal(mayHaveRoom(servers, server, start), true);
+});
--- a/tests/gateway/confined_failures_test.ts
+++ b/tests/gateway/confined_failures_test.ts
@@ -83,6 +83,7 @@
       requestPermit: fail,
       findStream: fail,
       serve: fail,
+      dryRun: fail,
     },
     report,
   );
--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -32,7 +32,12 @@
   RowOrigin,
   ServerNotice,
 } from "../../src/ports/gateway.ts";
-import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import {
+  type Journal,
+  type Meter,
+  silentJournal,
+  silentMeter,
+} from "../../src/ports/journal.ts";
 import type { NodeMessage } from "../../src/ports/nodes.ts";
 import { noRelays, type RelayLinks } from "../../src/ports/relays.ts";
 import type { Transaction } from "../../src/ports/table.ts";
@@ -69,6 +74,8 @@
   readonly relayLinks?: RelayLinks;
   readonly reportFailure?: ReportFailure;
   readonly retryLimits?: ServiceRetryLimits;
+  readonly journal?: Journal;
+  readonly meter?: Meter;
 };
 
 /** Gateway with fakes for its ports, on a virtual clock. */
@@ -117,6 +124,8 @@
     relayLinks = noRelays,
     reportFailure,
     retryLimits = ampleRetryLimits,
+    journal = silentJournal,
+    meter = silentMeter,
   }: GatewayFixtureOptions = {}) {
     this.clock = clock;
     this.table = table;
@@ -155,8 +164,8 @@
           : ConfinedClock.create(this.clock, reportFailure),
       ...(reportFailure === undefined ? {} : { reportFailure }),
       random: createSeededRandom(1),
-      journal: silentJournal,
-      meter: silentMeter,
+      journal,
+      meter,
       links: recordAttempts((attempt) => {
         this.attempts.push(attempt);
         queueMicrotask(() => onAttempt(attempt));
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -41,6 +41,7 @@
       return answer;
     },
     serve: async () => [],
+    dryRun: () => ({ kind: "refused", code: "notReady", detail: "" }),
     requestModel: async () => ({ kind: "refused", reason: "busy" }),
     requestPermit: async () => ({ kind: "denied", retryIn: millis(0) }),
     findStream: async () => undefined,
@@ -67,6 +68,7 @@
   const server = createNodeServer({
     acquire: async () => ({ kind: "refused", reason: "not-owner" }),
     serve: async () => [],
+    dryRun: () => ({ kind: "refused", code: "notReady", detail: "" }),
     requestModel: async () => ({ kind: "refused", reason: "busy" }),
     requestPermit: async (received) => {
       requests.push(received);
