Test that dry runs change nothing against a node without any

Cause: the test passed with a dry run that drew random numbers or took credit, since its node held no credit and knew no run times. Change: the requests before the dry runs give the node both; another test looks at the line of waiting requests.

--- a/tests/gateway/dry_run_test.ts
+++ b/tests/gateway/dry_run_test.ts
@@ -185,7 +185,10 @@
   assert.ok(verdict.kind === "refused" && verdict.code === "draining");
 });
 
-/** Runs requests of one organisation beyond its quota, with some dry runs before them; returns all that can be seen of the node. */
+/** Time that a server takes for a request, in ms. */
+const runTime = millis(50);
+
+/** Runs requests of one organisation, at last beyond its quota, with dry runs among them; returns all that can be seen of the node. */
 async function observeRequests(dryRuns: number) {
   const seen: unknown[] = [];
   const note =
@@ -200,38 +203,56 @@
       gauge: note("gauge"),
       observe: note("observe"),
     },
+    onAttempt: (attempt) =>
+      fixture.clock.schedule(runTime, () => attempt.answer("")),
   });
   fixture.configure([createRoute({})], 1, { organisations });
   fixture.register(first, second);
   await fixture.advance(startTime);
+  const open = () => fixture.open({ credential: createCredential("n1") });
+  const opened = [];
+  for (let i = 0; i < 40; i++) {
+    opened.push(open());
+    await fixture.advance(125);
+  }
   const runs = Array.from({ length: dryRuns }, () =>
     fixture.gateway.dryRun({
       ...query,
       organisation: brandString<OrganisationName>("north"),
     }),
   );
-  const answers = Array.from({ length: 20 }, () =>
-    fixture.open({ credential: createCredential("n1") }),
-  );
-  await fixture.advance(100);
-  const refused = answers.map(({ answer }) => answer.refusal?.code);
+  opened.push(...Array.from({ length: 40 }, open));
+  await fixture.advance(2_000);
+  const refusals = opened.map(({ answer }) => answer.refusal);
   const servers = fixture.attempts.map(({ server }) => server);
-  const lengths = fixture.gateway.context.lines.find(booking)?.length;
-  return { runs, seen, refused, servers, lengths };
+  return { runs, seen, refusals, servers };
 }
 
-// Guards against dry runs that take credit, draw from the random numbers of requests, join the line or are counted.
+// Guards against dry runs that take credit, draw from the random numbers of requests or are counted.
 test("dry runs change nothing that requests meet", async () => {
   const { runs: none, ...plain } = await observeRequests(0);
-  const { runs, ...asked } = await observeRequests(50);
+  const { runs, ...asked } = await observeRequests(3);
   assert.equal(none.length, 0);
-  assert.ok(plain.refused.includes("quotaExceeded"));
+  assert.ok(plain.refusals.some((found) => found?.code === "quotaExceeded"));
   assert.deepEqual(asked, plain);
   const [run] = runs;
   assert.ok(run?.kind === "routed");
-  // The node has lent what it does not use.
-  assert.equal(run.credit?.state, "short");
-  const { verdict } = findOutlook(run);
-  assert.ok(verdict.kind === "sent" && verdict.asksCredit);
+  assert.equal(run.credit?.state, "sufficient");
   assert.deepEqual(runs.at(-1), run);
 });
+
+// Guards against dry runs that join the line, or that overlook those who wait in it.
+test("a dry run sees the requests that wait and does not wait itself", async () => {
+  const fixture = new GatewayFixture();
+  fixture.configure([createRoute({})]);
+  fixture.gateway.dryRun(query);
+  const { lines } = fixture.gateway.context;
+  assert.equal(lines.find(booking), undefined);
+  fixture.register();
+  fixture.open();
+  await fixture.advance(10);
+  assert.equal(lines.find(booking)?.length, 1);
+  const { verdict } = findOutlook(fixture.gateway.dryRun(query));
+  assert.deepEqual(verdict, { kind: "waits", reason: "line" });
+  assert.equal(lines.find(booking)?.length, 1);
+});
