--- a/tests/gateway/gateway_fixture.ts
+++ b/tests/gateway/gateway_fixture.ts
@@ -32,7 +32,12 @@
   RowOrigin,
   ServerNotice,
 } from "../../src/ports/gateway.ts";
-import { silentJournal, silentMeter } from "../../src/ports/journal.ts";
+import {
+  type Journal,
+  type Meter,
+  silentJournal,
+  silentMeter,
+} from "../../src/ports/journal.ts";
 import type { NodeMessage } from "../../src/ports/nodes.ts";
 import { noRelays, type RelayLinks } from "../../src/ports/relays.ts";
 import type { Transaction } from "../../src/ports/table.ts";
@@ -70,6 +75,8 @@
   readonly reportFailure?: ReportFailure;
   readonly retryLimits?: ServiceRetryLimits;
   readonly backlog?: EventBacklog;
+  readonly journal?: Journal;
+  readonly meter?: Meter;
 };
 
 /** Gateway with fakes for its ports, on a virtual clock. */
@@ -119,6 +126,8 @@
     reportFailure,
     retryLimits = ampleRetryLimits,
     backlog = noBacklog,
+    journal = silentJournal,
+    meter = silentMeter,
   }: GatewayFixtureOptions = {}) {
     this.clock = clock;
     this.table = table;
@@ -157,8 +166,8 @@
           : ConfinedClock.create(this.clock, reportFailure),
       ...(reportFailure === undefined ? {} : { reportFailure }),
       random: createSeededRandom(1),
-      journal: silentJournal,
-      meter: silentMeter,
+      journal,
+      meter,
       links: recordAttempts((attempt) => {
         this.attempts.push(attempt);
         queueMicrotask(() => onAttempt(attempt));
