--- a/src/core/gateway/quota_account.ts
+++ b/src/core/gateway/quota_account.ts
@@ -90,6 +90,7 @@
   readonly #inflow: RateAverage;
   #terms: QuotaTerms;
   #earnedAt: Millis;
+  #hasEarned = false;
   /** Units of the latest request. */
   #lastUnits = 0;
   #ampleUntil = Number.NEGATIVE_INFINITY;
@@ -125,8 +126,9 @@
     this.#ampleUntil = Number.NEGATIVE_INFINITY;
   }
 
-  /** Adds the part of the rate of the time since the last call. */
+  /** Adds the part of the rate of the time since the last call, and at first that of the credit to begin with. */
   earn(part: number, now: Millis): void {
+    if (part > 0) this.#begin(part, now);
     const { rate } = this.#terms.quota;
     const { lifetime } = this.#terms;
     const elapsed = Math.min(now - this.#earnedAt, lifetime);
@@ -138,6 +140,13 @@
     if (amount > 0) this.receive([{ amount, born }], now);
   }
 
+  #begin(part: number, now: Millis): void {
+    if (this.#hasEarned) return;
+    this.#hasEarned = true;
+    const amount = this.#terms.startCredit * part;
+    if (amount > 0) this.receive([{ amount, born: now }], now);
+  }
+
   /** Units that may be used now; negative while a debt is open. */
   balance(now: Millis): number {
     this.#lots.expire(now - this.#terms.lifetime);
--- a/src/core/gateway/quota_terms.ts
+++ b/src/core/gateway/quota_terms.ts
@@ -16,6 +16,8 @@
 const gracePart = 0.2;
 /** Part that the pools may grant as a debt; two nodes may act as one pool for a time. */
 const debtPart = 0.12;
+/** Part that all nodes together begin with, since callers return at once after a restart of all. */
+const startPart = 0.2;
 /** Longest time that a request keeps expired credit, in ms. */
 const maxGrace = 1_000;
 /** Shortest lifetime of credit, in ms, within which it reaches another node. */
@@ -34,6 +36,8 @@
   readonly poolReserve: number;
   /** Balance from which the pool of all tells others to keep what they have left over. */
   readonly ample: number;
+  /** Units that all nodes together have when they begin to earn. */
+  readonly startCredit: number;
 };
 
 /** That balance as a share of all credit that the nodes can hold. */
@@ -61,6 +65,7 @@
     poolDebt: (excess * debtPart) / Math.max(1, pools),
     poolReserve: (capacity * reserveShare) / Math.max(1, pools),
     ample: capacity * ampleShare,
+    startCredit: excess * startPart,
   };
 }
 
