--- a/src/core/gateway/server_pace.ts
+++ b/src/core/gateway/server_pace.ts
@@ -172,24 +172,30 @@
 
 /** Time that a server took for recent answers to this node, relative to the mean of its service; 1 if nothing is known. */
 export function readSlowness(
-  { servers }: PaceTable,
-  { id, born }: Pick<PacedServer, "id" | "born">,
+  table: PaceTable,
+  server: PacedIncarnation,
   now: Millis,
 ): number {
-  const pace = servers.get(id);
-  if (pace === undefined || pace.born !== born) return 1;
-  return Math.exp(readOwn(pace, now));
+  const pace = findPace(table, server);
+  return pace === undefined ? 1 : Math.exp(readOwn(pace, now));
 }
 
 /** Slowness that all nodes together have measured, by which homes are weighted; 1 if none is known. */
 export function readSharedSlowness(
-  { servers }: PaceTable,
-  { id, born }: Pick<PacedServer, "id" | "born">,
+  table: PaceTable,
+  server: PacedIncarnation,
   now: Millis,
 ): number {
+  const pace = findPace(table, server);
+  return pace === undefined ? 1 : Math.exp(readShared(pace, now));
+}
+
+type PacedIncarnation = Pick<PacedServer, "id" | "born">;
+
+/** Pace of this incarnation of a server, if any is known. */
+function findPace({ servers }: PaceTable, { id, born }: PacedIncarnation) {
   const pace = servers.get(id);
-  if (pace === undefined || pace.born !== born) return 1;
-  return Math.exp(readShared(pace, now));
+  return pace?.born === born ? pace : undefined;
 }
 
 /** Mean rates at which the engines of a service read prompts. */
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -15,7 +15,6 @@
   NodeCallHandler,
   NodeChannel,
   NodeLinks,
-  NodeMessage,
 } from "../../ports/nodes.ts";
 import type { PermitAnswer, PermitRequest } from "../../ports/permits.ts";
 import type { RelayLinks } from "../../ports/relays.ts";
@@ -29,6 +28,7 @@
 import { OwnerCalls } from "./engines/owner_calls.ts";
 import { UsageReporter } from "./engines/usage_reporter.ts";
 import { PauseWatch } from "./pause_watch.ts";
+import { createMessageRouter } from "./peers/message_router.ts";
 import { NoticeHandler } from "./peers/notice_handler.ts";
 import { PeerContacts } from "./peers/peer_contacts.ts";
 import {
@@ -221,10 +221,6 @@
       crashes: CrashCheck.create(orders),
       broadcast: this.#broadcast,
     });
-    options.nodeChannel.onMessage((message, address) => {
-      contacts.recordContact(message.from);
-      this.#receive(message, address);
-    });
     const owners = OwnerCalls.create({
       context: this.context,
       leases: this.#leases,
@@ -274,6 +270,21 @@
       channel: options.nodeChannel,
       listAddresses: () => this.#leases.listOtherAddresses(),
     });
+    const route = createMessageRouter({
+      usage: this.#usageReporter,
+      paces: this.#paceExchange,
+      lines: this.context.lines,
+      notices: this.#notices,
+      crowds: this.#crowds,
+      quotas: this.#quotas,
+      relays: this.#relayPeers,
+      streams: this.#streams,
+      guard: this.#guard,
+    });
+    options.nodeChannel.onMessage((message, address) => {
+      contacts.recordContact(message.from);
+      route(message, address);
+    });
     this.#clockOffset = clock.wallNow() - clock.now();
     this.#pauses = PauseWatch.create(() => clock.now());
   }
@@ -413,39 +424,6 @@
     });
   }
 
-  #receive(message: NodeMessage, address: string): void {
-    switch (message.type) {
-      case "use":
-        this.#usageReporter.receive(message, address);
-        return this.#paceExchange.tell(message.from, address);
-      case "load":
-        this.#usageReporter.receive(message, address);
-        return this.context.lines.notifyAll();
-      case "leaving":
-        return this.#notices.receiveLeaving(message);
-      case "limit":
-        return this.#notices.receiveLimit(message);
-      case "pace":
-        return this.#paceExchange.receiveReport(message);
-      case "paces":
-        return this.#paceExchange.receiveNews(message);
-      case "calls":
-        return this.#crowds.receiveCalls(message);
-      case "crowd":
-        return this.#crowds.receiveCrowd(message);
-      case "credit":
-        return this.#quotas.receive(message);
-      case "reach":
-        return this.#relayPeers.receive(message);
-      case "stream":
-        return this.#streams.receive(message);
-      case "poison":
-      case "crashes":
-      case "trial":
-        return this.#guard.receive(message);
-    }
-  }
-
   /**
    * Removes expired servers, and invalidates the leases after a pause of the
    * process, since another node may have claimed them in the meantime.
