--- a/tests/daemon/crowded_bodies_alone_test.ts
+++ b/tests/daemon/crowded_bodies_alone_test.ts
@@ -1,18 +1,9 @@
 import assert from "node:assert/strict";
-import { after, before, test } from "node:test";
-import { RealClock } from "../../src/adapters/time/real_clock.ts";
+import { test } from "node:test";
 import { millis, sleep } from "../../src/core/clock.ts";
-import {
-  type Installation,
-  startInstallation,
-  stopInstallation,
-} from "../../src/demo/installation.ts";
-import { applyDemoSheet, waitUntilReady } from "../../src/demo/run.ts";
-import { assignFreePorts } from "../support/free_ports.ts";
 import { RawConnection } from "../support/raw_connection.ts";
-import { DaemonProcess } from "./daemon_process.ts";
+import { clock, useSpareNode } from "./spare_node.ts";
 
-const clock = RealClock.create();
 const path = "/services/chains/reservations";
 /** Connections that send a body at the same time, and the size of each body in bytes. */
 const callers = 400;
@@ -22,38 +13,18 @@
 /** How long the bodies stay unfinished, in ms. */
 const openTime = millis(3_000);
 
-let installation: Installation;
-let node: DaemonProcess;
-
-before(async () => {
-  installation = await startInstallation(clock, {
-    regions: ["tatry"],
-    nodesPerRegion: 2,
-    spareNodes: 1,
-  });
-  await applyDemoSheet(installation, clock);
-  await waitUntilReady(installation.daemons, clock);
-  const [settings] = installation.spare;
-  assert.ok(settings);
-  node = DaemonProcess.create(await assignFreePorts(settings));
-  await node.waitUntilReady();
-});
-
-after(async () => {
-  await node.stop();
-  await stopInstallation(installation);
-});
+const spare = useSpareNode();
 
 /** Sends a whole body except for its last byte. */
 async function sendUnfinished(): Promise<RawConnection> {
-  const connection = await RawConnection.open(node.callers);
+  const connection = await RawConnection.open(spare.node.callers);
   const head = `POST ${path} HTTP/1.1\r\nHost: a\r\nContent-Length: ${bodyBytes}\r\n\r\n`;
   connection.write(`${head}${"x".repeat(bodyBytes - 1)}`);
   return connection;
 }
 
 function sendCall(body: string): Promise<Response> {
-  return fetch(`http://${node.callers}${path}`, { method: "POST", body });
+  return fetch(`http://${spare.node.callers}${path}`, { method: "POST", body });
 }
 
 // Guards against bodies that together take the memory of the process, and against an
