Name the queue of waiting requests and the overload of servers by the field's terms

Cause: a reader of this language looks for a wait queue and for overloaded servers, not for a line and for crowds.

--- a/src/adapters/peers/node_message_codec.ts
+++ b/src/adapters/peers/node_message_codec.ts
@@ -65,7 +65,7 @@
     z.array(z.tuple([name, born, slowness])).max(maxPaces),
   ]),
   z.tuple([z.literal("calls"), name, name, born, count]),
-  z.tuple([z.literal("crowd"), name, name, born, count]),
+  z.tuple([z.literal("overload"), name, name, born, count]),
   z.tuple([z.literal("stream"), name, name, name, version]),
   z.tuple([
     z.literal("limit"),
@@ -125,7 +125,7 @@
       const { type, from, server, calls } = message;
       return [packr.pack([type, from, server.id, server.born ?? null, calls])];
     }
-    case "crowd": {
+    case "overload": {
       const { type, from, server, load } = message;
       return [packr.pack([type, from, server.id, server.born ?? null, load])];
     }
@@ -237,7 +237,7 @@
       const [type, , id, born, calls] = data;
       return { type, from, server: readIncarnation(id, born), calls };
     }
-    case "crowd": {
+    case "overload": {
       const [type, , id, born, load] = data;
       return { type, from, server: readIncarnation(id, born), load };
     }
--- a/src/cli/format_dry_run.ts
+++ b/src/cli/format_dry_run.ts
@@ -9,7 +9,7 @@
 import { resultCodes } from "../core/results/codes.ts";
 
 const waitReasons: Record<WaitReason, string> = {
-  line: "behind more urgent requests that wait for the same servers",
+  queue: "behind more urgent requests that wait for the same servers",
   "model-load": "until an engine has loaded the model",
   "no-server": "for a server that can take it",
   "servers-paused": "until a paused or limited server takes requests again",
--- a/src/core/gateway/dry_run.ts
+++ b/src/core/gateway/dry_run.ts
@@ -54,7 +54,11 @@
 };
 
 /** Why a request would wait at the node. */
-export type WaitReason = "line" | "model-load" | "no-server" | "servers-paused";
+export type WaitReason =
+  | "queue"
+  | "model-load"
+  | "no-server"
+  | "servers-paused";
 
 /** What would happen to a request. */
 export type DryRunVerdict =
@@ -179,7 +183,7 @@
     return { kind: "refused", code: "quotaExceeded", detail };
   }
   if (facts.reachesNoServer) return { kind: "passed-on" };
-  if (facts.isBehindOthers) return { kind: "waits", reason: "line" };
+  if (facts.isBehindOthers) return { kind: "waits", reason: "queue" };
   const { selected } = facts;
   if (selected === undefined) return judgeWithoutServer(facts);
   const { lateRefusal, server, asksOwner } = selected;
--- a/src/core/gateway/plain_server_choice.ts
+++ b/src/core/gateway/plain_server_choice.ts
@@ -3,13 +3,13 @@
   chooseLeastCost,
   type ServerSelectionContext,
 } from "./choose_server.ts";
-import { type CrowdView, findCrowd } from "./server_crowds.ts";
 import { estimateDistance } from "./server_distance.ts";
 import {
   countInFlight,
   isSuspended,
   readFailureRate,
 } from "./server_health.ts";
+import { findOverload, type OverloadView } from "./server_overload.ts";
 import {
   type PaceTable,
   readOldestCall,
@@ -32,7 +32,7 @@
 /** Inputs of the choice among servers without models. */
 export type PlainServerContext = ServerSelectionContext & {
   readonly paces: PaceTable;
-  readonly crowds: CrowdView;
+  readonly overloads: OverloadView;
   readonly random: () => number;
 };
 
@@ -74,7 +74,7 @@
   const { health, paces, now } = context;
   const { id, slots } = server;
   const load = Math.max(
-    findCrowd(context.crowds, server, now),
+    findOverload(context.overloads, server, now),
     countInFlight(health, id),
   );
   const excess = Math.max(0, load + 1 - slots);
--- a/src/core/gateway/server_crowds.ts
+++ b/src/core/gateway/server_overload.ts
@@ -2,21 +2,21 @@
 import type { MachineName, ServerId } from "../ids.ts";
 import type { BackendServer, Incarnation } from "./servers.ts";
 
-/** Requests beyond its slots from which a server is crowded, and free slots from which it no longer is. */
-const crowdedExcess = 1;
+/** Requests beyond its slots from which a server is overloaded, and free slots from which it no longer is. */
+const overloadExcess = 1;
 const freeSlots = 2;
-/** Change of the load of a crowded server that is published. */
+/** Change of the load of a overloaded server that is published. */
 const loadStep = 3;
-/** Minimum time between two publications of a crowded server, in ms for each node that gets them. */
+/** Minimum time between two publications of a overloaded server, in ms for each node that gets them. */
 const intervalPerNode = 0.25;
 /** Time after which the report of a node is ignored, in ms. */
 const reportLifetime = 3_000;
-/** Time after which a published load is ignored, and after which that of a crowded server is repeated, in ms. */
-const crowdLifetime = 1_200;
+/** Time after which a published load is ignored, and after which that of a overloaded server is repeated, in ms. */
+const overloadLifetime = 1_200;
 const repeatInterval = 500;
 
-/** Requests of all nodes at a server, or 0 if it is not crowded. */
-export type ServerCrowd = {
+/** Requests of all nodes at a server, or 0 if it is not overloaded. */
+export type ServerOverload = {
   readonly server: Incarnation;
   readonly load: number;
 };
@@ -44,7 +44,7 @@
     readonly nodes: number;
     readonly now: Millis;
   },
-): ServerCrowd | undefined {
+): ServerOverload | undefined {
   const { from, calls, nodes, now } = report;
   let ledger = ledgers.get(id);
   if (ledger === undefined || ledger.born !== born) {
@@ -73,7 +73,7 @@
     age,
   }: { readonly load: number; readonly slots: number; readonly age: number },
 ): boolean {
-  if (published === 0) return load >= slots + crowdedExcess;
+  if (published === 0) return load >= slots + overloadExcess;
   if (load <= slots - freeSlots || age >= repeatInterval) return true;
   return Math.abs(load - published) >= loadStep;
 }
@@ -87,26 +87,29 @@
   return sum;
 }
 
-/** Crowded servers, as a node last heard of them. */
-export type CrowdView = Map<ServerId, ServerCrowd & { readonly at: Millis }>;
+/** Overloaded servers, as a node last heard of them. */
+export type OverloadView = Map<
+  ServerId,
+  ServerOverload & { readonly at: Millis }
+>;
 
 /** Records a published load. */
-export function recordCrowd(
-  view: CrowdView,
-  crowd: ServerCrowd,
+export function recordOverload(
+  view: OverloadView,
+  overload: ServerOverload,
   now: Millis,
 ): void {
-  if (crowd.load === 0) view.delete(crowd.server.id);
-  else view.set(crowd.server.id, { ...crowd, at: now });
+  if (overload.load === 0) view.delete(overload.server.id);
+  else view.set(overload.server.id, { ...overload, at: now });
 }
 
-/** Requests of all nodes at a crowded server; 0 if it is not known to be crowded. */
-export function findCrowd(
-  view: CrowdView,
+/** Requests of all nodes at a overloaded server; 0 if it is not known to be overloaded. */
+export function findOverload(
+  view: OverloadView,
   { id, born }: Incarnation,
   now: Millis,
 ): number {
-  const crowd = view.get(id);
-  if (crowd === undefined || crowd.server.born !== born) return 0;
-  return now < crowd.at + crowdLifetime ? crowd.load : 0;
+  const overload = view.get(id);
+  if (overload === undefined || overload.server.born !== born) return 0;
+  return now < overload.at + overloadLifetime ? overload.load : 0;
 }
--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -111,9 +111,10 @@
     "Units that requests took from the quota, were refused or gave back, by organisation and result",
   quota_credit_moved_total:
     "Units that this node lent to the pool of its data centre or borrowed from it, by organisation and direction",
-  gateway_line_wait_ms:
-    "Time that requests waited in line for a server until they were sent or ended, by priority, in ms",
-  gateway_line_length: "Requests that wait in line for a server, by service",
+  gateway_queue_wait_ms:
+    "Time that requests waited in the queue for a server until they were sent or ended, by priority, in ms",
+  gateway_queue_length:
+    "Requests that wait in the queue for a server, by service",
   gateway_refusals_total: "Requests refused, by result code and priority",
   server_pauses_total:
     "Answers of servers that ask for a pause, by form of the value",
@@ -125,7 +126,7 @@
     "Reports of this node to the owners of engines on the pace that it measured",
   gateway_sends_by_place_total:
     "Attempts at servers by service and place: data-centre, region or other-region",
-  server_crowds_total:
+  server_overloads_total:
     "Publications of this node that a server without models has more requests than slots, or no longer, by state",
   server_limits_total:
     "Answers of servers that name a limit, by form of the value",
--- a/src/core/observe/request_events.ts
+++ b/src/core/observe/request_events.ts
@@ -142,7 +142,7 @@
     number: 330,
     level: "info",
     meaning:
-      "A request is refused, since more urgent ones fill the line of its service",
+      "A request is refused, since more urgent ones fill the queue of its service",
   },
   requestTooLateToBegin: {
     number: 331,
--- a/src/core/results/request_codes.ts
+++ b/src/core/results/request_codes.ts
@@ -144,7 +144,7 @@
     status: 503,
     outcome: "not-run",
     meaning:
-      "More urgent requests fill the line of those that wait for the service",
+      "More urgent requests fill the queue of those that wait for the service",
     remedy: "Send again after Retry-After",
   },
   noRoomForConnection: {
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -17,12 +17,12 @@
   type RunKind,
   type RunTimes,
 } from "../../core/gateway/run_times.ts";
-import type { CrowdView } from "../../core/gateway/server_crowds.ts";
 import type { NodeLocation } from "../../core/gateway/server_distance.ts";
 import {
   createServerHealth,
   type ServerHealth,
 } from "../../core/gateway/server_health.ts";
+import type { OverloadView } from "../../core/gateway/server_overload.ts";
 import {
   createPaceTable,
   type PaceTable,
@@ -56,7 +56,7 @@
 import type { ReportFailure } from "../../ports/failures.ts";
 import type { ProbeServer, ServerLinks } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
-import { WaitingLines } from "./requests/waiting_lines.ts";
+import { WaitQueues } from "./requests/wait_queues.ts";
 import { ReachWatch } from "./servers/reach_watch.ts";
 import { ServerAvailability } from "./servers/server_availability.ts";
 
@@ -114,11 +114,11 @@
   /** Speed of the servers, as the answers show it. */
   readonly paces: PaceTable = createPaceTable();
   /** Servers without models that have more requests than slots. */
-  readonly crowds: CrowdView = new Map();
+  readonly overloads: OverloadView = new Map();
   readonly availability: ServerAvailability;
   readonly reach: ReachWatch;
   /** Requests that wait for servers. */
-  readonly lines: WaitingLines;
+  readonly queues: WaitQueues;
   readonly adapterDirectory: AdapterDirectory = createAdapterDirectory();
   /** Newest declared version of each adapter. */
   readonly versions = new Map<ModelAdapterKey, number>();
@@ -137,7 +137,7 @@
 
   private constructor(dependencies: GatewayDependencies) {
     this.dependencies = dependencies;
-    this.lines = WaitingLines.create(dependencies);
+    this.queues = WaitQueues.create(dependencies);
     this.answerBudget = ByteBudget.create(
       maxBufferedAnswers,
       dependencies.held,
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -45,9 +45,9 @@
 import { planRequest } from "./requests/request_intake.ts";
 import { LeaseManager } from "./rows/lease_manager.ts";
 import type { ReadLeaseRows } from "./rows/lease_rows.ts";
-import { CrowdTracker } from "./servers/crowd_tracker.ts";
 import { IncarnationWatch } from "./servers/incarnation_watch.ts";
 import { InstallationTracker } from "./servers/installation_tracker.ts";
+import { OverloadTracker } from "./servers/overload_tracker.ts";
 import { PaceExchange } from "./servers/pace_exchange.ts";
 import { PaceTracker } from "./servers/pace_tracker.ts";
 import { ServerPermits } from "./servers/server_permits.ts";
@@ -100,7 +100,7 @@
   readonly #usageReporter: UsageReporter;
   readonly #paces: PaceTracker;
   readonly #paceExchange: PaceExchange;
-  readonly #crowds: CrowdTracker;
+  readonly #overloads: OverloadTracker;
   readonly #poison: PoisonManager;
   readonly #guard: PoisonGuard;
   readonly #broadcast: PoisonBroadcast;
@@ -195,7 +195,7 @@
       usage: this.#usage,
       channel: options.nodeChannel,
     });
-    this.#crowds = CrowdTracker.create({
+    this.#overloads = OverloadTracker.create({
       ...nodes,
       context: this.context,
       channel: options.nodeChannel,
@@ -210,7 +210,7 @@
     this.#paces = PaceTracker.create({
       context: this.context,
       onRatio: (engine, ratio) => this.#paceExchange.recordRatio(engine, ratio),
-      reportCalls: (server) => this.#crowds.report(server),
+      reportCalls: (server) => this.#overloads.report(server),
       describeDelay: (engine, promptTokens) =>
         this.#usageReporter.describeDelay(engine, promptTokens),
     });
@@ -252,7 +252,7 @@
       onConfiguration: () => this.#engineControllers.reconcile(),
       onServer: (server) => {
         this.#engineControllers.register(server);
-        this.context.lines.notify(server.service);
+        this.context.queues.notify(server.service);
       },
       onEntry: (server, maxAge) =>
         this.#incarnations.recordRegistration(server, maxAge),
@@ -260,7 +260,7 @@
         this.#incarnations.forget(id);
         this.#usageReporter.forget(id);
         owners.forget(id);
-        this.#crowds.forget(id);
+        this.#overloads.forget(id);
         this.#engineControllers.reconcile();
       },
     });
@@ -273,9 +273,9 @@
     const route = createMessageRouter({
       usage: this.#usageReporter,
       paces: this.#paceExchange,
-      lines: this.context.lines,
+      queues: this.context.queues,
       notices: this.#notices,
-      crowds: this.#crowds,
+      overloads: this.#overloads,
       quotas: this.#quotas,
       relays: this.#relayPeers,
       streams: this.#streams,
@@ -393,7 +393,7 @@
   async stop(): Promise<void> {
     this.#cancelChecks();
     this.#usageReporter.stop();
-    this.#crowds.stop();
+    this.#overloads.stop();
     this.#quotas.stop();
     this.#engineControllers.stop();
     this.#poison.stop();
--- a/src/node/gateway/peers/message_router.ts
+++ b/src/node/gateway/peers/message_router.ts
@@ -2,8 +2,8 @@
 import type { UsageReporter } from "../engines/usage_reporter.ts";
 import type { QuotaManager } from "../quotas/quota_manager.ts";
 import type { PoisonGuard } from "../requests/poison_guard.ts";
-import type { WaitingLines } from "../requests/waiting_lines.ts";
-import type { CrowdTracker } from "../servers/crowd_tracker.ts";
+import type { WaitQueues } from "../requests/wait_queues.ts";
+import type { OverloadTracker } from "../servers/overload_tracker.ts";
 import type { PaceExchange } from "../servers/pace_exchange.ts";
 import type { StreamKeeper } from "../streams/stream_keeper.ts";
 import type { NoticeHandler } from "./notice_handler.ts";
@@ -13,9 +13,9 @@
 export type MessageHandlers = {
   readonly usage: UsageReporter;
   readonly paces: PaceExchange;
-  readonly lines: WaitingLines;
+  readonly queues: WaitQueues;
   readonly notices: NoticeHandler;
-  readonly crowds: CrowdTracker;
+  readonly overloads: OverloadTracker;
   readonly quotas: QuotaManager;
   readonly relays: RelayPeers;
   readonly streams: StreamKeeper;
@@ -27,7 +27,7 @@
 
 /** Creates the router of the messages of other nodes. */
 export function createMessageRouter(handlers: MessageHandlers): MessageRouter {
-  const { usage, paces, lines, notices, crowds } = handlers;
+  const { usage, paces, queues, notices, overloads } = handlers;
   const { quotas, relays, streams, guard } = handlers;
   return (message, address) => {
     switch (message.type) {
@@ -36,7 +36,7 @@
         return paces.tell(message.from, address);
       case "load":
         usage.receive(message, address);
-        return lines.notifyAll();
+        return queues.notifyAll();
       case "leaving":
         return notices.receiveLeaving(message);
       case "limit":
@@ -46,9 +46,9 @@
       case "paces":
         return paces.receiveNews(message);
       case "calls":
-        return crowds.receiveCalls(message);
-      case "crowd":
-        return crowds.receiveCrowd(message);
+        return overloads.receiveCalls(message);
+      case "overload":
+        return overloads.receiveOverload(message);
       case "credit":
         return quotas.receive(message);
       case "reach":
--- a/src/node/gateway/requests/attempt_history.ts
+++ b/src/node/gateway/requests/attempt_history.ts
@@ -11,7 +11,7 @@
 
 /** Refusal of a request for the sake of others, or of its deadline. */
 export type TurnedAway =
-  /** More urgent requests fill the line. */
+  /** More urgent requests fill the queue. */
   | { readonly kind: "outranked" }
   /** No server can begin it before its deadline. */
   | Extract<BeginDecision, { kind: "too-late" }>;
--- a/src/node/gateway/requests/request_dry_run.ts
+++ b/src/node/gateway/requests/request_dry_run.ts
@@ -173,16 +173,16 @@
   #isBehindOthers(plan: RequestPlan, demand: ModelDemand | undefined): boolean {
     const { context } = this.#options;
     const { service } = plan;
-    const line = context.lines.find(service);
-    if (line === undefined) return false;
+    const queue = context.queues.find(service);
+    if (queue === undefined) return false;
     const criteria = { service, demand, isResumption: false, isEligible };
     const arrivedAt = context.now();
     const urgency = findRequestUrgency({ arrivedAt }, plan, {
       hasServer: false,
     });
     const { key } = describeNeed({ context, ...criteria });
-    // A place is in the line only once it waits.
-    return line.join(urgency).isBehindOthers(key);
+    // A place is in the queue only once it waits.
+    return queue.join(urgency).isBehindOthers(key);
   }
 
   #refuseIfLate(
--- a/src/node/gateway/requests/request_refusals.ts
+++ b/src/node/gateway/requests/request_refusals.ts
@@ -8,7 +8,7 @@
 import type { ModelDemand } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
 import type { AttemptHistory, TurnedAway } from "./attempt_history.ts";
-import { maxWaitingRequests } from "./waiting_line.ts";
+import { maxWaitingRequests } from "./wait_queue.ts";
 
 /** Delay before a refused caller should retry, in ms. */
 const retryDelay = millis(400);
--- a/src/node/gateway/requests/request_task.ts
+++ b/src/node/gateway/requests/request_task.ts
@@ -339,7 +339,7 @@
   ): Promise<AttemptResult | undefined> {
     if (this.#ending.refuseAtLimit()) return undefined;
     const attempt = this.#sends.send(selection, permit);
-    this.#wait.leaveLine();
+    this.#wait.leaveQueue();
     const result = await attempt;
     return result.end.kind === "whole" ? undefined : result;
   }
@@ -381,7 +381,7 @@
   #release(): void {
     this.#cancelTimeLimit();
     this.#quota.end(this.#ending.mayHaveRun || this.#forwarder.hasStarted);
-    this.#wait.leaveLine();
+    this.#wait.leaveQueue();
     this.#usage.release();
     this.#prompt.end();
     this.#run.end(false);
--- a/src/node/gateway/requests/request_wait.ts
+++ b/src/node/gateway/requests/request_wait.ts
@@ -10,7 +10,7 @@
 import type { RequestLog } from "./request_log.ts";
 import { findRequestUrgency } from "./request_urgency.ts";
 import { waitForServer } from "./server_wait.ts";
-import type { WaitingPlace } from "./waiting_line.ts";
+import type { QueuePlace } from "./wait_queue.ts";
 
 /** Maximum wait for a permit while another server may take the request, and while none may, in ms. */
 const shortPermitWait = 60;
@@ -41,7 +41,7 @@
 /** Waits of one request for a server, bounded by its time limits and by the stop of the node. */
 export class RequestWait {
   readonly #options: RequestWaitOptions;
-  #place: WaitingPlace | undefined;
+  #place: QueuePlace | undefined;
 
   private constructor(options: RequestWaitOptions) {
     this.#options = options;
@@ -128,8 +128,8 @@
     return permit;
   }
 
-  /** Leaves the line, since the request is sent or has ended. */
-  leaveLine(): void {
+  /** Leaves the queue, since the request is sent or has ended. */
+  leaveQueue(): void {
     const place = this.#place;
     if (place === undefined) return;
     this.#place = undefined;
@@ -138,12 +138,12 @@
     const wait = context.now() - place.joinedAt;
     const priority = String(plan.priority);
     const { meter } = context.dependencies;
-    meter.observe("gateway_line_wait_ms", wait, { priority });
+    meter.observe("gateway_queue_wait_ms", wait, { priority });
   }
 
   /**
    * Takes a retry from the budget of the service. A request that no server has
-   * run waits a short time for one, in the order of the line.
+   * run waits a short time for one, in the order of the queue.
    */
   async awaitRetry(): Promise<boolean> {
     const { context, plan, history, hasEnded, log } = this.#options;
@@ -178,10 +178,10 @@
     return resumption !== undefined && resumption.at > this.findEnd();
   }
 
-  #join(): WaitingPlace {
+  #join(): QueuePlace {
     const { context, request, plan } = this.#options;
     const urgency = findRequestUrgency(request, plan, { hasServer: false });
-    this.#place ??= context.lines.obtain(plan.service).join(urgency);
+    this.#place ??= context.queues.obtain(plan.service).join(urgency);
     return this.#place;
   }
 
--- a/src/node/gateway/requests/server_attempt.ts
+++ b/src/node/gateway/requests/server_attempt.ts
@@ -298,7 +298,7 @@
     this.#share?.release();
     const { context, serverRequest } = this.#options;
     recordCallEnd(context.health, serverRequest.server.id);
-    context.lines.notify(serverRequest.server.service);
+    context.queues.notify(serverRequest.server.service);
   }
 }
 
--- a/src/node/gateway/requests/server_need.ts
+++ b/src/node/gateway/requests/server_need.ts
@@ -6,7 +6,7 @@
 import { formatModelAdapterKey, type ServiceName } from "../../../core/ids.ts";
 import type { ModelDemand } from "../../../ports/gateway.ts";
 import type { GatewayContext } from "../context.ts";
-import type { Need } from "./waiting_line.ts";
+import type { Need } from "./wait_queue.ts";
 
 /** Which servers a request may go to. */
 type ServerCriteria = {
--- a/src/node/gateway/requests/server_wait.ts
+++ b/src/node/gateway/requests/server_wait.ts
@@ -16,7 +16,7 @@
 import type { ServerSelector } from "../servers/server_selector.ts";
 import { findLoadUrgency } from "./request_urgency.ts";
 import { describeNeed } from "./server_need.ts";
-import type { Need, WaitingPlace } from "./waiting_line.ts";
+import type { Need, QueuePlace } from "./wait_queue.ts";
 
 /** Maximum delay between two attempts to select a server, in ms. */
 const pollInterval = millis(60);
@@ -28,7 +28,7 @@
   readonly service: ServiceName;
   readonly demand: ModelDemand | undefined;
   /** Place of the request among those that wait for the service. */
-  readonly place: WaitingPlace;
+  readonly place: QueuePlace;
   /** Whether the request goes on with a stream, which not all servers may. */
   readonly isResumption: boolean;
   /** Whether a server may serve the request. */
@@ -53,7 +53,7 @@
   readonly onModelMissing: (availability: ModelAvailability) => void;
   /** Called with the end of the first pause while all servers are paused, and with undefined once one is not. */
   readonly onPaused: (resumption: Resumption | undefined) => void;
-  /** Called if more urgent requests fill the line. */
+  /** Called if more urgent requests fill the queue. */
   readonly onOutranked: () => void;
   /** Called if no server can begin the request before its deadline. */
   readonly onTooLate: (
@@ -84,7 +84,7 @@
   return selection;
 }
 
-/** Search of one request for a server, in the line of those that wait. */
+/** Search of one request for a server, in the queue of those that wait. */
 class ServerSearch {
   readonly #options: ServerWaitOptions;
   readonly #need: Need;
--- a/src/node/gateway/requests/waiting_line.ts
+++ b/src/node/gateway/requests/wait_queue.ts
@@ -8,7 +8,7 @@
 import type { ServiceName } from "../../../core/ids.ts";
 import type { Meter } from "../../../ports/journal.ts";
 
-/** Maximum time between two turns of a line, in ms. */
+/** Maximum time between two turns of a queue, in ms. */
 const maxTurnInterval = 60;
 /** Minimum time between two turns, in ms, however many events there are, and its extension for each request that waits. */
 const minTurnInterval = 10;
@@ -18,7 +18,7 @@
 /** Maximum number of requests that wait for servers of one service. */
 export const maxWaitingRequests = 2_000;
 
-/** How a wait in the line ended: the request may look for a server, is refused for more urgent ones, or has left. */
+/** How a wait in the queue ended: the request may look for a server, is refused for more urgent ones, or has left. */
 export type WaitEnd = "turn" | "outranked" | "left";
 
 /** What a request waits for. */
@@ -29,7 +29,7 @@
   readonly mayProceed: () => boolean;
 };
 
-type WaitingLineOptions = {
+type WaitQueueOptions = {
   readonly clock: Clock;
   readonly meter: Meter;
   readonly service: ServiceName;
@@ -40,20 +40,20 @@
  * order of their urgency; the next one looks for a server once the one before it
  * is sent or waits again.
  */
-export class WaitingLine {
-  readonly #options: WaitingLineOptions;
-  readonly #waiting = new Set<WaitingPlace>();
+export class WaitQueue {
+  readonly #options: WaitQueueOptions;
+  readonly #waiting = new Set<QueuePlace>();
   #cancelTimer: Cancel = () => {};
   #nextTurnAt = millis(Number.POSITIVE_INFINITY);
   #lastTurnAt = millis(Number.NEGATIVE_INFINITY);
   #isInTurn = false;
 
-  private constructor(options: WaitingLineOptions) {
+  private constructor(options: WaitQueueOptions) {
     this.#options = options;
   }
 
-  static create(options: WaitingLineOptions): WaitingLine {
-    return new WaitingLine(options);
+  static create(options: WaitQueueOptions): WaitQueue {
+    return new WaitQueue(options);
   }
 
   /** Number of requests that wait. */
@@ -62,8 +62,8 @@
   }
 
   /** Creates the place of a request, which waits from its first `wait` on. */
-  join(urgency: Urgency): WaitingPlace {
-    return WaitingPlace.create(urgency, {
+  join(urgency: Urgency): QueuePlace {
+    return QueuePlace.create(urgency, {
       clock: this.#options.clock,
       enter: (place, wakeAt) => this.#enter(place, wakeAt),
       leave: (place) => this.#remove(place),
@@ -71,7 +71,7 @@
     });
   }
 
-  /** Tells the line that a server may have room. */
+  /** Tells the queue that a server may have room. */
   notify(): void {
     if (this.#waiting.size > 0) this.#scheduleTurn(this.#now());
   }
@@ -80,7 +80,7 @@
     return this.#options.clock.now();
   }
 
-  #isBehind(place: WaitingPlace, key: string): boolean {
+  #isBehind(place: QueuePlace, key: string): boolean {
     const now = this.#now();
     for (const other of this.#waiting) {
       if (other === place || other.need?.key !== key) continue;
@@ -89,7 +89,7 @@
     return false;
   }
 
-  #enter(place: WaitingPlace, wakeAt: Millis): void {
+  #enter(place: QueuePlace, wakeAt: Millis): void {
     this.#waiting.add(place);
     if (this.#waiting.size > maxWaitingRequests) this.#refuseLeastUrgent();
     this.#reportLength();
@@ -97,13 +97,13 @@
     this.#scheduleTurn(millis(Math.min(wakeAt, latest)));
   }
 
-  #remove(place: WaitingPlace): void {
+  #remove(place: QueuePlace): void {
     if (this.#waiting.delete(place)) this.#reportLength();
   }
 
   #refuseLeastUrgent(): void {
     const now = this.#now();
-    let last: WaitingPlace | undefined;
+    let last: QueuePlace | undefined;
     for (const place of this.#waiting) {
       if (last === undefined) last = place;
       else if (compareUrgency(place.urgency, last.urgency, now) > 0)
@@ -114,7 +114,7 @@
     last.end("outranked");
   }
 
-  #listInOrder(): WaitingPlace[] {
+  #listInOrder(): QueuePlace[] {
     const now = this.#now();
     return [...this.#waiting].sort((a, b) =>
       compareUrgency(a.urgency, b.urgency, now),
@@ -172,7 +172,7 @@
 
   #reportLength(): void {
     const { meter, service } = this.#options;
-    meter.gauge("gateway_line_length", this.#waiting.size, { service });
+    meter.gauge("gateway_queue_length", this.#waiting.size, { service });
   }
 }
 
@@ -185,32 +185,32 @@
   return false;
 }
 
-/** What a place needs of its line. */
-type PlaceLine = {
+/** What a place needs of its queue. */
+type PlaceQueue = {
   readonly clock: Clock;
-  readonly enter: (place: WaitingPlace, wakeAt: Millis) => void;
-  readonly leave: (place: WaitingPlace) => void;
-  readonly isBehind: (place: WaitingPlace, key: string) => boolean;
+  readonly enter: (place: QueuePlace, wakeAt: Millis) => void;
+  readonly leave: (place: QueuePlace) => void;
+  readonly isBehind: (place: QueuePlace, key: string) => boolean;
 };
 
-/** The place of one request in the line of its service. */
-export class WaitingPlace {
+/** The place of one request in the queue of its service. */
+export class QueuePlace {
   readonly urgency: Urgency;
   readonly joinedAt: Millis;
-  readonly #line: PlaceLine;
+  readonly #queue: PlaceQueue;
   #need: Need | undefined;
   #enteredAt = millis(0);
   #resolve: ((end: WaitEnd) => void) | undefined;
   #onTurnEnd: ((waitsAgain: boolean) => void) | undefined;
 
-  private constructor(urgency: Urgency, line: PlaceLine) {
+  private constructor(urgency: Urgency, queue: PlaceQueue) {
     this.urgency = urgency;
-    this.#line = line;
-    this.joinedAt = line.clock.now();
+    this.#queue = queue;
+    this.joinedAt = queue.clock.now();
   }
 
-  static create(urgency: Urgency, line: PlaceLine): WaitingPlace {
-    return new WaitingPlace(urgency, line);
+  static create(urgency: Urgency, queue: PlaceQueue): QueuePlace {
+    return new QueuePlace(urgency, queue);
   }
 
   get need(): Need | undefined {
@@ -224,16 +224,16 @@
 
   /** Whether a more urgent request waits for the same servers. */
   isBehindOthers(key: string | undefined): boolean {
-    return key !== undefined && this.#line.isBehind(this, key);
+    return key !== undefined && this.#queue.isBehind(this, key);
   }
 
   /** Waits for the next turn, which begins at `wakeAt` at the latest. */
   wait(need: Need, wakeAt: Millis): Promise<WaitEnd> {
     this.#need = need;
-    this.#enteredAt = this.#line.clock.now();
+    this.#enteredAt = this.#queue.clock.now();
     return new Promise((resolve) => {
       this.#resolve = resolve;
-      this.#line.enter(this, wakeAt);
+      this.#queue.enter(this, wakeAt);
       this.#endTurn(true);
     });
   }
@@ -243,9 +243,9 @@
     this.#endTurn(false);
   }
 
-  /** Leaves the line, since the request is sent or has ended. */
+  /** Leaves the queue, since the request is sent or has ended. */
   leave(): void {
-    this.#line.leave(this);
+    this.#queue.leave(this);
     this.end("left");
     this.#endTurn(false);
   }
@@ -259,7 +259,7 @@
   /** Has the request look for a server; resolves to whether it waits again, at the latest after `patience` ms. */
   takeTurn(patience: Millis): Promise<boolean> {
     return new Promise((resolve) => {
-      const cancel = this.#line.clock.schedule(patience, () =>
+      const cancel = this.#queue.clock.schedule(patience, () =>
         this.#endTurn(false),
       );
       this.#onTurnEnd = (waitsAgain) => {
--- a/src/node/gateway/servers/crowd_tracker.ts
+++ b/src/node/gateway/servers/overload_tracker.ts
@@ -1,22 +1,22 @@
+import { countInFlight } from "../../../core/gateway/server_health.ts";
 import {
   type CallLedgers,
   recordCalls,
-  recordCrowd,
-  type ServerCrowd,
-} from "../../../core/gateway/server_crowds.ts";
-import { countInFlight } from "../../../core/gateway/server_health.ts";
+  recordOverload,
+  type ServerOverload,
+} from "../../../core/gateway/server_overload.ts";
 import type { BackendServer } from "../../../core/gateway/servers.ts";
 import type { MachineName } from "../../../core/ids.ts";
 import { chooseByRendezvous } from "../../../core/lease/rendezvous.ts";
 import type {
   CallsMessage,
-  CrowdMessage,
   NodeChannel,
+  OverloadMessage,
 } from "../../../ports/nodes.ts";
 import type { GatewayContext } from "../context.ts";
 import { CallReports } from "./call_reports.ts";
 
-type CrowdTrackerOptions = {
+type OverloadTrackerOptions = {
   readonly context: GatewayContext;
   readonly channel: NodeChannel;
   /** All nodes, this one included; undefined until they are known. */
@@ -27,15 +27,15 @@
 };
 
 /**
- * Tells the nodes which servers without models are crowded. For each server one
+ * Tells the nodes which servers without models are overloaded. For each server one
  * node, the first in rendezvous order, adds up the requests of all.
  */
-export class CrowdTracker {
-  readonly #options: CrowdTrackerOptions;
+export class OverloadTracker {
+  readonly #options: OverloadTrackerOptions;
   readonly #reports: CallReports;
   readonly #ledgers: CallLedgers = new Map();
 
-  private constructor(options: CrowdTrackerOptions) {
+  private constructor(options: OverloadTrackerOptions) {
     this.#options = options;
     this.#reports = CallReports.create({
       clock: options.context.dependencies.clock,
@@ -43,8 +43,8 @@
     });
   }
 
-  static create(options: CrowdTrackerOptions): CrowdTracker {
-    return new CrowdTracker(options);
+  static create(options: OverloadTrackerOptions): OverloadTracker {
+    return new OverloadTracker(options);
   }
 
   /** Reports the requests that this node has at a server, soon after they have changed. */
@@ -84,31 +84,31 @@
     if (server === undefined || server.born !== born) return;
     const { nodeCount: nodes } = context;
     const report = { from, calls, nodes, now: context.now() };
-    const crowd = recordCalls(this.#ledgers, server, report);
-    if (crowd !== undefined) this.#publish(crowd);
+    const overload = recordCalls(this.#ledgers, server, report);
+    if (overload !== undefined) this.#publish(overload);
   }
 
   /** Applies what another node says of a server. */
-  receiveCrowd({ server, load }: CrowdMessage): void {
+  receiveOverload({ server, load }: OverloadMessage): void {
     const { context } = this.#options;
-    recordCrowd(context.crowds, { server, load }, context.now());
+    recordOverload(context.overloads, { server, load }, context.now());
   }
 
   /** Removes a server that is gone. */
   forget(id: BackendServer["id"]): void {
     this.#reports.forget(id);
     this.#ledgers.delete(id);
-    this.#options.context.crowds.delete(id);
+    this.#options.context.overloads.delete(id);
   }
 
-  #publish(crowd: ServerCrowd): void {
+  #publish(overload: ServerOverload): void {
     const { context, channel, listAddresses } = this.#options;
     const { machine: from } = context.dependencies.identity;
-    recordCrowd(context.crowds, crowd, context.now());
-    context.dependencies.meter.count("server_crowds_total", {
-      state: crowd.load > 0 ? "crowded" : "free",
+    recordOverload(context.overloads, overload, context.now());
+    context.dependencies.meter.count("server_overloads_total", {
+      state: overload.load > 0 ? "overloaded" : "free",
     });
     for (const address of listAddresses())
-      channel.send(address, { type: "crowd", from, ...crowd });
+      channel.send(address, { type: "overload", from, ...overload });
   }
 }
--- a/src/node/gateway/servers/server_selector.ts
+++ b/src/node/gateway/servers/server_selector.ts
@@ -254,13 +254,13 @@
     untried: readonly BackendServer[],
     random: () => number,
   ): ServerSelection | undefined {
-    const { paces, crowds } = this.#context;
+    const { paces, overloads } = this.#context;
     const context = this.#context.selectionContext();
     const candidates = untried.length > 0 ? untried : usable;
     const server = chooseShortestRun(candidates, {
       ...context,
       paces,
-      crowds,
+      overloads,
       random,
     });
     if (server === undefined) return undefined;
--- a/src/ports/nodes.ts
+++ b/src/ports/nodes.ts
@@ -5,7 +5,7 @@
   OwnerReport,
 } from "../core/gateway/engine_backlog.ts";
 import type { LoadUrgency } from "../core/gateway/load_urgency.ts";
-import type { ServerCrowd } from "../core/gateway/server_crowds.ts";
+import type { ServerOverload } from "../core/gateway/server_overload.ts";
 import type { Incarnation } from "../core/gateway/servers.ts";
 import type { PaceNews, PaceReport } from "../core/gateway/shared_pace.ts";
 import type {
@@ -113,9 +113,9 @@
   readonly calls: number;
 };
 
-/** News that a server without models is crowded, or no longer. */
-export type CrowdMessage = ServerCrowd & {
-  readonly type: "crowd";
+/** News that a server without models is overloaded, or no longer. */
+export type OverloadMessage = ServerOverload & {
+  readonly type: "overload";
   readonly from: MachineName;
 };
 
@@ -142,7 +142,7 @@
   | CallsMessage
   | PaceMessage
   | PacesMessage
-  | CrowdMessage
+  | OverloadMessage
   | CreditMessage
   | StreamMessage;
 
--- a/tests/gateway/dry_run_test.ts
+++ b/tests/gateway/dry_run_test.ts
@@ -241,18 +241,18 @@
   assert.deepEqual(runs.at(-1), run);
 });
 
-// Guards against dry runs that join the line, or that overlook those who wait in it.
+// Guards against dry runs that join the queue, or that overlook those who wait in it.
 test("a dry run sees the requests that wait and does not wait itself", async () => {
   const fixture = new GatewayFixture();
   fixture.configure([createRoute({})]);
   fixture.gateway.dryRun(query);
-  const { lines } = fixture.gateway.context;
-  assert.equal(lines.find(booking), undefined);
+  const { queues } = fixture.gateway.context;
+  assert.equal(queues.find(booking), undefined);
   fixture.register();
   fixture.open();
   await fixture.advance(10);
-  assert.equal(lines.find(booking)?.length, 1);
+  assert.equal(queues.find(booking)?.length, 1);
   const { verdict } = findOutlook(fixture.gateway.dryRun(query));
-  assert.deepEqual(verdict, { kind: "waits", reason: "line" });
-  assert.equal(lines.find(booking)?.length, 1);
+  assert.deepEqual(verdict, { kind: "waits", reason: "queue" });
+  assert.equal(queues.find(booking)?.length, 1);
 });
--- a/tests/gateway/engine_backlog_test.ts
+++ b/tests/gateway/engine_backlog_test.ts
@@ -40,8 +40,8 @@
   const step =
     estimateBacklogWait(full, pace, 0) - estimateBacklogWait(free, pace, 0);
   assert.ok(step >= 125, `${step} ms`);
-  const crowded = { requests: 6, tokens: 0, running: 12 };
-  assert.ok(estimateBacklogWait(crowded, pace, 0) > 800);
+  const overloaded = { requests: 6, tokens: 0, running: 12 };
+  assert.ok(estimateBacklogWait(overloaded, pace, 0) > 800);
 });
 
 // Pattern: long prompts beside short streams. Running requests slow a long
--- a/tests/gateway/node_exchange_test.ts
+++ b/tests/gateway/node_exchange_test.ts
@@ -162,7 +162,7 @@
     calls: 2,
   },
   {
-    type: "crowd",
+    type: "overload",
     from: brandString("n1"),
     server: { id: brandString("p1"), born: undefined },
     load: 9,
--- a/tests/gateway/order_under_load_test.ts
+++ b/tests/gateway/order_under_load_test.ts
@@ -215,7 +215,7 @@
 });
 
 // Load: 20 requests a second of one kind for one server with room for 10, for 3 s.
-// Guards against a line that lets all of a burst become late.
+// Guards against a queue that lets all of a burst become late.
 test("a burst of one kind is served at the pace of the server, and the oldest ones first", async () => {
   const servers = await createServers(1, first);
   const answers: ReturnType<typeof open>[] = [];
--- a/tests/gateway/pace_exchange_test.ts
+++ b/tests/gateway/pace_exchange_test.ts
@@ -1,7 +1,7 @@
 import assert from "node:assert/strict";
 import { test } from "node:test";
 import { millis } from "../../src/core/clock.ts";
-import { findCrowd } from "../../src/core/gateway/server_crowds.ts";
+import { findOverload } from "../../src/core/gateway/server_overload.ts";
 import {
   readSharedSlowness,
   readSlowness,
@@ -56,7 +56,7 @@
   await first.advance(50);
   const findLoads = (node: GatewayFixture) =>
     plain.map((server) =>
-      findCrowd(node.gateway.context.crowds, server, node.clock.now()),
+      findOverload(node.gateway.context.overloads, server, node.clock.now()),
     );
   for (const node of [first, second])
     for (const load of findLoads(node)) assert.ok(load >= 7, `${load} calls`);
--- a/tests/gateway/paced_plain_servers.ts
+++ b/tests/gateway/paced_plain_servers.ts
@@ -9,12 +9,6 @@
   chooseShortestRun,
   type PlainServerPolicy,
 } from "../../src/core/gateway/plain_server_choice.ts";
-import {
-  type CallLedgers,
-  type CrowdView,
-  recordCalls,
-  recordCrowd,
-} from "../../src/core/gateway/server_crowds.ts";
 import {
   estimateDistance,
   type NodeLocation,
@@ -27,6 +21,12 @@
   recordCallStart,
   type ServerHealth,
 } from "../../src/core/gateway/server_health.ts";
+import {
+  type CallLedgers,
+  type OverloadView,
+  recordCalls,
+  recordOverload,
+} from "../../src/core/gateway/server_overload.ts";
 import {
   createPaceTable,
   endCall,
@@ -118,7 +118,7 @@
   readonly health: ServerHealth;
   readonly full: FullServers;
   readonly paces: PaceTable;
-  readonly crowds: CrowdView;
+  readonly overloads: OverloadView;
 };
 
 /** Runs nodes before servers without models, each slow for spells, on virtual time. */
@@ -152,7 +152,7 @@
       health: createServerHealth(),
       full: new Map(),
       paces: createPaceTable(),
-      crowds: new Map(),
+      overloads: new Map(),
     }));
   }
 
@@ -192,7 +192,7 @@
       ...node.location,
       health: node.health,
       paces: node.paces,
-      crowds: node.crowds,
+      overloads: node.overloads,
       now,
       random,
     });
@@ -243,12 +243,12 @@
       nodes: this.#nodes.length,
     };
     this.#deliver(node, server, (now) => {
-      const crowd = recordCalls(this.#ledgers, server, { ...report, now });
-      if (crowd === undefined) return;
+      const overload = recordCalls(this.#ledgers, server, { ...report, now });
+      if (overload === undefined) return;
       for (const other of this.#nodes) {
         this.#datagrams++;
         this.#deliver(other, server, (at) =>
-          recordCrowd(other.crowds, crowd, at),
+          recordOverload(other.overloads, overload, at),
         );
       }
     });
--- a/tests/gateway/plain_server_choice_test.ts
+++ b/tests/gateway/plain_server_choice_test.ts
@@ -5,13 +5,13 @@
   chooseShortestRun,
   type PlainServerContext,
 } from "../../src/core/gateway/plain_server_choice.ts";
+import { createServerHealth } from "../../src/core/gateway/server_health.ts";
 import {
   type CallLedgers,
-  findCrowd,
+  findOverload,
   recordCalls,
-  recordCrowd,
-} from "../../src/core/gateway/server_crowds.ts";
-import { createServerHealth } from "../../src/core/gateway/server_health.ts";
+  recordOverload,
+} from "../../src/core/gateway/server_overload.ts";
 import {
   createPaceTable,
   endCall,
@@ -42,7 +42,7 @@
     ...location,
     health: createServerHealth(),
     paces,
-    crowds: new Map(),
+    overloads: new Map(),
     now: millis(now),
     random: () => 0.5,
   };
@@ -70,16 +70,16 @@
   assert.deepEqual([isFullAt(359), isFullAt(360)], [true, false]);
 });
 
-test("a server that other nodes crowd gets no further call", () => {
+test("a server that other nodes overload gets no further call", () => {
   const context = createContext();
-  const crowd = { server: { id: first.id, born: first.born }, load: 8 };
-  recordCrowd(context.crowds, crowd, millis(0));
+  const overload = { server: { id: first.id, born: first.born }, load: 8 };
+  recordOverload(context.overloads, overload, millis(0));
   assert.equal(chooseShortestRun(servers, context), second);
-  recordCrowd(context.crowds, { ...crowd, load: 0 }, millis(1));
+  recordOverload(context.overloads, { ...overload, load: 0 }, millis(1));
   assert.equal(chooseShortestRun(servers, context), first);
 });
 
-test("the requests of all nodes make a server crowded, and it is published when that changes", () => {
+test("the requests of all nodes make a server overloaded, and it is published when that changes", () => {
   const ledgers: CallLedgers = new Map();
   const report = (node: number, calls: number, at: number) => {
     const from: MachineName = brandString(`n${node}`);
@@ -99,13 +99,13 @@
   assert.equal(report(7, 1, 3_500)?.load, 0);
 });
 
-test("the news that a server is crowded ends with it, and when it starts again", () => {
+test("the news that a server is overloaded ends with it, and when it starts again", () => {
   const view = new Map();
   const { id, born } = first;
-  recordCrowd(view, { server: { id, born }, load: 9 }, millis(0));
-  assert.equal(findCrowd(view, first, millis(100)), 9);
-  assert.equal(findCrowd(view, { id, born: 2 }, millis(100)), 0);
-  assert.equal(findCrowd(view, first, millis(5_000)), 0);
+  recordOverload(view, { server: { id, born }, load: 9 }, millis(0));
+  assert.equal(findOverload(view, first, millis(100)), 9);
+  assert.equal(findOverload(view, { id, born: 2 }, millis(100)), 0);
+  assert.equal(findOverload(view, first, millis(5_000)), 0);
 });
 
 /** Requests a second in each data centre, which crest one after another. */
--- a/tests/gateway/waiting_line_test.ts
+++ b/tests/gateway/wait_queue_test.ts
@@ -7,9 +7,9 @@
 import { brandString, type ServiceName } from "../../src/core/ids.ts";
 import {
   maxWaitingRequests,
-  WaitingLine,
-  type WaitingPlace,
-} from "../../src/node/gateway/requests/waiting_line.ts";
+  type QueuePlace,
+  WaitQueue,
+} from "../../src/node/gateway/requests/wait_queue.ts";
 import { silentMeter } from "../../src/ports/journal.ts";
 
 const need = { key: "any", mayProceed: () => true };
@@ -17,9 +17,9 @@
 function createLine() {
   const clock = VirtualClock.create();
   const service = brandString<ServiceName>("booking");
-  const line = WaitingLine.create({ clock, meter: silentMeter, service });
+  const queue = WaitQueue.create({ clock, meter: silentMeter, service });
   const join = (priority: number, promptTokens = 0) =>
-    line.join(
+    queue.join(
       describeUrgency({
         priority,
         arrivedAt: clock.now(),
@@ -29,16 +29,16 @@
         isStream: true,
       }),
     );
-  return { clock, line, join };
+  return { clock, queue, join };
 }
 
-function waitFor(place: WaitingPlace, wakeAt = 60) {
+function waitFor(place: QueuePlace, wakeAt = 60) {
   return place.wait(need, millis(wakeAt));
 }
 
 // Load: four requests wait and none arrives. Guards against whoever asks first being served.
 test("a turn wakes requests by priority, and the next one once the one before is sent", async () => {
-  const { clock, line, join } = createLine();
+  const { clock, queue, join } = createLine();
   const order: number[] = [];
   for (const priority of [2, 0, 1, 0]) {
     const place = join(priority);
@@ -48,16 +48,16 @@
       void Promise.resolve().then(() => place.leave());
     });
   }
-  line.notify();
+  queue.notify();
   await clock.advance(millis(1));
   assert.deepEqual(order, [0, 0, 1, 2]);
-  assert.equal(line.length, 0);
+  assert.equal(queue.length, 0);
 });
 
 // Load: 50 requests wait for the same servers, which have no room.
 // Guards against each event asking the servers once for every request that waits.
 test("an event wakes no further request once one of the same need waits again", async () => {
-  const { clock, line, join } = createLine();
+  const { clock, queue, join } = createLine();
   let turns = 0;
   for (let i = 0; i < 50; i++) {
     const place = join(1);
@@ -67,7 +67,7 @@
     };
     void waitFor(place).then(waitAgain);
   }
-  line.notify();
+  queue.notify();
   await clock.advance(millis(20));
   assert.equal(turns, 1);
   // At the latest after the interval of the timer, all look for themselves.
@@ -78,7 +78,7 @@
 // Load: 200 requests wait for 10 adapters that no engine has. Guards against a turn that
 // costs a look at all servers for every request that waits.
 test("a turn checks each need once, however many requests have it", async () => {
-  const { clock, line, join } = createLine();
+  const { clock, queue, join } = createLine();
   let checks = 0;
   const mayProceed = () => {
     checks++;
@@ -86,26 +86,26 @@
   };
   for (let i = 0; i < 200; i++)
     void join(1).wait({ key: `adapter ${i % 10}`, mayProceed }, millis(60));
-  line.notify();
+  queue.notify();
   await clock.advance(millis(5));
   assert.equal(checks, 10);
 });
 
-// Load: one more request than the line holds. Guards against a line that grows without
+// Load: one more request than the queue holds. Guards against a queue that grows without
 // bound, and against one that refuses whoever comes last.
-test("a full line refuses the least urgent request", async () => {
-  const { clock, line, join } = createLine();
+test("a full queue refuses the least urgent request", async () => {
+  const { clock, queue, join } = createLine();
   const ends: string[] = [];
   void waitFor(join(7)).then((end) => ends.push(`7 ${end}`));
   for (let i = 0; i < maxWaitingRequests; i++) void waitFor(join(3));
   await clock.advance(millis(0));
   assert.deepEqual(ends, ["7 outranked"]);
-  assert.equal(line.length, maxWaitingRequests);
+  assert.equal(queue.length, maxWaitingRequests);
 });
 
 // Guards against searches, and their timers, that go on until the deadline of a request
 // whose caller has left.
-test("a request that leaves the line ends its wait", async () => {
+test("a request that leaves the queue ends its wait", async () => {
   const { clock, join } = createLine();
   const place = join(1);
   const ends: string[] = [];
@@ -130,13 +130,13 @@
 });
 
 test("a request whose turn takes too long does not hold up the next one", async () => {
-  const { clock, line, join } = createLine();
+  const { clock, queue, join } = createLine();
   let isNextWoken = false;
   void waitFor(join(0));
   void waitFor(join(1)).then(() => {
     isNextWoken = true;
   });
-  line.notify();
+  queue.notify();
   await clock.advance(millis(10));
   assert.ok(isNextWoken);
 });
@@ -145,7 +145,7 @@
 // large; together 1.2 times what it can do. Each request waits 2 s at most.
 // Guards against large requests that wait for good behind small ones.
 test("in a mix of large and small work the large requests are served at least half as often", async () => {
-  const { clock, line, join } = createLine();
+  const { clock, queue, join } = createLine();
   const counts = { large: 0, servedLarge: 0, small: 0, servedSmall: 0 };
   let isFree = true;
   const serve = async (isLarge: boolean) => {
@@ -161,7 +161,7 @@
     else counts.servedSmall++;
     clock.schedule(millis(isLarge ? 282 : 35), () => {
       isFree = true;
-      line.notify();
+      queue.notify();
     });
   };
   for (let i = 0; i < 400; i++) {
