Let one refusal and one place check serve both of their twins

The refusal of a body without room and the part of a body that does not count stood in the reader of callers' bodies and in the platform's; the cost of a server's distance repeated the check of findPlace.

--- a/src/adapters/http/body.ts
+++ b/src/adapters/http/body.ts
@@ -15,7 +15,7 @@
 export const bodyTimeoutMillis = 10_000;
 
 /** Part of each body that does not count, so that small requests are taken beside large ones, in bytes. */
-const uncountedBytes = 16 * 1024;
+export const uncountedBytes = 16 * 1024;
 /** Delay before a caller whose request found no room should send it again, in ms. */
 const retryDelay = millis(400);
 
@@ -124,7 +124,8 @@
   return share;
 }
 
-function refuseWithoutRoom(): Refusal {
+/** Refuses a request whose body found no room, with a delay to send it again after. */
+export function refuseWithoutRoom(): Refusal {
   const detail = "The node has no room for more request bodies";
   return refuse("noRoomForBody", detail, { retryAfter: retryDelay });
 }
--- a/src/core/gateway/choose_server.ts
+++ b/src/core/gateway/choose_server.ts
@@ -1,6 +1,6 @@
 import type { Millis } from "../clock.ts";
 import type { ServerId } from "../ids.ts";
-import type { NodeLocation } from "./server_distance.ts";
+import { findPlace, type NodeLocation } from "./server_distance.ts";
 import {
   countInFlight,
   isSuspended,
@@ -32,10 +32,14 @@
   server: BackendServer,
   context: ServerSelectionContext,
 ): number {
-  if (server.dataCentre === context.dataCentre) return 0;
-  return context.regionOf(server.dataCentre) === context.region
-    ? otherDataCentreCost
-    : otherRegionCost;
+  switch (findPlace(server, context)) {
+    case "data-centre":
+      return 0;
+    case "region":
+      return otherDataCentreCost;
+    case "other-region":
+      return otherRegionCost;
+  }
 }
 
 /** Selects the server with the lowest cost by own calls in flight, distance and failures; suspended ones come last. */
