Log how long the process handled no event, and how much it computed meanwhile

Event 510 compares two clocks, which both go on meanwhile.

Change: the check that already notices such a gap (over 250 ms) records event 521 with the gap and the processor time used in it, and counts it in process_stall_ms. `explain` shows it beside a request.

A process that computes for 1 s and one that is paused for 1 s can be told apart (process_stalls_test).

--- a/src/core/observe/metrics.ts
+++ b/src/core/observe/metrics.ts
@@ -85,6 +85,8 @@
     "Requests passed on to another node while this one reaches no server, by how that ended",
   gateway_requests_held_back_total:
     "Requests that waited before they were sent until the events of a standstill were handled, by whether their callers had left",
+  process_stall_ms:
+    "Time for which the process handled no event, in ms; only times above 250 ms",
   gateway_bodies_stalled_total:
     "Requests refused because nothing of their bodies arrived for too long",
   callers_turned_away_total:
--- a/src/core/observe/platform_events.ts
+++ b/src/core/observe/platform_events.ts
@@ -55,6 +55,12 @@
     meaning:
       "The process was paused or its clock jumped; leases are read again",
   },
+  processStalled: {
+    number: 521,
+    level: "warn",
+    meaning:
+      "The process handled no event for a time: it was busy if its processor time is near the gap, else paused or not scheduled",
+  },
   useChannelFailed: {
     number: 511,
     level: "warn",
--- a/src/core/observe/request_trace.ts
+++ b/src/core/observe/request_trace.ts
@@ -43,6 +43,7 @@
   "storeLost",
   "storeRegained",
   "processPaused",
+  "processStalled",
   "revisionInForce",
 ]);
 
--- a/src/node/daemon.ts
+++ b/src/node/daemon.ts
@@ -12,6 +12,7 @@
 import { ObjectClient } from "../adapters/platform/object_client.ts";
 import { TableClient } from "../adapters/platform/table_client.ts";
 import type { Settings } from "../adapters/settings/settings.ts";
+import { readProcessorTime } from "../adapters/time/processor_time.ts";
 import { RealClock } from "../adapters/time/real_clock.ts";
 import { type Cancel, millis } from "../core/clock.ts";
 import { brandString, type NodeId } from "../core/ids.ts";
@@ -83,6 +84,7 @@
       backEnds,
       forwarder,
       datagrams,
+      readProcessorTime,
       onDrain: (requestedAt) => {
         listeners?.startClosing();
         const stopAt = requestedAt + settings.stop.timeoutMs - closeTimeout;
--- a/src/node/gateway/context.ts
+++ b/src/node/gateway/context.ts
@@ -56,6 +56,7 @@
 import type { ReportFailure } from "../../ports/failures.ts";
 import type { ProbeServer, ServerLinks } from "../../ports/gateway.ts";
 import type { Journal, Meter } from "../../ports/journal.ts";
+import type { ReadProcessorTime } from "./pause_watch.ts";
 import { WaitQueues } from "./requests/wait_queues.ts";
 import { ReachWatch } from "./servers/reach_watch.ts";
 import { ServerAvailability } from "./servers/server_availability.ts";
@@ -94,6 +95,7 @@
   readonly quotaTolerance?: QuotaTolerance;
   /** Budget of all that the process holds for callers; kept answers have a limit of their own without. */
   readonly held?: ByteBudget;
+  readonly readProcessorTime?: ReadProcessorTime;
 };
 
 /** Planned stop of the process. */
--- a/src/node/gateway/gateway.ts
+++ b/src/node/gateway/gateway.ts
@@ -286,7 +286,7 @@
       route(message, address);
     });
     this.#clockOffset = clock.wallNow() - clock.now();
-    this.#pauses = PauseWatch.create(() => clock.now());
+    this.#pauses = PauseWatch.create(options);
   }
 
   static create(options: GatewayOptions): Gateway {
--- a/src/node/node.ts
+++ b/src/node/node.ts
@@ -37,7 +37,7 @@
 import { EngineDirectory } from "./engine_directory.ts";
 import type { PermitSource } from "./engine_owner.ts";
 import { EngineOwners, type LocalEngine } from "./engine_owners.ts";
-import { PauseWatch } from "./gateway/pause_watch.ts";
+import { PauseWatch, type ReadProcessorTime } from "./gateway/pause_watch.ts";
 import { createLifecycleMachine } from "./lifecycle.ts";
 import { RoutingManager } from "./routing_manager.ts";
 import {
@@ -91,6 +91,7 @@
   readonly onDemand?: (adapter: AdapterKey) => void;
   /** Called for each session of another node that this node has removed. */
   readonly onSessionRemoved?: (lease: LeaseId) => void;
+  readonly readProcessorTime?: ReadProcessorTime;
   /** Time from the request for a drain in which the node ends; unlimited by default. */
   readonly stopTimeout?: Millis;
   /** Called once when a drain starts, with the time at which it was requested. */
@@ -156,7 +157,7 @@
       onLeaving: (_, server) => this.markLeaving(server),
       exitAt: () => this.#drain.giveUpAt,
     });
-    this.#pauses = PauseWatch.create(() => options.clock.now());
+    this.#pauses = PauseWatch.create(options);
     this.#drain = Drain.create({
       ...options,
       drafts: this.drafts,
--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -31,6 +31,7 @@
 import type { PeerForwarder } from "../ports/peers.ts";
 import type { BackEnds } from "./back_ends.ts";
 import { ConfigurationManager } from "./configuration_manager.ts";
+import type { ReadProcessorTime } from "./gateway/pause_watch.ts";
 import { reportGauges } from "./gauge_report.ts";
 import { reportLease } from "./lease_report.ts";
 import { LoadBudget } from "./load_budget.ts";
@@ -55,6 +56,7 @@
   readonly backEnds: BackEnds;
   readonly forwarder: PeerForwarder;
   readonly datagrams: Datagrams;
+  readonly readProcessorTime: ReadProcessorTime;
   readonly onDrain: (requestedAt: Millis) => void;
   readonly onStopped: () => void;
 };
@@ -208,8 +210,8 @@
   }
 
   #createNode(): Node {
-    const { settings, table, backEnds, forwarder, onDrain, onStopped } =
-      this.#options;
+    const { settings, table, backEnds, forwarder } = this.#options;
+    const { readProcessorTime, onDrain, onStopped } = this.#options;
     const { durationMs, renewMs, marginMs } = settings.lease;
     return Node.create({
       ...this.#shared,
@@ -232,6 +234,7 @@
       },
       onSessionRemoved: (lease) => this.#reclaimPermits(lease),
       onDemand: (adapter) => this.#placement.recordDemand(adapter),
+      readProcessorTime,
       stopTimeout: millis(settings.stop.timeoutMs),
       onDrain,
       onStopped,
