Replace node:assert in the bundles, so that a failed assertion costs no seconds

Cause: undici checks what a server sends with `assert(value)`. For a failed assertion without a message Node 20 reads the source at its place and parses it again and again until it has a whole expression. The program is one minified file of 1.6 MB in a few lines, and the process does nothing else meanwhile. It happens once for each assertion after each start.

Change: a bundle gets a module for `node:assert` that gives each assertion a message; Node then reads no source. It serves both bundles, that of the platform and that of the executable, whose options now stand in one place. It holds for all assertions of all libraries rather than for the two that are known.

Why it works: the search for the expression starts only if there is no message. The failed assertion itself was harmless: undici destroys the connection, and the attempt counts as broken.

--- a/scripts/build.ts
+++ b/scripts/build.ts
@@ -9,6 +9,7 @@
 } from "node:fs";
 import { build } from "esbuild";
 import { inject } from "postject";
+import { bundleOptions } from "./bundle_options.ts";
 
 const fuse = "NODE_SEA_FUSE_fce680ab2cc467b6e072b8b5df1996b2";
 const bundle = "dist/goldcrestwinch.cjs";
@@ -18,13 +19,9 @@
 
 mkdirSync("dist", { recursive: true });
 await build({
+  ...bundleOptions,
   entryPoints: ["src/cli/main.ts"],
-  bundle: true,
-  platform: "node",
-  target: "node20",
-  format: "cjs",
   outfile: bundle,
-  logLevel: "warning",
   banner: {
     js: "const importMetaUrl = require('node:url').pathToFileURL(__filename).href;",
   },
--- a/scripts/platform_bundle.ts
+++ b/scripts/platform_bundle.ts
@@ -1,5 +1,6 @@
 import { dirname } from "node:path";
 import { type BuildOptions, build, type Plugin } from "esbuild";
+import { bundleOptions } from "./bundle_options.ts";
 
 /** Bundle that the deploy file starts. */
 export const platformBundle = "target/gateway.cjs";
@@ -9,13 +10,9 @@
 const programBundle = "program.cjs";
 
 const options: BuildOptions = {
-  bundle: true,
+  ...bundleOptions,
   minify: true,
   keepNames: true,
-  platform: "node",
-  target: "node20",
-  format: "cjs",
-  logLevel: "warning",
 };
 
 /** Leaves the program out of the bundle, and names the file to load instead. */
@@ -35,7 +32,7 @@
     ...options,
     entryPoints: ["platform/main.ts"],
     outfile,
-    plugins: [loadProgramLater],
+    plugins: [loadProgramLater, ...bundleOptions.plugins],
     // `require` loads a file of this format sooner than `import()`.
     supported: { "dynamic-import": false },
   });
