Fail a call that is answered with a status below 100 with that status

Cause: the handler of all calls rejects statuses above 599 and relied on the parser for those below 100. The parser lets them through as interim responses, and only an assertion of undici at the end of the answer failed. Callers and the log got its text: "The answer was lost: false == true".

Change: the handler rejects both at the head and names the status. The attempt counts as broken as before.

Measured: of the three cases of odd_status_test 000 and 099 failed before; all pass.

--- a/src/adapters/http/flow_handler.ts
+++ b/src/adapters/http/flow_handler.ts
@@ -3,7 +3,8 @@
 import { PieceJoiner } from "./piece_joiner.ts";
 import { ReadGate, type ResponseFlow } from "./read_gate.ts";
 
-/** Largest status of HTTP; the parser rejects those below 100. */
+/** Smallest and largest status of HTTP. */
+const minStatus = 100;
 const maxStatus = 599;
 
 /** Handler that may pause the reading of its response. */
@@ -47,7 +48,7 @@
         gate = ReadGate.current;
         if (gate !== undefined) handler.onFlow?.(createFlow(gate));
       }
-      if (status > maxStatus)
+      if (status < minStatus || status > maxStatus)
         return controller.abort(new Error(`Status ${status} is not HTTP`));
       if (status >= 200) gate?.recordContent();
       handler.onResponseStart?.(controller, status, headers, message);
