--- a/tests/observe/explain_test.ts
+++ b/tests/observe/explain_test.ts
@@ -88,6 +88,26 @@
 });
 
 // A killed node logs no end; the trace must not report that as an answer.
+// A request that waited for its own process showed nothing but a late failure.
+test("the trace of a request that was late since its node handled no event shows the stall", () => {
+  const stall = { gap: 1_921, processorTime: 2_045 };
+  const lines = [
+    line(5_000, "edge-1", "requestSent", { requestId: "r1", server: "e1" }),
+    line(6_901, "edge-1", "requestRefused", { requestId: "r1", age: 1_901 }),
+    line(6_990, "edge-1", "processStalled", stall),
+    line(6_990, "edge-2", "processStalled", stall),
+  ];
+  const { events } = parseLogLines(lines.join("\n"));
+  const trace = buildRequestTrace(events, "r1");
+  const stalls = trace?.events.filter(
+    ({ event }) => event === "processStalled",
+  );
+  assert.deepEqual(
+    stalls?.map(({ node, fields }) => ({ node, ...fields })),
+    [{ node: "edge-1", ...stall }],
+  );
+});
+
 test("a request without a logged end is said to be open", () => {
   const { events } = parseLogLines(refused.slice(0, 1).join("\n"));
   assert.match(buildRequestTrace(events, "r1")?.conclusion ?? "", /No end is/);
