--- a/src/node/wiring.ts
+++ b/src/node/wiring.ts
@@ -6,19 +6,19 @@
 import type { Settings } from "../adapters/settings/settings.ts";
 import { sheetCodec } from "../adapters/settings/sheet.ts";
 import { type Clock, type Millis, millis } from "../core/clock.ts";
-import type { Catalog } from "../core/config/catalog.ts";
+import { listAdapterKeys } from "../core/config/adapter_keys.ts";
 import {
   type AttemptToken,
   brandNumber,
   brandString,
   type DataCentre,
-  formatAdapterKey,
   type LeaseId,
   type NodeId,
   type Region,
   type Revision,
 } from "../core/ids.ts";
-import { defaultSessionSettings, type LiveNode } from "../core/lease/state.ts";
+import { isFirstNode } from "../core/lease/first_node.ts";
+import { defaultSessionSettings } from "../core/lease/state.ts";
 import { defaultLoadLimits } from "../core/loads/limits.ts";
 import { hashText } from "../core/membership/state.ts";
 import {
@@ -185,7 +185,7 @@
     this.#membership.publish("revision", "self", revision);
     const catalog = this.#configuration.current();
     if (catalog === undefined) return;
-    this.#adapterIndex.replace(listKeys(catalog));
+    this.#adapterIndex.replace(listAdapterKeys(catalog));
     this.#placement.setCatalog(catalog);
     this.node.markConfigured();
   }
@@ -311,18 +311,7 @@
   };
 }
 
-function* listKeys(catalog: Catalog) {
-  for (const { name, versions } of catalog.adapters.values()) {
-    for (const version of versions) yield formatAdapterKey(name, version);
-  }
-}
-
 function readLocalHour(clock: Clock): number {
   const date = new Date(clock.wallNow());
   return date.getHours() + date.getMinutes() / 60;
 }
-
-/** Whether this node has the lowest id of the live nodes; it runs the tasks that only one node must run. */
-function isFirstNode(live: readonly LiveNode[], nodeId: NodeId): boolean {
-  return live.every(({ node }) => node >= nodeId);
-}
