Share the raw server of the tests of odd answers

Cause: odd_status_test repeated how unframed_answer_test starts a server and sends a request to it.

Change: both take these from raw_server.ts; their assertions are as before.

--- a/tests/http/unframed_answer_test.ts
+++ b/tests/http/unframed_answer_test.ts
@@ -1,42 +1,12 @@
 import assert from "node:assert/strict";
 import { createServer as createHttpServer } from "node:http";
-import { createServer, type Server, type Socket } from "node:net";
+import type { Socket } from "node:net";
 import { test } from "node:test";
-import { Endpoint } from "../../src/adapters/http/endpoint.ts";
 import { listenOn } from "../../src/adapters/listening/tcp_address.ts";
-import { RealClock } from "../../src/adapters/time/real_clock.ts";
-import { millis } from "../../src/core/clock.ts";
+import { sendRequest, startServer } from "./raw_server.ts";
 
 const head = "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n";
 
-async function startServer(answer: (socket: Socket) => void): Promise<Server> {
-  const server = createServer((socket) => {
-    socket.on("error", () => {});
-    socket.once("data", () => answer(socket));
-  });
-  await new Promise<void>((resolve) => server.listen(0, "127.0.0.1", resolve));
-  return server;
-}
-
-async function sendRequest(server: Server, body?: Uint8Array) {
-  const { port } = server.address() as { port: number };
-  const endpoint = Endpoint.create({
-    origin: `http://127.0.0.1:${port}`,
-    clock: RealClock.create(),
-    connections: 1,
-    name: "test",
-  });
-  const answer = await endpoint.exchange({
-    method: body === undefined ? "GET" : "POST",
-    path: "/",
-    ...(body !== undefined && { body }),
-    timeout: millis(2_000),
-  });
-  await endpoint.close();
-  server.close();
-  return answer;
-}
-
 /** Values of the headers that give an answer a length. */
 function frameOf(headers: Readonly<Record<string, unknown>>): unknown[] {
   const names = ["content-length", "transfer-encoding"];
