--- a/review/stand-ins-3/raw_server.mjs
+++ b/review/stand-ins-3/raw_server.mjs
@@ -1,6 +1,5 @@
 // Stand-in for a server as a process of its own, which a test can kill. Requests are answered by path:
 //   /.../long/N    a body of N lines without a length, a line each 100 ms; it ends with its connection
-//   /.../full/S    503 with Not-Executed and Retry-After S
 //   anything else  200 with a length
 import { createServer } from "node:net";
 
@@ -24,14 +23,14 @@
     return send("421 Misdirected Request", [...echo, `Goldcrestwinch-Instance-Id: ${id}`], "");
   if (requestId === undefined) {
     if (path === "/health") return send("200 OK", [`Goldcrestwinch-Instance-Id: ${id}`], "");
+    if (path === "/report") {
+      tell({ kind: "report", born });
+      const report = { Stage: "both", Models: [], Busy: false, Sequence: 0, Waiting: 0, Running: 0, KvUsed: 0, KvTotal: 0, Handles: 0, born };
+      return send("200 OK", ["Content-Type: application/json"], JSON.stringify(report));
+    }
     tell({ kind: "other", method, path });
     return send("404 Not Found", [], "");
   }
-  const full = /\/full\/([\d.]+)$/.exec(path);
-  if (full !== null) {
-    tell({ kind: "rejected", id: requestId, retryAfter: full[1] });
-    return send("503 Service Unavailable", [...echo, "Goldcrestwinch-Not-Executed: 1", `Retry-After: ${full[1]}`], "");
-  }
   tell({ kind: "run", id: requestId, path });
   const long = /\/long\/(\d+)$/.exec(path);
   if (long === null)
