--- a/review/stand-ins-3/client.mjs
+++ b/review/stand-ins-3/client.mjs
@@ -2,8 +2,15 @@
 import { request as send } from "node:http";
 
 /** Sends one request on a connection of its own; resolves to what came back. */
-export function call({ host, port, path, id, method = "POST", body = method === "GET" ? undefined : "one chain set", deadline = 3000, headers = {}, domain = "desk.example", timeout = deadline + 500 }) {
-  return new Promise((done) => {
+export function call({ host, port, path, id, method = "POST", body = method === "GET" ? undefined : "one chain set", deadline = 3000, headers = {}, domain = "desk.example", timeout = deadline + 500, record }) {
+  const sentAt = performance.now();
+  record?.write(`client sends ${id}: ${method} ${path}`);
+  return new Promise((resolve) => {
+    const done = (result) => {
+      const what = result.status === undefined ? `no answer (${result.error})` : `${result.status}, ${result.isWhole ? "complete" : `not complete (${result.error})`}, ${result.body.length} bytes`;
+      record?.write(`client gets for ${id}: ${what}, after ${Math.round(performance.now() - sentAt)} ms`);
+      resolve(result);
+    };
     const result = { id, status: undefined, body: "", isWhole: false, error: undefined };
     const request = send(
       {
--- a/review/stand-ins-3/engine.mjs
+++ b/review/stand-ins-3/engine.mjs
@@ -1,10 +1,12 @@
 // Stand-in for a model server as a process of its own (PROTOCOL.md, "Servers", "Model placement").
-// A sound one answers each stream with EVENTS events, one each 100 ms. One in trouble sends one event and then,
-// until the caller closes, short lines of an event that never ends: some at once, then more each 50 ms.
+// A sound one answers each stream with ten events, one each 100 ms. One in trouble spoils 45 % of its answers: it
+// sends one event and then, until the caller closes, lines of an event that never ends, many at once and more each 50 ms.
 import { createServer } from "node:http";
 
 const [, , id, host, state] = process.argv;
-const isSound = state !== "faulty";
+/** Share of the answers that a server in trouble spoils. */
+const spoiledShare = state === "faulty" ? 0.45 : 0;
+let answers = 0;
 const events = 10;
 const line = "x\n";
 const firstBytes = 200_000;
@@ -28,6 +30,9 @@
     ...echo, "goldcrestwinch-server-seal": `3e1b.07.${(++seals).toString(16)}.600.0.c9f2a4d1`,
     "goldcrestwinch-weight-versions": "1", "content-type": "text/event-stream",
   });
+  answers++;
+  const isSound = Math.floor(answers * spoiledShare) === Math.floor((answers - 1) * spoiledShare);
+  tell({ kind: isSound ? "answers" : "spoils its answer to", id: request.headers["goldcrestwinch-request-id"] });
   let last = Number(request.headers["last-event-id"] ?? 0);
   const send = () => {
     response.write(`id: ${++last}\ndata: ${"token ".repeat(6)}\n\n`);
--- a/review/stand-ins-3/system.mjs
+++ b/review/stand-ins-3/system.mjs
@@ -1,5 +1,5 @@
 // Starts the project's program as the deploy file says, and what a small deployment has around it.
-import { spawn } from "node:child_process";
+import { fork, spawn } from "node:child_process";
 import { appendFileSync, mkdtempSync, readFileSync, rmSync, writeFileSync } from "node:fs";
 import { createServer } from "node:net";
 import { tmpdir } from "node:os";
@@ -8,20 +8,86 @@
 
 export const root = join(dirname(fileURLToPath(import.meta.url)), "..", "..");
 export const sleep = (ms) => new Promise((done) => setTimeout(done, ms));
-export const isTroubled = process.env.TROUBLE !== "0";
+
+/** Longest time of a script, in ms. */
+const maxDuration = 110_000;
+const flushInterval = 100;
 
 /** Record of a run: what was sent, answered and run. */
 export class Record {
-  constructor(folder) {
-    this.file = join(folder, "record.txt");
-    writeFileSync(this.file, "");
+  constructor(file) {
+    this.file = file;
+    this.lines = [];
     this.startedAt = performance.now();
+    writeFileSync(file, `TROUBLE=${process.env.TROUBLE ?? "1"}\n`);
+    setInterval(() => this.flush(), flushInterval).unref();
+    process.on("exit", () => this.flush());
+    const giveUp = (reason) => {
+      this.write(`could not run: ${reason}`);
+      process.exit(2);
+    };
+    process.on("uncaughtException", (error) => giveUp(error.stack));
+    for (const signal of ["SIGTERM", "SIGINT", "SIGHUP"]) process.on(signal, () => giveUp(signal));
+    setTimeout(() => giveUp("it took too long"), maxDuration).unref();
   }
 
   write(text) {
     const at = ((performance.now() - this.startedAt) / 1000).toFixed(3);
-    appendFileSync(this.file, `${at.padStart(8)} s  ${text}\n`);
+    this.lines.push(`${at.padStart(8)} s  ${text}\n`);
+  }
+
+  flush() {
+    if (this.lines.length > 0) appendFileSync(this.file, this.lines.join(""));
+    this.lines = [];
+  }
+}
+
+/** Processes that the script started and that have not ended, each with the promise of its end. */
+const running = new Map();
+let startedCount = 0;
+let guard;
+const folders = new Set();
+process.on("exit", () => {
+  for (const child of running.keys()) child.kill("SIGKILL");
+  for (const folder of folders) rmSync(folder, { recursive: true, force: true });
+});
+
+/** Follows a process that the script has started, so that it ends with the script. */
+export function track(child, name, record) {
+  guard ??= fork(join(root, "review/stand-ins-3/guard.mjs"));
+  startedCount++;
+  record.write(`process of ${name} started, pid ${child.pid}`);
+  guard.send({ started: child.pid });
+  const ended = new Promise((done) =>
+    child.once("exit", (status, signal) => {
+      running.delete(child);
+      if (guard.connected) guard.send({ ended: child.pid });
+      record.write(`process of ${name} ended: status ${status}, signal ${signal}`);
+      done({ status, signal });
+    }),
+  );
+  running.set(child, ended);
+  return ended;
+}
+
+/** Ends a tracked process; resolves when it has ended. */
+export async function endProcess(child) {
+  const ended = running.get(child);
+  child.kill("SIGKILL");
+  await ended;
+}
+
+/** Ends all processes that the script started, and then the script. */
+export async function finish(code, record) {
+  await Promise.all([...running.keys()].map(endProcess));
+  if (guard !== undefined) {
+    const ended = new Promise((done) => guard.once("exit", done));
+    guard.disconnect();
+    await ended;
   }
+  record.write(`${startedCount} processes started, ${running.size} still run`);
+  record.write(`exit ${code}`);
+  process.exit(code);
 }
 
 export async function freePort(host) {
@@ -47,11 +113,6 @@
   CeilingOverage: 1.1, version_ms: 5000,
 };
 
-const running = new Set();
-process.on("exit", () => {
-  for (const child of running) child.kill("SIGKILL");
-});
-
 /** One machine: its process, and its addresses. */
 export class Machine {
   static async start({ name, host, store, zone = "tatry-a", record, bootstrap = true, memoryMb = 350, bounds: own = {} }) {
@@ -76,6 +137,7 @@
       Bounds: { ...bounds, ...own },
       Platform: { Address: store, form: "table", WritesPerS: 400, ReadsPerS: 2000, TxnMs: 5, PartitionWritesS: 200, RowBytes: 65536, Across: false, HistoryS: 20, BlobBytes: 8388608, BlobMs: 25, BlobMbS: 80 },
     };
+    folders.add(machine.folder);
     machine.settingsFile = join(machine.folder, "boot.json");
     writeFileSync(machine.settingsFile, JSON.stringify(settings));
     machine.spawn();
@@ -89,7 +151,6 @@
       env: { PATH: process.env.PATH, HOME: process.env.HOME, GOLDCRESTWINCH_CONFIG: this.settingsFile },
       stdio: ["ignore", "pipe", "pipe"],
     });
-    running.add(child);
     this.child = child;
     this.end = undefined;
     this.log = [];
@@ -104,15 +165,9 @@
     };
     follow(child.stdout);
     follow(child.stderr);
-    this.ended = new Promise((done) =>
-      child.once("exit", (status, signal) => {
-        running.delete(child);
-        this.end = { status, signal };
-        this.record?.write(`process of ${this.name} ended: status ${status}, signal ${signal}`);
-        done(this.end);
-      }),
-    );
-    this.record?.write(`process of ${this.name} started, pid ${child.pid}`);
+    this.ended = track(child, this.name, this.record).then((end) => {
+      this.end = end;
+    });
   }
 
   /** Memory in use in MB: now, and at its peak. */
@@ -146,8 +201,6 @@
   }
 
   async stop() {
-    if (this.end === undefined) this.child.kill("SIGKILL");
-    await this.ended;
-    rmSync(this.folder, { recursive: true, force: true });
+    if (this.end === undefined) await endProcess(this.child);
   }
 }
